Agree the slices, edges and messages

Cause: slices are to be written side by side, so what they say to each other has to stand first. No behaviour yet, nothing measured.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+
+.PHONY: trial test check bench clean
+
+trial: $(VENV)/run  ## Run the whole system in one process and print a table.
+	$(BIN)/python -m pollenfork trial
+
+test: $(VENV)/dev  ## Run every test.
+	$(BIN)/python -m pytest -n 4
+
+check: $(VENV)/dev  ## Formatter, linter and type checker.
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+bench: $(VENV)/dev  ## Measure every slope; writes benchmarks/results/*.json.
+	$(BIN)/python -m benchmarks
+
+$(VENV)/run: requirements.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install -q --disable-pip-version-check -r requirements.txt
+	touch $@
+
+$(VENV)/dev: $(VENV)/run requirements-dev.txt
+	$(BIN)/python -m pip install -q --disable-pip-version-check -r requirements-dev.txt
+	touch $@
+
+clean:
+	rm -rf $(VENV) build dist .pytest_cache .mypy_cache .ruff_cache
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: each module prints its figures and writes JSON."""
--- /dev/null
+++ b/pollenfork/answers/__init__.py
@@ -0,0 +1,1 @@
+"""Relay of answers from endpoints, kept whole: resume and continue."""
--- /dev/null
+++ b/pollenfork/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: declaration in `definition`, behaviour beside."""
--- /dev/null
+++ b/pollenfork/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of endpoint, concurrency limits, retries and hedges."""
--- /dev/null
+++ b/pollenfork/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""State of the endpoints: health, load, leaving, leases and orders."""
--- /dev/null
+++ b/pollenfork/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP front towards callers."""
--- /dev/null
+++ b/pollenfork/ids.py
@@ -0,0 +1,21 @@
+"""Identifiers that travel between the slices."""
+
+from typing import NewType
+
+InstanceId = NewType("InstanceId", str)
+EndpointId = NewType("EndpointId", str)
+DataCentre = NewType("DataCentre", str)
+Team = NewType("Team", str)
+AccountId = NewType("AccountId", str)
+ClassName = NewType("ClassName", str)
+ModelName = NewType("ModelName", str)
+ServiceName = NewType("ServiceName", str)
+
+RequestId = NewType("RequestId", str)
+AttemptId = NewType("AttemptId", str)
+WriteId = NewType("WriteId", str)
+
+Tier = NewType("Tier", int)  # 0 is the most urgent.
+Revision = NewType("Revision", int)  # Grows by one with each accepted write.
+Incarnation = NewType("Incarnation", int)  # Grows with each process start.
+FencingNumber = NewType("FencingNumber", int)  # Grows with each lease holder.
--- /dev/null
+++ b/pollenfork/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""Idempotency records: each keyed request runs at most once."""
--- /dev/null
+++ b/pollenfork/load/__init__.py
@@ -0,0 +1,1 @@
+"""Open-loop load and its report: attainment, goodput, wasted work."""
--- /dev/null
+++ b/pollenfork/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Peers: heartbeats, suspicion, incarnations and pressure exchange."""
--- /dev/null
+++ b/pollenfork/operator/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface for operators."""
--- /dev/null
+++ b/pollenfork/settings/__init__.py
@@ -0,0 +1,1 @@
+"""The settings tree: validation, revisions and propagation."""
--- /dev/null
+++ b/pollenfork/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and the engines, for tests and trials."""
