Add the engine stand-in

Weighed: waitress was ruled out for the front, since it takes a thread for each open answer; asyncio with h11 holds them all in one thread and can break a connection at a chosen token.

--- /dev/null
+++ b/pollenfork/standin/engine/__init__.py
@@ -0,0 +1,1 @@
+"""The model engine stand-in: batching core and HTTP front."""
--- /dev/null
+++ b/pollenfork/standin/http.py
@@ -0,0 +1,252 @@
+"""A small HTTP/1.1 server of asyncio and h11 for the stand-ins.
+
+It holds hundreds of paced streams in one thread, which waitress with its
+thread for each answer can't, and it can break a connection on purpose.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Coroutine
+import logging
+import threading
+from typing import TypeVar
+import urllib.parse
+
+import h11
+import msgspec
+
+T = TypeVar("T")
+_LOG = logging.getLogger(__name__)
+_READ_SIZE = 65_536
+_BACKLOG = 1024
+_CALL_TIMEOUT_S = 10.0
+
+
+class Request(msgspec.Struct, frozen=True):
+    """One request, read whole; header names are in lower case."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+
+
+class Exchange:
+    """Where the answer to one request goes; for the loop's thread only."""
+
+    def __init__(
+        self, connection: h11.Connection, writer: asyncio.StreamWriter
+    ) -> None:
+        self._connection = connection
+        self._writer = writer
+        self.dropped = False
+
+    def send(
+        self,
+        status: int,
+        body: bytes = b"",
+        headers: tuple[tuple[str, str], ...] = (),
+        content_type: str = "application/json",
+    ) -> None:
+        """Sends a whole answer."""
+        length = ("Content-Length", str(len(body)))
+        self.start(status, (length, *headers), content_type)
+        self.write(body)
+        self.finish()
+
+    def start(
+        self,
+        status: int,
+        headers: tuple[tuple[str, str], ...] = (),
+        content_type: str = "application/json",
+    ) -> None:
+        """Sends the head of an answer."""
+        pairs = [("Content-Type", content_type), *headers]
+        self._write(h11.Response(status_code=status, headers=pairs))
+
+    def write(self, data: bytes) -> None:
+        """Sends a part of the answer's body."""
+        if data:
+            self._write(h11.Data(data=data))
+
+    def finish(self) -> None:
+        """Ends the answer."""
+        self._write(h11.EndOfMessage())
+
+    def drop(self) -> None:
+        """Breaks the connection, as a crash does."""
+        self.dropped = True
+        self._writer.transport.abort()
+
+    def _write(self, event: h11.Event) -> None:
+        if self.dropped or self._writer.is_closing():
+            return
+        data = self._connection.send(event)
+        if data:
+            self._writer.write(data)
+
+
+Handler = Callable[[Request, Exchange], Awaitable[None]]
+
+
+class Server:
+    """Serves one address in a thread of its own.
+
+    The handler answers through the exchange; it is cancelled when the caller
+    closes the connection first.
+    """
+
+    def __init__(self, listen: str, handler: Handler) -> None:
+        self._listen = listen
+        self._handler = handler
+        self._loop = asyncio.new_event_loop()
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._server: asyncio.Server | None = None
+        self._thread = threading.Thread(
+            target=self._run, name="standin-http", daemon=True
+        )
+
+    def start(self) -> str:
+        """Listens; returns the address as `host:port`."""
+        self._thread.start()
+        return self.call(self._open())
+
+    def stop(self) -> None:
+        """Breaks every connection and ends the thread."""
+        if not self._thread.is_alive():
+            return
+        self.call(self._close())
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+        self._loop.close()
+
+    def call(self, work: Coroutine[None, None, T]) -> T:
+        """Runs `work` in the server's loop and returns its result."""
+        future = asyncio.run_coroutine_threadsafe(work, self._loop)
+        return future.result(_CALL_TIMEOUT_S)
+
+    def spawn(self, work: Coroutine[None, None, None]) -> None:
+        """Runs `work` in the server's loop until the server stops."""
+        asyncio.run_coroutine_threadsafe(work, self._loop)
+
+    def drop_all(self) -> None:
+        """Breaks every connection; for the loop's thread only."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def _run(self) -> None:
+        asyncio.set_event_loop(self._loop)
+        self._loop.run_forever()
+
+    async def _open(self) -> str:
+        host, _, port = self._listen.rpartition(":")
+        self._server = await asyncio.start_server(
+            self._serve, host, int(port), backlog=_BACKLOG
+        )
+        bound = self._server.sockets[0].getsockname()
+        return f"{bound[0]}:{bound[1]}"
+
+    async def _close(self) -> None:
+        if self._server:
+            self._server.close()
+        self.drop_all()
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        connection = h11.Connection(h11.SERVER)
+        try:
+            while await self._serve_one(connection, reader, writer):
+                connection.start_next_cycle()
+        except (OSError, h11.ProtocolError) as error:
+            _LOG.debug("event=standin_connection_ended error=%s", error)
+        except asyncio.CancelledError:
+            pass  # The server stops.
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _serve_one(
+        self,
+        connection: h11.Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Serves one request; returns whether the connection goes on."""
+        request = await _read_request(connection, reader)
+        if request is None:
+            return False
+        exchange = Exchange(connection, writer)
+        handling = asyncio.ensure_future(self._handle(request, exchange))
+        while not handling.done():
+            reading = asyncio.ensure_future(reader.read(_READ_SIZE))
+            await asyncio.wait(
+                {handling, reading}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if not reading.done():
+                reading.cancel()
+                await asyncio.wait({reading})
+                continue
+            if not await _receive(connection, reading):
+                handling.cancel()
+                await asyncio.wait({handling})
+                return False
+        if exchange.dropped:
+            return False
+        await writer.drain()
+        return connection.our_state is h11.DONE
+
+    async def _handle(self, request: Request, exchange: Exchange) -> None:
+        try:
+            await self._handler(request, exchange)
+        except Exception:
+            _LOG.exception("event=standin_handler_failed path=%s", request.path)
+            exchange.drop()
+
+
+async def _receive(
+    connection: h11.Connection, reading: asyncio.Future[bytes]
+) -> bool:
+    """Passes on what was read; False where the caller has gone."""
+    try:
+        data = await reading
+    except OSError:
+        return False
+    connection.receive_data(data)
+    return bool(data)
+
+
+async def _read_request(
+    connection: h11.Connection, reader: asyncio.StreamReader
+) -> Request | None:
+    """Returns the next request, or None at the connection's end."""
+    head: h11.Request | None = None
+    parts = []
+    while True:
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            connection.receive_data(await reader.read(_READ_SIZE))
+        elif isinstance(event, h11.Request):
+            head = event
+        elif isinstance(event, h11.Data):
+            parts.append(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage) and head:
+            return _build_request(head, b"".join(parts))
+        else:
+            return None
+
+
+def _build_request(head: h11.Request, body: bytes) -> Request:
+    target = urllib.parse.urlsplit(head.target.decode("ascii"))
+    return Request(
+        method=head.method.decode("ascii"),
+        path=urllib.parse.unquote(target.path),
+        query=dict(urllib.parse.parse_qsl(target.query)),
+        headers={k.decode(): v.decode("latin-1") for k, v in head.headers},
+        body=body,
+    )
--- /dev/null
+++ b/pollenfork/standin/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform stand-in: table, objects, instance list, weights."""
