--- /dev/null
+++ b/pollenfork/entry/errors.py
@@ -0,0 +1,102 @@
+"""What a caller can be told instead of an answer, and how it reads."""
+
+import enum
+import http
+
+import msgspec
+
+from pollenfork import failures
+from pollenfork.admission import messages as admission_messages
+
+
+class Code(enum.Enum):
+    """The typed `code` of an error towards callers."""
+
+    BAD_JSON = "bad_json"
+    BAD_REQUEST = "bad_request"
+    BODY_TOO_LARGE = "body_too_large"
+    HEADER_TOO_LONG = "header_too_long"
+    WRONG_KEY = "wrong_key"
+    UNKNOWN_CLASS = "unknown_class"
+    UNKNOWN_MODEL = "unknown_model"
+    UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_PATH = "unknown_path"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    OVERLOADED = "overloaded"
+    STOPPING = "stopping"
+    ENDPOINT_FAILED = "endpoint_failed"
+    RUNNING = "idempotent_request_running"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    KEY_REUSED = "idempotency_key_reused"
+    RECORD_UNAVAILABLE = "record_unavailable"
+
+
+class Refusal(failures.Failure, frozen=True, kw_only=True):
+    """A typed refusal towards the caller.
+
+    Attributes:
+        reason: Finer than the code, where there is one; counted.
+        retry_after_s: When to come back, where that is known.
+    """
+
+    status: http.HTTPStatus
+    code: Code
+    outcome: failures.Outcome = failures.Outcome.NOT_RUN
+    reason: str = ""
+    retry_after_s: float | None = None
+
+
+class _ErrorBody(msgspec.Struct, frozen=True):
+    message: str
+    type: str
+    code: str
+    param: str | None = None
+
+
+class _ErrorEnvelope(msgspec.Struct, frozen=True):
+    error: _ErrorBody
+
+
+def write_body(refusal: Refusal) -> bytes:
+    """Returns the refusal in OpenAI's error shape."""
+    kind = "server_error"
+    if refusal.status < http.HTTPStatus.INTERNAL_SERVER_ERROR:
+        kind = "invalid_request_error"
+    if refusal.status is http.HTTPStatus.TOO_MANY_REQUESTS:
+        kind = "rate_limit_error"
+    body = _ErrorBody(refusal.detail, kind, refusal.code.value)
+    return msgspec.json.encode(_ErrorEnvelope(body))
+
+
+_Reason = admission_messages.RefusalReason
+
+_DETAILS = {
+    _Reason.QUEUE_FULL: "Too many requests of this class are waiting.",
+    _Reason.TARGET_UNREACHABLE: "The class's target can't be met now.",
+    _Reason.EVICTED: "A more urgent request took the place in the queue.",
+    _Reason.WAITED_TOO_LONG: "No endpoint became free in the class's time.",
+    _Reason.ACCOUNT_LIMIT: "The account has too many requests at once.",
+    _Reason.TEAM_LIMIT: "The team has too many requests at once.",
+    _Reason.NO_ENDPOINT: "No endpoint carries this now.",
+    _Reason.STOPPING: "This instance is stopping; connect again.",
+    _Reason.CALLER_GONE: "The caller went away.",
+    _Reason.INSTANCE_FULL: "This instance is full; connect again.",
+}
+_LIMITED = (_Reason.ACCOUNT_LIMIT, _Reason.TEAM_LIMIT)
+
+
+def describe_refused(refused: admission_messages.Refused) -> Refusal:
+    """Returns what the caller is told when the scheduler refuses."""
+    status = http.HTTPStatus.SERVICE_UNAVAILABLE
+    code = Code.OVERLOADED
+    if refused.reason in _LIMITED:
+        status = http.HTTPStatus.TOO_MANY_REQUESTS
+    if refused.reason is _Reason.STOPPING:
+        code = Code.STOPPING
+    return Refusal(
+        status=status,
+        code=code,
+        reason=refused.reason.value,
+        retry_after_s=refused.retry_after_s,
+        detail=_DETAILS[refused.reason] + " The request was not run.",
+    )
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,55 @@
+"""Small far ends for the tests of the whole path."""
+
+import http.server
+import json
+import threading
+
+
+class FakeEngine:
+    """An engine on loopback that answers each prompt with fixed events."""
+
+    def __init__(self, tokens: int = 5, finish: bool = True) -> None:
+        self.runs = 0
+        engine = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            def do_POST(self) -> None:
+                engine.runs += 1
+                length = int(self.headers["Content-Length"])
+                asked = json.loads(self.rfile.read(length))
+                write = self._stream if asked.get("stream") else self._plain
+                write()
+
+            def _stream(self) -> None:
+                self.send_response(200)
+                self.send_header("Content-Type", "text/event-stream")
+                self.end_headers()
+                for position in range(tokens):
+                    self.wfile.write(write_event(position))
+                if finish:
+                    self.wfile.write(b"data: [DONE]\n\n")
+
+            def _plain(self) -> None:
+                body = b'{"choices": [{"text": "whole"}]}'
+                self.send_response(200)
+                self.send_header("Content-Type", "application/json")
+                self.send_header("Content-Length", str(len(body)))
+                self.end_headers()
+                self.wfile.write(body)
+
+            def log_message(self, *args: object) -> None:
+                del args
+
+        address = ("127.0.0.1", 0)
+        self._server = http.server.ThreadingHTTPServer(address, Handler)
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+        self.address = f"127.0.0.1:{self._server.server_address[1]}"
+
+    def stop(self) -> None:
+        self._server.shutdown()
+        self._server.server_close()
+
+
+def write_event(position: int) -> bytes:
+    data = json.dumps({"choices": [{"text": f"t{position} "}]})
+    return f"id: {position}\ndata: {data}\n\n".encode()
--- /dev/null
+++ b/tests/test_path.py
@@ -0,0 +1,130 @@
+"""The whole path: from a caller's request to its answer's last byte."""
+
+from collections.abc import Iterator
+import json
+
+import pytest
+import urllib3
+
+from pollenfork import application
+from pollenfork import clock
+from pollenfork import config
+from pollenfork.settings import model
+from pollenfork.settings import snapshot
+from tests import fakes
+
+KEY = "crew-key"
+
+
+@pytest.fixture
+def engines() -> Iterator[list[fakes.FakeEngine]]:
+    started = [fakes.FakeEngine() for _ in range(2)]
+    yield started
+    for engine in started:
+        engine.stop()
+
+
+@pytest.fixture
+def entry(
+    engines: list[fakes.FakeEngine],
+) -> Iterator[application.Application]:
+    settings = config.EntryConfig(
+        instance="entry-1",
+        data_centre="a",
+        listen="127.0.0.1:0",
+        peer_listen="127.0.0.1:0",
+        platform="127.0.0.1:1",
+        streams=8,
+        waiting=8,
+        body_limit=10_000,
+    )
+    app = application.Application(settings, clock.SystemClock())
+    app.start()
+    app.apply_tree(make_tree([engine.address for engine in engines]))
+    yield app
+    app.stop()
+
+
+def make_tree(addresses: list[str]) -> model.Tree:
+    endpoints = {
+        f"runner-{n}": model.EndpointSettings(
+            address=address, data_centre="a", models=("lines",)
+        )
+        for n, address in enumerate(addresses)
+    }
+    account = model.Account(
+        key_sha256=snapshot.hash_key(KEY),
+        classes=("morning",),
+        default_class="morning",
+    )
+    team = model.TeamSettings(
+        classes={"morning": model.ServiceClass(tier=0, protected=True)},
+        accounts={"crew": account},
+    )
+    ceiling = model.Ceiling(may_protect=True)
+    root = model.RootSettings(
+        ceilings={"linework": ceiling}, endpoints=endpoints
+    )
+    return model.Tree(root=root, teams={"linework": team}, revision=1)
+
+
+def post(
+    entry: application.Application,
+    body: bytes,
+    headers: dict[str, str] | None = None,
+    path: str = "/v1/completions",
+) -> urllib3.BaseHTTPResponse:
+    sent = {"Authorization": f"Bearer {KEY}", **(headers or {})}
+    url = f"http://{entry.address}{path}"
+    return urllib3.request("POST", url, body=body, headers=sent, retries=False)
+
+
+def write_ask(stream: bool, model_name: str = "lines") -> bytes:
+    asked = {"model": model_name, "prompt": "Tower 7", "stream": stream}
+    return json.dumps(asked).encode()
+
+
+def test_stream_reaches_the_caller_byte_for_byte(
+    entry: application.Application,
+) -> None:
+    response = post(entry, write_ask(stream=True))
+    events = b"".join(fakes.write_event(n) for n in range(5))
+    assert response.status == 200
+    assert response.data == events + b"data: [DONE]\n\n"
+
+
+def test_plain_answer_reaches_the_caller(
+    entry: application.Application,
+) -> None:
+    response = post(entry, write_ask(stream=False))
+    assert response.json() == {"choices": [{"text": "whole"}]}
+
+
+@pytest.mark.parametrize(
+    ("body", "headers", "status", "code"),
+    [
+        (b"{", {}, 400, "bad_json"),
+        (b'{"model": 3}', {}, 400, "bad_request"),
+        (b'{"model": "lines"}', {}, 400, "bad_request"),
+        (write_ask(True, "none"), {}, 404, "unknown_model"),
+        (write_ask(True), {"Authorization": "Bearer x"}, 401, "wrong_key"),
+        (write_ask(True), {"X-Service-Class": "x"}, 403, "unknown_class"),
+        (b"[" + b"1" * 11_000, {}, 413, "body_too_large"),
+    ],
+)
+def test_bad_request_is_refused_without_engine_work(
+    entry: application.Application,
+    engines: list[fakes.FakeEngine],
+    body: bytes,
+    headers: dict[str, str],
+    status: int,
+    code: str,
+) -> None:
+    response = post(entry, body, headers)
+    assert response.status == status
+    assert response.json()["error"]["code"] == code
+    assert response.headers["X-Outcome"] == "not_run"
+    assert sum(engine.runs for engine in engines) == 0
+    url = f"http://{entry.address}/metrics"
+    exposition = urllib3.request("GET", url).data.decode()
+    assert f'code="{code}"' in exposition
