Poll the fake engine's shutdown faster

Cause: each test of the whole path took 1 s to tear down, all of it http.server's shutdown poll of 0.5 s for two engines.

--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -42,7 +42,9 @@
 
         address = ("127.0.0.1", 0)
         self._server = http.server.ThreadingHTTPServer(address, Handler)
-        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+        threading.Thread(
+            target=self._server.serve_forever, args=(0.01,), daemon=True
+        ).start()
         self.address = f"127.0.0.1:{self._server.server_address[1]}"
 
     def stop(self) -> None:
