--- a/pollenfork/platform/edges.py
+++ b/pollenfork/platform/edges.py
@@ -1,7 +1,7 @@
 """The platform's services as the rest of the program sees them.
 
 Each is met by one adapter and, in tests, by one fake. No policy lives here:
-retries, breakers and budgets belong to the callers in `platform.client`.
+retries, breakers and budgets are in `platform.policy`.
 """
 
 import enum
