--- a/pollenfork/standin/platform/core.py
+++ b/pollenfork/standin/platform/core.py
@@ -23,6 +23,13 @@
 Answer = result.Result[edges.Committed, errors.PlatformFailure]
 
 
+class Counts(msgspec.Struct, frozen=True):
+    """What the state has counted, for tests and benchmarks."""
+
+    calls: dict[configs.Operation, int]
+    effects: int
+
+
 class Platform:
     """Rows, objects, instance list and permits.
 
@@ -146,6 +153,10 @@
             return result.Err(throttled)
         return result.Ok(None)
 
+    def read_counts(self) -> Counts:
+        """Returns the counts."""
+        return Counts(dict(self.calls), self.effects)
+
     def _pass(
         self, operation: configs.Operation, bucket: buckets.Bucket, now: float
     ) -> errors.Throttled | None:
@@ -188,10 +199,3 @@
         version = row.version + 1 if row else 1
         self._rows[put.key] = edges.Row(put.key, put.value, version)
         return version
-
-
-class Counts(msgspec.Struct, frozen=True):
-    """What the state has counted, for tests and benchmarks."""
-
-    calls: dict[configs.Operation, int]
-    effects: int
