--- /dev/null
+++ b/pollenfork/load/table.py
@@ -0,0 +1,71 @@
+"""The report of a load run as a table: rich on a terminal, else plain."""
+
+from collections.abc import Iterator
+from typing import TextIO
+
+from pollenfork.load import report as reports
+
+_COLUMNS = (
+    "class", "sent", "whole", "attained", "goodput/s", "first p50", "first p95",
+    "gap p95", "not answered",
+)  # fmt: skip
+
+
+def write_report(
+    report: reports.Report, out: TextIO, is_terminal: bool
+) -> None:
+    """Writes the table and the lines below it; times are milliseconds."""
+    rows = [_make_row(name, c) for name, c in sorted(report.classes.items())]
+    if is_terminal:
+        _write_rich(rows, out)
+    else:
+        _write_plain(rows, out)
+    for line in _make_lines(report):
+        out.write(line + "\n")
+
+
+def _make_row(name: str, figures: reports.ClassReport) -> tuple[str, ...]:
+    reasons = ", ".join(f"{k} {v}" for k, v in figures.reasons.items())
+    return (
+        name,
+        str(figures.sent),
+        str(figures.whole),
+        f"{figures.attainment:.1%}",
+        f"{figures.goodput:.2f}",
+        f"{figures.first_token_p50:.0f}",
+        f"{figures.first_token_p95:.0f}",
+        f"{figures.gap_p95:.1f}",
+        reasons or "-",
+    )
+
+
+def _make_lines(report: reports.Report) -> Iterator[str]:
+    yield f"goodput {report.goodput:.2f}/s, broken answers {report.broken}"
+    waste = report.waste
+    if waste:
+        yield (
+            f"tokens generated {waste.generated}, wasted {waste.wasted} "
+            f"({waste.share:.2%}), repeats {waste.repeats}, "
+            f"run though refused {waste.run_though_refused}"
+        )
+
+
+def _write_plain(rows: list[tuple[str, ...]], out: TextIO) -> None:
+    widths = [
+        max(len(row[i]) for row in [_COLUMNS, *rows])
+        for i in range(len(_COLUMNS))
+    ]
+    for row in [_COLUMNS, *rows]:
+        cells = (cell.ljust(w) for cell, w in zip(row, widths, strict=True))
+        out.write("  ".join(cells).rstrip() + "\n")
+
+
+def _write_rich(rows: list[tuple[str, ...]], out: TextIO) -> None:
+    # Only a terminal needs rich, and it is slow to import.
+    import rich.console
+    import rich.table
+
+    table = rich.table.Table(*_COLUMNS)
+    for row in rows:
+        table.add_row(*row)
+    rich.console.Console(file=out).print(table)
