Add the command line: entry, trial, load and the stand-ins

Weighed: cappa's own invoke was ruled out, since it would tie each behaviour to cappa; a command names its behaviour as `module:function`, imported only when it runs, and a behaviour is a plain function of command and Environment. Other commands join by adding their class to the union in `definition`.

--- /dev/null
+++ b/pollenfork/cli/definition.py
@@ -0,0 +1,188 @@
+"""The command line, declared as data.
+
+A command names its behaviour as `module:function`, which is imported when it
+runs: `entry` must not load what only the load tool needs. A behaviour takes
+the command and a `context.Environment` and returns an `ExitStatus`.
+"""
+
+import dataclasses
+import enum
+import pathlib
+from typing import Annotated, ClassVar
+
+import cappa
+
+
+class Format(enum.Enum):
+    """How results are written."""
+
+    TABLE = "table"
+    JSON = "json"
+
+
+SettingsFile = Annotated[
+    pathlib.Path,
+    cappa.Arg(long="--settings", value_name="FILE", help="JSON settings."),
+]
+OutputFormat = Annotated[
+    Format,
+    cappa.Arg(
+        long="--format",
+        help="A table for people, or JSON.",
+        show_default=False,
+    ),
+]
+
+
+def make_examples(*lines: str) -> str:
+    """Returns the end of a command's help text."""
+    shown = "\n".join(f"    pollenfork {line}" for line in lines)
+    return f"Examples:\n\n{shown}"
+
+
+@cappa.command(
+    name="entry",
+    help="Run one entry instance until SIGTERM.",
+    epilog=make_examples("entry --settings entry.json"),
+)
+@dataclasses.dataclass
+class Entry:
+    """One entry instance."""
+
+    BEHAVIOUR: ClassVar[str] = "pollenfork.cli.serving:run_entry"
+
+    settings: SettingsFile
+
+
+@cappa.command(
+    name="platform",
+    help="Run the platform stand-in: table, objects, instance list, weights.",
+    epilog=make_examples("standin platform --settings platform.json"),
+)
+@dataclasses.dataclass
+class StandinPlatform:
+    """The platform stand-in."""
+
+    BEHAVIOUR: ClassVar[str] = "pollenfork.cli.serving:run_platform"
+
+    settings: SettingsFile
+
+
+@cappa.command(
+    name="engine",
+    help="Run one engine stand-in.",
+    epilog=make_examples("standin engine --settings engine.json"),
+)
+@dataclasses.dataclass
+class StandinEngine:
+    """An engine stand-in."""
+
+    BEHAVIOUR: ClassVar[str] = "pollenfork.cli.serving:run_engine"
+
+    settings: SettingsFile
+
+
+@cappa.command(
+    name="service",
+    help="Run one plain-service stand-in that records postings.",
+    epilog=make_examples("standin service --listen 127.0.0.1:9300"),
+)
+@dataclasses.dataclass
+class StandinService:
+    """A plain-service stand-in."""
+
+    BEHAVIOUR: ClassVar[str] = "pollenfork.cli.serving:run_service"
+
+    listen: Annotated[
+        str, cappa.Arg(long=True, help="host:port; port 0 takes a free one.")
+    ] = "127.0.0.1:0"
+
+
+@cappa.command(
+    name="standin",
+    help="Run a stand-in for what surrounds the system, with faults.",
+    epilog=make_examples("standin engine --help"),
+)
+@dataclasses.dataclass
+class Standin:
+    """The stand-ins."""
+
+    command: cappa.Subcommands[StandinPlatform | StandinEngine | StandinService]
+
+
+@cappa.command(
+    name="load",
+    help="Send open-loop load and report attainment, goodput, wasted work.",
+    epilog=make_examples(
+        "load --scenario benchmarks/scenarios/dawn.json"
+        " --to http://127.0.0.1:8000 --engine http://127.0.0.1:9001",
+    ),
+)
+@dataclasses.dataclass
+class Load:
+    """A load run."""
+
+    BEHAVIOUR: ClassVar[str] = "pollenfork.cli.loading:run_load"
+
+    scenario: Annotated[
+        pathlib.Path,
+        cappa.Arg(long=True, value_name="FILE", help="JSON scenario."),
+    ]
+    to: Annotated[
+        list[str],
+        cappa.Arg(
+            long=True,
+            num_args=-1,
+            required=True,
+            value_name="URL",
+            help="Entry instances; each request takes one at random.",
+        ),
+    ]
+    engine: Annotated[
+        list[str],
+        cappa.Arg(
+            long=True,
+            num_args=-1,
+            value_name="URL",
+            help="Engine stand-ins, whose counts give the wasted work.",
+        ),
+    ] = dataclasses.field(default_factory=list)
+    expect: Annotated[
+        float,
+        cappa.Arg(
+            long=True,
+            help="Attainment that every class must reach, 0 to 1;"
+            " below it the exit status is 6.",
+        ),
+    ] = 0.0
+    format: OutputFormat = Format.TABLE
+
+
+@cappa.command(
+    name="trial",
+    help="Run the whole system in one process, with a short dawn burst.",
+    epilog=make_examples("trial", "trial --keep", "trial --format json"),
+)
+@dataclasses.dataclass
+class Trial:
+    """The embedded default."""
+
+    BEHAVIOUR: ClassVar[str] = "pollenfork.cli.trial:run_trial"
+
+    keep: Annotated[
+        bool,
+        cappa.Arg(long=True, help="Go on serving until Ctrl-C."),
+    ] = False
+    format: OutputFormat = Format.TABLE
+
+
+@cappa.command(
+    name="pollenfork",
+    help="A router for language-model traffic with service levels.",
+    epilog=make_examples("trial", "entry --settings entry.json"),
+)
+@dataclasses.dataclass
+class Pollenfork:
+    """The program."""
+
+    command: cappa.Subcommands[Entry | Trial | Load | Standin]
--- /dev/null
+++ b/pollenfork/cli/tests/test_core.py
@@ -0,0 +1,131 @@
+"""The command line from its words to its exit status."""
+
+import io
+import json
+
+import pytest
+
+from pollenfork import clock
+from pollenfork import context
+from pollenfork import core
+from pollenfork import status
+from pollenfork.cli import signals
+from pollenfork.standin.engine import config as configs
+from pollenfork.standin.engine import front
+
+SCENARIO = {
+    "classes": {"morning": {"key": "k", "answer": {"median": 3}}},
+    "phases": [{"duration_s": 0.05, "rates": {"morning": 100}}],
+}
+
+
+def run(*args) -> tuple[status.ExitStatus, str, str]:
+    env = context.Environment(
+        stdin=io.StringIO(),
+        stdout=io.StringIO(),
+        stderr=io.StringIO(),
+        variables={},
+        stdout_is_terminal=False,
+        stderr_is_terminal=False,
+    )
+    ended = core.main([str(arg) for arg in args], env)
+    return ended, env.stdout.getvalue(), env.stderr.getvalue()
+
+
+@pytest.fixture
+def engine():
+    config = configs.EngineConfig(step_ms=0.5, slots=64)
+    standin = front.EngineStandin(config, clock.SystemClock())
+    yield f"http://{standin.start()}"
+    standin.stop()
+
+
+@pytest.fixture
+def scenario(tmp_path):
+    path = tmp_path / "scenario.json"
+    path.write_text(json.dumps(SCENARIO))
+    return path
+
+
+@pytest.mark.parametrize(
+    "words",
+    [
+        (),
+        ("entry",),
+        ("trial",),
+        ("load",),
+        ("standin",),
+        ("standin", "platform"),
+        ("standin", "engine"),
+        ("standin", "service"),
+    ],
+)
+def test_every_command_has_help_with_an_example(words):
+    ended, shown, _ = run(*words, "--help")
+    assert ended is status.ExitStatus.SUCCESS
+    _, _, examples = shown.partition("Examples:")
+    assert " ".join(("pollenfork", *words)) in examples
+
+
+@pytest.mark.parametrize(
+    ("words", "told"),
+    [
+        (("load",), "--scenario"),
+        (("fly",), "fly"),
+        (("standin", "engine", "--settings", "/nowhere.json"), "No such file"),
+        (("entry", "--settings", "/nowhere.json"), "No such file"),
+        (("load", "--scenario", "/nowhere.json", "--to", "x"), "No such file"),
+    ],
+)
+def test_a_wrong_command_line_says_what_is_wrong(words, told):
+    ended, _, errors = run(*words)
+    assert ended is status.ExitStatus.USAGE
+    assert told in errors
+
+
+def test_a_bad_settings_file_is_refused_with_its_place(tmp_path):
+    path = tmp_path / "engine.json"
+    path.write_text('{"faults": {"slowdown": 0}}')
+    ended, _, errors = run("standin", "engine", "--settings", path)
+    assert ended is status.ExitStatus.USAGE
+    assert "$.faults.slowdown" in errors
+
+
+@pytest.mark.parametrize(
+    "words", [("standin", "platform"), ("standin", "engine")]
+)
+def test_a_standin_serves_until_it_is_told_to_stop(
+    words, tmp_path, monkeypatch
+):
+    waits = []
+    monkeypatch.setattr(signals, "wait_for_stop", lambda: waits.append(True))
+    path = tmp_path / "settings.json"
+    path.write_text("{}")
+    ended, shown, _ = run(*words, "--settings", path)
+    assert ended is status.ExitStatus.SUCCESS
+    assert shown.startswith("listening on 127.0.0.1:")
+    assert waits == [True]
+
+
+def test_a_load_run_reports_as_json(engine, scenario):
+    words = ("--to", engine, "--engine", engine, "--format", "json")
+    ended, shown, _ = run("load", "--scenario", scenario, *words)
+    assert ended is status.ExitStatus.SUCCESS
+    report = json.loads(shown)
+    figures = report["classes"]["morning"]
+    assert figures["sent"] == figures["whole"] > 0
+    assert report["waste"]["wasted"] == 0
+
+
+def test_a_load_run_below_the_expected_attainment_says_so(scenario):
+    words = ("--to", "127.0.0.1:1", "--expect", "0.5")
+    ended, shown, _ = run("load", "--scenario", scenario, *words)
+    assert ended is status.ExitStatus.BELOW_TARGET
+    assert "failed:ConnectionRefusedError" in shown
+
+
+def test_an_engine_that_tells_no_runs_is_unreachable(scenario):
+    words = ("--to", "127.0.0.1:1", "--engine", "127.0.0.1:1")
+    ended, _, errors = run("load", "--scenario", scenario, *words)
+    assert ended is status.ExitStatus.UNREACHABLE
+    assert "an engine" in errors
--- a/pollenfork/standin/platform/front.py
+++ b/pollenfork/standin/platform/front.py
@@ -92,9 +92,8 @@
         """Closes every connection and ends the threads."""
         if self._server is None or self._thread is None:
             return
-        for channel in list(self._server.active_channels.values()):
-            channel.will_close = True
-        self._server.close()
+        # The loop's own thread closes, so that it needn't wait for its timeout.
+        self._server.trigger.pull_trigger(self._close)
         self._server.task_dispatcher.shutdown()
         self._thread.join(_STOP_TIMEOUT_S)
 
@@ -108,6 +107,12 @@
         """Changes the instance list; it is seen after the lag."""
         self._gate.run(lambda state, now: state.set_instances(instances, now))
 
+    def _close(self) -> None:
+        assert self._server is not None
+        for channel in list(self._server.active_channels.values()):
+            channel.handle_close()
+        self._server.close()
+
     def _serve(
         self, environ: _Environ, start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
