Keep the settings tree in table rows, written by compare-and-set

Each write compares the head row's version, which every write changes, so two writes planned on one tree can't both take effect; operators on different subtrees both win by a bounded re-read, on one subtree the second gets the current revision. Weighed and ruled out: comparing only the subtree's row (a lowered ceiling and a raised class could both pass), a write id as the transaction's id (a second set of rows would get the first one's answer). The write id stands in a row of its own, so that a retry finds its own write also where the table forgot the transaction.

--- /dev/null
+++ b/pollenfork/settings/changes.py
@@ -0,0 +1,282 @@
+"""Turns one write into the rows that it changes; no I/O."""
+
+import hashlib
+
+import msgspec
+import result
+
+from pollenfork import ids
+from pollenfork.platform import edges
+from pollenfork.settings import errors
+from pollenfork.settings import paths
+from pollenfork.settings import rows
+from pollenfork.settings import state
+from pollenfork.settings import validation
+
+HISTORY_KEPT = 32  # Writes of each subtree whose content is kept.
+WRITES_KEPT = 64  # Writes of the tree that a retry can find.
+
+
+class Change(msgspec.Struct, frozen=True, kw_only=True):
+    """A write that an operator asks for.
+
+    Attributes:
+        value: The JSON value to put at `path`.
+        expected: The revision that the operator saw: of the subtree, or of
+            the tree for a write of the whole; 0 where nothing was there.
+        operator: SHA-256 hex digest of the operator's token.
+    """
+
+    path: paths.SettingsPath
+    value: object
+    expected: ids.Revision
+    write_id: ids.WriteId
+    operator: str
+
+    def digest(self) -> str:
+        """Returns a digest of what is written where."""
+        encoded = msgspec.json.encode(
+            (str(self.path), self.value), order="deterministic"
+        )
+        return hashlib.sha256(encoded).hexdigest()
+
+
+class Plan(msgspec.Struct, frozen=True):
+    """What a change writes on top of one tree.
+
+    Attributes:
+        written: The subtrees that it writes.
+        removed: The subtrees that it removes.
+        dropped: Keys of rows that go.
+        tree: The tree after it, compiled.
+    """
+
+    written: tuple[state.Subtree, ...]
+    removed: tuple[str, ...]
+    dropped: tuple[str, ...]
+    tree: state.InForce
+
+
+def find_revision(
+    tree: state.InForce, path: paths.SettingsPath
+) -> ids.Revision:
+    """Returns the revision that a write at `path` compares; 0 for none."""
+    if path.is_tree:
+        return tree.revision
+    subtree = tree.subtrees.get(path.subtree)
+    return subtree.revision if subtree else ids.Revision(0)
+
+
+def read_value(
+    tree: state.InForce, path: paths.SettingsPath
+) -> result.Result[object, errors.NoSuchPath]:
+    """Returns the JSON value at `path`, as it was written."""
+    if path.is_tree:
+        return result.Ok(_read_whole(tree))
+    subtree = tree.subtrees.get(path.subtree)
+    if subtree is None:
+        return result.Err(errors.NoSuchPath(detail=f"no {path.subtree}"))
+    value: object = msgspec.json.decode(subtree.read())
+    for step in path.inner:
+        if not isinstance(value, dict) or step not in value:
+            return result.Err(errors.NoSuchPath(detail=f"nothing at {path}"))
+        value = value[step]
+    return result.Ok(value)
+
+
+def plan(
+    change: Change, tree: state.InForce
+) -> result.Result[Plan, errors.SettingsFailure]:
+    """Returns what the change writes, or why the result isn't a good tree."""
+    if change.path.is_tree:
+        return _plan_whole(change, tree)
+    body = _merge(change, tree)
+    if isinstance(body, result.Err):
+        return body
+    checked = _check(change.path.subtree, body.ok_value, tree)
+    if isinstance(checked, result.Err):
+        return checked
+    return _finish({change.path.subtree: body.ok_value}, (), tree)
+
+
+def list_puts(
+    change: Change,
+    planned: Plan,
+    head_version: int,
+    writes: tuple[rows.WriteRecord, ...],
+    at: float,
+) -> tuple[tuple[edges.Put, ...], tuple[edges.Delete, ...]]:
+    """Returns the rows to write and to delete in one transaction.
+
+    Only the head's version is compared: every write changes the head, so two
+    writes from one tree can't both take effect.
+
+    Args:
+        change: The write.
+        planned: What it changes.
+        head_version: Version of the head row that it was planned on.
+        writes: The accepted writes so far.
+        at: Unix seconds.
+    """
+    tree = planned.tree
+    record = rows.WriteRecord(
+        write_id=change.write_id,
+        digest=change.digest(),
+        path=str(change.path),
+        revision=tree.revision,
+    )
+    kept = (*writes, record)[-WRITES_KEPT:]
+    revisions = {
+        path: subtree.revision for path, subtree in tree.subtrees.items()
+    }
+    head = rows.HeadRow(revision=tree.revision, subtrees=revisions)
+    puts = [
+        edges.Put(rows.HEAD_KEY, rows.encode(head), head_version),
+        edges.Put(rows.WRITES_KEY, rows.encode(rows.WritesRow(writes=kept))),
+    ]
+    for subtree in planned.written:
+        puts.append(_put_subtree(subtree))
+        puts.append(
+            _put_history(change, subtree.path, tree, at, subtree.read())
+        )
+    for path in planned.removed:
+        puts.append(_put_history(change, path, tree, at, b"null"))
+    deletes = tuple(edges.Delete(key) for key in planned.dropped)
+    return tuple(puts), deletes
+
+
+def _read_whole(tree: state.InForce) -> dict[str, object]:
+    whole: dict[str, object] = {"root": {}, "teams": {}}
+    teams: dict[str, object] = {}
+    for path, subtree in tree.subtrees.items():
+        value = msgspec.json.decode(subtree.read())
+        team = paths.find_team(path)
+        if team is None:
+            whole["root"] = value
+        else:
+            teams[team] = value
+    whole["teams"] = teams
+    return whole
+
+
+def _merge(
+    change: Change, tree: state.InForce
+) -> result.Result[object, errors.NoSuchPath]:
+    """Returns the subtree's JSON value with the change in it."""
+    inner = change.path.inner
+    if not inner:
+        return result.Ok(change.value)
+    read = read_value(tree, paths.SettingsPath(change.path.subtree))
+    if isinstance(read, result.Err):
+        return read
+    place = read.ok_value
+    for step in inner[:-1]:
+        place = place.setdefault(step, {}) if isinstance(place, dict) else None
+    if not isinstance(place, dict):
+        detail = f"nothing can be put at {change.path}"
+        return result.Err(errors.NoSuchPath(detail=detail))
+    place[inner[-1]] = change.value
+    return result.Ok(read.ok_value)
+
+
+def _check(
+    subtree: str, value: object, tree: state.InForce
+) -> result.Result[object, errors.BadTree]:
+    team = paths.find_team(subtree)
+    if team is None:
+        return validation.check_root(value, tree.tree.teams)
+
+    def find_owner(digest: str) -> str | None:
+        owner = tree.lookups.find_owner(digest)
+        if owner is None or owner.team == team:
+            return None
+        return f"{owner.team}/{owner.account}"
+
+    return validation.check_team(value, team, tree.tree.root, find_owner)
+
+
+def _plan_whole(
+    change: Change, tree: state.InForce
+) -> result.Result[Plan, errors.SettingsFailure]:
+    checked = validation.check_tree(change.value)
+    if isinstance(checked, result.Err):
+        return checked
+    whole = msgspec.convert(change.value, dict[str, object])
+    wanted = {paths.ROOT: whole["root"]}
+    teams = msgspec.convert(whole.get("teams", {}), dict[str, object])
+    for team, value in teams.items():
+        wanted[paths.name_team(team)] = value
+    changed = {
+        path: value
+        for path, value in wanted.items()
+        if path not in tree.subtrees
+        or msgspec.json.decode(tree.subtrees[path].read()) != value
+    }
+    removed = tuple(path for path in tree.subtrees if path not in wanted)
+    return _finish(changed, removed, tree)
+
+
+def _finish(
+    changed: dict[str, object], removed: tuple[str, ...], tree: state.InForce
+) -> result.Result[Plan, errors.SettingsFailure]:
+    if not changed and not removed:
+        return result.Ok(Plan((), (), (), tree))
+    revision = ids.Revision(tree.revision + 1)
+    written = tuple(
+        _pack(path, value, revision, tree) for path, value in changed.items()
+    )
+    subtrees = dict(tree.subtrees)
+    subtrees.update({subtree.path: subtree for subtree in written})
+    for path in removed:
+        del subtrees[path]
+    ordered = [subtrees[path] for path in sorted(subtrees)]
+    dropped = _list_dropped(tuple(changed), tree)
+    dropped += [rows.name_subtree_key(path) for path in removed]
+    compiled = state.compile_tree(revision, ordered, tree)
+    return compiled.map(
+        lambda after: Plan(written, removed, tuple(dropped), after)
+    )
+
+
+def _pack(
+    path: str, value: object, revision: ids.Revision, tree: state.InForce
+) -> state.Subtree:
+    known = tree.subtrees.get(path)
+    history = known.history if known else ()
+    kept = (*history, revision)[-HISTORY_KEPT:]
+    return state.pack_subtree(path, revision, kept, msgspec.json.encode(value))
+
+
+def _put_subtree(subtree: state.Subtree) -> edges.Put:
+    row = rows.SubtreeRow(
+        path=subtree.path,
+        revision=subtree.revision,
+        history=subtree.history,
+        value=msgspec.Raw(subtree.read()),
+    )
+    return edges.Put(rows.name_subtree_key(subtree.path), rows.encode(row))
+
+
+def _put_history(
+    change: Change, path: str, tree: state.InForce, at: float, value: bytes
+) -> edges.Put:
+    row = rows.HistoryRow(
+        path=path,
+        revision=tree.revision,
+        write_id=change.write_id,
+        operator=change.operator[:12],
+        at=at,
+        value=msgspec.Raw(value),
+    )
+    key = rows.name_history_key(path, tree.revision)
+    return edges.Put(key, rows.encode(row))
+
+
+def _list_dropped(written: tuple[str, ...], tree: state.InForce) -> list[str]:
+    """Returns the keys of the history rows that make room for new ones."""
+    known = [tree.subtrees[path] for path in written if path in tree.subtrees]
+    return [
+        rows.name_history_key(subtree.path, subtree.history[0])
+        for subtree in known
+        if len(subtree.history) >= HISTORY_KEPT
+    ]
--- a/pollenfork/settings/snapshot.py
+++ b/pollenfork/settings/snapshot.py
@@ -1,10 +1,12 @@
 """A settings tree compiled into the look-ups that requests need."""
 
+from collections.abc import Mapping
 import hashlib
 
 import msgspec
 
 from pollenfork import ids
+from pollenfork.settings import accounts
 from pollenfork.settings import model
 
 
@@ -17,20 +19,40 @@
 
 
 class Snapshot:
-    """Immutable look-ups over one tree; read by all threads without locks."""
+    """Immutable look-ups over one tree; read by all threads without locks.
 
-    def __init__(self, tree: model.Tree) -> None:
+    Attributes:
+        packs: The accounts of each team, reused by the next snapshot for the
+            teams that didn't change.
+    """
+
+    def __init__(
+        self,
+        tree: model.Tree,
+        packs: Mapping[ids.Team, accounts.AccountPack] | None = None,
+    ) -> None:
+        """Compiles a tree.
+
+        Args:
+            tree: The tree; its accounts are read only without `packs`.
+            packs: Packed accounts of every team in the tree.
+        """
         self.tree = tree
         self.revision = tree.revision
-        self._callers = {
-            account.key_sha256: Caller(team, name, account)
-            for team, subtree in tree.teams.items()
-            for name, account in subtree.accounts.items()
-        }
+        self.packs = _pack_teams(tree) if packs is None else packs
+        self._index = accounts.AccountIndex(self.packs)
 
     def find_caller(self, key: str) -> Caller | None:
         """Returns whose key this is; keys are kept only as digests."""
-        return self._callers.get(hash_key(key))
+        return self.find_owner(hash_key(key))
+
+    def find_owner(self, digest: str) -> Caller | None:
+        """Returns whose key has this SHA-256 hex digest."""
+        found = self._index.find(digest)
+        if found is None:
+            return None
+        team, account = found
+        return Caller(team, account.name, account.unpack())
 
     def find_class(
         self, team: ids.Team, name: ids.ClassName
@@ -43,3 +65,10 @@
 def hash_key(key: str) -> str:
     """Returns the digest under which the settings keep a bearer key."""
     return hashlib.sha256(key.encode()).hexdigest()
+
+
+def _pack_teams(tree: model.Tree) -> dict[ids.Team, accounts.AccountPack]:
+    return {
+        team: accounts.AccountPack(subtree.accounts)
+        for team, subtree in tree.teams.items()
+    }
--- /dev/null
+++ b/pollenfork/settings/writer.py
@@ -0,0 +1,249 @@
+"""Writes to the tree: compare, commit, and find out what became of it."""
+
+from collections.abc import Callable, Collection
+import logging
+import random
+
+import msgspec
+import result
+
+from pollenfork import clock
+from pollenfork import ids
+from pollenfork.platform import edges
+from pollenfork.platform import errors as platform_errors
+from pollenfork.settings import authority
+from pollenfork.settings import changes
+from pollenfork.settings import errors
+from pollenfork.settings import rows
+from pollenfork.settings import state
+from pollenfork.settings import store
+
+_LOG = logging.getLogger(__name__)
+
+WRITE_S = 10.0
+"""How long one write is tried before its caller is told."""
+_FIRST_WAIT_S = 0.05
+_LONGEST_WAIT_S = 1.0
+
+
+class Accepted(msgspec.Struct, frozen=True):
+    """The write is durable.
+
+    Attributes:
+        revision: The tree's revision that it made.
+        tree: A tree of this revision or a later one.
+        repeated: An earlier sending of the same write made it.
+    """
+
+    revision: ids.Revision
+    tree: state.InForce
+    repeated: bool = False
+
+
+class _Base(msgspec.Struct, frozen=True):
+    """What the table holds as a write begins."""
+
+    head: store.Head
+    tree: state.InForce
+    writes: tuple[rows.WriteRecord, ...]
+
+
+class Writer:
+    """Carries out operators' writes; any thread may call it."""
+
+    def __init__(
+        self,
+        table: edges.TableService,
+        now: clock.Clock,
+        rng: random.Random,
+        wait: Callable[[float], None],
+        get_in_force: Callable[[], state.InForce | None],
+        first_operators: Collection[str] = (),
+    ) -> None:
+        """Wires a writer.
+
+        Args:
+            table: The platform's table.
+            now: The clock.
+            rng: For the waits and the ids of transactions.
+            wait: Sleeps so many seconds.
+            get_in_force: Returns the tree in force here, a start for reads.
+            first_operators: See `authority.find_rights`.
+        """
+        self._table = table
+        self._clock = now
+        self._rng = rng
+        self._wait = wait
+        self._get_in_force = get_in_force
+        self._first_operators = first_operators
+
+    def write(
+        self, change: changes.Change
+    ) -> result.Result[Accepted, errors.SettingsFailure]:
+        """Carries out one write; returns once its fate is known, or in time.
+
+        Failures: `BadTree`, `Stale`, `Forbidden`, `NoSuchPath` and
+        `WriteIdReused` say no; `NotWritten` had no effect and will have none;
+        after `WriteUnknown` the same write id may be sent again safely.
+        """
+        outcome = _Run(self, change).run()
+        if isinstance(outcome, result.Ok):
+            _LOG.info(
+                "event=settings_written path=%s revision=%s write=%s",
+                change.path,
+                outcome.ok_value.revision,
+                change.write_id,
+            )
+        else:
+            _LOG.info(
+                "event=settings_write_failed path=%s write=%s reason=%s",
+                change.path,
+                change.write_id,
+                type(outcome.err_value).__name__,
+            )
+        return outcome
+
+    def read(self) -> result.Result[state.InForce, store.Failure]:
+        """Returns the newest tree in the table."""
+        return store.read_tree(self._table, self._get_in_force() or state.EMPTY)
+
+
+class _Run:
+    """One write, from its first read to its known fate."""
+
+    def __init__(self, writer: Writer, change: changes.Change) -> None:
+        self._writer = writer
+        self._table = writer._table
+        self._clock = writer._clock
+        self._change = change
+        self._deadline = self._clock.monotonic() + WRITE_S
+        self._waited = 0
+        self._may_have_effect = False
+        self._last_failure: store.Failure | None = None
+
+    def run(self) -> result.Result[Accepted, errors.SettingsFailure]:
+        while self._has_time():
+            base = self._read_base()
+            if isinstance(base, result.Err):
+                self._pause(base.err_value)
+                continue
+            # A commit whose answer was lost either shows in what was just
+            # read or has lost its condition, as `_commit` sees to it.
+            settled = self._settle(base.ok_value)
+            if settled is not None:
+                return settled
+            planned = changes.plan(self._change, base.ok_value.tree)
+            if isinstance(planned, result.Err):
+                return planned
+            committed = self._commit(base.ok_value, planned.ok_value)
+            if committed is not None:
+                return committed
+        return self._give_up()
+
+    def _read_base(self) -> result.Result[_Base, store.Failure]:
+        head = store.read_head(self._table)
+        if isinstance(head, result.Err):
+            return head
+        previous = self._writer._get_in_force() or state.EMPTY
+        tree = store.read_tree_at(self._table, head.ok_value.row, previous)
+        if isinstance(tree, result.Err):
+            return tree
+        # Read after the head: what it holds more than the head refuses the
+        # commit, so that no record of another write is ever overwritten.
+        writes = store.read_writes(self._table)
+        if isinstance(writes, result.Err):
+            return writes
+        found = writes.ok_value
+        if found and found[-1].revision > head.ok_value.row.revision:
+            return result.Err(errors.TreeMoving(detail="a write came between"))
+        return result.Ok(_Base(head.ok_value, tree.ok_value, found))
+
+    def _settle(
+        self, base: _Base
+    ) -> result.Result[Accepted, errors.SettingsFailure] | None:
+        """Returns the write's fate where it is plain without a commit."""
+        change = self._change
+        for record in base.writes:
+            if record.write_id == change.write_id:
+                return self._answer_repeat(record, base.tree)
+        rights = authority.find_rights(
+            base.tree.tree, change.operator, self._writer._first_operators
+        )
+        if rights is None or not rights.cover(change.path):
+            detail = f"the token isn't bound to {change.path}"
+            return result.Err(errors.Forbidden(detail=detail))
+        current = changes.find_revision(base.tree, change.path)
+        if current != change.expected:
+            detail = f"{change.path or 'the tree'} is at revision {current}"
+            return result.Err(errors.Stale(detail=detail, current=current))
+        return None
+
+    def _answer_repeat(
+        self, record: rows.WriteRecord, tree: state.InForce
+    ) -> result.Result[Accepted, errors.SettingsFailure]:
+        if record.digest != self._change.digest():
+            detail = f"write id {record.write_id} had another content"
+            return result.Err(errors.WriteIdReused(detail=detail))
+        return result.Ok(Accepted(record.revision, tree, repeated=True))
+
+    def _commit(
+        self, base: _Base, planned: changes.Plan
+    ) -> result.Result[Accepted, errors.SettingsFailure] | None:
+        """Commits, or returns None where the table has to be read again.
+
+        None is returned only when this transaction can't take effect any
+        more, or has done so: its condition on the head was refused.
+        """
+        if planned.tree.revision == base.tree.revision:
+            return result.Ok(Accepted(base.tree.revision, base.tree))
+        transaction = self._build(base, planned)
+        while self._has_time():
+            answer = self._table.commit(transaction)
+            if isinstance(answer, result.Ok):
+                revision = planned.tree.revision
+                return result.Ok(Accepted(revision, planned.tree))
+            failure = answer.err_value
+            if isinstance(failure, platform_errors.Conflicted):
+                self._may_have_effect = False
+                self._pause(failure)
+                return None
+            if isinstance(failure, platform_errors.Unanswered):
+                self._may_have_effect = True
+            self._pause(failure)
+        return self._give_up()
+
+    def _build(self, base: _Base, planned: changes.Plan) -> edges.Transaction:
+        puts, deletes = changes.list_puts(
+            self._change,
+            planned,
+            base.head.version,
+            base.writes,
+            self._clock.wall(),
+        )
+        # The id is new for each set of rows, so that the table never answers
+        # for another one; the operator's write id stands in the rows.
+        nonce = self._writer._rng.getrandbits(64)
+        transaction_id = ids.WriteId(f"{self._change.write_id}.{nonce:016x}")
+        return edges.Transaction(transaction_id, puts, deletes)
+
+    def _has_time(self) -> bool:
+        return self._clock.monotonic() < self._deadline
+
+    def _pause(self, failure: store.Failure) -> None:
+        longest = min(_LONGEST_WAIT_S, _FIRST_WAIT_S * 2**self._waited)
+        self._waited += 1
+        self._last_failure = failure
+        seconds = longest * self._writer._rng.uniform(0.5, 1.0)
+        if isinstance(failure, platform_errors.Throttled):
+            seconds = max(seconds, failure.retry_after_s)
+        left = self._deadline - self._clock.monotonic()
+        self._writer._wait(max(0.0, min(seconds, left)))
+
+    def _give_up(self) -> result.Err[errors.SettingsFailure]:
+        if self._may_have_effect:
+            detail = "the table's answer was lost: repeat with the same id"
+            return result.Err(errors.WriteUnknown(detail=detail))
+        last = self._last_failure
+        cause = f"{type(last).__name__}: {last.detail}" if last else "too late"
+        detail = f"nothing was written; {cause}"
+        return result.Err(errors.NotWritten(detail=detail))
