--- a/pollenfork/settings/core.py
+++ b/pollenfork/settings/core.py
@@ -37,23 +37,24 @@
     peer: ids.InstanceId
 
 
+class Source(enum.Enum):
+    """Where a tree was found; each has its counter."""
+
+    TABLE = "table"
+    PEER = "peer"
+    WRITE = "write"
+
+
 class Publish(msgspec.Struct, frozen=True):
     """Tell the other slices that this tree is in force."""
 
     in_force: state.InForce
+    source: Source
 
 
 Action = ReadTable | FetchCopy | Publish
 
 
-class Source(enum.Enum):
-    """Where a tree was found; each has its counter."""
-
-    TABLE = "table"
-    PEER = "peer"
-    WRITE = "write"
-
-
 class Core:
     """The tree in force at one instance."""
 
@@ -61,8 +62,6 @@
         self.in_force: state.InForce | None = None
         self.in_force_since = now
         self.platform_answers = True
-        self.adopted = dict.fromkeys(Source, 0)
-        self.older_ignored = 0
         self._rng = rng
         self._confirmed_at: float | None = None
         self._peers: dict[ids.InstanceId, ids.Revision] = {}
@@ -159,13 +158,11 @@
         self, found: state.InForce, source: Source, now: float
     ) -> list[Action]:
         if found.revision <= self.revision:
-            self.older_ignored += found.revision < self.revision
             return []
         self.in_force = found
         self.in_force_since = now
         self._confirm(now)
-        self.adopted[source] += 1
-        return [Publish(found)]
+        return [Publish(found, source)]
 
     def _confirm(self, at: float) -> None:
         earlier = self._confirmed_at
--- a/pollenfork/settings/messages.py
+++ b/pollenfork/settings/messages.py
@@ -5,6 +5,7 @@
 from pollenfork import ids
 from pollenfork.settings import model
 from pollenfork.settings import snapshot
+from pollenfork.settings import state
 
 
 class TreeInForce(msgspec.Struct, frozen=True):
@@ -37,6 +38,15 @@
     """Time has passed; sent a few times a second."""
 
 
+class TreeWritten(msgspec.Struct, frozen=True):
+    """A write through this instance was accepted."""
+
+    tree: state.InForce
+
+
+Message = PeerRevision | PeerGone | Tick | TreeWritten
+
+
 class SubtreeCopy(msgspec.Struct, frozen=True, array_like=True):
     """One subtree in a `TreeCopy`; `packed` is its JSON, compressed."""
 
--- a/pollenfork/settings/snapshot.py
+++ b/pollenfork/settings/snapshot.py
@@ -42,6 +42,11 @@
         self.packs = _pack_teams(tree) if packs is None else packs
         self._index = accounts.AccountIndex(self.packs)
 
+    @property
+    def account_count(self) -> int:
+        """How many accounts the tree has."""
+        return len(self._index)
+
     def find_caller(self, key: str) -> Caller | None:
         """Returns whose key this is; keys are kept only as digests."""
         return self.find_owner(hash_key(key))
