--- a/pollenfork/admission/core.py
+++ b/pollenfork/admission/core.py
@@ -1,51 +1,286 @@
-"""Order of waiting requests: strict tiers, oldest first in a tier."""
+"""Admission: bounded queues, limits, eviction and expiry. No I/O."""
 
-import collections
+from collections.abc import Mapping, Sequence
+import heapq
+import itertools
+from typing import TypeVar
+
+import sortedcontainers
 
 from pollenfork import ids
 from pollenfork.admission import messages
+from pollenfork.admission import queues
+from pollenfork.settings import model
 
+K = TypeVar("K")
 
-class Queue:
-    """Requests that wait for a slot, bounded for each class."""
+_Reason = messages.RefusalReason
 
-    def __init__(self) -> None:
+Given = tuple[queues.Waiting, messages.RefusalReason]
+
+
+class Admission:
+    """Who waits, in which order, and who is given up.
+
+    Attributes:
+        depths: Requests waiting, by pool and tier; others only read it.
+    """
+
+    def __init__(self, waiting_limit: int) -> None:
+        self.depths: dict[messages.PoolKey, list[int]] = {}
+        self._limit = waiting_limit
+        self._size = 0
+        self._sequence = itertools.count()
+        self._waiting: dict[ids.RequestId, queues.Waiting] = {}
         self._tiers: dict[
-            ids.Tier, collections.OrderedDict[ids.RequestId, messages.Ask]
+            tuple[messages.PoolKey, ids.Tier], queues.TierQueue
         ] = {}
+        self._evictable = _Evictable()
+        self._expiry: list[tuple[float, int, queues.Waiting]] = []
+        self._open: dict[ids.RequestId, messages.Ask] = {}
+        self._by_account: dict[tuple[ids.Team, ids.AccountId], int] = {}
+        self._by_team: dict[ids.Team, int] = {}
+        self._by_class: dict[messages.ClassKey, int] = {}
 
-    def add(self, ask: messages.Ask) -> messages.Refused | None:
-        """Queues the request, or says why not."""
-        tier = self._tiers.setdefault(ask.tier, collections.OrderedDict())
-        same = sum(w.class_name == ask.class_name for w in tier.values())
-        if same >= ask.max_waiting:
-            reason = messages.RefusalReason.QUEUE_FULL
-            return messages.Refused(request=ask.request, reason=reason)
-        tier[ask.request] = ask
-        return None
+    @property
+    def size(self) -> int:
+        """Requests waiting."""
+        return self._size
 
-    def remove(self, request: ids.RequestId) -> messages.Ask | None:
-        """Takes a request out, wherever it waits."""
-        for tier in self._tiers.values():
-            if request in tier:
-                return tier.pop(request)
+    def find_barrier(self, ask: messages.Ask) -> _Reason | None:
+        """Returns the bound that keeps the request out, if any."""
+        account = self._by_account.get((ask.team, ask.account), 0)
+        if account >= ask.account_limit:
+            return _Reason.ACCOUNT_LIMIT
+        if self._by_team.get(ask.team, 0) >= ask.team_limit:
+            return _Reason.TEAM_LIMIT
+        waiting = self._by_class.get(messages.class_key(ask), 0)
+        if waiting >= ask.max_waiting:
+            return _Reason.QUEUE_FULL
+        if self._size >= self._limit and not self._evictable.has_victim(ask):
+            return _Reason.QUEUE_FULL
         return None
 
-    def list_in_order(self) -> list[messages.Ask]:
-        """Returns the waiting requests, the next to serve first."""
-        return [
-            ask
-            for tier in sorted(self._tiers)
-            for ask in self._tiers[tier].values()
-        ]
-
-    def take_expired(self, now: float) -> list[messages.Refused]:
-        """Removes the requests whose wait has ended."""
-        expired = [a for a in self.list_in_order() if a.give_up_at <= now]
-        for ask in expired:
-            self.remove(ask.request)
-        reason = messages.RefusalReason.WAITED_TOO_LONG
-        return [
-            messages.Refused(request=ask.request, reason=reason)
-            for ask in expired
-        ]
+    def add(self, ask: messages.Ask, expires_at: float) -> queues.Waiting:
+        """Queues a request that no bound keeps out; see `pop_victims`."""
+        waiting = queues.Waiting(ask, next(self._sequence))
+        self._open[ask.request] = ask
+        _add(self._by_account, (ask.team, ask.account), 1)
+        _add(self._by_team, ask.team, 1)
+        _add(self._by_class, messages.class_key(ask), 1)
+        self._evictable.add(waiting)
+        self._enqueue(waiting, expires_at)
+        return waiting
+
+    def add_again(
+        self,
+        ask: messages.Ask,
+        avoid: tuple[ids.EndpointId, ...],
+        expires_at: float,
+    ) -> queues.Waiting:
+        """Queues a request that ran before, ahead of its tier."""
+        waiting = queues.Waiting(ask, next(self._sequence), True, avoid)
+        self._enqueue(waiting, expires_at)
+        return waiting
+
+    def pop_victims(self, tier: ids.Tier) -> list[Given]:
+        """Evicts from below `tier` what an `add` brought over the bound."""
+        evicted = []
+        while self._size > self._limit:
+            victim = self._evictable.find_victim(tier)
+            if victim is None:
+                break
+            self._give_up(victim)
+            evicted.append((victim, _Reason.EVICTED))
+        return evicted
+
+    def pop_expired(self, now: float) -> list[Given]:
+        """Gives up the requests whose time has come."""
+        expired = []
+        while self._expiry and self._expiry[0][0] <= now:
+            _, _, waiting = heapq.heappop(self._expiry)
+            if not waiting.alive:
+                continue
+            self._give_up(waiting)
+            late = waiting.ask.give_up_at > now
+            reason = (
+                _Reason.TARGET_UNREACHABLE if late else _Reason.WAITED_TOO_LONG
+            )
+            expired.append((waiting, reason))
+        return expired
+
+    def withdraw(self, request: ids.RequestId) -> queues.Waiting | None:
+        """Gives up a waiting request whose caller is gone."""
+        waiting = self._waiting.get(request)
+        if waiting is not None:
+            self._give_up(waiting)
+        return waiting
+
+    def pop_all(self) -> list[queues.Waiting]:
+        """Gives up everything that waits."""
+        rest = list(self._waiting.values())
+        for waiting in rest:
+            self._give_up(waiting)
+        return rest
+
+    def find_next(
+        self,
+        pool: messages.PoolKey,
+        tier: ids.Tier,
+        now: float,
+        only: messages.ClassKey | None = None,
+    ) -> queues.Waiting | None:
+        """Returns the request to serve next; `take` removes it."""
+        queue = self._tiers.get((pool, tier))
+        return queue.find_next(now, only) if queue else None
+
+    def take(self, waiting: queues.Waiting) -> None:
+        """Removes the request that `find_next` returned: it is served."""
+        queue = self._tiers[_place(waiting)]
+        queue.take(waiting)
+        self._forget(waiting)
+
+    def find_ask(self, request: ids.RequestId) -> messages.Ask | None:
+        """Returns the ask of a request that is still open."""
+        return self._open.get(request)
+
+    def is_waiting(self, request: ids.RequestId) -> bool:
+        """Returns whether the request stands in a queue."""
+        return request in self._waiting
+
+    def close(self, request: ids.RequestId) -> None:
+        """Counts the request against its account and team no longer."""
+        ask = self._open.pop(request, None)
+        if ask is not None:
+            _add(self._by_account, (ask.team, ask.account), -1)
+            _add(self._by_team, ask.team, -1)
+
+    def estimate_ahead(self, ask: messages.Ask) -> int:
+        """Returns about how many of its tier would go before the request."""
+        queue = self._tiers.get((messages.pool_key(ask), ask.tier))
+        return queue.estimate_ahead(ask) if queue else 0
+
+    def list_classes(
+        self, pool: messages.PoolKey, tier: ids.Tier
+    ) -> Sequence[messages.ClassKey]:
+        """Returns the classes with requests waiting in a pool and tier."""
+        queue = self._tiers.get((pool, tier))
+        return queue.list_classes() if queue else ()
+
+    def list_places(self) -> list[tuple[messages.PoolKey, ids.Tier]]:
+        """Returns the pools and tiers with requests, urgent tiers first."""
+        places = [place for place, queue in self._tiers.items() if queue.size]
+        places.sort(key=lambda place: place[1])
+        return places
+
+    def read_share(
+        self,
+        pool: messages.PoolKey,
+        tier: ids.Tier,
+        key: messages.ClassKey,
+        now: float,
+    ) -> float:
+        """Returns the minimum share of a class that has requests waiting."""
+        head = self.find_next(pool, tier, now, key)
+        return head.ask.minimum_share if head else 0.0
+
+    def list_waits(
+        self, now: float
+    ) -> Mapping[tuple[messages.PoolKey, ids.Tier], float]:
+        """Returns the wait of the next request, by pool and tier."""
+        waits = {}
+        for (pool, tier), queue in self._tiers.items():
+            head = queue.find_next(now)
+            if head is not None:
+                waits[(pool, tier)] = now - head.ask.arrived
+        return waits
+
+    def _enqueue(self, waiting: queues.Waiting, expires_at: float) -> None:
+        ask = waiting.ask
+        pool, tier = _place(waiting)
+        queue = self._tiers.get((pool, tier))
+        if queue is None:
+            queue = self._tiers[(pool, tier)] = queues.TierQueue()
+        queue.add(waiting)
+        depths = self.depths.get(pool)
+        if depths is None:
+            depths = self.depths[pool] = [0] * model.TIER_COUNT
+        depths[tier] += 1
+        self._size += 1
+        self._waiting[ask.request] = waiting
+        expiry = (expires_at, waiting.sequence, waiting)
+        heapq.heappush(self._expiry, expiry)
+
+    def _give_up(self, waiting: queues.Waiting) -> None:
+        self._tiers[_place(waiting)].drop(waiting)
+        self._forget(waiting)
+        if not waiting.again:
+            self.close(waiting.ask.request)
+
+    def _forget(self, waiting: queues.Waiting) -> None:
+        ask = waiting.ask
+        self._size -= 1
+        self.depths[messages.pool_key(ask)][ask.tier] -= 1
+        del self._waiting[ask.request]
+        if not waiting.again:
+            _add(self._by_class, messages.class_key(ask), -1)
+            self._evictable.drop(waiting)
+
+
+class _Evictable:
+    """Waiting requests that never ran, the first to evict at the end.
+
+    Lower tiers go first; inside a tier those that are not protected, and of
+    these the latest deadline.
+    """
+
+    def __init__(self) -> None:
+        self._tiers: dict[ids.Tier, sortedcontainers.SortedList] = {}
+        self._by_sequence: dict[int, queues.Waiting] = {}
+
+    def add(self, waiting: queues.Waiting) -> None:
+        tier = self._tiers.setdefault(
+            waiting.ask.tier, sortedcontainers.SortedList()
+        )
+        tier.add(_eviction_key(waiting))
+        self._by_sequence[waiting.sequence] = waiting
+
+    def drop(self, waiting: queues.Waiting) -> None:
+        self._tiers[waiting.ask.tier].remove(_eviction_key(waiting))
+        del self._by_sequence[waiting.sequence]
+
+    def has_victim(self, ask: messages.Ask) -> bool:
+        return any(
+            tier > ask.tier and keys for tier, keys in self._tiers.items()
+        )
+
+    def find_victim(self, above: ids.Tier) -> queues.Waiting | None:
+        lower = [t for t, keys in self._tiers.items() if t > above and keys]
+        if not lower:
+            return None
+        # Protected work gives way only where nothing else is left, and only
+        # to a higher tier.
+        unprotected = [t for t in lower if self._tiers[t][-1][0]]
+        tier = max(unprotected or lower)
+        _, _, sequence = self._tiers[tier][-1]
+        return self._by_sequence[sequence]
+
+
+def _eviction_key(waiting: queues.Waiting) -> tuple[bool, float, int]:
+    ask = waiting.ask
+    # Sorted ascending, evicted from the end: False (protected) comes first.
+    return not ask.protected, ask.first_token_due, waiting.sequence
+
+
+def _place(
+    waiting: queues.Waiting,
+) -> tuple[messages.PoolKey, ids.Tier]:
+    return messages.pool_key(waiting.ask), waiting.ask.tier
+
+
+def _add(counts: dict[K, int], key: K, amount: int) -> None:
+    count = counts.get(key, 0) + amount
+    if count:
+        counts[key] = count
+    else:
+        del counts[key]
--- /dev/null
+++ b/pollenfork/admission/tests/test_core.py
@@ -0,0 +1,159 @@
+"""Order, bounds, eviction and expiry of waiting requests."""
+
+from typing import Any
+
+import pytest
+
+from pollenfork.admission import core
+from pollenfork.admission import messages
+
+FAR = 1000.0
+
+
+def make_ask(name: str, **changed: Any) -> messages.Ask:
+    fields: dict[str, Any] = {
+        "request": name,
+        "team": "linework",
+        "account": "crew",
+        "class_name": "questions",
+        "tier": 3,
+        "model": "lines",
+        "arrived": 0.0,
+        "first_token_due": 10.0,
+        "give_up_at": 30.0,
+    }
+    return messages.Ask(**{**fields, **changed})
+
+
+def fill(queue: core.Admission, *asks: messages.Ask) -> None:
+    for ask in asks:
+        queue.add(ask, FAR)
+
+
+def drain(queue: core.Admission, now: float = 0.0) -> list[str]:
+    served = []
+    for pool, tier in queue.list_places():
+        while waiting := queue.find_next(pool, tier, now):
+            queue.take(waiting)
+            served.append(waiting.ask.request)
+    return served
+
+
+def test_urgent_tier_goes_first_and_earliest_deadline_inside() -> None:
+    queue = core.Admission(8)
+    fill(
+        queue,
+        make_ask("low", tier=5, first_token_due=1.0),
+        make_ask("later", first_token_due=9.0),
+        make_ask("sooner", first_token_due=8.0, class_name="prices"),
+        make_ask("top", tier=0, first_token_due=20.0),
+    )
+    assert drain(queue) == ["top", "sooner", "later", "low"]
+
+
+def test_large_account_cannot_delay_the_rest_of_its_class() -> None:
+    queue = core.Admission(100)
+    fill(queue, *[make_ask(f"large-{n}", account="large") for n in range(50)])
+    fill(queue, *[make_ask(f"small-{n}", account="small") for n in range(3)])
+    assert set(drain(queue)[:6]) >= {"small-0", "small-1", "small-2"}
+
+
+def test_request_that_can_still_make_its_target_goes_before_a_late_one() -> (
+    None
+):
+    queue = core.Admission(8)
+    fill(
+        queue,
+        make_ask("late", first_token_due=1.0),
+        make_ask("in-time", first_token_due=9.0),
+    )
+    assert drain(queue, now=2.0) == ["in-time", "late"]
+
+
+@pytest.mark.parametrize(
+    ("waiting", "ask", "victim"),
+    [
+        # The lowest tier goes, and in it the latest deadline.
+        (
+            [
+                make_ask("a", tier=4),
+                make_ask("b", tier=5, first_token_due=7.0),
+                make_ask("c", tier=5, first_token_due=8.0),
+            ],
+            make_ask("x", tier=1),
+            "c",
+        ),
+        # A protected request outlasts an unprotected one of a higher tier.
+        (
+            [make_ask("a", tier=4), make_ask("b", tier=5, protected=True)],
+            make_ask("x", tier=1),
+            "a",
+        ),
+        # Protected work gives way to a higher tier where nothing else is.
+        ([make_ask("a", tier=5, protected=True)], make_ask("x", tier=1), "a"),
+        # Never for the same tier or a lower one.
+        ([make_ask("a", tier=3)], make_ask("x", tier=3), None),
+        ([make_ask("a", tier=3)], make_ask("x", tier=6), None),
+    ],
+)
+def test_full_queue_evicts_only_lower_tiers(
+    waiting: list[messages.Ask], ask: messages.Ask, victim: str | None
+) -> None:
+    queue = core.Admission(len(waiting))
+    fill(queue, *waiting)
+    barrier = queue.find_barrier(ask)
+    if victim is None:
+        assert barrier is messages.RefusalReason.QUEUE_FULL
+        return
+    assert barrier is None
+    queue.add(ask, FAR)
+    evicted = queue.pop_victims(ask.tier)
+    assert [(w.ask.request, r.value) for w, r in evicted] == [
+        (victim, "evicted")
+    ]
+    assert "x" in drain(queue)
+
+
+def test_work_that_ran_is_never_evicted() -> None:
+    queue = core.Admission(1)
+    queue.add_again(make_ask("ran", tier=6), (), FAR)
+    barrier = queue.find_barrier(make_ask("x", tier=0))
+    assert barrier is messages.RefusalReason.QUEUE_FULL
+
+
+@pytest.mark.parametrize(
+    ("limits", "reason"),
+    [
+        ({"account_limit": 2}, messages.RefusalReason.ACCOUNT_LIMIT),
+        ({"team_limit": 2}, messages.RefusalReason.TEAM_LIMIT),
+        ({"max_waiting": 2}, messages.RefusalReason.QUEUE_FULL),
+    ],
+)
+def test_limits_count_open_requests_and_free_them(
+    limits: dict[str, int], reason: messages.RefusalReason
+) -> None:
+    queue = core.Admission(100)
+    fill(queue, make_ask("a"), make_ask("b"))
+    ask = make_ask("c", **limits)
+    assert queue.find_barrier(ask) is reason
+    queue.withdraw("a")
+    assert queue.find_barrier(ask) is None
+
+
+@pytest.mark.parametrize(
+    ("expires_at", "give_up_at", "reason"),
+    [
+        (5.0, 30.0, messages.RefusalReason.TARGET_UNREACHABLE),
+        (30.0, 30.0, messages.RefusalReason.WAITED_TOO_LONG),
+    ],
+)
+def test_request_is_given_up_the_moment_its_time_ends(
+    expires_at: float, give_up_at: float, reason: messages.RefusalReason
+) -> None:
+    queue = core.Admission(8)
+    queue.add(make_ask("a", give_up_at=give_up_at), expires_at)
+    assert queue.pop_expired(expires_at - 0.01) == []
+    [(waiting, found)] = queue.pop_expired(expires_at)
+    assert (waiting.ask.request, found) == ("a", reason)
+    assert queue.size == 0
+    assert drain(queue) == []
--- /dev/null
+++ b/pollenfork/decisions.py
@@ -0,0 +1,442 @@
+"""Admission and dispatch composed into one core without I/O.
+
+Events and the time go in, grants and refusals come out. The scheduler's
+actor drives it in the program; tests and benchmarks drive it directly.
+"""
+
+import random
+from typing import Any
+
+import msgspec
+
+from pollenfork import ids
+from pollenfork.admission import core as admission_core
+from pollenfork.admission import forecast
+from pollenfork.admission import messages as admission_messages
+from pollenfork.admission import queues
+from pollenfork.admission import shares
+from pollenfork.dispatch import budget
+from pollenfork.dispatch import core as dispatch_core
+from pollenfork.dispatch import messages
+from pollenfork.dispatch import sharing
+from pollenfork.settings import messages as settings_messages
+
+Decision = messages.Grant | admission_messages.Refused
+
+_Reason = admission_messages.RefusalReason
+_Retry = messages.RetryReason
+
+_MOST_ATTEMPTS = 4
+_HEDGE_PART = 0.95
+_FIRST_PART = 0.5
+_ANSWER_PART = 0.5
+_EARLY_MARGIN = 1.25
+_NO_ENDPOINT_RETRY_S = 2.0
+_LEAST_RETRY_S = 0.5
+_JITTER = 0.5
+_RIGHT_S = 0.5
+_RIGHT_PART = 0.5
+_ACCRUAL_PERIOD_S = 0.1
+
+
+class Decisions:
+    """Who is served where and when, and who is refused, at one instance."""
+
+    def __init__(
+        self,
+        instance: ids.InstanceId,
+        rng: random.Random,
+        waiting_limit: int,
+        split: sharing.Sharing | None = None,
+    ) -> None:
+        self.counters = budget.Counters()
+        self._rng = rng
+        self._admission = admission_core.Admission(waiting_limit)
+        self._dispatch = dispatch_core.Dispatch(
+            instance,
+            rng,
+            self._admission.depths,
+            split or sharing.DemandSplit(),
+        )
+        self._forecast = forecast.Forecast()
+        self._shares = shares.MinimumShares()
+        self._budgets = budget.RetryBudgets()
+        self._decided: list[Decision] = []
+        self._accrued_at: float | None = None
+        self._is_draining = False
+
+    def submit(self, ask: admission_messages.Ask, now: float) -> list[Decision]:
+        """Takes a request; its decision may come with a later event."""
+        self._forecast.note_arrival(ask, now)
+        reason = self._find_refusal(ask)
+        if reason is None:
+            self._queue(ask, now)
+        else:
+            self._refuse(ask, reason, now)
+        return self._decide(now)
+
+    def ask_again(self, again: messages.AskAgain, now: float) -> list[Decision]:
+        """Takes an admitted request's wish for a further attempt."""
+        ask = self._admission.find_ask(again.request)
+        if ask is None or self._admission.is_waiting(again.request):
+            refused = admission_messages.Refused(
+                request=again.request, reason=_Reason.CALLER_GONE
+            )
+            self._add_refused(refused)
+            return self._decide(now)
+        if again.reason is _Retry.HEDGE:
+            self._hedge(ask, again, now)
+        else:
+            self._retry(ask, again, now)
+        return self._decide(now)
+
+    def report(self, event: Any, now: float) -> list[Decision]:
+        """Takes any other event."""
+        match event:
+            case messages.FirstToken():
+                self._note_first(event)
+            case messages.AttemptEnded():
+                self._end(event, now)
+            case messages.RequestClosed():
+                self._close(event.request, now)
+            case admission_messages.Withdrawn():
+                self._withdraw(event.request, now)
+            case messages.EndpointReport():
+                self._dispatch.note_report(event, now)
+            case messages.EndpointNotice():
+                self._dispatch.note_state(event, now)
+            case messages.Pressure():
+                self._dispatch.note_pressure(event, now)
+            case messages.PeerLost():
+                self._dispatch.note_lost(event.instance, now)
+            case settings_messages.TreeInForce():
+                self._dispatch.apply_tree(event.tree, now)
+        return self._decide(now)
+
+    def tick(self, now: float) -> list[Decision]:
+        """Lets time pass; call it about every 50 ms."""
+        self._dispatch.tick(now)
+        self._accrue_shares(now)
+        self.counters.ejections = self._dispatch.ejections
+        return self._decide(now)
+
+    def drain(self) -> None:
+        """Refuses new requests from now on; what is here goes on."""
+        self._is_draining = True
+
+    def refuse_all(self) -> list[Decision]:
+        """Refuses all that waits: the instance stops."""
+        self._is_draining = True
+        for waiting in self._admission.pop_all():
+            self._refuse(waiting.ask, _Reason.STOPPING, None)
+        return self._take_decided()
+
+    def abandon(self, request: ids.RequestId) -> list[Decision]:
+        """Refuses a request on which deciding failed."""
+        self._admission.withdraw(request)
+        refused = admission_messages.Refused(
+            request=request, reason=_Reason.INSTANCE_FULL
+        )
+        self._add_refused(refused)
+        return self._take_decided()
+
+    def read_pressure(self, now: float) -> messages.Pressure:
+        """Returns what peers should know of this instance."""
+        return self._dispatch.read_pressure(self._admission.list_waits(now))
+
+    def count_in_flight(self) -> int:
+        """Returns the attempts that hold a slot."""
+        return self._dispatch.count_in_flight()
+
+    def count_waiting(self) -> int:
+        """Returns the requests that wait."""
+        return self._admission.size
+
+    # Arrivals.
+
+    def _find_refusal(self, ask: admission_messages.Ask) -> _Reason | None:
+        if self._is_draining:
+            return _Reason.STOPPING
+        pool = admission_messages.pool_key(ask)
+        if not self._dispatch.is_known(pool):
+            return _Reason.NO_ENDPOINT
+        if ask.late_refused and not self._dispatch.is_served(pool):
+            return _Reason.NO_ENDPOINT
+        return self._admission.find_barrier(ask)
+
+    def _queue(self, ask: admission_messages.Ask, now: float) -> None:
+        wait = self._predict_wait(ask, now)
+        if ask.late_refused and self._is_hopeless(ask, wait, now):
+            self._refuse(ask, _Reason.TARGET_UNREACHABLE, now)
+            return
+        waiting = self._admission.add(ask, self._find_expiry(ask))
+        waiting.predicted_s = wait
+        for victim, reason in self._admission.pop_victims(ask.tier):
+            self._refuse(victim.ask, reason, now)
+
+    def _predict_wait(self, ask: admission_messages.Ask, now: float) -> float:
+        claims = self._dispatch.read_claims(admission_messages.pool_key(ask))
+        if claims is None:
+            return 0.0
+        in_flight = [
+            own + peers
+            for own, peers in zip(
+                claims.own_in_flight, claims.peer_in_flight, strict=True
+            )
+        ]
+        supply = forecast.Supply(
+            claims.capacity,
+            in_flight,
+            claims.own_waiting,
+            claims.peer_waiting,
+            claims.instances,
+        )
+        ahead = self._admission.estimate_ahead(ask)
+        return self._forecast.predict_wait(ask, ahead, supply, now)
+
+    def _is_hopeless(
+        self, ask: admission_messages.Ask, wait: float, now: float
+    ) -> bool:
+        first = self._forecast.expect_first(ask, _FIRST_PART)
+        slack = ask.first_token_due - now
+        if wait > _EARLY_MARGIN * (slack - first):
+            return True
+        if ask.answer_due is None:
+            return False
+        answer = self._forecast.expect_answer(ask, _ANSWER_PART)
+        return wait + answer > _EARLY_MARGIN * (ask.answer_due - now)
+
+    def _find_expiry(self, ask: admission_messages.Ask) -> float:
+        if not ask.late_refused:
+            return ask.give_up_at
+        first = self._forecast.expect_first(ask, _FIRST_PART)
+        return min(ask.give_up_at, ask.first_token_due - first)
+
+    # Further attempts.
+
+    def _retry(
+        self,
+        ask: admission_messages.Ask,
+        again: messages.AskAgain,
+        now: float,
+    ) -> None:
+        reason = self._find_retry_refusal(ask, again.reason, now)
+        if reason is not None:
+            self._refuse_again(ask, reason)
+            return
+        _count(self.counters.retries, again.reason.value)
+        if again.reason is _Retry.CONTINUE_ELSEWHERE:
+            # The caller has its first token; only the wait is bounded anew.
+            give_up_at = now + ask.give_up_at - ask.arrived
+            ask = msgspec.structs.replace(
+                ask,
+                first_token_due=now,
+                give_up_at=give_up_at,
+                late_refused=False,
+            )
+        expires_at = self._find_expiry(ask)
+        self._admission.add_again(ask, again.avoid, expires_at)
+
+    def _find_retry_refusal(
+        self,
+        ask: admission_messages.Ask,
+        reason: messages.RetryReason,
+        now: float,
+    ) -> _Reason | None:
+        may_have_run = reason in (
+            _Retry.BROKEN_BEFORE_FIRST,
+            _Retry.CONTINUE_ELSEWHERE,
+        )
+        if may_have_run and not ask.idempotent:
+            return _Reason.RETRY_UNSAFE
+        if reason is not _Retry.CONTINUE_ELSEWHERE:
+            due = ask.first_token_due if ask.late_refused else ask.give_up_at
+            if now >= due:
+                return _Reason.RETRY_TOO_LATE
+        sent = self._dispatch.count_attempts(ask.request)
+        key = admission_messages.class_key(ask)
+        if sent >= _MOST_ATTEMPTS or not self._budgets.spend(key, reason):
+            return _Reason.RETRY_BUDGET
+        return None
+
+    def _hedge(
+        self,
+        ask: admission_messages.Ask,
+        again: messages.AskAgain,
+        now: float,
+    ) -> None:
+        if not (ask.hedge and ask.idempotent):
+            self._refuse_again(ask, _Reason.RETRY_UNSAFE)
+            return
+        key = admission_messages.class_key(ask)
+        if not self._budgets.can_spend(key):
+            self._refuse_again(ask, _Reason.RETRY_BUDGET)
+            return
+        rule = dispatch_core.Rule.IDLE
+        grant = self._dispatch.place(ask, now, rule, again.avoid)
+        if grant is None:
+            self._refuse_again(ask, _Reason.HEDGE_UNWANTED)
+            return
+        self._budgets.spend(key, again.reason)
+        _count(self.counters.retries, again.reason.value)
+        self._add_grant(grant)
+
+    # The course of attempts.
+
+    def _note_first(self, first: messages.FirstToken) -> None:
+        attempt = self._dispatch.note_first(first)
+        if attempt is not None:
+            took = first.at - attempt.granted
+            self._forecast.note_first(attempt.ask, took)
+
+    def _end(self, ended: messages.AttemptEnded, now: float) -> None:
+        attempt = self._dispatch.end(ended, now)
+        if attempt is None or ended.how is not messages.AttemptEnd.FINISHED:
+            return
+        hold = ended.at - attempt.granted
+        answering = ended.at - (attempt.first_at or ended.at)
+        self._forecast.note_end(attempt.ask, hold, ended.tokens, answering)
+
+    def _close(self, request: ids.RequestId, now: float) -> None:
+        self._withdraw(request, now)
+        self._dispatch.close(request, now)
+        self._admission.close(request)
+
+    def _withdraw(self, request: ids.RequestId, now: float) -> None:
+        waiting = self._admission.withdraw(request)
+        if waiting is not None:
+            self._refuse(waiting.ask, _Reason.CALLER_GONE, now)
+
+    # Decisions.
+
+    def _decide(self, now: float) -> list[Decision]:
+        for waiting, reason in self._admission.pop_expired(now):
+            self._refuse(waiting.ask, reason, now)
+        if self._admission.size:
+            self._serve_shares(now)
+            self._serve_tiers(now)
+        return self._take_decided()
+
+    def _serve_tiers(self, now: float) -> None:
+        for pool, tier in self._admission.list_places():
+            while waiting := self._admission.find_next(pool, tier, now):
+                if not self._serve(waiting, dispatch_core.Rule.SPLIT, now):
+                    break
+
+    def _serve_shares(self, now: float) -> None:
+        for pool, key, tier in self._shares.list_due():
+            waiting = self._admission.find_next(pool, tier, now, key)
+            if waiting is not None:
+                self._serve(waiting, dispatch_core.Rule.SHARE, now)
+
+    def _serve(
+        self,
+        waiting: queues.Waiting,
+        rule: dispatch_core.Rule,
+        now: float,
+    ) -> bool:
+        ask = waiting.ask
+        hedge = None
+        if ask.hedge and ask.idempotent and not waiting.again:
+            hedge = self._forecast.expect_first(ask, _HEDGE_PART)
+        grant = self._dispatch.place(ask, now, rule, waiting.avoid, hedge)
+        if grant is None:
+            return False
+        self._admission.take(waiting)
+        self._add_grant(grant)
+        key = admission_messages.class_key(ask)
+        pool = admission_messages.pool_key(ask)
+        self._shares.pay(shares.Place(pool, key, ask.tier))
+        if not waiting.again:
+            self._budgets.earn(key, ask.retry_ratio)
+            self.counters.first_attempts += 1
+            self._check_prediction(waiting, now - ask.arrived)
+        return True
+
+    def _check_prediction(
+        self, waiting: queues.Waiting, actual_s: float
+    ) -> None:
+        self._forecast.note_wait(waiting, actual_s)
+        error = abs(actual_s - waiting.predicted_s)
+        self.counters.predictions += 1
+        if error <= max(_RIGHT_S, _RIGHT_PART * actual_s):
+            self.counters.predictions_right += 1
+
+    def _accrue_shares(self, now: float) -> None:
+        if self._accrued_at is None:
+            self._accrued_at = now
+        elapsed = now - self._accrued_at
+        if elapsed < _ACCRUAL_PERIOD_S:
+            return
+        self._accrued_at = now
+        present = []
+        for pool, tier in self._admission.list_places():
+            claims = self._dispatch.read_claims(pool)
+            if claims is None:
+                continue
+            for key in self._admission.list_classes(pool, tier):
+                share = self._admission.read_share(pool, tier, key, now)
+                hold = self._forecast.expect_hold(key, pool, tier)
+                slots = share * claims.capacity / claims.instances
+                place = shares.Place(pool, key, tier)
+                self._shares.accrue(place, slots * elapsed, hold)
+                present.append(place)
+        self._shares.retain(present)
+
+    # Answers.
+
+    def _refuse(
+        self,
+        ask: admission_messages.Ask,
+        reason: _Reason,
+        now: float | None,
+    ) -> None:
+        retry_after = None
+        if now is not None:
+            retry_after = self._predict_return(ask, reason, now)
+        self._add_refused(
+            admission_messages.Refused(
+                request=ask.request, reason=reason, retry_after_s=retry_after
+            )
+        )
+
+    def _refuse_again(
+        self, ask: admission_messages.Ask, reason: _Reason
+    ) -> None:
+        refused = admission_messages.Refused(request=ask.request, reason=reason)
+        self._add_refused(refused)
+
+    def _predict_return(
+        self, ask: admission_messages.Ask, reason: _Reason, now: float
+    ) -> float:
+        """Returns when a new request is likely to meet its target."""
+        pool = admission_messages.pool_key(ask)
+        if reason is _Reason.NO_ENDPOINT:
+            wait = _NO_ENDPOINT_RETRY_S
+        elif reason in (_Reason.ACCOUNT_LIMIT, _Reason.TEAM_LIMIT):
+            key = admission_messages.class_key(ask)
+            hold = self._forecast.expect_hold(key, pool, ask.tier)
+            wait = hold / ask.account_limit
+        else:
+            target = ask.first_token_due - ask.arrived
+            wait = self._predict_wait(ask, now) - target
+        # Spread, so that those refused together don't come back together.
+        spread = 1.0 + _JITTER * self._rng.random()
+        return max(wait, _LEAST_RETRY_S) * spread
+
+    def _add_grant(self, grant: messages.Grant) -> None:
+        self.counters.attempts += 1
+        self._decided.append(grant)
+
+    def _add_refused(self, refused: admission_messages.Refused) -> None:
+        _count(self.counters.refusals, refused.reason.value)
+        self._decided.append(refused)
+
+    def _take_decided(self) -> list[Decision]:
+        decided = self._decided
+        self._decided = []
+        return decided
+
+
+def _count(counts: dict[str, int], key: str) -> None:
+    counts[key] = counts.get(key, 0) + 1
--- a/pollenfork/dispatch/core.py
+++ b/pollenfork/dispatch/core.py
@@ -1,107 +1,349 @@
-"""Choice of an endpoint: the least part of its slots in use."""
+"""Dispatch: who gets which endpoint's slot. No I/O."""
+
+from collections.abc import Mapping
+import enum
+import random
+from typing import TypeVar
 
 import msgspec
 
 from pollenfork import ids
+from pollenfork import sketches
 from pollenfork.admission import messages as admission_messages
+from pollenfork.dispatch import endpoint as endpoints
 from pollenfork.dispatch import messages
+from pollenfork.dispatch import pools
+from pollenfork.dispatch import sharing
+from pollenfork.dispatch import stragglers
+from pollenfork.dispatch import supply
 from pollenfork.settings import model
 
+K = TypeVar("K")
+
+_SPILL = 0.125
+_BOUNDED_LOAD = 1.25
+_LEAST_BOUND = 0.5
+_MEAN_WEIGHT = 0.02
+_LEAST_MEAN_S = 0.001
+_OVERDUE_FACTOR = 5.0
+_OVERDUE_LEAST_S = 1.0
+_OVERDUE_RATIO = 5.0
+_CHECK_PERIOD_S = 0.5
+_MS = 1000
+
+_BROKEN = (
+    messages.AttemptEnd.NEVER_SENT,
+    messages.AttemptEnd.BROKEN_BEFORE_FIRST,
+    messages.AttemptEnd.BROKEN_MIDWAY,
+    messages.AttemptEnd.REFUSED_BY_ENDPOINT,
+)
+
+
+class Rule(enum.Enum):
+    """By which right a request takes a slot."""
+
+    SPLIT = "split"  # Its tier's part of this instance.
+    SHARE = "share"  # Its class's minimum share.
+    IDLE = "idle"  # A hedge: only a slot that nobody wants.
 
-class _Attempt(msgspec.Struct):
-    request: ids.RequestId
-    endpoint: ids.EndpointId
-    tier: ids.Tier
 
+class Attempt(msgspec.Struct):
+    """One attempt that holds a slot.
 
-class Endpoints:
-    """The endpoints, their state and the attempts they hold."""
+    Attributes:
+        granted: Monotonic seconds.
+        is_spilled: It went to wait in the engine's own queue.
+        first_at: When the first token arrived.
+        is_overdue: Its missing first token was counted already.
+    """
 
-    def __init__(self, instance: ids.InstanceId) -> None:
+    ask: admission_messages.Ask
+    endpoint: endpoints.Endpoint
+    granted: float
+    is_spilled: bool
+    first_at: float | None = None
+    is_overdue: bool = False
+
+
+class Dispatch:
+    """The attempts in flight and the choice of their endpoints."""
+
+    def __init__(
+        self,
+        instance: ids.InstanceId,
+        rng: random.Random,
+        depths: supply.Depths,
+        split: sharing.Sharing,
+    ) -> None:
         self._instance = instance
-        self._settings: dict[ids.EndpointId, model.EndpointSettings] = {}
-        self._services: dict[ids.ServiceName, model.ServiceSettings] = {}
-        self._states: dict[ids.EndpointId, messages.EndpointState] = {}
-        self._attempts: dict[ids.AttemptId, _Attempt] = {}
-        self._in_flight: dict[ids.EndpointId, int] = {}
-        self._count = 0
-
-    def apply_tree(self, tree: model.Tree) -> None:
-        """Takes the endpoints and services of a tree that came into force."""
-        self._settings = tree.root.endpoints
-        self._services = tree.root.services
-
-    def note_state(self, notice: messages.EndpointNotice) -> None:
+        self._rng = rng
+        self._split = split
+        self._supply = supply.Supply(depths)
+        self._attempts: dict[ids.AttemptId, Attempt] = {}
+        self._by_request: dict[ids.RequestId, list[ids.AttemptId]] = {}
+        self._numbers: dict[ids.RequestId, int] = {}
+        self._stragglers = stragglers.Stragglers()
+        self._first_means: dict[admission_messages.ClassKey, sketches.Mean] = {}
+        self._gap_means: dict[admission_messages.PoolKey, sketches.Mean] = {}
+        self._gap_targets: dict[admission_messages.ClassKey, float] = {}
+        self._checked_at = 0.0
+        self.ejections = 0
+
+    def apply_tree(self, tree: model.Tree, now: float) -> None:
+        """Takes a settings tree that came into force."""
+        self._gap_targets = {
+            (team, name): chosen.target_gap_ms / _MS
+            for team, subtree in tree.teams.items()
+            for name, chosen in subtree.classes.items()
+        }
+        self._supply.apply_tree(tree, now)
+
+    def note_state(self, notice: messages.EndpointNotice, now: float) -> None:
         """Takes an endpoint's state."""
-        self._states[notice.endpoint] = notice.state
+        self._supply.note_state(notice, now)
 
-    def grant(
+    def note_report(self, report: messages.EndpointReport, now: float) -> None:
+        """Takes an endpoint's own load report."""
+        self._supply.note_report(report, now)
+
+    def note_pressure(self, pressure: messages.Pressure, now: float) -> None:
+        """Takes a peer's pressure in place of its earlier one."""
+        self._supply.note_pressure(pressure, now)
+
+    def note_lost(self, instance: ids.InstanceId, now: float) -> None:
+        """Takes a peer's loss."""
+        self._supply.note_lost(instance, now)
+
+    def read_pressure(
+        self, waits: Mapping[tuple[admission_messages.PoolKey, ids.Tier], float]
+    ) -> messages.Pressure:
+        """Returns what peers should know; see `Supply.read_pressure`."""
+        return self._supply.read_pressure(self._instance, waits)
+
+    def is_known(self, key: admission_messages.PoolKey) -> bool:
+        """Returns whether the settings name any endpoint for it."""
+        return self._supply.find_pool(key) is not None
+
+    def is_served(self, key: admission_messages.PoolKey) -> bool:
+        """Returns whether any endpoint is there for it, busy or not."""
+        pool = self._supply.find_pool(key)
+        return pool is not None and any(e.is_live() for e in pool.members)
+
+    def read_claims(
+        self, key: admission_messages.PoolKey
+    ) -> sharing.Claims | None:
+        """Returns who wants and holds the slots behind a pool."""
+        pool = self._supply.find_pool(key)
+        return self._supply.read_claims(pool) if pool else None
+
+    def place(
         self,
         ask: admission_messages.Ask,
+        now: float,
+        rule: Rule,
         avoid: tuple[ids.EndpointId, ...] = (),
+        hedge_after_s: float | None = None,
     ) -> messages.Grant | None:
-        """Returns a slot for the request, or None while there is none."""
-        usable = [
-            name
-            for name in self._list_able(ask)
-            if name not in avoid and self._has_slot(name)
-        ]
-        if not usable:
+        """Gives the request a slot by that rule, if there is one."""
+        pool = self._supply.find_pool(admission_messages.pool_key(ask))
+        if pool is None:
+            return None
+        claims = self._supply.read_claims(pool)
+        if not self._is_allowed(claims, ask.tier, rule):
+            return None
+        chosen = self._choose(pool, ask, now, avoid)
+        spilled = chosen is None
+        if chosen is None and self._may_spill(claims, ask.tier, rule):
+            chosen = _choose_spill(pool.sample_members(self._rng), now, avoid)
+        if chosen is None:
             return None
-        name = min(usable, key=self._rate_use)
-        return self._start_attempt(ask, name)
-
-    def is_served(self, ask: admission_messages.Ask) -> bool:
-        """Returns whether any endpoint could ever carry the request."""
-        return bool(self._list_able(ask))
-
-    def end(self, ended: messages.AttemptEnded) -> None:
-        """Gives the attempt's slot back."""
-        attempt = self._attempts.pop(ended.attempt, None)
-        if attempt:
-            self._in_flight[attempt.endpoint] -= 1
-
-    def list_occupancies(self) -> tuple[messages.Occupancy, ...]:
-        """Returns the slots this instance holds, by endpoint and tier."""
-        counts: dict[tuple[ids.EndpointId, ids.Tier], int] = {}
-        for attempt in list(self._attempts.values()):
-            key = (attempt.endpoint, attempt.tier)
-            counts[key] = counts.get(key, 0) + 1
-        return tuple(
-            messages.Occupancy(endpoint, tier, count)
-            for (endpoint, tier), count in counts.items()
+        grant = self._start(ask, chosen, now, spilled)
+        # A share's request would starve in the engine behind higher tiers.
+        priority = 0 if rule is Rule.SHARE else ask.tier
+        return msgspec.structs.replace(
+            grant, priority=priority, hedge_after_s=hedge_after_s
         )
 
-    def _list_able(self, ask: admission_messages.Ask) -> list[ids.EndpointId]:
-        if ask.service is not None:
-            service = self._services.get(ask.service)
-            names = service.endpoints if service else ()
-        else:
-            names = tuple(
-                name
-                for name, endpoint in self._settings.items()
-                if ask.model in endpoint.models
-            )
-        live = messages.EndpointState.LIVE
-        return [n for n in names if self._states.get(n, live) is live]
+    def note_first(self, first: messages.FirstToken) -> Attempt | None:
+        """Takes an attempt's first token; None where it was known."""
+        attempt = self._attempts.get(first.attempt)
+        if attempt is None or attempt.first_at is not None:
+            return None
+        attempt.first_at = first.at
+        attempt.endpoint.note_success()
+        took = first.at - attempt.granted
+        key = admission_messages.class_key(attempt.ask)
+        mean = _record(self._first_means, key, took)
+        if not attempt.is_spilled and not attempt.is_overdue:
+            ratio = took / max(mean, _LEAST_MEAN_S)
+            self._stragglers.note(attempt.endpoint.name, ratio)
+        return attempt
 
-    def _has_slot(self, name: ids.EndpointId) -> bool:
-        return self._in_flight.get(name, 0) < self._settings[name].slots
+    def end(self, ended: messages.AttemptEnded, now: float) -> Attempt | None:
+        """Gives the attempt's slot back; None where it was back already."""
+        attempt = self._release(ended.attempt, now)
+        if attempt is None:
+            return None
+        if ended.how in _BROKEN:
+            attempt.endpoint.note_failure(now)
+        elif ended.how is messages.AttemptEnd.TIMED_OUT:
+            self._stragglers.note(attempt.endpoint.name, _OVERDUE_RATIO)
+        elif ended.how is messages.AttemptEnd.FINISHED:
+            self._judge_gap(attempt, ended, now)
+        self._supply.refresh(attempt.endpoint, now)
+        return attempt
 
-    def _rate_use(self, name: ids.EndpointId) -> float:
-        return self._in_flight.get(name, 0) / self._settings[name].slots
+    def close(self, request: ids.RequestId, now: float) -> None:
+        """Forgets the request and frees any slot it still holds."""
+        for attempt in list(self._by_request.get(request, ())):
+            self._release(attempt, now)
+        self._numbers.pop(request, None)
 
-    def _start_attempt(
-        self, ask: admission_messages.Ask, name: ids.EndpointId
+    def count_attempts(self, request: ids.RequestId) -> int:
+        """Returns how often the request was sent so far."""
+        return self._numbers.get(request, 0)
+
+    def count_in_flight(self) -> int:
+        """Returns the attempts that hold a slot."""
+        return len(self._attempts)
+
+    def tick(self, now: float) -> None:
+        """Lets time pass: silent peers, stragglers, returning endpoints."""
+        if now - self._checked_at < _CHECK_PERIOD_S:
+            return
+        self._checked_at = now
+        self._note_overdue(now)
+        self._eject_stragglers(now)
+        self._supply.tick(now)
+
+    def _is_allowed(
+        self, claims: sharing.Claims, tier: ids.Tier, rule: Rule
+    ) -> bool:
+        if rule is Rule.SHARE:
+            return True
+        if rule is Rule.IDLE:
+            return not any(claims.own_waiting) and not any(claims.peer_waiting)
+        return claims.own_in_flight[tier] < self._split.allow(claims, tier)
+
+    def _may_spill(
+        self, claims: sharing.Claims, tier: ids.Tier, rule: Rule
+    ) -> bool:
+        if rule is Rule.SPLIT:
+            return self._split.may_spill(claims, tier)
+        return rule is Rule.SHARE
+
+    def _choose(
+        self,
+        pool: pools.Pool,
+        ask: admission_messages.Ask,
+        now: float,
+        avoid: tuple[ids.EndpointId, ...],
+    ) -> endpoints.Endpoint | None:
+        sampled = pool.sample_open(self._rng, avoid)
+        if not sampled:
+            return None
+        best = min(sampled, key=lambda e: e.rate_use(now))
+        if not ask.prefix:
+            return best
+        bound = max(best.rate_use(now) * _BOUNDED_LOAD, _LEAST_BOUND)
+        for home in pool.find_homes(ask.prefix):
+            if home.name in avoid or not pool.is_open(home):
+                continue
+            if home.rate_use(now) <= bound:
+                return home
+        return best
+
+    def _start(
+        self,
+        ask: admission_messages.Ask,
+        chosen: endpoints.Endpoint,
+        now: float,
+        spilled: bool,
     ) -> messages.Grant:
-        self._count += 1
-        attempt = ids.AttemptId(f"{ask.request}.{self._count}")
-        self._attempts[attempt] = _Attempt(ask.request, name, ask.tier)
-        self._in_flight[name] = self._in_flight.get(name, 0) + 1
+        number = self._numbers.get(ask.request, 0) + 1
+        self._numbers[ask.request] = number
+        name = ids.AttemptId(f"{ask.request}.{number}")
+        self._attempts[name] = Attempt(ask, chosen, now, spilled)
+        self._by_request.setdefault(ask.request, []).append(name)
+        self._supply.count_in(chosen, ask.tier, now)
         return messages.Grant(
             request=ask.request,
-            attempt=attempt,
-            endpoint=name,
-            address=self._settings[name].address,
-            priority=ask.tier,
+            attempt=name,
+            endpoint=chosen.name,
+            address=chosen.settings.address,
         )
+
+    def _release(self, name: ids.AttemptId, now: float) -> Attempt | None:
+        attempt = self._attempts.pop(name, None)
+        if attempt is None:
+            return None
+        request = attempt.ask.request
+        held = self._by_request[request]
+        held.remove(name)
+        if not held:
+            del self._by_request[request]
+        self._supply.count_out(attempt.endpoint, attempt.ask.tier, now)
+        return attempt
+
+    def _judge_gap(
+        self, attempt: Attempt, ended: messages.AttemptEnded, now: float
+    ) -> None:
+        if attempt.first_at is None or ended.tokens < 2:
+            return
+        gap = (ended.at - attempt.first_at) / (ended.tokens - 1)
+        mean = _record(
+            self._gap_means, admission_messages.pool_key(attempt.ask), gap
+        )
+        ratio = gap / max(mean, _LEAST_MEAN_S)
+        self._stragglers.note(attempt.endpoint.name, ratio)
+        target = self._gap_targets.get(
+            admission_messages.class_key(attempt.ask)
+        )
+        if target is not None:
+            attempt.endpoint.limit.note(gap / target, now)
+
+    def _note_overdue(self, now: float) -> None:
+        """Counts first tokens that are long missing as slowness now."""
+        for attempt in self._attempts.values():
+            if attempt.first_at is not None or attempt.is_overdue:
+                continue
+            mean = self._first_means.get(
+                admission_messages.class_key(attempt.ask)
+            )
+            expected = mean.value if mean else _OVERDUE_LEAST_S
+            bound = max(_OVERDUE_LEAST_S, _OVERDUE_FACTOR * expected)
+            if now - attempt.granted > bound and not attempt.is_spilled:
+                attempt.is_overdue = True
+                name = attempt.endpoint.name
+                self._stragglers.note(name, _OVERDUE_RATIO)
+
+    def _eject_stragglers(self, now: float) -> None:
+        groups: dict[str, list[ids.EndpointId]] = {}
+        for name, known in self._supply.endpoints.items():
+            if known.is_live():
+                groups.setdefault(known.settings.group, []).append(name)
+        for group in groups.values():
+            for name, until in self._stragglers.pick(group, now):
+                self._supply.endpoints[name].eject(until)
+                self.ejections += 1
+
+
+def _choose_spill(
+    sampled: list[endpoints.Endpoint],
+    now: float,
+    avoid: tuple[ids.EndpointId, ...],
+) -> endpoints.Endpoint | None:
+    usable = [
+        member
+        for member in sampled
+        if member.name not in avoid and member.has_spill_room(_SPILL, now)
+    ]
+    return min(usable, key=lambda e: e.rate_use(now), default=None)
+
+
+def _record(means: dict[K, sketches.Mean], key: K, value: float) -> float:
+    mean = means.get(key)
+    if mean is None:
+        mean = means[key] = sketches.Mean(value, _MEAN_WEIGHT)
+    mean.record(value)
+    return mean.value
--- a/pollenfork/dispatch/messages.py
+++ b/pollenfork/dispatch/messages.py
@@ -13,6 +13,8 @@
     Attributes:
         address: `host:port` of the endpoint.
         priority: For the engine's own queue; lower runs earlier.
+        hedge_after_s: Without a first token by then, ask for a second copy
+            (`RetryReason.HEDGE`); None where the class pays for no hedges.
     """
 
     request: ids.RequestId
@@ -20,6 +22,7 @@
     endpoint: ids.EndpointId
     address: str
     priority: int = 0
+    hedge_after_s: float | None = None
 
 
 class FirstToken(msgspec.Struct, frozen=True, kw_only=True):
@@ -62,6 +65,7 @@
     NEVER_SENT = "never_sent"
     BROKEN_BEFORE_FIRST = "broken_before_first"
     CONTINUE_ELSEWHERE = "continue_elsewhere"
+    HEDGE = "hedge"
 
 
 class AskAgain(msgspec.Struct, frozen=True, kw_only=True):
--- /dev/null
+++ b/pollenfork/dispatch/sharing.py
@@ -0,0 +1,80 @@
+"""How instances that share endpoints split their slots by tier.
+
+Every instance knows its own demand at once and its peers' from their last
+pressure, and computes the same split: tiers in order, and inside a tier in
+proportion to demand. Nobody is asked, nothing is leased.
+"""
+
+from collections.abc import Sequence
+import math
+from typing import Protocol
+
+import msgspec
+
+
+class Claims(msgspec.Struct):
+    """Who wants and holds the slots of a set of endpoints, by tier.
+
+    Attributes:
+        capacity: Slots of all these endpoints.
+        own_waiting: Requests waiting here.
+        own_in_flight: Attempts of this instance.
+        peer_waiting: Requests waiting at peers.
+        peer_in_flight: Attempts of peers.
+        instances: Instances that share the endpoints, this one included.
+        is_cut_off: All peers there were are out of reach, perhaps at work.
+    """
+
+    capacity: float
+    own_waiting: Sequence[int]
+    own_in_flight: list[int]
+    peer_waiting: list[int]
+    peer_in_flight: list[int]
+    instances: int
+    is_cut_off: bool = False
+
+    def read_capacity(self) -> float:
+        """Returns the slots to split; a fixed part when cut off."""
+        if self.is_cut_off:
+            return self.capacity / self.instances
+        return self.capacity
+
+
+class Sharing(Protocol):
+    """A way to split slots among instances."""
+
+    def allow(self, claims: Claims, tier: int) -> int:
+        """Returns how many slots this instance may hold in the tier."""
+
+    def may_spill(self, claims: Claims, tier: int) -> bool:
+        """Returns whether the tier may wait in an engine's own queue."""
+
+
+class DemandSplit:
+    """Splits by the demand and occupancy that peers report."""
+
+    def allow(self, claims: Claims, tier: int) -> int:
+        """Returns how many slots this instance may hold in the tier."""
+        own = claims.own_waiting[tier] + claims.own_in_flight[tier]
+        peers = claims.peer_waiting[tier] + claims.peer_in_flight[tier]
+        left = claims.read_capacity() - _sum_higher(claims, tier)
+        if left <= 0:
+            return 0
+        if own + peers <= left:
+            return own
+        return math.ceil(left * own / (own + peers))
+
+    def may_spill(self, claims: Claims, tier: int) -> bool:
+        """Returns whether the tier is the most urgent that waits anywhere."""
+        return not any(claims.own_waiting[:tier]) and not any(
+            claims.peer_waiting[:tier]
+        )
+
+
+def _sum_higher(claims: Claims, tier: int) -> int:
+    return (
+        sum(claims.own_waiting[:tier])
+        + sum(claims.own_in_flight[:tier])
+        + sum(claims.peer_waiting[:tier])
+        + sum(claims.peer_in_flight[:tier])
+    )
--- a/pollenfork/entry/errors.py
+++ b/pollenfork/entry/errors.py
@@ -81,6 +81,10 @@
     _Reason.STOPPING: "This instance is stopping; connect again.",
     _Reason.CALLER_GONE: "The caller went away.",
     _Reason.INSTANCE_FULL: "This instance is full; connect again.",
+    _Reason.RETRY_BUDGET: "The class has spent its retries.",
+    _Reason.RETRY_TOO_LATE: "A retry would miss the class's time.",
+    _Reason.RETRY_UNSAFE: "It may have run and must not run twice.",
+    _Reason.HEDGE_UNWANTED: "No endpoint is idle enough for a copy.",
 }
 _LIMITED = (_Reason.ACCOUNT_LIMIT, _Reason.TEAM_LIMIT)
 
--- a/pollenfork/scheduler.py
+++ b/pollenfork/scheduler.py
@@ -1,28 +1,31 @@
-"""Admission and dispatch composed: from a request to a granted slot."""
+"""The thread-safe front of admission and dispatch, and the actor behind."""
 
 import concurrent.futures
+import logging
 import random
 from typing import Any
 
+import msgspec
 import pykka
 
 from pollenfork import clock
+from pollenfork import decisions
 from pollenfork import ids
 from pollenfork import timers
-from pollenfork.admission import core as admission_core
 from pollenfork.admission import messages as admission_messages
-from pollenfork.dispatch import core as dispatch_core
+from pollenfork.dispatch import budget
 from pollenfork.dispatch import messages
-from pollenfork.settings import messages as settings_messages
 
-Decision = messages.Grant | admission_messages.Refused
-Pending = concurrent.futures.Future[Decision]
+_LOG = logging.getLogger(__name__)
+_TICK_S = 0.05
+_WAITING = 256
 
-_TICK_S = 0.1
+Pending = concurrent.futures.Future[decisions.Decision]
+Counters = budget.Counters
 
 
 class Scheduler:
-    """The thread-safe front: requests go in, grants and refusals come out."""
+    """Requests go in, grants and refusals come out; safe from any thread."""
 
     def __init__(
         self,
@@ -30,18 +33,23 @@
         now: clock.Clock,
         rng: random.Random,
         timer: timers.Timers,
+        waiting: int = _WAITING,
     ) -> None:
-        del rng
-        self._instance = instance
         self._clock = now
         self._timers = timer
-        self._actor: pykka.ActorRef | None = None
+        self._core = decisions.Decisions(instance, rng, waiting)
+        self._published = _Published(messages.Pressure(instance), Counters())
+        self._actor: pykka.ActorRef[_Actor] | None = None
 
     def start(self) -> None:
         """Starts the actor that decides."""
-        self._actor = _Actor.start(self._instance, self._clock)
+        self._actor = _Actor.start(self._core, self._clock, self._published)
         self._timers.every(_TICK_S, lambda: self.report(_Tick()))
 
+    def drain(self) -> None:
+        """Refuses new requests; those that wait or run go on."""
+        self.report(_Drain())
+
     def stop(self) -> None:
         """Refuses what still waits and ends the actor."""
         if self._actor:
@@ -49,135 +57,157 @@
 
     def submit(self, ask: admission_messages.Ask) -> Pending:
         """Asks for a slot; the future gets exactly one decision."""
-        pending: Pending = concurrent.futures.Future()
-        self.report(_Submit(ask, pending))
-        return pending
+        return self._send(ask.request, ask)
 
     def ask_again(self, again: messages.AskAgain) -> Pending:
-        """Asks for another endpoint for an admitted request."""
-        pending: Pending = concurrent.futures.Future()
-        self.report(_Again(again, pending))
-        return pending
+        """Asks for another attempt for an admitted request."""
+        return self._send(again.request, again)
 
     def report(self, event: Any) -> None:
         """Tells of an event; returns at once."""
-        if self._actor:
+        if self._actor is None:
+            return
+        try:
             self._actor.tell(event)
+        except pykka.ActorDeadError:
+            _LOG.debug("event=report_after_stop kind=%s", type(event).__name__)
 
     def read_pressure(self) -> messages.Pressure:
-        """Returns what peers should know of this instance's load."""
-        if not self._actor:
-            return messages.Pressure(self._instance)
-        pressure = self._actor.ask(_ReadPressure())
-        assert isinstance(pressure, messages.Pressure)
-        return pressure
+        """Returns what peers should know, as of the last tick."""
+        return self._published.pressure
 
+    def read_counters(self) -> Counters:
+        """Returns a copy of the counters, as of the last tick."""
+        return self._published.counters
 
-class _Tick:
-    pass
+    def _send(
+        self,
+        request: ids.RequestId,
+        asked: admission_messages.Ask | messages.AskAgain,
+    ) -> Pending:
+        pending: Pending = concurrent.futures.Future()
+        stopped = admission_messages.Refused(
+            request=request, reason=admission_messages.RefusalReason.STOPPING
+        )
+        if self._actor is None:
+            pending.set_result(stopped)
+            return pending
+        try:
+            self._actor.tell(_Asked(asked, pending))
+        except pykka.ActorDeadError:
+            pending.set_result(stopped)
+        return pending
 
 
-class _ReadPressure:
-    pass
+class _Published:
+    """What any thread may read; each attribute is replaced whole."""
 
+    def __init__(self, pressure: messages.Pressure, counters: Counters) -> None:
+        self.pressure = pressure
+        self.counters = counters
+
+
+class _Tick:
+    """Time has passed."""
 
-class _Submit:
-    def __init__(self, ask: admission_messages.Ask, pending: Pending) -> None:
-        self.ask = ask
-        self.pending = pending
 
+class _Drain:
+    """New requests are refused from now on."""
 
-class _Again:
-    def __init__(self, again: messages.AskAgain, pending: Pending) -> None:
-        self.again = again
+
+class _Asked:
+    """A request or its wish for another attempt, and who waits for it."""
+
+    def __init__(
+        self,
+        asked: admission_messages.Ask | messages.AskAgain,
+        pending: Pending,
+    ) -> None:
+        self.asked = asked
         self.pending = pending
 
 
 class _Actor(pykka.ThreadingActor):
-    def __init__(self, instance: ids.InstanceId, now: clock.Clock) -> None:
+    """Owns the core; answers each future exactly once."""
+
+    use_daemon_thread = True
+
+    def __init__(
+        self,
+        core: decisions.Decisions,
+        now: clock.Clock,
+        published: _Published,
+    ) -> None:
         super().__init__()
-        self._instance = instance
+        self._core = core
         self._clock = now
-        self._queue = admission_core.Queue()
-        self._endpoints = dispatch_core.Endpoints(instance)
+        self._published = published
         self._pending: dict[ids.RequestId, Pending] = {}
-        self._admitted: dict[ids.RequestId, admission_messages.Ask] = {}
 
-    def on_receive(self, message: Any) -> Any:
+    def on_receive(self, message: Any) -> None:
+        """Takes one message and carries out what the core decides."""
+        now = self._clock.monotonic()
         match message:
-            case _Submit():
-                self._submit(message)
-            case _Again():
-                self._ask_again(message)
-            case messages.AttemptEnded():
-                self._endpoints.end(message)
-            case messages.RequestClosed():
-                self._admitted.pop(message.request, None)
-            case admission_messages.Withdrawn():
-                self._withdraw(message)
-            case messages.EndpointNotice():
-                self._endpoints.note_state(message)
-            case settings_messages.TreeInForce():
-                self._endpoints.apply_tree(message.tree)
-            case _ReadPressure():
-                occupancies = self._endpoints.list_occupancies()
-                return messages.Pressure(
-                    self._instance, occupancies=occupancies
-                )
-        self._grant_waiting()
-        return None
+            case _Asked():
+                self._take_asked(message, now)
+            case _Tick():
+                self._answer(self._core.tick(now))
+                self._publish(now)
+            case _Drain():
+                self._core.drain()
+            case _:
+                self._answer(self._core.report(message, now))
 
     def on_stop(self) -> None:
-        reason = admission_messages.RefusalReason.STOPPING
-        for request in list(self._pending):
-            self._refuse(
-                admission_messages.Refused(request=request, reason=reason)
-            )
-
-    def _submit(self, message: _Submit) -> None:
-        ask = message.ask
-        self._pending[ask.request] = message.pending
-        refused: admission_messages.Refused | None
-        if not self._endpoints.is_served(ask):
-            reason = admission_messages.RefusalReason.NO_ENDPOINT
-            refused = admission_messages.Refused(
-                request=ask.request, reason=reason
-            )
-        else:
-            refused = self._queue.add(ask)
-        if refused:
-            self._refuse(refused)
-
-    def _ask_again(self, message: _Again) -> None:
-        request = message.again.request
-        ask = self._admitted.get(request)
-        grant = ask and self._endpoints.grant(ask, message.again.avoid)
-        if grant:
-            message.pending.set_result(grant)
+        """Refuses what still waits."""
+        self._answer(self._core.refuse_all())
+
+    def on_failure(
+        self, exception_type: Any, exception_value: Any, traceback: Any
+    ) -> None:
+        """Logs a message that the core failed on; the actor goes on."""
+        del exception_type, traceback
+        _LOG.error("event=scheduler_failed error=%r", exception_value)
+
+    def _take_asked(self, message: _Asked, now: float) -> None:
+        asked = message.asked
+        if asked.request in self._pending:
+            _refuse_twin(asked.request, message.pending)
             return
-        reason = admission_messages.RefusalReason.NO_ENDPOINT
-        message.pending.set_result(
-            admission_messages.Refused(request=request, reason=reason)
+        self._pending[asked.request] = message.pending
+        try:
+            self._answer(self._ask_core(asked, now))
+        except Exception:
+            self._answer(self._core.abandon(asked.request))
+            raise
+
+    def _ask_core(
+        self, asked: admission_messages.Ask | messages.AskAgain, now: float
+    ) -> list[decisions.Decision]:
+        if isinstance(asked, admission_messages.Ask):
+            return self._core.submit(asked, now)
+        return self._core.ask_again(asked, now)
+
+    def _answer(self, decided: list[decisions.Decision]) -> None:
+        for decision in decided:
+            pending = self._pending.pop(decision.request, None)
+            if pending is not None:
+                pending.set_result(decision)
+
+    def _publish(self, now: float) -> None:
+        self._published.pressure = self._core.read_pressure(now)
+        self._published.counters = msgspec.structs.replace(
+            self._core.counters,
+            refusals=dict(self._core.counters.refusals),
+            retries=dict(self._core.counters.retries),
         )
 
-    def _withdraw(self, message: admission_messages.Withdrawn) -> None:
-        if self._queue.remove(message.request):
-            reason = admission_messages.RefusalReason.CALLER_GONE
-            self._refuse(
-                admission_messages.Refused(
-                    request=message.request, reason=reason
-                )
-            )
-
-    def _grant_waiting(self) -> None:
-        for refused in self._queue.take_expired(self._clock.monotonic()):
-            self._refuse(refused)
-        for ask in self._queue.list_in_order():
-            grant = self._endpoints.grant(ask)
-            if grant:
-                self._queue.remove(ask.request)
-                self._admitted[ask.request] = ask
-                self._pending.pop(ask.request).set_result(grant)
-
-    def _refuse(self, refused: admission_messages.Refused) -> None:
-        self._pending.pop(refused.request).set_result(refused)
+
+def _refuse_twin(request: ids.RequestId, pending: Pending) -> None:
+    """Refuses a second wish while the first one is still open."""
+    pending.set_result(
+        admission_messages.Refused(
+            request=request,
+            reason=admission_messages.RefusalReason.HEDGE_UNWANTED,
+        )
+    )
