Relay answers whole: resume, continue, pump

Cause: the thin relay cut answers off, retried nothing and cost a thread switch for each event.

Now a pure core decides over each failure (resume at the position, continue elsewhere, restart before the first byte, give up typed), a byte-wise reader passes on whole events in order once each, and one thread moves the bytes of all running streams (epoll) while the worker that holds the caller sleeps. The engine is asked in HTTP/1.0, so its answer isn't chunked and is read from the socket. The server writes straight to the caller's socket and refuses at once when every worker is busy.

--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -99,7 +99,9 @@
     parser.add_argument(
         "--streams", type=int, nargs="+", default=[50, 100, 200, 350]
     )
-    parser.add_argument("--relays", nargs="+", default=["bare", "plain"])
+    parser.add_argument(
+        "--relays", nargs="+", default=["bare", "plain", "relay"]
+    )
     parser.add_argument("--seconds", type=float, default=8.0)
     parser.add_argument("--trial", action="store_true", help="write no JSON")
     options = parser.parse_args()
--- a/benchmarks/relay_servers.py
+++ b/benchmarks/relay_servers.py
@@ -1,13 +1,24 @@
 """The relays that the benchmark compares, each run as its own process."""
 
+import concurrent.futures
+import itertools
 import socket
 import sys
 import threading
+import time
 from typing import Any
 
 import urllib3
 import waitress.server
 
+from pollenfork import clock
+from pollenfork import config
+from pollenfork import ids
+from pollenfork.answers import messages
+from pollenfork.answers import session
+from pollenfork.dispatch import messages as dispatch_messages
+from pollenfork.entry import server as entry_server
+
 _HOST = "127.0.0.1"
 _PATH = "/v1/chat/completions"
 
@@ -57,11 +68,66 @@
     server.run()
 
 
+class _Slots:
+    """Grants nothing further and forgets what it is told."""
+
+    def ask_again(
+        self, again: dispatch_messages.AskAgain
+    ) -> concurrent.futures.Future[Any]:
+        raise NotImplementedError
+
+    def report(self, event: Any) -> None:
+        del event
+
+
+def run_relay(engine: int) -> None:
+    """The product's server and relay, without admission."""
+    now = clock.SystemClock()
+    relay = session.Relay(_Slots(), now)
+    relay.start()
+    numbers = itertools.count()
+
+    def answer(environ: dict[str, Any], start_response: Any) -> Any:
+        number = str(next(numbers))
+        call = messages.Call(
+            request=ids.RequestId(number),
+            method="POST",
+            path=_PATH,
+            headers=(("Content-Type", "application/json"),),
+            body=environ["wsgi.input"].read(),
+            streamed=True,
+            idempotent=True,
+            first_token_due=time.monotonic() + 1,
+            give_up_at=time.monotonic() + 10,
+        )
+        grant = dispatch_messages.Grant(
+            request=call.request,
+            attempt=ids.AttemptId(number),
+            endpoint=ids.EndpointId("engine"),
+            address=f"{_HOST}:{engine}",
+        )
+        caller = environ[entry_server.CALLER]
+        opened = relay.open(call, grant, caller).unwrap()
+        start_response(f"{opened.status} OK", opened.headers)
+        return opened.chunks
+
+    settings = config.EntryConfig(
+        instance=ids.InstanceId("entry"),
+        data_centre=ids.DataCentre("a"),
+        listen=f"{_HOST}:0",
+        peer_listen="",
+        platform="",
+    )
+    server = entry_server.create_server(answer, settings)
+    _announce(int(server.effective_port))
+    server.run()
+
+
 def _announce(port: int) -> None:
     print(port, flush=True)
 
 
-RELAYS = {"bare": run_bare, "plain": run_plain}
+RELAYS = {"bare": run_bare, "plain": run_plain, "relay": run_relay}
 
 if __name__ == "__main__":
     RELAYS[sys.argv[1]](int(sys.argv[2]))
--- /dev/null
+++ b/pollenfork/answers/engine.py
@@ -0,0 +1,262 @@
+"""The data path's protocol towards endpoints: one exchange, a connection each.
+
+urllib3 connects, sends the request and parses the answer's head. A streamed
+answer is asked for in HTTP/1.0, so that it isn't chunked, and its body is then
+read from the socket as it comes.
+"""
+
+import socket
+from typing import Any
+
+import msgspec
+import result
+import urllib3
+import urllib3.connection
+
+from pollenfork import ids
+from pollenfork.answers import errors
+from pollenfork.answers import messages
+from pollenfork.dispatch import messages as dispatch_messages
+from pollenfork.endpoints import edges as endpoint_edges
+
+_READ_BYTES = 65536
+_EVENT_STREAM = "text/event-stream"
+_OK = 200
+_NOT_RUN = "not_run"
+_REFUSALS = (429, 503)
+_DROPPED = frozenset(
+    {
+        "accept-encoding",
+        "authorization",
+        "connection",
+        "content-length",
+        "host",
+        "keep-alive",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "x-priority",
+        "x-request-id",
+    }
+)
+
+_Cause = errors.Cause
+_Lost = (OSError, urllib3.exceptions.HTTPError)
+
+
+class _StreamConnection(urllib3.connection.HTTPConnection):
+    _http_vsn = 10
+    _http_vsn_str = "HTTP/1.0"
+
+
+class Head(msgspec.Struct, frozen=True):
+    """Status and headers of an answer."""
+
+    status: int
+    headers: list[tuple[str, str]]
+
+    @property
+    def is_event_stream(self) -> bool:
+        """Whether the body is a stream of server-sent events."""
+        return any(
+            name.lower() == "content-type" and value.startswith(_EVENT_STREAM)
+            for name, value in self.headers
+        )
+
+
+class Exchange:
+    """One request to one endpoint and its answer, on its own connection."""
+
+    def __init__(self, address: str, limits: messages.Limits) -> None:
+        self._address = address
+        self._limits = limits
+        self._connection: urllib3.connection.HTTPConnection | None = None
+        self._response: urllib3.BaseHTTPResponse | None = None
+        self._socket: socket.socket | None = None
+        self._buffered = b""
+        self._interrupted = False
+
+    @property
+    def socket(self) -> socket.socket:
+        """The connection's socket, from which a stream's body is read."""
+        assert self._socket
+        return self._socket
+
+    def send(
+        self,
+        call: messages.Call,
+        grant: dispatch_messages.Grant,
+        body: bytes,
+    ) -> result.Result[Head, errors.Cause]:
+        """Sends the call and returns the answer's head."""
+        headers = {
+            name: value
+            for name, value in call.headers
+            if name.lower() not in _DROPPED
+        }
+        headers["X-Request-Id"] = grant.attempt
+        headers["X-Priority"] = str(grant.priority)
+        timeout = call.timeout_s or self._limits.head_s
+        if not self._connect(call.streamed, timeout):
+            return result.Err(_Cause.NEVER_SENT)
+        return self._ask(call.method, call.path, headers, body)
+
+    def resume(
+        self, attempt: ids.AttemptId, position: int
+    ) -> result.Result[Head, errors.Cause]:
+        """Asks the engine for the rest of a stream it still has."""
+        path = f"/v1/streams/{attempt}?from={position}"
+        if not self._connect(True, self._limits.stall_s):
+            return result.Err(_Cause.STREAM_UNKNOWN)
+        asked = self._ask("GET", path, {}, b"")
+        if asked.is_err() or asked.unwrap().status != _OK:
+            return result.Err(_Cause.STREAM_UNKNOWN)
+        return asked
+
+    def begin_stream(self) -> None:
+        """Empties the parser's buffer, so that the socket has the rest."""
+        assert self._response and self._socket
+        parser: Any = self._response
+        stream = parser._original_response.fp
+        if stream is not None:
+            self._socket.settimeout(0)
+            self._buffered = stream.read1(_READ_BYTES) or b""
+
+    def take_buffered(self) -> bytes:
+        """Returns what was read of the stream's body with its head."""
+        buffered, self._buffered = self._buffered, b""
+        return buffered
+
+    def read(self) -> bytes:
+        """Returns what comes next of a stream; empty at the end.
+
+        Raises:
+            TimeoutError: Nothing came in the time between two reads.
+        """
+        self.socket.settimeout(self._limits.stall_s)
+        try:
+            return self.socket.recv(_READ_BYTES)
+        except TimeoutError:
+            raise
+        except OSError:
+            return b""
+
+    def read_whole(self) -> result.Result[bytes, errors.Cause]:
+        """Returns the body of an answer that isn't streamed."""
+        assert self._response
+        parts: list[bytes] = []
+        size = 0
+        try:
+            while part := self._response.read(
+                _READ_BYTES, decode_content=False
+            ):
+                parts.append(part)
+                size += len(part)
+                if size > self._limits.whole:
+                    return result.Err(_Cause.OVERSIZE)
+        except (TimeoutError, urllib3.exceptions.TimeoutError):
+            return result.Err(_Cause.STALLED)
+        except _Lost:
+            return result.Err(_Cause.CLOSED)
+        return result.Ok(b"".join(parts))
+
+    def interrupt(self) -> None:
+        """Ends reads that wait in another thread, now or later."""
+        self._interrupted = True
+        if self._socket:
+            try:
+                self._socket.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                return
+
+    def close(self) -> None:
+        """Closes the connection."""
+        if self._response:
+            self._response.close()
+        if self._connection:
+            self._connection.close()
+
+    def _connect(self, streamed: bool, timeout_s: float) -> bool:
+        host, _, port = self._address.rpartition(":")
+        kind: Any = urllib3.connection.HTTPConnection
+        if streamed:
+            kind = _StreamConnection
+        connect_s = self._limits.connect_s
+        connection = kind(host.strip("[]"), int(port), timeout=connect_s)
+        try:
+            connection.connect()
+        except _Lost:
+            return False
+        connection.timeout = timeout_s
+        connection.sock.settimeout(timeout_s)
+        self._connection = connection
+        self._socket = connection.sock
+        return not self._interrupted
+
+    def _ask(
+        self, method: str, path: str, headers: dict[str, str], body: bytes
+    ) -> result.Result[Head, errors.Cause]:
+        assert self._connection
+        headers["Host"] = self._address
+        headers["Connection"] = "close"
+        headers["Accept-Encoding"] = "identity"
+        try:
+            self._connection.request(
+                method,
+                path,
+                body=body or None,
+                headers=headers,
+                preload_content=False,
+                decode_content=False,
+            )
+            response = self._connection.getresponse()
+        except (TimeoutError, urllib3.exceptions.TimeoutError):
+            return result.Err(_Cause.HEAD_LATE)
+        except (*_Lost, ValueError):
+            return result.Err(_Cause.NO_HEAD)
+        self._response = response
+        cause = _judge(response)
+        if cause:
+            return result.Err(cause)
+        return result.Ok(Head(response.status, list(response.headers.items())))
+
+
+def cancel(
+    address: str, attempt: ids.AttemptId, limits: messages.Limits
+) -> result.Result[
+    endpoint_edges.CancelOutcome, endpoint_edges.EndpointFailure
+]:
+    """Cancels an attempt at its engine and says what became of it."""
+    body = msgspec.json.encode({"request_id": attempt})
+    try:
+        response = urllib3.request(
+            "POST",
+            f"http://{address}/v1/cancel",
+            body=body,
+            headers={"Content-Type": "application/json"},
+            timeout=limits.cancel_s,
+            retries=False,
+        )
+    except urllib3.exceptions.NewConnectionError as error:
+        return result.Err(endpoint_edges.Unreachable(detail=str(error)))
+    except urllib3.exceptions.HTTPError as error:
+        return result.Err(endpoint_edges.Unanswered(detail=str(error)))
+    try:
+        said = msgspec.json.decode(response.data, type=_Cancelled)
+    except msgspec.MsgspecError as error:
+        return result.Err(endpoint_edges.Rejected(detail=str(error)))
+    return result.Ok(said.outcome)
+
+
+class _Cancelled(msgspec.Struct, frozen=True):
+    outcome: endpoint_edges.CancelOutcome
+
+
+def _judge(response: urllib3.BaseHTTPResponse) -> errors.Cause | None:
+    if response.status < 500 and response.status not in _REFUSALS:
+        return None
+    outcome = response.headers.get("X-Outcome")
+    if response.status in _REFUSALS and outcome == _NOT_RUN:
+        return _Cause.REFUSED
+    return None if response.status < 500 else _Cause.SERVER_ERROR
--- /dev/null
+++ b/pollenfork/answers/slot.py
@@ -0,0 +1,156 @@
+"""The slot that a request holds: asked for, reported on, given up."""
+
+import concurrent.futures
+import threading
+from typing import NamedTuple
+
+from pollenfork import clock
+from pollenfork import ids
+from pollenfork.answers import cancels
+from pollenfork.answers import counters
+from pollenfork.answers import edges
+from pollenfork.answers import messages
+from pollenfork.answers import pump
+from pollenfork.dispatch import messages as dispatch_messages
+from pollenfork.endpoints import edges as endpoint_edges
+
+_End = dispatch_messages.AttemptEnd
+
+
+class Tools(NamedTuple):
+    """What all requests of a relay share."""
+
+    slots: edges.Slots
+    clock: clock.Clock
+    limits: messages.Limits
+    counters: counters.Counters
+    canceller: cancels.Canceller
+    pump: pump.Pump
+
+
+class Slot:
+    """One request's slot, at one endpoint after another.
+
+    Attributes:
+        engine: The endpoint speaks the engine protocol, so can cancel.
+        first_seen: The first token of the attempt in use has been reported.
+    """
+
+    def __init__(
+        self, grant: dispatch_messages.Grant, tools: Tools, engine: bool
+    ) -> None:
+        self.engine = engine
+        self.first_seen = False
+        self._tools = tools
+        self._request = grant.request
+        self._grant = grant
+        self._held = True
+        self._avoid: list[ids.EndpointId] = [grant.endpoint]
+        self._decided = threading.Event()
+        self._gone = False
+
+    @property
+    def grant(self) -> dispatch_messages.Grant:
+        """The grant in use, or the last one."""
+        return self._grant
+
+    def note_first(self) -> None:
+        """Reports the attempt's first token, once."""
+        if self.first_seen:
+            return
+        self.first_seen = True
+        at = self._tools.clock.monotonic()
+        attempt = self._grant.attempt
+        self._tools.slots.report(
+            dispatch_messages.FirstToken(attempt=attempt, at=at)
+        )
+
+    def note_gone(self) -> None:
+        """Ends a wait for another grant: the caller is gone."""
+        self._gone = True
+        self._decided.set()
+
+    def ask_again(self, reason: dispatch_messages.RetryReason) -> bool:
+        """Waits for another grant; False when refused, late or unwanted."""
+        pending = self._tools.slots.ask_again(
+            dispatch_messages.AskAgain(
+                request=self._request,
+                reason=reason,
+                avoid=tuple(self._avoid),
+            )
+        )
+        self._decided.clear()
+        pending.add_done_callback(lambda _: self._decided.set())
+        if not self._gone:
+            self._decided.wait(self._tools.limits.again_s)
+        if not pending.done():
+            pending.add_done_callback(self._return_late)
+            return False
+        decision = pending.result()
+        if not isinstance(decision, dispatch_messages.Grant):
+            return False
+        self._grant = decision
+        self._held = True
+        self.first_seen = False
+        self._avoid.append(decision.endpoint)
+        return True
+
+    def end(self, how: dispatch_messages.AttemptEnd, tokens: int) -> None:
+        """Reports the attempt's end; a second call does nothing."""
+        if self._held:
+            self._held = False
+            self._report_end(self._grant, how, tokens)
+
+    def cancel(
+        self, reason: cancels.CancelReason
+    ) -> endpoint_edges.CancelOutcome | None:
+        """Cancels at the endpoint and waits for what it says."""
+        if not self.engine:
+            return None
+        return self._tools.canceller.cancel(self._grant, reason)
+
+    def cancel_soon(
+        self,
+        reason: cancels.CancelReason,
+        how: dispatch_messages.AttemptEnd,
+        tokens: int,
+    ) -> None:
+        """Cancels; the slot is free once the endpoint confirmed that."""
+        if not self.engine:
+            self.end(how, tokens)
+        if not self._held:
+            return
+        self._held = False
+        grant = self._grant
+        self._tools.canceller.cancel_soon(
+            grant, reason, lambda: self._report_end(grant, how, tokens)
+        )
+
+    def close(self) -> None:
+        """Reports that the request is over."""
+        self._tools.slots.report(
+            dispatch_messages.RequestClosed(request=self._request)
+        )
+
+    def _return_late(
+        self, pending: concurrent.futures.Future[edges.Decision]
+    ) -> None:
+        """Gives back a slot that nobody waits for any more."""
+        decision = pending.result()
+        if isinstance(decision, dispatch_messages.Grant):
+            self._report_end(decision, _End.NEVER_SENT, 0)
+
+    def _report_end(
+        self,
+        grant: dispatch_messages.Grant,
+        how: dispatch_messages.AttemptEnd,
+        tokens: int,
+    ) -> None:
+        self._tools.slots.report(
+            dispatch_messages.AttemptEnded(
+                attempt=grant.attempt,
+                how=how,
+                tokens=tokens,
+                at=self._tools.clock.monotonic(),
+            )
+        )
--- a/pollenfork/entry/server.py
+++ b/pollenfork/entry/server.py
@@ -1,28 +1,272 @@
-"""The HTTP server of an entry instance."""
+"""The HTTP server of an entry instance: waitress, with the relay's needs.
 
-from collections.abc import Callable
+What differs from waitress as it comes: a worker or the relay's thread writes
+straight to the caller's socket; the end of a caller's connection is told at
+once; a request that finds every worker busy is refused at once; probes,
+metrics and operators have workers of their own.
+"""
+
+from collections.abc import Callable, Iterable
+import logging
+import socket
 from typing import Any
 
-import waitress
+import msgspec
+import waitress.adjustments
+import waitress.channel
 import waitress.server
+import waitress.task
 
 from pollenfork import config
+from pollenfork import ids
+from pollenfork.admission import messages as admission_messages
+from pollenfork.entry import errors
+
+CALLER = "pollenfork.caller"
+
+_LOG = logging.getLogger(__name__)
+_ACCEPTS = 64
+_CONTROL_THREADS = 4
+_REFUSING_THREADS = 2
+_SPARE_CONNECTIONS = 512
+_BACKLOG = 1024
+_WORK = ("/v1/chat/completions", "/v1/completions", "/services/")
+
+App = Callable[[dict[str, Any], Any], Iterable[bytes]]
+
+
+class Channel(waitress.channel.HTTPChannel):
+    """One caller's connection; also what the relay knows of the caller."""
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        self._gone_calls: list[Callable[[], None]] = []
+        super().__init__(*args, **kwargs)
+
+    def is_gone(self) -> bool:
+        """Returns whether the connection has ended."""
+        return not self.connected
+
+    def when_gone(self, call: Callable[[], None]) -> None:
+        """Calls `call` when the connection ends before its answer did."""
+        self._gone_calls.append(call)
+        if not self.connected:
+            call()
+
+    def count_unsent(self) -> int:
+        """Returns bytes that wait for the caller to read."""
+        return int(self.total_outbufs_len)
+
+    def write_soon(self, data: Any) -> int:
+        """Writes to the socket; what it doesn't take is buffered."""
+        if self.total_outbufs_len or type(data) is not bytes or not data:
+            return int(super().write_soon(data))
+        if not self.connected:
+            raise waitress.channel.ClientDisconnected
+        size = len(data)
+        with self.outbuf_lock:
+            # The server's thread may have begun to flush meanwhile.
+            sent = 0 if self.total_outbufs_len else self._send_now(data)
+        if sent < size:
+            super().write_soon(data[sent:])
+        return size
+
+    def service(self) -> None:
+        """Serves a request; callbacks of an earlier one are forgotten."""
+        try:
+            super().service()
+        finally:
+            self._gone_calls.clear()
+
+    def handle_close(self) -> None:
+        """Closes the connection and tells whoever serves it."""
+        super().handle_close()
+        for call in list(self._gone_calls):
+            call()
 
-_REFUSING_THREADS = 32
+    def _send_now(self, data: bytes) -> int:
+        try:
+            return int(self.socket.send(data))
+        except BlockingIOError:
+            return 0
+        except OSError as error:
+            self.will_close = True
+            self.server.pull_trigger()
+            raise waitress.channel.ClientDisconnected from error
+
+
+class _Task(waitress.task.WSGITask):
+    def get_environment(self) -> dict[str, Any]:
+        """Returns the WSGI environment with the caller's connection."""
+        environ: dict[str, Any] = super().get_environment()
+        environ[CALLER] = self.channel
+        return environ
+
+
+Channel.task_class = _Task
+
+
+class _InstanceFull:
+    """The error of a request that finds every worker busy."""
+
+    def to_response(
+        self, ident: str | None = None
+    ) -> tuple[str, list[tuple[str, str]], bytes]:
+        """Returns status, headers and body, as waitress asks for them."""
+        del ident
+        body = errors.write_body(_describe_full())
+        return "503 Service Unavailable", _FULL_HEADERS, body
+
+
+_FULL_HEADERS = [
+    ("Content-Type", "application/json"),
+    ("X-Outcome", "not_run"),
+    ("Retry-After", "1"),
+]
+
+
+def _describe_full() -> errors.Refusal:
+    refused = admission_messages.Refused(
+        request=ids.RequestId(""),
+        reason=admission_messages.RefusalReason.INSTANCE_FULL,
+        retry_after_s=1.0,
+    )
+    return errors.describe_refused(refused)
 
 
-def create_server(
-    app: Callable[..., Any], settings: config.EntryConfig
-) -> waitress.server.BaseWSGIServer:
-    """Returns a server that has a thread for each caller it admits."""
-    threads = settings.streams + settings.waiting + _REFUSING_THREADS
-    return waitress.create_server(
-        app,
+class ServerCounters(msgspec.Struct):
+    """What the server counts.
+
+    Attributes:
+        full: Requests refused because every worker was busy.
+        overflow: Connections refused because there were too many.
+    """
+
+    full: int = 0
+    overflow: int = 0
+
+
+class Server(waitress.server.TcpWSGIServer):
+    """Never lets a caller wait unseen: beyond its limits it refuses."""
+
+    channel_class = Channel
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        self.counters = ServerCounters()
+        self._control = _start_workers(_CONTROL_THREADS)
+        self._refusing = _start_workers(_REFUSING_THREADS)
+        super().__init__(*args, **kwargs)
+
+    def add_task(self, task: Any) -> None:
+        """Hands a connection with a whole request to a worker."""
+        parsed = task.requests[0]
+        if parsed.error is not None:
+            self._refusing.add_task(task)
+        elif not parsed.path.startswith(_WORK):
+            self._control.add_task(task)
+        elif _has_idle(self.task_dispatcher):
+            self.task_dispatcher.add_task(task)
+        else:
+            self.counters.full += 1
+            _LOG.warning("event=refused reason=instance_full outcome=not_run")
+            parsed.error = _InstanceFull()
+            self._refusing.add_task(task)
+
+    def readable(self) -> bool:
+        """Returns True: connections are accepted beyond the limit too."""
+        super().readable()
+        return bool(self.accepting)
+
+    def handle_accept(self) -> None:
+        """Accepts what waits, several at a time."""
+        for _ in range(_ACCEPTS):
+            try:
+                connection, address = self.socket.accept()
+            except OSError:
+                return
+            if len(self._map) >= self.adj.connection_limit:
+                self._refuse(connection)
+                continue
+            self.set_socket_options(connection)
+            self.channel_class(
+                self, connection, address, self.adj, map=self._map
+            )
+
+    def close(self) -> None:
+        """Stops listening and ends the idle workers."""
+        super().close()
+        for workers in (self._control, self._refusing):
+            workers.set_thread_count(0)
+
+    def _refuse(self, connection: socket.socket) -> None:
+        self.counters.overflow += 1
+        body = errors.write_body(_describe_full())
+        head = "".join(
+            f"{name}: {value}\r\n"
+            for name, value in (
+                *_FULL_HEADERS,
+                ("Content-Length", str(len(body))),
+                ("Connection", "close"),
+            )
+        )
+        reply = f"HTTP/1.1 503 Service Unavailable\r\n{head}\r\n".encode()
+        with connection:
+            connection.setblocking(False)
+            try:
+                connection.send(reply + body)
+                connection.shutdown(socket.SHUT_WR)
+            except OSError:
+                return
+
+
+def create_server(app: App, settings: config.EntryConfig) -> Server:
+    """Returns a server that has a worker for each caller it admits."""
+    workers = settings.streams + settings.waiting
+    adjustments = waitress.adjustments.Adjustments(
         listen=settings.listen,
-        threads=threads,
-        connection_limit=threads * 2,
+        threads=workers,
+        connection_limit=workers + _SPARE_CONNECTIONS,
+        backlog=_BACKLOG,
         channel_request_lookahead=1,
         max_request_body_size=settings.body_limit * 2,
         asyncore_use_poll=True,
         ident=None,
     )
+    return Server(
+        _attach_relay(app),
+        map={},
+        dispatcher=_start_workers(workers),
+        adj=adjustments,
+        sockinfo=adjustments.listen[0],
+    )
+
+
+def _attach_relay(app: App) -> App:
+    """Lets an answer's chunks write to the caller by themselves."""
+
+    def serve(environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
+        writes: list[Any] = []
+
+        def start(*head: Any) -> Any:
+            write = start_response(*head)
+            writes.append(write)
+            return write
+
+        chunks = app(environ, start)
+        attach = getattr(chunks, "attach", None)
+        if attach:
+            attach(writes[-1])
+        return chunks
+
+    return serve
+
+
+def _start_workers(count: int) -> waitress.task.ThreadedTaskDispatcher:
+    workers = waitress.task.ThreadedTaskDispatcher()
+    workers.set_thread_count(count)
+    return workers
+
+
+def _has_idle(workers: waitress.task.ThreadedTaskDispatcher) -> bool:
+    with workers.lock:
+        busy = workers.active_count + len(workers.queue)
+        return busy < len(workers.threads)
