Count requests in progress up to the close of their answer

A graceful stop has to know when no request is in progress. Front now enters each request, small replies and refusals included, and leaves when the server closes the reply, or when the application raises.

An answer whose head the server refuses (a bad header from an endpoint) was never closed and kept its slot; it is closed now.

Weighed: a wrapper with __next__, which costs a Python call for each event of a stream; Handover gives the server the chunks' own iterator instead and only its close is ours.

--- a/pollenfork/entry/front.py
+++ b/pollenfork/entry/front.py
@@ -11,6 +11,7 @@
 from pollenfork import ids
 from pollenfork import metrics
 from pollenfork.entry import errors
+from pollenfork.entry import progress
 from pollenfork.entry import request
 from pollenfork.entry import work
 from pollenfork.settings import snapshot
@@ -38,7 +39,7 @@
     """Answers callers, the balancer's probes and the metrics scrape.
 
     Attributes:
-        ready: False while stopping or before settings are in force.
+        in_progress: The requests whose answer isn't handed over yet.
     """
 
     def __init__(
@@ -54,11 +55,23 @@
         self._read_lookups = read_lookups
         self._is_ready = is_ready
         self._operator = operator
+        self.in_progress = progress.InProgress()
 
     def __call__(
         self, environ: Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
         """Serves one request, as PEP 3333 asks."""
+        self.in_progress.enter()
+        try:
+            chunks = self._route(environ, start_response)
+        except BaseException:
+            self.in_progress.leave()
+            raise
+        return progress.Handover(chunks, self.in_progress.leave)
+
+    def _route(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
         path = environ["PATH_INFO"]
         if path.startswith(_OPERATOR) and self._operator:
             return self._operator(environ, start_response)
@@ -88,7 +101,11 @@
         if served.is_err():
             return self._send_refusal(start_response, served.unwrap_err())
         answer = served.unwrap()
-        start_response(write_status(answer.status), answer.headers)
+        try:
+            start_response(write_status(answer.status), answer.headers)
+        except BaseException:
+            progress.close_chunks(answer.chunks)
+            raise
         return answer.chunks
 
     def _serve_small(self, path: str, environ: Environ) -> Reply:
--- /dev/null
+++ b/pollenfork/entry/progress.py
@@ -0,0 +1,77 @@
+"""How many requests are in progress, for a stop that cuts none off."""
+
+from collections.abc import Callable, Iterable, Iterator
+import threading
+
+
+class InProgress:
+    """An exact count of the requests in progress; safe from any thread."""
+
+    def __init__(self) -> None:
+        self._idle = threading.Condition()
+        self._count = 0
+
+    @property
+    def count(self) -> int:
+        """Requests accepted whose answer isn't handed over yet."""
+        with self._idle:
+            return self._count
+
+    def enter(self) -> None:
+        """Counts one more request."""
+        with self._idle:
+            self._count += 1
+
+    def leave(self) -> None:
+        """Counts one request less.
+
+        Raises:
+            RuntimeError: There was no request in progress.
+        """
+        with self._idle:
+            if not self._count:
+                raise RuntimeError("leave() without enter()")
+            self._count -= 1
+            if not self._count:
+                self._idle.notify_all()
+
+    def wait_until_idle(self, timeout_s: float) -> bool:
+        """Returns True once nothing is in progress, False at the timeout."""
+        with self._idle:
+            return self._idle.wait_for(lambda: not self._count, timeout_s)
+
+
+class Handover:
+    """An answer's chunks on their way to the server, closed exactly once.
+
+    The server iterates over the chunks themselves, so that a chunk costs
+    nothing here, and calls `close` at the end, however it comes.
+    """
+
+    def __init__(
+        self, chunks: Iterable[bytes], on_closed: Callable[[], None]
+    ) -> None:
+        self._chunks = chunks
+        self._on_closed = on_closed
+        self._closed = False
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Returns the chunks' own iterator."""
+        return iter(self._chunks)
+
+    def close(self) -> None:
+        """Closes the chunks and tells `on_closed`; a repeat does nothing."""
+        if self._closed:
+            return
+        self._closed = True
+        try:
+            close_chunks(self._chunks)
+        finally:
+            self._on_closed()
+
+
+def close_chunks(chunks: Iterable[bytes]) -> None:
+    """Closes the chunks where they can be closed."""
+    close = getattr(chunks, "close", None)
+    if close:
+        close()
--- /dev/null
+++ b/pollenfork/entry/tests/test_front.py
@@ -0,0 +1,122 @@
+"""The WSGI application against a worker that each test scripts."""
+
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+import pytest
+import result
+
+from pollenfork import metrics
+from pollenfork.answers import session
+from pollenfork.entry import errors
+from pollenfork.entry import front
+from pollenfork.settings import model
+from pollenfork.settings import snapshot
+
+
+class Chunks(Iterator[bytes]):
+    """Two chunks that count how often they are closed."""
+
+    def __init__(self) -> None:
+        self.closed = 0
+        self._left = [b"b", b"a"]
+
+    def __next__(self) -> bytes:
+        if not self._left:
+            raise StopIteration
+        return self._left.pop()
+
+    def close(self) -> None:
+        self.closed += 1
+
+
+class Worker:
+    """Answers, refuses or fails as told."""
+
+    def __init__(self, served: Any) -> None:
+        self.served = served
+
+    def complete(self, environ: Any, lookups: Any) -> Any:
+        if isinstance(self.served, Exception):
+            raise self.served
+        return self.served
+
+
+class Server:
+    """Calls the application as a WSGI server does."""
+
+    def __init__(self, served: Any, ready: bool = True) -> None:
+        lookups = snapshot.Snapshot(model.Tree(root=model.RootSettings()))
+        self.front = front.Front(
+            Worker(served),  # type: ignore[arg-type]
+            metrics.Metrics(),
+            lambda: lookups,
+            lambda: ready,
+            None,
+        )
+        self.status = ""
+        self.headers: dict[str, str] = {}
+
+    def start_response(
+        self, status: str, headers: list[tuple[str, str]]
+    ) -> None:
+        self.status = status
+        self.headers = dict(headers)
+
+    def call(
+        self, path: str = "/v1/completions", **more: Any
+    ) -> Iterable[bytes]:
+        environ = {"PATH_INFO": path, "REQUEST_METHOD": "POST", **more}
+        return self.front(environ, self.start_response)
+
+
+def answer(chunks: Chunks) -> Any:
+    return result.Ok(session.Answer(200, [], chunks))
+
+
+REFUSED = result.Err(errors.Refusal(status=503, code=errors.Code.OVERLOADED))  # type: ignore[arg-type]
+
+
+def test_answer_is_in_progress_until_closed() -> None:
+    chunks = Chunks()
+    server = Server(answer(chunks))
+    answered = server.call()
+    assert list(answered) == [b"a", b"b"]
+    assert server.front.in_progress.count == 1
+    answered.close()  # type: ignore[attr-defined]
+    answered.close()  # type: ignore[attr-defined]
+    assert server.front.in_progress.count == 0
+    assert chunks.closed == 1
+
+
+@pytest.mark.parametrize(
+    ("served", "ready", "path"),
+    [
+        (REFUSED, True, "/v1/completions"),
+        (REFUSED, False, "/v1/completions"),
+        (REFUSED, True, "/none"),
+        (REFUSED, True, "/healthz"),
+    ],
+)
+def test_small_reply_is_in_progress_until_closed(
+    served: Any, ready: bool, path: str
+) -> None:
+    server = Server(served, ready)
+    replied = server.call(path)
+    assert server.front.in_progress.count == 1
+    replied.close()  # type: ignore[attr-defined]
+    assert server.front.in_progress.count == 0
+
+
+def test_answer_is_closed_when_its_head_cannot_be_sent() -> None:
+    chunks = Chunks()
+    server = Server(answer(chunks))
+
+    def fail(status: str, headers: list[tuple[str, str]]) -> None:
+        raise ValueError(status)
+
+    environ = {"PATH_INFO": "/v1/completions", "REQUEST_METHOD": "POST"}
+    with pytest.raises(ValueError, match="200"):
+        server.front(environ, fail)
+    assert chunks.closed == 1
+    assert server.front.in_progress.count == 0
