--- a/pollenfork/standin/engine/config.py
+++ b/pollenfork/standin/engine/config.py
@@ -87,6 +87,7 @@
         cache_blocks: Prompt blocks that the prefix cache holds.
         keep_stream_s: How long a broken or finished stream is kept.
         default_length: Median length of answers that state none.
+        keep_alive: A connection may carry several requests.
     """
 
     listen: str = "127.0.0.1:0"
@@ -101,4 +102,5 @@
     cache_blocks: Annotated[int, msgspec.Meta(ge=0)] = 256
     keep_stream_s: PositiveTime = 10.0
     default_length: Positive = 64
+    keep_alive: bool = True
     faults: Faults = Faults()
--- a/pollenfork/standin/engine/front.py
+++ b/pollenfork/standin/engine/front.py
@@ -51,7 +51,9 @@
     ) -> None:
         self.core = core.Engine(config)
         self._clock = clock
-        self._server = http.Server(config.listen, self._handle)
+        self._server = http.Server(
+            config.listen, self._handle, config.keep_alive
+        )
         self._sinks: dict[int, sinks.Sink] = {}
         self._work = asyncio.Event()
         self._routes: dict[tuple[str, str], http.Handler] = {
--- a/pollenfork/standin/engine/tests/test_front.py
+++ b/pollenfork/standin/engine/tests/test_front.py
@@ -124,6 +124,17 @@
     assert read_events(data)[0] == [0, 1, 2]
 
 
+@pytest.mark.parametrize("keep_alive", [True, False])
+def test_the_engine_keeps_connections_or_closes_them(keep_alive):
+    config = configs.EngineConfig(step_ms=0.5, keep_alive=keep_alive)
+    standin = front.EngineStandin(config, clock.SystemClock())
+    client = Client(standin.start())
+    answer = client.complete()
+    standin.stop()
+    assert read_events(answer.data)[0] == [0, 1, 2, 3, 4]
+    assert (answer.headers.get("Connection") == "close") != keep_alive
+
+
 def test_closing_the_connection_cancels_the_work(client):
     client.post("/faults", {"slowdown": 4})
     body = b'{"model":"model","prompt":"hello","stream":true}'
--- a/pollenfork/standin/http.py
+++ b/pollenfork/standin/http.py
@@ -35,10 +35,14 @@
     """Where the answer to one request goes; for the loop's thread only."""
 
     def __init__(
-        self, connection: h11.Connection, writer: asyncio.StreamWriter
+        self,
+        connection: h11.Connection,
+        writer: asyncio.StreamWriter,
+        keep_alive: bool = True,
     ) -> None:
         self._connection = connection
         self._writer = writer
+        self._keep_alive = keep_alive
         self.dropped = False
 
     def send(
@@ -62,6 +66,8 @@
     ) -> None:
         """Sends the head of an answer."""
         pairs = [("Content-Type", content_type), *headers]
+        if not self._keep_alive:
+            pairs.append(("Connection", "close"))
         self._write(h11.Response(status_code=status, headers=pairs))
 
     def write(self, data: bytes) -> None:
@@ -96,8 +102,11 @@
     closes the connection first.
     """
 
-    def __init__(self, listen: str, handler: Handler) -> None:
+    def __init__(
+        self, listen: str, handler: Handler, keep_alive: bool = True
+    ) -> None:
         self._listen = listen
+        self._keep_alive = keep_alive
         self._handler = handler
         self._loop = asyncio.new_event_loop()
         self._writers: set[asyncio.StreamWriter] = set()
@@ -181,7 +190,7 @@
         request = await _read_request(connection, reader)
         if request is None:
             return False
-        exchange = Exchange(connection, writer)
+        exchange = Exchange(connection, writer, self._keep_alive)
         handling = asyncio.ensure_future(self._handle(request, exchange))
         while not handling.done():
             reading = asyncio.ensure_future(reader.read(_READ_SIZE))
