Count a worker as free from its start, and keep relays attached

Cause: one run in four of the whole-path tests got 503 instance_full at an idle instance. waitress counts threads that are still starting as active, so a request right after the start found none free.

Also found in review: the request counter's wrapper hid attach() of the answer's chunks, so the relay's own thread never carried a stream.

--- a/pollenfork/entry/progress.py
+++ b/pollenfork/entry/progress.py
@@ -46,6 +46,9 @@
 
     The server iterates over the chunks themselves, so that a chunk costs
     nothing here, and calls `close` at the end, however it comes.
+
+    Attributes:
+        attach: Of the chunks that can write to the caller by themselves.
     """
 
     def __init__(
@@ -53,6 +56,7 @@
     ) -> None:
         self._chunks = chunks
         self._on_closed = on_closed
+        self.attach = getattr(chunks, "attach", None)
         self._closed = False
 
     def __iter__(self) -> Iterator[bytes]:
--- a/pollenfork/entry/server.py
+++ b/pollenfork/entry/server.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Iterable
 import logging
 import socket
+import threading
 from typing import Any
 
 import msgspec
@@ -163,9 +164,7 @@
             self._refusing.add_task(task)
         elif not parsed.path.startswith(_WORK):
             self._control.add_task(task)
-        elif _has_idle(self.task_dispatcher):
-            self.task_dispatcher.add_task(task)
-        else:
+        elif not self.task_dispatcher.offer(task):
             self.counters.full += 1
             _LOG.warning("event=refused reason=instance_full outcome=not_run")
             parsed.error = _InstanceFull()
@@ -260,13 +259,63 @@
     return serve
 
 
-def _start_workers(count: int) -> waitress.task.ThreadedTaskDispatcher:
-    workers = waitress.task.ThreadedTaskDispatcher()
-    workers.set_thread_count(count)
-    return workers
+class Workers(waitress.task.ThreadedTaskDispatcher):
+    """Worker threads that take no more tasks than there are threads.
+
+    waitress' own count of active threads includes those that are still
+    starting, so it can't tell whether one is free.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._taken = 0
+        # Not the dispatcher's lock: it cancels tasks while it holds that.
+        self._free = threading.Condition()
+
+    def offer(self, task: Any) -> bool:
+        """Takes the task and returns True, or False where all are busy."""
+        with self._free:
+            if self._taken >= len(self.threads):
+                return False
+            self._taken += 1
+        self.add_task(_Counted(task, self._leave))
+        return True
+
+    def wait_until_free(self) -> None:
+        """Returns once no task is taken."""
+        with self._free:
+            self._free.wait_for(lambda: not self._taken)
+
+    def _leave(self) -> None:
+        with self._free:
+            self._taken -= 1
+            if not self._taken:
+                self._free.notify_all()
+
+
+class _Counted:
+    """A task that tells when it has ended."""
 
+    def __init__(self, task: Any, on_end: Callable[[], None]) -> None:
+        self._task = task
+        self._on_end = on_end
 
-def _has_idle(workers: waitress.task.ThreadedTaskDispatcher) -> bool:
-    with workers.lock:
-        busy = workers.active_count + len(workers.queue)
-        return busy < len(workers.threads)
+    def service(self) -> None:
+        """Serves the task."""
+        try:
+            self._task.service()
+        finally:
+            self._on_end()
+
+    def cancel(self) -> None:
+        """Cancels the task."""
+        try:
+            self._task.cancel()
+        finally:
+            self._on_end()
+
+
+def _start_workers(count: int) -> Workers:
+    workers = Workers()
+    workers.set_thread_count(count)
+    return workers
--- a/pollenfork/entry/tests/test_progress.py
+++ b/pollenfork/entry/tests/test_progress.py
@@ -90,3 +90,22 @@
     in_progress.leave()
     waiter.join(60)
     assert idle == [True]
+
+
+class Attachable:
+    def __init__(self) -> None:
+        self.writes: list[object] = []
+
+    def __iter__(self) -> Iterator[bytes]:
+        return iter([b"whole"])
+
+    def attach(self, write: object) -> None:
+        self.writes.append(write)
+
+
+def test_chunks_that_write_by_themselves_still_can() -> None:
+    chunks = Attachable()
+    handover = progress.Handover(chunks, lambda: None)
+    assert handover.attach
+    handover.attach(print)
+    assert chunks.writes == [print]
