Take settings from the platform and stop without cutting off

Cause: the whole path took its tree from a test's hand. The entry now owns guarded platform adapters and the settings actor, is ready once a tree is in force, and drains: no new work, what waits or runs ends, the last byte has left for the caller, then the parts stop.

Not yet wired: peers, leases and orders, ledger, operators.

--- a/pollenfork/application.py
+++ b/pollenfork/application.py
@@ -1,13 +1,17 @@
 """One entry instance: owns every part, starts and stops them in order."""
 
+import enum
 import logging
 import random
 import threading
+import time
 
-import waitress.server
+import result
 
 from pollenfork import clock
 from pollenfork import config
+from pollenfork import failures
+from pollenfork import ids
 from pollenfork import metrics
 from pollenfork import scheduler
 from pollenfork import timers
@@ -15,12 +19,19 @@
 from pollenfork.entry import front
 from pollenfork.entry import server
 from pollenfork.entry import work
+from pollenfork.platform import client
+from pollenfork.platform import policy
+from pollenfork.settings import actor as settings_actor
 from pollenfork.settings import messages as settings_messages
-from pollenfork.settings import model
-from pollenfork.settings import snapshot
 
 _LOG = logging.getLogger(__name__)
 
+_STOP_POLL_S = 0.1
+
+
+class NoPeer(failures.Failure, frozen=True, kw_only=True):
+    """The peer isn't known."""
+
 
 class Application:
     """The life of one entry instance."""
@@ -28,19 +39,35 @@
     def __init__(self, settings: config.EntryConfig, now: clock.Clock) -> None:
         self._config = settings
         self._clock = now
-        self._lookups: snapshot.Snapshot | None = None
         self._stopping = threading.Event()
+        self._rng = random.Random()
         self._timers = timers.Timers(now)
-        self._metrics = metrics.Metrics()
+        self.metrics = metrics.Metrics()
+        self.platform = self._connect_platform()
         self._scheduler = scheduler.Scheduler(
-            settings.instance, now, random.Random(), self._timers
+            settings.instance, now, self._rng, self._timers, settings.waiting
+        )
+        self.settings = settings_actor.Settings(
+            self.platform.table,
+            now,
+            self._rng,
+            self._timers,
+            self.metrics,
+            self._fetch_settings,
+        )
+        self.settings.subscribe(self._apply_tree)
+        self._relay = session.Relay(self._scheduler, now)
+        worker = work.Worker(
+            self._scheduler, self._relay, now, settings.body_limit
         )
-        relay = session.Relay(self._scheduler, now)
-        worker = work.Worker(self._scheduler, relay, now, settings.body_limit)
         self._front = front.Front(
-            worker, self._metrics, self.read_lookups, self.is_ready, None
+            worker,
+            self.metrics,
+            self.settings.read_lookups,
+            self.is_ready,
+            None,
         )
-        self._server: waitress.server.BaseWSGIServer | None = None
+        self._server: server.Server | None = None
         self._thread: threading.Thread | None = None
 
     @property
@@ -53,6 +80,8 @@
     def start(self) -> None:
         """Starts every part; returns once callers can connect."""
         self._scheduler.start()
+        self._relay.start()
+        self.settings.start()
         self._timers.start()
         self._server = server.create_server(self._front, self._config)
         self._thread = threading.Thread(
@@ -65,25 +94,72 @@
             self.address,
         )
 
+    def drain(self, insisted: threading.Event | None = None) -> bool:
+        """Takes no new work and waits until none is in progress.
+
+        Args:
+            insisted: Ends the wait early when set.
+
+        Returns:
+            Whether every request in progress has ended, its last byte with
+            the caller's connection.
+        """
+        self._stopping.set()
+        self._scheduler.drain()
+        _LOG.info(
+            "event=draining instance=%s in_progress=%d",
+            self._config.instance,
+            self._front.in_progress.count,
+        )
+        end = time.monotonic() + self._config.stop_limit_s
+        while time.monotonic() < end:
+            if insisted and insisted.is_set():
+                return False
+            idle = self._front.in_progress.wait_until_idle(_STOP_POLL_S)
+            if idle and self._server and not self._server.count_unsent():
+                return True
+        return False
+
     def stop(self) -> None:
         """Stops every part, the newest first."""
         self._stopping.set()
         if self._server:
             self._server.close()
+        self._relay.stop()
         self._scheduler.stop()
+        self.settings.stop()
         self._timers.stop()
         _LOG.info("event=stopped instance=%s", self._config.instance)
 
-    def apply_tree(self, tree: model.Tree) -> None:
-        """Takes a settings tree that came into force."""
-        self._lookups = snapshot.Snapshot(tree)
-        message = settings_messages.TreeInForce(tree, self._lookups)
+    def is_ready(self) -> bool:
+        """Returns whether new work may come."""
+        in_force = self.settings.read_lookups() is not None
+        return in_force and not self._stopping.is_set()
+
+    def _apply_tree(self, message: settings_messages.TreeInForce) -> None:
         self._scheduler.report(message)
 
-    def read_lookups(self) -> snapshot.Snapshot | None:
-        """Returns the settings in force, or None before the first."""
-        return self._lookups
+    def _fetch_settings(
+        self, peer: ids.InstanceId
+    ) -> result.Result[bytes, failures.Failure]:
+        return result.Err(NoPeer(detail=f"no peer {peer}"))
 
-    def is_ready(self) -> bool:
-        """Returns whether new work may come."""
-        return not self._stopping.is_set() and self._lookups is not None
+    def _connect_platform(self) -> policy.Platform:
+        channel = client.Channel(self._config.platform)
+        tools = policy.Tools(
+            now=self._clock,
+            rng=self._rng,
+            wait=time.sleep,
+            count=self._count_call,
+        )
+        return policy.Platform(
+            table=client.HttpTable(channel),
+            objects=client.HttpObjects(channel),
+            instances=client.HttpInstances(channel),
+            weights=client.HttpWeights(channel),
+            tools=tools,
+        )
+
+    def _count_call(self, event: enum.Enum) -> None:
+        name = "pollenfork_platform_calls_total"
+        self.metrics.count(name, event=str(event.value))
--- a/pollenfork/config.py
+++ b/pollenfork/config.py
@@ -31,6 +31,9 @@
         streams: Answers relayed at once; a caller beyond is refused at once.
         waiting: Requests that may wait for a slot.
         body_limit: Bytes of a request's body.
+        stop_limit_s: The longest wait for requests in progress at a stop.
+        operator_sha256: Digests of operator tokens bound to everything: they
+            write the first tree and undo a lock-out.
     """
 
     instance: ids.InstanceId
@@ -41,6 +44,8 @@
     streams: Positive = 350
     waiting: Positive = 256
     body_limit: Positive = 4 * 1024 * 1024
+    stop_limit_s: Positive = 900
+    operator_sha256: tuple[str, ...] = ()
 
 
 def read_file(
--- a/pollenfork/entry/server.py
+++ b/pollenfork/entry/server.py
@@ -190,6 +190,11 @@
                 self, connection, address, self.adj, map=self._map
             )
 
+    def count_unsent(self) -> int:
+        """Returns bytes of answers that callers have yet to take."""
+        channels = list(self.active_channels.values())
+        return sum(channel.count_unsent() for channel in channels)
+
     def close(self) -> None:
         """Stops listening and ends the idle workers."""
         super().close()
--- a/pollenfork/instance.py
+++ b/pollenfork/instance.py
@@ -36,5 +36,6 @@
         signal.signal(number, note_signal)
     app.start()
     told.wait()
-    app.stop(insisted)
-    return status.ExitStatus.SUCCESS
+    finished = app.drain(insisted)
+    app.stop()
+    return status.ExitStatus.SUCCESS if finished else status.ExitStatus.ERROR
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -7,13 +7,8 @@
 import urllib3
 
 from pollenfork import application
-from pollenfork import clock
-from pollenfork import config
-from pollenfork.settings import model
-from pollenfork.settings import snapshot
 from tests import fakes
-
-KEY = "crew-key"
+from tests import sites
 
 
 @pytest.fixture
@@ -28,44 +23,10 @@
 def entry(
     engines: list[fakes.FakeEngine],
 ) -> Iterator[application.Application]:
-    settings = config.EntryConfig(
-        instance="entry-1",
-        data_centre="a",
-        listen="127.0.0.1:0",
-        peer_listen="127.0.0.1:0",
-        platform="127.0.0.1:1",
-        streams=8,
-        waiting=8,
-        body_limit=10_000,
-    )
-    app = application.Application(settings, clock.SystemClock())
-    app.start()
-    app.apply_tree(make_tree([engine.address for engine in engines]))
-    yield app
-    app.stop()
-
-
-def make_tree(addresses: list[str]) -> model.Tree:
-    endpoints = {
-        f"runner-{n}": model.EndpointSettings(
-            address=address, data_centre="a", models=("lines",)
-        )
-        for n, address in enumerate(addresses)
-    }
-    account = model.Account(
-        key_sha256=snapshot.hash_key(KEY),
-        classes=("morning",),
-        default_class="morning",
-    )
-    team = model.TeamSettings(
-        classes={"morning": model.ServiceClass(tier=0, protected=True)},
-        accounts={"crew": account},
-    )
-    ceiling = model.Ceiling(may_protect=True)
-    root = model.RootSettings(
-        ceilings={"linework": ceiling}, endpoints=endpoints
-    )
-    return model.Tree(root=root, teams={"linework": team}, revision=1)
+    site = sites.Site()
+    site.write_tree(sites.make_tree([engine.address for engine in engines]))
+    yield site.start_entry()
+    site.stop()
 
 
 def post(
@@ -74,7 +35,7 @@
     headers: dict[str, str] | None = None,
     path: str = "/v1/completions",
 ) -> urllib3.BaseHTTPResponse:
-    sent = {"Authorization": f"Bearer {KEY}", **(headers or {})}
+    sent = {"Authorization": f"Bearer {sites.KEY}", **(headers or {})}
     url = f"http://{entry.address}{path}"
     return urllib3.request("POST", url, body=body, headers=sent, retries=False)
 
