--- a/pollenfork/settings/actor.py
+++ b/pollenfork/settings/actor.py
@@ -15,7 +15,6 @@
 from pollenfork import metrics
 from pollenfork import timers
 from pollenfork.platform import edges
-from pollenfork.platform import errors as platform_errors
 from pollenfork.settings import copies
 from pollenfork.settings import core
 from pollenfork.settings import errors
@@ -188,8 +187,7 @@
         self._note_failure("table", failure)
         if isinstance(failure, errors.TableBehind):
             return self._core.take_read(None, sent_at)
-        if isinstance(failure, platform_errors.PlatformFailure):
-            self._core.take_read_failure(sent_at)
+        self._core.take_read_failure(sent_at)
         return []
 
     def _fetch(self, peer: ids.InstanceId) -> list[core.Action]:
@@ -209,7 +207,11 @@
         tree = action.in_force
         message = messages.TreeInForce(tree.tree, tree.lookups)
         for subscriber in self.subscribers:
-            subscriber(message)
+            try:
+                subscriber(message)
+            except Exception:
+                # The other subscribers need the tree all the same.
+                _LOG.exception("event=settings_subscriber_failed")
         self._metrics.count(
             "pollenfork_settings_adopted_total", source=action.source.value
         )
--- a/pollenfork/settings/core.py
+++ b/pollenfork/settings/core.py
@@ -26,6 +26,9 @@
 GATHER_S = 3.0
 """How long a restarted instance without the platform hears peers first."""
 
+FETCH_S = 5.0
+"""How long a peer's copy is waited for before another peer is asked."""
+
 
 class ReadTable(msgspec.Struct, frozen=True):
     """Read the head row, and the subtrees that it shows to be newer."""
@@ -67,7 +70,7 @@
         self._peers: dict[ids.InstanceId, ids.Revision] = {}
         self._next_read = now
         self._gather_until: float | None = None
-        self._fetching = False
+        self._fetch_until = now
 
     @property
     def revision(self) -> ids.Revision:
@@ -91,7 +94,7 @@
             self._next_read = now + self._draw_poll_s()
             actions.append(ReadTable())
         if not self.platform_answers and self._has_gathered(now):
-            actions += self._fetch_from_best()
+            actions += self._fetch_from_best(now)
         return actions
 
     def hear_peer(
@@ -126,7 +129,7 @@
             if self.in_force and found.revision == self.revision:
                 self._confirm(now)
         if max(self._peers.values(), default=0) > self.revision:
-            actions += self._fetch_from_best()
+            actions += self._fetch_from_best(now)
         return actions
 
     def take_read_failure(self, now: float) -> None:
@@ -139,7 +142,7 @@
         self, peer: ids.InstanceId, found: state.InForce | None, now: float
     ) -> list[Action]:
         """Takes a peer's tree, or None where it couldn't be had."""
-        self._fetching = False
+        self._fetch_until = now
         if found is None:
             self.forget_peer(peer)
             return []
@@ -173,13 +176,13 @@
             return True
         return self._gather_until is not None and now >= self._gather_until
 
-    def _fetch_from_best(self) -> list[Action]:
-        if self._fetching or not self._peers:
+    def _fetch_from_best(self, now: float) -> list[Action]:
+        if now < self._fetch_until or not self._peers:
             return []
         best = max(self._peers, key=lambda peer: (self._peers[peer], peer))
         if self._peers[best] <= self.revision:
             return []
-        self._fetching = True
+        self._fetch_until = now + FETCH_S
         return [FetchCopy(best)]
 
     def _draw_poll_s(self) -> float:
--- a/pollenfork/settings/tests/support.py
+++ b/pollenfork/settings/tests/support.py
@@ -8,12 +8,15 @@
 from pollenfork import clock
 from pollenfork import ids
 from pollenfork.platform import edges
-from pollenfork.platform import errors
 from pollenfork.settings import changes
 from pollenfork.settings import paths
+from pollenfork.settings import rows
 from pollenfork.settings import snapshot
 from pollenfork.settings import state
 from pollenfork.settings import writer
+from pollenfork.standin.platform import config as platform_configs
+from pollenfork.standin.platform import core as platform_core
+from pollenfork.standin.platform import fake as platform_fake
 
 ROOT_TOKEN = "root-token"
 TEAM_TOKENS = {"linework": "linework-token", "ledger": "ledger-token"}
@@ -99,76 +102,77 @@
     )
 
 
+_UNBOUNDED = platform_configs.PlatformConfig(reads_per_s=1e9, writes_per_s=1e9)
+_COMMIT_FAULTS = {
+    "down": platform_configs.Faults(down=True),
+    "lost_before": platform_configs.Faults(
+        lose=platform_configs.Loss.BEFORE_EFFECT
+    ),
+    "lost_after": platform_configs.Faults(
+        lose=platform_configs.Loss.AFTER_EFFECT
+    ),
+}
+
+
 class FakeTable:
-    """A table in memory; `faults` are used up by the calls to come.
+    """The platform's fake with a script of faults for the commits to come.
 
-    Faults: `down` (no effect, said so), `lost_before` and `lost_after` (no
-    answer, without and with the effect), None for a good call.
+    `faults` is used up by the commits, None standing for a good one;
+    `before_commit` is called once, as a race that another writer wins, and
+    `after_head` once between the read of the head row and what follows.
     """
 
-    def __init__(self) -> None:
-        self.rows: dict[str, edges.Row] = {}
+    def __init__(self, shared: "FakeTable | None" = None) -> None:
+        self.clock = shared.clock if shared else clock.ManualClock()
+        self.state = (
+            shared.state if shared else platform_core.Platform(_UNBOUNDED)
+        )
         self.faults: list[str | None] = []
-        self.down = False
-        self.reads = 0
         self.before_commit = lambda: None
-        self._answers: dict[str, result.Result] = {}
+        self.after_head = lambda: None
+        self.reads = 0
+        self._platform = platform_fake.FakePlatform(self.clock, self.state)
+
+    @property
+    def rows(self) -> dict[str, edges.Row]:
+        now = self.clock.monotonic()
+        found = self.state.scan("settings/", "", 10_000, now).unwrap()
+        return {row.key: row for row in found}
+
+    def cut(self, down: bool = True) -> None:
+        """Cuts this view of the table off, or heals it."""
+        self._platform.set_faults(platform_configs.Faults(down=down))
+
+    def forget_write_ids(self) -> None:
+        self.clock.advance(3600.0)
+
+    def lose_rows(self) -> None:
+        deletes = tuple(edges.Delete(key) for key in self.rows)
+        lost = edges.Transaction(ids.WriteId("lost"), deletes=deletes)
+        self.state.commit(lost, self.clock.monotonic()).unwrap()
 
     def read(self, key: str) -> result.Result:
         self.reads += 1
-        fault = self._take_fault()
-        return fault or result.Ok(self.rows.get(key))
+        read = self._platform.table.read(key)
+        if key == rows.HEAD_KEY:
+            hook, self.after_head = self.after_head, lambda: None
+            hook()
+        return read
 
     def scan(self, prefix: str, after: str = "", limit: int = 1000):
         self.reads += 1
-        fault = self._take_fault()
-        if fault:
-            return fault
-        keys = sorted(k for k in self.rows if k.startswith(prefix))
-        found = [self.rows[key] for key in keys if key > after]
-        return result.Ok(tuple(found[:limit]))
+        return self._platform.table.scan(prefix, after, limit)
 
     def commit(self, transaction: edges.Transaction) -> result.Result:
         hook, self.before_commit = self.before_commit, lambda: None
         hook()
         fault = self.faults.pop(0) if self.faults else None
-        if self.down or fault == "down":
-            return result.Err(errors.Unavailable())
-        if fault == "lost_before":
-            return result.Err(errors.Unanswered())
-        if transaction.write_id not in self._answers:
-            self._answers[transaction.write_id] = self._apply(transaction)
-        if fault == "lost_after":
-            return result.Err(errors.Unanswered())
-        return self._answers[transaction.write_id]
-
-    def forget_write_ids(self) -> None:
-        self._answers.clear()
-
-    def _take_fault(self) -> result.Err | None:
-        if self.down:
-            return result.Err(errors.Unavailable())
-        return None
-
-    def _apply(self, transaction: edges.Transaction) -> result.Result:
-        conditions = [*transaction.puts, *transaction.deletes]
-        failed = [c.key for c in conditions if not self._holds(c)]
-        if failed:
-            return result.Err(errors.Conflicted(keys=tuple(failed)))
-        versions = []
-        for put in transaction.puts:
-            known = self.rows.get(put.key)
-            version = known.version + 1 if known else 1
-            self.rows[put.key] = edges.Row(put.key, put.value, version)
-            versions.append(version)
-        for delete in transaction.deletes:
-            self.rows.pop(delete.key, None)
-        return result.Ok(edges.Committed(tuple(versions)))
-
-    def _holds(self, condition: edges.Put | edges.Delete) -> bool:
-        known = self.rows.get(condition.key)
-        version = known.version if known else edges.ABSENT
-        return condition.expected in (edges.ANY_VERSION, version)
+        if fault is None:
+            return self._platform.table.commit(transaction)
+        self._platform.set_faults(_COMMIT_FAULTS[fault])
+        answer = self._platform.table.commit(transaction)
+        self._platform.set_faults(platform_configs.Faults())
+        return answer
 
 
 class Site:
--- /dev/null
+++ b/pollenfork/settings/tests/test_core.py
@@ -0,0 +1,139 @@
+"""The core's rules one at a time; `test_machine` joins them with faults."""
+
+import itertools
+import random
+
+from pollenfork.settings import core
+from pollenfork.settings import model
+from pollenfork.settings import snapshot
+from pollenfork.settings import state
+
+
+def make_tree(revision: int) -> state.InForce:
+    tree = model.Tree(root=model.RootSettings(), revision=revision)
+    return state.InForce(revision, {}, snapshot.Snapshot(tree))
+
+
+def make_core(revision: int = 0) -> core.Core:
+    made = core.Core(random.Random(1), 0.0)
+    if revision:
+        made.take_read(make_tree(revision), 0.0)
+    return made
+
+
+def test_no_source_brings_an_older_tree_back() -> None:
+    made = make_core(5)
+    older = make_tree(4)
+    assert made.take_read(older, 1.0) == []
+    assert made.take_copy("peer", older, 1.0) == []
+    assert made.take_write(older, 1.0) == []
+    assert made.revision == 5
+
+
+def test_every_source_brings_a_newer_tree() -> None:
+    made = make_core(5)
+    found = [
+        made.take_read(make_tree(6), 1.0),
+        made.take_copy("peer", make_tree(7), 1.0),
+        made.take_write(make_tree(8), 1.0),
+    ]
+    assert [actions[0].source for actions in found] == list(core.Source)
+    assert made.revision == 8
+
+
+def test_polls_are_spread_around_their_mean() -> None:
+    made = make_core(5)
+    reads = [
+        step / 10
+        for step in range(10, 3000)
+        if core.ReadTable() in made.tick(step / 10)
+    ]
+    gaps = [after - before for before, after in itertools.pairwise(reads)]
+    assert 3.9 < min(gaps) < 4.5
+    assert 5.5 < max(gaps) < 6.2
+
+
+def test_a_peer_ahead_brings_the_next_read_forward() -> None:
+    made = make_core(5)
+    made.tick(0.0)
+    made.hear_peer("peer", 6, 0.5)
+    assert core.ReadTable() in made.tick(0.5 + core.AHEAD_WINDOW_S)
+
+
+def test_a_peer_level_or_behind_brings_nothing_forward() -> None:
+    made = make_core(5)
+    made.tick(0.0)
+    made.hear_peer("peer", 5, 0.5)
+    made.hear_peer("other", 4, 0.5)
+    assert made.tick(0.5 + core.AHEAD_WINDOW_S) == []
+
+
+def test_a_peer_ahead_is_asked_only_while_the_platform_is_away() -> None:
+    made = make_core(5)
+    made.tick(0.0)
+    made.hear_peer("peer", 7, 0.1)
+    made.hear_peer("other", 6, 0.1)
+    assert core.FetchCopy("peer") not in made.tick(0.1)
+    made.take_read_failure(0.2)
+    assert made.tick(0.2) == [core.FetchCopy("peer")]
+    assert made.tick(0.3) == []
+    made.take_copy("peer", None, 0.4)
+    assert made.tick(0.4) == [core.FetchCopy("other")]
+
+
+def test_a_table_that_lags_behind_a_peer_is_made_up_for() -> None:
+    made = make_core(5)
+    made.hear_peer("peer", 7, 0.1)
+    assert made.take_read(make_tree(6), 0.2)[-1] == core.FetchCopy("peer")
+    assert made.take_read(None, 9.0) == [core.FetchCopy("peer")]
+
+
+def test_a_restart_without_the_platform_hears_peers_before_it_asks() -> None:
+    made = make_core()
+    made.take_read_failure(0.0)
+    made.hear_peer("behind", 4, 0.1)
+    assert core.FetchCopy("behind") not in made.tick(core.GATHER_S - 0.1)
+    made.hear_peer("newest", 9, core.GATHER_S - 0.1)
+    assert made.in_force is None
+    assert core.FetchCopy("newest") in made.tick(core.GATHER_S)
+    made.take_copy("newest", make_tree(9), core.GATHER_S)
+    assert made.revision == 9
+
+
+def test_a_peer_that_is_gone_is_not_asked() -> None:
+    made = make_core(5)
+    made.tick(0.0)
+    made.hear_peer("peer", 7, 0.1)
+    made.take_read_failure(0.2)
+    made.forget_peer("peer")
+    assert made.tick(0.2) == []
+
+
+def test_a_copy_that_never_comes_is_asked_for_again() -> None:
+    made = make_core(5)
+    made.tick(0.0)
+    made.hear_peer("peer", 7, 0.1)
+    made.take_read_failure(0.2)
+    assert core.FetchCopy("peer") in made.tick(0.2)
+    later = 0.2 + core.FETCH_S
+    assert core.FetchCopy("peer") in made.tick(later)
+
+
+def test_age_counts_from_the_last_proof_of_being_newest() -> None:
+    made = make_core()
+    assert made.age_s(1.0) is None
+    made.take_read(make_tree(5), 1.0)
+    assert made.age_s(4.0) == 3.0
+    made.take_read_failure(5.0)
+    made.take_read(None, 5.0)
+    made.take_read(make_tree(4), 5.0)
+    assert made.age_s(6.0) == 5.0
+    made.take_read(make_tree(5), 7.0)
+    made.take_read(make_tree(5), 2.0)
+    assert made.age_s(8.0) == 1.0
+
+
+def test_an_empty_table_puts_nothing_in_force() -> None:
+    made = make_core()
+    assert made.take_read(state.EMPTY, 1.0) == []
+    assert made.in_force is None
--- a/pollenfork/settings/tests/test_writer.py
+++ b/pollenfork/settings/tests/test_writer.py
@@ -85,6 +85,26 @@
     assert (found.revision, found.repeated) == (2, True)
 
 
+def test_a_read_that_a_write_overtakes_is_of_one_revision() -> None:
+    first = support.Site()
+    first.seed()
+    second = support.Site(first.table, seed=1)
+    first.table.after_head = lambda: second.write(CLASS, {"tier": 5}, 1)
+    tree = store.read_tree(first.table, state.EMPTY).unwrap()
+    assert tree.revision == 2
+    assert tree.subtrees["teams/linework"].revision == 2
+
+
+def test_a_repeat_that_its_first_sending_overtakes_has_its_tree() -> None:
+    first = support.Site()
+    first.seed()
+    second = support.Site(first.table, seed=1)
+    first.table.after_head = lambda: second.write(CLASS, {"tier": 5}, 1)
+    found = first.write(CLASS, {"tier": 5}, 1).unwrap()
+    assert (found.revision, found.repeated) == (2, True)
+    assert found.tree.revision == 2
+
+
 def test_one_write_id_stands_for_one_content() -> None:
     site = support.Site()
     site.seed()
@@ -169,7 +189,7 @@
 ) -> None:
     site = support.Site()
     site.seed()
-    before = dict(site.table.rows)
+    before = site.table.rows
     refused = site.write(path, value, expected, operator=operator)
     assert isinstance(refused.err(), kind)
     assert site.table.rows == before
@@ -186,7 +206,7 @@
     site = support.Site()
     site.seed()
     site.write(CLASS, {"tier": 5}, 1).unwrap()
-    site.table.rows = {}
+    site.table.lose_rows()
     refused = site.write(CLASS, {"tier": 6}, 2, write_id="w-2").err()
     assert isinstance(refused, errors.NotWritten)
     assert "TableBehind" in refused.detail
