--- a/pollenfork/settings/changes.py
+++ b/pollenfork/settings/changes.py
@@ -146,17 +146,19 @@
 
 
 def _read_whole(tree: state.InForce) -> dict[str, object]:
-    whole: dict[str, object] = {"root": {}, "teams": {}}
-    teams: dict[str, object] = {}
+    """Returns the tree with its subtrees as raw JSON, undecoded.
+
+    Decoded, 42,000 accounts would take more than an instance has for them.
+    """
+    root = msgspec.Raw(b"{}")
+    teams: dict[str, msgspec.Raw] = {}
     for path, subtree in tree.subtrees.items():
-        value = msgspec.json.decode(subtree.read())
         team = paths.find_team(path)
         if team is None:
-            whole["root"] = value
+            root = msgspec.Raw(subtree.read())
         else:
-            teams[team] = value
-    whole["teams"] = teams
-    return whole
+            teams[team] = msgspec.Raw(subtree.read())
+    return {"root": root, "teams": teams, "revision": tree.revision}
 
 
 def _merge(
