Decide membership without I/O

Cause: instances must find each other through a list that lags and through each other, and tell each other of queues within 29 KB/s at 60 peers.

A member exists only through its own heartbeat (inside a data centre) or through its data centre's summary; the list and notes are hints. Evidence is ordered by incarnation, then by heartbeat sequence. Suspicion comes before removal, and whoever heard a later heartbeat refutes it. Refuting by a raised incarnation, as SWIM does, was ruled out: here an incarnation names a process start, so a refutation would look like a restart.

Pressure goes out as the difference to the last heartbeat's.

--- /dev/null
+++ b/pollenfork/membership/core.py
@@ -0,0 +1,358 @@
+"""Membership decisions: who is there, whom to tell what, and when.
+
+No I/O: time, chance and everything heard come in, actions go out.
+"""
+
+from collections.abc import Iterable
+import random
+
+import msgspec
+
+from pollenfork import ids
+from pollenfork.dispatch import messages as dispatch_messages
+from pollenfork.membership import actions
+from pollenfork.membership import contacts
+from pollenfork.membership import messages
+from pollenfork.membership import notices
+from pollenfork.membership import own
+from pollenfork.membership import periods
+from pollenfork.membership import pressures
+from pollenfork.membership import roster
+from pollenfork.membership import summaries
+from pollenfork.membership import wire
+from pollenfork.platform import edges
+
+_Status = messages.MemberStatus
+
+LIST_PERIOD_S = 10.0
+_PAUSE_S = 1.0
+_FETCH_GAP_S = 1.0
+_FORGET_S = 2 * 3600.0
+_LOST_PROBE_S = 2.0
+_NOTES_LIMIT = 32
+_REFUTERS = 4
+
+
+class Core:
+    """The membership of one instance."""
+
+    def __init__(
+        self,
+        identity: own.Identity,
+        incarnation: ids.Incarnation,
+        rng: random.Random,
+        now: float,
+        seeds: tuple[str, ...] = (),
+    ) -> None:
+        self._me = own.Own(identity, incarnation)
+        self._rng = rng
+        self._roster = roster.Roster()
+        self._contacts = contacts.Contacts(
+            identity.address, identity.data_centre, seeds
+        )
+        self._notices = notices.Notices()
+        self._encoder = pressures.PressureEncoder()
+        self._answers: dict[ids.InstanceId, wire.Note] = {}
+        self._ticked_at = now
+        self._heartbeat_at = now
+        self._list_at = now
+        self._probed_lost_at = now
+        self._last = self._compose(b"", now)
+        self.summaries = summaries.Summaries(
+            self._me,
+            self._roster,
+            self._contacts,
+            self._notices,
+            rng,
+            now,
+        )
+
+    @property
+    def incarnation(self) -> ids.Incarnation:
+        """This instance's own; grows when an earlier life seems later."""
+        return self._me.incarnation
+
+    @property
+    def period_s(self) -> float:
+        """Seconds between two heartbeats, by members in the data centre."""
+        return periods.compute_heartbeat_s(self._me.members)
+
+    @property
+    def heartbeat_at(self) -> float:
+        """Monotonic seconds at which `beat` is due."""
+        return self._heartbeat_at
+
+    def tick(self, now: float) -> list[actions.Action]:
+        """Checks for silence and starts what is due."""
+        if self._me.left:
+            return []
+        gap = now - self._ticked_at
+        if gap > _PAUSE_S:
+            self._roster.excuse(gap)
+        self._ticked_at = now
+        found = _publish(self._roster.check_silence(now))
+        self._me.members = 1 + sum(m.present for m in self._local_members())
+        found.extend(self.summaries.start_due(now))
+        if now >= self._list_at:
+            self._list_at = now + LIST_PERIOD_S * self._rng.uniform(0.8, 1.2)
+            self._roster.forget(now - _FORGET_S)
+            self._notices.forget(now)
+            found.append(actions.FetchList())
+        return found
+
+    def beat(
+        self,
+        now: float,
+        pressure: dispatch_messages.Pressure,
+        revision: ids.Revision,
+    ) -> list[actions.Action]:
+        """Sends one heartbeat, with the pressure of the moment."""
+        if self._me.left:
+            return []
+        self._me.revision = revision
+        self._notices.hear(pressure.leaving, now, remote=False)
+        body = self._encoder.encode_change(pressure, now)
+        self._me.sequence += 1
+        self._last = self._compose(body, now)
+        self._answers.clear()
+        self._heartbeat_at = max(self._heartbeat_at + self.period_s, now)
+        return [actions.SendHeartbeat(self._choose_targets(now), self._last)]
+
+    def leave(self, now: float) -> list[actions.Action]:
+        """Says goodbye, twice because datagrams get lost; nothing follows."""
+        if self._me.left:
+            return []
+        self._me.left = True
+        found: list[actions.Action] = []
+        for _ in range(2):
+            self._me.sequence += 1
+            self._last = self._compose(b"", now)
+            targets = self._choose_targets(now)
+            found.append(actions.SendHeartbeat(targets, self._last))
+        return found + self.summaries.start_round(now)
+
+    def hear_heartbeat(
+        self, heartbeat: wire.Heartbeat, address: str, now: float
+    ) -> list[actions.Action]:
+        """Takes in a heartbeat; `address` is where it came from."""
+        if heartbeat.instance == self._me.identity.instance:
+            return []
+        if heartbeat.data_centre != self._me.identity.data_centre:
+            return []
+        newer, events = self._roster.hear(
+            _read_evidence(heartbeat, address), now
+        )
+        found = _publish(events)
+        member = self._roster.find(heartbeat.instance)
+        if member is None or not newer:
+            self._answer_stale(heartbeat, address, now)
+            return found
+        if not member.present:
+            return found
+        found.extend(self._hear_pressure(member, heartbeat, now))
+        found.extend(
+            self._hear_leaving(heartbeat.leaving, member, now, remote=True)
+        )
+        for note in heartbeat.notes:
+            found.extend(self._hear_note(note, now))
+        return found
+
+    def hear_state(
+        self, heartbeat: wire.Heartbeat, now: float
+    ) -> list[actions.Action]:
+        """Takes in a peer's answer to `FetchState`.
+
+        A new instance thereby learns of members that its list lacks.
+        """
+        member = self._roster.find(heartbeat.instance)
+        if member is None or heartbeat.incarnation != member.incarnation:
+            return []
+        if not member.present or heartbeat.sequence < member.sequence:
+            return []
+        found = self._apply_pressure(member, heartbeat, now)
+        for note in heartbeat.notes:
+            found.extend(self._hear_note(note, now))
+        return found
+
+    def hear_list(self, listed: Iterable[edges.ListedInstance]) -> None:
+        """Takes in the platform's list, however stale it may be."""
+        self._contacts.take_list(listed)
+
+    def compose_state(self) -> wire.Heartbeat:
+        """Returns the last heartbeat with all pressure and all members."""
+        members = self._local_members()
+        return msgspec.structs.replace(
+            self._last,
+            pressure=self._encoder.encode_whole(),
+            notes=tuple(m.compose_note() for m in members if m.present),
+        )
+
+    def view(self, now: float) -> tuple[messages.MemberView, ...]:
+        """Returns this instance and all others, sorted by name."""
+        views = [member.compose_view(now) for member in self._roster]
+        views.append(self._me.compose_view())
+        return tuple(sorted(views, key=lambda view: view.instance))
+
+    def _local_members(self) -> list[roster.Member]:
+        centre = self._me.identity.data_centre
+        return [m for m in self._roster if m.data_centre == centre]
+
+    def _choose_targets(self, now: float) -> tuple[str, ...]:
+        members = self._local_members()
+        present = {member.address for member in members if member.present}
+        targets = sorted(present)
+        targets.extend(self._contacts.take_due(present, now))
+        if now - self._probed_lost_at >= _LOST_PROBE_S:
+            self._probed_lost_at = now
+            lost = {m.address for m in members if m.status is _Status.LOST}
+            targets.extend(sorted(lost - set(targets)))
+        return tuple(targets)
+
+    def _compose(self, body: bytes, now: float) -> wire.Heartbeat:
+        return wire.Heartbeat(
+            format=wire.FORMAT,
+            instance=self._me.identity.instance,
+            data_centre=self._me.identity.data_centre,
+            incarnation=self._me.incarnation,
+            sequence=self._me.sequence,
+            period_ms=int(self.period_s * 1000),
+            status=self._me.status,
+            revision=self._me.revision,
+            pressure=body,
+            notes=tuple(self._compose_notes(now)),
+            leaving=self._notices.list_relayed(now),
+        )
+
+    def _compose_notes(self, now: float) -> list[wire.Note]:
+        notes = list(self._answers.values())
+        for member in self._local_members():
+            recent = now - member.changed_at < 2 * self.period_s
+            left = member.status is _Status.LEFT and recent
+            suspected = member.status is _Status.SUSPECTED
+            if suspected or (left and self._is_chosen()):
+                notes.append(member.compose_note())
+        return notes[:_NOTES_LIMIT]
+
+    def _is_chosen(self) -> bool:
+        """Lets about four of the members speak where all could."""
+        return self._rng.random() < _REFUTERS / self._me.members
+
+    def _answer_stale(
+        self, heartbeat: wire.Heartbeat, address: str, now: float
+    ) -> None:
+        """Tells a restarted instance whose clock fell back what it was."""
+        member = self._roster.find(heartbeat.instance)
+        if member is None or heartbeat.status is _Status.LEFT:
+            return
+        stale = heartbeat.incarnation < member.incarnation
+        same = heartbeat.incarnation == member.incarnation
+        if stale or (same and member.status is _Status.LEFT):
+            self._answers[member.instance] = member.compose_note()
+            self._contacts.add_hint(address, now)
+
+    def _hear_pressure(
+        self, member: roster.Member, heartbeat: wire.Heartbeat, now: float
+    ) -> list[actions.Action]:
+        if not heartbeat.pressure:
+            return []
+        return self._apply_pressure(member, heartbeat, now)
+
+    def _apply_pressure(
+        self, member: roster.Member, heartbeat: wire.Heartbeat, now: float
+    ) -> list[actions.Action]:
+        decoded = member.decoder.apply(heartbeat.sequence, heartbeat.pressure)
+        if decoded.is_err():
+            failure = decoded.unwrap_err()
+            report = actions.Report(member.instance, failure)
+            return [report, *self._fetch_whole(member, now)]
+        pressure = decoded.unwrap()
+        heard = messages.PressureHeard(
+            incarnation=member.incarnation,
+            sequence=heartbeat.sequence,
+            pressure=pressure,
+        )
+        found: list[actions.Action] = [actions.Publish(heard)]
+        return found + self._hear_leaving(
+            pressure.leaving, member, now, remote=False
+        )
+
+    def _fetch_whole(
+        self, member: roster.Member, now: float
+    ) -> list[actions.Action]:
+        if now - member.fetched_at < _FETCH_GAP_S:
+            return []
+        member.fetched_at = now
+        return [actions.FetchState(member.instance, member.address)]
+
+    def _hear_leaving(
+        self,
+        endpoints: tuple[ids.EndpointId, ...],
+        member: roster.Member,
+        now: float,
+        *,
+        remote: bool,
+    ) -> list[actions.Action]:
+        if not endpoints:
+            return []
+        news = self._notices.hear(endpoints, now, remote=remote)
+        return _publish_leaving(news, member.instance)
+
+    def _hear_note(self, note: wire.Note, now: float) -> list[actions.Action]:
+        if note.instance == self._me.identity.instance:
+            self._me.hear_note(note)
+            return []
+        member = self._roster.find(note.instance)
+        unheard = member is None or note.incarnation > member.incarnation
+        if unheard and note.status in (_Status.LIVE, _Status.SUSPECTED):
+            self._contacts.add_hint(note.address, now)
+        if member is None or note.incarnation < member.incarnation:
+            return []
+        if note.status is _Status.LEFT:
+            events = self._roster.mark_left(member, note.incarnation, now)
+            return _publish(events)
+        if note.incarnation > member.incarnation:
+            return []
+        if note.status is _Status.LIVE:
+            events = self._roster.refute(member, note.sequence, now)
+            return _publish(events)
+        self._refute_for(member, note)
+        return []
+
+    def _refute_for(self, member: roster.Member, note: wire.Note) -> None:
+        if member.status is not _Status.LIVE:
+            return
+        if member.known_sequence > note.sequence and self._is_chosen():
+            self._answers[member.instance] = member.compose_note()
+
+
+def _read_evidence(heartbeat: wire.Heartbeat, address: str) -> roster.Evidence:
+    period_s = heartbeat.period_ms / 1000
+    return roster.Evidence(
+        instance=heartbeat.instance,
+        incarnation=heartbeat.incarnation,
+        sequence=heartbeat.sequence,
+        status=heartbeat.status,
+        data_centre=heartbeat.data_centre,
+        address=address,
+        revision=heartbeat.revision,
+        direct=True,
+        silence_s=periods.compute_silence_s(period_s),
+        removal_s=periods.compute_removal_s(period_s),
+    )
+
+
+def _publish(events: Iterable[messages.Event]) -> list[actions.Action]:
+    return [actions.Publish(event) for event in events]
+
+
+def _publish_leaving(
+    endpoints: Iterable[ids.EndpointId], heard_from: ids.InstanceId
+) -> list[actions.Action]:
+    return [
+        actions.Publish(
+            messages.EndpointLeavingHeard(
+                endpoint=endpoint, heard_from=heard_from
+            )
+        )
+        for endpoint in endpoints
+    ]
--- /dev/null
+++ b/pollenfork/membership/tests/test_core.py
@@ -0,0 +1,324 @@
+"""Single decisions: silence, pauses, refutations, restarts, notices."""
+
+import msgspec
+import pytest
+
+from pollenfork import ids
+from pollenfork.membership import messages
+from pollenfork.membership import own
+from pollenfork.membership import wire
+from pollenfork.membership.tests import network
+
+_STATUS = network.STATUS
+# Silence, one refutation by the last who heard it, removal, a heartbeat.
+_REMOVED_S = 1.5 + 1.5 + 2.0 + 0.4
+
+
+def _start(*centres):
+    world = network.Network(1, *centres)
+    for name in world.nodes:
+        world.start(name)
+    world.run(5.0)
+    return world
+
+
+def _kinds(node, instance):
+    return [
+        type(event)
+        for event in node.events
+        if getattr(event, "instance", None) == instance
+        and not isinstance(event, messages.PeerRevision)
+    ]
+
+
+def _status(node, instance, now):
+    views = {view.instance: view.status for view in node.core.view(now)}
+    return views.get(instance)
+
+
+def _note(heartbeat, status, sequence):
+    return wire.Note(
+        heartbeat.instance,
+        heartbeat.incarnation,
+        sequence,
+        status,
+        f"{heartbeat.instance}:1",
+    )
+
+
+def _tell(node, world, note):
+    """Lets another member say something to the node."""
+    teller = wire.Heartbeat(
+        format=1,
+        instance=ids.InstanceId("teller"),
+        data_centre=ids.DataCentre("a"),
+        incarnation=ids.Incarnation(1),
+        sequence=1,
+        period_ms=60_000,
+        status=_STATUS.LIVE,
+        revision=ids.Revision(1),
+        notes=(note,),
+    )
+    world.carry_out(
+        node, node.core.hear_heartbeat(teller, "teller:1", world.now)
+    )
+
+
+def test_a_killed_member_is_suspected_then_lost_by_all_in_time():
+    world = _start("a", "a", "a", "a")
+    world.kill("entry-0")
+    world.run(_REMOVED_S)
+    for node in world.running():
+        assert _kinds(node, "entry-0") == [
+            messages.MemberJoined,
+            messages.MemberSuspected,
+            messages.MemberLost,
+        ]
+
+
+def test_a_leaving_member_is_gone_at_once_though_the_list_has_it():
+    world = _start("a", "a", "a")
+    world.leave("entry-0")
+    world.run(0.2)
+    for node in world.running():
+        assert _kinds(node, "entry-0")[1:] == [messages.MemberLeft]
+    for packet in list(world.history):
+        world.deliver(packet)
+    world.run(30.0)
+    for node in world.running():
+        assert _status(node, "entry-0", world.now) is _STATUS.LEFT
+        assert len(_kinds(node, "entry-0")) == 2
+
+
+def test_a_member_that_another_hears_stays_suspected_at_worst():
+    world = _start("a", "a", "a")
+    world.cuts.add(frozenset(("entry-0:1", "entry-1:1")))
+    world.run(60.0)
+    kinds = _kinds(world.nodes["entry-0"], "entry-1")
+    assert messages.SuspicionRefuted in kinds
+    assert messages.MemberLost not in kinds
+
+
+def test_a_healed_partition_joins_again_without_the_list():
+    world = _start("a", "a")
+    world.listed = ()
+    world.cuts.add(frozenset(("entry-0:1", "entry-1:1")))
+    world.run(10.0)
+    nodes = world.running()
+    assert _status(nodes[0], "entry-1", world.now) is _STATUS.LOST
+    world.cuts.clear()
+    world.run(3.0)
+    for node in nodes:
+        assert _kinds(node, "entry-0") or _kinds(node, "entry-1")
+        assert len(node.present(world.now)) == 2
+
+
+def test_a_pause_of_this_instance_is_not_blamed_on_the_others():
+    world = _start("a", "a", "a")
+    paused = world.nodes["entry-0"]
+    core, paused.core = paused.core, None
+    world.run(30.0)
+    paused.core = core
+    before = len(paused.events)
+    world.run(1.0)
+    found = paused.events[before:]
+    assert not [e for e in found if isinstance(e, messages.MemberSuspected)]
+
+
+@pytest.mark.parametrize("skew_s", [-3600.0, 0.0, 3600.0])
+def test_a_restart_at_the_same_address_replaces_its_former_self(skew_s):
+    world = _start("a", "a", "b")
+    was = world.nodes["entry-0"].core.incarnation
+    world.start("entry-0", skew_s)
+    world.run(1.4)  # Less than the silence that starts a suspicion.
+    core = world.nodes["entry-0"].core
+    assert core.incarnation > was
+    for node in world.running():
+        present = node.present(world.now)
+        assert present["entry-0"] == core.incarnation
+    assert _kinds(world.nodes["entry-1"], "entry-0")[:3] == [
+        messages.MemberJoined,
+        messages.MemberLost,
+        messages.MemberJoined,
+    ]
+
+
+def test_a_woken_predecessor_at_another_address_gives_way():
+    world = _start("a", "a")
+    node = world.nodes["entry-1"]
+    member = node.core.view(world.now)[0]
+    later = wire.Heartbeat(
+        format=1,
+        instance=member.instance,
+        data_centre=member.data_centre,
+        incarnation=ids.Incarnation(member.incarnation + 5),
+        sequence=1,
+        period_ms=60_000,
+        status=_STATUS.LIVE,
+        revision=ids.Revision(1),
+    )
+    node.core.hear_heartbeat(later, "replacement:1", world.now)
+    world.run(3.0)
+    assert node.present(world.now)["entry-0"] == later.incarnation
+    assert world.nodes["entry-0"].core.incarnation == member.incarnation
+
+
+def test_a_lost_difference_costs_one_fetch_and_no_stale_pressure():
+    world = _start("a", "a")
+    node = world.nodes["entry-0"]
+    world.cuts.add(frozenset(("entry-0:1", "entry-1:1")))
+    world.run(0.5)
+    world.cuts.clear()
+    before = len(node.reports)
+    world.run(3.0)
+    heard = [e for e in node.events if isinstance(e, messages.PressureHeard)]
+    assert len(node.reports) == before + 1
+    sequences = [event.sequence for event in heard]
+    assert sequences == sorted(set(sequences))
+    assert len(sequences) > 20
+
+
+def test_a_notice_reaches_every_data_centre_and_is_told_once():
+    world = _start("a", "a", "b", "b", "c")
+    world.nodes["entry-0"].leaving = (ids.EndpointId("runner-1"),)
+    world.run(3.0)
+    for node in world.running()[1:]:
+        found = [
+            event
+            for event in node.events
+            if isinstance(event, messages.EndpointLeavingHeard)
+        ]
+        assert [event.endpoint for event in found] == ["runner-1"], node.name
+
+
+def test_pressure_stays_in_its_data_centre_and_revisions_travel():
+    world = _start("a", "b")
+    world.nodes["entry-0"].revision = ids.Revision(9)
+    world.run(3.0)
+    far = world.nodes["entry-1"]
+    assert not [e for e in far.events if isinstance(e, messages.PressureHeard)]
+    view = far.core.view(world.now)[0]
+    assert (view.instance, view.revision) == ("entry-0", 9)
+
+
+def test_a_data_centre_cut_off_is_removed_whole_and_comes_back():
+    world = _start("a", "a", "b", "b")
+    for near in ("entry-0:1", "entry-1:1"):
+        for far in ("entry-2:1", "entry-3:1"):
+            world.cuts.add(frozenset((near, far)))
+    world.run(12.0)
+    for node in world.running():
+        assert len(node.present(world.now)) == 2
+    world.cuts.clear()
+    world.run(6.0)
+    for node in world.running():
+        assert len(node.present(world.now)) == 4
+
+
+def test_a_member_that_no_list_names_is_introduced_by_another():
+    world = network.Network(1, "a", "a", "a")
+    for name, known in (("entry-0", "entry-1"), ("entry-2", "entry-1")):
+        world.nodes[name].knows = {known}
+    world.nodes["entry-1"].knows = set()
+    for name in world.nodes:
+        world.start(name)
+    world.run(3.0)
+    for node in world.running():
+        assert len(node.present(world.now)) == 3
+
+
+def test_copies_and_old_heartbeats_cause_nothing():
+    world = _start("a", "a", "a")
+    before = {node.name: len(node.events) for node in world.running()}
+    for packet in world.history:
+        if packet.due < world.now - 0.1:
+            world.deliver(packet)
+    for node in world.running():
+        assert len(node.events) == before[node.name]
+        assert len(node.reports) <= 2  # The first difference of each peer.
+
+
+def test_a_suspicion_ends_only_by_a_later_heartbeat():
+    world = _start("a", "a")
+    node = world.nodes["entry-1"]
+    world.kill("entry-0")
+    world.packets.clear()
+    late = [p for p in world.history if p.source == "entry-0:1"][-1]
+    world.run(2.0)
+    heartbeat = wire.decode_heartbeat(late.body).unwrap()
+    heard = _note(heartbeat, _STATUS.LIVE, heartbeat.sequence + 5)
+    _tell(node, world, heard)
+    assert _status(node, "entry-0", world.now) is _STATUS.LIVE
+    world.run(2.0)
+    assert _status(node, "entry-0", world.now) is _STATUS.SUSPECTED
+    for sequence, status in ((5, _STATUS.SUSPECTED), (6, _STATUS.LIVE)):
+        later = msgspec.structs.replace(
+            heartbeat, sequence=heartbeat.sequence + sequence
+        )
+        node.core.hear_heartbeat(later, late.source, world.now)
+        assert _status(node, "entry-0", world.now) is status
+
+
+def test_leaving_is_final_though_later_heartbeats_are_under_way():
+    world = _start("a", "a")
+    node = world.nodes["entry-1"]
+    world.kill("entry-0")
+    late = [p for p in world.history if p.source == "entry-0:1"][-1]
+    heartbeat = wire.decode_heartbeat(late.body).unwrap()
+    _tell(node, world, _note(heartbeat, _STATUS.LEFT, heartbeat.sequence))
+    later = msgspec.structs.replace(heartbeat, sequence=heartbeat.sequence + 9)
+    node.core.hear_heartbeat(later, late.source, world.now)
+    assert _status(node, "entry-0", world.now) is _STATUS.LEFT
+    assert _kinds(node, "entry-0")[1:] == [messages.MemberLeft]
+
+
+def test_talk_of_a_departure_ends():
+    world = _start("a", "a", "a", "a")
+    world.leave("entry-0")
+    world.run(3.0)
+    for packet in world.history[-10:]:
+        assert wire.decode_heartbeat(packet.body).unwrap().notes == ()
+
+
+def test_one_who_is_told_tells_its_data_centre():
+    world = _start("a", *["b"] * 9)
+    world.nodes["entry-0"].leaving = (ids.EndpointId("runner-1"),)
+    world.run(1.0)  # Each of the nine meets "a" itself only each 2.25 s.
+    for node in world.running()[1:]:
+        kinds = [type(event) for event in node.events]
+        assert messages.EndpointLeavingHeard in kinds
+
+
+@pytest.mark.parametrize(
+    ("later", "status", "address", "incarnation"),
+    [
+        (-1, _STATUS.LEFT, "x:1", 10),
+        (-1, _STATUS.LIVE, "x:1", 10),
+        (0, _STATUS.SUSPECTED, "x:1", 10),
+        (0, _STATUS.LOST, "x:1", 10),
+        (0, _STATUS.LEFT, "x:1", 11),
+        (3, _STATUS.LIVE, "x:1", 14),
+        (3, _STATUS.SUSPECTED, "x:1", 14),
+        (3, _STATUS.LIVE, "elsewhere:1", 10),
+        (3, _STATUS.SUSPECTED, "elsewhere:1", 10),
+        (3, _STATUS.LOST, "elsewhere:1", 14),
+        (3, _STATUS.LEFT, "elsewhere:1", 14),
+    ],
+)
+def test_what_others_say_of_this_instance(later, status, address, incarnation):
+    identity = own.Identity(ids.InstanceId("x"), ids.DataCentre("a"), "x:1")
+    me = own.Own(identity, ids.Incarnation(10))
+    said = ids.Incarnation(10 + later)
+    me.hear_note(wire.Note(identity.instance, said, 5, status, address))
+    assert me.incarnation == incarnation
+    assert me.status is _STATUS.LIVE
+
+
+def test_a_heartbeat_in_ones_own_name_changes_nothing():
+    world = _start("a", "a")
+    node = world.nodes["entry-0"]
+    packet = next(p for p in world.history if p.source == "entry-0:1")
+    forged = msgspec.structs.replace(packet, target="entry-0:1")
+    before = list(node.events)
+    world.deliver(forged)
+    assert node.events == before
