--- /dev/null
+++ b/benchmarks/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions under load and faults, in virtual time."""
--- a/pollenfork/decisions.py
+++ b/pollenfork/decisions.py
@@ -93,10 +93,6 @@
     def report(self, event: Any, now: float) -> list[Decision]:
         """Takes any other event."""
         match event:
-            case messages.FirstToken():
-                self._note_first(event)
-            case messages.AttemptEnded():
-                self._end(event, now)
             case messages.RequestClosed():
                 self._close(event.request, now)
             case admission_messages.Withdrawn():
@@ -111,6 +107,8 @@
                 self._dispatch.note_lost(event.instance, now)
             case settings_messages.TreeInForce():
                 self._dispatch.apply_tree(event.tree, now)
+            case _:
+                self._take_course(event, now)
         return self._decide(now)
 
     def tick(self, now: float) -> list[Decision]:
@@ -283,6 +281,17 @@
 
     # The course of attempts.
 
+    def _take_course(self, event: Any, now: float) -> None:
+        match event:
+            case messages.FirstToken():
+                self._note_first(event)
+            case messages.Progress():
+                self._dispatch.note_progress(event, now)
+            case messages.AttemptEnded():
+                self._end(event, now)
+            case _:
+                raise TypeError(f"unknown event {type(event).__name__}")
+
     def _note_first(self, first: messages.FirstToken) -> None:
         attempt = self._dispatch.note_first(first)
         if attempt is not None:
--- a/pollenfork/dispatch/core.py
+++ b/pollenfork/dispatch/core.py
@@ -20,11 +20,11 @@
 
 K = TypeVar("K")
 
-_SPILL = 0.125
 _BOUNDED_LOAD = 1.25
 _LEAST_BOUND = 0.5
 _MEAN_WEIGHT = 0.02
 _LEAST_MEAN_S = 0.001
+_LEAST_TOKENS = 4
 _OVERDUE_FACTOR = 5.0
 _OVERDUE_LEAST_S = 1.0
 _OVERDUE_RATIO = 5.0
@@ -52,17 +52,19 @@
 
     Attributes:
         granted: Monotonic seconds.
-        is_spilled: It went to wait in the engine's own queue.
         first_at: When the first token arrived.
         is_overdue: Its missing first token was counted already.
+        tokens: Generated when last judged.
+        judged_at: When its gap was last judged, or its first token came.
     """
 
     ask: admission_messages.Ask
     endpoint: endpoints.Endpoint
     granted: float
-    is_spilled: bool
     first_at: float | None = None
     is_overdue: bool = False
+    tokens: int = 1
+    judged_at: float = 0.0
 
 
 class Dispatch:
@@ -152,12 +154,9 @@
         if not self._is_allowed(claims, ask.tier, rule):
             return None
         chosen = self._choose(pool, ask, now, avoid)
-        spilled = chosen is None
-        if chosen is None and self._may_spill(claims, ask.tier, rule):
-            chosen = _choose_spill(pool.sample_members(self._rng), now, avoid)
         if chosen is None:
             return None
-        grant = self._start(ask, chosen, now, spilled)
+        grant = self._start(ask, chosen, now)
         # A share's request would starve in the engine behind higher tiers.
         priority = 0 if rule is Rule.SHARE else ask.tier
         return msgspec.structs.replace(
@@ -170,15 +169,20 @@
         if attempt is None or attempt.first_at is not None:
             return None
         attempt.first_at = first.at
-        attempt.endpoint.note_success()
+        attempt.judged_at = first.at
+        attempt.endpoint.note_token(first.at)
         took = first.at - attempt.granted
         key = admission_messages.class_key(attempt.ask)
-        mean = _record(self._first_means, key, took)
-        if not attempt.is_spilled and not attempt.is_overdue:
-            ratio = took / max(mean, _LEAST_MEAN_S)
-            self._stragglers.note(attempt.endpoint.name, ratio)
+        _record(self._first_means, key, took)
         return attempt
 
+    def note_progress(self, progress: messages.Progress, now: float) -> None:
+        """Takes how far an answer has come."""
+        attempt = self._attempts.get(progress.attempt)
+        if attempt is not None and attempt.first_at is not None:
+            self._judge_gap(attempt, progress.tokens, progress.at, now)
+            self._supply.refresh(attempt.endpoint, now)
+
     def end(self, ended: messages.AttemptEnded, now: float) -> Attempt | None:
         """Gives the attempt's slot back; None where it was back already."""
         attempt = self._release(ended.attempt, now)
@@ -189,7 +193,7 @@
         elif ended.how is messages.AttemptEnd.TIMED_OUT:
             self._stragglers.note(attempt.endpoint.name, _OVERDUE_RATIO)
         elif ended.how is messages.AttemptEnd.FINISHED:
-            self._judge_gap(attempt, ended, now)
+            self._judge_gap(attempt, ended.tokens, ended.at, now)
         self._supply.refresh(attempt.endpoint, now)
         return attempt
 
@@ -225,13 +229,6 @@
             return not any(claims.own_waiting) and not any(claims.peer_waiting)
         return claims.own_in_flight[tier] < self._split.allow(claims, tier)
 
-    def _may_spill(
-        self, claims: sharing.Claims, tier: ids.Tier, rule: Rule
-    ) -> bool:
-        if rule is Rule.SPLIT:
-            return self._split.may_spill(claims, tier)
-        return rule is Rule.SHARE
-
     def _choose(
         self,
         pool: pools.Pool,
@@ -258,12 +255,11 @@
         ask: admission_messages.Ask,
         chosen: endpoints.Endpoint,
         now: float,
-        spilled: bool,
     ) -> messages.Grant:
         number = self._numbers.get(ask.request, 0) + 1
         self._numbers[ask.request] = number
         name = ids.AttemptId(f"{ask.request}.{number}")
-        self._attempts[name] = Attempt(ask, chosen, now, spilled)
+        self._attempts[name] = Attempt(ask, chosen, now)
         self._by_request.setdefault(ask.request, []).append(name)
         self._supply.count_in(chosen, ask.tier, now)
         return messages.Grant(
@@ -286,24 +282,31 @@
         return attempt
 
     def _judge_gap(
-        self, attempt: Attempt, ended: messages.AttemptEnded, now: float
+        self, attempt: Attempt, tokens: int, at: float, now: float
     ) -> None:
-        if attempt.first_at is None or ended.tokens < 2:
+        """Compares the tokens since the last look with target and group."""
+        count = tokens - attempt.tokens
+        if attempt.first_at is None or count < _LEAST_TOKENS:
             return
-        gap = (ended.at - attempt.first_at) / (ended.tokens - 1)
-        mean = _record(
-            self._gap_means, admission_messages.pool_key(attempt.ask), gap
-        )
+        attempt.endpoint.note_token(at)
+        gap = (at - attempt.judged_at) / count
+        attempt.tokens = tokens
+        attempt.judged_at = at
+        pool = admission_messages.pool_key(attempt.ask)
+        mean = _record(self._gap_means, pool, gap)
         ratio = gap / max(mean, _LEAST_MEAN_S)
         self._stragglers.note(attempt.endpoint.name, ratio)
-        target = self._gap_targets.get(
-            admission_messages.class_key(attempt.ask)
-        )
+        key = admission_messages.class_key(attempt.ask)
+        target = self._gap_targets.get(key)
         if target is not None:
             attempt.endpoint.limit.note(gap / target, now)
 
     def _note_overdue(self, now: float) -> None:
-        """Counts first tokens that are long missing as slowness now."""
+        """Counts first tokens that are long missing as slowness now.
+
+        A missing one tells of the endpoint only where nothing else came from
+        it either; else the attempt waits in the engine's queue.
+        """
         for attempt in self._attempts.values():
             if attempt.first_at is not None or attempt.is_overdue:
                 continue
@@ -312,7 +315,7 @@
             )
             expected = mean.value if mean else _OVERDUE_LEAST_S
             bound = max(_OVERDUE_LEAST_S, _OVERDUE_FACTOR * expected)
-            if now - attempt.granted > bound and not attempt.is_spilled:
+            if now - max(attempt.granted, attempt.endpoint.heard_at) > bound:
                 attempt.is_overdue = True
                 name = attempt.endpoint.name
                 self._stragglers.note(name, _OVERDUE_RATIO)
@@ -328,19 +331,6 @@
                 self.ejections += 1
 
 
-def _choose_spill(
-    sampled: list[endpoints.Endpoint],
-    now: float,
-    avoid: tuple[ids.EndpointId, ...],
-) -> endpoints.Endpoint | None:
-    usable = [
-        member
-        for member in sampled
-        if member.name not in avoid and member.has_spill_room(_SPILL, now)
-    ]
-    return min(usable, key=lambda e: e.rate_use(now), default=None)
-
-
 def _record(means: dict[K, sketches.Mean], key: K, value: float) -> float:
     mean = means.get(key)
     if mean is None:
--- a/pollenfork/dispatch/endpoint.py
+++ b/pollenfork/dispatch/endpoint.py
@@ -21,6 +21,7 @@
     Attributes:
         own: Attempts of this instance in flight.
         peers: Attempts of peers, as last reported by them.
+        heard_at: When it last gave a token.
         ejected_until: Taken out as a straggler until then.
         left_by_peers: Peers that say it is leaving.
     """
@@ -34,6 +35,7 @@
         self.own = 0
         self.peers = 0
         self.left_by_peers = 0
+        self.heard_at = float("-inf")
         self.ejected_until = 0.0
         self.limit = limits.ConcurrencyLimit(settings.slots)
         self.loaded: tuple[ids.ModelName, ...] = ()
@@ -92,8 +94,9 @@
         self._retry_at = now + self._backoff_s
         self.limit.start_slowly(self._retry_at)
 
-    def note_success(self) -> None:
-        """Ends the doubling."""
+    def note_token(self, at: float) -> None:
+        """Takes a sign of life; the next backoff is a short one again."""
+        self.heard_at = max(self.heard_at, at)
         self._backoff_s = 0.0
 
     def eject(self, until: float) -> None:
@@ -135,17 +138,6 @@
             and self.has_memory(now)
         )
 
-    def has_spill_room(self, part: float, now: float) -> bool:
-        """Returns whether one more may wait in its own queue.
-
-        Args:
-            part: How far beyond the limit, as a part of it.
-            now: Monotonic seconds.
-        """
-        limit = self.limit.read(now)
-        bound = limit + max(1.0, limit * part)
-        return self.is_usable(now) and self.estimate_load(now) + 1 <= bound
-
     def rate_use(self, now: float) -> float:
         """Returns the part of its limit in use with one more attempt."""
         return (self.estimate_load(now) + 1) / self.limit.read(now)
--- a/pollenfork/dispatch/messages.py
+++ b/pollenfork/dispatch/messages.py
@@ -32,6 +32,22 @@
     at: float
 
 
+class Progress(msgspec.Struct, frozen=True, kw_only=True):
+    """The attempt has generated `tokens` so far.
+
+    Sent about every two seconds of an answer, so that a slow endpoint shows
+    before its long answers end.
+
+    Attributes:
+        tokens: Since the attempt's start, as far as seen.
+        at: Monotonic seconds.
+    """
+
+    attempt: ids.AttemptId
+    tokens: int
+    at: float
+
+
 class AttemptEnd(enum.Enum):
     """How an attempt ended."""
 
--- a/pollenfork/dispatch/pools.py
+++ b/pollenfork/dispatch/pools.py
@@ -80,10 +80,6 @@
         allowed = [e for e in found if e.name not in avoid]
         return allowed or [e for e in self.open if e.name not in avoid]
 
-    def sample_members(self, rng: random.Random) -> list[endpoints.Endpoint]:
-        """Returns a few endpoints at random, with room or not."""
-        return _sample(self.members, rng)
-
     def find_homes(self, prefix: int) -> list[endpoints.Endpoint]:
         """Returns where prompts with this prefix go, by rendezvous hashing."""
         homes = self._homes.get(prefix)
--- a/pollenfork/dispatch/sharing.py
+++ b/pollenfork/dispatch/sharing.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+_HEADROOM = 2.0
+
 
 class Claims(msgspec.Struct):
     """Who wants and holds the slots of a set of endpoints, by tier.
@@ -39,6 +41,11 @@
             return self.capacity / self.instances
         return self.capacity
 
+    def count_free(self) -> float:
+        """Returns the slots that nobody is known to hold."""
+        held = sum(self.own_in_flight) + sum(self.peer_in_flight)
+        return self.read_capacity() - held
+
 
 class Sharing(Protocol):
     """A way to split slots among instances."""
@@ -46,12 +53,18 @@
     def allow(self, claims: Claims, tier: int) -> int:
         """Returns how many slots this instance may hold in the tier."""
 
-    def may_spill(self, claims: Claims, tier: int) -> bool:
-        """Returns whether the tier may wait in an engine's own queue."""
-
 
 class DemandSplit:
-    """Splits by the demand and occupancy that peers report."""
+    """Splits by the demand and occupancy that peers report.
+
+    A tier leaves some slots free for the tiers above it: the square root of
+    what these hold, times `headroom`, as for servers under random arrivals.
+    Without that, an urgent request finds every slot held by long answers of
+    lower tiers, and waits for a release that may come at another instance.
+    """
+
+    def __init__(self, headroom: float = _HEADROOM) -> None:
+        self._headroom = headroom
 
     def allow(self, claims: Claims, tier: int) -> int:
         """Returns how many slots this instance may hold in the tier."""
@@ -60,15 +73,20 @@
         left = claims.read_capacity() - _sum_higher(claims, tier)
         if left <= 0:
             return 0
+        if not self._leaves_headroom(claims, tier):
+            return 0
         if own + peers <= left:
             return own
         return math.ceil(left * own / (own + peers))
 
-    def may_spill(self, claims: Claims, tier: int) -> bool:
-        """Returns whether the tier is the most urgent that waits anywhere."""
-        return not any(claims.own_waiting[:tier]) and not any(
-            claims.peer_waiting[:tier]
+    def _leaves_headroom(self, claims: Claims, tier: int) -> bool:
+        higher = sum(claims.own_in_flight[:tier]) + sum(
+            claims.peer_in_flight[:tier]
         )
+        if not higher:
+            return True
+        kept = self._headroom * math.sqrt(higher)
+        return claims.count_free() >= kept + 1
 
 
 def _sum_higher(claims: Claims, tier: int) -> int:
