--- a/benchmarks/decisions/driver.py
+++ b/benchmarks/decisions/driver.py
@@ -39,12 +39,20 @@
     first_at: float | None = None
     done_at: float | None = None
     refused: str | None = None
-    refused_at: float | None = None
     gone_at: float | None = None
     granted_at: float | None = None
     sent: int = 0
     delivered: int = 0
     saved: int = 0
+    returns: int = 0
+    returned_at: float | None = None
+
+    def is_met_on_return(self) -> bool:
+        """Returns whether the first token came in time after a return."""
+        if self.first_at is None or self.returned_at is None:
+            return False
+        target = self.arrival.kind.settings.target_first_token_ms / _MS
+        return self.first_at - self.returned_at <= target
 
     def is_met(self) -> bool:
         """Returns whether every target was met and the answer is whole."""
@@ -123,8 +131,10 @@
         self.lost_instances: set[int] = set()
         self.cut_pairs: set[tuple[int, int]] = set()
         self.gone_part = 0.0
+        self.most_returns = 0
         self.wasted = 0
         self.attempts = 0
+        self._asked = 0
         self._loads: dict[str, list[tuple[float, int, int, float]]] = {
             name: [(0.0, 0, 0, 1.0)] for name in self.engines
         }
@@ -273,15 +283,13 @@
     # Requests.
 
     def _arrive(self, arrival: workload.Arrival) -> None:
-        alive = [
-            n
-            for n in range(len(self.instances))
-            if n not in self.lost_instances
-        ]
-        n = self.rng.choice(alive)
-        record = Record(arrival)
-        self.records.append(record)
-        ask = _make_ask(arrival, f"q{len(self.records)}", self.later.now)
+        n = self._pick_instance()
+        self.records.append(Record(arrival))
+        self._ask(self.records[-1], n)
+
+    def _ask(self, record: Record, n: int) -> None:
+        self._asked += 1
+        ask = _make_ask(record.arrival, f"q{self._asked}", self.later.now)
         request = Request(record, n, ask)
         self._requests[ask.request] = request
         if self.rng.random() < self.gone_part:
@@ -304,6 +312,30 @@
         withdrawn = admission_messages.Withdrawn(request=request.ask.request)
         self._report(request.instance, withdrawn)
         self._close(request)
+        self._return(request, _RETURN_S)
+
+    def _return(self, request: Request, after: float) -> None:
+        """Lets the caller come back after a refusal or a wait in vain."""
+        record = request.record
+        if record.returns >= self.most_returns:
+            return
+        record.returns += 1
+        n = self._pick_instance()
+
+        def ask() -> None:
+            record.returned_at = self.later.now
+            self._ask(record, n)
+
+        self.later(self.later.now + after, ask)
+
+    def _pick_instance(self) -> int:
+        return self.rng.choice(
+            [
+                n
+                for n in range(len(self.instances))
+                if n not in self.lost_instances
+            ]
+        )
 
     def _close(self, request: Request) -> None:
         request.is_closed = True
@@ -318,8 +350,8 @@
                 self._send(n, request, decision)
             elif request is not None and not request.copies:
                 request.record.refused = decision.reason.value
-                request.record.refused_at = self.later.now
                 self._close(request)
+                self._return(request, decision.retry_after_s or _RETURN_S)
 
     def _send(
         self, n: int, request: Request | None, grant: messages.Grant
--- a/benchmarks/decisions/engine.py
+++ b/benchmarks/decisions/engine.py
@@ -89,6 +89,12 @@
         self._advance(now)
         return min(job.tokens, 1 + int(self._ticks - job.decode_from))
 
+    def list_parts(self, now: float) -> list[float]:
+        """Returns how far through its answer each running job is."""
+        return [
+            self.read_progress(job, now) / job.tokens for job in self._running
+        ]
+
     def crash(self, now: float) -> None:
         """Loses every job; refuses connections until `restart`."""
         self.is_up = False
--- a/benchmarks/decisions/workload.py
+++ b/benchmarks/decisions/workload.py
@@ -14,6 +14,7 @@
 TEAM = ids.Team("users")
 ACCOUNTS = 10
 LARGE_ACCOUNTS = 3
+EVERY_KIND = "*"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -145,7 +146,7 @@
 
     Attributes:
         factor: Offered work over capacity, all classes together.
-        burst_kind: A class that comes in a burst on top.
+        burst_kind: A class that comes in a burst on top, or `EVERY_KIND`.
         burst_factor: The burst's work over capacity while it lasts.
     """
 
@@ -165,8 +166,9 @@
     for kind in KINDS:
         rate = load.factor * kind.part * slots / kind.hold_s
         arrivals += _list_poisson(kind, rate, 0.0, seconds, rng)
-        if kind.name == load.burst_kind:
-            rate = load.burst_factor * slots / kind.hold_s
+        if load.burst_kind in (kind.name, EVERY_KIND):
+            part = 1.0 if load.burst_kind == kind.name else kind.part
+            rate = load.burst_factor * part * slots / kind.hold_s
             span = (load.burst_from, load.burst_until)
             arrivals += _list_poisson(kind, rate, *span, rng)
     return sorted(arrivals, key=lambda a: a.at)
--- a/pollenfork/dispatch/sharing.py
+++ b/pollenfork/dispatch/sharing.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-_HEADROOM = 2.0
+_HEADROOM = 2.5
 
 
 class Claims(msgspec.Struct):
@@ -60,7 +60,8 @@
     A tier leaves some slots free for the tiers above it: the square root of
     what these hold, times `headroom`, as for servers under random arrivals.
     Without that, an urgent request finds every slot held by long answers of
-    lower tiers, and waits for a release that may come at another instance.
+    lower tiers, and waits for a release that may come at another instance;
+    so the headroom grows with the part of the releases that come elsewhere.
     """
 
     def __init__(self, headroom: float = _HEADROOM) -> None:
@@ -85,7 +86,8 @@
         )
         if not higher:
             return True
-        kept = self._headroom * math.sqrt(higher)
+        others = 1.0 - 1.0 / claims.instances
+        kept = self._headroom * others * math.sqrt(higher)
         return claims.count_free() >= kept + 1
 
 
