Check requests whole, and keep a record of each

Callers' requests were checked in part: wrong methods ran or were 404, a deeply nested body ended as waitress's text 500, `stream: null` was refused, headers and paths had no bound of their own, and a service saw the router's own path, decoded. A failure of the router itself was a text 500 without an outcome.

Now each has a typed refusal with X-Outcome and X-Request-Id, 405 with Allow, 401 with WWW-Authenticate; a failure of the router is 500 internal_error, outcome unknown. A service sees what follows its name in the path, as the caller wrote it: decoding and encoding it again loses %2F, and passing the router's own prefix on would tie services to its paths. Dot segments are refused, as each client library resolves them differently.

Each request has a record: one granted and one answered or refused line, and histograms of wait, first token and whole answer by team and class.

--- a/pollenfork/entry/errors.py
+++ b/pollenfork/entry/errors.py
@@ -2,8 +2,10 @@
 
 import enum
 import http
+from typing import Any
 
 import msgspec
+import result
 
 from pollenfork import failures
 from pollenfork.admission import messages as admission_messages
@@ -16,6 +18,10 @@
     BAD_REQUEST = "bad_request"
     BODY_TOO_LARGE = "body_too_large"
     HEADER_TOO_LONG = "header_too_long"
+    TARGET_TOO_LONG = "target_too_long"
+    MALFORMED_REQUEST = "malformed_request"
+    REQUEST_TOO_SLOW = "request_too_slow"
+    NOT_IMPLEMENTED = "not_implemented"
     WRONG_KEY = "wrong_key"
     UNKNOWN_CLASS = "unknown_class"
     UNKNOWN_MODEL = "unknown_model"
@@ -29,6 +35,7 @@
     OUTCOME_UNKNOWN = "outcome_unknown"
     KEY_REUSED = "idempotency_key_reused"
     RECORD_UNAVAILABLE = "record_unavailable"
+    INTERNAL_ERROR = "internal_error"
 
 
 class Refusal(failures.Failure, frozen=True, kw_only=True):
@@ -37,6 +44,8 @@
     Attributes:
         reason: Finer than the code, where there is one; counted.
         retry_after_s: When to come back, where that is known.
+        param: The field of the body at fault, where it is one.
+        allow: The methods that the path has, where the method is at fault.
     """
 
     status: http.HTTPStatus
@@ -44,6 +53,15 @@
     outcome: failures.Outcome = failures.Outcome.NOT_RUN
     reason: str = ""
     retry_after_s: float | None = None
+    param: str | None = None
+    allow: tuple[str, ...] = ()
+
+
+def refuse(
+    status: http.HTTPStatus, code: Code, detail: str, **more: Any
+) -> result.Err[Refusal]:
+    """Returns a refusal as the result of a step; `more` are its fields."""
+    return result.Err(Refusal(status=status, code=code, detail=detail, **more))
 
 
 class _ErrorBody(msgspec.Struct, frozen=True):
@@ -64,7 +82,7 @@
         kind = "invalid_request_error"
     if refusal.status is http.HTTPStatus.TOO_MANY_REQUESTS:
         kind = "rate_limit_error"
-    body = _ErrorBody(refusal.detail, kind, refusal.code.value)
+    body = _ErrorBody(refusal.detail, kind, refusal.code.value, refusal.param)
     return msgspec.json.encode(_ErrorEnvelope(body))
 
 
--- a/pollenfork/entry/progress.py
+++ b/pollenfork/entry/progress.py
@@ -1,6 +1,7 @@
 """How many requests are in progress, for a stop that cuts none off."""
 
 from collections.abc import Callable, Iterable, Iterator
+import itertools
 import threading
 
 
@@ -41,13 +42,59 @@
             return self._idle.wait_for(lambda: not self._count, timeout_s)
 
 
-class Handover:
-    """An answer's chunks on their way to the server, closed exactly once.
+class Watched:
+    """An answer's chunks; tells of the first one and of the end.
 
-    The server iterates over the chunks themselves, so that a chunk costs
-    nothing here, and calls `close` at the end, however it comes.
+    Between the two nothing of this class runs.
     """
 
+    def __init__(
+        self,
+        chunks: Iterable[bytes],
+        on_first: Callable[[], None],
+        on_end: Callable[[bool], None],
+    ) -> None:
+        """Makes the watch.
+
+        Args:
+            chunks: The answer's body.
+            on_first: Called before the first chunk is passed on.
+            on_end: Called once closed, with whether the chunks came to
+                their end.
+        """
+        self._chunks = chunks
+        self._on_first = on_first
+        self._on_end = on_end
+        self._ended = False
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Returns an iterator over the chunks."""
+        chunks = iter(self._chunks)
+        return itertools.chain(
+            self._pass_first(chunks), chunks, self._note_end()
+        )
+
+    def close(self) -> None:
+        """Closes the chunks; to be called once."""
+        try:
+            close_chunks(self._chunks)
+        finally:
+            self._on_end(self._ended)
+
+    def _pass_first(self, chunks: Iterator[bytes]) -> Iterator[bytes]:
+        for chunk in itertools.islice(chunks, 1):
+            self._on_first()
+            yield chunk
+
+    def _note_end(self) -> Iterator[bytes]:
+        self._ended = True
+        return
+        yield
+
+
+class Handover:
+    """A reply on its way to the server, closed exactly once."""
+
     def __init__(
         self, chunks: Iterable[bytes], on_closed: Callable[[], None]
     ) -> None:
@@ -56,7 +103,7 @@
         self._closed = False
 
     def __iter__(self) -> Iterator[bytes]:
-        """Returns the chunks' own iterator."""
+        """Returns the chunks' own iterator, which costs nothing here."""
         return iter(self._chunks)
 
     def close(self) -> None:
--- /dev/null
+++ b/pollenfork/entry/replies.py
@@ -0,0 +1,63 @@
+"""Small replies, whole in memory, and refusals as such."""
+
+from collections.abc import Callable
+import http
+import math
+from typing import Any
+
+import msgspec
+
+from pollenfork.entry import errors
+
+StartResponse = Callable[..., Any]
+
+_JSON = ("Content-Type", "application/json")
+_TEXT = ("Content-Type", "text/plain; charset=utf-8")
+
+
+class Reply(msgspec.Struct, frozen=True):
+    """A small reply, whole in memory."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+
+
+def write_text(status: http.HTTPStatus, text: str) -> Reply:
+    """Returns a reply of one line."""
+    return Reply(status, [_TEXT], text.encode() + b"\n")
+
+
+def write_json(value: msgspec.Struct) -> Reply:
+    """Returns a reply that gives `value`."""
+    return Reply(http.HTTPStatus.OK, [_JSON], msgspec.json.encode(value))
+
+
+def write_refusal(refusal: errors.Refusal) -> Reply:
+    """Returns a refusal as callers get it."""
+    headers = [_JSON, ("X-Outcome", refusal.outcome.value)]
+    if refusal.retry_after_s is not None:
+        after = max(1, math.ceil(refusal.retry_after_s))
+        headers.append(("Retry-After", str(after)))
+    if refusal.allow:
+        headers.append(("Allow", ", ".join(refusal.allow)))
+    if refusal.status is http.HTTPStatus.UNAUTHORIZED:
+        headers.append(("WWW-Authenticate", "Bearer"))
+    return Reply(refusal.status, headers, errors.write_body(refusal))
+
+
+def write_status(status: int) -> str:
+    """Returns the status as WSGI wants it: the number and its phrase."""
+    try:
+        return f"{status} {http.HTTPStatus(status).phrase}"
+    except ValueError:  # An endpoint may use a number of its own.
+        return f"{status} Unknown"
+
+
+def send_reply(
+    start_response: StartResponse, reply: Reply, method: str, *more: Any
+) -> list[bytes]:
+    """Sends a small reply with its length; `more` is for the server."""
+    headers = [*reply.headers, ("Content-Length", str(len(reply.body)))]
+    start_response(write_status(reply.status), headers, *more)
+    return [] if method == "HEAD" else [reply.body]
--- a/pollenfork/entry/request.py
+++ b/pollenfork/entry/request.py
@@ -2,40 +2,51 @@
 
 from collections.abc import Mapping
 import http
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 import result
 import xxhash
 
-from pollenfork import failures
 from pollenfork import ids
 from pollenfork.entry import errors
 from pollenfork.settings import model
 from pollenfork.settings import snapshot
 
+Environ = Mapping[str, Any]
+
 CLASS_HEADER = "HTTP_X_SERVICE_CLASS"
-KEY_HEADER = "HTTP_IDEMPOTENCY_KEY"
-MAX_KEY_LENGTH = 255
+MAX_HEADERS = 100
+MAX_TARGET_LENGTH = 4096
+_MAX_QUOTED_LENGTH = 64
 _PREFIX_BYTES = 1024
 _BYTES_PER_TOKEN = 4
-_BEARER = "Bearer "
+_BEARER = "bearer "
+
+_Count = Annotated[int, msgspec.Meta(ge=0)]
+_Choices = Annotated[int, msgspec.Meta(ge=1)]
 
 
 class Prompt(msgspec.Struct):
     """The fields of a completion request that the router reads."""
 
     model: str
-    stream: bool = False
+    stream: bool | None = None
     messages: msgspec.Raw = msgspec.Raw()
     prompt: msgspec.Raw = msgspec.Raw()
-    max_tokens: int | None = None
-    max_completion_tokens: int | None = None
+    max_tokens: _Count | None = None
+    max_completion_tokens: _Count | None = None
+    n: _Choices | None = None
+    continue_from: msgspec.Raw = msgspec.Raw()
 
     def read_limit(self) -> int | None:
         """Returns the caller's own bound on the answer's tokens."""
         return self.max_completion_tokens or self.max_tokens
 
+    def read_text(self) -> bytes:
+        """Returns the messages or the prompt, as they stand in the body."""
+        return bytes(self.messages) or bytes(self.prompt)
+
 
 class Identity(msgspec.Struct, frozen=True):
     """Who asks, and in which class."""
@@ -48,40 +59,78 @@
 _PROMPT_DECODER = msgspec.json.Decoder(Prompt)
 
 
-def identify(
-    environ: Mapping[str, Any], lookups: snapshot.Snapshot
-) -> result.Result[Identity, errors.Refusal]:
-    """Returns whose key the request carries and the class it names."""
+def check_head(environ: Environ) -> result.Result[None, errors.Refusal]:
+    """Refuses a request line or headers beyond what a caller needs."""
+    if len(environ.get("REQUEST_URI", "")) > MAX_TARGET_LENGTH:
+        return errors.refuse(
+            http.HTTPStatus.REQUEST_URI_TOO_LONG,
+            errors.Code.TARGET_TOO_LONG,
+            f"The path and query exceed {MAX_TARGET_LENGTH} bytes.",
+        )
+    if sum(name.startswith("HTTP_") for name in environ) > MAX_HEADERS:
+        return errors.refuse(
+            http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+            errors.Code.HEADER_TOO_LONG,
+            f"The request has more than {MAX_HEADERS} headers.",
+            reason="too_many_headers",
+        )
+    return result.Ok(None)
+
+
+def check_method(
+    environ: Environ, allowed: tuple[str, ...]
+) -> result.Result[None, errors.Refusal]:
+    """Refuses a method that the path doesn't have."""
+    method = environ["REQUEST_METHOD"]
+    if method in allowed:
+        return result.Ok(None)
+    return errors.refuse(
+        http.HTTPStatus.METHOD_NOT_ALLOWED,
+        errors.Code.METHOD_NOT_ALLOWED,
+        f"The path takes {', '.join(allowed)}, not {shorten(method)}.",
+        allow=allowed,
+    )
+
+
+def authenticate(
+    environ: Environ, lookups: snapshot.Snapshot
+) -> result.Result[snapshot.Caller, errors.Refusal]:
+    """Returns whose key the request carries."""
     header = environ.get("HTTP_AUTHORIZATION", "")
-    caller = None
-    if header.startswith(_BEARER):
-        caller = lookups.find_caller(header[len(_BEARER) :])
+    scheme, key = header[: len(_BEARER)], header[len(_BEARER) :].strip()
+    if scheme.lower() != _BEARER or not key:
+        return _refuse_key("missing_key", "The key is missing")
+    caller = lookups.find_caller(key)
     if caller is None:
-        return _refuse(
-            http.HTTPStatus.UNAUTHORIZED,
-            errors.Code.WRONG_KEY,
-            "The key is missing or unknown; send Authorization: Bearer KEY.",
-        )
+        return _refuse_key("unknown_key", "The key is unknown")
+    return result.Ok(caller)
+
+
+def choose_class(
+    environ: Environ, caller: snapshot.Caller, lookups: snapshot.Snapshot
+) -> result.Result[Identity, errors.Refusal]:
+    """Returns the class that the caller names, or its account's own."""
     name = ids.ClassName(
         environ.get(CLASS_HEADER) or caller.settings.default_class
     )
     found = lookups.find_class(caller.team, name)
     if found is None or name not in caller.settings.classes:
-        return _refuse(
+        return errors.refuse(
             http.HTTPStatus.FORBIDDEN,
             errors.Code.UNKNOWN_CLASS,
-            f"The account has no class {name!r}; name one it is bound to.",
+            f"The account has no class {shorten(name)!r};"
+            " name one it is bound to in X-Service-Class.",
         )
     return result.Ok(Identity(caller, name, found))
 
 
 def read_body(
-    environ: Mapping[str, Any], limit: int
+    environ: Environ, limit: int
 ) -> result.Result[bytes, errors.Refusal]:
     """Returns the request's body, at most `limit` bytes."""
     length = int(environ.get("CONTENT_LENGTH") or 0)
     if length > limit:
-        return _refuse(
+        return errors.refuse(
             http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
             errors.Code.BODY_TOO_LARGE,
             f"The body has {length} bytes; the limit is {limit}.",
@@ -89,44 +138,82 @@
     return result.Ok(environ["wsgi.input"].read(length) if length else b"")
 
 
-def read_prompt(body: bytes) -> result.Result[Prompt, errors.Refusal]:
+def read_prompt(
+    body: bytes, chat: bool
+) -> result.Result[Prompt, errors.Refusal]:
     """Returns what the router needs of a completion request."""
     try:
+        if not body.isascii():
+            body.decode()
         prompt = _PROMPT_DECODER.decode(body)
     except msgspec.ValidationError as error:
-        return _refuse_bad(errors.Code.BAD_REQUEST, str(error))
+        return _refuse_field(str(error), _find_param(str(error)))
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return _refuse_bad(errors.Code.BAD_JSON, str(error))
-    if not bytes(prompt.messages) and not bytes(prompt.prompt):
-        detail = "The request has neither `messages` nor `prompt`."
-        return _refuse_bad(errors.Code.BAD_REQUEST, detail)
+        return _refuse_json(str(error))
+    except RecursionError:
+        return _refuse_json("The JSON is nested too deeply.")
+    return _check_prompt(prompt, chat)
+
+
+def _check_prompt(
+    prompt: Prompt, chat: bool
+) -> result.Result[Prompt, errors.Refusal]:
+    if chat and not bytes(prompt.messages).startswith(b"["):
+        return _refuse_field("`messages` must be an array.", "messages")
+    if chat and not bytes(prompt.messages)[1:-1].strip():
+        return _refuse_field("`messages` is empty.", "messages")
+    if not chat and not bytes(prompt.prompt).startswith((b'"', b"[")):
+        return _refuse_field("`prompt` must be text or an array.", "prompt")
+    if prompt.stream and prompt.n and prompt.n > 1:
+        return _refuse_field("A stream has one choice: `n` must be 1.", "n")
+    if bytes(prompt.continue_from):
+        return _refuse_field(
+            "`continue_from` is reserved to the router.", "continue_from"
+        )
     return result.Ok(prompt)
 
 
 def hash_prefix(prompt: Prompt) -> int:
     """Returns a hash of the prompt's head, equal for equal heads."""
-    text = bytes(prompt.messages) or bytes(prompt.prompt)
-    return xxhash.xxh3_64_intdigest(text[:_PREFIX_BYTES])
+    return xxhash.xxh3_64_intdigest(prompt.read_text()[:_PREFIX_BYTES])
 
 
 def estimate_tokens(prompt: Prompt) -> int:
     """Returns about how many tokens the prompt has."""
-    text = bytes(prompt.messages) or bytes(prompt.prompt)
-    return len(text) // _BYTES_PER_TOKEN
+    return len(prompt.read_text()) // _BYTES_PER_TOKEN
 
 
-def _refuse_bad(code: errors.Code, detail: str) -> result.Err[errors.Refusal]:
-    return _refuse(http.HTTPStatus.BAD_REQUEST, code, detail)
+def shorten(text: str) -> str:
+    """Returns the caller's text, cut for an error's detail."""
+    if len(text) <= _MAX_QUOTED_LENGTH:
+        return text
+    return text[:_MAX_QUOTED_LENGTH] + "..."
 
 
-def _refuse(
-    status: http.HTTPStatus, code: errors.Code, detail: str
-) -> result.Err[errors.Refusal]:
-    return result.Err(
-        errors.Refusal(
-            status=status,
-            code=code,
-            outcome=failures.Outcome.NOT_RUN,
-            detail=detail,
-        )
+def _find_param(detail: str) -> str | None:
+    """Returns the field in msgspec's `... - at `$.field``."""
+    _, found, path = detail.partition("`$.")
+    return path.rstrip("`") if found else None
+
+
+def _refuse_key(reason: str, detail: str) -> result.Err[errors.Refusal]:
+    return errors.refuse(
+        http.HTTPStatus.UNAUTHORIZED,
+        errors.Code.WRONG_KEY,
+        f"{detail}; send Authorization: Bearer KEY.",
+        reason=reason,
+    )
+
+
+def _refuse_json(detail: str) -> result.Err[errors.Refusal]:
+    status = http.HTTPStatus.BAD_REQUEST
+    return errors.refuse(status, errors.Code.BAD_JSON, detail)
+
+
+def _refuse_field(detail: str, param: str | None) -> result.Err[errors.Refusal]:
+    return errors.refuse(
+        http.HTTPStatus.BAD_REQUEST,
+        errors.Code.BAD_REQUEST,
+        detail,
+        param=param,
     )
--- /dev/null
+++ b/pollenfork/entry/target.py
@@ -0,0 +1,123 @@
+"""What of a caller's request goes on to an endpoint: path and headers."""
+
+import http
+import re
+import urllib.parse
+
+import msgspec
+import result
+
+from pollenfork import ids
+from pollenfork.entry import errors
+from pollenfork.entry import request
+
+_SERVICES = "services"
+_VISIBLE = re.compile(r"[\x21-\x7e]*")
+_HOP_BY_HOP = frozenset(
+    {
+        "CONNECTION",
+        "EXPECT",
+        "KEEP_ALIVE",
+        "PROXY_AUTHENTICATE",
+        "PROXY_AUTHORIZATION",
+        "PROXY_CONNECTION",
+        "TE",
+        "TRAILER",
+        "TRANSFER_ENCODING",
+        "UPGRADE",
+    }
+)
+# The router's own: its key, its class, and what it tells endpoints itself.
+# The relay reads answers as they are, so it asks for no coding of them.
+_OWN = frozenset(
+    {
+        "ACCEPT_ENCODING",
+        "AUTHORIZATION",
+        "HOST",
+        "X_PRIORITY",
+        "X_REQUEST_ID",
+        "X_SERVICE_CLASS",
+    }
+)
+_KEY = frozenset({"IDEMPOTENCY_KEY"})
+
+
+class Target(msgspec.Struct, frozen=True):
+    """A service and the path there, with its query."""
+
+    service: ids.ServiceName
+    path: str
+
+
+def read_service(
+    environ: request.Environ,
+) -> result.Result[Target, errors.Refusal]:
+    """Returns where a call to `/services/{service}/{path}` goes.
+
+    The service sees what follows its own name, exactly as the caller wrote
+    it: percent-encoding stays.
+    """
+    path, _, query = _read_raw(environ).partition("?")
+    _, root, name, rest = [*path.split("/", 3), "", ""][:4]
+    if urllib.parse.unquote(root) != _SERVICES:
+        return errors.refuse(
+            http.HTTPStatus.NOT_FOUND,
+            errors.Code.UNKNOWN_PATH,
+            "There is nothing at this path; see docs/http.md.",
+        )
+    if not _VISIBLE.fullmatch(path + query) or _has_dots(rest):
+        return errors.refuse(
+            http.HTTPStatus.BAD_REQUEST,
+            errors.Code.BAD_REQUEST,
+            "The path has dot segments, or characters to be percent-encoded.",
+        )
+    target = f"/{rest}?{query}" if query else f"/{rest}"
+    service = ids.ServiceName(urllib.parse.unquote(name))
+    return result.Ok(Target(service, target))
+
+
+def list_engine_headers(
+    environ: request.Environ,
+) -> tuple[tuple[str, str], ...]:
+    """Returns the headers that go on to an engine."""
+    return _list_headers(environ, _HOP_BY_HOP | _OWN | _KEY)
+
+
+def list_service_headers(
+    environ: request.Environ,
+) -> tuple[tuple[str, str], ...]:
+    """Returns the headers that go on to a service."""
+    return _list_headers(environ, _HOP_BY_HOP | _OWN)
+
+
+def _list_headers(
+    environ: request.Environ, dropped: frozenset[str]
+) -> tuple[tuple[str, str], ...]:
+    connection = environ.get("HTTP_CONNECTION", "")
+    named = {
+        name.strip().upper().replace("-", "_") for name in connection.split(",")
+    }
+    headers = [
+        (name[5:].replace("_", "-").title(), value)
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+        and name[5:] not in dropped
+        and name[5:] not in named
+    ]
+    if environ.get("CONTENT_TYPE"):
+        headers.append(("Content-Type", environ["CONTENT_TYPE"]))
+    return tuple(headers)
+
+
+def _read_raw(environ: request.Environ) -> str:
+    """Returns the request target without scheme, host and fragment."""
+    target: str = environ["REQUEST_URI"].partition("#")[0]
+    if not target.startswith("/"):
+        parts = urllib.parse.urlsplit(target)
+        target = f"{parts.path}?{parts.query}" if parts.query else parts.path
+    return "/" + target.lstrip("/")
+
+
+def _has_dots(path: str) -> bool:
+    segments = urllib.parse.unquote(path).split("/")
+    return "." in segments or ".." in segments
--- /dev/null
+++ b/pollenfork/entry/tests/test_journal.py
@@ -0,0 +1,63 @@
+"""What is counted of a request, and that labels stay bounded."""
+
+from pollenfork import clock
+from pollenfork import ids
+from pollenfork import metrics
+from pollenfork.entry import journal
+
+
+def read_samples(counters: metrics.Metrics) -> dict[str, str]:
+    lines = counters.render()[0].decode().splitlines()
+    return dict(
+        line.rsplit(" ", 1) for line in lines if not line.startswith("#")
+    )
+
+
+def test_times_count_from_the_arrival() -> None:
+    now = clock.ManualClock()
+    counters = metrics.Metrics()
+    record = journal.Journal(counters, now, lambda: "r").begin()
+    record.team = ids.Team("linework")
+    record.service_class = ids.ClassName("morning")
+    now.advance(0.2)
+    record.note_granted(ids.EndpointId("runner-1"))
+    now.advance(0.5)
+    record.note_first()
+    now.advance(8)
+    record.note_end(200, ended=True)
+    samples = read_samples(counters)
+    labels = '{service_class="morning",team="linework"}'
+    sums = {
+        name: float(samples[f"pollenfork_{name}_seconds_sum{labels}"])
+        for name in ("request_wait", "first_token", "answer")
+    }
+    assert sums == {
+        "request_wait": 0.2,
+        "first_token": 0.7,
+        "answer": 8.7,
+    }
+
+
+def test_answer_given_up_by_its_caller_has_no_whole_time() -> None:
+    counters = metrics.Metrics()
+    record = journal.Journal(counters, clock.ManualClock(), lambda: "r").begin()
+    record.note_end(200, ended=False)
+    samples = read_samples(counters)
+    assert list(samples) == [
+        'pollenfork_answers_total{end="caller_gone",service_class="",'
+        'status="2xx",team=""}'
+    ]
+
+
+def test_series_of_a_metric_are_bounded() -> None:
+    counters = metrics.Metrics()
+    for _ in range(2):
+        for number in range(metrics.MAX_SERIES + 5):
+            counters.count("pollenfork_refusals_total", team=str(number))
+    samples = read_samples(counters)
+    name = "pollenfork_refusals_total"
+    assert samples.pop(f'{name}{{team="other"}}') == "10"
+    dropped = f'pollenfork_series_dropped_total{{metric="{name}"}}'
+    assert samples.pop(dropped) == "10"
+    assert set(samples.values()) == {"2"}
+    assert len(samples) == metrics.MAX_SERIES
--- a/pollenfork/entry/work.py
+++ b/pollenfork/entry/work.py
@@ -3,10 +3,7 @@
 from collections.abc import Mapping
 import concurrent.futures
 import http
-import logging
-import math
-from typing import Any, Protocol
-import uuid
+from typing import Protocol
 
 import result
 
@@ -19,20 +16,26 @@
 from pollenfork.answers import session
 from pollenfork.dispatch import messages as dispatch_messages
 from pollenfork.entry import errors
+from pollenfork.entry import journal
 from pollenfork.entry import request
+from pollenfork.entry import target
 from pollenfork.settings import model
 from pollenfork.settings import snapshot
 
-_LOG = logging.getLogger(__name__)
-
 _CHECK_CALLER_S = 0.25
 _MS = 1000
-_SERVICES = "/services/"
-_DROPPED_HEADERS = frozenset(
-    {"AUTHORIZATION", "HOST", "CONNECTION", "X_SERVICE_CLASS", "TE"}
+_CHAT = "/v1/chat/completions"
+_NO_METHODS = frozenset({"CONNECT", "TRACE"})
+_SERVICE_METHODS = (
+    "GET",
+    "HEAD",
+    "POST",
+    "PUT",
+    "PATCH",
+    "DELETE",
+    "OPTIONS",
 )
 
-Environ = Mapping[str, Any]
 Served = result.Result[session.Answer, errors.Refusal]
 
 
@@ -62,58 +65,106 @@
         self._clock = now
         self._body_limit = body_limit
 
-    def complete(self, environ: Environ, lookups: snapshot.Snapshot) -> Served:
+    def complete(
+        self,
+        environ: request.Environ,
+        lookups: snapshot.Snapshot,
+        record: journal.Record,
+    ) -> Served:
         """Serves a completion by a model runner."""
-        identified = request.identify(environ, lookups)
+        identified = self._identify(environ, lookups, record)
         if identified.is_err():
             return result.Err(identified.unwrap_err())
         read = request.read_body(environ, self._body_limit)
         if read.is_err():
             return result.Err(read.unwrap_err())
-        parsed = request.read_prompt(read.unwrap())
+        chat = environ["PATH_INFO"] == _CHAT
+        parsed = request.read_prompt(read.unwrap(), chat)
         if parsed.is_err():
             return result.Err(parsed.unwrap_err())
         prompt = parsed.unwrap()
         if prompt.model not in list_models(lookups.tree.root.endpoints):
-            return _refuse(
-                http.HTTPStatus.NOT_FOUND,
-                errors.Code.UNKNOWN_MODEL,
-                f"No endpoint has the model {prompt.model!r}.",
-            )
-        ask = self._make_ask(identified.unwrap(), lookups, prompt=prompt)
-        return self._run(environ, ask, read.unwrap(), prompt.stream)
+            return refuse_model(prompt.model)
+        identity = identified.unwrap()
+        ask = self._make_ask(identity, lookups, record, prompt=prompt)
+        call = answer_messages.Call(
+            request=ask.request,
+            method="POST",
+            path=environ["PATH_INFO"],
+            headers=target.list_engine_headers(environ),
+            body=read.unwrap(),
+            streamed=bool(prompt.stream),
+            idempotent=True,
+            first_token_due=ask.first_token_due,
+            give_up_at=ask.give_up_at,
+        )
+        return self._run(environ, ask, call, record)
 
     def call_service(
-        self, environ: Environ, lookups: snapshot.Snapshot
+        self,
+        environ: request.Environ,
+        lookups: snapshot.Snapshot,
+        record: journal.Record,
     ) -> Served:
         """Passes a call on to a plain service."""
-        identified = request.identify(environ, lookups)
+        method = environ["REQUEST_METHOD"]
+        if method in _NO_METHODS:
+            refused = request.check_method(environ, _SERVICE_METHODS)
+            return result.Err(refused.unwrap_err())
+        located = target.read_service(environ)
+        if located.is_err():
+            return result.Err(located.unwrap_err())
+        identified = self._identify(environ, lookups, record)
         if identified.is_err():
             return result.Err(identified.unwrap_err())
-        name = environ["PATH_INFO"][len(_SERVICES) :].partition("/")[0]
-        service = lookups.tree.root.services.get(ids.ServiceName(name))
+        place = located.unwrap()
+        service = lookups.tree.root.services.get(place.service)
         if service is None:
-            return _refuse(
-                http.HTTPStatus.NOT_FOUND,
-                errors.Code.UNKNOWN_SERVICE,
-                f"There is no service {name!r}.",
-            )
+            return _refuse_service(place.service)
         read = request.read_body(environ, self._body_limit)
         if read.is_err():
             return result.Err(read.unwrap_err())
-        repeatable = environ["REQUEST_METHOD"] in service.repeatable_methods
         ask = self._make_ask(
             identified.unwrap(),
             lookups,
-            service=ids.ServiceName(name),
-            idempotent=repeatable,
+            record,
+            service=place.service,
+            idempotent=method in service.repeatable_methods,
         )
-        return self._run(environ, ask, read.unwrap(), streamed=False)
+        call = answer_messages.Call(
+            request=ask.request,
+            method=method,
+            path=place.path,
+            headers=target.list_service_headers(environ),
+            body=read.unwrap(),
+            streamed=False,
+            idempotent=ask.idempotent,
+            first_token_due=ask.first_token_due,
+            give_up_at=ask.give_up_at,
+        )
+        return self._run(environ, ask, call, record)
+
+    def _identify(
+        self,
+        environ: request.Environ,
+        lookups: snapshot.Snapshot,
+        record: journal.Record,
+    ) -> result.Result[request.Identity, errors.Refusal]:
+        authenticated = request.authenticate(environ, lookups)
+        if authenticated.is_err():
+            return result.Err(authenticated.unwrap_err())
+        caller = authenticated.unwrap()
+        record.note_caller(caller)
+        chosen = request.choose_class(environ, caller, lookups)
+        if chosen.is_ok():
+            record.service_class = chosen.unwrap().class_name
+        return chosen
 
     def _make_ask(
         self,
         identity: request.Identity,
         lookups: snapshot.Snapshot,
+        record: journal.Record,
         prompt: request.Prompt | None = None,
         service: ids.ServiceName | None = None,
         idempotent: bool = True,
@@ -123,7 +174,7 @@
         caller = identity.caller
         target_s = chosen.target_first_token_ms / _MS
         return admission_messages.Ask(
-            request=ids.RequestId(uuid.uuid4().hex),
+            request=record.request,
             team=caller.team,
             account=caller.account,
             class_name=identity.class_name,
@@ -149,33 +200,15 @@
 
     def _run(
         self,
-        environ: Environ,
+        environ: request.Environ,
         ask: admission_messages.Ask,
-        body: bytes,
-        streamed: bool,
+        call: answer_messages.Call,
+        record: journal.Record,
     ) -> Served:
         decision = self._wait_for_slot(environ, ask)
         if isinstance(decision, admission_messages.Refused):
             return result.Err(errors.describe_refused(decision))
-        _LOG.info(
-            "event=granted request=%s class=%s tier=%d endpoint=%s wait_ms=%d",
-            ask.request,
-            ask.class_name,
-            ask.tier,
-            decision.endpoint,
-            math.floor((self._clock.monotonic() - ask.arrived) * _MS),
-        )
-        call = answer_messages.Call(
-            request=ask.request,
-            method=environ["REQUEST_METHOD"],
-            path=_write_target(environ),
-            headers=_list_headers(environ),
-            body=body,
-            streamed=streamed,
-            idempotent=ask.idempotent,
-            first_token_due=ask.first_token_due,
-            give_up_at=ask.give_up_at,
-        )
+        record.note_granted(decision.endpoint)
         opened = self._relay.open(call, decision)
         if opened.is_err():
             self._close(ask)
@@ -183,7 +216,7 @@
         return result.Ok(opened.unwrap())
 
     def _wait_for_slot(
-        self, environ: Environ, ask: admission_messages.Ask
+        self, environ: request.Environ, ask: admission_messages.Ask
     ) -> dispatch_messages.Grant | admission_messages.Refused:
         pending = self._slots.submit(ask)
         is_gone = environ.get("waitress.client_disconnected", lambda: False)
@@ -214,23 +247,6 @@
     return sorted(names)
 
 
-def _write_target(environ: Environ) -> str:
-    query = environ.get("QUERY_STRING", "")
-    path: str = environ["PATH_INFO"]
-    return f"{path}?{query}" if query else path
-
-
-def _list_headers(environ: Environ) -> tuple[tuple[str, str], ...]:
-    headers = [
-        (name[5:].replace("_", "-").title(), value)
-        for name, value in environ.items()
-        if name.startswith("HTTP_") and name[5:] not in _DROPPED_HEADERS
-    ]
-    if environ.get("CONTENT_TYPE"):
-        headers.append(("Content-Type", environ["CONTENT_TYPE"]))
-    return tuple(headers)
-
-
 def _describe_failure(failure: answer_errors.AnswerFailure) -> errors.Refusal:
     not_run = failure.outcome is failures.Outcome.NOT_RUN
     said = "was not run" if not_run else "may have run"
@@ -243,7 +259,20 @@
     )
 
 
-def _refuse(
-    status: http.HTTPStatus, code: errors.Code, detail: str
-) -> result.Err[errors.Refusal]:
-    return result.Err(errors.Refusal(status=status, code=code, detail=detail))
+def refuse_model(name: str) -> result.Err[errors.Refusal]:
+    """Returns the refusal of a model that no endpoint has."""
+    return errors.refuse(
+        http.HTTPStatus.NOT_FOUND,
+        errors.Code.UNKNOWN_MODEL,
+        f"No endpoint has the model {request.shorten(name)!r};"
+        " GET /v1/models lists them.",
+        param="model",
+    )
+
+
+def _refuse_service(name: str) -> result.Err[errors.Refusal]:
+    return errors.refuse(
+        http.HTTPStatus.NOT_FOUND,
+        errors.Code.UNKNOWN_SERVICE,
+        f"There is no service {request.shorten(name)!r}.",
+    )
--- /dev/null
+++ b/pollenfork/metric_help.py
@@ -0,0 +1,22 @@
+"""What each metric says, as scrapes show it."""
+
+HELP = {
+    "pollenfork_answers_total": (
+        "Answers passed on to callers, by how the passing on ended."
+    ),
+    "pollenfork_answer_seconds": (
+        "Time from a request's arrival to its answer's last byte."
+    ),
+    "pollenfork_first_token_seconds": (
+        "Time from a request's arrival to its answer's first byte."
+    ),
+    "pollenfork_refusals_total": (
+        "Requests that got an error of the router's own instead of an answer."
+    ),
+    "pollenfork_request_wait_seconds": (
+        "Time from a request's arrival to its grant of an endpoint."
+    ),
+    "pollenfork_series_dropped_total": (
+        "Samples counted under `other`, as their metric has too many series."
+    ),
+}
