Refuse in the error shape what the server itself refuses

waitress answers malformed heads, too long headers, bodies over its limit and failures of the application by itself, in plain text and uncounted. Its error task is replaced by RefusalTask, which asks the front for the refusal.

--- /dev/null
+++ b/pollenfork/entry/refusal_task.py
@@ -0,0 +1,65 @@
+"""What the server refuses before the application: typed like the rest."""
+
+from collections.abc import Callable
+import http
+from typing import Any
+
+import waitress.task
+import waitress.utilities
+
+from pollenfork import failures
+from pollenfork.entry import errors
+from pollenfork.entry import replies
+
+Refuse = Callable[[errors.Refusal], replies.Reply]
+
+
+class RequestTooSlow(waitress.utilities.BadRequest):
+    """The request didn't arrive whole in time."""
+
+    code = http.HTTPStatus.REQUEST_TIMEOUT
+    reason = http.HTTPStatus.REQUEST_TIMEOUT.phrase
+
+
+_CODES: dict[int, errors.Code] = {
+    http.HTTPStatus.BAD_REQUEST: errors.Code.MALFORMED_REQUEST,
+    http.HTTPStatus.REQUEST_TIMEOUT: errors.Code.REQUEST_TOO_SLOW,
+    http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE: errors.Code.BODY_TOO_LARGE,
+    http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE: (
+        errors.Code.HEADER_TOO_LONG
+    ),
+    http.HTTPStatus.NOT_IMPLEMENTED: errors.Code.NOT_IMPLEMENTED,
+}
+
+
+class RefusalTask(waitress.task.ErrorTask):
+    """Answers a request that never reaches the application.
+
+    The server has to have a method `refuse` of the type `Refuse`.
+    """
+
+    def execute(self) -> None:
+        """Writes the refusal and ends the connection."""
+        refusal = describe_error(self.request.error)
+        reply = self.channel.server.refuse(refusal)
+        self.status = replies.write_status(reply.status)
+        self.response_headers.extend(reply.headers)
+        self.set_close_on_finish()
+        self.channel.refused = True
+        self.content_length = len(reply.body)
+        self.write(reply.body)
+
+
+def describe_error(error: Any) -> errors.Refusal:
+    """Returns the refusal for an error of waitress's."""
+    status = http.HTTPStatus(int(error.code))
+    code = _CODES.get(status)
+    if code:
+        detail = f"{status.phrase}: {error.body}. The request was not run."
+        return errors.Refusal(status=status, code=code, detail=detail)
+    return errors.Refusal(
+        status=http.HTTPStatus.INTERNAL_SERVER_ERROR,
+        code=errors.Code.INTERNAL_ERROR,
+        outcome=failures.Outcome.UNKNOWN,
+        detail="The router failed; whether the request ran is not known.",
+    )
