--- a/benchmarks/relay_servers.py
+++ b/benchmarks/relay_servers.py
@@ -17,7 +17,9 @@
 from pollenfork.answers import messages
 from pollenfork.answers import session
 from pollenfork.dispatch import messages as dispatch_messages
+from pollenfork.entry import replies
 from pollenfork.entry import server as entry_server
+from pollenfork.entry import work
 
 _HOST = "127.0.0.1"
 _PATH = "/v1/chat/completions"
@@ -106,7 +108,7 @@
             endpoint=ids.EndpointId("engine"),
             address=f"{_HOST}:{engine}",
         )
-        caller = environ[entry_server.CALLER]
+        caller = environ[work.CALLER]
         opened = relay.open(call, grant, caller).unwrap()
         start_response(f"{opened.status} OK", opened.headers)
         return opened.chunks
@@ -118,7 +120,9 @@
         peer_listen="",
         platform="",
     )
-    server = entry_server.create_server(answer, settings)
+    server = entry_server.create_server(
+        answer, settings, replies.write_refusal, clock.SystemClock()
+    )
     _announce(int(server.effective_port))
     server.run()
 
--- a/pollenfork/application.py
+++ b/pollenfork/application.py
@@ -56,6 +56,7 @@
             self._fetch_settings,
         )
         self.settings.subscribe(self._apply_tree)
+        self._in_force = threading.Event()
         self._relay = session.Relay(self._scheduler, now)
         worker = work.Worker(
             self._scheduler, self._relay, now, settings.body_limit
@@ -66,6 +67,7 @@
             self.settings.read_lookups,
             self.is_ready,
             None,
+            now,
         )
         self._server: server.Server | None = None
         self._thread: threading.Thread | None = None
@@ -83,7 +85,9 @@
         self._relay.start()
         self.settings.start()
         self._timers.start()
-        self._server = server.create_server(self._front, self._config)
+        self._server = server.create_server(
+            self._front, self._config, self._front.write_refusal, self._clock
+        )
         self._thread = threading.Thread(
             target=self._server.run, name="server", daemon=True
         )
@@ -124,7 +128,7 @@
         """Stops every part, the newest first."""
         self._stopping.set()
         if self._server:
-            self._server.close()
+            self._server.stop()
         self._relay.stop()
         self._scheduler.stop()
         self.settings.stop()
@@ -136,8 +140,13 @@
         in_force = self.settings.read_lookups() is not None
         return in_force and not self._stopping.is_set()
 
+    def wait_until_ready(self, timeout_s: float) -> bool:
+        """Returns True once settings are in force, False at the timeout."""
+        return self._in_force.wait(timeout_s)
+
     def _apply_tree(self, message: settings_messages.TreeInForce) -> None:
         self._scheduler.report(message)
+        self._in_force.set()
 
     def _fetch_settings(
         self, peer: ids.InstanceId
