--- a/pollenfork/cli/trial.py
+++ b/pollenfork/cli/trial.py
@@ -14,7 +14,10 @@
 from pollenfork.cli import loading
 from pollenfork.cli import sample
 from pollenfork.cli import signals
+from pollenfork.platform import client
 from pollenfork.platform import edges
+from pollenfork.settings import first
+from pollenfork.settings import model
 from pollenfork.standin import service
 from pollenfork.standin.engine import config as engine_configs
 from pollenfork.standin.engine import front as engine_front
@@ -27,6 +30,7 @@
 _LISTEN = "127.0.0.1:0"
 _STREAMS = 100
 _WAITING = 100
+_READY_S = 10.0
 
 
 class System:
@@ -54,9 +58,10 @@
             serving = self._start_standin(standin)
             tree = sample.make_tree(engines, [serving])
             platform = self._start_platform(tree)
+            self._write_tree(platform, tree)
             entries = [self._start_entry(i, platform) for i in range(_ENTRIES)]
             for app in entries:
-                app.apply_tree(tree)
+                app.wait_until_ready(_READY_S)
             self._started = started.pop_all()
         self.engines = [f"http://{address}" for address in engines]
         self.entries = [f"http://{app.address}" for app in entries]
@@ -103,6 +108,10 @@
             platform_front.PlatformStandin(settings, self._clock)
         )
 
+    def _write_tree(self, platform: str, tree: model.Tree) -> None:
+        table = client.HttpTable(client.Channel(platform))
+        first.write_tree(table, tree, self._clock).unwrap()
+
     def _start_entry(
         self, number: int, platform: str
     ) -> application.Application:
--- a/pollenfork/entry/server.py
+++ b/pollenfork/entry/server.py
@@ -7,24 +7,24 @@
 """
 
 from collections.abc import Callable, Iterable
-import logging
 import socket
+import threading
 from typing import Any
 
 import msgspec
-import waitress.adjustments
 import waitress.channel
-import waitress.server
 import waitress.task
 
+from pollenfork import clock
 from pollenfork import config
 from pollenfork import ids
 from pollenfork.admission import messages as admission_messages
 from pollenfork.entry import errors
+from pollenfork.entry import listener
+from pollenfork.entry import refusal_task
+from pollenfork.entry import replies
+from pollenfork.entry import work
 
-CALLER = "pollenfork.caller"
-
-_LOG = logging.getLogger(__name__)
 _ACCEPTS = 64
 _CONTROL_THREADS = 4
 _REFUSING_THREADS = 2
@@ -35,7 +35,7 @@
 App = Callable[[dict[str, Any], Any], Iterable[bytes]]
 
 
-class Channel(waitress.channel.HTTPChannel):
+class Channel(listener.Channel):
     """One caller's connection; also what the relay knows of the caller."""
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
@@ -98,32 +98,13 @@
     def get_environment(self) -> dict[str, Any]:
         """Returns the WSGI environment with the caller's connection."""
         environ: dict[str, Any] = super().get_environment()
-        environ[CALLER] = self.channel
+        environ[work.CALLER] = self.channel
         return environ
 
 
 Channel.task_class = _Task
 
 
-class _InstanceFull:
-    """The error of a request that finds every worker busy."""
-
-    def to_response(
-        self, ident: str | None = None
-    ) -> tuple[str, list[tuple[str, str]], bytes]:
-        """Returns status, headers and body, as waitress asks for them."""
-        del ident
-        body = errors.write_body(_describe_full())
-        return "503 Service Unavailable", _FULL_HEADERS, body
-
-
-_FULL_HEADERS = [
-    ("Content-Type", "application/json"),
-    ("X-Outcome", "not_run"),
-    ("Retry-After", "1"),
-]
-
-
 def _describe_full() -> errors.Refusal:
     refused = admission_messages.Refused(
         request=ids.RequestId(""),
@@ -145,7 +126,7 @@
     overflow: int = 0
 
 
-class Server(waitress.server.TcpWSGIServer):
+class Server(listener.Listener):
     """Never lets a caller wait unseen: beyond its limits it refuses."""
 
     channel_class = Channel
@@ -163,12 +144,9 @@
             self._refusing.add_task(task)
         elif not parsed.path.startswith(_WORK):
             self._control.add_task(task)
-        elif _has_idle(self.task_dispatcher):
-            self.task_dispatcher.add_task(task)
-        else:
+        elif not self.task_dispatcher.offer(task):
             self.counters.full += 1
-            _LOG.warning("event=refused reason=instance_full outcome=not_run")
-            parsed.error = _InstanceFull()
+            parsed.error = refusal_task.Refused(_describe_full())
             self._refusing.add_task(task)
 
     def readable(self) -> bool:
@@ -191,37 +169,51 @@
                 self, connection, address, self.adj, map=self._map
             )
 
-    def close(self) -> None:
-        """Stops listening and ends the idle workers."""
-        super().close()
-        for workers in (self._control, self._refusing):
+    def stop(self) -> None:
+        """Ends every connection, and the workers once they are idle."""
+        super().stop()
+        for workers in (self.task_dispatcher, self._control, self._refusing):
             workers.set_thread_count(0)
 
     def _refuse(self, connection: socket.socket) -> None:
         self.counters.overflow += 1
-        body = errors.write_body(_describe_full())
+        reply = self.refuse(_describe_full())
+        length = ("Content-Length", str(len(reply.body)))
         head = "".join(
             f"{name}: {value}\r\n"
-            for name, value in (
-                *_FULL_HEADERS,
-                ("Content-Length", str(len(body))),
-                ("Connection", "close"),
-            )
+            for name, value in (*reply.headers, length, ("Connection", "close"))
         )
-        reply = f"HTTP/1.1 503 Service Unavailable\r\n{head}\r\n".encode()
+        status = replies.write_status(reply.status)
+        written = f"HTTP/1.1 {status}\r\n{head}\r\n".encode() + reply.body
         with connection:
             connection.setblocking(False)
             try:
-                connection.send(reply + body)
+                connection.send(written)
                 connection.shutdown(socket.SHUT_WR)
             except OSError:
                 return
 
 
-def create_server(app: App, settings: config.EntryConfig) -> Server:
-    """Returns a server that has a worker for each caller it admits."""
+def create_server(
+    app: App,
+    settings: config.EntryConfig,
+    refuse: refusal_task.Refuse,
+    now: clock.Clock,
+) -> Server:
+    """Returns a server that has a worker for each caller it admits.
+
+    Args:
+        app: The WSGI application.
+        settings: Address and limits.
+        refuse: Counts a refusal and returns the reply to it.
+        now: The clock.
+    """
     workers = settings.streams + settings.waiting
-    adjustments = waitress.adjustments.Adjustments(
+    return Server(
+        _attach_relay(app),
+        refuse,
+        now,
+        dispatcher=_start_workers(workers),
         listen=settings.listen,
         threads=workers,
         connection_limit=workers + _SPARE_CONNECTIONS,
@@ -231,13 +223,6 @@
         asyncore_use_poll=True,
         ident=None,
     )
-    return Server(
-        _attach_relay(app),
-        map={},
-        dispatcher=_start_workers(workers),
-        adj=adjustments,
-        sockinfo=adjustments.listen[0],
-    )
 
 
 def _attach_relay(app: App) -> App:
@@ -260,13 +245,63 @@
     return serve
 
 
-def _start_workers(count: int) -> waitress.task.ThreadedTaskDispatcher:
-    workers = waitress.task.ThreadedTaskDispatcher()
-    workers.set_thread_count(count)
-    return workers
+class Workers(waitress.task.ThreadedTaskDispatcher):
+    """Worker threads that take no more tasks than there are threads.
 
+    waitress' own count of active threads includes those that are still
+    starting, so it can't tell whether one is free.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._taken = 0
+        # Not the dispatcher's lock: it cancels tasks while it holds that.
+        self._free = threading.Condition()
+
+    def offer(self, task: Any) -> bool:
+        """Takes the task and returns True, or False where all are busy."""
+        with self._free:
+            if self._taken >= len(self.threads):
+                return False
+            self._taken += 1
+        self.add_task(_Counted(task, self._leave))
+        return True
+
+    def wait_until_free(self) -> None:
+        """Returns once no task is taken."""
+        with self._free:
+            self._free.wait_for(lambda: not self._taken)
+
+    def _leave(self) -> None:
+        with self._free:
+            self._taken -= 1
+            if not self._taken:
+                self._free.notify_all()
+
+
+class _Counted:
+    """A task that tells when it has ended."""
+
+    def __init__(self, task: Any, on_end: Callable[[], None]) -> None:
+        self._task = task
+        self._on_end = on_end
+
+    def service(self) -> None:
+        """Serves the task."""
+        try:
+            self._task.service()
+        finally:
+            self._on_end()
 
-def _has_idle(workers: waitress.task.ThreadedTaskDispatcher) -> bool:
-    with workers.lock:
-        busy = workers.active_count + len(workers.queue)
-        return busy < len(workers.threads)
+    def cancel(self) -> None:
+        """Cancels the task."""
+        try:
+            self._task.cancel()
+        finally:
+            self._on_end()
+
+
+def _start_workers(count: int) -> Workers:
+    workers = Workers()
+    workers.set_thread_count(count)
+    return workers
