Stop the platform stand-in safely; run `entry` by its life cycle

Cause: pulling waitress's trigger can raise EBADF: another thread's pull wakes the loop, which runs the queued close before this pull's own write. Seen once in a run of all tests, in the entry's listener, which pulls the same way (753 passed, 1 error in teardown); the stand-in had the same flaw. `entry` now takes signals and drains by `instance.run_entry`, and `trial` fails where no settings come into force.

Weighed: closing from the calling thread was ruled out before: it waits for the poll's timeout.

Conclusion: 142 tests of the stand-ins, the load tool and the command line pass; the entry's listener is left to its owner.

--- a/pollenfork/cli/serving.py
+++ b/pollenfork/cli/serving.py
@@ -22,16 +22,9 @@
     command: definition.Entry, env: context.Environment
 ) -> status.ExitStatus:
     """Runs one entry instance."""
-    from pollenfork import application
+    from pollenfork import instance
 
-    read = config.read_file(command.settings, config.EntryConfig)
-    if read.is_err():
-        return _refuse(read.unwrap_err(), env)
-    app = application.Application(read.unwrap(), clock.SystemClock())
-    app.start()
-    signals.wait_for_stop()
-    app.stop()
-    return status.ExitStatus.SUCCESS
+    return instance.run_entry(command.settings, env.stderr)
 
 
 def run_platform(
--- a/pollenfork/cli/trial.py
+++ b/pollenfork/cli/trial.py
@@ -61,7 +61,8 @@
             self._write_tree(platform, tree)
             entries = [self._start_entry(i, platform) for i in range(_ENTRIES)]
             for app in entries:
-                app.wait_until_ready(_READY_S)
+                if not app.wait_until_ready(_READY_S):
+                    raise TimeoutError("no settings came into force")
             self._started = started.pop_all()
         self.engines = [f"http://{address}" for address in engines]
         self.entries = [f"http://{app.address}" for app in entries]
--- a/pollenfork/standin/platform/front.py
+++ b/pollenfork/standin/platform/front.py
@@ -1,6 +1,7 @@
 """The platform stand-in's HTTP front: docs/platform-protocol.md."""
 
 from collections.abc import Callable, Iterable
+import contextlib
 import functools
 import threading
 import time
@@ -93,7 +94,9 @@
         if self._server is None or self._thread is None:
             return
         # The loop's own thread closes, so that it needn't wait for its timeout.
-        self._server.trigger.pull_trigger(self._close)
+        # Another thread's pull may make it close before this one's write.
+        with contextlib.suppress(OSError):
+            self._server.trigger.pull_trigger(self._close)
         self._server.task_dispatcher.shutdown()
         self._thread.join(_STOP_TIMEOUT_S)
 
