Run keyed requests through the ledger

Cause: the ledger stood beside the path. A request with an Idempotency-Key is claimed before it waits for a slot, sent only while its claim holds, and its ending is recorded before the chunk that makes the answer whole is handed over. Its run doesn't end with its caller, so the repeat gets the answer. Accounts of one name in two teams have key spaces of their own.

Tried first: one chunk of look-ahead, so that the record came before the last one; every chunk then came one gap late (the test of the caller who goes away hung on its first token). Now only the finishing chunk waits.

--- a/pollenfork/answers/session.py
+++ b/pollenfork/answers/session.py
@@ -1,5 +1,8 @@
 """Relay of answers from their endpoints to the callers."""
 
+from collections.abc import Iterator
+from typing import Protocol
+
 import result
 
 from pollenfork import clock
@@ -33,6 +36,23 @@
 )
 
 
+class Chunks(Protocol):
+    """The body of an answer; closing it means that the caller is gone."""
+
+    @property
+    def failed(self) -> bool:
+        """Whether the last bytes were an error event."""
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Returns itself."""
+
+    def __next__(self) -> bytes:
+        """Returns the next bytes."""
+
+    def close(self) -> None:
+        """Ends the answer."""
+
+
 class Answer:
     """An answer whose first bytes are there.
 
@@ -46,7 +66,7 @@
         self,
         status: int,
         headers: list[tuple[str, str]],
-        chunks: stream.Chunks,
+        chunks: Chunks,
     ) -> None:
         self.status = status
         self.headers = headers
--- a/pollenfork/answers/stream.py
+++ b/pollenfork/answers/stream.py
@@ -10,7 +10,11 @@
 
 
 class Chunks(Iterator[bytes]):
-    """The answer's bytes; closing it before the end cancels the attempt."""
+    """The answer's bytes; closing it before the end cancels the attempt.
+
+    Attributes:
+        failed: The last bytes were an error event: the answer isn't whole.
+    """
 
     def __init__(
         self, attempts: attempt.Attempts, first: bytes, whole: bool
@@ -20,6 +24,7 @@
         self._whole = whole
         self._whole_tokens = _count_tokens(first) if whole else None
         self._ended = False
+        self.failed = False
         self._write: Callable[[bytes], object] | None = None
 
     def attach(self, write: Callable[[bytes], object]) -> None:
@@ -65,6 +70,7 @@
         if recovered.is_ok():
             return b""
         self._ended = True
+        self.failed = True
         return write_error_event(recovered.unwrap_err())
 
     def _move(self) -> bytes | errors.Cause:
--- a/pollenfork/application.py
+++ b/pollenfork/application.py
@@ -5,20 +5,25 @@
 import random
 import threading
 import time
+import uuid
 
 import result
 
 from pollenfork import clock
 from pollenfork import config
 from pollenfork import failures
+from pollenfork import housekeeping
 from pollenfork import ids
 from pollenfork import metrics
 from pollenfork import scheduler
 from pollenfork import timers
 from pollenfork.answers import session
 from pollenfork.entry import front
+from pollenfork.entry import keyed
 from pollenfork.entry import server
 from pollenfork.entry import work
+from pollenfork.ledger import claiming
+from pollenfork.ledger import ledger
 from pollenfork.platform import client
 from pollenfork.platform import policy
 from pollenfork.settings import actor as settings_actor
@@ -27,18 +32,32 @@
 _LOG = logging.getLogger(__name__)
 
 _STOP_POLL_S = 0.1
+_HOUSEKEEPING_S = 5.0
+_SWEPT_AT_ONCE = 50
 
 
 class NoPeer(failures.Failure, frozen=True, kw_only=True):
     """The peer isn't known."""
 
 
+class _UnknownOwners:
+    """Knows of no owner's end: records close by their age."""
+
+    def is_gone(
+        self, instance: ids.InstanceId, incarnation: ids.Incarnation
+    ) -> bool:
+        """Returns False."""
+        del instance, incarnation
+        return False
+
+
 class Application:
     """The life of one entry instance."""
 
     def __init__(self, settings: config.EntryConfig, now: clock.Clock) -> None:
         self._config = settings
         self._clock = now
+        self._incarnation = ids.Incarnation(int(now.wall() * 1000))
         self._stopping = threading.Event()
         self._rng = random.Random()
         self._timers = timers.Timers(now)
@@ -58,8 +77,13 @@
         self.settings.subscribe(self._apply_tree)
         self._in_force = threading.Event()
         self._relay = session.Relay(self._scheduler, now)
+        self._ledger = self._open_ledger()
         worker = work.Worker(
-            self._scheduler, self._relay, now, settings.body_limit
+            self._scheduler,
+            self._relay,
+            now,
+            settings.body_limit,
+            keyed.Keyed(self._ledger, now),
         )
         self._front = front.Front(
             worker,
@@ -69,6 +93,9 @@
             None,
             now,
         )
+        self._housekeeping = housekeeping.Housekeeper(
+            self._timers, _HOUSEKEEPING_S, self._keep_ledger
+        )
         self._server: server.Server | None = None
         self._thread: threading.Thread | None = None
 
@@ -84,6 +111,7 @@
         self._scheduler.start()
         self._relay.start()
         self.settings.start()
+        self._housekeeping.start()
         self._timers.start()
         self._server = server.create_server(
             self._front, self._config, self._front.write_refusal, self._clock
@@ -129,6 +157,7 @@
         self._stopping.set()
         if self._server:
             self._server.stop()
+        self._housekeeping.stop()
         self._relay.stop()
         self._scheduler.stop()
         self.settings.stop()
@@ -153,6 +182,27 @@
     ) -> result.Result[bytes, failures.Failure]:
         return result.Err(NoPeer(detail=f"no peer {peer}"))
 
+    def _open_ledger(self) -> ledger.Ledger:
+        return ledger.Ledger(
+            ledger.Parts(
+                owner=claiming.Owner(self._config.instance, self._incarnation),
+                table=self.platform.table,
+                objects=self.platform.objects,
+                owners=_UnknownOwners(),
+                now=self._clock,
+                new_id=lambda: uuid.uuid4().hex,
+                count=self._count_ledger,
+            )
+        )
+
+    def _keep_ledger(self) -> None:
+        self._ledger.settle_deferred()
+        self._ledger.sweep(_SWEPT_AT_ONCE)
+
+    def _count_ledger(self, event: enum.Enum) -> None:
+        name = "pollenfork_ledger_total"
+        self.metrics.count(name, event=str(event.value))
+
     def _connect_platform(self) -> policy.Platform:
         channel = client.Channel(self._config.platform)
         tools = policy.Tools(
--- a/pollenfork/entry/errors.py
+++ b/pollenfork/entry/errors.py
@@ -34,6 +34,7 @@
     RUNNING = "idempotent_request_running"
     OUTCOME_UNKNOWN = "outcome_unknown"
     KEY_REUSED = "idempotency_key_reused"
+    ANSWER_NOT_KEPT = "idempotent_answer_not_kept"
     RECORD_UNAVAILABLE = "record_unavailable"
     INTERNAL_ERROR = "internal_error"
 
--- a/pollenfork/entry/work.py
+++ b/pollenfork/entry/work.py
@@ -11,14 +11,17 @@
 from pollenfork import failures
 from pollenfork import ids
 from pollenfork.admission import messages as admission_messages
+from pollenfork.answers import edges as answer_edges
 from pollenfork.answers import errors as answer_errors
 from pollenfork.answers import messages as answer_messages
 from pollenfork.answers import session
 from pollenfork.dispatch import messages as dispatch_messages
 from pollenfork.entry import errors
 from pollenfork.entry import journal
+from pollenfork.entry import keyed
 from pollenfork.entry import request
 from pollenfork.entry import target
+from pollenfork.ledger import keys
 from pollenfork.settings import model
 from pollenfork.settings import snapshot
 
@@ -61,8 +64,10 @@
         relay: session.Relay,
         now: clock.Clock,
         body_limit: int,
+        records: keyed.Keyed,
     ) -> None:
         self._slots = slots
+        self._records = records
         self._relay = relay
         self._clock = now
         self._body_limit = body_limit
@@ -100,7 +105,7 @@
             first_token_due=ask.first_token_due,
             give_up_at=ask.give_up_at,
         )
-        return self._run(environ, ask, call, record)
+        return self._serve(environ, ask, call, record)
 
     def call_service(
         self,
@@ -144,7 +149,7 @@
             first_token_due=ask.first_token_due,
             give_up_at=ask.give_up_at,
         )
-        return self._run(environ, ask, call, record)
+        return self._serve(environ, ask, call, record)
 
     def _identify(
         self,
@@ -200,18 +205,44 @@
             idempotent=idempotent,
         )
 
+    def _serve(
+        self,
+        environ: request.Environ,
+        ask: admission_messages.Ask,
+        call: answer_messages.Call,
+        record: journal.Record,
+    ) -> Served:
+        header = environ.get(keyed.HEADER)
+        if header is None:
+            caller = environ.get(CALLER)
+            return self._run(environ, ask, call, record, caller)
+        fingerprint = keys.compute_fingerprint(
+            call.method, environ["PATH_INFO"], call.body
+        )
+        # The run outlives its caller: a repeat gets the answer's record.
+        return self._records.serve(
+            keyed.Submission(ask.team, ask.account, header, fingerprint),
+            lambda may_send: self._run(
+                environ, ask, call, record, None, may_send
+            ),
+        )
+
     def _run(
         self,
         environ: request.Environ,
         ask: admission_messages.Ask,
         call: answer_messages.Call,
         record: journal.Record,
+        caller: answer_edges.Caller | None,
+        may_send: keyed.MaySend = lambda: True,
     ) -> Served:
         decision = self._wait_for_slot(environ, ask)
         if isinstance(decision, admission_messages.Refused):
             return result.Err(errors.describe_refused(decision))
         record.note_granted(decision.endpoint)
-        opened = self._relay.open(call, decision, environ.get(CALLER))
+        if not may_send():
+            return self._give_back(ask, decision)
+        opened = self._relay.open(call, decision, caller)
         if opened.is_err():
             self._close(ask)
             return result.Err(_describe_failure(opened.unwrap_err()))
@@ -232,6 +263,25 @@
                     )
                     self._slots.report(withdrawn)
 
+    def _give_back(
+        self, ask: admission_messages.Ask, grant: dispatch_messages.Grant
+    ) -> Served:
+        """Ends an attempt whose claim ran out while it waited for a slot."""
+        self._slots.report(
+            dispatch_messages.AttemptEnded(
+                attempt=grant.attempt,
+                how=dispatch_messages.AttemptEnd.NEVER_SENT,
+                tokens=0,
+                at=self._clock.monotonic(),
+            )
+        )
+        self._close(ask)
+        refused = admission_messages.Refused(
+            request=ask.request,
+            reason=admission_messages.RefusalReason.WAITED_TOO_LONG,
+        )
+        return result.Err(errors.describe_refused(refused))
+
     def _close(self, ask: admission_messages.Ask) -> None:
         closed = dispatch_messages.RequestClosed(request=ask.request)
         self._slots.report(closed)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -10,6 +10,7 @@
 
     def __init__(self, tokens: int = 5, finish: bool = True) -> None:
         self.runs = 0
+        self._gate: threading.Event | None = None
         engine = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
@@ -26,6 +27,8 @@
                 self.end_headers()
                 for position in range(tokens):
                     self.wfile.write(write_event(position))
+                    if engine._gate:
+                        engine._gate.wait(20)
                 if finish:
                     self.wfile.write(b"data: [DONE]\n\n")
 
@@ -47,6 +50,10 @@
         ).start()
         self.address = f"127.0.0.1:{self._server.server_address[1]}"
 
+    def hold(self, gate: threading.Event) -> None:
+        """Stops streams after their first event until the gate opens."""
+        self._gate = gate
+
     def stop(self) -> None:
         self._server.shutdown()
         self._server.server_close()
