Give operators an HTTP interface to settings, status and drains

GET and PUT by path with ETag and If-Match, history, status, endpoints and drain, with tokens bound to subtrees. A write without a precondition is refused (428) and If-Match: * too, as both would undo another operator's write unseen. Weighed: one ETag for each path; ruled out, since a part has no revision of its own and two operators in one subtree must not overtake each other. The contract stands in tables of refusals and faults; it found that two typed failures had no answer, mended here.

--- /dev/null
+++ b/pollenfork/operator/errors.py
@@ -0,0 +1,145 @@
+"""What an operator can be told instead of an answer, and how it reads."""
+
+import enum
+import http
+
+import msgspec
+
+from pollenfork import failures
+from pollenfork import ids
+from pollenfork.settings import errors as settings_errors
+
+
+class Code(enum.Enum):
+    """The typed `code` of an error towards operators."""
+
+    BAD_JSON = "bad_json"
+    BAD_REQUEST = "bad_request"
+    BAD_TREE = "bad_tree"
+    BODY_TOO_LARGE = "body_too_large"
+    FORBIDDEN = "forbidden"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    NOT_READY = "not_ready"
+    NOT_WRITTEN = "not_written"
+    REVISION_REQUIRED = "revision_required"
+    STALE_REVISION = "stale_revision"
+    UNAVAILABLE = "unavailable"
+    UNKNOWN_PATH = "unknown_path"
+    WRITE_ID_REUSED = "write_id_reused"
+    WRITE_UNKNOWN = "write_unknown"
+    WRONG_TOKEN = "wrong_token"
+
+
+class Refusal(failures.Failure, frozen=True, kw_only=True):
+    """A typed refusal towards the operator.
+
+    Attributes:
+        outcome: What is known of a write's effect.
+        current: The revision that a stale write met.
+        retry_after_s: When to come back, where that is known.
+        allow: The methods that the path has, where another was used.
+    """
+
+    status: http.HTTPStatus
+    code: Code
+    outcome: failures.Outcome = failures.Outcome.NOT_RUN
+    violations: tuple[settings_errors.Violation, ...] = ()
+    current: ids.Revision | None = None
+    retry_after_s: float | None = None
+    allow: str = ""
+
+
+class ErrorBody(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """The error as JSON.
+
+    Attributes:
+        violations: Every broken rule of a bad tree.
+        revision: The current revision, where a write met another one.
+    """
+
+    code: str
+    message: str
+    violations: tuple[settings_errors.Violation, ...] = ()
+    revision: ids.Revision | None = None
+
+
+class ErrorEnvelope(msgspec.Struct, frozen=True):
+    """The body of every refusal."""
+
+    error: ErrorBody
+
+
+def write_body(refusal: Refusal) -> bytes:
+    """Returns the refusal as JSON."""
+    body = ErrorBody(
+        code=refusal.code.value,
+        message=refusal.detail,
+        violations=refusal.violations,
+        revision=refusal.current,
+    )
+    return msgspec.json.encode(ErrorEnvelope(body))
+
+
+def refuse_write(failure: settings_errors.SettingsFailure) -> Refusal:
+    """Returns what the operator is told of a write that failed."""
+    status, code = _WRITE_REFUSALS[type(failure)]
+    refusal = Refusal(status=status, code=code, detail=failure.detail)
+    match failure:
+        case settings_errors.BadTree():
+            return msgspec.structs.replace(
+                refusal, violations=failure.violations
+            )
+        case settings_errors.Stale():
+            return msgspec.structs.replace(refusal, current=failure.current)
+        case settings_errors.NotWritten():
+            return msgspec.structs.replace(
+                refusal, retry_after_s=failure.retry_after_s
+            )
+        case settings_errors.WriteUnknown():
+            return msgspec.structs.replace(
+                refusal,
+                outcome=failures.Outcome.UNKNOWN,
+                retry_after_s=failure.retry_after_s,
+            )
+    return refusal
+
+
+_WRITE_REFUSALS = {
+    settings_errors.BadTree: (
+        http.HTTPStatus.UNPROCESSABLE_ENTITY,
+        Code.BAD_TREE,
+    ),
+    settings_errors.Forbidden: (http.HTTPStatus.FORBIDDEN, Code.FORBIDDEN),
+    settings_errors.NoSuchPath: (
+        http.HTTPStatus.NOT_FOUND,
+        Code.UNKNOWN_PATH,
+    ),
+    settings_errors.NotWritten: (
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+        Code.NOT_WRITTEN,
+    ),
+    settings_errors.Stale: (
+        http.HTTPStatus.PRECONDITION_FAILED,
+        Code.STALE_REVISION,
+    ),
+    settings_errors.TableBehind: (
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+        Code.UNAVAILABLE,
+    ),
+    settings_errors.TreeMoving: (
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+        Code.UNAVAILABLE,
+    ),
+    settings_errors.UnreadableRow: (
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+        Code.UNAVAILABLE,
+    ),
+    settings_errors.WriteIdReused: (
+        http.HTTPStatus.UNPROCESSABLE_ENTITY,
+        Code.WRITE_ID_REUSED,
+    ),
+    settings_errors.WriteUnknown: (
+        http.HTTPStatus.GATEWAY_TIMEOUT,
+        Code.WRITE_UNKNOWN,
+    ),
+}
--- /dev/null
+++ b/pollenfork/operator/tests/test_contract.py
@@ -0,0 +1,282 @@
+"""The operator interface by its contract, fault cases in tables."""
+
+import pytest
+
+from pollenfork import failures
+from pollenfork.operator import errors
+from pollenfork.operator import request
+from pollenfork.operator.tests import support
+from pollenfork.settings import errors as settings_errors
+from pollenfork.settings.tests import support as settings_support
+
+MORNING = "settings/teams/linework/classes/morning"
+SUMMARY = "teams/linework/classes/summary"
+TEAM = "linework-token"
+OTHER = "ledger-token"
+
+
+@pytest.fixture
+def rig():
+    made = support.Rig()
+    made.site.seed()
+    return made
+
+
+# Method, path, arguments, status and code of the refusal.
+REFUSALS = [
+    ("GET", MORNING, {"token": None}, 401, "wrong_token"),
+    ("GET", MORNING, {"token": "guess"}, 401, "wrong_token"),
+    ("GET", MORNING, {"token": None, "authorization": "Basic eDp5"}, 401,
+     "wrong_token"),
+    ("GET", MORNING, {"token": OTHER}, 403, "forbidden"),
+    ("GET", "settings/root", {"token": TEAM}, 403, "forbidden"),
+    ("GET", "settings/", {"token": TEAM}, 403, "forbidden"),
+    ("GET", "settings-history/root", {"token": TEAM}, 403, "forbidden"),
+    ("GET", "settings/teams/nobody", {}, 404, "unknown_path"),
+    ("GET", "settings/teams", {}, 404, "unknown_path"),
+    ("GET", f"{MORNING}/tier/deeper", {}, 404, "unknown_path"),
+    ("GET", "settings-history/", {}, 400, "bad_request"),
+    ("GET", "settings-history/teams/linework", {"query": "revision=x"}, 400,
+     "bad_request"),
+    ("GET", "settings-history/teams/linework", {"query": "revision=9"}, 404,
+     "unknown_path"),
+    ("GET", "nothing", {}, 404, "unknown_path"),
+    ("GET", "status/more", {}, 404, "unknown_path"),
+    ("DELETE", MORNING, {}, 405, "method_not_allowed"),
+    ("POST", "status", {}, 405, "method_not_allowed"),
+    ("GET", "endpoints/runner-1/drain", {}, 405, "method_not_allowed"),
+    ("POST", "endpoints/runner-9/drain", {}, 404, "unknown_path"),
+    ("POST", "endpoints/runner-1/drain", {"token": TEAM}, 403, "forbidden"),
+    ("PUT", MORNING, {"body": b"{}"}, 428, "revision_required"),
+    ("PUT", MORNING, {"body": b"{}", "if_match": "*"}, 400, "bad_request"),
+    ("PUT", MORNING, {"body": b"{}", "if_match": '"1", "2"'}, 400,
+     "bad_request"),
+    ("PUT", MORNING, {"body": b"{}", "if_match": 'W/"1"'}, 400,
+     "bad_request"),
+    ("PUT", MORNING, {"body": b"{}", "if_none_match": '"1"'}, 400,
+     "bad_request"),
+    ("PUT", MORNING, {"body": b"{}", "if_match": '"1"',
+     "if_none_match": "*"}, 400, "bad_request"),
+    ("PUT", MORNING, {"body": b"{", "if_match": '"1"'}, 400, "bad_json"),
+    ("PUT", MORNING, {"body": b"", "if_match": '"1"'}, 400, "bad_json"),
+    ("PUT", MORNING, {"body": b"{}", "if_match": '"1"', "length": "9"}, 400,
+     "bad_request"),
+    ("PUT", MORNING, {"body": b"{}", "if_match": '"1"', "length": "-1"}, 400,
+     "bad_request"),
+    ("PUT", MORNING, {"if_match": '"1"',
+     "length": str(request.BODY_LIMIT + 1)}, 413, "body_too_large"),
+    ("PUT", MORNING, {"body": b"{}", "if_match": '"1"',
+     "idempotency_key": "a b"}, 400, "bad_request"),
+    ("PUT", MORNING, {"body": b"{}", "if_match": '"1"'}, 422, "bad_tree"),
+    ("PUT", MORNING, {"body": b'{"tier":0}', "if_match": '"7"'}, 412,
+     "stale_revision"),
+    ("PUT", MORNING, {"body": b'{"tier":0}', "if_none_match": "*"}, 412,
+     "stale_revision"),
+    ("PUT", MORNING, {"token": OTHER, "body": b'{"tier":0}',
+     "if_match": '"1"'}, 403, "forbidden"),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "arguments", "status", "code"), REFUSALS
+)
+def test_refusals_are_typed_and_change_nothing(
+    rig, method, path, arguments, status, code
+) -> None:
+    before = rig.table.rows
+    answer = rig.call(method, path, **arguments)
+    assert (answer.status, answer.code) == (status, code)
+    assert answer.headers["X-Outcome"] == "not_run"
+    assert ("Allow" in answer.headers) == (status == 405)
+    assert ("WWW-Authenticate" in answer.headers) == (status == 401)
+    assert "Retry-After" not in answer.headers
+    assert rig.table.rows == before
+    assert rig.endpoints.drained == []
+    counted = f'pollenfork_operator_refusals_total{{code="{code}"}} 1'
+    assert counted in rig.metrics.render()[0].decode()
+
+
+def test_a_read_gives_what_was_written_and_its_revision(rig) -> None:
+    answer = rig.call("GET", MORNING, token=TEAM)
+    assert answer.body == {"tier": 0, "protected": True}
+    assert answer.headers["ETag"] == '"1"'
+    assert answer.headers["X-Settings-Source"] == "table"
+
+
+def test_a_write_to_a_part_is_a_change_of_its_subtree(rig) -> None:
+    answer = rig.put(SUMMARY, {"tier": 5}, 1, token=TEAM)
+    assert answer.status == 200
+    assert answer.body["revision"] == 2
+    assert answer.headers["ETag"] == '"2"'
+    whole = rig.call("GET", "settings/teams/linework", token=TEAM)
+    assert whole.headers["ETag"] == '"2"'
+    assert whole.body["classes"]["summary"] == {"tier": 5}
+    assert whole.body["classes"]["morning"]["protected"] is True
+    ledger = rig.call("GET", "settings/teams/ledger", token=OTHER)
+    assert ledger.headers["ETag"] == '"1"'
+    assert ledger.headers["X-Tree-Revision"] == "2"
+
+
+def test_the_whole_tree_reads_as_it_can_be_written(rig) -> None:
+    read = rig.call("GET", "settings/")
+    assert read.body == {**settings_support.TREE, "revision": 1}
+    changed = settings_support.edit(
+        read.body, "teams.ledger.classes.review.tier", 3
+    )
+    written = rig.put("", changed, 1)
+    assert (written.status, written.body["revision"]) == (200, 2)
+    root = rig.call("GET", "settings/root")
+    assert root.headers["ETag"] == '"1"'
+
+
+def test_every_error_of_a_bad_tree_is_named(rig) -> None:
+    bad = {"tier": 9, "target_gap_ms": 0, "minimum_share": 0.1}
+    answer = rig.put(SUMMARY, bad, 1, token=TEAM)
+    assert answer.status == 422
+    place = "teams.linework.classes.summary"
+    assert answer.body["error"]["violations"] == [
+        {"path": place, "rule": "tier must be < 7"},
+        {"path": place, "rule": "target_gap_ms must be > 0"},
+    ]
+
+
+# What a team may not do to its own subtree, by the ceilings of the root.
+CEILINGS = [
+    ("ledger", "classes/review", {"tier": 0}, "tier must be >= 1"),
+    ("ledger", "classes/review", {"tier": 1, "protected": True},
+     "protected must be false"),
+    ("ledger", "max_in_flight", 501, "max_in_flight must be <= 500"),
+    ("linework", "classes/summary", {"tier": 4, "minimum_share": 0.06},
+     "minimum_share must be <= 0.05"),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("team", "path", "value", "rule"), CEILINGS)
+def test_a_team_cannot_raise_itself(rig, team, path, value, rule) -> None:
+    token = settings_support.TEAM_TOKENS[team]
+    answer = rig.put(f"teams/{team}/{path}", value, 1, token=token)
+    assert (answer.status, answer.code) == (422, "bad_tree")
+    assert answer.body["error"]["violations"][0]["rule"].startswith(rule)
+
+
+def test_racing_operators_have_one_winner_and_the_other_is_told(rig) -> None:
+    second = support.Rig(rig.table, seed=1)
+    second.site.in_force = rig.site.in_force
+    won = []
+    rig.table.before_commit = lambda: won.append(
+        second.put(SUMMARY, {"tier": 6}, 1, token=TEAM)
+    )
+    lost = rig.put(SUMMARY, {"tier": 5}, 1, token=TEAM)
+    assert won[0].status == 200
+    assert (lost.status, lost.code) == (412, "stale_revision")
+    assert lost.headers["ETag"] == '"2"'
+    assert lost.body["error"]["revision"] == 2
+    assert rig.call("GET", f"settings/{SUMMARY}").body == {"tier": 6}
+
+
+# Faults of the commits, then the status, code and known outcome.
+FAULTS = [
+    (["down"] * 1000, 503, "not_written", "not_run"),
+    (["lost_before"] * 1000, 504, "write_unknown", "unknown"),
+    (["lost_after"] * 1000, 504, "write_unknown", "unknown"),
+]
+
+
+@pytest.mark.parametrize(("faults", "status", "code", "outcome"), FAULTS)
+def test_a_write_that_failed_says_what_is_known_and_can_be_repeated(
+    rig, faults, status, code, outcome
+) -> None:
+    rig.table.faults = list(faults)
+    answer = rig.put(SUMMARY, {"tier": 5}, 1, idempotency_key="k-1")
+    assert (answer.status, answer.code) == (status, code)
+    assert answer.headers["X-Outcome"] == outcome
+    assert answer.headers["Retry-After"] == "1"
+    rig.table.faults = []
+    second = support.Rig(rig.table, seed=1)
+    second.site.in_force = rig.site.in_force
+    again = second.put(SUMMARY, {"tier": 5}, 1, idempotency_key="k-1")
+    assert (again.status, again.body["revision"]) == (200, 2)
+    assert again.body["repeated"] == (faults[0] == "lost_after")
+    other = second.put(SUMMARY, {"tier": 6}, 2, idempotency_key="k-1")
+    assert (other.status, other.code) == (422, "write_id_reused")
+
+
+def test_without_the_table_reads_show_what_is_in_force(rig) -> None:
+    rig.table.cut()
+    answer = rig.call("GET", f"settings/{SUMMARY}", token=TEAM)
+    assert answer.body == {"tier": 4}
+    assert answer.headers["X-Settings-Source"] == "in-force"
+    written = rig.put(SUMMARY, {"tier": 5}, 1, token=TEAM)
+    assert (written.status, written.code) == (503, "not_written")
+    history = rig.call("GET", "settings-history/teams/linework")
+    assert (history.status, history.code) == (503, "unavailable")
+    assert history.headers["Retry-After"] == "1"
+
+
+def test_an_instance_without_settings_knows_only_the_first_operators() -> None:
+    rig = support.Rig()
+    answer = rig.call("GET", "status", token=TEAM)
+    assert (answer.status, answer.code) == (503, "not_ready")
+    assert rig.call("GET", "endpoints").code == "not_ready"
+    first = rig.call(
+        "PUT",
+        "settings/",
+        body=b'{"root":{"operator_sha256":[]}}',
+        if_none_match="*",
+    )
+    assert (first.status, first.body["revision"]) == (200, 1)
+    assert rig.call("GET", "status", token=TEAM).code == "wrong_token"
+
+
+def test_history_lists_writes_and_gives_their_content(rig) -> None:
+    rig.put(SUMMARY, {"tier": 5}, 1, token=TEAM)
+    path = "settings-history/teams/linework"
+    listed = rig.call("GET", path, token=TEAM).body["entries"]
+    assert [entry["revision"] for entry in listed] == [1, 2]
+    assert listed[1]["write_id"] == "made-0-1"
+    assert listed[1]["operator"] != listed[0]["operator"]
+    old = rig.call("GET", path, token=TEAM, query="revision=1").body
+    assert old == settings_support.LINEWORK
+
+
+def test_status_shows_every_instance(rig) -> None:
+    body = rig.call("GET", "status", token=TEAM).body
+    assert (body["instance"], body["newest"]) == ("entry-1", 1)
+    assert [report["revision"] for report in body["instances"]] == [1, 0]
+    assert body["instances"][1]["state"] == "suspected"
+
+
+def test_endpoints_show_settings_and_what_is_seen(rig) -> None:
+    listed = rig.call("GET", "endpoints", token=TEAM).body["endpoints"]
+    assert [entry["endpoint"] for entry in listed] == ["runner-1", "photos-1"]
+    assert listed[0]["live"]["in_flight"] == 3
+    assert listed[1]["live"] is None
+
+
+def test_a_drain_is_ordered_or_the_failure_is_told(rig) -> None:
+    answer = rig.call("POST", "endpoints/runner-1/drain")
+    assert (answer.status, answer.body) == (202, {"endpoint": "runner-1"})
+    assert rig.endpoints.drained == ["runner-1"]
+    rig.endpoints.failing = True
+    failed = rig.call("POST", "endpoints/runner-1/drain")
+    assert (failed.status, failed.code) == (503, "unavailable")
+    assert failed.headers["X-Outcome"] == failures.Outcome.UNKNOWN.value
+
+
+@pytest.mark.parametrize(
+    "kind",
+    [
+        kind
+        for kind in vars(settings_errors).values()
+        if isinstance(kind, type)
+        and issubclass(kind, settings_errors.SettingsFailure)
+        and kind is not settings_errors.SettingsFailure
+    ],
+)
+def test_every_settings_failure_has_its_answer(kind) -> None:
+    extra = {
+        settings_errors.BadTree: {"violations": ()},
+        settings_errors.Stale: {"current": 1},
+    }
+    refusal = errors.refuse_write(kind(**extra.get(kind, {})))
+    assert refusal.status >= 400
--- a/pollenfork/settings/writer.py
+++ b/pollenfork/settings/writer.py
@@ -174,7 +174,9 @@
             return result.Err(errors.Forbidden(detail=detail))
         current = changes.find_revision(base.tree, change.path)
         if current != change.expected:
-            detail = f"{change.path or 'the tree'} is at revision {current}"
+            detail = (
+                f"{str(change.path) or 'the tree'} is at revision {current}"
+            )
             return result.Err(errors.Stale(detail=detail, current=current))
         return None
 
