--- a/pollenfork/load/table.py
+++ b/pollenfork/load/table.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from typing import TextIO
 
+from pollenfork import tables
 from pollenfork.load import report as reports
 
 _COLUMNS = (
@@ -16,10 +17,7 @@
 ) -> None:
     """Writes the table and the lines below it; times are milliseconds."""
     rows = [_make_row(name, c) for name, c in sorted(report.classes.items())]
-    if is_terminal:
-        _write_rich(rows, out)
-    else:
-        _write_plain(rows, out)
+    tables.write_table(_COLUMNS, rows, out, is_terminal)
     for line in _make_lines(report):
         out.write(line + "\n")
 
@@ -48,24 +46,3 @@
             f"({waste.share:.2%}), repeats {waste.repeats}, "
             f"run though refused {waste.run_though_refused}"
         )
-
-
-def _write_plain(rows: list[tuple[str, ...]], out: TextIO) -> None:
-    widths = [
-        max(len(row[i]) for row in [_COLUMNS, *rows])
-        for i in range(len(_COLUMNS))
-    ]
-    for row in [_COLUMNS, *rows]:
-        cells = (cell.ljust(w) for cell, w in zip(row, widths, strict=True))
-        out.write("  ".join(cells).rstrip() + "\n")
-
-
-def _write_rich(rows: list[tuple[str, ...]], out: TextIO) -> None:
-    # Only a terminal needs rich, and it is slow to import.
-    import rich.console
-    import rich.table
-
-    table = rich.table.Table(*_COLUMNS)
-    for row in rows:
-        table.add_row(*row)
-    rich.console.Console(file=out).print(table)
