Add the operators' commands

Shared files: cli/definition.py lists the four commands, and what both declarations need moves to cli/arguments.py.

--- a/pollenfork/cli/definition.py
+++ b/pollenfork/cli/definition.py
@@ -6,38 +6,21 @@
 """
 
 import dataclasses
-import enum
 import pathlib
 from typing import Annotated, ClassVar
 
 import cappa
 
+from pollenfork.cli import arguments
+from pollenfork.cli import operator_commands
 
-class Format(enum.Enum):
-    """How results are written."""
-
-    TABLE = "table"
-    JSON = "json"
-
-
+Format = arguments.Format
+OutputFormat = arguments.OutputFormat
+make_examples = arguments.make_examples
 SettingsFile = Annotated[
     pathlib.Path,
     cappa.Arg(long="--settings", value_name="FILE", help="JSON settings."),
 ]
-OutputFormat = Annotated[
-    Format,
-    cappa.Arg(
-        long="--format",
-        help="A table for people, or JSON.",
-        show_default=False,
-    ),
-]
-
-
-def make_examples(*lines: str) -> str:
-    """Returns the end of a command's help text."""
-    shown = "\n".join(f"    pollenfork {line}" for line in lines)
-    return f"Examples:\n\n{shown}"
 
 
 @cappa.command(
@@ -185,4 +168,13 @@
 class Pollenfork:
     """The program."""
 
-    command: cappa.Subcommands[Entry | Trial | Load | Standin]
+    command: cappa.Subcommands[
+        Entry
+        | Trial
+        | Load
+        | Standin
+        | operator_commands.Settings
+        | operator_commands.Endpoints
+        | operator_commands.Drain
+        | operator_commands.Status
+    ]
