--- a/pollenfork/membership/tests/test_core.py
+++ b/pollenfork/membership/tests/test_core.py
@@ -118,6 +118,7 @@
     paused = world.nodes["entry-0"]
     core, paused.core = paused.core, None
     world.run(30.0)
+    world.packets.clear()  # It ticks before it hears anything.
     paused.core = core
     before = len(paused.events)
     world.run(1.0)
@@ -126,8 +127,9 @@
 
 
 @pytest.mark.parametrize("skew_s", [-3600.0, 0.0, 3600.0])
-def test_a_restart_at_the_same_address_replaces_its_former_self(skew_s):
-    world = _start("a", "a", "b")
+@pytest.mark.parametrize("other", ["a", "b"])
+def test_a_restart_at_the_same_address_replaces_its_former_self(skew_s, other):
+    world = _start("a", other)
     was = world.nodes["entry-0"].core.incarnation
     world.start("entry-0", skew_s)
     world.run(1.4)  # Less than the silence that starts a suspicion.
@@ -143,6 +145,16 @@
     ]
 
 
+def test_one_that_left_comes_back_though_its_clock_fell_back():
+    world = _start("a", "a")
+    world.leave("entry-0")
+    world.run(1.0)
+    world.start("entry-0", -3600.0)
+    world.run(1.0)
+    present = world.nodes["entry-1"].present(world.now)
+    assert present["entry-0"] == world.nodes["entry-0"].core.incarnation
+
+
 def test_a_woken_predecessor_at_another_address_gives_way():
     world = _start("a", "a")
     node = world.nodes["entry-1"]
@@ -292,8 +304,8 @@
 @pytest.mark.parametrize(
     ("later", "status", "address", "incarnation"),
     [
-        (-1, _STATUS.LEFT, "x:1", 10),
-        (-1, _STATUS.LIVE, "x:1", 10),
+        (-3, _STATUS.LEFT, "x:1", 10),
+        (-3, _STATUS.LIVE, "x:1", 10),
         (0, _STATUS.SUSPECTED, "x:1", 10),
         (0, _STATUS.LOST, "x:1", 10),
         (0, _STATUS.LEFT, "x:1", 11),
