Let the settings plan an endpoint's role and adapters

Orders change roles and load adapters, and are derived from the settings; the tree had a place for models only. Both fields have defaults that leave the endpoint as it is, so that trees written before stay valid.

--- a/pollenfork/settings/model.py
+++ b/pollenfork/settings/model.py
@@ -114,6 +114,8 @@
         address: `host:port`.
         group: Endpoints of one kind of hardware, compared for stragglers.
         models: Models loaded by plan, each as `name` or `name@version`.
+        adapters: Adapters loaded by plan, named alike.
+        role: Role by plan; empty leaves the endpoint's role as it is.
         slots: Requests the endpoint batches at once by plan.
         checks_fencing: It refuses an order with an old fencing number.
     """
@@ -123,6 +125,8 @@
     kind: EndpointKind = EndpointKind.RUNNER
     group: str = "default"
     models: tuple[ids.ModelName, ...] = ()
+    adapters: tuple[ids.ModelName, ...] = ()
+    role: str = ""
     slots: Positive = 16
     checks_fencing: bool = False
 
