Hold leases and give orders, one endpoint and one order at a time

The holder counts from before it sent the write and checks again right before sending; others count from after they read it, plus the longest order where the endpoint ignores fencing numbers.

Weighed: a standing lease for each endpoint, renewed every 10 s, would cost 60 writes/s at 600 endpoints for nothing; the lease is taken when there is an order to give and given back after it. An expiry time in the row was ruled out as it needs clocks that agree.

--- /dev/null
+++ b/pollenfork/endpoints/lease.py
@@ -0,0 +1,159 @@
+"""The lease of one endpoint: who may act on it, and until when.
+
+Two clocks never have to agree. The holder counts from before it sent the
+write; everybody else counts from after they read what it wrote, which is
+later. The table's conditional write decides between two claimants.
+"""
+
+from collections.abc import Callable
+import enum
+
+import msgspec
+
+from pollenfork import ids
+from pollenfork.endpoints import rows
+from pollenfork.platform import edges as platform_edges
+
+_REMEMBERED_WRITES = 16
+
+
+class Limits(msgspec.Struct, frozen=True, kw_only=True):
+    """Times of leases and orders, in seconds.
+
+    Attributes:
+        lease_s: How long one write of the row lets its writer act.
+        order_s: The longest time from sending an order to its effect.
+        margin_s: How much earlier than its end the holder stops; covers
+            clocks that run at slightly different rates.
+    """
+
+    lease_s: float = 30.0
+    order_s: float = 10.0
+    margin_s: float = 1.0
+
+
+class Hold(enum.Enum):
+    """How this instance stands to the lease."""
+
+    UNREAD = "unread"  # The row has not been read since it changed.
+    FREE = "free"  # Nobody holds it, or its holder's time is over.
+    OTHERS = "others"
+    MINE = "mine"
+    LAPSED = "lapsed"  # Ours by the row, but too old to act on.
+
+
+class Lease:
+    """What this instance knows of one endpoint's lease row."""
+
+    def __init__(
+        self,
+        instance: ids.InstanceId,
+        limits: Limits,
+        new_id: Callable[[], ids.WriteId],
+    ) -> None:
+        self.row: rows.LeaseRow | None = None
+        self._instance = instance
+        self._limits = limits
+        self._new_id = new_id
+        self._version = platform_edges.ABSENT
+        self._known = False
+        self._seen_at = 0.0
+        self._sent_at: dict[ids.WriteId, float] = {}
+
+    def read_hold(self, now: float, checks_fencing: bool) -> Hold:
+        """Returns how this instance stands to the lease at `now`."""
+        if not self._known:
+            return Hold.UNREAD
+        if self.row is None or not self.row.holder:
+            return Hold.FREE
+        if self.row.write_id in self._sent_at:
+            return Hold.MINE if now < self.act_until() else Hold.LAPSED
+        return self._judge_other(now, checks_fencing)
+
+    def act_until(self) -> float:
+        """Returns when this instance stops acting on the row it wrote."""
+        if self.row is None or self.row.write_id not in self._sent_at:
+            return float("-inf")
+        lease_s = self.row.lease_ms / 1000
+        sent_at = self._sent_at[self.row.write_id]
+        return sent_at + lease_s - self._limits.margin_s
+
+    def read_age(self, now: float) -> float:
+        """Returns seconds since this instance sent the row's write."""
+        if self.row is None or self.row.write_id not in self._sent_at:
+            return float("inf")
+        return now - self._sent_at[self.row.write_id]
+
+    def propose(self, row: rows.LeaseRow, now: float) -> rows.LeaseRow:
+        """Returns `row` as this instance's next write, sent not before `now`.
+
+        `now` is read before the write leaves, so that the time in flight is
+        never added to the lease.
+        """
+        write_id = self._new_id()
+        self._sent_at[write_id] = now
+        while len(self._sent_at) > _REMEMBERED_WRITES:
+            del self._sent_at[next(iter(self._sent_at))]
+        return msgspec.structs.replace(
+            row,
+            write_id=write_id,
+            lease_ms=round(self._limits.lease_s * 1000),
+            order_ms=round(self._limits.order_s * 1000),
+        )
+
+    def propose_claim(self, now: float) -> rows.LeaseRow:
+        """Returns the row that makes this instance the next holder."""
+        old = self.row
+        if old is None:
+            old = rows.LeaseRow(
+                holder=self._instance,
+                fencing=ids.FencingNumber(0),
+                write_id=ids.WriteId(""),
+                lease_ms=0,
+                order_ms=0,
+            )
+        fencing = ids.FencingNumber(old.fencing + 1)
+        claim = msgspec.structs.replace(
+            old, holder=self._instance, fencing=fencing
+        )
+        return self.propose(claim, now)
+
+    def make_put(self, key: str, row: rows.LeaseRow) -> platform_edges.Put:
+        """Returns the write of `row` on the condition of what was read."""
+        return platform_edges.Put(key, rows.encode(row), self._version)
+
+    def confirm(self, row: rows.LeaseRow, version: int, now: float) -> None:
+        """Takes in that this instance's write of `row` made `version`."""
+        self._adopt(row, version, now)
+
+    def observe(
+        self, row: rows.LeaseRow | None, version: int, now: float
+    ) -> None:
+        """Takes in a row as read; `now` is after the answer came.
+
+        A write of ours whose answer was lost is known again by its id and
+        counts from when it was first sent.
+        """
+        self._adopt(row, version, now)
+
+    def forget(self) -> None:
+        """The row may have changed: it must be read before the next step."""
+        self._known = False
+
+    def _adopt(
+        self, row: rows.LeaseRow | None, version: int, now: float
+    ) -> None:
+        self._known = True
+        if version == self._version and row == self.row:
+            return  # Counted from when this version was first seen.
+        self.row = row
+        self._version = version
+        self._seen_at = now
+
+    def _judge_other(self, now: float, checks_fencing: bool) -> Hold:
+        assert self.row is not None
+        wait_s = self.row.lease_ms / 1000
+        if not checks_fencing:
+            wait_s += self.row.order_ms / 1000
+        over = now >= self._seen_at + wait_s
+        return Hold.FREE if over else Hold.OTHERS
--- /dev/null
+++ b/pollenfork/endpoints/rows.py
@@ -0,0 +1,125 @@
+"""Rows that this slice keeps in the platform's table, and their keys.
+
+Every format stays readable: a later version adds fields with defaults, and
+the golden files in `tests/golden` keep what earlier versions wrote.
+"""
+
+from typing import TypeVar
+
+import msgspec
+import result
+
+from pollenfork import failures
+from pollenfork import ids
+from pollenfork.endpoints import edges
+
+FORMAT = 1
+T = TypeVar("T", bound=msgspec.Struct)
+
+
+class BadRow(failures.Failure, frozen=True, kw_only=True):
+    """A row that this version can't read; it is left alone."""
+
+
+class PendingOrder(msgspec.Struct, frozen=True, kw_only=True):
+    """An order written down before it is sent, until its answer is known.
+
+    Attributes:
+        sequence: Grows by one with each order to the endpoint.
+    """
+
+    sequence: int
+    kind: edges.OrderKind
+    argument: str = ""
+
+
+class Applied(msgspec.Struct, frozen=True, kw_only=True):
+    """What the endpoint has been ordered to and has confirmed.
+
+    Attributes:
+        models: Each as `name` or `name@version`.
+        drained: Id of the latest wish to drain that it has confirmed.
+    """
+
+    models: tuple[str, ...] = ()
+    adapters: tuple[str, ...] = ()
+    role: str = ""
+    drained: str = ""
+
+
+class LeaseRow(msgspec.Struct, frozen=True, kw_only=True):
+    """Who may give orders to one endpoint, and how far the orders are.
+
+    It holds no time of day: readers count `lease_ms` by their own monotonic
+    clock from when they first saw the row's present version.
+
+    Attributes:
+        holder: Empty when the lease was given back.
+        write_id: The write that made this version, by which its writer
+            knows it again when the answer was lost.
+        lease_ms: How long the holder may act on this version.
+        order_ms: The longest time from sending an order to its effect.
+        sequence: Of the latest order written down.
+    """
+
+    holder: ids.InstanceId
+    fencing: ids.FencingNumber
+    write_id: ids.WriteId
+    lease_ms: int
+    order_ms: int
+    sequence: int = 0
+    pending: PendingOrder | None = None
+    applied: Applied = Applied()
+    format: int = FORMAT
+
+
+class LoadingRow(msgspec.Struct, frozen=True, kw_only=True):
+    """The endpoints that load one model just now."""
+
+    endpoints: tuple[ids.EndpointId, ...] = ()
+    format: int = FORMAT
+
+
+class DrainRow(msgspec.Struct, frozen=True, kw_only=True):
+    """An operator's wish that an endpoint take no new work.
+
+    Attributes:
+        drain_id: Tells a later wish from an earlier one, withdrawn since.
+    """
+
+    drain_id: ids.WriteId
+    endpoint: ids.EndpointId
+    asked_by: ids.InstanceId
+    format: int = FORMAT
+
+
+def lease_key(data_centre: ids.DataCentre, endpoint: ids.EndpointId) -> str:
+    """Returns the key of an endpoint's lease row."""
+    return f"endpoints/{data_centre}/leases/{endpoint}"
+
+
+def loading_key(data_centre: ids.DataCentre, model: str) -> str:
+    """Returns the key of a model's loading row; versions share it."""
+    return f"endpoints/{data_centre}/loading/{model.partition('@')[0]}"
+
+
+def drain_key(data_centre: ids.DataCentre, endpoint: str) -> str:
+    """Returns the key of an endpoint's drain row; all share a prefix."""
+    return f"endpoints/{data_centre}/drains/{endpoint}"
+
+
+def encode(row: msgspec.Struct) -> bytes:
+    """Returns the row as the bytes that the table keeps."""
+    return msgspec.json.encode(row)
+
+
+def decode(value: bytes, kind: type[T]) -> result.Result[T, BadRow]:
+    """Returns the row, or why this version can't read it."""
+    try:
+        row = msgspec.json.decode(value, type=kind)
+    except msgspec.MsgspecError as error:
+        return result.Err(BadRow(detail=str(error)))
+    written = getattr(row, "format", FORMAT)
+    if written > FORMAT:
+        return result.Err(BadRow(detail=f"format {written} is too new"))
+    return result.Ok(row)
--- /dev/null
+++ b/pollenfork/endpoints/tests/world.py
@@ -0,0 +1,258 @@
+"""A table, an engine and holders that can be paused between any two steps."""
+
+import itertools
+
+import msgspec
+import result
+
+from pollenfork import clock
+from pollenfork import ids
+from pollenfork.endpoints import edges
+from pollenfork.endpoints import errors as endpoint_errors
+from pollenfork.endpoints import holder
+from pollenfork.endpoints import lease
+from pollenfork.endpoints import orders
+from pollenfork.endpoints import steps
+from pollenfork.platform import edges as platform_edges
+from pollenfork.platform import errors
+
+ENDPOINT = ids.EndpointId("e1")
+DC = ids.DataCentre("dc1")
+LIMITS = lease.Limits()
+LOST = result.Err(errors.Unanswered())
+
+
+class Table:
+    """A `TableService` in memory; faults are the callers' business."""
+
+    def __init__(self):
+        self.rows = {}
+        self._answers = {}
+        self.reads = self.writes = 0
+
+    def read(self, key):
+        self.reads += 1
+        return result.Ok(self.rows.get(key))
+
+    def scan(self, prefix, after="", limit=1000):
+        self.reads += 1
+        found = sorted(
+            (row for key, row in self.rows.items() if key.startswith(prefix)),
+            key=lambda row: row.key,
+        )
+        return result.Ok(tuple(r for r in found if r.key > after)[:limit])
+
+    def commit(self, transaction):
+        if transaction.write_id not in self._answers:
+            self._answers[transaction.write_id] = self._commit(transaction)
+        return self._answers[transaction.write_id]
+
+    def _commit(self, transaction):
+        self.writes += 1
+        changes = (*transaction.puts, *transaction.deletes)
+        failed = tuple(
+            change.key
+            for change in changes
+            if change.expected not in (-1, self._find_version(change.key))
+        )
+        if failed:
+            return result.Err(errors.Conflicted(keys=failed))
+        versions = []
+        for put in transaction.puts:
+            version = self._find_version(put.key) + 1
+            self.rows[put.key] = platform_edges.Row(put.key, put.value, version)
+            versions.append(version)
+        for delete in transaction.deletes:
+            self.rows.pop(delete.key, None)
+        return result.Ok(platform_edges.Committed(tuple(versions)))
+
+    def _find_version(self, key):
+        return self.rows[key].version if key in self.rows else 0
+
+
+class Engine:
+    """Applies orders; says which came out of turn."""
+
+    def __init__(self, checks_fencing):
+        self.checks_fencing = checks_fencing
+        self.applied = []  # (fencing, sequence, kind, argument)
+        self.highest = 0
+
+    def apply(self, order):
+        if self.checks_fencing and order.fencing < self.highest:
+            return result.Err(edges.Fenced())
+        self.highest = max(self.highest, order.fencing)
+        sequence = int(order.order_id.partition(":")[2])
+        entry = (order.fencing, sequence, order.kind, order.argument)
+        if self.applied:
+            before = self.applied[-1]
+            in_turn = entry[0] >= before[0] and entry[1] >= before[1]
+            assert in_turn, f"{entry} came after {before}"
+        self.applied.append(entry)
+        return result.Ok(None)
+
+    def read_models(self):
+        """Returns the models that the applied orders leave loaded."""
+        models = {}
+        for _, _, kind, argument in self.applied:
+            if kind is edges.OrderKind.LOAD_MODEL:
+                models[argument.partition("@")[0]] = argument
+        return tuple(models.values())
+
+
+class InFlight(msgspec.Struct):
+    """An order on its way to the engine."""
+
+    order: edges.Order
+    due: float
+
+
+class World:
+    """Everything that instances share, at one time."""
+
+    def __init__(self, checks_fencing, carriers=frozenset((ENDPOINT,))):
+        self.clock = clock.ManualClock()
+        self.table = Table()
+        self.engine = Engine(checks_fencing)
+        self.late_writes = []
+        self.in_flight = []
+        self.carriers = {"m": carriers}
+        self.write_ids = (ids.WriteId(f"w{n}") for n in itertools.count())
+
+    def advance(self, seconds):
+        """Moves the clock; an order in flight lands within its time."""
+        until = self.clock.monotonic() + seconds
+        for flight in sorted(self.in_flight, key=lambda f: f.due):
+            # A fenced engine guards itself, however late the order comes.
+            if flight.due <= until and not self.engine.checks_fencing:
+                wait = flight.due - self.clock.monotonic()
+                self.clock.advance(max(wait, 0.0))
+                self.land(flight)
+        self.clock.advance(until - self.clock.monotonic())
+
+    def land(self, flight):
+        """The engine acts on an order whose sender may be gone."""
+        self.in_flight.remove(flight)
+        return self.engine.apply(flight.order)
+
+
+class Instance:
+    """One holder whose every step can be interrupted."""
+
+    def __init__(self, world, name, rank=0):
+        self.world = world
+        self.name = name
+        self.rank = rank
+        self.models = ()
+        self.start()
+
+    def start(self):
+        """A new process: nothing is remembered."""
+        self.step = None
+        self.stage = ""
+        self.answer = None
+        self.flight = None
+        self.holder = holder.Holder(
+            ENDPOINT, DC, self.name, self.world.write_ids.__next__
+        )
+        self.wish(*self.models)
+
+    def wish(self, *models):
+        self.models = models
+        desired = orders.Desired(
+            models=self.models,
+            checks_fencing=self.world.engine.checks_fencing,
+        )
+        self.holder.wish(desired, self.world.carriers)
+
+    def now(self):
+        return self.world.clock.monotonic()
+
+    def move(self):
+        """Goes on by one stage; returns whether there was one."""
+        if self.step is None:
+            self.step = self.holder.next_step(self.now(), self.rank)
+            self.stage = "decided" if self.step else ""
+            return self.step is not None
+        getattr(self, f"_leave_{self.stage}")()
+        return True
+
+    def lose_answer(self):
+        """The answer to the step under way gets lost."""
+        if isinstance(self.step, steps.Send):
+            if self.stage == "sent":
+                self._forget_flight()
+            self.answer = result.Err(edges.Unanswered())
+        else:
+            self.answer = LOST
+        self.stage = "answered"
+
+    def delay_write(self):
+        """The write takes effect later than its caller waits."""
+        self.world.late_writes.append(self.step.transaction)
+        self.answer = LOST
+        self.stage = "answered"
+
+    def refuse(self):
+        """The step has no effect, and its caller is told so."""
+        failure = errors.Unavailable()
+        if isinstance(self.step, steps.Send):
+            failure = edges.Unreachable()
+        self.answer = result.Err(failure)
+        self.stage = "answered"
+
+    def _leave_decided(self):
+        match self.step:
+            case steps.Read(key):
+                self.answer = self.world.table.read(key)
+            case steps.Write(transaction):
+                self.answer = self.world.table.commit(transaction)
+            case steps.AskPermit():
+                self.answer = result.Ok(None)
+            case steps.Send(order, send_before):
+                self._send(order, send_before)
+                return
+        self.stage = "answered"
+
+    def _send(self, order, send_before):
+        if self.now() >= send_before:
+            self.answer = result.Err(endpoint_errors.TooLate())
+            self.stage = "answered"
+            return
+        self.flight = InFlight(order, self.now() + LIMITS.order_s)
+        self.world.in_flight.append(self.flight)
+        self.stage = "sent"
+
+    def _leave_sent(self):
+        if self.flight in self.world.in_flight:
+            self.answer = self.world.land(self.flight)
+        else:
+            self.answer = result.Ok(None)  # It landed while we were paused.
+        self.stage = "answered"
+
+    def _forget_flight(self):
+        """The order goes on alone; nobody hears what becomes of it."""
+        self.flight = None
+
+    def _leave_answered(self):
+        step, answer = self.step, self.answer
+        self.step = self.answer = None
+        match step:
+            case steps.Read():
+                self.holder.take_row(answer, self.now())
+            case steps.Write():
+                self.holder.take_commit(answer, self.now())
+            case steps.AskPermit():
+                self.holder.take_permit(answer, self.now())
+            case steps.Send():
+                self.holder.take_order(answer, self.now())
+
+
+def settle(world, instances, seconds=600.0, period=1.0):
+    """Lets the instances go on without faults for so many seconds."""
+    for _ in range(int(seconds / period)):
+        for instance in instances:
+            for _ in range(40):
+                if not instance.move():
+                    break
+        world.advance(period)
