--- /dev/null
+++ b/pollenfork/entry/work.py
@@ -0,0 +1,280 @@
+"""The course of one request: classed, queued, dispatched, relayed."""
+
+from collections.abc import Mapping
+import concurrent.futures
+import http
+from typing import Protocol
+
+import result
+
+from pollenfork import clock
+from pollenfork import failures
+from pollenfork import ids
+from pollenfork.admission import messages as admission_messages
+from pollenfork.answers import errors as answer_errors
+from pollenfork.answers import messages as answer_messages
+from pollenfork.answers import session
+from pollenfork.dispatch import messages as dispatch_messages
+from pollenfork.entry import errors
+from pollenfork.entry import journal
+from pollenfork.entry import request
+from pollenfork.entry import target
+from pollenfork.settings import model
+from pollenfork.settings import snapshot
+
+CALLER = "pollenfork.caller"  # The caller's connection, in the environ.
+
+_CHECK_CALLER_S = 0.25
+_MS = 1000
+_CHAT = "/v1/chat/completions"
+_NO_METHODS = frozenset({"CONNECT", "TRACE"})
+_SERVICE_METHODS = (
+    "GET",
+    "HEAD",
+    "POST",
+    "PUT",
+    "PATCH",
+    "DELETE",
+    "OPTIONS",
+)
+
+Served = result.Result[session.Answer, errors.Refusal]
+
+
+class Slots(session.Slots, Protocol):
+    """The scheduler as the entry needs it."""
+
+    def submit(
+        self, ask: admission_messages.Ask
+    ) -> concurrent.futures.Future[
+        dispatch_messages.Grant | admission_messages.Refused
+    ]:
+        """Asks for a slot."""
+
+
+class Worker:
+    """Takes a request from its head to the answer's first byte."""
+
+    def __init__(
+        self,
+        slots: Slots,
+        relay: session.Relay,
+        now: clock.Clock,
+        body_limit: int,
+    ) -> None:
+        self._slots = slots
+        self._relay = relay
+        self._clock = now
+        self._body_limit = body_limit
+
+    def complete(
+        self,
+        environ: request.Environ,
+        lookups: snapshot.Snapshot,
+        record: journal.Record,
+    ) -> Served:
+        """Serves a completion by a model runner."""
+        identified = self._identify(environ, lookups, record)
+        if identified.is_err():
+            return result.Err(identified.unwrap_err())
+        read = request.read_body(environ, self._body_limit)
+        if read.is_err():
+            return result.Err(read.unwrap_err())
+        chat = environ["PATH_INFO"] == _CHAT
+        parsed = request.read_prompt(read.unwrap(), chat)
+        if parsed.is_err():
+            return result.Err(parsed.unwrap_err())
+        prompt = parsed.unwrap()
+        if prompt.model not in list_models(lookups.tree.root.endpoints):
+            return refuse_model(prompt.model)
+        identity = identified.unwrap()
+        ask = self._make_ask(identity, lookups, record, prompt=prompt)
+        call = answer_messages.Call(
+            request=ask.request,
+            method="POST",
+            path=environ["PATH_INFO"],
+            headers=target.list_engine_headers(environ),
+            body=read.unwrap(),
+            streamed=bool(prompt.stream),
+            idempotent=True,
+            first_token_due=ask.first_token_due,
+            give_up_at=ask.give_up_at,
+        )
+        return self._run(environ, ask, call, record)
+
+    def call_service(
+        self,
+        environ: request.Environ,
+        lookups: snapshot.Snapshot,
+        record: journal.Record,
+    ) -> Served:
+        """Passes a call on to a plain service."""
+        method = environ["REQUEST_METHOD"]
+        if method in _NO_METHODS:
+            refused = request.check_method(environ, _SERVICE_METHODS)
+            return result.Err(refused.unwrap_err())
+        located = target.read_service(environ)
+        if located.is_err():
+            return result.Err(located.unwrap_err())
+        identified = self._identify(environ, lookups, record)
+        if identified.is_err():
+            return result.Err(identified.unwrap_err())
+        place = located.unwrap()
+        service = lookups.tree.root.services.get(place.service)
+        if service is None:
+            return _refuse_service(place.service)
+        read = request.read_body(environ, self._body_limit)
+        if read.is_err():
+            return result.Err(read.unwrap_err())
+        ask = self._make_ask(
+            identified.unwrap(),
+            lookups,
+            record,
+            service=place.service,
+            idempotent=method in service.repeatable_methods,
+        )
+        call = answer_messages.Call(
+            request=ask.request,
+            method=method,
+            path=place.path,
+            headers=target.list_service_headers(environ),
+            body=read.unwrap(),
+            streamed=False,
+            idempotent=ask.idempotent,
+            first_token_due=ask.first_token_due,
+            give_up_at=ask.give_up_at,
+        )
+        return self._run(environ, ask, call, record)
+
+    def _identify(
+        self,
+        environ: request.Environ,
+        lookups: snapshot.Snapshot,
+        record: journal.Record,
+    ) -> result.Result[request.Identity, errors.Refusal]:
+        authenticated = request.authenticate(environ, lookups)
+        if authenticated.is_err():
+            return result.Err(authenticated.unwrap_err())
+        caller = authenticated.unwrap()
+        record.note_caller(caller)
+        chosen = request.choose_class(environ, caller, lookups)
+        if chosen.is_ok():
+            record.service_class = chosen.unwrap().class_name
+        return chosen
+
+    def _make_ask(
+        self,
+        identity: request.Identity,
+        lookups: snapshot.Snapshot,
+        record: journal.Record,
+        prompt: request.Prompt | None = None,
+        service: ids.ServiceName | None = None,
+        idempotent: bool = True,
+    ) -> admission_messages.Ask:
+        now = self._clock.monotonic()
+        chosen = identity.service_class
+        caller = identity.caller
+        target_s = chosen.target_first_token_ms / _MS
+        return admission_messages.Ask(
+            request=record.request,
+            team=caller.team,
+            account=caller.account,
+            class_name=identity.class_name,
+            tier=ids.Tier(chosen.tier),
+            model=ids.ModelName(prompt.model if prompt else ""),
+            service=service,
+            arrived=now,
+            first_token_due=now + target_s,
+            give_up_at=now + chosen.max_wait_ms / _MS,
+            late_refused=chosen.when_late is model.LatePolicy.REFUSE,
+            protected=chosen.protected,
+            max_waiting=chosen.max_waiting,
+            minimum_share=chosen.minimum_share,
+            account_limit=caller.settings.max_in_flight,
+            team_limit=lookups.tree.teams[caller.team].max_in_flight,
+            retry_ratio=chosen.retry_ratio,
+            hedge=chosen.hedge,
+            prefix=request.hash_prefix(prompt) if prompt else 0,
+            prompt_tokens=request.estimate_tokens(prompt) if prompt else 0,
+            max_tokens=prompt.read_limit() if prompt else None,
+            idempotent=idempotent,
+        )
+
+    def _run(
+        self,
+        environ: request.Environ,
+        ask: admission_messages.Ask,
+        call: answer_messages.Call,
+        record: journal.Record,
+    ) -> Served:
+        decision = self._wait_for_slot(environ, ask)
+        if isinstance(decision, admission_messages.Refused):
+            return result.Err(errors.describe_refused(decision))
+        record.note_granted(decision.endpoint)
+        opened = self._relay.open(call, decision, environ.get(CALLER))
+        if opened.is_err():
+            self._close(ask)
+            return result.Err(_describe_failure(opened.unwrap_err()))
+        return result.Ok(opened.unwrap())
+
+    def _wait_for_slot(
+        self, environ: request.Environ, ask: admission_messages.Ask
+    ) -> dispatch_messages.Grant | admission_messages.Refused:
+        pending = self._slots.submit(ask)
+        is_gone = environ.get("waitress.client_disconnected", lambda: False)
+        while True:
+            try:
+                return pending.result(timeout=_CHECK_CALLER_S)
+            except concurrent.futures.TimeoutError:
+                if is_gone():
+                    withdrawn = admission_messages.Withdrawn(
+                        request=ask.request
+                    )
+                    self._slots.report(withdrawn)
+
+    def _close(self, ask: admission_messages.Ask) -> None:
+        closed = dispatch_messages.RequestClosed(request=ask.request)
+        self._slots.report(closed)
+
+
+def list_models(
+    endpoints: Mapping[ids.EndpointId, model.EndpointSettings],
+) -> list[ids.ModelName]:
+    """Returns the names of the models that any endpoint has by plan."""
+    names = {
+        ids.ModelName(name.partition("@")[0])
+        for endpoint in endpoints.values()
+        for name in endpoint.models
+    }
+    return sorted(names)
+
+
+def _describe_failure(failure: answer_errors.AnswerFailure) -> errors.Refusal:
+    not_run = failure.outcome is failures.Outcome.NOT_RUN
+    said = "was not run" if not_run else "may have run"
+    return errors.Refusal(
+        status=http.HTTPStatus.BAD_GATEWAY,
+        code=errors.Code.ENDPOINT_FAILED,
+        outcome=failure.outcome,
+        retry_after_s=1.0 if not_run else None,
+        detail=f"The endpoint gave no answer; the request {said}.",
+    )
+
+
+def refuse_model(name: str) -> result.Err[errors.Refusal]:
+    """Returns the refusal of a model that no endpoint has."""
+    return errors.refuse(
+        http.HTTPStatus.NOT_FOUND,
+        errors.Code.UNKNOWN_MODEL,
+        f"No endpoint has the model {request.shorten(name)!r};"
+        " GET /v1/models lists them.",
+        param="model",
+    )
+
+
+def _refuse_service(name: str) -> result.Err[errors.Refusal]:
+    return errors.refuse(
+        http.HTTPStatus.NOT_FOUND,
+        errors.Code.UNKNOWN_SERVICE,
+        f"There is no service {request.shorten(name)!r}.",
+    )
