--- a/pollenfork/dispatch/endpoint.py
+++ b/pollenfork/dispatch/endpoint.py
@@ -130,6 +130,12 @@
         reported = report.running + report.waiting + self._since_report
         return max(known, reported)
 
+    def count_unseen(self, now: float) -> int:
+        """Returns the attempts that only its own report tells of."""
+        if not self.is_usable(now):
+            return 0
+        return self.estimate_load(now) - self.own - self.peers
+
     def has_room(self, now: float) -> bool:
         """Returns whether one more attempt may go to it."""
         return (
--- a/pollenfork/dispatch/peers.py
+++ b/pollenfork/dispatch/peers.py
@@ -7,7 +7,6 @@
 
 _SILENT_S = 3.0
 _HOLD_S = 10.0
-_ALONE_HOLD_S = 60.0
 
 
 class Peer(msgspec.Struct):
@@ -47,16 +46,22 @@
     def expire(self, now: float) -> bool:
         """Loses silent peers, drops long lost ones; whether any changed."""
         changed = False
-        hold = _ALONE_HOLD_S if self.is_cut_off() else _HOLD_S
         for name, peer in list(self._peers.items()):
             if peer.lost_at is None and now - peer.heard_at > _SILENT_S:
                 peer.lost_at = now
                 changed = True
-            elif peer.lost_at is not None and now - peer.lost_at > hold:
+            elif self._is_forgotten(peer, now):
                 del self._peers[name]
                 changed = True
         return changed
 
+    def _is_forgotten(self, peer: Peer, now: float) -> bool:
+        # Where all are lost at once it is rather this instance that is cut
+        # off: they are kept, and with them the equal share.
+        if peer.lost_at is None or self.is_cut_off():
+            return False
+        return now - peer.lost_at > _HOLD_S
+
     def is_cut_off(self) -> bool:
         """Returns whether every peer there was has been lost."""
         return bool(self._peers) and not self.count_present()
--- a/pollenfork/dispatch/sharing.py
+++ b/pollenfork/dispatch/sharing.py
@@ -23,6 +23,7 @@
         own_in_flight: Attempts of this instance.
         peer_waiting: Requests waiting at peers.
         peer_in_flight: Attempts of peers.
+        unseen: Attempts that only the endpoints' own reports tell of.
         instances: Instances that share the endpoints, this one included.
         is_cut_off: All peers there were are out of reach, perhaps at work.
     """
@@ -33,18 +34,24 @@
     peer_waiting: list[int]
     peer_in_flight: list[int]
     instances: int
+    unseen: int = 0
     is_cut_off: bool = False
 
     def read_capacity(self) -> float:
-        """Returns the slots to split; a fixed part when cut off."""
-        if self.is_cut_off:
-            return self.capacity / self.instances
+        """Returns the slots to split.
+
+        Cut off from all peers, an instance keeps to an equal share, unless
+        the endpoints' own reports show that much free.
+        """
+        share = math.ceil(self.capacity / self.instances)
+        if self.is_cut_off and self.count_free() < share:
+            return share
         return self.capacity
 
     def count_free(self) -> float:
         """Returns the slots that nobody is known to hold."""
         held = sum(self.own_in_flight) + sum(self.peer_in_flight)
-        return self.read_capacity() - held
+        return self.capacity - held - self.unseen
 
 
 class Sharing(Protocol):
--- a/pollenfork/dispatch/supply.py
+++ b/pollenfork/dispatch/supply.py
@@ -28,6 +28,7 @@
         self._pools: dict[admission_messages.PoolKey, pools.Pool] = {}
         self._pools_of: dict[ids.EndpointId, list[pools.Pool]] = {}
         self._counted: dict[ids.EndpointId, float] = {}
+        self._unseen: dict[ids.EndpointId, int] = {}
         self._in_flight: dict[tuple[ids.EndpointId, ids.Tier], int] = {}
         self._peers = peers.Peers()
 
@@ -133,6 +134,9 @@
         claims = linked[0].cluster.claims
         claims.capacity += capacity - self._counted[known.name]
         self._counted[known.name] = capacity
+        unseen = known.count_unseen(now)
+        claims.unseen += unseen - self._unseen[known.name]
+        self._unseen[known.name] = unseen
 
     def read_pressure(
         self,
@@ -234,6 +238,7 @@
         self._pools = {}
         self._pools_of = {}
         self._counted = dict.fromkeys(self.endpoints, 0.0)
+        self._unseen = dict.fromkeys(self.endpoints, 0)
         for known in self.endpoints.values():
             for key in known.list_pools():
                 self._join(key, known)
