--- a/pollenfork/dispatch/sharing.py
+++ b/pollenfork/dispatch/sharing.py
@@ -48,6 +48,12 @@
             return share
         return self.capacity
 
+    def rate_elsewhere(self) -> float:
+        """Returns the part of the held slots that others hold."""
+        own = sum(self.own_in_flight)
+        others = sum(self.peer_in_flight) + self.unseen
+        return others / max(1, own + others)
+
     def count_free(self) -> float:
         """Returns the slots that nobody is known to hold."""
         held = sum(self.own_in_flight) + sum(self.peer_in_flight)
@@ -93,7 +99,7 @@
         )
         if not higher:
             return True
-        others = 1.0 - 1.0 / claims.instances
+        others = claims.rate_elsewhere()
         kept = self._headroom * others * math.sqrt(higher)
         return claims.count_free() >= kept + 1
 
