--- a/pollenfork/dispatch/sharing.py
+++ b/pollenfork/dispatch/sharing.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-_HEADROOM = 2.5
+_HEADROOM = 2.0
 
 
 class Claims(msgspec.Struct):
