--- /dev/null
+++ b/benchmarks/settings_spread.py
@@ -0,0 +1,363 @@
+"""Time from a write's acceptance until it is in force at every instance.
+
+Two measurements, told apart in the output:
+
+- `real`: 8 instances in this process, each with its actor's thread and its
+  guarded HTTP adapter, on the platform stand-in, by the machine's clock.
+- `manual`: 2 to 360 instances with the same core and keeper on a manual
+  clock in steps of a tick, to see the slope and the table's reads. What a
+  read or a compilation takes isn't in it.
+
+Peers' heartbeats are stood in for by a call: within a data centre, one of six,
+a new revision is heard within one heartbeat period. No peer hands its tree
+out here, so that a lost read has to be made up for by the next one.
+"""
+
+import logging
+import pathlib
+import random
+import statistics
+import time
+
+import msgspec
+import result
+
+from pollenfork import clock
+from pollenfork import failures
+from pollenfork import metrics
+from pollenfork import timers
+from pollenfork.membership import periods
+from pollenfork.platform import client
+from pollenfork.platform import policy
+from pollenfork.settings import actor
+from pollenfork.settings import changes
+from pollenfork.settings import core
+from pollenfork.settings import first
+from pollenfork.settings import messages
+from pollenfork.settings import model
+from pollenfork.settings import paths
+from pollenfork.settings import writer
+from pollenfork.standin.platform import config as platform_config
+from pollenfork.standin.platform import core as platform_core
+from pollenfork.standin.platform import fake
+from pollenfork.standin.platform import front
+
+SIZES = (2, 8, 24, 60, 360)
+DATA_CENTRES = 6
+REAL_INSTANCES = 8
+_REAL_WRITES = 5
+_MANUAL_WRITES = 8
+_BETWEEN_S = 30.0
+_LIMIT_S = 60.0
+_OPERATOR = "0" * 64
+_RESULTS = pathlib.Path(__file__).parent / "results"
+
+
+class Figures(msgspec.Struct, frozen=True, kw_only=True):
+    """One run; times in seconds from acceptance.
+
+    Attributes:
+        everywhere_mean_s: Until in force at the last instance.
+        reads_per_s: Reads of the table while nothing changes.
+        reads_peak_per_s: The most in a quarter of a second after a write,
+            times four.
+        lost_reads: Part of the reads that failed on purpose.
+    """
+
+    how: str
+    instances: int
+    peers: bool
+    lost_reads: float
+    writes: int
+    everywhere_mean_s: float
+    everywhere_max_s: float
+    reads_per_s: float
+    reads_peak_per_s: float
+
+
+class Writes:
+    """Changes one number of the tree, again and again."""
+
+    def __init__(self, table: object, now: clock.Clock) -> None:
+        self._writer = writer.Writer(
+            table, now, random.Random(1), time.sleep, lambda: None, (_OPERATOR,)
+        )
+        self.revision = 0
+
+    def begin(self, table: object, now: clock.Clock) -> None:
+        """Writes the first tree."""
+        tree = model.Tree(root=model.RootSettings())
+        self.revision = first.write_tree(table, tree, now).unwrap()
+
+    def write(self) -> messages.TreeWritten:
+        """Writes once and returns the tree that came of it."""
+        team = f"team-{self.revision}"
+        change = changes.Change(
+            path=paths.SettingsPath("root", ("ceilings",)),
+            value={team: {}},
+            expected=self.revision,
+            write_id=f"w-{self.revision}",
+            operator=_OPERATOR,
+        )
+        accepted = self._writer.write(change).unwrap()
+        self.revision = accepted.revision
+        return messages.TreeWritten(accepted.tree)
+
+
+class ManualInstance:
+    """One instance's core and keeper on a manual clock."""
+
+    def __init__(
+        self,
+        number: int,
+        state: platform_core.Platform,
+        now: clock.ManualClock,
+        lost_reads: float,
+    ) -> None:
+        self.number = number
+        self.core = core.Core(random.Random(number), now.monotonic())
+        self.platform = fake.FakePlatform(now, state)
+        self._lost_reads = lost_reads
+        self._rng = random.Random(-number - 1)
+        self.keeper = actor.Keeper(
+            self.core, self.platform.table, now, metrics.Metrics(), _no_copy
+        )
+        # The phase of each instance's polling differs, as starts do.
+        self.core._next_read = self._rng.uniform(0, core.POLL_S)
+
+    def tick(self) -> None:
+        """Lets the instance do what is due, some of its reads being lost."""
+        lost = self._rng.random() < self._lost_reads
+        self.platform.set_faults(platform_config.Faults(down=lost))
+        self.keeper.handle(messages.Tick())
+
+
+def _no_copy(peer: str) -> result.Result[bytes, failures.Failure]:
+    return result.Err(failures.Failure(detail=f"{peer} has no copy"))
+
+
+def measure_manual(
+    instances: int, peers: bool, lost_reads: float = 0.0
+) -> Figures:
+    """Returns the figures of so many instances on a manual clock."""
+    run = ManualRun(instances, peers, lost_reads)
+    times = [run.spread() for _ in range(_MANUAL_WRITES)]
+    return Figures(
+        how="manual",
+        instances=instances,
+        peers=peers,
+        lost_reads=lost_reads,
+        writes=len(times),
+        everywhere_mean_s=round(statistics.mean(times), 2),
+        everywhere_max_s=round(max(times), 2),
+        reads_per_s=round(statistics.mean(run.quiet_reads), 1),
+        reads_peak_per_s=round(max(run.busy_reads), 1),
+    )
+
+
+class ManualRun:
+    """Instances of a manual clock, their table and their heartbeats."""
+
+    def __init__(self, instances: int, peers: bool, lost_reads: float) -> None:
+        self._clock = clock.ManualClock()
+        rates = platform_config.PlatformConfig(reads_per_s=1e9)
+        self._state = platform_core.Platform(rates)
+        plain = fake.FakePlatform(self._clock, self._state).table
+        self._writes = Writes(plain, self._clock)
+        self._writes.begin(plain, self._clock)
+        self._instances = [
+            ManualInstance(number, self._state, self._clock, lost_reads)
+            for number in range(instances)
+        ]
+        self._peers = peers
+        self._rng = random.Random(7)
+        self._heard: list[tuple[float, ManualInstance, int]] = []
+        self._known: dict[int, int] = {}
+        self.quiet_reads: list[int] = []
+        self.busy_reads: list[int] = []
+        self._pass(_BETWEEN_S, self.quiet_reads)
+        self.quiet_reads.clear()
+
+    def spread(self) -> float:
+        """Writes once; returns seconds until it is in force everywhere."""
+        self._pass(_BETWEEN_S + self._rng.uniform(0, 10), self.quiet_reads)
+        accepted = self._writes.write()
+        began = self._clock.monotonic()
+        chosen = self._rng.choice(self._instances)
+        chosen.keeper.handle(accepted)
+        wanted = accepted.tree.revision
+        while self._clock.monotonic() - began < _LIMIT_S:
+            self._pass(actor.TICK_S, None)
+            if all(one.core.revision >= wanted for one in self._instances):
+                took = self._clock.monotonic() - began
+                self._pass(1.0, self.busy_reads)
+                return took
+        raise AssertionError("a write never came into force everywhere")
+
+    def _pass(self, seconds: float, reads: list[int] | None) -> None:
+        end = self._clock.monotonic() + seconds
+        while self._clock.monotonic() < end:
+            before = self._count_reads()
+            second_ends = self._clock.monotonic() + 1.0
+            while self._clock.monotonic() < min(second_ends, end):
+                self._step()
+            counted = self._count_reads() - before
+            if reads is not None and self._clock.monotonic() >= second_ends:
+                reads.append(counted)
+            if reads is None:
+                self.busy_reads.append(round(counted / actor.TICK_S))
+
+    def _step(self) -> None:
+        self._clock.advance(actor.TICK_S)
+        now = self._clock.monotonic()
+        due = [heard for heard in self._heard if heard[0] <= now]
+        self._heard = [heard for heard in self._heard if heard[0] > now]
+        for _, listener, revision in due:
+            listener.keeper.handle(messages.PeerRevision("peer", revision))
+        for instance in self._instances:
+            instance.tick()
+            if self._peers:
+                self._speak(instance, now)
+
+    def _speak(self, instance: ManualInstance, now: float) -> None:
+        """Lets the data centre hear a new revision within one period."""
+        revision = instance.core.revision
+        if self._known.get(instance.number) == revision:
+            return
+        self._known[instance.number] = revision
+        members = max(1, len(self._instances) // DATA_CENTRES)
+        period_s = periods.compute_heartbeat_s(members)
+        for other in self._instances:
+            same = other.number % DATA_CENTRES == instance.number % DATA_CENTRES
+            if same and other is not instance:
+                at = now + self._rng.uniform(0, period_s)
+                self._heard.append((at, other, revision))
+
+    def _count_reads(self) -> int:
+        calls = self._state.calls
+        return (
+            calls[platform_config.Operation.READ]
+            + calls[platform_config.Operation.SCAN]
+        )
+
+
+class RealInstance:
+    """One instance's settings with its thread, timers and HTTP adapter."""
+
+    def __init__(self, number: int, address: str) -> None:
+        now = clock.SystemClock()
+        rng = random.Random(number)
+        channel = client.Channel(address)
+        platform = policy.Platform(
+            table=client.HttpTable(channel),
+            objects=client.HttpObjects(channel),
+            instances=client.HttpInstances(channel),
+            weights=client.HttpWeights(channel),
+            tools=policy.Tools(now=now, rng=rng, wait=time.sleep),
+        )
+        self.name = f"entry-{number}"
+        self.timers = timers.Timers(now)
+        self.settings = actor.Settings(
+            platform.table,
+            now,
+            rng,
+            self.timers,
+            metrics.Metrics(),
+            _no_copy,
+        )
+
+    def start(self) -> None:
+        """Starts the actor and its polling."""
+        self.settings.start()
+        self.timers.start()
+
+    def stop(self) -> None:
+        """Ends both."""
+        self.timers.stop()
+        self.settings.stop()
+
+
+def measure_real(peers: bool) -> Figures:
+    """Returns the figures of 8 instances by the machine's clock."""
+    platform = front.PlatformStandin(
+        platform_config.PlatformConfig(), clock.SystemClock()
+    )
+    address = platform.start()
+    table = client.HttpTable(client.Channel(address))
+    writes = Writes(table, clock.SystemClock())
+    writes.begin(table, clock.SystemClock())
+    instances = [
+        RealInstance(number, address) for number in range(REAL_INSTANCES)
+    ]
+    for instance in instances:
+        instance.start()
+        time.sleep(0.1)
+    began, cpu = time.monotonic(), time.process_time()
+    times = [spread_real(instances, writes, peers) for _ in range(_REAL_WRITES)]
+    seconds = time.monotonic() - began
+    print(f"real: {(time.process_time() - cpu) / seconds:.3f} of a core, all")
+    for instance in instances:
+        instance.stop()
+    platform.stop()
+    return Figures(
+        how="real",
+        instances=REAL_INSTANCES,
+        peers=peers,
+        lost_reads=0.0,
+        writes=len(times),
+        everywhere_mean_s=round(statistics.mean(times), 2),
+        everywhere_max_s=round(max(times), 2),
+        reads_per_s=0.0,
+        reads_peak_per_s=0.0,
+    )
+
+
+def spread_real(
+    instances: list[RealInstance], writes: Writes, peers: bool
+) -> float:
+    """Writes once; returns seconds until it is in force everywhere."""
+    accepted = writes.write()
+    began = time.monotonic()
+    instances[0].settings.report(accepted)
+    period_s = periods.compute_heartbeat_s(len(instances))
+    next_heartbeat = began
+    while time.monotonic() - began < _LIMIT_S:
+        revisions = [one.settings.revision for one in instances]
+        if min(revisions) >= writes.revision:
+            return time.monotonic() - began
+        if peers and time.monotonic() >= next_heartbeat:
+            next_heartbeat += period_s
+            exchange(instances)
+        time.sleep(0.01)
+    raise AssertionError("a write never came into force everywhere")
+
+
+def exchange(instances: list[RealInstance]) -> None:
+    """Tells every instance every other's revision."""
+    for speaker in instances:
+        said = messages.PeerRevision(speaker.name, speaker.settings.revision)
+        for listener in instances:
+            if listener is not speaker:
+                listener.settings.report(said)
+
+
+def main() -> None:
+    """Prints the figures of all runs and writes them as JSON."""
+    logging.disable(logging.WARNING)
+    rows = [
+        measure_manual(size, peers) for size in SIZES for peers in (False, True)
+    ]
+    rows.append(measure_manual(SIZES[-1], True, lost_reads=0.1))
+    rows += [measure_real(peers) for peers in (False, True)]
+    names = Figures.__struct_fields__
+    print("  ".join(f"{name:>17}" for name in names))
+    for row in rows:
+        values = [str(getattr(row, name)) for name in names]
+        print("  ".join(f"{value:>17}" for value in values))
+    _RESULTS.mkdir(exist_ok=True)
+    path = _RESULTS / "settings_spread.json"
+    path.write_bytes(msgspec.json.format(msgspec.json.encode(rows)) + b"\n")
+
+
+if __name__ == "__main__":
+    main()
