--- a/pollenfork/answers/tests/test_core.py
+++ b/pollenfork/answers/tests/test_core.py
@@ -50,7 +50,7 @@
         assert not in_doubt
 
 
-@pytest.mark.parametrize("cause", list(core.PROVED_NOT_RUN))
+@pytest.mark.parametrize("cause", [Cause.NEVER_SENT, Cause.REFUSED])
 def test_no_attempt_starts_after_the_deadline(cause: errors.Cause) -> None:
     recovery = make_recovery(idempotent=True)
     action = recovery.decide(cause, core.Progress(), now=10.0)
--- a/pollenfork/entry/server.py
+++ b/pollenfork/entry/server.py
@@ -72,11 +72,13 @@
         return size
 
     def service(self) -> None:
-        """Serves a request; callbacks of an earlier one are forgotten."""
+        """Serves a request; its callbacks are forgotten with its end."""
+        # A list for each request: the next one may begin before this ends.
+        calls = self._gone_calls = []
         try:
             super().service()
         finally:
-            self._gone_calls.clear()
+            calls.clear()
 
     def handle_close(self) -> None:
         """Closes the connection and tells whoever serves it."""
--- a/pollenfork/entry/work.py
+++ b/pollenfork/entry/work.py
@@ -20,6 +20,7 @@
 from pollenfork.dispatch import messages as dispatch_messages
 from pollenfork.entry import errors
 from pollenfork.entry import request
+from pollenfork.entry import server
 from pollenfork.settings import model
 from pollenfork.settings import snapshot
 
@@ -175,8 +176,10 @@
             idempotent=ask.idempotent,
             first_token_due=ask.first_token_due,
             give_up_at=ask.give_up_at,
+            engine=ask.service is None,
         )
-        opened = self._relay.open(call, decision)
+        caller = environ.get(server.CALLER)
+        opened = self._relay.open(call, decision, caller)
         if opened.is_err():
             self._close(ask)
             return result.Err(_describe_failure(opened.unwrap_err()))
