Measure the whole entry in the relay benchmark

Besides the bare relay, waitress with read1 and the relay alone, the benchmark now runs a whole entry instance: keys, classes, admission, dispatch, counters and wholeness checks, with the platform's stand-in in the same process.

--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -100,7 +100,7 @@
         "--streams", type=int, nargs="+", default=[50, 100, 200, 350]
     )
     parser.add_argument(
-        "--relays", nargs="+", default=["bare", "plain", "relay"]
+        "--relays", nargs="+", default=["bare", "plain", "relay", "entry"]
     )
     parser.add_argument("--seconds", type=float, default=8.0)
     parser.add_argument("--trial", action="store_true", help="write no JSON")
--- a/benchmarks/relay_client.py
+++ b/benchmarks/relay_client.py
@@ -6,9 +6,13 @@
 import sys
 import time
 
-_BODY = b'{"model":"draft-8b","stream":true,"messages":[]}'
+_BODY = (
+    b'{"model":"lines","stream":true,'
+    b'"messages":[{"role":"user","content":"Tower 7"}]}'
+)
 _REQUEST = (
     b"POST /v1/chat/completions HTTP/1.1\r\nHost: relay\r\n"
+    b"Authorization: Bearer crew-key\r\n"
     b"Content-Type: application/json\r\nContent-Length: %d\r\n\r\n%b"
 ) % (len(_BODY), _BODY)
 _SETTLED_S = 1.5
--- a/benchmarks/relay_engine.py
+++ b/benchmarks/relay_engine.py
@@ -15,6 +15,10 @@
     b'"finish_reason":null}]}\n\n'
 )
 _DONE = b"data: [DONE]\n\n"
+_LOAD = (
+    b'{"running":1,"waiting":0,"kv_free":1.0,"models":["lines"],'
+    b'"ready":true,"age_ms":0}'
+)
 _HEAD = (
     b"HTTP/1.%d 200 OK\r\nContent-Type: text/event-stream\r\n"
     b"Cache-Control: no-cache\r\n"
@@ -43,6 +47,12 @@
                 return len(body) >= int(line.split(b":")[1])
         return True
 
+    def send_load(self) -> None:
+        """Answers a control call."""
+        head = b"HTTP/1.0 200 OK\r\nContent-Length: %d\r\n\r\n" % len(_LOAD)
+        self.connection.sendall(head + _LOAD)
+        self.connection.close()
+
     def send_head(self) -> None:
         """Answers with the head alone."""
         head = _HEAD % self.chunked
@@ -93,7 +103,9 @@
                 continue
             poller.unregister(fd)
             del streams[fd]
-            if data:
+            if data and stream.received.startswith(b"GET "):
+                stream.send_load()
+            elif data:
                 stream.send_head()
                 first = time.monotonic() + rng.random() * GAP_S
                 heapq.heappush(due, (first, fd, stream))
--- a/benchmarks/relay_servers.py
+++ b/benchmarks/relay_servers.py
@@ -8,6 +8,7 @@
 import time
 from typing import Any
 
+import msgspec
 import urllib3
 import waitress.server
 
@@ -18,6 +19,7 @@
 from pollenfork.answers import session
 from pollenfork.dispatch import messages as dispatch_messages
 from pollenfork.entry import server as entry_server
+from tests import sites
 
 _HOST = "127.0.0.1"
 _PATH = "/v1/chat/completions"
@@ -123,11 +125,43 @@
     server.run()
 
 
+def run_entry(engine: int) -> None:
+    """A whole entry instance, the platform's stand-in beside it."""
+    site = sites.Site()
+    tree = sites.make_tree([f"{_HOST}:{engine}"])
+    runner = msgspec.structs.replace(
+        tree.root.endpoints[ids.EndpointId("runner-0")], slots=400
+    )
+    root = msgspec.structs.replace(
+        tree.root, endpoints={ids.EndpointId("runner-0"): runner}
+    )
+    team = tree.teams[ids.Team("linework")]
+    account = msgspec.structs.replace(
+        team.accounts[ids.AccountId("crew")], max_in_flight=1000
+    )
+    team = msgspec.structs.replace(
+        team, accounts={ids.AccountId("crew"): account}
+    )
+    site.write_tree(
+        msgspec.structs.replace(
+            tree, root=root, teams={ids.Team("linework"): team}
+        )
+    )
+    entry = site.start_entry(streams=350, waiting=256, body_limit=1 << 20)
+    _announce(int(entry.address.rpartition(":")[2]))
+    threading.Event().wait()
+
+
 def _announce(port: int) -> None:
     print(port, flush=True)
 
 
-RELAYS = {"bare": run_bare, "plain": run_plain, "relay": run_relay}
+RELAYS = {
+    "bare": run_bare,
+    "plain": run_plain,
+    "relay": run_relay,
+    "entry": run_entry,
+}
 
 if __name__ == "__main__":
     RELAYS[sys.argv[1]](int(sys.argv[2]))
