--- a/pollenfork/entry/work.py
+++ b/pollenfork/entry/work.py
@@ -145,6 +145,7 @@
             headers=target.list_service_headers(environ),
             body=read.unwrap(),
             streamed=False,
+            engine=False,
             idempotent=ask.idempotent,
             first_token_due=ask.first_token_due,
             give_up_at=ask.give_up_at,
