Answer a stale incarnation with the next heartbeat

Cause: the answer that tells a returning instance of its later incarnation went out with the next heartbeat, but its address was due for a probe only each 2 s, so the answer could miss it for ever. Conclusion: the address becomes due at once; the test passes with 1 s.

--- a/pollenfork/membership/contacts.py
+++ b/pollenfork/membership/contacts.py
@@ -41,6 +41,11 @@
         if address != self._own:
             self._hints[address] = now + _HINT_S
 
+    def ask_at_once(self, address: str, now: float) -> None:
+        """Makes the address due for the next heartbeat, which answers it."""
+        self.add_hint(address, now)
+        self._probed.pop(address, None)
+
     def take_due(self, known: set[str], now: float) -> list[str]:
         """Returns addresses to probe now, each at most every two seconds.
 
--- a/pollenfork/membership/core.py
+++ b/pollenfork/membership/core.py
@@ -248,7 +248,7 @@
         same = heartbeat.incarnation == member.incarnation
         if stale or (same and member.status is _Status.LEFT):
             self._answers[member.instance] = member.compose_note()
-            self._contacts.add_hint(address, now)
+            self._contacts.ask_at_once(address, now)
 
     def _hear_pressure(
         self, member: roster.Member, heartbeat: wire.Heartbeat, now: float
--- a/pollenfork/membership/tests/test_core.py
+++ b/pollenfork/membership/tests/test_core.py
@@ -150,7 +150,7 @@
     world.leave("entry-0")
     world.run(1.0)
     world.start("entry-0", -3600.0)
-    world.run(2.5)  # One probe of the addresses in the list.
+    world.run(1.0)
     present = world.nodes["entry-1"].present(world.now)
     assert present["entry-0"] == world.nodes["entry-0"].core.incarnation
 
