--- a/pollenfork/entry/progress.py
+++ b/pollenfork/entry/progress.py
@@ -46,6 +46,9 @@
     """An answer's chunks; tells of the first one and of the end.
 
     Between the two nothing of this class runs.
+
+    Attributes:
+        attach: Of the chunks that can write to the caller by themselves.
     """
 
     def __init__(
@@ -66,6 +69,7 @@
         self._on_first = on_first
         self._on_end = on_end
         self._ended = False
+        self.attach = getattr(chunks, "attach", None)
 
     def __iter__(self) -> Iterator[bytes]:
         """Returns an iterator over the chunks."""
@@ -93,7 +97,11 @@
 
 
 class Handover:
-    """A reply on its way to the server, closed exactly once."""
+    """A reply on its way to the server, closed exactly once.
+
+    Attributes:
+        attach: Of the chunks that can write to the caller by themselves.
+    """
 
     def __init__(
         self, chunks: Iterable[bytes], on_closed: Callable[[], None]
@@ -101,6 +109,7 @@
         self._chunks = chunks
         self._on_closed = on_closed
         self._closed = False
+        self.attach = getattr(chunks, "attach", None)
 
     def __iter__(self) -> Iterator[bytes]:
         """Returns the chunks' own iterator, which costs nothing here."""
