Tell the relay of the caller, and of plain services

The relay learns from the caller's connection that it ended, takes a service's own timeout, and doesn't resume or cancel at a service. A caller that went away is counted as caller_gone, not as a failure of the endpoint.

--- a/pollenfork/entry/errors.py
+++ b/pollenfork/entry/errors.py
@@ -30,6 +30,7 @@
     METHOD_NOT_ALLOWED = "method_not_allowed"
     OVERLOADED = "overloaded"
     STOPPING = "stopping"
+    CALLER_GONE = "caller_gone"  # Only logs and counters have it.
     ENDPOINT_FAILED = "endpoint_failed"
     RUNNING = "idempotent_request_running"
     OUTCOME_UNKNOWN = "outcome_unknown"
@@ -115,6 +116,8 @@
         status = http.HTTPStatus.TOO_MANY_REQUESTS
     if refused.reason is _Reason.STOPPING:
         code = Code.STOPPING
+    if refused.reason is _Reason.CALLER_GONE:
+        code = Code.CALLER_GONE
     return Refusal(
         status=status,
         code=code,
--- a/pollenfork/entry/work.py
+++ b/pollenfork/entry/work.py
@@ -18,6 +18,7 @@
 from pollenfork.entry import errors
 from pollenfork.entry import journal
 from pollenfork.entry import request
+from pollenfork.entry import server
 from pollenfork.entry import target
 from pollenfork.settings import model
 from pollenfork.settings import snapshot
@@ -141,6 +142,9 @@
             idempotent=ask.idempotent,
             first_token_due=ask.first_token_due,
             give_up_at=ask.give_up_at,
+            timeout_s=service.timeout_ms / _MS,
+            engine=False,
+            continuable=False,
         )
         return self._run(environ, ask, call, record)
 
@@ -209,9 +213,9 @@
         if isinstance(decision, admission_messages.Refused):
             return result.Err(errors.describe_refused(decision))
         record.note_granted(decision.endpoint)
-        opened = self._relay.open(call, decision)
+        caller = environ.get(server.CALLER)
+        opened = self._relay.open(call, decision, caller)
         if opened.is_err():
-            self._close(ask)
             return result.Err(_describe_failure(opened.unwrap_err()))
         return result.Ok(opened.unwrap())
 
@@ -230,10 +234,6 @@
                     )
                     self._slots.report(withdrawn)
 
-    def _close(self, ask: admission_messages.Ask) -> None:
-        closed = dispatch_messages.RequestClosed(request=ask.request)
-        self._slots.report(closed)
-
 
 def list_models(
     endpoints: Mapping[ids.EndpointId, model.EndpointSettings],
@@ -250,10 +250,14 @@
 def _describe_failure(failure: answer_errors.AnswerFailure) -> errors.Refusal:
     not_run = failure.outcome is failures.Outcome.NOT_RUN
     said = "was not run" if not_run else "may have run"
+    code = errors.Code.ENDPOINT_FAILED
+    if failure.cause is answer_errors.Cause.CALLER_GONE:
+        code = errors.Code.CALLER_GONE
     return errors.Refusal(
         status=http.HTTPStatus.BAD_GATEWAY,
-        code=errors.Code.ENDPOINT_FAILED,
+        code=code,
         outcome=failure.outcome,
+        reason=failure.cause.value,
         retry_after_s=1.0 if not_run else None,
         detail=f"The endpoint gave no answer; the request {said}.",
     )
