Run requests with an Idempotency-Key under a claim

A key was checked nowhere and a repeat ran again. The entry now claims the key before the request queues, records the ending, replays a kept answer and maps each refusal of the ledger to its code. Without a ledger a request with a key is refused as not run.

A caller that goes away does not cancel a request under a key: it may come back for the answer, so the rest is read and kept. Weighed: recording such a request as unknown, which would refuse the very repeat that the key is for. An answer is kept only with its finish marker as the last line; text of an answer may hold the same words. Keys are apart by team: two teams may use one account name.

Application has to pass the ledger to Worker(claims=...). session.Answer takes any iterator of bytes. What a request asks of the scheduler moved to asks.py, with the class's whole-answer target, which was left out.

--- a/pollenfork/answers/session.py
+++ b/pollenfork/answers/session.py
@@ -1,5 +1,7 @@
 """Relay of answers from their endpoints to the callers."""
 
+from collections.abc import Iterator
+
 import result
 
 from pollenfork import clock
@@ -46,7 +48,7 @@
         self,
         status: int,
         headers: list[tuple[str, str]],
-        chunks: stream.Chunks,
+        chunks: Iterator[bytes],
     ) -> None:
         self.status = status
         self.headers = headers
--- /dev/null
+++ b/pollenfork/entry/asks.py
@@ -0,0 +1,76 @@
+"""What a request asks of the scheduler, from its class and its account."""
+
+from typing import Any
+
+from pollenfork import ids
+from pollenfork.admission import messages
+from pollenfork.entry import journal
+from pollenfork.entry import request
+from pollenfork.settings import model
+from pollenfork.settings import snapshot
+
+_MS = 1000
+
+
+def ask_for_model(
+    identity: request.Identity,
+    lookups: snapshot.Snapshot,
+    record: journal.Record,
+    prompt: request.Prompt,
+) -> messages.Ask:
+    """Returns what a completion asks for."""
+    return messages.Ask(
+        **_describe_class(identity, lookups, record),
+        model=ids.ModelName(prompt.model),
+        prefix=request.hash_prefix(prompt),
+        prompt_tokens=request.estimate_tokens(prompt),
+        max_tokens=prompt.read_limit(),
+    )
+
+
+def ask_for_service(
+    identity: request.Identity,
+    lookups: snapshot.Snapshot,
+    record: journal.Record,
+    service: ids.ServiceName,
+    idempotent: bool,
+) -> messages.Ask:
+    """Returns what a call to a plain service asks for."""
+    return messages.Ask(
+        **_describe_class(identity, lookups, record),
+        model=ids.ModelName(""),
+        service=service,
+        idempotent=idempotent,
+    )
+
+
+def _describe_class(
+    identity: request.Identity,
+    lookups: snapshot.Snapshot,
+    record: journal.Record,
+) -> dict[str, Any]:
+    chosen = identity.service_class
+    caller = identity.caller
+    arrived = record.arrived
+    answer_due = None
+    if chosen.target_answer_ms:
+        answer_due = arrived + chosen.target_answer_ms / _MS
+    return {
+        "request": record.request,
+        "team": caller.team,
+        "account": caller.account,
+        "class_name": identity.class_name,
+        "tier": ids.Tier(chosen.tier),
+        "arrived": arrived,
+        "first_token_due": arrived + chosen.target_first_token_ms / _MS,
+        "answer_due": answer_due,
+        "give_up_at": arrived + chosen.max_wait_ms / _MS,
+        "late_refused": chosen.when_late is model.LatePolicy.REFUSE,
+        "protected": chosen.protected,
+        "max_waiting": chosen.max_waiting,
+        "minimum_share": chosen.minimum_share,
+        "account_limit": caller.settings.max_in_flight,
+        "team_limit": lookups.tree.teams[caller.team].max_in_flight,
+        "retry_ratio": chosen.retry_ratio,
+        "hedge": chosen.hedge,
+    }
--- a/pollenfork/entry/errors.py
+++ b/pollenfork/entry/errors.py
@@ -34,6 +34,8 @@
     ENDPOINT_FAILED = "endpoint_failed"
     RUNNING = "idempotent_request_running"
     OUTCOME_UNKNOWN = "outcome_unknown"
+    ANSWER_NOT_KEPT = "answer_not_kept"
+    BAD_IDEMPOTENCY_KEY = "bad_idempotency_key"
     KEY_REUSED = "idempotency_key_reused"
     RECORD_UNAVAILABLE = "record_unavailable"
     INTERNAL_ERROR = "internal_error"
--- /dev/null
+++ b/pollenfork/entry/keyed.py
@@ -0,0 +1,207 @@
+"""Requests with an `Idempotency-Key`: claimed, run once, replayed."""
+
+from collections.abc import Callable, Iterable, Iterator
+import http
+from typing import Any, Protocol
+
+import result
+
+from pollenfork import clock
+from pollenfork import failures
+from pollenfork import ids
+from pollenfork.admission import messages as admission_messages
+from pollenfork.answers import messages as answer_messages
+from pollenfork.answers import session
+from pollenfork.entry import errors
+from pollenfork.entry import progress
+from pollenfork.ledger import errors as ledger_errors
+from pollenfork.ledger import keys
+
+HEADER = "HTTP_IDEMPOTENCY_KEY"
+_FINISH_MARK = b"\ndata: [DONE]"  # A line of its own: no event's text.
+_KEEP_BYTES = 32 * 1024 * 1024
+_CODES: dict[type[ledger_errors.LedgerRefusal], errors.Code] = {
+    ledger_errors.Running: errors.Code.RUNNING,
+    ledger_errors.UnknownOutcome: errors.Code.OUTCOME_UNKNOWN,
+    ledger_errors.KeyReused: errors.Code.KEY_REUSED,
+    ledger_errors.AnswerNotKept: errors.Code.ANSWER_NOT_KEPT,
+    ledger_errors.AnswerUnavailable: errors.Code.RECORD_UNAVAILABLE,
+    ledger_errors.LedgerDown: errors.Code.RECORD_UNAVAILABLE,
+}
+
+Served = result.Result[session.Answer, errors.Refusal]
+
+
+class Claim(Protocol):
+    """The right to run one request once; it ends by one `record_` call."""
+
+    def may_send(self) -> bool:
+        """Returns whether the request may still be sent."""
+
+    def record_done(
+        self, status: int, headers: Iterable[tuple[str, str]], body: bytes
+    ) -> Any:
+        """Keeps the whole answer for repeats."""
+
+    def record_not_run(self) -> Any:
+        """Frees the key."""
+
+    def record_unknown(self) -> Any:
+        """Keeps the key closed."""
+
+
+class Claims(Protocol):
+    """The ledger as the entry needs it."""
+
+    def claim(
+        self, key: keys.RequestKey, fingerprint: bytes, now: float
+    ) -> result.Result[Claim, ledger_errors.LedgerRefusal]:
+        """Claims the right to run the request under `key`; blocks."""
+
+
+class Keyed:
+    """Runs requests under their callers' keys."""
+
+    def __init__(self, claims: Claims | None, now: clock.Clock) -> None:
+        self._claims = claims
+        self._clock = now
+
+    def run(
+        self,
+        header: str,
+        ask: admission_messages.Ask,
+        call: answer_messages.Call,
+        run_once: Callable[[Callable[[], bool]], Served],
+    ) -> Served:
+        """Runs the request unless its key says otherwise.
+
+        Args:
+            header: The value of the header.
+            ask: Whose request it is.
+            call: The request.
+            run_once: Runs it; takes what says whether it may be sent still.
+        """
+        # Accounts of two teams may have one name.
+        owner = ids.AccountId(f"{ask.team}/{ask.account}")
+        read = keys.read_header(owner, header)
+        if read.is_err():
+            return errors.refuse(
+                http.HTTPStatus.BAD_REQUEST,
+                errors.Code.BAD_IDEMPOTENCY_KEY,
+                read.unwrap_err().detail,
+            )
+        claimed = self._claim(read.unwrap(), ask, call)
+        if claimed.is_err():
+            return _answer_repeat(claimed.unwrap_err())
+        return _run_claimed(claimed.unwrap(), call, run_once)
+
+    def _claim(
+        self,
+        key: keys.RequestKey,
+        ask: admission_messages.Ask,
+        call: answer_messages.Call,
+    ) -> result.Result[Claim, ledger_errors.LedgerRefusal]:
+        if self._claims is None:
+            down = ledger_errors.LedgerDown(detail="There is no ledger.")
+            return result.Err(down)
+        path = f"/services/{ask.service}{call.path}"
+        if ask.service is None:
+            path = call.path
+        print_of = keys.compute_fingerprint(call.method, path, call.body)
+        return self._claims.claim(key, print_of, self._clock.wall())
+
+
+class KeyedChunks(Iterator[bytes]):
+    """An answer's bytes; they are kept for repeats once whole.
+
+    A caller that goes away doesn't end the request: it may come back with
+    its key for the answer, so the rest is read and kept.
+    """
+
+    def __init__(
+        self, answer: session.Answer, claim: Claim, streamed: bool
+    ) -> None:
+        self._answer = answer
+        self._claim = claim
+        self._streamed = streamed
+        self._parts: list[bytes] = []
+        self._size = 0
+        self._ended = False
+
+    def __next__(self) -> bytes:
+        """Returns the next bytes; records the outcome at their end."""
+        if self._ended:
+            raise StopIteration
+        try:
+            chunk = next(self._answer.chunks)
+        except StopIteration:
+            self._ended = True
+            self._record()
+            raise
+        self._size += len(chunk)
+        if self._size <= _KEEP_BYTES:
+            self._parts.append(chunk)
+        return chunk
+
+    def close(self) -> None:
+        """Reads what is left, records the outcome and closes the answer."""
+        try:
+            for _ in self:
+                pass
+        finally:
+            self._claim.record_unknown()  # Without effect once recorded.
+            progress.close_chunks(self._answer.chunks)
+
+    def _record(self) -> None:
+        answer = self._answer
+        body = b"".join(self._parts)
+        failed = answer.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
+        cut = self._size > len(body)
+        broken = self._streamed and not _is_finished(body)
+        if failed or cut or broken:
+            self._claim.record_unknown()
+            return
+        self._claim.record_done(answer.status, answer.headers, body)
+
+
+def _is_finished(body: bytes) -> bool:
+    return (b"\n" + body).rstrip(b"\r\n").endswith(_FINISH_MARK)
+
+
+def _run_claimed(
+    claim: Claim,
+    call: answer_messages.Call,
+    run_once: Callable[[Callable[[], bool]], Served],
+) -> Served:
+    try:
+        served = run_once(claim.may_send)
+    except BaseException:
+        claim.record_unknown()
+        raise
+    if served.is_ok():
+        answer = served.unwrap()
+        # A refused stream comes as a plain answer.
+        streamed = call.streamed and answer.status == http.HTTPStatus.OK
+        chunks = KeyedChunks(answer, claim, streamed)
+        return result.Ok(session.Answer(answer.status, answer.headers, chunks))
+    if served.unwrap_err().outcome is failures.Outcome.NOT_RUN:
+        claim.record_not_run()
+    else:
+        claim.record_unknown()
+    return served
+
+
+def _answer_repeat(refusal: ledger_errors.LedgerRefusal) -> Served:
+    if isinstance(refusal, ledger_errors.Replay):
+        kept = refusal.answer
+        headers = [*kept.headers, ("Idempotent-Replayed", "true")]
+        return result.Ok(
+            session.Answer(kept.status, headers, iter([kept.body]))
+        )
+    return errors.refuse(
+        http.HTTPStatus(refusal.STATUS),
+        _CODES[type(refusal)],
+        refusal.detail or (type(refusal).__doc__ or "").partition("\n")[0],
+        outcome=refusal.outcome,
+        retry_after_s=refusal.retry_after_s,
+    )
--- a/pollenfork/entry/work.py
+++ b/pollenfork/entry/work.py
@@ -1,6 +1,6 @@
 """The course of one request: classed, queued, dispatched, relayed."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 import concurrent.futures
 import http
 from typing import Protocol
@@ -11,12 +11,15 @@
 from pollenfork import failures
 from pollenfork import ids
 from pollenfork.admission import messages as admission_messages
+from pollenfork.answers import edges as answer_edges
 from pollenfork.answers import errors as answer_errors
 from pollenfork.answers import messages as answer_messages
 from pollenfork.answers import session
 from pollenfork.dispatch import messages as dispatch_messages
+from pollenfork.entry import asks
 from pollenfork.entry import errors
 from pollenfork.entry import journal
+from pollenfork.entry import keyed
 from pollenfork.entry import request
 from pollenfork.entry import server
 from pollenfork.entry import target
@@ -60,7 +63,19 @@
         relay: session.Relay,
         now: clock.Clock,
         body_limit: int,
+        claims: keyed.Claims | None = None,
     ) -> None:
+        """Makes the worker.
+
+        Args:
+            slots: The scheduler.
+            relay: Opens answers at endpoints.
+            now: The clock.
+            body_limit: Bytes of a request's body.
+            claims: The ledger; without one, requests with an
+                `Idempotency-Key` are refused.
+        """
+        self._keyed = keyed.Keyed(claims, now)
         self._slots = slots
         self._relay = relay
         self._clock = now
@@ -87,7 +102,7 @@
         if prompt.model not in list_models(lookups.tree.root.endpoints):
             return refuse_model(prompt.model)
         identity = identified.unwrap()
-        ask = self._make_ask(identity, lookups, record, prompt=prompt)
+        ask = asks.ask_for_model(identity, lookups, record, prompt)
         call = answer_messages.Call(
             request=ask.request,
             method="POST",
@@ -125,11 +140,11 @@
         read = request.read_body(environ, self._body_limit)
         if read.is_err():
             return result.Err(read.unwrap_err())
-        ask = self._make_ask(
+        ask = asks.ask_for_service(
             identified.unwrap(),
             lookups,
             record,
-            service=place.service,
+            place.service,
             idempotent=method in service.repeatable_methods,
         )
         call = answer_messages.Call(
@@ -164,61 +179,58 @@
             record.service_class = chosen.unwrap().class_name
         return chosen
 
-    def _make_ask(
+    def _run(
         self,
-        identity: request.Identity,
-        lookups: snapshot.Snapshot,
+        environ: request.Environ,
+        ask: admission_messages.Ask,
+        call: answer_messages.Call,
         record: journal.Record,
-        prompt: request.Prompt | None = None,
-        service: ids.ServiceName | None = None,
-        idempotent: bool = True,
-    ) -> admission_messages.Ask:
-        now = self._clock.monotonic()
-        chosen = identity.service_class
-        caller = identity.caller
-        target_s = chosen.target_first_token_ms / _MS
-        return admission_messages.Ask(
-            request=record.request,
-            team=caller.team,
-            account=caller.account,
-            class_name=identity.class_name,
-            tier=ids.Tier(chosen.tier),
-            model=ids.ModelName(prompt.model if prompt else ""),
-            service=service,
-            arrived=now,
-            first_token_due=now + target_s,
-            give_up_at=now + chosen.max_wait_ms / _MS,
-            late_refused=chosen.when_late is model.LatePolicy.REFUSE,
-            protected=chosen.protected,
-            max_waiting=chosen.max_waiting,
-            minimum_share=chosen.minimum_share,
-            account_limit=caller.settings.max_in_flight,
-            team_limit=lookups.tree.teams[caller.team].max_in_flight,
-            retry_ratio=chosen.retry_ratio,
-            hedge=chosen.hedge,
-            prefix=request.hash_prefix(prompt) if prompt else 0,
-            prompt_tokens=request.estimate_tokens(prompt) if prompt else 0,
-            max_tokens=prompt.read_limit() if prompt else None,
-            idempotent=idempotent,
+    ) -> Served:
+        header = environ.get(keyed.HEADER)
+        if header is None or (ask.service and ask.idempotent):
+            caller = environ.get(server.CALLER)
+            return self._run_once(environ, ask, call, record, caller)
+        return self._keyed.run(
+            header,
+            ask,
+            call,
+            lambda may_send: self._run_once(
+                environ, ask, call, record, None, may_send
+            ),
         )
 
-    def _run(
+    def _run_once(
         self,
         environ: request.Environ,
         ask: admission_messages.Ask,
         call: answer_messages.Call,
         record: journal.Record,
+        caller: answer_edges.Caller | None,
+        may_send: Callable[[], bool] | None = None,
     ) -> Served:
         decision = self._wait_for_slot(environ, ask)
         if isinstance(decision, admission_messages.Refused):
             return result.Err(errors.describe_refused(decision))
         record.note_granted(decision.endpoint)
-        caller = environ.get(server.CALLER)
+        if may_send and not may_send():
+            self._give_back(decision)
+            return _refuse_lapsed()
         opened = self._relay.open(call, decision, caller)
         if opened.is_err():
             return result.Err(_describe_failure(opened.unwrap_err()))
         return result.Ok(opened.unwrap())
 
+    def _give_back(self, grant: dispatch_messages.Grant) -> None:
+        ended = dispatch_messages.AttemptEnded(
+            attempt=grant.attempt,
+            how=dispatch_messages.AttemptEnd.NEVER_SENT,
+            tokens=0,
+            at=self._clock.monotonic(),
+        )
+        self._slots.report(ended)
+        closed = dispatch_messages.RequestClosed(request=grant.request)
+        self._slots.report(closed)
+
     def _wait_for_slot(
         self, environ: request.Environ, ask: admission_messages.Ask
     ) -> dispatch_messages.Grant | admission_messages.Refused:
@@ -274,6 +286,16 @@
     )
 
 
+def _refuse_lapsed() -> result.Err[errors.Refusal]:
+    return errors.refuse(
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+        errors.Code.RECORD_UNAVAILABLE,
+        "The claim on the key lapsed; send the request again. It was not run.",
+        reason="claim_lapsed",
+        retry_after_s=1.0,
+    )
+
+
 def _refuse_service(name: str) -> result.Err[errors.Refusal]:
     return errors.refuse(
         http.HTTPStatus.NOT_FOUND,
