--- a/pollenfork/entry/progress.py
+++ b/pollenfork/entry/progress.py
@@ -66,6 +66,7 @@
                 their end.
         """
         self._chunks = chunks
+        self.attach = getattr(chunks, "attach", None)
         self._on_first = on_first
         self._on_end = on_end
         self._ended = False
--- a/pollenfork/entry/refusal_task.py
+++ b/pollenfork/entry/refusal_task.py
@@ -21,6 +21,13 @@
     reason = http.HTTPStatus.REQUEST_TIMEOUT.phrase
 
 
+class Refused:
+    """The error of a request that the server refuses by its own limits."""
+
+    def __init__(self, refusal: errors.Refusal) -> None:
+        self.refusal = refusal
+
+
 _CODES: dict[int, errors.Code] = {
     http.HTTPStatus.BAD_REQUEST: errors.Code.MALFORMED_REQUEST,
     http.HTTPStatus.REQUEST_TIMEOUT: errors.Code.REQUEST_TOO_SLOW,
@@ -51,7 +58,9 @@
 
 
 def describe_error(error: Any) -> errors.Refusal:
-    """Returns the refusal for an error of waitress's."""
+    """Returns the refusal for an error of waitress's or the server's own."""
+    if isinstance(error, Refused):
+        return error.refusal
     status = http.HTTPStatus(int(error.code))
     code = _CODES.get(status)
     if code:
--- a/pollenfork/entry/server.py
+++ b/pollenfork/entry/server.py
@@ -7,25 +7,24 @@
 """
 
 from collections.abc import Callable, Iterable
-import logging
 import socket
 import threading
 from typing import Any
 
 import msgspec
-import waitress.adjustments
 import waitress.channel
-import waitress.server
 import waitress.task
 
+from pollenfork import clock
 from pollenfork import config
 from pollenfork import ids
 from pollenfork.admission import messages as admission_messages
 from pollenfork.entry import errors
+from pollenfork.entry import listener
+from pollenfork.entry import refusal_task
+from pollenfork.entry import replies
+from pollenfork.entry import work
 
-CALLER = "pollenfork.caller"
-
-_LOG = logging.getLogger(__name__)
 _ACCEPTS = 64
 _CONTROL_THREADS = 4
 _REFUSING_THREADS = 2
@@ -36,7 +35,7 @@
 App = Callable[[dict[str, Any], Any], Iterable[bytes]]
 
 
-class Channel(waitress.channel.HTTPChannel):
+class Channel(listener.Channel):
     """One caller's connection; also what the relay knows of the caller."""
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
@@ -99,32 +98,13 @@
     def get_environment(self) -> dict[str, Any]:
         """Returns the WSGI environment with the caller's connection."""
         environ: dict[str, Any] = super().get_environment()
-        environ[CALLER] = self.channel
+        environ[work.CALLER] = self.channel
         return environ
 
 
 Channel.task_class = _Task
 
 
-class _InstanceFull:
-    """The error of a request that finds every worker busy."""
-
-    def to_response(
-        self, ident: str | None = None
-    ) -> tuple[str, list[tuple[str, str]], bytes]:
-        """Returns status, headers and body, as waitress asks for them."""
-        del ident
-        body = errors.write_body(_describe_full())
-        return "503 Service Unavailable", _FULL_HEADERS, body
-
-
-_FULL_HEADERS = [
-    ("Content-Type", "application/json"),
-    ("X-Outcome", "not_run"),
-    ("Retry-After", "1"),
-]
-
-
 def _describe_full() -> errors.Refusal:
     refused = admission_messages.Refused(
         request=ids.RequestId(""),
@@ -146,7 +126,7 @@
     overflow: int = 0
 
 
-class Server(waitress.server.TcpWSGIServer):
+class Server(listener.Listener):
     """Never lets a caller wait unseen: beyond its limits it refuses."""
 
     channel_class = Channel
@@ -166,8 +146,7 @@
             self._control.add_task(task)
         elif not self.task_dispatcher.offer(task):
             self.counters.full += 1
-            _LOG.warning("event=refused reason=instance_full outcome=not_run")
-            parsed.error = _InstanceFull()
+            parsed.error = refusal_task.Refused(_describe_full())
             self._refusing.add_task(task)
 
     def readable(self) -> bool:
@@ -190,42 +169,51 @@
                 self, connection, address, self.adj, map=self._map
             )
 
-    def count_unsent(self) -> int:
-        """Returns bytes of answers that callers have yet to take."""
-        channels = list(self.active_channels.values())
-        return sum(channel.count_unsent() for channel in channels)
-
-    def close(self) -> None:
-        """Stops listening and ends the idle workers."""
-        super().close()
-        for workers in (self._control, self._refusing):
+    def stop(self) -> None:
+        """Ends every connection, and the workers once they are idle."""
+        super().stop()
+        for workers in (self.task_dispatcher, self._control, self._refusing):
             workers.set_thread_count(0)
 
     def _refuse(self, connection: socket.socket) -> None:
         self.counters.overflow += 1
-        body = errors.write_body(_describe_full())
+        reply = self.refuse(_describe_full())
+        length = ("Content-Length", str(len(reply.body)))
         head = "".join(
             f"{name}: {value}\r\n"
-            for name, value in (
-                *_FULL_HEADERS,
-                ("Content-Length", str(len(body))),
-                ("Connection", "close"),
-            )
+            for name, value in (*reply.headers, length, ("Connection", "close"))
         )
-        reply = f"HTTP/1.1 503 Service Unavailable\r\n{head}\r\n".encode()
+        status = replies.write_status(reply.status)
+        written = f"HTTP/1.1 {status}\r\n{head}\r\n".encode() + reply.body
         with connection:
             connection.setblocking(False)
             try:
-                connection.send(reply + body)
+                connection.send(written)
                 connection.shutdown(socket.SHUT_WR)
             except OSError:
                 return
 
 
-def create_server(app: App, settings: config.EntryConfig) -> Server:
-    """Returns a server that has a worker for each caller it admits."""
+def create_server(
+    app: App,
+    settings: config.EntryConfig,
+    refuse: refusal_task.Refuse,
+    now: clock.Clock,
+) -> Server:
+    """Returns a server that has a worker for each caller it admits.
+
+    Args:
+        app: The WSGI application.
+        settings: Address and limits.
+        refuse: Counts a refusal and returns the reply to it.
+        now: The clock.
+    """
     workers = settings.streams + settings.waiting
-    adjustments = waitress.adjustments.Adjustments(
+    return Server(
+        _attach_relay(app),
+        refuse,
+        now,
+        dispatcher=_start_workers(workers),
         listen=settings.listen,
         threads=workers,
         connection_limit=workers + _SPARE_CONNECTIONS,
@@ -235,13 +223,6 @@
         asyncore_use_poll=True,
         ident=None,
     )
-    return Server(
-        _attach_relay(app),
-        map={},
-        dispatcher=_start_workers(workers),
-        adj=adjustments,
-        sockinfo=adjustments.listen[0],
-    )
 
 
 def _attach_relay(app: App) -> App:
--- a/pollenfork/entry/work.py
+++ b/pollenfork/entry/work.py
@@ -21,11 +21,12 @@
 from pollenfork.entry import journal
 from pollenfork.entry import keyed
 from pollenfork.entry import request
-from pollenfork.entry import server
 from pollenfork.entry import target
 from pollenfork.settings import model
 from pollenfork.settings import snapshot
 
+CALLER = "pollenfork.caller"  # The caller's connection, in the environ.
+
 _CHECK_CALLER_S = 0.25
 _MS = 1000
 _CHAT = "/v1/chat/completions"
@@ -188,7 +189,7 @@
     ) -> Served:
         header = environ.get(keyed.HEADER)
         if header is None or (ask.service and ask.idempotent):
-            caller = environ.get(server.CALLER)
+            caller = environ.get(CALLER)
             return self._run_once(environ, ask, call, record, caller)
         return self._keyed.run(
             header,
