--- a/pollenfork/entry/progress.py
+++ b/pollenfork/entry/progress.py
@@ -108,8 +108,8 @@
     ) -> None:
         self._chunks = chunks
         self._on_closed = on_closed
-        self.attach = getattr(chunks, "attach", None)
         self._closed = False
+        self.attach = getattr(chunks, "attach", None)
 
     def __iter__(self) -> Iterator[bytes]:
         """Returns the chunks' own iterator, which costs nothing here."""
