--- a/pollenfork/application.py
+++ b/pollenfork/application.py
@@ -19,7 +19,6 @@
 from pollenfork import timers
 from pollenfork.answers import session
 from pollenfork.entry import front
-from pollenfork.entry import keyed
 from pollenfork.entry import server
 from pollenfork.entry import work
 from pollenfork.ledger import claiming
@@ -83,7 +82,7 @@
             self._relay,
             now,
             settings.body_limit,
-            keyed.Keyed(self._ledger, now),
+            self._ledger,
         )
         self._front = front.Front(
             worker,
--- a/pollenfork/entry/work.py
+++ b/pollenfork/entry/work.py
@@ -1,6 +1,6 @@
 """The course of one request: classed, queued, dispatched, relayed."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 import concurrent.futures
 import http
 from typing import Protocol
@@ -16,12 +16,12 @@
 from pollenfork.answers import messages as answer_messages
 from pollenfork.answers import session
 from pollenfork.dispatch import messages as dispatch_messages
+from pollenfork.entry import asks
 from pollenfork.entry import errors
 from pollenfork.entry import journal
 from pollenfork.entry import keyed
 from pollenfork.entry import request
 from pollenfork.entry import target
-from pollenfork.ledger import keys
 from pollenfork.settings import model
 from pollenfork.settings import snapshot
 
@@ -64,10 +64,20 @@
         relay: session.Relay,
         now: clock.Clock,
         body_limit: int,
-        records: keyed.Keyed,
+        claims: keyed.Claims | None = None,
     ) -> None:
+        """Makes the worker.
+
+        Args:
+            slots: The scheduler.
+            relay: Opens answers at endpoints.
+            now: The clock.
+            body_limit: Bytes of a request's body.
+            claims: The ledger; without one, requests with an
+                `Idempotency-Key` are refused.
+        """
+        self._keyed = keyed.Keyed(claims, now)
         self._slots = slots
-        self._records = records
         self._relay = relay
         self._clock = now
         self._body_limit = body_limit
@@ -93,7 +103,7 @@
         if prompt.model not in list_models(lookups.tree.root.endpoints):
             return refuse_model(prompt.model)
         identity = identified.unwrap()
-        ask = self._make_ask(identity, lookups, record, prompt=prompt)
+        ask = asks.ask_for_model(identity, lookups, record, prompt)
         call = answer_messages.Call(
             request=ask.request,
             method="POST",
@@ -105,7 +115,7 @@
             first_token_due=ask.first_token_due,
             give_up_at=ask.give_up_at,
         )
-        return self._serve(environ, ask, call, record)
+        return self._run(environ, ask, call, record)
 
     def call_service(
         self,
@@ -131,11 +141,11 @@
         read = request.read_body(environ, self._body_limit)
         if read.is_err():
             return result.Err(read.unwrap_err())
-        ask = self._make_ask(
+        ask = asks.ask_for_service(
             identified.unwrap(),
             lookups,
             record,
-            service=place.service,
+            place.service,
             idempotent=method in service.repeatable_methods,
         )
         call = answer_messages.Call(
@@ -148,8 +158,11 @@
             idempotent=ask.idempotent,
             first_token_due=ask.first_token_due,
             give_up_at=ask.give_up_at,
+            timeout_s=service.timeout_ms / _MS,
+            engine=False,
+            continuable=False,
         )
-        return self._serve(environ, ask, call, record)
+        return self._run(environ, ask, call, record)
 
     def _identify(
         self,
@@ -167,45 +180,7 @@
             record.service_class = chosen.unwrap().class_name
         return chosen
 
-    def _make_ask(
-        self,
-        identity: request.Identity,
-        lookups: snapshot.Snapshot,
-        record: journal.Record,
-        prompt: request.Prompt | None = None,
-        service: ids.ServiceName | None = None,
-        idempotent: bool = True,
-    ) -> admission_messages.Ask:
-        now = self._clock.monotonic()
-        chosen = identity.service_class
-        caller = identity.caller
-        target_s = chosen.target_first_token_ms / _MS
-        return admission_messages.Ask(
-            request=record.request,
-            team=caller.team,
-            account=caller.account,
-            class_name=identity.class_name,
-            tier=ids.Tier(chosen.tier),
-            model=ids.ModelName(prompt.model if prompt else ""),
-            service=service,
-            arrived=now,
-            first_token_due=now + target_s,
-            give_up_at=now + chosen.max_wait_ms / _MS,
-            late_refused=chosen.when_late is model.LatePolicy.REFUSE,
-            protected=chosen.protected,
-            max_waiting=chosen.max_waiting,
-            minimum_share=chosen.minimum_share,
-            account_limit=caller.settings.max_in_flight,
-            team_limit=lookups.tree.teams[caller.team].max_in_flight,
-            retry_ratio=chosen.retry_ratio,
-            hedge=chosen.hedge,
-            prefix=request.hash_prefix(prompt) if prompt else 0,
-            prompt_tokens=request.estimate_tokens(prompt) if prompt else 0,
-            max_tokens=prompt.read_limit() if prompt else None,
-            idempotent=idempotent,
-        )
-
-    def _serve(
+    def _run(
         self,
         environ: request.Environ,
         ask: admission_messages.Ask,
@@ -213,41 +188,50 @@
         record: journal.Record,
     ) -> Served:
         header = environ.get(keyed.HEADER)
-        if header is None:
+        if header is None or (ask.service and ask.idempotent):
             caller = environ.get(CALLER)
-            return self._run(environ, ask, call, record, caller)
-        fingerprint = keys.compute_fingerprint(
-            call.method, environ["PATH_INFO"], call.body
-        )
-        # The run outlives its caller: a repeat gets the answer's record.
-        return self._records.serve(
-            keyed.Submission(ask.team, ask.account, header, fingerprint),
-            lambda may_send: self._run(
+            return self._run_once(environ, ask, call, record, caller)
+        return self._keyed.run(
+            header,
+            ask,
+            call,
+            lambda may_send: self._run_once(
                 environ, ask, call, record, None, may_send
             ),
         )
 
-    def _run(
+    def _run_once(
         self,
         environ: request.Environ,
         ask: admission_messages.Ask,
         call: answer_messages.Call,
         record: journal.Record,
         caller: answer_edges.Caller | None,
-        may_send: keyed.MaySend = lambda: True,
+        may_send: Callable[[], bool] | None = None,
     ) -> Served:
         decision = self._wait_for_slot(environ, ask)
         if isinstance(decision, admission_messages.Refused):
             return result.Err(errors.describe_refused(decision))
         record.note_granted(decision.endpoint)
-        if not may_send():
-            return self._give_back(ask, decision)
+        if may_send and not may_send():
+            self._give_back(decision)
+            return _refuse_lapsed()
         opened = self._relay.open(call, decision, caller)
         if opened.is_err():
-            self._close(ask)
             return result.Err(_describe_failure(opened.unwrap_err()))
         return result.Ok(opened.unwrap())
 
+    def _give_back(self, grant: dispatch_messages.Grant) -> None:
+        ended = dispatch_messages.AttemptEnded(
+            attempt=grant.attempt,
+            how=dispatch_messages.AttemptEnd.NEVER_SENT,
+            tokens=0,
+            at=self._clock.monotonic(),
+        )
+        self._slots.report(ended)
+        closed = dispatch_messages.RequestClosed(request=grant.request)
+        self._slots.report(closed)
+
     def _wait_for_slot(
         self, environ: request.Environ, ask: admission_messages.Ask
     ) -> dispatch_messages.Grant | admission_messages.Refused:
@@ -263,29 +247,6 @@
                     )
                     self._slots.report(withdrawn)
 
-    def _give_back(
-        self, ask: admission_messages.Ask, grant: dispatch_messages.Grant
-    ) -> Served:
-        """Ends an attempt whose claim ran out while it waited for a slot."""
-        self._slots.report(
-            dispatch_messages.AttemptEnded(
-                attempt=grant.attempt,
-                how=dispatch_messages.AttemptEnd.NEVER_SENT,
-                tokens=0,
-                at=self._clock.monotonic(),
-            )
-        )
-        self._close(ask)
-        refused = admission_messages.Refused(
-            request=ask.request,
-            reason=admission_messages.RefusalReason.WAITED_TOO_LONG,
-        )
-        return result.Err(errors.describe_refused(refused))
-
-    def _close(self, ask: admission_messages.Ask) -> None:
-        closed = dispatch_messages.RequestClosed(request=ask.request)
-        self._slots.report(closed)
-
 
 def list_models(
     endpoints: Mapping[ids.EndpointId, model.EndpointSettings],
@@ -302,10 +263,14 @@
 def _describe_failure(failure: answer_errors.AnswerFailure) -> errors.Refusal:
     not_run = failure.outcome is failures.Outcome.NOT_RUN
     said = "was not run" if not_run else "may have run"
+    code = errors.Code.ENDPOINT_FAILED
+    if failure.cause is answer_errors.Cause.CALLER_GONE:
+        code = errors.Code.CALLER_GONE
     return errors.Refusal(
         status=http.HTTPStatus.BAD_GATEWAY,
-        code=errors.Code.ENDPOINT_FAILED,
+        code=code,
         outcome=failure.outcome,
+        reason=failure.cause.value,
         retry_after_s=1.0 if not_run else None,
         detail=f"The endpoint gave no answer; the request {said}.",
     )
@@ -322,6 +287,16 @@
     )
 
 
+def _refuse_lapsed() -> result.Err[errors.Refusal]:
+    return errors.refuse(
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+        errors.Code.RECORD_UNAVAILABLE,
+        "The claim on the key lapsed; send the request again. It was not run.",
+        reason="claim_lapsed",
+        retry_after_s=1.0,
+    )
+
+
 def _refuse_service(name: str) -> result.Err[errors.Refusal]:
     return errors.refuse(
         http.HTTPStatus.NOT_FOUND,
