--- a/pollenfork/operator/tests/test_contract.py
+++ b/pollenfork/operator/tests/test_contract.py
@@ -213,6 +213,18 @@
     assert history.headers["Retry-After"] == "1"
 
 
+def test_a_table_restored_from_a_backup_shows_and_takes_nothing(rig) -> None:
+    rig.put(SUMMARY, {"tier": 5}, 1, token=TEAM)
+    rig.table.lose_rows()
+    settings_support.Site(rig.table, seed=2).seed()
+    shown = rig.call("GET", f"settings/{SUMMARY}")
+    assert shown.body == {"tier": 5}
+    assert shown.headers["X-Settings-Source"] == "in-force"
+    refused = rig.put(SUMMARY, {"tier": 6}, 2, token=TEAM)
+    assert (refused.status, refused.code) == (503, "not_written")
+    assert "TableBehind" in refused.body["error"]["message"]
+
+
 def test_an_instance_without_settings_knows_only_the_first_operators() -> None:
     rig = support.Rig()
     answer = rig.call("GET", "status", token=TEAM)
