--- a/pollenfork/ledger/ledger.py
+++ b/pollenfork/ledger/ledger.py
@@ -115,9 +115,17 @@
         return self._ledger.monotonic() < self._until
 
     def record_done(
-        self, status: int, headers: Iterable[tuple[str, str]], body: bytes
+        self,
+        status: int,
+        headers: Iterable[tuple[str, str]],
+        body: bytes | None,
     ) -> settling.Settlement:
-        """Keeps the answer for repeats; to be called when it is whole."""
+        """Keeps the answer for repeats; to be called when it is whole.
+
+        With None as its body the answer isn't kept, only that it was done.
+        """
+        if body is None:
+            return self._settle(records.State.DONE)
         answer = records.Answer(status, tuple(headers), body)
         return self._settle(records.State.DONE, answer)
 
@@ -262,10 +270,9 @@
         mine = self._parts.owner
         if record.owner != mine.instance:
             return self._parts.owners.is_gone(record.owner, record.incarnation)
-        if record.incarnation != mine.incarnation:
-            return record.incarnation < mine.incarnation
         with self._lock:
-            return record.attempt not in self._live
+            live = record.attempt in self._live
+        return not live and record.incarnation <= mine.incarnation
 
     def _refuse(self, ask: claiming.Ask, refusal: errors.LedgerRefusal) -> None:
         self._parts.count(_REFUSAL_EVENTS[type(refusal)])
--- a/pollenfork/ledger/sweeping.py
+++ b/pollenfork/ledger/sweeping.py
@@ -13,6 +13,18 @@
 from pollenfork.platform import edges
 from pollenfork.platform import errors as platform_errors
 
+WRITE_PART = 0.2  # Of an instance's writes; claims need the rest.
+
+
+def compute_removals(writes_per_s: float, period_s: float) -> int:
+    """Returns the records that one sweep may remove.
+
+    Args:
+        writes_per_s: The instance's share of the platform's writes.
+        period_s: Seconds between two sweeps.
+    """
+    return max(1, int(writes_per_s * period_s * WRITE_PART))
+
 
 class Ask(msgspec.Struct, frozen=True, kw_only=True):
     """One page to clean.
--- a/pollenfork/platform/budget.py
+++ b/pollenfork/platform/budget.py
@@ -81,10 +81,10 @@
     def __init__(self, now: float, total: Rates = PLATFORM_RATES) -> None:
         self._total = total
         self._lock = threading.Lock()
-        share = compute_share(DESIGN_INSTANCES, total)
+        self._share = compute_share(DESIGN_INSTANCES, total)
         self._buckets = {
-            CallKind.READ: Bucket(share.reads, now),
-            CallKind.WRITE: Bucket(share.writes, now),
+            CallKind.READ: Bucket(self._share.reads, now),
+            CallKind.WRITE: Bucket(self._share.writes, now),
         }
 
     def set_instances(self, instances: int, now: float) -> None:
@@ -97,9 +97,15 @@
         """
         share = compute_share(instances or DESIGN_INSTANCES, self._total)
         with self._lock:
+            self._share = share
             self._buckets[CallKind.READ].resize(share.reads, now)
             self._buckets[CallKind.WRITE].resize(share.writes, now)
 
+    @property
+    def share(self) -> Rates:
+        """This instance's calls a second."""
+        return self._share
+
     def take(self, kind: CallKind, now: float) -> float:
         """Takes one call and returns 0, or the seconds until there is one."""
         with self._lock:
