Carry heartbeats by UDP and calls by gRPC

Cause: the core needs a shell. Heartbeats go out as datagrams from one socket and one thread, which also wakes for time; whole states, summaries between data centres and settings copies are gRPC calls. One actor owns the core; a listener or an edge that raises is counted and doesn't end it.

Differences that overtake the whole state they wait for are kept: before, a cold channel made a joining instance miss up to seven heartbeats' pressure (trial of four instances in one process).

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: trial test check bench clean
+.PHONY: trial test check bench proto clean
 
 trial: $(VENV)/run  ## Run the whole system in one process and print a table.
 	$(BIN)/python -m pollenfork trial
@@ -18,6 +18,13 @@
 bench: $(VENV)/dev  ## Measure every slope; writes benchmarks/results/*.json.
 	$(BIN)/python -m benchmarks
 
+SLICE := pollenfork/membership
+
+proto: $(VENV)/dev  ## Generate the peers' gRPC code anew (it is committed).
+	$(BIN)/python -m pip install -q --disable-pip-version-check grpcio-tools==1.85.1
+	$(BIN)/python -m grpc_tools.protoc -I $(SLICE) --python_out=$(SLICE) --grpc_python_out=$(SLICE) $(SLICE)/peer.proto
+	sed -i 's/^import peer_pb2 as/from pollenfork.membership import peer_pb2 as/' $(SLICE)/peer_pb2_grpc.py
+
 $(VENV)/run: requirements.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install -q --disable-pip-version-check -r requirements.txt
--- a/pollenfork/membership/core.py
+++ b/pollenfork/membership/core.py
@@ -18,6 +18,7 @@
 from pollenfork.membership import periods
 from pollenfork.membership import pressures
 from pollenfork.membership import roster
+from pollenfork.membership import signs
 from pollenfork.membership import summaries
 from pollenfork.membership import wire
 from pollenfork.platform import edges
@@ -140,7 +141,7 @@
         if heartbeat.data_centre != self._me.identity.data_centre:
             return []
         newer, events = self._roster.hear(
-            _read_evidence(heartbeat, address), now
+            signs.read_heartbeat(heartbeat, address), now
         )
         found = _publish(events)
         member = self._roster.find(heartbeat.instance)
@@ -167,7 +168,8 @@
         member = self._roster.find(heartbeat.instance)
         if member is None or heartbeat.incarnation != member.incarnation:
             return []
-        if not member.present or heartbeat.sequence < member.sequence:
+        have = member.decoder.sequence
+        if not member.present or (have and heartbeat.sequence <= have):
             return []
         found = self._apply_pressure(member, heartbeat, now)
         for note in heartbeat.notes:
@@ -268,7 +270,7 @@
         pressure = decoded.unwrap()
         heard = messages.PressureHeard(
             incarnation=member.incarnation,
-            sequence=heartbeat.sequence,
+            sequence=member.decoder.sequence or 0,
             pressure=pressure,
         )
         found: list[actions.Action] = [actions.Publish(heard)]
@@ -325,22 +327,6 @@
             self._answers[member.instance] = member.compose_note()
 
 
-def _read_evidence(heartbeat: wire.Heartbeat, address: str) -> roster.Evidence:
-    period_s = heartbeat.period_ms / 1000
-    return roster.Evidence(
-        instance=heartbeat.instance,
-        incarnation=heartbeat.incarnation,
-        sequence=heartbeat.sequence,
-        status=heartbeat.status,
-        data_centre=heartbeat.data_centre,
-        address=address,
-        revision=heartbeat.revision,
-        direct=True,
-        silence_s=periods.compute_silence_s(period_s),
-        removal_s=periods.compute_removal_s(period_s),
-    )
-
-
 def _publish(events: Iterable[messages.Event]) -> list[actions.Action]:
     return [actions.Publish(event) for event in events]
 
--- /dev/null
+++ b/pollenfork/membership/datagrams.py
@@ -0,0 +1,94 @@
+"""Datagrams between entry instances: UDP, one socket, one thread."""
+
+from collections.abc import Callable
+import functools
+import logging
+import socket
+import threading
+
+from pollenfork import clock
+from pollenfork.membership import wire
+
+_LOG = logging.getLogger(__name__)
+_BUFFER = 1024 * 1024  # Room for what arrives while the process is paused.
+_TICK_S = 0.1
+
+
+class Datagrams:
+    """Sends datagrams, and hands on those that arrive and the time.
+
+    The thread that waits for datagrams also wakes for time, so that no other
+    thread has to.
+    """
+
+    def __init__(self, now: clock.Clock) -> None:
+        self._clock = now
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _BUFFER)
+        self._stopped = threading.Event()
+        self._thread: threading.Thread | None = None
+        self.wake_at = 0.0  # An earlier call of `on_time` than the usual.
+
+    def bind(self, address: str) -> None:
+        """Takes the address; raises `OSError` where it is taken."""
+        self._socket.bind(split_address(address))
+
+    def send(self, body: bytes, addresses: tuple[str, ...]) -> None:
+        """Sends `body` to each address; a loss is no failure."""
+        for address in addresses:
+            try:
+                self._socket.sendto(body, split_address(address))
+            except (OSError, ValueError) as error:
+                _LOG.debug("event=unsent address=%s why=%s", address, error)
+
+    def start(
+        self,
+        on_datagram: Callable[[bytes, str], None],
+        on_time: Callable[[], None],
+    ) -> None:
+        """Starts the thread; `on_time` runs at least each 100 ms."""
+        self._thread = threading.Thread(
+            target=self._run,
+            args=(on_datagram, on_time),
+            name="datagrams",
+            daemon=True,
+        )
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Ends the thread and closes the socket."""
+        self._stopped.set()
+        if self._thread:
+            self._thread.join()
+        self._socket.close()
+
+    def _run(
+        self,
+        on_datagram: Callable[[bytes, str], None],
+        on_time: Callable[[], None],
+    ) -> None:
+        due = self._clock.monotonic()
+        while not self._stopped.is_set():
+            now = self._clock.monotonic()
+            if now >= due:
+                on_time()
+                due = now + _TICK_S
+                if now < self.wake_at < due:
+                    due = self.wake_at
+            self._socket.settimeout(max(due - now, 0.001))
+            try:
+                body, source = self._socket.recvfrom(wire.DATAGRAM_LIMIT + 1)
+            except TimeoutError:
+                continue
+            except OSError as error:
+                # Linux reports a peer's closed port on the next receive.
+                _LOG.debug("event=unreceived why=%s", error)
+                continue
+            on_datagram(body, f"{source[0]}:{source[1]}")
+
+
+@functools.lru_cache(maxsize=1024)
+def split_address(address: str) -> tuple[str, int]:
+    """Returns host and port; raises `ValueError` where there is no port."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- a/pollenfork/membership/pressures.py
+++ b/pollenfork/membership/pressures.py
@@ -20,6 +20,7 @@
 _TIERS = 16
 _UNIT_MS = 100
 _MAX_NAMES = 4096
+_MAX_PENDING = 8
 
 T = TypeVar("T")
 _Number = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
@@ -127,42 +128,60 @@
     def __init__(self, instance: ids.InstanceId) -> None:
         self._instance = instance
         self._state = _State()
-        self._sequence: int | None = None
+        self._pending: dict[int, Difference] = {}
+        self.sequence: int | None = None  # Of the pressure returned last.
 
     def apply(
         self, sequence: int, body: bytes
     ) -> result.Result[messages.Pressure, errors.PeerFailure]:
-        """Returns the peer's pressure as of `sequence`.
+        """Returns the peer's newest pressure after taking in `body`.
 
-        `MissingBase` where the difference follows a sequence never seen:
-        the whole state must be fetched.
+        `MissingBase` where the difference follows a sequence never seen: the
+        whole state must be fetched. Differences that come before it does are
+        kept, as it may be older than they are.
         """
         try:
             difference = _DECODER.decode(body)
             return self._apply(sequence, difference)
         except (msgspec.MsgspecError, ValueError, LookupError) as error:
-            self._sequence = None
+            self.sequence = None
             return result.Err(errors.Undecodable(detail=str(error)))
 
     def _apply(
         self, sequence: int, difference: Difference
     ) -> result.Result[messages.Pressure, errors.PeerFailure]:
+        follows = self.sequence is not None and self.sequence == sequence - 1
+        if not difference.whole and not follows:
+            self._keep(sequence, difference)
+            detail = f"have {self.sequence}, heard {sequence}"
+            return result.Err(errors.MissingBase(detail=detail))
         if difference.whole:
             self._state = _State()
-        elif self._sequence is None or self._sequence != sequence - 1:
-            detail = f"have {self._sequence}, heard {sequence}"
-            return result.Err(errors.MissingBase(detail=detail))
-        state = self._state
-        _add_names(state.models, difference.models)
-        _add_names(state.endpoints, difference.endpoints)
-        _update_demands(state.demands, difference)
-        _update_occupancies(state.occupancies, difference)
-        if difference.leaving is not None:
-            state.leaving = difference.leaving
-        pressure = _build(self._instance, state, difference.now)
-        self._sequence = sequence
+        now = difference.now
+        _update(self._state, difference)
+        while later := self._pending.pop(sequence + 1, None):
+            sequence += 1
+            now = later.now
+            _update(self._state, later)
+        self._pending.clear()
+        pressure = _build(self._instance, self._state, now)
+        self.sequence = sequence
         return result.Ok(pressure)
 
+    def _keep(self, sequence: int, difference: Difference) -> None:
+        self._pending[sequence] = difference
+        if len(self._pending) > _MAX_PENDING:
+            del self._pending[min(self._pending)]
+
+
+def _update(state: _State, difference: Difference) -> None:
+    _add_names(state.models, difference.models)
+    _add_names(state.endpoints, difference.endpoints)
+    _update_demands(state.demands, difference)
+    _update_occupancies(state.occupancies, difference)
+    if difference.leaving is not None:
+        state.leaving = difference.leaving
+
 
 def _add_names(known: dict[T, int], names: Iterable[T]) -> tuple[T, ...]:
     added: list[T] = []
--- a/pollenfork/membership/roster.py
+++ b/pollenfork/membership/roster.py
@@ -12,33 +12,13 @@
 from pollenfork import ids
 from pollenfork.membership import messages
 from pollenfork.membership import pressures
+from pollenfork.membership import signs
 from pollenfork.membership import wire
 
 _Status = messages.MemberStatus
 _PRESENT = (_Status.LIVE, _Status.SUSPECTED)
 
 
-class Evidence(msgspec.Struct, frozen=True, kw_only=True):
-    """A sign of a member, from itself or from another.
-
-    Attributes:
-        direct: The member itself was heard.
-        silence_s: Silence after which it is suspected.
-        removal_s: Further silence after which it is removed.
-    """
-
-    instance: ids.InstanceId
-    incarnation: ids.Incarnation
-    sequence: int
-    status: messages.MemberStatus
-    data_centre: ids.DataCentre
-    address: str
-    revision: ids.Revision
-    direct: bool
-    silence_s: float
-    removal_s: float
-
-
 class Member(msgspec.Struct, kw_only=True):
     """One other entry instance.
 
@@ -108,7 +88,7 @@
         return iter(self._members.values())
 
     def hear(
-        self, evidence: Evidence, now: float
+        self, evidence: signs.Evidence, now: float
     ) -> tuple[bool, list[messages.Event]]:
         """Takes in a sign of a member.
 
@@ -188,7 +168,9 @@
         for instance in old:
             del self._members[instance]
 
-    def _add(self, evidence: Evidence, now: float) -> list[messages.Event]:
+    def _add(
+        self, evidence: signs.Evidence, now: float
+    ) -> list[messages.Event]:
         member = Member(
             instance=evidence.instance,
             incarnation=evidence.incarnation,
@@ -211,7 +193,7 @@
         return [_joined(member), *_take_revision(member, evidence)]
 
     def _advance(
-        self, member: Member, evidence: Evidence, now: float
+        self, member: Member, evidence: signs.Evidence, now: float
     ) -> tuple[bool, list[messages.Event]]:
         if member.status is _Status.LEFT:
             return False, []
@@ -250,7 +232,7 @@
         return [lost]
 
 
-def _is_newer(member: Member, evidence: Evidence) -> bool:
+def _is_newer(member: Member, evidence: signs.Evidence) -> bool:
     if evidence.direct:
         return evidence.sequence > member.sequence and (
             member.status is _Status.LIVE
@@ -261,7 +243,9 @@
     return evidence.sequence > member.known_sequence
 
 
-def _take_evidence(member: Member, evidence: Evidence, now: float) -> None:
+def _take_evidence(
+    member: Member, evidence: signs.Evidence, now: float
+) -> None:
     if evidence.direct:
         member.sequence = evidence.sequence
     member.known_sequence = max(member.known_sequence, evidence.sequence)
@@ -271,7 +255,9 @@
     member.removal_s = evidence.removal_s
 
 
-def _take_revision(member: Member, evidence: Evidence) -> list[messages.Event]:
+def _take_revision(
+    member: Member, evidence: signs.Evidence
+) -> list[messages.Event]:
     if evidence.revision == member.revision:
         return []
     member.revision = evidence.revision
--- a/pollenfork/membership/summaries.py
+++ b/pollenfork/membership/summaries.py
@@ -15,6 +15,7 @@
 from pollenfork.membership import own
 from pollenfork.membership import periods
 from pollenfork.membership import roster
+from pollenfork.membership import signs
 from pollenfork.membership import wire
 
 _TOLD_S = 60.0
@@ -93,7 +94,9 @@
         events: list[messages.Event] = []
         for entry in summary.entries:
             if self._may_tell(entry.note.instance):
-                evidence = self._read(entry, summary.data_centre)
+                evidence = signs.read_entry(
+                    entry, summary.data_centre, self.period_s
+                )
                 events.extend(self._members.hear(evidence, now)[1])
                 self._correct(entry.note)
         for note in summary.corrections:
@@ -123,19 +126,3 @@
 
     def _is_local(self, data_centre: ids.DataCentre) -> bool:
         return data_centre == self._me.identity.data_centre
-
-    def _read(
-        self, entry: wire.Entry, data_centre: ids.DataCentre
-    ) -> roster.Evidence:
-        return roster.Evidence(
-            instance=entry.note.instance,
-            incarnation=entry.note.incarnation,
-            sequence=entry.note.sequence,
-            status=entry.note.status,
-            data_centre=data_centre,
-            address=entry.note.address,
-            revision=entry.revision,
-            direct=False,
-            silence_s=periods.compute_silence_s(self.period_s),
-            removal_s=periods.compute_removal_s(self.period_s),
-        )
--- /dev/null
+++ b/pollenfork/membership/tests/test_actor.py
@@ -0,0 +1,209 @@
+"""The actor between fake edges: faults of any of them don't end it."""
+
+import random
+
+import msgspec
+import pytest
+import result
+
+from pollenfork import clock
+from pollenfork import ids
+from pollenfork.dispatch import messages as dispatch_messages
+from pollenfork.membership import actor
+from pollenfork.membership import core
+from pollenfork.membership import errors
+from pollenfork.membership import messages
+from pollenfork.membership import own
+from pollenfork.membership import wire
+from pollenfork.platform import edges
+from pollenfork.platform import errors as platform_errors
+
+_HEARTBEAT = wire.Heartbeat(
+    format=1,
+    instance=ids.InstanceId("entry-1"),
+    data_centre=ids.DataCentre("a"),
+    incarnation=ids.Incarnation(1),
+    sequence=1,
+    period_ms=200,
+    status=messages.MemberStatus.LIVE,
+    revision=ids.Revision(3),
+    pressure=b"\xc1",
+)
+
+
+class FakeDatagrams:
+    def __init__(self):
+        self.sent = []
+        self.wake_at = 0.0
+
+    def send(self, body, addresses):
+        self.sent.append((body, addresses))
+
+
+class FakeClient:
+    """Answers at once, in the caller's thread."""
+
+    def __init__(self):
+        self.calls = []
+        self.answer = result.Err(errors.Unreachable())
+
+    def fetch_state(self, address, on_answer):
+        self.calls.append(address)
+        on_answer(self.answer)
+
+    def exchange(self, address, body, on_answer):
+        self.calls.append(address)
+        on_answer(self.answer)
+
+
+class FakeList:
+    def __init__(self):
+        self.answer = result.Err(platform_errors.Unavailable())
+
+    def fetch(self):
+        if isinstance(self.answer, Exception):
+            raise self.answer
+        return self.answer
+
+
+class Bench:
+    def __init__(self):
+        self.clock = clock.ManualClock()
+        self.datagrams = FakeDatagrams()
+        self.client = FakeClient()
+        self.list = FakeList()
+        self.events = []
+        self.publish = self.events.append
+        identity = own.Identity(
+            ids.InstanceId("entry-0"), ids.DataCentre("a"), "10.0.0.1:1"
+        )
+        self.ref = actor.MembershipActor.start(
+            core.Core(identity, ids.Incarnation(1), random.Random(1), 0.0),
+            actor.Edges(
+                clock=self.clock,
+                datagrams=self.datagrams,
+                client=self.client,
+                instance_list=self.list,
+                read_pressure=lambda: dispatch_messages.Pressure(
+                    identity.instance
+                ),
+                read_revision=lambda: ids.Revision(4),
+                publish=lambda event: self.publish(event),
+            ),
+        )
+
+    def tell(self, message):
+        self.ref.tell(message)
+        return self.ref.ask(actor.ListMembers())
+
+    def failures(self):
+        return self.ref.ask(actor.CountFailures())
+
+
+@pytest.fixture
+def bench():
+    made = Bench()
+    yield made
+    made.ref.stop()
+
+
+def _hear(heartbeat):
+    return actor.DatagramHeard(wire.encode(heartbeat), "10.0.0.2:1")
+
+
+def test_a_heartbeat_goes_out_when_due_and_wakes_are_planned(bench):
+    bench.tell(actor.Time())
+    assert len(bench.datagrams.sent) == 1
+    assert bench.datagrams.wake_at == pytest.approx(0.2)
+    bench.tell(actor.Time())
+    assert len(bench.datagrams.sent) == 1
+    bench.clock.advance(0.2)
+    bench.tell(actor.Time())
+    assert len(bench.datagrams.sent) == 2
+
+
+def test_a_peer_is_listed_and_its_whole_state_asked_for(bench):
+    views = bench.tell(_hear(_HEARTBEAT))
+    assert [view.instance for view in views] == ["entry-0", "entry-1"]
+    assert views[1].address == "10.0.0.2:1"
+    assert bench.client.calls == ["10.0.0.2:1"]
+    assert bench.failures() == {"Undecodable": 1, "Unreachable": 1}
+
+
+@pytest.mark.parametrize(
+    ("message", "kind"),
+    [
+        (actor.DatagramHeard(b"garbage", "10.0.0.9:1"), "Undecodable"),
+        (actor.DatagramHeard(bytes(9000), "10.0.0.9:1"), "Oversized"),
+        (_hear(msgspec.structs.replace(_HEARTBEAT, format=7)), "UnknownFormat"),
+        (
+            actor.StateFetched(ids.InstanceId("x"), result.Ok(b"")),
+            "Undecodable",
+        ),
+        (
+            actor.SummaryAnswered("y:1", result.Err(errors.TimedOut())),
+            "TimedOut",
+        ),
+        (
+            actor.ListFetched(result.Err(platform_errors.Throttled())),
+            "Throttled",
+        ),
+    ],
+)
+def test_each_failure_is_counted_and_changes_no_member(bench, message, kind):
+    views = bench.tell(message)
+    assert len(views) == 1
+    assert bench.failures() == {kind: 1}
+
+
+def test_a_listener_that_raises_does_not_end_membership(bench):
+    def fail(event):
+        raise ValueError(event)
+
+    bench.publish = fail
+    bench.tell(_hear(_HEARTBEAT))
+    assert bench.client.calls  # What followed the event was carried out.
+    bench.publish = bench.events.append
+    bench.tell(_hear(msgspec.structs.replace(_HEARTBEAT, sequence=2)))
+    bench.tell(actor.Leave())
+    assert bench.failures()["ValueError"] == 2  # Joined, and its revision.
+    last = wire.decode_heartbeat(bench.datagrams.sent[-1][0]).unwrap()
+    assert last.status is messages.MemberStatus.LEFT
+
+
+def test_a_summary_is_answered_by_one_and_a_bad_one_refused(bench):
+    far = wire.Entry(
+        wire.Note(
+            ids.InstanceId("far"),
+            ids.Incarnation(1),
+            1,
+            messages.MemberStatus.LIVE,
+            "10.1.0.1:1",
+        ),
+        ids.Revision(9),
+    )
+    summary = wire.Summary(1, far.note.instance, ids.DataCentre("b"), (far,))
+    answer = bench.ref.ask(actor.ServeExchange(wire.encode(summary)))
+    told = wire.decode_summary(answer.unwrap()).unwrap()
+    assert [entry.note.instance for entry in told.entries] == ["entry-0"]
+    joined, revised = bench.events
+    assert (joined.instance, joined.data_centre) == ("far", "b")
+    assert revised.revision == 9
+    bad = bench.ref.ask(actor.ServeExchange(b"garbage"))
+    assert isinstance(bad.unwrap_err(), errors.Undecodable)
+
+
+def test_a_list_that_raises_does_not_end_membership(bench):
+    bench.list.answer = RuntimeError("bug")
+    bench.tell(actor.Time())
+    listed = edges.ListedInstance(
+        "entry-1",
+        edges.InstanceRole.ENTRY,
+        ids.DataCentre("a"),
+        "10.0.0.2:1",
+        edges.InstanceStatus.LIVE,
+    )
+    bench.tell(actor.ListFetched(result.Ok((listed,))))
+    bench.clock.advance(0.5)
+    bench.tell(actor.Time())
+    assert bench.datagrams.sent[-1][1] == ("10.0.0.2:1",)
--- a/pollenfork/membership/tests/test_pressures.py
+++ b/pollenfork/membership/tests/test_pressures.py
@@ -84,6 +84,18 @@
         _assert_same(heard.unwrap(), sent)
 
 
+def test_differences_that_overtake_the_whole_state_are_kept():
+    encoder = pressures.PressureEncoder()
+    decoder = pressures.PressureDecoder(_NAME)
+    encoder.encode_change(_build({}, {("x", 0): 1}), 1.0)
+    whole = encoder.encode_whole()
+    for sequence in (2, 3):
+        sent = _build({("a", 1): (sequence, 0)}, {("x", 0): sequence})
+        decoder.apply(sequence, encoder.encode_change(sent, 1.0))
+    _assert_same(decoder.apply(1, whole).unwrap(), sent)
+    assert decoder.sequence == 3
+
+
 def test_old_names_do_not_pile_up():
     encoder = pressures.PressureEncoder()
     decoder = pressures.PressureDecoder(_NAME)
--- /dev/null
+++ b/pollenfork/membership/tests/test_transport.py
@@ -0,0 +1,192 @@
+"""The contract of the gRPC interface, both ends, with its fault cases."""
+
+import socket
+import threading
+
+import grpc
+import pytest
+import result
+
+from pollenfork import ids
+from pollenfork.membership import errors
+from pollenfork.membership import peer_pb2
+from pollenfork.membership import transport
+from pollenfork.membership import wire
+
+
+class FakeService:
+    """Answers what a test sets; `gate` holds answers back while it's unset."""
+
+    def __init__(self):
+        self.gate = threading.Event()
+        self.gate.set()
+        self.answer = result.Ok(b"answer")
+
+    def serve_state(self):
+        self.gate.wait()
+        return self.answer
+
+    def serve_exchange(self, body):
+        return wire.decode_summary(body).map(lambda summary: b"answer")
+
+    def serve_settings(self, revision):
+        return self.answer if revision == 7 else result.Err(errors.Refused())
+
+
+@pytest.fixture
+def service():
+    return FakeService()
+
+
+@pytest.fixture
+def address(service):
+    server = transport.Server(service)
+    port = server.bind("127.0.0.1:0")
+    server.start()
+    yield f"127.0.0.1:{port}"
+    service.gate.set()
+    server.stop(0)
+
+
+@pytest.fixture
+def client():
+    end = transport.Client(call_s=5.0)
+    yield end
+    end.close()
+
+
+def _wait(call, *arguments):
+    answers = []
+    done = threading.Event()
+
+    def take(answer):
+        answers.append(answer)
+        done.set()
+
+    call(*arguments, take)
+    assert done.wait(10)
+    return answers[0]
+
+
+_SUMMARY = wire.Summary(1, ids.InstanceId("e"), ids.DataCentre("a"), ())
+
+
+def test_a_state_and_a_summary_arrive_whole(address, client):
+    assert _wait(client.fetch_state, address) == result.Ok(b"answer")
+    body = wire.encode(_SUMMARY)
+    assert _wait(client.exchange, address, body) == result.Ok(b"answer")
+    client.wait_idle(5.0)
+
+
+@pytest.mark.parametrize(
+    ("body", "failure"),
+    [
+        (b"", errors.Undecodable),
+        (b"\xff" * 64, errors.Undecodable),
+        (wire.encode(_SUMMARY)[:-1], errors.Undecodable),
+        (b"\x96\x09" + wire.encode(_SUMMARY)[2:], errors.UnknownFormat),
+        (bytes(wire.SUMMARY_LIMIT - 100), errors.Undecodable),
+        (bytes(wire.SUMMARY_LIMIT + 1), errors.Refused),
+    ],
+)
+def test_a_bad_summary_is_refused_by_type(address, client, body, failure):
+    answer = _wait(client.exchange, address, body)
+    assert type(answer.unwrap_err()) is failure
+
+
+@pytest.mark.parametrize(
+    ("failure", "seen"),
+    [
+        (errors.TimedOut(), errors.TimedOut),
+        (errors.Refused(), errors.Refused),
+        (errors.Oversized(), errors.Oversized),
+        (errors.MissingBase(), errors.Refused),
+    ],
+)
+def test_failures_keep_their_type_across(
+    service, address, client, failure, seen
+):
+    service.answer = result.Err(failure)
+    answer = _wait(client.fetch_state, address)
+    assert type(answer.unwrap_err()) is seen
+
+
+def test_a_fault_in_the_peer_is_a_refusal(service, address, client):
+    service.answer = None
+    answer = _wait(client.fetch_state, address)
+    assert type(answer.unwrap_err()) is errors.Refused
+
+
+def test_a_slow_peer_times_out(service, address):
+    service.gate.clear()
+    client = transport.Client(call_s=0.05)
+    answer = _wait(client.fetch_state, address)
+    assert type(answer.unwrap_err()) is errors.TimedOut
+    client.close()
+
+
+def test_a_peer_that_is_down_is_unreachable_until_it_is_back(client, service):
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        address = f"127.0.0.1:{probe.getsockname()[1]}"
+    answer = _wait(client.fetch_state, address)
+    assert type(answer.unwrap_err()) is errors.Unreachable
+    server = transport.Server(service)
+    server.bind(address)
+    server.start()
+    assert _wait(client.fetch_state, address).is_ok()
+    server.stop(0)
+
+
+def test_a_taken_address_raises(service, address):
+    with pytest.raises(RuntimeError):
+        transport.Server(service).bind(address)
+
+
+def test_more_peers_than_channels_are_served(service, client):
+    servers = [transport.Server(service) for _ in range(6)]
+    ports = [server.bind("127.0.0.1:0") for server in servers]
+    for server in servers:
+        server.start()
+    for port in ports * 2:
+        assert _wait(client.fetch_state, f"127.0.0.1:{port}").is_ok()
+    for server in servers:
+        server.stop(0)
+
+
+@pytest.mark.parametrize(
+    ("size", "revision", "failure"),
+    [
+        (3 * 1024 * 1024, 7, None),
+        (10, 8, errors.Refused),
+        (33 * 1024 * 1024, 7, errors.Refused),
+    ],
+)
+def test_settings_arrive_whole_or_with_a_failure(
+    service, address, client, size, revision, failure
+):
+    service.answer = result.Ok(bytes(size))
+    answer = client.fetch_settings(address, ids.Revision(revision))
+    if failure is None:
+        assert answer == service.answer
+    else:
+        assert type(answer.unwrap_err()) is failure
+
+
+def test_an_unknown_settings_format_is_refused(address):
+    with grpc.insecure_channel(address) as channel:
+        call = channel.unary_unary(
+            "/pollenfork.membership.Peer/FetchSettings",
+            request_serializer=peer_pb2.SettingsRequest.SerializeToString,
+        )
+        with pytest.raises(grpc.RpcError) as caught:
+            call(peer_pb2.SettingsRequest(format=2, revision=7), timeout=5)
+    assert caught.value.code() is grpc.StatusCode.FAILED_PRECONDITION
+
+
+def test_bytes_that_are_no_message_leave_the_server_serving(address, client):
+    with grpc.insecure_channel(address) as channel:
+        call = channel.unary_unary("/pollenfork.membership.Peer/Exchange")
+        with pytest.raises(grpc.RpcError):
+            call(b"\xff\xff\xff", timeout=5)
+    assert _wait(client.fetch_state, address).is_ok()
