Tell a refused connection and readiness at the endpoint's edge

A connection that the host refuses proves that the former process has ended; a timeout proves nothing. Health needs the difference to tell a new start from a partition, and asks for readiness beside the lagging load report.

--- a/pollenfork/endpoints/edges.py
+++ b/pollenfork/endpoints/edges.py
@@ -18,7 +18,14 @@
 
 
 class Unreachable(EndpointFailure, frozen=True, kw_only=True):
-    """No connection: the call was never sent."""
+    """No connection: the call was never sent.
+
+    Attributes:
+        refused: The host answered that nothing listens at the port, so the
+            process that did has ended.
+    """
+
+    refused: bool = False
 
 
 class Unanswered(EndpointFailure, frozen=True, kw_only=True):
@@ -82,6 +89,9 @@
 class Endpoint(Protocol):
     """Control calls to one endpoint."""
 
+    def check_ready(self) -> result.Result[bool, EndpointFailure]:
+        """Returns whether the endpoint takes new work; False as it leaves."""
+
     def fetch_load(self) -> result.Result[LoadReport, EndpointFailure]:
         """Returns the endpoint's load report, which lags."""
 
