--- a/pollenfork/endpoints/holder.py
+++ b/pollenfork/endpoints/holder.py
@@ -20,25 +20,7 @@
 from pollenfork.platform import edges as platform_edges
 from pollenfork.platform import errors
 
-_LONGEST_BACKOFF = 16  # Times `Pace.retry_s`.
-
-
-class Pace(msgspec.Struct, frozen=True, kw_only=True):
-    """How often the holder looks and tries again, in seconds.
-
-    Attributes:
-        look_s: Between two readings of a row that others may have changed.
-        retry_s: After a refusal that had no effect; doubles up to 16 times.
-        rejected_s: Before an order is given again that was rejected, or
-            that the endpoint confirmed but does not report.
-        rank_s: How much longer each further candidate waits for the ones
-            before it to take the lease.
-    """
-
-    look_s: float = 15.0
-    retry_s: float = 2.0
-    rejected_s: float = 60.0
-    rank_s: float = 30.0
+_LONGEST_BACKOFF = 16  # Times `lease.Pace.retry_s`.
 
 
 class Holder:
@@ -51,13 +33,13 @@
         instance: ids.InstanceId,
         new_id: Callable[[], ids.WriteId],
         limits: lease.Limits | None = None,
-        pace: Pace | None = None,
+        pace: lease.Pace | None = None,
     ) -> None:
         self._endpoint = endpoint
         self._data_centre = data_centre
         self._key = rows.lease_key(data_centre, endpoint)
         self._limits = limits or lease.Limits()
-        self._pace = pace or Pace()
+        self._pace = pace or lease.Pace()
         self._lease = lease.Lease(instance, self._limits, new_id)
         self._desired: orders.Desired | None = None
         self._loading = loading.Loading(endpoint, data_centre)
@@ -316,9 +298,12 @@
             return None
         row = self._lease.row
         applied = row.applied if row else rows.Applied()
-        fresh = self._reported_at > self._settled_at
-        reported = self._reported if fresh else None
+        reported = self._reported
+        if self._reported_at <= self._settled_at:
+            reported += applied.models  # Too old to show the last order.
         for work in orders.list_work(self._desired, applied, reported):
+            if loading.is_load(work) and self._reported_at == float("-inf"):
+                continue  # It may be loaded already.
             if now >= self._held_back.get(work, now):
                 return work
         return None
--- a/pollenfork/endpoints/lease.py
+++ b/pollenfork/endpoints/lease.py
@@ -32,6 +32,24 @@
     margin_s: float = 1.0
 
 
+class Pace(msgspec.Struct, frozen=True, kw_only=True):
+    """How often the holder looks and tries again, in seconds.
+
+    Attributes:
+        look_s: Between two readings of a row that others may have changed.
+        retry_s: After a refusal that had no effect; doubles up to 16 times.
+        rejected_s: Before an order is given again that was rejected, or
+            that the endpoint confirmed but does not report.
+        rank_s: How much longer each further candidate waits for the ones
+            before it to take the lease.
+    """
+
+    look_s: float = 15.0
+    retry_s: float = 2.0
+    rejected_s: float = 60.0
+    rank_s: float = 30.0
+
+
 class Hold(enum.Enum):
     """How this instance stands to the lease."""
 
--- a/pollenfork/endpoints/orders.py
+++ b/pollenfork/endpoints/orders.py
@@ -45,13 +45,13 @@
 def list_work(
     desired: Desired,
     applied: rows.Applied,
-    reported: Collection[str] | None,
+    reported: Collection[str],
 ) -> Iterator[Work]:
     """Yields the orders that the endpoint still needs, in order.
 
     A drain comes alone: an endpoint that leaves needs no models. `reported`
-    is what its own load report names, None before a report later than the
-    last order; a model that it lacks (after a crash) is ordered again.
+    is what the endpoint's own load report names; a model that it lacks
+    (after a crash) is ordered again.
     """
     if desired.drain:
         if applied.drained != desired.drain:
@@ -108,11 +108,9 @@
 
 
 def _is_loaded(
-    name: str, applied: tuple[str, ...], reported: Collection[str] | None
+    name: str, applied: tuple[str, ...], reported: Collection[str]
 ) -> bool:
     bare, version = split_version(name)
-    if reported is None:
-        return name in applied
     if name in reported:
         return True
     # A report without versions can't tell which one is loaded.
--- a/pollenfork/endpoints/tests/test_holder.py
+++ b/pollenfork/endpoints/tests/test_holder.py
@@ -110,6 +110,31 @@
     assert here.engine.applied[-1][0] == 3
 
 
+def test_model_that_a_crash_lost_is_ordered_again_but_not_at_once():
+    here, first, _ = make_pair(checks_fencing=True)
+    world.settle(here, [first], 10.0)
+    first.holder.hear_models((), first.now())
+    world.settle(here, [first], 40.0)
+    assert len(here.engine.applied) == 1  # The report may yet catch up.
+    world.settle(here, [first], 30.0)
+    assert len(here.engine.applied) == 2
+
+
+def test_rejected_order_lets_the_next_ones_go_on():
+    here, first, _ = make_pair(checks_fencing=True)
+    first.wish("bad@1", "m@1")
+    apply = here.engine.apply
+
+    def reject_bad(order):
+        if order.argument == "bad@1":
+            return world.result.Err(world.edges.Rejected())
+        return apply(order)
+
+    here.engine.apply = reject_bad
+    world.settle(here, [first], 10.0)
+    assert here.engine.read_models() == ("m@1",)
+
+
 def test_lease_given_back_needs_no_wait():
     here, first, second = make_pair(checks_fencing=False)
     world.settle(here, [first], 5.0)
--- a/pollenfork/endpoints/tests/world.py
+++ b/pollenfork/endpoints/tests/world.py
@@ -155,6 +155,7 @@
         self.holder = holder.Holder(
             ENDPOINT, DC, self.name, self.world.write_ids.__next__
         )
+        self.holder.hear_models(self.world.engine.read_models(), self.now())
         self.wish(*self.models)
 
     def wish(self, *models):
