--- a/pollenfork/entry/request.py
+++ b/pollenfork/entry/request.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 import http
+import re
 from typing import Annotated, Any
 
 import msgspec
@@ -22,6 +23,7 @@
 _PREFIX_BYTES = 1024
 _BYTES_PER_TOKEN = 4
 _BEARER = "bearer "
+_FIELD = re.compile(r"required field `(\w+)`|`\$\.(\w+)")
 
 _Count = Annotated[int, msgspec.Meta(ge=0)]
 _Choices = Annotated[int, msgspec.Meta(ge=1)]
@@ -191,9 +193,9 @@
 
 
 def _find_param(detail: str) -> str | None:
-    """Returns the field in msgspec's `... - at `$.field``."""
-    _, found, path = detail.partition("`$.")
-    return path.rstrip("`") if found else None
+    """Returns the field that an error of msgspec's is about."""
+    found = _FIELD.search(detail)
+    return found[1] or found[2] if found else None
 
 
 def _refuse_key(reason: str, detail: str) -> result.Err[errors.Refusal]:
--- a/tests/callers.py
+++ b/tests/callers.py
@@ -1,5 +1,6 @@
 """Callers that speak HTTP byte by byte."""
 
+import re
 import socket
 
 import msgspec
@@ -64,11 +65,13 @@
 
 
 def read_answer(caller: socket.socket) -> Answer:
-    """Returns what comes until the connection ends."""
-    parts = []
-    while part := caller.recv(65536):
-        parts.append(part)
-    raw = b"".join(parts)
+    """Returns one answer; a connection to be closed is read to its end."""
+    raw = b""
+    while not _is_whole(raw):
+        part = caller.recv(65536)
+        if not part:
+            break
+        raw += part
     head, _, body = raw.partition(b"\r\n\r\n")
     first, *lines = head.decode("latin-1").split("\r\n")
     headers = dict(line.lower().split(": ", 1) for line in lines)
@@ -88,3 +91,12 @@
             return joined
         joined += body[:length]
         body = body[length + 2 :]
+
+
+def _is_whole(raw: bytes) -> bool:
+    """Returns whether an answer that leaves the connection open is there."""
+    head, _, body = raw.partition(b"\r\n\r\n")
+    found = re.search(rb"\r\nContent-Length: (\d+)", head)
+    if not found or b"\r\nConnection: close" in head:
+        return False
+    return len(body) >= int(found[1])
