Drive the contract with the openai client

Plain and streamed chats and completions against two engine stand-ins, byte for byte what the engine makes of the prompt; models; each refusal as the client's own exception with its code; a broken answer as an error of the stream; Retry-After obeyed (5 s asked for, the sleep is patched).

--- a/tests/contract.py
+++ b/tests/contract.py
@@ -1,6 +1,7 @@
 """A site with scripted endpoints: one runner and two services."""
 
 from collections.abc import Callable, Iterable
+import threading
 import time
 
 import msgspec
@@ -12,6 +13,7 @@
 BODY_LIMIT = 10_000
 WAIT_S = 20.0
 SLOTS = 2  # Of the runner.
+QUICK_MS = 300  # The longest wait of the class `quick`.
 TOKENS = 4
 WHOLE = msgspec.json.encode(
     {
@@ -62,9 +64,14 @@
 
 
 class Site:
-    """The site; each script can be replaced between requests."""
+    """The site; each script can be replaced between requests.
+
+    Attributes:
+        release: For scripts to wait for.
+    """
 
     def __init__(self) -> None:
+        self.release = threading.Event()
         self.engine_script: endpoints.Script = play_engine
         self.service_script: endpoints.Script = play_service
         self.engine = endpoints.ScriptedEndpoint(
@@ -139,10 +146,22 @@
             },
             services=named,
         )
+        wait = model.LatePolicy.WAIT
+        classes = {
+            "morning": model.ServiceClass(tier=0, protected=True),
+            "logs": model.ServiceClass(tier=6, when_late=wait),
+            "quick": model.ServiceClass(
+                tier=3, when_late=wait, max_wait_ms=QUICK_MS
+            ),
+        }
         team = tree.teams["linework"]
-        logs = model.ServiceClass(tier=6, when_late=model.LatePolicy.WAIT)
-        classes = {**team.classes, "logs": logs}
-        teams = {"linework": msgspec.structs.replace(team, classes=classes)}
+        account = msgspec.structs.replace(
+            team.accounts["crew"], classes=tuple(classes)
+        )
+        team = msgspec.structs.replace(
+            team, classes=classes, accounts={"crew": account}
+        )
+        teams = {"linework": team}
         return msgspec.structs.replace(tree, root=root, teams=teams)
 
 
--- /dev/null
+++ b/tests/test_openai_client.py
@@ -0,0 +1,275 @@
+"""The contract as the `openai` client sees it, against engine stand-ins."""
+
+from collections.abc import Iterator
+import json
+from typing import Any
+
+import openai
+import pytest
+
+from pollenfork import clock
+from pollenfork import ids
+from pollenfork.standin.engine import config
+from pollenfork.standin.engine import front
+from pollenfork.standin.engine import prompt
+from tests import callers
+from tests import contract
+from tests import endpoints
+from tests import sites
+
+MESSAGES: Any = [{"role": "user", "content": "Tower 7: which insulators?"}]
+TOKENS = 20
+
+
+class Whole:
+    """Two engine stand-ins behind one entry instance."""
+
+    def __init__(self) -> None:
+        settings = config.EngineConfig(
+            models=(ids.ModelName("lines"),),
+            step_ms=1.0,
+            step_per_request_ms=0.0,
+            prefill_token_ms=0.0,
+            default_length=TOKENS,
+        )
+        self.engines = [
+            front.EngineStandin(settings, clock.SystemClock()) for _ in range(2)
+        ]
+        self._site = sites.Site()
+        addresses = [engine.start() for engine in self.engines]
+        self._site.write_tree(sites.make_tree(addresses))
+        self.entry = self._site.start_entry()
+
+    def stop(self) -> None:
+        self._site.stop()
+        for engine in self.engines:
+            engine.stop()
+
+
+@pytest.fixture(scope="module")
+def whole() -> Iterator[Whole]:
+    started = Whole()
+    yield started
+    started.stop()
+
+
+def connect(address: str, **options: Any) -> openai.OpenAI:
+    chosen = {"api_key": sites.KEY, "max_retries": 0, **options}
+    return openai.OpenAI(base_url=f"http://{address}/v1", **chosen)
+
+
+@pytest.fixture
+def client(whole: Whole) -> Iterator[openai.OpenAI]:
+    with connect(whole.entry.address) as connected:
+        yield connected
+
+
+def make_text(chat: bool) -> str:
+    """Returns the text that every engine gives to the prompt."""
+    asked: dict[str, Any] = {"model": "lines", "prompt": "Tower 7"}
+    if chat:
+        asked = {"model": "lines", "messages": MESSAGES}
+    body = json.dumps(asked).encode()
+    parsed = prompt.parse(body, chat, TOKENS).unwrap()
+    return prompt.make_text(parsed.seed, parsed.length)
+
+
+def test_chat(client: openai.OpenAI) -> None:
+    answer = client.chat.completions.create(model="lines", messages=MESSAGES)
+    choice = answer.choices[0]
+    assert choice.message.content == make_text(chat=True)
+    assert choice.finish_reason == "stop"
+    assert answer.usage
+    assert answer._request_id
+
+
+def test_streamed_chat(client: openai.OpenAI) -> None:
+    stream = client.chat.completions.create(
+        model="lines", messages=MESSAGES, stream=True
+    )
+    events = list(stream)
+    text = "".join(e.choices[0].delta.content or "" for e in events)
+    assert text == make_text(chat=True)
+    assert events[-1].choices[0].finish_reason == "stop"
+    assert len(events) > 1
+
+
+def test_completion(client: openai.OpenAI) -> None:
+    answer = client.completions.create(model="lines", prompt="Tower 7")
+    assert answer.choices[0].text == make_text(chat=False)
+
+
+def test_streamed_completion(client: openai.OpenAI) -> None:
+    stream = client.completions.create(
+        model="lines", prompt="Tower 7", stream=True
+    )
+    text = "".join(event.choices[0].text for event in stream)
+    assert text == make_text(chat=False)
+
+
+def test_bound_on_the_answer(client: openai.OpenAI) -> None:
+    answer = client.chat.completions.create(
+        model="lines", messages=MESSAGES, max_completion_tokens=3
+    )
+    assert answer.choices[0].finish_reason == "length"
+    assert answer.usage
+    assert answer.usage.completion_tokens == 3
+
+
+def test_models(client: openai.OpenAI) -> None:
+    assert [model.id for model in client.models.list()] == ["lines"]
+    assert client.models.retrieve("lines").id == "lines"
+
+
+def test_class_is_named_by_a_header(client: openai.OpenAI) -> None:
+    answer = client.chat.completions.create(
+        model="lines",
+        messages=MESSAGES,
+        extra_headers={"X-Service-Class": "logs"},
+    )
+    assert answer.choices
+
+
+def test_hundred_streams_of_one_client_are_each_whole(
+    client: openai.OpenAI,
+) -> None:
+    for number in range(100):
+        stream = client.completions.create(
+            model="lines", prompt=f"Span {number}", stream=True, max_tokens=4
+        )
+        body = {"model": "lines", "prompt": f"Span {number}", "max_tokens": 4}
+        parsed = prompt.parse(json.dumps(body).encode(), False, TOKENS).unwrap()
+        text = "".join(event.choices[0].text for event in stream)
+        assert text == prompt.make_text(parsed.seed, parsed.length)
+
+
+@pytest.mark.parametrize(
+    ("options", "fields", "kind", "code"),
+    [
+        ({"api_key": "x"}, {}, openai.AuthenticationError, "wrong_key"),
+        (
+            {"default_headers": {"X-Service-Class": "x"}},
+            {},
+            openai.PermissionDeniedError,
+            "unknown_class",
+        ),
+        ({}, {"model": "none"}, openai.NotFoundError, "unknown_model"),
+        ({}, {"messages": []}, openai.BadRequestError, "bad_request"),
+        ({}, {"n": 2, "stream": True}, openai.BadRequestError, "bad_request"),
+        (
+            {"default_headers": {"Idempotency-Key": "a b"}},
+            {},
+            openai.BadRequestError,
+            "bad_idempotency_key",
+        ),
+        (
+            {},
+            {"messages": [{"role": "user", "content": "x" * 15_000}]},
+            openai.APIStatusError,
+            "body_too_large",
+        ),
+    ],
+)
+def test_refusals_are_the_clients_own_types(
+    whole: Whole,
+    options: dict[str, Any],
+    fields: dict[str, Any],
+    kind: type[openai.APIStatusError],
+    code: str,
+) -> None:
+    asked = {"model": "lines", "messages": MESSAGES, **fields}
+    with (
+        connect(whole.entry.address, **options) as connected,
+        pytest.raises(kind) as raised,
+    ):
+        connected.chat.completions.create(**asked)
+    assert raised.value.code == code
+    assert raised.value.response.headers["X-Outcome"] == "not_run"
+    assert raised.value.request_id
+
+
+@pytest.fixture
+def scripted() -> Iterator[contract.Site]:
+    started = contract.Site()
+    yield started
+    started.stop()
+
+
+def test_answer_that_breaks_off_is_an_error_of_the_stream(
+    scripted: contract.Site,
+) -> None:
+    def play(call: endpoints.Call) -> list[endpoints.Part]:
+        if call.path.startswith("/v1/chat"):
+            return [endpoints.write_stream_head(), endpoints.write_event(0)]
+        return [endpoints.write_answer("404 Not Found", b"{}")]
+
+    scripted.engine_script = play
+    seen = []
+    quick = {"X-Service-Class": "quick"}
+    with connect(scripted.address, default_headers=quick) as connected:
+        stream = connected.chat.completions.create(
+            model="lines", messages=MESSAGES, stream=True
+        )
+        with pytest.raises(openai.APIError) as raised:
+            seen.extend(stream)
+    assert [event.choices[0].delta.content for event in seen] == ["t0 "]
+    assert raised.value.code == "answer_broken"
+
+
+def hold(site: contract.Site) -> list[Any]:
+    """Takes every slot of the runner; returns what holds them."""
+    site.engine_script = lambda call: [
+        endpoints.write_stream_head() + endpoints.write_event(0),
+        site.release,
+        endpoints.write_event(1, last=True) + endpoints.DONE,
+    ]
+    body = {"model": "lines", "messages": MESSAGES, "stream": True}
+    raw = callers.write_request(
+        "POST", "/v1/chat/completions", json.dumps(body).encode()
+    )
+    held = [callers.connect(site.address) for _ in range(contract.SLOTS)]
+    for caller in held:
+        caller.sendall(raw)
+        caller.recv(65536)
+    return held
+
+
+def test_overload_is_told_with_when_to_come_back(
+    scripted: contract.Site,
+) -> None:
+    held = hold(scripted)
+    with (
+        connect(scripted.address) as connected,
+        pytest.raises(openai.InternalServerError) as raised,
+    ):
+        connected.chat.completions.create(model="lines", messages=MESSAGES)
+    scripted.release.set()
+    for caller in held:
+        caller.close()
+    assert raised.value.code == "overloaded"
+    assert raised.value.response.headers["X-Outcome"] == "not_run"
+    assert int(raised.value.response.headers["Retry-After"]) >= 1
+
+
+def test_client_comes_back_after_the_time_it_was_told(
+    scripted: contract.Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    slept: list[float] = []
+
+    def sleep(seconds: float) -> None:
+        slept.append(seconds)
+        scripted.release.set()
+        scripted.engine_script = contract.play_engine
+        assert scripted.wait_until_idle()
+
+    held = hold(scripted)
+    monkeypatch.setattr("openai._base_client.time.sleep", sleep)
+    with connect(scripted.address, max_retries=2) as connected:
+        raw = connected.chat.completions.with_raw_response.create(
+            model="lines", messages=MESSAGES
+        )
+    for caller in held:
+        caller.close()
+    assert raw.parse().choices[0].message.content == "whole"
+    assert raw.retries_taken == 1
+    assert slept == [5.0]
