--- a/pollenfork/entry/keyed.py
+++ b/pollenfork/entry/keyed.py
@@ -114,6 +114,10 @@
 class KeyedChunks(Iterator[bytes]):
     """An answer's bytes; they are kept for repeats once whole.
 
+    The chunk that makes the answer whole is handed over after the outcome is
+    recorded, so that a repeat right after it finds the record. Any other is
+    handed over at once.
+
     A caller that goes away doesn't end the request: it may come back with
     its key for the answer, so the rest is read and kept.
     """
@@ -130,17 +134,11 @@
 
     def __next__(self) -> bytes:
         """Returns the next bytes; records the outcome at their end."""
-        if self._ended:
+        chunk = b"" if self._ended else self._take()
+        if not chunk:
             raise StopIteration
-        try:
-            chunk = next(self._answer.chunks)
-        except StopIteration:
-            self._ended = True
-            self._record()
-            raise
-        self._size += len(chunk)
-        if self._size <= _KEEP_BYTES:
-            self._parts.append(chunk)
+        if not self._streamed or _is_finished(chunk):
+            return b"".join([chunk, *iter(self._take, b"")])
         return chunk
 
     def close(self) -> None:
@@ -152,6 +150,16 @@
             self._claim.record_unknown()  # Without effect once recorded.
             progress.close_chunks(self._answer.chunks)
 
+    def _take(self) -> bytes:
+        chunk = next(self._answer.chunks, b"")
+        if not chunk:
+            self._ended = True
+            self._record()
+        self._size += len(chunk)
+        if self._size <= _KEEP_BYTES:
+            self._parts.append(chunk)
+        return chunk
+
     def _record(self) -> None:
         answer = self._answer
         body = b"".join(self._parts)
--- a/pollenfork/entry/progress.py
+++ b/pollenfork/entry/progress.py
@@ -70,7 +70,6 @@
         self._on_first = on_first
         self._on_end = on_end
         self._ended = False
-        self.attach = getattr(chunks, "attach", None)
 
     def __iter__(self) -> Iterator[bytes]:
         """Returns an iterator over the chunks."""
