--- a/pollenfork/standin/engine/core.py
+++ b/pollenfork/standin/engine/core.py
@@ -92,10 +92,10 @@
         job = self._latest.get(request)
         if job is None or job.state is jobs.JobState.LOST:
             return edges.CancelOutcome.UNKNOWN_REQUEST, []
-        if job.state is jobs.JobState.WAITING:
-            return edges.CancelOutcome.NOT_RUN, [self._drop(job, now)]
-        if job.state is jobs.JobState.RUNNING:
-            return edges.CancelOutcome.CANCELLED, [self._drop(job, now)]
+        if job.state in jobs.LIVE_STATES:
+            # One that was preempted waits again, but it has run.
+            ended = self._drop(job, now)
+            return edges.CancelOutcome(job.state.value), [ended]
         return edges.CancelOutcome(job.state.value), []
 
     def detach(self, job: jobs.Job, now: float) -> None:
--- a/pollenfork/standin/engine/tests/test_core.py
+++ b/pollenfork/standin/engine/tests/test_core.py
@@ -147,6 +147,19 @@
     assert find_kinds(run(engine, 2), spared)[-1] is jobs.EventKind.FINISHED
 
 
+def test_a_preempted_request_is_never_said_not_to_have_run():
+    engine = make_engine(kv_tokens=120, slots=8)
+    submit(engine, "urgent", priority=0, text="a" * 40, length=60)
+    preempted = submit(engine, "b", priority=3, text="b" * 40, length=60)
+    now = 0.0
+    while preempted.state is not jobs.JobState.WAITING or not preempted.ran:
+        now = engine.next_due()
+        run(engine, now)
+    outcome, _ = engine.cancel(preempted.request, now)
+    assert outcome is edges.CancelOutcome.CANCELLED
+    assert b'"b":{"count":1' in engine.runs.encode()
+
+
 def test_a_broken_stream_runs_on_for_its_time_and_is_then_cancelled():
     engine = make_engine(keep_stream_s=0.1)
     crash = configs.Crash(when=configs.CrashPoint.MIDWAY, after_tokens=1)
