--- a/benchmarks/standins.py
+++ b/benchmarks/standins.py
@@ -17,14 +17,17 @@
 import msgspec
 import psutil
 
+from benchmarks import relay_client
 from pollenfork.load import scenario as scenarios
 from pollenfork.standin.engine import config as configs
+from pollenfork.standin.engine import prompt as prompts
 
 RESULTS = pathlib.Path(__file__).parent / "results" / "standins.json"
 PAIRS = (("bare", "bare"), ("standin", "bare"), ("standin", "load"))
 _GAP_MS = 49.0
-_MODEL = "draft-8b"
-_DEFAULT_LENGTH = 210  # Makes 175 tokens of the bare client's prompt.
+# Both clients must ask alike, and the bare one states no length.
+_BODY = relay_client._BODY
+_MODEL = msgspec.json.decode(_BODY)["model"]
 _TOKENS = 175
 _SETTLED_S = 1.8
 _MEASURED_S = 5.0
@@ -45,6 +48,16 @@
     whole: int
 
 
+def _find_default_length() -> int:
+    """Returns the setting that gives the bare client about `_TOKENS`."""
+
+    def miss(default: int) -> int:
+        prompt = prompts.parse(_BODY, True, default).unwrap()
+        return abs(prompt.length - _TOKENS)
+
+    return min(range(_TOKENS // 2, 2 * _TOKENS), key=miss)
+
+
 def _start(*words: Any) -> subprocess.Popen[str]:
     command = [sys.executable, "-m", *(str(word) for word in words)]
     return subprocess.Popen(
@@ -69,7 +82,7 @@
             step_per_request_ms=0.0,
             prefill_token_ms=0.0,
             kv_tokens=1_000_000,
-            default_length=_DEFAULT_LENGTH,
+            default_length=_find_default_length(),
             keep_alive=False,  # The bare client reads until the close.
         )
         path = folder / "engine.json"
