Ask a peer again whose copy of the settings failed

Cause: a peer whose copy couldn't be had was forgotten until it spoke again, but membership tells a peer's revision only when it changes; cut off from the platform, an instance could have stayed behind for as long as the cut. The peer is now left alone for 5 s and kept in mind.

--- a/pollenfork/settings/core.py
+++ b/pollenfork/settings/core.py
@@ -30,6 +30,10 @@
 """How long a peer's copy is waited for before another peer is asked."""
 
 
+PEER_REST_S = 5.0
+"""How long a peer whose copy couldn't be had is left alone."""
+
+
 class ReadTable(msgspec.Struct, frozen=True):
     """Read the head row, and the subtrees that it shows to be newer."""
 
@@ -68,6 +72,7 @@
         self._rng = rng
         self._confirmed_at: float | None = None
         self._peers: dict[ids.InstanceId, ids.Revision] = {}
+        self._resting: dict[ids.InstanceId, float] = {}
         self._next_read = now
         self._gather_until: float | None = None
         self._fetch_until = now
@@ -110,6 +115,7 @@
     def forget_peer(self, peer: ids.InstanceId) -> None:
         """Drops a peer that can't be reached."""
         self._peers.pop(peer, None)
+        self._resting.pop(peer, None)
 
     def take_read(
         self, found: state.InForce | None, now: float
@@ -143,11 +149,12 @@
     ) -> list[Action]:
         """Takes a peer's tree, or None where it couldn't be had."""
         self._fetch_until = now
+        known = self._peers.get(peer, ids.Revision(0))
+        if found is None or found.revision < known:
+            # Membership tells a revision once, so the peer is kept in mind.
+            self._resting[peer] = now + PEER_REST_S
         if found is None:
-            self.forget_peer(peer)
             return []
-        if found.revision < self._peers.get(peer, ids.Revision(0)):
-            self.forget_peer(peer)
         return self._adopt(found, Source.PEER, now)
 
     def take_write(self, written: state.InForce, now: float) -> list[Action]:
@@ -177,11 +184,16 @@
         return self._gather_until is not None and now >= self._gather_until
 
     def _fetch_from_best(self, now: float) -> list[Action]:
-        if now < self._fetch_until or not self._peers:
+        if now < self._fetch_until:
             return []
-        best = max(self._peers, key=lambda peer: (self._peers[peer], peer))
-        if self._peers[best] <= self.revision:
+        ahead = [
+            (revision, peer)
+            for peer, revision in self._peers.items()
+            if revision > self.revision and now >= self._resting.get(peer, now)
+        ]
+        if not ahead:
             return []
+        _, best = max(ahead)
         self._fetch_until = now + FETCH_S
         return [FetchCopy(best)]
 
--- a/pollenfork/settings/tests/test_core.py
+++ b/pollenfork/settings/tests/test_core.py
@@ -81,6 +81,29 @@
     assert made.tick(0.4) == [core.FetchCopy("other")]
 
 
+def test_a_peer_whose_copy_failed_is_asked_again_without_its_voice() -> None:
+    made = make_core(5)
+    made.tick(0.0)
+    made.hear_peer("peer", 7, 0.1)
+    made.take_read_failure(0.2)
+    assert core.FetchCopy("peer") in made.tick(0.2)
+    made.take_copy("peer", None, 0.3)
+    assert core.FetchCopy("peer") not in made.tick(0.4)
+    later = 0.3 + core.PEER_REST_S
+    assert core.FetchCopy("peer") in made.tick(later)
+
+
+def test_a_peer_that_gives_less_than_it_said_is_left_alone() -> None:
+    made = make_core(5)
+    made.tick(0.0)
+    made.hear_peer("peer", 7, 0.1)
+    made.take_read_failure(0.2)
+    made.tick(0.2)
+    made.take_copy("peer", make_tree(6), 0.3)
+    assert made.revision == 6
+    assert core.FetchCopy("peer") not in made.tick(0.4)
+
+
 def test_a_table_that_lags_behind_a_peer_is_made_up_for() -> None:
     made = make_core(5)
     made.hear_peer("peer", 7, 0.1)
