Let the settings' polls fail fast where the platform hangs

Cause: the guarded table's four attempts held the settings actor while a hanging platform ran into its time limit, so that a peer's copy had to wait. The copy is now asked for ahead of the next read. Ruled out: reads in a thread of their own, which the limit makes needless.

Shared files: platform/policy.py offers polled_table, application.py uses it.

--- a/pollenfork/application.py
+++ b/pollenfork/application.py
@@ -66,7 +66,7 @@
             settings.instance, now, self._rng, self._timers, settings.waiting
         )
         self.settings = settings_actor.Settings(
-            self.platform.table,
+            self.platform.polled_table,
             now,
             self._rng,
             self._timers,
--- a/pollenfork/platform/policy.py
+++ b/pollenfork/platform/policy.py
@@ -277,6 +277,10 @@
 
     Table, objects and instance list share the instance's budget; each
     service has its own breaker.
+
+    Attributes:
+        polled_table: The table for callers that poll: their next poll is the
+            retry, and they have other things to do meanwhile.
     """
 
     def __init__(
@@ -292,6 +296,9 @@
         share = self.budget
         once = RetryLimits(attempts=1)
         self.table = GuardedTable(table, Guard("table", tools, share))
+        self.polled_table = GuardedTable(
+            table, Guard("polled table", tools, share, once)
+        )
         self.objects = GuardedObjects(objects, Guard("objects", tools, share))
         self.instances = GuardedInstances(
             instances, Guard("instances", tools, share)
--- a/pollenfork/settings/core.py
+++ b/pollenfork/settings/core.py
@@ -95,11 +95,12 @@
     def tick(self, now: float) -> list[Action]:
         """Returns what is due now."""
         actions: list[Action] = []
+        if not self.platform_answers and self._has_gathered(now):
+            # Before the read, which may wait for its whole time limit.
+            actions += self._fetch_from_best(now)
         if now >= self._next_read:
             self._next_read = now + self._draw_poll_s()
             actions.append(ReadTable())
-        if not self.platform_answers and self._has_gathered(now):
-            actions += self._fetch_from_best(now)
         return actions
 
     def hear_peer(
