Refuse a digest with a newline at its end

Cause: $ matches ahead of a last newline, so one key could stand under two spellings and pass the check for keys used twice. Found while a property test was written that the walk over the tree and msgspec refuse the same values.

--- a/pollenfork/settings/model.py
+++ b/pollenfork/settings/model.py
@@ -16,7 +16,7 @@
 Positive = Annotated[int, msgspec.Meta(gt=0)]
 TierNumber = Annotated[int, msgspec.Meta(ge=0, lt=TIER_COUNT)]
 Share = Annotated[float, msgspec.Meta(ge=0, le=0.2)]
-Digest = Annotated[str, msgspec.Meta(pattern="^[0-9a-f]{64}$")]
+Digest = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}\Z")]
 
 
 class LatePolicy(enum.Enum):
--- a/pollenfork/settings/tests/test_validation.py
+++ b/pollenfork/settings/tests/test_validation.py
@@ -7,7 +7,7 @@
 
 MORNING = "teams.linework.classes.morning"
 DISPATCH = "teams.linework.accounts.dispatch"
-DIGEST = "text that matches ^[0-9a-f]{64}$"
+DIGEST = r"text that matches ^[0-9a-f]{64}\Z"
 
 # Where, what is put there (None removes it), and every error by its text.
 CASES = [
@@ -76,6 +76,8 @@
     (f"{DISPATCH}.key_sha256", snapshot.hash_key("treasury-key"),
      ["teams.ledger.accounts.treasury: key_sha256 is also that of "
       "linework/dispatch"]),
+    (f"{DISPATCH}.key_sha256", snapshot.hash_key("x") + "\n",
+     [f"{DISPATCH}: key_sha256 must be {DIGEST}"]),
     (f"{DISPATCH}.key_sha256", "ABC", [f"{DISPATCH}: key_sha256 must be "
                                        f"{DIGEST}"]),
     ("teams.linework.accounts", {"a/b": {}},
