Refuse a name that stands twice in a settings file

Cause: JSON decoders keep the last of two members with one name, so a class pasted twice lost its first half unseen. Each is now named with its place; a port has one spelling, so that two endpoints can't share an address under two.

--- a/pollenfork/cli/operating.py
+++ b/pollenfork/cli/operating.py
@@ -36,9 +36,7 @@
     body = _read_file(command.file, env)
     if isinstance(body, result.Err):
         return body.err_value
-    checked = validation.decode_json(body.ok_value).and_then(
-        validation.check_tree
-    )
+    checked = validation.check_file(body.ok_value)
     bad = checked.err()
     violations = bad.violations if bad else ()
     if command.format is arguments.Format.JSON:
--- a/pollenfork/operator/errors.py
+++ b/pollenfork/operator/errors.py
@@ -80,6 +80,16 @@
     return msgspec.json.encode(ErrorEnvelope(body))
 
 
+def refuse_document(failure: settings_errors.BadTree) -> Refusal:
+    """Returns what the operator is told of a body that isn't good JSON."""
+    return Refusal(
+        status=http.HTTPStatus.BAD_REQUEST,
+        code=Code.BAD_JSON,
+        violations=failure.violations,
+        detail=failure.detail,
+    )
+
+
 def refuse_write(failure: settings_errors.SettingsFailure) -> Refusal:
     """Returns what the operator is told of a write that failed."""
     status, code = _WRITE_REFUSALS[type(failure)]
--- a/pollenfork/operator/tree.py
+++ b/pollenfork/operator/tree.py
@@ -13,12 +13,12 @@
 from pollenfork.platform import edges as platform_edges
 from pollenfork.settings import authority
 from pollenfork.settings import changes
+from pollenfork.settings import documents
 from pollenfork.settings import errors as settings_errors
 from pollenfork.settings import paths
 from pollenfork.settings import rows
 from pollenfork.settings import state
 from pollenfork.settings import store
-from pollenfork.settings import validation
 from pollenfork.settings import writer
 
 
@@ -155,15 +155,9 @@
         body = request.read_body(environ)
         if isinstance(body, result.Err):
             return body
-        value = validation.decode_json(body.ok_value)
+        value = documents.decode(body.ok_value)
         if isinstance(value, result.Err):
-            return result.Err(
-                errors.Refusal(
-                    status=http.HTTPStatus.BAD_REQUEST,
-                    code=errors.Code.BAD_JSON,
-                    detail=str(value.err_value.violations[0]),
-                )
-            )
+            return result.Err(errors.refuse_document(value.err_value))
         return result.Ok(
             changes.Change(
                 path=path,
--- a/pollenfork/settings/errors.py
+++ b/pollenfork/settings/errors.py
@@ -1,6 +1,9 @@
 """Failures of the settings slice."""
 
+from collections.abc import Iterable
+
 import msgspec
+import result
 
 from pollenfork import failures
 from pollenfork import ids
@@ -36,6 +39,13 @@
     violations: tuple[Violation, ...]
 
 
+def refuse_tree(violations: Iterable[Violation]) -> result.Err[BadTree]:
+    """Returns the refusal of a tree that breaks these rules."""
+    found = tuple(violations)
+    detail = f"broken rules: {len(found)}, the first: {found[0]}"
+    return result.Err(BadTree(detail=detail, violations=found))
+
+
 class Stale(SettingsFailure, frozen=True, kw_only=True):
     """Another write came first; `current` is 0 where nothing exists."""
 
--- a/pollenfork/settings/tests/test_validation.py
+++ b/pollenfork/settings/tests/test_validation.py
@@ -1,6 +1,6 @@
 import pytest
-import result
 
+from pollenfork.settings import documents
 from pollenfork.settings import snapshot
 from pollenfork.settings import validation
 from pollenfork.settings.tests import support
@@ -50,6 +50,9 @@
     ("root.endpoints.runner-1.address", "10.0.0.7:70000",
      ["root.endpoints.runner-1: address must be IP:PORT, "
       "such as 10.0.0.7:8000"]),
+    ("root.endpoints.runner-1.address", "10.0.0.7:08000",
+     ["root.endpoints.runner-1: address must be IP:PORT, "
+      "such as 10.0.0.7:8000"]),
     ("root.endpoints.runner-1.address", "10.0.0.9:8100",
      ["root.endpoints.photos-1: address is also that of endpoint runner-1"]),
     ("root.services.photos.endpoints", ["runner-9"],
@@ -115,9 +118,25 @@
     ]
 
 
-@pytest.mark.parametrize("body", [b"", b"{", b"\xff", b"[" * 100_000])
+@pytest.mark.parametrize(
+    "body", [b"", b"{", b"\xff", b"[" * 100_000, b'{"a": NaN}', b"Infinity"]
+)
 def test_what_is_not_json_is_refused(body) -> None:
-    assert isinstance(validation.decode_json(body), result.Err)
+    found = documents.decode(body).err().violations
+    assert [violation.path for violation in found] == [""]
+    assert found[0].rule.startswith("not JSON: ")
+
+
+def test_a_name_that_stands_twice_is_named_with_its_place() -> None:
+    body = b"""{"teams": {"a": {"classes": {"x": {"tier": 1}, "x": {}}}},
+        "root": {"operator_sha256": [], "operator_sha256": []},
+        "list": [{"y": 1, "y": 2, "y": 3}]}"""
+    found = documents.decode(body).err().violations
+    assert [str(violation) for violation in found] == [
+        "teams.a.classes: x stands twice",
+        "root: operator_sha256 stands twice",
+        "list.0: y stands twice",
+    ]
 
 
 def test_a_good_tree_passes() -> None:
--- a/pollenfork/settings/validation.py
+++ b/pollenfork/settings/validation.py
@@ -1,26 +1,36 @@
 """The rules of the settings tree that no single field can state."""
 
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 import ipaddress
+import re
 
-import msgspec
 import result
 
 from pollenfork import ids
+from pollenfork.settings import documents
 from pollenfork.settings import errors
 from pollenfork.settings import model
 from pollenfork.settings import paths
 from pollenfork.settings import schema
 
+_PORT = re.compile(r"[1-9][0-9]{0,4}")
+
 FindOwner = Callable[[str], str | None]
 """Returns `team/account` of who else has a key of this digest."""
 
 
+def check_file(
+    body: bytes,
+) -> result.Result[model.Tree, errors.BadTree]:
+    """Returns the whole tree that a file holds, or every error."""
+    return documents.decode(body).and_then(check_tree)
+
+
 def check_tree(value: object) -> result.Result[model.Tree, errors.BadTree]:
     """Returns the whole tree that a JSON value spells, or every error."""
     converted = schema.convert(value, model.Tree, "")
     if isinstance(converted, result.Err):
-        return _refuse(converted.err_value)
+        return errors.refuse_tree(converted.err_value)
     tree = converted.ok_value
     found = list(find_root_violations(tree.root, tree.teams))
     owners: dict[str, str] = {}
@@ -28,7 +38,7 @@
         found += find_account_violations(team, subtree, owners.get)
         for name, account in subtree.accounts.items():
             owners.setdefault(account.key_sha256, f"{team}/{name}")
-    return _refuse(found) if found else result.Ok(tree)
+    return errors.refuse_tree(found) if found else result.Ok(tree)
 
 
 def check_root(
@@ -37,9 +47,9 @@
     """Returns a new root that every team still fits, or every error."""
     converted = schema.convert(value, model.RootSettings, paths.ROOT)
     if isinstance(converted, result.Err):
-        return _refuse(converted.err_value)
+        return errors.refuse_tree(converted.err_value)
     found = list(find_root_violations(converted.ok_value, teams))
-    return _refuse(found) if found else result.Ok(converted.ok_value)
+    return errors.refuse_tree(found) if found else result.Ok(converted.ok_value)
 
 
 def check_team(
@@ -53,11 +63,11 @@
         value, model.TeamSettings, schema.join("teams", team)
     )
     if isinstance(converted, result.Err):
-        return _refuse(converted.err_value)
+        return errors.refuse_tree(converted.err_value)
     subtree = converted.ok_value
     found = list(_find_team_violations(team, subtree, root))
     found += find_account_violations(team, subtree, find_owner)
-    return _refuse(found) if found else result.Ok(subtree)
+    return errors.refuse_tree(found) if found else result.Ok(subtree)
 
 
 def find_root_violations(
@@ -170,20 +180,5 @@
         ipaddress.ip_address(host)
     except ValueError:
         return False
-    return port.isascii() and port.isdigit() and 0 < int(port) < 65536
-
-
-def _refuse(
-    violations: Iterable[errors.Violation],
-) -> result.Err[errors.BadTree]:
-    found = tuple(violations)
-    detail = f"broken rules: {len(found)}, the first: {found[0]}"
-    return result.Err(errors.BadTree(detail=detail, violations=found))
-
-
-def decode_json(body: bytes) -> result.Result[object, errors.BadTree]:
-    """Returns the JSON value of `body`."""
-    try:
-        return result.Ok(msgspec.json.decode(body))
-    except (msgspec.DecodeError, RecursionError) as error:
-        return _refuse([errors.Violation("", f"not JSON: {error}")])
+    # One spelling for each port, or two endpoints could share an address.
+    return bool(_PORT.fullmatch(port)) and int(port) < 65536
