Put an edge between the operator interface and the settings

Cause: the interface reached into the settings slice's store, writer and paths, though a slice may import another's messages, edges and errors only. settings/edges.py now says what operators need, settings/service.py does it, and the interface is left with HTTP. The path of a history without a subtree is now unknown_path (404) like every other path that names nothing.

--- a/pollenfork/operator/app.py
+++ b/pollenfork/operator/app.py
@@ -1,10 +1,8 @@
 """The WSGI application towards operators, under `/operator/`."""
 
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Iterable
 import http
 import logging
-import math
-from typing import Any
 
 import msgspec
 import result
@@ -15,59 +13,62 @@
 from pollenfork.operator import edges
 from pollenfork.operator import errors
 from pollenfork.operator import messages
+from pollenfork.operator import replies
 from pollenfork.operator import request
 from pollenfork.operator import tree
-from pollenfork.settings import authority
-from pollenfork.settings import state
+from pollenfork.settings import edges as settings_edges
+from pollenfork.settings import errors as settings_errors
+from pollenfork.settings import messages as settings_messages
 
 _LOG = logging.getLogger(__name__)
 
-StartResponse = Callable[[str, list[tuple[str, str]]], Any]
-Outcome = result.Result[tree.Reply, errors.Refusal]
-
 _PREFIX = "/operator/"
 _DRAIN = "drain"
 
 
+class Caller(msgspec.Struct, frozen=True):
+    """An operator: the digest of the token and what it is bound to."""
+
+    digest: str
+    rights: settings_messages.Rights
+
+
 class Operator:
     """Answers operators; the caller mounts it at `/operator/`."""
 
     def __init__(
         self,
         instance: ids.InstanceId,
-        handler: tree.TreeHandler,
-        get_in_force: Callable[[], state.InForce | None],
+        settings: settings_edges.SettingsService,
         instances: edges.Instances,
         endpoints: edges.Endpoints,
         counters: metrics.Metrics,
-        first_operators: Collection[str] = (),
+        make_write_id: Callable[[], ids.WriteId],
     ) -> None:
         """Wires the interface.
 
         Args:
             instance: Who answers.
-            handler: Reads and writes of the settings.
-            get_in_force: Returns the settings in force here.
+            settings: Reads and writes of the settings.
             instances: The entry instances.
             endpoints: The endpoints and orders to them.
             counters: Where refusals are counted.
-            first_operators: See `authority.find_rights`.
+            make_write_id: Returns an id for a write that came without one.
         """
         self._instance = instance
-        self._tree = handler
-        self._get_in_force = get_in_force
+        self._settings = settings
+        self._tree = tree.TreeHandler(settings, make_write_id)
         self._instances = instances
         self._endpoints = endpoints
         self._metrics = counters
-        self._first_operators = first_operators
 
     def __call__(
-        self, environ: request.Environ, start_response: StartResponse
+        self, environ: request.Environ, start_response: replies.StartResponse
     ) -> Iterable[bytes]:
         """Serves one request, as PEP 3333 asks."""
         served = self._serve(environ)
         if isinstance(served, result.Ok):
-            return _send(start_response, served.ok_value)
+            return replies.send(start_response, served.ok_value)
         refusal = served.err_value
         self._metrics.count(
             "pollenfork_operator_refusals_total", code=refusal.code.value
@@ -78,24 +79,18 @@
             ascii(environ["PATH_INFO"]),
             refusal.code.value,
         )
-        return _send(start_response, _write_refusal(refusal))
+        return replies.send(start_response, replies.write_refusal(refusal))
 
-    def _serve(self, environ: request.Environ) -> Outcome:
+    def _serve(self, environ: request.Environ) -> tree.Outcome:
         token = request.read_token(environ)
         if isinstance(token, result.Err):
             return token
-        digest = token.ok_value
-        in_force = self._get_in_force()
-        rights = authority.find_rights(
-            (in_force or state.EMPTY).tree, digest, self._first_operators
-        )
-        if rights is None and in_force is None:
-            return result.Err(_refuse_not_ready())
-        if rights is None:
-            return result.Err(request.refuse_token("nobody has this token"))
-        return self._route(environ, tree.Caller(digest, rights))
+        rights = self._settings.find_rights(token.ok_value)
+        if isinstance(rights, result.Err):
+            return result.Err(errors.refuse(rights.err_value))
+        return self._route(environ, Caller(token.ok_value, rights.ok_value))
 
-    def _route(self, environ: request.Environ, caller: tree.Caller) -> Outcome:
+    def _route(self, environ: request.Environ, caller: Caller) -> tree.Outcome:
         path = environ["PATH_INFO"].removeprefix(_PREFIX)
         part, _, rest = path.partition("/")
         steps = [step for step in rest.split("/") if step]
@@ -106,7 +101,7 @@
                 return _only(
                     "GET",
                     environ,
-                    lambda: self._tree.history(caller, rest, environ),
+                    lambda: self._tree.history(caller.digest, rest, environ),
                 )
             case "status" if not steps:
                 return _only("GET", environ, self._report_status)
@@ -120,16 +115,16 @@
         return result.Err(_refuse_path("see docs/operators/settings.md"))
 
     def _serve_settings(
-        self, environ: request.Environ, caller: tree.Caller, path: str
-    ) -> Outcome:
+        self, environ: request.Environ, caller: Caller, path: str
+    ) -> tree.Outcome:
         match environ["REQUEST_METHOD"]:
             case "GET":
-                return self._tree.get(caller, path)
+                return self._tree.get(caller.digest, path)
             case "PUT":
-                return self._tree.put(caller, path, environ)
+                return self._tree.put(caller.digest, path, environ)
         return result.Err(_refuse_method("GET, PUT"))
 
-    def _report_status(self) -> Outcome:
+    def _report_status(self) -> tree.Outcome:
         instances = self._instances.list_instances()
         newest = max(
             (report.revision for report in instances),
@@ -138,60 +133,44 @@
         status = messages.StatusReply(
             instance=self._instance, newest=newest, instances=instances
         )
-        return result.Ok(tree.Reply(msgspec.json.encode(status)))
+        return result.Ok(replies.Reply(msgspec.json.encode(status)))
 
-    def _list_endpoints(self) -> Outcome:
-        in_force = self._get_in_force()
+    def _list_endpoints(self) -> tree.Outcome:
+        in_force = self._settings.get_tree()
         if in_force is None:
-            return result.Err(_refuse_not_ready())
-        live = {
-            seen.endpoint: seen for seen in self._endpoints.list_endpoints()
-        }
+            return result.Err(errors.refuse(settings_errors.NotReady()))
+        seen = self._endpoints.list_endpoints()
+        live = {endpoint.endpoint: endpoint for endpoint in seen}
         listed = tuple(
             messages.EndpointEntry(
                 endpoint=name, settings=settings, live=live.get(name)
             )
-            for name, settings in in_force.tree.root.endpoints.items()
+            for name, settings in in_force.root.endpoints.items()
         )
         reply = messages.EndpointsReply(
             revision=in_force.revision, endpoints=listed
         )
-        return result.Ok(tree.Reply(msgspec.json.encode(reply)))
+        return result.Ok(replies.Reply(msgspec.json.encode(reply)))
 
-    def _drain(self, caller: tree.Caller, endpoint: ids.EndpointId) -> Outcome:
-        in_force = self._get_in_force()
+    def _drain(self, caller: Caller, endpoint: ids.EndpointId) -> tree.Outcome:
         if not caller.rights.everything:
             detail = "only the root's tokens may drain an endpoint"
-            return result.Err(
-                errors.Refusal(
-                    status=http.HTTPStatus.FORBIDDEN,
-                    code=errors.Code.FORBIDDEN,
-                    detail=detail,
-                )
-            )
-        if not in_force or endpoint not in in_force.tree.root.endpoints:
+            failure = settings_errors.Forbidden(detail=detail)
+            return result.Err(errors.refuse(failure))
+        in_force = self._settings.get_tree()
+        if in_force is None or endpoint not in in_force.root.endpoints:
             return result.Err(_refuse_path(f"no endpoint {endpoint}"))
         drained = self._endpoints.drain(endpoint)
         if isinstance(drained, result.Err):
-            failure = drained.err_value
-            detail = f"{type(failure).__name__}: {failure.detail}"
-            return result.Err(
-                errors.Refusal(
-                    status=http.HTTPStatus.SERVICE_UNAVAILABLE,
-                    code=errors.Code.UNAVAILABLE,
-                    outcome=failures.Outcome.UNKNOWN,
-                    detail=detail,
-                    retry_after_s=1.0,
-                )
-            )
+            return result.Err(_refuse_drain(drained.err_value))
         _LOG.info("event=drain_ordered endpoint=%s", endpoint)
         body = msgspec.json.encode(messages.DrainReply(endpoint=endpoint))
-        return result.Ok(tree.Reply(body, status=http.HTTPStatus.ACCEPTED))
+        return result.Ok(replies.Reply(body, status=http.HTTPStatus.ACCEPTED))
 
 
 def _only(
-    method: str, environ: request.Environ, serve: Callable[[], Outcome]
-) -> Outcome:
+    method: str, environ: request.Environ, serve: Callable[[], tree.Outcome]
+) -> tree.Outcome:
     if environ["REQUEST_METHOD"] == method:
         return serve()
     return result.Err(_refuse_method(method))
@@ -214,36 +193,11 @@
     )
 
 
-def _refuse_not_ready() -> errors.Refusal:
+def _refuse_drain(failure: failures.Failure) -> errors.Refusal:
     return errors.Refusal(
         status=http.HTTPStatus.SERVICE_UNAVAILABLE,
-        code=errors.Code.NOT_READY,
-        detail="no settings are in force here yet",
+        code=errors.Code.UNAVAILABLE,
+        outcome=failures.Outcome.UNKNOWN,
+        detail=f"{type(failure).__name__}: {failure.detail}",
         retry_after_s=1.0,
     )
-
-
-def _write_refusal(refusal: errors.Refusal) -> tree.Reply:
-    headers = [("X-Outcome", refusal.outcome.value)]
-    if refusal.status is http.HTTPStatus.UNAUTHORIZED:
-        headers.append(("WWW-Authenticate", 'Bearer realm="operator"'))
-    if refusal.allow:
-        headers.append(("Allow", refusal.allow))
-    if refusal.current is not None:
-        headers.append(("ETag", f'"{refusal.current}"'))
-    if refusal.retry_after_s is not None:
-        after = max(1, math.ceil(refusal.retry_after_s))
-        headers.append(("Retry-After", str(after)))
-    body = errors.write_body(refusal)
-    return tree.Reply(body, tuple(headers), refusal.status)
-
-
-def _send(start_response: StartResponse, reply: tree.Reply) -> list[bytes]:
-    headers = [
-        ("Content-Type", "application/json"),
-        ("Content-Length", str(len(reply.body))),
-        ("Cache-Control", "no-store"),
-        *reply.headers,
-    ]
-    start_response(f"{reply.status.value} {reply.status.phrase}", headers)
-    return [reply.body]
--- a/pollenfork/operator/errors.py
+++ b/pollenfork/operator/errors.py
@@ -80,22 +80,12 @@
     return msgspec.json.encode(ErrorEnvelope(body))
 
 
-def refuse_document(failure: settings_errors.BadTree) -> Refusal:
-    """Returns what the operator is told of a body that isn't good JSON."""
-    return Refusal(
-        status=http.HTTPStatus.BAD_REQUEST,
-        code=Code.BAD_JSON,
-        violations=failure.violations,
-        detail=failure.detail,
-    )
-
-
-def refuse_write(failure: settings_errors.SettingsFailure) -> Refusal:
-    """Returns what the operator is told of a write that failed."""
-    status, code = _WRITE_REFUSALS[type(failure)]
+def refuse(failure: settings_errors.SettingsFailure) -> Refusal:
+    """Returns what the operator is told of a failed read or write."""
+    status, code = _REFUSALS.get(type(failure), _UNAVAILABLE)
     refusal = Refusal(status=status, code=code, detail=failure.detail)
     match failure:
-        case settings_errors.BadTree():
+        case settings_errors.BadTree() | settings_errors.BadDocument():
             return msgspec.structs.replace(
                 refusal, violations=failure.violations
             )
@@ -111,18 +101,24 @@
                 outcome=failures.Outcome.UNKNOWN,
                 retry_after_s=failure.retry_after_s,
             )
+    if status is http.HTTPStatus.SERVICE_UNAVAILABLE:
+        return msgspec.structs.replace(refusal, retry_after_s=_RETRY_AFTER_S)
     return refusal
 
 
-_WRITE_REFUSALS = {
+_RETRY_AFTER_S = 1.0
+_UNAVAILABLE = (http.HTTPStatus.SERVICE_UNAVAILABLE, Code.UNAVAILABLE)
+_REFUSALS = {
+    settings_errors.BadDocument: (http.HTTPStatus.BAD_REQUEST, Code.BAD_JSON),
     settings_errors.BadTree: (
         http.HTTPStatus.UNPROCESSABLE_ENTITY,
         Code.BAD_TREE,
     ),
     settings_errors.Forbidden: (http.HTTPStatus.FORBIDDEN, Code.FORBIDDEN),
-    settings_errors.NoSuchPath: (
-        http.HTTPStatus.NOT_FOUND,
-        Code.UNKNOWN_PATH,
+    settings_errors.NoSuchPath: (http.HTTPStatus.NOT_FOUND, Code.UNKNOWN_PATH),
+    settings_errors.NotReady: (
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+        Code.NOT_READY,
     ),
     settings_errors.NotWritten: (
         http.HTTPStatus.SERVICE_UNAVAILABLE,
@@ -132,17 +128,9 @@
         http.HTTPStatus.PRECONDITION_FAILED,
         Code.STALE_REVISION,
     ),
-    settings_errors.TableBehind: (
-        http.HTTPStatus.SERVICE_UNAVAILABLE,
-        Code.UNAVAILABLE,
-    ),
-    settings_errors.TreeMoving: (
-        http.HTTPStatus.SERVICE_UNAVAILABLE,
-        Code.UNAVAILABLE,
-    ),
-    settings_errors.UnreadableRow: (
-        http.HTTPStatus.SERVICE_UNAVAILABLE,
-        Code.UNAVAILABLE,
+    settings_errors.UnknownOperator: (
+        http.HTTPStatus.UNAUTHORIZED,
+        Code.WRONG_TOKEN,
     ),
     settings_errors.WriteIdReused: (
         http.HTTPStatus.UNPROCESSABLE_ENTITY,
--- a/pollenfork/operator/messages.py
+++ b/pollenfork/operator/messages.py
@@ -20,7 +20,7 @@
     repeated: bool = False
 
 
-class HistoryEntry(msgspec.Struct, frozen=True, kw_only=True):
+class HistoryLine(msgspec.Struct, frozen=True, kw_only=True):
     """One accepted write of a subtree.
 
     Attributes:
@@ -38,7 +38,7 @@
     """The kept writes of a subtree, oldest first."""
 
     path: str
-    entries: tuple[HistoryEntry, ...]
+    entries: tuple[HistoryLine, ...]
 
 
 class StatusReply(msgspec.Struct, frozen=True, kw_only=True):
--- a/pollenfork/operator/request.py
+++ b/pollenfork/operator/request.py
@@ -32,15 +32,12 @@
     scheme, _, token = environ.get("HTTP_AUTHORIZATION", "").partition(" ")
     if scheme.lower() == "bearer" and token.strip():
         return result.Ok(snapshot.hash_key(token.strip()))
-    return result.Err(refuse_token("send the operator's token as a bearer"))
-
-
-def refuse_token(detail: str) -> errors.Refusal:
-    """Returns the refusal of a token that is missing or unknown."""
-    return errors.Refusal(
-        status=http.HTTPStatus.UNAUTHORIZED,
-        code=errors.Code.WRONG_TOKEN,
-        detail=detail,
+    return result.Err(
+        errors.Refusal(
+            status=http.HTTPStatus.UNAUTHORIZED,
+            code=errors.Code.WRONG_TOKEN,
+            detail="send the operator's token as a bearer",
+        )
     )
 
 
--- a/pollenfork/operator/tests/support.py
+++ b/pollenfork/operator/tests/support.py
@@ -1,6 +1,7 @@
 """An operator interface on a fake table, called as WSGI calls it."""
 
 import io
+import random
 
 import msgspec
 import result
@@ -11,7 +12,7 @@
 from pollenfork.dispatch import messages as dispatch_messages
 from pollenfork.operator import app
 from pollenfork.operator import edges
-from pollenfork.operator import tree
+from pollenfork.settings import service
 from pollenfork.settings.tests import support as settings_support
 
 REPORTS = (
@@ -81,25 +82,26 @@
         self.metrics = metrics.Metrics()
         self.seed = seed
         self.made_ids = 0
-        handler = tree.TreeHandler(
-            self.site.writer,
+        self.settings = service.Service(
             self.table,
+            self.site.clock,
+            random.Random(seed),
+            self.site.wait,
             lambda: self.site.in_force,
             self.note_written,
-            self.make_write_id,
+            (settings_support.ROOT_OPERATOR,),
         )
         self.app = app.Operator(
             ids.InstanceId("entry-1"),
-            handler,
-            lambda: self.site.in_force,
+            self.settings,
             FakeInstances(),
             self.endpoints,
             self.metrics,
-            (settings_support.ROOT_OPERATOR,),
+            self.make_write_id,
         )
 
     def note_written(self, written) -> None:
-        self.site.in_force = written
+        self.site.in_force = written.tree
 
     def make_write_id(self) -> ids.WriteId:
         self.made_ids += 1
--- a/pollenfork/operator/tests/test_contract.py
+++ b/pollenfork/operator/tests/test_contract.py
@@ -35,7 +35,7 @@
     ("GET", "settings/teams/nobody", {}, 404, "unknown_path"),
     ("GET", "settings/teams", {}, 404, "unknown_path"),
     ("GET", f"{MORNING}/tier/deeper", {}, 404, "unknown_path"),
-    ("GET", "settings-history/", {}, 400, "bad_request"),
+    ("GET", "settings-history/", {}, 404, "unknown_path"),
     ("GET", "settings-history/teams/linework", {"query": "revision=x"}, 400,
      "bad_request"),
     ("GET", "settings-history/teams/linework", {"query": "revision=9"}, 404,
@@ -275,6 +275,14 @@
     assert failed.headers["X-Outcome"] == failures.Outcome.UNKNOWN.value
 
 
+OUTAGES = (
+    settings_errors.TableBehind,
+    settings_errors.TreeMoving,
+    settings_errors.Unreadable,
+    settings_errors.UnreadableRow,
+)
+
+
 @pytest.mark.parametrize(
     "kind",
     [
@@ -287,8 +295,11 @@
 )
 def test_every_settings_failure_has_its_answer(kind) -> None:
     extra = {
+        settings_errors.BadDocument: {"violations": ()},
         settings_errors.BadTree: {"violations": ()},
         settings_errors.Stale: {"current": 1},
     }
-    refusal = errors.refuse_write(kind(**extra.get(kind, {})))
+    refusal = errors.refuse(kind(**extra.get(kind, {})))
     assert refusal.status >= 400
+    assert (refusal.code is errors.Code.UNAVAILABLE) == (kind in OUTAGES)
+    assert (refusal.retry_after_s is not None) == (refusal.status >= 503)
--- a/pollenfork/settings/authority.py
+++ b/pollenfork/settings/authority.py
@@ -2,32 +2,19 @@
 
 from collections.abc import Collection
 
-import msgspec
-
-from pollenfork import ids
+from pollenfork.settings import messages
 from pollenfork.settings import model
 from pollenfork.settings import paths
 
 
-class Rights(msgspec.Struct, frozen=True):
-    """What a token is bound to.
-
-    Attributes:
-        everything: The whole tree, and orders to endpoints.
-        teams: Teams whose subtrees the token may change.
-    """
-
-    everything: bool = False
-    teams: frozenset[ids.Team] = frozenset()
-
-    def cover(self, path: paths.SettingsPath) -> bool:
-        """Returns whether the token may read and change what is at `path`."""
-        return self.everything or path.team in self.teams
+def covers(rights: messages.Rights, path: paths.SettingsPath) -> bool:
+    """Returns whether the rights reach what is at `path`."""
+    return rights.everything or path.team in rights.teams
 
 
 def find_rights(
     tree: model.Tree, digest: str, first_operators: Collection[str] = ()
-) -> Rights | None:
+) -> messages.Rights | None:
     """Returns the rights of a token, or None where nobody knows it.
 
     Args:
@@ -37,10 +24,10 @@
             everything: they write the first tree and undo a lock-out.
     """
     if digest in first_operators or digest in tree.root.operator_sha256:
-        return Rights(everything=True)
+        return messages.Rights(everything=True)
     teams = frozenset(
         team
         for team, ceiling in tree.root.ceilings.items()
         if digest in ceiling.operator_sha256
     )
-    return Rights(teams=teams) if teams else None
+    return messages.Rights(teams=teams) if teams else None
--- a/pollenfork/settings/documents.py
+++ b/pollenfork/settings/documents.py
@@ -4,7 +4,7 @@
 class pasted twice would lose its first half unseen.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 import json
 
 import result
@@ -15,7 +15,7 @@
 Members = list[tuple[str, object]]
 
 
-def decode(body: bytes) -> result.Result[object, errors.BadTree]:
+def decode(body: bytes) -> result.Result[object, errors.BadDocument]:
     """Returns the JSON value of `body`, or what is wrong with it."""
     notes = _Duplicates()
     try:
@@ -23,13 +23,20 @@
             body, object_pairs_hook=notes.build, parse_constant=_refuse_constant
         )
     except (ValueError, RecursionError) as error:
-        found = errors.Violation("", f"not JSON: {error}")
-        return errors.refuse_tree([found])
+        return _refuse([errors.Violation("", f"not JSON: {error}")])
     if notes.names:
-        return errors.refuse_tree(notes.locate(value, ""))
+        return _refuse(notes.locate(value, ""))
     return result.Ok(value)
 
 
+def _refuse(
+    violations: Iterable[errors.Violation],
+) -> result.Err[errors.BadDocument]:
+    found = tuple(violations)
+    failure = errors.BadDocument(detail=str(found[0]), violations=found)
+    return result.Err(failure)
+
+
 class _Duplicates:
     """Names that stand twice, by the object that they stand in."""
 
--- a/pollenfork/settings/errors.py
+++ b/pollenfork/settings/errors.py
@@ -39,6 +39,12 @@
     violations: tuple[Violation, ...]
 
 
+class BadDocument(SettingsFailure, frozen=True, kw_only=True):
+    """What should be JSON isn't, or has a name that stands twice."""
+
+    violations: tuple[Violation, ...]
+
+
 def refuse_tree(violations: Iterable[Violation]) -> result.Err[BadTree]:
     """Returns the refusal of a tree that breaks these rules."""
     found = tuple(violations)
@@ -52,6 +58,14 @@
     current: ids.Revision
 
 
+class NotReady(SettingsFailure, frozen=True, kw_only=True):
+    """No settings are in force at this instance yet."""
+
+
+class UnknownOperator(SettingsFailure, frozen=True, kw_only=True):
+    """Nobody has this token in the settings in force."""
+
+
 class Forbidden(SettingsFailure, frozen=True, kw_only=True):
     """The token isn't bound to this part of the tree."""
 
@@ -60,6 +74,10 @@
     """An earlier write had the same id and another content."""
 
 
+class Unreadable(SettingsFailure, frozen=True, kw_only=True):
+    """The table couldn't be read; `detail` names the failure."""
+
+
 class NotWritten(SettingsFailure, frozen=True, kw_only=True):
     """The write had no effect and will have none.
 
--- a/pollenfork/settings/tests/support.py
+++ b/pollenfork/settings/tests/support.py
@@ -186,11 +186,15 @@
             table=self.table,
             now=self.clock,
             rng=random.Random(seed),
-            wait=lambda seconds: self.clock.advance(max(seconds, 0.001)),
+            wait=self.wait,
             get_in_force=lambda: self.in_force,
             first_operators=(ROOT_OPERATOR,),
         )
 
+    def wait(self, seconds: float) -> None:
+        """Lets the clock pass, and never stand still."""
+        self.clock.advance(max(seconds, 0.001))
+
     def write(self, path: str, value: object, expected: int, **kwargs):
         outcome = self.writer.write(
             make_change(path, value, expected, **kwargs)
--- a/pollenfork/settings/validation.py
+++ b/pollenfork/settings/validation.py
@@ -21,9 +21,12 @@
 
 def check_file(
     body: bytes,
-) -> result.Result[model.Tree, errors.BadTree]:
+) -> result.Result[model.Tree, errors.BadDocument | errors.BadTree]:
     """Returns the whole tree that a file holds, or every error."""
-    return documents.decode(body).and_then(check_tree)
+    decoded = documents.decode(body)
+    if isinstance(decoded, result.Err):
+        return decoded
+    return check_tree(decoded.ok_value)
 
 
 def check_tree(value: object) -> result.Result[model.Tree, errors.BadTree]:
--- a/pollenfork/settings/writer.py
+++ b/pollenfork/settings/writer.py
@@ -103,10 +103,6 @@
             )
         return outcome
 
-    def read(self) -> result.Result[state.InForce, store.Failure]:
-        """Returns the newest tree in the table."""
-        return store.read_tree(self._table, self._get_in_force() or state.EMPTY)
-
 
 class _Run:
     """One write, from its first read to its known fate."""
@@ -169,7 +165,7 @@
         rights = authority.find_rights(
             base.tree.tree, change.operator, self._writer._first_operators
         )
-        if rights is None or not rights.cover(change.path):
+        if rights is None or not authority.covers(rights, change.path):
             detail = f"the token isn't bound to {change.path}"
             return result.Err(errors.Forbidden(detail=detail))
         current = changes.find_revision(base.tree, change.path)
