--- a/pollenfork/settings/documents.py
+++ b/pollenfork/settings/documents.py
@@ -4,6 +4,7 @@
 class pasted twice would lose its first half unseen.
 """
 
+import collections
 from collections.abc import Iterable, Iterator
 import json
 
@@ -12,21 +13,21 @@
 from pollenfork.settings import errors
 from pollenfork.settings import schema
 
+_DEEPEST = 32  # The tree itself has seven levels.
+
 Members = list[tuple[str, object]]
 
 
 def decode(body: bytes) -> result.Result[object, errors.BadDocument]:
     """Returns the JSON value of `body`, or what is wrong with it."""
-    notes = _Duplicates()
     try:
         value = json.loads(
-            body, object_pairs_hook=notes.build, parse_constant=_refuse_constant
+            body, object_pairs_hook=_build, parse_constant=_refuse_constant
         )
     except (ValueError, RecursionError) as error:
         return _refuse([errors.Violation("", f"not JSON: {error}")])
-    if notes.names:
-        return _refuse(notes.locate(value, ""))
-    return result.Ok(value)
+    found = list(_find_faults(value, "", 0))
+    return _refuse(found) if found else result.Ok(value)
 
 
 def _refuse(
@@ -37,32 +38,36 @@
     return result.Err(failure)
 
 
-class _Duplicates:
-    """Names that stand twice, by the object that they stand in."""
+class _Ambiguous(dict[str, object]):
+    """An object in which names stand twice."""
+
+    def __init__(self, members: Members) -> None:
+        super().__init__(members)
+        counts = collections.Counter(name for name, _ in members)
+        self.twice = [name for name, count in counts.items() if count > 1]
+
 
-    def __init__(self) -> None:
-        self.names: dict[int, list[str]] = {}
-        # Kept alive, as another object could else get the same `id`.
-        self._objects: list[dict[str, object]] = []
+def _build(members: Members) -> dict[str, object]:
+    built = dict(members)
+    return built if len(built) == len(members) else _Ambiguous(members)
 
-    def build(self, members: Members) -> dict[str, object]:
-        built = dict(members)
-        if len(built) < len(members):
-            names = [name for name, _ in members]
-            twice = [name for name in built if names.count(name) > 1]
-            self.names[id(built)] = twice
-            self._objects.append(built)
-        return built
 
-    def locate(self, value: object, path: str) -> Iterator[errors.Violation]:
-        for name in self.names.get(id(value), ()):
+def _find_faults(
+    value: object, path: str, depth: int
+) -> Iterator[errors.Violation]:
+    if depth > _DEEPEST:
+        yield errors.Violation(path, "is nested too deep")
+        return
+    if isinstance(value, _Ambiguous):
+        for name in value.twice:
             yield errors.Violation(path, f"{name} stands twice")
-        if isinstance(value, dict):
-            for name, item in value.items():
-                yield from self.locate(item, schema.join(path, name))
-        elif isinstance(value, list):
-            for index, item in enumerate(value):
-                yield from self.locate(item, schema.join(path, str(index)))
+    if isinstance(value, dict):
+        for name, item in value.items():
+            yield from _find_faults(item, schema.join(path, name), depth + 1)
+    elif isinstance(value, list):
+        for index, item in enumerate(value):
+            inner = schema.join(path, str(index))
+            yield from _find_faults(item, inner, depth + 1)
 
 
 def _refuse_constant(name: str) -> object:
--- a/pollenfork/settings/tests/test_actor.py
+++ b/pollenfork/settings/tests/test_actor.py
@@ -99,6 +99,24 @@
     assert copies.decode(rig.settings.encode_copy()).unwrap().revision == 1
 
 
+def test_a_table_behind_what_is_in_force_changes_nothing(rig) -> None:
+    rig.advance(0.1)
+    written = support.Site(rig.table).write("root", support.ROOT, 1).unwrap()
+    rig.settings.report(messages.TreeWritten(written.tree))
+    rig.settle()
+    rig.table.lose_rows()
+    support.Site(rig.table, seed=1).seed()
+    rig.advance(7.0)
+    rig.settle()
+    status = rig.settings.read_status()
+    assert (status.revision, status.age_s) == (2, 7.0)
+    assert status.platform_answers
+    failures_total = "pollenfork_settings_read_failures_total"
+    assert f'{failures_total}{{reason="TableBehind"}} 1' in (
+        rig.metrics.render()[0].decode()
+    )
+
+
 def test_a_failing_subscriber_does_not_end_the_actor(rig) -> None:
     def fail(message: messages.TreeInForce) -> None:
         raise ValueError(message)
--- a/pollenfork/settings/tests/test_rows.py
+++ b/pollenfork/settings/tests/test_rows.py
@@ -85,6 +85,24 @@
     assert tree.lookups.find_caller("treasury-key").team == "ledger"
 
 
+def test_a_peer_copy_shares_what_is_the_same_here() -> None:
+    site = support.Site()
+    here = site.seed()
+    path = "teams/ledger/classes/review/tier"
+    there = site.write(path, 2, 1, write_id="w-2").unwrap().tree
+    tree = copies.decode(copies.encode(there), here).unwrap()
+    same = {
+        path: tree.subtrees[path] is here.subtrees[path]
+        for path in tree.subtrees
+    }
+    assert same == {
+        "root": True,
+        "teams/ledger": False,
+        "teams/linework": True,
+    }
+    assert tree.lookups.find_class("ledger", "review").tier == 2
+
+
 @pytest.mark.parametrize("cut", [0, 1, 40, -1])
 def test_a_damaged_peer_copy_is_a_typed_failure(cut) -> None:
     assert isinstance(
--- a/pollenfork/settings/tests/test_validation.py
+++ b/pollenfork/settings/tests/test_validation.py
@@ -139,6 +139,18 @@
     ]
 
 
+def test_deep_nesting_is_refused() -> None:
+    body = b'{"a":' * 900 + b"1" + b"}" * 900
+    found = documents.decode(body).err().violations
+    assert [violation.rule for violation in found] == ["is nested too deep"]
+
+
+def test_an_object_that_was_dropped_lends_its_names_to_no_other() -> None:
+    body = b'[{"a": {"x": 1, "x": 2}, "a": 0}, {"y": 1}, {"y": 1}]'
+    found = documents.decode(body).err().violations
+    assert [str(violation) for violation in found] == ["0: a stands twice"]
+
+
 def test_a_good_tree_passes() -> None:
     tree = validation.check_tree(support.TREE).unwrap()
     assert set(tree.teams) == {"linework", "ledger"}
