Predict waits from releases that a tier can have

The queue now counts the headroom to fill; the rate is what measured holding times release minus what higher tiers are granted (their arrivals overstated it: some are refused). A request is refused early only where its queue exceeds the releases expected in its time by 2.5 deviations.

--- a/benchmarks/decisions/policies.py
+++ b/benchmarks/decisions/policies.py
@@ -142,6 +142,11 @@
         del claims, tier
         return 1 << 30
 
+    def keep_free(self, claims: sharing.Claims, tier: int) -> float:
+        """Leaves nothing."""
+        del claims, tier
+        return 0.0
+
 
 class FixedShare:
     """Each instance has the same part of the slots, whatever the demand."""
@@ -155,6 +160,11 @@
         own = claims.own_in_flight
         return part - sum(own) + own[tier]
 
+    def keep_free(self, claims: sharing.Claims, tier: int) -> float:
+        """Leaves nothing."""
+        del claims, tier
+        return 0.0
+
 
 class HeadroomOnly:
     """Peers' occupancy is known, their demand is not split."""
@@ -168,6 +178,10 @@
         alone = msgspec.structs.replace(claims, peer_waiting=nobody)
         return 1 << 30 if self._split.allow(alone, tier) else 0
 
+    def keep_free(self, claims: sharing.Claims, tier: int) -> float:
+        """Leaves the same headroom as the split."""
+        return self._split.keep_free(claims, tier)
+
 
 def create(
     name: str, instance: ids.InstanceId, instances: int, rng: random.Random
--- a/pollenfork/admission/forecast.py
+++ b/pollenfork/admission/forecast.py
@@ -1,6 +1,7 @@
 """Predicted waits, from measured service times and sketches."""
 
 from collections.abc import Sequence
+import math
 from typing import TypeVar
 
 import msgspec
@@ -16,8 +17,9 @@
 _HOLD_GUESS_S = 10.0
 _FIRST_TOKEN_GUESS_S = 0.2
 _WEIGHT = 0.02
-_ARRIVAL_WINDOW_S = 5.0
+_GRANT_WINDOW_S = 10.0
 _LEAST_RATE = 0.01
+_SURE_DEVIATIONS = 2.5
 _MS = 1000
 _KEPT_CLASSES = 256
 _CORRECTION_BOUNDS = (0.4, 2.5)
@@ -28,20 +30,47 @@
     """What the endpoints of a pool have and what presses on them.
 
     Attributes:
-        capacity: Slots.
+        free: Slots that the request's tier could take now.
         in_flight: Slots in use, by tier, over all instances.
         own_waiting: Requests waiting here, by tier.
         peer_waiting: Requests waiting at peers, by tier, as last heard.
         instances: Instances that share the endpoints, this one included.
     """
 
-    capacity: float
+    free: float
     in_flight: Sequence[int]
     own_waiting: Sequence[int]
     peer_waiting: Sequence[int]
     instances: int
 
 
+class Wait(msgspec.Struct, frozen=True):
+    """A predicted wait.
+
+    Attributes:
+        queue: Releases of slots needed before the request has one.
+        rate: Such releases per second, beyond those that higher tiers take.
+    """
+
+    queue: float
+    rate: float
+
+    @property
+    def seconds(self) -> float:
+        """The expected wait."""
+        return self.queue / self.rate
+
+    def is_longer_than(self, seconds: float) -> bool:
+        """Returns whether the wait is almost surely longer.
+
+        Releases are counted as random arrivals, so that a short queue is
+        hardly ever sure to last.
+        """
+        released = max(0.0, seconds) * self.rate
+        spread = _SURE_DEVIATIONS * math.sqrt(released)
+        return self.queue > released + spread + 1
+
+
 class Forecast:
     """Learns from what ended and predicts what comes."""
 
@@ -57,18 +86,18 @@
         ] = {}
         self._first_ms: dict[messages.PoolKey, sketches.Sketch] = {}
         self._gap_s: dict[messages.PoolKey, sketches.Mean] = {}
-        self._arrivals: dict[messages.PoolKey, _Arrivals] = {}
+        self._grants: dict[messages.PoolKey, _Grants] = {}
         self._corrections = [
             sketches.Mean(1.0, _WEIGHT) for _ in range(model.TIER_COUNT)
         ]
 
-    def note_arrival(self, ask: messages.Ask, now: float) -> None:
-        """Counts an arrival, whatever becomes of it."""
+    def note_grant(self, ask: messages.Ask, now: float) -> None:
+        """Counts a request that got its slot."""
         pool = messages.pool_key(ask)
-        arrivals = self._arrivals.get(pool)
-        if arrivals is None:
-            arrivals = self._arrivals[pool] = _Arrivals(now)
-        arrivals.note(ask.tier, now)
+        grants = self._grants.get(pool)
+        if grants is None:
+            grants = self._grants[pool] = _Grants(now)
+        grants.note(ask.tier, now)
 
     def note_first(self, ask: messages.Ask, seconds: float) -> None:
         """Takes the time from grant to first token."""
@@ -129,8 +158,8 @@
 
     def predict_wait(
         self, ask: messages.Ask, ahead: int, supply: Supply, now: float
-    ) -> float:
-        """Returns the seconds that the request would wait for a slot.
+    ) -> Wait:
+        """Returns what stands between the request and its slot.
 
         Args:
             ask: The request.
@@ -143,12 +172,9 @@
             supply.peer_waiting[:tier]
         )
         same = _scale_ahead(ahead, supply, tier)
-        free = max(0.0, supply.capacity - sum(supply.in_flight))
-        queue = higher + same + 1 - free
-        if queue <= 0:
-            return 0.0
+        queue = max(0.0, higher + same + 1 - supply.free)
         rate = self._estimate_rate(ask, supply, now)
-        return queue / rate * self._corrections[tier].value
+        return Wait(queue, rate / self._corrections[tier].value)
 
     def _estimate_rate(
         self, ask: messages.Ask, supply: Supply, now: float
@@ -159,10 +185,10 @@
             for tier, count in enumerate(supply.in_flight)
             if count
         )
-        arrivals = self._arrivals.get(pool)
+        grants = self._grants.get(pool)
         taken = 0.0
-        if arrivals is not None:
-            taken = arrivals.rate_below(ask.tier, now) * supply.instances
+        if grants is not None:
+            taken = grants.rate_below(ask.tier, now) * supply.instances
         least = max(releases * ask.minimum_share, _LEAST_RATE)
         return max(releases - taken, least)
 
@@ -173,8 +199,8 @@
         return max(held.value, 0.01) if held else _HOLD_GUESS_S
 
 
-class _Arrivals:
-    """Arrivals per second by tier, over a sliding window."""
+class _Grants:
+    """Grants per second by tier, over a sliding window."""
 
     def __init__(self, now: float) -> None:
         self._since = now
@@ -191,7 +217,7 @@
 
     def _turn(self, now: float) -> None:
         elapsed = now - self._since
-        if elapsed < _ARRIVAL_WINDOW_S:
+        if elapsed < _GRANT_WINDOW_S:
             return
         self._rates = [count / elapsed for count in self._current]
         self._current = [0] * model.TIER_COUNT
--- a/pollenfork/decisions.py
+++ b/pollenfork/decisions.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from pollenfork import ids
+from pollenfork import outlook
 from pollenfork.admission import core as admission_core
 from pollenfork.admission import forecast
 from pollenfork.admission import messages as admission_messages
@@ -28,12 +29,6 @@
 
 _MOST_ATTEMPTS = 4
 _HEDGE_PART = 0.95
-_FIRST_PART = 0.5
-_ANSWER_PART = 0.5
-_EARLY_MARGIN = 1.25
-_NO_ENDPOINT_RETRY_S = 2.0
-_LEAST_RETRY_S = 0.5
-_JITTER = 0.5
 _RIGHT_S = 0.5
 _RIGHT_PART = 0.5
 _ACCRUAL_PERIOD_S = 0.1
@@ -50,7 +45,6 @@
         split: sharing.Sharing | None = None,
     ) -> None:
         self.counters = budget.Counters()
-        self._rng = rng
         self._admission = admission_core.Admission(waiting_limit)
         self._dispatch = dispatch_core.Dispatch(
             instance,
@@ -59,6 +53,9 @@
             split or sharing.DemandSplit(),
         )
         self._forecast = forecast.Forecast()
+        self._outlook = outlook.Outlook(
+            self._admission, self._dispatch, self._forecast, rng
+        )
         self._shares = shares.MinimumShares()
         self._budgets = budget.RetryBudgets()
         self._decided: list[Decision] = []
@@ -67,7 +64,6 @@
 
     def submit(self, ask: admission_messages.Ask, now: float) -> list[Decision]:
         """Takes a request; its decision may come with a later event."""
-        self._forecast.note_arrival(ask, now)
         reason = self._find_refusal(ask)
         if reason is None:
             self._queue(ask, now)
@@ -163,53 +159,15 @@
         return self._admission.find_barrier(ask)
 
     def _queue(self, ask: admission_messages.Ask, now: float) -> None:
-        wait = self._predict_wait(ask, now)
-        if ask.late_refused and self._is_hopeless(ask, wait, now):
+        wait = self._outlook.predict_wait(ask, now)
+        if ask.late_refused and self._outlook.is_hopeless(ask, wait, now):
             self._refuse(ask, _Reason.TARGET_UNREACHABLE, now)
             return
-        waiting = self._admission.add(ask, self._find_expiry(ask))
-        waiting.predicted_s = wait
+        waiting = self._admission.add(ask, self._outlook.find_expiry(ask))
+        waiting.predicted_s = wait.seconds
         for victim, reason in self._admission.pop_victims(ask.tier):
             self._refuse(victim.ask, reason, now)
 
-    def _predict_wait(self, ask: admission_messages.Ask, now: float) -> float:
-        claims = self._dispatch.read_claims(admission_messages.pool_key(ask))
-        if claims is None:
-            return 0.0
-        in_flight = [
-            own + peers
-            for own, peers in zip(
-                claims.own_in_flight, claims.peer_in_flight, strict=True
-            )
-        ]
-        supply = forecast.Supply(
-            claims.capacity,
-            in_flight,
-            claims.own_waiting,
-            claims.peer_waiting,
-            claims.instances,
-        )
-        ahead = self._admission.estimate_ahead(ask)
-        return self._forecast.predict_wait(ask, ahead, supply, now)
-
-    def _is_hopeless(
-        self, ask: admission_messages.Ask, wait: float, now: float
-    ) -> bool:
-        first = self._forecast.expect_first(ask, _FIRST_PART)
-        slack = ask.first_token_due - now
-        if wait > _EARLY_MARGIN * (slack - first):
-            return True
-        if ask.answer_due is None:
-            return False
-        answer = self._forecast.expect_answer(ask, _ANSWER_PART)
-        return wait + answer > _EARLY_MARGIN * (ask.answer_due - now)
-
-    def _find_expiry(self, ask: admission_messages.Ask) -> float:
-        if not ask.late_refused:
-            return ask.give_up_at
-        first = self._forecast.expect_first(ask, _FIRST_PART)
-        return min(ask.give_up_at, ask.first_token_due - first)
-
     # Further attempts.
 
     def _retry(
@@ -232,7 +190,7 @@
                 give_up_at=give_up_at,
                 late_refused=False,
             )
-        expires_at = self._find_expiry(ask)
+        expires_at = self._outlook.find_expiry(ask)
         self._admission.add_again(ask, again.avoid, expires_at)
 
     def _find_retry_refusal(
@@ -357,6 +315,7 @@
         pool = admission_messages.pool_key(ask)
         self._shares.pay(shares.Place(pool, key, ask.tier))
         if not waiting.again:
+            self._forecast.note_grant(ask, now)
             self._budgets.earn(key, ask.retry_ratio)
             self.counters.first_attempts += 1
             self._check_prediction(waiting, now - ask.arrived)
@@ -402,7 +361,7 @@
     ) -> None:
         retry_after = None
         if now is not None:
-            retry_after = self._predict_return(ask, reason, now)
+            retry_after = self._outlook.predict_return(ask, reason, now)
         self._add_refused(
             admission_messages.Refused(
                 request=ask.request, reason=reason, retry_after_s=retry_after
@@ -415,24 +374,6 @@
         refused = admission_messages.Refused(request=ask.request, reason=reason)
         self._add_refused(refused)
 
-    def _predict_return(
-        self, ask: admission_messages.Ask, reason: _Reason, now: float
-    ) -> float:
-        """Returns when a new request is likely to meet its target."""
-        pool = admission_messages.pool_key(ask)
-        if reason is _Reason.NO_ENDPOINT:
-            wait = _NO_ENDPOINT_RETRY_S
-        elif reason in (_Reason.ACCOUNT_LIMIT, _Reason.TEAM_LIMIT):
-            key = admission_messages.class_key(ask)
-            hold = self._forecast.expect_hold(key, pool, ask.tier)
-            wait = hold / ask.account_limit
-        else:
-            target = ask.first_token_due - ask.arrived
-            wait = self._predict_wait(ask, now) - target
-        # Spread, so that those refused together don't come back together.
-        spread = 1.0 + _JITTER * self._rng.random()
-        return max(wait, _LEAST_RETRY_S) * spread
-
     def _add_grant(self, grant: messages.Grant) -> None:
         self.counters.attempts += 1
         self._decided.append(grant)
--- a/pollenfork/dispatch/core.py
+++ b/pollenfork/dispatch/core.py
@@ -138,6 +138,18 @@
         pool = self._supply.find_pool(key)
         return self._supply.read_claims(pool) if pool else None
 
+    def count_free(
+        self, key: admission_messages.PoolKey, tier: ids.Tier
+    ) -> float:
+        """Returns the slots that the tier could take now.
+
+        Negative where the headroom for higher tiers has to fill first.
+        """
+        claims = self.read_claims(key)
+        if claims is None:
+            return 0.0
+        return claims.count_free() - self._split.keep_free(claims, tier)
+
     def place(
         self,
         ask: admission_messages.Ask,
--- a/pollenfork/dispatch/sharing.py
+++ b/pollenfork/dispatch/sharing.py
@@ -66,6 +66,9 @@
     def allow(self, claims: Claims, tier: int) -> int:
         """Returns how many slots this instance may hold in the tier."""
 
+    def keep_free(self, claims: Claims, tier: int) -> float:
+        """Returns how many slots the tier leaves to the tiers above it."""
+
 
 class DemandSplit:
     """Splits by the demand and occupancy that peers report.
@@ -87,21 +90,21 @@
         left = claims.read_capacity() - _sum_higher(claims, tier)
         if left <= 0:
             return 0
-        if not self._leaves_headroom(claims, tier):
+        kept = self.keep_free(claims, tier)
+        if kept and claims.count_free() < kept + 1:
             return 0
         if own + peers <= left:
             return own
         return math.ceil(left * own / (own + peers))
 
-    def _leaves_headroom(self, claims: Claims, tier: int) -> bool:
+    def keep_free(self, claims: Claims, tier: int) -> float:
+        """Returns how many slots the tier leaves to the tiers above it."""
         higher = sum(claims.own_in_flight[:tier]) + sum(
             claims.peer_in_flight[:tier]
         )
         if not higher:
-            return True
-        others = claims.rate_elsewhere()
-        kept = self._headroom * others * math.sqrt(higher)
-        return claims.count_free() >= kept + 1
+            return 0.0
+        return self._headroom * claims.rate_elsewhere() * math.sqrt(higher)
 
 
 def _sum_higher(claims: Claims, tier: int) -> int:
