--- a/pollenfork/entry/work.py
+++ b/pollenfork/entry/work.py
@@ -1,12 +1,9 @@
 """The course of one request: classed, queued, dispatched, relayed."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 import concurrent.futures
 import http
-import logging
-import math
-from typing import Any, Protocol
-import uuid
+from typing import Protocol
 
 import result
 
@@ -14,25 +11,36 @@
 from pollenfork import failures
 from pollenfork import ids
 from pollenfork.admission import messages as admission_messages
+from pollenfork.answers import edges as answer_edges
 from pollenfork.answers import errors as answer_errors
 from pollenfork.answers import messages as answer_messages
 from pollenfork.answers import session
 from pollenfork.dispatch import messages as dispatch_messages
+from pollenfork.entry import asks
 from pollenfork.entry import errors
+from pollenfork.entry import journal
+from pollenfork.entry import keyed
 from pollenfork.entry import request
+from pollenfork.entry import target
 from pollenfork.settings import model
 from pollenfork.settings import snapshot
 
-_LOG = logging.getLogger(__name__)
+CALLER = "pollenfork.caller"  # The caller's connection, in the environ.
 
 _CHECK_CALLER_S = 0.25
 _MS = 1000
-_SERVICES = "/services/"
-_DROPPED_HEADERS = frozenset(
-    {"AUTHORIZATION", "HOST", "CONNECTION", "X_SERVICE_CLASS", "TE"}
+_CHAT = "/v1/chat/completions"
+_NO_METHODS = frozenset({"CONNECT", "TRACE"})
+_SERVICE_METHODS = (
+    "GET",
+    "HEAD",
+    "POST",
+    "PUT",
+    "PATCH",
+    "DELETE",
+    "OPTIONS",
 )
 
-Environ = Mapping[str, Any]
 Served = result.Result[session.Answer, errors.Refusal]
 
 
@@ -56,134 +64,176 @@
         relay: session.Relay,
         now: clock.Clock,
         body_limit: int,
+        claims: keyed.Claims | None = None,
     ) -> None:
+        """Makes the worker.
+
+        Args:
+            slots: The scheduler.
+            relay: Opens answers at endpoints.
+            now: The clock.
+            body_limit: Bytes of a request's body.
+            claims: The ledger; without one, requests with an
+                `Idempotency-Key` are refused.
+        """
+        self._keyed = keyed.Keyed(claims, now)
         self._slots = slots
         self._relay = relay
         self._clock = now
         self._body_limit = body_limit
 
-    def complete(self, environ: Environ, lookups: snapshot.Snapshot) -> Served:
+    def complete(
+        self,
+        environ: request.Environ,
+        lookups: snapshot.Snapshot,
+        record: journal.Record,
+    ) -> Served:
         """Serves a completion by a model runner."""
-        identified = request.identify(environ, lookups)
+        identified = self._identify(environ, lookups, record)
         if identified.is_err():
             return result.Err(identified.unwrap_err())
         read = request.read_body(environ, self._body_limit)
         if read.is_err():
             return result.Err(read.unwrap_err())
-        parsed = request.read_prompt(read.unwrap())
+        chat = environ["PATH_INFO"] == _CHAT
+        parsed = request.read_prompt(read.unwrap(), chat)
         if parsed.is_err():
             return result.Err(parsed.unwrap_err())
         prompt = parsed.unwrap()
         if prompt.model not in list_models(lookups.tree.root.endpoints):
-            return _refuse(
-                http.HTTPStatus.NOT_FOUND,
-                errors.Code.UNKNOWN_MODEL,
-                f"No endpoint has the model {prompt.model!r}.",
-            )
-        ask = self._make_ask(identified.unwrap(), lookups, prompt=prompt)
-        return self._run(environ, ask, read.unwrap(), prompt.stream)
+            return refuse_model(prompt.model)
+        identity = identified.unwrap()
+        ask = asks.ask_for_model(identity, lookups, record, prompt)
+        call = answer_messages.Call(
+            request=ask.request,
+            method="POST",
+            path=environ["PATH_INFO"],
+            headers=target.list_engine_headers(environ),
+            body=read.unwrap(),
+            streamed=bool(prompt.stream),
+            idempotent=True,
+            first_token_due=ask.first_token_due,
+            give_up_at=ask.give_up_at,
+        )
+        return self._run(environ, ask, call, record)
 
     def call_service(
-        self, environ: Environ, lookups: snapshot.Snapshot
+        self,
+        environ: request.Environ,
+        lookups: snapshot.Snapshot,
+        record: journal.Record,
     ) -> Served:
         """Passes a call on to a plain service."""
-        identified = request.identify(environ, lookups)
+        method = environ["REQUEST_METHOD"]
+        if method in _NO_METHODS:
+            refused = request.check_method(environ, _SERVICE_METHODS)
+            return result.Err(refused.unwrap_err())
+        located = target.read_service(environ)
+        if located.is_err():
+            return result.Err(located.unwrap_err())
+        identified = self._identify(environ, lookups, record)
         if identified.is_err():
             return result.Err(identified.unwrap_err())
-        name = environ["PATH_INFO"][len(_SERVICES) :].partition("/")[0]
-        service = lookups.tree.root.services.get(ids.ServiceName(name))
+        place = located.unwrap()
+        service = lookups.tree.root.services.get(place.service)
         if service is None:
-            return _refuse(
-                http.HTTPStatus.NOT_FOUND,
-                errors.Code.UNKNOWN_SERVICE,
-                f"There is no service {name!r}.",
-            )
+            return _refuse_service(place.service)
         read = request.read_body(environ, self._body_limit)
         if read.is_err():
             return result.Err(read.unwrap_err())
-        repeatable = environ["REQUEST_METHOD"] in service.repeatable_methods
-        ask = self._make_ask(
+        ask = asks.ask_for_service(
             identified.unwrap(),
             lookups,
-            service=ids.ServiceName(name),
-            idempotent=repeatable,
+            record,
+            place.service,
+            idempotent=method in service.repeatable_methods,
         )
-        return self._run(environ, ask, read.unwrap(), streamed=False)
+        call = answer_messages.Call(
+            request=ask.request,
+            method=method,
+            path=place.path,
+            headers=target.list_service_headers(environ),
+            body=read.unwrap(),
+            streamed=False,
+            idempotent=ask.idempotent,
+            first_token_due=ask.first_token_due,
+            give_up_at=ask.give_up_at,
+            timeout_s=service.timeout_ms / _MS,
+            engine=False,
+            continuable=False,
+        )
+        return self._run(environ, ask, call, record)
 
-    def _make_ask(
+    def _identify(
         self,
-        identity: request.Identity,
+        environ: request.Environ,
         lookups: snapshot.Snapshot,
-        prompt: request.Prompt | None = None,
-        service: ids.ServiceName | None = None,
-        idempotent: bool = True,
-    ) -> admission_messages.Ask:
-        now = self._clock.monotonic()
-        chosen = identity.service_class
-        caller = identity.caller
-        target_s = chosen.target_first_token_ms / _MS
-        return admission_messages.Ask(
-            request=ids.RequestId(uuid.uuid4().hex),
-            team=caller.team,
-            account=caller.account,
-            class_name=identity.class_name,
-            tier=ids.Tier(chosen.tier),
-            model=ids.ModelName(prompt.model if prompt else ""),
-            service=service,
-            arrived=now,
-            first_token_due=now + target_s,
-            give_up_at=now + chosen.max_wait_ms / _MS,
-            late_refused=chosen.when_late is model.LatePolicy.REFUSE,
-            protected=chosen.protected,
-            max_waiting=chosen.max_waiting,
-            minimum_share=chosen.minimum_share,
-            account_limit=caller.settings.max_in_flight,
-            team_limit=lookups.tree.teams[caller.team].max_in_flight,
-            retry_ratio=chosen.retry_ratio,
-            hedge=chosen.hedge,
-            prefix=request.hash_prefix(prompt) if prompt else 0,
-            prompt_tokens=request.estimate_tokens(prompt) if prompt else 0,
-            max_tokens=prompt.read_limit() if prompt else None,
-            idempotent=idempotent,
-        )
+        record: journal.Record,
+    ) -> result.Result[request.Identity, errors.Refusal]:
+        authenticated = request.authenticate(environ, lookups)
+        if authenticated.is_err():
+            return result.Err(authenticated.unwrap_err())
+        caller = authenticated.unwrap()
+        record.note_caller(caller)
+        chosen = request.choose_class(environ, caller, lookups)
+        if chosen.is_ok():
+            record.service_class = chosen.unwrap().class_name
+        return chosen
 
     def _run(
         self,
-        environ: Environ,
+        environ: request.Environ,
+        ask: admission_messages.Ask,
+        call: answer_messages.Call,
+        record: journal.Record,
+    ) -> Served:
+        header = environ.get(keyed.HEADER)
+        if header is None or (ask.service and ask.idempotent):
+            caller = environ.get(CALLER)
+            return self._run_once(environ, ask, call, record, caller)
+        return self._keyed.run(
+            header,
+            ask,
+            call,
+            lambda may_send: self._run_once(
+                environ, ask, call, record, None, may_send
+            ),
+        )
+
+    def _run_once(
+        self,
+        environ: request.Environ,
         ask: admission_messages.Ask,
-        body: bytes,
-        streamed: bool,
+        call: answer_messages.Call,
+        record: journal.Record,
+        caller: answer_edges.Caller | None,
+        may_send: Callable[[], bool] | None = None,
     ) -> Served:
         decision = self._wait_for_slot(environ, ask)
         if isinstance(decision, admission_messages.Refused):
             return result.Err(errors.describe_refused(decision))
-        _LOG.info(
-            "event=granted request=%s class=%s tier=%d endpoint=%s wait_ms=%d",
-            ask.request,
-            ask.class_name,
-            ask.tier,
-            decision.endpoint,
-            math.floor((self._clock.monotonic() - ask.arrived) * _MS),
-        )
-        call = answer_messages.Call(
-            request=ask.request,
-            method=environ["REQUEST_METHOD"],
-            path=_write_target(environ),
-            headers=_list_headers(environ),
-            body=body,
-            streamed=streamed,
-            idempotent=ask.idempotent,
-            first_token_due=ask.first_token_due,
-            give_up_at=ask.give_up_at,
-        )
-        opened = self._relay.open(call, decision)
+        record.note_granted(decision.endpoint)
+        if may_send and not may_send():
+            self._give_back(decision)
+            return _refuse_lapsed()
+        opened = self._relay.open(call, decision, caller)
         if opened.is_err():
-            self._close(ask)
             return result.Err(_describe_failure(opened.unwrap_err()))
         return result.Ok(opened.unwrap())
 
+    def _give_back(self, grant: dispatch_messages.Grant) -> None:
+        ended = dispatch_messages.AttemptEnded(
+            attempt=grant.attempt,
+            how=dispatch_messages.AttemptEnd.NEVER_SENT,
+            tokens=0,
+            at=self._clock.monotonic(),
+        )
+        self._slots.report(ended)
+        closed = dispatch_messages.RequestClosed(request=grant.request)
+        self._slots.report(closed)
+
     def _wait_for_slot(
-        self, environ: Environ, ask: admission_messages.Ask
+        self, environ: request.Environ, ask: admission_messages.Ask
     ) -> dispatch_messages.Grant | admission_messages.Refused:
         pending = self._slots.submit(ask)
         is_gone = environ.get("waitress.client_disconnected", lambda: False)
@@ -197,10 +247,6 @@
                     )
                     self._slots.report(withdrawn)
 
-    def _close(self, ask: admission_messages.Ask) -> None:
-        closed = dispatch_messages.RequestClosed(request=ask.request)
-        self._slots.report(closed)
-
 
 def list_models(
     endpoints: Mapping[ids.EndpointId, model.EndpointSettings],
@@ -214,36 +260,46 @@
     return sorted(names)
 
 
-def _write_target(environ: Environ) -> str:
-    query = environ.get("QUERY_STRING", "")
-    path: str = environ["PATH_INFO"]
-    return f"{path}?{query}" if query else path
-
-
-def _list_headers(environ: Environ) -> tuple[tuple[str, str], ...]:
-    headers = [
-        (name[5:].replace("_", "-").title(), value)
-        for name, value in environ.items()
-        if name.startswith("HTTP_") and name[5:] not in _DROPPED_HEADERS
-    ]
-    if environ.get("CONTENT_TYPE"):
-        headers.append(("Content-Type", environ["CONTENT_TYPE"]))
-    return tuple(headers)
-
-
 def _describe_failure(failure: answer_errors.AnswerFailure) -> errors.Refusal:
     not_run = failure.outcome is failures.Outcome.NOT_RUN
     said = "was not run" if not_run else "may have run"
+    code = errors.Code.ENDPOINT_FAILED
+    if failure.cause is answer_errors.Cause.CALLER_GONE:
+        code = errors.Code.CALLER_GONE
     return errors.Refusal(
         status=http.HTTPStatus.BAD_GATEWAY,
-        code=errors.Code.ENDPOINT_FAILED,
+        code=code,
         outcome=failure.outcome,
+        reason=failure.cause.value,
         retry_after_s=1.0 if not_run else None,
         detail=f"The endpoint gave no answer; the request {said}.",
     )
 
 
-def _refuse(
-    status: http.HTTPStatus, code: errors.Code, detail: str
-) -> result.Err[errors.Refusal]:
-    return result.Err(errors.Refusal(status=status, code=code, detail=detail))
+def refuse_model(name: str) -> result.Err[errors.Refusal]:
+    """Returns the refusal of a model that no endpoint has."""
+    return errors.refuse(
+        http.HTTPStatus.NOT_FOUND,
+        errors.Code.UNKNOWN_MODEL,
+        f"No endpoint has the model {request.shorten(name)!r};"
+        " GET /v1/models lists them.",
+        param="model",
+    )
+
+
+def _refuse_lapsed() -> result.Err[errors.Refusal]:
+    return errors.refuse(
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+        errors.Code.RECORD_UNAVAILABLE,
+        "The claim on the key lapsed; send the request again. It was not run.",
+        reason="claim_lapsed",
+        retry_after_s=1.0,
+    )
+
+
+def _refuse_service(name: str) -> result.Err[errors.Refusal]:
+    return errors.refuse(
+        http.HTTPStatus.NOT_FOUND,
+        errors.Code.UNKNOWN_SERVICE,
+        f"There is no service {request.shorten(name)!r}.",
+    )
