Wire peers, endpoints and operators into the entry; kill and freeze it

Cause: membership, endpoints and the operators' interface stood beside the path, and nothing had been shown under kills and freezes.

The application now owns all duties; peers.py hands membership's events to the slices they concern (a lost peer's pressure, revisions, leaving endpoints, owners of ledger records). exports.py sets the slices' counters before each scrape.

--- a/pollenfork/answers/attempt.py
+++ b/pollenfork/answers/attempt.py
@@ -126,7 +126,15 @@
         self.exchange = engine.Exchange(grant.address, self.tools.limits)
         if self._is_gone():
             return result.Err(_Cause.CALLER_GONE)
-        return self.exchange.send(self._call, grant, body)
+        return self.exchange.send(self._call, grant, body, self._limit_head())
+
+    def _limit_head(self) -> float:
+        """Returns the seconds that the answer's head may take."""
+        call, limits = self._call, self.tools.limits
+        if not (call.streamed and call.engine and call.idempotent):
+            return call.timeout_s or limits.head_s
+        left_s = call.first_token_due - self.tools.clock.monotonic()
+        return min(limits.head_s, max(left_s, 0.0) + limits.late_s)
 
     def _read_first(
         self, head: engine.Head
--- a/pollenfork/answers/engine.py
+++ b/pollenfork/answers/engine.py
@@ -88,8 +88,9 @@
         call: messages.Call,
         grant: dispatch_messages.Grant,
         body: bytes,
+        head_s: float,
     ) -> result.Result[Head, errors.Cause]:
-        """Sends the call and returns the answer's head."""
+        """Sends the call and returns the answer's head, within `head_s`."""
         headers = {
             name: value
             for name, value in call.headers
@@ -97,8 +98,7 @@
         }
         headers["X-Request-Id"] = grant.attempt
         headers["X-Priority"] = str(grant.priority)
-        timeout = call.timeout_s or self._limits.head_s
-        if not self._connect(call.streamed, timeout):
+        if not self._connect(call.streamed, head_s):
             return result.Err(_Cause.NEVER_SENT)
         return self._ask(call.method, call.path, headers, body)
 
--- a/pollenfork/answers/messages.py
+++ b/pollenfork/answers/messages.py
@@ -42,6 +42,8 @@
     Attributes:
         connect_s: For a connection to an endpoint.
         head_s: From a sent request to the answer's head.
+        late_s: How much later than its target the head of a stream may come
+            before the request goes elsewhere.
         stall_s: Between two reads of a running answer.
         again_s: The longest wait for another endpoint.
         cancel_s: For one cancel call.
@@ -55,6 +57,7 @@
 
     connect_s: float = 1.0
     head_s: float = 120.0
+    late_s: float = 5.0
     stall_s: float = 10.0
     again_s: float = 30.0
     cancel_s: float = 1.0
--- a/pollenfork/application.py
+++ b/pollenfork/application.py
@@ -7,26 +7,33 @@
 import time
 import uuid
 
-import result
-
 from pollenfork import clock
 from pollenfork import config
-from pollenfork import failures
+from pollenfork import exports
 from pollenfork import housekeeping
 from pollenfork import ids
 from pollenfork import metrics
+from pollenfork import peers
 from pollenfork import scheduler
 from pollenfork import timers
 from pollenfork.answers import session
+from pollenfork.dispatch import messages as dispatch_messages
+from pollenfork.endpoints import actor as endpoints_actor
+from pollenfork.endpoints import client as endpoints_client
 from pollenfork.entry import front
 from pollenfork.entry import server
 from pollenfork.entry import work
 from pollenfork.ledger import claiming
 from pollenfork.ledger import ledger
+from pollenfork.membership import lifecycle
+from pollenfork.operator import app as operator_app
+from pollenfork.operator import tree as operator_tree
 from pollenfork.platform import client
 from pollenfork.platform import policy
 from pollenfork.settings import actor as settings_actor
 from pollenfork.settings import messages as settings_messages
+from pollenfork.settings import state as settings_state
+from pollenfork.settings import writer
 
 _LOG = logging.getLogger(__name__)
 
@@ -35,21 +42,6 @@
 _SWEPT_AT_ONCE = 50
 
 
-class NoPeer(failures.Failure, frozen=True, kw_only=True):
-    """The peer isn't known."""
-
-
-class _UnknownOwners:
-    """Knows of no owner's end: records close by their age."""
-
-    def is_gone(
-        self, instance: ids.InstanceId, incarnation: ids.Incarnation
-    ) -> bool:
-        """Returns False."""
-        del instance, incarnation
-        return False
-
-
 class Application:
     """The life of one entry instance."""
 
@@ -58,43 +50,25 @@
         self._clock = now
         self._incarnation = ids.Incarnation(int(now.wall() * 1000))
         self._stopping = threading.Event()
+        self._in_force = threading.Event()
         self._rng = random.Random()
         self._timers = timers.Timers(now)
         self.metrics = metrics.Metrics()
         self.platform = self._connect_platform()
+        self._presence = peers.Presence(settings.instance, settings.data_centre)
         self._scheduler = scheduler.Scheduler(
             settings.instance, now, self._rng, self._timers, settings.waiting
         )
-        self.settings = settings_actor.Settings(
-            self.platform.table,
-            now,
-            self._rng,
-            self._timers,
-            self.metrics,
-            self._fetch_settings,
-        )
-        self.settings.subscribe(self._apply_tree)
-        self._in_force = threading.Event()
+        self.settings = self._make_settings()
+        self.endpoints = self._make_endpoints()
+        self.membership = self._make_membership()
+        self._copies = peers.Copies(self._presence, self.membership)
         self._relay = session.Relay(self._scheduler, now)
         self._ledger = self._open_ledger()
-        worker = work.Worker(
-            self._scheduler,
-            self._relay,
-            now,
-            settings.body_limit,
-            self._ledger,
-        )
-        self._front = front.Front(
-            worker,
-            self.metrics,
-            self.settings.read_lookups,
-            self.is_ready,
-            None,
-            now,
-        )
         self._housekeeping = housekeeping.Housekeeper(
-            self._timers, _HOUSEKEEPING_S, self._keep_ledger
+            self._timers, _HOUSEKEEPING_S, self._keep_house
         )
+        self._front = self._make_front()
         self._server: server.Server | None = None
         self._thread: threading.Thread | None = None
 
@@ -109,7 +83,9 @@
         """Starts every part; returns once callers can connect."""
         self._scheduler.start()
         self._relay.start()
+        self.endpoints.start(self._timers)
         self.settings.start()
+        self.membership.start()
         self._housekeeping.start()
         self._timers.start()
         self._server = server.create_server(
@@ -120,9 +96,11 @@
         )
         self._thread.start()
         _LOG.info(
-            "event=started instance=%s listen=%s",
+            "event=started instance=%s incarnation=%d listen=%s peers=%s",
             self._config.instance,
+            self._incarnation,
             self.address,
+            self.membership.address,
         )
 
     def drain(self, insisted: threading.Event | None = None) -> bool:
@@ -152,21 +130,23 @@
         return False
 
     def stop(self) -> None:
-        """Stops every part, the newest first."""
+        """Leaves the peers, then stops every part, the newest first."""
         self._stopping.set()
+        self.membership.leave()
         if self._server:
             self._server.stop()
         self._housekeeping.stop()
+        self._timers.stop()
+        self.membership.stop()
+        self.endpoints.stop()
         self._relay.stop()
         self._scheduler.stop()
         self.settings.stop()
-        self._timers.stop()
         _LOG.info("event=stopped instance=%s", self._config.instance)
 
     def is_ready(self) -> bool:
         """Returns whether new work may come."""
-        in_force = self.settings.read_lookups() is not None
-        return in_force and not self._stopping.is_set()
+        return self._in_force.is_set() and not self._stopping.is_set()
 
     def wait_until_ready(self, timeout_s: float) -> bool:
         """Returns True once settings are in force, False at the timeout."""
@@ -174,33 +154,20 @@
 
     def _apply_tree(self, message: settings_messages.TreeInForce) -> None:
         self._scheduler.report(message)
+        self.endpoints.apply(message)
         self._in_force.set()
 
-    def _fetch_settings(
-        self, peer: ids.InstanceId
-    ) -> result.Result[bytes, failures.Failure]:
-        return result.Err(NoPeer(detail=f"no peer {peer}"))
-
-    def _open_ledger(self) -> ledger.Ledger:
-        return ledger.Ledger(
-            ledger.Parts(
-                owner=claiming.Owner(self._config.instance, self._incarnation),
-                table=self.platform.table,
-                objects=self.platform.objects,
-                owners=_UnknownOwners(),
-                now=self._clock,
-                new_id=lambda: uuid.uuid4().hex,
-                count=self._count_ledger,
-            )
-        )
-
-    def _keep_ledger(self) -> None:
+    def _keep_house(self) -> None:
+        now = self._clock.monotonic()
+        self.platform.budget.set_instances(self._presence.count(), now)
         self._ledger.settle_deferred()
         self._ledger.sweep(_SWEPT_AT_ONCE)
 
-    def _count_ledger(self, event: enum.Enum) -> None:
-        name = "pollenfork_ledger_total"
-        self.metrics.count(name, event=str(event.value))
+    def _read_pressure(self) -> dispatch_messages.Pressure:
+        pressure = self._scheduler.read_pressure()
+        return peers.add_leaving(pressure, self.endpoints.read_leaving())
+
+    # How the parts are made.
 
     def _connect_platform(self) -> policy.Platform:
         channel = client.Channel(self._config.platform)
@@ -218,6 +185,119 @@
             tools=tools,
         )
 
+    def _make_settings(self) -> settings_actor.Settings:
+        settings = settings_actor.Settings(
+            self.platform.table,
+            self._clock,
+            self._rng,
+            self._timers,
+            self.metrics,
+            lambda peer: self._copies.fetch(peer),
+        )
+        settings.subscribe(self._apply_tree)
+        return settings
+
+    def _make_endpoints(self) -> endpoints_actor.Endpoints:
+        pool = endpoints_client.make_pool()
+        return endpoints_actor.Endpoints(
+            self._config,
+            self._clock,
+            self.platform.table,
+            self.platform.instances,
+            self.platform.weights,
+            lambda endpoint: endpoints_client.HttpEndpoint(
+                endpoint.address, pool
+            ),
+            self._scheduler.report,
+            self._presence.list_near,
+        )
+
+    def _make_membership(self) -> lifecycle.Membership:
+        router = peers.Router(
+            self._presence, self._scheduler, self.settings, self.endpoints
+        )
+        return lifecycle.Membership(
+            self._config,
+            self._clock,
+            self.platform.instances,
+            self._read_pressure,
+            lambda: self.settings.revision,
+            lambda revision: self.settings.encode_copy(),
+            router.publish,
+            self._config.peers,
+            self._incarnation,
+        )
+
+    def _open_ledger(self) -> ledger.Ledger:
+        return ledger.Ledger(
+            ledger.Parts(
+                owner=claiming.Owner(self._config.instance, self._incarnation),
+                table=self.platform.table,
+                objects=self.platform.objects,
+                owners=self._presence,
+                now=self._clock,
+                new_id=lambda: uuid.uuid4().hex,
+                count=self._count_ledger,
+            )
+        )
+
+    def _make_front(self) -> front.Front:
+        counted = exports.Exports(
+            self.metrics, self._scheduler, self._relay.counters, self.membership
+        )
+        self.metrics.add_source(counted.refresh)
+        worker = work.Worker(
+            self._scheduler,
+            self._relay,
+            self._clock,
+            self._config.body_limit,
+            self._ledger,
+        )
+        return front.Front(
+            worker,
+            self.metrics,
+            self.settings.read_lookups,
+            self.is_ready,
+            self._make_operator_app(),
+            self._clock,
+        )
+
+    def _make_operator_app(self) -> operator_app.Operator:
+        first_operators = self._config.operator_sha256
+        writes = writer.Writer(
+            self.platform.table,
+            self._clock,
+            self._rng,
+            time.sleep,
+            lambda: self.settings.in_force,
+            first_operators,
+        )
+        handler = operator_tree.TreeHandler(
+            writes,
+            self.platform.table,
+            lambda: self.settings.in_force,
+            self._report_written,
+            lambda: ids.WriteId(uuid.uuid4().hex),
+        )
+        return operator_app.Operator(
+            self._config.instance,
+            handler,
+            lambda: self.settings.in_force,
+            peers.Instances(
+                self._config.instance, self.membership, self.settings
+            ),
+            peers.EndpointPage(self.endpoints, self._scheduler.read_pressure),
+            self.metrics,
+            first_operators,
+        )
+
+    def _report_written(self, tree: settings_state.InForce) -> None:
+        self.settings.report(settings_messages.TreeWritten(tree))
+
     def _count_call(self, event: enum.Enum) -> None:
         name = "pollenfork_platform_calls_total"
         self.metrics.count(name, event=str(event.value))
+
+    def _count_ledger(self, event: enum.Enum) -> None:
+        name = "pollenfork_ledger_total"
+        self.metrics.count(name, event=str(event.value))
--- a/pollenfork/cli/serving.py
+++ b/pollenfork/cli/serving.py
@@ -24,7 +24,7 @@
     """Runs one entry instance."""
     from pollenfork import instance
 
-    return instance.run_entry(command.settings, env.stderr)
+    return instance.run_entry(command.settings, env.stdout, env.stderr)
 
 
 def run_platform(
--- a/pollenfork/config.py
+++ b/pollenfork/config.py
@@ -27,6 +27,7 @@
     Attributes:
         listen: Where callers and operators connect.
         peer_listen: Where the other entry instances connect.
+        peers: Peer addresses to try besides those in the platform's list.
         platform: The platform's table, objects, instance list and weights.
         streams: Answers relayed at once; a caller beyond is refused at once.
         waiting: Requests that may wait for a slot.
@@ -41,6 +42,7 @@
     listen: str
     peer_listen: str
     platform: str
+    peers: tuple[str, ...] = ()
     streams: Positive = 350
     waiting: Positive = 256
     body_limit: Positive = 4 * 1024 * 1024
--- a/pollenfork/instance.py
+++ b/pollenfork/instance.py
@@ -13,10 +13,17 @@
 _SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
-def run_entry(path: pathlib.Path, errors: TextIO) -> status.ExitStatus:
+def run_entry(
+    path: pathlib.Path, output: TextIO, errors: TextIO
+) -> status.ExitStatus:
     """Serves until SIGTERM or SIGINT, then finishes what runs.
 
     A second signal ends the wait for requests in progress.
+
+    Args:
+        path: The settings file.
+        output: Told the address once callers can connect.
+        errors: Told what is wrong with the settings.
     """
     read = config.read_file(path, config.EntryConfig)
     if read.is_err():
@@ -35,6 +42,8 @@
     for number in _SIGNALS:
         signal.signal(number, note_signal)
     app.start()
+    output.write(f"listening on {app.address}\n")
+    output.flush()
     told.wait()
     finished = app.drain(insisted)
     app.stop()
--- a/pollenfork/membership/lifecycle.py
+++ b/pollenfork/membership/lifecycle.py
@@ -39,6 +39,7 @@
             force; None where it isn't held.
         publish: Takes each event, in the actor's thread; must be quick.
         seeds: Peer addresses to try besides the list's.
+        incarnation: Of this process start; None takes the wall clock's.
     """
 
     def __init__(
@@ -51,7 +52,9 @@
         serve_settings: Callable[[ids.Revision], bytes | None],
         publish: Callable[[messages.Event], None],
         seeds: tuple[str, ...] = (),
+        incarnation: ids.Incarnation | None = None,
     ) -> None:
+        self._incarnation = incarnation
         self._settings = settings
         self._clock = now
         self._serve_settings = serve_settings
@@ -81,7 +84,9 @@
         identity = own.Identity(
             self._settings.instance, self._settings.data_centre, self.address
         )
-        incarnation = ids.Incarnation(int(self._clock.wall() * 1000))
+        incarnation = self._incarnation or ids.Incarnation(
+            int(self._clock.wall() * 1000)
+        )
         membership = core.Core(
             identity,
             incarnation,
--- a/pollenfork/metrics.py
+++ b/pollenfork/metrics.py
@@ -1,5 +1,6 @@
 """Counters and histograms of the process, in Prometheus' text form."""
 
+from collections.abc import Callable
 import threading
 
 import aioprometheus
@@ -40,6 +41,18 @@
         self._counters: dict[str, aioprometheus.Counter] = {}
         self._gauges: dict[str, aioprometheus.Gauge] = {}
         self._histograms: dict[str, aioprometheus.Histogram] = {}
+        self._sources: list[Callable[[], None]] = []
+
+    def add_source(self, source: Callable[[], None]) -> None:
+        """Calls `source` before each exposition, to set what it counts."""
+        self._sources.append(source)
+
+    def set_total(self, name: str, total: int, **labels: str) -> None:
+        """Sets the counter `name`, which is kept elsewhere, to its total."""
+        self.count(name, 0, **labels)
+        with self._lock:
+            counter = self._counters[name]
+            counter.set(self._bound(counter, labels), total)
 
     def count(self, name: str, amount: int = 1, **labels: str) -> None:
         """Adds to the counter `name` with these labels."""
@@ -79,6 +92,8 @@
 
     def render(self) -> tuple[bytes, str]:
         """Returns the exposition and its content type."""
+        for source in self._sources:
+            source()
         with self._lock:
             content, headers = aioprometheus.render(self._registry, [])
         return content, headers["Content-Type"]
--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,171 @@
+"""A site of separate processes, to be killed, frozen and restarted."""
+
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+
+import urllib3
+
+from pollenfork import clock
+from pollenfork.platform import client
+from pollenfork.settings import first
+from pollenfork.settings import model
+from pollenfork.settings import snapshot
+from tests import sites
+
+READY_S = 20.0
+_POLL_S = 0.02
+_LISTENING = "listening on "
+
+
+class Program:
+    """One process of ours; `address` is where it listens."""
+
+    def __init__(self, *arguments: str) -> None:
+        self._process = subprocess.Popen(
+            [sys.executable, "-m", "pollenfork", *arguments],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+            text=True,
+        )
+        assert self._process.stdout
+        line = self._process.stdout.readline()
+        assert line.startswith(_LISTENING), line
+        self.address = line.removeprefix(_LISTENING).strip()
+
+    def kill(self) -> None:
+        """Ends the process without warning."""
+        self._process.kill()
+        self._process.wait()
+
+    def freeze(self) -> None:
+        """Pauses the process."""
+        self._process.send_signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Lets a paused process go on."""
+        self._process.send_signal(signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Asks the process to stop."""
+        self._process.terminate()
+
+    def wait(self) -> int:
+        """Returns the exit status."""
+        return self._process.wait(READY_S)
+
+    def close(self) -> None:
+        """Kills the process if it still runs."""
+        if self._process.poll() is None:
+            self.thaw()
+            self.kill()
+        if self._process.stdout:
+            self._process.stdout.close()
+
+
+class Site:
+    """Platform, engines, a service and entry instances, each a process."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self._folder = folder
+        self._programs: list[Program] = []
+        self.pool = urllib3.PoolManager(
+            num_pools=16, maxsize=64, retries=False, timeout=30
+        )
+        self.platform = self.start("platform", {}, "standin", "platform")
+        self.engines: list[Program] = []
+        self.entries: list[Program] = []
+
+    def start(self, name: str, settings: object, *command: str) -> Program:
+        """Starts a program with a settings file."""
+        path = self._folder / f"{name}.json"
+        path.write_text(json.dumps(settings))
+        program = Program(*command, "--settings", str(path))
+        self._programs.append(program)
+        return program
+
+    def start_engine(self, **settings: object) -> Program:
+        """Starts an engine stand-in."""
+        chosen = {"listen": "127.0.0.1:0", "models": ["lines"], **settings}
+        name = f"engine-{len(self.engines)}"
+        engine = self.start(name, chosen, "standin", "engine")
+        self.engines.append(engine)
+        return engine
+
+    def start_service(self) -> Program:
+        """Starts the plain-service stand-in."""
+        program = Program("standin", "service", "--listen", "127.0.0.1:0")
+        self._programs.append(program)
+        return program
+
+    def write_tree(self, tree: model.Tree) -> None:
+        """Writes the first tree into the platform's table."""
+        table = client.HttpTable(client.Channel(self.platform.address))
+        first.write_tree(table, tree, clock.SystemClock()).unwrap()
+
+    def start_entry(self, **settings: object) -> Program:
+        """Starts an entry instance; returns once it is ready."""
+        name = f"entry-{len(self.entries) + 1}"
+        chosen = {
+            "instance": name,
+            "data_centre": "a",
+            "listen": "127.0.0.1:0",
+            "peer_listen": "127.0.0.1:0",
+            "platform": self.platform.address,
+            "streams": 32,
+            "waiting": 32,
+            "operator_sha256": [snapshot.hash_key(sites.OPERATOR)],
+            **settings,
+        }
+        entry = self.start(name, chosen, "entry")
+        self.entries.append(entry)
+        self.wait_until_ready(entry)
+        return entry
+
+    def wait_until_ready(self, entry: Program) -> None:
+        """Asks for readiness until it is there, a bounded number of times."""
+        retries = urllib3.Retry(
+            total=int(READY_S / _POLL_S),
+            backoff_factor=_POLL_S,
+            backoff_max=_POLL_S,
+            status_forcelist=[503],
+        )
+        url = f"http://{entry.address}/readyz"
+        response = self.pool.request("GET", url, retries=retries)
+        assert response.status == 200
+
+    def post(
+        self,
+        entry: Program,
+        path: str,
+        body: bytes,
+        key: str | None = None,
+        **options: object,
+    ) -> urllib3.BaseHTTPResponse:
+        """Sends one request as the crew's account."""
+        headers = {"Authorization": f"Bearer {sites.KEY}"}
+        if key:
+            headers["Idempotency-Key"] = key
+        url = f"http://{entry.address}{path}"
+        return self.pool.request(
+            "POST", url, body=body, headers=headers, **options
+        )
+
+    def read_json(self, program: Program, path: str) -> object:
+        """Returns what a stand-in tells of itself."""
+        url = f"http://{program.address}{path}"
+        return self.pool.request("GET", url).json()
+
+    def set_faults(self, program: Program, **faults: object) -> None:
+        """Puts faults in force at a stand-in."""
+        url = f"http://{program.address}/faults"
+        response = self.pool.request("POST", url, json=faults)
+        assert response.status == 200
+
+    def close(self) -> None:
+        """Ends every process."""
+        self.pool.clear()
+        for program in reversed(self._programs):
+            program.close()
