--- a/pollenfork/application.py
+++ b/pollenfork/application.py
@@ -27,13 +27,11 @@
 from pollenfork.ledger import ledger
 from pollenfork.membership import lifecycle
 from pollenfork.operator import app as operator_app
-from pollenfork.operator import tree as operator_tree
 from pollenfork.platform import client
 from pollenfork.platform import policy
 from pollenfork.settings import actor as settings_actor
 from pollenfork.settings import messages as settings_messages
-from pollenfork.settings import state as settings_state
-from pollenfork.settings import writer
+from pollenfork.settings import service as settings_service
 
 _LOG = logging.getLogger(__name__)
 
@@ -187,7 +185,7 @@
 
     def _make_settings(self) -> settings_actor.Settings:
         settings = settings_actor.Settings(
-            self.platform.table,
+            self.platform.polled_table,
             self._clock,
             self._rng,
             self._timers,
@@ -263,37 +261,26 @@
         )
 
     def _make_operator_app(self) -> operator_app.Operator:
-        first_operators = self._config.operator_sha256
-        writes = writer.Writer(
+        tree = settings_service.Service(
             self.platform.table,
             self._clock,
             self._rng,
             time.sleep,
             lambda: self.settings.in_force,
-            first_operators,
-        )
-        handler = operator_tree.TreeHandler(
-            writes,
-            self.platform.table,
-            lambda: self.settings.in_force,
-            self._report_written,
-            lambda: ids.WriteId(uuid.uuid4().hex),
+            self.settings.report,
+            self._config.operator_sha256,
         )
         return operator_app.Operator(
             self._config.instance,
-            handler,
-            lambda: self.settings.in_force,
+            tree,
             peers.Instances(
                 self._config.instance, self.membership, self.settings
             ),
             peers.EndpointPage(self.endpoints, self._scheduler.read_pressure),
             self.metrics,
-            first_operators,
+            lambda: ids.WriteId(uuid.uuid4().hex),
         )
 
-    def _report_written(self, tree: settings_state.InForce) -> None:
-        self.settings.report(settings_messages.TreeWritten(tree))
-
     def _count_call(self, event: enum.Enum) -> None:
         name = "pollenfork_platform_calls_total"
         self.metrics.count(name, event=str(event.value))
