--- a/pollenfork/answers/stream.py
+++ b/pollenfork/answers/stream.py
@@ -10,11 +10,7 @@
 
 
 class Chunks(Iterator[bytes]):
-    """The answer's bytes; closing it before the end cancels the attempt.
-
-    Attributes:
-        failed: The last bytes were an error event: the answer isn't whole.
-    """
+    """The answer's bytes; closing it before the end cancels the attempt."""
 
     def __init__(
         self, attempts: attempt.Attempts, first: bytes, whole: bool
@@ -24,7 +20,6 @@
         self._whole = whole
         self._whole_tokens = _count_tokens(first) if whole else None
         self._ended = False
-        self.failed = False
         self._write: Callable[[bytes], object] | None = None
 
     def attach(self, write: Callable[[bytes], object]) -> None:
@@ -70,7 +65,6 @@
         if recovered.is_ok():
             return b""
         self._ended = True
-        self.failed = True
         return write_error_event(recovered.unwrap_err())
 
     def _move(self) -> bytes | errors.Cause:
--- a/pollenfork/entry/keyed.py
+++ b/pollenfork/entry/keyed.py
@@ -1,220 +1,215 @@
-"""Requests that carry an `Idempotency-Key`: at most one run for each key.
+"""Requests with an `Idempotency-Key`: claimed, run once, replayed."""
 
-The claim is durable before the first sending, and the ending is recorded
-before the caller sees the answer whole. A caller that goes away doesn't end
-the run: its repeat gets the answer from the record.
-"""
-
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator
 import http
+from typing import Any, Protocol
 
-import msgspec
 import result
 
 from pollenfork import clock
 from pollenfork import failures
 from pollenfork import ids
+from pollenfork.admission import messages as admission_messages
+from pollenfork.answers import messages as answer_messages
 from pollenfork.answers import session
 from pollenfork.entry import errors
+from pollenfork.entry import progress
 from pollenfork.ledger import errors as ledger_errors
 from pollenfork.ledger import keys
-from pollenfork.ledger import ledger
 
-_FINISH_EVENT = b"data: [DONE]\n\n"
-KEPT_BYTES = 4 * 1024 * 1024
 HEADER = "HTTP_IDEMPOTENCY_KEY"
-REPLAYED_HEADER = ("Idempotent-Replayed", "true")
-
-Served = result.Result[session.Answer, errors.Refusal]
-MaySend = Callable[[], bool]
-
-_CODES: Mapping[type[ledger_errors.LedgerRefusal], errors.Code] = {
+_FINISH_MARK = b"\ndata: [DONE]"  # A line of its own: no event's text.
+_KEEP_BYTES = 32 * 1024 * 1024
+_CODES: dict[type[ledger_errors.LedgerRefusal], errors.Code] = {
     ledger_errors.Running: errors.Code.RUNNING,
-    ledger_errors.AnswerUnavailable: errors.Code.RECORD_UNAVAILABLE,
-    ledger_errors.AnswerNotKept: errors.Code.ANSWER_NOT_KEPT,
     ledger_errors.UnknownOutcome: errors.Code.OUTCOME_UNKNOWN,
     ledger_errors.KeyReused: errors.Code.KEY_REUSED,
+    ledger_errors.AnswerNotKept: errors.Code.ANSWER_NOT_KEPT,
+    ledger_errors.AnswerUnavailable: errors.Code.RECORD_UNAVAILABLE,
     ledger_errors.LedgerDown: errors.Code.RECORD_UNAVAILABLE,
 }
 
+Served = result.Result[session.Answer, errors.Refusal]
 
-class Submission(msgspec.Struct, frozen=True):
-    """A request with a key, as it came.
 
-    Attributes:
-        header: The `Idempotency-Key` header.
-        fingerprint: Of method, path and body.
-    """
+class Claim(Protocol):
+    """The right to run one request once; it ends by one `record_` call."""
+
+    def may_send(self) -> bool:
+        """Returns whether the request may still be sent."""
 
-    team: ids.Team
-    account: ids.AccountId
-    header: str
-    fingerprint: bytes
+    def record_done(
+        self, status: int, headers: Iterable[tuple[str, str]], body: bytes
+    ) -> Any:
+        """Keeps the whole answer for repeats."""
+
+    def record_not_run(self) -> Any:
+        """Frees the key."""
+
+    def record_unknown(self) -> Any:
+        """Keeps the key closed."""
+
+
+class Claims(Protocol):
+    """The ledger as the entry needs it."""
+
+    def claim(
+        self, key: keys.RequestKey, fingerprint: bytes, now: float
+    ) -> result.Result[Claim, ledger_errors.LedgerRefusal]:
+        """Claims the right to run the request under `key`; blocks."""
 
 
 class Keyed:
-    """Serves keyed requests through the ledger."""
+    """Runs requests under their callers' keys."""
 
-    def __init__(self, records: ledger.Ledger, now: clock.Clock) -> None:
-        self._ledger = records
+    def __init__(self, claims: Claims | None, now: clock.Clock) -> None:
+        self._claims = claims
         self._clock = now
 
-    def serve(
+    def run(
         self,
-        submission: Submission,
-        run: Callable[[MaySend], Served],
+        header: str,
+        ask: admission_messages.Ask,
+        call: answer_messages.Call,
+        run_once: Callable[[Callable[[], bool]], Served],
     ) -> Served:
-        """Runs the request unless its key has run before.
+        """Runs the request unless its key says otherwise.
 
         Args:
-            submission: The request.
-            run: Sends the request, unless the function that it is handed
-                says no any more; its answer must not depend on the caller
-                staying.
+            header: The value of the header.
+            ask: Whose request it is.
+            call: The request.
+            run_once: Runs it; takes what says whether it may be sent still.
         """
-        # Two teams may have accounts of one name.
-        space = ids.AccountId(f"{submission.team}/{submission.account}")
-        read = keys.read_header(space, submission.header)
-        if isinstance(read, result.Err):
-            return result.Err(
-                errors.Refusal(
-                    status=http.HTTPStatus.BAD_REQUEST,
-                    code=errors.Code.BAD_REQUEST,
-                    detail=read.err_value.detail,
-                )
+        # Accounts of two teams may have one name.
+        owner = ids.AccountId(f"{ask.team}/{ask.account}")
+        read = keys.read_header(owner, header)
+        if read.is_err():
+            return errors.refuse(
+                http.HTTPStatus.BAD_REQUEST,
+                errors.Code.BAD_IDEMPOTENCY_KEY,
+                read.unwrap_err().detail,
             )
-        claimed = self._ledger.claim(
-            read.ok_value, submission.fingerprint, self._clock.wall()
-        )
-        if isinstance(claimed, result.Err):
-            return _describe(claimed.err_value)
-        return _run_claimed(claimed.ok_value, run)
-
-
-class RecordedChunks(Iterator[bytes]):
-    """An answer's chunks, kept for the record until their end.
+        claimed = self._claim(read.unwrap(), ask, call)
+        if claimed.is_err():
+            return _answer_repeat(claimed.unwrap_err())
+        return _run_claimed(claimed.unwrap(), call, run_once)
 
-    The chunk that makes the answer whole is handed over after the ending is
+    def _claim(
+        self,
+        key: keys.RequestKey,
+        ask: admission_messages.Ask,
+        call: answer_messages.Call,
+    ) -> result.Result[Claim, ledger_errors.LedgerRefusal]:
+        if self._claims is None:
+            down = ledger_errors.LedgerDown(detail="There is no ledger.")
+            return result.Err(down)
+        path = f"/services/{ask.service}{call.path}"
+        if ask.service is None:
+            path = call.path
+        print_of = keys.compute_fingerprint(call.method, path, call.body)
+        return self._claims.claim(key, print_of, self._clock.wall())
+
+
+class KeyedChunks(Iterator[bytes]):
+    """An answer's bytes; they are kept for repeats once whole.
+
+    The chunk that makes the answer whole is handed over after the outcome is
     recorded, so that a repeat right after it finds the record. Any other is
     handed over at once.
+
+    A caller that goes away doesn't end the request: it may come back with
+    its key for the answer, so the rest is read and kept.
     """
 
     def __init__(
-        self,
-        answer: session.Answer,
-        claim: ledger.Claim,
-        streamed: bool,
-        limit: int = KEPT_BYTES,
+        self, answer: session.Answer, claim: Claim, streamed: bool
     ) -> None:
         self._answer = answer
         self._claim = claim
         self._streamed = streamed
-        self._limit = limit
-        self._kept: list[bytes] = []
+        self._parts: list[bytes] = []
         self._size = 0
-        self._recorded = False
-
-    @property
-    def failed(self) -> bool:
-        """Whether the last bytes were an error event."""
-        return self._answer.chunks.failed
+        self._ended = False
 
     def __next__(self) -> bytes:
-        """Returns the next chunk."""
-        chunk = b"" if self._recorded else self._take()
+        """Returns the next bytes; records the outcome at their end."""
+        chunk = b"" if self._ended else self._take()
         if not chunk:
             raise StopIteration
-        if not self._streamed or chunk.endswith(_FINISH_EVENT):
+        if not self._streamed or _is_finished(chunk):
             return b"".join([chunk, *iter(self._take, b"")])
         return chunk
 
     def close(self) -> None:
-        """Lets the run go on to its end, for the record."""
-        for _ in self:
-            pass
-        self._answer.chunks.close()
+        """Reads what is left, records the outcome and closes the answer."""
+        try:
+            for _ in self:
+                pass
+        finally:
+            self._claim.record_unknown()  # Without effect once recorded.
+            progress.close_chunks(self._answer.chunks)
 
     def _take(self) -> bytes:
-        try:
-            chunk = next(self._answer.chunks, b"")
-        except BaseException:
-            self._claim.record_unknown()
-            raise
-        if chunk:
-            self._size += len(chunk)
-            if self._size <= self._limit:
-                self._kept.append(chunk)
-        else:
+        chunk = next(self._answer.chunks, b"")
+        if not chunk:
+            self._ended = True
             self._record()
+        self._size += len(chunk)
+        if self._size <= _KEEP_BYTES:
+            self._parts.append(chunk)
         return chunk
 
     def _record(self) -> None:
-        self._recorded = True
-        if self._answer.chunks.failed:
+        answer = self._answer
+        body = b"".join(self._parts)
+        failed = answer.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
+        cut = self._size > len(body)
+        broken = self._streamed and not _is_finished(body)
+        if failed or cut or broken:
             self._claim.record_unknown()
             return
-        whole = self._size <= self._limit
-        self._claim.record_done(
-            self._answer.status,
-            self._answer.headers,
-            b"".join(self._kept) if whole else b"",
-        )
+        self._claim.record_done(answer.status, answer.headers, body)
+
+
+def _is_finished(body: bytes) -> bool:
+    return (b"\n" + body).rstrip(b"\r\n").endswith(_FINISH_MARK)
 
 
 def _run_claimed(
-    claim: ledger.Claim, run: Callable[[MaySend], Served]
+    claim: Claim,
+    call: answer_messages.Call,
+    run_once: Callable[[Callable[[], bool]], Served],
 ) -> Served:
     try:
-        served = run(claim.may_send)
+        served = run_once(claim.may_send)
     except BaseException:
         claim.record_unknown()
         raise
-    if isinstance(served, result.Err):
-        if served.err_value.outcome is failures.Outcome.NOT_RUN:
-            claim.record_not_run()
-        else:
-            claim.record_unknown()
-        return served
-    answer = served.ok_value
-    streamed = not any(
-        name.lower() == "content-length" for name, _ in answer.headers
-    )
-    chunks = RecordedChunks(answer, claim, streamed)
-    recorded = session.Answer(answer.status, answer.headers, chunks)
-    return result.Ok(recorded)
+    if served.is_ok():
+        answer = served.unwrap()
+        # A refused stream comes as a plain answer.
+        streamed = call.streamed and answer.status == http.HTTPStatus.OK
+        chunks = KeyedChunks(answer, claim, streamed)
+        return result.Ok(session.Answer(answer.status, answer.headers, chunks))
+    if served.unwrap_err().outcome is failures.Outcome.NOT_RUN:
+        claim.record_not_run()
+    else:
+        claim.record_unknown()
+    return served
 
 
-def _describe(refusal: ledger_errors.LedgerRefusal) -> Served:
+def _answer_repeat(refusal: ledger_errors.LedgerRefusal) -> Served:
     if isinstance(refusal, ledger_errors.Replay):
-        return result.Ok(_replay(refusal))
-    return result.Err(
-        errors.Refusal(
-            status=http.HTTPStatus(refusal.STATUS),
-            code=_CODES[type(refusal)],
-            outcome=refusal.outcome,
-            retry_after_s=refusal.retry_after_s,
-            detail=refusal.detail or type(refusal).__doc__ or "",
+        kept = refusal.answer
+        headers = [*kept.headers, ("Idempotent-Replayed", "true")]
+        return result.Ok(
+            session.Answer(kept.status, headers, iter([kept.body]))
         )
+    return errors.refuse(
+        http.HTTPStatus(refusal.STATUS),
+        _CODES[type(refusal)],
+        refusal.detail or (type(refusal).__doc__ or "").partition("\n")[0],
+        outcome=refusal.outcome,
+        retry_after_s=refusal.retry_after_s,
     )
-
-
-def _replay(refusal: ledger_errors.Replay) -> session.Answer:
-    answer = refusal.answer
-    headers = [*answer.headers, REPLAYED_HEADER]
-    return session.Answer(answer.status, headers, ReplayedChunks(answer.body))
-
-
-class ReplayedChunks(Iterator[bytes]):
-    """The body of an answer from its record."""
-
-    failed = False
-
-    def __init__(self, body: bytes) -> None:
-        self._chunks = iter((body,))
-
-    def __next__(self) -> bytes:
-        """Returns the body, once."""
-        return next(self._chunks)
-
-    def close(self) -> None:
-        """Does nothing: there is nothing to give back."""
