--- a/pollenfork/endpoints/tests/test_leaving.py
+++ b/pollenfork/endpoints/tests/test_leaving.py
@@ -183,6 +183,45 @@
     assert record.judge() is fleet.LEAVING
 
 
+def test_partition_is_no_new_start():
+    here = start()
+    stop_by_list(here)
+    for member in here.members:
+        member.blind = True
+    here.run(10.0)
+    assert {m.states[E0] for m in here.members} == {fleet.GONE}
+    here.list_all(LIVE)
+    for member in here.members:
+        member.blind = False
+        member.platform.set_faults(faults.Faults())
+    here.run(60.0)
+    assert {m.states[E0] for m in here.members} == {fleet.LEAVING}
+
+
+def test_one_ready_answer_does_not_end_its_own_refusal():
+    record = health.Record()
+    record.hear_ready(False, sent_at=0.0, now=0.0)
+    for at in (1.0, 2.0):
+        record.hear_ready(True, sent_at=at, now=at)
+        assert record.judge() is fleet.LEAVING
+    record.hear_ready(True, sent_at=3.0, now=3.0)
+    assert record.judge() is fleet.LIVE
+
+
+def test_claim_from_before_a_new_start_is_outdated_until_made_again():
+    record = health.Record()
+    peer = ids.InstanceId("i9")
+    record.hear_peer(True, peer, now=0.0)
+    record.hear_failure(refused=True, sent_at=1.0, now=1.0)
+    for at in (2.0, 3.0, 4.0):
+        record.hear_ready(True, sent_at=at, now=at)
+    record.hear_peer(True, peer, now=5.0)
+    assert record.judge() is fleet.LIVE
+    record.hear_peer(False, peer, now=6.0)
+    record.hear_peer(True, peer, now=7.0)
+    assert record.judge() is fleet.LEAVING
+
+
 def test_claim_of_a_lost_peer_runs_out():
     record = health.Record()
     record.hear_ready(True, sent_at=0.0, now=0.0)
