--- a/pollenfork/endpoints/actor.py
+++ b/pollenfork/endpoints/actor.py
@@ -6,7 +6,6 @@
 from typing import Any
 import uuid
 
-import msgspec
 import pykka
 import result
 
@@ -41,32 +40,6 @@
 ]
 
 
-class Tick(msgspec.Struct, frozen=True):
-    """Time has passed."""
-
-
-class PeerLeaving(msgspec.Struct, frozen=True):
-    """A peer says which endpoints leave; see `Endpoints`."""
-
-    endpoints: tuple[ids.EndpointId, ...]
-    peer: ids.InstanceId | None
-
-
-class MakeDrain(msgspec.Struct, frozen=True):
-    """Asks for the write of a wish to drain; answers with a `Result`."""
-
-    endpoint: ids.EndpointId
-    wished: bool
-
-
-class ListEndpoints(msgspec.Struct, frozen=True):
-    """Asks for the operators' view."""
-
-
-class Stop(msgspec.Struct, frozen=True):
-    """Starts no further order."""
-
-
 class EndpointsActor(pykka.ThreadingActor):
     """Owns the core; never waits for a call."""
 
@@ -97,7 +70,20 @@
         ] = {}
 
     def on_receive(self, message: Any) -> Any:
-        """Takes one message; asks are answered by what they return."""
+        """Takes one message; asks are answered by what they return.
+
+        An actor ends with its first exception; this one must not, or nobody
+        would see the endpoints any more.
+        """
+        try:
+            return self._receive(message)
+        except Exception:
+            if isinstance(message, messages.MakeDrain | messages.ListEndpoints):
+                raise  # The asker gets it, and the actor goes on.
+            _LOG.exception("event=message_failed slice=endpoints")
+            return None
+
+    def _receive(self, message: Any) -> Any:
         answer = self._handle(message)
         now = self._clock.monotonic()
         for news in self._core.take_news(now):
@@ -108,7 +94,7 @@
     def _handle(self, message: Any) -> Any:
         now = self._clock.monotonic()
         match message:
-            case Tick():
+            case messages.Tick():
                 self._core.hear_live(self._live_peers())
                 self._start_calls(now)
             case calls.Done():
@@ -118,13 +104,13 @@
             case settings_messages.TreeInForce(tree):
                 self._core.apply_tree(tree)
                 self._connect_all(tree)
-            case PeerLeaving(endpoints, peer):
+            case messages.PeerLeaving(endpoints, peer):
                 self._core.hear_peer_leaving(endpoints, peer, now)
-            case MakeDrain(endpoint, wished):
+            case messages.MakeDrain(endpoint, wished):
                 return self._make_drain(endpoint, wished)
-            case ListEndpoints():
+            case messages.ListEndpoints():
                 return self._core.list_endpoints(now)
-            case Stop():
+            case messages.Stop():
                 self._core.stop_orders()
                 self._start_calls(now)
         return None
@@ -225,13 +211,13 @@
             self._keep_leaving,
             self._submit,
         )
-        timers.every(_TICK_S, lambda: self._tell(Tick()))
+        timers.every(_TICK_S, lambda: self._tell(messages.Tick()))
 
     def stop(self) -> None:
         """Gives idle leases back, then ends the threads."""
         if self._actor is None:
             return
-        self._actor.ask(Stop(), timeout=_ASK_TIMEOUT_S)
+        self._actor.ask(messages.Stop(), timeout=_ASK_TIMEOUT_S)
         for pool in self._pools.values():
             pool.shutdown(wait=True, cancel_futures=False)
         self._actor.stop(timeout=_ASK_TIMEOUT_S)
@@ -251,7 +237,7 @@
         With `peer`, they are all that it says now, and what it said earlier
         is taken back; without, they are further news.
         """
-        self._tell(PeerLeaving(endpoints, peer))
+        self._tell(messages.PeerLeaving(endpoints, peer))
 
     def drain(
         self, endpoint: ids.EndpointId
@@ -280,14 +266,16 @@
         """Returns every endpoint of the data centre for operators."""
         if self._actor is None:
             return ()
-        found: Any = self._actor.ask(ListEndpoints(), timeout=_ASK_TIMEOUT_S)
+        found: Any = self._actor.ask(
+            messages.ListEndpoints(), timeout=_ASK_TIMEOUT_S
+        )
         return found
 
     def _store_drain(
         self, endpoint: ids.EndpointId, wished: bool
     ) -> result.Result[None, errors.UnknownEndpoint | errors.DrainNotStored]:
         assert self._actor is not None
-        message = MakeDrain(endpoint, wished)
+        message = messages.MakeDrain(endpoint, wished)
         made: Any = self._actor.ask(message, timeout=_ASK_TIMEOUT_S)
         if isinstance(made, result.Err):
             return made
--- a/pollenfork/endpoints/messages.py
+++ b/pollenfork/endpoints/messages.py
@@ -1,4 +1,4 @@
-"""What other slices hear from this one, beside `dispatch.messages`."""
+"""What the slice hears and says, beside `dispatch.messages`."""
 
 import enum
 
@@ -52,3 +52,29 @@
     fencing: ids.FencingNumber
     order: str = ""
     heard_s: float | None = None
+
+
+class Tick(msgspec.Struct, frozen=True):
+    """Time has passed."""
+
+
+class PeerLeaving(msgspec.Struct, frozen=True):
+    """A peer says which endpoints leave; see `Endpoints`."""
+
+    endpoints: tuple[ids.EndpointId, ...]
+    peer: ids.InstanceId | None
+
+
+class MakeDrain(msgspec.Struct, frozen=True):
+    """Asks for the write of a wish to drain; answers with a `Result`."""
+
+    endpoint: ids.EndpointId
+    wished: bool
+
+
+class ListEndpoints(msgspec.Struct, frozen=True):
+    """Asks for the operators' view."""
+
+
+class Stop(msgspec.Struct, frozen=True):
+    """Starts no further order."""
--- a/pollenfork/endpoints/tests/fleet.py
+++ b/pollenfork/endpoints/tests/fleet.py
@@ -90,10 +90,12 @@
 class Fleet:
     """Everything together, moved on by ticks."""
 
-    def __init__(self, members=3, endpoints=4, models=("m",)):
+    def __init__(
+        self, members=3, endpoints=4, models=("m",), permits_per_s=100.0
+    ):
         self.clock = clock.ManualClock()
         self.state = fake.core.Platform(
-            fake.configs.PlatformConfig(permits_per_s=100.0)
+            fake.configs.PlatformConfig(permits_per_s=permits_per_s)
         )
         self._ids = itertools.count()
         self.endpoints = {
--- a/pollenfork/endpoints/tests/test_actor.py
+++ b/pollenfork/endpoints/tests/test_actor.py
@@ -44,6 +44,7 @@
         self.address = self.engine.start()
         self.news = []
         self.hints = []
+        self.fails = False
         self.live = (ids.InstanceId("i1"),)
         pool = client.make_pool()
         self.endpoints = InlineEndpoints(
@@ -59,12 +60,17 @@
             self.platform.instances,
             self.platform.weights,
             lambda settings: client.HttpEndpoint(settings.address, pool),
-            self.news.append,
+            self.hear,
             lambda: self.live,
             publish_hint=self.hints.append,
         )
         self.endpoints.start(self.timers)
 
+    def hear(self, news):
+        if self.fails:
+            raise RuntimeError("a listener of the test fails")
+        self.news.append(news)
+
     def apply(self, *models):
         endpoint = model.EndpointSettings(
             address=self.address,
@@ -183,6 +189,15 @@
     assert site.read_states()[-1] is dispatch_messages.EndpointState.LIVE
 
 
+def test_listener_that_fails_does_not_end_the_actor(site):
+    site.fails = True
+    site.apply("model")
+    site.run(3.0)
+    site.fails = False
+    site.run(3.0)
+    assert site.news
+
+
 def test_cache_events_become_hints(site):
     site.apply("model")
     site.engine.core.cache.insert((5, 6), site.clock.monotonic())
