--- a/benchmarks/decisions/policies.py
+++ b/benchmarks/decisions/policies.py
@@ -137,9 +137,9 @@
 class Alone:
     """No joint action: each instance fills what it sees as free."""
 
-    def allow(self, claims: sharing.Claims, tier: int) -> int:
+    def allow(self, claims: sharing.Claims, tier: int, asking: int) -> int:
         """Returns how many slots may be held."""
-        del claims, tier
+        del claims, tier, asking
         return 1 << 30
 
     def keep_free(self, claims: sharing.Claims, tier: int) -> float:
@@ -154,8 +154,9 @@
     def __init__(self, instances: int) -> None:
         self._instances = instances
 
-    def allow(self, claims: sharing.Claims, tier: int) -> int:
+    def allow(self, claims: sharing.Claims, tier: int, asking: int) -> int:
         """Returns how many slots may be held."""
+        del asking
         part = math.ceil(claims.capacity / self._instances)
         own = claims.own_in_flight
         return part - sum(own) + own[tier]
@@ -172,11 +173,11 @@
     def __init__(self) -> None:
         self._split = sharing.DemandSplit()
 
-    def allow(self, claims: sharing.Claims, tier: int) -> int:
+    def allow(self, claims: sharing.Claims, tier: int, asking: int) -> int:
         """Returns every slot while headroom is left."""
         nobody = [0] * len(claims.peer_waiting)
         alone = msgspec.structs.replace(claims, peer_waiting=nobody)
-        return 1 << 30 if self._split.allow(alone, tier) else 0
+        return 1 << 30 if self._split.allow(alone, tier, asking) else 0
 
     def keep_free(self, claims: sharing.Claims, tier: int) -> float:
         """Leaves the same headroom as the split."""
--- a/pollenfork/admission/core.py
+++ b/pollenfork/admission/core.py
@@ -5,8 +5,6 @@
 import itertools
 from typing import TypeVar
 
-import sortedcontainers
-
 from pollenfork import ids
 from pollenfork.admission import messages
 from pollenfork.admission import queues
@@ -14,6 +12,8 @@
 
 K = TypeVar("K")
 
+_SLACK = 64
+
 _Reason = messages.RefusalReason
 
 Given = tuple[queues.Waiting, messages.RefusalReason]
@@ -61,12 +61,21 @@
             return _Reason.QUEUE_FULL
         return None
 
-    def add(self, ask: messages.Ask, expires_at: float) -> queues.Waiting:
-        """Queues a request that no bound keeps out; see `pop_victims`."""
-        waiting = queues.Waiting(ask, next(self._sequence))
+    def has_waiting(self, pool: messages.PoolKey, tier: ids.Tier) -> bool:
+        """Returns whether anything waits in the tier or above it."""
+        depths = self.depths.get(pool)
+        return depths is not None and any(depths[: tier + 1])
+
+    def open(self, ask: messages.Ask) -> None:
+        """Counts a request against its account and team."""
         self._open[ask.request] = ask
         _add(self._by_account, (ask.team, ask.account), 1)
         _add(self._by_team, ask.team, 1)
+
+    def add(self, ask: messages.Ask, expires_at: float) -> queues.Waiting:
+        """Queues a request that no bound keeps out; see `pop_victims`."""
+        waiting = queues.Waiting(ask, next(self._sequence))
+        self.open(ask)
         _add(self._by_class, messages.class_key(ask), 1)
         self._evictable.add(waiting)
         self._enqueue(waiting, expires_at)
@@ -228,48 +237,68 @@
 
 
 class _Evictable:
-    """Waiting requests that never ran, the first to evict at the end.
+    """Waiting requests that never ran, in the order of their eviction.
 
     Lower tiers go first; inside a tier those that are not protected, and of
-    these the latest deadline.
+    these the latest deadline. Heaps drop what left the queue lazily.
     """
 
     def __init__(self) -> None:
-        self._tiers: dict[ids.Tier, sortedcontainers.SortedList] = {}
-        self._by_sequence: dict[int, queues.Waiting] = {}
+        self._tiers: dict[tuple[ids.Tier, bool], _Heap] = {}
 
     def add(self, waiting: queues.Waiting) -> None:
-        tier = self._tiers.setdefault(
-            waiting.ask.tier, sortedcontainers.SortedList()
-        )
-        tier.add(_eviction_key(waiting))
-        self._by_sequence[waiting.sequence] = waiting
+        key = (waiting.ask.tier, waiting.ask.protected)
+        heap = self._tiers.get(key)
+        if heap is None:
+            heap = self._tiers[key] = _Heap()
+        heap.add(waiting)
 
     def drop(self, waiting: queues.Waiting) -> None:
-        self._tiers[waiting.ask.tier].remove(_eviction_key(waiting))
-        del self._by_sequence[waiting.sequence]
+        self._tiers[(waiting.ask.tier, waiting.ask.protected)].drop()
 
     def has_victim(self, ask: messages.Ask) -> bool:
         return any(
-            tier > ask.tier and keys for tier, keys in self._tiers.items()
+            tier > ask.tier and heap.alive
+            for (tier, _), heap in self._tiers.items()
         )
 
     def find_victim(self, above: ids.Tier) -> queues.Waiting | None:
-        lower = [t for t, keys in self._tiers.items() if t > above and keys]
-        if not lower:
-            return None
         # Protected work gives way only where nothing else is left, and only
         # to a higher tier.
-        unprotected = [t for t in lower if self._tiers[t][-1][0]]
-        tier = max(unprotected or lower)
-        _, _, sequence = self._tiers[tier][-1]
-        return self._by_sequence[sequence]
+        for protected in (False, True):
+            lower = [
+                tier
+                for (tier, is_protected), heap in self._tiers.items()
+                if tier > above and is_protected is protected and heap.alive
+            ]
+            if lower:
+                return self._tiers[(max(lower), protected)].find_latest()
+        return None
 
 
-def _eviction_key(waiting: queues.Waiting) -> tuple[bool, float, int]:
-    ask = waiting.ask
-    # Sorted ascending, evicted from the end: False (protected) comes first.
-    return not ask.protected, ask.first_token_due, waiting.sequence
+class _Heap:
+    """Waiting requests by deadline, the latest first."""
+
+    def __init__(self) -> None:
+        self.alive = 0
+        self._heap: list[tuple[float, int, queues.Waiting]] = []
+
+    def add(self, waiting: queues.Waiting) -> None:
+        self.alive += 1
+        due = waiting.ask.first_token_due
+        heapq.heappush(self._heap, (-due, -waiting.sequence, waiting))
+
+    def drop(self) -> None:
+        """Counts one out, which the heap holds until it comes up."""
+        self.alive -= 1
+        if len(self._heap) > 2 * self.alive + _SLACK:
+            self._heap = [entry for entry in self._heap if entry[2].alive]
+            heapq.heapify(self._heap)
+
+    def find_latest(self) -> queues.Waiting:
+        while not self._heap[0][2].alive:
+            heapq.heappop(self._heap)
+        return self._heap[0][2]
 
 
 def _place(
--- a/pollenfork/admission/forecast.py
+++ b/pollenfork/admission/forecast.py
@@ -101,9 +101,10 @@
 
     def note_first(self, ask: messages.Ask, seconds: float) -> None:
         """Takes the time from grant to first token."""
-        sketch = self._first_ms.setdefault(
-            messages.pool_key(ask), sketches.Sketch()
-        )
+        pool = messages.pool_key(ask)
+        sketch = self._first_ms.get(pool)
+        if sketch is None:
+            sketch = self._first_ms[pool] = sketches.Sketch()
         sketch.record(round(seconds * _MS))
 
     def note_end(
@@ -117,7 +118,10 @@
             del self._holds[oldest], self._tokens[oldest]
         _record_mean(self._holds, key, hold_s)
         _record_mean(self._tier_holds, (pool, ask.tier), hold_s)
-        self._tokens.setdefault(key, sketches.Sketch()).record(tokens)
+        sketch = self._tokens.get(key)
+        if sketch is None:
+            sketch = self._tokens[key] = sketches.Sketch()
+        sketch.record(tokens)
         if tokens > 1:
             _record_mean(self._gap_s, pool, answering_s / (tokens - 1))
 
--- a/pollenfork/admission/messages.py
+++ b/pollenfork/admission/messages.py
@@ -13,7 +13,7 @@
 _SERVICE_PREFIX = "services/"
 
 
-class Ask(msgspec.Struct, frozen=True, kw_only=True):
+class Ask(msgspec.Struct, frozen=True, kw_only=True, gc=False):
     """A request that wants a slot at an endpoint.
 
     Times are monotonic seconds of this instance.
--- a/pollenfork/decisions.py
+++ b/pollenfork/decisions.py
@@ -64,12 +64,13 @@
 
     def submit(self, ask: admission_messages.Ask, now: float) -> list[Decision]:
         """Takes a request; its decision may come with a later event."""
+        self._give_up_expired(now)
         reason = self._find_refusal(ask)
-        if reason is None:
-            self._queue(ask, now)
-        else:
+        if reason is not None:
             self._refuse(ask, reason, now)
-        return self._decide(now)
+        elif not self._serve_at_once(ask, now):
+            self._queue(ask, now)
+        return self._take_decided()
 
     def ask_again(self, again: messages.AskAgain, now: float) -> list[Decision]:
         """Takes an admitted request's wish for a further attempt."""
@@ -79,7 +80,7 @@
                 request=again.request, reason=_Reason.CALLER_GONE
             )
             self._add_refused(refused)
-            return self._decide(now)
+            return self._take_decided()
         if again.reason is _Retry.HEDGE:
             self._hedge(ask, again, now)
         else:
@@ -89,10 +90,23 @@
     def report(self, event: Any, now: float) -> list[Decision]:
         """Takes any other event."""
         match event:
-            case messages.RequestClosed():
-                self._close(event.request, now)
-            case admission_messages.Withdrawn():
-                self._withdraw(event.request, now)
+            case messages.FirstToken():
+                self._note_first(event)
+                return []
+            case messages.Progress():
+                self._dispatch.note_progress(event, now)
+                return []
+            case messages.AttemptEnded():
+                self._end(event, now)
+            case messages.RequestClosed() | admission_messages.Withdrawn():
+                if not self._leave(event, now):
+                    return self._take_decided()
+            case _:
+                self._take_news(event, now)
+        return self._decide(now)
+
+    def _take_news(self, event: Any, now: float) -> None:
+        match event:
             case messages.EndpointReport():
                 self._dispatch.note_report(event, now)
             case messages.EndpointNotice():
@@ -104,8 +118,7 @@
             case settings_messages.TreeInForce():
                 self._dispatch.apply_tree(event.tree, now)
             case _:
-                self._take_course(event, now)
-        return self._decide(now)
+                raise TypeError(f"unknown event {type(event).__name__}")
 
     def tick(self, now: float) -> list[Decision]:
         """Lets time pass; call it about every 50 ms."""
@@ -167,6 +180,7 @@
         waiting.predicted_s = wait.seconds
         for victim, reason in self._admission.pop_victims(ask.tier):
             self._refuse(victim.ask, reason, now)
+        self._serve_next(admission_messages.pool_key(ask), ask.tier, now)
 
     # Further attempts.
 
@@ -239,17 +253,6 @@
 
     # The course of attempts.
 
-    def _take_course(self, event: Any, now: float) -> None:
-        match event:
-            case messages.FirstToken():
-                self._note_first(event)
-            case messages.Progress():
-                self._dispatch.note_progress(event, now)
-            case messages.AttemptEnded():
-                self._end(event, now)
-            case _:
-                raise TypeError(f"unknown event {type(event).__name__}")
-
     def _note_first(self, first: messages.FirstToken) -> None:
         attempt = self._dispatch.note_first(first)
         if attempt is not None:
@@ -264,31 +267,64 @@
         answering = ended.at - (attempt.first_at or ended.at)
         self._forecast.note_end(attempt.ask, hold, ended.tokens, answering)
 
-    def _close(self, request: ids.RequestId, now: float) -> None:
-        self._withdraw(request, now)
-        self._dispatch.close(request, now)
-        self._admission.close(request)
-
-    def _withdraw(self, request: ids.RequestId, now: float) -> None:
-        waiting = self._admission.withdraw(request)
+    def _leave(
+        self,
+        event: messages.RequestClosed | admission_messages.Withdrawn,
+        now: float,
+    ) -> bool:
+        """Forgets the request; returns whether that freed a slot."""
+        waiting = self._admission.withdraw(event.request)
         if waiting is not None:
             self._refuse(waiting.ask, _Reason.CALLER_GONE, now)
+        if not isinstance(event, messages.RequestClosed):
+            return False
+        self._admission.close(event.request)
+        return self._dispatch.close(event.request, now)
 
     # Decisions.
 
     def _decide(self, now: float) -> list[Decision]:
-        for waiting, reason in self._admission.pop_expired(now):
-            self._refuse(waiting.ask, reason, now)
+        self._give_up_expired(now)
         if self._admission.size:
             self._serve_shares(now)
             self._serve_tiers(now)
         return self._take_decided()
 
+    def _give_up_expired(self, now: float) -> None:
+        for waiting, reason in self._admission.pop_expired(now):
+            self._refuse(waiting.ask, reason, now)
+
+    def _serve_at_once(self, ask: admission_messages.Ask, now: float) -> bool:
+        """Serves a request that nothing waits before, if a slot is free."""
+        pool = admission_messages.pool_key(ask)
+        if self._admission.has_waiting(pool, ask.tier):
+            return False
+        if self._shares.list_due():
+            return False
+        rule = dispatch_core.Rule.AT_ONCE
+        hedge = self._find_hedge_delay(ask)
+        grant = self._dispatch.place(ask, now, rule, (), hedge)
+        if grant is None:
+            return False
+        self._admission.open(ask)
+        self._note_first_attempt(ask, now)
+        self._add_grant(grant)
+        return True
+
     def _serve_tiers(self, now: float) -> None:
         for pool, tier in self._admission.list_places():
-            while waiting := self._admission.find_next(pool, tier, now):
-                if not self._serve(waiting, dispatch_core.Rule.SPLIT, now):
-                    break
+            while self._serve_next(pool, tier, now):
+                pass
+
+    def _serve_next(
+        self, pool: admission_messages.PoolKey, tier: ids.Tier, now: float
+    ) -> bool:
+        if not self._dispatch.has_room(pool):
+            return False
+        waiting = self._admission.find_next(pool, tier, now)
+        if waiting is None:
+            return False
+        return self._serve(waiting, dispatch_core.Rule.SPLIT, now)
 
     def _serve_shares(self, now: float) -> None:
         for pool, key, tier in self._shares.list_due():
@@ -303,9 +339,7 @@
         now: float,
     ) -> bool:
         ask = waiting.ask
-        hedge = None
-        if ask.hedge and ask.idempotent and not waiting.again:
-            hedge = self._forecast.expect_first(ask, _HEDGE_PART)
+        hedge = None if waiting.again else self._find_hedge_delay(ask)
         grant = self._dispatch.place(ask, now, rule, waiting.avoid, hedge)
         if grant is None:
             return False
@@ -315,12 +349,23 @@
         pool = admission_messages.pool_key(ask)
         self._shares.pay(shares.Place(pool, key, ask.tier))
         if not waiting.again:
-            self._forecast.note_grant(ask, now)
-            self._budgets.earn(key, ask.retry_ratio)
-            self.counters.first_attempts += 1
+            self._note_first_attempt(ask, now)
             self._check_prediction(waiting, now - ask.arrived)
         return True
 
+    def _find_hedge_delay(self, ask: admission_messages.Ask) -> float | None:
+        if ask.hedge and ask.idempotent:
+            return self._forecast.expect_first(ask, _HEDGE_PART)
+        return None
+
+    def _note_first_attempt(
+        self, ask: admission_messages.Ask, now: float
+    ) -> None:
+        self._forecast.note_grant(ask, now)
+        key = admission_messages.class_key(ask)
+        self._budgets.earn(key, ask.retry_ratio)
+        self.counters.first_attempts += 1
+
     def _check_prediction(
         self, waiting: queues.Waiting, actual_s: float
     ) -> None:
--- a/pollenfork/dispatch/core.py
+++ b/pollenfork/dispatch/core.py
@@ -43,6 +43,7 @@
     """By which right a request takes a slot."""
 
     SPLIT = "split"  # Its tier's part of this instance.
+    AT_ONCE = "at_once"  # The same, without having waited.
     SHARE = "share"  # Its class's minimum share.
     IDLE = "idle"  # A hedge: only a slot that nobody wants.
 
@@ -138,6 +139,11 @@
         pool = self._supply.find_pool(key)
         return self._supply.read_claims(pool) if pool else None
 
+    def has_room(self, key: admission_messages.PoolKey) -> bool:
+        """Returns whether any endpoint of the pool has room."""
+        pool = self._supply.find_pool(key)
+        return pool is not None and bool(pool.open)
+
     def count_free(
         self, key: admission_messages.PoolKey, tier: ids.Tier
     ) -> float:
@@ -160,7 +166,7 @@
     ) -> messages.Grant | None:
         """Gives the request a slot by that rule, if there is one."""
         pool = self._supply.find_pool(admission_messages.pool_key(ask))
-        if pool is None:
+        if pool is None or not pool.open:
             return None
         claims = self._supply.read_claims(pool)
         if not self._is_allowed(claims, ask.tier, rule):
@@ -168,11 +174,15 @@
         chosen = self._choose(pool, ask, now, avoid)
         if chosen is None:
             return None
-        grant = self._start(ask, chosen, now)
         # A share's request would starve in the engine behind higher tiers.
         priority = 0 if rule is Rule.SHARE else ask.tier
-        return msgspec.structs.replace(
-            grant, priority=priority, hedge_after_s=hedge_after_s
+        return messages.Grant(
+            request=ask.request,
+            attempt=self._start(ask, chosen, now),
+            endpoint=chosen.name,
+            address=chosen.settings.address,
+            priority=priority,
+            hedge_after_s=hedge_after_s,
         )
 
     def note_first(self, first: messages.FirstToken) -> Attempt | None:
@@ -197,7 +207,7 @@
 
     def end(self, ended: messages.AttemptEnded, now: float) -> Attempt | None:
         """Gives the attempt's slot back; None where it was back already."""
-        attempt = self._release(ended.attempt, now)
+        attempt = self._attempts.get(ended.attempt)
         if attempt is None:
             return None
         if ended.how in _BROKEN:
@@ -206,14 +216,15 @@
             self._stragglers.note(attempt.endpoint.name, _OVERDUE_RATIO)
         elif ended.how is messages.AttemptEnd.FINISHED:
             self._judge_gap(attempt, ended.tokens, ended.at, now)
-        self._supply.refresh(attempt.endpoint, now)
-        return attempt
+        return self._release(ended.attempt, now)
 
-    def close(self, request: ids.RequestId, now: float) -> None:
-        """Forgets the request and frees any slot it still holds."""
-        for attempt in list(self._by_request.get(request, ())):
-            self._release(attempt, now)
+    def close(self, request: ids.RequestId, now: float) -> bool:
+        """Forgets the request; returns whether it still held a slot."""
         self._numbers.pop(request, None)
+        held = list(self._by_request.get(request, ()))
+        for attempt in held:
+            self._release(attempt, now)
+        return bool(held)
 
     def count_attempts(self, request: ids.RequestId) -> int:
         """Returns how often the request was sent so far."""
@@ -239,7 +250,9 @@
             return True
         if rule is Rule.IDLE:
             return not any(claims.own_waiting) and not any(claims.peer_waiting)
-        return claims.own_in_flight[tier] < self._split.allow(claims, tier)
+        asking = 1 if rule is Rule.AT_ONCE else 0
+        allowed = self._split.allow(claims, tier, asking)
+        return claims.own_in_flight[tier] < allowed
 
     def _choose(
         self,
@@ -267,19 +280,14 @@
         ask: admission_messages.Ask,
         chosen: endpoints.Endpoint,
         now: float,
-    ) -> messages.Grant:
+    ) -> ids.AttemptId:
         number = self._numbers.get(ask.request, 0) + 1
         self._numbers[ask.request] = number
         name = ids.AttemptId(f"{ask.request}.{number}")
         self._attempts[name] = Attempt(ask, chosen, now)
         self._by_request.setdefault(ask.request, []).append(name)
         self._supply.count_in(chosen, ask.tier, now)
-        return messages.Grant(
-            request=ask.request,
-            attempt=name,
-            endpoint=chosen.name,
-            address=chosen.settings.address,
-        )
+        return name
 
     def _release(self, name: ids.AttemptId, now: float) -> Attempt | None:
         attempt = self._attempts.pop(name, None)
--- a/pollenfork/dispatch/endpoint.py
+++ b/pollenfork/dispatch/endpoint.py
@@ -1,5 +1,7 @@
 """What one instance knows of one endpoint."""
 
+from typing import NamedTuple
+
 from pollenfork import ids
 from pollenfork.admission import messages as admission_messages
 from pollenfork.dispatch import limits
@@ -15,6 +17,20 @@
 _Live = messages.EndpointState.LIVE
 
 
+class Assessment(NamedTuple):
+    """What an endpoint offers.
+
+    Attributes:
+        has_room: One more attempt may go to it.
+        capacity: The slots it adds to its pools.
+        unseen: Attempts that only its own report tells of.
+    """
+
+    has_room: bool
+    capacity: float
+    unseen: int
+
+
 class Endpoint:
     """State, limit and load of one endpoint.
 
@@ -130,31 +146,22 @@
         reported = report.running + report.waiting + self._since_report
         return max(known, reported)
 
-    def count_unseen(self, now: float) -> int:
-        """Returns the attempts that only its own report tells of."""
+    def assess(self, now: float) -> Assessment:
+        """Returns what it offers now."""
+        known = self.own + self.peers
         if not self.is_usable(now):
-            return 0
-        return self.estimate_load(now) - self.own - self.peers
-
-    def has_room(self, now: float) -> bool:
-        """Returns whether one more attempt may go to it."""
-        return (
-            self.is_usable(now)
-            and self.estimate_load(now) + 1 <= self.limit.read(now)
-            and self.has_memory(now)
-        )
+            # What it still holds counts as capacity that is in use.
+            return Assessment(False, float(known), 0)
+        load = self.estimate_load(now)
+        limit = self.limit.read(now)
+        has_room = load + 1 <= limit and self._has_memory(now)
+        return Assessment(has_room, limit, load - known)
 
     def rate_use(self, now: float) -> float:
         """Returns the part of its limit in use with one more attempt."""
         return (self.estimate_load(now) + 1) / self.limit.read(now)
 
-    def read_capacity(self, now: float) -> float:
-        """Returns the slots it adds; one out of use adds what it holds."""
-        if self.is_usable(now):
-            return self.limit.read(now)
-        return float(self.own + self.peers)
-
-    def has_memory(self, now: float) -> bool:
+    def _has_memory(self, now: float) -> bool:
         """Returns whether a fresh report shows KV memory left."""
         report = self._report
         if report is None or now - report.measured_at > _REPORT_VALID_S:
--- a/pollenfork/dispatch/sharing.py
+++ b/pollenfork/dispatch/sharing.py
@@ -23,6 +23,8 @@
         own_in_flight: Attempts of this instance.
         peer_waiting: Requests waiting at peers.
         peer_in_flight: Attempts of peers.
+        own_held: Sum of `own_in_flight`.
+        peer_held: Sum of `peer_in_flight`.
         unseen: Attempts that only the endpoints' own reports tell of.
         instances: Instances that share the endpoints, this one included.
         is_cut_off: All peers there were are out of reach, perhaps at work.
@@ -34,6 +36,8 @@
     peer_waiting: list[int]
     peer_in_flight: list[int]
     instances: int
+    own_held: int = 0
+    peer_held: int = 0
     unseen: int = 0
     is_cut_off: bool = False
 
@@ -50,21 +54,25 @@
 
     def rate_elsewhere(self) -> float:
         """Returns the part of the held slots that others hold."""
-        own = sum(self.own_in_flight)
-        others = sum(self.peer_in_flight) + self.unseen
-        return others / max(1, own + others)
+        others = self.peer_held + self.unseen
+        return others / max(1, self.own_held + others)
 
     def count_free(self) -> float:
         """Returns the slots that nobody is known to hold."""
-        held = sum(self.own_in_flight) + sum(self.peer_in_flight)
-        return self.capacity - held - self.unseen
+        return self.capacity - self.own_held - self.peer_held - self.unseen
 
 
 class Sharing(Protocol):
     """A way to split slots among instances."""
 
-    def allow(self, claims: Claims, tier: int) -> int:
-        """Returns how many slots this instance may hold in the tier."""
+    def allow(self, claims: Claims, tier: int, asking: int) -> int:
+        """Returns how many slots this instance may hold in the tier.
+
+        Args:
+            claims: Who wants and holds the slots.
+            tier: The tier of the request to serve.
+            asking: 1 for a request that isn't counted as waiting yet.
+        """
 
     def keep_free(self, claims: Claims, tier: int) -> float:
         """Returns how many slots the tier leaves to the tiers above it."""
@@ -83,9 +91,9 @@
     def __init__(self, headroom: float = _HEADROOM) -> None:
         self._headroom = headroom
 
-    def allow(self, claims: Claims, tier: int) -> int:
+    def allow(self, claims: Claims, tier: int, asking: int) -> int:
         """Returns how many slots this instance may hold in the tier."""
-        own = claims.own_waiting[tier] + claims.own_in_flight[tier]
+        own = claims.own_waiting[tier] + claims.own_in_flight[tier] + asking
         peers = claims.peer_waiting[tier] + claims.peer_in_flight[tier]
         left = claims.read_capacity() - _sum_higher(claims, tier)
         if left <= 0:
--- a/pollenfork/dispatch/supply.py
+++ b/pollenfork/dispatch/supply.py
@@ -127,16 +127,15 @@
         linked = self._pools_of.get(known.name)
         if not linked:
             return
-        is_open = known.has_room(now)
+        name = known.name
+        found = known.assess(now)
         for pool in linked:
-            pool.set_open(known, is_open)
-        capacity = known.read_capacity(now)
+            pool.set_open(known, found.has_room)
         claims = linked[0].cluster.claims
-        claims.capacity += capacity - self._counted[known.name]
-        self._counted[known.name] = capacity
-        unseen = known.count_unseen(now)
-        claims.unseen += unseen - self._unseen[known.name]
-        self._unseen[known.name] = unseen
+        claims.capacity += found.capacity - self._counted[name]
+        claims.unseen += found.unseen - self._unseen[name]
+        self._counted[name] = found.capacity
+        self._unseen[name] = found.unseen
 
     def read_pressure(
         self,
@@ -182,7 +181,9 @@
             del self._in_flight[key]
         linked = self._pools_of.get(known.name)
         if linked:
-            linked[0].cluster.claims.own_in_flight[tier] += amount
+            claims = linked[0].cluster.claims
+            claims.own_in_flight[tier] += amount
+            claims.own_held += amount
 
     def _count_peer(self, peer: peers.Peer, sign: int, now: float) -> None:
         pressure = peer.pressure
@@ -215,8 +216,9 @@
             known.peers += sign * held.in_flight
             linked = self._pools_of.get(known.name)
             if linked:
-                in_flight = linked[0].cluster.claims.peer_in_flight
-                in_flight[held.tier] += sign * held.in_flight
+                claims = linked[0].cluster.claims
+                claims.peer_in_flight[held.tier] += sign * held.in_flight
+                claims.peer_held += sign * held.in_flight
             self.refresh(known, now)
 
     def _rebuild(self, now: float) -> None:
@@ -228,7 +230,9 @@
         for (name, tier), count in self._in_flight.items():
             linked = self._pools_of.get(name)
             if linked:
-                linked[0].cluster.claims.own_in_flight[tier] += count
+                claims = linked[0].cluster.claims
+                claims.own_in_flight[tier] += count
+                claims.own_held += count
         for peer in self._peers.list_all():
             self._count_peer(peer, 1, now)
         for known in self.endpoints.values():
