--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -5,6 +5,7 @@
 
 import argparse
 import json
+import os
 import pathlib
 import subprocess
 import sys
@@ -19,7 +20,10 @@
 
 
 class Row(msgspec.Struct, kw_only=True):
-    """One relay at one number of streams; times in milliseconds."""
+    """One relay at one number of streams; times in milliseconds.
+
+    `load` is the machine's load average, since others share it.
+    """
 
     relay: str
     streams: int
@@ -31,6 +35,7 @@
     whole: int
     rss_mb: float
     threads: int
+    load: float = 0.0
 
 
 def _start(module: str, *arguments: Any) -> subprocess.Popen[str]:
@@ -90,9 +95,21 @@
         whole=readings["whole"],
         rss_mb=round(rss / 1e6, 1),
         threads=threads,
+        load=round(os.getloadavg()[0], 1),
     )
 
 
+def _write_results(rows: list[Row]) -> None:
+    """Replaces the rows measured now; those of other sizes stay."""
+    RESULTS.parent.mkdir(exist_ok=True)
+    kept: list[Row] = []
+    if RESULTS.exists():
+        kept = msgspec.json.decode(RESULTS.read_bytes(), type=list[Row])
+    merged = {(row.streams, row.relay): row for row in [*kept, *rows]}
+    ordered = [merged[key] for key in sorted(merged)]
+    RESULTS.write_bytes(msgspec.json.format(msgspec.json.encode(ordered)))
+
+
 def main() -> None:
     """Prints the table and writes the JSON."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -115,8 +132,7 @@
             print(" ".join(f"{value:>12}" for value in values), flush=True)
             rows.append(row)
     if not options.trial:
-        RESULTS.parent.mkdir(exist_ok=True)
-        RESULTS.write_bytes(msgspec.json.format(msgspec.json.encode(rows)))
+        _write_results(rows)
 
 
 if __name__ == "__main__":
