--- a/pollenfork/entry/tests/test_channel.py
+++ b/pollenfork/entry/tests/test_channel.py
@@ -8,9 +8,12 @@
 
 import pytest
 
+from pollenfork import clock
 from pollenfork import config
 from pollenfork import ids
+from pollenfork.entry import replies
 from pollenfork.entry import server
+from pollenfork.entry import work
 
 WORK = "/v1/completions"
 CHUNK = b"x" * 65536
@@ -32,7 +35,7 @@
         if environ["PATH_INFO"] != WORK:
             yield b"ok"
             return
-        environ[server.CALLER].when_gone(self.gone.set)
+        environ[work.CALLER].when_gone(self.gone.set)
         self.entered.release()
         yield CHUNK
         self.released.wait(20)
@@ -57,13 +60,17 @@
             streams=1,
             waiting=1,
         )
-        started.append(server.create_server(app, settings))
+        started.append(
+            server.create_server(
+                app, settings, replies.write_refusal, clock.SystemClock()
+            )
+        )
         threading.Thread(target=started[-1].run, daemon=True).start()
         return started[-1]
 
     yield start
     for each in started:
-        each.close()
+        each.stop()
 
 
 def ask(running: server.Server, path: str = WORK) -> http.client.HTTPConnection:
--- a/tests/sites.py
+++ b/tests/sites.py
@@ -1,19 +1,12 @@
 """Whole sites for tests: platform stand-in, engines, entry instances."""
 
-import random
-import threading
-
-import msgspec
-
 from pollenfork import application
 from pollenfork import clock
 from pollenfork import config
 from pollenfork.platform import client
-from pollenfork.settings import changes
+from pollenfork.settings import first
 from pollenfork.settings import model
-from pollenfork.settings import paths
 from pollenfork.settings import snapshot
-from pollenfork.settings import writer
 from pollenfork.standin.platform import config as platform_config
 from pollenfork.standin.platform import front as platform_front
 
@@ -47,11 +40,6 @@
     return model.Tree(root=settings, teams={"linework": team})
 
 
-def to_json(value: object) -> object:
-    """Returns the value as it would come from JSON."""
-    return msgspec.json.decode(msgspec.json.encode(value))
-
-
 class Site:
     """A platform stand-in and entry instances; closes what it started."""
 
@@ -65,27 +53,7 @@
     def write_tree(self, tree: model.Tree) -> None:
         """Writes the first tree."""
         table = client.HttpTable(client.Channel(self.platform_address))
-        digest = snapshot.hash_key(OPERATOR)
-        written = writer.Writer(
-            table,
-            clock.SystemClock(),
-            random.Random(1),
-            wait=lambda seconds: None,
-            get_in_force=lambda: None,
-            first_operators=(digest,),
-        ).write(
-            changes.Change(
-                path=paths.SettingsPath(""),
-                value={
-                    "root": to_json(tree.root),
-                    "teams": to_json(tree.teams),
-                },
-                expected=0,
-                write_id="first",
-                operator=digest,
-            )
-        )
-        written.unwrap()
+        first.write_tree(table, tree, clock.SystemClock()).unwrap()
 
     def start_entry(
         self, name: str = "entry-1", **settings: object
@@ -109,11 +77,9 @@
             ),
             clock.SystemClock(),
         )
-        ready = threading.Event()
-        app.settings.subscribe(lambda message: ready.set())
         app.start()
         self.entries.append(app)
-        assert ready.wait(READY_S)
+        assert app.wait_until_ready(READY_S)
         return app
 
     def stop(self) -> None:
