Cut off callers that take nothing, and spill nothing to disk

Cause: a caller that stopped reading held its worker and the engine's work for ever, up to 16 MiB of its answer in memory; waitress spills request bodies over 512 KiB and unsent answers over 1 MiB to temporary files, and the instances have no disks.

Now at most 256 KiB wait for a caller (plus the chunk in hand), a caller that takes nothing for 30 s is closed and counted, which cancels at the engine, and buffers stay in memory.

Seen: both tests fail when the settings are taken out again.

--- a/pollenfork/entry/server.py
+++ b/pollenfork/entry/server.py
@@ -7,8 +7,10 @@
 """
 
 from collections.abc import Callable, Iterable
+import logging
 import socket
 import threading
+import time
 from typing import Any
 
 import msgspec
@@ -26,10 +28,16 @@
 from pollenfork.entry import work
 
 _ACCEPTS = 64
+_LOG = logging.getLogger(__name__)
+
 _CONTROL_THREADS = 4
 _REFUSING_THREADS = 2
 _SPARE_CONNECTIONS = 512
 _BACKLOG = 1024
+_CALLER_STALL_S = 30.0
+_UNSENT_LIMIT = 256 * 1024
+# waitress spills larger buffers to disk, and the instances have none.
+_NEVER_SPILL = 1 << 30
 _WORK = ("/v1/chat/completions", "/v1/completions", "/services/")
 
 App = Callable[[dict[str, Any], Any], Iterable[bytes]]
@@ -67,6 +75,7 @@
             # The server's thread may have begun to flush meanwhile.
             sent = 0 if self.total_outbufs_len else self._send_now(data)
         if sent < size:
+            self.last_activity = time.time()
             super().write_soon(data[sent:])
         return size
 
@@ -122,10 +131,12 @@
     Attributes:
         full: Requests refused because every worker was busy.
         overflow: Connections refused because there were too many.
+        stalled: Callers cut off because they took nothing for long.
     """
 
     full: int = 0
     overflow: int = 0
+    stalled: int = 0
 
 
 class Server(listener.Listener):
@@ -171,6 +182,22 @@
                 self, connection, address, self.adj, map=self._map
             )
 
+    def maintenance(self, now: float) -> None:
+        """Cuts off callers that take nothing, besides what waitress does.
+
+        The engine's work for such a caller is cancelled, as if it had gone.
+
+        Args:
+            now: Unix time in seconds, as waitress keeps it for a connection.
+        """
+        super().maintenance(now)
+        for channel in list(self.active_channels.values()):
+            stalled = channel.last_activity < now - _CALLER_STALL_S
+            if stalled and channel.requests and channel.count_unsent():
+                self.counters.stalled += 1
+                _LOG.warning("event=caller_stalled address=%s", channel.addr)
+                channel.handle_close()
+
     def stop(self) -> None:
         """Ends every connection, and the workers once they are idle."""
         super().stop()
@@ -221,6 +248,9 @@
         connection_limit=workers + _SPARE_CONNECTIONS,
         backlog=_BACKLOG,
         channel_request_lookahead=1,
+        inbuf_overflow=_NEVER_SPILL,
+        outbuf_overflow=_NEVER_SPILL,
+        outbuf_high_watermark=_UNSENT_LIMIT,
         max_request_body_size=settings.body_limit * 2,
         asyncore_use_poll=True,
         ident=None,
--- a/pollenfork/entry/tests/test_channel.py
+++ b/pollenfork/entry/tests/test_channel.py
@@ -3,7 +3,9 @@
 from collections.abc import Callable, Iterator
 import http.client
 import socket
+import tempfile
 import threading
+import time
 from typing import Any
 
 import pytest
@@ -73,10 +75,12 @@
         each.stop()
 
 
-def ask(running: server.Server, path: str = WORK) -> http.client.HTTPConnection:
+def ask(
+    running: server.Server, path: str = WORK, body: bytes = b"{}"
+) -> http.client.HTTPConnection:
     port = int(running.effective_port)
     connection = http.client.HTTPConnection("127.0.0.1", port, timeout=20)
-    connection.request("POST", path, body=b"{}")
+    connection.request("POST", path, body=body)
     return connection
 
 
@@ -121,6 +125,46 @@
     assert running.counters.overflow == 1
 
 
+def test_caller_that_takes_nothing_is_cut_off(
+    serve: Callable[[App], server.Server],
+) -> None:
+    app = App(CHUNKS * 10)
+    running = serve(app)
+    connection = ask(running)
+    app.released.set()
+    wait_for_unsent(running)
+    running.maintenance(time.time() + 29)
+    assert not app.gone.is_set()
+    running.maintenance(time.time() + 31)
+    assert app.gone.wait(20)
+    assert app.failed.wait(20)
+    assert running.counters.stalled == 1
+    connection.close()
+
+
+def test_nothing_is_written_to_disk(
+    serve: Callable[[App], server.Server], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def refuse(*args: object) -> None:
+        raise AssertionError("a buffer was spilled to disk")
+
+    monkeypatch.setattr(tempfile, "TemporaryFile", refuse)
+    app = App(CHUNKS)
+    connection = ask(serve(app), body=b"x" * 3_000_000)
+    app.released.set()
+    assert connection.getresponse().read() == CHUNK * CHUNKS
+
+
+def wait_for_unsent(running: server.Server) -> None:
+    deadline = time.monotonic() + 20
+    while not any(
+        channel.count_unsent() > len(CHUNK)
+        for channel in list(running.active_channels.values())
+    ):
+        assert time.monotonic() < deadline
+        threading.Event().wait(0.01)
+
+
 def test_end_of_a_callers_connection_is_told(
     serve: Callable[[App], server.Server],
 ) -> None:
