--- a/pollenfork/entry/front.py
+++ b/pollenfork/entry/front.py
@@ -66,7 +66,7 @@
         is_ready: Callable[[], bool],
         operator: Callable[[Environ, StartResponse], Iterable[bytes]] | None,
         now: clock.Clock | None = None,
-        make_request_id: Callable[[], str] = journal.make_request_id,
+        make_request_id: Callable[[], str] | None = None,
     ) -> None:
         self._worker = worker
         self._metrics = counters
@@ -75,7 +75,9 @@
         self._operator = operator
         self.in_progress = progress.InProgress()
         self.journal = journal.Journal(
-            counters, now or clock.SystemClock(), make_request_id
+            counters,
+            now or clock.SystemClock(),
+            make_request_id or journal.make_request_id,
         )
         self._small: dict[str, Callable[[Environ], _Small]] = {
             "/healthz": self._report_health,
--- a/pollenfork/entry/keyed.py
+++ b/pollenfork/entry/keyed.py
@@ -20,13 +20,34 @@
 HEADER = "HTTP_IDEMPOTENCY_KEY"
 _FINISH_MARK = b"\ndata: [DONE]"  # A line of its own: no event's text.
 _KEEP_BYTES = 32 * 1024 * 1024
-_CODES: dict[type[ledger_errors.LedgerRefusal], errors.Code] = {
-    ledger_errors.Running: errors.Code.RUNNING,
-    ledger_errors.UnknownOutcome: errors.Code.OUTCOME_UNKNOWN,
-    ledger_errors.KeyReused: errors.Code.KEY_REUSED,
-    ledger_errors.AnswerNotKept: errors.Code.ANSWER_NOT_KEPT,
-    ledger_errors.AnswerUnavailable: errors.Code.RECORD_UNAVAILABLE,
-    ledger_errors.LedgerDown: errors.Code.RECORD_UNAVAILABLE,
+_REFUSALS: dict[type[ledger_errors.LedgerRefusal], tuple[errors.Code, str]] = {
+    ledger_errors.Running: (
+        errors.Code.RUNNING,
+        "The request with this key is in progress; ask again later.",
+    ),
+    ledger_errors.UnknownOutcome: (
+        errors.Code.OUTCOME_UNKNOWN,
+        "Whether the request with this key ran can't be known; look for its"
+        " effect, then take a new key.",
+    ),
+    ledger_errors.KeyReused: (
+        errors.Code.KEY_REUSED,
+        "The key came with another request; take a new one."
+        " This request was not run.",
+    ),
+    ledger_errors.AnswerNotKept: (
+        errors.Code.ANSWER_NOT_KEPT,
+        "The request with this key ran; its answer was too long to keep.",
+    ),
+    ledger_errors.AnswerUnavailable: (
+        errors.Code.RECORD_UNAVAILABLE,
+        "The request with this key ran; its answer can't be read now.",
+    ),
+    ledger_errors.LedgerDown: (
+        errors.Code.RECORD_UNAVAILABLE,
+        "The record of the key can't be written now; nothing was run"
+        " for this call.",
+    ),
 }
 
 Served = result.Result[session.Answer, errors.Refusal]
@@ -206,10 +227,11 @@
         return result.Ok(
             session.Answer(kept.status, headers, iter([kept.body]))
         )
+    code, detail = _REFUSALS[type(refusal)]
     return errors.refuse(
         http.HTTPStatus(refusal.STATUS),
-        _CODES[type(refusal)],
-        refusal.detail or (type(refusal).__doc__ or "").partition("\n")[0],
+        code,
+        detail,
         outcome=refusal.outcome,
         retry_after_s=refusal.retry_after_s,
     )
--- a/pollenfork/entry/refusal_task.py
+++ b/pollenfork/entry/refusal_task.py
@@ -37,6 +37,11 @@
     ),
     http.HTTPStatus.NOT_IMPLEMENTED: errors.Code.NOT_IMPLEMENTED,
 }
+# waitress's limits lie above the settings' ones, so its text would mislead.
+_TEXTS = {
+    errors.Code.BODY_TOO_LARGE: "The body is over the limit.",
+    errors.Code.HEADER_TOO_LONG: "The request line and headers are too long.",
+}
 
 
 class RefusalTask(waitress.task.ErrorTask):
@@ -64,7 +69,8 @@
     status = http.HTTPStatus(int(error.code))
     code = _CODES.get(status)
     if code:
-        detail = f"{status.phrase}: {error.body}. The request was not run."
+        said = _TEXTS.get(code, f"{status.phrase}: {error.body}.")
+        detail = f"{said} The request was not run."
         return errors.Refusal(status=status, code=code, detail=detail)
     return errors.Refusal(
         status=http.HTTPStatus.INTERNAL_SERVER_ERROR,
--- a/tests/endpoints.py
+++ b/tests/endpoints.py
@@ -28,11 +28,17 @@
 
     An event among the parts is waited for; the connection ends after the
     last part.
+
+    Attributes:
+        calls: The requests that came in.
+        sent: What was sent to each.
+        finished: How many of them were answered to the end.
     """
 
     def __init__(self, script: Script) -> None:
         self.calls: list[Call] = []
         self.sent: list[bytes] = []
+        self.finished = 0
         self._script = script
         self._listener = socket.create_server(("127.0.0.1", 0))
         host, port = self._listener.getsockname()
@@ -43,6 +49,10 @@
         """Returns how often `path` was asked for."""
         return sum(call.path == path for call in self.calls)
 
+    def is_finished(self) -> bool:
+        """Returns whether every call was answered to the end."""
+        return self.finished == len(self.calls)
+
     def stop(self) -> None:
         """Takes no more connections."""
         self._listener.shutdown(socket.SHUT_RDWR)
@@ -79,6 +89,7 @@
                 continue
             self.sent[number] += part
             connection.sendall(part)
+        self.finished += 1
 
 
 def _read_call(connection: socket.socket) -> Call | None:
