--- a/pollenfork/metric_help.py
+++ b/pollenfork/metric_help.py
@@ -1,24 +1,80 @@
 """What each metric says, as scrapes show it."""
 
 HELP = {
+    "pollenfork_answer_seconds": (
+        "Time from a request's arrival to its answer's last byte."
+    ),
     "pollenfork_answers_total": (
         "Answers passed on to callers, by how the passing on ended."
     ),
-    "pollenfork_answer_seconds": (
-        "Time from a request's arrival to its answer's last byte."
+    "pollenfork_attempts_total": (
+        "Sendings of requests to endpoints, retries included."
+    ),
+    "pollenfork_broken_answers_total": (
+        "Answers that ended with an error event, by what broke them."
+    ),
+    "pollenfork_cancel_outcomes_total": (
+        "Cancels sent to engines, by what the engine said became of them."
+    ),
+    "pollenfork_cancels_total": ("Attempts cancelled at their engine, by why."),
+    "pollenfork_connections_refused_total": (
+        "Connections refused since there were too many."
+    ),
+    "pollenfork_continuations_total": (
+        "Broken answers gone on with at another engine, by what broke them."
+    ),
+    "pollenfork_duplicate_events_total": (
+        "Events of a stream that came twice and were dropped."
+    ),
+    "pollenfork_ejections_total": ("Endpoints taken out of use as stragglers."),
+    "pollenfork_failed_requests_total": (
+        "Requests that got no answer from any endpoint, by the last cause."
     ),
     "pollenfork_first_token_seconds": (
         "Time from a request's arrival to its answer's first byte."
     ),
+    "pollenfork_full_refusals_total": (
+        "Requests refused since every worker was busy."
+    ),
+    "pollenfork_ledger_total": (
+        "What the ledger did with claims and endings, by event."
+    ),
     "pollenfork_operator_refusals_total": (
         "Operators' requests refused, by the code that they were told."
     ),
+    "pollenfork_platform_calls_total": (
+        "Retries and refusals of calls to the platform, by event."
+    ),
+    "pollenfork_predictions_right_total": (
+        "Predicted waits that came true within half, or half a second."
+    ),
+    "pollenfork_predictions_total": (
+        "Requests granted after a wait that had been predicted."
+    ),
     "pollenfork_refusals_total": (
         "Requests that got an error of the router's own instead of an answer."
     ),
+    "pollenfork_relay_retries_total": (
+        "Requests sent again before their first byte, by why."
+    ),
     "pollenfork_request_wait_seconds": (
         "Time from a request's arrival to its grant of an endpoint."
     ),
+    "pollenfork_requests_in_progress": (
+        "Requests accepted whose answer isn't handed over yet."
+    ),
+    "pollenfork_requests_sent_total": (
+        "Requests sent to an endpoint at least once."
+    ),
+    "pollenfork_resumes_total": (
+        "Broken streams taken up again at the same engine, by what broke them."
+    ),
+    "pollenfork_retries_granted_total": (
+        "Further attempts that the scheduler granted, by why."
+    ),
+    "pollenfork_scheduler_refusals_total": (
+        "Requests and retries that the scheduler refused, by why."
+    ),
     "pollenfork_series_dropped_total": (
         "Samples counted under `other`, as their metric has too many series."
     ),
@@ -31,5 +87,12 @@
     "pollenfork_settings_read_failures_total": (
         "Reads of the settings that failed, by the failure's type."
     ),
-    "pollenfork_settings_revision": "Revision of the settings in force.",
+    "pollenfork_settings_revision": ("Revision of the settings in force."),
+    "pollenfork_tokens_relayed_total": ("Tokens passed on to callers."),
+    "pollenfork_tokens_saved_total": (
+        "Tokens not generated again, thanks to continuing."
+    ),
+    "pollenfork_whole_answers_total": (
+        "Answers that reached their caller whole."
+    ),
 }
--- a/pollenfork/metrics.py
+++ b/pollenfork/metrics.py
@@ -1,5 +1,6 @@
 """Counters and histograms of the process, in Prometheus' text form."""
 
+from collections.abc import Callable
 import threading
 
 import aioprometheus
@@ -40,18 +41,24 @@
         self._counters: dict[str, aioprometheus.Counter] = {}
         self._gauges: dict[str, aioprometheus.Gauge] = {}
         self._histograms: dict[str, aioprometheus.Histogram] = {}
+        self._sources: list[Callable[[], None]] = []
+
+    def add_source(self, read: Callable[[], None]) -> None:
+        """Calls `read` before each scrape; it sets what others counted."""
+        self._sources.append(read)
 
     def count(self, name: str, amount: int = 1, **labels: str) -> None:
         """Adds to the counter `name` with these labels."""
         with self._lock:
-            counter = self._counters.get(name)
-            if counter is None:
-                counter = aioprometheus.Counter(
-                    name, _describe(name), registry=self._registry
-                )
-                self._counters[name] = counter
+            counter = self._find_counter(name)
             counter.add(self._bound(counter, labels), amount)
 
+    def set_count(self, name: str, value: int, **labels: str) -> None:
+        """Sets the counter `name` to what another part counted so far."""
+        with self._lock:
+            counter = self._find_counter(name)
+            counter.set(self._bound(counter, labels), value)
+
     def set_gauge(self, name: str, value: float, **labels: str) -> None:
         """Sets the gauge `name` with these labels."""
         with self._lock:
@@ -79,22 +86,27 @@
 
     def render(self) -> tuple[bytes, str]:
         """Returns the exposition and its content type."""
+        for read in self._sources:
+            read()
         with self._lock:
             content, headers = aioprometheus.render(self._registry, [])
         return content, headers["Content-Type"]
 
+    def _find_counter(self, name: str) -> aioprometheus.Counter:
+        counter = self._counters.get(name)
+        if counter is None:
+            counter = aioprometheus.Counter(
+                name, _describe(name), registry=self._registry
+            )
+            self._counters[name] = counter
+        return counter
+
     def _bound(
         self, metric: collectors.Collector, labels: dict[str, str]
     ) -> dict[str, str]:
         if len(metric.values) < MAX_SERIES or labels in metric.values:
             return labels
-        dropped = self._counters.get(_DROPPED)
-        if dropped is None:
-            dropped = aioprometheus.Counter(
-                _DROPPED, _describe(_DROPPED), registry=self._registry
-            )
-            self._counters[_DROPPED] = dropped
-        dropped.inc({"metric": metric.name})
+        self._find_counter(_DROPPED).inc({"metric": metric.name})
         return dict.fromkeys(labels, OTHER)
 
 
--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,71 @@
+"""The pages name what the code has, and nothing else."""
+
+import pathlib
+import re
+
+import pytest
+
+from pollenfork import metric_help
+from pollenfork.admission import messages
+from pollenfork.entry import errors
+
+ROOT = pathlib.Path(__file__).parent.parent
+HTTP = (ROOT / "docs" / "http.md").read_text()
+WATCH = (ROOT / "docs" / "operators" / "watch.md").read_text()
+SOURCES = {
+    path: path.read_text()
+    for path in (ROOT / "pollenfork").rglob("*.py")
+    if "tests" not in path.parts and "standin" not in path.parts
+}
+METRIC = re.compile(r"\bpollenfork_[a-z_]+(?:total|seconds|progress|revision)")
+EVENT = re.compile(r"event=([a-z_]+)[ \"]")
+
+
+def find(pattern: re.Pattern[str], left_out: str = "") -> set[str]:
+    return {
+        found
+        for path, text in SOURCES.items()
+        if path.name != left_out
+        for found in pattern.findall(text)
+    }
+
+
+def read_first_column(page: str, heading: str) -> set[str]:
+    """Returns the names in the first column of the section's table."""
+    section = page.partition(f"## {heading}\n")[2].partition("\n## ")[0]
+    rows = re.findall(r"^\| (`[^|]+) \|", section, re.MULTILINE)
+    return {name for row in rows for name in re.findall(r"`([^`]+)`", row)}
+
+
+@pytest.mark.parametrize("code", errors.Code)
+def test_code_is_on_the_page(code: errors.Code) -> None:
+    assert code.value in read_first_column(HTTP, "Errors")
+
+
+@pytest.mark.parametrize("reason", messages.RefusalReason)
+def test_reason_is_on_the_page(reason: messages.RefusalReason) -> None:
+    assert reason.value in read_first_column(HTTP, "Reasons")
+
+
+def test_page_has_no_other_codes_or_reasons() -> None:
+    codes = {code.value for code in errors.Code}
+    reasons = {reason.value for reason in messages.RefusalReason}
+    assert read_first_column(HTTP, "Errors") == codes
+    assert read_first_column(HTTP, "Reasons") == reasons
+
+
+def test_each_metric_has_a_help_text_and_a_line() -> None:
+    used = find(METRIC, left_out="metric_help.py")
+    assert used == set(metric_help.HELP)
+    assert used == read_first_column(WATCH, "Metrics")
+
+
+def test_each_log_event_has_a_line() -> None:
+    assert find(EVENT) == read_first_column(WATCH, "Log events")
+
+
+@pytest.mark.parametrize("name", metric_help.HELP)
+def test_metric_has_a_conventional_name(name: str) -> None:
+    gauges = {"pollenfork_requests_in_progress", "pollenfork_settings_revision"}
+    assert name in gauges or name.endswith(("_total", "_seconds"))
+    assert metric_help.HELP[name].endswith(".")
