--- a/pollenfork/application.py
+++ b/pollenfork/application.py
@@ -9,7 +9,7 @@
 
 from pollenfork import clock
 from pollenfork import config
-from pollenfork import exports
+from pollenfork import exposition
 from pollenfork import housekeeping
 from pollenfork import ids
 from pollenfork import metrics
@@ -89,6 +89,9 @@
         self._server = server.create_server(
             self._front, self._config, self._front.write_refusal, self._clock
         )
+        exposition.watch_entry(
+            self.metrics, self._front.in_progress, self._server.counters
+        )
         self._thread = threading.Thread(
             target=self._server.run, name="server", daemon=True
         )
@@ -240,10 +243,9 @@
         )
 
     def _make_front(self) -> front.Front:
-        counted = exports.Exports(
-            self.metrics, self._scheduler, self._relay.counters, self.membership
-        )
-        self.metrics.add_source(counted.refresh)
+        exposition.watch_relay(self.metrics, self._relay.counters)
+        exposition.watch_scheduler(self.metrics, self._scheduler)
+        exposition.watch_peers(self.metrics, self.membership.count_failures)
         worker = work.Worker(
             self._scheduler,
             self._relay,
