--- a/pollenfork/ledger/sweeping.py
+++ b/pollenfork/ledger/sweeping.py
@@ -13,7 +13,7 @@
 from pollenfork.platform import edges
 from pollenfork.platform import errors as platform_errors
 
-WRITE_PART = 0.2  # Of an instance's writes; claims need the rest.
+WRITE_PART = 0.25  # Each keyed request writes four times, once to leave.
 
 
 def compute_removals(writes_per_s: float, period_s: float) -> int:
