Judge only what has changed, and fetch five load reports a second

Now a message judges what it touched, holders are asked once a second or when a step ended or the wish changed, and call objects are made once.

--- a/pollenfork/endpoints/actor.py
+++ b/pollenfork/endpoints/actor.py
@@ -96,11 +96,10 @@
         match message:
             case messages.Tick():
                 self._core.hear_live(self._live_peers())
-                self._start_calls(now)
+                self._start(self._core.tick(now))
             case calls.Done():
                 self._core.take(message, now)
-                if isinstance(message.call, calls.TakeStep):
-                    self._start_calls(now)
+                self._start(self._core.list_steps(now))
             case settings_messages.TreeInForce(tree):
                 self._core.apply_tree(tree)
                 self._connect_all(tree)
@@ -112,11 +111,11 @@
                 return self._core.list_endpoints(now)
             case messages.Stop():
                 self._core.stop_orders()
-                self._start_calls(now)
+                self._start(self._core.list_steps(now))
         return None
 
-    def _start_calls(self, now: float) -> None:
-        for call in self._core.tick(now):
+    def _start(self, due: list[calls.Call]) -> None:
+        for call in due:
             endpoint = None
             if not isinstance(call, calls.ToPlatform):
                 endpoint = self._clients[call.endpoint][1]
--- a/pollenfork/endpoints/core.py
+++ b/pollenfork/endpoints/core.py
@@ -26,6 +26,7 @@
 from pollenfork.settings import model
 
 _LOG = logging.getLogger(__name__)
+_ORDERS_S = 1.0  # Between two looks at what every endpoint needs.
 
 News = (
     dispatch_messages.EndpointReport
@@ -62,6 +63,8 @@
         self._known: dict[ids.EndpointId, Known] = {}
         self._drains = drains.Drains(instance, data_centre, new_id)
         self._news: list[News] = []
+        self._orders_at = float("-inf")
+        self._stepped: set[ids.EndpointId] = set()  # A step has just ended.
 
     def apply_tree(self, tree: model.Tree) -> None:
         """Takes the endpoints that the settings in force name."""
@@ -95,7 +98,8 @@
         self._health.hear_peer(leaving, peer, now)
 
     def tick(self, now: float) -> list[calls.Call]:
-        """Returns the calls whose time has come; run it every 100 ms."""
+        """Returns the calls whose time has come; run it every 250 ms."""
+        self._health.touch_all()
         suspects = [
             name for name in self._known if self._find(name).is_suspect()
         ]
@@ -106,9 +110,18 @@
                 name: k.hints.ask_after() for name, k in self._known.items()
             }
             found += self._schedule.list_due_events(now, after)
-        for name, known in self._known.items():
+        if now >= self._orders_at:
+            self._orders_at = now + _ORDERS_S
+            self._stepped.update(self._known)
+        return found + self.list_steps(now)
+
+    def list_steps(self, now: float) -> list[calls.Call]:
+        """Returns the next steps of orders, where there may be one."""
+        found: list[calls.Call] = []
+        stepped, self._stepped = self._stepped, set()
+        for name in stepped & self._known.keys():
             rank = self._schedule.find_rank(name)
-            step = known.holder.next_step(now, rank)
+            step = self._known[name].holder.next_step(now, rank)
             if step:
                 found.append(calls.TakeStep(name, step))
         return found
@@ -159,6 +172,7 @@
         """Starts no further order and gives idle leases back."""
         for known in self._known.values():
             known.holder.stop()
+        self._stepped.update(self._known)
 
     def _find(self, endpoint: ids.EndpointId) -> health.Record:
         record = self._health.find(endpoint)
@@ -190,6 +204,7 @@
             drain_id = self._drains.find_id(name)
             desired = orders.make_desired(known.settings, drain_id)
             known.holder.wish(desired, frozen)
+        self._stepped.update(self._known)
 
     def _take_platform(self, done: calls.Done, now: float) -> None:
         call, answer = done.call, done.answer
@@ -230,7 +245,7 @@
         sent_at: float,
         now: float,
     ) -> None:
-        record = self._find(endpoint)
+        record = self._health.change(endpoint)
         if isinstance(answer, result.Ok):
             record.hear_ready(answer.ok_value, sent_at, now)
             return
@@ -252,7 +267,8 @@
         report = answer.ok_value
         # Counted from the sending: at least as old as stated.
         measured_at = sent_at - report.age_ms / 1000
-        self._find(endpoint).hear_ready(report.ready, measured_at, now)
+        record = self._health.change(endpoint)
+        record.hear_ready(report.ready, measured_at, now)
         known = self._known[endpoint]
         known.holder.hear_models(report.models, measured_at)
         self._news.append(
@@ -276,6 +292,7 @@
         answer: result.Result,
         now: float,
     ) -> None:
+        self._stepped.add(call.endpoint)
         giver = self._known[call.endpoint].holder
         match call.step:
             case steps.Read():
--- a/pollenfork/endpoints/health.py
+++ b/pollenfork/endpoints/health.py
@@ -162,6 +162,7 @@
         self._addresses: dict[ids.EndpointId, str] = {}
         self._said: dict[ids.InstanceId | None, set[ids.EndpointId]] = {}
         self._drained: frozenset[ids.EndpointId] = frozenset()
+        self._touched: set[ids.EndpointId] = set()  # To be judged again.
 
     def plan(self, addresses: Mapping[ids.EndpointId, str]) -> None:
         """Sets which endpoints there are; one that moved is a new one."""
@@ -178,6 +179,15 @@
         """Returns what is known of an endpoint."""
         return self._records.get(endpoint)
 
+    def change(self, endpoint: ids.EndpointId) -> Record:
+        """Returns a record about to be told something."""
+        self._touched.add(endpoint)
+        return self._records[endpoint]
+
+    def touch_all(self) -> None:
+        """Has every endpoint judged again: time has passed."""
+        self._touched.update(self._records)
+
     def hear_list(
         self, listed: tuple[platform_edges.ListedInstance, ...], now: float
     ) -> None:
@@ -185,14 +195,14 @@
         status: Mapping[str, platform_edges.InstanceStatus] = {
             entry.name: entry.status for entry in listed
         }
-        for name, record in self._records.items():
-            record.hear_list(status.get(name), now)
+        for name in self._records:
+            self.change(name).hear_list(status.get(name), now)
 
     def hear_drains(self, wished: Collection[ids.EndpointId]) -> None:
         """Takes the endpoints that operators want drained."""
         self._drained = frozenset(wished)
-        for name, record in self._records.items():
-            record.hear_drain(name in self._drained)
+        for name in self._records:
+            self.change(name).hear_drain(name in self._drained)
 
     def hear_peer(
         self,
@@ -208,10 +218,10 @@
         before = self._said.get(peer, set()) if peer else set()
         for name in before - set(leaving):
             if name in self._records:
-                self._records[name].hear_peer(False, peer, now)
+                self.change(name).hear_peer(False, peer, now)
         for name in leaving:
             if name in self._records:
-                self._records[name].hear_peer(True, peer, now)
+                self.change(name).hear_peer(True, peer, now)
         if peer:
             self._said[peer] = set(leaving)
 
@@ -229,8 +239,10 @@
 
     def judge(self, now: float) -> list[dispatch_messages.EndpointNotice]:
         """Returns the endpoints whose state has changed."""
+        touched, self._touched = self._touched, set()
         notices = []
-        for name, record in self._records.items():
+        for name in touched & self._records.keys():
+            record = self._records[name]
             if record.signs:
                 record.drop_old_claims(now)
             state = record.judge()
--- a/pollenfork/endpoints/schedule.py
+++ b/pollenfork/endpoints/schedule.py
@@ -23,7 +23,7 @@
     """
 
     probe_s: float = 1.0
-    loads_per_s: float = 8.0
+    loads_per_s: float = 5.0
     events_per_s: float = 2.0
     amiss_per_s: float = 12.0
     list_s: float = 5.0
@@ -41,6 +41,9 @@
         self._live = frozenset((instance,))
         self._share: frozenset[ids.EndpointId] = frozenset()
         self._ranks: dict[ids.EndpointId, int | None] = {}
+        # Made once, as they are looked up at every tick.
+        self._probes: dict[ids.EndpointId, calls.Probe] = {}
+        self._loads: dict[ids.EndpointId, calls.FetchLoad] = {}
         self._due: dict[calls.Call, float] = {}
         self._under_way: set[calls.Call] = set()
 
@@ -52,6 +55,8 @@
         """Sets which endpoints there are, and which run engines."""
         self._endpoints = tuple(endpoints)
         self._engines = tuple(engines)
+        self._probes = {name: calls.Probe(name) for name in endpoints}
+        self._loads = {name: calls.FetchLoad(name) for name in engines}
         self._due = {}
         self._divide()
 
@@ -77,14 +82,14 @@
         rates = self._rates
         found: list[calls.Call] = []
         for name in self._share:
-            self._add(found, calls.Probe(name), rates.probe_s, now)
+            self._add(found, self._probes[name], rates.probe_s, now)
         others = [name for name in suspects if name not in self._share]
         period = max(rates.probe_s, len(others) / rates.amiss_per_s)
         for name in others:
-            self._add(found, calls.Probe(name), period, now)
+            self._add(found, self._probes[name], period, now)
         period = max(rates.probe_s, len(self._engines) / rates.loads_per_s)
-        for name in self._engines:
-            self._add(found, calls.FetchLoad(name), period, now)
+        for load in self._loads.values():
+            self._add(found, load, period, now)
         return found
 
     def list_due_events(
