Send a second copy when the first token is late

Cause: dispatch names the time for a hedge in the grant, and nothing acted on it. A timer asks for a second slot; whichever copy brings the first bytes is gone on with, the other is interrupted and its cancel confirmed. Weighed: polling both sockets in the worker (urllib3 reads the head blocking, so it would need its own parser); a thread for each hedge, chosen: only classes that pay for hedges have one, and only until the first byte.

Tests: either copy wins, no slot for the second, the first breaks while the second runs, a caller that leaves cancels both.

--- a/pollenfork/answers/attempt.py
+++ b/pollenfork/answers/attempt.py
@@ -1,9 +1,7 @@
 """The attempts of one request: sent, resumed, continued, ended."""
 
 import threading
-from typing import Any, NamedTuple
 
-import msgspec
 import result
 
 from pollenfork import failures
@@ -13,6 +11,7 @@
 from pollenfork.answers import engine
 from pollenfork.answers import errors
 from pollenfork.answers import events
+from pollenfork.answers import hedge
 from pollenfork.answers import kept
 from pollenfork.answers import messages
 from pollenfork.answers import slot
@@ -33,14 +32,6 @@
 _Tried = result.Result[engine.Head, errors.Cause]
 
 
-class First(NamedTuple):
-    """The head and the first bytes, or all of them when `whole`."""
-
-    head: engine.Head
-    body: bytes
-    whole: bool
-
-
 class Attempts:
     """Carries out what the core decides over one request.
 
@@ -49,6 +40,7 @@
         kept: What was relayed.
         exchange: The connection in use.
         slot: The slot in use.
+        first: The first bytes of a second copy.
     """
 
     def __init__(
@@ -75,19 +67,20 @@
         self._began_at = 0
         self._saved = 0  # Counted once the answer is whole.
         self._gone = threading.Event()
-        caller.when_gone(self._note_gone)
+        self._second: Attempts | None = None
+        self.first: engine.First | None = None
+        caller.when_gone(self.interrupt)
 
-    def open(self) -> result.Result[First, errors.AnswerFailure]:
+    def open(self) -> result.Result[engine.First, errors.AnswerFailure]:
         """Returns the head and first bytes, from whichever endpoint."""
-        tried = self._send(self._call.body)
-        while True:
-            begun = tried.and_then(self._read_first)
-            if begun.is_ok():
-                return result.Ok(begun.unwrap())
+        after_s = self.slot.grant.hedge_after_s
+        begun = self._try_first() if after_s is None else self._race(after_s)
+        while begun.is_err():
             recovered = self._recover(begun.unwrap_err(), relayed=False)
             if recovered.is_err():
                 return result.Err(recovered.unwrap_err())
-            tried = result.Ok(recovered.unwrap())
+            begun = self._read_first(recovered.unwrap())
+        return result.Ok(begun.unwrap())
 
     def recover(
         self, cause: errors.Cause
@@ -113,27 +106,78 @@
         )
         self._close(finished=False)
 
-    def _note_gone(self) -> None:
+    def interrupt(self) -> None:
+        """Ends what another thread waits for, now or later: it's unwanted."""
         self._gone.set()
         self.slot.note_gone()
         self.exchange.interrupt()
+        if self._second:
+            self._second.interrupt()
+
+    def ask(self, reason: dispatch_messages.RetryReason) -> bool:
+        """Waits for another slot; False when there is none."""
+        if not self.slot.ask_again(reason):
+            return False
+        grant = self.slot.grant
+        self.exchange = engine.Exchange(grant.address, self.tools.limits)
+        return True
+
+    def run(self) -> bool:
+        """Sends a second copy; returns whether its first bytes came."""
+        begun = self._try_first()
+        self.first = begun.ok()
+        return self.first is not None
+
+    def lose(self) -> None:
+        """Cancels a copy that isn't wanted."""
+        self.exchange.close()
+        self.slot.cancel_soon(
+            cancels.CancelReason.HEDGE_LOST,
+            _End.CANCELLED,
+            self._count_generated(),
+        )
+
+    def _race(
+        self, after_s: float
+    ) -> result.Result[engine.First, errors.Cause]:
+        """Sends, and a second copy after a while; the first answer wins."""
+        second = Attempts(
+            self._call, self.slot.grant, edges.PresentCaller(), self.tools
+        )
+        second.slot = self.slot.fork()
+        self._second = second
+        counted = self.tools.counters
+        race = hedge.Hedge(second, self.exchange.interrupt, counted)
+        race.start(after_s)
+        begun = self._try_first()
+        if not race.settle(begun.is_ok()) or second.first is None:
+            return begun
+        if begun.is_err() and begun.unwrap_err() in core.PROVED_NOT_RUN:
+            self.slot.end(_ENDS[begun.unwrap_err()], 0)
+        self.lose()
+        self.slot = second.slot
+        self.exchange = second.exchange
+        self.reader = second.reader
+        self.kept = second.kept
+        return result.Ok(second.first)
 
     def _is_gone(self) -> bool:
         return self._gone.is_set() or self.caller.is_gone()
 
+    def _try_first(self) -> result.Result[engine.First, errors.Cause]:
+        return self._send(self._call.body).and_then(self._read_first)
+
     def _send(self, body: bytes) -> _Tried:
-        grant = self.slot.grant
-        self.exchange = engine.Exchange(grant.address, self.tools.limits)
         if self._is_gone():
             return result.Err(_Cause.CALLER_GONE)
-        return self.exchange.send(self._call, grant, body)
+        return self.exchange.send(self._call, self.slot.grant, body)
 
     def _read_first(
         self, head: engine.Head
-    ) -> result.Result[First, errors.Cause]:
+    ) -> result.Result[engine.First, errors.Cause]:
         if not (self._call.streamed and head.is_event_stream):
             body = self.exchange.read_whole()
-            return body.map(lambda whole: First(head, whole, True))
+            return body.map(lambda whole: engine.First(head, whole, True))
         self.exchange.begin_stream()
         while True:
             data = self.exchange.take_buffered()
@@ -145,7 +189,7 @@
             if passed:
                 self.slot.note_first()
                 self.kept.add(passed)
-                return result.Ok(First(head, passed, False))
+                return result.Ok(engine.First(head, passed, False))
             if self.reader.fault or not data:
                 return result.Err(self.reader.fault or _Cause.CLOSED)
 
@@ -202,7 +246,7 @@
         self, reason: dispatch_messages.RetryReason, cause: errors.Cause
     ) -> _Tried | errors.AnswerFailure:
         self._end_failed(cause, cancels.CancelReason.BROKEN_BEFORE_FIRST)
-        if not self.slot.ask_again(reason):
+        if not self.ask(reason):
             return self._fail(cause)
         counted = self.tools.counters
         counted.count(counted.retries, reason.value)
@@ -212,13 +256,11 @@
     def _continue(self, cause: errors.Cause) -> _Tried | errors.AnswerFailure:
         position = self.reader.position
         text = self.kept.read_text()
-        body = _write_continuation(self._call.body, text, position)
+        body = kept.write_continuation(self._call.body, text, position)
         if body is None:
             return self._give_up(cause)
         self._end_failed(cause, cancels.CancelReason.CONTINUED_ELSEWHERE)
-        if not self.slot.ask_again(
-            dispatch_messages.RetryReason.CONTINUE_ELSEWHERE
-        ):
+        if not self.ask(dispatch_messages.RetryReason.CONTINUE_ELSEWHERE):
             return self._fail(cause)
         counted = self.tools.counters
         counted.count(counted.continuations, cause.value)
@@ -302,19 +344,3 @@
             repeats=self.reader.duplicates,
         )
         self.slot.close()
-
-
-def _write_continuation(
-    body: bytes, text: str | None, tokens: int
-) -> bytes | None:
-    """Returns the request's body asking to go on after `text`."""
-    if text is None:
-        return None
-    try:
-        asked: Any = msgspec.json.decode(body)
-    except msgspec.MsgspecError:
-        return None
-    if not isinstance(asked, dict):
-        return None
-    asked["continue_from"] = {"text": text, "tokens": tokens}
-    return msgspec.json.encode(asked)
--- a/pollenfork/answers/cancels.py
+++ b/pollenfork/answers/cancels.py
@@ -23,6 +23,7 @@
     BROKEN_BEFORE_FIRST = "broken_before_first"
     CONTINUED_ELSEWHERE = "continued_elsewhere"
     GIVEN_UP = "given_up"
+    HEDGE_LOST = "hedge_lost"
 
 
 class Canceller:
--- a/pollenfork/answers/counters.py
+++ b/pollenfork/answers/counters.py
@@ -11,6 +11,7 @@
         retries: Attempts at another endpoint before the first byte.
         resumes: Broken streams taken up again at the same engine.
         continuations: Answers gone on with at another engine.
+        hedges: Second copies, by what became of them.
         cancels: Attempts cancelled, by the reason.
         cancel_outcomes: What the endpoints said to that.
         broken: Answers that ended with an error event.
@@ -26,6 +27,7 @@
         self.retries: collections.Counter[str] = collections.Counter()
         self.resumes: collections.Counter[str] = collections.Counter()
         self.continuations: collections.Counter[str] = collections.Counter()
+        self.hedges: collections.Counter[str] = collections.Counter()
         self.cancels: collections.Counter[str] = collections.Counter()
         self.cancel_outcomes: collections.Counter[str] = collections.Counter()
         self.broken: collections.Counter[str] = collections.Counter()
--- a/pollenfork/answers/engine.py
+++ b/pollenfork/answers/engine.py
@@ -65,6 +65,14 @@
         )
 
 
+class First(msgspec.Struct, frozen=True):
+    """The head and the first bytes, or all of them when `whole`."""
+
+    head: Head
+    body: bytes
+    whole: bool
+
+
 class Exchange:
     """One request to one endpoint and its answer, on its own connection."""
 
--- a/pollenfork/answers/kept.py
+++ b/pollenfork/answers/kept.py
@@ -1,5 +1,6 @@
 """What was relayed of an answer, kept in little memory for a continuation."""
 
+from typing import Any
 import zlib
 
 import msgspec
@@ -82,6 +83,25 @@
             self._packed.clear()
 
 
+def write_continuation(
+    body: bytes, text: str | None, tokens: int
+) -> bytes | None:
+    """Returns the request's body asking to go on after `text`.
+
+    None when the text isn't known or the body isn't a JSON object.
+    """
+    if text is None:
+        return None
+    try:
+        asked: Any = msgspec.json.decode(body)
+    except msgspec.MsgspecError:
+        return None
+    if not isinstance(asked, dict):
+        return None
+    asked["continue_from"] = {"text": text, "tokens": tokens}
+    return msgspec.json.encode(asked)
+
+
 def _read_part(data: bytes) -> str | None:
     try:
         choices = _decode(data).choices
--- a/pollenfork/answers/slot.py
+++ b/pollenfork/answers/slot.py
@@ -54,6 +54,13 @@
         """The grant in use, or the last one."""
         return self._grant
 
+    def fork(self) -> "Slot":
+        """Returns a slot for a second copy, which has yet to be asked for."""
+        second = Slot(self._grant, self._tools, self.engine)
+        second._held = False
+        second._avoid = list(self._avoid)
+        return second
+
     def note_first(self) -> None:
         """Reports the attempt's first token, once."""
         if self.first_seen:
