--- a/tests/test_contract.py
+++ b/tests/test_contract.py
@@ -439,6 +439,71 @@
     assert len(lines) == 1
 
 
+def test_caller_that_goes_before_the_head_is_cancelled_at_the_engine(
+    site: contract.Site,
+) -> None:
+    release = threading.Event()
+
+    def play(call: endpoints.Call) -> list[endpoints.Part]:
+        if call.path == "/v1/cancel":
+            release.set()
+            said = b'{"outcome": "cancelled"}'
+            return [endpoints.write_answer("200 OK", said)]
+        return [release]
+
+    site.engine_script = play
+    with callers.connect(site.address) as caller:
+        caller.sendall(write_chat())
+        assert site.wait_until(lambda: site.engine.count(CHAT) == 1)
+    assert release.wait(callers.WAIT_S)
+    assert site.wait_until_idle()
+    assert site.engine.count("/v1/cancel") == 1
+    assert site.engine.count(CHAT) == 1
+
+
+def test_service_call_of_a_caller_that_goes_runs_once(
+    site: contract.Site,
+) -> None:
+    release = threading.Event()
+    site.service_script = lambda call: [release]
+    with callers.connect(site.address) as caller:
+        caller.sendall(write("POST", "/services/meter/post", b"x"))
+        assert site.wait_until(lambda: site.service.count("/post") == 1)
+    assert site.wait_until_idle()
+    release.set()
+    assert len(site.service.calls) == 1
+    assert any(
+        'code="caller_gone"' in name and 'outcome="unknown"' in name
+        for name in site.read_series()
+    )
+
+
+def test_caller_that_comes_back_with_its_key_gets_the_whole_answer(
+    site: contract.Site,
+) -> None:
+    release = threading.Event()
+    site.engine_script = hold_stream(release)
+    body = json.dumps({**ASK, "stream": True}).encode()
+    raw = write("POST", CHAT, body, idempotency_key="back")
+    with callers.connect(site.address) as caller:
+        caller.sendall(raw)
+        read_until(caller, b"t0")
+    early = callers.exchange(site.address, raw)
+    release.set()
+    assert site.wait_until_idle()
+    late = callers.exchange(site.address, raw)
+    assert early.read_code() == "idempotent_request_running"
+    assert early.headers["retry-after"]
+    assert late.headers["idempotent-replayed"] == "true"
+    assert late.body == (
+        endpoints.write_event(0)
+        + endpoints.write_event(1, last=True)
+        + endpoints.DONE
+    )
+    assert site.engine.count(CHAT) == 1
+    assert site.engine.count("/v1/cancel") == 0
+
+
 def test_caller_that_goes_while_waiting_never_runs(
     site: contract.Site,
 ) -> None:
