--- a/tests/test_openai_client.py
+++ b/tests/test_openai_client.py
@@ -9,6 +9,8 @@
 
 from pollenfork import clock
 from pollenfork import ids
+from pollenfork.entry import errors
+from pollenfork.entry import replies
 from pollenfork.standin.engine import config
 from pollenfork.standin.engine import front
 from pollenfork.standin.engine import prompt
@@ -255,6 +257,13 @@
     scripted: contract.Site, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     slept: list[float] = []
+    told: list[float] = []
+    write_refusal = replies.write_refusal
+
+    def note_refusal(refusal: errors.Refusal) -> replies.Reply:
+        reply = write_refusal(refusal)
+        told.append(float(dict(reply.headers)["Retry-After"]))
+        return reply
 
     def sleep(seconds: float) -> None:
         slept.append(seconds)
@@ -263,6 +272,7 @@
         assert scripted.wait_until_idle()
 
     held = hold(scripted)
+    monkeypatch.setattr(replies, "write_refusal", note_refusal)
     monkeypatch.setattr("openai._base_client.time.sleep", sleep)
     with connect(scripted.address, max_retries=2) as connected:
         raw = connected.chat.completions.with_raw_response.create(
@@ -272,4 +282,7 @@
         caller.close()
     assert raw.parse().choices[0].message.content == "whole"
     assert raw.retries_taken == 1
-    assert slept == [5.0]
+    # The time has jitter, so it isn't the same in each run.
+    assert slept == told
+    assert len(told) == 1
+    assert told[0] >= 1.0
