--- a/tests/test_openai_client.py
+++ b/tests/test_openai_client.py
@@ -216,6 +216,11 @@
     assert raised.value.code == "answer_broken"
 
 
+def write_chat(**fields: Any) -> bytes:
+    body = json.dumps({"model": "lines", "messages": MESSAGES, **fields})
+    return callers.write_request("POST", "/v1/chat/completions", body.encode())
+
+
 def hold(site: contract.Site) -> list[Any]:
     """Takes every slot of the runner; returns what holds them."""
     site.engine_script = lambda call: [
@@ -223,10 +228,7 @@
         site.release,
         endpoints.write_event(1, last=True) + endpoints.DONE,
     ]
-    body = {"model": "lines", "messages": MESSAGES, "stream": True}
-    raw = callers.write_request(
-        "POST", "/v1/chat/completions", json.dumps(body).encode()
-    )
+    raw = write_chat(stream=True)
     held = [callers.connect(site.address) for _ in range(contract.SLOTS)]
     for caller in held:
         caller.sendall(raw)
@@ -263,8 +265,16 @@
         assert scripted.wait_until_idle()
 
     held = hold(scripted)
+    told: list[float] = []
+
+    def note(response: Any) -> None:
+        if "Retry-After" in response.headers:
+            told.append(float(response.headers["Retry-After"]))
+
+    noting = openai.DefaultHttpxClient(event_hooks={"response": [note]})
     monkeypatch.setattr("openai._base_client.time.sleep", sleep)
-    with connect(scripted.address, max_retries=2) as connected:
+    options = {"max_retries": 2, "http_client": noting}
+    with connect(scripted.address, **options) as connected:
         raw = connected.chat.completions.with_raw_response.create(
             model="lines", messages=MESSAGES
         )
@@ -272,4 +282,5 @@
         caller.close()
     assert raw.parse().choices[0].message.content == "whole"
     assert raw.retries_taken == 1
-    assert slept == [5.0]
+    assert len(told) == 1
+    assert slept == told
