--- a/pollenfork/answers/engine.py
+++ b/pollenfork/answers/engine.py
@@ -65,6 +65,14 @@
         )
 
 
+class First(msgspec.Struct, frozen=True):
+    """The head and the first bytes, or all of them when `whole`."""
+
+    head: Head
+    body: bytes
+    whole: bool
+
+
 class Exchange:
     """One request to one endpoint and its answer, on its own connection."""
 
@@ -88,8 +96,9 @@
         call: messages.Call,
         grant: dispatch_messages.Grant,
         body: bytes,
+        head_s: float,
     ) -> result.Result[Head, errors.Cause]:
-        """Sends the call and returns the answer's head."""
+        """Sends the call and returns the answer's head, within `head_s`."""
         headers = {
             name: value
             for name, value in call.headers
@@ -97,8 +106,7 @@
         }
         headers["X-Request-Id"] = grant.attempt
         headers["X-Priority"] = str(grant.priority)
-        timeout = call.timeout_s or self._limits.head_s
-        if not self._connect(call.streamed, timeout):
+        if not self._connect(call.streamed, head_s):
             return result.Err(_Cause.NEVER_SENT)
         return self._ask(call.method, call.path, headers, body)
 
--- a/pollenfork/exposition.py
+++ b/pollenfork/exposition.py
@@ -3,7 +3,7 @@
 The data path counts into integers of its own; each scrape reads them.
 """
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from pollenfork import metrics
 from pollenfork import scheduler
@@ -68,6 +68,17 @@
     to.add_source(read)
 
 
+def watch_peers(
+    to: metrics.Metrics, count_failures: Callable[[], Mapping[str, int]]
+) -> None:
+    """Brings in the failures at the interface between instances."""
+
+    def read() -> None:
+        _set_by(to, "pollenfork_peer_failures_total", count_failures())
+
+    to.add_source(read)
+
+
 def _set_by(to: metrics.Metrics, name: str, counted: Mapping[str, int]) -> None:
     for reason, value in list(counted.items()):
         to.set_count(name, value, reason=reason)
--- a/pollenfork/metric_help.py
+++ b/pollenfork/metric_help.py
@@ -42,6 +42,9 @@
     "pollenfork_operator_refusals_total": (
         "Operators' requests refused, by the code that they were told."
     ),
+    "pollenfork_peer_failures_total": (
+        "Failures at the interface between instances, by kind."
+    ),
     "pollenfork_platform_calls_total": (
         "Retries and refusals of calls to the platform, by event."
     ),
