Keep a part of the platform's budget from keyed requests

Callers choose how many requests carry a key. With one budget for all, a burst of them at 0.75 writes/s an instance would have kept leases and settings waiting. Now 70% of the writes and 20% of the reads are for the records of keyed requests, the rest for everything else; neither can use up the other. The ledger's limit falls from 67 to 47 new keyed requests/s at all instances (189 writes/s, 4.00 each); more are refused as not run.

The clean-up's page follows what it may remove (8 rows each, 200 at most), so that an instance of 360 reads 8 rows every 5 s in place of 200.

291 tests of the ledger and the platform pass.

--- a/pollenfork/ledger/ledger.py
+++ b/pollenfork/ledger/ledger.py
@@ -32,6 +32,7 @@
 _T = TypeVar("_T")
 
 PAGE_ROWS = 200
+ROWS_PER_REMOVAL = 8
 
 
 class Event(enum.Enum):
@@ -242,12 +243,17 @@
         return len(self._outbox)
 
     def sweep(self, removals: int) -> sweeping.Report:
-        """Cleans the next page of records; at most `removals` leave."""
+        """Cleans the next page of records; at most `removals` leave.
+
+        A page has eight rows for each removal, and 200 at most: an instance
+        with a small share of the writes reads no more than it can remove.
+        """
+        rows = ROWS_PER_REMOVAL * max(1, removals)
         report = self._run(
             sweeping.sweep(
                 sweeping.Ask(
                     after=self._cursor,
-                    rows=PAGE_ROWS,
+                    rows=min(PAGE_ROWS, rows),
                     removals=removals,
                     write_id=ids.WriteId(self._parts.new_id()),
                     now_ms=_to_ms(self._parts.now.wall()),
--- a/pollenfork/platform/budget.py
+++ b/pollenfork/platform/budget.py
@@ -27,6 +27,9 @@
 
 # The low reading of "several hundred writes and about 2,000 reads".
 PLATFORM_RATES = Rates(reads=2000.0, writes=300.0)
+# What requests with a key may use of it. Their number is the callers' choice;
+# settings and leases must not wait behind them.
+KEYED_PARTS = Rates(reads=0.2, writes=0.7)
 HEADROOM = 0.1  # Left for the instances that the count doesn't show yet.
 DESIGN_INSTANCES = 360
 BURST_S = 2.0
@@ -110,3 +113,28 @@
         """Takes one call and returns 0, or the seconds until there is one."""
         with self._lock:
             return self._buckets[kind].take(now)
+
+
+class Budgets:
+    """An instance's budget, in two parts that can't use up each other.
+
+    Attributes:
+        control: For settings, leases and lists.
+        keyed: For the records of requests with a key.
+    """
+
+    def __init__(self, now: float) -> None:
+        total, part = PLATFORM_RATES, KEYED_PARTS
+        keyed = Rates(
+            reads=total.reads * part.reads, writes=total.writes * part.writes
+        )
+        control = Rates(
+            reads=total.reads - keyed.reads, writes=total.writes - keyed.writes
+        )
+        self.control = Budget(now, control)
+        self.keyed = Budget(now, keyed)
+
+    def set_instances(self, instances: int, now: float) -> None:
+        """Recomputes both parts; see `Budget.set_instances`."""
+        self.control.set_instances(instances, now)
+        self.keyed.set_instances(instances, now)
--- a/pollenfork/platform/policy.py
+++ b/pollenfork/platform/policy.py
@@ -275,10 +275,13 @@
 class Platform:
     """The platform's services as an instance uses them.
 
-    Table, objects and instance list share the instance's budget; each
-    service has its own breaker.
+    Each service has its own breaker.
 
     Attributes:
+        budget: In two parts; `keyed_table` and `keyed_objects` use the one,
+            the table, objects and instance list the other.
+        keyed_table: The table for the records of requests with a key.
+        keyed_objects: The object store for their answers.
         polled_table: The table for callers that poll: their next poll is the
             retry, and they have other things to do meanwhile.
     """
@@ -292,14 +295,18 @@
         weights: edges.WeightStore,
         tools: Tools,
     ) -> None:
-        self.budget = budget.Budget(tools.now.monotonic())
-        share = self.budget
+        self.budget = budget.Budgets(tools.now.monotonic())
+        share, keyed = self.budget.control, self.budget.keyed
         once = RetryLimits(attempts=1)
         self.table = GuardedTable(table, Guard("table", tools, share))
         self.polled_table = GuardedTable(
             table, Guard("polled table", tools, share, once)
         )
+        self.keyed_table = GuardedTable(table, Guard("table", tools, keyed))
         self.objects = GuardedObjects(objects, Guard("objects", tools, share))
+        self.keyed_objects = GuardedObjects(
+            objects, Guard("objects", tools, keyed)
+        )
         self.instances = GuardedInstances(
             instances, Guard("instances", tools, share)
         )
--- a/pollenfork/platform/tests/test_budget.py
+++ b/pollenfork/platform/tests/test_budget.py
@@ -67,6 +67,19 @@
     assert taken == pytest.approx(337, abs=2)
 
 
+def test_keyed_requests_leave_the_rest_to_settings_and_leases():
+    both = budget.Budgets(0.0)
+    both.set_instances(360, 0.0)
+    assert both.keyed.share.writes == pytest.approx(0.525)
+    assert both.control.share.writes == pytest.approx(0.225)
+    assert both.keyed.share.reads == pytest.approx(1.0)
+    assert both.control.share.reads == pytest.approx(4.0)
+    kind = budget.CallKind.WRITE
+    spend(lambda now: both.keyed.take(kind, now), 0.0, 1.0)
+    assert both.keyed.take(kind, 1.0) > 0.0
+    assert both.control.take(kind, 1.0) == 0.0
+
+
 def test_an_unknown_number_of_instances_falls_back_to_the_design_size():
     one = budget.Budget(0.0)
     one.set_instances(1, 0.0)
