Give the ledger its own part of the platform's budget

The application handed the ledger the table and objects of the control part, and let each clean-up remove 50 records every 5 s: at 360 instances ten times what its writes allow.

tests/test_at_most_once.py, tests/test_services.py and the slices of ledger and platform pass with it.

--- a/pollenfork/application.py
+++ b/pollenfork/application.py
@@ -25,6 +25,7 @@
 from pollenfork.entry import work
 from pollenfork.ledger import claiming
 from pollenfork.ledger import ledger
+from pollenfork.ledger import sweeping
 from pollenfork.membership import lifecycle
 from pollenfork.operator import app as operator_app
 from pollenfork.platform import client
@@ -37,7 +38,6 @@
 
 _STOP_POLL_S = 0.1
 _HOUSEKEEPING_S = 5.0
-_SWEPT_AT_ONCE = 50
 
 
 class Application:
@@ -162,7 +162,10 @@
         now = self._clock.monotonic()
         self.platform.budget.set_instances(self._presence.count(), now)
         self._ledger.settle_deferred()
-        self._ledger.sweep(_SWEPT_AT_ONCE)
+        writes_per_s = self.platform.budget.keyed.share.writes
+        self._ledger.sweep(
+            sweeping.compute_removals(writes_per_s, _HOUSEKEEPING_S)
+        )
 
     def _read_pressure(self) -> dispatch_messages.Pressure:
         pressure = self._scheduler.read_pressure()
@@ -233,8 +236,8 @@
         return ledger.Ledger(
             ledger.Parts(
                 owner=claiming.Owner(self._config.instance, self._incarnation),
-                table=self.platform.table,
-                objects=self.platform.objects,
+                table=self.platform.keyed_table,
+                objects=self.platform.keyed_objects,
                 owners=self._presence,
                 now=self._clock,
                 new_id=lambda: uuid.uuid4().hex,
