--- a/pollenfork/operator/edges.py
+++ b/pollenfork/operator/edges.py
@@ -1,6 +1,5 @@
 """What the operator interface needs of the rest of the program."""
 
-import enum
 from typing import Protocol
 
 import msgspec
@@ -9,21 +8,14 @@
 from pollenfork import failures
 from pollenfork import ids
 from pollenfork.dispatch import messages as dispatch_messages
-
-
-class InstanceState(enum.Enum):
-    """What this instance believes of an entry instance."""
-
-    LIVE = "live"
-    SUSPECTED = "suspected"
-    LOST = "lost"
-    LEFT = "left"
+from pollenfork.membership import messages as membership_messages
 
 
 class InstanceReport(msgspec.Struct, frozen=True, kw_only=True):
     """One entry instance.
 
     Attributes:
+        state: What the answering instance believes of it.
         revision: The settings revision in force there; 0 for none.
         age_s: Seconds since that revision was last known to be the newest,
             where the instance says so.
@@ -32,7 +24,7 @@
 
     instance: ids.InstanceId
     data_centre: ids.DataCentre
-    state: InstanceState
+    state: membership_messages.MemberStatus
     revision: ids.Revision
     age_s: float | None = None
     heard_s_ago: float = 0.0
--- a/pollenfork/operator/tests/support.py
+++ b/pollenfork/operator/tests/support.py
@@ -10,6 +10,7 @@
 from pollenfork import ids
 from pollenfork import metrics
 from pollenfork.dispatch import messages as dispatch_messages
+from pollenfork.membership import messages as membership_messages
 from pollenfork.operator import app
 from pollenfork.operator import edges
 from pollenfork.settings import service
@@ -19,14 +20,14 @@
     edges.InstanceReport(
         instance="entry-1",
         data_centre="amman-1",
-        state=edges.InstanceState.LIVE,
+        state=membership_messages.MemberStatus.LIVE,
         revision=1,
         age_s=2.5,
     ),
     edges.InstanceReport(
         instance="entry-2",
         data_centre="amman-2",
-        state=edges.InstanceState.SUSPECTED,
+        state=membership_messages.MemberStatus.SUSPECTED,
         revision=0,
         heard_s_ago=4.0,
     ),
--- a/pollenfork/peers.py
+++ b/pollenfork/peers.py
@@ -178,7 +178,7 @@
         return operator_edges.InstanceReport(
             instance=view.instance,
             data_centre=view.data_centre,
-            state=operator_edges.InstanceState(view.status.value),
+            state=view.status,
             revision=status.revision if is_own else view.revision,
             age_s=status.age_s if is_own else None,
             heard_s_ago=view.heard_s_ago,
