--- a/benchmarks/settings_spread.py
+++ b/benchmarks/settings_spread.py
@@ -354,9 +354,14 @@
     for row in rows:
         values = [str(getattr(row, name)) for name in names]
         print("  ".join(f"{value:>17}" for value in values))
+    write_results("settings_spread", rows)
+
+
+def write_results(name: str, rows: object) -> None:
+    """Writes a benchmark's figures as JSON."""
     _RESULTS.mkdir(exist_ok=True)
-    path = _RESULTS / "settings_spread.json"
-    path.write_bytes(msgspec.json.format(msgspec.json.encode(rows)) + b"\n")
+    body = msgspec.json.format(msgspec.json.encode(rows))
+    (_RESULTS / f"{name}.json").write_bytes(body + b"\n")
 
 
 if __name__ == "__main__":
