--- a/pollenfork/operator/tests/test_contract.py
+++ b/pollenfork/operator/tests/test_contract.py
@@ -1,5 +1,7 @@
 """The operator interface by its contract, fault cases in tables."""
 
+import pathlib
+
 import pytest
 
 from pollenfork import failures
@@ -9,6 +11,7 @@
 from pollenfork.settings import errors as settings_errors
 from pollenfork.settings.tests import support as settings_support
 
+PAGE = pathlib.Path(__file__).parents[3] / "docs/operators/settings.md"
 MORNING = "settings/teams/linework/classes/morning"
 SUMMARY = "teams/linework/classes/summary"
 TEAM = "linework-token"
@@ -303,3 +306,9 @@
     assert refusal.status >= 400
     assert (refusal.code is errors.Code.UNAVAILABLE) == (kind in OUTAGES)
     assert (refusal.retry_after_s is not None) == (refusal.status >= 503)
+
+
+@pytest.mark.parametrize("code", errors.Code)
+def test_the_operators_page_names_every_code(code) -> None:
+    page = PAGE.read_text().partition("\n| Status | Code |\n")[2]
+    assert f"`{code.value}`" in page
