Let messages to a stopped settings actor go

Cause: timers and membership may report while the instance stops; the dead actor raised in their threads. The command line also waits 30 s for an answer, as a write ends up to two time limits after its 10 s where the platform hangs.

--- a/pollenfork/cli/operator_client.py
+++ b/pollenfork/cli/operator_client.py
@@ -13,7 +13,9 @@
 """How often each instance is tried; every call may be repeated safely."""
 _PAUSE_S = 1.0
 _CONNECT_TIMEOUT_S = 2.0
-_READ_TIMEOUT_S = 15.0  # A write is tried for 10 s behind the interface.
+# A write is tried for 10 s behind the interface, and where the platform hangs
+# the last of its calls takes as long again.
+_READ_TIMEOUT_S = 30.0
 _SERVER_ERROR = 500
 _NEVER_SENT = (
     urllib3.exceptions.ConnectTimeoutError,
--- a/pollenfork/settings/actor.py
+++ b/pollenfork/settings/actor.py
@@ -1,6 +1,7 @@
 """Keeps the settings in force at this instance up to date."""
 
 from collections.abc import Callable
+import contextlib
 import logging
 import random
 from typing import Any
@@ -96,9 +97,13 @@
             self._actor.stop()
 
     def report(self, message: messages.Message) -> None:
-        """Tells of a peer, a write or the time; returns at once."""
+        """Tells of a peer, a write or the time; returns at once.
+
+        After `stop` nothing follows from it.
+        """
         if self._actor:
-            self._actor.tell(message)
+            with contextlib.suppress(pykka.ActorDeadError):
+                self._actor.tell(message)
 
     @property
     def in_force(self) -> state.InForce | None:
--- a/pollenfork/settings/tests/test_actor.py
+++ b/pollenfork/settings/tests/test_actor.py
@@ -148,6 +148,15 @@
     assert 'pollenfork_settings_adopted_total{source="table"} 1' in text
 
 
+def test_what_is_told_after_the_stop_is_left(rig) -> None:
+    rig.advance(0.1)
+    rig.settle()
+    rig.settings.stop()
+    rig.settings.report(messages.PeerRevision("peer", 9))
+    rig.advance(30.0)
+    assert rig.settings.revision == 1
+
+
 def test_an_instance_without_a_tree_has_no_copy_to_give() -> None:
     rig = Rig(support.FakeTable())
     rig.advance(0.1)
