Test the check before sending itself, and an order at a lease's end

The holder tests repeated the sender's last check in place of running it, and the other holder first read the row too late for the waiting out to matter: without it only the timing test failed. Both are closed.

--- a/pollenfork/endpoints/tests/test_holder.py
+++ b/pollenfork/endpoints/tests/test_holder.py
@@ -69,11 +69,15 @@
     here, first, second = make_pair(checks)
     while not isinstance(first.step, steps.Send):
         first.move()
+    while second.move():  # The other one counts from here.
+        pass
     here.advance(LEASE - 1.5)  # Just before it has to stop.
     first.move()
     assert first.stage == "sent"
     second.wish("m@2")
     world.settle(here, [second], 200.0)  # The first stays paused.
+    for flight in list(here.in_flight):  # Only a checking engine's is left.
+        assert isinstance(here.land(flight).err_value, world.edges.Fenced)
     assert here.engine.read_models() == ("m@2",)
 
 
--- a/pollenfork/endpoints/tests/world.py
+++ b/pollenfork/endpoints/tests/world.py
@@ -7,8 +7,9 @@
 
 from pollenfork import clock
 from pollenfork import ids
+from pollenfork.endpoints import caller
+from pollenfork.endpoints import calls
 from pollenfork.endpoints import edges
-from pollenfork.endpoints import errors as endpoint_errors
 from pollenfork.endpoints import holder
 from pollenfork.endpoints import lease
 from pollenfork.endpoints import orders
@@ -109,6 +110,12 @@
         self.name = name
         self.rank = rank
         self.models = ()
+        self.caller = caller.Caller(
+            world.clock,
+            world.table,
+            world.platform.instances,
+            world.platform.weights,
+        )
         self.start()
 
     def start(self):
@@ -168,32 +175,25 @@
         self.stage = "answered"
 
     def _leave_decided(self):
-        match self.step:
-            case steps.Read(key):
-                self.answer = self.world.table.read(key)
-            case steps.Write(transaction):
-                self.answer = self.world.table.commit(transaction)
-            case steps.AskPermit():
-                self.answer = result.Ok(None)
-            case steps.Send(order, send_before):
-                self._send(order, send_before)
-                return
+        call = calls.TakeStep(ENDPOINT, self.step)
+        answer = self.caller.make(call, self)
+        if self.flight in self.world.in_flight:
+            self.stage = "sent"
+            return
+        self.answer = answer
         self.stage = "answered"
 
-    def _send(self, order, send_before):
-        if self.now() >= send_before:
-            self.answer = result.Err(endpoint_errors.TooLate())
-            self.stage = "answered"
-            return
+    def give_order(self, order):
+        """Sends the order; the engine's answer comes with the next stage."""
         self.flight = InFlight(order, self.now() + LIMITS.order_s)
         self.world.in_flight.append(self.flight)
-        self.stage = "sent"
 
     def _leave_sent(self):
         if self.flight in self.world.in_flight:
             self.answer = self.world.land(self.flight)
         else:
             self.answer = result.Ok(None)  # It landed while we were paused.
+        self.flight = None
         self.stage = "answered"
 
     def _forget_flight(self):
