Keep a lost peer's word about a leaving endpoint

The router of membership's events tells of a peer's end by an empty list, which took back what the peer had said: an endpoint that only it knew to be leaving got new work again. A peer that isn't live takes nothing back; its claims run out after 120 s. The test fails without the change; 625 tests of the slice pass.

--- a/pollenfork/endpoints/actor.py
+++ b/pollenfork/endpoints/actor.py
@@ -104,7 +104,9 @@
                 self._core.apply_tree(tree)
                 self._connect_all(tree)
             case messages.PeerLeaving(endpoints, peer):
-                self._core.hear_peer_leaving(endpoints, peer, now)
+                # One that is gone takes nothing back by its silence.
+                known = peer if peer in self._live_peers() else None
+                self._core.hear_peer_leaving(endpoints, known, now)
             case messages.MakeDrain(endpoint, wished):
                 return self._make_drain(endpoint, wished)
             case messages.ListEndpoints():
--- a/pollenfork/endpoints/tests/test_actor.py
+++ b/pollenfork/endpoints/tests/test_actor.py
@@ -189,6 +189,20 @@
     assert site.read_states()[-1] is dispatch_messages.EndpointState.LIVE
 
 
+def test_peer_that_is_lost_takes_nothing_back(site):
+    site.apply("model")
+    site.live = (ids.InstanceId("i1"), ids.InstanceId("i2"))
+    site.run(2.0)
+    site.endpoints.hear_peer_leaving((E1,), ids.InstanceId("i2"))
+    site.run(0.25)
+    site.live = (ids.InstanceId("i1"),)
+    site.endpoints.hear_peer_leaving((), ids.InstanceId("i2"))
+    site.run(5.0)
+    assert site.read_states()[-1] is dispatch_messages.EndpointState.LEAVING
+    site.run(120.0)
+    assert site.read_states()[-1] is dispatch_messages.EndpointState.LIVE
+
+
 def test_listener_that_fails_does_not_end_the_actor(site):
     site.fails = True
     site.apply("model")
