--- a/pollenfork/answers/attempt.py
+++ b/pollenfork/answers/attempt.py
@@ -22,13 +22,6 @@
 _End = dispatch_messages.AttemptEnd
 _OK = 200
 
-_ENDS = {
-    _Cause.NEVER_SENT: _End.NEVER_SENT,
-    _Cause.REFUSED: _End.REFUSED_BY_ENDPOINT,
-    _Cause.HEAD_LATE: _End.TIMED_OUT,
-    _Cause.CALLER_GONE: _End.CANCELLED,
-}
-
 _Tried = result.Result[engine.Head, errors.Cause]
 
 
@@ -153,7 +146,7 @@
         if not race.settle(begun.is_ok()) or second.first is None:
             return begun
         if begun.is_err() and begun.unwrap_err() in core.PROVED_NOT_RUN:
-            self.slot.end(_ENDS[begun.unwrap_err()], 0)
+            self.slot.end(slot.describe_end(begun.unwrap_err()), 0)
         self.lose()
         self.slot = second.slot
         self.exchange = second.exchange
@@ -333,10 +326,7 @@
         self, cause: errors.Cause, cancel: cancels.CancelReason | None
     ) -> None:
         """Ends the attempt in use, which failed or broke."""
-        fallback = _End.BROKEN_BEFORE_FIRST
-        if self.slot.first_seen:
-            fallback = _End.BROKEN_MIDWAY
-        how = _ENDS.get(cause, fallback)
+        how = slot.describe_end(cause, midway=self.slot.first_seen)
         generated = self._count_generated()
         if cancel is None or cause in core.PROVED_NOT_RUN:
             self.slot.end(how, generated)
--- a/pollenfork/answers/slot.py
+++ b/pollenfork/answers/slot.py
@@ -9,6 +9,7 @@
 from pollenfork.answers import cancels
 from pollenfork.answers import counters
 from pollenfork.answers import edges
+from pollenfork.answers import errors
 from pollenfork.answers import messages
 from pollenfork.answers import pump
 from pollenfork.dispatch import messages as dispatch_messages
@@ -17,6 +18,22 @@
 _End = dispatch_messages.AttemptEnd
 
 
+_ENDS = {
+    errors.Cause.NEVER_SENT: _End.NEVER_SENT,
+    errors.Cause.REFUSED: _End.REFUSED_BY_ENDPOINT,
+    errors.Cause.HEAD_LATE: _End.TIMED_OUT,
+    errors.Cause.CALLER_GONE: _End.CANCELLED,
+}
+
+
+def describe_end(
+    cause: errors.Cause, *, midway: bool = False
+) -> dispatch_messages.AttemptEnd:
+    """Returns how an attempt ended that failed by `cause`."""
+    fallback = _End.BROKEN_MIDWAY if midway else _End.BROKEN_BEFORE_FIRST
+    return _ENDS.get(cause, fallback)
+
+
 class Tools(NamedTuple):
     """What all requests of a relay share."""
 
--- a/pollenfork/answers/tests/far_ends.py
+++ b/pollenfork/answers/tests/far_ends.py
@@ -1,6 +1,7 @@
 """Far ends of the relay: an engine that follows a script, and slots."""
 
 import concurrent.futures
+import contextlib
 import json
 import socket
 import threading
@@ -99,7 +100,8 @@
             if self._holds and "/cancel" not in path:
                 self.answered.set()
                 self._released.wait(10)
-                connection.sendall(self.last_words)
+                with contextlib.suppress(OSError):  # The relay may be gone.
+                    connection.sendall(self.last_words)
 
     def _choose(self, path: str, body: bytes) -> bytes:
         if path == "/v1/cancel":
