--- a/benchmarks/decisions/driver.py
+++ b/benchmarks/decisions/driver.py
@@ -133,6 +133,8 @@
         self.gone_part = 0.0
         self.most_returns = 0
         self.wasted = 0
+        self.abandoned = 0
+        self.lost_with_instance = 0
         self.attempts = 0
         self._asked = 0
         self._loads: dict[str, list[tuple[float, int, int, float]]] = {
@@ -158,6 +160,11 @@
         self.later(0.25, self._sample_loads)
         self.later.run_until(seconds)
 
+    def pick_engine(self, number: int) -> engine.Engine:
+        """Returns an engine by number, however few there are."""
+        names = list(self.engines)
+        return self.engines[names[number % len(names)]]
+
     def notify(self, name: str, state: messages.EndpointState) -> None:
         """Tells every instance of an endpoint's state, a little apart."""
         for n in range(len(self.instances)):
@@ -308,7 +315,11 @@
         request.record.gone_at = self.later.now
         request.is_closed = True
         for copy in list(request.copies):
-            self._cancel(request, copy)
+            done = self._cancel(request, copy)
+            if request.instance in self.lost_instances:
+                self.lost_with_instance += done
+            else:
+                self.abandoned += done
         withdrawn = admission_messages.Withdrawn(request=request.ask.request)
         self._report(request.instance, withdrawn)
         self._close(request)
@@ -401,7 +412,7 @@
         now = self.later.now
         for other in list(request.copies):
             if other is not copy:
-                self._cancel(request, other)
+                self.wasted += self._cancel(request, other)
         if request.record.first_at is None:
             request.record.first_at = now
         first = messages.FirstToken(attempt=copy.grant.attempt, at=now)
@@ -480,15 +491,16 @@
         decided = self.instances[n].ask_again(again, self.later.now)
         self._carry_out(n, decided)
 
-    def _cancel(self, request: Request, copy: Copy) -> None:
+    def _cancel(self, request: Request, copy: Copy) -> int:
+        """Cancels a copy; returns the tokens it had generated."""
         request.copies.remove(copy)
         one = self.engines[copy.grant.endpoint]
         done = 0
         if copy.job.state in ("queued", "prefill", "decode"):
             done = one.cancel(copy.job, self.later.now)
         copy.job.state = "gone"
-        self.wasted += done
         self._end(request.instance, copy.grant, _End.CANCELLED, done)
+        return done
 
     def _end(
         self,
--- a/benchmarks/decisions/faults.py
+++ b/benchmarks/decisions/faults.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from benchmarks.decisions import driver
+from benchmarks.decisions import engine
 from benchmarks.decisions import workload
 from pollenfork.dispatch import messages
 
@@ -12,7 +13,6 @@
 _DOWN_S = 30.0
 _NOTICED_S = 2.0
 _PROBE_S = 0.05
-_LEFT_AFTER_S = 45.0
 _GONE_PART = 0.15
 
 Fault = Callable[[driver.World], None]
@@ -29,7 +29,7 @@
 
 def slow_one(world: driver.World) -> None:
     """Makes one engine five times as slow."""
-    one = world.engines["runner-3"]
+    one = world.pick_engine(3)
     world.later(_FAULT_AT_S, lambda: one.set_slowness(_SLOW, world.later.now))
 
 
@@ -37,12 +37,12 @@
     """Crashes an engine when a job there is that far through its answer."""
 
     def fault(world: driver.World) -> None:
-        one = world.engines["runner-2"]
+        one = world.pick_engine(2)
 
         def probe() -> None:
             now = world.later.now
             if any(low <= part <= high for part in one.list_parts(now)):
-                crash_one(world, "runner-2")
+                crash_one(world, one)
             else:
                 world.later(now + _PROBE_S, probe)
 
@@ -51,14 +51,14 @@
     return fault
 
 
-def crash_one(world: driver.World, name: str) -> None:
+def crash_one(world: driver.World, one: engine.Engine) -> None:
     """Crashes an engine now; it is noticed late and comes back."""
     now = world.later.now
-    world.engines[name].crash(now)
+    one.crash(now)
     gone, live = messages.EndpointState.GONE, messages.EndpointState.LIVE
-    world.later(now + _NOTICED_S, lambda: world.notify(name, gone))
-    world.later(now + _DOWN_S, world.engines[name].restart)
-    world.later(now + _DOWN_S + 1.0, lambda: world.notify(name, live))
+    world.later(now + _NOTICED_S, lambda: world.notify(one.name, gone))
+    world.later(now + _DOWN_S, one.restart)
+    world.later(now + _DOWN_S + 1.0, lambda: world.notify(one.name, live))
 
 
 def age_reports(world: driver.World) -> None:
@@ -70,18 +70,20 @@
     """Makes three engines repeat their report of the moment as fresh."""
 
     def freeze() -> None:
-        world.frozen_reports.update(("runner-0", "runner-4", "runner-8"))
+        frozen = (world.pick_engine(n).name for n in (0, 4, 8))
+        world.frozen_reports.update(frozen)
 
     world.later(_FAULT_AT_S, freeze)
 
 
 def leave_one(world: driver.World) -> None:
     """Lets an engine leave; only one instance is told, the list lags."""
+    one = world.pick_engine(5)
 
     def leave() -> None:
-        world.engines["runner-5"].accepts = False
+        one.accepts = False
         leaving = messages.EndpointState.LEAVING
-        world.notify_one(0, "runner-5", leaving, 1.0)
+        world.notify_one(0, one.name, leaving, 1.0)
 
     world.later(_FAULT_AT_S, leave)
 
--- a/benchmarks/decisions/page.py
+++ b/benchmarks/decisions/page.py
@@ -20,8 +20,9 @@
 A class's cell: attainment in % (first token and mean gap within target, answer
 whole), in brackets the whole answers in %, late ones included. Goodput counts
 requests, and their tokens, that met their targets. Waste is the part of the
-generated tokens that no caller got. Sent/request counts attempts for each
-request that was sent at all.
+generated tokens that no caller got, or that were repeats; where a caller
+itself went away mid-answer, its tokens are under "abandoned" below.
+Sent/request counts attempts for each request that was sent at all.
 """
 
 
@@ -87,8 +88,8 @@
     lines = [
         "\n## Predictions, continuation, ejections (pollenfork)\n",
         "| case | waits predicted right | returning callers in time |"
-        " tokens saved by continuation | ejections |",
-        "| --- | --- | --- | --- | --- |",
+        " tokens saved by continuation | abandoned tokens | ejections |",
+        "| --- | --- | --- | --- | --- | --- |",
     ]
     for row in faults.ROWS:
         key = (row.name, "pollenfork", instances, workload.ENGINES)
@@ -98,14 +99,15 @@
         right = _write_part([r.predicted_right for r in found])
         returned = _write_part([r.return_met for r in found])
         saved = sum(r.saved_tokens for r in found) / len(found)
+        left = sum(r.abandoned for r in found) / len(found)
         ejected = sum(r.ejections for r in found) / len(found)
         lines.append(
             f"| {row.name} | {right} | {returned} | {saved:.0f} |"
-            f" {ejected:.1f} |"
+            f" {left:.2%} | {ejected:.1f} |"
         )
     lines.append(
         "\nA prediction is right when it is within half of the actual wait,"
-        " or within 0.5 s."
+        " or within 0.5 s; requests that had to wait only."
     )
     return lines
 
--- a/benchmarks/decisions/results.py
+++ b/benchmarks/decisions/results.py
@@ -19,7 +19,9 @@
         refused: Refused by class.
         goodput: Requests per second that met their targets.
         goodput_tokens: Their tokens per second.
-        waste: Part of the generated tokens that no caller got.
+        waste: Part of the generated tokens that no caller got, or that were
+            repeats; those of a lost entry instance included.
+        abandoned: Part of the generated tokens whose caller went away.
         amplification: Attempts sent per request that was sent.
         saved_tokens: Tokens not generated again thanks to continuation.
         predicted_right: Part of the waits predicted within half, or 0.5 s.
@@ -32,6 +34,7 @@
     goodput: float
     goodput_tokens: float
     waste: float
+    abandoned: float
     amplification: float
     saved_tokens: int
     predicted_right: float | None
@@ -58,7 +61,8 @@
         ),
         goodput=len(met) / seconds,
         goodput_tokens=sum(r.delivered for r in met) / seconds,
-        waste=world.wasted / max(1, generated),
+        waste=(world.wasted + world.lost_with_instance) / max(1, generated),
+        abandoned=world.abandoned / max(1, generated),
         amplification=world.attempts / max(1, sent),
         saved_tokens=sum(r.saved for r in records),
         predicted_right=right / predictions if predictions else None,
--- a/pollenfork/admission/core.py
+++ b/pollenfork/admission/core.py
@@ -153,6 +153,10 @@
         """Returns the ask of a request that is still open."""
         return self._open.get(request)
 
+    def count_open(self) -> int:
+        """Returns the requests that are not closed yet."""
+        return len(self._open)
+
     def is_waiting(self, request: ids.RequestId) -> bool:
         """Returns whether the request stands in a queue."""
         return request in self._waiting
--- a/pollenfork/admission/shares.py
+++ b/pollenfork/admission/shares.py
@@ -7,6 +7,7 @@
 from pollenfork.admission import messages
 
 _MOST_REQUESTS = 2
+_LEAST_HOLD_S = 0.05
 
 
 class Place(NamedTuple):
@@ -39,6 +40,7 @@
             slot_seconds: Its share of the slots times the time passed.
             hold_s: How long its requests hold a slot.
         """
+        hold_s = max(hold_s, _LEAST_HOLD_S)
         owed = self._owed.get(place, 0.0) + slot_seconds
         self._owed[place] = min(owed, _MOST_REQUESTS * hold_s)
         self._holds[place] = hold_s
--- a/pollenfork/decisions.py
+++ b/pollenfork/decisions.py
@@ -155,6 +155,10 @@
         """Returns the attempts that hold a slot."""
         return self._dispatch.count_in_flight()
 
+    def count_open(self) -> int:
+        """Returns the requests that count against their account."""
+        return self._admission.count_open()
+
     def count_waiting(self) -> int:
         """Returns the requests that wait."""
         return self._admission.size
--- a/pollenfork/dispatch/endpoint.py
+++ b/pollenfork/dispatch/endpoint.py
@@ -151,7 +151,8 @@
         known = self.own + self.peers
         if not self.is_usable(now):
             # What it still holds counts as capacity that is in use.
-            return Assessment(False, float(known), 0)
+            held = min(known, self.settings.slots)
+            return Assessment(False, float(held), 0)
         load = self.estimate_load(now)
         limit = self.limit.read(now)
         has_room = load + 1 <= limit and self._has_memory(now)
--- a/pollenfork/scheduler.py
+++ b/pollenfork/scheduler.py
@@ -145,8 +145,18 @@
         self._pending: dict[ids.RequestId, Pending] = {}
 
     def on_receive(self, message: Any) -> None:
-        """Takes one message and carries out what the core decides."""
-        now = self._clock.monotonic()
+        """Takes one message and carries out what the core decides.
+
+        An exception would end the actor, and with it the instance's service:
+        a message that the core fails on is logged and left.
+        """
+        try:
+            self._take(message, self._clock.monotonic())
+        except Exception:
+            kind = type(message).__name__
+            _LOG.exception("event=scheduler_failed message=%s", kind)
+
+    def _take(self, message: Any, now: float) -> None:
         match message:
             case _Asked():
                 self._take_asked(message, now)
@@ -162,13 +172,6 @@
         """Refuses what still waits."""
         self._answer(self._core.refuse_all())
 
-    def on_failure(
-        self, exception_type: Any, exception_value: Any, traceback: Any
-    ) -> None:
-        """Logs a message that the core failed on; the actor goes on."""
-        del exception_type, traceback
-        _LOG.error("event=scheduler_failed error=%r", exception_value)
-
     def _take_asked(self, message: _Asked, now: float) -> None:
         asked = message.asked
         if asked.request in self._pending:
