Fetch whole states of few members at a time

Cause: 60 real instances started at once on this machine had not found each other after 20 s: each missing state was asked for again each second, about 3,540 calls each on a channel of its own, and the calls timed out. An instance now has at most four under way and asks for the rest with the members' next heartbeats.

--- a/pollenfork/membership/actor.py
+++ b/pollenfork/membership/actor.py
@@ -165,11 +165,11 @@
                 self._count(failure, address)
 
     def _hear_state(self, message: StateFetched, now: float) -> None:
-        match message.answer.and_then(wire.decode_heartbeat):
-            case result.Ok(heartbeat):
-                self._carry_out(self._core.hear_state(heartbeat, now))
-            case result.Err(failure):
-                self._count(failure, message.instance)
+        answer = message.answer.and_then(wire.decode_heartbeat)
+        if answer.is_err():
+            self._count(answer.unwrap_err(), message.instance)
+        found = self._core.hear_state(message.instance, answer.ok(), now)
+        self._carry_out(found)
 
     def _hear_summary(self, message: SummaryAnswered, now: float) -> None:
         match message.answer.and_then(wire.decode_summary):
--- a/pollenfork/membership/core.py
+++ b/pollenfork/membership/core.py
@@ -12,6 +12,7 @@
 from pollenfork.dispatch import messages as dispatch_messages
 from pollenfork.membership import actions
 from pollenfork.membership import contacts
+from pollenfork.membership import fetches
 from pollenfork.membership import messages
 from pollenfork.membership import notices
 from pollenfork.membership import own
@@ -27,7 +28,6 @@
 
 LIST_PERIOD_S = 10.0
 _PAUSE_S = 1.0
-_FETCH_GAP_S = 1.0
 _FORGET_S = 2 * 3600.0
 _LOST_PROBE_S = 2.0
 _NOTES_LIMIT = 32
@@ -54,6 +54,7 @@
         self._notices = notices.Notices()
         self._encoder = pressures.PressureEncoder()
         self._answers: dict[ids.InstanceId, wire.Note] = {}
+        self._fetches = fetches.Fetches()
         self._ticked_at = now
         self._heartbeat_at = now
         self._list_at = now
@@ -159,12 +160,18 @@
         return found
 
     def hear_state(
-        self, heartbeat: wire.Heartbeat, now: float
+        self,
+        instance: ids.InstanceId,
+        heartbeat: wire.Heartbeat | None,
+        now: float,
     ) -> list[actions.Action]:
-        """Takes in a peer's answer to `FetchState`.
+        """Takes in the answer of `instance` to `FetchState`; None for none.
 
         A new instance thereby learns of members that its list lacks.
         """
+        self._fetches.finish(instance)
+        if heartbeat is None:
+            return []
         member = self._roster.find(heartbeat.instance)
         if member is None or heartbeat.incarnation != member.incarnation:
             return []
@@ -281,9 +288,8 @@
     def _fetch_whole(
         self, member: roster.Member, now: float
     ) -> list[actions.Action]:
-        if now - member.fetched_at < _FETCH_GAP_S:
+        if not self._fetches.try_start(member, now):
             return []
-        member.fetched_at = now
         return [actions.FetchState(member.instance, member.address)]
 
     def _hear_leaving(
--- /dev/null
+++ b/pollenfork/membership/fetches.py
@@ -0,0 +1,31 @@
+"""Which whole states are being fetched, so that few are at a time."""
+
+from pollenfork import ids
+from pollenfork.membership import roster
+
+_GAP_S = 0.2
+_LIMIT = 4
+
+
+class Fetches:
+    """Leave to fetch; when many members start at once, most wait.
+
+    A member that gets no leave is asked about again with its next heartbeat.
+    """
+
+    def __init__(self) -> None:
+        self._running: set[ids.InstanceId] = set()
+
+    def try_start(self, member: roster.Member, now: float) -> bool:
+        """Returns whether the member's state may be fetched now."""
+        if member.instance in self._running or len(self._running) >= _LIMIT:
+            return False
+        if now - member.fetched_at < _GAP_S:
+            return False
+        self._running.add(member.instance)
+        member.fetched_at = now
+        return True
+
+    def finish(self, instance: ids.InstanceId) -> None:
+        """Records that the fetch has been answered, or has failed."""
+        self._running.discard(instance)
--- a/pollenfork/membership/tests/test_core.py
+++ b/pollenfork/membership/tests/test_core.py
@@ -4,8 +4,11 @@
 import pytest
 
 from pollenfork import ids
+from pollenfork.dispatch import messages as dispatch_messages
+from pollenfork.membership import actions
 from pollenfork.membership import messages
 from pollenfork.membership import own
+from pollenfork.membership import pressures
 from pollenfork.membership import wire
 from pollenfork.membership.tests import network
 
@@ -190,6 +193,29 @@
     assert len(sequences) > 20
 
 
+def test_few_whole_states_are_fetched_at_a_time():
+    world = network.Network(1, "a")
+    world.start("entry-0")
+    core = world.nodes["entry-0"].core
+    heartbeat = wire.Heartbeat(1, "x", "a", 1, 1, 200, _STATUS.LIVE, 1)
+    encoder = pressures.PressureEncoder()
+    body = encoder.encode_change(dispatch_messages.Pressure("x"), 0.0)
+    asked = []
+    for number in range(10):
+        one = msgspec.structs.replace(
+            heartbeat, instance=f"peer-{number}", pressure=body
+        )
+        found = core.hear_heartbeat(one, f"peer-{number}:1", 0.0)
+        asked += [a for a in found if isinstance(a, actions.FetchState)]
+    assert [fetch.instance for fetch in asked] == [
+        f"peer-{number}" for number in range(4)
+    ]
+    core.hear_state("peer-0", None, 0.1)
+    later = msgspec.structs.replace(one, sequence=2)
+    found = core.hear_heartbeat(later, "peer-9:1", 0.3)
+    assert actions.FetchState("peer-9", "peer-9:1") in found
+
+
 def test_a_notice_reaches_every_data_centre_and_is_told_once():
     world = _start("a", "a", "b", "b", "c")
     world.nodes["entry-0"].leaving = (ids.EndpointId("runner-1"),)
