Let ticks divide the heartbeat period

Cause: the socket's thread read the next due time before the actor had set it, so with 250 ms ticks two members sent each 250 instead of each 200 ms. Conclusion: the thread keeps time by itself, in ticks that the actor sets to a whole part of the period; the tick nearest to the due time sends.

--- a/pollenfork/membership/actor.py
+++ b/pollenfork/membership/actor.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from concurrent import futures
 import logging
+import math
 from typing import Any
 
 import msgspec
@@ -23,6 +24,7 @@
 from pollenfork.platform import edges
 from pollenfork.platform import errors as platform_errors
 
+_TICK_MAX_S = 0.25
 _LOG = logging.getLogger(__name__)
 
 Listed = result.Result[
@@ -150,11 +152,14 @@
 
     def _spend_time(self, now: float) -> None:
         self._carry_out(self._core.tick(now))
-        if now >= self._core.heartbeat_at:
+        # The tick nearest to the due time sends; ticks divide the period.
+        if now + self._edges.datagrams.tick_s / 2 >= self._core.heartbeat_at:
             pressure = self._edges.read_pressure()
             revision = self._edges.read_revision()
             self._carry_out(self._core.beat(now, pressure, revision))
-            self._edges.datagrams.wake_at = self._core.heartbeat_at
+            period_s = self._core.period_s
+            ticks = math.ceil(period_s / _TICK_MAX_S)
+            self._edges.datagrams.tick_s = period_s / ticks
 
     def _hear_datagram(self, body: bytes, address: str, now: float) -> None:
         match wire.decode_heartbeat(body):
--- a/pollenfork/membership/datagrams.py
+++ b/pollenfork/membership/datagrams.py
@@ -13,7 +13,7 @@
 
 _LOG = logging.getLogger(__name__)
 _BUFFER = 1024 * 1024  # Room for what arrives while the process is paused.
-_TICK_S = 0.25
+_TICK_S = 0.2
 
 
 class Traffic(msgspec.Struct):
@@ -39,7 +39,7 @@
         self._stopped = threading.Event()
         self._thread: threading.Thread | None = None
         self.traffic = Traffic()
-        self.wake_at = 0.0  # An earlier call of `on_time` than the usual.
+        self.tick_s = _TICK_S  # May be set anew while the thread runs.
 
     def bind(self, address: str) -> None:
         """Takes the address; raises `OSError` where it is taken."""
@@ -61,7 +61,7 @@
         on_datagram: Callable[[bytes, str], None],
         on_time: Callable[[], None],
     ) -> None:
-        """Starts the thread; `on_time` runs at least each 250 ms."""
+        """Starts the thread; `on_time` runs each `tick_s` seconds."""
         self._thread = threading.Thread(
             target=self._run,
             args=(on_datagram, on_time),
@@ -87,9 +87,7 @@
             now = self._clock.monotonic()
             if now >= due:
                 on_time()
-                due = now + _TICK_S
-                if now < self.wake_at < due:
-                    due = self.wake_at
+                due = max(due + self.tick_s, now)
             self._socket.settimeout(max(due - now, 0.001))
             try:
                 body, source = self._socket.recvfrom(wire.DATAGRAM_LIMIT + 1)
