--- /dev/null
+++ b/pollenfork/entry/work.py
@@ -0,0 +1,305 @@
+"""The course of one request: classed, queued, dispatched, relayed."""
+
+from collections.abc import Callable, Mapping
+import concurrent.futures
+import http
+from typing import Protocol
+
+import result
+
+from pollenfork import clock
+from pollenfork import failures
+from pollenfork import ids
+from pollenfork.admission import messages as admission_messages
+from pollenfork.answers import edges as answer_edges
+from pollenfork.answers import errors as answer_errors
+from pollenfork.answers import messages as answer_messages
+from pollenfork.answers import session
+from pollenfork.dispatch import messages as dispatch_messages
+from pollenfork.entry import asks
+from pollenfork.entry import errors
+from pollenfork.entry import journal
+from pollenfork.entry import keyed
+from pollenfork.entry import request
+from pollenfork.entry import target
+from pollenfork.settings import model
+from pollenfork.settings import snapshot
+
+CALLER = "pollenfork.caller"  # The caller's connection, in the environ.
+
+_CHECK_CALLER_S = 0.25
+_MS = 1000
+_CHAT = "/v1/chat/completions"
+_NO_METHODS = frozenset({"CONNECT", "TRACE"})
+_SERVICE_METHODS = (
+    "GET",
+    "HEAD",
+    "POST",
+    "PUT",
+    "PATCH",
+    "DELETE",
+    "OPTIONS",
+)
+
+Served = result.Result[session.Answer, errors.Refusal]
+
+
+class Slots(session.Slots, Protocol):
+    """The scheduler as the entry needs it."""
+
+    def submit(
+        self, ask: admission_messages.Ask
+    ) -> concurrent.futures.Future[
+        dispatch_messages.Grant | admission_messages.Refused
+    ]:
+        """Asks for a slot."""
+
+
+class Worker:
+    """Takes a request from its head to the answer's first byte."""
+
+    def __init__(
+        self,
+        slots: Slots,
+        relay: session.Relay,
+        now: clock.Clock,
+        body_limit: int,
+        claims: keyed.Claims | None = None,
+    ) -> None:
+        """Makes the worker.
+
+        Args:
+            slots: The scheduler.
+            relay: Opens answers at endpoints.
+            now: The clock.
+            body_limit: Bytes of a request's body.
+            claims: The ledger; without one, requests with an
+                `Idempotency-Key` are refused.
+        """
+        self._keyed = keyed.Keyed(claims, now)
+        self._slots = slots
+        self._relay = relay
+        self._clock = now
+        self._body_limit = body_limit
+
+    def complete(
+        self,
+        environ: request.Environ,
+        lookups: snapshot.Snapshot,
+        record: journal.Record,
+    ) -> Served:
+        """Serves a completion by a model runner."""
+        identified = self._identify(environ, lookups, record)
+        if identified.is_err():
+            return result.Err(identified.unwrap_err())
+        read = request.read_body(environ, self._body_limit)
+        if read.is_err():
+            return result.Err(read.unwrap_err())
+        chat = environ["PATH_INFO"] == _CHAT
+        parsed = request.read_prompt(read.unwrap(), chat)
+        if parsed.is_err():
+            return result.Err(parsed.unwrap_err())
+        prompt = parsed.unwrap()
+        if prompt.model not in list_models(lookups.tree.root.endpoints):
+            return refuse_model(prompt.model)
+        identity = identified.unwrap()
+        ask = asks.ask_for_model(identity, lookups, record, prompt)
+        call = answer_messages.Call(
+            request=ask.request,
+            method="POST",
+            path=environ["PATH_INFO"],
+            headers=target.list_engine_headers(environ),
+            body=read.unwrap(),
+            streamed=bool(prompt.stream),
+            idempotent=True,
+            first_token_due=ask.first_token_due,
+            give_up_at=ask.give_up_at,
+        )
+        return self._run(environ, ask, call, record)
+
+    def call_service(
+        self,
+        environ: request.Environ,
+        lookups: snapshot.Snapshot,
+        record: journal.Record,
+    ) -> Served:
+        """Passes a call on to a plain service."""
+        method = environ["REQUEST_METHOD"]
+        if method in _NO_METHODS:
+            refused = request.check_method(environ, _SERVICE_METHODS)
+            return result.Err(refused.unwrap_err())
+        located = target.read_service(environ)
+        if located.is_err():
+            return result.Err(located.unwrap_err())
+        identified = self._identify(environ, lookups, record)
+        if identified.is_err():
+            return result.Err(identified.unwrap_err())
+        place = located.unwrap()
+        service = lookups.tree.root.services.get(place.service)
+        if service is None:
+            return _refuse_service(place.service)
+        read = request.read_body(environ, self._body_limit)
+        if read.is_err():
+            return result.Err(read.unwrap_err())
+        ask = asks.ask_for_service(
+            identified.unwrap(),
+            lookups,
+            record,
+            place.service,
+            idempotent=method in service.repeatable_methods,
+        )
+        call = answer_messages.Call(
+            request=ask.request,
+            method=method,
+            path=place.path,
+            headers=target.list_service_headers(environ),
+            body=read.unwrap(),
+            streamed=False,
+            idempotent=ask.idempotent,
+            first_token_due=ask.first_token_due,
+            give_up_at=ask.give_up_at,
+            timeout_s=service.timeout_ms / _MS,
+            engine=False,
+            continuable=False,
+        )
+        return self._run(environ, ask, call, record)
+
+    def _identify(
+        self,
+        environ: request.Environ,
+        lookups: snapshot.Snapshot,
+        record: journal.Record,
+    ) -> result.Result[request.Identity, errors.Refusal]:
+        authenticated = request.authenticate(environ, lookups)
+        if authenticated.is_err():
+            return result.Err(authenticated.unwrap_err())
+        caller = authenticated.unwrap()
+        record.note_caller(caller)
+        chosen = request.choose_class(environ, caller, lookups)
+        if chosen.is_ok():
+            record.service_class = chosen.unwrap().class_name
+        return chosen
+
+    def _run(
+        self,
+        environ: request.Environ,
+        ask: admission_messages.Ask,
+        call: answer_messages.Call,
+        record: journal.Record,
+    ) -> Served:
+        header = environ.get(keyed.HEADER)
+        if header is None or (ask.service and ask.idempotent):
+            caller = environ.get(CALLER)
+            return self._run_once(environ, ask, call, record, caller)
+        return self._keyed.run(
+            header,
+            ask,
+            call,
+            lambda may_send: self._run_once(
+                environ, ask, call, record, None, may_send
+            ),
+        )
+
+    def _run_once(
+        self,
+        environ: request.Environ,
+        ask: admission_messages.Ask,
+        call: answer_messages.Call,
+        record: journal.Record,
+        caller: answer_edges.Caller | None,
+        may_send: Callable[[], bool] | None = None,
+    ) -> Served:
+        decision = self._wait_for_slot(environ, ask)
+        if isinstance(decision, admission_messages.Refused):
+            return result.Err(errors.describe_refused(decision))
+        record.note_granted(decision.endpoint)
+        if may_send and not may_send():
+            self._give_back(decision)
+            return _refuse_lapsed()
+        opened = self._relay.open(call, decision, caller)
+        if opened.is_err():
+            return result.Err(_describe_failure(opened.unwrap_err()))
+        return result.Ok(opened.unwrap())
+
+    def _give_back(self, grant: dispatch_messages.Grant) -> None:
+        ended = dispatch_messages.AttemptEnded(
+            attempt=grant.attempt,
+            how=dispatch_messages.AttemptEnd.NEVER_SENT,
+            tokens=0,
+            at=self._clock.monotonic(),
+        )
+        self._slots.report(ended)
+        closed = dispatch_messages.RequestClosed(request=grant.request)
+        self._slots.report(closed)
+
+    def _wait_for_slot(
+        self, environ: request.Environ, ask: admission_messages.Ask
+    ) -> dispatch_messages.Grant | admission_messages.Refused:
+        pending = self._slots.submit(ask)
+        is_gone = environ.get("waitress.client_disconnected", lambda: False)
+        while True:
+            try:
+                return pending.result(timeout=_CHECK_CALLER_S)
+            except concurrent.futures.TimeoutError:
+                if is_gone():
+                    withdrawn = admission_messages.Withdrawn(
+                        request=ask.request
+                    )
+                    self._slots.report(withdrawn)
+
+
+def list_models(
+    endpoints: Mapping[ids.EndpointId, model.EndpointSettings],
+) -> list[ids.ModelName]:
+    """Returns the names of the models that any endpoint has by plan."""
+    names = {
+        ids.ModelName(name.partition("@")[0])
+        for endpoint in endpoints.values()
+        for name in endpoint.models
+    }
+    return sorted(names)
+
+
+def _describe_failure(failure: answer_errors.AnswerFailure) -> errors.Refusal:
+    not_run = failure.outcome is failures.Outcome.NOT_RUN
+    said = "was not run" if not_run else "may have run"
+    code = errors.Code.ENDPOINT_FAILED
+    if failure.cause is answer_errors.Cause.CALLER_GONE:
+        code = errors.Code.CALLER_GONE
+    return errors.Refusal(
+        status=http.HTTPStatus.BAD_GATEWAY,
+        code=code,
+        outcome=failure.outcome,
+        reason=failure.cause.value,
+        retry_after_s=1.0 if not_run else None,
+        detail=f"The endpoint gave no answer; the request {said}.",
+    )
+
+
+def refuse_model(name: str) -> result.Err[errors.Refusal]:
+    """Returns the refusal of a model that no endpoint has."""
+    return errors.refuse(
+        http.HTTPStatus.NOT_FOUND,
+        errors.Code.UNKNOWN_MODEL,
+        f"No endpoint has the model {request.shorten(name)!r};"
+        " GET /v1/models lists them.",
+        param="model",
+    )
+
+
+def _refuse_lapsed() -> result.Err[errors.Refusal]:
+    return errors.refuse(
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+        errors.Code.RECORD_UNAVAILABLE,
+        "The claim on the key lapsed; send the request again. It was not run.",
+        reason="claim_lapsed",
+        retry_after_s=1.0,
+    )
+
+
+def _refuse_service(name: str) -> result.Err[errors.Refusal]:
+    return errors.refuse(
+        http.HTTPStatus.NOT_FOUND,
+        errors.Code.UNKNOWN_SERVICE,
+        f"There is no service {request.shorten(name)!r}.",
+    )
