--- a/benchmarks/peer_cost.py
+++ b/benchmarks/peer_cost.py
@@ -2,8 +2,8 @@
 
 Every member is a real `Membership` in a process of its own on one machine, all
 in one data centre. Bytes are of heartbeats, both directions, with IP and UDP
-headers. The exchange between data centres is measured alone, by
-`measure_exchange`, and added by its rate.
+headers. The exchange between data centres is measured by
+`benchmarks.peer_exchange`.
 
     python -m benchmarks.peer_cost [MEMBERS ...]
 """
