--- a/pollenfork/membership/actor.py
+++ b/pollenfork/membership/actor.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from concurrent import futures
 import logging
+import math
 from typing import Any
 
 import msgspec
@@ -23,6 +24,7 @@
 from pollenfork.platform import edges
 from pollenfork.platform import errors as platform_errors
 
+_TICK_MAX_S = 0.25
 _LOG = logging.getLogger(__name__)
 
 Listed = result.Result[
@@ -150,11 +152,14 @@
 
     def _spend_time(self, now: float) -> None:
         self._carry_out(self._core.tick(now))
-        if now >= self._core.heartbeat_at:
+        # The tick nearest to the due time sends; ticks divide the period.
+        if now + self._edges.datagrams.tick_s / 2 >= self._core.heartbeat_at:
             pressure = self._edges.read_pressure()
             revision = self._edges.read_revision()
             self._carry_out(self._core.beat(now, pressure, revision))
-            self._edges.datagrams.wake_at = self._core.heartbeat_at
+            period_s = self._core.period_s
+            ticks = math.ceil(period_s / _TICK_MAX_S)
+            self._edges.datagrams.tick_s = period_s / ticks
 
     def _hear_datagram(self, body: bytes, address: str, now: float) -> None:
         match wire.decode_heartbeat(body):
@@ -165,11 +170,11 @@
                 self._count(failure, address)
 
     def _hear_state(self, message: StateFetched, now: float) -> None:
-        match message.answer.and_then(wire.decode_heartbeat):
-            case result.Ok(heartbeat):
-                self._carry_out(self._core.hear_state(heartbeat, now))
-            case result.Err(failure):
-                self._count(failure, message.instance)
+        answer = message.answer.and_then(wire.decode_heartbeat)
+        if answer.is_err():
+            self._count(answer.unwrap_err(), message.instance)
+        found = self._core.hear_state(message.instance, answer.ok(), now)
+        self._carry_out(found)
 
     def _hear_summary(self, message: SummaryAnswered, now: float) -> None:
         match message.answer.and_then(wire.decode_summary):
