--- a/benchmarks/settings_spread.py
+++ b/benchmarks/settings_spread.py
@@ -132,6 +132,14 @@
         self.keeper.handle(messages.Tick())
 
 
+class Heard(msgspec.Struct, frozen=True):
+    """What a listener is going to hear, and when."""
+
+    at: float
+    listener: ManualInstance
+    said: messages.PeerRevision
+
+
 def _no_copy(peer: str) -> result.Result[bytes, failures.Failure]:
     return result.Err(failures.Failure(detail=f"{peer} has no copy"))
 
@@ -171,7 +179,7 @@
         ]
         self._peers = peers
         self._rng = random.Random(7)
-        self._heard: list[tuple[float, ManualInstance, int]] = []
+        self._heard: list[Heard] = []
         self._known: dict[int, int] = {}
         self.quiet_reads: list[int] = []
         self.busy_reads: list[int] = []
@@ -210,10 +218,10 @@
     def _step(self) -> None:
         self._clock.advance(actor.TICK_S)
         now = self._clock.monotonic()
-        due = [heard for heard in self._heard if heard[0] <= now]
-        self._heard = [heard for heard in self._heard if heard[0] > now]
-        for _, listener, revision in due:
-            listener.keeper.handle(messages.PeerRevision("peer", revision))
+        due = [heard for heard in self._heard if heard.at <= now]
+        self._heard = [heard for heard in self._heard if heard.at > now]
+        for heard in due:
+            heard.listener.keeper.handle(heard.said)
         for instance in self._instances:
             instance.tick()
             if self._peers:
@@ -225,13 +233,14 @@
         if self._known.get(instance.number) == revision:
             return
         self._known[instance.number] = revision
+        said = messages.PeerRevision(f"entry-{instance.number}", revision)
         members = max(1, len(self._instances) // DATA_CENTRES)
         period_s = periods.compute_heartbeat_s(members)
         for other in self._instances:
             same = other.number % DATA_CENTRES == instance.number % DATA_CENTRES
             if same and other is not instance:
                 at = now + self._rng.uniform(0, period_s)
-                self._heard.append((at, other, revision))
+                self._heard.append(Heard(at, other, said))
 
     def _count_reads(self) -> int:
         calls = self._state.calls
--- a/pollenfork/settings/core.py
+++ b/pollenfork/settings/core.py
@@ -20,7 +20,12 @@
 """
 POLL_JITTER = 0.2
 FIRST_POLL_S = 1.0
-"""Mean time between two reads while no tree is in force."""
+"""Mean time between two reads while no tree is in force.
+
+A failed read is repeated after as long, then twice as long each time, up to
+`POLL_S`: one that was lost costs little, an outage costs the table no more
+than polling.
+"""
 AHEAD_WINDOW_S = 2.0
 """Instances that hear of a newer revision at once spread their reads so."""
 GATHER_S = 3.0
@@ -33,6 +38,8 @@
 PEER_REST_S = 5.0
 """How long a peer whose copy couldn't be had is left alone."""
 
+_MOST_DOUBLINGS = 3  # Eight times `FIRST_POLL_S` is past `POLL_S`.
+
 
 class ReadTable(msgspec.Struct, frozen=True):
     """Read the head row, and the subtrees that it shows to be newer."""
@@ -74,6 +81,7 @@
         self._peers: dict[ids.InstanceId, ids.Revision] = {}
         self._resting: dict[ids.InstanceId, float] = {}
         self._next_read = now
+        self._failures = 0
         self._gather_until: float | None = None
         self._fetch_until = now
 
@@ -129,6 +137,7 @@
             now: When the read was sent.
         """
         self.platform_answers = True
+        self._failures = 0
         self._gather_until = None
         actions: list[Action] = []
         if found is not None:
@@ -140,8 +149,11 @@
         return actions
 
     def take_read_failure(self, now: float) -> None:
-        """Takes a read of the table that failed."""
+        """Takes a read of the table that failed; `now` is when it was sent."""
         self.platform_answers = False
+        delay_s = min(POLL_S, FIRST_POLL_S * 2**self._failures)
+        self._failures = min(self._failures + 1, _MOST_DOUBLINGS)
+        self._next_read = min(self._next_read, now + self._spread(delay_s))
         if self._gather_until is None:
             self._gather_until = now + GATHER_S
 
@@ -199,5 +211,7 @@
         return [FetchCopy(best)]
 
     def _draw_poll_s(self) -> float:
-        mean = POLL_S if self.in_force else FIRST_POLL_S
-        return mean * self._rng.uniform(1 - POLL_JITTER, 1 + POLL_JITTER)
+        return self._spread(POLL_S if self.in_force else FIRST_POLL_S)
+
+    def _spread(self, mean_s: float) -> float:
+        return mean_s * self._rng.uniform(1 - POLL_JITTER, 1 + POLL_JITTER)
--- a/pollenfork/settings/tests/test_core.py
+++ b/pollenfork/settings/tests/test_core.py
@@ -53,6 +53,23 @@
     assert 5.5 < max(gaps) < 6.2
 
 
+def test_a_failed_read_is_repeated_sooner_and_then_ever_later() -> None:
+    made = make_core(5)
+    reads = []
+    for step in range(400):
+        now = step / 10
+        if core.ReadTable() in made.tick(now):
+            reads.append(now)
+            made.take_read_failure(now)
+    gaps = [after - before for before, after in itertools.pairwise(reads)]
+    for gap, mean in zip(gaps, [1.0, 2.0, 4.0, 5.0, 5.0], strict=False):
+        assert abs(gap - mean) <= core.POLL_JITTER * mean + 0.1
+    assert len(gaps) >= 5
+    made.take_read(make_tree(5), 40.0)
+    made.take_read_failure(40.0)
+    assert core.ReadTable() in made.tick(40.0 + 1.2)
+
+
 def test_a_peer_ahead_brings_the_next_read_forward() -> None:
     made = make_core(5)
     made.tick(0.0)
