--- a/benchmarks/peer_cost.py
+++ b/benchmarks/peer_cost.py
@@ -2,14 +2,15 @@
 
 Every member is a real `Membership` in a process of its own on one machine, all
 in one data centre. Bytes are of heartbeats, both directions, with IP and UDP
-headers. The exchange between data centres is measured alone, by
-`measure_exchange`, and added by its rate.
+headers. The exchange between data centres is measured by
+`benchmarks.peer_exchange`.
 
     python -m benchmarks.peer_cost [MEMBERS ...]
 """
 
 import itertools
 import json
+import os
 import pathlib
 import statistics
 import sys
@@ -22,7 +23,7 @@
 MEMBERS = (2, 8, 24, 60)
 _WARM_S = 4.0
 _MEASURED_S = 10.0
-_JOIN_S = 20.0
+_JOIN_S = 30.0
 
 
 def compute_age(ages: list[tuple[float, float]], part: float) -> float:
@@ -73,7 +74,9 @@
         "rss_mb_mean": round(statistics.mean(o["rss"] for o in found) / 1e6, 1),
         "threads": max(one["threads"] for one in found),
         "joined_s": round(joined_s, 1),
-        "fetches": sum(one["failures"].get("MissingBase", 0) for one in found),
+        "missed": sum(one["missed"] for one in found),
+        "events": sum(one["events"] for one in found),
+        "load": round(os.getloadavg()[0], 1),
     }
 
 
--- a/pollenfork/membership/tests/test_core.py
+++ b/pollenfork/membership/tests/test_core.py
@@ -4,8 +4,11 @@
 import pytest
 
 from pollenfork import ids
+from pollenfork.dispatch import messages as dispatch_messages
+from pollenfork.membership import actions
 from pollenfork.membership import messages
 from pollenfork.membership import own
+from pollenfork.membership import pressures
 from pollenfork.membership import wire
 from pollenfork.membership.tests import network
 
@@ -36,6 +39,15 @@
     return views.get(instance)
 
 
+def _find_last_named(world, source):
+    return [
+        packet
+        for packet in world.history
+        if packet.source == source
+        and wire.decode_heartbeat(packet.body).unwrap().instance
+    ][-1]
+
+
 def _note(heartbeat, status, sequence):
     return wire.Note(
         heartbeat.instance,
@@ -190,6 +202,60 @@
     assert len(sequences) > 20
 
 
+def test_names_are_left_out_towards_members_that_know_them():
+    world = _start("a", "a", "a")
+    world.history.clear()
+    world.run(3.2)
+    sent = [wire.decode_heartbeat(p.body).unwrap() for p in world.history]
+    named = [heartbeat for heartbeat in sent if heartbeat.instance]
+    assert len(sent) >= 6 * 15
+    assert len(named) <= len(sent) / 6
+
+
+@pytest.mark.parametrize(
+    ("later", "address"),
+    [(0, "stranger:1"), (1, "entry-0:1"), (-1, "entry-0:1")],
+)
+def test_a_nameless_heartbeat_of_a_stranger_is_ignored(later, address):
+    world = _start("a", "a")
+    node = world.nodes["entry-1"]
+    world.kill("entry-0")
+    heartbeat = wire.decode_heartbeat(
+        _find_last_named(world, "entry-0:1").body
+    ).unwrap()
+    nameless = msgspec.structs.replace(
+        heartbeat,
+        instance=ids.InstanceId(""),
+        data_centre=ids.DataCentre(""),
+        incarnation=ids.Incarnation(heartbeat.incarnation + later),
+        sequence=heartbeat.sequence + 100,
+    )
+    assert node.core.hear_heartbeat(nameless, address, world.now) == []
+
+
+def test_few_whole_states_are_fetched_at_a_time():
+    world = network.Network(1, "a")
+    world.start("entry-0")
+    core = world.nodes["entry-0"].core
+    heartbeat = wire.Heartbeat(1, "x", "a", 1, 1, 200, _STATUS.LIVE, 1)
+    encoder = pressures.PressureEncoder()
+    body = encoder.encode_change(dispatch_messages.Pressure("x"), 0.0)
+    asked = []
+    for number in range(10):
+        one = msgspec.structs.replace(
+            heartbeat, instance=f"peer-{number}", pressure=body
+        )
+        found = core.hear_heartbeat(one, f"peer-{number}:1", 0.0)
+        asked += [a for a in found if isinstance(a, actions.FetchState)]
+    assert [fetch.instance for fetch in asked] == [
+        f"peer-{number}" for number in range(4)
+    ]
+    core.hear_state("peer-0", None, 0.1)
+    later = msgspec.structs.replace(one, sequence=2)
+    found = core.hear_heartbeat(later, "peer-9:1", 0.3)
+    assert actions.FetchState("peer-9", "peer-9:1") in found
+
+
 def test_a_notice_reaches_every_data_centre_and_is_told_once():
     world = _start("a", "a", "b", "b", "c")
     world.nodes["entry-0"].leaving = (ids.EndpointId("runner-1"),)
@@ -255,7 +321,7 @@
     node = world.nodes["entry-1"]
     world.kill("entry-0")
     world.packets.clear()
-    late = [p for p in world.history if p.source == "entry-0:1"][-1]
+    late = _find_last_named(world, "entry-0:1")
     world.run(2.0)
     heartbeat = wire.decode_heartbeat(late.body).unwrap()
     heard = _note(heartbeat, _STATUS.LIVE, heartbeat.sequence + 5)
@@ -275,7 +341,7 @@
     world = _start("a", "a")
     node = world.nodes["entry-1"]
     world.kill("entry-0")
-    late = [p for p in world.history if p.source == "entry-0:1"][-1]
+    late = _find_last_named(world, "entry-0:1")
     heartbeat = wire.decode_heartbeat(late.body).unwrap()
     _tell(node, world, _note(heartbeat, _STATUS.LEFT, heartbeat.sequence))
     later = msgspec.structs.replace(heartbeat, sequence=heartbeat.sequence + 9)
@@ -329,7 +395,7 @@
 def test_a_heartbeat_in_ones_own_name_changes_nothing():
     world = _start("a", "a")
     node = world.nodes["entry-0"]
-    packet = next(p for p in world.history if p.source == "entry-0:1")
+    packet = _find_last_named(world, "entry-0:1")
     forged = msgspec.structs.replace(packet, target="entry-0:1")
     before = list(node.events)
     world.deliver(forged)
