--- a/pollenfork/settings/core.py
+++ b/pollenfork/settings/core.py
@@ -115,9 +115,11 @@
         self, peer: ids.InstanceId, revision: ids.Revision, now: float
     ) -> None:
         """Notes the revision in force at a peer."""
-        known = self._peers.get(peer, ids.Revision(0))
+        newest = max(self._peers.values(), default=ids.Revision(0))
         self._peers[peer] = revision
-        if revision > self.revision and revision > known:
+        # Drawn once for each revision: the least of many draws, one for each
+        # peer that tells of it, would bring all instances' reads together.
+        if revision > max(newest, self.revision):
             soon = now + self._rng.uniform(0, AHEAD_WINDOW_S)
             self._next_read = min(self._next_read, soon)
 
--- a/pollenfork/settings/tests/test_core.py
+++ b/pollenfork/settings/tests/test_core.py
@@ -77,6 +77,20 @@
     assert core.ReadTable() in made.tick(0.5 + core.AHEAD_WINDOW_S)
 
 
+def test_many_peers_ahead_bring_the_next_read_no_further_forward() -> None:
+    reads = []
+    for peers in (1, 60):
+        made = make_core(5)
+        made.tick(0.0)
+        for number in range(peers):
+            made.hear_peer(f"peer-{number}", 6, 0.5)
+        steps = [0.5 + step / 100 for step in range(250)]
+        reads.append(
+            next(now for now in steps if core.ReadTable() in made.tick(now))
+        )
+    assert reads[0] == reads[1] > 0.5
+
+
 def test_a_peer_level_or_behind_brings_nothing_forward() -> None:
     made = make_core(5)
     made.tick(0.0)
