--- a/pollenfork/operator/tests/support.py
+++ b/pollenfork/operator/tests/support.py
@@ -1,6 +1,7 @@
 """An operator interface on a fake table, called as WSGI calls it."""
 
 import io
+import random
 
 import msgspec
 import result
@@ -9,23 +10,24 @@
 from pollenfork import ids
 from pollenfork import metrics
 from pollenfork.dispatch import messages as dispatch_messages
+from pollenfork.membership import messages as membership_messages
 from pollenfork.operator import app
 from pollenfork.operator import edges
-from pollenfork.operator import tree
+from pollenfork.settings import service
 from pollenfork.settings.tests import support as settings_support
 
 REPORTS = (
     edges.InstanceReport(
         instance="entry-1",
         data_centre="amman-1",
-        state=edges.InstanceState.LIVE,
+        state=membership_messages.MemberStatus.LIVE,
         revision=1,
         age_s=2.5,
     ),
     edges.InstanceReport(
         instance="entry-2",
         data_centre="amman-2",
-        state=edges.InstanceState.SUSPECTED,
+        state=membership_messages.MemberStatus.SUSPECTED,
         revision=0,
         heard_s_ago=4.0,
     ),
@@ -81,25 +83,26 @@
         self.metrics = metrics.Metrics()
         self.seed = seed
         self.made_ids = 0
-        handler = tree.TreeHandler(
-            self.site.writer,
+        self.settings = service.Service(
             self.table,
+            self.site.clock,
+            random.Random(seed),
+            self.site.wait,
             lambda: self.site.in_force,
             self.note_written,
-            self.make_write_id,
+            (settings_support.ROOT_OPERATOR,),
         )
         self.app = app.Operator(
             ids.InstanceId("entry-1"),
-            handler,
-            lambda: self.site.in_force,
+            self.settings,
             FakeInstances(),
             self.endpoints,
             self.metrics,
-            (settings_support.ROOT_OPERATOR,),
+            self.make_write_id,
         )
 
     def note_written(self, written) -> None:
-        self.site.in_force = written
+        self.site.in_force = written.tree
 
     def make_write_id(self) -> ids.WriteId:
         self.made_ids += 1
--- a/tests/endpoints.py
+++ b/tests/endpoints.py
@@ -19,6 +19,12 @@
     body: bytes
 
 
+_PROBES = {
+    "/healthz": b"{}",
+    "/v1/load": b'{"running": 0, "waiting": 0, "kv_free": 1.0,'
+    b' "models": ["lines"], "ready": true, "age_ms": 0}',
+}
+
 Part = bytes | threading.Event
 Script = Callable[[Call], Iterable[Part]]
 
@@ -26,13 +32,21 @@
 class ScriptedEndpoint:
     """Answers each connection's one request with the script's bytes.
 
+    Probes are answered aside and not among the calls.
+
     An event among the parts is waited for; the connection ends after the
     last part.
+
+    Attributes:
+        calls: The requests that came in.
+        sent: What was sent to each.
+        finished: How many of them were answered to the end.
     """
 
     def __init__(self, script: Script) -> None:
         self.calls: list[Call] = []
         self.sent: list[bytes] = []
+        self.finished = 0
         self._script = script
         self._listener = socket.create_server(("127.0.0.1", 0))
         host, port = self._listener.getsockname()
@@ -43,6 +57,10 @@
         """Returns how often `path` was asked for."""
         return sum(call.path == path for call in self.calls)
 
+    def is_finished(self) -> bool:
+        """Returns whether every call was answered to the end."""
+        return self.finished == len(self.calls)
+
     def stop(self) -> None:
         """Takes no more connections."""
         self._listener.shutdown(socket.SHUT_RDWR)
@@ -70,6 +88,9 @@
         call = _read_call(connection)
         if call is None:
             return
+        if call.path in _PROBES:
+            connection.sendall(write_answer("200 OK", _PROBES[call.path]))
+            return
         self.calls.append(call)
         number = len(self.sent)
         self.sent.append(b"")
@@ -79,6 +100,7 @@
                 continue
             self.sent[number] += part
             connection.sendall(part)
+        self.finished += 1
 
 
 def _read_call(connection: socket.socket) -> Call | None:
