--- a/benchmarks/decisions/driver.py
+++ b/benchmarks/decisions/driver.py
@@ -133,8 +133,11 @@
         self.gone_part = 0.0
         self.most_returns = 0
         self.wasted = 0
+        self.abandoned = 0
+        self.lost_with_instance = 0
         self.attempts = 0
         self._asked = 0
+        self._slots = engine.SLOTS
         self._loads: dict[str, list[tuple[float, int, int, float]]] = {
             name: [(0.0, 0, 0, 1.0)] for name in self.engines
         }
@@ -158,6 +161,19 @@
         self.later(0.25, self._sample_loads)
         self.later.run_until(seconds)
 
+    def pick_engine(self, number: int) -> engine.Engine:
+        """Returns an engine by number, however few there are."""
+        names = list(self.engines)
+        return self.engines[names[number % len(names)]]
+
+    def set_slots(self, slots: int) -> None:
+        """Lets every engine batch that much, and the settings say so."""
+        self._slots = slots
+        for one in self.engines.values():
+            one.slots = slots
+        for n in range(len(self.instances)):
+            self._apply_tree(n)
+
     def notify(self, name: str, state: messages.EndpointState) -> None:
         """Tells every instance of an endpoint's state, a little apart."""
         for n in range(len(self.instances)):
@@ -193,9 +209,7 @@
     # Instances.
 
     def _start_instance(self, n: int) -> None:
-        tree = self._build_tree(n)
-        message = settings_messages.TreeInForce(tree, snapshot.Snapshot(tree))
-        self._report(n, message)
+        self._apply_tree(n)
         self.later(self.rng.uniform(0, _TICK_S), lambda: self._tick(n))
         at = self.rng.uniform(0, _PRESSURE_PERIOD_S)
         if policies.hears_peers(self.policy):
@@ -203,6 +217,11 @@
         at = self.rng.uniform(0, _REPORT_PERIOD_S)
         self.later(at, lambda: self._poll_loads(n))
 
+    def _apply_tree(self, n: int) -> None:
+        tree = self._build_tree(n)
+        message = settings_messages.TreeInForce(tree, snapshot.Snapshot(tree))
+        self._report(n, message)
+
     def _build_tree(self, instance: int) -> model.Tree:
         names = list(self.engines)
         if self.policy == "subset":
@@ -213,7 +232,7 @@
                 address=name,
                 data_centre=ids.DataCentre("a"),
                 models=(workload.MODEL,),
-                slots=engine.SLOTS,
+                slots=self._slots,
             )
             for name in names
         }
@@ -308,7 +327,11 @@
         request.record.gone_at = self.later.now
         request.is_closed = True
         for copy in list(request.copies):
-            self._cancel(request, copy)
+            done = self._cancel(request, copy)
+            if request.instance in self.lost_instances:
+                self.lost_with_instance += done
+            else:
+                self.abandoned += done
         withdrawn = admission_messages.Withdrawn(request=request.ask.request)
         self._report(request.instance, withdrawn)
         self._close(request)
@@ -401,7 +424,7 @@
         now = self.later.now
         for other in list(request.copies):
             if other is not copy:
-                self._cancel(request, other)
+                self.wasted += self._cancel(request, other)
         if request.record.first_at is None:
             request.record.first_at = now
         first = messages.FirstToken(attempt=copy.grant.attempt, at=now)
@@ -480,15 +503,16 @@
         decided = self.instances[n].ask_again(again, self.later.now)
         self._carry_out(n, decided)
 
-    def _cancel(self, request: Request, copy: Copy) -> None:
+    def _cancel(self, request: Request, copy: Copy) -> int:
+        """Cancels a copy; returns the tokens it had generated."""
         request.copies.remove(copy)
         one = self.engines[copy.grant.endpoint]
         done = 0
         if copy.job.state in ("queued", "prefill", "decode"):
             done = one.cancel(copy.job, self.later.now)
         copy.job.state = "gone"
-        self.wasted += done
         self._end(request.instance, copy.grant, _End.CANCELLED, done)
+        return done
 
     def _end(
         self,
--- a/pollenfork/entry/keyed.py
+++ b/pollenfork/entry/keyed.py
@@ -19,14 +19,36 @@
 
 HEADER = "HTTP_IDEMPOTENCY_KEY"
 _FINISH_MARK = b"\ndata: [DONE]"  # A line of its own: no event's text.
+_MARK_BYTES = 64  # More than the mark and the blank lines after it.
 _KEEP_BYTES = 32 * 1024 * 1024
-_CODES: dict[type[ledger_errors.LedgerRefusal], errors.Code] = {
-    ledger_errors.Running: errors.Code.RUNNING,
-    ledger_errors.UnknownOutcome: errors.Code.OUTCOME_UNKNOWN,
-    ledger_errors.KeyReused: errors.Code.KEY_REUSED,
-    ledger_errors.AnswerNotKept: errors.Code.ANSWER_NOT_KEPT,
-    ledger_errors.AnswerUnavailable: errors.Code.RECORD_UNAVAILABLE,
-    ledger_errors.LedgerDown: errors.Code.RECORD_UNAVAILABLE,
+_REFUSALS: dict[type[ledger_errors.LedgerRefusal], tuple[errors.Code, str]] = {
+    ledger_errors.Running: (
+        errors.Code.RUNNING,
+        "The request with this key is in progress; ask again later.",
+    ),
+    ledger_errors.UnknownOutcome: (
+        errors.Code.OUTCOME_UNKNOWN,
+        "Whether the request with this key ran can't be known; look for its"
+        " effect, then take a new key.",
+    ),
+    ledger_errors.KeyReused: (
+        errors.Code.KEY_REUSED,
+        "The key came with another request; take a new one."
+        " This request was not run.",
+    ),
+    ledger_errors.AnswerNotKept: (
+        errors.Code.ANSWER_NOT_KEPT,
+        "The request with this key ran; its answer was too long to keep.",
+    ),
+    ledger_errors.AnswerUnavailable: (
+        errors.Code.RECORD_UNAVAILABLE,
+        "The request with this key ran; its answer can't be read now.",
+    ),
+    ledger_errors.LedgerDown: (
+        errors.Code.RECORD_UNAVAILABLE,
+        "The record of the key can't be written now; nothing was run"
+        " for this call.",
+    ),
 }
 
 Served = result.Result[session.Answer, errors.Refusal]
@@ -39,9 +61,12 @@
         """Returns whether the request may still be sent."""
 
     def record_done(
-        self, status: int, headers: Iterable[tuple[str, str]], body: bytes
+        self,
+        status: int,
+        headers: Iterable[tuple[str, str]],
+        body: bytes | None,
     ) -> Any:
-        """Keeps the whole answer for repeats."""
+        """Keeps the whole answer for repeats; None says that it isn't kept."""
 
     def record_not_run(self) -> Any:
         """Frees the key."""
@@ -130,6 +155,7 @@
         self._streamed = streamed
         self._parts: list[bytes] = []
         self._size = 0
+        self._last = b""
         self._ended = False
 
     def __next__(self) -> bytes:
@@ -156,6 +182,7 @@
             self._ended = True
             self._record()
         self._size += len(chunk)
+        self._last = (self._last + chunk)[-_MARK_BYTES:]
         if self._size <= _KEEP_BYTES:
             self._parts.append(chunk)
         return chunk
@@ -165,11 +192,12 @@
         body = b"".join(self._parts)
         failed = answer.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
         cut = self._size > len(body)
-        broken = self._streamed and not _is_finished(body)
-        if failed or cut or broken:
+        broken = self._streamed and not _is_finished(self._last)
+        if failed or broken:
             self._claim.record_unknown()
             return
-        self._claim.record_done(answer.status, answer.headers, body)
+        kept = None if cut else body
+        self._claim.record_done(answer.status, answer.headers, kept)
 
 
 def _is_finished(body: bytes) -> bool:
@@ -206,10 +234,11 @@
         return result.Ok(
             session.Answer(kept.status, headers, iter([kept.body]))
         )
+    code, detail = _REFUSALS[type(refusal)]
     return errors.refuse(
         http.HTTPStatus(refusal.STATUS),
-        _CODES[type(refusal)],
-        refusal.detail or (type(refusal).__doc__ or "").partition("\n")[0],
+        code,
+        detail,
         outcome=refusal.outcome,
         retry_after_s=refusal.retry_after_s,
     )
--- a/pollenfork/operator/tests/test_contract.py
+++ b/pollenfork/operator/tests/test_contract.py
@@ -1,5 +1,7 @@
 """The operator interface by its contract, fault cases in tables."""
 
+import pathlib
+
 import pytest
 
 from pollenfork import failures
@@ -9,6 +11,7 @@
 from pollenfork.settings import errors as settings_errors
 from pollenfork.settings.tests import support as settings_support
 
+PAGE = pathlib.Path(__file__).parents[3] / "docs/operators/settings.md"
 MORNING = "settings/teams/linework/classes/morning"
 SUMMARY = "teams/linework/classes/summary"
 TEAM = "linework-token"
@@ -35,7 +38,7 @@
     ("GET", "settings/teams/nobody", {}, 404, "unknown_path"),
     ("GET", "settings/teams", {}, 404, "unknown_path"),
     ("GET", f"{MORNING}/tier/deeper", {}, 404, "unknown_path"),
-    ("GET", "settings-history/", {}, 400, "bad_request"),
+    ("GET", "settings-history/", {}, 404, "unknown_path"),
     ("GET", "settings-history/teams/linework", {"query": "revision=x"}, 400,
      "bad_request"),
     ("GET", "settings-history/teams/linework", {"query": "revision=9"}, 404,
@@ -275,6 +278,14 @@
     assert failed.headers["X-Outcome"] == failures.Outcome.UNKNOWN.value
 
 
+OUTAGES = (
+    settings_errors.TableBehind,
+    settings_errors.TreeMoving,
+    settings_errors.Unreadable,
+    settings_errors.UnreadableRow,
+)
+
+
 @pytest.mark.parametrize(
     "kind",
     [
@@ -287,8 +298,17 @@
 )
 def test_every_settings_failure_has_its_answer(kind) -> None:
     extra = {
+        settings_errors.BadDocument: {"violations": ()},
         settings_errors.BadTree: {"violations": ()},
         settings_errors.Stale: {"current": 1},
     }
-    refusal = errors.refuse_write(kind(**extra.get(kind, {})))
+    refusal = errors.refuse(kind(**extra.get(kind, {})))
     assert refusal.status >= 400
+    assert (refusal.code is errors.Code.UNAVAILABLE) == (kind in OUTAGES)
+    assert (refusal.retry_after_s is not None) == (refusal.status >= 503)
+
+
+@pytest.mark.parametrize("code", errors.Code)
+def test_the_operators_page_names_every_code(code) -> None:
+    page = PAGE.read_text().partition("\n| Status | Code |\n")[2]
+    assert f"`{code.value}`" in page
--- a/pollenfork/settings/core.py
+++ b/pollenfork/settings/core.py
@@ -20,7 +20,12 @@
 """
 POLL_JITTER = 0.2
 FIRST_POLL_S = 1.0
-"""Mean time between two reads while no tree is in force."""
+"""Mean time between two reads while no tree is in force.
+
+A failed read is repeated after as long, then twice as long each time, up to
+`POLL_S`: one that was lost costs little, an outage costs the table no more
+than polling.
+"""
 AHEAD_WINDOW_S = 2.0
 """Instances that hear of a newer revision at once spread their reads so."""
 GATHER_S = 3.0
@@ -30,6 +35,12 @@
 """How long a peer's copy is waited for before another peer is asked."""
 
 
+PEER_REST_S = 5.0
+"""How long a peer whose copy couldn't be had is left alone."""
+
+_MOST_DOUBLINGS = 3  # Eight times `FIRST_POLL_S` is past `POLL_S`.
+
+
 class ReadTable(msgspec.Struct, frozen=True):
     """Read the head row, and the subtrees that it shows to be newer."""
 
@@ -68,7 +79,9 @@
         self._rng = rng
         self._confirmed_at: float | None = None
         self._peers: dict[ids.InstanceId, ids.Revision] = {}
+        self._resting: dict[ids.InstanceId, float] = {}
         self._next_read = now
+        self._failures = 0
         self._gather_until: float | None = None
         self._fetch_until = now
 
@@ -90,26 +103,30 @@
     def tick(self, now: float) -> list[Action]:
         """Returns what is due now."""
         actions: list[Action] = []
+        if not self.platform_answers and self._has_gathered(now):
+            # Before the read, which may wait for its whole time limit.
+            actions += self._fetch_from_best(now)
         if now >= self._next_read:
             self._next_read = now + self._draw_poll_s()
             actions.append(ReadTable())
-        if not self.platform_answers and self._has_gathered(now):
-            actions += self._fetch_from_best(now)
         return actions
 
     def hear_peer(
         self, peer: ids.InstanceId, revision: ids.Revision, now: float
     ) -> None:
         """Notes the revision in force at a peer."""
-        known = self._peers.get(peer, ids.Revision(0))
+        newest = max(self._peers.values(), default=ids.Revision(0))
         self._peers[peer] = revision
-        if revision > self.revision and revision > known:
+        # Drawn once for each revision: the least of many draws, one for each
+        # peer that tells of it, would bring all instances' reads together.
+        if revision > max(newest, self.revision):
             soon = now + self._rng.uniform(0, AHEAD_WINDOW_S)
             self._next_read = min(self._next_read, soon)
 
     def forget_peer(self, peer: ids.InstanceId) -> None:
         """Drops a peer that can't be reached."""
         self._peers.pop(peer, None)
+        self._resting.pop(peer, None)
 
     def take_read(
         self, found: state.InForce | None, now: float
@@ -122,6 +139,7 @@
             now: When the read was sent.
         """
         self.platform_answers = True
+        self._failures = 0
         self._gather_until = None
         actions: list[Action] = []
         if found is not None:
@@ -133,8 +151,11 @@
         return actions
 
     def take_read_failure(self, now: float) -> None:
-        """Takes a read of the table that failed."""
+        """Takes a read of the table that failed; `now` is when it was sent."""
         self.platform_answers = False
+        delay_s = min(POLL_S, FIRST_POLL_S * 2**self._failures)
+        self._failures = min(self._failures + 1, _MOST_DOUBLINGS)
+        self._next_read = min(self._next_read, now + self._spread(delay_s))
         if self._gather_until is None:
             self._gather_until = now + GATHER_S
 
@@ -143,11 +164,12 @@
     ) -> list[Action]:
         """Takes a peer's tree, or None where it couldn't be had."""
         self._fetch_until = now
+        known = self._peers.get(peer, ids.Revision(0))
+        if found is None or found.revision < known:
+            # Membership tells a revision once, so the peer is kept in mind.
+            self._resting[peer] = now + PEER_REST_S
         if found is None:
-            self.forget_peer(peer)
             return []
-        if found.revision < self._peers.get(peer, ids.Revision(0)):
-            self.forget_peer(peer)
         return self._adopt(found, Source.PEER, now)
 
     def take_write(self, written: state.InForce, now: float) -> list[Action]:
@@ -177,14 +199,21 @@
         return self._gather_until is not None and now >= self._gather_until
 
     def _fetch_from_best(self, now: float) -> list[Action]:
-        if now < self._fetch_until or not self._peers:
+        if now < self._fetch_until:
             return []
-        best = max(self._peers, key=lambda peer: (self._peers[peer], peer))
-        if self._peers[best] <= self.revision:
+        ahead = [
+            (revision, peer)
+            for peer, revision in self._peers.items()
+            if revision > self.revision and now >= self._resting.get(peer, now)
+        ]
+        if not ahead:
             return []
+        _, best = max(ahead)
         self._fetch_until = now + FETCH_S
         return [FetchCopy(best)]
 
     def _draw_poll_s(self) -> float:
-        mean = POLL_S if self.in_force else FIRST_POLL_S
-        return mean * self._rng.uniform(1 - POLL_JITTER, 1 + POLL_JITTER)
+        return self._spread(POLL_S if self.in_force else FIRST_POLL_S)
+
+    def _spread(self, mean_s: float) -> float:
+        return mean_s * self._rng.uniform(1 - POLL_JITTER, 1 + POLL_JITTER)
--- a/pollenfork/settings/tests/test_actor.py
+++ b/pollenfork/settings/tests/test_actor.py
@@ -99,6 +99,24 @@
     assert copies.decode(rig.settings.encode_copy()).unwrap().revision == 1
 
 
+def test_a_table_behind_what_is_in_force_changes_nothing(rig) -> None:
+    rig.advance(0.1)
+    written = support.Site(rig.table).write("root", support.ROOT, 1).unwrap()
+    rig.settings.report(messages.TreeWritten(written.tree))
+    rig.settle()
+    rig.table.lose_rows()
+    support.Site(rig.table, seed=1).seed()
+    rig.advance(7.0)
+    rig.settle()
+    status = rig.settings.read_status()
+    assert (status.revision, status.age_s) == (2, 7.0)
+    assert status.platform_answers
+    failures_total = "pollenfork_settings_read_failures_total"
+    assert f'{failures_total}{{reason="TableBehind"}} 1' in (
+        rig.metrics.render()[0].decode()
+    )
+
+
 def test_a_failing_subscriber_does_not_end_the_actor(rig) -> None:
     def fail(message: messages.TreeInForce) -> None:
         raise ValueError(message)
@@ -130,6 +148,15 @@
     assert 'pollenfork_settings_adopted_total{source="table"} 1' in text
 
 
+def test_what_is_told_after_the_stop_is_left(rig) -> None:
+    rig.advance(0.1)
+    rig.settle()
+    rig.settings.stop()
+    rig.settings.report(messages.PeerRevision("peer", 9))
+    rig.advance(30.0)
+    assert rig.settings.revision == 1
+
+
 def test_an_instance_without_a_tree_has_no_copy_to_give() -> None:
     rig = Rig(support.FakeTable())
     rig.advance(0.1)
--- a/pollenfork/settings/tests/test_core.py
+++ b/pollenfork/settings/tests/test_core.py
@@ -53,6 +53,23 @@
     assert 5.5 < max(gaps) < 6.2
 
 
+def test_a_failed_read_is_repeated_sooner_and_then_ever_later() -> None:
+    made = make_core(5)
+    reads = []
+    for step in range(400):
+        now = step / 10
+        if core.ReadTable() in made.tick(now):
+            reads.append(now)
+            made.take_read_failure(now)
+    gaps = [after - before for before, after in itertools.pairwise(reads)]
+    for gap, mean in zip(gaps, [1.0, 2.0, 4.0, 5.0, 5.0], strict=False):
+        assert abs(gap - mean) <= core.POLL_JITTER * mean + 0.1
+    assert len(gaps) >= 5
+    made.take_read(make_tree(5), 40.0)
+    made.take_read_failure(40.0)
+    assert core.ReadTable() in made.tick(40.0 + 1.2)
+
+
 def test_a_peer_ahead_brings_the_next_read_forward() -> None:
     made = make_core(5)
     made.tick(0.0)
@@ -60,6 +77,20 @@
     assert core.ReadTable() in made.tick(0.5 + core.AHEAD_WINDOW_S)
 
 
+def test_many_peers_ahead_bring_the_next_read_no_further_forward() -> None:
+    reads = []
+    for peers in (1, 60):
+        made = make_core(5)
+        made.tick(0.0)
+        for number in range(peers):
+            made.hear_peer(f"peer-{number}", 6, 0.5)
+        steps = [0.5 + step / 100 for step in range(250)]
+        reads.append(
+            next(now for now in steps if core.ReadTable() in made.tick(now))
+        )
+    assert reads[0] == reads[1] > 0.5
+
+
 def test_a_peer_level_or_behind_brings_nothing_forward() -> None:
     made = make_core(5)
     made.tick(0.0)
@@ -81,6 +112,29 @@
     assert made.tick(0.4) == [core.FetchCopy("other")]
 
 
+def test_a_peer_whose_copy_failed_is_asked_again_without_its_voice() -> None:
+    made = make_core(5)
+    made.tick(0.0)
+    made.hear_peer("peer", 7, 0.1)
+    made.take_read_failure(0.2)
+    assert core.FetchCopy("peer") in made.tick(0.2)
+    made.take_copy("peer", None, 0.3)
+    assert core.FetchCopy("peer") not in made.tick(0.4)
+    later = 0.3 + core.PEER_REST_S
+    assert core.FetchCopy("peer") in made.tick(later)
+
+
+def test_a_peer_that_gives_less_than_it_said_is_left_alone() -> None:
+    made = make_core(5)
+    made.tick(0.0)
+    made.hear_peer("peer", 7, 0.1)
+    made.take_read_failure(0.2)
+    made.tick(0.2)
+    made.take_copy("peer", make_tree(6), 0.3)
+    assert made.revision == 6
+    assert core.FetchCopy("peer") not in made.tick(0.4)
+
+
 def test_a_table_that_lags_behind_a_peer_is_made_up_for() -> None:
     made = make_core(5)
     made.hear_peer("peer", 7, 0.1)
