--- a/pollenfork/decisions.py
+++ b/pollenfork/decisions.py
@@ -7,10 +7,10 @@
 import random
 from typing import Any
 
-import msgspec
-
+from pollenfork import accrual
 from pollenfork import ids
 from pollenfork import outlook
+from pollenfork import verdicts
 from pollenfork.admission import core as admission_core
 from pollenfork.admission import forecast
 from pollenfork.admission import messages as admission_messages
@@ -22,16 +22,12 @@
 from pollenfork.dispatch import sharing
 from pollenfork.settings import messages as settings_messages
 
-Decision = messages.Grant | admission_messages.Refused
+Decision = verdicts.Decision
 
 _Reason = admission_messages.RefusalReason
 _Retry = messages.RetryReason
 
-_MOST_ATTEMPTS = 4
 _HEDGE_PART = 0.95
-_RIGHT_S = 0.5
-_RIGHT_PART = 0.5
-_ACCRUAL_PERIOD_S = 0.1
 
 
 class Decisions:
@@ -57,9 +53,11 @@
             self._admission, self._dispatch, self._forecast, rng
         )
         self._shares = shares.MinimumShares()
+        self._accrual = accrual.Accrual(
+            self._admission, self._dispatch, self._forecast, self._shares
+        )
         self._budgets = budget.RetryBudgets()
-        self._decided: list[Decision] = []
-        self._accrued_at: float | None = None
+        self._verdicts = verdicts.Verdicts(self.counters)
         self._is_draining = False
 
     def submit(self, ask: admission_messages.Ask, now: float) -> list[Decision]:
@@ -70,7 +68,7 @@
             self._refuse(ask, reason, now)
         elif not self._serve_at_once(ask, now):
             self._queue(ask, now)
-        return self._take_decided()
+        return self._verdicts.take()
 
     def ask_again(self, again: messages.AskAgain, now: float) -> list[Decision]:
         """Takes an admitted request's wish for a further attempt."""
@@ -79,8 +77,8 @@
             refused = admission_messages.Refused(
                 request=again.request, reason=_Reason.CALLER_GONE
             )
-            self._add_refused(refused)
-            return self._take_decided()
+            self._verdicts.add_refused(refused)
+            return self._verdicts.take()
         if again.reason is _Retry.HEDGE:
             self._hedge(ask, again, now)
         else:
@@ -100,7 +98,7 @@
                 self._end(event, now)
             case messages.RequestClosed() | admission_messages.Withdrawn():
                 if not self._leave(event, now):
-                    return self._take_decided()
+                    return self._verdicts.take()
             case _:
                 self._take_news(event, now)
         return self._decide(now)
@@ -123,7 +121,7 @@
     def tick(self, now: float) -> list[Decision]:
         """Lets time pass; call it about every 50 ms."""
         self._dispatch.tick(now)
-        self._accrue_shares(now)
+        self._accrual.accrue(now)
         self.counters.ejections = self._dispatch.ejections
         return self._decide(now)
 
@@ -135,8 +133,8 @@
         """Refuses all that waits: the instance stops."""
         self._is_draining = True
         for waiting in self._admission.pop_all():
-            self._refuse(waiting.ask, _Reason.STOPPING, None)
-        return self._take_decided()
+            self._verdicts.refuse(waiting.ask, _Reason.STOPPING)
+        return self._verdicts.take()
 
     def abandon(self, request: ids.RequestId) -> list[Decision]:
         """Refuses a request on which deciding failed."""
@@ -144,8 +142,8 @@
         refused = admission_messages.Refused(
             request=request, reason=_Reason.INSTANCE_FULL
         )
-        self._add_refused(refused)
-        return self._take_decided()
+        self._verdicts.add_refused(refused)
+        return self._verdicts.take()
 
     def read_pressure(self, now: float) -> messages.Pressure:
         """Returns what peers should know of this instance."""
@@ -194,66 +192,35 @@
         again: messages.AskAgain,
         now: float,
     ) -> None:
-        reason = self._find_retry_refusal(ask, again.reason, now)
+        sent = self._dispatch.count_attempts(ask.request)
+        reason = self._budgets.charge(ask, again.reason, sent, now)
         if reason is not None:
-            self._refuse_again(ask, reason)
+            self._verdicts.refuse(ask, reason)
             return
-        _count(self.counters.retries, again.reason.value)
+        self._verdicts.count_retry(again.reason)
         if again.reason is _Retry.CONTINUE_ELSEWHERE:
-            # The caller has its first token; only the wait is bounded anew.
-            give_up_at = now + ask.give_up_at - ask.arrived
-            ask = msgspec.structs.replace(
-                ask,
-                first_token_due=now,
-                give_up_at=give_up_at,
-                late_refused=False,
-            )
+            ask = budget.renew(ask, now)
         expires_at = self._outlook.find_expiry(ask)
         self._admission.add_again(ask, again.avoid, expires_at)
 
-    def _find_retry_refusal(
-        self,
-        ask: admission_messages.Ask,
-        reason: messages.RetryReason,
-        now: float,
-    ) -> _Reason | None:
-        may_have_run = reason in (
-            _Retry.BROKEN_BEFORE_FIRST,
-            _Retry.CONTINUE_ELSEWHERE,
-        )
-        if may_have_run and not ask.idempotent:
-            return _Reason.RETRY_UNSAFE
-        if reason is not _Retry.CONTINUE_ELSEWHERE:
-            due = ask.first_token_due if ask.late_refused else ask.give_up_at
-            if now >= due:
-                return _Reason.RETRY_TOO_LATE
-        sent = self._dispatch.count_attempts(ask.request)
-        key = admission_messages.class_key(ask)
-        if sent >= _MOST_ATTEMPTS or not self._budgets.spend(key, reason):
-            return _Reason.RETRY_BUDGET
-        return None
-
     def _hedge(
         self,
         ask: admission_messages.Ask,
         again: messages.AskAgain,
         now: float,
     ) -> None:
-        if not (ask.hedge and ask.idempotent):
-            self._refuse_again(ask, _Reason.RETRY_UNSAFE)
-            return
-        key = admission_messages.class_key(ask)
-        if not self._budgets.can_spend(key):
-            self._refuse_again(ask, _Reason.RETRY_BUDGET)
+        reason = self._budgets.find_hedge_refusal(ask)
+        if reason is not None:
+            self._verdicts.refuse(ask, reason)
             return
         rule = dispatch_core.Rule.IDLE
         grant = self._dispatch.place(ask, now, rule, again.avoid)
         if grant is None:
-            self._refuse_again(ask, _Reason.HEDGE_UNWANTED)
+            self._verdicts.refuse(ask, _Reason.HEDGE_UNWANTED)
             return
-        self._budgets.spend(key, again.reason)
-        _count(self.counters.retries, again.reason.value)
-        self._add_grant(grant)
+        self._budgets.spend(ask)
+        self._verdicts.count_retry(again.reason)
+        self._verdicts.add_grant(grant)
 
     # The course of attempts.
 
@@ -292,7 +259,7 @@
         if self._admission.size:
             self._serve_shares(now)
             self._serve_tiers(now)
-        return self._take_decided()
+        return self._verdicts.take()
 
     def _give_up_expired(self, now: float) -> None:
         for waiting, reason in self._admission.pop_expired(now):
@@ -312,7 +279,7 @@
             return False
         self._admission.open(ask)
         self._note_first_attempt(ask, now)
-        self._add_grant(grant)
+        self._verdicts.add_grant(grant)
         return True
 
     def _serve_tiers(self, now: float) -> None:
@@ -348,13 +315,15 @@
         if grant is None:
             return False
         self._admission.take(waiting)
-        self._add_grant(grant)
+        self._verdicts.add_grant(grant)
         key = admission_messages.class_key(ask)
         pool = admission_messages.pool_key(ask)
         self._shares.pay(shares.Place(pool, key, ask.tier))
         if not waiting.again:
             self._note_first_attempt(ask, now)
-            self._check_prediction(waiting, now - ask.arrived)
+            waited = now - ask.arrived
+            self._forecast.note_wait(waiting, waited)
+            self._verdicts.count_prediction(waiting.predicted_s, waited)
         return True
 
     def _find_hedge_delay(self, ask: admission_messages.Ask) -> float | None:
@@ -366,76 +335,11 @@
         self, ask: admission_messages.Ask, now: float
     ) -> None:
         self._forecast.note_grant(ask, now)
-        key = admission_messages.class_key(ask)
-        self._budgets.earn(key, ask.retry_ratio)
+        self._budgets.earn(ask)
         self.counters.first_attempts += 1
 
-    def _check_prediction(
-        self, waiting: queues.Waiting, actual_s: float
-    ) -> None:
-        self._forecast.note_wait(waiting, actual_s)
-        error = abs(actual_s - waiting.predicted_s)
-        self.counters.predictions += 1
-        if error <= max(_RIGHT_S, _RIGHT_PART * actual_s):
-            self.counters.predictions_right += 1
-
-    def _accrue_shares(self, now: float) -> None:
-        if self._accrued_at is None:
-            self._accrued_at = now
-        elapsed = now - self._accrued_at
-        if elapsed < _ACCRUAL_PERIOD_S:
-            return
-        self._accrued_at = now
-        present = []
-        for pool, tier in self._admission.list_places():
-            claims = self._dispatch.read_claims(pool)
-            if claims is None:
-                continue
-            for key in self._admission.list_classes(pool, tier):
-                share = self._admission.read_share(pool, tier, key, now)
-                hold = self._forecast.expect_hold(key, pool, tier)
-                slots = share * claims.capacity / claims.instances
-                place = shares.Place(pool, key, tier)
-                self._shares.accrue(place, slots * elapsed, hold)
-                present.append(place)
-        self._shares.retain(present)
-
-    # Answers.
-
     def _refuse(
-        self,
-        ask: admission_messages.Ask,
-        reason: _Reason,
-        now: float | None,
+        self, ask: admission_messages.Ask, reason: _Reason, now: float
     ) -> None:
-        retry_after = None
-        if now is not None:
-            retry_after = self._outlook.predict_return(ask, reason, now)
-        self._add_refused(
-            admission_messages.Refused(
-                request=ask.request, reason=reason, retry_after_s=retry_after
-            )
-        )
-
-    def _refuse_again(
-        self, ask: admission_messages.Ask, reason: _Reason
-    ) -> None:
-        refused = admission_messages.Refused(request=ask.request, reason=reason)
-        self._add_refused(refused)
-
-    def _add_grant(self, grant: messages.Grant) -> None:
-        self.counters.attempts += 1
-        self._decided.append(grant)
-
-    def _add_refused(self, refused: admission_messages.Refused) -> None:
-        _count(self.counters.refusals, refused.reason.value)
-        self._decided.append(refused)
-
-    def _take_decided(self) -> list[Decision]:
-        decided = self._decided
-        self._decided = []
-        return decided
-
-
-def _count(counts: dict[str, int], key: str) -> None:
-    counts[key] = counts.get(key, 0) + 1
+        retry_after_s = self._outlook.predict_return(ask, reason, now)
+        self._verdicts.refuse(ask, reason, retry_after_s)
--- a/pollenfork/dispatch/budget.py
+++ b/pollenfork/dispatch/budget.py
@@ -8,6 +8,15 @@
 _BURST = 3.0
 _START = 1.0
 
+_MOST_ATTEMPTS = 4
+
+_Reason = admission_messages.RefusalReason
+
+_MAY_HAVE_RUN = (
+    messages.RetryReason.BROKEN_BEFORE_FIRST,
+    messages.RetryReason.CONTINUE_ELSEWHERE,
+)
+
 # Not charged: the first was never sent, the second goes on with an answer
 # instead of repeating it.
 _FREE = (
@@ -22,27 +31,68 @@
     def __init__(self) -> None:
         self._tokens: dict[admission_messages.ClassKey, float] = {}
 
-    def earn(self, key: admission_messages.ClassKey, ratio: float) -> None:
+    def earn(self, ask: admission_messages.Ask) -> None:
         """Adds a first attempt's worth."""
-        tokens = self._tokens.get(key, _START) + ratio
-        self._tokens[key] = min(tokens, max(_BURST, ratio))
-
-    def can_spend(self, key: admission_messages.ClassKey) -> bool:
-        """Returns whether the budget has a retry left."""
-        return self._tokens.get(key, 0.0) >= 1.0
-
-    def spend(
-        self, key: admission_messages.ClassKey, reason: messages.RetryReason
-    ) -> bool:
-        """Takes one retry; returns False where the budget has none."""
-        if reason in _FREE:
-            return True
-        tokens = self._tokens.get(key, 0.0)
-        if tokens < 1.0:
+        key = admission_messages.class_key(ask)
+        tokens = self._tokens.get(key, _START) + ask.retry_ratio
+        self._tokens[key] = min(tokens, _BURST)
+
+    def spend(self, ask: admission_messages.Ask) -> bool:
+        """Takes one attempt; returns False where the budget has none."""
+        if not self._has_token(ask):
             return False
-        self._tokens[key] = tokens - 1.0
+        self._tokens[admission_messages.class_key(ask)] -= 1.0
         return True
 
+    def charge(
+        self,
+        ask: admission_messages.Ask,
+        reason: messages.RetryReason,
+        sent: int,
+        now: float,
+    ) -> _Reason | None:
+        """Charges a retry, or returns why there is none.
+
+        Args:
+            ask: The request.
+            reason: Why it asks.
+            sent: How often it was sent so far.
+            now: Monotonic seconds.
+        """
+        if reason in _MAY_HAVE_RUN and not ask.idempotent:
+            return _Reason.RETRY_UNSAFE
+        if reason is not messages.RetryReason.CONTINUE_ELSEWHERE:
+            due = ask.first_token_due if ask.late_refused else ask.give_up_at
+            if now >= due:
+                return _Reason.RETRY_TOO_LATE
+        if sent >= _MOST_ATTEMPTS:
+            return _Reason.RETRY_BUDGET
+        if reason in _FREE or self.spend(ask):
+            return None
+        return _Reason.RETRY_BUDGET
+
+    def find_hedge_refusal(self, ask: admission_messages.Ask) -> _Reason | None:
+        """Returns why the request may have no hedge, if so."""
+        if not (ask.hedge and ask.idempotent):
+            return _Reason.RETRY_UNSAFE
+        return None if self._has_token(ask) else _Reason.RETRY_BUDGET
+
+    def _has_token(self, ask: admission_messages.Ask) -> bool:
+        return self._tokens.get(admission_messages.class_key(ask), 0.0) >= 1.0
+
+
+def renew(ask: admission_messages.Ask, now: float) -> admission_messages.Ask:
+    """Returns the ask of an answer that is to be continued.
+
+    Its caller has the first token; only the wait is bounded anew.
+    """
+    return msgspec.structs.replace(
+        ask,
+        first_token_due=now,
+        give_up_at=now + ask.give_up_at - ask.arrived,
+        late_refused=False,
+    )
+
 
 class Counters(msgspec.Struct):
     """What was refused, retried and hedged, by reason; for metrics.
--- a/pollenfork/dispatch/core.py
+++ b/pollenfork/dispatch/core.py
@@ -3,33 +3,20 @@
 from collections.abc import Mapping
 import enum
 import random
-from typing import TypeVar
-
-import msgspec
 
 from pollenfork import ids
-from pollenfork import sketches
 from pollenfork.admission import messages as admission_messages
 from pollenfork.dispatch import endpoint as endpoints
 from pollenfork.dispatch import messages
+from pollenfork.dispatch import paces
 from pollenfork.dispatch import pools
 from pollenfork.dispatch import sharing
-from pollenfork.dispatch import stragglers
 from pollenfork.dispatch import supply
 from pollenfork.settings import model
 
-K = TypeVar("K")
-
 _BOUNDED_LOAD = 1.25
 _LEAST_BOUND = 0.5
-_MEAN_WEIGHT = 0.02
-_LEAST_MEAN_S = 0.001
-_LEAST_TOKENS = 4
-_OVERDUE_FACTOR = 5.0
-_OVERDUE_LEAST_S = 1.0
-_OVERDUE_RATIO = 5.0
 _CHECK_PERIOD_S = 0.5
-_MS = 1000
 
 _BROKEN = (
     messages.AttemptEnd.NEVER_SENT,
@@ -48,26 +35,6 @@
     IDLE = "idle"  # A hedge: only a slot that nobody wants.
 
 
-class Attempt(msgspec.Struct):
-    """One attempt that holds a slot.
-
-    Attributes:
-        granted: Monotonic seconds.
-        first_at: When the first token arrived.
-        is_overdue: Its missing first token was counted already.
-        tokens: Generated when last judged.
-        judged_at: When its gap was last judged, or its first token came.
-    """
-
-    ask: admission_messages.Ask
-    endpoint: endpoints.Endpoint
-    granted: float
-    first_at: float | None = None
-    is_overdue: bool = False
-    tokens: int = 1
-    judged_at: float = 0.0
-
-
 class Dispatch:
     """The attempts in flight and the choice of their endpoints."""
 
@@ -82,23 +49,20 @@
         self._rng = rng
         self._split = split
         self._supply = supply.Supply(depths)
-        self._attempts: dict[ids.AttemptId, Attempt] = {}
+        self._attempts: dict[ids.AttemptId, paces.Attempt] = {}
         self._by_request: dict[ids.RequestId, list[ids.AttemptId]] = {}
         self._numbers: dict[ids.RequestId, int] = {}
-        self._stragglers = stragglers.Stragglers()
-        self._first_means: dict[admission_messages.ClassKey, sketches.Mean] = {}
-        self._gap_means: dict[admission_messages.PoolKey, sketches.Mean] = {}
-        self._gap_targets: dict[admission_messages.ClassKey, float] = {}
+        self._paces = paces.Paces()
         self._checked_at = 0.0
-        self.ejections = 0
+
+    @property
+    def ejections(self) -> int:
+        """Stragglers taken out so far."""
+        return self._paces.ejections
 
     def apply_tree(self, tree: model.Tree, now: float) -> None:
         """Takes a settings tree that came into force."""
-        self._gap_targets = {
-            (team, name): chosen.target_gap_ms / _MS
-            for team, subtree in tree.teams.items()
-            for name, chosen in subtree.classes.items()
-        }
+        self._paces.apply_tree(tree)
         self._supply.apply_tree(tree, now)
 
     def note_state(self, notice: messages.EndpointNotice, now: float) -> None:
@@ -185,7 +149,7 @@
             hedge_after_s=hedge_after_s,
         )
 
-    def note_first(self, first: messages.FirstToken) -> Attempt | None:
+    def note_first(self, first: messages.FirstToken) -> paces.Attempt | None:
         """Takes an attempt's first token; None where it was known."""
         attempt = self._attempts.get(first.attempt)
         if attempt is None or attempt.first_at is not None:
@@ -193,19 +157,19 @@
         attempt.first_at = first.at
         attempt.judged_at = first.at
         attempt.endpoint.note_token(first.at)
-        took = first.at - attempt.granted
-        key = admission_messages.class_key(attempt.ask)
-        _record(self._first_means, key, took)
+        self._paces.note_first(attempt)
         return attempt
 
     def note_progress(self, progress: messages.Progress, now: float) -> None:
         """Takes how far an answer has come."""
         attempt = self._attempts.get(progress.attempt)
         if attempt is not None and attempt.first_at is not None:
-            self._judge_gap(attempt, progress.tokens, progress.at, now)
+            self._paces.judge(attempt, progress.tokens, progress.at, now)
             self._supply.refresh(attempt.endpoint, now)
 
-    def end(self, ended: messages.AttemptEnded, now: float) -> Attempt | None:
+    def end(
+        self, ended: messages.AttemptEnded, now: float
+    ) -> paces.Attempt | None:
         """Gives the attempt's slot back; None where it was back already."""
         attempt = self._attempts.get(ended.attempt)
         if attempt is None:
@@ -213,9 +177,9 @@
         if ended.how in _BROKEN:
             attempt.endpoint.note_failure(now)
         elif ended.how is messages.AttemptEnd.TIMED_OUT:
-            self._stragglers.note(attempt.endpoint.name, _OVERDUE_RATIO)
+            self._paces.note_time_out(attempt)
         elif ended.how is messages.AttemptEnd.FINISHED:
-            self._judge_gap(attempt, ended.tokens, ended.at, now)
+            self._paces.judge(attempt, ended.tokens, ended.at, now)
         return self._release(ended.attempt, now)
 
     def close(self, request: ids.RequestId, now: float) -> bool:
@@ -239,8 +203,8 @@
         if now - self._checked_at < _CHECK_PERIOD_S:
             return
         self._checked_at = now
-        self._note_overdue(now)
-        self._eject_stragglers(now)
+        self._paces.note_overdue(self._attempts.values(), now)
+        self._paces.eject(self._supply.endpoints, now)
         self._supply.tick(now)
 
     def _is_allowed(
@@ -284,12 +248,12 @@
         number = self._numbers.get(ask.request, 0) + 1
         self._numbers[ask.request] = number
         name = ids.AttemptId(f"{ask.request}.{number}")
-        self._attempts[name] = Attempt(ask, chosen, now)
+        self._attempts[name] = paces.Attempt(ask, chosen, now)
         self._by_request.setdefault(ask.request, []).append(name)
         self._supply.count_in(chosen, ask.tier, now)
         return name
 
-    def _release(self, name: ids.AttemptId, now: float) -> Attempt | None:
+    def _release(self, name: ids.AttemptId, now: float) -> paces.Attempt | None:
         attempt = self._attempts.pop(name, None)
         if attempt is None:
             return None
@@ -300,60 +264,3 @@
             del self._by_request[request]
         self._supply.count_out(attempt.endpoint, attempt.ask.tier, now)
         return attempt
-
-    def _judge_gap(
-        self, attempt: Attempt, tokens: int, at: float, now: float
-    ) -> None:
-        """Compares the tokens since the last look with target and group."""
-        count = tokens - attempt.tokens
-        if attempt.first_at is None or count < _LEAST_TOKENS:
-            return
-        attempt.endpoint.note_token(at)
-        gap = (at - attempt.judged_at) / count
-        attempt.tokens = tokens
-        attempt.judged_at = at
-        pool = admission_messages.pool_key(attempt.ask)
-        mean = _record(self._gap_means, pool, gap)
-        ratio = gap / max(mean, _LEAST_MEAN_S)
-        self._stragglers.note(attempt.endpoint.name, ratio)
-        key = admission_messages.class_key(attempt.ask)
-        target = self._gap_targets.get(key)
-        if target is not None:
-            attempt.endpoint.limit.note(gap / target, now)
-
-    def _note_overdue(self, now: float) -> None:
-        """Counts first tokens that are long missing as slowness now.
-
-        A missing one tells of the endpoint only where nothing else came from
-        it either; else the attempt waits in the engine's queue.
-        """
-        for attempt in self._attempts.values():
-            if attempt.first_at is not None or attempt.is_overdue:
-                continue
-            mean = self._first_means.get(
-                admission_messages.class_key(attempt.ask)
-            )
-            expected = mean.value if mean else _OVERDUE_LEAST_S
-            bound = max(_OVERDUE_LEAST_S, _OVERDUE_FACTOR * expected)
-            if now - max(attempt.granted, attempt.endpoint.heard_at) > bound:
-                attempt.is_overdue = True
-                name = attempt.endpoint.name
-                self._stragglers.note(name, _OVERDUE_RATIO)
-
-    def _eject_stragglers(self, now: float) -> None:
-        groups: dict[str, list[ids.EndpointId]] = {}
-        for name, known in self._supply.endpoints.items():
-            if known.is_live():
-                groups.setdefault(known.settings.group, []).append(name)
-        for group in groups.values():
-            for name, until in self._stragglers.pick(group, now):
-                self._supply.endpoints[name].eject(until)
-                self.ejections += 1
-
-
-def _record(means: dict[K, sketches.Mean], key: K, value: float) -> float:
-    mean = means.get(key)
-    if mean is None:
-        mean = means[key] = sketches.Mean(value, _MEAN_WEIGHT)
-    mean.record(value)
-    return mean.value
