Tell of a cut caller though its request ends first; skip missed periods

Cause: closing a connection wakes the worker that writes to it; its request ended and forgot its callbacks before the closing thread called them, so the relay heard of it only by its own write (1 failure in 3 full runs of test_caller_that_takes_nothing_is_cut_off). The callbacks are taken before the close; those added meanwhile are called too.

Timers: a call that was late by more than its period ran twice, as its next time was now; the test of a call 9.5 s late made two, now one.

--- a/pollenfork/entry/server.py
+++ b/pollenfork/entry/server.py
@@ -90,8 +90,12 @@
 
     def handle_close(self) -> None:
         """Closes the connection and tells whoever serves it."""
+        # The close wakes a worker that writes, whose request then ends and
+        # forgets its calls; those are told all the same.
+        told = list(self._gone_calls)
         super().handle_close()
-        for call in list(self._gone_calls):
+        told += [call for call in list(self._gone_calls) if call not in told]
+        for call in told:
             call()
 
     def _send_now(self, data: bytes) -> int:
--- a/pollenfork/timers.py
+++ b/pollenfork/timers.py
@@ -9,7 +9,7 @@
 from pollenfork import clock
 
 _LOG = logging.getLogger(__name__)
-_POLL_S = 0.02
+_LONGEST_WAIT_S = 1.0
 
 
 class Timers:
@@ -24,7 +24,8 @@
         self._order = itertools.count()
         self._due: list[tuple[float, int, float, Callable[[], None]]] = []
         self._lock = threading.Lock()
-        self._stopped = threading.Event()
+        self._changed = threading.Event()
+        self._stopped = False
         self._thread: threading.Thread | None = None
 
     def every(
@@ -35,6 +36,7 @@
         with self._lock:
             entry = (due, next(self._order), period_s, call)
             heapq.heappush(self._due, entry)
+        self._changed.set()
 
     def run_due(self) -> None:
         """Runs every call whose time has come, once each."""
@@ -54,7 +56,8 @@
 
     def stop(self) -> None:
         """Ends the thread; calls that are due no longer run."""
-        self._stopped.set()
+        self._stopped = True
+        self._changed.set()
         if self._thread:
             self._thread.join()
 
@@ -64,14 +67,23 @@
             while self._due and self._due[0][0] <= now:
                 due, _, period_s, call = heapq.heappop(self._due)
                 calls.append(call)
-                # A late timer skips missed periods instead of catching up.
-                after = max(due + period_s, now)
+                after = due + period_s
+                if after <= now:
+                    after = now + period_s  # Missed periods are skipped.
                 entry = (after, next(self._order), period_s, call)
                 heapq.heappush(self._due, entry)
-                if period_s <= 0:
-                    break
         return calls
 
     def _run(self) -> None:
-        while not self._stopped.wait(_POLL_S):
+        while not self._stopped:
             self.run_due()
+            self._changed.wait(self._find_wait())
+            self._changed.clear()
+
+    def _find_wait(self) -> float:
+        """Returns the seconds until the next call is due."""
+        with self._lock:
+            if not self._due:
+                return _LONGEST_WAIT_S
+            left = self._due[0][0] - self._clock.monotonic()
+        return min(max(left, 0.0), _LONGEST_WAIT_S)
