Send a non-idempotent call again only if no byte of it was sent

Cause: the relay sent such a call to another endpoint when the first said that it refused before running; the ledger's rule forbids that, and the design says that a request without a key is never sent twice. An endpoint's word is enough to tell the caller not_run, not to run again.

--- a/pollenfork/answers/core.py
+++ b/pollenfork/answers/core.py
@@ -90,6 +90,7 @@
         self._idempotent = idempotent
         self._give_up_at = give_up_at
         self._limits = limits
+        self._unsent = True  # No byte of it has reached an endpoint.
         self._phase = Phase.SEND
         self._attempts = 1
         self._continuations = 0
@@ -107,6 +108,7 @@
         self, cause: errors.Cause, progress: Progress, now: float
     ) -> Action:
         """Returns what to do about `cause`."""
+        self._unsent = self._unsent and cause is _Cause.NEVER_SENT
         # A resume that fails adds no doubt: the sending before it did.
         if self._phase is not Phase.RESUME and cause not in PROVED_NOT_RUN:
             self.in_doubt += 1
@@ -152,8 +154,10 @@
         return Continue(progress.position)
 
     def _restart(self, cause: errors.Cause, now: float) -> Action:
-        proved = cause in PROVED_NOT_RUN and not self.in_doubt
-        if not (proved or self._idempotent):
+        # An endpoint's word that it refused is enough to tell the caller,
+        # not to send again what may run only once.
+        unsent = cause is _Cause.NEVER_SENT and self._unsent
+        if not (unsent or self._idempotent):
             return GiveUp(cause)
         if self._attempts >= self._limits.attempts or now >= self._give_up_at:
             return GiveUp(cause)
--- a/pollenfork/answers/tests/test_core.py
+++ b/pollenfork/answers/tests/test_core.py
@@ -58,6 +58,27 @@
     assert recovery.outcome is failures.Outcome.NOT_RUN
 
 
+@pytest.mark.parametrize(
+    ("causes", "again"),
+    [
+        ((Cause.NEVER_SENT,), True),
+        ((Cause.NEVER_SENT, Cause.NEVER_SENT), True),
+        ((Cause.REFUSED,), False),
+        ((Cause.REFUSED, Cause.NEVER_SENT), False),
+        ((Cause.NO_HEAD,), False),
+    ],
+)
+def test_what_may_run_once_is_sent_again_only_if_no_byte_was_sent(
+    causes: tuple[errors.Cause, ...], again: bool
+) -> None:
+    recovery = core.Recovery(
+        streamed=False, idempotent=False, give_up_at=10.0, limits=LIMITS
+    )
+    for cause in causes:
+        action = recovery.decide(cause, core.Progress(), now=0.0)
+    assert isinstance(action, core.Restart) == again
+
+
 def test_progress_renews_the_resumes() -> None:
     recovery = make_recovery(idempotent=False)
     for position in range(1, 20):
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -69,3 +69,16 @@
     gauges = {"pollenfork_requests_in_progress", "pollenfork_settings_revision"}
     assert name in gauges or name.endswith(("_total", "_seconds"))
     assert metric_help.HELP[name].endswith(".")
+
+
+def test_each_proof_on_the_promises_page_exists() -> None:
+    page = (ROOT / "docs" / "promises.md").read_text()
+    tests = "".join(
+        path.read_text()
+        for path in ROOT.rglob("test_*.py")
+        if ".venv" not in path.parts
+    )
+    defined = set(re.findall(r"^(?:def )?([Tt]est\w+)", tests, re.MULTILINE))
+    named = set(re.findall(r"`([Tt]est_?\w+)`", page))
+    assert named
+    assert named <= defined
