--- a/pollenfork/cli/trial.py
+++ b/pollenfork/cli/trial.py
@@ -59,7 +59,10 @@
             tree = sample.make_tree(engines, [serving])
             platform = self._start_platform(tree)
             self._write_tree(platform, tree)
-            entries = [self._start_entry(i, platform) for i in range(_ENTRIES)]
+            entries: list[application.Application] = []
+            for number in range(_ENTRIES):
+                known = tuple(app.membership.address for app in entries)
+                entries.append(self._start_entry(number, platform, known))
             for app in entries:
                 if not app.wait_until_ready(_READY_S):
                     raise TimeoutError("no settings came into force")
@@ -114,7 +117,7 @@
         first.write_tree(table, tree, self._clock).unwrap()
 
     def _start_entry(
-        self, number: int, platform: str
+        self, number: int, platform: str, peers: tuple[str, ...]
     ) -> application.Application:
         settings = config.EntryConfig(
             instance=ids.InstanceId(f"entry-{number + 1}"),
@@ -122,6 +125,7 @@
             listen=_LISTEN,
             peer_listen=_LISTEN,
             platform=platform,
+            peers=peers,
             streams=_STREAMS,
             waiting=_WAITING,
         )
