Report the progress of running streams, hedges and cut callers

Cause: dispatch judges endpoints by the progress of their answers, each two seconds, and nothing sent it: a straggler showed only when its long answers ended. Counted and not shown: hedges by their end, callers cut off.

--- a/pollenfork/answers/attempt.py
+++ b/pollenfork/answers/attempt.py
@@ -99,6 +99,10 @@
         )
         self._close(finished=False)
 
+    def note_progress(self) -> None:
+        """Reports how far the attempt in use has come; from any thread."""
+        self.slot.note_progress(self._count_generated())
+
     def interrupt(self) -> None:
         """Ends what another thread waits for, now or later: it's unwanted."""
         self._gone.set()
--- a/pollenfork/answers/pump.py
+++ b/pollenfork/answers/pump.py
@@ -21,6 +21,7 @@
 _LOG = logging.getLogger(__name__)
 _READ_BYTES = 16384
 _POLL_S = 0.5
+_PROGRESS_S = 2.0
 
 
 class Flow:
@@ -38,7 +39,9 @@
         "error",
         "kept",
         "last",
+        "note_progress",
         "reader",
+        "reported",
         "socket",
         "write",
     )
@@ -50,13 +53,16 @@
         keep: kept.KeptAnswer,
         write: Callable[[bytes], object],
         count_unsent: Callable[[], int],
+        note_progress: Callable[[], None],
     ) -> None:
         self.socket = source
         self.reader = reader
         self.kept = keep
         self.write = write
         self.count_unsent = count_unsent
+        self.note_progress = note_progress
         self.last = 0.0
+        self.reported = 0.0
         self.cause: errors.Cause | None = None
         self.error: BaseException | None = None
         self._returned = threading.Event()
@@ -132,7 +138,7 @@
 
         Returns False when the thread doesn't run: the worker moves it then.
         """
-        flow.last = self._clock.monotonic()
+        flow.last = flow.reported = self._clock.monotonic()
         flow.socket.settimeout(0)
         fd = flow.socket.fileno()
         with self._carrying:
@@ -173,6 +179,9 @@
             if flow.last < due:
                 flow.cause = errors.Cause.STALLED
                 self._release(fd)
+            elif now - flow.reported >= _PROGRESS_S:
+                flow.reported = now
+                flow.note_progress()
 
     def _release(self, fd: int) -> None:
         flow = self._flows.pop(fd)
--- a/pollenfork/answers/slot.py
+++ b/pollenfork/answers/slot.py
@@ -89,6 +89,16 @@
             dispatch_messages.FirstToken(attempt=attempt, at=at)
         )
 
+    def note_progress(self, tokens: int) -> None:
+        """Reports how many tokens the attempt has generated so far."""
+        self._tools.slots.report(
+            dispatch_messages.Progress(
+                attempt=self._grant.attempt,
+                tokens=tokens,
+                at=self._tools.clock.monotonic(),
+            )
+        )
+
     def note_gone(self) -> None:
         """Ends a wait for another grant: the caller is gone."""
         self._gone = True
--- a/pollenfork/answers/stream.py
+++ b/pollenfork/answers/stream.py
@@ -109,6 +109,7 @@
             attempts.kept,
             self._write,
             attempts.caller.count_unsent,
+            attempts.note_progress,
         )
         if not attempts.tools.pump.carry(flow):
             self._write = None
--- a/pollenfork/exposition.py
+++ b/pollenfork/exposition.py
@@ -19,6 +19,7 @@
         _set_by(to, "pollenfork_relay_retries_total", counted.retries)
         _set_by(to, "pollenfork_resumes_total", counted.resumes)
         _set_by(to, "pollenfork_continuations_total", counted.continuations)
+        _set_by(to, "pollenfork_hedges_total", counted.hedges)
         _set_by(to, "pollenfork_cancels_total", counted.cancels)
         _set_by(to, "pollenfork_cancel_outcomes_total", counted.cancel_outcomes)
         _set_by(to, "pollenfork_broken_answers_total", counted.broken)
@@ -64,6 +65,7 @@
         to.set_gauge("pollenfork_requests_in_progress", in_progress.count)
         to.set_count("pollenfork_full_refusals_total", counted.full)
         to.set_count("pollenfork_connections_refused_total", counted.overflow)
+        to.set_count("pollenfork_stalled_callers_total", counted.stalled)
 
     to.add_source(read)
 
--- a/pollenfork/metric_help.py
+++ b/pollenfork/metric_help.py
@@ -36,6 +36,9 @@
     "pollenfork_full_refusals_total": (
         "Requests refused since every worker was busy."
     ),
+    "pollenfork_hedges_total": (
+        "Second copies asked for, by what became of them."
+    ),
     "pollenfork_ledger_total": (
         "What the ledger did with claims and endings, by event."
     ),
@@ -91,6 +94,9 @@
         "Reads of the settings that failed, by the failure's type."
     ),
     "pollenfork_settings_revision": ("Revision of the settings in force."),
+    "pollenfork_stalled_callers_total": (
+        "Connections cut as their callers took nothing of their answers."
+    ),
     "pollenfork_tokens_relayed_total": ("Tokens passed on to callers."),
     "pollenfork_tokens_saved_total": (
         "Tokens not generated again, thanks to continuing."
