--- a/benchmarks/settings_spread.py
+++ b/benchmarks/settings_spread.py
@@ -1,16 +1,13 @@
 """Time from a write's acceptance until it is in force at every instance.
 
-Two measurements, told apart in the output:
-
-- `real`: 8 instances in this process, each with its actor's thread and its
-  guarded HTTP adapter, on the platform stand-in, by the machine's clock.
-- `manual`: 2 to 360 instances with the same core and keeper on a manual
-  clock in steps of a tick, to see the slope and the table's reads. What a
-  read or a compilation takes isn't in it.
+2 to 360 instances with the program's own core and keeper on a manual clock, in
+steps of a tick, to see the slope and the table's reads. What a read or a
+compilation takes isn't in it; `settings_threads` and `settings_live` measure
+8 instances by the machine's clock.
 
 Peers' heartbeats are stood in for by a call: within a data centre, one of six,
-a new revision is heard within one heartbeat period. No peer hands its tree
-out here, so that a lost read has to be made up for by the next one.
+a new revision is heard within one heartbeat period, and a peer hands its tree
+out at once to an instance whose read was lost.
 """
 
 import logging
@@ -24,13 +21,12 @@
 
 from pollenfork import clock
 from pollenfork import failures
+from pollenfork import ids
 from pollenfork import metrics
-from pollenfork import timers
 from pollenfork.membership import periods
-from pollenfork.platform import client
-from pollenfork.platform import policy
 from pollenfork.settings import actor
 from pollenfork.settings import changes
+from pollenfork.settings import copies
 from pollenfork.settings import core
 from pollenfork.settings import first
 from pollenfork.settings import messages
@@ -40,13 +36,10 @@
 from pollenfork.standin.platform import config as platform_config
 from pollenfork.standin.platform import core as platform_core
 from pollenfork.standin.platform import fake
-from pollenfork.standin.platform import front
 
 SIZES = (2, 8, 24, 60, 360)
 DATA_CENTRES = 6
-REAL_INSTANCES = 8
-_REAL_WRITES = 5
-_MANUAL_WRITES = 8
+_WRITES = 8
 _BETWEEN_S = 30.0
 _LIMIT_S = 60.0
 _OPERATOR = "0" * 64
@@ -113,6 +106,7 @@
         state: platform_core.Platform,
         now: clock.ManualClock,
         lost_reads: float,
+        fetch_copy: actor.FetchCopy,
     ) -> None:
         self.number = number
         self.core = core.Core(random.Random(number), now.monotonic())
@@ -120,7 +114,7 @@
         self._lost_reads = lost_reads
         self._rng = random.Random(-number - 1)
         self.keeper = actor.Keeper(
-            self.core, self.platform.table, now, metrics.Metrics(), _no_copy
+            self.core, self.platform.table, now, metrics.Metrics(), fetch_copy
         )
         # The phase of each instance's polling differs, as starts do.
         self.core._next_read = self._rng.uniform(0, core.POLL_S)
@@ -140,16 +134,12 @@
     said: messages.PeerRevision
 
 
-def _no_copy(peer: str) -> result.Result[bytes, failures.Failure]:
-    return result.Err(failures.Failure(detail=f"{peer} has no copy"))
-
-
 def measure_manual(
     instances: int, peers: bool, lost_reads: float = 0.0
 ) -> Figures:
     """Returns the figures of so many instances on a manual clock."""
     run = ManualRun(instances, peers, lost_reads)
-    times = [run.spread() for _ in range(_MANUAL_WRITES)]
+    times = [run.spread() for _ in range(_WRITES)]
     return Figures(
         how="manual",
         instances=instances,
@@ -174,7 +164,9 @@
         self._writes = Writes(plain, self._clock)
         self._writes.begin(plain, self._clock)
         self._instances = [
-            ManualInstance(number, self._state, self._clock, lost_reads)
+            ManualInstance(
+                number, self._state, self._clock, lost_reads, self._give_copy
+            )
             for number in range(instances)
         ]
         self._peers = peers
@@ -242,6 +234,13 @@
                 at = now + self._rng.uniform(0, period_s)
                 self._heard.append(Heard(at, other, said))
 
+    def _give_copy(
+        self, peer: ids.InstanceId
+    ) -> result.Result[bytes, failures.Failure]:
+        held = self._instances[int(peer.removeprefix("entry-"))].core.in_force
+        assert held is not None
+        return result.Ok(copies.encode(held))
+
     def _count_reads(self) -> int:
         calls = self._state.calls
         return (
@@ -250,120 +249,25 @@
         )
 
 
-class RealInstance:
-    """One instance's settings with its thread, timers and HTTP adapter."""
-
-    def __init__(self, number: int, address: str) -> None:
-        now = clock.SystemClock()
-        rng = random.Random(number)
-        channel = client.Channel(address)
-        platform = policy.Platform(
-            table=client.HttpTable(channel),
-            objects=client.HttpObjects(channel),
-            instances=client.HttpInstances(channel),
-            weights=client.HttpWeights(channel),
-            tools=policy.Tools(now=now, rng=rng, wait=time.sleep),
-        )
-        self.name = f"entry-{number}"
-        self.timers = timers.Timers(now)
-        self.settings = actor.Settings(
-            platform.table,
-            now,
-            rng,
-            self.timers,
-            metrics.Metrics(),
-            _no_copy,
-        )
-
-    def start(self) -> None:
-        """Starts the actor and its polling."""
-        self.settings.start()
-        self.timers.start()
-
-    def stop(self) -> None:
-        """Ends both."""
-        self.timers.stop()
-        self.settings.stop()
-
-
-def measure_real(peers: bool) -> Figures:
-    """Returns the figures of 8 instances by the machine's clock."""
-    platform = front.PlatformStandin(
-        platform_config.PlatformConfig(), clock.SystemClock()
-    )
-    address = platform.start()
-    table = client.HttpTable(client.Channel(address))
-    writes = Writes(table, clock.SystemClock())
-    writes.begin(table, clock.SystemClock())
-    instances = [
-        RealInstance(number, address) for number in range(REAL_INSTANCES)
-    ]
-    for instance in instances:
-        instance.start()
-        time.sleep(0.1)
-    began, cpu = time.monotonic(), time.process_time()
-    times = [spread_real(instances, writes, peers) for _ in range(_REAL_WRITES)]
-    seconds = time.monotonic() - began
-    print(f"real: {(time.process_time() - cpu) / seconds:.3f} of a core, all")
-    for instance in instances:
-        instance.stop()
-    platform.stop()
-    return Figures(
-        how="real",
-        instances=REAL_INSTANCES,
-        peers=peers,
-        lost_reads=0.0,
-        writes=len(times),
-        everywhere_mean_s=round(statistics.mean(times), 2),
-        everywhere_max_s=round(max(times), 2),
-        reads_per_s=0.0,
-        reads_peak_per_s=0.0,
-    )
-
-
-def spread_real(
-    instances: list[RealInstance], writes: Writes, peers: bool
-) -> float:
-    """Writes once; returns seconds until it is in force everywhere."""
-    accepted = writes.write()
-    began = time.monotonic()
-    instances[0].settings.report(accepted)
-    period_s = periods.compute_heartbeat_s(len(instances))
-    next_heartbeat = began
-    while time.monotonic() - began < _LIMIT_S:
-        revisions = [one.settings.revision for one in instances]
-        if min(revisions) >= writes.revision:
-            return time.monotonic() - began
-        if peers and time.monotonic() >= next_heartbeat:
-            next_heartbeat += period_s
-            exchange(instances)
-        time.sleep(0.01)
-    raise AssertionError("a write never came into force everywhere")
-
-
-def exchange(instances: list[RealInstance]) -> None:
-    """Tells every instance every other's revision."""
-    for speaker in instances:
-        said = messages.PeerRevision(speaker.name, speaker.settings.revision)
-        for listener in instances:
-            if listener is not speaker:
-                listener.settings.report(said)
-
-
 def main() -> None:
     """Prints the figures of all runs and writes them as JSON."""
     logging.disable(logging.WARNING)
     rows = [
         measure_manual(size, peers) for size in SIZES for peers in (False, True)
     ]
-    rows.append(measure_manual(SIZES[-1], True, lost_reads=0.1))
-    rows += [measure_real(peers) for peers in (False, True)]
+    for peers in (False, True):
+        rows.append(measure_manual(SIZES[-1], peers, lost_reads=0.1))
+    print_rows(rows)
+    write_results("settings_spread", rows)
+
+
+def print_rows(rows: list[Figures]) -> None:
+    """Prints the figures as a table."""
     names = Figures.__struct_fields__
     print("  ".join(f"{name:>17}" for name in names))
     for row in rows:
         values = [str(getattr(row, name)) for name in names]
         print("  ".join(f"{value:>17}" for value in values))
-    write_results("settings_spread", rows)
 
 
 def write_results(name: str, rows: object) -> None:
