Tell a peer's revision again when it is heard again

Cause: the settings forget a peer that membership lost, but the roster kept its revision, so a peer heard again with the same one was never told anew. An instance cut off from the platform then had nobody to ask for the tree. Weighed: keeping lost peers in the settings, which would ask the dead. The new test fails before (no PeerRevision after the loss) and passes now.

--- a/pollenfork/membership/roster.py
+++ b/pollenfork/membership/roster.py
@@ -225,6 +225,7 @@
         _set_status(member, _Status.LIVE, now)
         if was is _Status.LOST:
             member.decoder = pressures.PressureDecoder(member.instance)
+            member.revision = ids.Revision(0)  # Who lost it forgot that too.
             return [_joined(member)]
         return [
             messages.SuspicionRefuted(
--- a/pollenfork/membership/tests/test_core.py
+++ b/pollenfork/membership/tests/test_core.py
@@ -125,6 +125,22 @@
         assert len(node.present(world.now)) == 2
 
 
+def test_a_member_heard_again_tells_its_revision_again():
+    world = _start("a", "a")
+    world.cuts.add(frozenset(("entry-0:1", "entry-1:1")))
+    world.run(10.0)
+    node = world.nodes["entry-0"]
+    lost = [type(event) for event in node.events].index(messages.MemberLost)
+    world.cuts.clear()
+    world.run(3.0)
+    told = [
+        event.revision
+        for event in node.events[lost:]
+        if isinstance(event, messages.PeerRevision)
+    ]
+    assert told == [world.nodes["entry-1"].revision]
+
+
 def test_a_pause_of_this_instance_is_not_blamed_on_the_others():
     world = _start("a", "a", "a")
     paused = world.nodes["entry-0"]
