Mend five faults in how an entry instance is wired

Each is now ended whatever the others do. - The ledger's records named the incarnation of the start, while membership raises its own when an earlier life seems later (a clock fell back). The peers then took the owner for gone and answered unknown for what ran. Ruled out: the order of lost and restarted incarnations in Presence, and what Router tells of them; the tables in the tests held as they were. Parts.owner of the ledger became find_owner.

--- a/benchmarks/ledger_cost.py
+++ b/benchmarks/ledger_cost.py
@@ -101,7 +101,7 @@
         self._numbers = itertools.count()
         self.ledger = ledger.Ledger(
             ledger.Parts(
-                owner=claiming.Owner(
+                find_owner=lambda: claiming.Owner(
                     ids.InstanceId("entry-1"), ids.Incarnation(1)
                 ),
                 table=table,
--- a/pollenfork/application.py
+++ b/pollenfork/application.py
@@ -1,5 +1,6 @@
 """One entry instance: owns every part, starts and stops them in order."""
 
+from collections.abc import Callable
 import enum
 import logging
 import random
@@ -49,11 +50,10 @@
     def __init__(self, settings: config.EntryConfig, now: clock.Clock) -> None:
         self._config = settings
         self._clock = now
-        self._incarnation = ids.Incarnation(int(now.wall() * 1000))
         self._stopping = threading.Event()
         self._in_force = threading.Event()
         self._rng = random.Random()
-        self._listed = 0
+        self._listed: int | None = None
         self._timers = timers.Timers(now)
         self.metrics = metrics.Metrics()
         self.platform = self._connect_platform()
@@ -82,17 +82,21 @@
         return f"{host}:{port}"
 
     def start(self) -> None:
-        """Starts every part; returns once callers can connect."""
-        self._scheduler.start()
-        self._relay.start()
-        self.endpoints.start(self._timers)
-        self.settings.start()
-        self.membership.start()
-        self._housekeeping.start()
-        self._timers.start()
+        """Starts every part; returns once callers can connect.
+
+        Raises:
+            OSError: An address is taken; no part is left running.
+        """
+        # First, so that no peer hears of an instance that can't listen.
         self._server = server.create_server(
             self._front, self._config, self._front.write_refusal, self._clock
         )
+        try:
+            self._start_parts()
+        except Exception:
+            # Threads left over would keep the process, and its peers' trust.
+            self.stop()
+            raise
         exposition.watch_entry(
             self.metrics, self._front.in_progress, self._server.counters
         )
@@ -103,11 +107,20 @@
         _LOG.info(
             "event=started instance=%s incarnation=%d listen=%s peers=%s",
             self._config.instance,
-            self._incarnation,
+            self.membership.incarnation,
             self.address,
             self.membership.address,
         )
 
+    def _start_parts(self) -> None:
+        self._scheduler.start()
+        self._relay.start()
+        self.endpoints.start(self._timers)
+        self.settings.start()
+        self.membership.start()
+        self._housekeeping.start()
+        self._timers.start()
+
     def drain(self, insisted: threading.Event | None = None) -> bool:
         """Takes no new work and waits until none is in progress.
 
@@ -137,17 +150,28 @@
     def stop(self) -> None:
         """Leaves the peers, then stops every part, the newest first."""
         self._stopping.set()
-        self.membership.leave()
+        ends: tuple[Callable[[], None], ...] = (
+            self.membership.leave,
+            self._stop_server,
+            self._housekeeping.stop,
+            self._timers.stop,
+            self.membership.stop,
+            self.endpoints.stop,
+            self._relay.stop,
+            self._scheduler.stop,
+            self.settings.stop,
+        )
+        for end in ends:
+            try:
+                end()
+            except Exception:
+                # The others must end all the same, or the process stays.
+                _LOG.exception("event=stop_failed part=%s", end.__qualname__)
+        _LOG.info("event=stopped instance=%s", self._config.instance)
+
+    def _stop_server(self) -> None:
         if self._server:
             self._server.stop()
-        self._housekeeping.stop()
-        self._timers.stop()
-        self.membership.stop()
-        self.endpoints.stop()
-        self._relay.stop()
-        self._scheduler.stop()
-        self.settings.stop()
-        _LOG.info("event=stopped instance=%s", self._config.instance)
 
     def is_ready(self) -> bool:
         """Returns whether new work may come."""
@@ -175,12 +199,14 @@
         """Returns the entry instances that share the platform's rates.
 
         The list counts them all, also those that a partition hides from
-        membership.
+        membership. Until it has been read their number isn't known: 0.
         """
         listed = self.platform.instances.fetch()
         if isinstance(listed, result.Ok):
             entry = platform_edges.InstanceRole.ENTRY
             self._listed = sum(i.role is entry for i in listed.ok_value)
+        if self._listed is None:
+            return 0
         return max(self._listed, self._presence.count())
 
     def _read_pressure(self) -> dispatch_messages.Pressure:
@@ -245,13 +271,12 @@
             lambda revision: self.settings.encode_copy(),
             router.publish,
             self._config.peers,
-            self._incarnation,
         )
 
     def _open_ledger(self) -> ledger.Ledger:
         return ledger.Ledger(
             ledger.Parts(
-                owner=claiming.Owner(self._config.instance, self._incarnation),
+                find_owner=self._find_owner,
                 table=self.platform.keyed_table,
                 objects=self.platform.keyed_objects,
                 owners=self._presence,
@@ -261,6 +286,12 @@
             )
         )
 
+    def _find_owner(self) -> claiming.Owner:
+        # Peers tell from membership's incarnation whether the owner runs on.
+        return claiming.Owner(
+            self._config.instance, self.membership.incarnation
+        )
+
     def _make_front(self) -> front.Front:
         exposition.watch_relay(self.metrics, self._relay.counters)
         exposition.watch_scheduler(self.metrics, self._scheduler)
--- a/pollenfork/instance.py
+++ b/pollenfork/instance.py
@@ -41,7 +41,11 @@
 
     for number in _SIGNALS:
         signal.signal(number, note_signal)
-    app.start()
+    try:
+        app.start()
+    except OSError as error:
+        errors.write(f"can't listen: {error}\n")
+        return status.ExitStatus.ERROR
     output.write(f"listening on {app.address}\n")
     output.flush()
     told.wait()
--- a/pollenfork/ledger/ledger.py
+++ b/pollenfork/ledger/ledger.py
@@ -67,12 +67,13 @@
     """What a ledger works with.
 
     Attributes:
-        owner: This process start of this instance.
+        find_owner: Returns this process start of this instance; its
+            incarnation may grow while it runs.
         new_id: Returns another unique string at each call.
         count: Called with each `Event`.
     """
 
-    owner: claiming.Owner
+    find_owner: Callable[[], claiming.Owner]
     table: platform_edges.TableService
     objects: platform_edges.ObjectStore
     owners: edges.Owners
@@ -193,7 +194,7 @@
             key=key,
             fingerprint=fingerprint,
             attempt=ids.AttemptId(self._parts.new_id()),
-            owner=self._parts.owner,
+            owner=self._parts.find_owner(),
             now_ms=_to_ms(now),
             limits=self._limits,
             is_lost=self._is_lost,
@@ -273,7 +274,7 @@
         return steps.run(core, self._parts.table, self._parts.objects)
 
     def _is_lost(self, record: records.Record) -> bool:
-        mine = self._parts.owner
+        mine = self._parts.find_owner()
         if record.owner != mine.instance:
             return self._parts.owners.is_gone(record.owner, record.incarnation)
         with self._lock:
--- a/pollenfork/ledger/tests/harness.py
+++ b/pollenfork/ledger/tests/harness.py
@@ -117,7 +117,7 @@
 
     def make_ledger(self, table, objects):
         parts = ledger.Parts(
-            owner=self.owner,
+            find_owner=lambda: self.owner,
             table=table,
             objects=objects,
             owners=self.world,
--- a/pollenfork/membership/lifecycle.py
+++ b/pollenfork/membership/lifecycle.py
@@ -54,7 +54,10 @@
         seeds: tuple[str, ...] = (),
         incarnation: ids.Incarnation | None = None,
     ) -> None:
-        self._incarnation = incarnation
+        self._incarnation = incarnation or ids.Incarnation(
+            int(now.wall() * 1000)
+        )
+        self._core: core.Core | None = None
         self._settings = settings
         self._clock = now
         self._serve_settings = serve_settings
@@ -74,6 +77,11 @@
             publish=publish,
         )
 
+    @property
+    def incarnation(self) -> ids.Incarnation:
+        """The one that peers hear of now; safe from any thread."""
+        return self._core.incarnation if self._core else self._incarnation
+
     def start(self) -> None:
         """Takes the peer address and begins to send heartbeats.
 
@@ -84,16 +92,14 @@
         identity = own.Identity(
             self._settings.instance, self._settings.data_centre, self.address
         )
-        incarnation = self._incarnation or ids.Incarnation(
-            int(self._clock.wall() * 1000)
-        )
         membership = core.Core(
             identity,
-            incarnation,
-            random.Random(f"{identity.instance}/{incarnation}"),
+            self._incarnation,
+            random.Random(f"{identity.instance}/{self._incarnation}"),
             self._clock.monotonic(),
             self._seeds,
         )
+        self._core = membership
         ref = actor.MembershipActor.start(membership, self._edges)
         self._actor = ref
         self._server.start()
--- a/tests/sites.py
+++ b/tests/sites.py
@@ -1,5 +1,9 @@
 """Whole sites for tests: platform stand-in, engines, entry instances."""
 
+from collections.abc import Callable
+import threading
+import time
+
 from pollenfork import application
 from pollenfork import clock
 from pollenfork import config
@@ -13,6 +17,21 @@
 KEY = "crew-key"
 OPERATOR = "operator-token"
 READY_S = 20.0
+_POLL_S = 0.02
+
+
+def wait_until(holds: Callable[[], bool], limit_s: float = READY_S) -> float:
+    """Asks until it holds; returns the seconds that took.
+
+    Raises:
+        AssertionError: It didn't hold in time.
+    """
+    began = time.monotonic()
+    pause = threading.Event()
+    while not holds():
+        assert time.monotonic() - began < limit_s, "didn't come true in time"
+        pause.wait(_POLL_S)
+    return time.monotonic() - began
 
 
 def make_tree(addresses: list[str], **root: object) -> model.Tree:
