Build one binary: interpreter and archive in one executable

Instances have no disk, and a process may start no other, so a file that unpacks itself or leaves a parent process doesn't do. Weighed and measured: PyInstaller onefile (two processes, 66 MB of temporary files), shiv (41 MB in the home), pex (46 MB in the home, 3.6 s and more to start); staticx unpacks like PyInstaller, and a plain zipapp can't load grpcio. Figures and limits: docs/design/binary.md.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: trial test check bench proto clean
+.PHONY: trial test check bench binary binary-check proto clean
 
 trial: $(VENV)/run  ## Run the whole system in one process and print a table.
 	$(BIN)/python -m pollenfork trial
@@ -18,6 +18,12 @@
 bench: $(VENV)/dev  ## Measure every slope; writes benchmarks/results/*.json.
 	$(BIN)/python -m benchmarks
 
+binary: $(VENV)/run  ## Build dist/pollenfork, one file; see docs/design/binary.md.
+	$(BIN)/python -m bundle.build dist/pollenfork
+
+binary-check: $(VENV)/dev binary  ## Build the one file and test it.
+	$(BIN)/python -m pytest bundle/tests
+
 SLICE := pollenfork/membership
 
 proto: $(VENV)/dev  ## Generate the peers' gRPC code anew (it is committed).
--- /dev/null
+++ b/bundle/__init__.py
@@ -0,0 +1,1 @@
+"""Builds the one binary; see docs/design/binary.md."""
