Count at the engine stand-in what it refused

A test that an endpoint gets no new work must also see requests that the endpoint refused; GET /runs, whose bytes a test fixes, counts only runs.

--- a/pollenfork/standin/engine/front.py
+++ b/pollenfork/standin/engine/front.py
@@ -54,6 +54,7 @@
         self._server = http.Server(
             config.listen, self._handle, config.keep_alive
         )
+        self._refused = 0
         self._sinks: dict[int, sinks.Sink] = {}
         self._work = asyncio.Event()
         self._routes: dict[tuple[str, str], http.Handler] = {
@@ -72,6 +73,7 @@
             ("POST", "/v1/orders"): self._carry_out_order,
             ("GET", "/healthz"): self._report_health,
             ("GET", "/runs"): self._report_runs,
+            ("GET", "/refusals"): self._report_refusals,
             ("GET", "/faults"): self._report_faults,
             ("POST", "/faults"): self._change_faults,
         }
@@ -163,7 +165,7 @@
             now,
         )
         if isinstance(job, jobs.Refusal):
-            _refuse(exchange, job)
+            self._refuse(exchange, job)
             return
         sink: sinks.Sink = sinks.PlainSink(exchange, prompt)
         if prompt.stream:
@@ -268,7 +270,7 @@
         )
         job = self.core.import_job(ids.AttemptId(name), prompt, self._advance())
         if isinstance(job, jobs.Refusal):
-            _refuse(exchange, job)
+            self._refuse(exchange, job)
             return
         self._work.set()
         exchange.send(200, b"{}")
@@ -284,6 +286,17 @@
             body = render.render_error("fenced", "old fencing number")
             exchange.send(409, body)
 
+    def _refuse(self, exchange: http.Exchange, refusal: jobs.Refusal) -> None:
+        self._refused += 1
+        body = render.render_error(refusal.value, "refused before it ran")
+        exchange.send(_REFUSAL_STATUS[refusal], body, _NOT_RUN)
+
+    async def _report_refusals(
+        self, request: http.Request, exchange: http.Exchange
+    ) -> None:
+        del request
+        exchange.send(200, msgspec.json.encode({"refused": self._refused}))
+
     async def _report_health(
         self, request: http.Request, exchange: http.Exchange
     ) -> None:
@@ -315,8 +328,3 @@
             return
         exchange.send(200, msgspec.json.encode(faults))
         await self._set_faults(faults)
-
-
-def _refuse(exchange: http.Exchange, refusal: jobs.Refusal) -> None:
-    body = render.render_error(refusal.value, "refused before it ran")
-    exchange.send(_REFUSAL_STATUS[refusal], body, _NOT_RUN)
