Prove settings, leaving and single runs with separate processes

New cases, each with real processes that are killed, frozen or told to stop: - settings: an instance started or restarted without the platform (refusing or hanging) takes a peer's tree and isn't ready before; alone it is never ready; writes never go back over a kill of the writer, a lost answer and restarts without the platform; racing operators get one 412 with the revision and lose nothing; a thawed instance goes on to the newest; - leaving: an endpoint that an engine's sign or an operator's drain makes leave got its last request within 3 s at three instances under continuous requests, with the list still showing it live; half of four instances stop with 50 open streams, none cut off, both exit 0; a stop while the platform hangs exits 0; - owners: a posting runs at most once with its instance killed at four moments, or frozen past its removal and thawed.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -3,6 +3,7 @@
 import json
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 
@@ -16,10 +17,16 @@
 from tests import sites
 
 READY_S = 20.0
-_POLL_S = 0.02
 _LISTENING = "listening on "
 
 
+def find_free_port() -> int:
+    """Returns a port that was free for datagrams and connections."""
+    with socket.socket() as held:
+        held.bind(("127.0.0.1", 0))
+        return int(held.getsockname()[1])
+
+
 class Program:
     """One process of ours; `address` is where it listens."""
 
@@ -77,6 +84,7 @@
         self.platform = self.start("platform", {}, "standin", "platform")
         self.engines: list[Program] = []
         self.entries: list[Program] = []
+        self._entry_settings: dict[Program, dict[str, object]] = {}
 
     def start(self, name: str, settings: object, *command: str) -> Program:
         """Starts a program with a settings file."""
@@ -105,36 +113,62 @@
         table = client.HttpTable(client.Channel(self.platform.address))
         first.write_tree(table, tree, clock.SystemClock()).unwrap()
 
-    def start_entry(self, **settings: object) -> Program:
-        """Starts an entry instance; returns once it is ready."""
-        name = f"entry-{len(self.entries) + 1}"
+    def start_entry(self, ready: bool = True, **settings: object) -> Program:
+        """Starts an entry instance; returns once it is ready, if asked.
+
+        It knows the peer addresses of the instances started before it.
+        """
+        known = [chosen["peer_listen"] for chosen in self.list_settings()]
         chosen = {
-            "instance": name,
+            "instance": f"entry-{len(self.entries) + 1}",
             "data_centre": "a",
             "listen": "127.0.0.1:0",
-            "peer_listen": "127.0.0.1:0",
+            "peer_listen": f"127.0.0.1:{find_free_port()}",
+            "peers": known,
             "platform": self.platform.address,
             "streams": 32,
             "waiting": 32,
             "operator_sha256": [snapshot.hash_key(sites.OPERATOR)],
             **settings,
         }
-        entry = self.start(name, chosen, "entry")
+        entry = self._run_entry(chosen)
         self.entries.append(entry)
-        self.wait_until_ready(entry)
+        if ready:
+            self.wait_until_ready(entry)
         return entry
 
-    def wait_until_ready(self, entry: Program) -> None:
-        """Asks for readiness until it is there, a bounded number of times."""
-        retries = urllib3.Retry(
-            total=int(READY_S / _POLL_S),
-            backoff_factor=_POLL_S,
-            backoff_max=_POLL_S,
-            status_forcelist=[503],
-        )
+    def restart_entry(self, ended: Program) -> Program:
+        """Starts an ended entry instance anew, as it was; it may not be ready.
+
+        It knows the peer addresses of all the others.
+        """
+        was = self._entry_settings.pop(ended)
+        known = [chosen["peer_listen"] for chosen in self.list_settings()]
+        entry = self._run_entry({**was, "peers": known})
+        self.entries[self.entries.index(ended)] = entry
+        return entry
+
+    def list_settings(self) -> list[dict[str, object]]:
+        """Returns the settings of the entry instances."""
+        return list(self._entry_settings.values())
+
+    def get_name(self, entry: Program) -> object:
+        """Returns the instance's name."""
+        return self._entry_settings[entry]["instance"]
+
+    def _run_entry(self, chosen: dict[str, object]) -> Program:
+        entry = self.start(str(chosen["instance"]), chosen, "entry")
+        self._entry_settings[entry] = chosen
+        return entry
+
+    def is_ready(self, entry: Program) -> bool:
+        """Returns whether the instance takes new work."""
         url = f"http://{entry.address}/readyz"
-        response = self.pool.request("GET", url, retries=retries)
-        assert response.status == 200
+        return self.pool.request("GET", url).status == 200
+
+    def wait_until_ready(self, entry: Program) -> None:
+        """Waits until the instance takes new work."""
+        sites.wait_until(lambda: self.is_ready(entry))
 
     def post(
         self,
@@ -153,6 +187,44 @@
             "POST", url, body=body, headers=headers, **options
         )
 
+    def operate(
+        self, entry: Program, method: str, path: str, **options: object
+    ) -> urllib3.BaseHTTPResponse:
+        """Calls the operator interface of an instance."""
+        headers = {
+            "Authorization": f"Bearer {sites.OPERATOR}",
+            **options.pop("headers", {}),
+        }
+        url = f"http://{entry.address}/operator/{path}"
+        return self.pool.request(method, url, headers=headers, **options)
+
+    def read_states(self, entry: Program) -> dict[str, str]:
+        """Returns what an instance believes of all, by their names."""
+        listed = self.operate(entry, "GET", "status").json()["instances"]
+        return {line["instance"]: line["state"] for line in listed}
+
+    def read_revision(self, entry: Program) -> int:
+        """Returns the settings revision in force at an instance."""
+        listed = self.operate(entry, "GET", "status").json()["instances"]
+        own = self.get_name(entry)
+        return next(
+            line["revision"] for line in listed if line["instance"] == own
+        )
+
+    def wait_until_met(self) -> None:
+        """Waits until every entry instance sees all of them live."""
+        everyone = {str(self.get_name(entry)) for entry in self.entries}
+        for entry in self.entries:
+            sites.wait_until(
+                lambda entry=entry: everyone <= self.read_states(entry).keys()
+            )
+
+    def wait_until_lost(self, entry: Program, name: str) -> float:
+        """Waits until an instance holds another for lost; returns seconds."""
+        return sites.wait_until(
+            lambda: self.read_states(entry).get(name) == "lost"
+        )
+
     def read_json(self, program: Program, path: str) -> object:
         """Returns what a stand-in tells of itself."""
         url = f"http://{program.address}{path}"
