--- a/pollenfork/application.py
+++ b/pollenfork/application.py
@@ -19,6 +19,7 @@
 from pollenfork import peers
 from pollenfork import scheduler
 from pollenfork import timers
+from pollenfork import views
 from pollenfork.answers import session
 from pollenfork.dispatch import messages as dispatch_messages
 from pollenfork.endpoints import actor as endpoints_actor
@@ -31,9 +32,8 @@
 from pollenfork.ledger import sweeping
 from pollenfork.membership import lifecycle
 from pollenfork.operator import app as operator_app
-from pollenfork.platform import client
+from pollenfork.platform import connection
 from pollenfork.platform import edges as platform_edges
-from pollenfork.platform import policy
 from pollenfork.settings import actor as settings_actor
 from pollenfork.settings import messages as settings_messages
 from pollenfork.settings import service as settings_service
@@ -56,13 +56,18 @@
         self._listed: int | None = None
         self._timers = timers.Timers(now)
         self.metrics = metrics.Metrics()
-        self.platform = self._connect_platform()
+        self.platform = connection.connect(
+            settings.platform, now, self._rng, self._count_call
+        )
         self._presence = peers.Presence(settings.instance, settings.data_centre)
         self._scheduler = scheduler.Scheduler(
             settings.instance, now, self._rng, self._timers, settings.waiting
         )
         self.settings = self._make_settings()
         self.endpoints = self._make_endpoints()
+        self._endpoint_views = views.Endpoints(
+            self.endpoints, self._scheduler.read_pressure, now
+        )
         self.membership = self._make_membership()
         self._copies = peers.Copies(self._presence, self.membership)
         self._relay = session.Relay(self._scheduler, now)
@@ -209,28 +214,20 @@
             return 0
         return max(self._listed, self._presence.count())
 
+    def _hear_endpoint(
+        self,
+        news: dispatch_messages.EndpointReport
+        | dispatch_messages.EndpointNotice,
+    ) -> None:
+        self._scheduler.report(news)
+        self._endpoint_views.note(news)
+
     def _read_pressure(self) -> dispatch_messages.Pressure:
         pressure = self._scheduler.read_pressure()
         return peers.add_leaving(pressure, self.endpoints.read_leaving())
 
     # How the parts are made.
 
-    def _connect_platform(self) -> policy.Platform:
-        channel = client.Channel(self._config.platform)
-        tools = policy.Tools(
-            now=self._clock,
-            rng=self._rng,
-            wait=time.sleep,
-            count=self._count_call,
-        )
-        return policy.Platform(
-            table=client.HttpTable(channel),
-            objects=client.HttpObjects(channel),
-            instances=client.HttpInstances(channel),
-            weights=client.HttpWeights(channel),
-            tools=tools,
-        )
-
     def _make_settings(self) -> settings_actor.Settings:
         settings = settings_actor.Settings(
             self.platform.polled_table,
@@ -254,7 +251,7 @@
             lambda endpoint: endpoints_client.HttpEndpoint(
                 endpoint.address, pool
             ),
-            self._scheduler.report,
+            self._hear_endpoint,
             self._presence.list_near,
         )
 
@@ -325,10 +322,10 @@
         return operator_app.Operator(
             self._config.instance,
             tree,
-            peers.Instances(
+            views.Instances(
                 self._config.instance, self.membership, self.settings
             ),
-            peers.EndpointPage(self.endpoints, self._scheduler.read_pressure),
+            self._endpoint_views,
             self.metrics,
             lambda: ids.WriteId(uuid.uuid4().hex),
         )
--- a/pollenfork/peers.py
+++ b/pollenfork/peers.py
@@ -1,6 +1,5 @@
 """What the other instances tell, handed to the slices that it concerns."""
 
-from collections.abc import Callable
 import threading
 
 import msgspec
@@ -13,7 +12,6 @@
 from pollenfork.endpoints import actor as endpoints_actor
 from pollenfork.membership import lifecycle
 from pollenfork.membership import messages
-from pollenfork.operator import edges as operator_edges
 from pollenfork.settings import actor as settings_actor
 from pollenfork.settings import messages as settings_messages
 
@@ -150,74 +148,6 @@
         return self._membership.fetch_settings(address, _IN_FORCE)
 
 
-class Instances:
-    """`operator.edges.Instances` from membership and the own settings."""
-
-    def __init__(
-        self,
-        instance: ids.InstanceId,
-        membership: lifecycle.Membership,
-        settings: settings_actor.Settings,
-    ) -> None:
-        self._own = instance
-        self._membership = membership
-        self._settings = settings
-
-    def list_instances(self) -> tuple[operator_edges.InstanceReport, ...]:
-        """Returns every instance known."""
-        return tuple(
-            self._report(view) for view in self._membership.list_members()
-        )
-
-    def _report(
-        self, view: messages.MemberView
-    ) -> operator_edges.InstanceReport:
-        status = self._settings.read_status()
-        is_own = view.instance == self._own
-        return operator_edges.InstanceReport(
-            instance=view.instance,
-            data_centre=view.data_centre,
-            state=view.status,
-            revision=status.revision if is_own else view.revision,
-            age_s=status.age_s if is_own else None,
-            heard_s_ago=view.heard_s_ago,
-        )
-
-
-class EndpointPage:
-    """`operator.edges.Endpoints` from the endpoints and the own slots."""
-
-    def __init__(
-        self,
-        endpoints: endpoints_actor.Endpoints,
-        read_pressure: Callable[[], dispatch_messages.Pressure],
-    ) -> None:
-        self._endpoints = endpoints
-        self._read_pressure = read_pressure
-
-    def list_endpoints(self) -> tuple[operator_edges.LiveEndpoint, ...]:
-        """Returns the endpoints of this data centre."""
-        in_flight: dict[ids.EndpointId, int] = {}
-        for held in self._read_pressure().occupancies:
-            total = in_flight.get(held.endpoint, 0) + held.in_flight
-            in_flight[held.endpoint] = total
-        return tuple(
-            operator_edges.LiveEndpoint(
-                endpoint=view.endpoint,
-                state=view.state or dispatch_messages.EndpointState.GONE,
-                in_flight=in_flight.get(view.endpoint, 0),
-                report_age_s=view.heard_s,
-            )
-            for view in self._endpoints.list_endpoints()
-        )
-
-    def drain(
-        self, endpoint: ids.EndpointId
-    ) -> result.Result[None, failures.Failure]:
-        """Keeps the wish that the endpoint take no new work."""
-        return self._endpoints.drain(endpoint)
-
-
 def add_leaving(
     pressure: dispatch_messages.Pressure, leaving: tuple[ids.EndpointId, ...]
 ) -> dispatch_messages.Pressure:
