Keep instances from heaping a burst on the same prefix homes

Cause: a home is taken up to half its limit whatever the others' load, and six instances take the same home before they hear of each other: 36 to 40 attempts at the fullest endpoint of 16 slots.

--- a/benchmarks/site.py
+++ b/benchmarks/site.py
@@ -30,6 +30,7 @@
 _DOWN_S = 3.0
 _BURST = _ENGINES * site_workload.SLOTS
 _STRAGGLER = {"slowdown": 5.0}
+_FLAKY = {"crash": {"when": "before_first", "resumable": False}}
 _WAITS = re.compile(r'^pollenfork_request_wait_seconds\w*\{.*le="([^"]+)"')
 _REASON = re.compile(r'reason="([^"]+)"')
 
@@ -170,7 +171,7 @@
     if case.straggler:
         site.set_faults(0, _STRAGGLER)
     for engine in range(case.flaky):
-        site.set_faults(engine, {"crash": {"when": "before_first"}})
+        site.set_faults(engine, _FLAKY)
     entries = [program.read_cpu_s() for program in site.entries]
     engines = [program.read_cpu_s() for program in site.engines]
     began = time.monotonic()
--- a/pollenfork/dispatch/core.py
+++ b/pollenfork/dispatch/core.py
@@ -231,7 +231,9 @@
         best = min(sampled, key=lambda e: e.rate_use(now))
         if not ask.prefix:
             return best
-        bound = max(best.rate_use(now) * _BOUNDED_LOAD, _LEAST_BOUND)
+        # Peers choose the same homes before this instance hears of it.
+        least = _LEAST_BOUND / pool.cluster.claims.instances
+        bound = max(best.rate_use(now) * _BOUNDED_LOAD, least)
         for home in pool.find_homes(ask.prefix):
             if home.name in avoid or not pool.is_open(home):
                 continue
