--- a/pollenfork/cli/tests/test_core.py
+++ b/pollenfork/cli/tests/test_core.py
@@ -2,6 +2,8 @@
 
 import io
 import json
+import subprocess
+import sys
 
 import pytest
 
@@ -129,3 +131,21 @@
     ended, _, errors = run("load", "--scenario", scenario, *words)
     assert ended is status.ExitStatus.UNREACHABLE
     assert "an engine" in errors
+
+
+@pytest.mark.parametrize("key", ["listen", "peer_listen"])
+def test_an_entry_that_cant_listen_ends_and_says_so(key, tmp_path):
+    settings = {
+        "instance": "entry-1",
+        "data_centre": "amman-1",
+        "listen": "127.0.0.1:0",
+        "peer_listen": "127.0.0.1:0",
+        "platform": "127.0.0.1:1",
+    }
+    path = tmp_path / "entry.json"
+    path.write_text(json.dumps({**settings, key: "192.0.2.1:1"}))
+    program = [sys.executable, "-m", "pollenfork", "entry", "--settings", path]
+    ended = subprocess.run(program, capture_output=True, text=True, timeout=60)
+    assert ended.returncode == status.ExitStatus.ERROR
+    assert "pollenfork: can't listen" in ended.stderr
+    assert "Traceback" not in ended.stderr
--- a/pollenfork/instance.py
+++ b/pollenfork/instance.py
@@ -27,7 +27,7 @@
     """
     read = config.read_file(path, config.EntryConfig)
     if read.is_err():
-        errors.write(f"{read.unwrap_err().detail}\n")
+        errors.write(f"pollenfork: {read.unwrap_err().detail}\n")
         return status.ExitStatus.USAGE
     app = application.Application(read.unwrap(), clock.SystemClock())
     told = threading.Event()
@@ -41,7 +41,12 @@
 
     for number in _SIGNALS:
         signal.signal(number, note_signal)
-    app.start()
+    try:
+        app.start()
+    except (OSError, ValueError, RuntimeError) as error:
+        app.stop()
+        errors.write(f"pollenfork: can't listen: {error}\n")
+        return status.ExitStatus.ERROR
     output.write(f"listening on {app.address}\n")
     output.flush()
     told.wait()
