Give the libraries' log lines the form of an event

waitress's queue depth and disconnections were free text between key=value lines. They become event=library_message text="..." instead of being silenced: some of them are warnings that an operator needs.

--- a/pollenfork/core.py
+++ b/pollenfork/core.py
@@ -1,7 +1,6 @@
 """Runs one command line: parses it, then calls the command's behaviour."""
 
 from collections.abc import Sequence
-import logging
 import pkgutil
 from typing import Any
 
@@ -10,11 +9,10 @@
 
 from pollenfork import __version__
 from pollenfork import context
+from pollenfork import logs
 from pollenfork import status
 from pollenfork.cli import definition
 
-_LOG_FORMAT = "time=%(asctime)s level=%(levelname)s logger=%(name)s %(message)s"
-
 
 def main(args: Sequence[str], env: context.Environment) -> status.ExitStatus:
     """Runs the command that `args` name, without the program's own name."""
@@ -30,9 +28,7 @@
         return (
             status.ExitStatus.USAGE if end.code else status.ExitStatus.SUCCESS
         )
-    logging.basicConfig(
-        level=logging.INFO, format=_LOG_FORMAT, stream=env.stderr
-    )
+    logs.configure(env.stderr)
     command = _find_command(parsed)
     behave = pkgutil.resolve_name(command.BEHAVIOUR)
     try:
