--- a/pollenfork/cli/serving.py
+++ b/pollenfork/cli/serving.py
@@ -75,7 +75,7 @@
 def _serve(standin: _Standin, env: context.Environment) -> status.ExitStatus:
     try:
         address = standin.start()
-    except OSError as error:
+    except (OSError, ValueError) as error:
         env.fail(f"can't listen: {error}")
         return status.ExitStatus.ERROR
     env.stdout.write(f"listening on {address}\n")
--- a/pollenfork/cli/tests/test_core.py
+++ b/pollenfork/cli/tests/test_core.py
@@ -85,6 +85,12 @@
     assert told in errors
 
 
+def test_an_address_that_is_none_is_told():
+    ended, _, errors = run("standin", "service", "--listen", "nonsense")
+    assert ended is status.ExitStatus.ERROR
+    assert errors.startswith("pollenfork: can't listen: ")
+
+
 def test_a_bad_settings_file_is_refused_with_its_place(tmp_path):
     path = tmp_path / "engine.json"
     path.write_text('{"faults": {"slowdown": 0}}')
