--- a/pollenfork/application.py
+++ b/pollenfork/application.py
@@ -1,5 +1,6 @@
 """One entry instance: owns every part, starts and stops them in order."""
 
+from collections.abc import Callable
 import enum
 import logging
 import random
@@ -7,6 +8,8 @@
 import time
 import uuid
 
+import result
+
 from pollenfork import clock
 from pollenfork import config
 from pollenfork import exposition
@@ -16,6 +19,7 @@
 from pollenfork import peers
 from pollenfork import scheduler
 from pollenfork import timers
+from pollenfork import views
 from pollenfork.answers import session
 from pollenfork.dispatch import messages as dispatch_messages
 from pollenfork.endpoints import actor as endpoints_actor
@@ -28,8 +32,8 @@
 from pollenfork.ledger import sweeping
 from pollenfork.membership import lifecycle
 from pollenfork.operator import app as operator_app
-from pollenfork.platform import client
-from pollenfork.platform import policy
+from pollenfork.platform import connection
+from pollenfork.platform import edges as platform_edges
 from pollenfork.settings import actor as settings_actor
 from pollenfork.settings import messages as settings_messages
 from pollenfork.settings import service as settings_service
@@ -37,7 +41,7 @@
 _LOG = logging.getLogger(__name__)
 
 _STOP_POLL_S = 0.1
-_HOUSEKEEPING_S = 5.0
+_HOUSEKEEPING_S = 10.0
 
 
 class Application:
@@ -46,19 +50,24 @@
     def __init__(self, settings: config.EntryConfig, now: clock.Clock) -> None:
         self._config = settings
         self._clock = now
-        self._incarnation = ids.Incarnation(int(now.wall() * 1000))
         self._stopping = threading.Event()
         self._in_force = threading.Event()
         self._rng = random.Random()
+        self._listed: int | None = None
         self._timers = timers.Timers(now)
         self.metrics = metrics.Metrics()
-        self.platform = self._connect_platform()
+        self.platform = connection.connect(
+            settings.platform, now, self._rng, self._count_call
+        )
         self._presence = peers.Presence(settings.instance, settings.data_centre)
         self._scheduler = scheduler.Scheduler(
             settings.instance, now, self._rng, self._timers, settings.waiting
         )
         self.settings = self._make_settings()
         self.endpoints = self._make_endpoints()
+        self._endpoint_views = views.Endpoints(
+            self.endpoints, self._scheduler.read_pressure, now
+        )
         self.membership = self._make_membership()
         self._copies = peers.Copies(self._presence, self.membership)
         self._relay = session.Relay(self._scheduler, now)
@@ -78,17 +87,21 @@
         return f"{host}:{port}"
 
     def start(self) -> None:
-        """Starts every part; returns once callers can connect."""
-        self._scheduler.start()
-        self._relay.start()
-        self.endpoints.start(self._timers)
-        self.settings.start()
-        self.membership.start()
-        self._housekeeping.start()
-        self._timers.start()
+        """Starts every part; returns once callers can connect.
+
+        Raises:
+            OSError: An address is taken; no part is left running.
+        """
+        # First, so that no peer hears of an instance that can't listen.
         self._server = server.create_server(
             self._front, self._config, self._front.write_refusal, self._clock
         )
+        try:
+            self._start_parts()
+        except Exception:
+            # Threads left over would keep the process, and its peers' trust.
+            self.stop()
+            raise
         exposition.watch_entry(
             self.metrics, self._front.in_progress, self._server.counters
         )
@@ -99,11 +112,20 @@
         _LOG.info(
             "event=started instance=%s incarnation=%d listen=%s peers=%s",
             self._config.instance,
-            self._incarnation,
+            self.membership.incarnation,
             self.address,
             self.membership.address,
         )
 
+    def _start_parts(self) -> None:
+        self._scheduler.start()
+        self._relay.start()
+        self.endpoints.start(self._timers)
+        self.settings.start()
+        self.membership.start()
+        self._housekeeping.start()
+        self._timers.start()
+
     def drain(self, insisted: threading.Event | None = None) -> bool:
         """Takes no new work and waits until none is in progress.
 
@@ -133,17 +155,28 @@
     def stop(self) -> None:
         """Leaves the peers, then stops every part, the newest first."""
         self._stopping.set()
-        self.membership.leave()
+        ends: tuple[Callable[[], None], ...] = (
+            self.membership.leave,
+            self._stop_server,
+            self._housekeeping.stop,
+            self._timers.stop,
+            self.membership.stop,
+            self.endpoints.stop,
+            self._relay.stop,
+            self._scheduler.stop,
+            self.settings.stop,
+        )
+        for end in ends:
+            try:
+                end()
+            except Exception:
+                # The others must end all the same, or the process stays.
+                _LOG.exception("event=stop_failed part=%s", end.__qualname__)
+        _LOG.info("event=stopped instance=%s", self._config.instance)
+
+    def _stop_server(self) -> None:
         if self._server:
             self._server.stop()
-        self._housekeeping.stop()
-        self._timers.stop()
-        self.membership.stop()
-        self.endpoints.stop()
-        self._relay.stop()
-        self._scheduler.stop()
-        self.settings.stop()
-        _LOG.info("event=stopped instance=%s", self._config.instance)
 
     def is_ready(self) -> bool:
         """Returns whether new work may come."""
@@ -160,35 +193,41 @@
 
     def _keep_house(self) -> None:
         now = self._clock.monotonic()
-        self.platform.budget.set_instances(self._presence.count(), now)
+        self.platform.budget.set_instances(self._count_instances(), now)
         self._ledger.settle_deferred()
         writes_per_s = self.platform.budget.keyed.share.writes
         self._ledger.sweep(
             sweeping.compute_removals(writes_per_s, _HOUSEKEEPING_S)
         )
 
+    def _count_instances(self) -> int:
+        """Returns the entry instances that share the platform's rates.
+
+        The list counts them all, also those that a partition hides from
+        membership. Until it has been read their number isn't known: 0.
+        """
+        listed = self.platform.instances.fetch()
+        if isinstance(listed, result.Ok):
+            entry = platform_edges.InstanceRole.ENTRY
+            self._listed = sum(i.role is entry for i in listed.ok_value)
+        if self._listed is None:
+            return 0
+        return max(self._listed, self._presence.count())
+
+    def _hear_endpoint(
+        self,
+        news: dispatch_messages.EndpointReport
+        | dispatch_messages.EndpointNotice,
+    ) -> None:
+        self._scheduler.report(news)
+        self._endpoint_views.note(news)
+
     def _read_pressure(self) -> dispatch_messages.Pressure:
         pressure = self._scheduler.read_pressure()
         return peers.add_leaving(pressure, self.endpoints.read_leaving())
 
     # How the parts are made.
 
-    def _connect_platform(self) -> policy.Platform:
-        channel = client.Channel(self._config.platform)
-        tools = policy.Tools(
-            now=self._clock,
-            rng=self._rng,
-            wait=time.sleep,
-            count=self._count_call,
-        )
-        return policy.Platform(
-            table=client.HttpTable(channel),
-            objects=client.HttpObjects(channel),
-            instances=client.HttpInstances(channel),
-            weights=client.HttpWeights(channel),
-            tools=tools,
-        )
-
     def _make_settings(self) -> settings_actor.Settings:
         settings = settings_actor.Settings(
             self.platform.polled_table,
@@ -212,7 +251,7 @@
             lambda endpoint: endpoints_client.HttpEndpoint(
                 endpoint.address, pool
             ),
-            self._scheduler.report,
+            self._hear_endpoint,
             self._presence.list_near,
         )
 
@@ -229,13 +268,12 @@
             lambda revision: self.settings.encode_copy(),
             router.publish,
             self._config.peers,
-            self._incarnation,
         )
 
     def _open_ledger(self) -> ledger.Ledger:
         return ledger.Ledger(
             ledger.Parts(
-                owner=claiming.Owner(self._config.instance, self._incarnation),
+                find_owner=self._find_owner,
                 table=self.platform.keyed_table,
                 objects=self.platform.keyed_objects,
                 owners=self._presence,
@@ -245,6 +283,12 @@
             )
         )
 
+    def _find_owner(self) -> claiming.Owner:
+        # Peers tell from membership's incarnation whether the owner runs on.
+        return claiming.Owner(
+            self._config.instance, self.membership.incarnation
+        )
+
     def _make_front(self) -> front.Front:
         exposition.watch_relay(self.metrics, self._relay.counters)
         exposition.watch_scheduler(self.metrics, self._scheduler)
@@ -278,10 +322,10 @@
         return operator_app.Operator(
             self._config.instance,
             tree,
-            peers.Instances(
+            views.Instances(
                 self._config.instance, self.membership, self.settings
             ),
-            peers.EndpointPage(self.endpoints, self._scheduler.read_pressure),
+            self._endpoint_views,
             self.metrics,
             lambda: ids.WriteId(uuid.uuid4().hex),
         )
--- a/pollenfork/instance.py
+++ b/pollenfork/instance.py
@@ -44,7 +44,6 @@
     try:
         app.start()
     except (OSError, ValueError, RuntimeError) as error:
-        app.stop()
         errors.write(f"pollenfork: can't listen: {error}\n")
         return status.ExitStatus.ERROR
     output.write(f"listening on {app.address}\n")
