--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -82,3 +82,15 @@
     named = set(re.findall(r"`([Tt]est_?\w+)`", page))
     assert named
     assert named <= defined
+
+
+LINK = re.compile(r"\]\(([^)#]+)\)")
+
+
+@pytest.mark.parametrize(
+    "page", [ROOT / "README.md", *sorted((ROOT / "docs").rglob("*.md"))]
+)
+def test_each_link_leads_somewhere(page: pathlib.Path) -> None:
+    links = LINK.findall(page.read_text())
+    broken = [link for link in links if not (page.parent / link).exists()]
+    assert not broken
