Refuse load's unusable addresses; name the file that isn't JSON

Cause: load --to nonsense sent nothing, wrote a trace for each arrival (374 of them), a report of 0 requests, and exit status 0. It now says which URL is unusable in one line, exit status 2 (three cases added). settings check named no file where the whole of it isn't JSON.

--- a/pollenfork/cli/loading.py
+++ b/pollenfork/cli/loading.py
@@ -25,6 +25,12 @@
     if read.is_err():
         env.fail(read.unwrap_err().detail)
         return status.ExitStatus.USAGE
+    unusable = [
+        url for url in (*command.to, *command.engine) if not _has_port(url)
+    ]
+    if unusable:
+        env.fail(f"{unusable[0]!r} is no URL like http://127.0.0.1:8000")
+        return status.ExitStatus.USAGE
     try:
         report = send(read.unwrap(), command.to, command.engine, env)
     except (urllib3.exceptions.HTTPError, msgspec.MsgspecError) as error:
@@ -69,6 +75,15 @@
         table.write_report(report, env.stdout, env.stdout_is_terminal)
 
 
+def _has_port(url: str) -> bool:
+    """Returns whether the URL, or bare address, names a host and a port."""
+    try:
+        parts = urllib.parse.urlsplit(f"//{_read_address(url)}")
+        return bool(parts.hostname and parts.port)
+    except ValueError:
+        return False
+
+
 def _read_address(url: str) -> str:
     """Returns `host:port` of a URL, or of a bare address."""
     return urllib.parse.urlsplit(url).netloc or url
--- a/pollenfork/cli/operating.py
+++ b/pollenfork/cli/operating.py
@@ -43,7 +43,8 @@
         _write_json(msgspec.json.encode({"violations": violations}), env)
     else:
         for violation in violations:
-            env.stdout.write(f"{violation}\n")
+            where = "" if violation.path else f"{command.file}: "
+            env.stdout.write(f"{where}{violation}\n")
         if not violations:
             env.stdout.write("ok\n")
     if violations:
--- a/pollenfork/cli/tests/test_core.py
+++ b/pollenfork/cli/tests/test_core.py
@@ -2,6 +2,7 @@
 
 import io
 import json
+import pathlib
 import subprocess
 import sys
 
@@ -69,6 +70,10 @@
     assert " ".join(("pollenfork", *words)) in examples
 
 
+ROOT = pathlib.Path(__file__).parents[3]
+DAWN = str(ROOT / "benchmarks" / "scenarios" / "dawn.json")
+
+
 @pytest.mark.parametrize(
     ("words", "told"),
     [
@@ -77,6 +82,9 @@
         (("standin", "engine", "--settings", "/nowhere.json"), "No such file"),
         (("entry", "--settings", "/nowhere.json"), "No such file"),
         (("load", "--scenario", "/nowhere.json", "--to", "x"), "No such file"),
+        (("load", "--scenario", DAWN, "--to", "x"), "'x' is no URL"),
+        (("load", "--scenario", DAWN, "--to", "http://x:0"), "is no URL"),
+        (("load", "--scenario", DAWN, "--to", "http://x:y"), "is no URL"),
     ],
 )
 def test_a_wrong_command_line_says_what_is_wrong(words, told):
