--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 	$(BIN)/python -m pollenfork trial
 
 test: $(VENV)/dev  ## Run every test.
-	$(BIN)/python -m pytest -n 4
+	$(BIN)/python -m pytest -n 4 --dist worksteal
 
 check: $(VENV)/dev  ## Formatter, linter and type checker.
 	$(BIN)/ruff format --check .
