--- a/tests/contract.py
+++ b/tests/contract.py
@@ -1,11 +1,13 @@
 """A site with scripted endpoints: one runner and two services."""
 
 from collections.abc import Iterable
+import json
 import threading
 
 import msgspec
 
 from pollenfork.settings import model
+from tests import callers
 from tests import endpoints
 from tests import sites
 
@@ -34,6 +36,8 @@
         },
     }
 )
+CHAT = "/v1/chat/completions"
+ASK = {"model": "lines", "messages": [{"role": "user", "content": "Tower 7"}]}
 
 
 def write_stream() -> list[endpoints.Part]:
@@ -155,6 +159,12 @@
         return msgspec.structs.replace(tree, root=root, teams=teams)
 
 
+def write_chat(**fields: object) -> bytes:
+    """Returns a chat request with these fields changed."""
+    body = json.dumps({**ASK, **fields}).encode()
+    return callers.write_request("POST", CHAT, body)
+
+
 def reset(site: Site) -> Site:
     """Returns the site with its first scripts and no calls noted."""
     site.engine_script = play_engine
--- a/tests/test_contract.py
+++ b/tests/test_contract.py
@@ -1,6 +1,5 @@
 """The contract towards callers: each fault, told as it is, without a run."""
 
-from collections.abc import Iterator
 import json
 import logging
 
@@ -9,26 +8,10 @@
 from tests import callers
 from tests import contract
 
-CHAT = "/v1/chat/completions"
-ASK = {"model": "lines", "messages": [{"role": "user", "content": "Tower 7"}]}
+CHAT = contract.CHAT
+ASK = contract.ASK
 write = callers.write_request
-
-
-@pytest.fixture(scope="module")
-def shared() -> Iterator[contract.Site]:
-    started = contract.Site()
-    yield started
-    started.stop()
-
-
-@pytest.fixture
-def site(shared: contract.Site) -> contract.Site:
-    return contract.reset(shared)
-
-
-def write_chat(**fields: object) -> bytes:
-    body = json.dumps({**ASK, **fields}).encode()
-    return write("POST", CHAT, body)
+write_chat = contract.write_chat
 
 
 def write_keyed(key: str) -> bytes:
--- a/tests/test_contract_gone.py
+++ b/tests/test_contract_gone.py
@@ -1,6 +1,5 @@
 """Callers that go away: their work ends, or is kept for their return."""
 
-from collections.abc import Iterator
 import json
 import logging
 import socket
@@ -13,26 +12,10 @@
 from tests import endpoints
 from tests import sites
 
-CHAT = "/v1/chat/completions"
-ASK = {"model": "lines", "messages": [{"role": "user", "content": "Tower 7"}]}
+CHAT = contract.CHAT
+ASK = contract.ASK
 write = callers.write_request
-
-
-@pytest.fixture(scope="module")
-def shared() -> Iterator[contract.Site]:
-    started = contract.Site()
-    yield started
-    started.stop()
-
-
-@pytest.fixture
-def site(shared: contract.Site) -> contract.Site:
-    return contract.reset(shared)
-
-
-def write_chat(**fields: object) -> bytes:
-    body = json.dumps({**ASK, **fields}).encode()
-    return write("POST", CHAT, body)
+write_chat = contract.write_chat
 
 
 def hold_stream(release: threading.Event) -> endpoints.Script:
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -11,20 +11,6 @@
 write = callers.write_request
 
 
-@pytest.fixture(scope="module")
-def shared() -> Iterator[contract.Site]:
-    started = contract.Site()
-    yield started
-    started.stop()
-
-
-@pytest.fixture
-def site(shared: contract.Site) -> contract.Site:
-    shared.service_script = contract.play_service
-    shared.service.calls.clear()
-    return shared
-
-
 @pytest.fixture
 def fresh() -> Iterator[contract.Site]:
     """A site of its own: an endpoint that failed rests for a while."""
