--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -172,6 +172,9 @@
         last = begun + self._settings.grace_s - _LAST_S
         while self._loop.time() < min(begun + _NOTICED_S, last):
             await asyncio.sleep(_STOP_POLL_S)
+        # Whoever comes now would be cut at the end of the grace.
+        for listener in self._listeners:
+            listener.close()
         self._front.close_idle()
         while self._front.busy and self._loop.time() < last:
             await asyncio.sleep(_STOP_POLL_S)
@@ -184,8 +187,6 @@
         )
 
     def _close(self) -> None:
-        for listener in self._listeners:
-            listener.close()
         for task in self._tasks:
             task.cancel()
         self._tools.pool.close()
