Tell all instances what each has under way at every runner

Weighed: full mesh (bytes between data centres grow with the square of instances), the existing membership slice (gRPC and actors, 17 MB more an instance; pressure stays in the data centre), the runners' own reports (priced, lagging). Chosen: one relay a data centre.

--- a/pollenfork/fleet/choice.py
+++ b/pollenfork/fleet/choice.py
@@ -1,5 +1,6 @@
 """Chooses the runner for a request by when its answer would begin."""
 
+from collections.abc import Callable
 import random
 
 import msgspec
@@ -9,6 +10,7 @@
 from pollenfork.fleet import model
 from pollenfork.fleet import registry
 from pollenfork.fleet import standing
+from pollenfork.loads import messages as loads
 
 # Prompt tokens that a runner reads in a second; the operators' sheet.
 _READ_RATE = 56_600.0
@@ -75,7 +77,20 @@
     hashing, so its shared parts are read at few runners.
     """
 
-    def __init__(self, runners: registry.Registry, rng: random.Random) -> None:
+    def __init__(
+        self,
+        runners: registry.Registry,
+        rng: random.Random,
+        read_others: Callable[[ids.EndpointId], loads.Load] | None = None,
+    ) -> None:
+        """Starts with nothing known.
+
+        Args:
+            runners: The runners of all services.
+            rng: Chooses among runners that are alike.
+            read_others: Returns what other instances have at a runner.
+        """
+        self._read_others = read_others or (lambda runner: loads.Load())
         self._registry = runners
         self._rng = rng
         self._standings: dict[ids.EndpointId, standing.Standing] = {}
@@ -116,6 +131,14 @@
         grant.note_first()
         grant.standing.active -= 1
 
+    def list_loads(self) -> dict[ids.EndpointId, loads.Load]:
+        """Returns what this instance has under way at each runner."""
+        return {
+            runner: loads.Load(seen.active, int(seen.reading))
+            for runner, seen in self._standings.items()
+            if seen.active
+        }
+
     def find_standing(self, runner: ids.EndpointId) -> standing.Standing:
         """Returns what is known of a runner."""
         return self._standings.setdefault(runner, standing.Standing())
@@ -132,11 +155,14 @@
         expected = seen.failing * _FAILING_S
         if now < seen.shunned_until:
             expected += _SHUNNED_S
+        others = self._read_others(runner.id)
+        active = seen.active + others.active
         if not demand.parts:
-            return expected + seen.active * _PLAIN_ACTIVE_S
+            return expected + active * _PLAIN_ACTIVE_S
         unread = self._count_unread(demand, runner, home)
-        tokens = seen.reading + unread + demand.own_tokens
-        return expected + tokens / _READ_RATE + seen.active * _ACTIVE_S
+        reading = seen.reading + others.reading
+        tokens = reading + unread + demand.own_tokens
+        return expected + tokens / _READ_RATE + active * _ACTIVE_S
 
     def _count_unread(
         self, demand: Demand, runner: model.Runner, home: model.Runner | None
--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -7,6 +7,7 @@
 
 import result
 
+from pollenfork import ids
 from pollenfork.catalogue import watch
 from pollenfork.fleet import choice
 from pollenfork.fleet import repeats
@@ -18,9 +19,12 @@
 from pollenfork.gateway import following
 from pollenfork.gateway import knowledge
 from pollenfork.gateway import messages
+from pollenfork.gateway import peers
 from pollenfork.gateway import pool
 from pollenfork.gateway import replies
 from pollenfork.gateway import settings
+from pollenfork.loads import core as loads_core
+from pollenfork.loads import messages as loads
 
 _LOG = logging.getLogger(__name__)
 
@@ -63,12 +67,13 @@
         self._tools = exchange.Tools(
             loop=self._loop,
             codec=codec,
-            chooser=choice.Chooser(self.known.runners, rng),
+            chooser=choice.Chooser(self.known.runners, rng, self._read_others),
             pool=pool.Pool(self._loop),
             repeats=repeats.RepeatBudget(told.retry_ratio, told.retry_window_s),
             counters=self.counters,
         )
         self.known.runners.when_gone(self._tools.pool.forget)
+        self._peers: peers.Peers | None = None
         self._front = callers.Server(self._loop, self._serve)
         self._probes = callers.Server(self._loop, self._serve_probe)
 
@@ -95,6 +100,7 @@
         if self._settings.readiness != self._settings.front:
             await self._listen(self._probes, self._settings.readiness)
         self._follow()
+        await self._join_peers()
         _LOG.info(
             "event=started instance=%s data_centre=%s front=%s:%d store=%s:%d",
             self._settings.instance,
@@ -146,6 +152,31 @@
             self._store.read_rows,
         )
 
+    async def _join_peers(self) -> None:
+        told = self._settings
+        if told.peer is None:
+            return
+        exchange_of_loads = loads_core.Exchange(
+            told.peer, told.data_centre, told.seeds
+        )
+        _, joined = await self._loop.create_datagram_endpoint(
+            lambda: peers.Peers(exchange_of_loads, self._read_own),
+            local_addr=told.peer,
+        )
+        self._peers = joined
+        self._tasks.append(self._loop.create_task(joined.run()))
+
+    def _read_own(self) -> loads.Table:
+        return {
+            peers.hash_runner(runner): load
+            for runner, load in self._tools.chooser.list_loads().items()
+        }
+
+    def _read_others(self, runner: ids.EndpointId) -> loads.Load:
+        if self._peers is None:
+            return loads.Load()
+        return self._peers.read_others(runner)
+
     def _note_store(self, lost: bool) -> None:
         if not lost:
             self.known.runners.note_store_back(self._loop.time())
--- a/pollenfork/gateway/settings.py
+++ b/pollenfork/gateway/settings.py
@@ -1,17 +1,11 @@
 """What one gateway process is told at its start."""
 
-from typing import NamedTuple
-
 import msgspec
 
 from pollenfork import ids
+from pollenfork.loads import messages as loads
 
-
-class Address(NamedTuple):
-    """Where a socket listens."""
-
-    host: str
-    port: int
+Address = loads.Address
 
 
 class GatewaySettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -23,6 +17,8 @@
         front: Where callers connect.
         readiness: Where the balancer asks whether to send callers.
         store: The platform's store.
+        peer: Where other instances' datagrams arrive; None: it is alone.
+        seeds: Instances that may know others.
         grace_s: Seconds from the signal to stop until the process is killed.
         leave_s: Seconds in which a runner that leaves must get no more work.
         revocation_s: Seconds in which a key taken away stops working
@@ -37,6 +33,8 @@
     front: Address
     readiness: Address
     store: Address
+    peer: Address | None = None
+    seeds: tuple[Address, ...] = ()
     grace_s: float = 8.0
     leave_s: float = 2.0
     revocation_s: float | None = 5.0
--- /dev/null
+++ b/pollenfork/loads/__init__.py
@@ -0,0 +1,1 @@
+"""What all instances together have under way at each runner."""
--- /dev/null
+++ b/pollenfork/loads/members.py
@@ -0,0 +1,78 @@
+"""Who may relay loads in each data centre."""
+
+from pollenfork.loads import messages
+
+# A relay that says nothing for this long is passed over, in seconds: several
+# times what it may take to speak even when nothing changes.
+SILENT_S = 1.2
+_PASSED_OVER_S = 4.0
+# A member that nobody hears of is forgotten after this long, in seconds.
+_FORGOTTEN_S = 15.0
+
+
+class Roster:
+    """Members by data centre, and which of them don't answer.
+
+    Every instance sorts the same members the same way, so they agree on the
+    relays without a vote; while they don't, loads are still counted once, for
+    an instance reports to one relay at a time.
+    """
+
+    def __init__(self, me: messages.Member) -> None:
+        self._me = me
+        self._seen: dict[messages.Member, float] = {}
+        self._passed_over: dict[str, float] = {}
+        self._waiting_since: dict[str, float] = {}
+
+    @property
+    def size(self) -> int:
+        """The number of members known, this one included."""
+        return 1 + len(self._seen)
+
+    def list_sightings(self, now: float) -> tuple[messages.Sighting, ...]:
+        """Returns all members known, this one included."""
+        seen = [
+            messages.Sighting(member, round(now - at, 2))
+            for member, at in self._seen.items()
+        ]
+        return (messages.Sighting(self._me, 0.0), *seen)
+
+    def note(self, member: messages.Member, at: float) -> None:
+        """Notes a sign of a member that it gave at `at`."""
+        if member != self._me and at > self._seen.get(member, 0.0):
+            self._seen[member] = at
+
+    def note_answer(self, host: str) -> None:
+        """Notes that a relay has spoken."""
+        self._waiting_since.pop(host, None)
+        self._passed_over.pop(host, None)
+
+    def note_asked(self, host: str, now: float) -> None:
+        """Notes that a relay should speak soon; passes over a silent one."""
+        since = self._waiting_since.setdefault(host, now)
+        if now - since > SILENT_S:
+            self._passed_over[host] = now + _PASSED_OVER_S
+            del self._waiting_since[host]
+
+    def forget(self, now: float) -> None:
+        """Forgets members that nobody has heard of for long."""
+        for member, seen in list(self._seen.items()):
+            if now - seen > _FORGOTTEN_S:
+                del self._seen[member]
+
+    def find_relay(self, data_centre: str, now: float) -> str | None:
+        """Returns the host that relays for a data centre."""
+        hosts = sorted(
+            member.host
+            for member in (self._me, *self._seen)
+            if member.data_centre == data_centre
+        )
+        for host in hosts:
+            if now >= self._passed_over.get(host, 0.0):
+                return host
+        return None
+
+    def list_elsewhere(self) -> list[str]:
+        """Returns the other data centres."""
+        found = {member.data_centre for member in self._seen}
+        return sorted(found - {self._me.data_centre})
--- /dev/null
+++ b/pollenfork/loads/messages.py
@@ -0,0 +1,101 @@
+"""Datagrams between instances, as msgpack arrays."""
+
+from typing import NamedTuple
+
+import msgspec
+
+
+class Address(NamedTuple):
+    """Where an instance listens for datagrams."""
+
+    host: str
+    port: int
+
+
+class Load(msgspec.Struct, frozen=True, array_like=True):
+    """Requests under way at one runner.
+
+    Attributes:
+        active: Requests sent to it and not ended.
+        reading: Their prompt tokens that it has yet to read.
+    """
+
+    active: int = 0
+    reading: int = 0
+
+
+# Runners by a hash of their id: the ids are three times as long as the rest.
+Table = dict[int, Load]
+
+
+class Member(msgspec.Struct, frozen=True, array_like=True):
+    """An instance and its data centre."""
+
+    host: str
+    data_centre: str
+
+
+class Sighting(msgspec.Struct, frozen=True, array_like=True):
+    """A member, and how long ago somebody heard of it, in seconds."""
+
+    member: Member
+    age_s: float
+
+
+class Hello(msgspec.Struct, frozen=True, array_like=True, tag="h"):
+    """A new instance asks whom there is."""
+
+    data_centre: str
+
+
+class Members(msgspec.Struct, frozen=True, array_like=True, tag="m"):
+    """The answer to `Hello`, and a relay's regular news."""
+
+    members: tuple[Sighting, ...]
+
+
+class Report(msgspec.Struct, frozen=True, array_like=True, tag="r"):
+    """An instance tells its relay what it has under way."""
+
+    data_centre: str
+    loads: Table
+
+
+class Sum(msgspec.Struct, frozen=True, array_like=True, tag="s"):
+    """A relay tells the other relays what its reporters have under way."""
+
+    data_centre: str
+    loads: Table
+
+
+class Others(msgspec.Struct, frozen=True, array_like=True, tag="o"):
+    """A relay tells a reporter what all others have under way."""
+
+    loads: Table
+
+
+Message = Hello | Members | Report | Sum | Others
+
+
+class Send(msgspec.Struct, frozen=True):
+    """A datagram to send."""
+
+    to: Address
+    message: Message
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
+
+
+def encode(message: Message) -> bytes:
+    """Returns a message as a datagram."""
+    return _ENCODER.encode(message)
+
+
+def decode(data: bytes) -> Message | None:
+    """Returns a datagram's message; None where it is none."""
+    try:
+        return _DECODER.decode(data)
+    except msgspec.MsgspecError:
+        return None
--- a/pollenfork/platform/boot.py
+++ b/pollenfork/platform/boot.py
@@ -76,6 +76,12 @@
         front=_split_address(boot.listen.front),
         readiness=_split_address(readiness),
         store=_split_address(boot.platform.address),
+        peer=_find_peer(boot, boot.ip),
+        seeds=tuple(
+            peer
+            for seed in boot.seeds
+            if (peer := _find_peer(boot, _split_address(seed).host))
+        ),
         grace_s=bounds.grace_s,
         leave_s=bounds.drain_ms / 1000.0,
         revocation_s=(
@@ -87,6 +93,13 @@
     )
 
 
+def _find_peer(boot: _Boot, host: str) -> settings.Address | None:
+    """Returns where an instance hears others; ports are alike everywhere."""
+    if not boot.internal_ports:
+        return None
+    return settings.Address(host, boot.internal_ports[0])
+
+
 def _split_address(text: str) -> settings.Address:
     host, _, port = text.rpartition(":")
     return settings.Address(host, int(port))
