--- a/pollenfork/fleet/choice.py
+++ b/pollenfork/fleet/choice.py
@@ -14,6 +14,9 @@
 
 # Prompt tokens that a runner reads in a second; the operators' sheet.
 _READ_RATE = 56_600.0
+# Reading shared parts again takes the runner's time from everyone and evicts
+# what others share, so it counts for more than the time it takes itself.
+_MOVE_WEIGHT = 3.0
 # What each request under way adds to the wait for a first token, in seconds:
 # a step that takes one more request is about 0.1 ms longer, and the token is
 # there after some steps.
@@ -161,7 +164,7 @@
             return expected + active * _PLAIN_ACTIVE_S
         unread = self._count_unread(demand, runner, home)
         reading = seen.reading + others.reading
-        tokens = reading + unread + demand.own_tokens
+        tokens = reading + unread * _MOVE_WEIGHT + demand.own_tokens
         return expected + tokens / _READ_RATE + active * _ACTIVE_S
 
     def _count_unread(
