Tell all instances of a long prompt at once; share placements and proofs

Ruled out: choosing at random among near costs (no effect on the late ones). Relays now pass on placements and what they have read of the store; long prompts are told in a round of their own.

--- a/pollenfork/catalogue/messages.py
+++ b/pollenfork/catalogue/messages.py
@@ -65,6 +65,8 @@
 
     Attributes:
         rows: Rows that changed, each newer than what was known of its key.
+        through: The store's version up to which nothing is unknown.
     """
 
     rows: tuple[Row, ...]
+    through: int
--- a/pollenfork/catalogue/watch.py
+++ b/pollenfork/catalogue/watch.py
@@ -29,16 +29,22 @@
         reading_version: The version at the first page of a read under way.
         start: The next page's first key.
         failures: Calls in a row that brought nothing.
+        at_once: Whether the next call must not wait.
     """
 
     version: int | None = None
     reading_version: int | None = None
     start: str = ""
     failures: int = 0
+    at_once: bool = False
 
 
 class Watch:
-    """Follows one table."""
+    """Follows one table.
+
+    Attributes:
+        wait_s: How long the store may hold a call, in seconds.
+    """
 
     def __init__(self, rng: random.Random, wait_s: float) -> None:
         """Starts knowing nothing.
@@ -48,7 +54,7 @@
             wait_s: How long the store may hold a call, in seconds.
         """
         self._rng = rng
-        self._wait_s = wait_s
+        self.wait_s = wait_s
         self._state = WatchState()
         self._known: dict[str, int] = {}
         self._pages: list[messages.Row] = []
@@ -71,20 +77,26 @@
                 after=None, start=state.start, timeout_s=2 * _SLACK_S
             )
         # After a failure the question is whether the store is back: at once.
-        wait_s = 0.0 if state.failures else self._wait_s
+        wait_s = 0.0 if state.failures or state.at_once else self.wait_s
         return messages.Ask(
             after=state.version, wait_s=wait_s, timeout_s=wait_s + _SLACK_S
         )
 
+    def ask_at_once(self) -> None:
+        """Lets the next call ask for what is there now, without a wait."""
+        self._state.at_once = True
+        self._restart_read()
+
     def take_rows(
         self, ask: messages.Ask, rows: messages.Rows
     ) -> messages.Changes | None:
         """Takes an answer; returns what changed, or None while reading on."""
         self._state.failures = 0
+        self._state.at_once = False
         if ask.after is None:
             return self._take_page(rows)
-        self._state.version = max(ask.after, rows.version)
-        return messages.Changes(self._keep_newer(rows.rows))
+        through = self._state.version = max(ask.after, rows.version)
+        return messages.Changes(self._keep_newer(rows.rows), through)
 
     def take_trouble(self, trouble: messages.Trouble) -> float:
         """Takes a failure; returns seconds to wait before the next call."""
@@ -114,16 +126,17 @@
             return None
         # Later pages are newer than the first: changes since that one come
         # again and are dropped by their versions.
-        state.version = state.reading_version
+        through = state.version = state.reading_version
         present = {row.key for row in self._pages}
+        # They were removed after their last known version, nobody knows when.
         gone = tuple(
-            messages.Row(key, b"", state.version, removed=True)
-            for key in self._known
+            messages.Row(key, b"", version + 1, removed=True)
+            for key, version in self._known.items()
             if key not in present
         )
         changed = self._keep_newer((*self._pages, *gone))
         self._restart_read()
-        return messages.Changes(changed)
+        return messages.Changes(changed, through)
 
     def _keep_newer(
         self, rows: tuple[messages.Row, ...]
--- a/pollenfork/fleet/choice.py
+++ b/pollenfork/fleet/choice.py
@@ -7,6 +7,7 @@
 import xxhash
 
 from pollenfork import ids
+from pollenfork.fleet import caches
 from pollenfork.fleet import model
 from pollenfork.fleet import registry
 from pollenfork.fleet import standing
@@ -27,9 +28,11 @@
 # any wait at the others.
 _SHUNNED_S = 5.0
 _FAILING_S = 1.0
+# Others must know of a prompt that takes a runner longer than this to read, in
+# tokens, or their short requests wait behind it. At the rate above: 35 ms.
+_LONG_TOKENS = 2000
 # Choices closer than this are alike, in seconds.
 _ALIKE_S = 0.004
-_REMEMBERED = 4096
 
 
 class Demand(msgspec.Struct, frozen=True):
@@ -54,6 +57,22 @@
         return self.parts[-1].tokens if self.parts else 0
 
 
+class _Offer(msgspec.Struct):
+    """What a request may expect of a runner.
+
+    Attributes:
+        runner: The runner.
+        standing: What is known of it.
+        cost: Seconds until an answer would begin there, weighed.
+        unread: Tokens of the shared parts that it would have to read.
+    """
+
+    runner: model.Runner
+    standing: standing.Standing
+    cost: float
+    unread: int = 0
+
+
 class Grant(msgspec.Struct):
     """A runner chosen for one attempt, until it is settled.
 
@@ -61,11 +80,19 @@
         runner: The runner.
         standing: What is known of it.
         reading: Prompt tokens that it is expected to read.
+        cost: Seconds until an answer would begin there, weighed.
+        unread: Tokens of shared parts that it would have to read.
+        holders: Runners of the service that have read them all.
+        kept_cost: The least cost among those; 0 where there is none.
     """
 
     runner: model.Runner
     standing: standing.Standing
     reading: float
+    cost: float = 0.0
+    unread: int = 0
+    holders: int = 0
+    kept_cost: float = 0.0
 
     def note_first(self) -> None:
         """Notes that the prompt has been read."""
@@ -76,28 +103,31 @@
 class Chooser:
     """Chooses runners and keeps what each choice brings with it.
 
-    Instances that know nothing of each other agree on a prompt's home by
-    hashing, so its shared parts are read at few runners.
+    A prompt goes where its shared parts have been read. Where nobody has read
+    them, instances agree on a home by hashing, for news takes a moment.
     """
 
     def __init__(
         self,
         runners: registry.Registry,
         rng: random.Random,
-        read_others: Callable[[ids.EndpointId], loads.Load] | None = None,
+        read_others: Callable[[int], loads.Load] | None = None,
     ) -> None:
         """Starts with nothing known.
 
         Args:
             runners: The runners of all services.
             rng: Chooses among runners that are alike.
-            read_others: Returns what other instances have at a runner.
+            read_others: Returns what other instances have at a runner, by
+                the hash of its id.
         """
         self._read_others = read_others or (lambda runner: loads.Load())
         self._registry = runners
         self._rng = rng
         self._standings: dict[ids.EndpointId, standing.Standing] = {}
-        self._read: dict[ids.EndpointId, dict[bytes, None]] = {}
+        self._placed: list[loads.Placed] = []
+        self._on_long: list[Callable[[], None]] = []
+        self.caches = caches.Caches()
         runners.when_gone(self._forget)
 
     def choose(
@@ -118,100 +148,97 @@
         ]
         if not takers:
             return None
-        home = _find_home(demand, takers)
-        costs = [
-            (self._expect(demand, runner, home, now), runner)
-            for runner in takers
-        ]
-        least = min(cost for cost, _ in costs)
-        alike = [runner for cost, runner in costs if cost <= least + _ALIKE_S]
-        chosen = home if home in alike else self._rng.choice(alike)
-        assert chosen is not None
-        return self._grant(demand, chosen, home)
+        offers = [self._make_offer(demand, runner, now) for runner in takers]
+        _prefer_home(demand, offers)
+        least = min(offer.cost for offer in offers)
+        alike = [each for each in offers if each.cost <= least + _ALIKE_S]
+        grant = self._grant(demand, self._rng.choice(alike))
+        kept = [each.cost for each in offers if not each.unread]
+        grant.holders = len(kept)
+        grant.kept_cost = min(kept, default=0.0)
+        return grant
 
     def settle(self, grant: Grant) -> None:
         """Notes that an attempt has ended."""
         grant.note_first()
         grant.standing.active -= 1
 
-    def list_loads(self) -> dict[ids.EndpointId, loads.Load]:
+    def list_loads(self) -> loads.Table:
         """Returns what this instance has under way at each runner."""
         return {
-            runner: loads.Load(seen.active, int(seen.reading))
-            for runner, seen in self._standings.items()
+            seen.mark: loads.Load(seen.active, int(seen.reading))
+            for seen in self._standings.values()
             if seen.active
         }
 
+    def when_long(self, call: Callable[[], None]) -> None:
+        """Calls `call` when a runner has been given a long prompt."""
+        self._on_long.append(call)
+
+    def take_placed(self) -> list[loads.Placed]:
+        """Returns what was placed since the last call."""
+        placed, self._placed = self._placed, []
+        return placed
+
     def find_standing(self, runner: ids.EndpointId) -> standing.Standing:
         """Returns what is known of a runner."""
-        return self._standings.setdefault(runner, standing.Standing())
-
-    def _expect(
-        self,
-        demand: Demand,
-        runner: model.Runner,
-        home: model.Runner | None,
-        now: float,
-    ) -> float:
-        """Returns the seconds until an answer would begin there."""
+        seen = self._standings.get(runner)
+        if seen is None:
+            seen = standing.Standing(loads.hash_name(runner.encode()))
+            self._standings[runner] = seen
+        return seen
+
+    def _make_offer(
+        self, demand: Demand, runner: model.Runner, now: float
+    ) -> _Offer:
         seen = self.find_standing(runner.id)
-        expected = seen.failing * _FAILING_S
+        cost = seen.failing * _FAILING_S
         if now < seen.shunned_until:
-            expected += _SHUNNED_S
-        others = self._read_others(runner.id)
+            cost += _SHUNNED_S
+        others = self._read_others(seen.mark)
         active = seen.active + others.active
         if not demand.parts:
-            return expected + active * _PLAIN_ACTIVE_S
-        unread = self._count_unread(demand, runner, home)
-        reading = seen.reading + others.reading
-        tokens = reading + unread * _MOVE_WEIGHT + demand.own_tokens
-        return expected + tokens / _READ_RATE + active * _ACTIVE_S
-
-    def _count_unread(
-        self, demand: Demand, runner: model.Runner, home: model.Runner | None
-    ) -> int:
-        if runner is home:
-            return 0
-        read = self._read.get(runner.id, {})
-        unread = 0
-        for part in demand.shared:
-            if unread or part.name not in read:
-                unread += part.tokens
-        return unread
-
-    def _grant(
-        self, demand: Demand, runner: model.Runner, home: model.Runner | None
-    ) -> Grant:
-        seen = self.find_standing(runner.id)
-        unread = self._count_unread(demand, runner, home)
-        reading = float(unread + demand.own_tokens)
+            return _Offer(runner, seen, cost + active * _PLAIN_ACTIVE_S)
+        unread = self.caches.count_unread(seen.mark, demand.shared)
+        tokens = seen.reading + others.reading + demand.own_tokens
+        tokens += unread * _MOVE_WEIGHT
+        cost += tokens / _READ_RATE + active * _ACTIVE_S
+        return _Offer(runner, seen, cost, unread)
+
+    def _grant(self, demand: Demand, offer: _Offer) -> Grant:
+        seen = offer.standing
+        reading = float(offer.unread + demand.own_tokens)
         seen.active += 1
         seen.reading += reading
-        read = self._read.setdefault(runner.id, {})
         for part in demand.shared:
-            read.pop(part.name, None)
-            read[part.name] = None
-        while len(read) > _REMEMBERED:
-            del read[next(iter(read))]
-        return Grant(runner, seen, reading)
+            mark = caches.hash_part(part)
+            self.caches.note(seen.mark, mark)
+            if offer.unread:
+                self._placed.append(loads.Placed(mark, seen.mark))
+        if reading > _LONG_TOKENS:
+            for tell in self._on_long:
+                tell()
+        return Grant(offer.runner, seen, reading, offer.cost, offer.unread)
 
     def _forget(self, runner: ids.EndpointId) -> None:
-        self._standings.pop(runner, None)
-        self._read.pop(runner, None)
-
-
-def _find_home(
-    demand: Demand, takers: list[model.Runner]
-) -> model.Runner | None:
-    """Returns the runner that all instances prefer for the shared parts."""
-    if not demand.shared:
-        return None
-    key = b",".join(part.name for part in demand.shared)
-    return max(
-        takers,
-        key=lambda runner: xxhash.xxh64_intdigest(key, _seed(runner.id)),
-    )
+        seen = self._standings.pop(runner, None)
+        if seen is not None:
+            self.caches.forget(seen.mark)
+
 
+def _prefer_home(demand: Demand, offers: list[_Offer]) -> None:
+    """Lets shared parts that nobody is known to have read go to their home.
 
-def _seed(runner: ids.EndpointId) -> int:
-    return xxhash.xxh32_intdigest(runner.encode())
+    An instance that has just started knows of no placement, but most prompts
+    have been read, and there.
+    """
+    shared = demand.shared
+    total = sum(part.tokens for part in shared)
+    if not total or any(offer.unread < total for offer in offers):
+        return
+    key = b",".join(part.name for part in shared)
+    home = max(
+        offers,
+        key=lambda offer: xxhash.xxh64_intdigest(key, offer.standing.mark),
+    )
+    home.cost -= total * _MOVE_WEIGHT / _READ_RATE
--- a/pollenfork/fleet/standing.py
+++ b/pollenfork/fleet/standing.py
@@ -17,6 +17,7 @@
     """What one instance has seen of a runner.
 
     Attributes:
+        mark: The hash that stands for it in datagrams.
         active: Own requests that it works on.
         reading: Own prompt tokens that it has yet to read.
         failures: Failures in a row.
@@ -24,6 +25,7 @@
         shunned_until: Monotonic seconds until which others go first.
     """
 
+    mark: int
     active: int = 0
     reading: float = 0.0
     failures: int = 0
--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -7,7 +7,6 @@
 
 import result
 
-from pollenfork import ids
 from pollenfork.catalogue import watch
 from pollenfork.fleet import choice
 from pollenfork.fleet import repeats
@@ -23,7 +22,6 @@
 from pollenfork.gateway import pool
 from pollenfork.gateway import replies
 from pollenfork.gateway import settings
-from pollenfork.loads import core as loads_core
 from pollenfork.loads import messages as loads
 
 _LOG = logging.getLogger(__name__)
@@ -31,8 +29,18 @@
 # How long the store holds a call when nothing changes, in seconds. The
 # configuration's calls also prove that keys still hold, which must be known
 # every few seconds; the runners' calls need only be woken.
-_CONFIGURATION_WAIT_S = 2.0
+_CONFIGURATION_WAIT_S = 1.5
 _RUNNERS_WAIT_S = 20.0
+# Where a relay vouches for the configuration, calls need only be woken.
+_VOUCHED_WAIT_S = 20.0
+# Without proof for this long an instance asks the store itself, in seconds. A
+# relay's proof is 1.5 s old at most, and half a second under way; and the
+# store needs time to answer before keys are no longer trusted.
+_HURRY_S = 2.4
+# Pauses after a table's change, in seconds, so that changes in a row wake
+# each instance once; short against the bounds of some seconds.
+_CONFIGURATION_REST_S = 0.2
+_RUNNERS_REST_S = 0.4
 _SWEEP_S = 0.5
 # The balancer asks once a second and takes an instance out after two misses;
 # until then it sends callers, who must be served.
@@ -74,6 +82,8 @@
         )
         self.known.runners.when_gone(self._tools.pool.forget)
         self._peers: peers.Peers | None = None
+        self._configuration: following.Follower | None = None
+        self._runners: following.Follower | None = None
         self._front = callers.Server(self._loop, self._serve)
         self._probes = callers.Server(self._loop, self._serve_probe)
 
@@ -121,15 +131,19 @@
         known = self.known
         configuration = self._make_follower(
             "configuration",
-            _CONFIGURATION_WAIT_S,
+            (_CONFIGURATION_WAIT_S, _CONFIGURATION_REST_S),
             self._store.write_configuration_ask,
         )
         runners = self._make_follower(
-            "runners", _RUNNERS_WAIT_S, self._store.write_runners_ask
+            "runners",
+            (_RUNNERS_WAIT_S, _RUNNERS_REST_S),
+            self._store.write_runners_ask,
         )
+        self._configuration = configuration
+        self._runners = runners
         configuration.when_changed(known.take_configuration)
         configuration.when_changed(lambda changes: self._apply_limits())
-        configuration.when_current(known.freshness.vouch)
+        configuration.when_current(known.note_current)
         runners.when_changed(
             lambda changes: known.take_runners(changes, self._loop.time())
         )
@@ -142,37 +156,49 @@
         self._tasks.append(self._loop.create_task(self._sweep()))
 
     def _make_follower(
-        self, name: str, wait_s: float, write: following.Write
+        self, name: str, times: tuple[float, float], write: following.Write
     ) -> following.Follower:
+        wait_s, rest_s = times
         return following.Follower(
             name,
             self._settings.store,
             watch.Watch(self._rng, wait_s),
+            rest_s,
             write,
             self._store.read_rows,
         )
 
     async def _join_peers(self) -> None:
-        told = self._settings
-        if told.peer is None:
+        me = self._settings.peer
+        if me is None:
             return
-        exchange_of_loads = loads_core.Exchange(
-            told.peer, told.data_centre, told.seeds
-        )
+        here = peers.Here(self._tools.chooser, self.known)
         _, joined = await self._loop.create_datagram_endpoint(
-            lambda: peers.Peers(exchange_of_loads, self._read_own),
-            local_addr=told.peer,
+            lambda: peers.Peers(here, self._settings, me), local_addr=me
         )
+        joined.when_ticked(self._watch_proof)
+        self._tools.chooser.when_long(joined.tell_soon)
         self._peers = joined
         self._tasks.append(self._loop.create_task(joined.run()))
 
-    def _read_own(self) -> loads.Table:
-        return {
-            peers.hash_runner(runner): load
-            for runner, load in self._tools.chooser.list_loads().items()
-        }
+    def _watch_proof(self, is_relay: bool) -> None:
+        """Lets the store hold calls while a relay vouches for its news."""
+        now = self._loop.time()
+        known = self.known
+        assert self._configuration is not None and self._runners is not None
+        vouched = not is_relay and known.is_vouched(now)
+        self._configuration.set_wait(
+            _VOUCHED_WAIT_S if vouched else _CONFIGURATION_WAIT_S
+        )
+        age_s = known.freshness.age(now)
+        if age_s is not None and age_s > _HURRY_S:
+            self._configuration.hurry()
+        if known.is_behind_configuration(now):
+            self._configuration.hurry()
+        if known.is_behind_runners(now):
+            self._runners.hurry()
 
-    def _read_others(self, runner: ids.EndpointId) -> loads.Load:
+    def _read_others(self, runner: int) -> loads.Load:
         if self._peers is None:
             return loads.Load()
         return self._peers.read_others(runner)
--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -87,6 +87,7 @@
         self._sent = 0
         self._searched = 0
         self._may_have_run = False
+        self._first_s: float | None = None
         self._current: connection.Connection | None = None
         if admitted.route.kind is routes.Kind.STREAM:
             self._relay = attempt.Relay(
@@ -102,6 +103,7 @@
             if grant is None:
                 self._give_up(_Reason.NO_RUNNER)
                 return
+            self._log_choice(grant)
             ended = await self._try(grant)
             self._note(grant, ended)
             if not self._goes_on(ended):
@@ -116,6 +118,22 @@
         now = self._tools.loop.time()
         return self._tools.chooser.choose(demand, self._avoid, now)
 
+    def _log_choice(self, grant: choice.Grant) -> None:
+        _LOG.info(
+            "event=chosen request=%s route=%s runner=%s cost_ms=%d unread=%d "
+            "holders=%d kept_cost_ms=%d own=%d parts=%d left_ms=%d",
+            self._admitted.head.attempt,
+            self._admitted.route.name,
+            grant.runner.id,
+            grant.cost * 1000,
+            grant.unread,
+            grant.holders,
+            grant.kept_cost * 1000,
+            grant.reading - grant.unread,
+            len(self._admitted.head.parts),
+            self._left() * 1000,
+        )
+
     async def _try(self, grant: choice.Grant) -> attempt.Ended:
         """Sends the request to one runner and waits for the end of it."""
         try:
@@ -254,11 +272,13 @@
             self._caller.write(b"0\r\n\r\n")
         self._tools.counters.note_served(self._admitted.route, self._took())
         _LOG.info(
-            "event=answered request=%s route=%s status=%d took_ms=%d sent=%d",
+            "event=answered request=%s route=%s status=%d took_ms=%d "
+            "first_ms=%d sent=%d",
             self._admitted.head.attempt,
             self._admitted.route.name,
             ended.head.status,
             self._took() * 1000,
+            (self._first_s or self._took()) * 1000,
             self._sent,
         )
 
@@ -303,6 +323,7 @@
     # The caller's side of a stream.
 
     def _begin_stream(self, head: messages.AnswerHead) -> None:
+        self._first_s = self._took()
         self._caller.watch_pressure(self._press)
         closing = self._caller.closing
         self._caller.write(self._tools.codec.write_answer(head, None, closing))
--- a/pollenfork/gateway/following.py
+++ b/pollenfork/gateway/following.py
@@ -65,6 +65,7 @@
         name: str,
         address: settings.Address,
         watched: watch.Watch,
+        rest_s: float,
         write: Write,
         read: ReadRows,
     ) -> None:
@@ -74,6 +75,7 @@
             name: The table's name in the log.
             address: The store's.
             watched: Decides on the calls.
+            rest_s: Seconds between a change and the next call.
             write: Encodes a call.
             read: Decodes an answer.
         """
@@ -81,6 +83,9 @@
         self._name = name
         self._address = address
         self._watch = watched
+        self._rest_s = rest_s
+        self._hurried = False
+        self._waiting = False
         self._write = write
         self._read = read
         self._connection: connection.Connection | None = None
@@ -107,15 +112,27 @@
             if pause_s:
                 await asyncio.sleep(pause_s)
 
+    def set_wait(self, wait_s: float) -> None:
+        """Sets how long the store may hold the next calls, in seconds."""
+        self._watch.wait_s = wait_s
+
     def hurry(self) -> None:
-        """Gives up a call that waits: the path it waits on is in doubt."""
-        if self._connection is not None:
+        """Gives up a call that waits, and asks at once on a new path."""
+        if self._waiting and self._connection is not None:
+            self._hurried = True
             self._connection.break_off()
 
     async def _call_once(self) -> float:
         ask = self._watch.next_ask()
         sent_at = self._loop.time()
+        self._waiting = ask.wait_s > 0.0
         answer = await self._call(ask)
+        self._waiting = False
+        if self._hurried:
+            self._hurried = False
+            if isinstance(answer, result.Err):
+                self._watch.ask_at_once()
+                return 0.0
         if isinstance(answer, result.Err):
             return self._take_trouble(answer.err_value)
         rows = answer.ok_value
@@ -128,7 +145,7 @@
         moment = self._find_moment(ask, rows, sent_at)
         for vouch in self._on_current:
             vouch(moment)
-        return 0.0
+        return self._rest_s if changes.rows else 0.0
 
     def _find_moment(
         self, ask: catalogue.Ask, rows: catalogue.Rows, sent_at: float
--- a/pollenfork/gateway/knowledge.py
+++ b/pollenfork/gateway/knowledge.py
@@ -8,6 +8,7 @@
 from pollenfork.catalogue import messages as catalogue
 from pollenfork.fleet import registry
 from pollenfork.gateway import edges
+from pollenfork.loads import messages
 from pollenfork.routes import freshness
 from pollenfork.routes import lookup
 
@@ -24,12 +25,25 @@
         has_runners: Whether the registry has been read whole.
     """
 
+    # How long news that a relay has may take to come from the store too.
+    _BEHIND_S = 0.5
+    # How long what a relay vouched for counts without its next word.
+    _VOUCHED_S = 1.5
+
     def __init__(self, store: edges.Store, revocation_s: float | None) -> None:
         self._store = store
         self.lookup: lookup.Lookup | None = None
         self.freshness = freshness.Freshness(revocation_s)
         self.runners = registry.Registry()
         self.has_runners = False
+        self._own_current_at: float | None = None
+        self._proof: messages.Proof | None = None
+        self._proof_at = 0.0
+        self._configuration_row = 0
+        self._runners_row = 0
+        self._configuration_through = 0
+        self._runners_through = 0
+        self._behind_since: dict[str, float] = {}
 
     def is_ready(self, now: float) -> bool:
         """Returns whether requests can be served."""
@@ -39,8 +53,65 @@
             and self.freshness.trusts_keys(now)
         )
 
+    def note_current(self, moment: float) -> None:
+        """Takes this instance's own proof that the configuration is current."""
+        self._own_current_at = moment
+        self.freshness.vouch(moment)
+
+    def write_proof(self, now: float) -> messages.Proof | None:
+        """Returns what this instance has read itself."""
+        if self._own_current_at is None:
+            return None
+        return messages.Proof(
+            self._configuration_row,
+            self._runners_row,
+            now - self._own_current_at,
+        )
+
+    def take_proof(self, proof: messages.Proof, moment: float) -> None:
+        """Takes what a relay has read and up to when it was surely current."""
+        self._proof = proof
+        self._proof_at = moment
+        if proof.configuration <= self._configuration_through:
+            self.freshness.vouch(moment)
+
+    def is_vouched(self, now: float) -> bool:
+        """Returns whether a relay lately said what this instance knows."""
+        proof = self._proof
+        return (
+            proof is not None
+            and proof.configuration <= self._configuration_through
+            and now - self._proof_at < self._VOUCHED_S + proof.age_s
+        )
+
+    def is_behind_configuration(self, now: float) -> bool:
+        """Returns whether a relay has known a newer one for a while."""
+        proof = self._proof
+        newer = (
+            proof is not None
+            and proof.configuration > self._configuration_through
+        )
+        return self._has_lasted("configuration", newer, now)
+
+    def is_behind_runners(self, now: float) -> bool:
+        """Returns whether a relay has known newer runners for a while."""
+        proof = self._proof
+        newer = proof is not None and proof.runners > self._runners_through
+        return self._has_lasted("runners", newer, now)
+
+    def _has_lasted(self, what: str, holds: bool, now: float) -> bool:
+        if not holds:
+            self._behind_since.pop(what, None)
+            return False
+        since = self._behind_since.setdefault(what, now)
+        if now - since < self._BEHIND_S:
+            return False
+        del self._behind_since[what]
+        return True
+
     def take_configuration(self, changes: catalogue.Changes) -> None:
         """Puts a newer configuration in force."""
+        self._configuration_through = changes.through
         for row in changes.rows:
             read = self._store.read_configuration(row)
             if read is None:
@@ -52,6 +123,7 @@
                     read.err_value.detail,
                 )
                 continue
+            self._configuration_row = row.version
             configuration = read.ok_value
             if self._is_older(configuration.version):
                 _LOG.warning(
@@ -70,7 +142,9 @@
     def take_runners(self, changes: catalogue.Changes, now: float) -> None:
         """Takes runners that came, changed or left."""
         self.has_runners = True
+        self._runners_through = changes.through
         for row in changes.rows:
+            self._runners_row = max(self._runners_row, row.version)
             if row.removed:
                 self.runners.remove(ids.EndpointId(row.key), now)
                 _LOG.info("event=runner_gone runner=%s", row.key)
--- a/pollenfork/gateway/peers.py
+++ b/pollenfork/gateway/peers.py
@@ -1,39 +1,81 @@
 """Datagrams to and from other instances."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 import logging
 from typing import cast
 
-import xxhash
-
-from pollenfork import ids
+from pollenfork.fleet import choice
+from pollenfork.gateway import knowledge
+from pollenfork.gateway import settings
 from pollenfork.loads import core
 from pollenfork.loads import messages
 
 _LOG = logging.getLogger(__name__)
 
+_NONE = messages.Load()
+
+
+class Here:
+    """This instance, as the exchange sees it."""
+
+    def __init__(
+        self, chooser: choice.Chooser, known: knowledge.Knowledge
+    ) -> None:
+        self._chooser = chooser
+        self._known = known
+
+    def read_loads(self) -> messages.Table:
+        """Returns what it has under way."""
+        return self._chooser.list_loads()
+
+    def take_placed(self) -> list[messages.Placed]:
+        """Returns what it has placed since the last call."""
+        return self._chooser.take_placed()
+
+    def note_placed(self, placed: Iterable[messages.Placed]) -> None:
+        """Takes what others have placed."""
+        for each in placed:
+            self._chooser.caches.note(each.runner, each.part)
+
+    def read_proof(self, now: float) -> messages.Proof | None:
+        """Returns what it has read of the store itself."""
+        return self._known.write_proof(now)
+
+    def note_proof(self, proof: messages.Proof, moment: float) -> None:
+        """Takes what a relay has read."""
+        self._known.take_proof(proof, moment)
+
 
 class Peers(asyncio.DatagramProtocol):
-    """Carries out the exchange of loads."""
+    """Carries out the exchange with other instances."""
 
     def __init__(
         self,
-        exchange: core.Exchange,
-        read_own: Callable[[], messages.Table],
+        here: Here,
+        told: settings.GatewaySettings,
+        me: messages.Address,
     ) -> None:
-        """Takes what it carries out.
+        """Takes what it needs.
 
         Args:
-            exchange: Decides.
-            read_own: Returns what this instance has under way.
+            here: Is asked and told.
+            told: The settings.
+            me: Where datagrams arrive.
         """
         self._loop = asyncio.get_running_loop()
-        self._exchange = exchange
-        self._read_own = read_own
+        self._exchange = core.Exchange(me, told.data_centre, told.seeds, here)
         self._transport: asyncio.DatagramTransport | None = None
         self._others: messages.Table = {}
         self._instances = 1
+        self._ticked_at = 0.0
+        self._urgent = False
+        self._hurrying: asyncio.TimerHandle | None = None
+        self._on_tick: list[Callable[[bool], None]] = []
+
+    def when_ticked(self, call: Callable[[bool], None]) -> None:
+        """Calls `call` each period with whether this instance is a relay."""
+        self._on_tick.append(call)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keeps the transport."""
@@ -48,22 +90,51 @@
             return
         now = self._loop.time()
         self._send(self._exchange.hear(message, address[0], now))
+        if isinstance(message, messages.Others):
+            self._others = self._exchange.read_others(now)
+        elif (
+            isinstance(message, messages.Report | messages.Sum)
+            and message.urgent
+        ):
+            self._hurry()
 
     def error_received(self, error: Exception) -> None:
         """Notes that a peer can't be reached; silence tells the exchange."""
 
     async def run(self) -> None:
-        """Tells and hears loads until cancelled."""
+        """Tells and hears until cancelled."""
         while True:
             await asyncio.sleep(core.PERIOD_S)
+            self._tick()
             now = self._loop.time()
-            self._send(self._exchange.tick(self._read_own(), now))
-            self._others = self._exchange.read_others(now)
-            self._note_instances()
+            for tell in self._on_tick:
+                tell(self._exchange.is_relay(now))
+
+    def tell_soon(self) -> None:
+        """Tells that a long prompt was placed."""
+        self._urgent = True
+        self._hurry()
 
-    def read_others(self, runner: ids.EndpointId) -> messages.Load:
+    def _hurry(self) -> None:
+        """Begins a round as soon as their spacing allows."""
+        if self._hurrying is not None:
+            return
+        due_at = self._ticked_at + self._exchange.spacing_s
+        self._hurrying = self._loop.call_at(due_at, self._tick)
+
+    def _tick(self) -> None:
+        if self._hurrying is not None:
+            self._hurrying.cancel()
+            self._hurrying = None
+        now = self._ticked_at = self._loop.time()
+        urgent, self._urgent = self._urgent, False
+        self._send(self._exchange.tick(now, urgent))
+        self._others = self._exchange.read_others(now)
+        self._note_instances()
+
+    def read_others(self, runner: int) -> messages.Load:
         """Returns what other instances have under way at a runner."""
-        return self._others.get(hash_runner(runner), _NONE)
+        return self._others.get(runner, _NONE)
 
     def _note_instances(self) -> None:
         if self._exchange.instances != self._instances:
@@ -75,11 +146,3 @@
             return
         for each in sends:
             self._transport.sendto(messages.encode(each.message), each.to)
-
-
-_NONE = messages.Load()
-
-
-def hash_runner(runner: ids.EndpointId) -> int:
-    """Returns what stands for a runner in datagrams."""
-    return xxhash.xxh32_intdigest(runner.encode())
--- a/pollenfork/loads/core.py
+++ b/pollenfork/loads/core.py
@@ -1,31 +1,58 @@
 """Decides which instance tells which other what; sends nothing itself.
 
 Each instance reports to one relay of its data centre; the relays exchange
-their sums, and each tells its reporters what all others have under way. So
-an instance hears one datagram a period at any size, and only the relays'
-sums cross between data centres.
+their sums, and each tells its reporters what all others have under way, and
+how fresh its own knowledge of the configuration is. So an instance hears one
+datagram a period at any size, only the relays' sums cross between data
+centres, and only the relays need ask the store again and again.
 """
 
 from collections.abc import Iterable
+from typing import Protocol
 
 import msgspec
 
 from pollenfork.loads import members
 from pollenfork.loads import messages
 
-# How often loads are told while they change, in seconds. The shortest answer
-# of a model takes some 50 ms; older news than that places short requests
-# behind long prompts.
+# How often small changes of loads are told, in seconds.
 PERIOD_S = 0.05
-# A relay's work in a period grows with reporters and runners; past this many
-# pairs the period grows with them, which keeps it under 3% of a core.
-_PAIRS = 1500
+# The least time between two rounds of a relay, for each reporter, in seconds.
+# A round costs it about 50 us of processor time a reporter, so this keeps it
+# under 3% of a core at any size.
+_ROUND_S = 0.002
 # Unchanged loads are told again this often, as datagrams get lost.
 _REPEAT_S = 0.4
 _MEMBERS_S = 1.0
 _HELLO_S = 0.5
 # What was told this long ago no longer counts, in seconds.
 _EXPIRY_S = 1.3
+# Placements that wait to be told; more are left out, oldest first.
+_PLACED_LIMIT = 100
+
+
+class Instance(Protocol):
+    """What the exchange asks of its instance and tells it."""
+
+    def read_loads(self) -> messages.Table:
+        """Returns what it has under way."""
+
+    def take_placed(self) -> list[messages.Placed]:
+        """Returns what it has placed since the last call."""
+
+    def read_proof(self, now: float) -> messages.Proof | None:
+        """Returns what it has read of the store itself."""
+
+    def note_placed(self, placed: Iterable[messages.Placed]) -> None:
+        """Takes what others have placed."""
+
+    def note_proof(self, proof: messages.Proof, moment: float) -> None:
+        """Takes what a relay has read.
+
+        Args:
+            proof: What it knows.
+            moment: Monotonic seconds here at which that was surely current.
+        """
 
 
 class _Heard(msgspec.Struct):
@@ -33,23 +60,32 @@
 
     loads: messages.Table
     at: float
+    sent_at: float = 0.0
 
 
-class _Told(msgspec.Struct):
-    """What was last told to an address."""
+class _Line(msgspec.Struct):
+    """What goes to one address.
 
-    loads: messages.Table
-    at: float
+    Attributes:
+        loads: What was last told.
+        at: When that was.
+        placed: Placements to tell.
+    """
+
+    loads: messages.Table = {}
+    at: float = -_REPEAT_S
+    placed: list[messages.Placed] = []
 
 
 class Exchange:
-    """The exchange of loads, at one instance."""
+    """The exchange among instances, at one of them."""
 
     def __init__(
         self,
         me: messages.Address,
         data_centre: str,
         seeds: Iterable[messages.Address],
+        instance: Instance,
     ) -> None:
         """Starts alone.
 
@@ -57,53 +93,65 @@
             me: Where this instance listens; ports are alike everywhere.
             data_centre: Where it runs.
             seeds: Instances that may know others.
+            instance: Is asked and told.
         """
         self._me = me
         self._data_centre = data_centre
         self._seeds = [seed for seed in seeds if seed.host != me.host]
+        self._instance = instance
         self._roster = members.Roster(messages.Member(me.host, data_centre))
         self._own: messages.Table = {}
         self._reports: dict[str, _Heard] = {}
         self._sums: dict[str, _Heard] = {}
-        self._others = _Heard({}, 0.0)
-        self._told: dict[tuple[str, str], _Told] = {}
+        self._others = _Heard({}, -_EXPIRY_S)
+        self._lines: dict[str, _Line] = {}
         self._hello_at = 0.0
         self._members_at = 0.0
-        self._due_at = 0.0
+        self._urgent = False
 
     @property
     def instances(self) -> int:
         """The number of instances known, this one included."""
         return self._roster.size
 
+    def is_relay(self, now: float) -> bool:
+        """Returns whether this instance relays for its data centre."""
+        relay = self._roster.find_relay(self._data_centre, now)
+        return relay == self._me.host
+
     def read_others(self, now: float) -> messages.Table:
         """Returns what all other instances have under way."""
-        if self._is_relay(now):
-            return self._add_up(now, leave_out=None)
+        if self.is_relay(now):
+            return self._add_up(leave_out=None)
         if now - self._others.at > _EXPIRY_S:
             return {}
         return self._others.loads
 
-    def tick(self, own: messages.Table, now: float) -> list[messages.Send]:
-        """Returns what to send; call it once a period.
+    @property
+    def spacing_s(self) -> float:
+        """The least time between two calls of `tick`, in seconds."""
+        return _ROUND_S * max(1, len(self._reports) + len(self._sums))
+
+    def tick(self, now: float, urgent: bool = False) -> list[messages.Send]:
+        """Returns what to send; call it once a period, or for urgent news.
 
         Args:
-            own: What this instance has under way.
             now: Monotonic seconds.
+            urgent: Whether this instance has placed a long prompt.
         """
-        if now < self._due_at:
-            return []
-        self._own = own
+        self._urgent = self._urgent or urgent
+        self._own = self._instance.read_loads()
+        placed = self._instance.take_placed()
         self._expire(now)
         sends = self._greet(now)
         relay = self._roster.find_relay(self._data_centre, now)
         if relay is not None and relay != self._me.host:
-            report = messages.Report(self._data_centre, own)
-            sends += self._tell(relay, "report", report, own, now)
-            self._roster.note_asked(relay, now)
-        if self._is_relay(now):
+            sends += self._report(relay, placed, now)
+        elif placed:
+            self._spread(placed, None)
+        if self._relays(now):
             sends += self._relay(now)
-        self._due_at = now + self._find_period()
+        self._urgent = False
         return sends
 
     def hear(
@@ -120,38 +168,85 @@
                     self._roster.note(each.member, now - each.age_s)
             case messages.Report():
                 self._note(host, message.data_centre, now)
-                self._reports[host] = _Heard(message.loads, now)
+                heard = _Heard(message.loads, now, message.sent_at)
+                self._reports[host] = heard
+                self._urgent = self._urgent or message.urgent
+                self._take_placed(message.placed, host)
             case messages.Sum():
                 self._note(host, message.data_centre, now)
                 self._roster.note_answer(host)
                 self._sums[host] = _Heard(message.loads, now)
+                self._take_placed(message.placed, host)
             case messages.Others():
-                self._roster.note_answer(host)
-                self._others = _Heard(message.loads, now)
+                self._take_others(message, host, now)
         return []
 
+    def _take_others(
+        self, message: messages.Others, host: str, now: float
+    ) -> None:
+        self._roster.note_answer(host)
+        self._others = _Heard(message.loads, now)
+        self._instance.note_placed(message.placed)
+        proof = message.proof
+        # The answer was written after the report that it repeats was sent,
+        # however long either was under way or this instance stood still.
+        if proof is not None and message.echo > 0.0:
+            self._instance.note_proof(proof, message.echo - proof.age_s)
+
+    # Reporting.
+
+    def _report(
+        self, relay: str, placed: list[messages.Placed], now: float
+    ) -> list[messages.Send]:
+        line = self._find_line(relay)
+        line.placed.extend(placed)
+        self._roster.note_asked(relay, now)
+        if not _is_due(line, self._own, now):
+            return []
+        report = messages.Report(
+            self._data_centre,
+            self._own,
+            tuple(line.placed),
+            now,
+            self._urgent,
+        )
+        return [self._send_line(relay, line, report, self._own, now)]
+
     # Relaying.
 
-    def _is_relay(self, now: float) -> bool:
-        relay = self._roster.find_relay(self._data_centre, now)
-        return relay == self._me.host or bool(self._reports or self._sums)
+    def _relays(self, now: float) -> bool:
+        return self.is_relay(now) or bool(self._reports)
 
     def _relay(self, now: float) -> list[messages.Send]:
         sends = []
         here = self._sum_here(now)
-        told = messages.Sum(self._data_centre, here)
         for host in self._list_relays(now):
-            sends += self._tell(host, "sum", told, here, now)
+            line = self._find_line(host)
             self._roster.note_asked(host, now)
+            if _is_due(line, here, now):
+                total = messages.Sum(
+                    self._data_centre, here, tuple(line.placed), self._urgent
+                )
+                sends.append(self._send_line(host, line, total, here, now))
         for host in self._reports:
-            others = self._add_up(now, leave_out=host)
-            sends += self._tell(
-                host, "others", messages.Others(others), others, now
-            )
+            sends += self._answer_report(host, now)
         return sends + self._tell_members(now)
 
+    def _answer_report(self, host: str, now: float) -> list[messages.Send]:
+        line = self._find_line(host)
+        others = self._add_up(leave_out=host)
+        if not _is_due(line, others, now):
+            return []
+        told = messages.Others(
+            others,
+            tuple(line.placed),
+            self._reports[host].sent_at,
+            self._instance.read_proof(now),
+        )
+        return [self._send_line(host, line, told, others, now)]
+
     def _list_relays(self, now: float) -> list[str]:
-        found = {host for host in self._sums if host != self._me.host}
+        found = {host for host in self._sums if host not in self._reports}
         for data_centre in self._roster.list_elsewhere():
             relay = self._roster.find_relay(data_centre, now)
             if relay is not None:
@@ -167,14 +262,13 @@
         return [self._address(host, told) for host in sorted(hosts)]
 
     def _sum_here(self, now: float) -> messages.Table:
-        relay = self._roster.find_relay(self._data_centre, now)
         tables = [heard.loads for heard in self._reports.values()]
         # An instance that reports elsewhere is counted there.
-        if relay == self._me.host:
+        if self.is_relay(now):
             tables.append(self._own)
         return _add(tables)
 
-    def _add_up(self, now: float, leave_out: str | None) -> messages.Table:
+    def _add_up(self, leave_out: str | None) -> messages.Table:
         """Returns all loads but those of one host, or of this instance."""
         tables = [heard.loads for heard in self._sums.values()]
         tables += [
@@ -186,7 +280,31 @@
             tables.append(self._own)
         return _add(tables)
 
-    # Telling.
+    def _take_placed(
+        self, placed: tuple[messages.Placed, ...], host: str
+    ) -> None:
+        if placed:
+            self._instance.note_placed(placed)
+            self._spread(placed, host)
+
+    def _spread(
+        self, placed: Iterable[messages.Placed], teller: str | None
+    ) -> None:
+        """Keeps placements for whoever hasn't heard of them.
+
+        Relays tell each other only of their own reporters, so nothing goes
+        round between them.
+        """
+        hosts = set(self._reports)
+        if teller is None or teller in self._reports:
+            hosts.update(self._sums)
+        hosts.discard(teller or "")
+        for host in hosts:
+            line = self._find_line(host)
+            line.placed.extend(placed)
+            del line.placed[:-_PLACED_LIMIT]
+
+    # Sending.
 
     def _greet(self, now: float) -> list[messages.Send]:
         if self._roster.size > 1 or now < self._hello_at:
@@ -195,23 +313,27 @@
         hello = messages.Hello(self._data_centre)
         return [messages.Send(seed, hello) for seed in self._seeds]
 
-    def _tell(
+    def _find_line(self, host: str) -> _Line:
+        line = self._lines.get(host)
+        if line is None:
+            line = self._lines[host] = _Line()
+        return line
+
+    def _send_line(
         self,
         host: str,
-        kind: str,
+        line: _Line,
         message: messages.Message,
         loads: messages.Table,
         now: float,
-    ) -> list[messages.Send]:
-        told = self._told.get((host, kind))
-        if told and told.loads == loads and now - told.at < _REPEAT_S:
-            return []
-        self._told[host, kind] = _Told(loads, now)
-        return [self._address(host, message)]
+    ) -> messages.Send:
+        line.loads = loads
+        line.at = now
+        line.placed = []
+        return self._address(host, message)
 
     def _address(self, host: str, message: messages.Message) -> messages.Send:
-        to = messages.Address(host, self._me.port)
-        return messages.Send(to, message)
+        return messages.Send(messages.Address(host, self._me.port), message)
 
     def _note(self, host: str, data_centre: str, now: float) -> None:
         self._roster.note(messages.Member(host, data_centre), now)
@@ -223,13 +345,10 @@
                     del heard[host]
         self._roster.forget(now)
 
-    def _find_period(self) -> float:
-        runners = max(
-            (len(each.loads) for each in self._sums.values()),
-            default=len(self._own),
-        )
-        pairs = len(self._reports) * runners
-        return PERIOD_S * max(1.0, pairs / _PAIRS)
+
+def _is_due(line: _Line, loads: messages.Table, now: float) -> bool:
+    changed = bool(line.placed) or line.loads != loads
+    return changed or now - line.at >= _REPEAT_S
 
 
 def _add(tables: list[messages.Table]) -> messages.Table:
--- a/pollenfork/loads/messages.py
+++ b/pollenfork/loads/messages.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 import msgspec
+import xxhash
 
 
 class Address(NamedTuple):
@@ -54,11 +55,48 @@
     members: tuple[Sighting, ...]
 
 
+class Placed(msgspec.Struct, frozen=True, array_like=True):
+    """A runner was given a shared part of a prompt to read.
+
+    Attributes:
+        part: A hash of the part.
+        runner: A hash of the runner.
+    """
+
+    part: int
+    runner: int
+
+
+class Proof(msgspec.Struct, frozen=True, array_like=True):
+    """What an instance has read of the store, and how long ago.
+
+    Attributes:
+        configuration: The row version of the configuration it knows.
+        runners: The newest row version of the registry it knows.
+        age_s: Seconds since it had proof that the configuration is current.
+    """
+
+    configuration: int
+    runners: int
+    age_s: float
+
+
 class Report(msgspec.Struct, frozen=True, array_like=True, tag="r"):
-    """An instance tells its relay what it has under way."""
+    """An instance tells its relay what it has under way.
+
+    Attributes:
+        data_centre: Where it runs.
+        loads: Its own requests.
+        placed: What it has placed since its last report.
+        sent_at: Its own clock; the relay's answer repeats it.
+        urgent: Whether a long prompt is among the news.
+    """
 
     data_centre: str
     loads: Table
+    placed: tuple[Placed, ...] = ()
+    sent_at: float = 0.0
+    urgent: bool = False
 
 
 class Sum(msgspec.Struct, frozen=True, array_like=True, tag="s"):
@@ -66,12 +104,24 @@
 
     data_centre: str
     loads: Table
+    placed: tuple[Placed, ...] = ()
+    urgent: bool = False
 
 
 class Others(msgspec.Struct, frozen=True, array_like=True, tag="o"):
-    """A relay tells a reporter what all others have under way."""
+    """A relay tells a reporter what all others have under way.
+
+    Attributes:
+        loads: Requests of all others.
+        placed: What others have placed since the last time.
+        echo: The `sent_at` of the reporter's last report.
+        proof: What the relay has read of the store, if anything.
+    """
 
     loads: Table
+    placed: tuple[Placed, ...] = ()
+    echo: float = 0.0
+    proof: Proof | None = None
 
 
 Message = Hello | Members | Report | Sum | Others
@@ -99,3 +149,8 @@
         return _DECODER.decode(data)
     except msgspec.MsgspecError:
         return None
+
+
+def hash_name(name: bytes) -> int:
+    """Returns what stands for a runner or a part in datagrams."""
+    return xxhash.xxh32_intdigest(name)
