Keep back prompts that can wait while their runner has much to read

Cause: a runner reads prompts in the order in which they came, so urgent short requests waited behind long prompts whose target left room. The least urgent wait while their runner has more than a tenth of their target to read, for at most six tenths of it; the most urgent never wait.

--- a/pollenfork/fleet/choice.py
+++ b/pollenfork/fleet/choice.py
@@ -14,7 +14,7 @@
 from pollenfork.loads import messages as loads
 
 # Prompt tokens that a runner reads in a second; the operators' sheet.
-_READ_RATE = 56_600.0
+READ_RATE = 56_600.0
 # Reading shared parts again takes the runner's time from everyone and evicts
 # what others share, so it counts for more than the time it takes itself.
 _MOVE_WEIGHT = 3.0
@@ -65,12 +65,26 @@
         standing: What is known of it.
         cost: Seconds until an answer would begin there, weighed.
         unread: Tokens of the shared parts that it would have to read.
+        reading: Tokens that it has to read before.
     """
 
     runner: model.Runner
     standing: standing.Standing
     cost: float
     unread: int = 0
+    reading: float = 0.0
+
+
+class Busy(msgspec.Struct, frozen=True):
+    """The best runner has more to read than was allowed.
+
+    Attributes:
+        runner: The runner.
+        reading: Prompt tokens that it has yet to read.
+    """
+
+    runner: model.Runner
+    reading: float
 
 
 class Grant(msgspec.Struct):
@@ -131,14 +145,24 @@
         runners.when_gone(self._forget)
 
     def choose(
-        self, demand: Demand, avoid: set[ids.EndpointId], now: float
-    ) -> Grant | None:
+        self,
+        demand: Demand,
+        avoid: set[ids.EndpointId],
+        now: float,
+        backlog_s: float | None = None,
+    ) -> Grant | Busy | None:
         """Returns the runner that would begin its answer first.
 
         Args:
             demand: What is asked.
             avoid: Runners that this request has been at.
             now: Monotonic seconds.
+            backlog_s: Seconds of reading that it may have before it; None:
+                any.
+
+        Returns:
+            The grant; `Busy` where that runner has more to read; None where
+            there is no runner.
         """
         self._registry.expire(now)
         takers = [
@@ -152,7 +176,10 @@
         _prefer_home(demand, offers)
         least = min(offer.cost for offer in offers)
         alike = [each for each in offers if each.cost <= least + _ALIKE_S]
-        grant = self._grant(demand, self._rng.choice(alike))
+        offer = self._rng.choice(alike)
+        if backlog_s is not None and offer.reading > backlog_s * READ_RATE:
+            return Busy(offer.runner, offer.reading)
+        grant = self._grant(demand, offer)
         kept = [each.cost for each in offers if not each.unread]
         grant.holders = len(kept)
         grant.kept_cost = min(kept, default=0.0)
@@ -200,10 +227,10 @@
         if not demand.parts:
             return _Offer(runner, seen, cost + active * _PLAIN_ACTIVE_S)
         unread = self.caches.count_unread(seen.mark, demand.shared)
-        tokens = seen.reading + others.reading + demand.own_tokens
-        tokens += unread * _MOVE_WEIGHT
-        cost += tokens / _READ_RATE + active * _ACTIVE_S
-        return _Offer(runner, seen, cost, unread)
+        reading = seen.reading + others.reading
+        tokens = reading + demand.own_tokens + unread * _MOVE_WEIGHT
+        cost += tokens / READ_RATE + active * _ACTIVE_S
+        return _Offer(runner, seen, cost, unread, reading)
 
     def _grant(self, demand: Demand, offer: _Offer) -> Grant:
         seen = offer.standing
@@ -241,4 +268,4 @@
         offers,
         key=lambda offer: xxhash.xxh64_intdigest(key, offer.standing.mark),
     )
-    home.cost -= total * _MOVE_WEIGHT / _READ_RATE
+    home.cost -= total * _MOVE_WEIGHT / READ_RATE
--- a/pollenfork/gateway/admission.py
+++ b/pollenfork/gateway/admission.py
@@ -2,8 +2,9 @@
 
 import result
 
-from pollenfork import ids
+from pollenfork.fleet import choice
 from pollenfork.gateway import exchange
+from pollenfork.gateway import holding
 from pollenfork.gateway import knowledge
 from pollenfork.gateway import messages
 from pollenfork.gateway import replies
@@ -48,10 +49,11 @@
         account = found.find_account(head.key)
         if account is None:
             return _refuse(401, _Reason.UNKNOWN_KEY)
-    return result.Ok(_admit(call, head, route, account))
+    return result.Ok(_admit(found, call, head, route, account))
 
 
 def _admit(
+    found: lookup.Lookup,
     call: messages.Call,
     head: messages.CallHead,
     route: routes.Route,
@@ -60,16 +62,18 @@
     limit_s = route.time_limit_s
     if head.wait_s is not None:
         limit_s = min(limit_s, head.wait_s)
-    tier = route.tier
-    if account is not None and account.tier is not None:
-        tier = account.tier
+    service = lookup.choose_service(route, head.attempt.encode())
+    demand = choice.Demand(service, head.parts)
     return exchange.Admitted(
         call=call,
         head=head,
         route=route,
-        service=lookup.choose_service(route, head.attempt.encode()),
+        demand=demand,
+        holding=holding.plan(
+            route, found.list_tiers(service), demand, call.arrived, limit_s
+        ),
         account=account,
-        tier=ids.Tier(tier),
+        tier=found.rank(route, account),
         until=call.arrived + limit_s,
     )
 
--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -74,6 +74,7 @@
         self.known = knowledge.Knowledge(store, told.revocation_s)
         self._tools = exchange.Tools(
             loop=self._loop,
+            rng=rng,
             codec=codec,
             chooser=choice.Chooser(self.known.runners, rng, self._read_others),
             pool=pool.Pool(self._loop),
--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import random
 
 import msgspec
 import result
@@ -17,6 +18,7 @@
 from pollenfork.gateway import counters
 from pollenfork.gateway import edges
 from pollenfork.gateway import events
+from pollenfork.gateway import holding
 from pollenfork.gateway import messages
 from pollenfork.gateway import patience
 from pollenfork.gateway import pool
@@ -44,7 +46,8 @@
         call: The request.
         head: What its headers say.
         route: Its route.
-        service: The service chosen for it.
+        demand: What it asks of a runner of the service chosen for it.
+        holding: How it may be kept back.
         account: The client account, where it showed a key.
         tier: Its urgency.
         until: Monotonic seconds at which its answer is of no use.
@@ -53,7 +56,8 @@
     call: messages.Call
     head: messages.CallHead
     route: routes.Route
-    service: ids.ServiceName
+    demand: choice.Demand
+    holding: holding.Holding
     account: routes.Account | None
     tier: ids.Tier
     until: float
@@ -63,6 +67,7 @@
     """What all exchanges share."""
 
     loop: asyncio.AbstractEventLoop
+    rng: random.Random
     codec: edges.Codec
     chooser: choice.Chooser
     pool: pool.Pool
@@ -97,9 +102,14 @@
     async def run(self) -> None:
         """Serves the request; returns when the caller has its answer."""
         tools = self._tools
-        tools.repeats.note_request(self._admitted.service, tools.loop.time())
+        tools.repeats.note_request(
+            self._admitted.demand.service, tools.loop.time()
+        )
         while True:
-            grant = self._choose()
+            if self._left() <= 0:
+                self._give_up(_Reason.TIME_LIMIT)
+                return
+            grant = await self._choose()
             if grant is None:
                 self._give_up(_Reason.NO_RUNNER)
                 return
@@ -112,11 +122,23 @@
 
     # Attempts.
 
-    def _choose(self) -> choice.Grant | None:
+    async def _choose(self) -> choice.Grant | None:
+        """Returns a runner, once what is more urgent leaves room for it."""
         admitted = self._admitted
-        demand = choice.Demand(admitted.service, admitted.head.parts)
-        now = self._tools.loop.time()
-        return self._tools.chooser.choose(demand, self._avoid, now)
+        while True:
+            now = self._tools.loop.time()
+            found = self._tools.chooser.choose(
+                admitted.demand,
+                self._avoid,
+                now,
+                admitted.holding.find_backlog(now),
+            )
+            if not isinstance(found, choice.Busy):
+                return found
+            # Unlike pauses, so that those who wait for one runner don't all
+            # see it free at once.
+            pause_s = holding.LOOK_S * self._tools.rng.uniform(0.5, 1.5)
+            await asyncio.sleep(pause_s)
 
     def _log_choice(self, grant: choice.Grant) -> None:
         _LOG.info(
@@ -243,7 +265,7 @@
 
     def _take_repeat(self) -> bool:
         now = self._tools.loop.time()
-        return self._tools.repeats.take(self._admitted.service, now)
+        return self._tools.repeats.take(self._admitted.demand.service, now)
 
     def _finish(self, ended: attempt.Ended) -> None:
         if ended.end is _End.WHOLE:
--- a/pollenfork/gateway/knowledge.py
+++ b/pollenfork/gateway/knowledge.py
@@ -11,6 +11,7 @@
 from pollenfork.loads import messages
 from pollenfork.routes import freshness
 from pollenfork.routes import lookup
+from pollenfork.routes import model as routes
 
 _LOG = logging.getLogger(__name__)
 
@@ -133,10 +134,12 @@
                 continue
             self.lookup = lookup.Lookup(configuration)
             _LOG.info(
-                "event=configuration_in_force version=%d row=%d routes=%d",
+                "event=configuration_in_force version=%d row=%d routes=%d "
+                "tiered_accounts=%s",
                 configuration.version,
                 row.version,
                 len(configuration.routes),
+                _describe_tiers(configuration),
             )
 
     def take_runners(self, changes: catalogue.Changes, now: float) -> None:
@@ -169,3 +172,12 @@
     def _is_older(self, version: int) -> bool:
         known = self.lookup
         return known is not None and version < known.configuration.version
+
+
+def _describe_tiers(configuration: routes.Configuration) -> str:
+    accounts = {
+        account.id: account.tier
+        for account in (configuration.accounts or {}).values()
+    }
+    tiers = sorted(tier for tier in accounts.values() if tier is not None)
+    return f"{','.join(map(str, tiers)) or '-'}/{len(accounts)}"
--- a/pollenfork/routes/lookup.py
+++ b/pollenfork/routes/lookup.py
@@ -16,6 +16,10 @@
             self._hosts.setdefault(route.host, []).append(route)
         for routes in self._hosts.values():
             routes.sort(key=lambda route: len(route.prefix), reverse=True)
+        self._tiers = _collect_tiers(configuration)
+        self._route_tiers = 1 + max(
+            (route.tier for route in configuration.routes), default=0
+        )
 
     def find_route(self, host: str, path: str) -> model.Route | None:
         """Returns the route with the longest prefix of the host's routes.
@@ -40,11 +44,36 @@
             return None
         return accounts.get(key)
 
+    def list_tiers(self, service: ids.ServiceName) -> tuple[ids.Tier, ...]:
+        """Returns the tiers of all routes to a service, most urgent first."""
+        return self._tiers.get(service, ())
+
+    def rank(
+        self, route: model.Route, account: model.Account | None
+    ) -> ids.Tier:
+        """Returns a request's urgency; the account's tier goes first.
+
+        Among requests of accounts of one tier, the route's tier decides.
+        """
+        if account is None or account.tier is None:
+            return route.tier
+        return ids.Tier(account.tier * self._route_tiers + route.tier)
+
     def needs_key(self, route: model.Route) -> bool:
         """Returns whether the route's requests must show a key."""
         return self.configuration.accounts is not None and not route.public
 
 
+def _collect_tiers(
+    configuration: model.Configuration,
+) -> dict[ids.ServiceName, tuple[ids.Tier, ...]]:
+    tiers: dict[ids.ServiceName, set[ids.Tier]] = {}
+    for route in configuration.routes:
+        for target in route.targets:
+            tiers.setdefault(target.service, set()).add(route.tier)
+    return {service: tuple(sorted(found)) for service, found in tiers.items()}
+
+
 def choose_service(route: model.Route, token: bytes) -> ids.ServiceName:
     """Returns the service that serves the request named by `token`.
 
