Test routes, the watch, the choice, the exchange and the data path

Tests found a fault: a dead relay was asked again every 4 s, and for 1.2 s each time its data centre's loads were missing.

--- /dev/null
+++ b/pollenfork/fleet/tests/test_repeats.py
@@ -0,0 +1,37 @@
+import random
+
+from pollenfork import ids
+from pollenfork.fleet import repeats
+
+SERVICE = ids.ServiceName("s")
+
+
+def test_repeats_stay_under_the_ratio_in_every_window() -> None:
+    rng = random.Random(5)
+    budget = repeats.RepeatBudget(ratio=0.2, window_s=10.0)
+    requests, taken = [], []
+    now = 0.0
+    for _ in range(3000):
+        now += rng.expovariate(20.0)
+        budget.note_request(SERVICE, now)
+        requests.append(now)
+        if rng.random() < 0.7 and budget.take(SERVICE, now):
+            taken.append(now)
+    for start in range(int(now) - 10):
+        window = (start, start + 10)
+        sent = sum(window[0] < at <= window[1] for at in requests)
+        repeated = sum(window[0] < at <= window[1] for at in taken)
+        assert repeated <= 0.2 * sent + 4
+
+
+def test_a_quiet_instance_has_a_few_repeats() -> None:
+    budget = repeats.RepeatBudget(ratio=0.2, window_s=10.0)
+    assert [budget.take(SERVICE, 0.0) for _ in range(3)] == [True, True, False]
+    assert budget.take(SERVICE, 10.1)
+
+
+def test_services_have_budgets_of_their_own() -> None:
+    budget = repeats.RepeatBudget(ratio=0.2, window_s=10.0)
+    while budget.take(SERVICE, 0.0):
+        pass
+    assert budget.take(ids.ServiceName("t"), 0.0)
--- /dev/null
+++ b/pollenfork/gateway/tests/support.py
@@ -0,0 +1,266 @@
+"""A codec of the tests' own, a runner that follows a script, a gateway."""
+
+import asyncio
+import contextlib
+import random
+
+from pollenfork import ids
+from pollenfork.fleet import choice
+from pollenfork.fleet import model as fleet
+from pollenfork.fleet import registry
+from pollenfork.fleet import repeats
+from pollenfork.gateway import callers
+from pollenfork.gateway import counters
+from pollenfork.gateway import exchange
+from pollenfork.gateway import holding
+from pollenfork.gateway import messages
+from pollenfork.gateway import pool
+from pollenfork.routes import model as routes
+
+SERVICE = ids.ServiceName("s")
+
+
+class Codec:
+    """Speaks `x-id`, `x-seal`, `x-unrun`, `x-runner` and `x-left`."""
+
+    def find_repeated(self, headers):
+        return None
+
+    def read_call(self, headers):
+        found = dict(headers)
+        return messages.CallHead(
+            attempt=ids.AttemptId(found.get(b"x-id", b"").decode()),
+            key=None,
+            wait_s=None,
+            parts=(),
+            tokens=(0, 0),
+            last_event=None,
+        )
+
+    def write_call(self, call, sending):
+        last = b""
+        if sending.last_event is not None:
+            last = b"x-after: %d\r\n" % sending.last_event
+        head = b"%b %b HTTP/1.1\r\nx-id: %b\r\nx-runner: %b\r\n%b" % (
+            call.method,
+            call.target,
+            dict(call.headers)[b"x-id"],
+            sending.runner.encode(),
+            last,
+        )
+        length = b"content-length: %d\r\n\r\n" % len(call.body)
+        return head + length + call.body
+
+    def read_answer(self, status, headers):
+        found = dict(headers)
+        return messages.AnswerHead(
+            status=status,
+            attempt=ids.AttemptId(found.get(b"x-id", b"").decode()),
+            sealed=b"x-seal" in found,
+            not_run=b"x-unrun" in found,
+            events=b"events" in found.get(b"content-type", b""),
+            headers=headers,
+        )
+
+    def write_answer(self, head, length, closing):
+        size = b"transfer-encoding: chunked"
+        if length is not None:
+            size = b"content-length: %d" % length
+        seal = dict(head.headers).get(b"x-seal", b"")
+        return b"HTTP/1.1 %d \r\nx-seal: %b\r\n%b\r\n\r\n" % (
+            head.status,
+            seal,
+            size,
+        )
+
+    def is_ready_check(self, target):
+        return target == b"/ready"
+
+
+def write_answer(
+    body: bytes, status: int = 200, request: str = "q", extra: str = ""
+) -> bytes:
+    head = f"HTTP/1.1 {status} X\r\nx-id: {request}\r\nx-seal: z\r\n{extra}"
+    return f"{head}content-length: {len(body)}\r\n\r\n".encode() + body
+
+
+def write_events(first: int, last: int) -> bytes:
+    return b"".join(
+        b"id: %d\ndata: t%d\n\n" % (number, number)
+        for number in range(first, last + 1)
+    )
+
+
+def write_stream(body: bytes, whole: bool, request: str = "q") -> bytes:
+    head = (
+        f"HTTP/1.1 200 OK\r\nx-id: {request}\r\nx-seal: z\r\n"
+        "content-type: text/events\r\ntransfer-encoding: chunked\r\n\r\n"
+    ).encode()
+    chunk = b"%x\r\n%b\r\n" % (len(body), body)
+    return head + chunk + (b"0\r\n\r\n" if whole else b"")
+
+
+REFUSED = (
+    b"HTTP/1.1 503 Full\r\nx-id: q\r\nx-unrun: 1\r\ncontent-length: 0\r\n\r\n"
+)
+HANG = None
+
+
+class Runner:
+    """Answers each request with the next bytes of its script, then closes.
+
+    Attributes:
+        got: The heads of the requests that came.
+        keeps: Whether connections stay open after an answer.
+    """
+
+    def __init__(self, name: str, *script: bytes | None) -> None:
+        self.name = name
+        self.script = list(script)
+        self.got: list[bytes] = []
+        self.keeps = False
+        self.closed = asyncio.Event()
+        self.connections = 0
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> fleet.Runner:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        return fleet.Runner(
+            id=ids.EndpointId(self.name),
+            service=SERVICE,
+            host="127.0.0.1",
+            port=port,
+            data_centre=ids.DataCentre("a"),
+            slots=4,
+            leaving=False,
+            cold_s=0.0,
+        )
+
+    def stop(self) -> None:
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(self, reader, writer) -> None:
+        self.connections += 1
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.got.append(head)
+                answer = self.script.pop(0) if self.script else HANG
+                if answer is HANG:
+                    await reader.read()
+                    break
+                writer.write(answer)
+                await writer.drain()
+                if not self.keeps:
+                    break
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            self.closed.set()
+            writer.close()
+
+
+class Gateway:
+    """The data path alone: a caller's listener and exchanges."""
+
+    def __init__(self, route: routes.Route) -> None:
+        loop = asyncio.get_running_loop()
+        rng = random.Random(1)
+        self.route = route
+        self.runners = registry.Registry()
+        self.tools = exchange.Tools(
+            loop=loop,
+            rng=rng,
+            codec=Codec(),
+            chooser=choice.Chooser(self.runners, rng),
+            pool=pool.Pool(loop),
+            repeats=repeats.RepeatBudget(0.2, 10.0),
+            counters=counters.Counters(),
+        )
+        self.callers = callers.Server(loop, self._serve)
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self.callers.make_connection, "127.0.0.1", 0
+        )
+
+    @property
+    def port(self) -> int:
+        return self._server.sockets[0].getsockname()[1]
+
+    def stop(self) -> None:
+        self._server.close()
+        self.tools.pool.close()
+
+    async def _serve(self, call, caller) -> None:
+        head = self.tools.codec.read_call(call.headers)
+        admitted = exchange.Admitted(
+            call=call,
+            head=head,
+            route=self.route,
+            demand=choice.Demand(SERVICE),
+            holding=holding.Holding(),
+            account=None,
+            tier=self.route.tier,
+            until=call.arrived + self.route.time_limit_s,
+        )
+        await exchange.Exchange(self.tools, admitted, caller).run()
+
+
+def make_route(kind: routes.Kind, **given) -> routes.Route:
+    fields = {
+        "time_limit_s": 5.0,
+        "target_s": 0.1,
+        "gap_s": 0.1,
+        "attempts": 2,
+        "resumable": False,
+    }
+    return routes.Route(
+        name="r",
+        host="h",
+        prefix="/",
+        kind=kind,
+        tier=ids.Tier(0),
+        targets=(routes.Target(SERVICE, 1.0),),
+        public=True,
+        affine=False,
+        **{**fields, **given},
+    )
+
+
+@contextlib.asynccontextmanager
+async def run_gateway(route: routes.Route, *runners: Runner):
+    """A gateway before runners; they are tried in order of their names."""
+    gateway = Gateway(route)
+    await gateway.start()
+    for number, runner in enumerate(runners):
+        entry = await runner.start()
+        gateway.runners.put(entry)
+        seen = gateway.tools.chooser.find_standing(entry.id)
+        seen.failing = number * 0.2
+    try:
+        yield gateway
+    finally:
+        gateway.stop()
+        for runner in runners:
+            runner.stop()
+
+
+async def ask(
+    gateway: Gateway, data: bytes = b"GET /p HTTP/1.1\r\nx-id: q\r\n\r\n"
+) -> bytes:
+    """Returns all that comes back until the connection is closed."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", gateway.port)
+    closing = data.replace(b"\r\n\r\n", b"\r\nconnection: close\r\n\r\n", 1)
+    writer.write(closing)
+    try:
+        async with asyncio.timeout(20):
+            return await reader.read()
+    except ConnectionError:
+        return b"reset"
+    finally:
+        writer.close()
--- /dev/null
+++ b/pollenfork/gateway/tests/test_exchange.py
@@ -0,0 +1,264 @@
+"""What each failure proves decides what the caller is told."""
+
+import asyncio
+import re
+
+import pytest
+
+from pollenfork.gateway.tests import support
+from pollenfork.routes import model
+
+REPEATABLE = model.Kind.REPEATABLE
+ONCE = model.Kind.AT_MOST_ONCE
+STREAM = model.Kind.STREAM
+GOOD = support.write_answer(b"good")
+
+
+def play(route, *scripts, data=None):
+    """Returns the caller's answer and how often each runner was asked."""
+
+    async def run():
+        runners = [
+            support.Runner(f"r{number}", *script)
+            for number, script in enumerate(scripts)
+        ]
+        async with support.run_gateway(route, *runners) as gateway:
+            given = {} if data is None else {"data": data}
+            answer = await support.ask(gateway, **given)
+        return answer, [len(runner.got) for runner in runners]
+
+    return asyncio.run(run())
+
+
+def read_status(answer: bytes) -> int:
+    return int(answer.split(b" ", 2)[1])
+
+
+def test_a_whole_answer_comes_back_with_its_seal() -> None:
+    answer, asked = play(support.make_route(ONCE), [GOOD])
+    assert answer.endswith(b"\r\n\r\ngood")
+    assert b"x-seal: z" in answer
+    assert asked == [1]
+
+
+# Bytes that are no whole answer to this request, in ways that runners fail.
+BROKEN = {
+    "closed": b"",
+    "cut": support.write_answer(b"good")[:-2],
+    "cut_head": support.write_answer(b"good")[:20],
+    "garbage": b"no HTTP at all\r\n\r\n",
+    "unsealed": b"HTTP/1.1 200 X\r\nx-id: q\r\ncontent-length: 4\r\n\r\ngood",
+    "foreign": support.write_answer(b"evil", request="other"),
+}
+
+
+@pytest.mark.parametrize("broken", BROKEN.values(), ids=BROKEN)
+def test_a_broken_answer_is_repeated_where_that_is_harmless(broken) -> None:
+    answer, asked = play(support.make_route(REPEATABLE), [broken], [GOOD, GOOD])
+    assert answer.endswith(b"good")
+    assert asked == [1, 1]
+
+
+@pytest.mark.parametrize("broken", BROKEN.values(), ids=BROKEN)
+def test_a_broken_answer_to_what_runs_once_promises_nothing(broken) -> None:
+    answer, asked = play(support.make_route(ONCE), [broken], [GOOD])
+    assert read_status(answer) == 502
+    assert b"retry-after" not in answer
+    assert asked == [1, 0]
+
+
+def test_a_refusal_goes_to_another_runner() -> None:
+    for kind in (REPEATABLE, ONCE, STREAM):
+        answer, asked = play(
+            support.make_route(kind), [support.REFUSED], [GOOD]
+        )
+        assert answer.endswith(b"good")
+        assert asked == [1, 1]
+
+
+def test_refused_everywhere_is_told_as_not_run_with_when_to_return() -> None:
+    route = support.make_route(ONCE, attempts=1)
+    answer, asked = play(route, [support.REFUSED], [GOOD])
+    assert read_status(answer) == 503
+    assert re.search(rb"retry-after: 0\.\d+", answer)
+    assert asked == [1, 0]
+
+
+def test_refused_after_it_may_have_run_is_not_told_as_not_run() -> None:
+    answer, asked = play(
+        support.make_route(REPEATABLE), [b""], [support.REFUSED]
+    )
+    assert read_status(answer) == 502
+    assert asked == [1, 1]
+
+
+def test_no_runner_is_told_as_not_run() -> None:
+    answer, _ = play(support.make_route(ONCE))
+    assert read_status(answer) == 503
+    assert b"no_runner" in answer
+
+
+def test_a_runners_own_error_is_repeated_or_passed_on() -> None:
+    failed = support.write_answer(b"sorry", status=500)
+    route = support.make_route(REPEATABLE)
+    assert play(route, [failed], [GOOD])[0].endswith(b"good")
+    answer, asked = play(route, [failed], [failed])
+    assert read_status(answer) == 500 and answer.endswith(b"sorry")
+    answer, asked = play(support.make_route(ONCE), [failed], [GOOD])
+    assert read_status(answer) == 500
+    assert asked == [1, 0]
+
+
+def test_a_silent_runner_is_given_up_where_another_may_be_asked() -> None:
+    answer, asked = play(support.make_route(REPEATABLE), [support.HANG], [GOOD])
+    assert answer.endswith(b"good")
+    assert asked == [1, 1]
+
+
+def test_the_time_limit_ends_the_wait_for_what_may_have_run() -> None:
+    route = support.make_route(ONCE, time_limit_s=0.4)
+    answer, asked = play(route, [support.HANG], [GOOD])
+    assert read_status(answer) == 504
+    assert asked == [1, 0]
+
+
+def test_a_runner_that_is_not_there_costs_no_attempt() -> None:
+    async def run():
+        gone = support.Runner("r0")
+        there = support.Runner("r1", GOOD)
+        route = support.make_route(ONCE, attempts=1)
+        async with support.run_gateway(route, gone, there) as gateway:
+            gone.stop()
+            return await support.ask(gateway)
+
+    assert asyncio.run(run()).endswith(b"good")
+
+
+def test_an_answer_without_length_is_whole_at_its_end() -> None:
+    unframed = b"HTTP/1.1 200 X\r\nx-id: q\r\nx-seal: z\r\n\r\ngood"
+    answer, _ = play(support.make_route(ONCE), [unframed])
+    assert answer.endswith(b"content-length: 4\r\n\r\ngood")
+
+
+def test_a_late_answer_to_another_request_is_left_out() -> None:
+    late = support.write_answer(b"evil", request="other")
+    answer, _ = play(support.make_route(ONCE), [late + GOOD])
+    assert answer.endswith(b"good")
+    assert b"evil" not in answer
+
+
+def test_a_second_answer_goes_to_nobody() -> None:
+    async def run():
+        runner = support.Runner("r0", GOOD + GOOD, GOOD)
+        runner.keeps = True
+        route = support.make_route(ONCE)
+        async with support.run_gateway(route, runner) as gateway:
+            answers = [await support.ask(gateway) for _ in range(2)]
+        return answers, runner.connections
+
+    answers, connections = asyncio.run(run())
+    assert [answer.count(b"good") for answer in answers] == [1, 1]
+    assert connections == 2
+
+
+def test_a_kept_connection_is_used_again() -> None:
+    async def run():
+        runner = support.Runner("r0", GOOD, GOOD)
+        runner.keeps = True
+        route = support.make_route(REPEATABLE)
+        async with support.run_gateway(route, runner) as gateway:
+            for _ in range(2):
+                await support.ask(gateway)
+        return runner.connections
+
+    assert asyncio.run(run()) == 1
+
+
+def test_a_caller_that_leaves_ends_its_runners_work() -> None:
+    async def run():
+        runner = support.Runner("r0", support.HANG)
+        route = support.make_route(ONCE)
+        async with support.run_gateway(route, runner) as gateway:
+            _, writer = await asyncio.open_connection("127.0.0.1", gateway.port)
+            writer.write(b"GET /p HTTP/1.1\r\nx-id: q\r\n\r\n")
+            while not runner.got:
+                await asyncio.sleep(0)
+            writer.close()
+            async with asyncio.timeout(5):
+                await runner.closed.wait()
+            return gateway.tools.chooser.list_loads()
+
+    assert asyncio.run(run()) == {}
+
+
+# Streams.
+
+WHOLE = support.write_stream(support.write_events(0, 4), whole=True)
+HALF = support.write_stream(
+    support.write_events(0, 2) + b"id: 3\nda", whole=False
+)
+
+
+def read_stream(answer: bytes) -> tuple[bytes, bool]:
+    """Returns the events of a chunked answer and whether it ended whole."""
+    body = answer.partition(b"\r\n\r\n")[2]
+    events = b""
+    while body:
+        size, _, body = body.partition(b"\r\n")
+        length = int(size, 16)
+        if not length:
+            return events, True
+        events += body[:length]
+        body = body[length + 2 :]
+    return events, False
+
+
+def test_events_come_in_order_and_whole() -> None:
+    answer, _ = play(support.make_route(STREAM), [WHOLE])
+    assert read_stream(answer) == (support.write_events(0, 4), True)
+
+
+def test_a_broken_stream_looks_broken() -> None:
+    answer, asked = play(support.make_route(STREAM), [HALF], [WHOLE])
+    assert answer == b"reset" or not read_stream(answer)[1]
+    assert asked == [1, 0]
+
+
+def test_a_broken_stream_goes_on_elsewhere_where_it_may() -> None:
+    async def run():
+        rest = support.write_stream(support.write_events(3, 4), whole=True)
+        runners = support.Runner("r0", HALF), support.Runner("r1", rest)
+        route = support.make_route(STREAM, resumable=True)
+        async with support.run_gateway(route, *runners) as gateway:
+            return await support.ask(gateway), runners[1].got
+
+    answer, got = asyncio.run(run())
+    assert read_stream(answer) == (support.write_events(0, 4), True)
+    assert b"x-after: 2" in got[0]
+
+
+def test_events_that_came_before_are_left_out_of_a_resumed_stream() -> None:
+    again = support.write_stream(support.write_events(1, 4), whole=True)
+    route = support.make_route(STREAM, resumable=True)
+    answer, _ = play(route, [HALF], [again])
+    assert read_stream(answer) == (support.write_events(0, 4), True)
+
+
+def test_a_resumed_stream_with_a_gap_looks_broken() -> None:
+    gap = support.write_stream(support.write_events(4, 5), whole=True)
+    route = support.make_route(STREAM, resumable=True)
+    answer, _ = play(route, [HALF], [gap])
+    assert answer == b"reset" or not read_stream(answer)[1]
+
+
+def test_a_stream_that_ends_inside_an_event_is_broken() -> None:
+    torn = support.write_stream(b"id: 0\ndata: t", whole=True)
+    answer, _ = play(support.make_route(STREAM), [torn])
+    assert read_status(answer) == 502
+
+
+def test_a_stream_that_broke_before_its_first_event_promises_nothing() -> None:
+    empty = support.write_stream(b"id: 0\nda", whole=False)
+    answer, asked = play(support.make_route(STREAM), [empty], [WHOLE])
+    assert read_status(answer) == 502
+    assert asked == [1, 0]
--- a/pollenfork/loads/members.py
+++ b/pollenfork/loads/members.py
@@ -51,7 +51,7 @@
         """Notes that a relay should speak soon; passes over a silent one."""
         since = self._waiting_since.setdefault(host, now)
         if now - since > SILENT_S:
-            self._passed_over[host] = now + _PASSED_OVER_S
+            self._passed_over[host] = now
             del self._waiting_since[host]
 
     def forget(self, now: float) -> None:
@@ -62,16 +62,28 @@
 
     def find_relay(self, data_centre: str, now: float) -> str | None:
         """Returns the host that relays for a data centre."""
-        hosts = sorted(
-            member.host
+        here = sorted(
+            (member.host, member)
             for member in (self._me, *self._seen)
             if member.data_centre == data_centre
         )
-        for host in hosts:
-            if now >= self._passed_over.get(host, 0.0):
+        for host, member in here:
+            if self._may_relay(member, now):
                 return host
         return None
 
+    def _may_relay(self, member: messages.Member, now: float) -> bool:
+        """Returns whether a member may be asked to relay.
+
+        One that was passed over must have given a sign since, to anyone, and
+        gets its next chance after a while: the way to it may be cut.
+        """
+        passed_at = self._passed_over.get(member.host)
+        if passed_at is None:
+            return True
+        seen_since = self._seen.get(member, passed_at) > passed_at
+        return seen_since and now - passed_at > _PASSED_OVER_S
+
     def list_elsewhere(self) -> list[str]:
         """Returns the other data centres."""
         found = {member.data_centre for member in self._seen}
--- /dev/null
+++ b/pollenfork/loads/tests/test_exchange.py
@@ -0,0 +1,196 @@
+import random
+
+from pollenfork.loads import core
+from pollenfork.loads import messages
+
+PORT = 7
+
+
+class FakeInstance:
+    """What an instance has under way, and what it was told."""
+
+    def __init__(self, number: int) -> None:
+        self.loads = {number: messages.Load(1, 100 + number)}
+        self.placed: list[messages.Placed] = []
+        self.heard: set[messages.Placed] = set()
+        self.proof: messages.Proof | None = None
+        self.proven: list[tuple[messages.Proof, float]] = []
+
+    def read_loads(self) -> messages.Table:
+        return dict(self.loads)
+
+    def take_placed(self) -> list[messages.Placed]:
+        placed, self.placed = self.placed, []
+        return placed
+
+    def read_proof(self, now: float) -> messages.Proof | None:
+        return self.proof
+
+    def note_placed(self, placed) -> None:
+        self.heard.update(placed)
+
+    def note_proof(self, proof: messages.Proof, moment: float) -> None:
+        self.proven.append((proof, moment))
+
+
+class Network:
+    """Instances of three data centres on a clock that tests advance."""
+
+    def __init__(self, count: int, loss: float = 0.0) -> None:
+        self.now = 100.0
+        self.loss = loss
+        self.rng = random.Random(4)
+        self.down: set[str] = set()
+        self.sent = 0
+        self.crossed = 0
+        self.instances: dict[str, FakeInstance] = {}
+        self.exchanges: dict[str, core.Exchange] = {}
+        self.data_centres: dict[str, str] = {}
+        for number in range(count):
+            self.add(number)
+
+    def add(self, number: int) -> str:
+        host = f"10.{number % 3}.0.{number:03}"
+        seeds = [messages.Address(f"10.{n}.0.{n:03}", PORT) for n in range(3)]
+        self.data_centres[host] = "abc"[number % 3]
+        self.instances[host] = FakeInstance(number)
+        self.exchanges[host] = core.Exchange(
+            messages.Address(host, PORT),
+            self.data_centres[host],
+            seeds,
+            self.instances[host],
+        )
+        return host
+
+    def run(self, seconds: float) -> None:
+        until = self.now + seconds
+        while self.now < until:
+            self.now += core.PERIOD_S
+            for host, exchange in self.exchanges.items():
+                if host not in self.down:
+                    self.deliver(host, exchange.tick(self.now))
+
+    def deliver(self, sender: str, sends: list[messages.Send]) -> None:
+        for send in sends:
+            self.sent += 1
+            crossing = (
+                self.data_centres.get(send.to.host) != self.data_centres[sender]
+            )
+            self.crossed += crossing
+            if self.rng.random() < self.loss or send.to.host in self.down:
+                continue
+            message = messages.decode(messages.encode(send.message))
+            exchange = self.exchanges.get(send.to.host)
+            if exchange is not None and message is not None:
+                answers = exchange.hear(message, sender, self.now)
+                self.deliver(send.to.host, answers)
+
+    def check_totals(self) -> None:
+        live = [host for host in self.exchanges if host not in self.down]
+        for host in live:
+            expected = {}
+            for other in live:
+                if other != host:
+                    expected.update(self.instances[other].loads)
+            assert self.exchanges[host].read_others(self.now) == expected
+
+
+def test_everyone_learns_what_all_others_have_under_way() -> None:
+    network = Network(8)
+    network.run(4.0)
+    network.check_totals()
+    assert {each.instances for each in network.exchanges.values()} == {8}
+
+
+def test_lost_datagrams_only_delay_the_news() -> None:
+    network = Network(12, loss=0.2)
+    network.run(8.0)
+    network.loss = 0.0
+    network.run(2.0)
+    network.check_totals()
+
+
+def test_a_dead_relay_is_replaced_and_its_loads_expire() -> None:
+    network = Network(12)
+    network.run(4.0)
+    network.down = {"10.0.0.000", "10.1.0.001"}
+    network.run(6.0)
+    network.check_totals()
+
+
+def test_a_data_centre_cut_off_knows_its_own() -> None:
+    network = Network(9)
+    network.run(4.0)
+    cut = {host for host in network.exchanges if host.startswith("10.2.")}
+    rest = set(network.exchanges) - cut
+    network.down = cut
+    network.run(6.0)
+    network.check_totals()
+    network.down = rest
+    network.run(6.0)
+    network.check_totals()
+    network.down = set()
+    network.run(8.0)
+    network.check_totals()
+
+
+def test_one_that_joins_later_is_found_through_a_seed() -> None:
+    network = Network(6)
+    network.run(4.0)
+    network.down = {"10.0.0.000", "10.1.0.001"}
+    host = network.add(6)
+    network.run(6.0)
+    network.check_totals()
+    assert network.exchanges[host].instances >= 5
+
+
+def test_placements_reach_everyone_once_or_more() -> None:
+    network = Network(10)
+    network.run(4.0)
+    placed = messages.Placed(5, 6)
+    network.instances["10.1.0.004"].placed.append(placed)
+    network.run(0.5)
+    told = {
+        host
+        for host, instance in network.instances.items()
+        if placed in instance.heard
+    }
+    assert told == set(network.instances) - {"10.1.0.004"}
+
+
+def test_proof_counts_from_when_the_report_was_sent() -> None:
+    network = Network(4)
+    network.run(3.0)
+    relay, reporter = "10.0.0.000", "10.0.0.003"
+    network.instances[relay].proof = messages.Proof(7, 8, age_s=0.5)
+    sent_at = network.now
+    network.run(1.0)
+    proven = network.instances[reporter].proven
+    assert proven
+    # A frozen reporter that reads an old answer believes no more than this.
+    for _, moment in proven:
+        assert moment <= network.now - 0.5
+    assert proven[0][1] >= sent_at - 1.5
+
+
+def test_only_sums_cross_between_data_centres() -> None:
+    network = Network(60)
+    network.run(4.0)
+    network.sent = network.crossed = 0
+    network.run(2.0)
+    # Six lines between three relays, not 60 times 59.
+    assert network.crossed < 6 * 2.0 / core.PERIOD_S * 1.2
+    assert network.sent / 60 < 3 * 2.0 / core.PERIOD_S
+
+
+def test_urgent_news_is_marked_for_the_relays() -> None:
+    network = Network(4)
+    network.run(3.0)
+    network.instances["10.0.0.003"].loads = {3: messages.Load(2, 9000)}
+    sends = network.exchanges["10.0.0.003"].tick(network.now, urgent=True)
+    assert [send.message.urgent for send in sends] == [True]
+
+
+def test_a_datagram_that_is_none_is_told_apart() -> None:
+    assert messages.decode(b"\x00garbage") is None
+    assert messages.decode(b"") is None
--- a/pollenfork/routes/freshness.py
+++ b/pollenfork/routes/freshness.py
@@ -8,6 +8,9 @@
 # A request may wait this long between the check of its key and its arrival
 # at a runner; the bound counts to the arrival.
 _SENDING_S = 0.4
+# A store whose watchers hear nothing for a while still answers them, so what
+# counts as proof may be this much older than it seems, in seconds.
+_DEAF_S = 0.8
 
 
 class Freshness:
@@ -41,4 +44,6 @@
         age = self.age(now)
         if age is None:
             return False
-        return self._bound_s is None or age < self._bound_s - _SENDING_S
+        return (
+            self._bound_s is None or age < self._bound_s - _SENDING_S - _DEAF_S
+        )
--- /dev/null
+++ b/pollenfork/routes/tests/test_lookup.py
@@ -0,0 +1,107 @@
+import collections
+
+import pytest
+
+from pollenfork import ids
+from pollenfork.routes import lookup
+from pollenfork.routes import model
+
+
+def make_route(prefix: str, host: str = "a.example", **given) -> model.Route:
+    fields = {
+        "name": prefix,
+        "kind": model.Kind.REPEATABLE,
+        "time_limit_s": 1.0,
+        "target_s": 0.2,
+        "gap_s": 0.0,
+        "tier": ids.Tier(1),
+        "targets": (model.Target(ids.ServiceName("s"), 1.0),),
+        "attempts": 1,
+        "public": False,
+        "resumable": False,
+        "affine": False,
+    }
+    return model.Route(host=host, prefix=prefix, **{**fields, **given})
+
+
+def make_lookup(*routes: model.Route, accounts=None) -> lookup.Lookup:
+    return lookup.Lookup(
+        model.Configuration(
+            version=1,
+            routes=routes,
+            services={},
+            limits=model.CallerLimits(),
+            accounts=accounts,
+        )
+    )
+
+
+def test_longest_prefix_of_the_host_is_found() -> None:
+    found = make_lookup(make_route("/"), make_route("/a/"), make_route("/a/b/"))
+    assert found.find_route("a.example", "/a/b/c").prefix == "/a/b/"
+    assert found.find_route("a.example", "/a/bc").prefix == "/a/"
+    assert found.find_route("a.example", "/x").prefix == "/"
+
+
+@pytest.mark.parametrize(
+    ("host", "path"),
+    [
+        ("b.example", "/a/x"),
+        ("a.example", "/a"),
+        ("a.example", "/A/x"),
+        ("", "/a/x"),
+    ],
+)
+def test_nothing_else_is_found(host: str, path: str) -> None:
+    assert make_lookup(make_route("/a/")).find_route(host, path) is None
+
+
+@pytest.mark.parametrize("host", ["A.Example", "a.example:80"])
+def test_case_and_port_of_the_host_do_not_matter(host: str) -> None:
+    assert make_lookup(make_route("/a/")).find_route(host, "/a/x")
+
+
+def test_a_split_is_kept_by_weight_and_alike_everywhere() -> None:
+    targets = (
+        model.Target(ids.ServiceName("s"), 90),
+        model.Target(ids.ServiceName("t"), 10),
+    )
+    route = make_route("/a/", targets=targets)
+    tokens = [b"%d" % number for number in range(4000)]
+    first = [lookup.choose_service(route, token) for token in tokens]
+    again = [lookup.choose_service(route, token) for token in tokens]
+    assert first == again
+    assert 300 < collections.Counter(first)["t"] < 500
+
+
+def test_a_service_without_weight_gets_nothing() -> None:
+    targets = (
+        model.Target(ids.ServiceName("s"), 0),
+        model.Target(ids.ServiceName("t"), 1),
+    )
+    route = make_route("/a/", targets=targets)
+    chosen = {lookup.choose_service(route, b"%d" % n) for n in range(500)}
+    assert chosen == {"t"}
+
+
+def test_keys_are_asked_for_only_where_the_configuration_has_accounts() -> None:
+    route = make_route("/a/")
+    assert not make_lookup(route).needs_key(route)
+    assert make_lookup(route, accounts={}).needs_key(route)
+    open_route = make_route("/a/", public=True)
+    assert not make_lookup(open_route, accounts={}).needs_key(open_route)
+
+
+def test_the_accounts_tier_goes_before_the_routes() -> None:
+    urgent = model.Account(ids.AccountId("u"), ids.Tier(0))
+    usual = model.Account(ids.AccountId("v"), ids.Tier(1))
+    first, last = make_route("/a/", tier=0), make_route("/b/", tier=2)
+    found = make_lookup(first, last)
+    ranks = [
+        found.rank(first, urgent),
+        found.rank(last, urgent),
+        found.rank(first, usual),
+        found.rank(last, usual),
+    ]
+    assert ranks == sorted(set(ranks))
+    assert found.rank(last, None) == 2
