--- /dev/null
+++ b/pollenfork/gateway/tests/test_holding.py
@@ -0,0 +1,48 @@
+import msgspec
+import pytest
+
+from pollenfork import ids
+from pollenfork.fleet import choice
+from pollenfork.fleet import model as fleet
+from pollenfork.gateway import holding
+from pollenfork.gateway.tests import support
+from pollenfork.routes import model as routes
+
+TIERS = (ids.Tier(0), ids.Tier(1), ids.Tier(2))
+LONG = choice.Demand(
+    support.SERVICE, (fleet.Part(b"a", 100), fleet.Part(b"b", 5660))
+)
+
+
+def plan(tier: int, demand=LONG, tiers=TIERS) -> holding.Holding:
+    route = support.make_route(
+        routes.Kind.STREAM, target_s=1.0, time_limit_s=10.0
+    )
+    route = msgspec.structs.replace(route, tier=ids.Tier(tier))
+    return holding.plan(route, tiers, demand, arrived=100.0, limit_s=10.0)
+
+
+def test_the_most_urgent_never_wait() -> None:
+    assert plan(0).find_backlog(100.0) is None
+
+
+@pytest.mark.parametrize(
+    ("demand", "tiers"),
+    [(LONG, TIERS[2:]), (choice.Demand(support.SERVICE), TIERS)],
+)
+def test_without_others_or_a_prompt_nothing_waits(demand, tiers) -> None:
+    assert plan(2, demand, tiers).find_backlog(100.0) is None
+
+
+def test_a_request_is_kept_back_while_its_target_can_be_met() -> None:
+    kept = plan(1)
+    assert kept.find_backlog(100.0) == pytest.approx(0.1)
+    # 0.6 of its target, less 0.1 s of reading.
+    assert kept.find_backlog(100.49) is not None
+    assert kept.find_backlog(100.51) is None
+
+
+def test_the_least_urgent_let_others_go_first_when_late() -> None:
+    kept = plan(2)
+    assert kept.find_backlog(101.5) == pytest.approx(0.2)
+    assert kept.find_backlog(103.6) is None
--- /dev/null
+++ b/pollenfork/platform/tests/test_documents.py
@@ -0,0 +1,199 @@
+import base64
+import json
+
+import result
+
+from pollenfork.catalogue import messages
+from pollenfork.platform import boot
+from pollenfork.platform import documents
+from pollenfork.platform import rows
+from pollenfork.platform import store
+from pollenfork.routes import model as routes
+
+ROUTE = {
+    "name": "r",
+    "host": "Ficu95.example",
+    "prefix": "/lohu930/",
+    "kind": "stream",
+    "timeout-ms": 10000,
+    "target-latency-ms": 1500,
+    "priority": 2,
+    "traffic-split": [
+        {"service": "huvo", "weight": 90},
+        {"service": "wuno", "weight": 10},
+    ],
+    "max-attempts": 1,
+    "public": False,
+    "session-affinity": True,
+    "stream-resume": True,
+    "target-gap-ms": 800,
+    "unheard-of": 1,
+}
+CONFIG = {
+    "version": 7,
+    "routes": [
+        ROUTE,
+        {**ROUTE, "kind": "unsafe", "traffic-split": [], "service": "huvo"},
+    ],
+    "services": [
+        {
+            "name": "huvo",
+            "max-connections": 370,
+            "engine": {"kv-capacity-tokens": 640439},
+        },
+        {"name": "wuno"},
+    ],
+    "limits": {"max-header-bytes": 100, "idle-timeout-ms": 1500},
+    "tenants": [
+        {"name": "hule", "api-keys": ["k1", "k2"], "priority": 1},
+        {"name": "mano", "api-keys": []},
+    ],
+}
+
+
+def read(config: dict):
+    return documents.read_configuration(json.dumps(config).encode())
+
+
+def test_a_configuration_is_decoded_whole() -> None:
+    found = read(CONFIG).unwrap()
+    first, second = found.routes
+    assert found.version == 7
+    assert (first.host, first.time_limit_s) == ("ficu95.example", 10.0)
+    assert (first.target_s, first.gap_s) == (1.5, 0.8)
+    assert [t.weight for t in first.targets] == [90, 10]
+    assert first.kind is routes.Kind.STREAM and first.idempotent
+    assert second.kind is routes.Kind.AT_MOST_ONCE
+    assert [t.service for t in second.targets] == ["huvo"]
+    assert found.services["huvo"].cache_tokens == 640439
+    assert found.limits.header_bytes == 100 and found.limits.idle_s == 1.5
+    assert set(found.accounts) == {"k1", "k2"}
+    assert found.accounts["k1"].tier == 1
+
+
+def test_no_accounts_is_not_an_empty_list_of_them() -> None:
+    without = {k: v for k, v in CONFIG.items() if k != "tenants"}
+    assert read(without).unwrap().accounts is None
+    assert read({**CONFIG, "tenants": []}).unwrap().accounts == {}
+
+
+def test_what_cannot_be_decoded_is_an_error() -> None:
+    for bad in (b"", b"{}", b'{"version":"x"}'):
+        assert isinstance(documents.read_configuration(bad), result.Err)
+    strange = {**CONFIG, "routes": [{**ROUTE, "kind": "sometimes"}]}
+    assert isinstance(read(strange), result.Err)
+
+
+def test_a_runners_entry_is_decoded() -> None:
+    entry = {
+        "service": "huvo",
+        "address": "10.128.0.9:8080",
+        "zone": "amman-a",
+        "version": "v1",
+        "slots": 64,
+        "state": "ready",
+        "cold-remaining-ms": 1500,
+        "sequence": 4,
+    }
+    runner = documents.read_runner("i-7", json.dumps(entry).encode()).unwrap()
+    assert (runner.id, runner.host, runner.port) == ("i-7", "10.128.0.9", 8080)
+    assert not runner.leaving and runner.cold_s == 1.5
+    entry["state"] = "draining"
+    runner = documents.read_runner("i-7", json.dumps(entry).encode()).unwrap()
+    assert runner.leaving
+    assert isinstance(
+        documents.read_runner("i-7", b'{"service":1}'), result.Err
+    )
+
+
+def test_rows_are_decoded() -> None:
+    body = json.dumps(
+        {
+            "rows": [
+                {
+                    "table": "op",
+                    "part": "",
+                    "key": "config",
+                    "value": base64.b64encode(b"x").decode(),
+                    "row-version": 412,
+                },
+                {
+                    "table": "op",
+                    "key": "old",
+                    "row-version": 413,
+                    "removed": True,
+                },
+            ],
+            "has-more": True,
+            "row-version": 530,
+            "now-ms": 5,
+        }
+    ).encode()
+    found = rows.read(body).unwrap()
+    assert (found.version, found.more) == (530, True)
+    assert found.rows[0] == messages.Row("config", b"x", 412)
+    assert found.rows[1].removed
+    for bad in (b"", b"[]", b'{"row-version":1,"rows":[{"key":1}]}'):
+        assert isinstance(rows.read(bad), result.Err)
+
+
+def test_asks_are_written_as_whole_requests() -> None:
+    platform = store.Store("10.0.0.1:80")
+    ask = messages.Ask(after=530, wait_s=1.5, timeout_s=2.0)
+    assert platform.write_configuration_ask(ask) == (
+        b"GET /api/rows-feed?table=op&after-revision=530&wait-ms=1500 HTTP/1.1"
+        b"\r\nhost: 10.0.0.1:80\r\n\r\n"
+    )
+    ask = messages.Ask(after=None, start="a\0", timeout_s=2.0)
+    assert b"table=servers&part=&from=a%00 " in platform.write_runners_ask(ask)
+
+
+def test_statuses_tell_forgotten_history_from_refusal() -> None:
+    platform = store.Store("h")
+    gone = platform.read_rows(410, b"").unwrap_err()
+    assert gone is messages.Trouble.HISTORY_GONE
+    assert platform.read_rows(503, b"").unwrap_err() is (
+        messages.Trouble.REFUSED
+    )
+    assert platform.read_rows(200, b"?").unwrap_err() is (
+        messages.Trouble.UNREADABLE
+    )
+
+
+BOOT = """
+node-name = "front-amman-a-1"
+ip = "10.1.0.40"
+zone = "amman-a"
+internal-ports = [7340, 7355]
+seeds = ["10.1.0.40:8229", "10.2.0.29:8229"]
+later = "field"
+[listen]
+front = "10.1.0.40:8227"
+readiness = "10.1.0.40:8220"
+[bounds]
+revoke-ms = 5000
+strict-revocation = true
+grace-s = 8
+[platform]
+address = "10.200.1.7:8223"
+"""
+
+
+def test_a_settings_file_is_decoded(tmp_path) -> None:
+    path = tmp_path / "boot.toml"
+    path.write_text(BOOT)
+    told = boot.read(path).unwrap()
+    assert told.instance == "front-amman-a-1"
+    assert told.front == ("10.1.0.40", 8227)
+    assert told.peer == ("10.1.0.40", 7340)
+    assert told.seeds == (("10.1.0.40", 7340), ("10.2.0.29", 7340))
+    assert told.revocation_s == 5.0
+    path.write_text(BOOT.replace("revocation = true", "revocation = false"))
+    assert boot.read(path).unwrap().revocation_s is None
+
+
+def test_settings_that_cannot_be_read_are_an_error(tmp_path) -> None:
+    path = tmp_path / "boot.toml"
+    assert isinstance(boot.read(path), result.Err)
+    path.write_text("ip = 3")
+    assert isinstance(boot.read(path), result.Err)
