Begin a fault soak of real processes behind loopback proxies

Gateways as processes, stand-ins for store and runners, proxies that delay, reset, silence or cut one way, signals in series; judged by what callers and runners saw.

--- /dev/null
+++ b/pollenfork/platform/tests/soak/checks.py
@@ -0,0 +1,77 @@
+"""The promises, judged by what callers and runners saw."""
+
+from collections.abc import Iterable
+
+from pollenfork.platform.tests.soak import caller
+from pollenfork.platform.tests.soak import runner
+from pollenfork.platform.tests.soak import site as sites
+
+_PROMISES = frozenset({408, 421, 429, 503})
+_EVENTS = 10
+# A request may be under way this long between its sending and its run.
+_SLACK_S = 0.6
+# A gateway that was disturbed knows news again after this long.
+_TOUCH_S = 3.0
+
+
+def find_broken(site: sites.Site, asked: Iterable[caller.Asked]) -> list[str]:
+    """Returns every promise that was broken, a line each."""
+    broken = list(site.record.wrong)
+    runs: dict[str, list[runner.Run]] = {}
+    for run in site.record.runs:
+        runs.setdefault(run.attempt, []).append(run)
+    for each in asked:
+        broken += _judge(each, runs.pop(each.attempt, []), site)
+    broken += [f"{attempt}: nobody asked for it" for attempt in runs]
+    return broken
+
+
+def _judge(
+    asked: caller.Asked, runs: list[runner.Run], site: sites.Site
+) -> list[str]:
+    found = []
+    once = asked.kind in ("unsafe", "stream")
+    if once and len(runs) > 1:
+        found.append("ran twice")
+    if asked.status in _PROMISES and runs and once:
+        found.append(f"{asked.status}, and it ran")
+    if asked.status == 200 and asked.whole and not _is_whole(asked):
+        found.append(f"not its whole answer: {asked.body[:60]!r}")
+    if asked.status in (401, 404) and asked.key not in site.revoked:
+        found.append(f"{asked.status} for a key that is in force")
+    found += _judge_runs(asked, runs, site)
+    return [
+        f"{asked.attempt} {asked.kind} by {asked.instance}: {what}"
+        for what in found
+    ]
+
+
+def _judge_runs(
+    asked: caller.Asked, runs: list[runner.Run], site: sites.Site
+) -> list[str]:
+    found = []
+    revoked = site.revoked.get(asked.key)
+    gateway = next(g for g in site.gateways if g.host == asked.instance)
+    for run in runs:
+        if revoked and asked.sent > revoked + sites.REVOKE_S:
+            found.append(f"ran {asked.sent - revoked:.2f} s after its key")
+        left = site.gone.get(run.runner)
+        if left is None:
+            continue
+        late = run.began - left - sites.DRAIN_S - _SLACK_S
+        calm = gateway.disturbed + _TOUCH_S < left
+        if late > 0 and calm:
+            found.append(f"reached a runner {late:.2f} s too late")
+        if not run.path.endswith(asked.attempt):
+            found.append(f"ran as {run.path}")
+    return found
+
+
+def _is_whole(asked: caller.Asked) -> bool:
+    if asked.kind in ("stream", "resume"):
+        expected = b"".join(
+            f"id: {n}\ndata: {asked.attempt} {n}\n\n".encode()
+            for n in range(_EVENTS)
+        )
+        return asked.body == expected
+    return asked.body == f"{asked.attempt} model answer".encode()
--- /dev/null
+++ b/pollenfork/platform/tests/soak/faults.py
@@ -0,0 +1,168 @@
+"""Faults in series that overlap, drawn from a seed."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+import signal
+
+from pollenfork.platform.tests.soak import proxy
+from pollenfork.platform.tests.soak import runner
+from pollenfork.platform.tests.soak import site as sites
+from pollenfork.platform.tests.soak import store
+
+Fault = Callable[[sites.Site], Awaitable[None]]
+
+
+async def kill(site: sites.Site) -> None:
+    """A gateway is killed and started again."""
+    gateway = site.rng.choice(site.gateways)
+    gateway.send(signal.SIGKILL)
+    await gateway.wait()
+    await asyncio.sleep(site.rng.uniform(0.0, 1.0))
+    gateway.start()
+    gateway.disturbed = asyncio.get_running_loop().time()
+
+
+async def stop(site: sites.Site) -> None:
+    """A gateway is told to stop and is started again."""
+    gateway = site.rng.choice(site.gateways)
+    if gateway.paused:
+        return
+    gateway.send(signal.SIGTERM)
+    await gateway.wait()
+    gateway.start()
+
+
+async def pause(site: sites.Site) -> None:
+    """A gateway stands still for a while."""
+    gateway = site.rng.choice(site.gateways)
+    gateway.send(signal.SIGSTOP)
+    await asyncio.sleep(site.rng.uniform(0.3, 3.0))
+    gateway.send(signal.SIGCONT)
+
+
+async def reload(site: sites.Site) -> None:
+    """A gateway is told that its settings changed."""
+    site.rng.choice(site.gateways).send(signal.SIGHUP)
+
+
+async def cut_store(site: sites.Site) -> None:
+    """The way of one gateway to the store is harmed."""
+    gateway = site.rng.choice(site.gateways)
+    gateway.disturbed = float("inf")
+    way = site.rng.choice(list(proxy.Way)[1:])
+    gateway.to_store.way = way
+    if site.rng.random() < 0.3:
+        gateway.to_store.reset()
+    await asyncio.sleep(site.rng.uniform(0.5, 7.0))
+    gateway.to_store.way = proxy.Way.OPEN
+    gateway.disturbed = asyncio.get_running_loop().time()
+
+
+async def harm_store(site: sites.Site) -> None:
+    """The store is slow, silent, refuses, or forgets its history."""
+    if site.rng.random() < 0.4:
+        site.store.forget_history()
+        return
+    for gateway in site.gateways:
+        gateway.disturbed = float("inf")
+    site.store.mood = site.rng.choice(list(store.Mood)[1:])
+    await asyncio.sleep(site.rng.uniform(0.3, 6.5))
+    site.store.mood = store.Mood.WELL
+    for gateway in site.gateways:
+        gateway.disturbed = asyncio.get_running_loop().time()
+
+
+async def harm_runner(site: sites.Site) -> None:
+    """A runner fails part of its requests for a while."""
+    name = site.rng.choice(sorted(site.runners))
+    faults = site.runners[name].faults
+    field = site.rng.choice(["lost", "error", "refused", "extra", "cut"])
+    setattr(faults, field, site.rng.uniform(0.1, 0.6))
+    await asyncio.sleep(site.rng.uniform(0.5, 3.0))
+    if name in site.runners:
+        site.runners[name].faults = runner.Faults()
+
+
+async def cut_runner(site: sites.Site) -> None:
+    """The way of all gateways to a runner is harmed."""
+    name = site.rng.choice(sorted(site.to_runners))
+    way = site.to_runners[name]
+    way.way = site.rng.choice(list(proxy.Way)[1:])
+    if site.rng.random() < 0.5:
+        way.reset()
+    await asyncio.sleep(site.rng.uniform(0.3, 2.5))
+    way.way = proxy.Way.OPEN
+
+
+async def crash_runner(site: sites.Site) -> None:
+    """A runner ends at once; another comes."""
+    if len(site.runners) > 2:
+        await site.crash_runner(site.rng.choice(sorted(site.runners)))
+    await asyncio.sleep(site.rng.uniform(0.0, 1.0))
+    await site.add_runner()
+
+
+async def drain_runner(site: sites.Site) -> None:
+    """A runner leaves as planned; another comes first."""
+    await site.add_runner()
+    staying = sorted(set(site.runners) - set(site.gone))
+    if len(staying) > 2:
+        await site.drain_runner(site.rng.choice(staying))
+
+
+async def revoke(site: sites.Site) -> None:
+    """A key is taken away."""
+    await site.revoke()
+
+
+FAULTS: tuple[Fault, ...] = (
+    kill,
+    stop,
+    stop,
+    pause,
+    reload,
+    cut_store,
+    cut_store,
+    harm_store,
+    harm_runner,
+    harm_runner,
+    cut_runner,
+    crash_runner,
+    drain_runner,
+    revoke,
+    revoke,
+)
+
+
+async def play(site: sites.Site, seconds: float) -> list[str]:
+    """Lets faults begin for a while; returns once all have ended.
+
+    Returns:
+        The faults with the second at which each began.
+    """
+    loop = asyncio.get_running_loop()
+    begun = loop.time()
+    played: list[str] = []
+    tasks = []
+    busy: set[sites.Gateway] = set()
+    while loop.time() - begun < seconds:
+        fault = site.rng.choice(FAULTS)
+        played.append(f"{loop.time() - begun:.2f} {fault.__name__}")
+        tasks.append(asyncio.create_task(_guard(fault, site, busy)))
+        await asyncio.sleep(site.rng.uniform(0.1, 1.2))
+    await asyncio.gather(*tasks)
+    return played
+
+
+async def _guard(fault: Fault, site: sites.Site, busy: set) -> None:
+    """Plays a fault; those that restart a process come one at a time."""
+    if fault not in (kill, stop, pause):
+        await fault(site)
+        return
+    while busy:
+        await asyncio.sleep(0.05)
+    busy.add(site)
+    try:
+        await fault(site)
+    finally:
+        busy.discard(site)
--- /dev/null
+++ b/pollenfork/platform/tests/soak/proxy.py
@@ -0,0 +1,85 @@
+"""A loopback proxy that delays, resets, silences or cuts one way."""
+
+import asyncio
+import enum
+
+
+class Way(enum.Enum):
+    """What happens to bytes on their way."""
+
+    OPEN = "open"
+    DELAYED = "delayed"
+    SILENT = "silent"
+    DEAF = "deaf"  # Requests arrive, answers don't.
+
+
+_DELAY_S = 0.15
+_LOOK_S = 0.01
+
+
+class Proxy:
+    """Stands between one address and another.
+
+    Attributes:
+        way: What happens to bytes from now on.
+    """
+
+    def __init__(self, host: str, port: int) -> None:
+        self.way = Way.OPEN
+        self._target = (host, port)
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self, host: str, port: int) -> None:
+        """Listens."""
+        self._server = await asyncio.start_server(self._serve, host, port)
+
+    def stop(self) -> None:
+        """Listens no more."""
+        if self._server is not None:
+            self._server.close()
+        self.reset()
+
+    def reset(self) -> None:
+        """Resets every connection."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _serve(self, reader, writer) -> None:
+        self._writers.add(writer)
+        try:
+            there_reader, there = await asyncio.open_connection(*self._target)
+        except OSError:
+            writer.transport.abort()
+            self._writers.discard(writer)
+            return
+        self._writers.add(there)
+        there_way = (Way.SILENT,)
+        back_way = (Way.SILENT, Way.DEAF)
+        ways = (
+            asyncio.create_task(self._pass(reader, there, there_way)),
+            asyncio.create_task(self._pass(there_reader, writer, back_way)),
+        )
+        await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
+        for task in ways:
+            task.cancel()
+        for each in (writer, there):
+            self._writers.discard(each)
+            each.close()
+
+    async def _pass(self, reader, writer, stopped: tuple[Way, ...]) -> None:
+        try:
+            while data := await reader.read(65536):
+                while self.way in stopped:
+                    await asyncio.sleep(_LOOK_S)
+                if self.way is Way.DELAYED:
+                    await asyncio.sleep(_DELAY_S)
+                writer.write(data)
+                await writer.drain()
+            # A clean end is passed on as one; whoever reads on may tell it
+            # from a reset.
+            if writer.can_write_eof():
+                writer.write_eof()
+                await asyncio.sleep(_LOOK_S)
+        except ConnectionError:
+            writer.transport.abort()
--- /dev/null
+++ b/pollenfork/platform/tests/soak/runner.py
@@ -0,0 +1,161 @@
+"""A stand-in for a runner, and the record of everything that ran."""
+
+import asyncio
+import dataclasses
+import random
+import time
+
+
+@dataclasses.dataclass
+class Run:
+    """One request at one runner.
+
+    Attributes:
+        attempt: The caller's id.
+        runner: Where it ran.
+        began: Monotonic seconds.
+        account: The account that the gateway named.
+        path: The request's path.
+    """
+
+    attempt: str
+    runner: str
+    began: float
+    account: str
+    path: str
+
+
+class Record:
+    """What all runners ran."""
+
+    def __init__(self) -> None:
+        self.runs: list[Run] = []
+        self.wrong: list[str] = []
+
+    def list_runs(self, attempt: str) -> list[Run]:
+        """Returns the runs of a caller's attempt."""
+        return [run for run in self.runs if run.attempt == attempt]
+
+
+@dataclasses.dataclass
+class Faults:
+    """The parts of requests that a runner fails, 0 to 1."""
+
+    lost: float = 0.0
+    error: float = 0.0
+    refused: float = 0.0
+    extra: float = 0.0
+    cut: float = 0.0
+
+
+class Runner:
+    """Serves plain requests and streams of ten events."""
+
+    def __init__(
+        self, name: str, service: str, record: Record, rng: random.Random
+    ) -> None:
+        self.name = name
+        self.service = service
+        self.faults = Faults()
+        self._record = record
+        self._rng = rng
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self, host: str, port: int) -> None:
+        """Listens."""
+        self._server = await asyncio.start_server(self._serve, host, port)
+
+    def crash(self) -> None:
+        """Resets every connection and listens no more."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _serve(self, reader, writer) -> None:
+        self._writers.add(writer)
+        try:
+            while await self._serve_one(reader, writer):
+                pass
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _serve_one(self, reader, writer) -> bool:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        first, *lines = head.rstrip().split("\r\n")
+        pairs = [line.partition(": ") for line in lines]
+        headers = {name.lower(): value for name, _, value in pairs}
+        if length := int(headers.get("content-length", 0)):
+            await reader.readexactly(length)
+        attempt = headers.get("x-pollenfork-attempt-id", "")
+        if headers.get("x-pollenfork-expect-instance") != self.name:
+            writer.write(
+                _write(421, attempt, b"", "X-Pollenfork-Not-Executed: 1")
+            )
+            return True
+        if self._rng.random() < self.faults.refused:
+            writer.write(
+                _write(503, attempt, b"", "X-Pollenfork-Not-Executed: 1")
+            )
+            return True
+        self._note(attempt, headers, first.split()[1])
+        return await self._run(attempt, headers, first.split()[1], writer)
+
+    def _note(self, attempt: str, headers: dict, path: str) -> None:
+        account = headers.get("x-pollenfork-tenant", "")
+        run = Run(attempt, self.name, time.monotonic(), account, path)
+        self._record.runs.append(run)
+        if "authorization" in headers:
+            self._record.wrong.append(f"key passed on: {attempt}")
+
+    async def _run(self, attempt, headers, path, writer) -> bool:
+        await asyncio.sleep(self._rng.uniform(0.01, 0.06))
+        if self._rng.random() < self.faults.lost:
+            return False
+        if self._rng.random() < self.faults.error:
+            writer.write(_write(500, attempt, b"failed"))
+            return True
+        if "stream" in path:
+            return await self._stream(attempt, headers, writer)
+        body = f"{attempt} {self.service} answer".encode()
+        if self._rng.random() < self.faults.cut:
+            writer.write(_write(200, attempt, body)[:-3])
+            return False
+        writer.write(_write(200, attempt, body))
+        if self._rng.random() < self.faults.extra:
+            writer.write(_write(200, "somebody", b"not yours"))
+        await writer.drain()
+        return True
+
+    async def _stream(self, attempt, headers, writer) -> bool:
+        writer.write(
+            f"HTTP/1.1 200 OK\r\nX-Pollenfork-Attempt-Id: {attempt}\r\n"
+            "X-Pollenfork-Response-Seal: s\r\n"
+            "Content-Type: text/event-stream\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n".encode()
+        )
+        after = int(headers.get("last-event-id", -1))
+        for position in range(after + 1, 10):
+            event = f"id: {position}\ndata: {attempt} {position}\n\n".encode()
+            if self._rng.random() < self.faults.cut / 5:
+                writer.write(b"%x\r\n%b" % (len(event), event[:5]))
+                await writer.drain()
+                return False
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            await writer.drain()
+            await asyncio.sleep(0.02)
+        writer.write(b"0\r\n\r\n")
+        return True
+
+
+def _write(status: int, attempt: str, body: bytes, extra: str = "") -> bytes:
+    seal = extra or "X-Pollenfork-Response-Seal: s"
+    return (
+        f"HTTP/1.1 {status} X\r\nX-Pollenfork-Attempt-Id: {attempt}\r\n"
+        f"{seal}\r\nContent-Length: {len(body)}\r\n\r\n".encode()
+        + body
+    )
--- /dev/null
+++ b/pollenfork/platform/tests/soak/site.py
@@ -0,0 +1,255 @@
+"""The site under test: gateway processes, stand-ins and proxies."""
+
+import asyncio
+import os
+import pathlib
+import random
+import signal
+import subprocess
+import sys
+import time
+
+from pollenfork.platform.tests.soak import proxy
+from pollenfork.platform.tests.soak import runner
+from pollenfork.platform.tests.soak import store
+
+ROOT = pathlib.Path(__file__).parents[4]
+INSTANCES = 3
+REVOKE_S = 5.0
+DRAIN_S = 2.0
+GRACE_S = 4.0
+KINDS = ("safe", "unsafe", "stream", "resume")
+
+_BOOT = """
+node-name = "gateway-{number}"
+ip = "{host}"
+zone = "hall-{zone}"
+internal-ports = [{peer}, {peer}]
+seeds = ["{base}.2:1", "{base}.3:1"]
+[listen]
+front = "{host}:{front}"
+readiness = "{host}:{ready}"
+[bounds]
+grace-s = {grace}
+revoke-ms = 5000
+drain-ms = 2000
+retry-budget-ratio = 0.2
+[platform]
+address = "{host}:{store}"
+"""
+
+
+class Gateway:
+    """One gateway process, its way to the store, and its signals.
+
+    Attributes:
+        process: The process; None while it is down.
+        stopped: Monotonic seconds of the last planned stop.
+        paused: Whether it stands still.
+    """
+
+    def __init__(self, site: "Site", number: int) -> None:
+        self.host = f"{site.base}.{2 + number}"
+        self.address = (self.host, site.port)
+        self.to_store = proxy.Proxy(f"{site.base}.1", site.port)
+        self.process: subprocess.Popen | None = None
+        self.paused = False
+        self.disturbed = 0.0
+        self._site = site
+        self._number = number
+        self._log = site.folder / f"gateway-{number}.log"
+        self._boot = site.folder / f"gateway-{number}.toml"
+
+    async def prepare(self) -> None:
+        """Writes the settings and opens the way to the store."""
+        site = self._site
+        await self.to_store.start(self.host, site.port + 3)
+        text = _BOOT.format(
+            number=self._number,
+            host=self.host,
+            base=site.base,
+            zone="ab"[self._number % 2],
+            peer=site.port + 2,
+            front=site.port,
+            ready=site.port + 1,
+            grace=GRACE_S,
+            store=site.port + 3,
+        )
+        self._boot.write_text(text)
+
+    def start(self) -> None:
+        """Starts the process."""
+        with self._log.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "pollenfork.platform"],
+                cwd=ROOT,
+                env={**os.environ, "POLLENFORK_BOOT": str(self._boot)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def send(self, number: int) -> None:
+        """Sends a signal to the process, if it runs."""
+        self.disturbed = time.monotonic()
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+            if number == signal.SIGSTOP:
+                self.paused = True
+            elif number == signal.SIGCONT:
+                self.paused = False
+
+    async def wait(self) -> int:
+        """Returns the exit status once the process has ended."""
+        assert self.process is not None
+        while self.process.poll() is None:
+            await asyncio.sleep(0.02)
+        return self.process.returncode
+
+    async def is_ready(self) -> bool:
+        """Returns whether the process says that it is ready."""
+        try:
+            async with asyncio.timeout(1):
+                reader, writer = await asyncio.open_connection(
+                    self.host, self._site.port + 1
+                )
+                writer.write(b"GET /api/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+                line = await reader.readline()
+                writer.close()
+                return b" 200 " in line
+        except (OSError, TimeoutError):
+            return False
+
+
+class Site:
+    """Everything that one seed plays with.
+
+    Attributes:
+        keys: Keys in force, by account.
+        revoked: When a key's removal was acknowledged.
+        gone: When a runner's leaving was acknowledged, by its id.
+    """
+
+    def __init__(self, seed: int, folder: pathlib.Path) -> None:
+        self.rng = random.Random(seed)
+        self.folder = folder
+        self.base = f"127.{20 + seed // 200 % 200}.{seed % 200 + 1}"
+        self.port = 21000 + seed % 7 * 10
+        self.store = store.Store()
+        self.record = runner.Record()
+        self.runners: dict[str, runner.Runner] = {}
+        self.to_runners: dict[str, proxy.Proxy] = {}
+        self.gateways = [Gateway(self, n) for n in range(INSTANCES)]
+        self.keys = {f"key-{n}": f"account-{n}" for n in range(4)}
+        self.revoked: dict[str, float] = {}
+        self.gone: dict[str, float] = {}
+        self._version = 1
+        self._made = 0
+
+    async def start(self) -> None:
+        """Starts everything; returns once all gateways are ready."""
+        await self.store.start(f"{self.base}.1", self.port)
+        await self.publish()
+        for _ in range(4):
+            await self.add_runner()
+        for gateway in self.gateways:
+            await gateway.prepare()
+            gateway.start()
+        async with asyncio.timeout(30):
+            for gateway in self.gateways:
+                while not await gateway.is_ready():
+                    await asyncio.sleep(0.05)
+
+    async def stop(self) -> None:
+        """Ends everything that this site started."""
+        for gateway in self.gateways:
+            gateway.send(signal.SIGCONT)
+            gateway.send(signal.SIGKILL)
+            if gateway.process is not None:
+                await gateway.wait()
+            gateway.to_store.stop()
+        for each in self.to_runners.values():
+            each.stop()
+        for each in self.runners.values():
+            each.crash()
+        self.store.stop()
+
+    async def publish(self) -> float:
+        """Writes the configuration; returns when it was acknowledged."""
+        self._version += self.rng.randint(1, 5)
+        routes = [
+            {
+                "name": kind,
+                "host": "soak.example",
+                "prefix": f"/{kind}/",
+                "kind": "stream" if kind in ("stream", "resume") else kind,
+                "timeout-ms": 3000,
+                "target-latency-ms": 200,
+                "target-gap-ms": 300,
+                "priority": 1,
+                "service": "model",
+                "max-attempts": 2 if kind in ("safe", "resume") else 1,
+                "stream-resume": kind == "resume",
+            }
+            for kind in KINDS
+        ]
+        tenants = [
+            {"name": account, "api-keys": [key]}
+            for key, account in self.keys.items()
+        ]
+        value = {
+            "version": self._version,
+            "routes": routes,
+            "services": [{"name": "model"}],
+            "limits": {"idle-timeout-ms": 8000},
+            "tenants": tenants,
+        }
+        return await self.store.put("op", "config", value)
+
+    async def revoke(self) -> None:
+        """Takes a key away and gives its account another."""
+        key = self.rng.choice(sorted(self.keys))
+        account = self.keys.pop(key)
+        self._made += 1
+        self.keys[f"key-new-{self._made}"] = account
+        self.revoked[key] = await self.publish()
+
+    async def add_runner(self) -> str:
+        """Starts a runner behind a proxy and registers it."""
+        self._made += 1
+        name = f"i-{self._made}"
+        host = f"{self.base}.{100 + self._made}"
+        made = runner.Runner(name, "model", self.record, self.rng)
+        await made.start(host, self.port)
+        way = proxy.Proxy(host, self.port)
+        await way.start(host, self.port + 1)
+        self.runners[name] = made
+        self.to_runners[name] = way
+        await self.put_runner(name, "ready")
+        return name
+
+    async def put_runner(self, name: str, state: str) -> float:
+        """Writes a runner's entry; returns when it was acknowledged."""
+        port = self.port + 1
+        value = {
+            "service": "model",
+            "address": f"{self.base}.{100 + int(name[2:])}:{port}",
+            "slots": 8,
+            "state": state,
+        }
+        return await self.store.put("servers", name, value)
+
+    async def drain_runner(self, name: str) -> None:
+        """Lets a runner leave as planned: it serves on for a while."""
+        self.gone[name] = await self.put_runner(name, "draining")
+        await asyncio.sleep(DRAIN_S + 1.5)
+        await self.store.remove("servers", name)
+        await self.crash_runner(name)
+
+    async def crash_runner(self, name: str) -> None:
+        """Ends a runner at once."""
+        made = self.runners.pop(name, None)
+        if made is None:
+            return
+        made.crash()
+        self.to_runners.pop(name).stop()
+        self.gone.setdefault(name, await self.store.remove("servers", name))
--- /dev/null
+++ b/pollenfork/platform/tests/soak/store.py
@@ -0,0 +1,133 @@
+"""A stand-in for the platform's store: two tables, feeds, and outages."""
+
+import asyncio
+import base64
+import enum
+import json
+import urllib.parse
+
+
+class Mood(enum.Enum):
+    """How the store answers."""
+
+    WELL = "well"
+    REFUSING = "refusing"
+    SILENT = "silent"
+    SLOW = "slow"
+
+
+_SLOW_S = 0.25
+_LOOK_S = 0.01
+
+
+class Store:
+    """Rows of tables, their history, and calls that wait for changes.
+
+    Attributes:
+        mood: How calls are answered from now on.
+    """
+
+    def __init__(self) -> None:
+        self.mood = Mood.WELL
+        self._version = 1
+        self._rows: dict[tuple[str, str], dict] = {}
+        self._history: list[dict] = []
+        self._forgotten = 0
+        self._changed = asyncio.Condition()
+        self._server: asyncio.Server | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        """Listens."""
+        self._server = await asyncio.start_server(self._serve, host, port)
+
+    def stop(self) -> None:
+        """Listens no more."""
+        if self._server is not None:
+            self._server.close()
+
+    async def put(self, table: str, key: str, value: dict) -> float:
+        """Writes a row; returns when that was acknowledged."""
+        self._version += 1
+        row = {
+            "table": table,
+            "part": "",
+            "key": key,
+            "value": base64.b64encode(json.dumps(value).encode()).decode(),
+            "row-version": self._version,
+        }
+        self._rows[table, key] = row
+        return await self._note(row)
+
+    async def remove(self, table: str, key: str) -> float:
+        """Removes a row; returns when that was acknowledged."""
+        self._version += 1
+        self._rows.pop((table, key), None)
+        row = {"table": table, "key": key, "row-version": self._version}
+        return await self._note({**row, "removed": True})
+
+    def forget_history(self) -> None:
+        """Drops all changes so far, as the platform's store may."""
+        self._history.clear()
+        self._forgotten = self._version
+
+    async def _note(self, row: dict) -> float:
+        self._history.append(row)
+        async with self._changed:
+            self._changed.notify_all()
+        return asyncio.get_running_loop().time()
+
+    async def _serve(self, reader, writer) -> None:
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                target = head.split(b" ", 2)[1].decode()
+                status, body = await self._answer(target)
+                data = json.dumps(body).encode()
+                writer.write(
+                    f"HTTP/1.1 {status} X\r\n"
+                    f"content-length: {len(data)}\r\n\r\n".encode()
+                    + data
+                )
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    async def _answer(self, target: str) -> tuple[int, dict]:
+        if self.mood is Mood.REFUSING:
+            return 503, {}
+        if self.mood is Mood.SLOW:
+            await asyncio.sleep(_SLOW_S)
+        url = urllib.parse.urlsplit(target)
+        query = dict(urllib.parse.parse_qsl(url.query, True))
+        if url.path == "/api/rows-get":
+            answer = 200, self._read_range(query["table"])
+        else:
+            answer = await self._feed(query)
+        while self.mood is Mood.SILENT:
+            await asyncio.sleep(_LOOK_S)
+        return answer
+
+    def _read_range(self, table: str) -> dict:
+        rows = [row for (t, _), row in sorted(self._rows.items()) if t == table]
+        return {"rows": rows, "has-more": False, "row-version": self._version}
+
+    async def _feed(self, query: dict) -> tuple[int, dict]:
+        after = int(query["after-revision"])
+        wait_s = int(query["wait-ms"]) / 1000
+        if after < self._forgotten:
+            return 410, {}
+        found: list[dict] = []
+
+        def look() -> bool:
+            found[:] = [
+                row
+                for row in self._history
+                if row["row-version"] > after and row["table"] == query["table"]
+            ]
+            return bool(found)
+
+        try:
+            async with asyncio.timeout(wait_s + 0.001), self._changed:
+                await self._changed.wait_for(look)
+        except TimeoutError:
+            pass
+        return 200, {"rows": found, "row-version": self._version}
