--- a/pollenfork/fleet/choice.py
+++ b/pollenfork/fleet/choice.py
@@ -31,6 +31,9 @@
 # Others must know of a prompt that takes a runner longer than this to read, in
 # tokens, or their short requests wait behind it. At the rate above: 35 ms.
 _LONG_TOKENS = 2000
+# What a runner without a free slot is held to cost, in seconds: about what a
+# long answer still takes there.
+_FULL_S = 1.0
 # Choices closer than this are alike, in seconds.
 _ALIKE_S = 0.004
 
@@ -227,6 +230,8 @@
         if not demand.parts:
             return _Offer(runner, seen, cost + active * _PLAIN_ACTIVE_S)
         unread = self.caches.count_unread(seen.mark, demand.shared)
+        if active >= runner.slots:
+            cost += _FULL_S
         reading = seen.reading + others.reading
         tokens = reading + demand.own_tokens + unread * _MOVE_WEIGHT
         cost += tokens / READ_RATE + active * _ACTIVE_S
--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -191,7 +191,7 @@
         )
         self._current = found
         found.send(self._write_call(grant.runner), receiver)
-        limits = patience.Patience.of(admitted, self._may_repeat())
+        limits = patience.Patience.of(admitted, grant.cost, self._may_repeat())
         try:
             ended = await limits.wait(receiver, self._tools.loop)
         except asyncio.CancelledError:
--- a/pollenfork/gateway/patience.py
+++ b/pollenfork/gateway/patience.py
@@ -33,17 +33,19 @@
     gap_s: float | None = None
 
     @classmethod
-    def of(cls, admitted: Any, may_repeat: bool) -> Self:
+    def of(cls, admitted: Any, expected_s: float, may_repeat: bool) -> Self:
         """Returns the limits of a request's next attempt.
 
         Args:
             admitted: The request.
+            expected_s: Seconds after which the answer is expected to begin.
             may_repeat: Whether giving up early helps: it may run again.
         """
         route: routes.Route = admitted.route
         if not may_repeat:
             return cls(admitted.until)
         first_s = max(_SHORTEST_S, route.target_s * _SILENT_TARGETS)
+        first_s += expected_s * _SILENT_TARGETS
         gap_s = max(_SHORTEST_GAP_S, route.gap_s * _SILENT_GAPS)
         return cls(admitted.until, first_s, gap_s)
 
--- a/pollenfork/platform/tests/soak/caller.py
+++ b/pollenfork/platform/tests/soak/caller.py
@@ -42,13 +42,13 @@
         self._rng = rng
         self._connection: tuple | None = None
 
-    async def ask(self, path: str, kind: str, key: str) -> Asked:
+    async def ask(self, kind: str, key: str) -> Asked:
         """Sends a request and reads its answer."""
         attempt = f"{self._rng.getrandbits(64):016x}"
         asked = Asked(attempt, kind, key, self._address[0], time.monotonic())
         try:
             async with asyncio.timeout(6):
-                await self._exchange(asked, path)
+                await self._exchange(asked, f"/{kind}/{attempt}")
         except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
             self.close()
         asked.ended = time.monotonic()
--- a/pollenfork/platform/tests/soak/play.py
+++ b/pollenfork/platform/tests/soak/play.py
@@ -80,7 +80,7 @@
         if site.revoked and rng.random() < 0.3:
             keys = sorted(site.revoked)
         key = rng.choice(keys)
-        answer = await sender.ask(f"/{kind}/x", kind, key)
+        answer = await sender.ask(kind, key)
         asked.append(answer)
         if answer.status != 200:
             await asyncio.sleep(rng.uniform(0.05, 0.2))
--- a/pollenfork/platform/tests/soak/runner.py
+++ b/pollenfork/platform/tests/soak/runner.py
@@ -119,7 +119,7 @@
         if self._rng.random() < self.faults.error:
             writer.write(_write(500, attempt, b"failed"))
             return True
-        if "stream" in path:
+        if path.startswith(("/stream/", "/resume/")):
             return await self._stream(attempt, headers, writer)
         body = f"{attempt} {self.service} answer".encode()
         if self._rng.random() < self.faults.cut:
