--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -110,6 +110,8 @@
         await self._listen(self._front, self._settings.front)
         if self._settings.readiness != self._settings.front:
             await self._listen(self._probes, self._settings.readiness)
+        if self._settings.metrics is not None:
+            await self._listen(self._probes, self._settings.metrics)
         self._follow()
         await self._join_peers()
         _LOG.info(
--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -163,6 +163,7 @@
             if found is None:
                 return attempt.Ended(_End.UNSENT)
             self._sent += 1
+            self._tools.counters.note_sent()
             return await self._exchange(grant, found)
         finally:
             self._tools.chooser.settle(grant)
--- a/pollenfork/gateway/settings.py
+++ b/pollenfork/gateway/settings.py
@@ -17,6 +17,7 @@
         front: Where callers connect.
         readiness: Where the balancer asks whether to send callers.
         store: The platform's store.
+        metrics: Where metrics are shown; None: nowhere.
         peer: Where other instances' datagrams arrive; None: it is alone.
         seeds: Instances that may know others.
         grace_s: Seconds from the signal to stop until the process is killed.
@@ -33,6 +34,7 @@
     front: Address
     readiness: Address
     store: Address
+    metrics: Address | None = None
     peer: Address | None = None
     seeds: tuple[Address, ...] = ()
     grace_s: float = 8.0
--- a/pollenfork/logs.py
+++ b/pollenfork/logs.py
@@ -1,7 +1,10 @@
 """The form of log lines: one line of key=value pairs for each event."""
 
+from collections.abc import Callable
 import json
 import logging
+import os
+import time
 from typing import TextIO
 
 _FORMAT = "time=%(asctime)s level=%(levelname)s logger=%(name)s %(message)s"
@@ -24,3 +27,60 @@
     handler = logging.StreamHandler(stream)
     handler.setFormatter(Formatter(_FORMAT))
     logging.basicConfig(level=logging.INFO, handlers=[handler])
+
+
+class BoundedHandler(logging.Handler):
+    """Writes lines to a pipe, never waits for it, and leaves out a flood.
+
+    Lines beyond the rate, and those that the pipe doesn't take, are counted;
+    the next line that goes through says how many are missing.
+    """
+
+    # Lines a second, and how many may come at once. A request takes three
+    # lines, and a small instance serves up to a hundred requests a second.
+    RATE = 400.0
+    BURST = 2000.0
+
+    def __init__(
+        self, descriptor: int, now: Callable[[], float] = time.monotonic
+    ) -> None:
+        super().__init__()
+        self._descriptor = descriptor
+        self._now = now
+        self._allowed = self.BURST
+        self._filled_at = now()
+        self._missing = 0
+        os.set_blocking(descriptor, False)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Writes one line, or counts it as missing."""
+        if not self._take():
+            self._missing += 1
+            return
+        text = self.format(record)
+        if self._missing:
+            text += f"\nevent=lines_missing count={self._missing}"
+        try:
+            os.write(self._descriptor, f"{text}\n".encode())
+        except OSError:
+            # A full pipe, or one that nobody reads any more.
+            self._missing += 1
+        else:
+            self._missing = 0
+
+    def _take(self) -> bool:
+        now = self._now()
+        gained = (now - self._filled_at) * self.RATE
+        self._allowed = min(self.BURST, self._allowed + gained)
+        self._filled_at = now
+        if self._allowed < 1.0:
+            return False
+        self._allowed -= 1.0
+        return True
+
+
+def configure_bounded(stream: TextIO) -> None:
+    """Writes events to `stream` without ever waiting for its reader."""
+    handler = BoundedHandler(stream.fileno())
+    handler.setFormatter(Formatter(_FORMAT))
+    logging.basicConfig(level=logging.INFO, handlers=[handler])
--- a/pollenfork/metric_help.py
+++ b/pollenfork/metric_help.py
@@ -105,3 +105,21 @@
         "Answers that reached their caller whole."
     ),
 }
+
+# Upper bounds of the histograms' buckets, in seconds: the targets of
+# interactive classes lie between 0.1 and 2.5 s, long answers take minutes.
+LATENCY_BOUNDS_S = (
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    1.3,
+    2.5,
+    5.0,
+    10.0,
+    30.0,
+    60.0,
+    120.0,
+    300.0,
+)
--- a/pollenfork/metrics.py
+++ b/pollenfork/metrics.py
@@ -15,21 +15,6 @@
 MAX_HISTOGRAM_SERIES = 200
 OTHER = "other"
 _DROPPED = "pollenfork_series_dropped_total"
-_LATENCY_BOUNDS_S = [
-    0.05,
-    0.1,
-    0.25,
-    0.5,
-    1.0,
-    1.3,
-    2.5,
-    5.0,
-    10.0,
-    30.0,
-    60.0,
-    120.0,
-    300.0,
-]
 
 
 class Metrics:
@@ -82,7 +67,7 @@
                 histogram = aioprometheus.Histogram(
                     name,
                     _describe(name),
-                    buckets=_LATENCY_BOUNDS_S,
+                    buckets=list(metric_help.LATENCY_BOUNDS_S),
                     registry=self._registry,
                 )
                 self._histograms[name] = histogram
--- a/pollenfork/platform/__main__.py
+++ b/pollenfork/platform/__main__.py
@@ -25,7 +25,7 @@
     if isinstance(read, result.Err):
         sys.stderr.write(f"pollenfork: {read.err_value.detail}\n")
         return status.ExitStatus.ERROR
-    logs.configure(sys.stdout)
+    logs.configure_bounded(sys.stdout)
     asyncio.run(_serve(read.ok_value))
     return status.ExitStatus.SUCCESS
 
--- a/pollenfork/platform/boot.py
+++ b/pollenfork/platform/boot.py
@@ -10,6 +10,10 @@
 from pollenfork import ids
 from pollenfork.gateway import settings
 
+# Where metrics are shown, on the machine's own address. The deploy file names
+# the same port.
+METRICS_PORT = 9464
+
 
 class BadSettings(failures.Failure, frozen=True, kw_only=True):
     """The settings file can't be read."""
@@ -75,6 +79,7 @@
         data_centre=ids.DataCentre(boot.zone),
         front=_split_address(boot.listen.front),
         readiness=_split_address(readiness),
+        metrics=settings.Address(boot.ip, METRICS_PORT),
         store=_split_address(boot.platform.address),
         peer=_find_peer(boot, boot.ip),
         seeds=tuple(
