Keep some runners for the most urgent; weigh moves only when crowded

Ruled out: waiting for a slot. A sixth of the runners, the same for every instance, is kept for the most urgent tier.

--- a/pollenfork/fleet/choice.py
+++ b/pollenfork/fleet/choice.py
@@ -15,6 +15,8 @@
 
 # Prompt tokens that a runner reads in a second; the operators' sheet.
 READ_RATE = 56_600.0
+# A fleet whose runners have this much to read on average is merely busy.
+_CROWDED_S = 0.25
 # Reading shared parts again takes the runner's time from everyone and evicts
 # what others share, so it counts for more than the time it takes itself.
 _MOVE_WEIGHT = 3.0
@@ -22,7 +24,7 @@
 # what is read twice: for each second of it on average, a move weighs this
 # much more. Without this, prompts wander in overload, push each other out of
 # the runners' memory, and the fleet doesn't recover while the load lasts.
-_CROWDED_WEIGHT = 20.0
+_CROWDED_WEIGHT = 60.0
 # What each request under way adds to the wait for a first token, in seconds:
 # a step that takes one more request is about 0.1 ms longer, and the token is
 # there after some steps.
@@ -39,6 +41,17 @@
 # What a runner without a free slot is held to cost, in seconds: about what a
 # long answer still takes there.
 _FULL_S = 1.0
+# The part of a service's runners that is kept for requests of the most urgent
+# tier. While a runner reads long prompts each step of its batch takes about
+# 45 ms instead of 8, and the events of all its streams come too slowly.
+_QUICK_PART = 0.17
+# What a long prompt is held to cost there, and an urgent request elsewhere, in
+# seconds: either may go, when what is meant for it is loaded that much more.
+_LONG_AT_QUICK_S = 4.0
+_QUICK_ELSEWHERE_S = 0.25
+# Where runners have more than this to read on average, in seconds, keeping
+# requests back only makes them late too: there is no moment to wait for.
+_OVERLOAD_S = 0.6
 # Choices closer than this are alike, in seconds.
 _ALIKE_S = 0.004
 
@@ -49,10 +62,13 @@
     Attributes:
         service: The service.
         parts: The prompt's parts; the last is its own.
+        quick: Whether it is of the most urgent tier among several; None
+            where the service has but one.
     """
 
     service: ids.ServiceName
     parts: tuple[model.Part, ...] = ()
+    quick: bool | None = None
 
     @property
     def shared(self) -> tuple[model.Part, ...]:
@@ -106,6 +122,8 @@
         unread: Tokens of shared parts that it would have to read.
         holders: Runners of the service that have read them all.
         kept_cost: The least cost among those; 0 where there is none.
+        crowd_s: What the service's runners have to read on average, in
+            seconds.
     """
 
     runner: model.Runner
@@ -115,6 +133,7 @@
     unread: int = 0
     holders: int = 0
     kept_cost: float = 0.0
+    crowd_s: float = 0.0
 
     def note_first(self) -> None:
         """Notes that the prompt has been read."""
@@ -181,15 +200,24 @@
         if not takers:
             return None
         offers = [self._make_offer(demand, runner, now) for runner in takers]
+        crowd_s = sum(offer.reading for offer in offers) / len(offers)
+        crowd_s /= READ_RATE
+        if demand.quick is not None:
+            _keep_apart(demand, offers)
         if demand.shared:
-            _weigh_moves(demand, offers)
+            _weigh_moves(demand, offers, crowd_s)
         least = min(offer.cost for offer in offers)
         alike = [each for each in offers if each.cost <= least + _ALIKE_S]
         offer = self._rng.choice(alike)
-        if backlog_s is not None and offer.reading > backlog_s * READ_RATE:
+        if (
+            backlog_s is not None
+            and crowd_s < _OVERLOAD_S
+            and offer.reading > backlog_s * READ_RATE
+        ):
             return Busy(offer.runner, offer.reading)
         grant = self._grant(demand, offer)
         kept = [each.cost for each in offers if not each.unread]
+        grant.crowd_s = crowd_s
         grant.holders = len(kept)
         grant.kept_cost = min(kept, default=0.0)
         return grant
@@ -264,10 +292,20 @@
             self.caches.forget(seen.mark)
 
 
-def _weigh_moves(demand: Demand, offers: list[_Offer]) -> None:
+def _keep_apart(demand: Demand, offers: list[_Offer]) -> None:
+    """Adds what it costs to mix long prompts with urgent streams."""
+    count = round(len(offers) * _QUICK_PART)
+    ranked = sorted(offers, key=lambda offer: offer.standing.mark)
+    for position, offer in enumerate(ranked):
+        if position < count and not demand.quick:
+            offer.cost += _LONG_AT_QUICK_S
+        elif position >= count and demand.quick and count:
+            offer.cost += _QUICK_ELSEWHERE_S
+
+
+def _weigh_moves(demand: Demand, offers: list[_Offer], crowd_s: float) -> None:
     """Adds what it costs to read the shared parts once more."""
-    reading = sum(offer.reading for offer in offers) / len(offers)
-    weight = _MOVE_WEIGHT + _CROWDED_WEIGHT * reading / READ_RATE
+    weight = _MOVE_WEIGHT + _CROWDED_WEIGHT * max(0.0, crowd_s - _CROWDED_S)
     home = _find_home(demand, offers)
     for offer in offers:
         if offer is not home:
--- a/pollenfork/gateway/admission.py
+++ b/pollenfork/gateway/admission.py
@@ -63,15 +63,15 @@
     if head.wait_s is not None:
         limit_s = min(limit_s, head.wait_s)
     service = lookup.choose_service(route, head.attempt.encode())
-    demand = choice.Demand(service, head.parts)
+    tiers = found.list_tiers(service)
+    quick = route.tier <= tiers[0] if len(tiers) > 1 else None
+    demand = choice.Demand(service, head.parts, quick)
     return exchange.Admitted(
         call=call,
         head=head,
         route=route,
         demand=demand,
-        holding=holding.plan(
-            route, found.list_tiers(service), demand, call.arrived, limit_s
-        ),
+        holding=holding.plan(route, tiers, demand, call.arrived, limit_s),
         account=account,
         tier=found.rank(route, account),
         until=call.arrived + limit_s,
--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -93,6 +93,8 @@
         self._searched = 0
         self._may_have_run = False
         self._first_s: float | None = None
+        self._gap_s = 0.0
+        self._event_at = 0.0
         self._current: connection.Connection | None = None
         if admitted.route.kind is routes.Kind.STREAM:
             self._relay = attempt.Relay(
@@ -143,7 +145,8 @@
     def _log_choice(self, grant: choice.Grant) -> None:
         _LOG.info(
             "event=chosen request=%s route=%s runner=%s cost_ms=%d unread=%d "
-            "holders=%d kept_cost_ms=%d own=%d parts=%d left_ms=%d",
+            "holders=%d kept_cost_ms=%d crowd_ms=%d own=%d parts=%d "
+            "left_ms=%d",
             self._admitted.head.attempt,
             self._admitted.route.name,
             grant.runner.id,
@@ -151,6 +154,7 @@
             grant.unread,
             grant.holders,
             grant.kept_cost * 1000,
+            grant.crowd_s * 1000,
             grant.reading - grant.unread,
             len(self._admitted.head.parts),
             self._left() * 1000,
@@ -296,12 +300,13 @@
         self._tools.counters.note_served(self._admitted.route, self._took())
         _LOG.info(
             "event=answered request=%s route=%s status=%d took_ms=%d "
-            "first_ms=%d sent=%d",
+            "first_ms=%d gap_ms=%d sent=%d",
             self._admitted.head.attempt,
             self._admitted.route.name,
             ended.head.status,
             self._took() * 1000,
             (self._first_s or self._took()) * 1000,
+            self._gap_s * 1000,
             self._sent,
         )
 
@@ -352,6 +357,10 @@
         self._caller.write(self._tools.codec.write_answer(head, None, closing))
 
     def _write_events(self, whole: bytes) -> None:
+        now = self._tools.loop.time()
+        if self._event_at:
+            self._gap_s = max(self._gap_s, now - self._event_at)
+        self._event_at = now
         self._caller.write(b"%x\r\n%b\r\n" % (len(whole), whole))
 
     def _press(self, paused: bool) -> None:
