Never read long prompts at the runners kept for the most urgent

Cause: in overload the weight of a move outgrew the cost of going to a kept runner, so prompts whose home it was went there, and its streams paused 260 to 300 ms.

--- a/pollenfork/fleet/choice.py
+++ b/pollenfork/fleet/choice.py
@@ -45,9 +45,8 @@
 # tier. While a runner reads long prompts each step of its batch takes about
 # 45 ms instead of 8, and the events of all its streams come too slowly.
 _QUICK_PART = 0.17
-# What a long prompt is held to cost there, and an urgent request elsewhere, in
-# seconds: either may go, when what is meant for it is loaded that much more.
-_LONG_AT_QUICK_S = 4.0
+# What such a request is held to cost at the others, in seconds: it goes there
+# when those kept for it are loaded that much more.
 _QUICK_ELSEWHERE_S = 0.25
 # Where runners have more than this to read on average, in seconds, keeping
 # requests back only makes them late too: there is no moment to wait for.
@@ -203,7 +202,7 @@
         crowd_s = sum(offer.reading for offer in offers) / len(offers)
         crowd_s /= READ_RATE
         if demand.quick is not None:
-            _keep_apart(demand, offers)
+            offers = _keep_apart(demand, offers)
         if demand.shared:
             _weigh_moves(demand, offers, crowd_s)
         least = min(offer.cost for offer in offers)
@@ -292,15 +291,19 @@
             self.caches.forget(seen.mark)
 
 
-def _keep_apart(demand: Demand, offers: list[_Offer]) -> None:
-    """Adds what it costs to mix long prompts with urgent streams."""
+def _keep_apart(demand: Demand, offers: list[_Offer]) -> list[_Offer]:
+    """Returns the offers without those kept for the most urgent.
+
+    For a request of the most urgent tier all stay, but cost more elsewhere.
+    """
     count = round(len(offers) * _QUICK_PART)
     ranked = sorted(offers, key=lambda offer: offer.standing.mark)
-    for position, offer in enumerate(ranked):
-        if position < count and not demand.quick:
-            offer.cost += _LONG_AT_QUICK_S
-        elif position >= count and demand.quick and count:
+    if not demand.quick:
+        return ranked[count:]
+    if count:
+        for offer in ranked[count:]:
             offer.cost += _QUICK_ELSEWHERE_S
+    return ranked
 
 
 def _weigh_moves(demand: Demand, offers: list[_Offer], crowd_s: float) -> None:
