--- a/pollenfork/catalogue/tests/test_watch.py
+++ b/pollenfork/catalogue/tests/test_watch.py
@@ -63,7 +63,7 @@
     assert watched.next_ask().wait_s == 0.0
     assert watched.next_ask().after == 5
     pauses = [watched.take_trouble(messages.Trouble.REFUSED) for _ in range(20)]
-    assert 0.6 < max(pauses) <= 1.2
+    assert 0.4 < max(pauses) <= 0.8
     answer(watched, version=6)
     assert not watched.troubled
     assert watched.next_ask().wait_s == 2.0
--- a/pollenfork/catalogue/watch.py
+++ b/pollenfork/catalogue/watch.py
@@ -14,7 +14,7 @@
 # A call that brought nothing is made again after this long, in seconds; the
 # pause doubles. Instances must know again within 3 s of a store's return.
 _FIRST_PAUSE_S = 0.1
-_LONGEST_PAUSE_S = 1.2
+_LONGEST_PAUSE_S = 0.8
 # What an answer may take beyond the wait asked for. The store's usual answer
 # takes 4 ms; a store 60 times slower is still in time.
 _SLACK_S = 0.7
