--- a/pollenfork/fleet/choice.py
+++ b/pollenfork/fleet/choice.py
@@ -1,6 +1,7 @@
 """Chooses the runner for a request by when its answer would begin."""
 
 from collections.abc import Callable
+import math
 import random
 
 import msgspec
@@ -41,10 +42,14 @@
 # What a runner without a free slot is held to cost, in seconds: about what a
 # long answer still takes there.
 _FULL_S = 1.0
-# The part of a service's runners that is kept for requests of the most urgent
-# tier. While a runner reads long prompts each step of its batch takes about
-# 45 ms instead of 8, and the events of all its streams come too slowly.
-_QUICK_PART = 0.17
+# Runners are kept for requests of the most urgent tier, one for this many that
+# are under way, within these parts of the service. While a runner reads long
+# prompts each step of its batch takes about 45 ms instead of 8, and the events
+# of all its streams come too slowly; with 25 streams and their own prompts a
+# step takes about 20 ms.
+_QUICK_EACH = 25
+_QUICK_LEAST = 0.1
+_QUICK_MOST = 0.4
 # What such a request is held to cost at the others, in seconds: it goes there
 # when those kept for it are loaded that much more.
 _QUICK_ELSEWHERE_S = 0.25
@@ -89,6 +94,7 @@
         cost: Seconds until an answer would begin there, weighed.
         unread: Tokens of the shared parts that it would have to read.
         reading: Tokens that it has to read before.
+        quick: Requests of the most urgent tier that it works on.
     """
 
     runner: model.Runner
@@ -96,6 +102,7 @@
     cost: float
     unread: int = 0
     reading: float = 0.0
+    quick: int = 0
 
 
 class Busy(msgspec.Struct, frozen=True):
@@ -121,6 +128,7 @@
         unread: Tokens of shared parts that it would have to read.
         holders: Runners of the service that have read them all.
         kept_cost: The least cost among those; 0 where there is none.
+        quick: 1 where it counts as of the most urgent tier.
         crowd_s: What the service's runners have to read on average, in
             seconds.
     """
@@ -132,6 +140,7 @@
     unread: int = 0
     holders: int = 0
     kept_cost: float = 0.0
+    quick: int = 0
     crowd_s: float = 0.0
 
     def note_first(self) -> None:
@@ -225,11 +234,12 @@
         """Notes that an attempt has ended."""
         grant.note_first()
         grant.standing.active -= 1
+        grant.standing.quick -= grant.quick
 
     def list_loads(self) -> loads.Table:
         """Returns what this instance has under way at each runner."""
         return {
-            seen.mark: loads.Load(seen.active, int(seen.reading))
+            seen.mark: loads.Load(seen.active, int(seen.reading), seen.quick)
             for seen in self._standings.values()
             if seen.active
         }
@@ -268,12 +278,15 @@
         reading = seen.reading + others.reading
         cost += (reading + demand.own_tokens) / READ_RATE
         cost += active * _ACTIVE_S
-        return _Offer(runner, seen, cost, unread, reading)
+        quick = seen.quick + others.quick
+        return _Offer(runner, seen, cost, unread, reading, quick)
 
     def _grant(self, demand: Demand, offer: _Offer) -> Grant:
         seen = offer.standing
         reading = float(offer.unread + demand.own_tokens)
         seen.active += 1
+        quick = 1 if demand.quick else 0
+        seen.quick += quick
         seen.reading += reading
         for part in demand.shared:
             mark = caches.hash_part(part)
@@ -283,7 +296,14 @@
         if reading > _LONG_TOKENS:
             for tell in self._on_long:
                 tell()
-        return Grant(offer.runner, seen, reading, offer.cost, offer.unread)
+        return Grant(
+            runner=offer.runner,
+            standing=seen,
+            reading=reading,
+            cost=offer.cost,
+            unread=offer.unread,
+            quick=quick,
+        )
 
     def _forget(self, runner: ids.EndpointId) -> None:
         seen = self._standings.pop(runner, None)
@@ -296,7 +316,9 @@
 
     For a request of the most urgent tier all stay, but cost more elsewhere.
     """
-    count = round(len(offers) * _QUICK_PART)
+    wanted = math.ceil(sum(offer.quick for offer in offers) / _QUICK_EACH)
+    least = round(len(offers) * _QUICK_LEAST)
+    count = max(least, min(wanted, int(len(offers) * _QUICK_MOST)))
     ranked = sorted(offers, key=lambda offer: offer.standing.mark)
     if not demand.quick:
         return ranked[count:]
--- a/pollenfork/fleet/standing.py
+++ b/pollenfork/fleet/standing.py
@@ -19,6 +19,7 @@
     Attributes:
         mark: The hash that stands for it in datagrams.
         active: Own requests that it works on.
+        quick: Those of them that are of the most urgent tier.
         reading: Own prompt tokens that it has yet to read.
         failures: Failures in a row.
         failing: Recent part of answers that failed, 0 to 1.
@@ -27,6 +28,7 @@
 
     mark: int
     active: int = 0
+    quick: int = 0
     reading: float = 0.0
     failures: int = 0
     failing: float = 0.0
--- a/pollenfork/fleet/tests/test_choice.py
+++ b/pollenfork/fleet/tests/test_choice.py
@@ -177,3 +177,35 @@
         grant.standing.note_end(end, failed, step * 1.0)
         chooser.settle(grant)
     assert taken["r1"] < 60
+
+
+def ask_quick(quick: bool) -> choice.Demand:
+    parts = (model.Part(b"a", 200), model.Part(b"own", 900))
+    return choice.Demand(SERVICE, parts, quick)
+
+
+def list_chosen(chooser: choice.Chooser, quick: bool, count: int) -> set[str]:
+    grants = [
+        chooser.choose(ask_quick(quick), set(), 0.0) for _ in range(count)
+    ]
+    for grant in grants:
+        chooser.settle(grant)
+    return {grant.runner.id for grant in grants}
+
+
+def test_long_prompts_never_go_where_urgent_streams_are_kept() -> None:
+    chooser = make_chooser()
+    urgent = list_chosen(chooser, quick=True, count=3)
+    assert len(urgent) == 1
+    assert not urgent & list_chosen(chooser, quick=False, count=60)
+
+
+def test_more_runners_are_kept_for_more_urgent_streams() -> None:
+    chooser = make_chooser(read_others=lambda mark: loads.Load(10, 0, quick=6))
+    # 54 under way: three runners of nine.
+    assert len(list_chosen(chooser, quick=False, count=200)) == 6
+
+
+def test_urgent_streams_go_elsewhere_when_their_own_are_loaded() -> None:
+    chooser = make_chooser()
+    assert len(list_chosen(chooser, quick=True, count=200)) > 3
--- a/pollenfork/loads/core.py
+++ b/pollenfork/loads/core.py
@@ -358,7 +358,9 @@
             known = total.get(runner)
             if known is not None:
                 load = messages.Load(
-                    known.active + load.active, known.reading + load.reading
+                    known.active + load.active,
+                    known.reading + load.reading,
+                    known.quick + load.quick,
                 )
             total[runner] = load
     return total
