--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -46,7 +46,7 @@
 # until then it sends callers, who must be served.
 _NOTICED_S = 2.6
 # What is left of the grace when the last answers are cut.
-_LAST_S = 0.4
+_LAST_S = 0.8
 _STOP_POLL_S = 0.05
 _BACKLOG = 512
 _BAD_REQUEST = 400
