Survive SIGHUP while the modules load; test knowledge and a whole gateway

One gateway was missing: its log ends at a clean stop and its restart wrote nothing. SIGHUP had come 0.1 s after the restart, before the handler stood, and its default is to end the process. Ruled out: a stop that hangs (the next stop had begun, so the process had ended). The soak also starts gateways again, as the platform does, and counts exits of their own.

--- /dev/null
+++ b/pollenfork/gateway/tests/test_knowledge.py
@@ -0,0 +1,119 @@
+import result
+
+from pollenfork import failures
+from pollenfork import ids
+from pollenfork.catalogue import messages as catalogue
+from pollenfork.fleet.tests import test_registry
+from pollenfork.gateway import knowledge
+from pollenfork.loads import messages
+from pollenfork.routes import model as routes
+
+
+class Store:
+    """Reads a configuration's version, or a runner's name, from a row."""
+
+    def read_configuration(self, row):
+        if row.value == b"bad":
+            return result.Err(failures.Failure(detail="bad"))
+        return result.Ok(
+            routes.Configuration(
+                version=int(row.value),
+                routes=(),
+                services={},
+                limits=routes.CallerLimits(),
+                accounts={},
+            )
+        )
+
+    def read_runner(self, row):
+        if row.value == b"bad":
+            return result.Err(failures.Failure(detail="bad"))
+        return result.Ok(test_registry.make_runner(row.key))
+
+
+def make_known() -> knowledge.Knowledge:
+    return knowledge.Knowledge(Store(), revocation_s=5.0)
+
+
+def configure(known, version: int, row: int, through: int | None = None):
+    rows = (catalogue.Row("c", b"%d" % version, row),)
+    known.take_configuration(catalogue.Changes(rows, through or row))
+
+
+def list_runners(known) -> list[str]:
+    service = ids.ServiceName("s")
+    return [each.id for each in known.runners.list_takers(service)]
+
+
+def test_it_is_ready_once_both_tables_are_read_and_proven() -> None:
+    known = make_known()
+    configure(known, 3, 10)
+    known.note_current(100.0)
+    assert not known.is_ready(100.0)
+    known.take_runners(catalogue.Changes((), 10), 100.0)
+    assert known.is_ready(100.0)
+    assert not known.is_ready(104.0)
+
+
+def test_a_configuration_never_goes_back() -> None:
+    known = make_known()
+    configure(known, 5, 10)
+    configure(known, 4, 11)
+    assert known.lookup.configuration.version == 5
+
+
+def test_what_cannot_be_read_changes_nothing() -> None:
+    known = make_known()
+    configure(known, 5, 10)
+    rows = (catalogue.Row("c", b"bad", 11),)
+    known.take_configuration(catalogue.Changes(rows, 11))
+    assert known.lookup.configuration.version == 5
+    known.take_runners(
+        catalogue.Changes((catalogue.Row("r", b"", 12),), 12), 0.0
+    )
+    known.take_runners(
+        catalogue.Changes((catalogue.Row("r", b"bad", 13),), 13), 0.0
+    )
+    assert list_runners(known) == ["r"]
+
+
+def test_a_relays_word_counts_only_for_what_is_known_here() -> None:
+    known = make_known()
+    configure(known, 5, 10)
+    known.take_proof(messages.Proof(11, 0, 0.2), moment=100.0)
+    assert not known.freshness.trusts_keys(100.0)
+    assert not known.is_vouched(100.0)
+    configure(known, 6, 11)
+    known.take_proof(messages.Proof(11, 0, 0.2), moment=100.0)
+    assert known.freshness.trusts_keys(103.0)
+    assert known.is_vouched(101.0)
+    assert not known.is_vouched(102.0)
+
+
+def test_a_relay_that_knows_less_is_still_right_about_the_past() -> None:
+    known = make_known()
+    configure(known, 6, 11)
+    known.take_proof(messages.Proof(10, 0, 0.2), moment=100.0)
+    assert known.freshness.trusts_keys(103.0)
+
+
+def test_news_that_a_relay_has_and_that_does_not_come_is_noticed() -> None:
+    known = make_known()
+    configure(known, 5, 10)
+    known.take_proof(messages.Proof(10, 30, 0.0), moment=100.0)
+    assert not known.is_behind_configuration(100.0)
+    assert not known.is_behind_runners(100.0)
+    assert known.is_behind_runners(100.6)
+    # Said once, then only when it has lasted again.
+    assert not known.is_behind_runners(100.7)
+    known.take_runners(catalogue.Changes((), 30), 100.8)
+    assert not known.is_behind_runners(102.0)
+
+
+def test_a_relay_vouches_only_for_what_it_read_itself() -> None:
+    known = make_known()
+    configure(known, 5, 10)
+    known.take_proof(messages.Proof(10, 0, 0.0), moment=100.0)
+    assert known.write_proof(100.0) is None
+    known.note_current(99.0)
+    assert known.write_proof(100.5) == messages.Proof(10, 0, 1.5)
--- a/pollenfork/platform/__main__.py
+++ b/pollenfork/platform/__main__.py
@@ -1,21 +1,27 @@
 """Runs a gateway on the operations platform."""
 
-import asyncio
-import os
-import pathlib
-import random
-import sys
-
-import result
-
-from pollenfork import logs
-from pollenfork import status
-from pollenfork.gateway import application
-from pollenfork.gateway import settings
-from pollenfork.platform import boot
-from pollenfork.platform import heads
-from pollenfork.platform import names
-from pollenfork.platform import store
+import signal
+
+# News of changed settings may come while the modules below load, for a third
+# of a second, and would end a process that doesn't expect it.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+import asyncio  # noqa: E402
+import os  # noqa: E402
+import pathlib  # noqa: E402
+import random  # noqa: E402
+import sys  # noqa: E402
+
+import result  # noqa: E402
+
+from pollenfork import logs  # noqa: E402
+from pollenfork import status  # noqa: E402
+from pollenfork.gateway import application  # noqa: E402
+from pollenfork.gateway import settings  # noqa: E402
+from pollenfork.platform import boot  # noqa: E402
+from pollenfork.platform import heads  # noqa: E402
+from pollenfork.platform import names  # noqa: E402
+from pollenfork.platform import store  # noqa: E402
 
 
 def main() -> int:
--- a/pollenfork/platform/tests/soak/faults.py
+++ b/pollenfork/platform/tests/soak/faults.py
@@ -15,10 +15,12 @@
 async def kill(site: sites.Site) -> None:
     """A gateway is killed and started again."""
     gateway = site.rng.choice(site.gateways)
+    gateway.held = True
     gateway.send(signal.SIGKILL)
     await gateway.wait()
     await asyncio.sleep(site.rng.uniform(0.0, 1.0))
     gateway.start()
+    gateway.held = False
     gateway.disturbed = asyncio.get_running_loop().time()
 
 
@@ -27,9 +29,11 @@
     gateway = site.rng.choice(site.gateways)
     if gateway.paused:
         return
+    gateway.held = True
     gateway.send(signal.SIGTERM)
     await gateway.wait()
     gateway.start()
+    gateway.held = False
 
 
 async def pause(site: sites.Site) -> None:
--- a/pollenfork/platform/tests/soak/play.py
+++ b/pollenfork/platform/tests/soak/play.py
@@ -39,6 +39,7 @@
     tasks = []
     try:
         await site.start()
+        tasks.append(asyncio.create_task(site.supervise()))
         for number in range(_CALLERS):
             address = site.gateways[number % sites.INSTANCES].address
             rng = random.Random(seed * 1000 + number)
--- a/pollenfork/platform/tests/soak/site.py
+++ b/pollenfork/platform/tests/soak/site.py
@@ -47,6 +47,8 @@
         process: The process; None while it is down.
         stopped: Monotonic seconds of the last planned stop.
         paused: Whether it stands still.
+        held: Whether a fault keeps it down.
+        disturbed: Monotonic seconds of the last fault that met it.
     """
 
     def __init__(self, site: "Site", number: int) -> None:
@@ -55,6 +57,7 @@
         self.to_store = proxy.Proxy(f"{site.base}.1", site.port)
         self.process: subprocess.Popen | None = None
         self.paused = False
+        self.held = False
         self.disturbed = 0.0
         self._site = site
         self._number = number
@@ -162,6 +165,21 @@
                 while not await gateway.is_ready():
                     await asyncio.sleep(0.05)
 
+    async def supervise(self) -> None:
+        """Starts gateways again that have ended, as the platform does."""
+        while True:
+            await asyncio.sleep(0.3)
+            for gateway in self.gateways:
+                process = gateway.process
+                ended = process is not None and process.poll() is not None
+                if ended and not gateway.held:
+                    if process.returncode > 0:
+                        self.record.wrong.append(
+                            f"{gateway.host} ended by itself"
+                        )
+                    gateway.start()
+                    gateway.disturbed = time.monotonic()
+
     async def stop(self) -> None:
         """Ends everything that this site started."""
         for gateway in self.gateways:
--- /dev/null
+++ b/pollenfork/platform/tests/test_gateway.py
@@ -0,0 +1,207 @@
+"""A whole gateway in this process, against stand-ins on loopback."""
+
+import asyncio
+import contextlib
+import random
+
+from pollenfork import ids
+from pollenfork.gateway import application
+from pollenfork.gateway import settings
+from pollenfork.platform import heads
+from pollenfork.platform import store
+from pollenfork.platform.tests.soak import caller
+from pollenfork.platform.tests.soak import runner
+from pollenfork.platform.tests.soak import site as sites
+from pollenfork.platform.tests.soak import store as standin
+
+_HOST = "127.19.0.1"
+_FRONT, _READY, _STORE, _RUNNER = 20411, 20412, 20413, 20414
+
+
+class Bench:
+    """The stand-ins, the gateway, and a caller."""
+
+    def __init__(self, revocation_s: float) -> None:
+        self.store = standin.Store()
+        self.record = runner.Record()
+        self.runner = runner.Runner(
+            "i-1", "model", self.record, random.Random(1)
+        )
+        told = settings.GatewaySettings(
+            instance=ids.InstanceId("g"),
+            data_centre=ids.DataCentre("a"),
+            front=settings.Address(_HOST, _FRONT),
+            readiness=settings.Address(_HOST, _READY),
+            store=settings.Address(_HOST, _STORE),
+            grace_s=3.0,
+            revocation_s=revocation_s,
+        )
+        self.gateway = application.Application(
+            told, heads, store.Store(f"{_HOST}:{_STORE}"), random.Random(1)
+        )
+        self.asked: list[caller.Asked] = []
+        self.caller = caller.Caller(
+            (_HOST, _FRONT), random.Random(2), self.asked
+        )
+
+    async def configure(self, version: int, **keys: str) -> None:
+        routes = [
+            {
+                "name": kind,
+                "host": "soak.example",
+                "prefix": f"/{kind}/",
+                "kind": "unsafe",
+                "timeout-ms": 2000,
+                "service": "model",
+            }
+            for kind in ("unsafe",)
+        ]
+        tenants = [{"name": n, "api-keys": [k]} for k, n in keys.items()]
+        await self.store.put(
+            "op",
+            "config",
+            {"version": version, "routes": routes, "tenants": tenants},
+        )
+
+    async def register(self) -> None:
+        entry = {"service": "model", "address": f"{_HOST}:{_RUNNER}"}
+        await self.store.put("servers", "i-1", entry)
+
+    async def wait_ready(self, ready: bool = True) -> None:
+        async with asyncio.timeout(10):
+            while await self.is_ready() is not ready:
+                await asyncio.sleep(0.01)
+
+    async def is_ready(self) -> bool:
+        try:
+            reader, writer = await asyncio.open_connection(_HOST, _READY)
+        except OSError:
+            return False
+        writer.write(b"GET /api/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        line = await reader.readline()
+        writer.close()
+        return b" 200 " in line
+
+
+@contextlib.asynccontextmanager
+async def run_bench(revocation_s: float = 5.0):
+    bench = Bench(revocation_s)
+    await bench.store.start(_HOST, _STORE)
+    await bench.runner.start(_HOST, _RUNNER)
+    serving = asyncio.create_task(bench.gateway.run())
+    try:
+        yield bench
+    finally:
+        bench.caller.close()
+        bench.gateway.stop()
+        async with asyncio.timeout(10):
+            await serving
+        bench.runner.crash()
+        bench.store.stop()
+
+
+def test_a_request_is_served_once_everything_is_known() -> None:
+    async def run():
+        async with run_bench() as bench:
+            assert not await bench.is_ready()
+            await bench.configure(1, key="account")
+            await bench.register()
+            await bench.wait_ready()
+            answer = await bench.caller.ask("unsafe", "key")
+            return answer, bench.record.runs
+
+    answer, runs = asyncio.run(run())
+    assert answer.status == 200
+    assert answer.body == f"{answer.attempt} model answer".encode()
+    assert [(each.account, each.path) for each in runs] == [
+        ("account", f"/unsafe/{answer.attempt}")
+    ]
+
+
+def test_unknown_keys_and_routes_are_told_and_run_nowhere() -> None:
+    async def run():
+        async with run_bench() as bench:
+            await bench.configure(1, key="account")
+            await bench.register()
+            await bench.wait_ready()
+            statuses = [
+                (await bench.caller.ask("unsafe", "other")).status,
+                (await bench.caller.ask("nowhere", "key")).status,
+            ]
+            return statuses, bench.record.runs
+
+    assert asyncio.run(run()) == ([401, 404], [])
+
+
+def test_a_key_that_is_taken_away_stops_working() -> None:
+    async def run():
+        async with run_bench() as bench:
+            await bench.configure(1, key="account")
+            await bench.register()
+            await bench.wait_ready()
+            assert (await bench.caller.ask("unsafe", "key")).status == 200
+            await bench.configure(2, new="account")
+            async with asyncio.timeout(sites.APPLY_S):
+                while True:
+                    answer = await bench.caller.ask("unsafe", "key")
+                    if answer.status == 401:
+                        return
+
+    asyncio.run(run())
+
+
+def test_without_proof_keyed_requests_are_refused_as_not_run() -> None:
+    async def run():
+        # Keys are trusted for 0.3 s of these 1.5 s.
+        async with run_bench(revocation_s=1.5) as bench:
+            await bench.configure(1, key="account")
+            await bench.register()
+            await bench.wait_ready()
+            bench.store.mood = standin.Mood.SILENT
+            await bench.wait_ready(ready=False)
+            ran = len(bench.record.runs)
+            answer = await bench.caller.ask("unsafe", "key")
+            assert len(bench.record.runs) == ran
+            bench.store.mood = standin.Mood.WELL
+            await bench.wait_ready()
+            return answer
+
+    answer = asyncio.run(run())
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) < 1.0
+
+
+def test_a_stop_is_told_at_once_and_lets_answers_end() -> None:
+    async def run():
+        async with run_bench() as bench:
+            await bench.configure(1, key="account")
+            await bench.register()
+            await bench.wait_ready()
+            asking = asyncio.create_task(bench.caller.ask("unsafe", "key"))
+            while not bench.record.runs:
+                await asyncio.sleep(0)
+            bench.gateway.stop()
+            assert not await bench.is_ready()
+            return await asking
+
+    answer = asyncio.run(run())
+    assert (answer.status, answer.whole) == (200, True)
+    assert answer.headers["connection"] == "close"
+
+
+def test_forgotten_history_loses_nothing() -> None:
+    async def run():
+        async with run_bench() as bench:
+            await bench.configure(1, key="account")
+            await bench.register()
+            await bench.wait_ready()
+            bench.store.forget_history()
+            await bench.configure(2, new="account")
+            bench.store.forget_history()
+            async with asyncio.timeout(5):
+                while True:
+                    answer = await bench.caller.ask("unsafe", "new")
+                    if answer.status == 200:
+                        return
+
+    asyncio.run(run())
