Split the choice, the exchange and the relays' core by duty

Requests without a prompt are no longer kept apart, which a plain service with two tiers would have met.

--- a/pollenfork/fleet/choice.py
+++ b/pollenfork/fleet/choice.py
@@ -1,31 +1,18 @@
 """Chooses the runner for a request by when its answer would begin."""
 
 from collections.abc import Callable
-import math
 import random
 
 import msgspec
-import xxhash
 
 from pollenfork import ids
 from pollenfork.fleet import caches
 from pollenfork.fleet import model
+from pollenfork.fleet import offers
 from pollenfork.fleet import registry
 from pollenfork.fleet import standing
 from pollenfork.loads import messages as loads
 
-# Prompt tokens that a runner reads in a second; the operators' sheet.
-READ_RATE = 56_600.0
-# A fleet whose runners have this much to read on average is merely busy.
-_CROWDED_S = 0.25
-# Reading shared parts again takes the runner's time from everyone and evicts
-# what others share, so it counts for more than the time it takes itself.
-_MOVE_WEIGHT = 3.0
-# The more the runners have to read on the whole, the more requests pay for
-# what is read twice: for each second of it on average, a move weighs this
-# much more. Without this, prompts wander in overload, push each other out of
-# the runners' memory, and the fleet doesn't recover while the load lasts.
-_CROWDED_WEIGHT = 60.0
 # What each request under way adds to the wait for a first token, in seconds:
 # a step that takes one more request is about 0.1 ms longer, and the token is
 # there after some steps.
@@ -42,17 +29,6 @@
 # What a runner without a free slot is held to cost, in seconds: about what a
 # long answer still takes there.
 _FULL_S = 1.0
-# Runners are kept for requests of the most urgent tier, one for this many that
-# are under way, within these parts of the service. While a runner reads long
-# prompts each step of its batch takes about 45 ms instead of 8, and the events
-# of all its streams come too slowly; with 25 streams and their own prompts a
-# step takes about 20 ms.
-_QUICK_EACH = 25
-_QUICK_LEAST = 0.1
-_QUICK_MOST = 0.4
-# What such a request is held to cost at the others, in seconds: it goes there
-# when those kept for it are loaded that much more.
-_QUICK_ELSEWHERE_S = 0.25
 # Where runners have more than this to read on average, in seconds, keeping
 # requests back only makes them late too: there is no moment to wait for.
 _OVERLOAD_S = 0.6
@@ -60,51 +36,6 @@
 _ALIKE_S = 0.004
 
 
-class Demand(msgspec.Struct, frozen=True):
-    """What a request asks of a runner.
-
-    Attributes:
-        service: The service.
-        parts: The prompt's parts; the last is its own.
-        quick: Whether it is of the most urgent tier among several; None
-            where the service has but one.
-    """
-
-    service: ids.ServiceName
-    parts: tuple[model.Part, ...] = ()
-    quick: bool | None = None
-
-    @property
-    def shared(self) -> tuple[model.Part, ...]:
-        """The parts that other requests have too."""
-        return self.parts[:-1]
-
-    @property
-    def own_tokens(self) -> int:
-        """Tokens that no runner has read yet."""
-        return self.parts[-1].tokens if self.parts else 0
-
-
-class _Offer(msgspec.Struct):
-    """What a request may expect of a runner.
-
-    Attributes:
-        runner: The runner.
-        standing: What is known of it.
-        cost: Seconds until an answer would begin there, weighed.
-        unread: Tokens of the shared parts that it would have to read.
-        reading: Tokens that it has to read before.
-        quick: Requests of the most urgent tier that it works on.
-    """
-
-    runner: model.Runner
-    standing: standing.Standing
-    cost: float
-    unread: int = 0
-    reading: float = 0.0
-    quick: int = 0
-
-
 class Busy(msgspec.Struct, frozen=True):
     """The best runner has more to read than was allowed.
 
@@ -181,7 +112,7 @@
 
     def choose(
         self,
-        demand: Demand,
+        demand: offers.Demand,
         avoid: set[ids.EndpointId],
         now: float,
         backlog_s: float | None = None,
@@ -207,24 +138,24 @@
         ]
         if not takers:
             return None
-        offers = [self._make_offer(demand, runner, now) for runner in takers]
-        crowd_s = sum(offer.reading for offer in offers) / len(offers)
-        crowd_s /= READ_RATE
-        if demand.quick is not None:
-            offers = _keep_apart(demand, offers)
+        found = [self._make_offer(demand, runner, now) for runner in takers]
+        crowd_s = sum(offer.reading for offer in found) / len(found)
+        crowd_s /= offers.READ_RATE
+        if demand.parts and demand.quick is not None:
+            found = offers.keep_apart(demand, found)
         if demand.shared:
-            _weigh_moves(demand, offers, crowd_s)
-        least = min(offer.cost for offer in offers)
-        alike = [each for each in offers if each.cost <= least + _ALIKE_S]
+            offers.weigh_moves(demand, found, crowd_s)
+        least = min(offer.cost for offer in found)
+        alike = [each for each in found if each.cost <= least + _ALIKE_S]
         offer = self._rng.choice(alike)
         if (
             backlog_s is not None
             and crowd_s < _OVERLOAD_S
-            and offer.reading > backlog_s * READ_RATE
+            and offer.reading > backlog_s * offers.READ_RATE
         ):
             return Busy(offer.runner, offer.reading)
         grant = self._grant(demand, offer)
-        kept = [each.cost for each in offers if not each.unread]
+        kept = [each.cost for each in found if not each.unread]
         grant.crowd_s = crowd_s
         grant.holders = len(kept)
         grant.kept_cost = min(kept, default=0.0)
@@ -262,8 +193,8 @@
         return seen
 
     def _make_offer(
-        self, demand: Demand, runner: model.Runner, now: float
-    ) -> _Offer:
+        self, demand: offers.Demand, runner: model.Runner, now: float
+    ) -> offers.Offer:
         seen = self.find_standing(runner.id)
         cost = seen.failing * _FAILING_S
         if now < seen.shunned_until:
@@ -271,17 +202,17 @@
         others = self._read_others(seen.mark)
         active = seen.active + others.active
         if not demand.parts:
-            return _Offer(runner, seen, cost + active * _PLAIN_ACTIVE_S)
+            return offers.Offer(runner, seen, cost + active * _PLAIN_ACTIVE_S)
         unread = self.caches.count_unread(seen.mark, demand.shared)
         if active >= runner.slots:
             cost += _FULL_S
         reading = seen.reading + others.reading
-        cost += (reading + demand.own_tokens) / READ_RATE
+        cost += (reading + demand.own_tokens) / offers.READ_RATE
         cost += active * _ACTIVE_S
         quick = seen.quick + others.quick
-        return _Offer(runner, seen, cost, unread, reading, quick)
+        return offers.Offer(runner, seen, cost, unread, reading, quick)
 
-    def _grant(self, demand: Demand, offer: _Offer) -> Grant:
+    def _grant(self, demand: offers.Demand, offer: offers.Offer) -> Grant:
         seen = offer.standing
         reading = float(offer.unread + demand.own_tokens)
         seen.active += 1
@@ -309,45 +240,3 @@
         seen = self._standings.pop(runner, None)
         if seen is not None:
             self.caches.forget(seen.mark)
-
-
-def _keep_apart(demand: Demand, offers: list[_Offer]) -> list[_Offer]:
-    """Returns the offers without those kept for the most urgent.
-
-    For a request of the most urgent tier all stay, but cost more elsewhere.
-    """
-    wanted = math.ceil(sum(offer.quick for offer in offers) / _QUICK_EACH)
-    least = round(len(offers) * _QUICK_LEAST)
-    count = max(least, min(wanted, int(len(offers) * _QUICK_MOST)))
-    ranked = sorted(offers, key=lambda offer: offer.standing.mark)
-    if not demand.quick:
-        return ranked[count:]
-    if count:
-        for offer in ranked[count:]:
-            offer.cost += _QUICK_ELSEWHERE_S
-    return ranked
-
-
-def _weigh_moves(demand: Demand, offers: list[_Offer], crowd_s: float) -> None:
-    """Adds what it costs to read the shared parts once more."""
-    weight = _MOVE_WEIGHT + _CROWDED_WEIGHT * max(0.0, crowd_s - _CROWDED_S)
-    home = _find_home(demand, offers)
-    for offer in offers:
-        if offer is not home:
-            offer.cost += offer.unread * weight / READ_RATE
-
-
-def _find_home(demand: Demand, offers: list[_Offer]) -> _Offer | None:
-    """Returns where shared parts belong that nobody is known to have read.
-
-    An instance that has just started knows of no placement, but most prompts
-    have been read, and there.
-    """
-    total = sum(part.tokens for part in demand.shared)
-    if any(offer.unread < total for offer in offers):
-        return None
-    key = b",".join(part.name for part in demand.shared)
-    return max(
-        offers,
-        key=lambda offer: xxhash.xxh64_intdigest(key, offer.standing.mark),
-    )
--- a/pollenfork/fleet/tests/test_choice.py
+++ b/pollenfork/fleet/tests/test_choice.py
@@ -4,6 +4,7 @@
 from pollenfork.fleet import choice
 from pollenfork.fleet import messages
 from pollenfork.fleet import model
+from pollenfork.fleet import offers
 from pollenfork.fleet import registry
 from pollenfork.fleet.tests import test_registry
 from pollenfork.loads import messages as loads
@@ -25,9 +26,9 @@
     )
 
 
-def ask(shared: bytes = b"shared", own: int = 500) -> choice.Demand:
+def ask(shared: bytes = b"shared", own: int = 500) -> offers.Demand:
     parts = (model.Part(shared, 13_000), model.Part(b"own", own))
-    return choice.Demand(SERVICE, parts)
+    return offers.Demand(SERVICE, parts)
 
 
 def test_instances_that_know_nothing_agree_on_a_home() -> None:
@@ -104,7 +105,7 @@
     chooser = make_chooser(
         read_others=lambda mark: loads.Load(1, 0 if mark == idle else 9000)
     )
-    demand = choice.Demand(
+    demand = offers.Demand(
         SERVICE, (model.Part(b"a", 200), model.Part(b"own", 900))
     )
     assert chooser.choose(demand, set(), 0.0).runner.id == "r3"
@@ -170,7 +171,7 @@
     rng = random.Random(3)
     taken = {"r0": 0, "r1": 0, "r2": 0}
     for step in range(300):
-        grant = chooser.choose(choice.Demand(SERVICE), set(), step * 1.0)
+        grant = chooser.choose(offers.Demand(SERVICE), set(), step * 1.0)
         taken[grant.runner.id] += 1
         failed = grant.runner.id == "r1" and rng.random() < 0.4
         end = messages.End.WHOLE
@@ -179,9 +180,9 @@
     assert taken["r1"] < 60
 
 
-def ask_quick(quick: bool) -> choice.Demand:
+def ask_quick(quick: bool) -> offers.Demand:
     parts = (model.Part(b"a", 200), model.Part(b"own", 900))
-    return choice.Demand(SERVICE, parts, quick)
+    return offers.Demand(SERVICE, parts, quick)
 
 
 def list_chosen(chooser: choice.Chooser, quick: bool, count: int) -> set[str]:
--- a/pollenfork/gateway/admission.py
+++ b/pollenfork/gateway/admission.py
@@ -2,8 +2,8 @@
 
 import result
 
-from pollenfork.fleet import choice
-from pollenfork.gateway import exchange
+from pollenfork.fleet import offers
+from pollenfork.gateway import context
 from pollenfork.gateway import holding
 from pollenfork.gateway import knowledge
 from pollenfork.gateway import messages
@@ -23,7 +23,7 @@
     call: messages.Call,
     head: messages.CallHead,
     now: float,
-) -> result.Result[exchange.Admitted, replies.Refusal]:
+) -> result.Result[context.Admitted, replies.Refusal]:
     """Finds a request's route, account, service and time.
 
     Args:
@@ -58,15 +58,15 @@
     head: messages.CallHead,
     route: routes.Route,
     account: routes.Account | None,
-) -> exchange.Admitted:
+) -> context.Admitted:
     limit_s = route.time_limit_s
     if head.wait_s is not None:
         limit_s = min(limit_s, head.wait_s)
     service = lookup.choose_service(route, head.attempt.encode())
     tiers = found.list_tiers(service)
     quick = route.tier <= tiers[0] if len(tiers) > 1 else None
-    demand = choice.Demand(service, head.parts, quick)
-    return exchange.Admitted(
+    demand = offers.Demand(service, head.parts, quick)
+    return context.Admitted(
         call=call,
         head=head,
         route=route,
@@ -91,6 +91,6 @@
 
 def _refuse(
     status: int, reason: _Reason
-) -> result.Result[exchange.Admitted, replies.Refusal]:
+) -> result.Result[context.Admitted, replies.Refusal]:
     retry_after_s = _ELSEWHERE_S if status == 503 else None
     return result.Err(Refusal(status, reason, retry_after_s))
--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -12,6 +12,7 @@
 from pollenfork.fleet import repeats
 from pollenfork.gateway import admission
 from pollenfork.gateway import callers
+from pollenfork.gateway import context
 from pollenfork.gateway import counters
 from pollenfork.gateway import edges
 from pollenfork.gateway import exchange
@@ -72,7 +73,7 @@
         self._listeners: list[asyncio.Server] = []
         self.counters = counters.Counters()
         self.known = knowledge.Knowledge(store, told.revocation_s)
-        self._tools = exchange.Tools(
+        self._tools = context.Tools(
             loop=self._loop,
             rng=rng,
             codec=codec,
--- /dev/null
+++ b/pollenfork/gateway/context.py
@@ -0,0 +1,53 @@
+"""What an exchange is given: the request admitted, and the shared tools."""
+
+import asyncio
+import random
+
+import msgspec
+
+from pollenfork import ids
+from pollenfork.fleet import choice
+from pollenfork.fleet import offers
+from pollenfork.fleet import repeats
+from pollenfork.gateway import counters
+from pollenfork.gateway import edges
+from pollenfork.gateway import holding
+from pollenfork.gateway import messages
+from pollenfork.gateway import pool
+from pollenfork.routes import model as routes
+
+
+class Admitted(msgspec.Struct, frozen=True, kw_only=True):
+    """A request that may be served.
+
+    Attributes:
+        call: The request.
+        head: What its headers say.
+        route: Its route.
+        demand: What it asks of a runner of the service chosen for it.
+        holding: How it may be kept back.
+        account: The client account, where it showed a key.
+        tier: Its urgency.
+        until: Monotonic seconds at which its answer is of no use.
+    """
+
+    call: messages.Call
+    head: messages.CallHead
+    route: routes.Route
+    demand: offers.Demand
+    holding: holding.Holding
+    account: routes.Account | None
+    tier: ids.Tier
+    until: float
+
+
+class Tools(msgspec.Struct, frozen=True):
+    """What all exchanges share."""
+
+    loop: asyncio.AbstractEventLoop
+    rng: random.Random
+    codec: edges.Codec
+    chooser: choice.Chooser
+    pool: pool.Pool
+    repeats: repeats.RepeatBudget
+    counters: counters.Counters
--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -2,21 +2,17 @@
 
 import asyncio
 import logging
-import random
 
-import msgspec
 import result
 
 from pollenfork import ids
 from pollenfork.fleet import choice
 from pollenfork.fleet import messages as fleet_messages
 from pollenfork.fleet import model as fleet
-from pollenfork.fleet import repeats
 from pollenfork.gateway import attempt
 from pollenfork.gateway import callers
 from pollenfork.gateway import connection
-from pollenfork.gateway import counters
-from pollenfork.gateway import edges
+from pollenfork.gateway import context
 from pollenfork.gateway import events
 from pollenfork.gateway import holding
 from pollenfork.gateway import messages
@@ -39,49 +35,13 @@
 _SERVER_ERROR = 500
 
 
-class Admitted(msgspec.Struct, frozen=True, kw_only=True):
-    """A request that may be served.
-
-    Attributes:
-        call: The request.
-        head: What its headers say.
-        route: Its route.
-        demand: What it asks of a runner of the service chosen for it.
-        holding: How it may be kept back.
-        account: The client account, where it showed a key.
-        tier: Its urgency.
-        until: Monotonic seconds at which its answer is of no use.
-    """
-
-    call: messages.Call
-    head: messages.CallHead
-    route: routes.Route
-    demand: choice.Demand
-    holding: holding.Holding
-    account: routes.Account | None
-    tier: ids.Tier
-    until: float
-
-
-class Tools(msgspec.Struct, frozen=True):
-    """What all exchanges share."""
-
-    loop: asyncio.AbstractEventLoop
-    rng: random.Random
-    codec: edges.Codec
-    chooser: choice.Chooser
-    pool: pool.Pool
-    repeats: repeats.RepeatBudget
-    counters: counters.Counters
-
-
 class Exchange:
     """Serves one admitted request."""
 
     def __init__(
         self,
-        tools: Tools,
-        admitted: Admitted,
+        tools: context.Tools,
+        admitted: context.Admitted,
         caller: callers.CallerConnection,
     ) -> None:
         self._tools = tools
--- a/pollenfork/gateway/holding.py
+++ b/pollenfork/gateway/holding.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from pollenfork import ids
-from pollenfork.fleet import choice
+from pollenfork.fleet import offers
 from pollenfork.routes import model as routes
 
 # The part of its target that a request may be kept back, its own reading
@@ -54,7 +54,7 @@
 def plan(
     route: routes.Route,
     tiers: tuple[ids.Tier, ...],
-    demand: choice.Demand,
+    demand: offers.Demand,
     arrived: float,
     limit_s: float,
 ) -> Holding:
@@ -69,7 +69,7 @@
     """
     if not demand.parts or len(tiers) < 2 or route.tier <= tiers[0]:
         return Holding()
-    reading_s = demand.own_tokens / choice.READ_RATE
+    reading_s = demand.own_tokens / offers.READ_RATE
     kept_s = route.target_s * _TARGET_PART - reading_s
     stages = [Stage(arrived + kept_s, route.target_s * _BACKLOG_PART)]
     if route.tier >= tiers[-1]:
--- a/pollenfork/gateway/patience.py
+++ b/pollenfork/gateway/patience.py
@@ -1,13 +1,13 @@
 """How long an attempt may stay silent before something is done about it."""
 
 import asyncio
-from typing import Any, Self
+from typing import Self
 
 import msgspec
 
 from pollenfork.fleet import messages as fleet_messages
 from pollenfork.gateway import attempt
-from pollenfork.routes import model as routes
+from pollenfork.gateway import context
 
 # A runner that has not answered after this many targets is held to be dark or
 # overloaded, and a request that may run twice goes to another. Half of the
@@ -33,7 +33,9 @@
     gap_s: float | None = None
 
     @classmethod
-    def of(cls, admitted: Any, expected_s: float, may_repeat: bool) -> Self:
+    def of(
+        cls, admitted: context.Admitted, expected_s: float, may_repeat: bool
+    ) -> Self:
         """Returns the limits of a request's next attempt.
 
         Args:
@@ -41,7 +43,7 @@
             expected_s: Seconds after which the answer is expected to begin.
             may_repeat: Whether giving up early helps: it may run again.
         """
-        route: routes.Route = admitted.route
+        route = admitted.route
         if not may_repeat:
             return cls(admitted.until)
         first_s = max(_SHORTEST_S, route.target_s * _SILENT_TARGETS)
--- a/pollenfork/gateway/tests/support.py
+++ b/pollenfork/gateway/tests/support.py
@@ -7,9 +7,11 @@
 from pollenfork import ids
 from pollenfork.fleet import choice
 from pollenfork.fleet import model as fleet
+from pollenfork.fleet import offers
 from pollenfork.fleet import registry
 from pollenfork.fleet import repeats
 from pollenfork.gateway import callers
+from pollenfork.gateway import context
 from pollenfork.gateway import counters
 from pollenfork.gateway import exchange
 from pollenfork.gateway import holding
@@ -170,7 +172,7 @@
         rng = random.Random(1)
         self.route = route
         self.runners = registry.Registry()
-        self.tools = exchange.Tools(
+        self.tools = context.Tools(
             loop=loop,
             rng=rng,
             codec=Codec(),
@@ -198,11 +200,11 @@
 
     async def _serve(self, call, caller) -> None:
         head = self.tools.codec.read_call(call.headers)
-        admitted = exchange.Admitted(
+        admitted = context.Admitted(
             call=call,
             head=head,
             route=self.route,
-            demand=choice.Demand(SERVICE),
+            demand=offers.Demand(SERVICE),
             holding=holding.Holding(),
             account=None,
             tier=self.route.tier,
--- a/pollenfork/gateway/tests/test_holding.py
+++ b/pollenfork/gateway/tests/test_holding.py
@@ -2,14 +2,14 @@
 import pytest
 
 from pollenfork import ids
-from pollenfork.fleet import choice
 from pollenfork.fleet import model as fleet
+from pollenfork.fleet import offers
 from pollenfork.gateway import holding
 from pollenfork.gateway.tests import support
 from pollenfork.routes import model as routes
 
 TIERS = (ids.Tier(0), ids.Tier(1), ids.Tier(2))
-LONG = choice.Demand(
+LONG = offers.Demand(
     support.SERVICE, (fleet.Part(b"a", 100), fleet.Part(b"b", 5660))
 )
 
@@ -28,7 +28,7 @@
 
 @pytest.mark.parametrize(
     ("demand", "tiers"),
-    [(LONG, TIERS[2:]), (choice.Demand(support.SERVICE), TIERS)],
+    [(LONG, TIERS[2:]), (offers.Demand(support.SERVICE), TIERS)],
 )
 def test_without_others_or_a_prompt_nothing_waits(demand, tiers) -> None:
     assert plan(2, demand, tiers).find_backlog(100.0) is None
--- a/pollenfork/loads/core.py
+++ b/pollenfork/loads/core.py
@@ -10,8 +10,7 @@
 from collections.abc import Iterable
 from typing import Protocol
 
-import msgspec
-
+from pollenfork.loads import lines
 from pollenfork.loads import members
 from pollenfork.loads import messages
 
@@ -21,8 +20,6 @@
 # A round costs it about 50 us of processor time a reporter, so this keeps it
 # under 3% of a core at any size.
 _ROUND_S = 0.002
-# Unchanged loads are told again this often, as datagrams get lost.
-_REPEAT_S = 0.4
 _MEMBERS_S = 1.0
 _HELLO_S = 0.5
 # What was told this long ago no longer counts, in seconds.
@@ -55,28 +52,6 @@
         """
 
 
-class _Heard(msgspec.Struct):
-    """What another instance has told."""
-
-    loads: messages.Table
-    at: float
-    sent_at: float = 0.0
-
-
-class _Line(msgspec.Struct):
-    """What goes to one address.
-
-    Attributes:
-        loads: What was last told.
-        at: When that was.
-        placed: Placements to tell.
-    """
-
-    loads: messages.Table = {}
-    at: float = -_REPEAT_S
-    placed: list[messages.Placed] = []
-
-
 class Exchange:
     """The exchange among instances, at one of them."""
 
@@ -101,10 +76,10 @@
         self._instance = instance
         self._roster = members.Roster(messages.Member(me.host, data_centre))
         self._own: messages.Table = {}
-        self._reports: dict[str, _Heard] = {}
-        self._sums: dict[str, _Heard] = {}
-        self._others = _Heard({}, -_EXPIRY_S)
-        self._lines: dict[str, _Line] = {}
+        self._reports: dict[str, lines.Heard] = {}
+        self._sums: dict[str, lines.Heard] = {}
+        self._others = lines.Heard({}, -_EXPIRY_S)
+        self._lines: dict[str, lines.Line] = {}
         self._hello_at = 0.0
         self._members_at = 0.0
         self._urgent = False
@@ -168,14 +143,14 @@
                     self._roster.note(each.member, now - each.age_s)
             case messages.Report():
                 self._note(host, message.data_centre, now)
-                heard = _Heard(message.loads, now, message.sent_at)
+                heard = lines.Heard(message.loads, now, message.sent_at)
                 self._reports[host] = heard
                 self._urgent = self._urgent or message.urgent
                 self._take_placed(message.placed, host)
             case messages.Sum():
                 self._note(host, message.data_centre, now)
                 self._roster.note_answer(host)
-                self._sums[host] = _Heard(message.loads, now)
+                self._sums[host] = lines.Heard(message.loads, now)
                 self._take_placed(message.placed, host)
             case messages.Others():
                 self._take_others(message, host, now)
@@ -185,7 +160,7 @@
         self, message: messages.Others, host: str, now: float
     ) -> None:
         self._roster.note_answer(host)
-        self._others = _Heard(message.loads, now)
+        self._others = lines.Heard(message.loads, now)
         self._instance.note_placed(message.placed)
         proof = message.proof
         # The answer was written after the report that it repeats was sent,
@@ -201,7 +176,7 @@
         line = self._find_line(relay)
         line.placed.extend(placed)
         self._roster.note_asked(relay, now)
-        if not _is_due(line, self._own, now):
+        if not lines.is_due(line, self._own, now):
             return []
         report = messages.Report(
             self._data_centre,
@@ -223,7 +198,7 @@
         for host in self._list_relays(now):
             line = self._find_line(host)
             self._roster.note_asked(host, now)
-            if _is_due(line, here, now):
+            if lines.is_due(line, here, now):
                 total = messages.Sum(
                     self._data_centre, here, tuple(line.placed), self._urgent
                 )
@@ -235,7 +210,7 @@
     def _answer_report(self, host: str, now: float) -> list[messages.Send]:
         line = self._find_line(host)
         others = self._add_up(leave_out=host)
-        if not _is_due(line, others, now):
+        if not lines.is_due(line, others, now):
             return []
         told = messages.Others(
             others,
@@ -266,7 +241,7 @@
         # An instance that reports elsewhere is counted there.
         if self.is_relay(now):
             tables.append(self._own)
-        return _add(tables)
+        return lines.add(tables)
 
     def _add_up(self, leave_out: str | None) -> messages.Table:
         """Returns all loads but those of one host, or of this instance."""
@@ -278,7 +253,7 @@
         ]
         if leave_out is not None:
             tables.append(self._own)
-        return _add(tables)
+        return lines.add(tables)
 
     def _take_placed(
         self, placed: tuple[messages.Placed, ...], host: str
@@ -313,16 +288,16 @@
         hello = messages.Hello(self._data_centre)
         return [messages.Send(seed, hello) for seed in self._seeds]
 
-    def _find_line(self, host: str) -> _Line:
+    def _find_line(self, host: str) -> lines.Line:
         line = self._lines.get(host)
         if line is None:
-            line = self._lines[host] = _Line()
+            line = self._lines[host] = lines.Line()
         return line
 
     def _send_line(
         self,
         host: str,
-        line: _Line,
+        line: lines.Line,
         message: messages.Message,
         loads: messages.Table,
         now: float,
@@ -344,23 +319,3 @@
                 if now - each.at > _EXPIRY_S:
                     del heard[host]
         self._roster.forget(now)
-
-
-def _is_due(line: _Line, loads: messages.Table, now: float) -> bool:
-    changed = bool(line.placed) or line.loads != loads
-    return changed or now - line.at >= _REPEAT_S
-
-
-def _add(tables: list[messages.Table]) -> messages.Table:
-    total: messages.Table = {}
-    for table in tables:
-        for runner, load in table.items():
-            known = total.get(runner)
-            if known is not None:
-                load = messages.Load(
-                    known.active + load.active,
-                    known.reading + load.reading,
-                    known.quick + load.quick,
-                )
-            total[runner] = load
-    return total
--- /dev/null
+++ b/pollenfork/loads/lines.py
@@ -0,0 +1,52 @@
+"""What an instance last told another, and what it heard."""
+
+import msgspec
+
+from pollenfork.loads import messages
+
+# Unchanged loads are told again this often, as datagrams get lost.
+_REPEAT_S = 0.4
+
+
+class Heard(msgspec.Struct):
+    """What another instance has told."""
+
+    loads: messages.Table
+    at: float
+    sent_at: float = 0.0
+
+
+class Line(msgspec.Struct):
+    """What goes to one address.
+
+    Attributes:
+        loads: What was last told.
+        at: When that was.
+        placed: Placements to tell.
+    """
+
+    loads: messages.Table = {}
+    at: float = -_REPEAT_S
+    placed: list[messages.Placed] = []
+
+
+def is_due(line: Line, loads: messages.Table, now: float) -> bool:
+    """Returns whether there is something to tell, or it is time to repeat."""
+    changed = bool(line.placed) or line.loads != loads
+    return changed or now - line.at >= _REPEAT_S
+
+
+def add(tables: list[messages.Table]) -> messages.Table:
+    """Returns the loads of several instances added up."""
+    total: messages.Table = {}
+    for table in tables:
+        for runner, load in table.items():
+            known = total.get(runner)
+            if known is not None:
+                load = messages.Load(
+                    known.active + load.active,
+                    known.reading + load.reading,
+                    known.quick + load.quick,
+                )
+            total[runner] = load
+    return total
