--- a/pollenfork/loads/core.py
+++ b/pollenfork/loads/core.py
@@ -97,7 +97,7 @@
     def read_others(self, now: float) -> messages.Table:
         """Returns what all other instances have under way."""
         if self.is_relay(now):
-            return self._add_up(leave_out=None)
+            return lines.subtract(self._add_up(), self._own)
         if now - self._others.at > _EXPIRY_S:
             return {}
         return self._others.loads
@@ -203,13 +203,16 @@
                     self._data_centre, here, tuple(line.placed), self._urgent
                 )
                 sends.append(self._send_line(host, line, total, here, now))
+        total = self._add_up()
         for host in self._reports:
-            sends += self._answer_report(host, now)
+            sends += self._answer_report(host, total, now)
         return sends + self._tell_members(now)
 
-    def _answer_report(self, host: str, now: float) -> list[messages.Send]:
+    def _answer_report(
+        self, host: str, total: messages.Table, now: float
+    ) -> list[messages.Send]:
         line = self._find_line(host)
-        others = self._add_up(leave_out=host)
+        others = lines.subtract(total, self._reports[host].loads)
         if not lines.is_due(line, others, now):
             return []
         told = messages.Others(
@@ -243,16 +246,11 @@
             tables.append(self._own)
         return lines.add(tables)
 
-    def _add_up(self, leave_out: str | None) -> messages.Table:
-        """Returns all loads but those of one host, or of this instance."""
-        tables = [heard.loads for heard in self._sums.values()]
-        tables += [
-            heard.loads
-            for host, heard in self._reports.items()
-            if host != leave_out
-        ]
-        if leave_out is not None:
-            tables.append(self._own)
+    def _add_up(self) -> messages.Table:
+        """Returns what all instances have under way, this one included."""
+        tables = [self._own]
+        tables += [heard.loads for heard in self._sums.values()]
+        tables += [heard.loads for heard in self._reports.values()]
         return lines.add(tables)
 
     def _take_placed(
--- a/pollenfork/loads/lines.py
+++ b/pollenfork/loads/lines.py
@@ -50,3 +50,19 @@
                 )
             total[runner] = load
     return total
+
+
+def subtract(total: messages.Table, part: messages.Table) -> messages.Table:
+    """Returns a total without the loads of one that is in it."""
+    rest = dict(total)
+    for runner, load in part.items():
+        known = rest[runner]
+        if known == load:
+            del rest[runner]
+            continue
+        rest[runner] = messages.Load(
+            known.active - load.active,
+            known.reading - load.reading,
+            known.quick - load.quick,
+        )
+    return rest
