--- a/pollenfork/loads/core.py
+++ b/pollenfork/loads/core.py
@@ -203,9 +203,9 @@
                     self._data_centre, here, tuple(line.placed), self._urgent
                 )
                 sends.append(self._send_line(host, line, total, here, now))
-        total = self._add_up()
+        everyone = self._add_up()
         for host in self._reports:
-            sends += self._answer_report(host, total, now)
+            sends += self._answer_report(host, everyone, now)
         return sends + self._tell_members(now)
 
     def _answer_report(
