--- a/pollenfork/fleet/choice.py
+++ b/pollenfork/fleet/choice.py
@@ -144,7 +144,7 @@
         if demand.parts and demand.quick is not None:
             found = offers.keep_apart(demand, found)
         if demand.shared:
-            offers.weigh_moves(demand, found)
+            offers.weigh_moves(demand, found, crowd_s)
         least = min(offer.cost for offer in found)
         alike = [each for each in found if each.cost <= least + _ALIKE_S]
         offer = self._rng.choice(alike)
--- a/pollenfork/fleet/offers.py
+++ b/pollenfork/fleet/offers.py
@@ -11,16 +11,16 @@
 
 # Prompt tokens that a runner reads in a second; the operators' sheet.
 READ_RATE = 56_600.0
-# A runner that has this much to read is merely busy, in seconds.
+# A fleet whose runners have this much to read on average is merely busy.
 _CROWDED_S = 0.25
 # Reading shared parts again takes the runner's time from everyone and evicts
 # what others share, so it counts for more than the time it takes itself.
 _MOVE_WEIGHT = 3.0
-# The more a runner has to read, the more requests there pay for what is read
-# twice: for each second of it, a move there weighs this much more. Without
-# this, prompts wander in overload, push each other out of the runners' memory,
-# and the fleet doesn't recover while the load lasts.
-_CROWDED_WEIGHT = 20.0
+# The more the runners have to read on the whole, the more requests pay for
+# what is read twice: for each second of it on average, a move weighs this
+# much more. Without this, prompts wander in overload, push each other out of
+# the runners' memory, and the fleet doesn't recover while the load lasts.
+_CROWDED_WEIGHT = 60.0
 # Runners are kept for requests of the most urgent tier, one for this many that
 # are under way, within these parts of the service. While a runner reads long
 # prompts each step of its batch takes about 45 ms instead of 8, and the events
@@ -96,14 +96,12 @@
     return ranked
 
 
-def weigh_moves(demand: Demand, offers: list[Offer]) -> None:
+def weigh_moves(demand: Demand, offers: list[Offer], crowd_s: float) -> None:
     """Adds what it costs to read the shared parts once more."""
+    weight = _MOVE_WEIGHT + _CROWDED_WEIGHT * max(0.0, crowd_s - _CROWDED_S)
     home = _find_home(demand, offers)
     for offer in offers:
         if offer is not home:
-            backlog_s = offer.reading / READ_RATE
-            crowd_s = max(0.0, backlog_s - _CROWDED_S)
-            weight = _MOVE_WEIGHT + _CROWDED_WEIGHT * crowd_s
             offer.cost += offer.unread * weight / READ_RATE
 
 
