Freeze an owner once its posting has reached the service

Cause: the test of the frozen instance waited for the claim in the table, which stands before the posting is sent; on a busy machine the freeze came between, so nothing had run where one run is asked.

The stand-in of a plain service counts arrivals now, and both tests that act while the service works wait for one; the frozen case also waits for the run before it counts, as the service works for a second. Ruled out: waiting longer, which leaves the race.

--- a/pollenfork/standin/service.py
+++ b/pollenfork/standin/service.py
@@ -1,7 +1,8 @@
 """A stand-in for a plain service beside the engines.
 
 `POST /postings` records a posting and is not idempotent; `GET` only reads.
-It counts each run, so that a test can tell at most once from twice.
+It counts each run, so that a test can tell at most once from twice, and each
+call that arrives, so that a test can act while a call is under way.
 """
 
 import asyncio
@@ -58,6 +59,7 @@
 
     Attributes:
         postings: What was recorded, oldest first.
+        arrivals: Calls that reached it, whatever became of them.
     """
 
     def __init__(
@@ -68,6 +70,7 @@
     ) -> None:
         del clock  # It has no time of its own; the signature is the engines'.
         self.postings: list[Posting] = []
+        self.arrivals = 0
         self._faults = faults
         self._left = faults.times
         self._server = http.Server(listen, self._handle)
@@ -92,6 +95,8 @@
             exchange.send(200, b"{}")
         elif request.path == "/runs":
             exchange.send(200, msgspec.json.encode(self.postings))
+        elif request.path == "/arrivals":
+            exchange.send(200, msgspec.json.encode(self.arrivals))
         elif request.path == "/faults" and request.method == "POST":
             self.set_faults(
                 msgspec.json.decode(request.body, type=ServiceFaults)
@@ -103,6 +108,7 @@
     async def _serve(
         self, request: http.Request, exchange: http.Exchange
     ) -> None:
+        self.arrivals += 1
         if self._faults.delay_s:
             await asyncio.sleep(self._faults.delay_s)
         fault = self._take_fault()
--- a/pollenfork/standin/tests/test_service.py
+++ b/pollenfork/standin/tests/test_service.py
@@ -34,6 +34,15 @@
     assert [(p["body"], p["key"]) for p in recorded] == [("7 kWh", "k")] * 2
 
 
+def test_a_call_is_an_arrival_before_it_runs(standin):
+    slow = {"delay_s": 0.2, "fault": "lose_before", "times": 1}
+    urllib3.request("POST", f"{standin.url}/faults", json=slow)
+    with pytest.raises(urllib3.exceptions.HTTPError):
+        post(standin)
+    arrivals = urllib3.request("GET", f"{standin.url}/arrivals").json()
+    assert (arrivals, standin.postings) == (1, [])
+
+
 @pytest.mark.parametrize(
     ("fault", "status", "recorded"),
     [("refuse", 503, 0), ("fail", 500, 1), ("lose_before", 0, 0),
--- a/tests/test_failures_owners.py
+++ b/tests/test_failures_owners.py
@@ -79,7 +79,7 @@
                 site.platform, delay_s=2.0, only=["commit", "store"]
             )
         if slow == "service":
-            sites.wait_until(lambda: is_claimed(site))
+            sites.wait_until(lambda: has_arrived(site))
         sites.wait_until(lambda: count_postings(site) >= at_least)
         if slow == "nothing":
             assert posted.result().status == 201
@@ -103,6 +103,12 @@
     return bool(rows["rows"])
 
 
+def has_arrived(site: processes.Site) -> bool:
+    """Returns whether the service has been sent the posting."""
+    arrivals = site.read_json(site.meters, "/arrivals")
+    return arrivals > 0
+
+
 def test_a_posting_of_a_frozen_instance_runs_once(
     site: processes.Site,
 ) -> None:
@@ -110,7 +116,7 @@
     site.set_faults(site.meters, delay_s=1.0)
     with concurrent.futures.ThreadPoolExecutor(1) as callers:
         posted = callers.submit(post, site, frozen)
-        sites.wait_until(lambda: is_claimed(site))
+        sites.wait_until(lambda: has_arrived(site))
         frozen.freeze()
         running = post(site, other)
         assert running.json()["error"]["code"] == "idempotent_request_running"
@@ -118,6 +124,7 @@
         unknown = post(site, other)
         assert unknown.status == 409
         assert unknown.json()["error"]["code"] == "outcome_unknown"
+        sites.wait_until(lambda: count_postings(site) > 0)
         assert count_postings(site) == 1
         frozen.thaw()
         assert posted.result().status == 201
