--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -23,6 +23,7 @@
     "settings_size",
     "settings_spread",
     "ledger_cost",
+    "log_cost",
     "capacity",
 )
 
--- a/pollenfork/cli/definition.py
+++ b/pollenfork/cli/definition.py
@@ -159,6 +159,35 @@
     format: OutputFormat = Format.TABLE
 
 
+@cappa.command(
+    name="explain",
+    help="Show a request's course through the logs, and why it ended so.",
+    epilog=make_examples(
+        "explain 82ba9a041bf53345 front-*.log",
+        "explain 82ba9a041bf53345 - --format json",
+    ),
+)
+@dataclasses.dataclass
+class Explain:
+    """One request, explained."""
+
+    BEHAVIOUR: ClassVar[str] = "pollenfork.cli.explaining:run_explain"
+
+    request: Annotated[
+        str, cappa.Arg(value_name="ID", help="The id that the caller gave it.")
+    ]
+    file: Annotated[
+        list[pathlib.Path],
+        cappa.Arg(
+            num_args=-1,
+            required=True,
+            value_name="FILE",
+            help="Logs of all instances; - is the standard input.",
+        ),
+    ]
+    format: OutputFormat = Format.TABLE
+
+
 @cappa.command(
     name="pollenfork",
     help="A router for language-model traffic with service levels.",
@@ -172,6 +201,7 @@
         Entry
         | Trial
         | Load
+        | Explain
         | Standin
         | operator_commands.Settings
         | operator_commands.Endpoints
--- /dev/null
+++ b/pollenfork/cli/explaining.py
@@ -0,0 +1,46 @@
+"""Behaviour of `explain`."""
+
+import pathlib
+
+import msgspec
+
+from pollenfork import context
+from pollenfork import status
+from pollenfork.cli import definition
+from pollenfork.logbook import causes
+from pollenfork.logbook import course
+from pollenfork.logbook import lines
+from pollenfork.logbook import page
+
+_INPUT = pathlib.Path("-")
+
+
+def run_explain(
+    command: definition.Explain, env: context.Environment
+) -> status.ExitStatus:
+    """Writes one request's course through the logs, and its cause."""
+    log: list[lines.Line] = []
+    for path in command.file:
+        try:
+            log += _read(path, env)
+        except OSError as error:
+            env.fail(f"{path} can't be read: {error.strerror}")
+            return status.ExitStatus.USAGE
+    if not log:
+        env.fail("these files hold no log lines; give what an instance wrote")
+        return status.ExitStatus.USAGE
+    found = course.follow(command.request, log)
+    if command.format is definition.Format.JSON:
+        told = {"course": found, "cause": causes.explain(found)}
+        body = msgspec.json.format(msgspec.json.encode(told))
+        env.stdout.write(body.decode() + "\n")
+    else:
+        page.write(found, env.stdout)
+    return status.ExitStatus.SUCCESS if found.lines else status.ExitStatus.ERROR
+
+
+def _read(path: pathlib.Path, env: context.Environment) -> list[lines.Line]:
+    if path == _INPUT:
+        return list(lines.read(env.stdin, "-"))
+    with path.open(errors="replace") as source:
+        return list(lines.read(source, path.stem))
--- a/pollenfork/cli/tests/test_core.py
+++ b/pollenfork/cli/tests/test_core.py
@@ -57,6 +57,7 @@
         ("entry",),
         ("trial",),
         ("load",),
+        ("explain",),
         ("standin",),
         ("standin", "platform"),
         ("standin", "engine"),
@@ -163,3 +164,34 @@
     assert ended.returncode == status.ExitStatus.ERROR
     assert "pollenfork: can't listen" in ended.stderr
     assert "Traceback" not in ended.stderr
+
+
+LOG = (
+    "instance=i-1 time=2026-07-26 14:37:44,887 level=INFO logger=pollenfork.x "
+    "event=refused request=q status=503 reason=no_runner\n"
+)
+
+
+def test_explain_tells_the_course_of_a_request(tmp_path):
+    log = tmp_path / "i-1.log"
+    log.write_text(LOG)
+    ended, written, _ = run("explain", "q", log)
+    assert ended is status.ExitStatus.SUCCESS
+    assert "refused  status=503 reason=no_runner" in written
+    assert "cause: refused: no runner of its service takes work" in written
+    ended, written, _ = run("explain", "q", log, "--format", "json")
+    assert json.loads(written)["course"]["lines"][0]["event"] == "refused"
+
+
+def test_explain_says_what_it_cannot_do(tmp_path):
+    ended, _, error = run("explain", "q", tmp_path / "missing.log")
+    assert ended is status.ExitStatus.USAGE
+    assert error.count("\n") == 1 and "can't be read" in error
+    empty = tmp_path / "empty.log"
+    empty.write_text("nothing\n")
+    ended, _, error = run("explain", "q", empty)
+    assert ended is status.ExitStatus.USAGE and "no log lines" in error
+    empty.write_text(LOG)
+    ended, written, _ = run("explain", "other", empty)
+    assert ended is status.ExitStatus.ERROR
+    assert "cause: no line names it" in written
--- a/pollenfork/gateway/admission.py
+++ b/pollenfork/gateway/admission.py
@@ -37,7 +37,7 @@
         return _refuse(503, _Reason.NO_SETTINGS)
     if not head.attempt:
         return _refuse(400, _Reason.NO_ATTEMPT_ID)
-    route = found.find_route(_find_host(call), _find_path(call))
+    route = found.find_route(find_host(call), find_path(call))
     if route is None:
         if not known.freshness.trusts_keys(now):
             return _refuse(503, _Reason.SETTINGS_STALE)
@@ -49,7 +49,8 @@
         account = found.find_account(head.key)
         if account is None:
             return _refuse(401, _Reason.UNKNOWN_KEY)
-    return result.Ok(_admit(found, call, head, route, account))
+    age_s = known.freshness.age(now) or 0.0
+    return result.Ok(_admit(found, call, head, route, account, age_s))
 
 
 def _admit(
@@ -58,6 +59,7 @@
     head: messages.CallHead,
     route: routes.Route,
     account: routes.Account | None,
+    age_s: float,
 ) -> context.Admitted:
     limit_s = route.time_limit_s
     if head.wait_s is not None:
@@ -74,18 +76,22 @@
         holding=holding.plan(route, tiers, demand, call.arrived, limit_s),
         account=account,
         tier=found.rank(route, account),
+        version=found.configuration.version,
+        age_s=age_s,
         until=call.arrived + limit_s,
     )
 
 
-def _find_host(call: messages.Call) -> str:
+def find_host(call: messages.Call) -> str:
+    """Returns the host that a request names; empty where it names none."""
     for name, value in call.headers:
         if name == b"host":
             return value.decode("latin-1")
     return ""
 
 
-def _find_path(call: messages.Call) -> str:
+def find_path(call: messages.Call) -> str:
+    """Returns a request's path without its query."""
     return call.target.partition(b"?")[0].decode("latin-1")
 
 
--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -4,9 +4,12 @@
 import logging
 import random
 import signal
+from typing import TYPE_CHECKING
 
+import msgspec
 import result
 
+from pollenfork import logs
 from pollenfork.catalogue import watch
 from pollenfork.fleet import choice
 from pollenfork.fleet import repeats
@@ -21,10 +24,14 @@
 from pollenfork.gateway import messages
 from pollenfork.gateway import peers
 from pollenfork.gateway import pool
+from pollenfork.gateway import readiness
 from pollenfork.gateway import replies
 from pollenfork.gateway import settings
 from pollenfork.loads import messages as loads
 
+if TYPE_CHECKING:
+    from pollenfork import metrics
+
 _LOG = logging.getLogger(__name__)
 
 # How long the store holds a call when nothing changes, in seconds. The
@@ -81,11 +88,14 @@
             pool=pool.Pool(self._loop),
             repeats=repeats.RepeatBudget(told.retry_ratio, told.retry_window_s),
             counters=self.counters,
+            read_loads_age=self._read_loads_age,
         )
         self.known.runners.when_gone(self._tools.pool.forget)
+        self._readiness = readiness.Readiness(self.known, self._stopping.is_set)
         self._peers: peers.Peers | None = None
         self._configuration: following.Follower | None = None
         self._runners: following.Follower | None = None
+        self.counters.when_shown(self._show_state)
         self._front = callers.Server(self._loop, self._serve)
         self._probes = callers.Server(self._loop, self._serve_probe)
 
@@ -209,6 +219,9 @@
             return loads.Load()
         return self._peers.read_others(runner)
 
+    def _read_loads_age(self) -> float | None:
+        return None if self._peers is None else self._peers.read_age()
+
     def _note_store(self, lost: bool) -> None:
         if not lost:
             self.known.runners.note_store_back(self._loop.time())
@@ -221,7 +234,9 @@
         while True:
             await asyncio.sleep(_SWEEP_S)
             self._tools.pool.sweep()
-            self.known.runners.expire(self._loop.time())
+            now = self._loop.time()
+            self.known.runners.expire(now)
+            self._readiness.check(now)
 
     def _reload(self) -> None:
         # Addresses and bounds of a running process don't change; what does
@@ -264,31 +279,57 @@
             refusal = replies.Refusal(
                 _BAD_REQUEST, replies.Reason.REPEATED_HEADER
             )
-            self._refuse(caller, refusal, "")
+            self._refuse(call, caller, refusal, "")
             return
         head = self._codec.read_call(call.headers)
         admitted = admission.admit(self.known, call, head, self._loop.time())
         if isinstance(admitted, result.Err):
-            self._refuse(caller, admitted.err_value, head.attempt)
+            self._refuse(call, caller, admitted.err_value, head.attempt)
             return
         await exchange.Exchange(self._tools, admitted.ok_value, caller).run()
 
     def _refuse(
         self,
+        call: messages.Call,
         caller: callers.CallerConnection,
         refusal: replies.Refusal,
         request: str,
     ) -> None:
         self.counters.note_refused(refusal.reason)
+        age_s = self.known.freshness.age(self._loop.time())
+        known = self.known.lookup
         _LOG.info(
-            "event=refused request=%s status=%d reason=%s age_s=%s",
-            request,
+            "event=refused request=%s status=%d reason=%s host=%s path=%s "
+            "configuration=%s age_ms=%s",
+            logs.write_value(request),
             refusal.status,
             refusal.reason.value,
-            self.known.freshness.age(self._loop.time()),
+            logs.write_value(admission.find_host(call)),
+            logs.write_value(admission.find_path(call)),
+            known.configuration.version if known else "-",
+            "-" if age_s is None else int(age_s * 1000),
         )
         caller.write(replies.write_refusal(refusal, caller.closing))
 
+    def _show_state(self, shown: "metrics.Metrics") -> None:
+        """Shows a scraper what other parts have counted, and the settings."""
+        for fault, count in self._front.counters.refused.items():
+            shown.set_count(
+                "pollenfork_caller_faults_total", count, reason=fault
+            )
+        used = self._tools.pool.counters
+        for event, count in msgspec.structs.asdict(used).items():
+            shown.set_count(
+                "pollenfork_runner_connections_total", count, event=event
+            )
+        known = self.known
+        if known.lookup is not None:
+            version = known.lookup.configuration.version
+            shown.set_gauge("pollenfork_settings_revision", version)
+        age_s = known.freshness.age(self._loop.time())
+        if age_s is not None:
+            shown.set_gauge("pollenfork_settings_age_seconds", age_s)
+
     async def _serve_probe(
         self, call: messages.Call, caller: callers.CallerConnection
     ) -> None:
@@ -296,6 +337,6 @@
             caller.write(replies.write_text(200, self.counters.write()))
             return
         now = self._loop.time()
-        ready = not self._stopping.is_set() and self.known.is_ready(now)
+        ready = self._readiness.check(now)
         status = 200 if ready else 503
         caller.write(replies.write_text(status, b"ready" if ready else b"no"))
--- a/pollenfork/gateway/callers.py
+++ b/pollenfork/gateway/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable, Coroutine
 import enum
+import logging
 from typing import Any
 
 import httptools
@@ -12,6 +13,8 @@
 from pollenfork.gateway import replies
 from pollenfork.routes import model as routes
 
+_LOG = logging.getLogger(__name__)
+
 # Bytes that wait for a slow caller before its runner is made to wait too.
 _UNSENT_HIGH = 64 * 1024
 # A caller that keeps its connection may still be using it when its idle limit
@@ -83,6 +86,7 @@
     def __init__(self, server: Server) -> None:
         self._server = server
         self._transport: asyncio.Transport | None = None
+        self._peer = ""
         self._parser: Any = httptools.HttpRequestParser(self)
         self._timer: asyncio.TimerHandle | None = None
         self._task: asyncio.Task[None] | None = None
@@ -139,6 +143,8 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         transport.set_write_buffer_limits(high=_UNSENT_HIGH)
+        host, port = transport.get_extra_info("peername")[:2]
+        self._peer = f"{host}:{port}"
         self._server.connections.add(self)
         self._server.counters.connections += 1
         self._arm(self._server.limits.header_s, self._give_up_reading)
@@ -295,6 +301,14 @@
         self._fault = fault
         counted = self._server.counters.refused
         counted[fault.value] = counted.get(fault.value, 0) + 1
+        _LOG.warning(
+            "event=caller_refused fault=%s caller=%s header_bytes=%d "
+            "body_bytes=%d",
+            fault.value,
+            self._peer,
+            self._header_bytes,
+            self._body_bytes,
+        )
         self._closing = True
         if self._transport is None:
             return
--- a/pollenfork/gateway/context.py
+++ b/pollenfork/gateway/context.py
@@ -1,6 +1,7 @@
 """What an exchange is given: the request admitted, and the shared tools."""
 
 import asyncio
+from collections.abc import Callable
 import random
 
 import msgspec
@@ -28,6 +29,8 @@
         holding: How it may be kept back.
         account: The client account, where it showed a key.
         tier: Its urgency.
+        version: The version of the configuration that admitted it.
+        age_s: Seconds for which that version wasn't known to be the newest.
         until: Monotonic seconds at which its answer is of no use.
     """
 
@@ -38,11 +41,18 @@
     holding: holding.Holding
     account: routes.Account | None
     tier: ids.Tier
+    version: int
+    age_s: float
     until: float
 
 
 class Tools(msgspec.Struct, frozen=True):
-    """What all exchanges share."""
+    """What all exchanges share.
+
+    Attributes:
+        read_loads_age: Returns how old others' loads are, in seconds; None
+            where there are none.
+    """
 
     loop: asyncio.AbstractEventLoop
     rng: random.Random
@@ -51,3 +61,4 @@
     pool: pool.Pool
     repeats: repeats.RepeatBudget
     counters: counters.Counters
+    read_loads_age: Callable[[], float | None]
--- a/pollenfork/gateway/counters.py
+++ b/pollenfork/gateway/counters.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import bisect
+from collections.abc import Callable
 import importlib
 from typing import TYPE_CHECKING
 
@@ -10,6 +11,7 @@
 
 from pollenfork import metric_help
 from pollenfork.fleet import messages as fleet_messages
+from pollenfork.gateway import repetition
 from pollenfork.gateway import replies
 from pollenfork.routes import model as routes
 
@@ -19,12 +21,31 @@
 _BOUNDS_S = metric_help.LATENCY_BOUNDS_S
 
 
+class Served(msgspec.Struct, frozen=True):
+    """How long an answer of a runner took, in seconds.
+
+    Attributes:
+        whole_s: From the request's arrival to the answer's end.
+        first_s: From the arrival to the first event, or the whole answer.
+        gap_s: The longest pause between events.
+    """
+
+    whole_s: float
+    first_s: float
+    gap_s: float = 0.0
+
+    def meets(self, route: routes.Route) -> bool:
+        """Returns whether it was within its route's targets."""
+        in_time = not route.target_s or self.first_s <= route.target_s
+        return in_time and (not route.gap_s or self.gap_s <= route.gap_s)
+
+
 class Latencies(msgspec.Struct):
-    """Answers by the bucket of their time.
+    """Times by bucket, until a scraper takes them.
 
     Attributes:
-        counts: Answers not yet shown to a scraper, by bucket.
-        totals_s: Their times added up, by bucket.
+        counts: Times not yet shown to a scraper, by bucket.
+        totals_s: Their sums, by bucket.
     """
 
     counts: list[int] = msgspec.field(
@@ -35,7 +56,7 @@
     )
 
     def note(self, seconds: float) -> None:
-        """Counts one answer."""
+        """Counts one time."""
         bucket = bisect.bisect_left(_BOUNDS_S, seconds)
         self.counts[bucket] += 1
         self.totals_s[bucket] += seconds
@@ -52,6 +73,28 @@
         return times
 
 
+class Series(msgspec.Struct, frozen=True):
+    """A metric with the class of requests that it is of.
+
+    Attributes:
+        metric: The metric's name.
+        kind: What of the requests may be repeated.
+        tier: Their route's urgency.
+    """
+
+    metric: str
+    kind: str
+    tier: int
+
+    @classmethod
+    def of(cls, metric: str, route: routes.Route) -> Series:
+        """Returns a metric of a route's requests.
+
+        Routes come and go by the hundred, so none is a label.
+        """
+        return cls(metric, route.kind.value, route.tier)
+
+
 class Counters:
     """Counts of answers, refusals and repeats.
 
@@ -60,20 +103,39 @@
     """
 
     def __init__(self) -> None:
-        self._latencies: dict[str, Latencies] = {}
+        self._latencies: dict[Series, Latencies] = {}
+        self._targets: dict[Series, int] = {}
         self._refused: dict[replies.Reason, int] = {}
         self._repeats: dict[fleet_messages.End, int] = {}
+        self._not_repeated: dict[repetition.Sequel, int] = {}
         self._sent = 0
+        self._gone = 0
         self._metrics: metrics.Metrics | None = None
+        self._on_shown: list[Callable[[metrics.Metrics], None]] = []
+
+    def when_shown(self, call: Callable[[metrics.Metrics], None]) -> None:
+        """Calls `call` before each scrape, to set what it has counted."""
+        self._on_shown.append(call)
 
     def note_sent(self) -> None:
         """Counts a request handed to a runner."""
         self._sent += 1
 
-    def note_served(self, route: routes.Route, seconds: float) -> None:
+    def note_wait(self, route: routes.Route, seconds: float) -> None:
+        """Counts a request for which a runner was first chosen."""
+        self._observe("pollenfork_request_wait_seconds", route, seconds)
+
+    def note_served(self, route: routes.Route, served: Served) -> None:
         """Counts an answer of a runner handed to its caller."""
-        kind = route.kind.value
-        self._latencies.setdefault(kind, Latencies()).note(seconds)
+        self._observe("pollenfork_answer_seconds", route, served.whole_s)
+        self._observe("pollenfork_first_token_seconds", route, served.first_s)
+        if route.kind is routes.Kind.STREAM:
+            self._observe("pollenfork_event_gap_seconds", route, served.gap_s)
+        metric = "pollenfork_targets_missed_total"
+        if served.meets(route):
+            metric = "pollenfork_targets_met_total"
+        series = Series.of(metric, route)
+        self._targets[series] = self._targets.get(series, 0) + 1
 
     def note_refused(self, reason: replies.Reason) -> None:
         """Counts an answer of the gateway's own."""
@@ -83,26 +145,56 @@
         """Counts a further attempt, by how the one before ended."""
         self._repeats[end] = self._repeats.get(end, 0) + 1
 
+    def note_not_repeated(self, sequel: repetition.Sequel) -> None:
+        """Counts a failed attempt that no other follows, by why."""
+        count = self._not_repeated.get(sequel, 0)
+        self._not_repeated[sequel] = count + 1
+
+    def note_gone(self) -> None:
+        """Counts a caller that left before its answer was whole."""
+        self._gone += 1
+
     def write(self) -> bytes:
         """Returns all counts in the text form of Prometheus."""
         shown = self._load_metrics()
         shown.set_count("pollenfork_attempts_total", self._sent)
-        for reason, count in self._refused.items():
-            shown.set_count(
-                "pollenfork_refusals_total", count, reason=reason.value
-            )
-        for end, count in self._repeats.items():
-            shown.set_count(
-                "pollenfork_relay_retries_total", count, reason=end.value
-            )
-        for kind, latencies in self._latencies.items():
+        shown.set_count("pollenfork_callers_gone_total", self._gone)
+        _show(shown, "pollenfork_refusals_total", self._refused)
+        _show(shown, "pollenfork_relay_retries_total", self._repeats)
+        _show(shown, "pollenfork_not_repeated_total", self._not_repeated)
+        for series, count in self._targets.items():
+            shown.set_count(series.metric, count, **_label(series))
+        for series, latencies in self._latencies.items():
             for seconds in latencies.take():
-                shown.observe("pollenfork_answer_seconds", seconds, kind=kind)
+                shown.observe(series.metric, seconds, **_label(series))
+        for show in self._on_shown:
+            show(shown)
         content, _ = shown.render()
         return content
 
+    def _observe(
+        self, metric: str, route: routes.Route, seconds: float
+    ) -> None:
+        series = Series.of(metric, route)
+        self._latencies.setdefault(series, Latencies()).note(seconds)
+
     def _load_metrics(self) -> metrics.Metrics:
         if self._metrics is None:
             module = importlib.import_module("pollenfork.metrics")
             self._metrics = module.Metrics()
         return self._metrics
+
+
+def _label(series: Series) -> dict[str, str]:
+    return {"kind": series.kind, "tier": str(series.tier)}
+
+
+def _show(
+    shown: metrics.Metrics,
+    metric: str,
+    counts: dict[replies.Reason, int]
+    | dict[fleet_messages.End, int]
+    | dict[repetition.Sequel, int],
+) -> None:
+    for reason, count in counts.items():
+        shown.set_count(metric, count, reason=reason.value)
--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -6,6 +6,7 @@
 import result
 
 from pollenfork import ids
+from pollenfork import logs
 from pollenfork.fleet import choice
 from pollenfork.fleet import messages as fleet_messages
 from pollenfork.fleet import model as fleet
@@ -13,11 +14,13 @@
 from pollenfork.gateway import callers
 from pollenfork.gateway import connection
 from pollenfork.gateway import context
+from pollenfork.gateway import counters
 from pollenfork.gateway import events
 from pollenfork.gateway import holding
 from pollenfork.gateway import messages
 from pollenfork.gateway import patience
 from pollenfork.gateway import pool
+from pollenfork.gateway import repetition
 from pollenfork.gateway import replies
 from pollenfork.routes import model as routes
 
@@ -25,14 +28,11 @@
 
 _End = fleet_messages.End
 _Reason = replies.Reason
+_Sequel = repetition.Sequel
 
-# Runners that could not be reached don't count as attempts, but the search
-# for one that can must end.
-_LARGEST_SEARCH = 4
 # When to come back after a refusal, in seconds: a little longer than a burst
 # of the more urgent or the loss of a runner usually takes to be known.
 _COME_BACK_S = 0.15
-_SERVER_ERROR = 500
 
 
 class Exchange:
@@ -48,10 +48,10 @@
         self._admitted = admitted
         self._caller = caller
         self._relay: attempt.Relay | None = None
+        self._request = logs.write_value(admitted.head.attempt)
         self._avoid: set[ids.EndpointId] = set()
-        self._sent = 0
-        self._searched = 0
-        self._may_have_run = False
+        self._course = repetition.Course()
+        self._runner: ids.EndpointId | None = None
         self._first_s: float | None = None
         self._gap_s = 0.0
         self._event_at = 0.0
@@ -63,6 +63,17 @@
 
     async def run(self) -> None:
         """Serves the request; returns when the caller has its answer."""
+        try:
+            await self._serve()
+        except asyncio.CancelledError:
+            self._note_gone()
+            raise
+        except Exception:
+            # The fault is this program's; the caller must not wait for it.
+            _LOG.exception("event=request_failed request=%s", self._request)
+            self._give_up(_Reason.FAULT)
+
+    async def _serve(self) -> None:
         tools = self._tools
         tools.repeats.note_request(
             self._admitted.demand.service, tools.loop.time()
@@ -75,10 +86,9 @@
             if grant is None:
                 self._give_up(_Reason.NO_RUNNER)
                 return
-            self._log_choice(grant)
+            self._note_choice(grant)
             ended = await self._try(grant)
-            self._note(grant, ended)
-            if not self._goes_on(ended):
+            if self._note(grant, ended) is not _Sequel.REPEATED:
                 self._finish(ended)
                 return
 
@@ -102,22 +112,34 @@
             pause_s = holding.LOOK_S * self._tools.rng.uniform(0.5, 1.5)
             await asyncio.sleep(pause_s)
 
-    def _log_choice(self, grant: choice.Grant) -> None:
+    def _note_choice(self, grant: choice.Grant) -> None:
+        admitted = self._admitted
+        self._runner = grant.runner.id
+        if not self._course.searched:
+            self._tools.counters.note_wait(admitted.route, self._took())
+        loads_age_s = self._tools.read_loads_age()
         _LOG.info(
-            "event=chosen request=%s route=%s runner=%s cost_ms=%d unread=%d "
+            "event=chosen request=%s route=%s tier=%d configuration=%d "
+            "age_ms=%d runner=%s waited_ms=%d cost_ms=%d unread=%d "
             "holders=%d kept_cost_ms=%d crowd_ms=%d own=%d parts=%d "
-            "left_ms=%d",
-            self._admitted.head.attempt,
-            self._admitted.route.name,
+            "loads_age_ms=%s left_ms=%d",
+            self._request,
+            admitted.route.name,
+            admitted.tier,
+            admitted.version,
+            admitted.age_s * 1000,
             grant.runner.id,
+            self._took() * 1000,
             grant.cost * 1000,
             grant.unread,
             grant.holders,
             grant.kept_cost * 1000,
             grant.crowd_s * 1000,
             grant.reading - grant.unread,
-            len(self._admitted.head.parts),
+            len(admitted.head.parts),
+            "-" if loads_age_s is None else int(loads_age_s * 1000),
             self._left() * 1000,
+            extra=logs.ORDINARY,
         )
 
     async def _try(self, grant: choice.Grant) -> attempt.Ended:
@@ -126,7 +148,7 @@
             found = await self._connect(grant.runner)
             if found is None:
                 return attempt.Ended(_End.UNSENT)
-            self._sent += 1
+            self._course.sent += 1
             self._tools.counters.note_sent()
             return await self._exchange(grant, found)
         finally:
@@ -156,7 +178,11 @@
         )
         self._current = found
         found.send(self._write_call(grant.runner), receiver)
-        limits = patience.Patience.of(admitted, grant.cost, self._may_repeat())
+        limits = patience.Patience.of(
+            admitted,
+            grant.cost,
+            repetition.is_allowed(admitted.route, self._course),
+        )
         try:
             ended = await limits.wait(receiver, self._tools.loop)
         except asyncio.CancelledError:
@@ -191,42 +217,78 @@
 
     # What an end proves, and what follows.
 
-    def _note(self, grant: choice.Grant, ended: attempt.Ended) -> None:
-        now = self._tools.loop.time()
-        failed = ended.end is _End.WHOLE and _is_error(ended)
-        grant.standing.note_end(ended.end, failed, now)
+    def _note(
+        self, grant: choice.Grant, ended: attempt.Ended
+    ) -> repetition.Sequel:
+        """Takes the end of an attempt; returns what follows."""
+        admitted = self._admitted
         self._avoid.add(grant.runner.id)
-        self._searched += 1
-        if failed or ended.end in (_End.BROKEN, _End.SILENT):
-            self._may_have_run = True
-        if ended.end is not _End.WHOLE or failed:
-            _LOG.info(
-                "event=attempt_failed request=%s runner=%s end=%s breach=%s "
-                "status=%s route=%s left_ms=%d sent=%d",
-                self._admitted.head.attempt,
+        self._course.note(ended)
+        self._note_standing(grant, ended)
+        sequel = repetition.decide(
+            ended, admitted.route, self._course, self._left(), self._take_repeat
+        )
+        if sequel is _Sequel.ANSWERED:
+            return sequel
+        if sequel is _Sequel.REPEATED:
+            self._tools.counters.note_repeat(ended.end)
+        else:
+            self._tools.counters.note_not_repeated(sequel)
+        _LOG.warning(
+            "event=attempt_failed request=%s runner=%s end=%s breach=%s "
+            "status=%s route=%s took_ms=%d left_ms=%d sent=%d sequel=%s",
+            self._request,
+            grant.runner.id,
+            ended.end.value,
+            ended.breach.value if ended.breach else "-",
+            ended.head.status if ended.head else "-",
+            admitted.route.name,
+            self._took() * 1000,
+            self._left() * 1000,
+            self._course.sent,
+            sequel.value,
+        )
+        return sequel
+
+    def _note_standing(self, grant: choice.Grant, ended: attempt.Ended) -> None:
+        """Updates what is believed of the runner, and says so if it changed."""
+        seen = grant.standing
+        failures = seen.failures
+        now = self._tools.loop.time()
+        seen.note_end(ended.end, repetition.is_error(ended), now)
+        if seen.failures > failures:
+            _LOG.warning(
+                "event=runner_shunned runner=%s request=%s end=%s failures=%d "
+                "pause_ms=%d",
                 grant.runner.id,
+                self._request,
                 ended.end.value,
-                ended.breach.value if ended.breach else "-",
-                ended.head.status if ended.head else "-",
-                self._admitted.route.name,
-                self._left() * 1000,
-                self._sent,
+                seen.failures,
+                (seen.shunned_until - now) * 1000,
+            )
+        elif seen.failures < failures:
+            _LOG.info(
+                "event=runner_trusted runner=%s request=%s failures=%d",
+                grant.runner.id,
+                self._request,
+                failures,
             )
 
-    def _goes_on(self, ended: attempt.Ended) -> bool:
-        """Returns whether a further attempt follows; takes it if so."""
-        if ended.end is _End.WHOLE and not _is_error(ended):
-            return False
-        harmless = ended.end in (_End.UNSENT, _End.REFUSED)
-        if not harmless and not self._admitted.route.idempotent:
-            return False
-        if not self._may_go_on():
-            return False
-        # What was never sent is not a repeat.
-        if ended.end is not _End.UNSENT and not self._take_repeat():
-            return False
-        self._tools.counters.note_repeat(ended.end)
-        return True
+    def _note_gone(self) -> None:
+        """Notes that the caller left, which ended what ran for it."""
+        begun = self._relay is not None and self._relay.begun
+        self._tools.counters.note_gone()
+        _LOG.info(
+            "event=caller_gone request=%s route=%s runner=%s sent=%d begun=%s "
+            "took_ms=%d left_ms=%d",
+            self._request,
+            self._admitted.route.name,
+            self._runner or "-",
+            self._course.sent,
+            begun,
+            self._took() * 1000,
+            self._left() * 1000,
+        )
 
     def _take_repeat(self) -> bool:
         now = self._tools.loop.time()
@@ -252,53 +314,62 @@
                 ended.head, len(ended.body), self._caller.closing
             )
             self._caller.write(written + ended.body)
-        elif _is_error(ended):
+        elif repetition.is_error(ended):
             self._give_up(_Reason.MAY_HAVE_RUN)
             return
         else:
             self._caller.write(b"0\r\n\r\n")
-        self._tools.counters.note_served(self._admitted.route, self._took())
-        _LOG.info(
-            "event=answered request=%s route=%s status=%d took_ms=%d "
-            "first_ms=%d gap_ms=%d sent=%d",
-            self._admitted.head.attempt,
-            self._admitted.route.name,
-            ended.head.status,
-            self._took() * 1000,
-            (self._first_s or self._took()) * 1000,
-            self._gap_s * 1000,
-            self._sent,
-        )
+        self._note_answered(ended.head.status)
 
-    def _may_repeat(self) -> bool:
-        """Whether a further attempt may follow the one that begins."""
+    def _note_answered(self, status: int) -> None:
         route = self._admitted.route
-        return route.idempotent and self._sent < route.attempts
-
-    def _may_go_on(self) -> bool:
-        return (
-            self._sent < self._admitted.route.attempts
-            and self._searched < _LARGEST_SEARCH
-            and self._left() > 0
+        took_s = self._took()
+        served = counters.Served(
+            whole_s=took_s,
+            first_s=took_s if self._first_s is None else self._first_s,
+            gap_s=self._gap_s,
+        )
+        self._tools.counters.note_served(route, served)
+        _LOG.info(
+            "event=answered request=%s route=%s runner=%s status=%d "
+            "took_ms=%d first_ms=%d target_ms=%d gap_ms=%d gap_target_ms=%d "
+            "sent=%d",
+            self._request,
+            route.name,
+            self._runner,
+            status,
+            took_s * 1000,
+            served.first_s * 1000,
+            route.target_s * 1000,
+            served.gap_s * 1000,
+            route.gap_s * 1000,
+            self._course.sent,
+            extra=logs.ORDINARY if served.meets(route) else None,
         )
 
     def _give_up(self, reason: _Reason) -> None:
         """Gives the caller its final answer at once."""
         self._tools.counters.note_refused(reason)
-        _LOG.info(
+        may_have_run = self._course.may_have_run
+        # A fault of this program proves nothing about what it has sent.
+        if reason is _Reason.FAULT and self._course.sent:
+            may_have_run = True
+        _LOG.warning(
             "event=given_up request=%s route=%s reason=%s may_have_run=%s "
-            "sent=%d took_ms=%d",
-            self._admitted.head.attempt,
+            "sent=%d configuration=%d took_ms=%d left_ms=%d",
+            self._request,
             self._admitted.route.name,
             reason.value,
-            self._may_have_run,
-            self._sent,
+            may_have_run,
+            self._course.sent,
+            self._admitted.version,
             self._took() * 1000,
+            self._left() * 1000,
         )
         if self._relay is not None and self._relay.begun:
             self._caller.break_off()
             return
-        if self._may_have_run:
+        if may_have_run:
             status = 504 if reason is _Reason.TIME_LIMIT else 502
             refusal = replies.Refusal(status, reason)
         else:
@@ -331,7 +402,3 @@
             current.pause()
         else:
             current.resume()
-
-
-def _is_error(ended: attempt.Ended) -> bool:
-    return ended.head is not None and ended.head.status >= _SERVER_ERROR
--- a/pollenfork/gateway/knowledge.py
+++ b/pollenfork/gateway/knowledge.py
@@ -46,14 +46,6 @@
         self._runners_through = 0
         self._behind_since: dict[str, float] = {}
 
-    def is_ready(self, now: float) -> bool:
-        """Returns whether requests can be served."""
-        return (
-            self.lookup is not None
-            and self.has_runners
-            and self.freshness.trusts_keys(now)
-        )
-
     def note_current(self, moment: float) -> None:
         """Takes this instance's own proof that the configuration is current."""
         self._own_current_at = moment
@@ -150,7 +142,9 @@
             self._runners_row = max(self._runners_row, row.version)
             if row.removed:
                 self.runners.remove(ids.EndpointId(row.key), now)
-                _LOG.info("event=runner_gone runner=%s", row.key)
+                _LOG.info(
+                    "event=runner_gone runner=%s row=%d", row.key, row.version
+                )
                 continue
             read = self._store.read_runner(row)
             if isinstance(read, result.Err):
--- a/pollenfork/gateway/peers.py
+++ b/pollenfork/gateway/peers.py
@@ -67,7 +67,9 @@
         self._exchange = core.Exchange(me, told.data_centre, told.seeds, here)
         self._transport: asyncio.DatagramTransport | None = None
         self._others: messages.Table = {}
+        self._heard_at: float | None = None
         self._instances = 1
+        self._relay: str | None = me.host
         self._ticked_at = 0.0
         self._urgent = False
         self._hurrying: asyncio.TimerHandle | None = None
@@ -91,7 +93,7 @@
         now = self._loop.time()
         self._send(self._exchange.hear(message, address[0], now))
         if isinstance(message, messages.Others):
-            self._others = self._exchange.read_others(now)
+            self._read_exchange(now)
         elif (
             isinstance(message, messages.Report | messages.Sum)
             and message.urgent
@@ -129,17 +131,32 @@
         now = self._ticked_at = self._loop.time()
         urgent, self._urgent = self._urgent, False
         self._send(self._exchange.tick(now, urgent))
-        self._others = self._exchange.read_others(now)
-        self._note_instances()
+        self._read_exchange(now)
+        self._note_changes(now)
 
     def read_others(self, runner: int) -> messages.Load:
         """Returns what other instances have under way at a runner."""
         return self._others.get(runner, _NONE)
 
-    def _note_instances(self) -> None:
+    def read_age(self) -> float | None:
+        """Returns how old others' loads are in seconds; None: unknown."""
+        if self._heard_at is None:
+            return None
+        return self._loop.time() - self._heard_at
+
+    def _read_exchange(self, now: float) -> None:
+        self._others = self._exchange.read_others(now)
+        age_s = self._exchange.read_age(now)
+        self._heard_at = None if age_s is None else now - age_s
+
+    def _note_changes(self, now: float) -> None:
         if self._exchange.instances != self._instances:
             self._instances = self._exchange.instances
             _LOG.info("event=peers_known instances=%d", self._instances)
+        relay = self._exchange.find_relay(now)
+        if relay != self._relay:
+            self._relay = relay
+            _LOG.info("event=relay_changed relay=%s", relay or "-")
 
     def _send(self, sends: list[messages.Send]) -> None:
         if self._transport is None:
--- /dev/null
+++ b/pollenfork/gateway/readiness.py
@@ -0,0 +1,69 @@
+"""Whether callers should be sent here, and why not."""
+
+from collections.abc import Callable
+import enum
+import logging
+
+from pollenfork.gateway import knowledge
+
+_LOG = logging.getLogger(__name__)
+
+
+class State(enum.Enum):
+    """What an instance is fit for."""
+
+    READY = "ready"
+    NO_SETTINGS = "no_settings"
+    NO_RUNNERS = "no_runners"
+    SETTINGS_STALE = "settings_stale"
+    STOPPING = "stopping"
+
+
+class Readiness:
+    """Judges the instance's state and tells of each change.
+
+    Attributes:
+        state: The state as last judged.
+    """
+
+    def __init__(
+        self, known: knowledge.Knowledge, is_stopping: Callable[[], bool]
+    ) -> None:
+        self._known = known
+        self._is_stopping = is_stopping
+        self.state = State.NO_SETTINGS
+
+    def check(self, now: float) -> bool:
+        """Returns whether callers may be sent here.
+
+        Args:
+            now: Monotonic seconds.
+        """
+        state = self._judge(now)
+        if state is not self.state:
+            self._tell(state, now)
+            self.state = state
+        return state is State.READY
+
+    def _judge(self, now: float) -> State:
+        known = self._known
+        if self._is_stopping():
+            return State.STOPPING
+        if known.lookup is None:
+            return State.NO_SETTINGS
+        if not known.has_runners:
+            return State.NO_RUNNERS
+        if not known.freshness.trusts_keys(now):
+            return State.SETTINGS_STALE
+        return State.READY
+
+    def _tell(self, state: State, now: float) -> None:
+        known = self._known
+        age_s = known.freshness.age(now)
+        _LOG.info(
+            "event=readiness state=%s before=%s configuration=%s age_ms=%s",
+            state.value,
+            self.state.value,
+            known.lookup.configuration.version if known.lookup else "-",
+            "-" if age_s is None else int(age_s * 1000),
+        )
--- /dev/null
+++ b/pollenfork/gateway/repetition.py
@@ -0,0 +1,96 @@
+"""Decides whether a request goes to a further runner after an attempt."""
+
+from collections.abc import Callable
+import enum
+
+import msgspec
+
+from pollenfork.fleet import messages
+from pollenfork.gateway import attempt
+from pollenfork.routes import model as routes
+
+End = messages.End
+
+# Runners that could not be reached don't count as attempts, but the search
+# for one that can must end.
+_LARGEST_SEARCH = 4
+_SERVER_ERROR = 500
+
+
+class Sequel(enum.Enum):
+    """What follows an attempt: the answer, another attempt, or why neither."""
+
+    ANSWERED = "answered"
+    REPEATED = "repeated"
+    NOT_IDEMPOTENT = "not_idempotent"
+    ATTEMPTS_SPENT = "attempts_spent"
+    SEARCH_ENDED = "search_ended"
+    NO_TIME = "no_time"
+    BUDGET_SPENT = "budget_spent"
+
+
+class Course(msgspec.Struct):
+    """The attempts of one request so far.
+
+    Attributes:
+        sent: Runners that it was sent to.
+        searched: Runners that were tried, reached or not.
+        may_have_run: Whether one of them may have run it.
+    """
+
+    sent: int = 0
+    searched: int = 0
+    may_have_run: bool = False
+
+    def note(self, ended: attempt.Ended) -> None:
+        """Takes the end of an attempt."""
+        self.searched += 1
+        if is_error(ended) or ended.end in (End.BROKEN, End.SILENT):
+            self.may_have_run = True
+
+
+def is_error(ended: attempt.Ended) -> bool:
+    """Returns whether a whole answer is the runner's own failure."""
+    return (
+        ended.end is End.WHOLE
+        and ended.head is not None
+        and ended.head.status >= _SERVER_ERROR
+    )
+
+
+def is_allowed(route: routes.Route, course: Course) -> bool:
+    """Returns whether the route lets a request that may have run go on."""
+    return route.idempotent and course.sent < route.attempts
+
+
+def decide(
+    ended: attempt.Ended,
+    route: routes.Route,
+    course: Course,
+    left_s: float,
+    take_repeat: Callable[[], bool],
+) -> Sequel:
+    """Returns what follows an attempt.
+
+    Args:
+        ended: How it ended.
+        route: The request's route.
+        course: Its attempts, this one included.
+        left_s: Seconds until the answer is of no use.
+        take_repeat: Takes a repeat from the budget; asked last.
+    """
+    if ended.end is End.WHOLE and not is_error(ended):
+        return Sequel.ANSWERED
+    harmless = ended.end in (End.UNSENT, End.REFUSED)
+    if not harmless and not route.idempotent:
+        return Sequel.NOT_IDEMPOTENT
+    if course.sent >= route.attempts:
+        return Sequel.ATTEMPTS_SPENT
+    if course.searched >= _LARGEST_SEARCH:
+        return Sequel.SEARCH_ENDED
+    if left_s <= 0:
+        return Sequel.NO_TIME
+    # What was never sent is not a repeat.
+    if ended.end is not End.UNSENT and not take_repeat():
+        return Sequel.BUDGET_SPENT
+    return Sequel.REPEATED
--- a/pollenfork/gateway/replies.py
+++ b/pollenfork/gateway/replies.py
@@ -23,6 +23,7 @@
     STOPPING = "stopping"
     TIME_LIMIT = "time_limit"
     MAY_HAVE_RUN = "may_have_run"
+    FAULT = "fault"
 
 
 class Refusal(msgspec.Struct, frozen=True):
--- a/pollenfork/gateway/tests/support.py
+++ b/pollenfork/gateway/tests/support.py
@@ -180,6 +180,7 @@
             pool=pool.Pool(loop),
             repeats=repeats.RepeatBudget(0.2, 10.0),
             counters=counters.Counters(),
+            read_loads_age=lambda: None,
         )
         self.callers = callers.Server(loop, self._serve)
         self._server: asyncio.Server | None = None
@@ -208,6 +209,8 @@
             holding=holding.Holding(),
             account=None,
             tier=self.route.tier,
+            version=1,
+            age_s=0.0,
             until=call.arrived + self.route.time_limit_s,
         )
         await exchange.Exchange(self.tools, admitted, caller).run()
--- a/pollenfork/gateway/tests/test_exchange.py
+++ b/pollenfork/gateway/tests/test_exchange.py
@@ -1,8 +1,10 @@
 """What each failure proves decides what the caller is told."""
 
 import asyncio
+import logging
 import re
 
+import msgspec
 import pytest
 
 from pollenfork.gateway.tests import support
@@ -174,7 +176,9 @@
     assert asyncio.run(run()) == 1
 
 
-def test_a_caller_that_leaves_ends_its_runners_work() -> None:
+def test_a_caller_that_leaves_ends_its_runners_work(caplog) -> None:
+    caplog.set_level(logging.INFO, "pollenfork.gateway.exchange")
+
     async def run():
         runner = support.Runner("r0", support.HANG)
         route = support.make_route(ONCE)
@@ -189,6 +193,38 @@
             return gateway.tools.chooser.list_loads()
 
     assert asyncio.run(run()) == {}
+    assert "event=caller_gone request=q route=r runner=r0 sent=1" in caplog.text
+
+
+def test_a_fault_of_the_router_is_answered_by_what_is_proven(caplog) -> None:
+    class Codec(support.Codec):
+        def write_call(self, call, sending):
+            raise ValueError("broken")
+
+    async def run(route):
+        async with support.run_gateway(route, support.Runner("r0")) as gateway:
+            gateway.tools = msgspec.structs.replace(
+                gateway.tools, codec=Codec()
+            )
+            answer = await support.ask(gateway)
+            return answer, gateway.tools.chooser.list_loads()
+
+    answer, loads = asyncio.run(run(support.make_route(ONCE)))
+    # It counted as sent when the fault came, so nothing is promised.
+    assert read_status(answer) == 502
+    assert loads == {}
+    assert "event=request_failed request=q" in caplog.text
+    assert "ValueError: broken" in caplog.text
+
+
+def test_each_failed_attempt_is_told_with_what_followed(caplog) -> None:
+    play(support.make_route(REPEATABLE), [b""], [support.REFUSED])
+    told = re.findall(r"runner=(\w+) end=(\w+) .* sequel=(\w+)", caplog.text)
+    assert told == [
+        ("r0", "broken", "repeated"),
+        ("r1", "refused", "attempts_spent"),
+    ]
+    assert "event=runner_shunned runner=r0 request=q" in caplog.text
 
 
 # Streams.
--- a/pollenfork/gateway/tests/test_knowledge.py
+++ b/pollenfork/gateway/tests/test_knowledge.py
@@ -1,3 +1,6 @@
+import logging
+import re
+
 import result
 
 from pollenfork import failures
@@ -5,6 +8,7 @@
 from pollenfork.catalogue import messages as catalogue
 from pollenfork.fleet.tests import test_registry
 from pollenfork.gateway import knowledge
+from pollenfork.gateway import readiness
 from pollenfork.loads import messages
 from pollenfork.routes import model as routes
 
@@ -45,14 +49,33 @@
     return [each.id for each in known.runners.list_takers(service)]
 
 
-def test_it_is_ready_once_both_tables_are_read_and_proven() -> None:
+def test_it_is_ready_once_both_tables_are_read_and_proven(caplog) -> None:
+    caplog.set_level(logging.INFO, "pollenfork.gateway.readiness")
     known = make_known()
+    stopping = []
+    judge = readiness.Readiness(known, lambda: bool(stopping))
+    assert not judge.check(99.0)
     configure(known, 3, 10)
     known.note_current(100.0)
-    assert not known.is_ready(100.0)
+    assert not judge.check(100.0)
     known.take_runners(catalogue.Changes((), 10), 100.0)
-    assert known.is_ready(100.0)
-    assert not known.is_ready(104.0)
+    assert judge.check(100.0)
+    assert not judge.check(104.0)
+    known.note_current(105.0)
+    assert judge.check(105.0)
+    stopping.append(True)
+    assert not judge.check(105.0)
+    told = re.findall(r"state=(\w+) before=(\w+)", caplog.text)
+    assert told == [
+        ("no_runners", "no_settings"),
+        ("ready", "no_runners"),
+        ("settings_stale", "ready"),
+        ("ready", "settings_stale"),
+        ("stopping", "ready"),
+    ]
+    assert "state=settings_stale before=ready configuration=3 age_ms=4000" in (
+        caplog.text
+    )
 
 
 def test_a_configuration_never_goes_back() -> None:
--- /dev/null
+++ b/pollenfork/gateway/tests/test_repetition.py
@@ -0,0 +1,84 @@
+"""What follows each end of an attempt, as a table."""
+
+import pytest
+
+from pollenfork import ids
+from pollenfork.gateway import attempt
+from pollenfork.gateway import messages
+from pollenfork.gateway import repetition
+from pollenfork.gateway.tests import support
+from pollenfork.routes import model
+
+End = repetition.End
+Sequel = repetition.Sequel
+ONCE = support.make_route(model.Kind.AT_MOST_ONCE)
+SAFE = support.make_route(model.Kind.REPEATABLE)
+
+
+def make_ended(end: End, status: int = 200) -> attempt.Ended:
+    head = messages.AnswerHead(
+        status=status,
+        attempt=ids.AttemptId("q"),
+        sealed=True,
+        not_run=False,
+        events=False,
+        headers=[],
+    )
+    return attempt.Ended(end, head)
+
+
+def decide(route, ended, *, sent=1, searched=1, left_s=1.0, budget=True):
+    course = repetition.Course(sent, searched)
+    return repetition.decide(ended, route, course, left_s, lambda: budget)
+
+
+@pytest.mark.parametrize(
+    ("end", "once", "safe"),
+    [
+        (End.WHOLE, Sequel.ANSWERED, Sequel.ANSWERED),
+        (End.UNSENT, Sequel.REPEATED, Sequel.REPEATED),
+        (End.REFUSED, Sequel.REPEATED, Sequel.REPEATED),
+        (End.BROKEN, Sequel.NOT_IDEMPOTENT, Sequel.REPEATED),
+        (End.SILENT, Sequel.NOT_IDEMPOTENT, Sequel.REPEATED),
+    ],
+)
+def test_only_what_surely_has_not_run_or_may_run_twice_is_repeated(
+    end, once, safe
+) -> None:
+    assert decide(ONCE, make_ended(end)) is once
+    assert decide(SAFE, make_ended(end)) is safe
+
+
+def test_a_runners_own_error_is_repeated_where_it_may_run_twice() -> None:
+    failed = make_ended(End.WHOLE, status=500)
+    assert decide(ONCE, failed) is Sequel.NOT_IDEMPOTENT
+    assert decide(SAFE, failed) is Sequel.REPEATED
+
+
+@pytest.mark.parametrize(
+    ("given", "sequel"),
+    [
+        ({"sent": 2}, Sequel.ATTEMPTS_SPENT),
+        ({"searched": 4}, Sequel.SEARCH_ENDED),
+        ({"left_s": 0.0}, Sequel.NO_TIME),
+        ({"budget": False}, Sequel.BUDGET_SPENT),
+    ],
+)
+def test_each_limit_that_ends_the_attempts_has_its_name(given, sequel) -> None:
+    assert decide(SAFE, make_ended(End.BROKEN), **given) is sequel
+
+
+def test_what_was_never_sent_takes_nothing_from_the_budget() -> None:
+    unsent = make_ended(End.UNSENT)
+    assert decide(SAFE, unsent, budget=False) is Sequel.REPEATED
+
+
+def test_a_course_remembers_what_may_have_run() -> None:
+    course = repetition.Course()
+    for end in (End.UNSENT, End.REFUSED):
+        course.note(make_ended(end))
+        assert not course.may_have_run
+    course.note(make_ended(End.SILENT))
+    course.note(make_ended(End.REFUSED))
+    assert course.may_have_run
+    assert course.searched == 4
--- a/pollenfork/loads/core.py
+++ b/pollenfork/loads/core.py
@@ -89,10 +89,24 @@
         """The number of instances known, this one included."""
         return self._roster.size
 
+    def find_relay(self, now: float) -> str | None:
+        """Returns the host that relays for this data centre."""
+        return self._roster.find_relay(self._data_centre, now)
+
     def is_relay(self, now: float) -> bool:
         """Returns whether this instance relays for its data centre."""
-        relay = self._roster.find_relay(self._data_centre, now)
-        return relay == self._me.host
+        return self.find_relay(now) == self._me.host
+
+    def read_age(self, now: float) -> float | None:
+        """Returns how old the others' loads are in seconds; None: unknown.
+
+        A relay's are as old as the oldest report or sum that it adds up.
+        """
+        if self.is_relay(now):
+            heard = [*self._reports.values(), *self._sums.values()]
+            return max((now - each.at for each in heard), default=None)
+        age_s = now - self._others.at
+        return None if age_s > _EXPIRY_S else age_s
 
     def read_others(self, now: float) -> messages.Table:
         """Returns what all other instances have under way."""
@@ -119,7 +133,7 @@
         placed = self._instance.take_placed()
         self._expire(now)
         sends = self._greet(now)
-        relay = self._roster.find_relay(self._data_centre, now)
+        relay = self.find_relay(now)
         if relay is not None and relay != self._me.host:
             sends += self._report(relay, placed, now)
         elif placed:
--- /dev/null
+++ b/pollenfork/logbook/causes.py
@@ -0,0 +1,167 @@
+"""Says in a sentence why a request ended as it did."""
+
+from pollenfork.gateway import replies
+from pollenfork.logbook import course as courses
+from pollenfork.logbook import lines
+
+_Reason = replies.Reason
+
+_REFUSALS = {
+    _Reason.NO_SETTINGS: (
+        "the instance had no configuration yet: it had just started, or the"
+        " store didn't answer"
+    ),
+    _Reason.SETTINGS_STALE: (
+        "the instance had no proof that its configuration was the newest, so"
+        " it couldn't trust keys; see what it believed of the store and relay"
+    ),
+    _Reason.NO_ROUTE: "the configuration in force has no route for its path",
+    _Reason.UNKNOWN_KEY: "the configuration in force has no account of its key",
+    _Reason.NO_ATTEMPT_ID: "it had no id, so no runner would have run it",
+    _Reason.REPEATED_HEADER: "a header that may stand once stood twice",
+    _Reason.NO_RUNNER: "no runner of its service takes work, or all were tried",
+    _Reason.RUNNERS_FULL: "its runners refused it: they were full or leaving",
+    _Reason.UNREACHABLE: "no connection to its runners could be made",
+    _Reason.STOPPING: "the instance was stopping",
+    _Reason.TIME_LIMIT: "its time was over",
+    _Reason.MAY_HAVE_RUN: "its runner failed after the request was sent",
+    _Reason.FAULT: "a fault of the router's own; see request_failed",
+}
+_SEQUELS = {
+    "not_idempotent": "it may have run, and must not run twice",
+    "attempts_spent": "its route allows no further runner",
+    "search_ended": "several runners in a row couldn't be reached",
+    "no_time": "its time was over",
+    "budget_spent": "the budget of repeats was spent",
+}
+
+
+def explain(course: courses.Course) -> str:
+    """Returns the cause, as far as the logs tell it."""
+    if not course.lines:
+        return _explain_silence(course)
+    last = course.lines[-1]
+    match last.event:
+        case "refused":
+            return f"refused: {_name_reason(last)}"
+        case "given_up":
+            return _explain_failure(course, last)
+        case "caller_gone":
+            return _explain_leaving(last)
+        case "answered":
+            return _explain_answer(course, last)
+    return _explain_end(course)
+
+
+def _explain_silence(course: courses.Course) -> str:
+    if course.missing:
+        return (
+            "no line names it; the instances left out"
+            f" {course.missing} lines, it may be among them"
+        )
+    return "no line names it: it reached none of these instances whole"
+
+
+def _explain_failure(course: courses.Course, last: lines.Line) -> str:
+    told = f"failed: {_name_reason(last)}"
+    failed = [line for line in course.lines if line.event == "attempt_failed"]
+    if failed:
+        fields = failed[-1].fields
+        why = _SEQUELS.get(fields.get("sequel", ""), fields.get("sequel", ""))
+        told += (
+            f"; the attempt at {fields['runner']} ended {fields['end']}"
+            f" ({fields['breach']}), and no other followed: {why}"
+        )
+    return told + _describe_runners(course)
+
+
+def _explain_leaving(last: lines.Line) -> str:
+    begun = last.fields.get("begun") == "True"
+    what = "its answer had begun" if begun else "before its answer began"
+    return f"the caller left after {last.fields['took_ms']} ms, {what}"
+
+
+def _explain_answer(course: courses.Course, last: lines.Line) -> str:
+    fields = last.fields
+    if int(fields["status"]) >= 500:
+        return f"answered with its runner's own error {fields['status']}"
+    first_ms = int(fields["first_ms"])
+    target_ms = int(fields["target_ms"])
+    gap_ms, gap_target_ms = int(fields["gap_ms"]), int(fields["gap_target_ms"])
+    if target_ms and first_ms > target_ms:
+        return (
+            f"late: the first event after {first_ms} ms of {target_ms};"
+            f" {_explain_wait(course, first_ms)}"
+        )
+    if gap_target_ms and gap_ms > gap_target_ms:
+        return (
+            f"late: a pause of {gap_ms} ms of {gap_target_ms} between events;"
+            " its runner read other prompts, or a connection was slow"
+            + _describe_runners(course)
+        )
+    return "answered within its targets"
+
+
+def _explain_wait(course: courses.Course, first_ms: int) -> str:
+    """Names the largest part of the time to the first event."""
+    chosen = [line for line in course.lines if line.event == "chosen"]
+    if not chosen:
+        return "the line of its choice is missing"
+    if len(chosen) > 1:
+        return (
+            f"earlier attempts took {chosen[-1].fields['waited_ms']}"
+            " ms" + _describe_runners(course)
+        )
+    fields = chosen[-1].fields
+    waited_ms, cost_ms = int(fields["waited_ms"]), int(fields["cost_ms"])
+    largest = max(waited_ms, cost_ms, first_ms - waited_ms - cost_ms)
+    if waited_ms == largest:
+        return f"it was kept back for {waited_ms} ms, as its runner had to read"
+    if cost_ms == largest:
+        unread = int(fields["unread"])
+        anew = f", {unread} tokens of shared parts anew" if unread else ""
+        return f"{cost_ms} ms were expected of the best runner{anew}"
+    return (
+        f"its runner took longer than the {cost_ms} ms expected: it was slower,"
+        f" or others' prompts weren't known (loads {fields['loads_age_ms']} ms"
+        " old)" + _describe_runners(course)
+    )
+
+
+def _explain_end(course: courses.Course) -> str:
+    """Explains a course whose last line is no end."""
+    if course.starts:
+        return "its instance's process ended: it started anew after"
+    if course.missing:
+        return f"its end is missing; {course.missing} lines were left out"
+    return "still under way at the end of these logs, or its instance is lost"
+
+
+def _describe_runners(course: courses.Course) -> str:
+    told = ""
+    if course.others:
+        told += (
+            f"; {len(course.others)} lines tell of failures of other requests"
+            " at its runners around then"
+        )
+    last = course.lines[-1].at
+    gone = [
+        line
+        for line in course.runners
+        if line.event == "runner_gone" and line.at > course.lines[0].at
+    ]
+    if gone:
+        told += (
+            f"; {gone[0].fields['runner']} was gone from the registry"
+            f" {abs(gone[0].at - last):.1f} s"
+            f" {'after' if gone[0].at > last else 'before'} its last line"
+        )
+    return told
+
+
+def _name_reason(line: lines.Line) -> str:
+    reason = line.fields.get("reason", "")
+    try:
+        return _REFUSALS[_Reason(reason)]
+    except ValueError:
+        return reason  # Of another front, whose reasons are its own.
--- /dev/null
+++ b/pollenfork/logbook/tests/test_causes.py
@@ -0,0 +1,169 @@
+"""Each way in which a request ends has its cause told from the logs."""
+
+import io
+
+import pytest
+
+from pollenfork.gateway import repetition
+from pollenfork.gateway import replies
+from pollenfork.logbook import causes
+from pollenfork.logbook import course
+from pollenfork.logbook import lines
+from pollenfork.logbook import page
+
+CHOSEN = (
+    "chosen request=q runner=r waited_ms=5 cost_ms=20 unread=0 loads_age_ms=7"
+)
+ANSWERED = (
+    "answered request=q status=200 first_ms=300 target_ms=200 gap_ms=0 "
+    "gap_target_ms=0"
+)
+FAILED = (
+    "attempt_failed request=q runner=r end=broken breach=reset "
+    "sequel=not_idempotent"
+)
+GIVEN_UP = "given_up request=q reason=may_have_run"
+
+
+def write(at: float, text: str, instance: str = "i-1") -> str:
+    moment = f"2026-07-26 14:{int(at) // 60:02}:{at % 60:06.3f}"
+    return (
+        f"instance={instance} time={moment.replace('.', ',')} level=INFO "
+        f"logger=pollenfork.x event={text}\n"
+    )
+
+
+def follow(*texts: str) -> course.Course:
+    """Returns the course of request q through lines a second apart."""
+    log = [
+        text if text.startswith("instance=") else write(60.0 + second, text)
+        for second, text in enumerate(texts)
+    ]
+    return course.follow("q", lines.read(log, "file"))
+
+
+def explain(*texts: str) -> str:
+    return causes.explain(follow(*texts))
+
+
+@pytest.mark.parametrize("reason", replies.Reason)
+def test_each_reason_of_a_refusal_is_told(reason) -> None:
+    told = explain(f"refused request=q reason={reason.value}")
+    assert told.startswith("refused: ")
+    assert told != f"refused: {reason.value}"
+
+
+@pytest.mark.parametrize(
+    "sequel",
+    [
+        sequel
+        for sequel in repetition.Sequel
+        if sequel.value not in ("answered", "repeated")
+    ],
+)
+def test_each_reason_why_no_attempt_followed_is_told(sequel) -> None:
+    failed = FAILED.replace("not_idempotent", sequel.value)
+    told = explain(CHOSEN, failed, GIVEN_UP)
+    assert "the attempt at r ended broken (reset)" in told
+    assert sequel.value not in told
+
+
+def test_a_crash_is_told_by_others_failures_and_the_registry() -> None:
+    told = explain(
+        CHOSEN,
+        FAILED.replace("request=q", "request=other"),
+        FAILED,
+        GIVEN_UP,
+        "runner_gone runner=r",
+    )
+    assert "1 lines tell of failures of other requests" in told
+    assert "r was gone from the registry 1.0 s after its last line" in told
+
+
+@pytest.mark.parametrize(
+    ("chosen", "cause"),
+    [
+        ({"waited_ms": 200}, "kept back for 200 ms"),
+        ({"cost_ms": 250}, "250 ms were expected of the best runner"),
+        ({"cost_ms": 250, "unread": 900}, "900 tokens of shared parts anew"),
+        ({}, "longer than the 20 ms expected"),
+    ],
+)
+def test_a_late_answer_is_told_by_the_largest_part_of_its_time(
+    chosen, cause
+) -> None:
+    fields = {"waited_ms": 5, "cost_ms": 20, "unread": 0} | chosen
+    pairs = " ".join(f"{key}={value}" for key, value in fields.items())
+    text = f"chosen request=q runner=r {pairs} loads_age_ms=7"
+    told = explain(text, ANSWERED)
+    assert told.startswith("late: the first event after 300 ms of 200")
+    assert cause in told
+
+
+def test_a_late_answer_after_other_attempts_is_told_by_them() -> None:
+    second = CHOSEN.replace("waited_ms=5", "waited_ms=260")
+    assert "earlier attempts took 260 ms" in explain(
+        CHOSEN, FAILED, second, ANSWERED
+    )
+
+
+def test_a_pause_between_events_is_told() -> None:
+    paused = ANSWERED.replace("first_ms=300", "first_ms=30").replace(
+        "gap_ms=0 gap_target_ms=0", "gap_ms=900 gap_target_ms=250"
+    )
+    assert "a pause of 900 ms of 250" in explain(CHOSEN, paused)
+
+
+def test_an_answer_in_time_and_a_runners_own_error_are_told() -> None:
+    in_time = ANSWERED.replace("first_ms=300", "first_ms=30")
+    assert explain(CHOSEN, in_time) == "answered within its targets"
+    error = ANSWERED.replace("status=200", "status=500")
+    assert "own error 500" in explain(CHOSEN, error)
+
+
+def test_a_caller_that_left_is_told() -> None:
+    told = explain(CHOSEN, "caller_gone request=q begun=True took_ms=70")
+    assert told == "the caller left after 70 ms, its answer had begun"
+
+
+def test_a_course_without_end_is_told_by_what_followed() -> None:
+    assert "still under way" in explain(CHOSEN)
+    assert "process ended" in explain(CHOSEN, "started instance=i-1")
+    assert "4 lines were left out" in explain(CHOSEN, "lines_missing count=4")
+
+
+def test_a_request_that_no_line_names_is_told_with_what_is_missing() -> None:
+    other = CHOSEN.replace("request=q", "request=other")
+    assert "reached none of these" in explain(other)
+    assert "left out 9 lines" in explain(other, "lines_missing count=9")
+
+
+def test_beliefs_are_the_latest_before_and_of_the_same_process() -> None:
+    found = follow(
+        "configuration_in_force version=1",
+        "started instance=i-1",
+        "configuration_in_force version=2",
+        "configuration_in_force version=3",
+        "store_lost table=x",
+        CHOSEN,
+        "readiness state=stopping",
+    )
+    assert [(line.event, line.fields) for line in found.beliefs] == [
+        ("configuration_in_force", {"version": "3"}),
+        ("store_lost", {"table": "x"}),
+    ]
+
+
+def test_other_instances_lines_are_taken_by_their_time() -> None:
+    found = follow(
+        write(61.5, "runner_shunned runner=r request=z", "i-2"),
+        write(60.0, CHOSEN),
+        write(62.0, GIVEN_UP),
+    )
+    assert [line.instance for line in found.others] == ["i-2"]
+    out = io.StringIO()
+    page.write(found, out)
+    written = out.getvalue().splitlines()
+    assert written[0] == "request q"
+    assert "      +1500 ms  i-2  runner_shunned  runner=r request=z" in written
+    assert written[-1].startswith("cause: failed: its runner failed")
--- a/pollenfork/metric_help.py
+++ b/pollenfork/metric_help.py
@@ -13,6 +13,12 @@
     "pollenfork_broken_answers_total": (
         "Answers that ended with an error event, by what broke them."
     ),
+    "pollenfork_caller_faults_total": (
+        "Bytes of callers that were no proper request, by what was wrong."
+    ),
+    "pollenfork_callers_gone_total": (
+        "Callers that left before their answer was whole."
+    ),
     "pollenfork_cancel_outcomes_total": (
         "Cancels sent to engines, by what the engine said became of them."
     ),
@@ -27,6 +33,9 @@
         "Events of a stream that came twice and were dropped."
     ),
     "pollenfork_ejections_total": ("Endpoints taken out of use as stragglers."),
+    "pollenfork_event_gap_seconds": (
+        "Longest pause between two events of a stream."
+    ),
     "pollenfork_failed_requests_total": (
         "Requests that got no answer from any endpoint, by the last cause."
     ),
@@ -42,6 +51,12 @@
     "pollenfork_ledger_total": (
         "What the ledger did with claims and endings, by event."
     ),
+    "pollenfork_log_lines_missing_total": (
+        "Lines of the log left out: a flood, or a reader that doesn't read."
+    ),
+    "pollenfork_not_repeated_total": (
+        "Failed attempts that no other followed, by why."
+    ),
     "pollenfork_operator_refusals_total": (
         "Operators' requests refused, by the code that they were told."
     ),
@@ -78,6 +93,9 @@
     "pollenfork_retries_granted_total": (
         "Further attempts that the scheduler granted, by why."
     ),
+    "pollenfork_runner_connections_total": (
+        "Connections to runners: opened, reused, unreachable."
+    ),
     "pollenfork_scheduler_refusals_total": (
         "Requests and retries that the scheduler refused, by why."
     ),
@@ -97,6 +115,12 @@
     "pollenfork_stalled_callers_total": (
         "Connections cut as their callers took nothing of their answers."
     ),
+    "pollenfork_targets_met_total": (
+        "Whole answers within their route's targets."
+    ),
+    "pollenfork_targets_missed_total": (
+        "Whole answers later than their route's targets."
+    ),
     "pollenfork_tokens_relayed_total": ("Tokens passed on to callers."),
     "pollenfork_tokens_saved_total": (
         "Tokens not generated again, thanks to continuing."
--- a/pollenfork/platform/__main__.py
+++ b/pollenfork/platform/__main__.py
@@ -31,14 +31,23 @@
     if isinstance(read, result.Err):
         sys.stderr.write(f"pollenfork: {read.err_value.detail}\n")
         return status.ExitStatus.ERROR
-    logs.configure_bounded(sys.stdout)
-    asyncio.run(_serve(read.ok_value))
+    told = read.ok_value
+    handler = logs.configure_bounded(sys.stdout, told.instance)
+    asyncio.run(_serve(told, handler))
     return status.ExitStatus.SUCCESS
 
 
-async def _serve(told: settings.GatewaySettings) -> None:
+async def _serve(
+    told: settings.GatewaySettings, handler: logs.BoundedHandler
+) -> None:
     rows = store.Store(f"{told.store.host}:{told.store.port}")
-    await application.Application(told, heads, rows, random.Random()).run()
+    made = application.Application(told, heads, rows, random.Random())
+    made.counters.when_shown(
+        lambda shown: shown.set_count(
+            "pollenfork_log_lines_missing_total", handler.missing
+        )
+    )
+    await made.run()
 
 
 if __name__ == "__main__":
--- a/tests/test_bounded_logs.py
+++ b/tests/test_bounded_logs.py
@@ -2,8 +2,10 @@
 
 import logging
 import os
+import pathlib
 
 from pollenfork import logs
+from pollenfork.logbook import lines
 
 
 class Clock:
@@ -26,11 +28,12 @@
     extra = 50
     for number in range(int(logs.BoundedHandler.BURST) + extra):
         logger.info("event=x number=%d", number)
+    assert logger.handlers[0].missing == extra
     clock.now = 1.0
     logger.info("event=last")
     os.close(write)
-    with open(read) as lines:
-        written = lines.read().splitlines()
+    with open(read) as source:
+        written = source.read().splitlines()
     assert written[-2:] == ["event=last", f"event=lines_missing count={extra}"]
     assert len(written) == logs.BoundedHandler.BURST + 2
 
@@ -44,3 +47,36 @@
     os.close(read)
     logger.info("event=after")
     os.close(write)
+
+
+def test_the_ordinary_course_of_requests_is_left_out_first() -> None:
+    read, write = os.pipe()
+    logger = make_logger(write, Clock())
+    burst, reserve = logs.BoundedHandler.BURST, logs.BoundedHandler.RESERVE
+    for _ in range(int(burst)):
+        logger.info("event=chosen", extra=logs.ORDINARY)
+    for _ in range(int(reserve)):
+        logger.warning("event=given_up")
+    os.close(write)
+    with open(read) as source:
+        written = source.read().splitlines()
+    assert written.count("event=chosen") == burst - reserve
+    assert written.count("event=given_up") == reserve
+
+
+def test_each_line_names_its_instance_also_that_of_missing_ones(
+    tmp_path: pathlib.Path,
+) -> None:
+    written = tmp_path / "log"
+    with written.open("w") as stream:
+        handler = logs.configure_bounded(stream, "i-1")
+        logging.getLogger().removeHandler(handler)
+        logger = logging.Logger("pollenfork.test")
+        logger.addHandler(handler)
+        for _ in range(int(logs.BoundedHandler.BURST)):
+            logger.info("event=x", extra=logs.ORDINARY)
+        logger.warning("event=last")
+    found = list(lines.read(written.read_text().splitlines(), "file"))
+    assert {line.instance for line in found} == {"i-1"}
+    assert [line.event for line in found[-2:]] == ["last", "lines_missing"]
+    assert int(found[-1].fields["count"]) > 0
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -12,12 +12,15 @@
 ROOT = pathlib.Path(__file__).parent.parent
 HTTP = (ROOT / "docs" / "http.md").read_text()
 WATCH = (ROOT / "docs" / "operators" / "watch.md").read_text()
+OPERATIONS = (ROOT / "docs" / "OPERATIONS.md").read_text()
 SOURCES = {
     path: path.read_text()
     for path in (ROOT / "pollenfork").rglob("*.py")
     if "tests" not in path.parts and "standin" not in path.parts
 }
 METRIC = re.compile(r"\bpollenfork_[a-z_]+(?:total|seconds|progress|revision)")
+# Slices that only the gateways use.
+GATEWAY_SLICES = {"gateway", "catalogue", "fleet", "loads", "routes"}
 EVENT = re.compile(r"event=([a-z_]+)[ \"]")
 
 
@@ -57,11 +60,24 @@
 def test_each_metric_has_a_help_text_and_a_line() -> None:
     used = find(METRIC, left_out="metric_help.py")
     assert used == set(metric_help.HELP)
-    assert used == read_first_column(WATCH, "Metrics")
+    shown = [read_first_column(page, "Metrics") for page in (WATCH, OPERATIONS)]
+    assert used == set.union(*shown)
 
 
 def test_each_log_event_has_a_line() -> None:
-    assert find(EVENT) == read_first_column(WATCH, "Log events")
+    pages = (WATCH, OPERATIONS)
+    shown = [read_first_column(page, "Log events") for page in pages]
+    assert find(EVENT) == set.union(*shown)
+
+
+def test_each_event_of_a_gateway_is_on_its_page() -> None:
+    events = {
+        event
+        for path, text in SOURCES.items()
+        if path.relative_to(ROOT).parts[1] in GATEWAY_SLICES
+        for event in EVENT.findall(text)
+    }
+    assert events <= read_first_column(OPERATIONS, "Log events")
 
 
 @pytest.mark.parametrize("name", metric_help.HELP)
