Copy shared parts of a prompt from a runner that has them

A copy over the runners' links takes 5 ms.

Ruled out: letting prompts move sooner because copies are cheap.

--- a/pollenfork/fleet/choice.py
+++ b/pollenfork/fleet/choice.py
@@ -7,6 +7,7 @@
 
 from pollenfork import ids
 from pollenfork.fleet import caches
+from pollenfork.fleet import copies
 from pollenfork.fleet import model
 from pollenfork.fleet import offers
 from pollenfork.fleet import registry
@@ -56,7 +57,8 @@
         standing: What is known of it.
         reading: Prompt tokens that it is expected to read.
         cost: Seconds until an answer would begin there, weighed.
-        unread: Tokens of shared parts that it would have to read.
+        unread: Tokens of shared parts that it hasn't read.
+        source: The runner from which it copies them; None: it reads them.
         holders: Runners of the service that have read them all.
         kept_cost: The least cost among those; 0 where there is none.
         quick: 1 where it counts as of the most urgent tier.
@@ -69,6 +71,7 @@
     reading: float
     cost: float = 0.0
     unread: int = 0
+    source: model.Runner | None = None
     holders: int = 0
     kept_cost: float = 0.0
     quick: int = 0
@@ -139,6 +142,8 @@
         if not takers:
             return None
         found = [self._make_offer(demand, runner, now) for runner in takers]
+        if demand.shared:
+            copies.find_sources(demand, found, now)
         crowd_s = sum(offer.reading for offer in found) / len(found)
         crowd_s /= offers.READ_RATE
         if demand.parts and demand.quick is not None:
@@ -210,11 +215,19 @@
         cost += (reading + demand.own_tokens) / offers.READ_RATE
         cost += active * _ACTIVE_S
         quick = seen.quick + others.quick
-        return offers.Offer(runner, seen, cost, unread, reading, quick)
+        return offers.Offer(
+            runner=runner,
+            standing=seen,
+            cost=cost,
+            unread=unread,
+            anew=unread,
+            reading=reading,
+            quick=quick,
+        )
 
     def _grant(self, demand: offers.Demand, offer: offers.Offer) -> Grant:
         seen = offer.standing
-        reading = float(offer.unread + demand.own_tokens)
+        reading = offer.anew + demand.own_tokens
         seen.active += 1
         quick = 1 if demand.quick else 0
         seen.quick += quick
@@ -234,6 +247,7 @@
             cost=offer.cost,
             unread=offer.unread,
             quick=quick,
+            source=offer.source,
         )
 
     def _forget(self, runner: ids.EndpointId) -> None:
--- a/pollenfork/fleet/offers.py
+++ b/pollenfork/fleet/offers.py
@@ -42,11 +42,14 @@
         parts: The prompt's parts; the last is its own.
         quick: Whether it is of the most urgent tier among several; None
             where the service has but one.
+        copy_s: Seconds in which a runner copies a token of a prompt from
+            another one; None where it can't.
     """
 
     service: ids.ServiceName
     parts: tuple[model.Part, ...] = ()
     quick: bool | None = None
+    copy_s: float | None = None
 
     @property
     def shared(self) -> tuple[model.Part, ...]:
@@ -66,17 +69,22 @@
         runner: The runner.
         standing: What is known of it.
         cost: Seconds until an answer would begin there, weighed.
-        unread: Tokens of the shared parts that it would have to read.
+        unread: Tokens of the shared parts that it hasn't read.
+        anew: Tokens that it would have to read of them, or as long as copying
+            them takes in tokens.
         reading: Tokens that it has to read before.
         quick: Requests of the most urgent tier that it works on.
+        source: The runner from which it would copy the shared parts.
     """
 
     runner: model.Runner
     standing: standing.Standing
     cost: float
     unread: int = 0
+    anew: float = 0.0
     reading: float = 0.0
     quick: int = 0
+    source: model.Runner | None = None
 
 
 def keep_apart(demand: Demand, offers: list[Offer]) -> list[Offer]:
--- a/pollenfork/gateway/admission.py
+++ b/pollenfork/gateway/admission.py
@@ -67,7 +67,10 @@
     service = lookup.choose_service(route, head.attempt.encode())
     tiers = found.list_tiers(service)
     quick = route.tier <= tiers[0] if len(tiers) > 1 else None
-    demand = offers.Demand(service, head.parts, quick)
+    known = found.configuration.services.get(service)
+    demand = offers.Demand(
+        service, head.parts, quick, known.copy_s if known else None
+    )
     return context.Admitted(
         call=call,
         head=head,
--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -120,7 +120,7 @@
         loads_age_s = self._tools.read_loads_age()
         _LOG.info(
             "event=chosen request=%s route=%s tier=%d configuration=%d "
-            "age_ms=%d runner=%s waited_ms=%d cost_ms=%d unread=%d "
+            "age_ms=%d runner=%s waited_ms=%d cost_ms=%d unread=%d source=%s "
             "holders=%d kept_cost_ms=%d crowd_ms=%d own=%d parts=%d "
             "loads_age_ms=%s left_ms=%d",
             self._request,
@@ -132,6 +132,7 @@
             self._took() * 1000,
             grant.cost * 1000,
             grant.unread,
+            grant.source.id if grant.source else "-",
             grant.holders,
             grant.kept_cost * 1000,
             grant.crowd_s * 1000,
@@ -177,7 +178,7 @@
             grant.note_first,
         )
         self._current = found
-        found.send(self._write_call(grant.runner), receiver)
+        found.send(self._write_call(grant), receiver)
         limits = patience.Patience.of(
             admitted,
             grant.cost,
@@ -196,17 +197,18 @@
             found.abort()
         return ended
 
-    def _write_call(self, runner: fleet.Runner) -> bytes:
+    def _write_call(self, grant: choice.Grant) -> bytes:
         admitted = self._admitted
         relay = self._relay
         begun = relay is not None and relay.begun
         account = admitted.account
         sending = messages.Sending(
-            runner=runner.id,
+            runner=grant.runner.id,
             left_s=self._left(),
             account=account.id if account else None,
             tier=admitted.tier if admitted.head.parts else None,
             last_event=relay.cutter.last if relay and begun else None,
+            source=grant.source,
         )
         if relay is not None:
             relay.cutter.restart()
--- a/pollenfork/gateway/messages.py
+++ b/pollenfork/gateway/messages.py
@@ -55,6 +55,7 @@
         account: The client account, where the request showed a key.
         tier: Its urgency at a model runner; None elsewhere.
         last_event: The position after which a stream goes on.
+        source: A runner from which shared parts of the prompt are copied.
     """
 
     runner: ids.EndpointId
@@ -62,6 +63,7 @@
     account: ids.AccountId | None = None
     tier: ids.Tier | None = None
     last_event: int | None = None
+    source: fleet.Runner | None = None
 
 
 class AnswerHead(msgspec.Struct, frozen=True, kw_only=True):
--- a/pollenfork/platform/documents.py
+++ b/pollenfork/platform/documents.py
@@ -42,6 +42,8 @@
 class _Engine(_Wire):
     slots: int = 0
     kv_capacity_tokens: int = 0
+    kv_token_bytes: float = 0.0
+    link_mbps: float = 0.0
 
 
 class _Service(_Wire):
@@ -166,11 +168,16 @@
 
 
 def _make_service(wire: _Service) -> routes.Service:
+    engine = wire.engine or _Engine()
+    copy_s = None
+    if engine.kv_token_bytes > 0 and engine.link_mbps > 0:
+        copy_s = engine.kv_token_bytes * 8 / (engine.link_mbps * 1e6)
     return routes.Service(
         name=ids.ServiceName(wire.name),
         health_path=wire.health_path,
         connections=wire.max_connections,
-        cache_tokens=wire.engine.kv_capacity_tokens if wire.engine else 0,
+        cache_tokens=engine.kv_capacity_tokens,
+        copy_s=copy_s,
     )
 
 
--- a/pollenfork/platform/heads.py
+++ b/pollenfork/platform/heads.py
@@ -88,6 +88,9 @@
     left_ms = max(1, math.floor(sending.left_s * 1000))
     lines.append(names.DEADLINE + b": %d" % left_ms)
     lines.append(names.EXPECTED_RUNNER + b": " + sending.runner.encode())
+    if sending.source is not None:
+        address = f"{sending.source.host}:{sending.source.port}"
+        lines.append(names.COPY_SOURCE + b": " + address.encode())
     if sending.account is not None:
         lines.append(names.ACCOUNT + b": " + sending.account.encode())
     if sending.tier is not None:
--- a/pollenfork/platform/names.py
+++ b/pollenfork/platform/names.py
@@ -10,6 +10,7 @@
 MODEL = b"x-pollenfork-model"
 EXPECTED_RUNNER = b"x-pollenfork-expect-instance"
 ACCOUNT = b"x-pollenfork-tenant"
+COPY_SOURCE = b"kv-fetch"
 URGENCY = b"x-pollenfork-request-priority"
 SEAL = b"x-pollenfork-response-seal"
 NOT_RUN = b"x-pollenfork-not-executed"
@@ -29,7 +30,7 @@
         b"x-pollenfork-pin-ms",
         b"x-pollenfork-kv-backup",
         b"kv-from",
-        b"kv-fetch",
+        COPY_SOURCE,
     }
 )
 
--- a/pollenfork/platform/tests/test_documents.py
+++ b/pollenfork/platform/tests/test_documents.py
@@ -1,6 +1,7 @@
 import base64
 import json
 
+import pytest
 import result
 
 from pollenfork.catalogue import messages
@@ -39,7 +40,11 @@
         {
             "name": "huvo",
             "max-connections": 370,
-            "engine": {"kv-capacity-tokens": 640439},
+            "engine": {
+                "kv-capacity-tokens": 640439,
+                "kv-token-bytes": 20_000,
+                "link-mbps": 400_000.0,
+            },
         },
         {"name": "wuno"},
     ],
@@ -66,6 +71,8 @@
     assert second.kind is routes.Kind.AT_MOST_ONCE
     assert [t.service for t in second.targets] == ["huvo"]
     assert found.services["huvo"].cache_tokens == 640439
+    assert found.services["huvo"].copy_s == pytest.approx(0.4e-6)
+    assert found.services["wuno"].copy_s is None
     assert found.limits.header_bytes == 100 and found.limits.idle_s == 1.5
     assert set(found.accounts) == {"k1", "k2"}
     assert found.accounts["k1"].tier == 1
--- a/pollenfork/platform/tests/test_heads.py
+++ b/pollenfork/platform/tests/test_heads.py
@@ -27,6 +27,24 @@
     return heads.write_call(call, messages.Sending(**{**fields, **given}))
 
 
+def test_a_runner_is_told_from_whom_to_copy() -> None:
+    source = fleet.Runner(
+        id=ids.EndpointId("i-8"),
+        service=ids.ServiceName("s"),
+        host="10.1.0.9",
+        port=8080,
+        data_centre=ids.DataCentre("a"),
+        slots=4,
+        leaving=False,
+        cold_s=0.0,
+    )
+    forged = [*CALL, (b"kv-fetch", b"10.9.9.9:1")]
+    lines = read_lines(write(forged, source=source))
+    assert [line for line in lines if b"kv-fetch" in line.lower()] == [
+        b"kv-fetch: 10.1.0.9:8080"
+    ]
+
+
 def read_lines(written: bytes) -> list[bytes]:
     return written.partition(b"\r\n\r\n")[0].split(b"\r\n")
 
--- a/pollenfork/routes/model.py
+++ b/pollenfork/routes/model.py
@@ -73,12 +73,15 @@
         health_path: Where its runners answer health checks.
         connections: What one runner accepts from all instances; 0: unknown.
         cache_tokens: A runner's memory for prompts; 0: no model runs there.
+        copy_s: Seconds in which a runner copies a token of a prompt from
+            another one's memory; None where it can't.
     """
 
     name: ids.ServiceName
     health_path: str
     connections: int
     cache_tokens: int
+    copy_s: float | None = None
 
 
 class CallerLimits(msgspec.Struct, frozen=True):
