Refuse at once what would be late, when the runners have too much to read

Cause: in overload every long prompt was taken on after at most 2.9 s of being kept back.

Now a request below the most urgent tier is refused as it comes, with when to come back, if even the best runner would have read its prompt only after 0.7 of its target (least urgent tier) or 2.0 (others, and more urgent accounts). After five refusals in a row one of the tier is taken on all the same, so none is kept out for good. Whoever was taken on is not refused later.

--- a/pollenfork/fleet/choice.py
+++ b/pollenfork/fleet/choice.py
@@ -49,6 +49,16 @@
     reading: float
 
 
+class Overloaded(msgspec.Struct, frozen=True):
+    """The best runner has more to read than a request may wait for.
+
+    Attributes:
+        wait_s: Seconds until it would have read the request's prompt.
+    """
+
+    wait_s: float
+
+
 class Grant(msgspec.Struct):
     """A runner chosen for one attempt, until it is settled.
 
@@ -119,7 +129,8 @@
         avoid: set[ids.EndpointId],
         now: float,
         backlog_s: float | None = None,
-    ) -> Grant | Busy | None:
+        longest_s: float | None = None,
+    ) -> Grant | Busy | Overloaded | None:
         """Returns the runner that would begin its answer first.
 
         Args:
@@ -128,9 +139,12 @@
             now: Monotonic seconds.
             backlog_s: Seconds of reading that it may have before it; None:
                 any.
+            longest_s: Seconds in which its own prompt must have been read;
+                None: any.
 
         Returns:
-            The grant; `Busy` where that runner has more to read; None where
+            The grant; `Overloaded` where that runner has more to read than
+            `longest_s`, `Busy` where it has more than `backlog_s`; None where
             there is no runner.
         """
         self._registry.expire(now)
@@ -153,6 +167,10 @@
         least = min(offer.cost for offer in found)
         alike = [each for each in found if each.cost <= least + _ALIKE_S]
         offer = self._rng.choice(alike)
+        wait_s = offer.reading + offer.anew + demand.own_tokens
+        wait_s /= offers.READ_RATE
+        if longest_s is not None and wait_s > longest_s:
+            return Overloaded(wait_s)
         if (
             backlog_s is not None
             and crowd_s < _OVERLOAD_S
--- a/pollenfork/fleet/repeats.py
+++ b/pollenfork/fleet/repeats.py
@@ -20,6 +20,11 @@
         self._requests: dict[ids.ServiceName, collections.deque[float]] = {}
         self._repeats: dict[ids.ServiceName, collections.deque[float]] = {}
 
+    def set_limits(self, ratio: float, window_s: float) -> None:
+        """Sets the repeats allowed for each request, and the window."""
+        self._ratio = ratio
+        self._window_s = window_s
+
     def note_request(self, service: ids.ServiceName, now: float) -> None:
         """Counts a request, on which repeats are earned."""
         self._recent(self._requests, service, now).append(now)
--- a/pollenfork/fleet/standing.py
+++ b/pollenfork/fleet/standing.py
@@ -53,5 +53,8 @@
         if end is messages.End.REFUSED:
             return
         self.failures += 1
+        if end is messages.End.DISPLACED:
+            self.shunned_until = now + _LONGEST_PAUSE_S
+            return
         pause_s = _FIRST_PAUSE_S * 2 ** min(self.failures - 1, 6)
         self.shunned_until = now + min(pause_s, _LONGEST_PAUSE_S)
--- a/pollenfork/fleet/tests/test_choice.py
+++ b/pollenfork/fleet/tests/test_choice.py
@@ -210,3 +210,14 @@
 def test_urgent_streams_go_elsewhere_when_their_own_are_loaded() -> None:
     chooser = make_chooser()
     assert len(list_chosen(chooser, quick=True, count=200)) > 3
+
+
+def test_a_prompt_that_would_be_read_too_late_is_not_granted() -> None:
+    chooser = make_chooser(read_others=lambda mark: loads.Load(1, 56_600))
+    found = chooser.choose(ask(), set(), 0.0, longest_s=1.0)
+    assert isinstance(found, choice.Overloaded)
+    # A second for what is there, and 13,500 tokens of its own.
+    assert 1.2 < found.wait_s < 1.3
+    assert chooser.list_loads() == {}
+    found = chooser.choose(ask(), set(), 0.0, longest_s=1.3)
+    assert isinstance(found, choice.Grant)
--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -1,6 +1,7 @@
 """One gateway process: owns every part, starts and stops them in order."""
 
 import asyncio
+from collections.abc import Callable
 import logging
 import random
 import signal
@@ -9,6 +10,7 @@
 import msgspec
 import result
 
+from pollenfork import failures
 from pollenfork import logs
 from pollenfork.catalogue import watch
 from pollenfork.fleet import choice
@@ -20,6 +22,7 @@
 from pollenfork.gateway import edges
 from pollenfork.gateway import exchange
 from pollenfork.gateway import following
+from pollenfork.gateway import holding
 from pollenfork.gateway import knowledge
 from pollenfork.gateway import messages
 from pollenfork.gateway import peers
@@ -60,6 +63,9 @@
 _BAD_REQUEST = 400
 
 
+Reread = Callable[[], result.Result[settings.GatewaySettings, failures.Failure]]
+
+
 class Application:
     """The life of one gateway."""
 
@@ -69,8 +75,19 @@
         codec: edges.Codec,
         store: edges.Store,
         rng: random.Random,
+        reread: Reread,
     ) -> None:
+        """Takes what it needs.
+
+        Args:
+            told: The settings.
+            codec: Decodes and encodes callers' and runners' heads.
+            store: Decodes and encodes the store's calls.
+            rng: Spreads what must not happen everywhere at once.
+            reread: Returns the settings as they stand now.
+        """
         self._settings = told
+        self._reread = reread
         self._codec = codec
         self._store = store
         self._rng = rng
@@ -87,6 +104,7 @@
             chooser=choice.Chooser(self.known.runners, rng, self._read_others),
             pool=pool.Pool(self._loop),
             repeats=repeats.RepeatBudget(told.retry_ratio, told.retry_window_s),
+            turns=holding.Turns(),
             counters=self.counters,
             read_loads_age=self._read_loads_age,
         )
@@ -239,9 +257,27 @@
             self._readiness.check(now)
 
     def _reload(self) -> None:
-        # Addresses and bounds of a running process don't change; what does
-        # change, the store tells.
-        _LOG.info("event=reload instance=%s", self._settings.instance)
+        """Takes over what has changed in the settings and may change."""
+        read = self._reread()
+        if isinstance(read, result.Err):
+            _LOG.error(
+                "event=reload_failed instance=%s detail=%s",
+                self._settings.instance,
+                logs.write_value(read.err_value.detail),
+            )
+            return
+        changes = self._settings.find_changes(read.ok_value)
+        told = self._settings = self._settings.take(read.ok_value)
+        self.known.freshness.set_bound(told.revocation_s)
+        self._tools.repeats.set_limits(told.retry_ratio, told.retry_window_s)
+        if self._peers is not None:
+            self._peers.set_seeds(told.seeds)
+        _LOG.info(
+            "event=reload instance=%s taken=%s left=%s",
+            told.instance,
+            ",".join(changes.taken) or "-",
+            ",".join(changes.left) or "-",
+        )
 
     async def _drain(self) -> None:
         """Serves until the balancer has noticed, then until all is answered."""
--- a/pollenfork/gateway/attempt.py
+++ b/pollenfork/gateway/attempt.py
@@ -123,7 +123,9 @@
         head = self._head
         assert head is not None
         self.phase = Phase.ENDED
-        if head.not_run:
+        if head.displaced:
+            self._finish(Ended(End.DISPLACED, head))
+        elif head.not_run:
             self._finish(Ended(End.REFUSED, head))
         elif not head.sealed or not head.attempt:
             self._break(connection.Breach.GARBAGE)
--- a/pollenfork/gateway/context.py
+++ b/pollenfork/gateway/context.py
@@ -60,5 +60,6 @@
     chooser: choice.Chooser
     pool: pool.Pool
     repeats: repeats.RepeatBudget
+    turns: holding.Turns
     counters: counters.Counters
     read_loads_age: Callable[[], float | None]
--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -33,6 +33,8 @@
 # When to come back after a refusal, in seconds: a little longer than a burst
 # of the more urgent or the loss of a runner usually takes to be known.
 _COME_BACK_S = 0.15
+# Callers wait no longer than a third of their time, 2.7 s for the longest.
+_LONGEST_COME_BACK_S = 2.5
 
 
 class Exchange:
@@ -86,6 +88,9 @@
             if grant is None:
                 self._give_up(_Reason.NO_RUNNER)
                 return
+            if isinstance(grant, choice.Overloaded):
+                self._give_up(_Reason.OVERLOADED, grant.wait_s)
+                return
             self._note_choice(grant)
             ended = await self._try(grant)
             if self._note(grant, ended) is not _Sequel.REPEATED:
@@ -94,9 +99,13 @@
 
     # Attempts.
 
-    async def _choose(self) -> choice.Grant | None:
+    async def _choose(self) -> choice.Grant | choice.Overloaded | None:
         """Returns a runner, once what is more urgent leaves room for it."""
         admitted = self._admitted
+        # Whoever was let in is not turned away for what came after it.
+        longest_s = admitted.holding.longest_s
+        if self._course.searched:
+            longest_s = None
         while True:
             now = self._tools.loop.time()
             found = self._tools.chooser.choose(
@@ -104,18 +113,31 @@
                 self._avoid,
                 now,
                 admitted.holding.find_backlog(now),
+                longest_s,
             )
+            if isinstance(found, choice.Overloaded) and self._take_turn():
+                longest_s = None
+                continue
             if not isinstance(found, choice.Busy):
                 return found
+            longest_s = None
             # Unlike pauses, so that those who wait for one runner don't all
             # see it free at once.
             pause_s = holding.LOOK_S * self._tools.rng.uniform(0.5, 1.5)
             await asyncio.sleep(pause_s)
 
+    def _take_turn(self) -> bool:
+        """Returns whether a request that would be late is taken on."""
+        service = self._admitted.demand.service
+        return self._tools.turns.take(service, self._admitted.route.tier)
+
     def _note_choice(self, grant: choice.Grant) -> None:
         admitted = self._admitted
         self._runner = grant.runner.id
         if not self._course.searched:
+            self._tools.turns.note_served(
+                admitted.demand.service, admitted.route.tier
+            )
             self._tools.counters.note_wait(admitted.route, self._took())
         loads_age_s = self._tools.read_loads_age()
         _LOG.info(
@@ -303,7 +325,7 @@
             self._give_up(_Reason.TIME_LIMIT)
         elif ended.end is _End.UNSENT:
             self._give_up(_Reason.UNREACHABLE)
-        elif ended.end is _End.REFUSED:
+        elif ended.end.proves_not_run:
             self._give_up(_Reason.RUNNERS_FULL)
         else:
             self._give_up(_Reason.MAY_HAVE_RUN)
@@ -349,8 +371,13 @@
             extra=logs.ORDINARY if served.meets(route) else None,
         )
 
-    def _give_up(self, reason: _Reason) -> None:
-        """Gives the caller its final answer at once."""
+    def _give_up(self, reason: _Reason, wait_s: float = _COME_BACK_S) -> None:
+        """Gives the caller its final answer at once.
+
+        Args:
+            reason: Why.
+            wait_s: Seconds until another try is likely to be served.
+        """
         self._tools.counters.note_refused(reason)
         may_have_run = self._course.may_have_run
         # A fault of this program proves nothing about what it has sent.
@@ -375,7 +402,8 @@
             status = 504 if reason is _Reason.TIME_LIMIT else 502
             refusal = replies.Refusal(status, reason)
         else:
-            refusal = replies.Refusal(503, reason, _COME_BACK_S)
+            wait_s = min(max(wait_s, _COME_BACK_S), _LONGEST_COME_BACK_S)
+            refusal = replies.Refusal(503, reason, wait_s)
         self._caller.write(replies.write_refusal(refusal, self._caller.closing))
 
     def _took(self) -> float:
--- a/pollenfork/gateway/messages.py
+++ b/pollenfork/gateway/messages.py
@@ -74,6 +74,7 @@
         attempt: The attempt that it answers.
         sealed: Whether a runner vouches for the answer.
         not_run: Whether the runner says that it didn't run the request.
+        displaced: Whether another runner than the one asked answers there.
         events: Whether the body is a stream of events.
         headers: All headers, names in lower case.
     """
@@ -82,5 +83,6 @@
     attempt: ids.AttemptId
     sealed: bool
     not_run: bool
+    displaced: bool = False
     events: bool
     headers: list[Header]
--- a/pollenfork/gateway/peers.py
+++ b/pollenfork/gateway/peers.py
@@ -75,6 +75,10 @@
         self._hurrying: asyncio.TimerHandle | None = None
         self._on_tick: list[Callable[[bool], None]] = []
 
+    def set_seeds(self, seeds: Iterable[messages.Address]) -> None:
+        """Sets the instances to ask while no other is known."""
+        self._exchange.set_seeds(seeds)
+
     def when_ticked(self, call: Callable[[bool], None]) -> None:
         """Calls `call` each period with whether this instance is a relay."""
         self._on_tick.append(call)
--- a/pollenfork/gateway/repetition.py
+++ b/pollenfork/gateway/repetition.py
@@ -81,8 +81,7 @@
     """
     if ended.end is End.WHOLE and not is_error(ended):
         return Sequel.ANSWERED
-    harmless = ended.end in (End.UNSENT, End.REFUSED)
-    if not harmless and not route.idempotent:
+    if not ended.end.proves_not_run and not route.idempotent:
         return Sequel.NOT_IDEMPOTENT
     if course.sent >= route.attempts:
         return Sequel.ATTEMPTS_SPENT
--- a/pollenfork/gateway/replies.py
+++ b/pollenfork/gateway/replies.py
@@ -24,6 +24,7 @@
     TIME_LIMIT = "time_limit"
     MAY_HAVE_RUN = "may_have_run"
     FAULT = "fault"
+    OVERLOADED = "overloaded"
 
 
 class Refusal(msgspec.Struct, frozen=True):
--- a/pollenfork/gateway/settings.py
+++ b/pollenfork/gateway/settings.py
@@ -8,6 +8,12 @@
 Address = loads.Address
 
 
+# What a process takes over while it runs; the rest holds from its next start.
+_CHANGEABLE = frozenset(
+    {"seeds", "grace_s", "revocation_s", "retry_ratio", "retry_window_s"}
+)
+
+
 class GatewaySettings(msgspec.Struct, frozen=True, kw_only=True):
     """Addresses, limits and bounds.
 
@@ -21,12 +27,10 @@
         peer: Where other instances' datagrams arrive; None: it is alone.
         seeds: Instances that may know others.
         grace_s: Seconds from the signal to stop until the process is killed.
-        leave_s: Seconds in which a runner that leaves must get no more work.
         revocation_s: Seconds in which a key taken away stops working
             everywhere; None where no bound holds.
         retry_ratio: Repeats allowed to all instances, for each request.
         retry_window_s: The window of that ratio in seconds.
-        retry_extra: Repeats allowed to all instances besides, in a window.
     """
 
     instance: ids.InstanceId
@@ -38,8 +42,36 @@
     peer: Address | None = None
     seeds: tuple[Address, ...] = ()
     grace_s: float = 8.0
-    leave_s: float = 2.0
     revocation_s: float | None = 5.0
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
-    retry_extra: float = 50.0
+
+    def find_changes(self, told: "GatewaySettings") -> "Changes":
+        """Returns what is different in settings read anew."""
+        before = msgspec.structs.asdict(self)
+        changed = [
+            name
+            for name, value in msgspec.structs.asdict(told).items()
+            if value != before[name]
+        ]
+        return Changes(
+            taken=tuple(name for name in changed if name in _CHANGEABLE),
+            left=tuple(name for name in changed if name not in _CHANGEABLE),
+        )
+
+    def take(self, told: "GatewaySettings") -> "GatewaySettings":
+        """Returns these settings with what may change of others."""
+        fresh = {name: getattr(told, name) for name in _CHANGEABLE}
+        return msgspec.structs.replace(self, **fresh)
+
+
+class Changes(msgspec.Struct, frozen=True):
+    """What a running process makes of changed settings.
+
+    Attributes:
+        taken: Names of the settings that it takes over.
+        left: Those that it will have from its next start.
+    """
+
+    taken: tuple[str, ...]
+    left: tuple[str, ...]
--- a/pollenfork/gateway/tests/support.py
+++ b/pollenfork/gateway/tests/support.py
@@ -23,7 +23,7 @@
 
 
 class Codec:
-    """Speaks `x-id`, `x-seal`, `x-unrun`, `x-runner` and `x-left`."""
+    """Speaks `x-id`, `x-seal`, `x-unrun`, `x-displaced` and `x-runner`."""
 
     def find_repeated(self, headers):
         return None
@@ -60,6 +60,7 @@
             attempt=ids.AttemptId(found.get(b"x-id", b"").decode()),
             sealed=b"x-seal" in found,
             not_run=b"x-unrun" in found,
+            displaced=b"x-displaced" in found,
             events=b"events" in found.get(b"content-type", b""),
             headers=headers,
         )
@@ -105,6 +106,7 @@
 REFUSED = (
     b"HTTP/1.1 503 Full\r\nx-id: q\r\nx-unrun: 1\r\ncontent-length: 0\r\n\r\n"
 )
+DISPLACED = REFUSED.replace(b"x-unrun", b"x-displaced")
 HANG = None
 
 
@@ -171,6 +173,8 @@
         loop = asyncio.get_running_loop()
         rng = random.Random(1)
         self.route = route
+        self.demand = offers.Demand(SERVICE)
+        self.holding = holding.Holding()
         self.runners = registry.Registry()
         self.tools = context.Tools(
             loop=loop,
@@ -179,6 +183,7 @@
             chooser=choice.Chooser(self.runners, rng),
             pool=pool.Pool(loop),
             repeats=repeats.RepeatBudget(0.2, 10.0),
+            turns=holding.Turns(),
             counters=counters.Counters(),
             read_loads_age=lambda: None,
         )
@@ -205,8 +210,8 @@
             call=call,
             head=head,
             route=self.route,
-            demand=offers.Demand(SERVICE),
-            holding=holding.Holding(),
+            demand=self.demand,
+            holding=self.holding,
             account=None,
             tier=self.route.tier,
             version=1,
--- a/pollenfork/gateway/tests/test_repetition.py
+++ b/pollenfork/gateway/tests/test_repetition.py
@@ -38,6 +38,7 @@
         (End.WHOLE, Sequel.ANSWERED, Sequel.ANSWERED),
         (End.UNSENT, Sequel.REPEATED, Sequel.REPEATED),
         (End.REFUSED, Sequel.REPEATED, Sequel.REPEATED),
+        (End.DISPLACED, Sequel.REPEATED, Sequel.REPEATED),
         (End.BROKEN, Sequel.NOT_IDEMPOTENT, Sequel.REPEATED),
         (End.SILENT, Sequel.NOT_IDEMPOTENT, Sequel.REPEATED),
     ],
@@ -75,10 +76,10 @@
 
 def test_a_course_remembers_what_may_have_run() -> None:
     course = repetition.Course()
-    for end in (End.UNSENT, End.REFUSED):
+    for end in (End.UNSENT, End.REFUSED, End.DISPLACED):
         course.note(make_ended(end))
         assert not course.may_have_run
     course.note(make_ended(End.SILENT))
     course.note(make_ended(End.REFUSED))
     assert course.may_have_run
-    assert course.searched == 4
+    assert course.searched == 5
--- a/pollenfork/loads/core.py
+++ b/pollenfork/loads/core.py
@@ -72,7 +72,8 @@
         """
         self._me = me
         self._data_centre = data_centre
-        self._seeds = [seed for seed in seeds if seed.host != me.host]
+        self._seeds: list[messages.Address] = []
+        self.set_seeds(seeds)
         self._instance = instance
         self._roster = members.Roster(messages.Member(me.host, data_centre))
         self._own: messages.Table = {}
@@ -84,6 +85,10 @@
         self._members_at = 0.0
         self._urgent = False
 
+    def set_seeds(self, seeds: Iterable[messages.Address]) -> None:
+        """Sets the instances to ask while no other is known."""
+        self._seeds = [seed for seed in seeds if seed.host != self._me.host]
+
     @property
     def instances(self) -> int:
         """The number of instances known, this one included."""
--- a/pollenfork/logbook/causes.py
+++ b/pollenfork/logbook/causes.py
@@ -21,6 +21,9 @@
     _Reason.REPEATED_HEADER: "a header that may stand once stood twice",
     _Reason.NO_RUNNER: "no runner of its service takes work, or all were tried",
     _Reason.RUNNERS_FULL: "its runners refused it: they were full or leaving",
+    _Reason.OVERLOADED: (
+        "even the best runner had so much to read that it would have been late"
+    ),
     _Reason.UNREACHABLE: "no connection to its runners could be made",
     _Reason.STOPPING: "the instance was stopping",
     _Reason.TIME_LIMIT: "its time was over",
--- a/pollenfork/platform/__main__.py
+++ b/pollenfork/platform/__main__.py
@@ -26,8 +26,7 @@
 
 def main() -> int:
     """Runs until told to stop; returns the exit status."""
-    path = os.environ.get(names.SETTINGS_VARIABLE, names.SETTINGS_PATH)
-    read = boot.read(pathlib.Path(path))
+    read = _read_settings()
     if isinstance(read, result.Err):
         sys.stderr.write(f"pollenfork: {read.err_value.detail}\n")
         return status.ExitStatus.ERROR
@@ -37,11 +36,20 @@
     return status.ExitStatus.SUCCESS
 
 
+def _read_settings() -> result.Result[
+    settings.GatewaySettings, boot.BadSettings
+]:
+    path = os.environ.get(names.SETTINGS_VARIABLE, names.SETTINGS_PATH)
+    return boot.read(pathlib.Path(path))
+
+
 async def _serve(
     told: settings.GatewaySettings, handler: logs.BoundedHandler
 ) -> None:
     rows = store.Store(f"{told.store.host}:{told.store.port}")
-    made = application.Application(told, heads, rows, random.Random())
+    made = application.Application(
+        told, heads, rows, random.Random(), _read_settings
+    )
     made.counters.when_shown(
         lambda shown: shown.set_count(
             "pollenfork_log_lines_missing_total", handler.missing
--- a/pollenfork/platform/boot.py
+++ b/pollenfork/platform/boot.py
@@ -28,20 +28,12 @@
     readiness: str = ""
 
 
-class _Limits(_Wire):
-    memory_mb: float = 256.0
-    max_fds: int = 1024
-
-
 class _Bounds(_Wire):
-    drain_ms: float = 2000.0
     grace_s: float = 8.0
-    config_apply_ms: float = 2000.0
     revoke_ms: float = 5000.0
     strict_revocation: bool = True
     retry_budget_ratio: float = 0.2
     budget_window_s: float = 10.0
-    retry_budget_extra: float = 50.0
 
 
 class _Platform(_Wire):
@@ -56,7 +48,6 @@
     platform: _Platform
     internal_ports: list[int] = []
     seeds: list[str] = []
-    limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
 
@@ -88,13 +79,11 @@
             if (peer := _find_peer(boot, _split_address(seed).host))
         ),
         grace_s=bounds.grace_s,
-        leave_s=bounds.drain_ms / 1000.0,
         revocation_s=(
             bounds.revoke_ms / 1000.0 if bounds.strict_revocation else None
         ),
         retry_ratio=bounds.retry_budget_ratio,
         retry_window_s=bounds.budget_window_s,
-        retry_extra=bounds.retry_budget_extra,
     )
 
 
--- a/pollenfork/platform/heads.py
+++ b/pollenfork/platform/heads.py
@@ -46,6 +46,7 @@
 )
 _SCHEME = b"bearer "
 _MAX_URGENCY = 9
+_DISPLACED = 421
 
 
 def find_repeated(headers: list[Header]) -> bytes | None:
@@ -108,7 +109,8 @@
         status=status,
         attempt=ids.AttemptId(found.get(names.ATTEMPT, b"").decode("latin-1")),
         sealed=names.SEAL in found,
-        not_run=names.NOT_RUN in found or status == 421,
+        not_run=names.NOT_RUN in found or status == _DISPLACED,
+        displaced=status == _DISPLACED,
         events=found.get(b"content-type", b"").startswith(b"text/event-stream"),
         headers=headers,
     )
--- a/pollenfork/platform/tests/test_gateway.py
+++ b/pollenfork/platform/tests/test_gateway.py
@@ -2,8 +2,15 @@
 
 import asyncio
 import contextlib
+import logging
+import os
 import random
+import signal
 
+import msgspec
+import result
+
+from pollenfork import failures
 from pollenfork import ids
 from pollenfork.gateway import application
 from pollenfork.gateway import settings
@@ -27,7 +34,7 @@
         self.runner = runner.Runner(
             "i-1", "model", self.record, random.Random(1)
         )
-        told = settings.GatewaySettings(
+        self.told = settings.GatewaySettings(
             instance=ids.InstanceId("g"),
             data_centre=ids.DataCentre("a"),
             front=settings.Address(_HOST, _FRONT),
@@ -37,8 +44,13 @@
             revocation_s=revocation_s,
         )
         self.gateway = application.Application(
-            told, heads, store.Store(f"{_HOST}:{_STORE}"), random.Random(1)
+            self.told,
+            heads,
+            store.Store(f"{_HOST}:{_STORE}"),
+            random.Random(1),
+            lambda: self.reread,
         )
+        self.reread = result.Ok(self.told)
         self.asked: list[caller.Asked] = []
         self.caller = caller.Caller(
             (_HOST, _FRONT), random.Random(2), self.asked
@@ -205,3 +217,41 @@
                         return
 
     asyncio.run(run())
+
+
+def test_a_reload_takes_over_what_may_change(caplog) -> None:
+    caplog.set_level(logging.INFO, "pollenfork.gateway.application")
+
+    async def reload(bench: Bench, read) -> None:
+        told = caplog.text.count("event=reload")
+        bench.reread = read
+        os.kill(os.getpid(), signal.SIGHUP)
+        while caplog.text.count("event=reload") == told:
+            await asyncio.sleep(0.01)
+
+    async def run():
+        async with run_bench() as bench:
+            await bench.configure(1, key="account")
+            await bench.register()
+            await bench.wait_ready()
+            told = msgspec.structs.replace(
+                bench.told, revocation_s=1.25, store=settings.Address("x", 1)
+            )
+            await reload(bench, result.Ok(told))
+            # Keys work for the bound less 1.2 s, which is less than the time
+            # from one proof to the next.
+            await bench.wait_ready(False)
+            bad = failures.Failure(detail="no such file")
+            await reload(bench, result.Err(bad))
+            await reload(bench, result.Ok(bench.told))
+            await bench.wait_ready()
+            answer = await bench.caller.ask("unsafe", "key")
+        return answer.status
+
+    assert asyncio.run(run()) == 200
+    assert "event=reload instance=g taken=revocation_s left=store" in (
+        caplog.text
+    )
+    assert 'event=reload_failed instance=g detail="no such file"' in (
+        caplog.text
+    )
--- a/pollenfork/platform/tests/test_heads.py
+++ b/pollenfork/platform/tests/test_heads.py
@@ -45,6 +45,12 @@
     ]
 
 
+def test_another_runner_at_an_address_says_so() -> None:
+    assert heads.read_answer(421, []).displaced
+    refused = heads.read_answer(503, [(b"x-pollenfork-not-executed", b"1")])
+    assert refused.not_run and not refused.displaced
+
+
 def read_lines(written: bytes) -> list[bytes]:
     return written.partition(b"\r\n\r\n")[0].split(b"\r\n")
 
--- a/pollenfork/routes/freshness.py
+++ b/pollenfork/routes/freshness.py
@@ -26,6 +26,10 @@
         self._bound_s = bound_s
         self._current_at: float | None = None
 
+    def set_bound(self, bound_s: float | None) -> None:
+        """Sets how long a key taken away may go on working, in seconds."""
+        self._bound_s = bound_s
+
     def vouch(self, moment: float) -> None:
         """Notes that everything up to `moment` is known.
 
--- a/pollenfork/routes/lookup.py
+++ b/pollenfork/routes/lookup.py
@@ -17,6 +17,11 @@
         for routes in self._hosts.values():
             routes.sort(key=lambda route: len(route.prefix), reverse=True)
         self._tiers = _collect_tiers(configuration)
+        accounts = (configuration.accounts or {}).values()
+        self._last_account_tier = max(
+            (each.tier for each in accounts if each.tier is not None),
+            default=0,
+        )
         self._route_tiers = 1 + max(
             (route.tier for route in configuration.routes), default=0
         )
@@ -59,6 +64,12 @@
             return route.tier
         return ids.Tier(account.tier * self._route_tiers + route.tier)
 
+    def is_favoured(self, account: model.Account | None) -> bool:
+        """Returns whether an account is more urgent than some others."""
+        if account is None or account.tier is None:
+            return False
+        return account.tier < self._last_account_tier
+
     def needs_key(self, route: model.Route) -> bool:
         """Returns whether the route's requests must show a key."""
         return self.configuration.accounts is not None and not route.public
--- a/pollenfork/routes/tests/test_lookup.py
+++ b/pollenfork/routes/tests/test_lookup.py
@@ -105,3 +105,16 @@
     ]
     assert ranks == sorted(set(ranks))
     assert found.rank(last, None) == 2
+
+
+def test_an_account_is_favoured_where_others_are_less_urgent() -> None:
+    first, last = (
+        model.Account(ids.AccountId(name), ids.Tier(tier))
+        for name, tier in (("a", 0), ("b", 1))
+    )
+    unranked = model.Account(ids.AccountId("c"), None)
+    accounts = {"k1": first, "k2": last, "k3": unranked}
+    found = make_lookup(accounts=accounts)
+    assert found.is_favoured(first)
+    assert not any(map(found.is_favoured, (last, unranked, None)))
+    assert not make_lookup(accounts={"k1": first}).is_favoured(first)
