Give each test process its own address for a whole gateway

Cause: the tests of a whole gateway bind fixed ports on one address, and the suite spreads them over four processes; two at once met 'address already in use' (2 of 7 failed, four processes on this file alone; passed one by one). Now the address comes from the process's id. Before: 5 of 7 in a spread run; after: three spread runs, all passed.

--- a/pollenfork/platform/tests/test_gateway.py
+++ b/pollenfork/platform/tests/test_gateway.py
@@ -21,7 +21,8 @@
 from pollenfork.platform.tests.soak import site as sites
 from pollenfork.platform.tests.soak import store as standin
 
-_HOST = "127.19.0.1"
+# Each process that runs tests has an address of its own, for its ports.
+_HOST = f"127.18.{os.getpid() // 250 % 250}.{os.getpid() % 250 + 1}"
 _FRONT, _READY, _STORE, _RUNNER = 20411, 20412, 20413, 20414
 
 
