Hear of the store's changes from the relay instead of a feed each

Now a relay alone follows the store; the others fetch a whole table from it over TCP when its word says that there is news, and fall back to the store after half a second, or where the relay's proof is older than 2.6 s. A relay's news is no proof; its table is taken only if it is newer, so nothing goes back; an absent store's return is told with it. News is marked by the version at which it was read: a row found missing has none of its own (test). Asking at once no longer drops pages of a read under way, which could have taken rows for removed.

Ruled out: breaking feeds off when a relay turns up (they are paid already).

--- /dev/null
+++ b/pollenfork/catalogue/shelf.py
@@ -0,0 +1,79 @@
+"""One table's rows as this instance knows them, for others to read."""
+
+import zlib
+
+import msgspec
+import result
+
+from pollenfork import failures
+from pollenfork.catalogue import messages
+
+
+class Shared(msgspec.Struct, frozen=True, array_like=True):
+    """A whole table as one instance tells it to another.
+
+    Attributes:
+        through: The store's version up to which nothing is unknown.
+        back_s: Seconds since the store came back after it was away; None
+            where it wasn't, or nobody knows.
+        packed: The rows, encoded and compressed.
+    """
+
+    through: int
+    back_s: float | None
+    packed: bytes
+
+
+class BadTable(failures.Failure, frozen=True, kw_only=True):
+    """Another instance's table can't be decoded."""
+
+
+class Shelf:
+    """Keeps the rows of one table."""
+
+    def __init__(self) -> None:
+        self._rows: dict[str, messages.Row] = {}
+        self._through = 0
+        self._packed: bytes | None = None
+
+    def take(self, changes: messages.Changes) -> None:
+        """Takes what changed."""
+        self._through = changes.through
+        if not changes.rows:
+            return
+        self._packed = None
+        for row in changes.rows:
+            if row.removed:
+                self._rows.pop(row.key, None)
+            else:
+                self._rows[row.key] = row
+
+    def write(self, back_s: float | None) -> bytes:
+        """Returns the table for another instance.
+
+        Args:
+            back_s: Seconds since the store came back, if it was away.
+        """
+        if self._packed is None:
+            rows = tuple(self._rows.values())
+            # A configuration of 350 routes takes 90 KB and compresses to a
+            # tenth, which two dozen instances can ask a small link for.
+            self._packed = zlib.compress(msgspec.msgpack.encode(rows), 1)
+        shared = Shared(self._through, back_s, self._packed)
+        return msgspec.msgpack.encode(shared)
+
+
+_ROWS = msgspec.msgpack.Decoder(tuple[messages.Row, ...])
+_SHARED = msgspec.msgpack.Decoder(Shared)
+
+
+def read(
+    data: bytes,
+) -> result.Result[tuple[messages.Rows, float | None], BadTable]:
+    """Returns another instance's rows, and its seconds since a return."""
+    try:
+        shared = _SHARED.decode(data)
+        rows = _ROWS.decode(zlib.decompress(shared.packed))
+    except (msgspec.MsgspecError, zlib.error) as error:
+        return result.Err(BadTable(detail=str(error)))
+    return result.Ok((messages.Rows(rows, shared.through), shared.back_s))
--- a/pollenfork/catalogue/watch.py
+++ b/pollenfork/catalogue/watch.py
@@ -84,7 +84,6 @@
     def ask_at_once(self) -> None:
         """Lets the next call ask for what is there now, without a wait."""
         self._state.at_once = True
-        self._restart_read()
 
     def take_rows(
         self, ask: messages.Ask, rows: messages.Rows
@@ -97,6 +96,18 @@
         through = self._state.version = max(ask.after, rows.version)
         return messages.Changes(self._keep_newer(rows.rows), through)
 
+    def take_table(self, rows: messages.Rows) -> messages.Changes | None:
+        """Takes the whole table as another instance knows it.
+
+        Returns:
+            What changed; None where it is no newer than what is known.
+        """
+        version = self._state.version
+        if version is not None and rows.version <= version:
+            return None
+        self._restart_read()
+        return self._take_page(rows)
+
     def take_trouble(self, trouble: messages.Trouble) -> float:
         """Takes a failure; returns seconds to wait before the next call."""
         state = self._state
--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -30,6 +30,7 @@
 from pollenfork.gateway import readiness
 from pollenfork.gateway import replies
 from pollenfork.gateway import settings
+from pollenfork.gateway import tables
 from pollenfork.loads import messages as loads
 
 if TYPE_CHECKING:
@@ -41,13 +42,18 @@
 # configuration's calls also prove that keys still hold, which must be known
 # every few seconds; the runners' calls need only be woken.
 _CONFIGURATION_WAIT_S = 1.5
+# A relay that stopped hearing of runners without notice would keep its whole
+# data centre from hearing of them, so its calls are shorter.
 _RUNNERS_WAIT_S = 20.0
-# Where a relay vouches for the configuration, calls need only be woken.
-_VOUCHED_WAIT_S = 20.0
+_RELAY_RUNNERS_WAIT_S = 4.0
 # Without proof for this long an instance asks the store itself, in seconds. A
-# relay's proof is 1.5 s old at most, and half a second under way; and the
-# store needs time to answer before keys are no longer trusted.
-_HURRY_S = 2.4
+# relay's proof is 2 s old at most, and where the relay is lost another one is
+# found after 1.2 s; and the store needs time to answer before keys are no
+# longer trusted, after 3.8 s.
+_HURRY_S = 2.9
+# A new relay whose own proof is older than this asks for one at once, as those
+# that report to it would call the store themselves soon.
+_OVERDUE_S = 1.0
 # Pauses after a table's change, in seconds, so that changes in a row wake
 # each instance once; short against the bounds of some seconds.
 _CONFIGURATION_REST_S = 0.2
@@ -110,6 +116,7 @@
         )
         self.known.runners.when_gone(self._tools.pool.forget)
         self._readiness = readiness.Readiness(self.known, self._stopping.is_set)
+        self._tables = tables.Tables(self._loop.time)
         self._peers: peers.Peers | None = None
         self._configuration: following.Follower | None = None
         self._runners: following.Follower | None = None
@@ -162,12 +169,12 @@
     def _follow(self) -> None:
         known = self.known
         configuration = self._make_follower(
-            "configuration",
+            tables.Table.CONFIGURATION,
             (_CONFIGURATION_WAIT_S, _CONFIGURATION_REST_S),
             self._store.write_configuration_ask,
         )
         runners = self._make_follower(
-            "runners",
+            tables.Table.RUNNERS,
             (_RUNNERS_WAIT_S, _RUNNERS_REST_S),
             self._store.write_runners_ask,
         )
@@ -186,21 +193,27 @@
         runners.wait_for(configuration)
         for follower in (configuration, runners):
             follower.when_troubled(self._note_store)
+            follower.when_returned(self._note_return)
             self._tasks.append(self._loop.create_task(follower.run()))
         self._tasks.append(self._loop.create_task(self._sweep()))
 
     def _make_follower(
-        self, name: str, times: tuple[float, float], write: following.Write
+        self,
+        table: tables.Table,
+        times: tuple[float, float],
+        write: following.Write,
     ) -> following.Follower:
         wait_s, rest_s = times
-        return following.Follower(
-            name,
+        follower = following.Follower(
+            table,
             self._settings.store,
             watch.Watch(self._rng, wait_s),
             rest_s,
             write,
             self._store.read_rows,
         )
+        follower.when_changed(lambda changes: self._tables.take(table, changes))
+        return follower
 
     async def _join_peers(self) -> None:
         me = self._settings.peer
@@ -213,18 +226,26 @@
         joined.when_ticked(self._watch_proof)
         self._tools.chooser.when_long(joined.tell_soon)
         self._peers = joined
+        await self._listen(tables.make_server(self._tables), me)
         self._tasks.append(self._loop.create_task(joined.run()))
 
     def _watch_proof(self, is_relay: bool) -> None:
-        """Lets the store hold calls while a relay vouches for its news."""
+        """Decides whether the store is followed, or a relay that does."""
         now = self._loop.time()
         known = self.known
         assert self._configuration is not None and self._runners is not None
-        vouched = not is_relay and known.is_vouched(now)
-        self._configuration.set_wait(
-            _VOUCHED_WAIT_S if vouched else _CONFIGURATION_WAIT_S
-        )
+        relay = None
+        if self._peers is not None and known.follows_relay(now):
+            relay = self._peers.find_relay(now)
         age_s = known.freshness.age(now)
+        overdue = relay is None and age_s is not None and age_s > _OVERDUE_S
+        self._configuration.guide(
+            following.Guide(relay, known.has_newer_configuration, overdue)
+        )
+        self._runners.guide(following.Guide(relay, known.has_newer_runners))
+        self._runners.set_wait(
+            _RELAY_RUNNERS_WAIT_S if is_relay else _RUNNERS_WAIT_S
+        )
         if age_s is not None and age_s > _HURRY_S:
             self._configuration.hurry()
         if known.is_behind_configuration(now):
@@ -242,7 +263,12 @@
 
     def _note_store(self, lost: bool) -> None:
         if not lost:
-            self.known.runners.note_store_back(self._loop.time())
+            self._note_return(self._loop.time())
+
+    def _note_return(self, at: float) -> None:
+        """Notes when the store came back, in monotonic seconds."""
+        self.known.runners.note_store_back(at)
+        self._tables.note_store_back(at)
 
     def _apply_limits(self) -> None:
         if self.known.lookup is not None:
--- /dev/null
+++ b/pollenfork/gateway/client.py
@@ -0,0 +1,92 @@
+"""Calls to one address over a kept connection, one at a time."""
+
+import asyncio
+
+from pollenfork.gateway import connection
+from pollenfork.gateway import messages
+from pollenfork.loads import messages as loads
+
+# A connection that will be established takes some milliseconds.
+_CONNECT_S = 0.5
+
+Answer = tuple[int, bytes]
+
+
+class Body:
+    """Takes a whole answer.
+
+    Attributes:
+        done: Resolves with status and body; None where the answer broke.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.done: asyncio.Future[Answer | None] = loop.create_future()
+        self._status = 0
+        self._pieces: list[bytes] = []
+
+    def take_head(self, status: int, headers: list[messages.Header]) -> bool:
+        """Takes the status."""
+        self._status = status
+        return True
+
+    def take_body(self, data: bytes) -> None:
+        """Takes a piece of the body."""
+        self._pieces.append(data)
+
+    def take_end(self) -> None:
+        """Notes that the answer is whole."""
+        if not self.done.done():
+            self.done.set_result((self._status, b"".join(self._pieces)))
+
+    def take_breach(self, breach: connection.Breach) -> None:
+        """Notes that no more comes."""
+        if not self.done.done():
+            self.done.set_result(None)
+
+
+class Client:
+    """Calls one address."""
+
+    def __init__(self, address: loads.Address) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._connection: connection.Connection | None = None
+        self.address = address
+
+    async def call(self, request: bytes, timeout_s: float) -> Answer | None:
+        """Returns status and body; None where no whole answer came in time."""
+        body = Body(self._loop)
+        answer = None
+        try:
+            async with asyncio.timeout(timeout_s):
+                opened = await self._connect()
+                opened.send(request, body)
+                answer = await body.done
+        except (OSError, TimeoutError):
+            pass  # The caller of this decides what no answer means.
+        if answer is None:
+            self.close()
+        return answer
+
+    def break_off(self) -> None:
+        """Ends a call under way; it brings no answer."""
+        if self._connection is not None:
+            self._connection.break_off()
+
+    def close(self) -> None:
+        """Closes the connection."""
+        if self._connection is not None:
+            self._connection.abort()
+            self._connection = None
+
+    async def _connect(self) -> connection.Connection:
+        kept = self._connection
+        if kept is not None and kept.usable:
+            return kept
+        self.close()
+        connecting = self._loop.create_connection(
+            lambda: connection.Connection(self._loop), *self.address
+        )
+        async with asyncio.timeout(_CONNECT_S):
+            _, opened = await connecting
+        self._connection = opened
+        return opened
--- a/pollenfork/gateway/following.py
+++ b/pollenfork/gateway/following.py
@@ -1,24 +1,32 @@
-"""Follows the store's tables: makes the calls that a watch decides on."""
+"""Follows the store's tables: makes the calls that a watch decides on.
+
+While a relay's word is recent, an instance makes no calls: it asks the relay
+for a table when there is news, and the store when that fails.
+"""
 
 import asyncio
 from collections.abc import Callable
 import logging
 
+import msgspec
 import result
 
 from pollenfork.catalogue import messages as catalogue
+from pollenfork.catalogue import shelf
 from pollenfork.catalogue import watch
-from pollenfork.gateway import connection
-from pollenfork.gateway import messages
+from pollenfork.gateway import client
 from pollenfork.gateway import settings
+from pollenfork.gateway import tables
 
 _LOG = logging.getLogger(__name__)
 
-_CONNECT_S = 0.5
 # How often a follower that waits for another looks again, in seconds.
 _LOOK_S = 0.1
 # The store may answer a little before the wait is quite over.
 _WAITED_PART = 0.98
+# A relay answers at once; one that doesn't is passed over by its peers soon.
+_RELAY_TIMEOUT_S = 0.4
+_OK = 200
 
 Write = Callable[[catalogue.Ask], bytes]
 ReadRows = Callable[
@@ -26,45 +34,26 @@
 ]
 
 
-class Body:
-    """Takes a whole answer of the store.
+class Guide(msgspec.Struct, frozen=True):
+    """Whom to ask.
 
     Attributes:
-        done: Resolves with status and body; None where the answer broke.
+        relay: The instance to ask instead of the store; None: the store.
+        news: Whether the relay knows something newer.
+        at_once: Whether the store's next answer must not be waited for.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        self.done: asyncio.Future[tuple[int, bytes] | None]
-        self.done = loop.create_future()
-        self._status = 0
-        self._pieces: list[bytes] = []
-
-    def take_head(self, status: int, headers: list[messages.Header]) -> bool:
-        """Takes the status."""
-        self._status = status
-        return True
-
-    def take_body(self, data: bytes) -> None:
-        """Takes a piece of the body."""
-        self._pieces.append(data)
-
-    def take_end(self) -> None:
-        """Notes that the answer is whole."""
-        if not self.done.done():
-            self.done.set_result((self._status, b"".join(self._pieces)))
-
-    def take_breach(self, breach: connection.Breach) -> None:
-        """Notes that no more comes."""
-        if not self.done.done():
-            self.done.set_result(None)
+    relay: settings.Address | None = None
+    news: bool = False
+    at_once: bool = False
 
 
 class Follower:
-    """Keeps one table followed over one connection."""
+    """Keeps one table followed."""
 
     def __init__(
         self,
-        name: str,
+        table: tables.Table,
         address: settings.Address,
         watched: watch.Watch,
         rest_s: float,
@@ -74,7 +63,7 @@
         """Takes what it needs.
 
         Args:
-            name: The table's name in the log.
+            table: The table.
             address: The store's.
             watched: Decides on the calls.
             rest_s: Seconds between a change and the next call.
@@ -82,8 +71,11 @@
             read: Decodes an answer.
         """
         self._loop = asyncio.get_running_loop()
-        self._name = name
-        self._address = address
+        self._table = table
+        self._store = client.Client(address)
+        self._relay: client.Client | None = None
+        self._guide = Guide()
+        self._woken = asyncio.Event()
         self._watch = watched
         self._rest_s = rest_s
         self._hurried = False
@@ -91,10 +83,10 @@
         self._other: Follower | None = None
         self._write = write
         self._read = read
-        self._connection: connection.Connection | None = None
         self._on_changes: list[Callable[[catalogue.Changes], None]] = []
         self._on_current: list[Callable[[float], None]] = []
         self._on_trouble: list[Callable[[bool], None]] = []
+        self._on_return: list[Callable[[float], None]] = []
 
     def when_changed(self, call: Callable[[catalogue.Changes], None]) -> None:
         """Calls `call` with what changed."""
@@ -108,6 +100,22 @@
         """Calls `call` with True when the store is lost, False when back."""
         self._on_trouble.append(call)
 
+    def when_returned(self, call: Callable[[float], None]) -> None:
+        """Calls `call` with when the store came back, as a relay saw it."""
+        self._on_return.append(call)
+
+    def guide(self, guide: Guide) -> None:
+        """Takes whom to ask from now on."""
+        if guide == self._guide:
+            return
+        if guide.at_once and not self._guide.at_once:
+            self._watch.ask_at_once()
+        self._guide = guide
+        self._woken.set()
+        if guide.news and guide.relay is not None and self._waiting:
+            # The relay knows already what this call waits for.
+            self._store.break_off()
+
     @property
     def troubled(self) -> bool:
         """Whether the last call brought nothing."""
@@ -120,21 +128,87 @@
     async def run(self) -> None:
         """Follows the table until cancelled."""
         while True:
-            while self._other is not None and self._other.troubled:
+            if self._guide.relay is not None and not self._hurried:
+                await self._follow_relay(self._guide.relay)
+            elif self._must_wait():
                 await asyncio.sleep(_LOOK_S)
-            pause_s = await self._call_once()
-            if pause_s:
-                await asyncio.sleep(pause_s)
+            else:
+                pause_s = await self._call_once()
+                if pause_s:
+                    await asyncio.sleep(pause_s)
+
+    def _must_wait(self) -> bool:
+        """Returns whether another follower finds out if the store is back."""
+        return (
+            self._guide.relay is None
+            and self._other is not None
+            and self._other.troubled
+        )
 
     def set_wait(self, wait_s: float) -> None:
         """Sets how long the store may hold the next calls, in seconds."""
         self._watch.wait_s = wait_s
 
     def hurry(self) -> None:
-        """Gives up a call that waits, and asks at once on a new path."""
-        if self._waiting and self._connection is not None:
+        """Asks the store at once; gives up a call that waits for it."""
+        if self._waiting:
+            self._hurried = True
+            self._store.break_off()
+        elif self._guide.relay is not None:
             self._hurried = True
-            self._connection.break_off()
+            self._watch.ask_at_once()
+            self._woken.set()
+
+    async def _follow_relay(self, relay: settings.Address) -> None:
+        """Waits for news at the relay, or fetches it."""
+        if not self._guide.news:
+            self._woken.clear()
+            await self._woken.wait()
+            return
+        changes = await self._ask_relay(relay)
+        if changes is None:
+            await asyncio.sleep(_LOOK_S)
+            return
+        self._guide = Guide(self._guide.relay)
+        for tell in self._on_changes:
+            tell(changes)
+
+    async def _ask_relay(
+        self, relay: settings.Address
+    ) -> catalogue.Changes | None:
+        """Returns what changed; None where the relay brought nothing new."""
+        if self._relay is None or self._relay.address != relay:
+            self._leave_relay()
+            self._relay = client.Client(relay)
+        request = tables.write_ask(self._table)
+        answer = await self._relay.call(request, _RELAY_TIMEOUT_S)
+        if answer is None or answer[0] != _OK:
+            _LOG.warning(
+                "event=relay_silent table=%s relay=%s status=%s",
+                self._table.value,
+                relay.host,
+                answer[0] if answer else "-",
+            )
+            return None
+        read = shelf.read(answer[1])
+        if isinstance(read, result.Err):
+            _LOG.error(
+                "event=table_unreadable table=%s relay=%s detail=%r",
+                self._table.value,
+                relay.host,
+                read.err_value.detail,
+            )
+            return None
+        rows, back_s = read.ok_value
+        if back_s is not None:
+            for tell in self._on_return:
+                tell(self._loop.time() - back_s)
+        return self._watch.take_table(rows)
+
+    def _leave_relay(self) -> None:
+        if self._relay is not None:
+            self._relay.close()
+            self._relay = None
 
     async def _call_once(self) -> float:
         ask = self._watch.next_ask()
@@ -142,12 +216,14 @@
         self._waiting = ask.wait_s > 0.0
         answer = await self._call(ask)
         self._waiting = False
-        if self._hurried:
-            self._hurried = False
-            if isinstance(answer, result.Err):
+        hurried, self._hurried = self._hurried, False
+        if isinstance(answer, result.Err):
+            if hurried and ask.wait_s > 0.0:
                 self._watch.ask_at_once()
+                self._hurried = self._guide.relay is not None
+                return 0.0
+            if self._guide.relay is not None and self._guide.news:
                 return 0.0
-        if isinstance(answer, result.Err):
             return self._take_trouble(answer.err_value)
         rows = answer.ok_value
         self._note_back()
@@ -177,55 +253,29 @@
     async def _call(
         self, ask: catalogue.Ask
     ) -> result.Result[catalogue.Rows, catalogue.Trouble]:
-        body = Body(self._loop)
-        try:
-            async with asyncio.timeout(ask.timeout_s):
-                opened = await self._connect()
-                opened.send(self._write(ask), body)
-                answer = await body.done
-        except (OSError, TimeoutError):
-            answer = None
+        answer = await self._store.call(self._write(ask), ask.timeout_s)
         if answer is None:
-            self._disconnect()
             return result.Err(catalogue.Trouble.NO_ANSWER)
         return self._read(*answer)
 
-    async def _connect(self) -> connection.Connection:
-        kept = self._connection
-        if kept is not None and kept.usable:
-            return kept
-        self._disconnect()
-        connecting = self._loop.create_connection(
-            lambda: connection.Connection(self._loop), *self._address
-        )
-        async with asyncio.timeout(_CONNECT_S):
-            _, opened = await connecting
-        self._connection = opened
-        return opened
-
-    def _disconnect(self) -> None:
-        if self._connection is not None:
-            self._connection.abort()
-            self._connection = None
-
     def _take_trouble(self, trouble: catalogue.Trouble) -> float:
         was_troubled = self._watch.troubled
         pause_s = self._watch.take_trouble(trouble)
         if self._watch.troubled and not was_troubled:
             _LOG.warning(
                 "event=store_lost table=%s trouble=%s",
-                self._name,
+                self._table.value,
                 trouble.value,
             )
             for tell in self._on_trouble:
                 tell(True)
         elif trouble is catalogue.Trouble.HISTORY_GONE:
-            _LOG.info("event=history_gone table=%s", self._name)
+            _LOG.info("event=history_gone table=%s", self._table.value)
         return pause_s
 
     def _note_back(self) -> None:
         if not self._watch.troubled:
             return
-        _LOG.info("event=store_back table=%s", self._name)
+        _LOG.info("event=store_back table=%s", self._table.value)
         for tell in self._on_trouble:
             tell(False)
--- a/pollenfork/gateway/knowledge.py
+++ b/pollenfork/gateway/knowledge.py
@@ -26,10 +26,12 @@
         has_runners: Whether the registry has been read whole.
     """
 
-    # How long news that a relay has may take to come from the store too.
+    # How long news that a relay has may take to come from it; then the store
+    # is asked. A relay answers within some milliseconds.
     _BEHIND_S = 0.5
-    # How long what a relay vouched for counts without its next word.
-    _VOUCHED_S = 1.5
+    # How old a relay's proof may be for others to go by its word. One that
+    # follows the store has proof of 2 s at most.
+    _RELAY_S = 2.6
 
     def __init__(self, store: edges.Store, revocation_s: float | None) -> None:
         self._store = store
@@ -40,8 +42,8 @@
         self._own_current_at: float | None = None
         self._proof: messages.Proof | None = None
         self._proof_at = 0.0
-        self._configuration_row = 0
-        self._runners_row = 0
+        self._configuration_news = 0
+        self._runners_news = 0
         self._configuration_through = 0
         self._runners_through = 0
         self._behind_since: dict[str, float] = {}
@@ -56,8 +58,8 @@
         if self._own_current_at is None:
             return None
         return messages.Proof(
-            self._configuration_row,
-            self._runners_row,
+            self._configuration_news,
+            self._runners_news,
             now - self._own_current_at,
         )
 
@@ -68,29 +70,35 @@
         if proof.configuration <= self._configuration_through:
             self.freshness.vouch(moment)
 
-    def is_vouched(self, now: float) -> bool:
-        """Returns whether a relay lately said what this instance knows."""
+    def follows_relay(self, now: float) -> bool:
+        """Returns whether a relay's word is recent enough to go by."""
+        proof = self._proof
+        return proof is not None and now - self._proof_at < self._RELAY_S
+
+    @property
+    def has_newer_configuration(self) -> bool:
+        """Whether a relay knows a newer one."""
         proof = self._proof
         return (
             proof is not None
-            and proof.configuration <= self._configuration_through
-            and now - self._proof_at < self._VOUCHED_S + proof.age_s
+            and proof.configuration > self._configuration_through
         )
 
+    @property
+    def has_newer_runners(self) -> bool:
+        """Whether a relay knows newer runners."""
+        proof = self._proof
+        return proof is not None and proof.runners > self._runners_through
+
     def is_behind_configuration(self, now: float) -> bool:
         """Returns whether a relay has known a newer one for a while."""
-        proof = self._proof
-        newer = (
-            proof is not None
-            and proof.configuration > self._configuration_through
+        return self._has_lasted(
+            "configuration", self.has_newer_configuration, now
         )
-        return self._has_lasted("configuration", newer, now)
 
     def is_behind_runners(self, now: float) -> bool:
         """Returns whether a relay has known newer runners for a while."""
-        proof = self._proof
-        newer = proof is not None and proof.runners > self._runners_through
-        return self._has_lasted("runners", newer, now)
+        return self._has_lasted("runners", self.has_newer_runners, now)
 
     def _has_lasted(self, what: str, holds: bool, now: float) -> bool:
         if not holds:
@@ -105,6 +113,10 @@
     def take_configuration(self, changes: catalogue.Changes) -> None:
         """Puts a newer configuration in force."""
         self._configuration_through = changes.through
+        if changes.rows:
+            # A row that was found to be missing has no version of its own, so
+            # the news is as new as the reading that brought it.
+            self._configuration_news = changes.through
         for row in changes.rows:
             read = self._store.read_configuration(row)
             if read is None:
@@ -116,7 +128,6 @@
                     read.err_value.detail,
                 )
                 continue
-            self._configuration_row = row.version
             configuration = read.ok_value
             if self._is_older(configuration.version):
                 _LOG.warning(
@@ -138,8 +149,9 @@
         """Takes runners that came, changed or left."""
         self.has_runners = True
         self._runners_through = changes.through
+        if changes.rows:
+            self._runners_news = changes.through
         for row in changes.rows:
-            self._runners_row = max(self._runners_row, row.version)
             if row.removed:
                 self.runners.remove(ids.EndpointId(row.key), now)
                 _LOG.info(
--- a/pollenfork/gateway/peers.py
+++ b/pollenfork/gateway/peers.py
@@ -65,6 +65,7 @@
         """
         self._loop = asyncio.get_running_loop()
         self._exchange = core.Exchange(me, told.data_centre, told.seeds, here)
+        self._me = me
         self._transport: asyncio.DatagramTransport | None = None
         self._others: messages.Table = {}
         self._heard_at: float | None = None
@@ -142,6 +143,13 @@
         """Returns what other instances have under way at a runner."""
         return self._others.get(runner, _NONE)
 
+    def find_relay(self, now: float) -> messages.Address | None:
+        """Returns another instance that relays for this data centre."""
+        relay = self._exchange.find_relay(now)
+        if relay is None or relay == self._me.host:
+            return None
+        return messages.Address(relay, self._me.port)
+
     def read_age(self) -> float | None:
         """Returns how old others' loads are in seconds; None: unknown."""
         if self._heard_at is None:
--- a/pollenfork/gateway/replies.py
+++ b/pollenfork/gateway/replies.py
@@ -61,6 +61,11 @@
     return _write(status, body, b"", closing, b"text/plain; charset=utf-8")
 
 
+def write_table(body: bytes) -> bytes:
+    """Returns a table for another instance."""
+    return _write(200, body, b"", False, b"application/octet-stream")
+
+
 def _write(
     status: int,
     body: bytes,
--- /dev/null
+++ b/pollenfork/gateway/tests/test_following.py
@@ -0,0 +1,218 @@
+"""An instance follows a relay, and the store where that doesn't do."""
+
+import asyncio
+import contextlib
+import random
+
+import msgspec
+import result
+
+from pollenfork.catalogue import messages
+from pollenfork.catalogue import watch
+from pollenfork.gateway import following
+from pollenfork.gateway import settings
+from pollenfork.gateway import tables
+from pollenfork.loads import messages as loads
+
+Row = messages.Row
+Table = tables.Table
+_HOST = "127.0.0.1"
+_WAIT_S = 30.0
+
+
+class Store:
+    """A store of one table; each call holds until there is something."""
+
+    def __init__(self) -> None:
+        self.asked: list[messages.Ask] = []
+        self.rows = messages.Rows((Row("a", b"1", 1),), 1)
+        self.silent = False
+
+    async def start(self) -> settings.Address:
+        server = await asyncio.start_server(self._serve, _HOST, 0)
+        return loads.Address(*server.sockets[0].getsockname()[:2])
+
+    def write(self, ask: messages.Ask) -> bytes:
+        self.asked.append(ask)
+        return b"GET /%d HTTP/1.1\r\n\r\n" % int(ask.wait_s > 0.0)
+
+    def read(self, status: int, body: bytes):
+        return result.Ok(msgspec.msgpack.decode(body, type=messages.Rows))
+
+    async def _serve(self, reader, writer) -> None:
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                if self.silent or head.startswith(b"GET /1"):
+                    await reader.read()
+                    break
+                body = msgspec.msgpack.encode(self.rows)
+                length = b"content-length: %d\r\n\r\n" % len(body)
+                writer.write(b"HTTP/1.1 200 OK\r\n" + length + body)
+        writer.close()
+
+
+class Bench:
+    """A follower between a store and a relay."""
+
+    def __init__(self, follower, store, told, relay) -> None:
+        self.follower: following.Follower = follower
+        self.store: Store = store
+        self.told: tables.Tables = told
+        self.relay: settings.Address = relay
+        self.seen: list[messages.Changes] = []
+        self.proofs: list[float] = []
+        self.returns: list[float] = []
+        follower.when_changed(self.seen.append)
+        follower.when_current(self.proofs.append)
+        follower.when_returned(self.returns.append)
+
+    async def wait_for(self, holds) -> None:
+        async with asyncio.timeout(10):
+            while not holds():
+                await asyncio.sleep(0.005)
+
+    def tell(self, version: int, *rows: Row) -> None:
+        self.told.take(Table.RUNNERS, messages.Changes(rows, version))
+
+    def guide(
+        self, news: bool = False, relay: bool = True, at_once: bool = False
+    ) -> None:
+        to = self.relay if relay else None
+        self.follower.guide(following.Guide(to, news, at_once))
+
+
+@contextlib.asynccontextmanager
+async def run_bench():
+    loop = asyncio.get_running_loop()
+    store = Store()
+    told = tables.Tables(loop.time)
+    server = await loop.create_server(
+        tables.make_server(told).make_connection, _HOST, 0
+    )
+    relay = loads.Address(*server.sockets[0].getsockname()[:2])
+    follower = following.Follower(
+        Table.RUNNERS,
+        await store.start(),
+        watch.Watch(random.Random(1), _WAIT_S),
+        0.0,
+        store.write,
+        store.read,
+    )
+    bench = Bench(follower, store, told, relay)
+    task = asyncio.create_task(follower.run())
+    try:
+        yield bench
+    finally:
+        task.cancel()
+        server.close()
+
+
+def play(course):
+    async def run():
+        async with run_bench() as bench:
+            await course(bench)
+
+    asyncio.run(run())
+
+
+def test_news_that_a_relay_has_comes_from_it_without_a_call() -> None:
+    async def course(bench):
+        await bench.wait_for(lambda: len(bench.store.asked) == 2)
+        bench.tell(7, Row("b", b"2", 7))
+        bench.guide(news=True)
+        await bench.wait_for(lambda: len(bench.seen) == 2)
+        changes = bench.seen[1]
+        assert changes.through == 7
+        found = {row.key: row.removed for row in changes.rows}
+        assert found == {"a": True, "b": False}
+        bench.guide()
+        bench.tell(9, Row("c", b"3", 9))
+        bench.guide(news=True)
+        await bench.wait_for(lambda: len(bench.seen) == 3)
+        assert len(bench.store.asked) == 2
+        # Only the store itself is proof of what is current.
+        assert len(bench.proofs) == 1
+
+    play(course)
+
+
+def test_an_instance_that_no_store_reaches_learns_all_from_a_relay() -> None:
+    async def course(bench):
+        bench.store.silent = True
+        bench.tell(7, Row("b", b"2", 7))
+        bench.guide(news=True)
+        await bench.wait_for(lambda: bench.seen)
+        assert [row.key for row in bench.seen[0].rows] == ["b"]
+
+    play(course)
+
+
+def test_without_a_relay_the_store_is_asked_from_what_it_told() -> None:
+    async def course(bench):
+        await bench.wait_for(lambda: len(bench.store.asked) == 2)
+        bench.tell(7, Row("b", b"2", 7))
+        bench.guide(news=True)
+        await bench.wait_for(lambda: len(bench.seen) == 2)
+        bench.store.rows = messages.Rows((Row("c", b"3", 8),), 8)
+        bench.guide(relay=False, at_once=True)
+        await bench.wait_for(lambda: len(bench.seen) == 3)
+        asked = [(ask.after, ask.wait_s) for ask in bench.store.asked[2:]]
+        assert asked[0] == (7, 0.0)
+        await bench.wait_for(lambda: len(bench.store.asked) == 4)
+        assert bench.store.asked[3].wait_s == _WAIT_S
+
+    play(course)
+
+
+def test_a_hurry_asks_the_store_also_beside_a_relay() -> None:
+    async def course(bench):
+        await bench.wait_for(lambda: len(bench.store.asked) == 2)
+        bench.tell(7, Row("b", b"2", 7))
+        bench.guide(news=True)
+        await bench.wait_for(lambda: len(bench.seen) == 2)
+        bench.follower.hurry()
+        await bench.wait_for(lambda: len(bench.proofs) == 2)
+        assert bench.store.asked[2].wait_s == 0.0
+
+    play(course)
+
+
+def test_a_relay_that_is_silent_or_behind_changes_nothing(caplog) -> None:
+    async def course(bench):
+        await bench.wait_for(lambda: len(bench.store.asked) == 2)
+        bench.tell(1, Row("z", b"9", 1))
+        bench.guide(news=True)
+        await asyncio.sleep(0.05)
+        assert len(bench.seen) == 1
+        nobody = following.Guide(loads.Address(_HOST, 1), news=True)
+        bench.follower.guide(nobody)
+        await bench.wait_for(lambda: "event=relay_silent" in caplog.text)
+        assert len(bench.seen) == 1
+
+    play(course)
+
+
+def test_the_stores_return_is_told_by_the_relay_that_saw_it() -> None:
+    async def course(bench):
+        now = asyncio.get_running_loop().time()
+        await bench.wait_for(lambda: len(bench.store.asked) == 2)
+        bench.told.note_store_back(now - 1.0)
+        bench.tell(7)
+        bench.guide(news=True)
+        await bench.wait_for(lambda: bench.returns)
+        assert abs(bench.returns[0] - (now - 1.0)) < 0.5
+        # Told before the change that it explains.
+        assert len(bench.seen) == 2
+
+    play(course)
+
+
+def test_a_table_that_nobody_keeps_is_refused() -> None:
+    async def course(bench):
+        reader, writer = await asyncio.open_connection(*bench.relay)
+        writer.write(b"GET /other HTTP/1.1\r\n\r\n")
+        assert b" 404 " in await reader.read()
+        writer.close()
+
+    play(course)
--- a/pollenfork/gateway/tests/test_knowledge.py
+++ b/pollenfork/gateway/tests/test_knowledge.py
@@ -105,12 +105,13 @@
     configure(known, 5, 10)
     known.take_proof(messages.Proof(11, 0, 0.2), moment=100.0)
     assert not known.freshness.trusts_keys(100.0)
-    assert not known.is_vouched(100.0)
+    assert known.has_newer_configuration and not known.has_newer_runners
     configure(known, 6, 11)
     known.take_proof(messages.Proof(11, 0, 0.2), moment=100.0)
     assert known.freshness.trusts_keys(103.0)
-    assert known.is_vouched(101.0)
-    assert not known.is_vouched(102.0)
+    assert not known.has_newer_configuration
+    assert known.follows_relay(102.5)
+    assert not known.follows_relay(102.7)
 
 
 def test_a_relay_that_knows_less_is_still_right_about_the_past() -> None:
@@ -133,6 +134,16 @@
     assert not known.is_behind_runners(102.0)
 
 
+def test_a_runner_that_was_found_missing_is_news_to_others() -> None:
+    known = make_known()
+    configure(known, 5, 10)
+    known.note_current(100.0)
+    gone = catalogue.Row("r", b"", 4, removed=True)
+    known.take_runners(catalogue.Changes((gone,), 30), 100.0)
+    # Others knew everything up to 20, the removal not among it.
+    assert known.write_proof(100.0).runners == 30
+
+
 def test_a_relay_vouches_only_for_what_it_read_itself() -> None:
     known = make_known()
     configure(known, 5, 10)
--- a/pollenfork/loads/core.py
+++ b/pollenfork/loads/core.py
@@ -232,13 +232,13 @@
     ) -> list[messages.Send]:
         line = self._find_line(host)
         others = lines.subtract(total, self._reports[host].loads)
-        if not lines.is_due(line, others, now):
+        proof = self._instance.read_proof(now)
+        news = lines.has_news(line, proof)
+        if not news and not lines.is_due(line, others, now):
             return []
+        line.proof = proof
         told = messages.Others(
-            others,
-            tuple(line.placed),
-            self._reports[host].sent_at,
-            self._instance.read_proof(now),
+            others, tuple(line.placed), self._reports[host].sent_at, proof
         )
         return [self._send_line(host, line, told, others, now)]
 
--- a/pollenfork/loads/lines.py
+++ b/pollenfork/loads/lines.py
@@ -23,11 +23,13 @@
         loads: What was last told.
         at: When that was.
         placed: Placements to tell.
+        proof: What was last told of the store's versions.
     """
 
     loads: messages.Table = {}
     at: float = -_REPEAT_S
     placed: list[messages.Placed] = []
+    proof: messages.Proof | None = None
 
 
 def is_due(line: Line, loads: messages.Table, now: float) -> bool:
@@ -66,3 +68,16 @@
             known.quick - load.quick,
         )
     return rest
+
+
+def has_news(line: Line, proof: messages.Proof | None) -> bool:
+    """Returns whether the store's tables have changed since the last word."""
+    told = line.proof
+    if proof is None:
+        return False
+    if told is None:
+        return True
+    return (proof.configuration, proof.runners) != (
+        told.configuration,
+        told.runners,
+    )
--- a/pollenfork/loads/messages.py
+++ b/pollenfork/loads/messages.py
@@ -73,8 +73,9 @@
     """What an instance has read of the store, and how long ago.
 
     Attributes:
-        configuration: The row version of the configuration it knows.
-        runners: The newest row version of the registry it knows.
+        configuration: The store's version as the configuration it knows was
+            read.
+        runners: The store's version as its last news of runners was read.
         age_s: Seconds since it had proof that the configuration is current.
     """
 
--- a/pollenfork/loads/tests/test_exchange.py
+++ b/pollenfork/loads/tests/test_exchange.py
@@ -173,6 +173,18 @@
     assert proven[0][1] >= sent_at - 1.5
 
 
+def test_news_of_the_store_is_told_at_the_next_period() -> None:
+    network = Network(6)
+    relay = network.instances["10.0.0.000"]
+    reporter = network.instances["10.0.0.003"]
+    relay.proof = messages.Proof(1, 1, 0.0)
+    network.run(4.0)
+    for number in range(2, 10):
+        relay.proof = messages.Proof(number, 1, 0.0)
+        network.run(core.PERIOD_S * 2.5)
+        assert reporter.proven[-1][0].configuration == number
+
+
 def test_only_sums_cross_between_data_centres() -> None:
     network = Network(60)
     network.run(4.0)
