Pass over runners out of reach, and try them beside the requests

Now two connections in a row that can't be made put a runner out of reach: no request goes there, connections are tried beside them every 0.4 to 1 s, and where no runner can be reached the answer is 503 at once with when to come back.

Ruled out: not being ready when cut off (callers would go elsewhere, but a data centre is to serve what it can).

--- a/pollenfork/fleet/choice.py
+++ b/pollenfork/fleet/choice.py
@@ -59,6 +59,10 @@
     wait_s: float
 
 
+class OutOfReach(msgspec.Struct, frozen=True):
+    """No connection can be made to any runner that takes work."""
+
+
 class Grant(msgspec.Struct):
     """A runner chosen for one attempt, until it is settled.
 
@@ -130,7 +134,7 @@
         now: float,
         backlog_s: float | None = None,
         longest_s: float | None = None,
-    ) -> Grant | Busy | Overloaded | None:
+    ) -> Grant | Busy | Overloaded | OutOfReach | None:
         """Returns the runner that would begin its answer first.
 
         Args:
@@ -144,8 +148,9 @@
 
         Returns:
             The grant; `Overloaded` where that runner has more to read than
-            `longest_s`, `Busy` where it has more than `backlog_s`; None where
-            there is no runner.
+            `longest_s`, `Busy` where it has more than `backlog_s`;
+            `OutOfReach` where there are runners and none can be reached; None
+            where there is none.
         """
         self._registry.expire(now)
         takers = [
@@ -155,6 +160,13 @@
         ]
         if not takers:
             return None
+        takers = [
+            runner
+            for runner in takers
+            if self.find_standing(runner.id).reachable
+        ]
+        if not takers:
+            return OutOfReach()
         found = [self._make_offer(demand, runner, now) for runner in takers]
         if demand.shared:
             copies.find_sources(demand, found, now)
--- a/pollenfork/fleet/standing.py
+++ b/pollenfork/fleet/standing.py
@@ -8,6 +8,9 @@
 # further failure in a row. A crashed runner is back after 2 to 4 s.
 _FIRST_PAUSE_S = 0.4
 _LONGEST_PAUSE_S = 3.0
+# Connections that fail in a row until a runner counts as out of reach: one may
+# be lost to a full queue of new connections.
+_OUT_OF_REACH = 2
 # The part that the newest answer has in the failure rate: some ten answers
 # tell a runner that fails four in ten from one that fails one in a hundred.
 _NEWEST = 0.15
@@ -22,6 +25,7 @@
         quick: Those of them that are of the most urgent tier.
         reading: Own prompt tokens that it has yet to read.
         failures: Failures in a row.
+        unsent: Of them, those in a row that made no connection.
         failing: Recent part of answers that failed, 0 to 1.
         shunned_until: Monotonic seconds until which others go first.
     """
@@ -31,9 +35,21 @@
     quick: int = 0
     reading: float = 0.0
     failures: int = 0
+    unsent: int = 0
     failing: float = 0.0
     shunned_until: float = 0.0
 
+    @property
+    def reachable(self) -> bool:
+        """Whether connections to it can be made, as far as is known."""
+        return self.unsent < _OUT_OF_REACH
+
+    def note_reached(self) -> None:
+        """Notes that a connection was made after some had failed."""
+        self.unsent = 0
+        self.failures = 0
+        self.shunned_until = 0.0
+
     def note_end(self, end: messages.End, failed: bool, now: float) -> None:
         """Takes the end of an attempt.
 
@@ -42,6 +58,7 @@
             failed: Whether the answer, though whole, was an error.
             now: Monotonic seconds.
         """
+        self.unsent = self.unsent + 1 if end is messages.End.UNSENT else 0
         if end is messages.End.WHOLE and failed:
             self.failing += (1.0 - self.failing) * _NEWEST
             return
--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -27,6 +27,7 @@
 from pollenfork.gateway import messages
 from pollenfork.gateway import peers
 from pollenfork.gateway import pool
+from pollenfork.gateway import probing
 from pollenfork.gateway import readiness
 from pollenfork.gateway import replies
 from pollenfork.gateway import settings
@@ -103,12 +104,14 @@
         self._listeners: list[asyncio.Server] = []
         self.counters = counters.Counters()
         self.known = knowledge.Knowledge(store, told.revocation_s)
+        connections = pool.Pool(self._loop)
         self._tools = context.Tools(
             loop=self._loop,
             rng=rng,
             codec=codec,
             chooser=choice.Chooser(self.known.runners, rng, self._read_others),
-            pool=pool.Pool(self._loop),
+            pool=connections,
+            prober=probing.Prober(connections, self.known.runners, rng),
             repeats=repeats.RepeatBudget(told.retry_ratio, told.retry_window_s),
             turns=holding.Turns(),
             counters=self.counters,
@@ -329,6 +332,7 @@
     def _close(self) -> None:
         for task in self._tasks:
             task.cancel()
+        self._tools.prober.close()
         self._tools.pool.close()
 
     # Requests.
--- a/pollenfork/gateway/context.py
+++ b/pollenfork/gateway/context.py
@@ -15,6 +15,7 @@
 from pollenfork.gateway import holding
 from pollenfork.gateway import messages
 from pollenfork.gateway import pool
+from pollenfork.gateway import probing
 from pollenfork.routes import model as routes
 
 
@@ -60,6 +61,7 @@
     chooser: choice.Chooser
     pool: pool.Pool
     repeats: repeats.RepeatBudget
+    prober: probing.Prober
     turns: holding.Turns
     counters: counters.Counters
     read_loads_age: Callable[[], float | None]
--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -91,6 +91,9 @@
             if isinstance(grant, choice.Overloaded):
                 self._give_up(_Reason.OVERLOADED, grant.wait_s)
                 return
+            if isinstance(grant, choice.OutOfReach):
+                self._give_up(_Reason.UNREACHABLE)
+                return
             self._note_choice(grant)
             ended = await self._try(grant)
             if self._note(grant, ended) is not _Sequel.REPEATED:
@@ -99,7 +102,9 @@
 
     # Attempts.
 
-    async def _choose(self) -> choice.Grant | choice.Overloaded | None:
+    async def _choose(
+        self,
+    ) -> choice.Grant | choice.Overloaded | choice.OutOfReach | None:
         """Returns a runner, once what is more urgent leaves room for it."""
         admitted = self._admitted
         # Whoever was let in is not turned away for what came after it.
@@ -290,6 +295,8 @@
                 seen.failures,
                 (seen.shunned_until - now) * 1000,
             )
+            if not seen.reachable:
+                self._tools.prober.watch(grant.runner, seen)
         elif seen.failures < failures:
             _LOG.info(
                 "event=runner_trusted runner=%s request=%s failures=%d",
--- a/pollenfork/gateway/pool.py
+++ b/pollenfork/gateway/pool.py
@@ -83,6 +83,7 @@
             self.counters.unreachable += 1
             kind = type(error).__name__
             return result.Err(Unreachable(detail=f"{runner.host}: {kind}"))
+        opened.idle_since = self._loop.time()
         return result.Ok(opened)
 
     def give_back(
--- /dev/null
+++ b/pollenfork/gateway/probing.py
@@ -0,0 +1,80 @@
+"""Finds out when runners that were out of reach can be reached again.
+
+A request that waits for a connection which can't be made is lost for nothing,
+and its caller could be served by an instance elsewhere. So requests pass such
+runners over, and connections are tried beside them.
+"""
+
+import asyncio
+import logging
+import random
+
+import result
+
+from pollenfork import ids
+from pollenfork.fleet import model as fleet
+from pollenfork.fleet import registry
+from pollenfork.fleet import standing
+from pollenfork.gateway import pool
+
+_LOG = logging.getLogger(__name__)
+
+# How often a connection is tried, in seconds; it doubles up to the longest.
+# Cuts last for seconds, and each try is a new connection for the runner.
+_FIRST_S = 0.4
+_LONGEST_S = 1.0
+
+
+class Prober:
+    """Tries connections to runners that are out of reach."""
+
+    def __init__(
+        self,
+        connections: pool.Pool,
+        runners: registry.Registry,
+        rng: random.Random,
+    ) -> None:
+        """Takes what it needs.
+
+        Args:
+            connections: Makes connections and keeps them.
+            runners: Tells which runners there still are.
+            rng: Spreads the tries of many instances.
+        """
+        self._pool = connections
+        self._runners = runners
+        self._rng = rng
+        self._tasks: dict[ids.EndpointId, asyncio.Task[None]] = {}
+
+    def watch(self, runner: fleet.Runner, seen: standing.Standing) -> None:
+        """Tries a runner until it is reached or gone."""
+        if runner.id in self._tasks:
+            return
+        # What is kept may be as dead, and tell nobody.
+        self._pool.forget(runner.id)
+        task = asyncio.get_running_loop().create_task(self._try(runner, seen))
+        self._tasks[runner.id] = task
+        task.add_done_callback(lambda done: self._tasks.pop(runner.id, None))
+
+    def close(self) -> None:
+        """Ends all tries."""
+        for task in list(self._tasks.values()):
+            task.cancel()
+
+    async def _try(self, runner: fleet.Runner, seen: standing.Standing) -> None:
+        pause_s = _FIRST_S
+        tries = 0
+        while not seen.reachable and self._runners.find(runner.id) is not None:
+            await asyncio.sleep(pause_s * self._rng.uniform(0.8, 1.2))
+            pause_s = min(pause_s * 2, _LONGEST_S)
+            tries += 1
+            opened = await self._pool.open(runner, pool.CONNECT_S)
+            if isinstance(opened, result.Ok):
+                self._pool.give_back(runner, opened.ok_value)
+                seen.note_reached()
+        _LOG.info(
+            "event=runner_tried runner=%s reachable=%s tries=%d",
+            runner.id,
+            seen.reachable,
+            tries,
+        )
--- a/pollenfork/gateway/tests/support.py
+++ b/pollenfork/gateway/tests/support.py
@@ -17,6 +17,7 @@
 from pollenfork.gateway import holding
 from pollenfork.gateway import messages
 from pollenfork.gateway import pool
+from pollenfork.gateway import probing
 from pollenfork.routes import model as routes
 
 SERVICE = ids.ServiceName("s")
@@ -127,8 +128,10 @@
         self.connections = 0
         self._server: asyncio.Server | None = None
 
-    async def start(self) -> fleet.Runner:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+    async def start(self, port: int = 0) -> fleet.Runner:
+        self._server = await asyncio.start_server(
+            self._serve, "127.0.0.1", port
+        )
         port = self._server.sockets[0].getsockname()[1]
         return fleet.Runner(
             id=ids.EndpointId(self.name),
@@ -176,12 +179,14 @@
         self.demand = offers.Demand(SERVICE)
         self.holding = holding.Holding()
         self.runners = registry.Registry()
+        connections = pool.Pool(loop)
         self.tools = context.Tools(
             loop=loop,
             rng=rng,
             codec=Codec(),
             chooser=choice.Chooser(self.runners, rng),
-            pool=pool.Pool(loop),
+            pool=connections,
+            prober=probing.Prober(connections, self.runners, rng),
             repeats=repeats.RepeatBudget(0.2, 10.0),
             turns=holding.Turns(),
             counters=counters.Counters(),
@@ -202,6 +207,7 @@
 
     def stop(self) -> None:
         self._server.close()
+        self.tools.prober.close()
         self.tools.pool.close()
 
     async def _serve(self, call, caller) -> None:
--- a/pollenfork/gateway/tests/test_exchange.py
+++ b/pollenfork/gateway/tests/test_exchange.py
@@ -10,6 +10,7 @@
 
 from pollenfork import ids
 from pollenfork.fleet import choice
+from pollenfork.fleet import messages as messages_of_fleet
 from pollenfork.fleet import model as fleet
 from pollenfork.fleet import offers
 from pollenfork.gateway import holding
@@ -160,6 +161,50 @@
     assert asyncio.run(run()).endswith(b"good")
 
 
+def test_runners_out_of_reach_cost_no_time_until_one_is_back(caplog) -> None:
+    caplog.set_level(logging.INFO, "pollenfork.gateway.probing")
+
+    async def run():
+        gone = support.Runner("r0", GOOD)
+        route = support.make_route(ONCE)
+        async with support.run_gateway(route, gone) as gateway:
+            entry = gateway.runners.find(ids.EndpointId("r0"))
+            gone.stop()
+            tried = [await support.ask(gateway) for _ in range(2)]
+            made = gateway.tools.pool.counters.opened
+            refused = await support.ask(gateway)
+            assert gateway.tools.pool.counters.opened == made
+            await gone.start(entry.port)
+            while "event=runner_tried" not in caplog.text:
+                await asyncio.sleep(0.01)
+            return tried, refused, await support.ask(gateway)
+
+    tried, refused, served = asyncio.run(run())
+    for answer in (*tried, refused):
+        assert read_status(answer) == 503 and b"retry-after" in answer
+    assert b"unreachable" in refused
+    assert served.endswith(b"good")
+    assert "runner=r0 reachable=True tries=" in caplog.text
+
+
+def test_a_runner_out_of_reach_is_passed_over() -> None:
+    async def run():
+        gone = support.Runner("r0")
+        there = support.Runner("r1", *[GOOD] * 4)
+        route = support.make_route(ONCE)
+        async with support.run_gateway(route, gone, there) as gateway:
+            gone.stop()
+            seen = gateway.tools.chooser.find_standing(ids.EndpointId("r0"))
+            for _ in range(2):
+                seen.note_end(messages_of_fleet.End.UNSENT, False, 0.0)
+            made = gateway.tools.pool.counters.unreachable
+            answer = await support.ask(gateway)
+            return answer, gateway.tools.pool.counters.unreachable - made
+
+    answer, unreachable = asyncio.run(run())
+    assert answer.endswith(b"good") and unreachable == 0
+
+
 def test_an_answer_without_length_is_whole_at_its_end() -> None:
     unframed = b"HTTP/1.1 200 X\r\nx-id: q\r\nx-seal: z\r\n\r\ngood"
     answer, _ = play(support.make_route(ONCE), [unframed])
