Let one relay prove the configuration for all, and more often

Cause: each data centre's relay proved for itself that the configuration was current, every 1.5 s.

Now relays tell each other what they know of the store, with the same echo that bounds its age; the first relay by name asks every 0.6 s, the others hold their calls for 20 s and are woken by changes, or ask for themselves once others' proof is 1.5 s old. News is marked by the last change's own version again (a row found missing: by the read), so relays agree on it.

--- a/pollenfork/catalogue/messages.py
+++ b/pollenfork/catalogue/messages.py
@@ -13,12 +13,14 @@
         value: Its bytes; empty where it was removed.
         version: The store's version that wrote or removed it.
         removed: Whether it is no longer there.
+        missing: Whether that is known only from a read without it.
     """
 
     key: str
     value: bytes
     version: int
     removed: bool = False
+    missing: bool = False
 
 
 class Rows(msgspec.Struct, frozen=True):
@@ -70,3 +72,15 @@
 
     rows: tuple[Row, ...]
     through: int
+
+    @property
+    def news(self) -> int:
+        """The store's version of the newest change; 0 where there is none.
+
+        A row that a whole read found missing was removed nobody knows when,
+        but not after the read.
+        """
+        return max(
+            (self.through if row.missing else row.version for row in self.rows),
+            default=0,
+        )
--- a/pollenfork/catalogue/watch.py
+++ b/pollenfork/catalogue/watch.py
@@ -140,7 +140,7 @@
         present = {row.key for row in self._pages}
         # They were removed after their last known version, nobody knows when.
         gone = tuple(
-            messages.Row(key, b"", version + 1, removed=True)
+            messages.Row(key, b"", version + 1, removed=True, missing=True)
             for key, version in self._known.items()
             if key not in present
         )
--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -42,13 +42,15 @@
 # How long the store holds a call when nothing changes, in seconds. The
 # configuration's calls also prove that keys still hold, which must be known
 # every few seconds; the runners' calls need only be woken.
-_CONFIGURATION_WAIT_S = 1.5
+_CONFIGURATION_WAIT_S = 0.6
+# Where another one proves that, calls need only be woken.
+_PROVEN_WAIT_S = 20.0
 # A relay that stopped hearing of runners without notice would keep its whole
 # data centre from hearing of them, so its calls are shorter.
 _RUNNERS_WAIT_S = 20.0
 _RELAY_RUNNERS_WAIT_S = 4.0
-# Without proof for this long an instance asks the store itself, in seconds. A
-# relay's proof is 2 s old at most, and where the relay is lost another one is
+# Without proof for this long an instance asks the store itself, in seconds.
+# Proof is 1.5 s old at most, two relays on; where one is lost another one is
 # found after 1.2 s; and the store needs time to answer before keys are no
 # longer trusted, after 3.8 s.
 _HURRY_S = 2.9
@@ -232,22 +234,28 @@
         await self._listen(tables.make_server(self._tables), me)
         self._tasks.append(self._loop.create_task(joined.run()))
 
-    def _watch_proof(self, is_relay: bool) -> None:
+    def _watch_proof(self) -> None:
         """Decides whether the store is followed, or a relay that does."""
         now = self._loop.time()
         known = self.known
         assert self._configuration is not None and self._runners is not None
-        relay = None
-        if self._peers is not None and known.follows_relay(now):
-            relay = self._peers.find_relay(now)
+        assert self._peers is not None
+        other_relay = self._peers.find_relay(now)
+        relay = other_relay if known.follows_relay(now) else None
         age_s = known.freshness.age(now)
         overdue = relay is None and age_s is not None and age_s > _OVERDUE_S
         self._configuration.guide(
             following.Guide(relay, known.has_newer_configuration, overdue)
         )
         self._runners.guide(following.Guide(relay, known.has_newer_runners))
+        proves = self._peers.is_prover(now) or not known.is_proven_by_others(
+            now
+        )
+        self._configuration.set_wait(
+            _CONFIGURATION_WAIT_S if proves else _PROVEN_WAIT_S
+        )
         self._runners.set_wait(
-            _RELAY_RUNNERS_WAIT_S if is_relay else _RUNNERS_WAIT_S
+            _RUNNERS_WAIT_S if other_relay else _RELAY_RUNNERS_WAIT_S
         )
         if age_s is not None and age_s > _HURRY_S:
             self._configuration.hurry()
--- a/pollenfork/gateway/knowledge.py
+++ b/pollenfork/gateway/knowledge.py
@@ -32,6 +32,8 @@
     # How old a relay's proof may be for others to go by its word. One that
     # follows the store has proof of 2 s at most.
     _RELAY_S = 2.6
+    # How old others' proof may be for a relay to let the store hold its calls.
+    _PROVEN_S = 1.5
 
     def __init__(self, store: edges.Store, revocation_s: float | None) -> None:
         self._store = store
@@ -39,7 +41,6 @@
         self.freshness = freshness.Freshness(revocation_s)
         self.runners = registry.Registry()
         self.has_runners = False
-        self._own_current_at: float | None = None
         self._proof: messages.Proof | None = None
         self._proof_at = 0.0
         self._configuration_news = 0
@@ -50,17 +51,19 @@
 
     def note_current(self, moment: float) -> None:
         """Takes this instance's own proof that the configuration is current."""
-        self._own_current_at = moment
         self.freshness.vouch(moment)
 
     def write_proof(self, now: float) -> messages.Proof | None:
-        """Returns what this instance has read itself."""
-        if self._own_current_at is None:
+        """Returns what this instance knows and up to when that was proven.
+
+        The proof may be another's. Each that passes it on counts from before
+        it was told, so it only grows older on its way, also in a circle.
+        """
+        age_s = self.freshness.age(now)
+        if age_s is None:
             return None
         return messages.Proof(
-            self._configuration_news,
-            self._runners_news,
-            now - self._own_current_at,
+            self._configuration_news, self._runners_news, age_s
         )
 
     def take_proof(self, proof: messages.Proof, moment: float) -> None:
@@ -75,6 +78,10 @@
         proof = self._proof
         return proof is not None and now - self._proof_at < self._RELAY_S
 
+    def is_proven_by_others(self, now: float) -> bool:
+        """Returns whether others' proof is recent enough to need no own."""
+        return self._proof is not None and now - self._proof_at < self._PROVEN_S
+
     @property
     def has_newer_configuration(self) -> bool:
         """Whether a relay knows a newer one."""
@@ -113,10 +120,7 @@
     def take_configuration(self, changes: catalogue.Changes) -> None:
         """Puts a newer configuration in force."""
         self._configuration_through = changes.through
-        if changes.rows:
-            # A row that was found to be missing has no version of its own, so
-            # the news is as new as the reading that brought it.
-            self._configuration_news = changes.through
+        self._configuration_news = max(self._configuration_news, changes.news)
         for row in changes.rows:
             read = self._store.read_configuration(row)
             if read is None:
@@ -149,8 +153,7 @@
         """Takes runners that came, changed or left."""
         self.has_runners = True
         self._runners_through = changes.through
-        if changes.rows:
-            self._runners_news = changes.through
+        self._runners_news = max(self._runners_news, changes.news)
         for row in changes.rows:
             if row.removed:
                 self.runners.remove(ids.EndpointId(row.key), now)
--- a/pollenfork/gateway/peers.py
+++ b/pollenfork/gateway/peers.py
@@ -39,11 +39,11 @@
             self._chooser.caches.note(each.runner, each.part)
 
     def read_proof(self, now: float) -> messages.Proof | None:
-        """Returns what it has read of the store itself."""
+        """Returns what it knows of the store, and how old that may be."""
         return self._known.write_proof(now)
 
     def note_proof(self, proof: messages.Proof, moment: float) -> None:
-        """Takes what a relay has read."""
+        """Takes what a relay knows."""
         self._known.take_proof(proof, moment)
 
 
@@ -74,14 +74,14 @@
         self._ticked_at = 0.0
         self._urgent = False
         self._hurrying: asyncio.TimerHandle | None = None
-        self._on_tick: list[Callable[[bool], None]] = []
+        self._on_tick: list[Callable[[], None]] = []
 
     def set_seeds(self, seeds: Iterable[messages.Address]) -> None:
         """Sets the instances to ask while no other is known."""
         self._exchange.set_seeds(seeds)
 
-    def when_ticked(self, call: Callable[[bool], None]) -> None:
-        """Calls `call` each period with whether this instance is a relay."""
+    def when_ticked(self, call: Callable[[], None]) -> None:
+        """Calls `call` each period."""
         self._on_tick.append(call)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -113,9 +113,8 @@
         while True:
             await asyncio.sleep(core.PERIOD_S)
             self._tick()
-            now = self._loop.time()
             for tell in self._on_tick:
-                tell(self._exchange.is_relay(now))
+                tell()
 
     def tell_soon(self) -> None:
         """Tells that a long prompt was placed."""
@@ -143,6 +142,10 @@
         """Returns what other instances have under way at a runner."""
         return self._others.get(runner, _NONE)
 
+    def is_prover(self, now: float) -> bool:
+        """Returns whether this instance proves the configuration for all."""
+        return self._exchange.is_prover(now)
+
     def find_relay(self, now: float) -> messages.Address | None:
         """Returns another instance that relays for this data centre."""
         relay = self._exchange.find_relay(now)
--- a/pollenfork/loads/core.py
+++ b/pollenfork/loads/core.py
@@ -38,13 +38,13 @@
         """Returns what it has placed since the last call."""
 
     def read_proof(self, now: float) -> messages.Proof | None:
-        """Returns what it has read of the store itself."""
+        """Returns what it knows of the store, and how old that may be."""
 
     def note_placed(self, placed: Iterable[messages.Placed]) -> None:
         """Takes what others have placed."""
 
     def note_proof(self, proof: messages.Proof, moment: float) -> None:
-        """Takes what a relay has read.
+        """Takes what a relay knows.
 
         Args:
             proof: What it knows.
@@ -102,6 +102,16 @@
         """Returns whether this instance relays for its data centre."""
         return self.find_relay(now) == self._me.host
 
+    def is_prover(self, now: float) -> bool:
+        """Returns whether this instance proves the configuration for all.
+
+        One relay is enough, and all choose the same while they know of each
+        other; one that hears of no proof proves for itself.
+        """
+        data_centres = [self._data_centre, *self._roster.list_elsewhere()]
+        relays = [self._roster.find_relay(each, now) for each in data_centres]
+        return self._me.host == min(filter(None, relays), default=None)
+
     def read_age(self, now: float) -> float | None:
         """Returns how old the others' loads are in seconds; None: unknown.
 
@@ -169,8 +179,10 @@
             case messages.Sum():
                 self._note(host, message.data_centre, now)
                 self._roster.note_answer(host)
-                self._sums[host] = lines.Heard(message.loads, now)
+                heard = lines.Heard(message.loads, now, message.sent_at)
+                self._sums[host] = heard
                 self._take_placed(message.placed, host)
+                self._take_proof(message.proof, message.echo)
             case messages.Others():
                 self._take_others(message, host, now)
         return []
@@ -181,11 +193,13 @@
         self._roster.note_answer(host)
         self._others = lines.Heard(message.loads, now)
         self._instance.note_placed(message.placed)
-        proof = message.proof
-        # The answer was written after the report that it repeats was sent,
-        # however long either was under way or this instance stood still.
-        if proof is not None and message.echo > 0.0:
-            self._instance.note_proof(proof, message.echo - proof.age_s)
+        self._take_proof(message.proof, message.echo)
+
+    def _take_proof(self, proof: messages.Proof | None, echo: float) -> None:
+        # The answer was written after what it repeats was sent, however long
+        # either was under way or this instance stood still.
+        if proof is not None and echo > 0.0:
+            self._instance.note_proof(proof, echo - proof.age_s)
 
     # Reporting.
 
@@ -215,18 +229,34 @@
         sends = []
         here = self._sum_here(now)
         for host in self._list_relays(now):
-            line = self._find_line(host)
             self._roster.note_asked(host, now)
-            if lines.is_due(line, here, now):
-                total = messages.Sum(
-                    self._data_centre, here, tuple(line.placed), self._urgent
-                )
-                sends.append(self._send_line(host, line, total, here, now))
+            sends += self._tell_sum(host, here, now)
         everyone = self._add_up()
         for host in self._reports:
             sends += self._answer_report(host, everyone, now)
         return sends + self._tell_members(now)
 
+    def _tell_sum(
+        self, host: str, here: messages.Table, now: float
+    ) -> list[messages.Send]:
+        line = self._find_line(host)
+        proof = self._instance.read_proof(now)
+        news = lines.has_news(line, proof)
+        if not news and not lines.is_due(line, here, now):
+            return []
+        line.proof = proof
+        heard = self._sums.get(host)
+        total = messages.Sum(
+            self._data_centre,
+            here,
+            tuple(line.placed),
+            self._urgent,
+            sent_at=now,
+            echo=heard.sent_at if heard else 0.0,
+            proof=proof,
+        )
+        return [self._send_line(host, line, total, here, now)]
+
     def _answer_report(
         self, host: str, total: messages.Table, now: float
     ) -> list[messages.Send]:
--- a/pollenfork/loads/messages.py
+++ b/pollenfork/loads/messages.py
@@ -70,13 +70,12 @@
 
 
 class Proof(msgspec.Struct, frozen=True, array_like=True):
-    """What an instance has read of the store, and how long ago.
+    """What an instance knows of the store, and how old that may be.
 
     Attributes:
-        configuration: The store's version as the configuration it knows was
-            read.
-        runners: The store's version as its last news of runners was read.
-        age_s: Seconds since it had proof that the configuration is current.
+        configuration: The store's version of the configuration's last change.
+        runners: The store's version of the runners' last change.
+        age_s: Seconds since there was proof that the configuration is current.
     """
 
     configuration: int
@@ -103,12 +102,25 @@
 
 
 class Sum(msgspec.Struct, frozen=True, array_like=True, tag="s"):
-    """A relay tells the other relays what its reporters have under way."""
+    """A relay tells the other relays what its reporters have under way.
+
+    Attributes:
+        data_centre: Where it runs.
+        loads: Its reporters' requests and its own.
+        placed: What they have placed.
+        urgent: Whether a long prompt is among the news.
+        sent_at: Its own clock; the other's next sum repeats it.
+        echo: The `sent_at` of the other's last sum.
+        proof: What it knows of the store.
+    """
 
     data_centre: str
     loads: Table
     placed: tuple[Placed, ...] = ()
     urgent: bool = False
+    sent_at: float = 0.0
+    echo: float = 0.0
+    proof: Proof | None = None
 
 
 class Others(msgspec.Struct, frozen=True, array_like=True, tag="o"):
@@ -118,7 +130,7 @@
         loads: Requests of all others.
         placed: What others have placed since the last time.
         echo: The `sent_at` of the reporter's last report.
-        proof: What the relay has read of the store, if anything.
+        proof: What the relay knows of the store, if anything.
     """
 
     loads: Table
