--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -12,7 +12,6 @@
 
 from pollenfork import failures
 from pollenfork import logs
-from pollenfork.catalogue import watch
 from pollenfork.fleet import choice
 from pollenfork.fleet import repeats
 from pollenfork.gateway import admission
@@ -21,7 +20,6 @@
 from pollenfork.gateway import counters
 from pollenfork.gateway import edges
 from pollenfork.gateway import exchange
-from pollenfork.gateway import following
 from pollenfork.gateway import holding
 from pollenfork.gateway import knowledge
 from pollenfork.gateway import messages
@@ -31,6 +29,7 @@
 from pollenfork.gateway import readiness
 from pollenfork.gateway import replies
 from pollenfork.gateway import settings
+from pollenfork.gateway import sources
 from pollenfork.gateway import tables
 from pollenfork.loads import messages as loads
 
@@ -39,28 +38,6 @@
 
 _LOG = logging.getLogger(__name__)
 
-# How long the store holds a call when nothing changes, in seconds. The
-# configuration's calls also prove that keys still hold, which must be known
-# every few seconds; the runners' calls need only be woken.
-_CONFIGURATION_WAIT_S = 0.6
-# Where another one proves that, calls need only be woken.
-_PROVEN_WAIT_S = 20.0
-# A relay that stopped hearing of runners without notice would keep its whole
-# data centre from hearing of them, so its calls are shorter.
-_RUNNERS_WAIT_S = 20.0
-_RELAY_RUNNERS_WAIT_S = 4.0
-# Without proof for this long an instance asks the store itself, in seconds.
-# Proof is 1.5 s old at most, two relays on; where one is lost another one is
-# found after 1.2 s; and the store needs time to answer before keys are no
-# longer trusted, after 3.8 s.
-_HURRY_S = 2.9
-# A new relay whose own proof is older than this asks for one at once, as those
-# that report to it would call the store themselves soon.
-_OVERDUE_S = 1.0
-# Pauses after a table's change, in seconds, so that changes in a row wake
-# each instance once; short against the bounds of some seconds.
-_CONFIGURATION_REST_S = 0.2
-_RUNNERS_REST_S = 0.8
 _SWEEP_S = 0.5
 # The balancer asks once a second and takes an instance out after two misses;
 # until then it sends callers, who must be served.
@@ -98,8 +75,6 @@
         self._settings = told
         self._reread = reread
         self._codec = codec
-        self._store = store
-        self._rng = rng
         self._loop = asyncio.get_running_loop()
         self._stopping = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
@@ -121,10 +96,8 @@
         )
         self.known.runners.when_gone(self._tools.pool.forget)
         self._readiness = readiness.Readiness(self.known, self._stopping.is_set)
-        self._tables = tables.Tables(self._loop.time)
+        self._sources = sources.Sources(told.store, store, self.known, rng)
         self._peers: peers.Peers | None = None
-        self._configuration: following.Follower | None = None
-        self._runners: following.Follower | None = None
         self.counters.when_shown(self._show_state)
         self._front = callers.Server(self._loop, self._serve)
         self._probes = callers.Server(self._loop, self._serve_probe)
@@ -153,7 +126,9 @@
             await self._listen(self._probes, self._settings.readiness)
         if self._settings.metrics is not None:
             await self._listen(self._probes, self._settings.metrics)
-        self._follow()
+        self._sources.when_configured(self._apply_limits)
+        self._tasks += self._sources.start()
+        self._tasks.append(self._loop.create_task(self._sweep()))
         await self._join_peers()
         _LOG.info(
             "event=started instance=%s data_centre=%s front=%s:%d store=%s:%d",
@@ -171,55 +146,6 @@
         )
         self._listeners.append(listener)
 
-    def _follow(self) -> None:
-        known = self.known
-        configuration = self._make_follower(
-            tables.Table.CONFIGURATION,
-            (_CONFIGURATION_WAIT_S, _CONFIGURATION_REST_S),
-            self._store.write_configuration_ask,
-        )
-        runners = self._make_follower(
-            tables.Table.RUNNERS,
-            (_RUNNERS_WAIT_S, _RUNNERS_REST_S),
-            self._store.write_runners_ask,
-        )
-        self._configuration = configuration
-        self._runners = runners
-        configuration.when_changed(known.take_configuration)
-        configuration.when_changed(lambda changes: self._apply_limits())
-        configuration.when_current(known.note_current)
-        runners.when_changed(
-            lambda changes: known.take_runners(changes, self._loop.time())
-        )
-        # The runners' call may wait on a path that is gone without notice;
-        # the configuration's calls are short enough to tell.
-        configuration.when_troubled(lambda lost: runners.hurry())
-        # One table is enough to find out that the store is back.
-        runners.wait_for(configuration)
-        for follower in (configuration, runners):
-            follower.when_troubled(self._note_store)
-            follower.when_returned(self._note_return)
-            self._tasks.append(self._loop.create_task(follower.run()))
-        self._tasks.append(self._loop.create_task(self._sweep()))
-
-    def _make_follower(
-        self,
-        table: tables.Table,
-        times: tuple[float, float],
-        write: following.Write,
-    ) -> following.Follower:
-        wait_s, rest_s = times
-        follower = following.Follower(
-            table,
-            self._settings.store,
-            watch.Watch(self._rng, wait_s),
-            rest_s,
-            write,
-            self._store.read_rows,
-        )
-        follower.when_changed(lambda changes: self._tables.take(table, changes))
-        return follower
-
     async def _join_peers(self) -> None:
         me = self._settings.peer
         if me is None:
@@ -228,42 +154,12 @@
         _, joined = await self._loop.create_datagram_endpoint(
             lambda: peers.Peers(here, self._settings, me), local_addr=me
         )
-        joined.when_ticked(self._watch_proof)
+        joined.when_ticked(lambda: self._sources.choose(joined))
         self._tools.chooser.when_long(joined.tell_soon)
         self._peers = joined
-        await self._listen(tables.make_server(self._tables), me)
+        await self._listen(tables.make_server(self._sources.tables), me)
         self._tasks.append(self._loop.create_task(joined.run()))
 
-    def _watch_proof(self) -> None:
-        """Decides whether the store is followed, or a relay that does."""
-        now = self._loop.time()
-        known = self.known
-        assert self._configuration is not None and self._runners is not None
-        assert self._peers is not None
-        other_relay = self._peers.find_relay(now)
-        relay = other_relay if known.follows_relay(now) else None
-        age_s = known.freshness.age(now)
-        overdue = relay is None and age_s is not None and age_s > _OVERDUE_S
-        self._configuration.guide(
-            following.Guide(relay, known.has_newer_configuration, overdue)
-        )
-        self._runners.guide(following.Guide(relay, known.has_newer_runners))
-        proves = self._peers.is_prover(now) or not known.is_proven_by_others(
-            now
-        )
-        self._configuration.set_wait(
-            _CONFIGURATION_WAIT_S if proves else _PROVEN_WAIT_S
-        )
-        self._runners.set_wait(
-            _RUNNERS_WAIT_S if other_relay else _RELAY_RUNNERS_WAIT_S
-        )
-        if age_s is not None and age_s > _HURRY_S:
-            self._configuration.hurry()
-        if known.is_behind_configuration(now):
-            self._configuration.hurry()
-        if known.is_behind_runners(now):
-            self._runners.hurry()
-
     def _read_others(self, runner: int) -> loads.Load:
         if self._peers is None:
             return loads.Load()
@@ -272,15 +168,6 @@
     def _read_loads_age(self) -> float | None:
         return None if self._peers is None else self._peers.read_age()
 
-    def _note_store(self, lost: bool) -> None:
-        if not lost:
-            self._note_return(self._loop.time())
-
-    def _note_return(self, at: float) -> None:
-        """Notes when the store came back, in monotonic seconds."""
-        self.known.runners.note_store_back(at)
-        self._tables.note_store_back(at)
-
     def _apply_limits(self) -> None:
         if self.known.lookup is not None:
             self._front.limits = self.known.lookup.configuration.limits
--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -1,12 +1,10 @@
 """One caller's request, from its route to its final answer."""
 
 import asyncio
-import logging
 
 import result
 
 from pollenfork import ids
-from pollenfork import logs
 from pollenfork.fleet import choice
 from pollenfork.fleet import messages as fleet_messages
 from pollenfork.fleet import model as fleet
@@ -20,12 +18,11 @@
 from pollenfork.gateway import messages
 from pollenfork.gateway import patience
 from pollenfork.gateway import pool
+from pollenfork.gateway import record
 from pollenfork.gateway import repetition
 from pollenfork.gateway import replies
 from pollenfork.routes import model as routes
 
-_LOG = logging.getLogger(__name__)
-
 _End = fleet_messages.End
 _Reason = replies.Reason
 _Sequel = repetition.Sequel
@@ -50,7 +47,9 @@
         self._admitted = admitted
         self._caller = caller
         self._relay: attempt.Relay | None = None
-        self._request = logs.write_value(admitted.head.attempt)
+        self._record = record.Record(
+            tools.loop, tools.counters, tools.read_loads_age, admitted
+        )
         self._avoid: set[ids.EndpointId] = set()
         self._course = repetition.Course()
         self._runner: ids.EndpointId | None = None
@@ -68,11 +67,12 @@
         try:
             await self._serve()
         except asyncio.CancelledError:
-            self._note_gone()
+            begun = self._relay is not None and self._relay.begun
+            self._record.note_gone(self._runner, begun, self._course)
             raise
         except Exception:
             # The fault is this program's; the caller must not wait for it.
-            _LOG.exception("event=request_failed request=%s", self._request)
+            self._record.note_fault()
             self._give_up(_Reason.FAULT)
 
     async def _serve(self) -> None:
@@ -94,7 +94,10 @@
             if isinstance(grant, choice.OutOfReach):
                 self._give_up(_Reason.UNREACHABLE)
                 return
-            self._note_choice(grant)
+            self._runner = grant.runner.id
+            if not self._course.searched:
+                self._note_turn()
+            self._record.note_choice(grant, self._course)
             ended = await self._try(grant)
             if self._note(grant, ended) is not _Sequel.REPEATED:
                 self._finish(ended)
@@ -131,45 +134,15 @@
             pause_s = holding.LOOK_S * self._tools.rng.uniform(0.5, 1.5)
             await asyncio.sleep(pause_s)
 
+    def _note_turn(self) -> None:
+        service = self._admitted.demand.service
+        self._tools.turns.note_served(service, self._admitted.route.tier)
+
     def _take_turn(self) -> bool:
         """Returns whether a request that would be late is taken on."""
         service = self._admitted.demand.service
         return self._tools.turns.take(service, self._admitted.route.tier)
 
-    def _note_choice(self, grant: choice.Grant) -> None:
-        admitted = self._admitted
-        self._runner = grant.runner.id
-        if not self._course.searched:
-            self._tools.turns.note_served(
-                admitted.demand.service, admitted.route.tier
-            )
-            self._tools.counters.note_wait(admitted.route, self._took())
-        loads_age_s = self._tools.read_loads_age()
-        _LOG.info(
-            "event=chosen request=%s route=%s tier=%d configuration=%d "
-            "age_ms=%d runner=%s waited_ms=%d cost_ms=%d unread=%d source=%s "
-            "holders=%d kept_cost_ms=%d crowd_ms=%d own=%d parts=%d "
-            "loads_age_ms=%s left_ms=%d",
-            self._request,
-            admitted.route.name,
-            admitted.tier,
-            admitted.version,
-            admitted.age_s * 1000,
-            grant.runner.id,
-            self._took() * 1000,
-            grant.cost * 1000,
-            grant.unread,
-            grant.source.id if grant.source else "-",
-            grant.holders,
-            grant.kept_cost * 1000,
-            grant.crowd_s * 1000,
-            grant.reading - grant.unread,
-            len(admitted.head.parts),
-            "-" if loads_age_s is None else int(loads_age_s * 1000),
-            self._left() * 1000,
-            extra=logs.ORDINARY,
-        )
-
     async def _try(self, grant: choice.Grant) -> attempt.Ended:
         """Sends the request to one runner and waits for the end of it."""
         try:
@@ -257,69 +230,19 @@
         sequel = repetition.decide(
             ended, admitted.route, self._course, self._left(), self._take_repeat
         )
-        if sequel is _Sequel.ANSWERED:
-            return sequel
-        if sequel is _Sequel.REPEATED:
-            self._tools.counters.note_repeat(ended.end)
-        else:
-            self._tools.counters.note_not_repeated(sequel)
-        _LOG.warning(
-            "event=attempt_failed request=%s runner=%s end=%s breach=%s "
-            "status=%s route=%s took_ms=%d left_ms=%d sent=%d sequel=%s",
-            self._request,
-            grant.runner.id,
-            ended.end.value,
-            ended.breach.value if ended.breach else "-",
-            ended.head.status if ended.head else "-",
-            admitted.route.name,
-            self._took() * 1000,
-            self._left() * 1000,
-            self._course.sent,
-            sequel.value,
-        )
+        if sequel is not _Sequel.ANSWERED:
+            self._record.note_failure(grant, ended, sequel, self._course)
         return sequel
 
     def _note_standing(self, grant: choice.Grant, ended: attempt.Ended) -> None:
-        """Updates what is believed of the runner, and says so if it changed."""
+        """Updates what is believed of the runner."""
         seen = grant.standing
         failures = seen.failures
         now = self._tools.loop.time()
         seen.note_end(ended.end, repetition.is_error(ended), now)
-        if seen.failures > failures:
-            _LOG.warning(
-                "event=runner_shunned runner=%s request=%s end=%s failures=%d "
-                "pause_ms=%d",
-                grant.runner.id,
-                self._request,
-                ended.end.value,
-                seen.failures,
-                (seen.shunned_until - now) * 1000,
-            )
-            if not seen.reachable:
-                self._tools.prober.watch(grant.runner, seen)
-        elif seen.failures < failures:
-            _LOG.info(
-                "event=runner_trusted runner=%s request=%s failures=%d",
-                grant.runner.id,
-                self._request,
-                failures,
-            )
-
-    def _note_gone(self) -> None:
-        """Notes that the caller left, which ended what ran for it."""
-        begun = self._relay is not None and self._relay.begun
-        self._tools.counters.note_gone()
-        _LOG.info(
-            "event=caller_gone request=%s route=%s runner=%s sent=%d begun=%s "
-            "took_ms=%d left_ms=%d",
-            self._request,
-            self._admitted.route.name,
-            self._runner or "-",
-            self._course.sent,
-            begun,
-            self._took() * 1000,
-            self._left() * 1000,
-        )
+        self._record.note_standing(grant, ended, failures)
+        if not seen.reachable:
+            self._tools.prober.watch(grant.runner, seen)
 
     def _take_repeat(self) -> bool:
         now = self._tools.loop.time()
@@ -350,32 +273,11 @@
             return
         else:
             self._caller.write(b"0\r\n\r\n")
-        self._note_answered(ended.head.status)
-
-    def _note_answered(self, status: int) -> None:
-        route = self._admitted.route
-        took_s = self._took()
-        served = counters.Served(
-            whole_s=took_s,
-            first_s=took_s if self._first_s is None else self._first_s,
-            gap_s=self._gap_s,
-        )
-        self._tools.counters.note_served(route, served)
-        _LOG.info(
-            "event=answered request=%s route=%s runner=%s status=%d "
-            "took_ms=%d first_ms=%d target_ms=%d gap_ms=%d gap_target_ms=%d "
-            "sent=%d",
-            self._request,
-            route.name,
-            self._runner,
-            status,
-            took_s * 1000,
-            served.first_s * 1000,
-            route.target_s * 1000,
-            served.gap_s * 1000,
-            route.gap_s * 1000,
-            self._course.sent,
-            extra=logs.ORDINARY if served.meets(route) else None,
+        took_s = self._record.took_s
+        first_s = took_s if self._first_s is None else self._first_s
+        served = counters.Served(took_s, first_s, self._gap_s)
+        self._record.note_answer(
+            self._runner, ended.head.status, served, self._course
         )
 
     def _give_up(self, reason: _Reason, wait_s: float = _COME_BACK_S) -> None:
@@ -385,23 +287,11 @@
             reason: Why.
             wait_s: Seconds until another try is likely to be served.
         """
-        self._tools.counters.note_refused(reason)
         may_have_run = self._course.may_have_run
         # A fault of this program proves nothing about what it has sent.
         if reason is _Reason.FAULT and self._course.sent:
             may_have_run = True
-        _LOG.warning(
-            "event=given_up request=%s route=%s reason=%s may_have_run=%s "
-            "sent=%d configuration=%d took_ms=%d left_ms=%d",
-            self._request,
-            self._admitted.route.name,
-            reason.value,
-            may_have_run,
-            self._course.sent,
-            self._admitted.version,
-            self._took() * 1000,
-            self._left() * 1000,
-        )
+        self._record.note_giving_up(reason, may_have_run, self._course)
         if self._relay is not None and self._relay.begun:
             self._caller.break_off()
             return
@@ -413,13 +303,10 @@
             refusal = replies.Refusal(503, reason, wait_s)
         self._caller.write(replies.write_refusal(refusal, self._caller.closing))
 
-    def _took(self) -> float:
-        return self._tools.loop.time() - self._admitted.call.arrived
-
     # The caller's side of a stream.
 
     def _begin_stream(self, head: messages.AnswerHead) -> None:
-        self._first_s = self._took()
+        self._first_s = self._record.took_s
         self._caller.watch_pressure(self._press)
         closing = self._caller.closing
         self._caller.write(self._tools.codec.write_answer(head, None, closing))
--- /dev/null
+++ b/pollenfork/gateway/record.py
@@ -0,0 +1,211 @@
+"""The lines and counts that tell one request's course afterwards."""
+
+import asyncio
+from collections.abc import Callable
+import logging
+
+from pollenfork import ids
+from pollenfork import logs
+from pollenfork.fleet import choice
+from pollenfork.gateway import attempt
+from pollenfork.gateway import context
+from pollenfork.gateway import counters
+from pollenfork.gateway import repetition
+from pollenfork.gateway import replies
+
+_LOG = logging.getLogger(__name__)
+
+
+class Record:
+    """Tells what is decided for a request, with the inputs and their age."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        counted: counters.Counters,
+        read_loads_age: Callable[[], float | None],
+        admitted: context.Admitted,
+    ) -> None:
+        """Takes what it needs.
+
+        Args:
+            loop: Its clock is used.
+            counted: Where requests are counted.
+            read_loads_age: Returns how old others' loads are, in seconds.
+            admitted: The request.
+        """
+        self._loop = loop
+        self._counters = counted
+        self._read_loads_age = read_loads_age
+        self._admitted = admitted
+        self._request = logs.write_value(admitted.head.attempt)
+
+    @property
+    def took_s(self) -> float:
+        """Seconds since the request arrived."""
+        return self._loop.time() - self._admitted.call.arrived
+
+    def note_choice(
+        self, grant: choice.Grant, course: repetition.Course
+    ) -> None:
+        """Tells which runner was chosen and why."""
+        admitted = self._admitted
+        if not course.searched:
+            self._counters.note_wait(admitted.route, self.took_s)
+        loads_age_s = self._read_loads_age()
+        _LOG.info(
+            "event=chosen request=%s route=%s tier=%d configuration=%d "
+            "age_ms=%d runner=%s waited_ms=%d cost_ms=%d unread=%d source=%s "
+            "holders=%d kept_cost_ms=%d crowd_ms=%d own=%d parts=%d "
+            "loads_age_ms=%s left_ms=%d",
+            self._request,
+            admitted.route.name,
+            admitted.tier,
+            admitted.version,
+            admitted.age_s * 1000,
+            grant.runner.id,
+            self.took_s * 1000,
+            grant.cost * 1000,
+            grant.unread,
+            grant.source.id if grant.source else "-",
+            grant.holders,
+            grant.kept_cost * 1000,
+            grant.crowd_s * 1000,
+            grant.reading - grant.unread,
+            len(admitted.head.parts),
+            "-" if loads_age_s is None else int(loads_age_s * 1000),
+            self._left_s * 1000,
+            extra=logs.ORDINARY,
+        )
+
+    def note_failure(
+        self,
+        grant: choice.Grant,
+        ended: attempt.Ended,
+        sequel: repetition.Sequel,
+        course: repetition.Course,
+    ) -> None:
+        """Tells how an attempt failed and what follows."""
+        if sequel is repetition.Sequel.REPEATED:
+            self._counters.note_repeat(ended.end)
+        else:
+            self._counters.note_not_repeated(sequel)
+        _LOG.warning(
+            "event=attempt_failed request=%s runner=%s end=%s breach=%s "
+            "status=%s route=%s took_ms=%d left_ms=%d sent=%d sequel=%s",
+            self._request,
+            grant.runner.id,
+            ended.end.value,
+            ended.breach.value if ended.breach else "-",
+            ended.head.status if ended.head else "-",
+            self._admitted.route.name,
+            self.took_s * 1000,
+            self._left_s * 1000,
+            course.sent,
+            sequel.value,
+        )
+
+    def note_standing(
+        self, grant: choice.Grant, ended: attempt.Ended, failures: int
+    ) -> None:
+        """Tells what is believed of a runner, if that changed.
+
+        Args:
+            grant: The runner, with its standing now.
+            ended: How an attempt at it ended.
+            failures: Its failures in a row before.
+        """
+        seen = grant.standing
+        if seen.failures > failures:
+            _LOG.warning(
+                "event=runner_shunned runner=%s request=%s end=%s failures=%d "
+                "pause_ms=%d",
+                grant.runner.id,
+                self._request,
+                ended.end.value,
+                seen.failures,
+                (seen.shunned_until - self._loop.time()) * 1000,
+            )
+        elif seen.failures < failures:
+            _LOG.info(
+                "event=runner_trusted runner=%s request=%s failures=%d",
+                grant.runner.id,
+                self._request,
+                failures,
+            )
+
+    def note_answer(
+        self,
+        runner: ids.EndpointId | None,
+        status: int,
+        served: counters.Served,
+        course: repetition.Course,
+    ) -> None:
+        """Tells that a runner's answer was handed to the caller."""
+        route = self._admitted.route
+        self._counters.note_served(route, served)
+        _LOG.info(
+            "event=answered request=%s route=%s runner=%s status=%d "
+            "took_ms=%d first_ms=%d target_ms=%d gap_ms=%d gap_target_ms=%d "
+            "sent=%d",
+            self._request,
+            route.name,
+            runner,
+            status,
+            served.whole_s * 1000,
+            served.first_s * 1000,
+            route.target_s * 1000,
+            served.gap_s * 1000,
+            route.gap_s * 1000,
+            course.sent,
+            extra=logs.ORDINARY if served.meets(route) else None,
+        )
+
+    def note_giving_up(
+        self,
+        reason: replies.Reason,
+        may_have_run: bool,
+        course: repetition.Course,
+    ) -> None:
+        """Tells the gateway's own final answer."""
+        self._counters.note_refused(reason)
+        _LOG.warning(
+            "event=given_up request=%s route=%s reason=%s may_have_run=%s "
+            "sent=%d configuration=%d took_ms=%d left_ms=%d",
+            self._request,
+            self._admitted.route.name,
+            reason.value,
+            may_have_run,
+            course.sent,
+            self._admitted.version,
+            self.took_s * 1000,
+            self._left_s * 1000,
+        )
+
+    def note_gone(
+        self,
+        runner: ids.EndpointId | None,
+        begun: bool,
+        course: repetition.Course,
+    ) -> None:
+        """Tells that the caller left, which ended what ran for it."""
+        self._counters.note_gone()
+        _LOG.info(
+            "event=caller_gone request=%s route=%s runner=%s sent=%d begun=%s "
+            "took_ms=%d left_ms=%d",
+            self._request,
+            self._admitted.route.name,
+            runner or "-",
+            course.sent,
+            begun,
+            self.took_s * 1000,
+            self._left_s * 1000,
+        )
+
+    def note_fault(self) -> None:
+        """Tells of a fault of this program, with its trace."""
+        _LOG.exception("event=request_failed request=%s", self._request)
+
+    @property
+    def _left_s(self) -> float:
+        return self._admitted.until - self._loop.time()
--- /dev/null
+++ b/pollenfork/gateway/sources.py
@@ -0,0 +1,159 @@
+"""Where an instance hears of the configuration and of runners."""
+
+import asyncio
+from collections.abc import Callable
+import random
+
+from pollenfork.catalogue import watch
+from pollenfork.gateway import edges
+from pollenfork.gateway import following
+from pollenfork.gateway import knowledge
+from pollenfork.gateway import peers
+from pollenfork.gateway import settings
+from pollenfork.gateway import tables
+
+# How long the store holds a call when nothing changes, in seconds. The
+# configuration's calls also prove that keys still hold, which must be known
+# every few seconds; the runners' calls need only be woken.
+_CONFIGURATION_WAIT_S = 0.6
+# Where another one proves that, calls need only be woken.
+_PROVEN_WAIT_S = 20.0
+# A relay that stopped hearing of runners without notice would keep its whole
+# data centre from hearing of them, so its calls are shorter.
+_RUNNERS_WAIT_S = 20.0
+_RELAY_RUNNERS_WAIT_S = 4.0
+# Without proof for this long an instance asks the store itself, in seconds.
+# Proof is 1.5 s old at most, two relays on; where one is lost another one is
+# found after 1.2 s; and the store needs time to answer before keys are no
+# longer trusted, after 3.8 s.
+_HURRY_S = 2.9
+# A new relay whose own proof is older than this asks for one at once, as those
+# that report to it would call the store themselves soon.
+_OVERDUE_S = 1.0
+# Pauses after a table's change, in seconds, so that changes in a row wake
+# each instance once; short against the bounds of some seconds.
+_CONFIGURATION_REST_S = 0.2
+_RUNNERS_REST_S = 0.8
+
+
+class Sources:
+    """Follows both tables, at the store or at a relay.
+
+    Attributes:
+        tables: What is known, for other instances.
+    """
+
+    def __init__(
+        self,
+        address: settings.Address,
+        store: edges.Store,
+        known: knowledge.Knowledge,
+        rng: random.Random,
+    ) -> None:
+        """Takes what it needs.
+
+        Args:
+            address: The store's.
+            store: Decodes and encodes the store's calls.
+            known: Is told what changes.
+            rng: Spreads what must not happen everywhere at once.
+        """
+        self._loop = asyncio.get_running_loop()
+        self._address = address
+        self._store = store
+        self._known = known
+        self._rng = rng
+        self.tables = tables.Tables(self._loop.time)
+        self._configuration = self._make_follower(
+            tables.Table.CONFIGURATION,
+            (_CONFIGURATION_WAIT_S, _CONFIGURATION_REST_S),
+            store.write_configuration_ask,
+        )
+        self._runners = self._make_follower(
+            tables.Table.RUNNERS,
+            (_RUNNERS_WAIT_S, _RUNNERS_REST_S),
+            store.write_runners_ask,
+        )
+        self._connect()
+
+    def when_configured(self, call: Callable[[], None]) -> None:
+        """Calls `call` after each change of the configuration."""
+        self._configuration.when_changed(lambda changes: call())
+
+    def start(self) -> list[asyncio.Task[None]]:
+        """Begins to follow; returns the tasks to cancel at the end."""
+        followers = (self._configuration, self._runners)
+        return [self._loop.create_task(each.run()) for each in followers]
+
+    def choose(self, others: peers.Peers) -> None:
+        """Decides whether the store is followed, or a relay that does.
+
+        Args:
+            others: Tells who relays.
+        """
+        now = self._loop.time()
+        known = self._known
+        other_relay = others.find_relay(now)
+        relay = other_relay if known.follows_relay(now) else None
+        age_s = known.freshness.age(now)
+        overdue = relay is None and age_s is not None and age_s > _OVERDUE_S
+        self._configuration.guide(
+            following.Guide(relay, known.has_newer_configuration, overdue)
+        )
+        self._runners.guide(following.Guide(relay, known.has_newer_runners))
+        proven = known.is_proven_by_others(now) and not others.is_prover(now)
+        self._configuration.set_wait(
+            _PROVEN_WAIT_S if proven else _CONFIGURATION_WAIT_S
+        )
+        self._runners.set_wait(
+            _RUNNERS_WAIT_S if other_relay else _RELAY_RUNNERS_WAIT_S
+        )
+        if age_s is not None and age_s > _HURRY_S:
+            self._configuration.hurry()
+        if known.is_behind_configuration(now):
+            self._configuration.hurry()
+        if known.is_behind_runners(now):
+            self._runners.hurry()
+
+    def _make_follower(
+        self,
+        table: tables.Table,
+        times: tuple[float, float],
+        write: following.Write,
+    ) -> following.Follower:
+        wait_s, rest_s = times
+        follower = following.Follower(
+            table,
+            self._address,
+            watch.Watch(self._rng, wait_s),
+            rest_s,
+            write,
+            self._store.read_rows,
+        )
+        follower.when_changed(lambda changes: self.tables.take(table, changes))
+        follower.when_troubled(self._note_store)
+        follower.when_returned(self._note_return)
+        return follower
+
+    def _connect(self) -> None:
+        configuration, runners = self._configuration, self._runners
+        known = self._known
+        configuration.when_changed(known.take_configuration)
+        configuration.when_current(known.note_current)
+        runners.when_changed(
+            lambda changes: known.take_runners(changes, self._loop.time())
+        )
+        # The runners' call may wait on a path that is gone without notice;
+        # the configuration's calls are short enough to tell.
+        configuration.when_troubled(lambda lost: runners.hurry())
+        # One table is enough to find out that the store is back.
+        runners.wait_for(configuration)
+
+    def _note_store(self, lost: bool) -> None:
+        if not lost:
+            self._note_return(self._loop.time())
+
+    def _note_return(self, at: float) -> None:
+        """Notes when the store came back, in monotonic seconds."""
+        self._known.runners.note_store_back(at)
+        self.tables.note_store_back(at)
--- a/pollenfork/gateway/tests/test_exchange.py
+++ b/pollenfork/gateway/tests/test_exchange.py
@@ -246,7 +246,7 @@
 
 
 def test_a_caller_that_leaves_ends_its_runners_work(caplog) -> None:
-    caplog.set_level(logging.INFO, "pollenfork.gateway.exchange")
+    caplog.set_level(logging.INFO, "pollenfork.gateway.record")
 
     async def run():
         runner = support.Runner("r0", support.HANG)
--- a/pollenfork/loads/core.py
+++ b/pollenfork/loads/core.py
@@ -8,8 +8,8 @@
 """
 
 from collections.abc import Iterable
-from typing import Protocol
 
+from pollenfork.loads import edges
 from pollenfork.loads import lines
 from pollenfork.loads import members
 from pollenfork.loads import messages
@@ -28,30 +28,6 @@
 _PLACED_LIMIT = 100
 
 
-class Instance(Protocol):
-    """What the exchange asks of its instance and tells it."""
-
-    def read_loads(self) -> messages.Table:
-        """Returns what it has under way."""
-
-    def take_placed(self) -> list[messages.Placed]:
-        """Returns what it has placed since the last call."""
-
-    def read_proof(self, now: float) -> messages.Proof | None:
-        """Returns what it knows of the store, and how old that may be."""
-
-    def note_placed(self, placed: Iterable[messages.Placed]) -> None:
-        """Takes what others have placed."""
-
-    def note_proof(self, proof: messages.Proof, moment: float) -> None:
-        """Takes what a relay knows.
-
-        Args:
-            proof: What it knows.
-            moment: Monotonic seconds here at which that was surely current.
-        """
-
-
 class Exchange:
     """The exchange among instances, at one of them."""
 
@@ -60,7 +36,7 @@
         me: messages.Address,
         data_centre: str,
         seeds: Iterable[messages.Address],
-        instance: Instance,
+        instance: edges.Instance,
     ) -> None:
         """Starts alone.
 
--- /dev/null
+++ b/pollenfork/loads/edges.py
@@ -0,0 +1,30 @@
+"""What the exchange of loads needs from its instance."""
+
+from collections.abc import Iterable
+from typing import Protocol
+
+from pollenfork.loads import messages
+
+
+class Instance(Protocol):
+    """What the exchange asks of its instance and tells it."""
+
+    def read_loads(self) -> messages.Table:
+        """Returns what it has under way."""
+
+    def take_placed(self) -> list[messages.Placed]:
+        """Returns what it has placed since the last call."""
+
+    def read_proof(self, now: float) -> messages.Proof | None:
+        """Returns what it knows of the store, and how old that may be."""
+
+    def note_placed(self, placed: Iterable[messages.Placed]) -> None:
+        """Takes what others have placed."""
+
+    def note_proof(self, proof: messages.Proof, moment: float) -> None:
+        """Takes what a relay knows.
+
+        Args:
+            proof: What it knows.
+            moment: Monotonic seconds here at which that was surely current.
+        """
