Tell of a lost store again after a relay was followed instead

Cause (reading the change): an instance whose own calls had failed and that then followed a relay stayed troubled for good, so the next loss of the store had no line, and the runners' calls waited for the configuration's. Now following a relay counts failures anew and says store_bypassed. The test loses the store twice; it fails with one line before.

--- a/pollenfork/catalogue/watch.py
+++ b/pollenfork/catalogue/watch.py
@@ -121,6 +121,10 @@
         pause_s = min(pause_s, _LONGEST_PAUSE_S)
         return pause_s * self._rng.uniform(0.6, 1.0)
 
+    def forget_trouble(self) -> None:
+        """Counts failures anew, as the table is heard of elsewhere."""
+        self._state.failures = 0
+
     def _restart_read(self) -> None:
         self._pages.clear()
         self._state.start = ""
--- a/pollenfork/gateway/following.py
+++ b/pollenfork/gateway/following.py
@@ -112,6 +112,13 @@
             self._watch.ask_at_once()
         self._guide = guide
         self._woken.set()
+        if guide.relay is not None and self._watch.troubled:
+            self._watch.forget_trouble()
+            _LOG.info(
+                "event=store_bypassed table=%s relay=%s",
+                self._table.value,
+                guide.relay.host,
+            )
         if guide.news and guide.relay is not None and self._waiting:
             # The relay knows already what this call waits for.
             self._store.break_off()
--- a/pollenfork/gateway/tests/test_following.py
+++ b/pollenfork/gateway/tests/test_following.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import logging
 import random
 
 import msgspec
@@ -148,6 +149,29 @@
     play(course)
 
 
+def test_a_store_that_is_lost_again_is_told_again(caplog) -> None:
+    caplog.set_level(logging.INFO, "pollenfork.gateway.following")
+
+    def count(event: str) -> int:
+        return caplog.text.count(f"event={event}")
+
+    async def lose(bench) -> None:
+        before = count("store_lost")
+        bench.guide(relay=False)
+        bench.follower.hurry()
+        await bench.wait_for(lambda: count("store_lost") > before)
+        bench.guide()
+
+    async def course(bench):
+        await bench.wait_for(lambda: len(bench.store.asked) == 2)
+        bench.store.silent = True
+        await lose(bench)
+        await lose(bench)
+        assert count("store_lost") == count("store_bypassed") == 2
+
+    play(course)
+
+
 def test_without_a_relay_the_store_is_asked_from_what_it_told() -> None:
     async def course(bench):
         await bench.wait_for(lambda: len(bench.store.asked) == 2)
--- a/pollenfork/logbook/course.py
+++ b/pollenfork/logbook/course.py
@@ -14,6 +14,7 @@
     "readiness": "readiness",
     "store_lost": "store",
     "store_back": "store",
+    "store_bypassed": "store",
     "relay_changed": "relay",
     "peers_known": "peers",
 }
