Bound how long an instance goes by a relay that lost the store

The store turned two relays away; their reporters went by their word until it was 2.6 s old, while a change must be in force after 2 s.

Now a relay that lacks for 0.25 s what another one knows asks that one; a relay without proof for 1.1 s asks the store; reporters leave a relay whose proof is 1.5 s old, and unchanged words are repeated after 0.3 s instead of 0.4 so that proof stays below that. Three tests, each failing on the code before. Ruled out: leaving after the store's first failure (a relay that is turned away doesn't know for how long), two feeds for each instance.

--- a/pollenfork/gateway/knowledge.py
+++ b/pollenfork/gateway/knowledge.py
@@ -26,14 +26,18 @@
         has_runners: Whether the registry has been read whole.
     """
 
+    # How long news that others have may take to come from the store too; then
+    # a relay asks the one that proved it.
+    _LACKING_S = 0.25
     # How long news that a relay has may take to come from it; then the store
     # is asked. A relay answers within some milliseconds.
     _BEHIND_S = 0.5
-    # How old a relay's proof may be for others to go by its word. One that
-    # follows the store has proof of 2 s at most.
-    _RELAY_S = 2.6
+    # How old a relay's proof may be for others to go by its word. News must be
+    # in force 2 s after the store has it, and the store still has to be asked
+    # where the relay doesn't hear it.
+    _RELAY_S = 1.5
     # How old others' proof may be for a relay to let the store hold its calls.
-    _PROVEN_S = 1.5
+    _PROVEN_S = 1.0
 
     def __init__(self, store: edges.Store, revocation_s: float | None) -> None:
         self._store = store
@@ -97,6 +101,18 @@
         proof = self._proof
         return proof is not None and proof.runners > self._runners_through
 
+    def lacks_configuration(self, now: float) -> bool:
+        """Returns whether a newer one is known elsewhere and doesn't come."""
+        lasted_s = self._time(
+            "configuration", self.has_newer_configuration, now
+        )
+        return lasted_s >= self._LACKING_S
+
+    def lacks_runners(self, now: float) -> bool:
+        """Returns whether newer runners are known elsewhere and don't come."""
+        lasted_s = self._time("runners", self.has_newer_runners, now)
+        return lasted_s >= self._LACKING_S
+
     def is_behind_configuration(self, now: float) -> bool:
         """Returns whether a relay has known a newer one for a while."""
         return self._has_lasted(
@@ -107,12 +123,16 @@
         """Returns whether a relay has known newer runners for a while."""
         return self._has_lasted("runners", self.has_newer_runners, now)
 
-    def _has_lasted(self, what: str, holds: bool, now: float) -> bool:
+    def _time(self, what: str, holds: bool, now: float) -> float:
+        """Returns for how long something has held, in seconds."""
         if not holds:
             self._behind_since.pop(what, None)
-            return False
-        since = self._behind_since.setdefault(what, now)
-        if now - since < self._BEHIND_S:
+            return 0.0
+        return now - self._behind_since.setdefault(what, now)
+
+    def _has_lasted(self, what: str, holds: bool, now: float) -> bool:
+        """Returns once whether something has held for long."""
+        if self._time(what, holds, now) < self._BEHIND_S:
             return False
         del self._behind_since[what]
         return True
--- a/pollenfork/gateway/peers.py
+++ b/pollenfork/gateway/peers.py
@@ -142,16 +142,18 @@
         """Returns what other instances have under way at a runner."""
         return self._others.get(runner, _NONE)
 
-    def is_prover(self, now: float) -> bool:
-        """Returns whether this instance proves the configuration for all."""
-        return self._exchange.is_prover(now)
+    def find_prover(self, now: float) -> messages.Address | None:
+        """Returns another instance that proves the configuration for all."""
+        return self._address(self._exchange.find_prover(now))
 
     def find_relay(self, now: float) -> messages.Address | None:
         """Returns another instance that relays for this data centre."""
-        relay = self._exchange.find_relay(now)
-        if relay is None or relay == self._me.host:
+        return self._address(self._exchange.find_relay(now))
+
+    def _address(self, host: str | None) -> messages.Address | None:
+        if host is None or host == self._me.host:
             return None
-        return messages.Address(relay, self._me.port)
+        return messages.Address(host, self._me.port)
 
     def read_age(self) -> float | None:
         """Returns how old others' loads are in seconds; None: unknown."""
--- a/pollenfork/gateway/sources.py
+++ b/pollenfork/gateway/sources.py
@@ -23,10 +23,12 @@
 _RUNNERS_WAIT_S = 20.0
 _RELAY_RUNNERS_WAIT_S = 4.0
 # Without proof for this long an instance asks the store itself, in seconds.
-# Proof is 1.5 s old at most, two relays on; where one is lost another one is
-# found after 1.2 s; and the store needs time to answer before keys are no
-# longer trusted, after 3.8 s.
+# Where a relay is lost another one is found after 1.2 s; and the store needs
+# time to answer before keys are no longer trusted, after 3.8 s.
 _HURRY_S = 2.9
+# The same for a relay: those that report to it leave it soon after. The first
+# relay's proof is 0.6 s old at most, and told after 0.3 s.
+_RELAY_HURRY_S = 1.1
 # A new relay whose own proof is older than this asks for one at once, as those
 # that report to it would call the store themselves soon.
 _OVERDUE_S = 1.0
@@ -93,28 +95,55 @@
         """
         now = self._loop.time()
         known = self._known
-        other_relay = others.find_relay(now)
-        relay = other_relay if known.follows_relay(now) else None
-        age_s = known.freshness.age(now)
-        overdue = relay is None and age_s is not None and age_s > _OVERDUE_S
-        self._configuration.guide(
-            following.Guide(relay, known.has_newer_configuration, overdue)
-        )
-        self._runners.guide(following.Guide(relay, known.has_newer_runners))
-        proven = known.is_proven_by_others(now) and not others.is_prover(now)
+        prover = others.find_prover(now)
+        self._guide(others.find_relay(now), prover, now)
+        proven = prover is not None and known.is_proven_by_others(now)
         self._configuration.set_wait(
             _PROVEN_WAIT_S if proven else _CONFIGURATION_WAIT_S
         )
-        self._runners.set_wait(
-            _RUNNERS_WAIT_S if other_relay else _RELAY_RUNNERS_WAIT_S
-        )
-        if age_s is not None and age_s > _HURRY_S:
-            self._configuration.hurry()
         if known.is_behind_configuration(now):
             self._configuration.hurry()
         if known.is_behind_runners(now):
             self._runners.hurry()
 
+    def _guide(
+        self,
+        relay: settings.Address | None,
+        prover: settings.Address | None,
+        now: float,
+    ) -> None:
+        """Tells both followers whom to ask.
+
+        Args:
+            relay: Another instance that relays for this data centre; None
+                where this one does.
+            prover: Another instance that proves for all.
+            now: Monotonic seconds.
+        """
+        known = self._known
+        age_s = known.freshness.age(now) or 0.0
+        relays = relay is None
+        configuration = runners = relay if known.follows_relay(now) else None
+        if relays:
+            # The store may turn this one away and not the prover, and those
+            # that report here go by what is known here.
+            if known.lacks_configuration(now):
+                configuration = prover
+            if known.lacks_runners(now):
+                runners = prover
+        overdue = configuration is None and age_s > _OVERDUE_S
+        self._configuration.guide(
+            following.Guide(
+                configuration, known.has_newer_configuration, overdue
+            )
+        )
+        self._runners.guide(following.Guide(runners, known.has_newer_runners))
+        self._runners.set_wait(
+            _RELAY_RUNNERS_WAIT_S if relays else _RUNNERS_WAIT_S
+        )
+        if age_s > (_RELAY_HURRY_S if relays else _HURRY_S):
+            self._configuration.hurry()
+
     def _make_follower(
         self,
         table: tables.Table,
--- a/pollenfork/gateway/tests/test_following.py
+++ b/pollenfork/gateway/tests/test_following.py
@@ -22,7 +22,7 @@
 
 
 class Store:
-    """A store of one table; each call holds until there is something."""
+    """A store of one table; calls that wait for news are held for good."""
 
     def __init__(self) -> None:
         self.asked: list[messages.Ask] = []
@@ -35,7 +35,8 @@
 
     def write(self, ask: messages.Ask) -> bytes:
         self.asked.append(ask)
-        return b"GET /%d HTTP/1.1\r\n\r\n" % int(ask.wait_s > 0.0)
+        waits = int(ask.wait_s > 0.0)
+        return b"GET /%d/%d HTTP/1.1\r\n\r\n" % (waits, ask.after or 0)
 
     def read(self, status: int, body: bytes):
         return result.Ok(msgspec.msgpack.decode(body, type=messages.Rows))
@@ -44,7 +45,9 @@
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
-                if self.silent or head.startswith(b"GET /1"):
+                _, waits, after = head.split(b" ")[1].split(b"/")
+                is_news = self.rows.version > int(after)
+                if self.silent or (waits == b"1" and not is_news):
                     await reader.read()
                     break
                 body = msgspec.msgpack.encode(self.rows)
--- a/pollenfork/gateway/tests/test_knowledge.py
+++ b/pollenfork/gateway/tests/test_knowledge.py
@@ -111,8 +111,8 @@
     known.take_proof(messages.Proof(11, 0, 0.2), moment=100.0)
     assert known.freshness.trusts_keys(103.0)
     assert not known.has_newer_configuration
-    assert known.follows_relay(102.5)
-    assert not known.follows_relay(102.7)
+    assert known.follows_relay(101.4)
+    assert not known.follows_relay(101.6)
 
 
 def test_a_relay_that_knows_less_is_still_right_about_the_past() -> None:
@@ -172,5 +172,5 @@
     configure(known, 5, 10)
     assert not known.is_proven_by_others(100.0)
     known.take_proof(messages.Proof(10, 0, 0.0), moment=100.0)
-    assert known.is_proven_by_others(101.4)
-    assert not known.is_proven_by_others(101.6)
+    assert known.is_proven_by_others(100.9)
+    assert not known.is_proven_by_others(101.1)
--- a/pollenfork/loads/core.py
+++ b/pollenfork/loads/core.py
@@ -79,15 +79,15 @@
         """Returns whether this instance relays for its data centre."""
         return self.find_relay(now) == self._me.host
 
-    def is_prover(self, now: float) -> bool:
-        """Returns whether this instance proves the configuration for all.
+    def find_prover(self, now: float) -> str | None:
+        """Returns the host that proves the configuration for all.
 
         One relay is enough, and all choose the same while they know of each
         other; one that hears of no proof proves for itself.
         """
         data_centres = [self._data_centre, *self._roster.list_elsewhere()]
         relays = [self._roster.find_relay(each, now) for each in data_centres]
-        return self._me.host == min(filter(None, relays), default=None)
+        return min(filter(None, relays), default=None)
 
     def read_age(self, now: float) -> float | None:
         """Returns how old the others' loads are in seconds; None: unknown.
--- a/pollenfork/loads/lines.py
+++ b/pollenfork/loads/lines.py
@@ -5,7 +5,7 @@
 from pollenfork.loads import messages
 
 # Unchanged loads are told again this often, as datagrams get lost.
-_REPEAT_S = 0.4
+_REPEAT_S = 0.3
 
 
 class Heard(msgspec.Struct):
--- a/pollenfork/loads/tests/test_exchange.py
+++ b/pollenfork/loads/tests/test_exchange.py
@@ -188,22 +188,21 @@
 def test_one_relay_proves_for_all_and_another_follows_it() -> None:
     network = Network(9)
     network.run(4.0)
-    provers = [
-        host
-        for host, exchange in network.exchanges.items()
-        if exchange.is_prover(network.now)
-    ]
-    assert provers == ["10.0.0.000"]
-    network.instances[provers[0]].proof = messages.Proof(7, 7, 0.25)
+    prover = "10.0.0.000"
+    for exchange in network.exchanges.values():
+        assert exchange.find_prover(network.now) == prover
+    network.instances[prover].proof = messages.Proof(7, 7, 0.25)
     network.run(1.0)
     for host in ("10.1.0.001", "10.2.0.002"):
         proof, moment = network.instances[host].proven[-1]
         assert proof.configuration == 7
         # Counted from before it was told: no fresher than it is.
         assert network.now - 1.5 < moment < network.now - 0.25
-    network.down = {provers[0]}
+    network.down = {prover}
     network.run(6.0)
-    assert network.exchanges["10.0.0.003"].is_prover(network.now)
+    for host in ("10.0.0.003", "10.1.0.001", "10.2.0.002"):
+        found = network.exchanges[host].find_prover(network.now)
+        assert found == "10.0.0.003"
 
 
 def test_only_sums_cross_between_data_centres() -> None:
