Take no table from an instance that has read nothing

Cause (reading the change): a relay that started anew a moment after its word answers with an empty table at version 0. An instance that knew nothing yet took it for the store's: ready, without a runner. Now a table must be newer than nothing, too.

--- a/pollenfork/catalogue/tests/test_shelf.py
+++ b/pollenfork/catalogue/tests/test_shelf.py
@@ -68,6 +68,12 @@
     assert watched.next_ask().after == 6
 
 
+def test_an_instance_that_has_read_nothing_tells_nothing() -> None:
+    watched = make_watch()
+    assert share(shelf.Shelf(), watched) is None
+    assert watched.next_ask().after is None
+
+
 def test_what_follows_a_table_is_asked_of_the_store_from_there() -> None:
     told = shelf.Shelf()
     told.take(messages.Changes((Row("a", b"1", 3),), 9))
--- a/pollenfork/catalogue/watch.py
+++ b/pollenfork/catalogue/watch.py
@@ -100,10 +100,11 @@
         """Takes the whole table as another instance knows it.
 
         Returns:
-            What changed; None where it is no newer than what is known.
+            What changed; None where it is no newer than what is known. That
+            holds also for one that has read nothing yet: its empty table must
+            not pass for the store's.
         """
-        version = self._state.version
-        if version is not None and rows.version <= version:
+        if rows.version <= (self._state.version or 0):
             return None
         self._restart_read()
         return self._take_page(rows)
--- a/pollenfork/gateway/sources.py
+++ b/pollenfork/gateway/sources.py
@@ -126,7 +126,8 @@
         configuration = runners = relay if known.follows_relay(now) else None
         if relays:
             # The store may turn this one away and not the prover, and those
-            # that report here go by what is known here.
+            # that report here go by what is known here. Where the prover is
+            # turned away, they leave it once its proof is old.
             if known.lacks_configuration(now):
                 configuration = prover
             if known.lacks_runners(now):
