Go on with a table's read where the store turned it away

Now only a page that can't be decoded, or a lost history, begins the read anew. Changes since the first page are asked for in any case, which the state machine of a store that changes, fails and forgets between pages checks. The test that a read which fails half way begins anew asked for the fault; in its place one asks that the read goes on, with the changes since its first page, and one that an undecodable page begins it anew. The first fails on the code before.

--- a/pollenfork/catalogue/watch.py
+++ b/pollenfork/catalogue/watch.py
@@ -117,7 +117,12 @@
             self._restart_read()
             return 0.0
         state.failures += 1
-        self._restart_read()
+        # A call that was turned away costs one page, not the read: where many
+        # instances start at once and share the store's rate, one that began
+        # anew each time would hardly ever get through all pages of a large
+        # table. Pages may be of any age, as changes since the first follow.
+        if trouble is messages.Trouble.UNREADABLE:
+            self._restart_read()
         pause_s = _FIRST_PAUSE_S * 2 ** min(state.failures - 1, 8)
         pause_s = min(pause_s, _LONGEST_PAUSE_S)
         return pause_s * self._rng.uniform(0.6, 1.0)
