Never refuse a prompt for its own length

Now a runner with no more to read than 0.2 of the limit takes any prompt. The test fails on the code before (an idle runner, 100,000 tokens).

--- a/pollenfork/fleet/choice.py
+++ b/pollenfork/fleet/choice.py
@@ -33,6 +33,9 @@
 # Where runners have more than this to read on average, in seconds, keeping
 # requests back only makes them late too: there is no moment to wait for.
 _OVERLOAD_S = 0.6
+# A runner with no more to read than this part of what a request may wait for
+# isn't overloaded, however long the request's own prompt is.
+_ALWAYS_TAKEN = 0.2
 # Choices closer than this are alike, in seconds.
 _ALIKE_S = 0.004
 
@@ -179,10 +182,8 @@
         least = min(offer.cost for offer in found)
         alike = [each for each in found if each.cost <= least + _ALIKE_S]
         offer = self._rng.choice(alike)
-        wait_s = offer.reading + offer.anew + demand.own_tokens
-        wait_s /= offers.READ_RATE
-        if longest_s is not None and wait_s > longest_s:
-            return Overloaded(wait_s)
+        if longest_s is not None and _is_overloaded(offer, demand, longest_s):
+            return Overloaded(_find_wait(offer, demand))
         if (
             backlog_s is not None
             and crowd_s < _OVERLOAD_S
@@ -284,3 +285,22 @@
         seen = self._standings.pop(runner, None)
         if seen is not None:
             self.caches.forget(seen.mark)
+
+
+def _find_wait(offer: offers.Offer, demand: offers.Demand) -> float:
+    """Returns seconds until a runner would have read a prompt."""
+    tokens = offer.reading + offer.anew + demand.own_tokens
+    return tokens / offers.READ_RATE
+
+
+def _is_overloaded(
+    offer: offers.Offer, demand: offers.Demand, longest_s: float
+) -> bool:
+    """Returns whether a prompt would be read too late for what is before it.
+
+    One that is late by its own length alone is no reason to refuse it.
+    """
+    before_s = offer.reading / offers.READ_RATE
+    if before_s <= longest_s * _ALWAYS_TAKEN:
+        return False
+    return _find_wait(offer, demand) > longest_s
--- a/pollenfork/fleet/tests/test_choice.py
+++ b/pollenfork/fleet/tests/test_choice.py
@@ -212,6 +212,16 @@
     assert len(list_chosen(chooser, quick=True, count=200)) > 3
 
 
+def test_a_prompt_of_any_length_is_granted_where_little_is_before_it() -> None:
+    tokens = 100_000  # 1.8 s of reading alone.
+    for reading, granted in ((0, True), (9_000, True), (20_000, False)):
+        chooser = make_chooser(
+            read_others=lambda mark, reading=reading: loads.Load(1, reading)
+        )
+        found = chooser.choose(ask(own=tokens), set(), 0.0, longest_s=1.0)
+        assert isinstance(found, choice.Grant) is granted
+
+
 def test_a_prompt_that_would_be_read_too_late_is_not_granted() -> None:
     chooser = make_chooser(read_others=lambda mark: loads.Load(1, 56_600))
     found = chooser.choose(ask(), set(), 0.0, longest_s=1.0)
