Wait for the cancel that a hedge's loser gets before counting it

The loser's attempt ends in its own thread after the winner's answer is passed on; the test read the counter and stopped the relay before that thread had run (the engine met a connection that closed without a request). Its sibling waits for the cancel, and so does this one now; all its assertions stay. Ruled out: a lost cancel in the relay, which finishes those under way.

--- a/pollenfork/answers/tests/test_hedges.py
+++ b/pollenfork/answers/tests/test_hedges.py
@@ -50,6 +50,8 @@
     race = Race()
     assert race.second.answered.wait(20)
     race.second.stop()
+    race.wait()
+    assert race.first.cancel_asked.wait(20)
     assert race.finish() == WHOLE
     assert race.relay.counters.hedges == {"won": 1}
     assert race.relay.counters.cancels == {"hedge_lost": 1}
