Hear from runners which parts of prompts they keep

Hypothesis: belief in what runners keep is wrong in overload and after a restart, so prompts go where their parts no longer are.

Change: the relay of each data centre follows its runners' feeds of changes (free of charge while a call allows a wait of 200 ms) and tells the others what was lost, and what is kept where nobody knew. One that starts is handed all.

Ruled out: that unknown holders after the restart are most of what is read again (most parts had been pushed out by then).

--- a/pollenfork/fleet/choice.py
+++ b/pollenfork/fleet/choice.py
@@ -1,6 +1,6 @@
 """Chooses the runner for a request by when its answer would begin."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 import random
 
 import msgspec
@@ -8,6 +8,7 @@
 from pollenfork import ids
 from pollenfork.fleet import caches
 from pollenfork.fleet import copies
+from pollenfork.fleet import messages
 from pollenfork.fleet import model
 from pollenfork.fleet import offers
 from pollenfork.fleet import registry
@@ -215,11 +216,60 @@
         """Calls `call` when a runner has been given a long prompt."""
         self._on_long.append(call)
 
+    def note_placed(self, placed: Iterable[loads.Placed]) -> None:
+        """Takes what others say that runners keep or have lost."""
+        for each in placed:
+            if each.kept:
+                self.caches.note(each.runner, each.part)
+            else:
+                self.caches.drop(each.runner, each.part)
+
+    def take_news(
+        self, runner: ids.EndpointId, news: messages.CacheNews
+    ) -> int:
+        """Takes what a runner itself says that it keeps.
+
+        Returns:
+            How many beliefs that changed.
+        """
+        mark = self.find_standing(runner).mark
+        told = [
+            loads.Placed(loads.hash_name(each.part), mark, each.kept)
+            for each in news.changes
+        ]
+        if news.whole:
+            kept = [each.part for each in told]
+            lost = self.caches.find_lost(mark, kept)
+            told += [loads.Placed(part, mark, kept=False) for part in lost]
+        changes = [each for each in told if self._is_news(each, news.whole)]
+        self.note_placed(changes)
+        self._placed.extend(changes)
+        return len(changes)
+
+    def _is_news(self, told: loads.Placed, whole: bool) -> bool:
+        lacks = self.caches.lacks(told.runner, told.part)
+        if not told.kept:
+            return not lacks
+        # Parts of one request alone help nobody, but who has just started
+        # can't tell them from shared ones.
+        known = whole or self.caches.is_shared(told.part)
+        return known and lacks
+
     def take_placed(self) -> list[loads.Placed]:
         """Returns what was placed since the last call."""
         placed, self._placed = self._placed, []
         return placed
 
+    def list_kept_in(self, data_centre: ids.DataCentre) -> list[loads.Placed]:
+        """Returns what runners of a data centre are believed to keep."""
+        near = {
+            self.find_standing(runner.id).mark
+            for runner in self._registry.list_all()
+            if runner.data_centre == data_centre
+        }
+        kept = self.caches.list_kept()
+        return [each for each in kept if each.runner in near]
+
     def find_standing(self, runner: ids.EndpointId) -> standing.Standing:
         """Returns what is known of a runner."""
         seen = self._standings.get(runner)
--- a/pollenfork/fleet/messages.py
+++ b/pollenfork/fleet/messages.py
@@ -1,7 +1,9 @@
-"""What became of a request at a runner."""
+"""What became of a request at a runner, and what runners say they keep."""
 
 import enum
 
+import msgspec
+
 
 class End(enum.Enum):
     """How an attempt at a runner ended, and what that proves.
@@ -22,3 +24,31 @@
     def proves_not_run(self) -> bool:
         """Whether the request surely hasn't run there."""
         return self in (End.UNSENT, End.REFUSED, End.DISPLACED)
+
+
+class CacheChange(msgspec.Struct, frozen=True):
+    """A runner keeps a part of a prompt, or has lost it.
+
+    Attributes:
+        part: What identifies the part's text.
+        kept: Whether it is kept now.
+    """
+
+    part: bytes
+    kept: bool
+
+
+class CacheNews(msgspec.Struct, frozen=True):
+    """What a runner says of the parts of prompts in its memory.
+
+    Attributes:
+        changes: In the order in which they came about.
+        through: The number of the last change, from which to go on.
+        whole: Whether these are all parts kept, not changes.
+        gap: Whether changes before these are missing.
+    """
+
+    changes: tuple[CacheChange, ...]
+    through: int
+    whole: bool = False
+    gap: bool = False
--- a/pollenfork/fleet/registry.py
+++ b/pollenfork/fleet/registry.py
@@ -72,6 +72,10 @@
             if not self._runners[each].leaving
         ]
 
+    def list_all(self) -> list[model.Runner]:
+        """Returns the runners of all services."""
+        return list(self._runners.values())
+
     @property
     def size(self) -> int:
         """The number of runners known."""
--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -15,6 +15,7 @@
 from pollenfork.fleet import choice
 from pollenfork.fleet import repeats
 from pollenfork.gateway import admission
+from pollenfork.gateway import cache_feed
 from pollenfork.gateway import callers
 from pollenfork.gateway import context
 from pollenfork.gateway import counters
@@ -60,6 +61,7 @@
         told: settings.GatewaySettings,
         codec: edges.Codec,
         store: edges.Store,
+        cache_codec: edges.CacheCodec,
         rng: random.Random,
         reread: Reread,
     ) -> None:
@@ -69,6 +71,7 @@
             told: The settings.
             codec: Decodes and encodes callers' and runners' heads.
             store: Decodes and encodes the store's calls.
+            cache_codec: The same for runners' calls about what they keep.
             rng: Spreads what must not happen everywhere at once.
             reread: Returns the settings as they stand now.
         """
@@ -97,6 +100,9 @@
         self.known.runners.when_gone(self._tools.pool.forget)
         self._readiness = readiness.Readiness(self.known, self._stopping.is_set)
         self._sources = sources.Sources(told.store, store, self.known, rng)
+        self._cache_feed = cache_feed.CacheFeed(
+            cache_codec, self._tools.chooser, self.known, told.data_centre, rng
+        )
         self._peers: peers.Peers | None = None
         self.counters.when_shown(self._show_state)
         self._front = callers.Server(self._loop, self._serve)
@@ -150,11 +156,14 @@
         me = self._settings.peer
         if me is None:
             return
-        here = peers.Here(self._tools.chooser, self.known)
+        here = peers.Here(
+            self._tools.chooser, self.known, self._settings.data_centre
+        )
         _, joined = await self._loop.create_datagram_endpoint(
             lambda: peers.Peers(here, self._settings, me), local_addr=me
         )
         joined.when_ticked(lambda: self._sources.choose(joined))
+        joined.when_ticked(lambda: self._cache_feed.check(joined))
         self._tools.chooser.when_long(joined.tell_soon)
         self._peers = joined
         await self._listen(tables.make_server(self._sources.tables), me)
@@ -227,6 +236,7 @@
     def _close(self) -> None:
         for task in self._tasks:
             task.cancel()
+        self._cache_feed.close()
         self._tools.prober.close()
         self._tools.pool.close()
 
--- /dev/null
+++ b/pollenfork/gateway/cache_feed.py
@@ -0,0 +1,184 @@
+"""Hears from runners which parts of prompts they keep.
+
+What runners were given to read is known at once, but not what they pushed out
+since, nor, after a restart, what they kept. One instance of each data centre
+asks its runners and tells the others; runners take few such calls, and bytes
+between data centres are paid for.
+"""
+
+import asyncio
+import logging
+import random
+
+import result
+
+from pollenfork import failures
+from pollenfork import ids
+from pollenfork.fleet import choice
+from pollenfork.fleet import messages as fleet_messages
+from pollenfork.fleet import model as fleet
+from pollenfork.gateway import client
+from pollenfork.gateway import edges
+from pollenfork.gateway import knowledge
+from pollenfork.gateway import peers
+from pollenfork.loads import messages as loads
+
+_LOG = logging.getLogger(__name__)
+
+# How long a runner may hold a call without news, in seconds; the longest that
+# runners take. What an answer may take beyond it.
+_WAIT_S = 1.0
+_SLACK_S = 0.7
+# Pause between calls, in seconds: news of a busy runner comes in batches. It
+# is old by some hundred milliseconds when it can be heard.
+_REST_S = 0.2
+# Pause after a call that brought nothing; it doubles, as a crashed runner is
+# away for seconds.
+_FIRST_PAUSE_S = 0.4
+_LONGEST_PAUSE_S = 2.0
+# How long an instance must have relayed before it asks runners, in seconds.
+# One that has just started takes itself for a relay until it knows others.
+_SETTLED_S = 0.5
+
+News = result.Result[fleet_messages.CacheNews, failures.Failure]
+
+
+class CacheFeed:
+    """Follows what the runners of this data centre keep."""
+
+    def __init__(
+        self,
+        codec: edges.CacheCodec,
+        chooser: choice.Chooser,
+        known: knowledge.Knowledge,
+        data_centre: ids.DataCentre,
+        rng: random.Random,
+    ) -> None:
+        """Takes what it needs.
+
+        Args:
+            codec: Decodes and encodes the runners' calls.
+            chooser: Is told what they keep.
+            known: Tells which runners there are, and which read prompts.
+            data_centre: Whose runners are asked.
+            rng: Spreads the calls.
+        """
+        self._loop = asyncio.get_running_loop()
+        self._codec = codec
+        self._chooser = chooser
+        self._known = known
+        self._data_centre = data_centre
+        self._rng = rng
+        self._relays_since: float | None = None
+        self._tasks: dict[ids.EndpointId, asyncio.Task[None]] = {}
+
+    def check(self, others: peers.Peers) -> None:
+        """Begins or ends to ask, by who relays and which runners there are."""
+        now = self._loop.time()
+        if not others.relays:
+            self._relays_since = None
+        elif self._relays_since is None:
+            self._relays_since = now
+        since = self._relays_since
+        wanted = {}
+        if since is not None and now - since >= _SETTLED_S:
+            wanted = self._list_wanted()
+        for runner in set(self._tasks) - set(wanted):
+            self._tasks.pop(runner).cancel()
+        for runner in set(wanted) - set(self._tasks):
+            following = self._follow(wanted[runner])
+            self._tasks[runner] = self._loop.create_task(following)
+
+    def close(self) -> None:
+        """Ends all calls."""
+        for task in self._tasks.values():
+            task.cancel()
+
+    def _list_wanted(self) -> dict[ids.EndpointId, fleet.Runner]:
+        if self._known.lookup is None:
+            return {}
+        services = self._known.lookup.configuration.services
+        reading = {name for name, each in services.items() if each.cache_tokens}
+        return {
+            runner.id: runner
+            for runner in self._known.runners.list_all()
+            if runner.data_centre == self._data_centre
+            and not runner.leaving
+            and runner.service in reading
+        }
+
+    async def _follow(self, runner: fleet.Runner) -> None:
+        """Follows one runner until cancelled."""
+        calls = client.Client(loads.Address(runner.host, runner.port))
+        after: int | None = None
+        pause_s = _FIRST_PAUSE_S
+        try:
+            while True:
+                heard = await self._ask(calls, runner, after)
+                if isinstance(heard, result.Err):
+                    _LOG.info(
+                        "event=cache_news_missing runner=%s detail=%r",
+                        runner.id,
+                        heard.err_value.detail,
+                    )
+                    after = None
+                    await asyncio.sleep(pause_s * self._rng.uniform(0.8, 1.2))
+                    pause_s = min(pause_s * 2, _LONGEST_PAUSE_S)
+                    continue
+                news = heard.ok_value
+                changed = self._chooser.take_news(runner.id, news)
+                if news.whole:
+                    _LOG.info(
+                        "event=cache_known runner=%s parts=%d changed=%d",
+                        runner.id,
+                        len(news.changes),
+                        changed,
+                    )
+                after = news.through
+                pause_s = _FIRST_PAUSE_S
+                await asyncio.sleep(_REST_S * self._rng.uniform(0.8, 1.2))
+        finally:
+            calls.close()
+
+    async def _ask(
+        self, calls: client.Client, runner: fleet.Runner, after: int | None
+    ) -> News:
+        """Returns the news after a change; all that is kept where None."""
+        write = self._codec.write_feed_ask
+        request = write(runner, after or 0, _WAIT_S)
+        answer = await calls.call(request, _WAIT_S + _SLACK_S)
+        if answer is None:
+            return result.Err(Silent(detail="no answer"))
+        heard = self._codec.read_feed(*answer)
+        if isinstance(heard, result.Err):
+            return heard
+        if heard.ok_value.gap:
+            return await self._ask_all(calls, runner)
+        if after is None:
+            return result.Ok(_fold(heard.ok_value))
+        return heard
+
+    async def _ask_all(
+        self, calls: client.Client, runner: fleet.Runner
+    ) -> News:
+        request = self._codec.write_list_ask(runner)
+        answer = await calls.call(request, _SLACK_S)
+        if answer is None:
+            return result.Err(Silent(detail="no answer"))
+        return self._codec.read_list(*answer)
+
+
+class Silent(failures.Failure, frozen=True, kw_only=True):
+    """A runner didn't answer a call."""
+
+
+def _fold(news: fleet_messages.CacheNews) -> fleet_messages.CacheNews:
+    """Returns what is kept after all changes since the runner's start."""
+    kept: dict[bytes, None] = {}
+    for change in news.changes:
+        if change.kept:
+            kept[change.part] = None
+        else:
+            kept.pop(change.part, None)
+    changes = tuple(fleet_messages.CacheChange(part, True) for part in kept)
+    return fleet_messages.CacheNews(changes, news.through, whole=True)
--- a/pollenfork/gateway/edges.py
+++ b/pollenfork/gateway/edges.py
@@ -6,6 +6,7 @@
 
 from pollenfork import failures
 from pollenfork.catalogue import messages as catalogue
+from pollenfork.fleet import messages as fleet_messages
 from pollenfork.fleet import model as fleet
 from pollenfork.gateway import messages
 from pollenfork.routes import model as routes
@@ -39,6 +40,28 @@
         """Returns whether the balancer asks if this instance is ready."""
 
 
+class CacheCodec(Protocol):
+    """Decodes and encodes runners' calls about what they keep of prompts."""
+
+    def write_feed_ask(
+        self, runner: fleet.Runner, after: int, wait_s: float
+    ) -> bytes:
+        """Returns the request for the changes after one, as they come."""
+
+    def write_list_ask(self, runner: fleet.Runner) -> bytes:
+        """Returns the request for all parts kept."""
+
+    def read_feed(
+        self, status: int, body: bytes
+    ) -> result.Result[fleet_messages.CacheNews, failures.Failure]:
+        """Decodes the answer to the first."""
+
+    def read_list(
+        self, status: int, body: bytes
+    ) -> result.Result[fleet_messages.CacheNews, failures.Failure]:
+        """Decodes the answer to the second."""
+
+
 class Store(Protocol):
     """Decodes and encodes the store's reading calls."""
 
--- a/pollenfork/gateway/peers.py
+++ b/pollenfork/gateway/peers.py
@@ -5,6 +5,7 @@
 import logging
 from typing import cast
 
+from pollenfork import ids
 from pollenfork.fleet import choice
 from pollenfork.gateway import knowledge
 from pollenfork.gateway import settings
@@ -20,10 +21,14 @@
     """This instance, as the exchange sees it."""
 
     def __init__(
-        self, chooser: choice.Chooser, known: knowledge.Knowledge
+        self,
+        chooser: choice.Chooser,
+        known: knowledge.Knowledge,
+        data_centre: ids.DataCentre,
     ) -> None:
         self._chooser = chooser
         self._known = known
+        self._data_centre = data_centre
 
     def read_loads(self) -> messages.Table:
         """Returns what it has under way."""
@@ -35,8 +40,15 @@
 
     def note_placed(self, placed: Iterable[messages.Placed]) -> None:
         """Takes what others have placed."""
-        for each in placed:
-            self._chooser.caches.note(each.runner, each.part)
+        self._chooser.note_placed(placed)
+
+    def list_placed(self) -> list[messages.Placed]:
+        """Returns all that runners are believed to keep."""
+        return self._chooser.caches.list_kept()
+
+    def list_placed_here(self) -> list[messages.Placed]:
+        """Returns what runners of this data centre are believed to keep."""
+        return self._chooser.list_kept_in(self._data_centre)
 
     def read_proof(self, now: float) -> messages.Proof | None:
         """Returns what it knows of the store, and how old that may be."""
@@ -142,6 +154,11 @@
         """Returns what other instances have under way at a runner."""
         return self._others.get(runner, _NONE)
 
+    @property
+    def relays(self) -> bool:
+        """Whether this instance relays for its data centre."""
+        return self._relay == self._me.host
+
     def find_prover(self, now: float) -> messages.Address | None:
         """Returns another instance that proves the configuration for all."""
         return self._address(self._exchange.find_prover(now))
--- /dev/null
+++ b/pollenfork/gateway/tests/test_cache_feed.py
@@ -0,0 +1,186 @@
+"""One instance of a data centre hears its runners; silence ends nothing."""
+
+import asyncio
+import contextlib
+import random
+
+import pytest
+import result
+
+from pollenfork import ids
+from pollenfork.fleet import choice
+from pollenfork.fleet import messages as fleet_messages
+from pollenfork.fleet import registry
+from pollenfork.gateway import cache_feed
+from pollenfork.gateway.tests import support
+from pollenfork.loads import messages as loads
+from pollenfork.routes import model as routes
+
+MARK = loads.hash_name(b"r0")
+
+
+class CacheCodec:
+    """Answers hold `+part`, `-part`, and `gap` in words."""
+
+    def write_feed_ask(self, runner, after, wait_s):
+        return b"GET /feed/%d HTTP/1.1\r\nx-id: q\r\n\r\n" % after
+
+    def write_list_ask(self, runner):
+        return b"GET /list HTTP/1.1\r\nx-id: q\r\n\r\n"
+
+    def read_feed(self, status, body):
+        if status != 200:
+            return result.Err(cache_feed.Silent(detail="status"))
+        words = body.split()
+        changes = tuple(
+            fleet_messages.CacheChange(word[1:], word[:1] == b"+")
+            for word in words
+            if word != b"gap"
+        )
+        news = fleet_messages.CacheNews(
+            changes, len(changes), gap=b"gap" in words
+        )
+        return result.Ok(news)
+
+    def read_list(self, status, body):
+        return self.read_feed(status, body).map(
+            lambda news: fleet_messages.CacheNews(
+                news.changes, news.through, whole=True
+            )
+        )
+
+
+class Known:
+    """One service that reads prompts, and its runners."""
+
+    def __init__(self) -> None:
+        self.runners = registry.Registry()
+        self.lookup = self
+        self.configuration = self
+        service = routes.Service(
+            name=support.SERVICE,
+            health_path="/",
+            connections=9,
+            cache_tokens=1000,
+            copy_s=None,
+        )
+        self.services = {support.SERVICE: service}
+
+
+class Peers:
+    relays = True
+
+
+@contextlib.asynccontextmanager
+async def follow(monkeypatch, *script: bytes | None):
+    """Follows a runner that answers by a script; yields all that matters."""
+    monkeypatch.setattr(cache_feed, "_SETTLED_S", 0.0)
+    monkeypatch.setattr(cache_feed, "_REST_S", 0.001)
+    monkeypatch.setattr(cache_feed, "_FIRST_PAUSE_S", 0.001)
+    runner = support.Runner("r0", *script)
+    runner.keeps = True
+    known = Known()
+    known.runners.put(await runner.start())
+    rng = random.Random(1)
+    chooser = choice.Chooser(known.runners, rng)
+    feed = cache_feed.CacheFeed(
+        CacheCodec(), chooser, known, ids.DataCentre("a"), rng
+    )
+    try:
+        yield feed, runner, chooser
+    finally:
+        feed.close()
+        runner.stop()
+
+
+async def wait_until(holds) -> None:
+    async with asyncio.timeout(5):
+        while not holds():
+            await asyncio.sleep(0)
+
+
+def answer(text: bytes) -> bytes:
+    return support.write_answer(text)
+
+
+def list_kept(chooser: choice.Chooser) -> set[int]:
+    return {placed.part for placed in chooser.caches.list_kept()}
+
+
+def mark(*parts: bytes) -> set[int]:
+    return {loads.hash_name(part) for part in parts}
+
+
+@pytest.mark.parametrize(
+    ("script", "kept"),
+    [
+        # The first answer tells all changes since the runner's start.
+        ([b"+a +b -a"], [b"b"]),
+        ([b"+a +b", b"-a"], [b"b"]),
+        # Where changes are missing, the whole list is asked for.
+        ([b"gap +c", b"+a +b"], [b"a", b"b"]),
+        ([b"+a +b", b"gap", b"+b"], [b"b"]),
+    ],
+)
+def test_what_a_runner_says_is_believed(monkeypatch, script, kept) -> None:
+    async def run() -> set[int]:
+        answers = [answer(text) for text in script]
+        async with follow(monkeypatch, *answers) as (feed, runner, chooser):
+            feed.check(Peers())
+            await wait_until(lambda: len(runner.got) > len(script))
+            return list_kept(chooser)
+
+    assert asyncio.run(run()) == mark(*kept)
+
+
+def test_after_a_failed_call_all_is_asked_for_again(monkeypatch) -> None:
+    async def run() -> tuple[list[bytes], set[int]]:
+        failed = support.write_answer(b"", status=429)
+        answers = [answer(b"+a"), failed, answer(b"+a +b")]
+        async with follow(monkeypatch, *answers) as (feed, runner, chooser):
+            feed.check(Peers())
+            await wait_until(lambda: len(runner.got) > 3)
+            paths = [head.split()[1] for head in runner.got[:4]]
+            return paths, list_kept(chooser)
+
+    paths, kept = asyncio.run(run())
+    assert paths == [b"/feed/0", b"/feed/1", b"/feed/0", b"/feed/2"]
+    assert kept == mark(b"a", b"b")
+
+
+def test_only_the_relay_asks(monkeypatch) -> None:
+    class Others:
+        relays = False
+
+    async def run() -> tuple[int, int]:
+        async with follow(monkeypatch, answer(b"+a")) as (feed, runner, _):
+            feed.check(Others())
+            await asyncio.sleep(0)
+            before = len(runner.got)
+            feed.check(Peers())
+            await wait_until(lambda: len(runner.got) > 1)
+            feed.check(Others())
+            await runner.closed.wait()
+            return before, runner.connections
+
+    assert asyncio.run(run()) == (0, 1)
+
+
+def test_runners_elsewhere_and_those_that_leave_are_not_asked() -> None:
+    known = Known()
+    rng = random.Random(1)
+
+    async def run() -> dict:
+        feed = cache_feed.CacheFeed(
+            CacheCodec(),
+            choice.Chooser(known.runners, rng),
+            known,
+            ids.DataCentre("b"),
+            rng,
+        )
+        runner = await support.Runner("r0").start()
+        known.runners.put(runner)
+        feed.check(Peers())
+        return dict(feed._tasks)
+
+    assert asyncio.run(run()) == {}
--- a/pollenfork/loads/core.py
+++ b/pollenfork/loads/core.py
@@ -24,8 +24,11 @@
 _HELLO_S = 0.5
 # What was told this long ago no longer counts, in seconds.
 _EXPIRY_S = 1.3
-# Placements that wait to be told; more are left out, oldest first.
-_PLACED_LIMIT = 100
+# Placements that wait to be told; more are left out, oldest first. It is what
+# 45 runners keep in shared parts.
+_PLACED_LIMIT = 8000
+# Placements in one datagram: 12 bytes each, and a lost datagram loses few.
+_PLACED_EACH = 100
 
 
 class Exchange:
@@ -152,6 +155,9 @@
                     self._roster.note(each.member, now - each.age_s)
             case messages.Report():
                 self._note(host, message.data_centre, now)
+                if host not in self._reports:
+                    line = self._find_line(host)
+                    line.placed = self._instance.list_placed()
                 heard = lines.Heard(message.loads, now, message.sent_at)
                 self._reports[host] = heard
                 self._urgent = self._urgent or message.urgent
@@ -159,6 +165,9 @@
             case messages.Sum():
                 self._note(host, message.data_centre, now)
                 self._roster.note_answer(host)
+                if host not in self._sums:
+                    line = self._find_line(host)
+                    line.placed = self._instance.list_placed_here()
                 heard = lines.Heard(message.loads, now, message.sent_at)
                 self._sums[host] = heard
                 self._take_placed(message.placed, host)
@@ -194,7 +203,7 @@
         report = messages.Report(
             self._data_centre,
             self._own,
-            tuple(line.placed),
+            tuple(line.placed[:_PLACED_EACH]),
             now,
             self._urgent,
         )
@@ -229,7 +238,7 @@
         total = messages.Sum(
             self._data_centre,
             here,
-            tuple(line.placed),
+            tuple(line.placed[:_PLACED_EACH]),
             self._urgent,
             sent_at=now,
             echo=heard.sent_at if heard else 0.0,
@@ -248,7 +257,10 @@
             return []
         line.proof = proof
         told = messages.Others(
-            others, tuple(line.placed), self._reports[host].sent_at, proof
+            others,
+            tuple(line.placed[:_PLACED_EACH]),
+            self._reports[host].sent_at,
+            proof,
         )
         return [self._send_line(host, line, told, others, now)]
 
@@ -331,7 +343,7 @@
     ) -> messages.Send:
         line.loads = loads
         line.at = now
-        line.placed = []
+        del line.placed[:_PLACED_EACH]
         return self._address(host, message)
 
     def _address(self, host: str, message: messages.Message) -> messages.Send:
--- a/pollenfork/loads/edges.py
+++ b/pollenfork/loads/edges.py
@@ -15,6 +15,12 @@
     def take_placed(self) -> list[messages.Placed]:
         """Returns what it has placed since the last call."""
 
+    def list_placed(self) -> list[messages.Placed]:
+        """Returns all that runners are believed to keep."""
+
+    def list_placed_here(self) -> list[messages.Placed]:
+        """Returns what runners of its data centre are believed to keep."""
+
     def read_proof(self, now: float) -> messages.Proof | None:
         """Returns what it knows of the store, and how old that may be."""
 
--- a/pollenfork/loads/lines.py
+++ b/pollenfork/loads/lines.py
@@ -28,7 +28,7 @@
 
     loads: messages.Table = {}
     at: float = -_REPEAT_S
-    placed: list[messages.Placed] = []
+    placed: list[messages.Placed] = msgspec.field(default_factory=list)
     proof: messages.Proof | None = None
 
 
--- a/pollenfork/loads/messages.py
+++ b/pollenfork/loads/messages.py
@@ -58,15 +58,17 @@
 
 
 class Placed(msgspec.Struct, frozen=True, array_like=True):
-    """A runner was given a shared part of a prompt to read.
+    """A runner was given a shared part of a prompt to read, or lost it.
 
     Attributes:
         part: A hash of the part.
         runner: A hash of the runner.
+        kept: Whether it keeps the part now.
     """
 
     part: int
     runner: int
+    kept: bool = True
 
 
 class Proof(msgspec.Struct, frozen=True, array_like=True):
--- a/pollenfork/loads/tests/test_exchange.py
+++ b/pollenfork/loads/tests/test_exchange.py
@@ -12,6 +12,8 @@
     def __init__(self, number: int) -> None:
         self.loads = {number: messages.Load(1, 100 + number)}
         self.placed: list[messages.Placed] = []
+        self.kept: list[messages.Placed] = []
+        self.kept_here: list[messages.Placed] = []
         self.heard: set[messages.Placed] = set()
         self.proof: messages.Proof | None = None
         self.proven: list[tuple[messages.Proof, float]] = []
@@ -23,6 +25,12 @@
         placed, self.placed = self.placed, []
         return placed
 
+    def list_placed(self) -> list[messages.Placed]:
+        return list(self.kept)
+
+    def list_placed_here(self) -> list[messages.Placed]:
+        return list(self.kept_here)
+
     def read_proof(self, now: float) -> messages.Proof | None:
         return self.proof
 
@@ -250,3 +258,43 @@
 def test_a_datagram_that_is_none_is_told_apart() -> None:
     assert messages.decode(b"\x00garbage") is None
     assert messages.decode(b"") is None
+
+
+def make_placed(count: int) -> set[messages.Placed]:
+    return {messages.Placed(part, 1) for part in range(count)}
+
+
+def test_one_that_starts_is_told_all_that_runners_keep() -> None:
+    network = Network(6)
+    network.run(4.0)
+    kept = make_placed(1500)
+    for instance in network.instances.values():
+        instance.kept = list(kept)
+    host = network.add(6)
+    network.run(4.0)
+    assert network.instances[host].heard == kept
+
+
+def test_a_relay_is_told_what_runners_of_the_others_data_centre_keep() -> None:
+    network = Network(9)
+    network.run(4.0)
+    here = make_placed(300)
+    for host, instance in network.instances.items():
+        if network.data_centres[host] == "a":
+            instance.kept_here = list(here)
+    network.down = {"10.1.0.001"}
+    network.run(4.0)
+    network.down = set()
+    network.run(8.0)
+    assert network.instances["10.1.0.001"].heard >= here
+
+
+def test_a_burst_of_placements_is_told_whole_in_small_datagrams() -> None:
+    network = Network(6)
+    network.run(4.0)
+    host = next(iter(network.instances))
+    placed = make_placed(1000)
+    network.instances[host].placed = list(placed)
+    network.run(2.0)
+    for other, instance in network.instances.items():
+        assert other == host or instance.heard == placed
--- a/pollenfork/platform/__main__.py
+++ b/pollenfork/platform/__main__.py
@@ -19,6 +19,7 @@
 from pollenfork.gateway import application  # noqa: E402
 from pollenfork.gateway import settings  # noqa: E402
 from pollenfork.platform import boot  # noqa: E402
+from pollenfork.platform import caches  # noqa: E402
 from pollenfork.platform import heads  # noqa: E402
 from pollenfork.platform import names  # noqa: E402
 from pollenfork.platform import store  # noqa: E402
@@ -48,7 +49,7 @@
 ) -> None:
     rows = store.Store(f"{told.store.host}:{told.store.port}")
     made = application.Application(
-        told, heads, rows, random.Random(), _read_settings
+        told, heads, rows, caches, random.Random(), _read_settings
     )
     made.counters.when_shown(
         lambda shown: shown.set_count(
--- /dev/null
+++ b/pollenfork/platform/caches.py
@@ -0,0 +1,96 @@
+"""A runner's calls about the parts of prompts that it keeps."""
+
+import msgspec
+import result
+
+from pollenfork import failures
+from pollenfork.fleet import messages
+from pollenfork.fleet import model as fleet
+from pollenfork.platform import names
+
+_OK = 200
+_KEPT = "+"
+
+
+class BadCacheNews(failures.Failure, frozen=True, kw_only=True):
+    """A runner's answer doesn't tell what it keeps."""
+
+
+class _Event(msgspec.Struct, array_like=True):
+    number: int
+    sign: str
+    wall: str  # Empty on these deployments.
+    part: str
+    tokens: int  # Kept now, a whole number of the runner's blocks.
+
+
+class _Held(msgspec.Struct, array_like=True):
+    wall: str
+    part: str
+    tokens: int
+
+
+class _Feed(msgspec.Struct):
+    next: int  # The number after which the next call goes on.
+    lost: bool = False
+    events: list[_Event] = []
+
+
+class _List(msgspec.Struct):
+    next: int
+    held: list[_Held] = []
+
+
+_FEED = msgspec.json.Decoder(_Feed)
+_LIST = msgspec.json.Decoder(_List)
+
+
+def write_feed_ask(runner: fleet.Runner, after: int, wait_s: float) -> bytes:
+    """Returns the request for the changes after one, as they come."""
+    target = f"{names.CACHE_FEED_PATH}?since={after}"
+    extra = names.FEED_WAIT + b": %d\r\n" % int(wait_s * 1000)
+    return _write(runner, target, extra)
+
+
+def write_list_ask(runner: fleet.Runner) -> bytes:
+    """Returns the request for all parts kept; it delays the runner's work."""
+    return _write(runner, names.CACHE_LIST_PATH)
+
+
+def read_feed(
+    status: int, body: bytes
+) -> result.Result[messages.CacheNews, BadCacheNews]:
+    """Decodes the answer to the first."""
+    if status != _OK:
+        return result.Err(BadCacheNews(detail=f"status {status}"))
+    try:
+        feed = _FEED.decode(body)
+    except msgspec.MsgspecError as error:
+        return result.Err(BadCacheNews(detail=str(error)))
+    changes = tuple(
+        messages.CacheChange(event.part.encode(), event.sign == _KEPT)
+        for event in feed.events
+    )
+    return result.Ok(messages.CacheNews(changes, feed.next, gap=feed.lost))
+
+
+def read_list(
+    status: int, body: bytes
+) -> result.Result[messages.CacheNews, BadCacheNews]:
+    """Decodes the answer to the second."""
+    if status != _OK:
+        return result.Err(BadCacheNews(detail=f"status {status}"))
+    try:
+        listed = _LIST.decode(body)
+    except msgspec.MsgspecError as error:
+        return result.Err(BadCacheNews(detail=str(error)))
+    changes = tuple(
+        messages.CacheChange(held.part.encode(), True) for held in listed.held
+    )
+    return result.Ok(messages.CacheNews(changes, listed.next, whole=True))
+
+
+def _write(runner: fleet.Runner, target: str, extra: bytes = b"") -> bytes:
+    host = f"{runner.host}:{runner.port}"
+    head = f"GET {target} HTTP/1.1\r\nhost: {host}\r\n"
+    return head.encode() + extra + b"\r\n"
--- a/pollenfork/platform/names.py
+++ b/pollenfork/platform/names.py
@@ -16,6 +16,7 @@
 NOT_RUN = b"x-pollenfork-not-executed"
 LAST_EVENT = b"last-event-id"
 RETRY_AFTER = b"retry-after"
+FEED_WAIT = b"wait-ms"
 AUTHORIZATION = b"authorization"
 
 # Set by the router alone; a caller's copy of them is dropped.
@@ -36,6 +37,8 @@
 
 READY_PATH = b"/api/ready"
 REPORT_PATH = "/api/report"
+CACHE_FEED_PATH = "/api/kv-events"
+CACHE_LIST_PATH = "/api/kv-list"
 FEED_PATH = "/api/rows-feed"
 RANGE_PATH = "/api/rows-get"
 
--- /dev/null
+++ b/pollenfork/platform/tests/test_caches.py
@@ -0,0 +1,55 @@
+import pytest
+import result
+
+from pollenfork import ids
+from pollenfork.fleet import messages
+from pollenfork.fleet import model
+from pollenfork.platform import caches
+
+RUNNER = model.Runner(
+    id=ids.EndpointId("i-1"),
+    service=ids.ServiceName("s"),
+    host="10.0.0.1",
+    port=8407,
+    data_centre=ids.DataCentre("a"),
+    slots=64,
+    leaving=False,
+    cold_s=0.0,
+)
+KEPT = messages.CacheChange(b"e129f473a0f0", True)
+
+
+def test_the_calls_go_to_the_runner_and_say_how_long_they_wait() -> None:
+    assert caches.write_feed_ask(RUNNER, 44, 1.0) == (
+        b"GET /api/kv-events?since=44 HTTP/1.1\r\n"
+        b"host: 10.0.0.1:8407\r\nwait-ms: 1000\r\n\r\n"
+    )
+    assert caches.write_list_ask(RUNNER) == (
+        b"GET /api/kv-list HTTP/1.1\r\nhost: 10.0.0.1:8407\r\n\r\n"
+    )
+
+
+def test_changes_are_decoded_in_order() -> None:
+    body = (
+        b'{"epoch":7,"next":12,"lost":true,"events":'
+        b'[[11,"+","","e129f473a0f0",242,"m"],[12,"-","","e129f473a0f0",0,"m"]]}'
+    )
+    lost = messages.CacheChange(b"e129f473a0f0", False)
+    assert caches.read_feed(200, body).ok_value == messages.CacheNews(
+        (KEPT, lost), 12, gap=True
+    )
+
+
+def test_a_list_is_whole() -> None:
+    body = b'{"epoch":7,"next":44,"held":[["","e129f473a0f0",242,"m"]]}'
+    assert caches.read_list(200, body).ok_value == messages.CacheNews(
+        (KEPT,), 44, whole=True
+    )
+
+
+@pytest.mark.parametrize("read", [caches.read_feed, caches.read_list])
+@pytest.mark.parametrize(
+    ("status", "body"), [(429, b""), (200, b"{"), (200, b'{"next":"x"}')]
+)
+def test_any_other_answer_is_a_failure(read, status, body) -> None:
+    assert isinstance(read(status, body), result.Err)
--- a/pollenfork/platform/tests/test_gateway.py
+++ b/pollenfork/platform/tests/test_gateway.py
@@ -14,6 +14,7 @@
 from pollenfork import ids
 from pollenfork.gateway import application
 from pollenfork.gateway import settings
+from pollenfork.platform import caches
 from pollenfork.platform import heads
 from pollenfork.platform import store
 from pollenfork.platform.tests.soak import caller
@@ -48,6 +49,7 @@
             self.told,
             heads,
             store.Store(f"{_HOST}:{_STORE}"),
+            caches,
             random.Random(1),
             lambda: self.reread,
         )
