Go by the newest version that anyone has told, and ask its teller

Change: the newest version of each table counts, whoever spoke last; a relay asks the one that told of it instead of the prover; reporters tell their relay what they have read, as the store may turn away all relays and not them.

Both new tests of relays fail where the last word counts.

--- a/pollenfork/gateway/knowledge.py
+++ b/pollenfork/gateway/knowledge.py
@@ -2,6 +2,7 @@
 
 import logging
 
+import msgspec
 import result
 
 from pollenfork import ids
@@ -16,6 +17,26 @@
 _LOG = logging.getLogger(__name__)
 
 
+class News(msgspec.Struct, frozen=True):
+    """The newest version of a table that other instances have told of.
+
+    Where the store turns some away, their words differ: the newest counts,
+    whoever spoke last. Going by the last word, two relays without news kept a
+    third from fetching it, and runners got work 3.8 s after they had left.
+
+    Attributes:
+        version: The store's version of its last change.
+        teller: The host that last told of it.
+    """
+
+    version: int = 0
+    teller: str = ""
+
+    def renew(self, version: int, teller: str) -> "News":
+        """Returns the newer of this and what another instance tells."""
+        return News(version, teller) if version >= self.version else self
+
+
 class Knowledge:
     """Takes rows of the store; answers what they mean.
 
@@ -45,8 +66,9 @@
         self.freshness = freshness.Freshness(revocation_s)
         self.runners = registry.Registry()
         self.has_runners = False
-        self._proof: messages.Proof | None = None
-        self._proof_at = 0.0
+        self._proof_at: float | None = None
+        self._newest_configuration = News()
+        self._newest_runners = News()
         self._configuration_news = 0
         self._runners_news = 0
         self._configuration_through = 0
@@ -70,36 +92,59 @@
             self._configuration_news, self._runners_news, age_s
         )
 
-    def take_proof(self, proof: messages.Proof, moment: float) -> None:
-        """Takes what a relay has read and up to when it was surely current."""
-        self._proof = proof
+    def take_proof(
+        self, proof: messages.Proof, moment: float, teller: str
+    ) -> None:
+        """Takes what a relay has read and up to when it was surely current.
+
+        Args:
+            proof: What it has read.
+            moment: Monotonic seconds here.
+            teller: The relay's host.
+        """
+        self.take_versions(proof, teller)
         self._proof_at = moment
         if proof.configuration <= self._configuration_through:
             self.freshness.vouch(moment)
 
+    def take_versions(self, proof: messages.Proof, teller: str) -> None:
+        """Takes what another instance has read, whenever that was."""
+        self._newest_configuration = self._newest_configuration.renew(
+            proof.configuration, teller
+        )
+        self._newest_runners = self._newest_runners.renew(proof.runners, teller)
+
     def follows_relay(self, now: float) -> bool:
         """Returns whether a relay's word is recent enough to go by."""
-        proof = self._proof
-        return proof is not None and now - self._proof_at < self._RELAY_S
+        return self._is_proof_within(self._RELAY_S, now)
 
     def is_proven_by_others(self, now: float) -> bool:
         """Returns whether others' proof is recent enough to need no own."""
-        return self._proof is not None and now - self._proof_at < self._PROVEN_S
+        return self._is_proof_within(self._PROVEN_S, now)
 
     @property
     def has_newer_configuration(self) -> bool:
-        """Whether a relay knows a newer one."""
-        proof = self._proof
-        return (
-            proof is not None
-            and proof.configuration > self._configuration_through
-        )
+        """Whether another instance knows a newer one."""
+        return self._newest_configuration.version > self._configuration_through
 
     @property
     def has_newer_runners(self) -> bool:
-        """Whether a relay knows newer runners."""
-        proof = self._proof
-        return proof is not None and proof.runners > self._runners_through
+        """Whether another instance knows newer runners."""
+        return self._newest_runners.version > self._runners_through
+
+    @property
+    def configuration_teller(self) -> str:
+        """The host that last told of the newest configuration."""
+        return self._newest_configuration.teller
+
+    @property
+    def runners_teller(self) -> str:
+        """The host that last told of the newest runners."""
+        return self._newest_runners.teller
+
+    def _is_proof_within(self, limit_s: float, now: float) -> bool:
+        at = self._proof_at
+        return at is not None and now - at < limit_s
 
     def lacks_configuration(self, now: float) -> bool:
         """Returns whether a newer one is known elsewhere and doesn't come."""
--- a/pollenfork/gateway/peers.py
+++ b/pollenfork/gateway/peers.py
@@ -54,9 +54,15 @@
         """Returns what it knows of the store, and how old that may be."""
         return self._known.write_proof(now)
 
-    def note_proof(self, proof: messages.Proof, moment: float) -> None:
+    def note_proof(
+        self, proof: messages.Proof, moment: float, teller: str
+    ) -> None:
         """Takes what a relay knows."""
-        self._known.take_proof(proof, moment)
+        self._known.take_proof(proof, moment, teller)
+
+    def note_versions(self, proof: messages.Proof, teller: str) -> None:
+        """Takes what one that reports here has read."""
+        self._known.take_versions(proof, teller)
 
 
 class Peers(asyncio.DatagramProtocol):
@@ -161,13 +167,14 @@
 
     def find_prover(self, now: float) -> messages.Address | None:
         """Returns another instance that proves the configuration for all."""
-        return self._address(self._exchange.find_prover(now))
+        return self.locate(self._exchange.find_prover(now))
 
     def find_relay(self, now: float) -> messages.Address | None:
         """Returns another instance that relays for this data centre."""
-        return self._address(self._exchange.find_relay(now))
+        return self.locate(self._exchange.find_relay(now))
 
-    def _address(self, host: str | None) -> messages.Address | None:
+    def locate(self, host: str | None) -> messages.Address | None:
+        """Returns where another instance listens; None for this one."""
         if host is None or host == self._me.host:
             return None
         return messages.Address(host, self._me.port)
--- a/pollenfork/gateway/sources.py
+++ b/pollenfork/gateway/sources.py
@@ -96,7 +96,7 @@
         now = self._loop.time()
         known = self._known
         prover = others.find_prover(now)
-        self._guide(others.find_relay(now), prover, now)
+        self._guide(others, now)
         proven = prover is not None and known.is_proven_by_others(now)
         self._configuration.set_wait(
             _PROVEN_WAIT_S if proven else _CONFIGURATION_WAIT_S
@@ -106,32 +106,20 @@
         if known.is_behind_runners(now):
             self._runners.hurry()
 
-    def _guide(
-        self,
-        relay: settings.Address | None,
-        prover: settings.Address | None,
-        now: float,
-    ) -> None:
-        """Tells both followers whom to ask.
-
-        Args:
-            relay: Another instance that relays for this data centre; None
-                where this one does.
-            prover: Another instance that proves for all.
-            now: Monotonic seconds.
-        """
+    def _guide(self, others: peers.Peers, now: float) -> None:
+        """Tells both followers whom to ask."""
         known = self._known
+        relay = others.find_relay(now)
         age_s = known.freshness.age(now) or 0.0
         relays = relay is None
         configuration = runners = relay if known.follows_relay(now) else None
         if relays:
-            # The store may turn this one away and not the prover, and those
-            # that report here go by what is known here. Where the prover is
-            # turned away, they leave it once its proof is old.
+            # The store may turn this one away and not the one that told of
+            # the news, and those that report here go by what is known here.
             if known.lacks_configuration(now):
-                configuration = prover
+                configuration = others.locate(known.configuration_teller)
             if known.lacks_runners(now):
-                runners = prover
+                runners = others.locate(known.runners_teller)
         overdue = configuration is None and age_s > _OVERDUE_S
         self._configuration.guide(
             following.Guide(
--- a/pollenfork/gateway/tests/test_knowledge.py
+++ b/pollenfork/gateway/tests/test_knowledge.py
@@ -104,11 +104,11 @@
 def test_a_relays_word_counts_only_for_what_is_known_here() -> None:
     known = make_known()
     configure(known, 5, 10)
-    known.take_proof(messages.Proof(11, 0, 0.2), moment=100.0)
+    known.take_proof(messages.Proof(11, 0, 0.2), 100.0, "a")
     assert not known.freshness.trusts_keys(100.0)
     assert known.has_newer_configuration and not known.has_newer_runners
     configure(known, 6, 11)
-    known.take_proof(messages.Proof(11, 0, 0.2), moment=100.0)
+    known.take_proof(messages.Proof(11, 0, 0.2), 100.0, "a")
     assert known.freshness.trusts_keys(103.0)
     assert not known.has_newer_configuration
     assert known.follows_relay(101.4)
@@ -118,14 +118,14 @@
 def test_a_relay_that_knows_less_is_still_right_about_the_past() -> None:
     known = make_known()
     configure(known, 6, 11)
-    known.take_proof(messages.Proof(10, 0, 0.2), moment=100.0)
+    known.take_proof(messages.Proof(10, 0, 0.2), 100.0, "a")
     assert known.freshness.trusts_keys(103.0)
 
 
 def test_news_that_a_relay_has_and_that_does_not_come_is_noticed() -> None:
     known = make_known()
     configure(known, 5, 10)
-    known.take_proof(messages.Proof(10, 30, 0.0), moment=100.0)
+    known.take_proof(messages.Proof(10, 30, 0.0), 100.0, "a")
     assert not known.is_behind_configuration(100.0)
     assert not known.is_behind_runners(100.0)
     assert known.is_behind_runners(100.6)
@@ -135,6 +135,31 @@
     assert not known.is_behind_runners(102.0)
 
 
+def test_news_of_one_relay_outlasts_older_words_of_others() -> None:
+    known = make_known()
+    configure(known, 5, 10)
+    now = 100.0
+    while now < 100.4:
+        known.take_proof(messages.Proof(10, 30, 0.0), now, "a")
+        known.take_proof(messages.Proof(10, 20, 0.0), now, "b")
+        lacking = known.lacks_runners(now)
+        now += 0.05
+    assert lacking and known.runners_teller == "a"
+    known.take_runners(catalogue.Changes((), 30), now)
+    known.take_proof(messages.Proof(10, 20, 0.0), now, "b")
+    assert not known.has_newer_runners
+
+
+def test_versions_alone_prove_no_moment() -> None:
+    known = make_known()
+    configure(known, 5, 10)
+    known.take_versions(messages.Proof(12, 30, 0.0), "c")
+    assert known.has_newer_configuration
+    assert known.configuration_teller == "c"
+    assert not known.follows_relay(100.0)
+    assert known.freshness.age(100.0) is None
+
+
 def test_a_runner_that_was_found_missing_is_news_to_others() -> None:
     known = make_known()
     configure(known, 5, 10)
@@ -160,7 +185,7 @@
     for _ in range(20):
         for teller, hearer in ((first, second), (second, first)):
             proof = teller.write_proof(now + 0.1)
-            hearer.take_proof(proof, now - proof.age_s)
+            hearer.take_proof(proof, now - proof.age_s, "a")
             now += 0.1
     assert first.freshness.age(now) == pytest.approx(now - 99.0)
     assert second.freshness.age(now) > now - 99.0
@@ -171,6 +196,6 @@
     known = make_known()
     configure(known, 5, 10)
     assert not known.is_proven_by_others(100.0)
-    known.take_proof(messages.Proof(10, 0, 0.0), moment=100.0)
+    known.take_proof(messages.Proof(10, 0, 0.0), 100.0, "a")
     assert known.is_proven_by_others(100.9)
     assert not known.is_proven_by_others(101.1)
--- a/pollenfork/gateway/tests/test_sources.py
+++ b/pollenfork/gateway/tests/test_sources.py
@@ -31,6 +31,7 @@
     def __init__(self) -> None:
         self.relay: settings.Address | None = None
         self.prover: settings.Address | None = None
+        self.hosts: dict[str, settings.Address] = {}
 
     def find_relay(self, now: float) -> settings.Address | None:
         return self.relay
@@ -38,6 +39,9 @@
     def find_prover(self, now: float) -> settings.Address | None:
         return self.prover
 
+    def locate(self, host: str) -> settings.Address | None:
+        return self.hosts.get(host)
+
 
 class Bench:
     """An instance that knows version 5, a store, and another instance."""
@@ -49,12 +53,15 @@
         self.address: settings.Address = address
         store = Store(standin)
         self.others = Others()
+        self.others.hosts["teller"] = address
         self.known = knowledge.Knowledge(store, 5.0)
         self.sources: sources.Sources
 
-    def hear(self, news: int, age_s: float = 0.1) -> None:
+    def hear(
+        self, news: int, age_s: float = 0.1, teller: str = "teller"
+    ) -> None:
         proof = loads.Proof(news, news, age_s)
-        self.known.take_proof(proof, self.loop.time() - age_s)
+        self.known.take_proof(proof, self.loop.time() - age_s, teller)
 
     async def choose_until(self, holds, limit_s: float = 5.0) -> float:
         """Lets it choose each period; returns the seconds until it held."""
@@ -152,3 +159,25 @@
         assert age_s < 1.5
 
     play(course)
+
+
+def test_a_relay_that_the_store_turns_away_asks_whoever_told_the_news() -> None:
+    async def course(bench):
+        bench.store.silent = True
+        bench.others.prover = bench.others.hosts["other"] = loads.Address(
+            _HOST, 1
+        )
+        change(bench, 6, 9)
+        bench.hear(9)
+
+        def is_there() -> bool:
+            # Another relay, turned away as well, has spoken last.
+            bench.hear(1, teller="other")
+            return read_version(bench) == 6
+
+        took_s = await bench.choose_until(is_there)
+        # Runners that leave must get no more work 2 s after the store knows,
+        # and the first relay may take 0.8 s to hear of it.
+        assert took_s < 1.0
+
+    play(course)
--- a/pollenfork/loads/core.py
+++ b/pollenfork/loads/core.py
@@ -161,6 +161,8 @@
                 heard = lines.Heard(message.loads, now, message.sent_at)
                 self._reports[host] = heard
                 self._urgent = self._urgent or message.urgent
+                if message.proof is not None:
+                    self._instance.note_versions(message.proof, host)
                 self._take_placed(message.placed, host)
             case messages.Sum():
                 self._note(host, message.data_centre, now)
@@ -171,7 +173,7 @@
                 heard = lines.Heard(message.loads, now, message.sent_at)
                 self._sums[host] = heard
                 self._take_placed(message.placed, host)
-                self._take_proof(message.proof, message.echo)
+                self._take_proof(message.proof, message.echo, host)
             case messages.Others():
                 self._take_others(message, host, now)
         return []
@@ -182,13 +184,15 @@
         self._roster.note_answer(host)
         self._others = lines.Heard(message.loads, now)
         self._instance.note_placed(message.placed)
-        self._take_proof(message.proof, message.echo)
+        self._take_proof(message.proof, message.echo, host)
 
-    def _take_proof(self, proof: messages.Proof | None, echo: float) -> None:
+    def _take_proof(
+        self, proof: messages.Proof | None, echo: float, host: str
+    ) -> None:
         # The answer was written after what it repeats was sent, however long
         # either was under way or this instance stood still.
         if proof is not None and echo > 0.0:
-            self._instance.note_proof(proof, echo - proof.age_s)
+            self._instance.note_proof(proof, echo - proof.age_s, host)
 
     # Reporting.
 
@@ -206,6 +210,7 @@
             tuple(line.placed[:_PLACED_EACH]),
             now,
             self._urgent,
+            self._instance.read_proof(now),
         )
         return [self._send_line(relay, line, report, self._own, now)]
 
--- a/pollenfork/loads/edges.py
+++ b/pollenfork/loads/edges.py
@@ -27,10 +27,16 @@
     def note_placed(self, placed: Iterable[messages.Placed]) -> None:
         """Takes what others have placed."""
 
-    def note_proof(self, proof: messages.Proof, moment: float) -> None:
+    def note_proof(
+        self, proof: messages.Proof, moment: float, teller: str
+    ) -> None:
         """Takes what a relay knows.
 
         Args:
             proof: What it knows.
             moment: Monotonic seconds here at which that was surely current.
+            teller: Its host.
         """
+
+    def note_versions(self, proof: messages.Proof, teller: str) -> None:
+        """Takes what a reporter has read, which proves no moment."""
--- a/pollenfork/loads/messages.py
+++ b/pollenfork/loads/messages.py
@@ -94,6 +94,8 @@
         placed: What it has placed since its last report.
         sent_at: Its own clock; the relay's answer repeats it.
         urgent: Whether a long prompt is among the news.
+        proof: What it knows of the store, if anything: the store may turn
+            all relays away and not this one.
     """
 
     data_centre: str
@@ -101,6 +103,7 @@
     placed: tuple[Placed, ...] = ()
     sent_at: float = 0.0
     urgent: bool = False
+    proof: Proof | None = None
 
 
 class Sum(msgspec.Struct, frozen=True, array_like=True, tag="s"):
--- a/pollenfork/loads/tests/test_exchange.py
+++ b/pollenfork/loads/tests/test_exchange.py
@@ -17,6 +17,7 @@
         self.heard: set[messages.Placed] = set()
         self.proof: messages.Proof | None = None
         self.proven: list[tuple[messages.Proof, float]] = []
+        self.versions: set[tuple[messages.Proof, str]] = set()
 
     def read_loads(self) -> messages.Table:
         return dict(self.loads)
@@ -37,9 +38,14 @@
     def note_placed(self, placed) -> None:
         self.heard.update(placed)
 
-    def note_proof(self, proof: messages.Proof, moment: float) -> None:
+    def note_proof(
+        self, proof: messages.Proof, moment: float, teller: str
+    ) -> None:
         self.proven.append((proof, moment))
 
+    def note_versions(self, proof: messages.Proof, teller: str) -> None:
+        self.versions.add((proof, teller))
+
 
 class Network:
     """Instances of three data centres on a clock that tests advance."""
@@ -298,3 +304,12 @@
     network.run(2.0)
     for other, instance in network.instances.items():
         assert other == host or instance.heard == placed
+
+
+def test_a_relay_hears_what_those_that_report_to_it_have_read() -> None:
+    network = Network(6)
+    proof = messages.Proof(3, 7, 0.0)
+    network.instances["10.0.0.003"].proof = proof
+    network.run(4.0)
+    relay = network.instances["10.0.0.000"]
+    assert (proof, "10.0.0.003") in relay.versions
