Send prompts to their runners at once instead of keeping them back

Hypothesis: the time for which less urgent prompts are kept at their instance is added to the time at the runner and saves nothing, as the runner is busy all the same.

--- a/pollenfork/fleet/choice.py
+++ b/pollenfork/fleet/choice.py
@@ -31,9 +31,6 @@
 # What a runner without a free slot is held to cost, in seconds: about what a
 # long answer still takes there.
 _FULL_S = 1.0
-# Where runners have more than this to read on average, in seconds, keeping
-# requests back only makes them late too: there is no moment to wait for.
-_OVERLOAD_S = 0.6
 # A runner with no more to read than this part of what a request may wait for
 # isn't overloaded, however long the request's own prompt is.
 _ALWAYS_TAKEN = 0.2
@@ -41,18 +38,6 @@
 _ALIKE_S = 0.004
 
 
-class Busy(msgspec.Struct, frozen=True):
-    """The best runner has more to read than was allowed.
-
-    Attributes:
-        runner: The runner.
-        reading: Prompt tokens that it has yet to read.
-    """
-
-    runner: model.Runner
-    reading: float
-
-
 class Overloaded(msgspec.Struct, frozen=True):
     """The best runner has more to read than a request may wait for.
 
@@ -136,25 +121,21 @@
         demand: offers.Demand,
         avoid: set[ids.EndpointId],
         now: float,
-        backlog_s: float | None = None,
         longest_s: float | None = None,
-    ) -> Grant | Busy | Overloaded | OutOfReach | None:
+    ) -> Grant | Overloaded | OutOfReach | None:
         """Returns the runner that would begin its answer first.
 
         Args:
             demand: What is asked.
             avoid: Runners that this request has been at.
             now: Monotonic seconds.
-            backlog_s: Seconds of reading that it may have before it; None:
-                any.
             longest_s: Seconds in which its own prompt must have been read;
                 None: any.
 
         Returns:
             The grant; `Overloaded` where that runner has more to read than
-            `longest_s`, `Busy` where it has more than `backlog_s`;
-            `OutOfReach` where there are runners and none can be reached; None
-            where there is none.
+            `longest_s`; `OutOfReach` where there are runners and none can be
+            reached; None where there is none.
         """
         self._registry.expire(now)
         takers = [
@@ -185,12 +166,6 @@
         offer = self._rng.choice(alike)
         if longest_s is not None and _is_overloaded(offer, demand, longest_s):
             return Overloaded(_find_wait(offer, demand))
-        if (
-            backlog_s is not None
-            and crowd_s < _OVERLOAD_S
-            and offer.reading > backlog_s * offers.READ_RATE
-        ):
-            return Busy(offer.runner, offer.reading)
         grant = self._grant(demand, offer)
         kept = [each.cost for each in found if not each.unread]
         grant.crowd_s = crowd_s
--- a/pollenfork/gateway/admission.py
+++ b/pollenfork/gateway/admission.py
@@ -4,9 +4,9 @@
 
 from pollenfork.fleet import offers
 from pollenfork.gateway import context
-from pollenfork.gateway import holding
 from pollenfork.gateway import knowledge
 from pollenfork.gateway import messages
+from pollenfork.gateway import refusals
 from pollenfork.gateway import replies
 from pollenfork.routes import lookup
 from pollenfork.routes import model as routes
@@ -76,13 +76,8 @@
         head=head,
         route=route,
         demand=demand,
-        holding=holding.plan(
-            route,
-            tiers,
-            demand,
-            call.arrived,
-            limit_s,
-            found.is_favoured(account),
+        longest_s=refusals.find_longest(
+            route, tiers, demand, found.is_favoured(account)
         ),
         account=account,
         tier=found.rank(route, account),
--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -21,13 +21,13 @@
 from pollenfork.gateway import counters
 from pollenfork.gateway import edges
 from pollenfork.gateway import exchange
-from pollenfork.gateway import holding
 from pollenfork.gateway import knowledge
 from pollenfork.gateway import messages
 from pollenfork.gateway import peers
 from pollenfork.gateway import pool
 from pollenfork.gateway import probing
 from pollenfork.gateway import readiness
+from pollenfork.gateway import refusals
 from pollenfork.gateway import replies
 from pollenfork.gateway import settings
 from pollenfork.gateway import sources
@@ -93,7 +93,7 @@
             pool=connections,
             prober=probing.Prober(connections, self.known.runners, rng),
             repeats=repeats.RepeatBudget(told.retry_ratio, told.retry_window_s),
-            turns=holding.Turns(),
+            turns=refusals.Turns(),
             counters=self.counters,
             read_loads_age=self._read_loads_age,
         )
--- a/pollenfork/gateway/context.py
+++ b/pollenfork/gateway/context.py
@@ -12,10 +12,10 @@
 from pollenfork.fleet import repeats
 from pollenfork.gateway import counters
 from pollenfork.gateway import edges
-from pollenfork.gateway import holding
 from pollenfork.gateway import messages
 from pollenfork.gateway import pool
 from pollenfork.gateway import probing
+from pollenfork.gateway import refusals
 from pollenfork.routes import model as routes
 
 
@@ -27,7 +27,8 @@
         head: What its headers say.
         route: Its route.
         demand: What it asks of a runner of the service chosen for it.
-        holding: How it may be kept back.
+        longest_s: Seconds in which its prompt must be read, or it is refused;
+            None: any.
         account: The client account, where it showed a key.
         tier: Its urgency.
         version: The version of the configuration that admitted it.
@@ -39,7 +40,7 @@
     head: messages.CallHead
     route: routes.Route
     demand: offers.Demand
-    holding: holding.Holding
+    longest_s: float | None
     account: routes.Account | None
     tier: ids.Tier
     version: int
@@ -62,6 +63,6 @@
     pool: pool.Pool
     repeats: repeats.RepeatBudget
     prober: probing.Prober
-    turns: holding.Turns
+    turns: refusals.Turns
     counters: counters.Counters
     read_loads_age: Callable[[], float | None]
--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -14,7 +14,6 @@
 from pollenfork.gateway import context
 from pollenfork.gateway import counters
 from pollenfork.gateway import events
-from pollenfork.gateway import holding
 from pollenfork.gateway import messages
 from pollenfork.gateway import patience
 from pollenfork.gateway import pool
@@ -84,7 +83,7 @@
             if self._left() <= 0:
                 self._give_up(_Reason.TIME_LIMIT)
                 return
-            grant = await self._choose()
+            grant = self._choose()
             if grant is None:
                 self._give_up(_Reason.NO_RUNNER)
                 return
@@ -105,34 +104,25 @@
 
     # Attempts.
 
-    async def _choose(
+    def _choose(
         self,
     ) -> choice.Grant | choice.Overloaded | choice.OutOfReach | None:
-        """Returns a runner, once what is more urgent leaves room for it."""
-        admitted = self._admitted
+        """Returns a runner, or why there is none."""
         # Whoever was let in is not turned away for what came after it.
-        longest_s = admitted.holding.longest_s
         if self._course.searched:
-            longest_s = None
-        while True:
-            now = self._tools.loop.time()
-            found = self._tools.chooser.choose(
-                admitted.demand,
-                self._avoid,
-                now,
-                admitted.holding.find_backlog(now),
-                longest_s,
-            )
-            if isinstance(found, choice.Overloaded) and self._take_turn():
-                longest_s = None
-                continue
-            if not isinstance(found, choice.Busy):
-                return found
-            longest_s = None
-            # Unlike pauses, so that those who wait for one runner don't all
-            # see it free at once.
-            pause_s = holding.LOOK_S * self._tools.rng.uniform(0.5, 1.5)
-            await asyncio.sleep(pause_s)
+            return self._find_runner(longest_s=None)
+        found = self._find_runner(self._admitted.longest_s)
+        if isinstance(found, choice.Overloaded) and self._take_turn():
+            return self._find_runner(longest_s=None)
+        return found
+
+    def _find_runner(
+        self, longest_s: float | None
+    ) -> choice.Grant | choice.Overloaded | choice.OutOfReach | None:
+        now = self._tools.loop.time()
+        return self._tools.chooser.choose(
+            self._admitted.demand, self._avoid, now, longest_s
+        )
 
     def _note_turn(self) -> None:
         service = self._admitted.demand.service
--- a/pollenfork/logbook/causes.py
+++ b/pollenfork/logbook/causes.py
@@ -119,7 +119,10 @@
     waited_ms, cost_ms = int(fields["waited_ms"]), int(fields["cost_ms"])
     largest = max(waited_ms, cost_ms, first_ms - waited_ms - cost_ms)
     if waited_ms == largest:
-        return f"it was kept back for {waited_ms} ms, as its runner had to read"
+        return (
+            f"its instance took {waited_ms} ms to choose a runner: it was slow"
+            " or stood still"
+        )
     if cost_ms == largest:
         unread = int(fields["unread"])
         anew = f", {unread} tokens of shared parts anew" if unread else ""
