Count by route, cause and moment what the logs show lost

pollenfork losses FILE... says of all requests in some logs what explain says of one, and plots the share answered in time.

--- a/pollenfork/cli/definition.py
+++ b/pollenfork/cli/definition.py
@@ -159,6 +159,17 @@
     format: OutputFormat = Format.TABLE
 
 
+LogFiles = Annotated[
+    list[pathlib.Path],
+    cappa.Arg(
+        num_args=-1,
+        required=True,
+        value_name="FILE",
+        help="Logs of all instances; - is the standard input.",
+    ),
+]
+
+
 @cappa.command(
     name="explain",
     help="Show a request's course through the logs, and why it ended so.",
@@ -176,18 +187,24 @@
     request: Annotated[
         str, cappa.Arg(value_name="ID", help="The id that the caller gave it.")
     ]
-    file: Annotated[
-        list[pathlib.Path],
-        cappa.Arg(
-            num_args=-1,
-            required=True,
-            value_name="FILE",
-            help="Logs of all instances; - is the standard input.",
-        ),
-    ]
+    file: LogFiles
     format: OutputFormat = Format.TABLE
 
 
+@cappa.command(
+    name="losses",
+    help="Count by route, cause and moment which requests the logs show lost.",
+    epilog=make_examples("losses front-*.log"),
+)
+@dataclasses.dataclass
+class Losses:
+    """All requests in some logs, by how they ended."""
+
+    BEHAVIOUR: ClassVar[str] = "pollenfork.cli.explaining:run_losses"
+
+    file: LogFiles
+
+
 @cappa.command(
     name="pollenfork",
     help="A router for language-model traffic with service levels.",
@@ -202,6 +219,7 @@
         | Trial
         | Load
         | Explain
+        | Losses
         | Standin
         | operator_commands.Settings
         | operator_commands.Endpoints
--- a/pollenfork/cli/explaining.py
+++ b/pollenfork/cli/explaining.py
@@ -1,4 +1,4 @@
-"""Behaviour of `explain`."""
+"""Behaviour of `explain` and `losses`."""
 
 import pathlib
 
@@ -10,6 +10,8 @@
 from pollenfork.logbook import causes
 from pollenfork.logbook import course
 from pollenfork.logbook import lines
+from pollenfork.logbook import losses
+from pollenfork.logbook import losses_page
 from pollenfork.logbook import page
 
 _INPUT = pathlib.Path("-")
@@ -19,15 +21,8 @@
     command: definition.Explain, env: context.Environment
 ) -> status.ExitStatus:
     """Writes one request's course through the logs, and its cause."""
-    log: list[lines.Line] = []
-    for path in command.file:
-        try:
-            log += _read(path, env)
-        except OSError as error:
-            env.fail(f"{path} can't be read: {error.strerror}")
-            return status.ExitStatus.USAGE
-    if not log:
-        env.fail("these files hold no log lines; give what an instance wrote")
+    log = _read_all(command.file, env)
+    if log is None:
         return status.ExitStatus.USAGE
     found = course.follow(command.request, log)
     if command.format is definition.Format.JSON:
@@ -39,6 +34,34 @@
     return status.ExitStatus.SUCCESS if found.lines else status.ExitStatus.ERROR
 
 
+def run_losses(
+    command: definition.Losses, env: context.Environment
+) -> status.ExitStatus:
+    """Writes how all requests in the logs ended."""
+    log = _read_all(command.file, env)
+    if log is None:
+        return status.ExitStatus.USAGE
+    losses_page.write(losses.count(log), env.stdout)
+    return status.ExitStatus.SUCCESS
+
+
+def _read_all(
+    files: list[pathlib.Path], env: context.Environment
+) -> list[lines.Line] | None:
+    """Returns the lines of all files; None where that was told to fail."""
+    log: list[lines.Line] = []
+    for path in files:
+        try:
+            log += _read(path, env)
+        except OSError as error:
+            env.fail(f"{path} can't be read: {error.strerror}")
+            return None
+    if not log:
+        env.fail("these files hold no log lines; give what an instance wrote")
+        return None
+    return log
+
+
 def _read(path: pathlib.Path, env: context.Environment) -> list[lines.Line]:
     if path == _INPUT:
         return list(lines.read(env.stdin, "-"))
--- a/pollenfork/cli/tests/test_core.py
+++ b/pollenfork/cli/tests/test_core.py
@@ -58,6 +58,7 @@
         ("trial",),
         ("load",),
         ("explain",),
+        ("losses",),
         ("standin",),
         ("standin", "platform"),
         ("standin", "engine"),
@@ -195,3 +196,14 @@
     ended, written, _ = run("explain", "other", empty)
     assert ended is status.ExitStatus.ERROR
     assert "cause: no line names it" in written
+
+
+def test_losses_tells_how_requests_ended(tmp_path):
+    log = tmp_path / "i-1.log"
+    log.write_text(LOG)
+    ended, written, _ = run("losses", log)
+    assert ended is status.ExitStatus.SUCCESS
+    assert "refused: no_runner" in written
+    log.write_text("nothing\n")
+    ended, _, error = run("losses", log)
+    assert ended is status.ExitStatus.USAGE and "no log lines" in error
