Let the soak silence open connections for good while new ones work

Seeds from 500 on play it besides the other faults; those below keep their schedules, so that kept seeds replay what they showed.

--- a/pollenfork/platform/tests/soak/faults.py
+++ b/pollenfork/platform/tests/soak/faults.py
@@ -102,6 +102,18 @@
     way.way = proxy.Way.OPEN
 
 
+async def mute_connections(site: sites.Site) -> None:
+    """Open connections pass nothing any more, without a reset."""
+    ways = list(site.to_runners.values())
+    ways += [gateway.to_store for gateway in site.gateways]
+    for way in ways:
+        if site.rng.random() < 0.6:
+            way.mute()
+    now = asyncio.get_running_loop().time()
+    for gateway in site.gateways:
+        gateway.disturbed = max(gateway.disturbed, now)
+
+
 async def crash_runner(site: sites.Site) -> None:
     """A runner ends at once; another comes."""
     if len(site.runners) > 2:
@@ -142,6 +154,12 @@
 )
 
 
+# Seeds below this one were played without the later faults, and those that are
+# kept as regression cases must go on playing the same schedule.
+_FIRST_SEED_WITH_ALL = 500
+ALL_FAULTS = (*FAULTS, mute_connections, mute_connections)
+
+
 async def play(site: sites.Site, seconds: float) -> list[str]:
     """Lets faults begin for a while; returns once all have ended.
 
@@ -153,8 +171,9 @@
     played: list[str] = []
     tasks = []
     busy: set[sites.Gateway] = set()
+    kinds = ALL_FAULTS if site.seed >= _FIRST_SEED_WITH_ALL else FAULTS
     while loop.time() - begun < seconds:
-        fault = site.rng.choice(FAULTS)
+        fault = site.rng.choice(kinds)
         played.append(f"{loop.time() - begun:.2f} {fault.__name__}")
         tasks.append(asyncio.create_task(_guard(fault, site, busy)))
         await asyncio.sleep(site.rng.uniform(0.1, 1.2))
--- a/pollenfork/platform/tests/soak/proxy.py
+++ b/pollenfork/platform/tests/soak/proxy.py
@@ -29,6 +29,7 @@
         self._target = (host, port)
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._mute: set[asyncio.StreamWriter] = set()
 
     async def start(self, host: str, port: int) -> None:
         """Listens."""
@@ -45,6 +46,10 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def mute(self) -> None:
+        """Lets the open connections pass nothing any more; new ones work."""
+        self._mute.update(self._writers)
+
     async def _serve(self, reader, writer) -> None:
         self._writers.add(writer)
         try:
@@ -65,12 +70,13 @@
             task.cancel()
         for each in (writer, there):
             self._writers.discard(each)
+            self._mute.discard(each)
             each.close()
 
     async def _pass(self, reader, writer, stopped: tuple[Way, ...]) -> None:
         try:
             while data := await reader.read(65536):
-                while self.way in stopped:
+                while self.way in stopped or writer in self._mute:
                     await asyncio.sleep(_LOOK_S)
                 if self.way is Way.DELAYED:
                     await asyncio.sleep(_DELAY_S)
--- a/pollenfork/platform/tests/soak/site.py
+++ b/pollenfork/platform/tests/soak/site.py
@@ -135,6 +135,7 @@
     """
 
     def __init__(self, seed: int, folder: pathlib.Path) -> None:
+        self.seed = seed
         self.rng = random.Random(seed)
         self.folder = folder
         self.base = f"127.{20 + seed // 200 % 200}.{seed % 200 + 1}"
