--- a/pollenfork/loads/core.py
+++ b/pollenfork/loads/core.py
@@ -7,6 +7,7 @@
 centres, and only the relays need ask the store again and again.
 """
 
+import collections
 from collections.abc import Iterable
 
 from pollenfork.loads import edges
@@ -24,11 +25,6 @@
 _HELLO_S = 0.5
 # What was told this long ago no longer counts, in seconds.
 _EXPIRY_S = 1.3
-# Placements that wait to be told; more are left out, oldest first. It is what
-# 45 runners keep in shared parts.
-_PLACED_LIMIT = 8000
-# Placements in one datagram: 12 bytes each, and a lost datagram loses few.
-_PLACED_EACH = 100
 
 
 class Exchange:
@@ -59,7 +55,7 @@
         self._reports: dict[str, lines.Heard] = {}
         self._sums: dict[str, lines.Heard] = {}
         self._others = lines.Heard({}, -_EXPIRY_S)
-        self._lines: dict[str, lines.Line] = {}
+        self._lines: dict[str, lines.Line] = collections.defaultdict(lines.Line)
         self._hello_at = 0.0
         self._members_at = 0.0
         self._urgent = False
@@ -156,7 +152,7 @@
             case messages.Report():
                 self._note(host, message.data_centre, now)
                 if host not in self._reports:
-                    line = self._find_line(host)
+                    line = self._lines[host]
                     line.placed = self._instance.list_placed()
                 heard = lines.Heard(message.loads, now, message.sent_at)
                 self._reports[host] = heard
@@ -168,7 +164,7 @@
                 self._note(host, message.data_centre, now)
                 self._roster.note_answer(host)
                 if host not in self._sums:
-                    line = self._find_line(host)
+                    line = self._lines[host]
                     line.placed = self._instance.list_placed_here()
                 heard = lines.Heard(message.loads, now, message.sent_at)
                 self._sums[host] = heard
@@ -199,20 +195,21 @@
     def _report(
         self, relay: str, placed: list[messages.Placed], now: float
     ) -> list[messages.Send]:
-        line = self._find_line(relay)
-        line.placed.extend(placed)
+        line = self._lines[relay]
+        line.add_placed(placed)
         self._roster.note_asked(relay, now)
         if not lines.is_due(line, self._own, now):
             return []
         report = messages.Report(
             self._data_centre,
             self._own,
-            tuple(line.placed[:_PLACED_EACH]),
+            line.next_placed,
             now,
             self._urgent,
             self._instance.read_proof(now),
         )
-        return [self._send_line(relay, line, report, self._own, now)]
+        line.note_told(self._own, now)
+        return [self._address(relay, report)]
 
     # Relaying.
 
@@ -233,7 +230,7 @@
     def _tell_sum(
         self, host: str, here: messages.Table, now: float
     ) -> list[messages.Send]:
-        line = self._find_line(host)
+        line = self._lines[host]
         proof = self._instance.read_proof(now)
         news = lines.has_news(line, proof)
         if not news and not lines.is_due(line, here, now):
@@ -243,18 +240,19 @@
         total = messages.Sum(
             self._data_centre,
             here,
-            tuple(line.placed[:_PLACED_EACH]),
+            line.next_placed,
             self._urgent,
             sent_at=now,
             echo=heard.sent_at if heard else 0.0,
             proof=proof,
         )
-        return [self._send_line(host, line, total, here, now)]
+        line.note_told(here, now)
+        return [self._address(host, total)]
 
     def _answer_report(
         self, host: str, total: messages.Table, now: float
     ) -> list[messages.Send]:
-        line = self._find_line(host)
+        line = self._lines[host]
         others = lines.subtract(total, self._reports[host].loads)
         proof = self._instance.read_proof(now)
         news = lines.has_news(line, proof)
@@ -263,11 +261,12 @@
         line.proof = proof
         told = messages.Others(
             others,
-            tuple(line.placed[:_PLACED_EACH]),
+            line.next_placed,
             self._reports[host].sent_at,
             proof,
         )
-        return [self._send_line(host, line, told, others, now)]
+        line.note_told(others, now)
+        return [self._address(host, told)]
 
     def _list_relays(self, now: float) -> list[str]:
         found = {host for host in self._sums if host not in self._reports}
@@ -319,9 +318,7 @@
             hosts.update(self._sums)
         hosts.discard(teller or "")
         for host in hosts:
-            line = self._find_line(host)
-            line.placed.extend(placed)
-            del line.placed[:-_PLACED_LIMIT]
+            self._lines[host].add_placed(placed)
 
     # Sending.
 
@@ -332,25 +329,6 @@
         hello = messages.Hello(self._data_centre)
         return [messages.Send(seed, hello) for seed in self._seeds]
 
-    def _find_line(self, host: str) -> lines.Line:
-        line = self._lines.get(host)
-        if line is None:
-            line = self._lines[host] = lines.Line()
-        return line
-
-    def _send_line(
-        self,
-        host: str,
-        line: lines.Line,
-        message: messages.Message,
-        loads: messages.Table,
-        now: float,
-    ) -> messages.Send:
-        line.loads = loads
-        line.at = now
-        del line.placed[:_PLACED_EACH]
-        return self._address(host, message)
-
     def _address(self, host: str, message: messages.Message) -> messages.Send:
         return messages.Send(messages.Address(host, self._me.port), message)
 
--- a/pollenfork/loads/lines.py
+++ b/pollenfork/loads/lines.py
@@ -1,9 +1,16 @@
 """What an instance last told another, and what it heard."""
 
+from collections.abc import Iterable
+
 import msgspec
 
 from pollenfork.loads import messages
 
+# Placements that wait to be told; more are left out, oldest first. It is what
+# 45 runners keep in shared parts.
+_PLACED_LIMIT = 8000
+# Placements in one datagram: 12 bytes each, and a lost datagram loses few.
+_PLACED_EACH = 100
 # Unchanged loads are told again this often, as datagrams get lost.
 _REPEAT_S = 0.3
 
@@ -31,6 +38,22 @@
     placed: list[messages.Placed] = msgspec.field(default_factory=list)
     proof: messages.Proof | None = None
 
+    def add_placed(self, placed: Iterable[messages.Placed]) -> None:
+        """Takes placements to tell."""
+        self.placed.extend(placed)
+        del self.placed[:-_PLACED_LIMIT]
+
+    @property
+    def next_placed(self) -> tuple[messages.Placed, ...]:
+        """The placements for the next datagram."""
+        return tuple(self.placed[:_PLACED_EACH])
+
+    def note_told(self, loads: messages.Table, now: float) -> None:
+        """Notes that loads and the next placements were told."""
+        self.loads = loads
+        self.at = now
+        del self.placed[:_PLACED_EACH]
+
 
 def is_due(line: Line, loads: messages.Table, now: float) -> bool:
     """Returns whether there is something to tell, or it is time to repeat."""
