Remember as shared what a fleet of 45 runners shares

Cause: which parts several requests have was remembered for 2,048 parts in all, a bound made for one runner. The requests before 45 runners share 3,434 parts that belong to one subject (1,034, 1,815 and 585, by the site file) and their common ones. One that had dropped out, was reported lost late and read again meanwhile stayed lost to everyone: news that it is kept passed for a request's own part.

Ruled out: that the limit on each runner's parts matters (116 to 468 were seen). Before: the new test, 3,500 parts between loss and return, fails; after: it passes. The bound is 16,384 parts now, 1.9 MB at the most (115 bytes each, by tracemalloc).

--- a/pollenfork/fleet/caches.py
+++ b/pollenfork/fleet/caches.py
@@ -9,9 +9,9 @@
 
 # Bounds on what is remembered, so that it can't grow without end: parts for a
 # runner, and parts known to be shared. Runners were seen to keep 120 to 470
-# parts, and the requests before 45 of them to share 3,500. 100 bytes each.
+# parts, and the requests before 45 of them to share 3,500. 115 bytes each.
 _REMEMBERED = 2048
-_SHARED_REMEMBERED = 2048
+_SHARED_REMEMBERED = 16_384
 
 
 class Caches:
--- a/pollenfork/fleet/tests/test_caches.py
+++ b/pollenfork/fleet/tests/test_caches.py
@@ -66,6 +66,17 @@
     assert count_unread(chooser) == 0
 
 
+def test_a_correction_is_told_however_many_parts_are_shared() -> None:
+    # 45 runners had requests before them that share 3,500 parts.
+    chooser = make_chooser(*SHARED)
+    chooser.take_news(RUNNER, make_news((b"b", False)))
+    for number in range(3500):
+        other = loads.hash_name(b"other %d" % (number % 9))
+        chooser.caches.note(other, loads.hash_name(b"%d" % number))
+    assert chooser.take_news(RUNNER, make_news((b"b", True))) == 1
+    assert count_unread(chooser) == 0
+
+
 def test_who_has_just_started_takes_all_that_is_kept() -> None:
     chooser = make_chooser()
     told = make_news((b"a", True), (b"b", True), whole=True)
