Forget what is told of runners that nobody knows

Cause, found on reading the change: a runner's answer that came between its leaving and the end of its feed made a standing and a belief anew, and what others told of a runner after it was gone stayed for good; since one that starts is handed all beliefs, they went on from instance to instance.

Ruled out: dropping at once, as placements come before the registry's news.

A test of mine was empty: the feed it looked at had not relayed for 0.5 s and would have asked nobody. It now shows one runner asked, and none elsewhere or leaving.

--- a/pollenfork/fleet/caches.py
+++ b/pollenfork/fleet/caches.py
@@ -29,6 +29,7 @@
         self._shared: collections.OrderedDict[int, None] = (
             collections.OrderedDict()
         )
+        self._unknown: set[int] = set()
 
     def note(self, runner: int, part: int) -> None:
         """Notes that a runner was given a part to read, or used it again."""
@@ -100,6 +101,17 @@
         """Forgets a runner that is gone."""
         self._parts.pop(runner, None)
 
+    def retain(self, runners: Collection[int]) -> None:
+        """Forgets runners that aren't known, and weren't at the last call.
+
+        What others tell may come before the news that a runner exists, and
+        after the news that it is gone.
+        """
+        unknown = set(self._parts).difference(runners)
+        for runner in unknown & self._unknown:
+            del self._parts[runner]
+        self._unknown = unknown
+
     def _is_news(self, told: loads.Placed, whole: bool) -> bool:
         believed = told.part in self._parts.get(told.runner, ())
         if not told.kept:
--- a/pollenfork/fleet/choice.py
+++ b/pollenfork/fleet/choice.py
@@ -199,11 +199,18 @@
         Returns:
             How many beliefs that changed.
         """
+        if self._registry.find(runner) is None:
+            return 0  # It was asked before it was known to be gone.
         mark = self.find_standing(runner).mark
         changes = self.caches.take_news(mark, news)
         self._placed.extend(changes)
         return len(changes)
 
+    def sweep(self) -> None:
+        """Forgets what others tell of runners that nobody knows here."""
+        runners = self._registry.list_all()
+        self.caches.retain({self._mark(runner) for runner in runners})
+
     def take_placed(self) -> list[loads.Placed]:
         """Returns what was placed since the last call."""
         placed, self._placed = self._placed, []
@@ -212,7 +219,7 @@
     def list_kept_in(self, data_centre: ids.DataCentre) -> list[loads.Placed]:
         """Returns what runners of a data centre are believed to keep."""
         near = {
-            self.find_standing(runner.id).mark
+            self._mark(runner)
             for runner in self._registry.list_all()
             if runner.data_centre == data_centre
         }
@@ -226,6 +233,9 @@
             self._standings[runner] = seen
         return seen
 
+    def _mark(self, runner: model.Runner) -> int:
+        return self.find_standing(runner.id).mark
+
     def _make_offer(
         self, demand: offers.Demand, runner: model.Runner, now: float
     ) -> offers.Offer:
--- a/pollenfork/fleet/tests/test_caches.py
+++ b/pollenfork/fleet/tests/test_caches.py
@@ -4,6 +4,8 @@
 leaves a long part of its own behind, and instances that start all at once.
 """
 
+import random
+
 from hypothesis import given
 from hypothesis import strategies
 
@@ -11,6 +13,7 @@
 from pollenfork.fleet import choice
 from pollenfork.fleet import messages
 from pollenfork.fleet import model
+from pollenfork.fleet import registry
 from pollenfork.fleet.tests import test_choice
 from pollenfork.loads import messages as loads
 
@@ -107,6 +110,26 @@
         assert unread == (0 if last[part.name] else part.tokens)
 
 
+def test_news_of_a_runner_that_is_gone_is_left_out() -> None:
+    runners = registry.Registry()
+    chooser = choice.Chooser(runners, random.Random(1))
+    told = make_news((b"a", True), whole=True)
+    assert chooser.take_news(RUNNER, told) == 0
+    assert chooser.caches.list_kept() == []
+
+
+def test_beliefs_about_runners_that_nobody_knows_end() -> None:
+    chooser = make_chooser(*SHARED)
+    gone = loads.hash_name(b"gone")
+    chooser.sweep()
+    chooser.caches.take([loads.Placed(1, gone)])
+    # A placement may be told before this instance knows of the runner.
+    chooser.sweep()
+    assert gone in {each.runner for each in chooser.caches.list_kept()}
+    chooser.sweep()
+    assert {each.runner for each in chooser.caches.list_kept()} == {MARK}
+
+
 def test_others_that_are_told_believe_the_same() -> None:
     here, there = make_chooser(*SHARED), make_chooser(*SHARED)
     here.take_news(RUNNER, make_news((b"a", False)))
--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -40,6 +40,9 @@
 _LOG = logging.getLogger(__name__)
 
 _SWEEP_S = 0.5
+# How often beliefs about runners that aren't known are looked for, in seconds.
+# News of a runner reaches all instances within less.
+_TIDY_S = 3.0
 # The balancer asks once a second and takes an instance out after two misses;
 # until then it sends callers, who must be served.
 _NOTICED_S = 2.6
@@ -135,6 +138,7 @@
         self._sources.when_configured(self._apply_limits)
         self._tasks += self._sources.start()
         self._tasks.append(self._loop.create_task(self._sweep()))
+        self._tasks.append(self._loop.create_task(self._tidy()))
         await self._join_peers()
         _LOG.info(
             "event=started instance=%s data_centre=%s front=%s:%d store=%s:%d",
@@ -189,6 +193,11 @@
             self.known.runners.expire(now)
             self._readiness.check(now)
 
+    async def _tidy(self) -> None:
+        while True:
+            await asyncio.sleep(_TIDY_S)
+            self._tools.chooser.sweep()
+
     def _reload(self) -> None:
         """Takes over what has changed in the settings and may change."""
         read = self._reread()
--- a/pollenfork/gateway/tests/test_cache_feed.py
+++ b/pollenfork/gateway/tests/test_cache_feed.py
@@ -4,6 +4,7 @@
 import contextlib
 import random
 
+import msgspec
 import pytest
 import result
 
@@ -71,6 +72,17 @@
     relays = True
 
 
+def make_feed(
+    known: Known, data_centre: str = "a"
+) -> tuple[cache_feed.CacheFeed, choice.Chooser]:
+    rng = random.Random(1)
+    chooser = choice.Chooser(known.runners, rng)
+    feed = cache_feed.CacheFeed(
+        CacheCodec(), chooser, known, ids.DataCentre(data_centre), rng
+    )
+    return feed, chooser
+
+
 @contextlib.asynccontextmanager
 async def follow(monkeypatch, *script: bytes | None):
     """Follows a runner that answers by a script; yields all that matters."""
@@ -82,11 +94,7 @@
     runner.keeps = True
     known = Known()
     known.runners.put(await runner.start())
-    rng = random.Random(1)
-    chooser = choice.Chooser(known.runners, rng)
-    feed = cache_feed.CacheFeed(
-        CacheCodec(), chooser, known, ids.DataCentre("a"), rng
-    )
+    feed, chooser = make_feed(known)
     try:
         yield feed, runner, chooser
     finally:
@@ -164,17 +172,8 @@
 
 
 def test_a_relay_of_many_runners_asks_each_less_often() -> None:
-    known = Known()
-    rng = random.Random(1)
-
     async def run() -> tuple[float, float]:
-        feed = cache_feed.CacheFeed(
-            CacheCodec(),
-            choice.Chooser(known.runners, rng),
-            known,
-            ids.DataCentre("a"),
-            rng,
-        )
+        feed, _ = make_feed(Known())
         few = feed._rest_s
         feed._tasks = dict.fromkeys(map(str, range(100)))
         return few, feed._rest_s
@@ -202,21 +201,23 @@
     assert asyncio.run(run()) == (0, 1)
 
 
-def test_runners_elsewhere_and_those_that_leave_are_not_asked() -> None:
-    known = Known()
-    rng = random.Random(1)
+def test_runners_elsewhere_and_those_that_leave_are_not_asked(
+    monkeypatch,
+) -> None:
+    monkeypatch.setattr(cache_feed, "_SETTLED_S", 0.0)
 
-    async def run() -> dict:
-        feed = cache_feed.CacheFeed(
-            CacheCodec(),
-            choice.Chooser(known.runners, rng),
-            known,
-            ids.DataCentre("b"),
-            rng,
-        )
+    async def run(data_centre: str, leaving: bool) -> int:
+        known = Known()
+        feed, _ = make_feed(known, data_centre)
         runner = await support.Runner("r0").start()
-        known.runners.put(runner)
+        known.runners.put(msgspec.structs.replace(runner, leaving=leaving))
         feed.check(Peers())
-        return dict(feed._tasks)
+        asked = len(feed._tasks)
+        feed.close()
+        return asked
+
+    async def run_all() -> list[int]:
+        cases = [("a", False), ("b", False), ("a", True)]
+        return [await run(*case) for case in cases]
 
-    assert asyncio.run(run()) == {}
+    assert asyncio.run(run_all()) == [1, 0, 0]
