Let the benchmark of the exchange run again

Cause: its instance lacked what the exchange asks since relays hand over beliefs and reporters tell versions; nothing runs it in the tests, so it ended with an AttributeError at the first report.

--- a/benchmarks/loads_cost.py
+++ b/benchmarks/loads_cost.py
@@ -47,10 +47,21 @@
     def read_proof(self, now: float) -> messages.Proof | None:
         return messages.Proof(1, 1, 0.5)
 
+    def list_placed(self) -> list[messages.Placed]:
+        return []
+
+    def list_placed_here(self) -> list[messages.Placed]:
+        return []
+
     def note_placed(self, placed: object) -> None:
         """Takes nothing."""
 
-    def note_proof(self, proof: messages.Proof, moment: float) -> None:
+    def note_proof(
+        self, proof: messages.Proof, moment: float, teller: str
+    ) -> None:
+        """Takes nothing."""
+
+    def note_versions(self, proof: messages.Proof, teller: str) -> None:
         """Takes nothing."""
 
 
