Say in losses how many log lines are missing

Cause: under load instances leave out the lines of requests that went well first, so the shares that losses prints are too low, and nothing said so.

Before: no word of it, whatever lines_missing said. After: the first line tells how many are missing; the test shows it with and without. The count is shared with explain, which had its own.

--- a/pollenfork/logbook/course.py
+++ b/pollenfork/logbook/course.py
@@ -63,7 +63,7 @@
     ordered = sorted(log, key=lambda line: line.at)
     own = [line for line in ordered if line.fields.get("request") == request]
     if not own:
-        missing = _count_missing(ordered)
+        missing = lines.count_missing(ordered)
         return Course(request, [], [], [], [], [], missing)
     instances = {line.instance for line in own}
     runners = {line.fields["runner"] for line in own if "runner" in line.fields}
@@ -93,7 +93,7 @@
         starts=[
             line for line in here if line.event == "started" and line.at > last
         ],
-        missing=_count_missing(
+        missing=lines.count_missing(
             line for line in around if line.instance in instances
         ),
     )
@@ -130,11 +130,3 @@
             after.setdefault(key, line)
     found = [*latest.values(), *after.values()]
     yield from sorted(found, key=lambda line: line.at)
-
-
-def _count_missing(log: Iterable[Line]) -> int:
-    return sum(
-        int(line.fields["count"])
-        for line in log
-        if line.event == "lines_missing"
-    )
--- a/pollenfork/logbook/lines.py
+++ b/pollenfork/logbook/lines.py
@@ -50,6 +50,15 @@
         yield Line(_read_time(found["time"]), instance, event, pairs)
 
 
+def count_missing(log: Iterable[Line]) -> int:
+    """Returns how many lines instances say that they left out."""
+    return sum(
+        int(line.fields["count"])
+        for line in log
+        if line.event == "lines_missing"
+    )
+
+
 def _read_pairs(text: str) -> Iterator[tuple[str, str]]:
     for key, value in _PAIR.findall(text):
         yield key, json.loads(value) if value.startswith('"') else value
--- a/pollenfork/logbook/losses.py
+++ b/pollenfork/logbook/losses.py
@@ -50,11 +50,14 @@
         routes: Outcomes by route.
         causes: Requests that weren't answered in time, by route and cause.
         moments: Outcomes by seconds since the first request.
+        missing: Lines that instances left out, those of requests that went
+            well first.
     """
 
     routes: dict[str, Outcomes]
     causes: collections.Counter[tuple[str, Outcome, str]]
     moments: dict[float, Outcomes]
+    missing: int
 
 
 def count(log: Iterable[lines.Line]) -> Losses:
@@ -63,7 +66,8 @@
     Args:
         log: All lines of all instances, in any order.
     """
-    endings = list(_list_endings(log))
+    told = list(log)
+    endings = list(_list_endings(told))
     start = min((each.at for each in endings), default=0.0)
     routes: dict[str, Outcomes] = collections.defaultdict(Outcomes)
     moments: dict[float, Outcomes] = collections.defaultdict(Outcomes)
@@ -75,7 +79,8 @@
         moments[moment][each.outcome] += 1
         if each.outcome is not Outcome.IN_TIME:
             causes[each.route, each.outcome, each.cause] += 1
-    return Losses(dict(routes), causes, dict(moments))
+    missing = lines.count_missing(told)
+    return Losses(dict(routes), causes, dict(moments), missing)
 
 
 def _list_endings(log: Iterable[lines.Line]) -> Iterator[Ending]:
--- a/pollenfork/logbook/losses_page.py
+++ b/pollenfork/logbook/losses_page.py
@@ -11,6 +11,11 @@
 
 def write(losses: counted.Losses, out: TextIO) -> None:
     """Writes all of it, the most frequent causes first."""
+    if losses.missing:
+        out.write(
+            f"{losses.missing} lines are missing, those of requests that went"
+            " well first: shares are too low\n"
+        )
     names = [outcome.value for outcome in counted.Outcome]
     _write_row("route", [*names, "share"], out)
     for route, outcomes in sorted(losses.routes.items()):
--- a/pollenfork/logbook/tests/test_losses.py
+++ b/pollenfork/logbook/tests/test_losses.py
@@ -16,6 +16,7 @@
     "answered request=q route=r status={} first_ms={} target_ms=200 gap_ms={} "
     "gap_target_ms=100"
 )
+MISSING = "lines_missing count=7"
 GIVEN_UP = "given_up request=q route=r reason={} may_have_run={}"
 
 
@@ -97,3 +98,11 @@
     assert "1  r  late: unknown" in written
     assert "0  " + "#" * 40 + "  1.000 of 1" in written
     assert "2  " + " " * 40 + "  0.000 of 1" in written
+
+
+def test_the_page_says_when_lines_are_missing() -> None:
+    answered = ANSWERED.format(200, 9, 0)
+    for texts, told in (([answered], False), ([answered, MISSING], True)):
+        out = io.StringIO()
+        losses_page.write(count(*texts), out)
+        assert ("7 lines are missing" in out.getvalue()) is told
