--- a/pollenfork/cli/tests/test_core.py
+++ b/pollenfork/cli/tests/test_core.py
@@ -207,3 +207,16 @@
     log.write_text("nothing\n")
     ended, _, error = run("losses", log)
     assert ended is status.ExitStatus.USAGE and "no log lines" in error
+
+
+def test_a_reader_that_has_enough_is_no_fault(tmp_path):
+    log = tmp_path / "i-1.log"
+    log.write_text(LOG)
+    command = [sys.executable, "-m", "pollenfork", "losses", str(log)]
+    with subprocess.Popen(
+        command, stdout=subprocess.PIPE, stderr=subprocess.PIPE
+    ) as running:
+        running.stdout.close()
+        error = running.stderr.read()
+    assert error == b""
+    assert running.returncode == 1
