Give instances of the tests peer ports that nobody else takes

Cause, as far as it can be shown now: the test chose a free port of 127.0.0.1, closed it, and started a program that binds it later. Any connection made on the machine meanwhile may get the same port. The first failure's own error stream is lost, so another cause of that one isn't excluded.

After: each process that runs tests has a loopback address of its own for these ports, so connections of others can't take them, and the assertion shows the program's error stream ('Address already in use' where the port is held on that address as well). 25 tests of three modules pass. Conclusion: kept; the product is not concerned.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -1,11 +1,13 @@
 """A site of separate processes, to be killed, frozen and restarted."""
 
 import json
+import os
 import pathlib
 import signal
 import socket
 import subprocess
 import sys
+import tempfile
 
 import urllib3
 
@@ -18,12 +20,16 @@
 
 READY_S = 20.0
 _LISTENING = "listening on "
+# Where instances hear each other: each process that runs tests has an address
+# of its own. On a shared one, any connection of anybody may take a port between
+# its choice here and its use by a program.
+PEER_HOST = f"127.17.{os.getpid() // 250 % 250}.{os.getpid() % 250 + 1}"
 
 
 def find_free_port() -> int:
     """Returns a port that was free for datagrams and connections."""
     with socket.socket() as held:
-        held.bind(("127.0.0.1", 0))
+        held.bind((PEER_HOST, 0))
         return int(held.getsockname()[1])
 
 
@@ -31,17 +37,24 @@
     """One process of ours; `address` is where it listens."""
 
     def __init__(self, *arguments: str) -> None:
+        # Closed with the program.
+        self._log = tempfile.TemporaryFile("w+")  # noqa: SIM115
         self._process = subprocess.Popen(
             [sys.executable, "-m", "pollenfork", *arguments],
             stdout=subprocess.PIPE,
-            stderr=subprocess.DEVNULL,
+            stderr=self._log,
             text=True,
         )
         assert self._process.stdout
         line = self._process.stdout.readline()
-        assert line.startswith(_LISTENING), line
+        assert line.startswith(_LISTENING), line + self._read_log()
         self.address = line.removeprefix(_LISTENING).strip()
 
+    def _read_log(self) -> str:
+        self._process.wait(READY_S)
+        self._log.seek(0)
+        return self._log.read()
+
     def kill(self) -> None:
         """Ends the process without warning."""
         self._process.kill()
@@ -70,6 +83,7 @@
             self.kill()
         if self._process.stdout:
             self._process.stdout.close()
+        self._log.close()
 
 
 class Site:
@@ -123,7 +137,7 @@
             "instance": f"entry-{len(self.entries) + 1}",
             "data_centre": "a",
             "listen": "127.0.0.1:0",
-            "peer_listen": f"127.0.0.1:{find_free_port()}",
+            "peer_listen": f"{PEER_HOST}:{find_free_port()}",
             "peers": known,
             "platform": self.platform.address,
             "streams": 32,
