Show that a relay whose teller is gone asks the store

Cause: on reading again, a relay that the store turns away now asks whoever told the news, and nothing showed what follows where that one has died since.

Before: no test. After: with a teller that refuses connections and a store that has the news, a relay knows it within a second of lacking it (0.25 s until it turns to the teller, 0.5 s until it asks the store all the same). No product change was needed. Ruled out: that it goes on asking the teller alone. Conclusion: the design holds in that case.

--- a/pollenfork/gateway/tests/test_sources.py
+++ b/pollenfork/gateway/tests/test_sources.py
@@ -181,3 +181,19 @@
         assert took_s < 1.0
 
     play(course)
+
+
+def test_a_relay_whose_teller_is_gone_asks_the_store() -> None:
+    async def course(bench):
+        bench.others.hosts["teller"] = loads.Address(_HOST, 1)
+        bench.hear(9)
+        # It lacks the news for long enough to turn to the teller first.
+        while not bench.known.lacks_configuration(bench.loop.time()):
+            bench.sources.choose(bench.others)
+            await asyncio.sleep(0.02)
+        bench.store.rows = messages.Rows((messages.Row("c", b"6", 9),), 9)
+        took_s = await bench.choose_until(lambda: read_version(bench) == 6)
+        # As long as a relay may lack news before it asks the store itself.
+        assert took_s < 1.0
+
+    play(course)
