--- a/benchmarks/decisions/driver.py
+++ b/benchmarks/decisions/driver.py
@@ -1,13 +1,11 @@
 """Virtual time: the real cores of several instances before engine models."""
 
-from collections.abc import Callable
-import dataclasses
-import heapq
-import itertools
 import random
 
 from benchmarks.decisions import engine
 from benchmarks.decisions import policies
+from benchmarks.decisions import records
+from benchmarks.decisions import timeline
 from benchmarks.decisions import workload
 from pollenfork import ids
 from pollenfork.admission import messages as admission_messages
@@ -31,83 +29,6 @@
 _Retry = messages.RetryReason
 
 
-@dataclasses.dataclass
-class Record:
-    """What became of one request."""
-
-    arrival: workload.Arrival
-    first_at: float | None = None
-    done_at: float | None = None
-    refused: str | None = None
-    gone_at: float | None = None
-    granted_at: float | None = None
-    sent: int = 0
-    delivered: int = 0
-    saved: int = 0
-    returns: int = 0
-    returned_at: float | None = None
-
-    def is_met_on_return(self) -> bool:
-        """Returns whether the first token came in time after a return."""
-        if self.first_at is None or self.returned_at is None:
-            return False
-        target = self.arrival.kind.settings.target_first_token_ms / _MS
-        return self.first_at - self.returned_at <= target
-
-    def is_met(self) -> bool:
-        """Returns whether every target was met and the answer is whole."""
-        if self.first_at is None or self.done_at is None:
-            return False
-        settings = self.arrival.kind.settings
-        waited = self.first_at - self.arrival.at
-        gap = (self.done_at - self.first_at) / max(1, self.arrival.tokens - 1)
-        return (
-            waited <= settings.target_first_token_ms / _MS
-            and gap <= settings.target_gap_ms / _MS
-        )
-
-
-@dataclasses.dataclass(eq=False)
-class Copy:
-    """One attempt on its way."""
-
-    grant: messages.Grant
-    job: engine.Job
-    base: int
-
-
-@dataclasses.dataclass(eq=False)
-class Request:
-    """One request at its instance."""
-
-    record: Record
-    instance: int
-    ask: admission_messages.Ask
-    copies: list[Copy] = dataclasses.field(default_factory=list)
-    avoid: list[ids.EndpointId] = dataclasses.field(default_factory=list)
-    position: int = 0
-    is_closed: bool = False
-
-
-class Timeline:
-    """A heap of calls in virtual time."""
-
-    def __init__(self) -> None:
-        self.now = 0.0
-        self._order = itertools.count()
-        self._calls: list[tuple[float, int, Callable[[], None]]] = []
-
-    def __call__(self, at: float, call: Callable[[], None]) -> None:
-        """Runs `call` at a moment that isn't past."""
-        heapq.heappush(self._calls, (at, next(self._order), call))
-
-    def run_until(self, end: float) -> None:
-        """Runs every call up to `end`."""
-        while self._calls and self._calls[0][0] <= end:
-            self.now, _, call = heapq.heappop(self._calls)
-            call()
-
-
 class World:
     """Instances, engines, callers and the lossy talk between them."""
 
@@ -118,14 +39,14 @@
         seed: int,
         engines: int = workload.ENGINES,
     ) -> None:
-        self.later = Timeline()
+        self.later = timeline.Timeline()
         self.rng = random.Random(seed)
         self.policy = policy
         self.engines = {
             f"runner-{n}": engine.Engine(f"runner-{n}", self.later)
             for n in range(engines)
         }
-        self.records: list[Record] = []
+        self.records: list[records.Record] = []
         self.report_age_s = _REPORT_AGE_S
         self.frozen_reports: set[str] = set()
         self.lost_instances: set[int] = set()
@@ -141,7 +62,7 @@
         self._loads: dict[str, list[tuple[float, int, int, float]]] = {
             name: [(0.0, 0, 0, 1.0)] for name in self.engines
         }
-        self._requests: dict[str, Request] = {}
+        self._requests: dict[str, records.Request] = {}
         self.instances = [
             policies.create(
                 policy,
@@ -303,13 +224,15 @@
 
     def _arrive(self, arrival: workload.Arrival) -> None:
         n = self._pick_instance()
-        self.records.append(Record(arrival))
+        self.records.append(records.Record(arrival))
         self._ask(self.records[-1], n)
 
-    def _ask(self, record: Record, n: int) -> None:
+    def _ask(self, record: records.Record, n: int) -> None:
         self._asked += 1
-        ask = _make_ask(record.arrival, f"q{self._asked}", self.later.now)
-        request = Request(record, n, ask)
+        ask = records.make_ask(
+            record.arrival, f"q{self._asked}", self.later.now
+        )
+        request = records.Request(record, n, ask)
         self._requests[ask.request] = request
         if self.rng.random() < self.gone_part:
             at = self.later.now + self.rng.uniform(0.0, 10.0)
@@ -317,11 +240,11 @@
         self.later(ask.give_up_at + 0.01, lambda: self._give_up(request))
         self._carry_out(n, self.instances[n].submit(ask, self.later.now))
 
-    def _give_up(self, request: Request) -> None:
+    def _give_up(self, request: records.Request) -> None:
         if request.record.first_at is None:
             self._abandon(request)
 
-    def _abandon(self, request: Request) -> None:
+    def _abandon(self, request: records.Request) -> None:
         if request.is_closed:
             return
         request.record.gone_at = self.later.now
@@ -337,7 +260,7 @@
         self._close(request)
         self._return(request, _RETURN_S)
 
-    def _return(self, request: Request, after: float) -> None:
+    def _return(self, request: records.Request, after: float) -> None:
         """Lets the caller come back after a refusal or a wait in vain."""
         record = request.record
         if record.returns >= self.most_returns:
@@ -360,7 +283,7 @@
             ]
         )
 
-    def _close(self, request: Request) -> None:
+    def _close(self, request: records.Request) -> None:
         request.is_closed = True
         closed = messages.RequestClosed(request=request.ask.request)
         self._report(request.instance, closed)
@@ -377,7 +300,7 @@
                 self._return(request, decision.retry_after_s or _RETURN_S)
 
     def _send(
-        self, n: int, request: Request | None, grant: messages.Grant
+        self, n: int, request: records.Request | None, grant: messages.Grant
     ) -> None:
         if request is None or request.is_closed:
             self._end(n, grant, _End.NEVER_SENT, 0)
@@ -400,7 +323,7 @@
             lambda: self._note_first(request, copy),
             lambda whole, done: self._note_end(request, copy, whole, done),
         )
-        copy = Copy(grant, job, base)
+        copy = records.Copy(grant, job, base)
         request.copies.append(copy)
         at = self.later.now + _NETWORK_S
         self.later(at, lambda: self._deliver(request, copy))
@@ -408,7 +331,7 @@
             at = self.later.now + grant.hedge_after_s
             self.later(at, lambda: self._ask_hedge(request))
 
-    def _deliver(self, request: Request, copy: Copy) -> None:
+    def _deliver(self, request: records.Request, copy: records.Copy) -> None:
         if copy not in request.copies:
             return
         one = self.engines[copy.grant.endpoint]
@@ -420,7 +343,7 @@
         reason = _Retry.REFUSED_BY_ENDPOINT if one.is_up else _Retry.NEVER_SENT
         self._ask_again(request, copy, reason)
 
-    def _note_first(self, request: Request, copy: Copy) -> None:
+    def _note_first(self, request: records.Request, copy: records.Copy) -> None:
         now = self.later.now
         for other in list(request.copies):
             if other is not copy:
@@ -433,7 +356,9 @@
             now + _PROGRESS_S, lambda: self._note_progress(request, copy)
         )
 
-    def _note_progress(self, request: Request, copy: Copy) -> None:
+    def _note_progress(
+        self, request: records.Request, copy: records.Copy
+    ) -> None:
         if copy not in request.copies:
             return
         now = self.later.now
@@ -449,7 +374,11 @@
         )
 
     def _note_end(
-        self, request: Request, copy: Copy, whole: bool, done: int
+        self,
+        request: records.Request,
+        copy: records.Copy,
+        whole: bool,
+        done: int,
     ) -> None:
         if copy not in request.copies:
             return
@@ -476,7 +405,10 @@
         self._ask_again(request, copy, reason)
 
     def _ask_again(
-        self, request: Request, copy: Copy, reason: messages.RetryReason
+        self,
+        request: records.Request,
+        copy: records.Copy,
+        reason: messages.RetryReason,
     ) -> None:
         if request.is_closed or request.copies:
             return
@@ -490,7 +422,7 @@
         decided = self.instances[n].ask_again(again, self.later.now)
         self._carry_out(n, decided)
 
-    def _ask_hedge(self, request: Request) -> None:
+    def _ask_hedge(self, request: records.Request) -> None:
         is_waiting = request.record.first_at is None and request.copies
         if request.is_closed or not is_waiting:
             return
@@ -503,7 +435,7 @@
         decided = self.instances[n].ask_again(again, self.later.now)
         self._carry_out(n, decided)
 
-    def _cancel(self, request: Request, copy: Copy) -> int:
+    def _cancel(self, request: records.Request, copy: records.Copy) -> int:
         """Cancels a copy; returns the tokens it had generated."""
         request.copies.remove(copy)
         one = self.engines[copy.grant.endpoint]
@@ -525,30 +457,3 @@
             attempt=grant.attempt, how=how, tokens=tokens, at=self.later.now
         )
         self._report(n, ended)
-
-
-def _make_ask(
-    arrival: workload.Arrival, name: str, now: float
-) -> admission_messages.Ask:
-    settings = arrival.kind.settings
-    return admission_messages.Ask(
-        request=ids.RequestId(name),
-        team=workload.TEAM,
-        account=ids.AccountId(arrival.account),
-        class_name=ids.ClassName(arrival.kind.name),
-        tier=ids.Tier(settings.tier),
-        model=workload.MODEL,
-        arrived=now,
-        first_token_due=now + settings.target_first_token_ms / _MS,
-        give_up_at=now + settings.max_wait_ms / _MS,
-        late_refused=settings.when_late is model.LatePolicy.REFUSE,
-        protected=settings.protected,
-        max_waiting=settings.max_waiting,
-        minimum_share=settings.minimum_share,
-        account_limit=10_000,
-        team_limit=10_000,
-        retry_ratio=settings.retry_ratio,
-        hedge=settings.hedge,
-        prefix=arrival.prefix,
-        prompt_tokens=arrival.kind.prompt,
-    )
