Say when a removed runner is kept, for how long, and when it is dropped

The incident's hypotheses couldn't be told apart from the logs: runner_gone was written also where the runner went on taking work. Now runner_kept says for how long, runner_gone when it ends, and a gauge how many are kept. No logic changed: the registry returns what came of a removal instead of nothing.

--- a/pollenfork/fleet/registry.py
+++ b/pollenfork/fleet/registry.py
@@ -1,6 +1,7 @@
 """Which runners there are, by the registry's rows."""
 
 from collections.abc import Callable
+import enum
 
 from pollenfork import ids
 from pollenfork.fleet import model
@@ -10,6 +11,14 @@
 LAPSE_S = 2.0
 
 
+class Removal(enum.Enum):
+    """What came of the news that an entry is gone."""
+
+    UNKNOWN = "unknown"  # Nobody knew of the runner.
+    DROPPED = "dropped"  # It takes no more work.
+    KEPT = "kept"  # Its entry may only have lapsed; it takes work meanwhile.
+
+
 class Registry:
     """The runners of every service.
 
@@ -39,26 +48,32 @@
         if runner.leaving and not (old is not None and old.leaving):
             self._tell_gone(runner.id)
 
-    def remove(self, runner: ids.EndpointId, now: float) -> None:
+    def remove(self, runner: ids.EndpointId, now: float) -> Removal:
         """Takes the news that a runner's entry is gone."""
         known = self._runners.get(runner)
         if known is None:
-            return
+            return Removal.UNKNOWN
         if now < self._trusted_until and not known.leaving:
             self._lapsed[runner] = self._trusted_until
-            return
+            return Removal.KEPT
         self._drop(runner)
+        return Removal.DROPPED
 
     def note_store_back(self, now: float) -> None:
         """Notes that the store answers again after it didn't."""
         self._trusted_until = now + LAPSE_S
 
-    def expire(self, now: float) -> None:
-        """Drops the entries that lapsed and didn't come back."""
-        for runner, until in list(self._lapsed.items()):
-            if now >= until:
-                del self._lapsed[runner]
-                self._drop(runner)
+    def expire(self, now: float) -> list[ids.EndpointId]:
+        """Drops the entries that lapsed and didn't come back; returns them."""
+        due = [each for each, until in self._lapsed.items() if now >= until]
+        for runner in due:
+            del self._lapsed[runner]
+            self._drop(runner)
+        return due
+
+    def read_kept_until(self, runner: ids.EndpointId) -> float | None:
+        """Returns until when a removed entry is kept; None where it isn't."""
+        return self._lapsed.get(runner)
 
     def find(self, runner: ids.EndpointId) -> model.Runner | None:
         """Returns the runner's entry."""
@@ -76,6 +91,11 @@
         """Returns the runners of all services."""
         return list(self._runners.values())
 
+    @property
+    def kept(self) -> int:
+        """The number of runners whose removed entry is kept for a moment."""
+        return len(self._lapsed)
+
     @property
     def size(self) -> int:
         """The number of runners known."""
--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -190,7 +190,7 @@
             await asyncio.sleep(_SWEEP_S)
             self._tools.pool.sweep()
             now = self._loop.time()
-            self.known.runners.expire(now)
+            self.known.expire_runners(now)
             self._readiness.check(now)
 
     async def _tidy(self) -> None:
@@ -306,6 +306,8 @@
         if known.lookup is not None:
             version = known.lookup.configuration.version
             shown.set_gauge("pollenfork_settings_revision", version)
+        kept = known.runners.kept
+        shown.set_gauge("pollenfork_runners_kept", kept)
         age_s = known.freshness.age(self._loop.time())
         if age_s is not None:
             shown.set_gauge("pollenfork_settings_age_seconds", age_s)
--- a/pollenfork/gateway/knowledge.py
+++ b/pollenfork/gateway/knowledge.py
@@ -221,10 +221,7 @@
         self._runners_news = max(self._runners_news, changes.news)
         for row in changes.rows:
             if row.removed:
-                self.runners.remove(ids.EndpointId(row.key), now)
-                _LOG.info(
-                    "event=runner_gone runner=%s row=%d", row.key, row.version
-                )
+                self._remove_runner(row, now)
                 continue
             read = self._store.read_runner(row)
             if isinstance(read, result.Err):
@@ -243,6 +240,25 @@
                 row.version,
             )
 
+    def expire_runners(self, now: float) -> None:
+        """Drops the runners whose entries lapsed and didn't come back."""
+        for runner in self.runners.expire(now):
+            _LOG.info("event=runner_gone runner=%s row=- kept=True", runner)
+
+    def _remove_runner(self, row: catalogue.Row, now: float) -> None:
+        runner = ids.EndpointId(row.key)
+        removal = self.runners.remove(runner, now)
+        if removal is registry.Removal.KEPT:
+            until = self.runners.read_kept_until(runner) or now
+            _LOG.info(
+                "event=runner_kept runner=%s row=%d for_ms=%d",
+                row.key,
+                row.version,
+                (until - now) * 1000,
+            )
+            return
+        _LOG.info("event=runner_gone runner=%s row=%d", row.key, row.version)
+
     def _is_older(self, version: int) -> bool:
         known = self.lookup
         return known is not None and version < known.configuration.version
--- a/pollenfork/gateway/tests/test_knowledge.py
+++ b/pollenfork/gateway/tests/test_knowledge.py
@@ -199,3 +199,20 @@
     known.take_proof(messages.Proof(10, 0, 0.0), 100.0, "a")
     assert known.is_proven_by_others(100.9)
     assert not known.is_proven_by_others(101.1)
+
+
+def test_a_removed_entry_that_is_kept_is_logged_with_for_how_long(
+    caplog,
+) -> None:
+    caplog.set_level(logging.INFO, "pollenfork.gateway.knowledge")
+    known = make_known()
+    rows = (catalogue.Row("r", b"", 12),)
+    known.take_runners(catalogue.Changes(rows, 12), 98.0)
+    known.runners.note_store_back(100.0)
+    rows = (catalogue.Row("r", b"", 13, removed=True),)
+    known.take_runners(catalogue.Changes(rows, 13), 100.5)
+    assert "event=runner_kept runner=r row=13 for_ms=1500" in caplog.text
+    assert "runner_gone" not in caplog.text
+    known.expire_runners(102.1)
+    assert "event=runner_gone runner=r row=- kept=True" in caplog.text
+    assert list_runners(known) == []
