--- a/pollenfork/fleet/registry.py
+++ b/pollenfork/fleet/registry.py
@@ -24,6 +24,9 @@
 
     An entry may vanish because its runner left, or because nobody could renew
     it while the store was away. In the latter case it is kept for a moment.
+
+    Attributes:
+        kept: How often an entry that vanished was kept.
     """
 
     def __init__(self) -> None:
@@ -31,6 +34,7 @@
         self._services: dict[ids.ServiceName, dict[ids.EndpointId, None]] = {}
         self._lapsed: dict[ids.EndpointId, float] = {}
         self._trusted_until = 0.0
+        self.kept = 0
         self._on_gone: list[Callable[[ids.EndpointId], None]] = []
 
     def when_gone(self, call: Callable[[ids.EndpointId], None]) -> None:
@@ -55,6 +59,7 @@
             return Removal.UNKNOWN
         if now < self._trusted_until and not known.leaving:
             self._lapsed[runner] = self._trusted_until
+            self.kept += 1
             return Removal.KEPT
         self._drop(runner)
         return Removal.DROPPED
@@ -91,11 +96,6 @@
         """Returns the runners of all services."""
         return list(self._runners.values())
 
-    @property
-    def kept(self) -> int:
-        """The number of runners whose removed entry is kept for a moment."""
-        return len(self._lapsed)
-
     @property
     def size(self) -> int:
         """The number of runners known."""
--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -307,7 +307,7 @@
             version = known.lookup.configuration.version
             shown.set_gauge("pollenfork_settings_revision", version)
         kept = known.runners.kept
-        shown.set_gauge("pollenfork_runners_kept", kept)
+        shown.set_count("pollenfork_runners_kept_total", kept)
         age_s = known.freshness.age(self._loop.time())
         if age_s is not None:
             shown.set_gauge("pollenfork_settings_age_seconds", age_s)
--- a/pollenfork/metric_help.py
+++ b/pollenfork/metric_help.py
@@ -96,8 +96,8 @@
     "pollenfork_runner_connections_total": (
         "Connections to runners: opened, reused, unreachable."
     ),
-    "pollenfork_runners_kept": (
-        "Runners that take work although their entry is gone."
+    "pollenfork_runners_kept_total": (
+        "Entries of runners that vanished and were kept for a moment."
     ),
     "pollenfork_scheduler_refusals_total": (
         "Requests and retries that the scheduler refused, by why."
