Check runners' entries in one place, and let a bad one name no runner

Cause: the registry's rows were taken on trust. Entries without state, zone or slots, with 0 slots, port 99999, a host that is none or holds a line break were used as ready runners; one that couldn't be read left the one before in force; one value that was no base64 hid every other row of its answer.

Now platform/entries checks that every field that runners write is there, of its type and in range, with one typed reason each. A bad row takes away the runner it named, at once; the others hold. Logged once a row version with the key quoted, counted by reason. A runner's missing 'born' stays good.

Ruled out: refusing entries of services that the configuration doesn't name, as the configuration may come after them; no route leads to such a runner.

The stand-ins of the tests write every field that runners write; a loop in test_gateway that spun for good when the gateway never got ready has a limit of 10 s.

--- a/pollenfork/fleet/registry.py
+++ b/pollenfork/fleet/registry.py
@@ -60,6 +60,12 @@
         self._drop(runner)
         return Removal.DROPPED
 
+    def drop(self, runner: ids.EndpointId) -> None:
+        """Takes the news that a runner's entry names no runner any more."""
+        self._lapsed.pop(runner, None)
+        if runner in self._runners:
+            self._drop(runner)
+
     def keep_until(self, until: float) -> None:
         """Takes until when entries that vanish may only have lapsed.
 
--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -308,6 +308,10 @@
         if known.lookup is not None:
             version = known.lookup.configuration.version
             shown.set_gauge("pollenfork_settings_revision", version)
+        for why, count in known.refused_entries.items():
+            shown.set_count(
+                "pollenfork_entries_refused_total", count, reason=why.value
+            )
         kept = known.runners.kept
         shown.set_count("pollenfork_runners_kept_total", kept)
         age_s = known.freshness.age(self._loop.time())
--- a/pollenfork/gateway/edges.py
+++ b/pollenfork/gateway/edges.py
@@ -6,6 +6,7 @@
 
 from pollenfork import failures
 from pollenfork.catalogue import messages as catalogue
+from pollenfork.fleet import errors
 from pollenfork.fleet import messages as fleet_messages
 from pollenfork.fleet import model as fleet
 from pollenfork.gateway import messages
@@ -83,5 +84,5 @@
 
     def read_runner(
         self, row: catalogue.Row
-    ) -> result.Result[fleet.Runner, failures.Failure]:
+    ) -> result.Result[fleet.Runner, errors.BadEntry]:
         """Decodes a row of the registry."""
--- a/pollenfork/gateway/knowledge.py
+++ b/pollenfork/gateway/knowledge.py
@@ -1,13 +1,16 @@
 """What an instance knows of the configuration and of the runners."""
 
+import collections
 import logging
 
 import msgspec
 import result
 
 from pollenfork import ids
+from pollenfork import logs
 from pollenfork.catalogue import messages as catalogue
 from pollenfork.catalogue import outages
+from pollenfork.fleet import errors as fleet_errors
 from pollenfork.fleet import registry
 from pollenfork.gateway import edges
 from pollenfork.gateway import settings
@@ -47,6 +50,7 @@
         freshness: How old it may be.
         runners: The runners of all services.
         has_runners: Whether the registry has been read whole.
+        refused_entries: How many rows named no runner, by why.
     """
 
     # How long news that others have may take to come from the store too; then
@@ -70,6 +74,9 @@
     ) -> None:
         self._store = store
         self._outages = outages.Outages(heartbeat_s)
+        self.refused_entries: collections.Counter[fleet_errors.EntryFault] = (
+            collections.Counter()
+        )
         self.lookup: lookup.Lookup | None = None
         self.freshness = freshness.Freshness(revocation_s)
         self.runners = registry.Registry()
@@ -246,11 +253,7 @@
                 continue
             read = self._store.read_runner(row)
             if isinstance(read, result.Err):
-                _LOG.error(
-                    "event=runner_unreadable runner=%s detail=%r",
-                    row.key,
-                    read.err_value.detail,
-                )
+                self._refuse_entry(row, read.err_value)
                 continue
             self.runners.put(read.ok_value)
             _LOG.info(
@@ -273,12 +276,30 @@
             until = self.runners.read_kept_until(runner) or now
             _LOG.info(
                 "event=runner_kept runner=%s row=%d for_ms=%d",
-                row.key,
+                logs.write_value(row.key),
                 row.version,
                 (until - now) * 1000,
             )
             return
-        _LOG.info("event=runner_gone runner=%s row=%d", row.key, row.version)
+        _LOG.info(
+            "event=runner_gone runner=%s row=%d",
+            logs.write_value(row.key),
+            row.version,
+        )
+
+    def _refuse_entry(
+        self, row: catalogue.Row, bad: fleet_errors.BadEntry
+    ) -> None:
+        """Takes an entry that names no runner, nor one that it did before."""
+        self.runners.drop(ids.EndpointId(row.key))
+        self.refused_entries[bad.fault] += 1
+        _LOG.error(
+            "event=runner_unreadable runner=%s row=%d reason=%s detail=%s",
+            logs.write_value(row.key),
+            row.version,
+            bad.fault.value,
+            logs.write_value(bad.detail),
+        )
 
     def _is_older(self, version: int) -> bool:
         known = self.lookup
--- a/pollenfork/gateway/tests/test_knowledge.py
+++ b/pollenfork/gateway/tests/test_knowledge.py
@@ -7,6 +7,7 @@
 from pollenfork import failures
 from pollenfork import ids
 from pollenfork.catalogue import messages as catalogue
+from pollenfork.fleet import errors
 from pollenfork.fleet.tests import test_registry
 from pollenfork.gateway import knowledge
 from pollenfork.gateway import readiness
@@ -32,7 +33,8 @@
 
     def read_runner(self, row):
         if row.value == b"bad":
-            return result.Err(failures.Failure(detail="bad"))
+            fault = errors.EntryFault.NOT_DECODABLE
+            return result.Err(errors.BadEntry(detail="bad", fault=fault))
         return result.Ok(test_registry.make_runner(row.key))
 
 
@@ -86,18 +88,36 @@
     assert known.lookup.configuration.version == 5
 
 
-def test_what_cannot_be_read_changes_nothing() -> None:
+def test_a_configuration_that_cannot_be_read_changes_nothing() -> None:
     known = make_known()
     configure(known, 5, 10)
     rows = (catalogue.Row("c", b"bad", 11),)
     known.take_configuration(catalogue.Changes(rows, 11))
     assert known.lookup.configuration.version == 5
-    known.take_runners(
-        catalogue.Changes((catalogue.Row("r", b"", 12),), 12), 0.0
-    )
-    known.take_runners(
-        catalogue.Changes((catalogue.Row("r", b"bad", 13),), 13), 0.0
+
+
+def test_an_entry_that_names_no_runner_takes_away_only_its_own(caplog) -> None:
+    known = make_known()
+    good = tuple(catalogue.Row(key, b"", 12) for key in "qrs")
+    known.take_runners(catalogue.Changes(good, 12), 0.0)
+    # Also where entries that vanish are kept for a moment.
+    known.runners.keep_until(5.0)
+    bad = (catalogue.Row("r", b"bad", 13), catalogue.Row("new\n", b"bad", 14))
+    fresh = catalogue.Row("t", b"", 15)
+    known.take_runners(catalogue.Changes((*bad, fresh), 15), 1.0)
+    assert list_runners(known) == ["q", "s", "t"]
+    assert known.refused_entries == {errors.EntryFault.NOT_DECODABLE: 2}
+    assert "event=runner_unreadable runner=r row=13 reason=not_decodable" in (
+        caplog.text
     )
+    assert 'runner="new\\n" row=14' in caplog.text
+
+
+def test_a_runner_whose_entry_was_overwritten_is_back_with_its_own() -> None:
+    known = make_known()
+    for version, value in enumerate((b"", b"bad", b""), start=12):
+        rows = (catalogue.Row("r", value, version),)
+        known.take_runners(catalogue.Changes(rows, version), 0.0)
     assert list_runners(known) == ["r"]
 
 
--- a/pollenfork/metric_help.py
+++ b/pollenfork/metric_help.py
@@ -33,6 +33,9 @@
         "Events of a stream that came twice and were dropped."
     ),
     "pollenfork_ejections_total": ("Endpoints taken out of use as stragglers."),
+    "pollenfork_entries_refused_total": (
+        "Entries that name no runner, by what is wrong with them."
+    ),
     "pollenfork_event_gap_seconds": (
         "Longest pause between two events of a stream."
     ),
--- a/pollenfork/platform/documents.py
+++ b/pollenfork/platform/documents.py
@@ -1,11 +1,10 @@
-"""The operator's configuration and the runners' entries, decoded."""
+"""The operator's configuration, decoded."""
 
 import msgspec
 import result
 
 from pollenfork import failures
 from pollenfork import ids
-from pollenfork.fleet import model as fleet
 from pollenfork.routes import model as routes
 
 
@@ -74,22 +73,12 @@
     tenants: list[_Tenant] | None = None
 
 
-class _Entry(_Wire):
-    service: str
-    address: str
-    zone: str = ""
-    slots: int = 1
-    state: str = "ready"
-    cold_remaining_ms: float = 0.0
-
-
 _KINDS = {
     "safe": routes.Kind.REPEATABLE,
     "unsafe": routes.Kind.AT_MOST_ONCE,
     "stream": routes.Kind.STREAM,
 }
 _CONFIG = msgspec.json.Decoder(_Config)
-_ENTRY = msgspec.json.Decoder(_Entry)
 
 
 def read_configuration(
@@ -104,28 +93,6 @@
     return result.Ok(configuration)
 
 
-def read_runner(
-    key: str, value: bytes
-) -> result.Result[fleet.Runner, BadDocument]:
-    """Decodes one runner's entry; its id is the row's key."""
-    try:
-        wire = _ENTRY.decode(value)
-        host, _, port = wire.address.rpartition(":")
-        runner = fleet.Runner(
-            id=ids.EndpointId(key),
-            service=ids.ServiceName(wire.service),
-            host=host,
-            port=int(port),
-            data_centre=ids.DataCentre(wire.zone),
-            slots=wire.slots,
-            leaving=wire.state != "ready",
-            cold_s=wire.cold_remaining_ms / 1000.0,
-        )
-    except (msgspec.MsgspecError, ValueError) as error:
-        return result.Err(BadDocument(detail=f"runner {key}: {error}"))
-    return result.Ok(runner)
-
-
 def _make_configuration(wire: _Config) -> routes.Configuration:
     limits = wire.limits
     return routes.Configuration(
--- a/pollenfork/platform/rows.py
+++ b/pollenfork/platform/rows.py
@@ -1,7 +1,6 @@
 """The store's reading calls: their paths, and their answers decoded."""
 
 import base64
-import binascii
 import enum
 import urllib.parse
 
@@ -63,17 +62,29 @@
         rows = tuple(
             messages.Row(
                 key=row.key,
-                value=base64.b64decode(row.value),
+                value=_decode_value(row.value),
                 version=row.row_version,
                 removed=row.removed,
             )
             for row in answer.rows
         )
-    except (msgspec.MsgspecError, binascii.Error) as error:
+    except msgspec.MsgspecError as error:
         return result.Err(BadRows(detail=str(error)))
     return result.Ok(messages.Rows(rows, answer.row_version, answer.has_more))
 
 
+def _decode_value(text: str) -> bytes:
+    """Returns a row's bytes; none where the text holds no bytes.
+
+    What one writer left must not hide the rows of all others, and no document
+    is empty.
+    """
+    try:
+        return base64.b64decode(text, validate=True)
+    except ValueError:
+        return b""
+
+
 def read_trouble(status: int) -> messages.Trouble:
     """Decodes a status that brings no rows."""
     if status == _HISTORY_GONE:
--- a/pollenfork/platform/store.py
+++ b/pollenfork/platform/store.py
@@ -5,8 +5,10 @@
 
 from pollenfork import failures
 from pollenfork.catalogue import messages
+from pollenfork.fleet import errors
 from pollenfork.fleet import model as fleet
 from pollenfork.platform import documents
+from pollenfork.platform import entries
 from pollenfork.platform import rows
 from pollenfork.routes import model as routes
 
@@ -48,9 +50,9 @@
 
     def read_runner(
         self, row: messages.Row
-    ) -> result.Result[fleet.Runner, failures.Failure]:
+    ) -> result.Result[fleet.Runner, errors.BadEntry]:
         """Decodes a row of the registry."""
-        return documents.read_runner(row.key, row.value)
+        return entries.read(row.key, row.value)
 
     def _write(self, target: str) -> bytes:
         return f"GET {target} HTTP/1.1\r\nhost: {self.host}\r\n\r\n".encode()
--- a/pollenfork/platform/tests/soak/site.py
+++ b/pollenfork/platform/tests/soak/site.py
@@ -9,6 +9,7 @@
 import sys
 import time
 
+from pollenfork.platform.tests import support
 from pollenfork.platform.tests.soak import proxy
 from pollenfork.platform.tests.soak import runner
 from pollenfork.platform.tests.soak import store
@@ -254,12 +255,8 @@
     async def put_runner(self, name: str, state: str) -> float:
         """Writes a runner's entry; returns when it was acknowledged."""
         port = self.port + 1
-        value = {
-            "service": "model",
-            "address": f"{self.base}.{100 + int(name[2:])}:{port}",
-            "slots": 8,
-            "state": state,
-        }
+        address = f"{self.base}.{100 + int(name[2:])}:{port}"
+        value = support.make_entry("model", address, state=state)
         return await self.store.put("servers", name, value)
 
     async def drain_runner(self, name: str) -> None:
--- a/pollenfork/platform/tests/test_documents.py
+++ b/pollenfork/platform/tests/test_documents.py
@@ -91,28 +91,6 @@
     assert isinstance(read(strange), result.Err)
 
 
-def test_a_runners_entry_is_decoded() -> None:
-    entry = {
-        "service": "huvo",
-        "address": "10.128.0.9:8080",
-        "zone": "amman-a",
-        "version": "v1",
-        "slots": 64,
-        "state": "ready",
-        "cold-remaining-ms": 1500,
-        "sequence": 4,
-    }
-    runner = documents.read_runner("i-7", json.dumps(entry).encode()).unwrap()
-    assert (runner.id, runner.host, runner.port) == ("i-7", "10.128.0.9", 8080)
-    assert not runner.leaving and runner.cold_s == 1.5
-    entry["state"] = "draining"
-    runner = documents.read_runner("i-7", json.dumps(entry).encode()).unwrap()
-    assert runner.leaving
-    assert isinstance(
-        documents.read_runner("i-7", b'{"service":1}'), result.Err
-    )
-
-
 def test_rows_are_decoded() -> None:
     body = json.dumps(
         {
--- /dev/null
+++ b/pollenfork/platform/tests/test_entries.py
@@ -0,0 +1,178 @@
+import base64
+import json
+
+from hypothesis import given
+from hypothesis import strategies
+import pytest
+import result
+
+from pollenfork.catalogue import messages
+from pollenfork.fleet import errors
+from pollenfork.fleet import model as fleet
+from pollenfork.platform import rows
+from pollenfork.platform import store
+
+Fault = errors.EntryFault
+PLATFORM = store.Store("h")
+
+ENTRY = {
+    "service": "huvo",
+    "address": "10.128.0.9:8080",
+    "zone": "amman-a",
+    "version": "v1",
+    "slots": 64,
+    "state": "ready",
+    "cold-remaining-ms": 1500,
+    "sequence": 4,
+}
+ENGINE = {**ENTRY, "stage": "combined", "models": [{"name": "m"}]}
+
+
+def read(value: bytes, key: str = "i-7"):
+    return PLATFORM.read_runner(messages.Row(key, value, 1))
+
+
+def find_fault(entry: object, key: str = "i-7") -> Fault | None:
+    found = read(json.dumps(entry).encode(), key)
+    return found.err_value.fault if isinstance(found, result.Err) else None
+
+
+@pytest.mark.parametrize("entry", [ENTRY, ENGINE, {**ENTRY, "later": 1}])
+@pytest.mark.parametrize("born", [{}, {"born": 0}, {"born": 1764712843123}])
+def test_what_runners_write_names_a_runner(entry: dict, born: dict) -> None:
+    assert find_fault({**entry, **born}) is None
+
+
+def test_a_runners_entry_is_decoded() -> None:
+    runner = read(json.dumps(ENTRY).encode()).unwrap()
+    assert (runner.id, runner.host, runner.port) == ("i-7", "10.128.0.9", 8080)
+    assert not runner.leaving and runner.cold_s == 1.5
+    leaving = {**ENTRY, "state": "draining"}
+    assert read(json.dumps(leaving).encode()).unwrap().leaving
+
+
+@pytest.mark.parametrize("field", list(ENTRY))
+def test_an_entry_without_a_field_names_none(field: str) -> None:
+    left = {name: value for name, value in ENTRY.items() if name != field}
+    assert find_fault(left) is Fault.MISSING_FIELD
+
+
+@pytest.mark.parametrize("field", [*ENGINE, "born"])
+@pytest.mark.parametrize("value", [None, True, {}, [3], "7", 2.5])
+def test_a_field_of_another_type_names_none(field: str, value: object) -> None:
+    fits = {
+        "service": str,
+        "address": str,
+        "zone": str,
+        "version": str,
+        "state": str,
+        "stage": str,
+        "models": list,
+        "cold-remaining-ms": float,
+    }
+    if type(value) is not fits.get(field, int):
+        assert find_fault({**ENGINE, field: value}) is Fault.OTHER_TYPE
+
+
+@pytest.mark.parametrize(
+    ("field", "value", "fault"),
+    [
+        ("slots", 0, Fault.OUT_OF_RANGE),
+        ("slots", -4, Fault.OUT_OF_RANGE),
+        ("slots", 10**9, Fault.OUT_OF_RANGE),
+        ("sequence", -1, Fault.OUT_OF_RANGE),
+        ("born", -1, Fault.OUT_OF_RANGE),
+        ("born", 1764712843123.0, Fault.OTHER_TYPE),
+        ("born", 1764712843123.5, Fault.OTHER_TYPE),
+        ("cold-remaining-ms", -1, Fault.OUT_OF_RANGE),
+        ("service", "", Fault.OUT_OF_RANGE),
+        ("zone", "", Fault.OUT_OF_RANGE),
+        ("state", "", Fault.UNKNOWN_STATE),
+        ("state", "READY", Fault.UNKNOWN_STATE),
+        ("state", "sleeping", Fault.UNKNOWN_STATE),
+        ("address", "", Fault.NO_ADDRESS),
+        ("address", "10.128.0.9", Fault.NO_ADDRESS),
+        ("address", ":8080", Fault.NO_ADDRESS),
+        ("address", "10.128.0.9:0", Fault.NO_ADDRESS),
+        ("address", "10.128.0.9:99999", Fault.NO_ADDRESS),
+        ("address", "10.128.0.9:-1", Fault.NO_ADDRESS),
+        ("address", "10.128.0.9:8\u0660", Fault.NO_ADDRESS),
+        ("address", "10.128.0.900:8080", Fault.NO_ADDRESS),
+        ("address", "0.0.0.0:8080", Fault.NO_ADDRESS),
+        ("address", "runner.example:8080", Fault.NO_ADDRESS),
+        ("address", "10.128.0.9\r\nx: y:8080", Fault.NO_ADDRESS),
+    ],
+)
+def test_a_value_that_no_runner_has_names_none(field, value, fault) -> None:
+    assert find_fault({**ENTRY, field: value}) is fault
+
+
+@pytest.mark.parametrize(
+    "key", ["", "a b", "i-7\r\nx: y", "i-\u00e9", "i" * 201]
+)
+def test_an_id_that_no_head_may_hold_names_none(key: str) -> None:
+    assert find_fault(ENTRY, key) is Fault.OUT_OF_RANGE
+
+
+@pytest.mark.parametrize(
+    "value", [b"", b"\xff\x00", b"{", b"[]", b"7", b'"x"', b"[" * 100_000]
+)
+def test_bytes_that_are_no_entry_name_none(value: bytes) -> None:
+    assert read(value).err_value.fault is Fault.NOT_DECODABLE
+
+
+_VALUES = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats()
+    | strategies.text(),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(strategies.text(), inner, max_size=3)
+    ),
+    max_leaves=5,
+)
+
+
+@given(
+    key=strategies.text(max_size=30),
+    changes=strategies.dictionaries(
+        strategies.sampled_from([*ENGINE, "born"]), _VALUES
+    ),
+)
+def test_whatever_an_entry_holds_it_names_a_usable_runner_or_none(
+    key: str, changes: dict
+) -> None:
+    found = read(json.dumps({**ENGINE, **changes}).encode(), key)
+    if isinstance(found, result.Err):
+        assert isinstance(found.err_value, errors.BadEntry)
+        return
+    runner = found.ok_value
+    assert isinstance(runner, fleet.Runner)
+    assert 0 < runner.port < 65536 and runner.slots > 0
+    assert "\n" not in runner.id + runner.host
+
+
+@given(strategies.binary(max_size=200), strategies.text(max_size=20))
+def test_no_bytes_raise(value: bytes, key: str) -> None:
+    assert isinstance(read(value, key), result.Err)
+
+
+def test_one_value_that_is_no_base64_leaves_the_other_rows_readable() -> None:
+    good = base64.b64encode(json.dumps(ENTRY).encode()).decode()
+    told = [
+        {"key": "a", "value": good, "row-version": 3},
+        {"key": "b", "value": good[:-3], "row-version": 4},
+        {"key": "c", "value": "\u00e9" + good, "row-version": 5},
+        {"key": "d", "value": good, "row-version": 6},
+    ]
+    body = json.dumps({"row-version": 7, "rows": told}).encode()
+    read_rows = rows.read(body).unwrap().rows
+    named = [
+        row.key
+        for row in read_rows
+        if isinstance(PLATFORM.read_runner(row), result.Ok)
+    ]
+    assert named == ["a", "d"]
+    assert [row.version for row in read_rows] == [3, 4, 5, 6]
--- a/pollenfork/platform/tests/test_gateway.py
+++ b/pollenfork/platform/tests/test_gateway.py
@@ -17,6 +17,7 @@
 from pollenfork.platform import caches
 from pollenfork.platform import heads
 from pollenfork.platform import store
+from pollenfork.platform.tests import support
 from pollenfork.platform.tests.soak import caller
 from pollenfork.platform.tests.soak import runner
 from pollenfork.platform.tests.soak import site as sites
@@ -79,7 +80,7 @@
         )
 
     async def register(self) -> None:
-        entry = {"service": "model", "address": f"{_HOST}:{_RUNNER}"}
+        entry = support.make_entry("model", f"{_HOST}:{_RUNNER}", slots=1)
         await self.store.put("servers", "i-1", entry)
 
     async def wait_ready(self, ready: bool = True) -> None:
@@ -193,8 +194,9 @@
             await bench.register()
             await bench.wait_ready()
             asking = asyncio.create_task(bench.caller.ask("unsafe", "key"))
-            while not bench.record.runs:
-                await asyncio.sleep(0)
+            async with asyncio.timeout(10):
+                while not bench.record.runs:
+                    await asyncio.sleep(0)
             bench.gateway.stop()
             assert not await bench.is_ready()
             return await asking
