Take no answer of the store from before what is known already

Cause: after the store had forgotten its history a whole read was taken whatever its version. From a copy some seconds old it brought back runners that had left and counted as proof that no key had been taken away; another instance's older table was taken too.

Now an answer older than what was ever known is trouble 'stale': asked again after a pause, no proof, nothing changes. The state machine reads old copies; without the check it fails (a runner that was removed comes back).

test_a_hurry_asks_the_store_also_beside_a_relay had a store that answered from before what its relay had told, and took that for proof: its store now knows the same, and a new test says that the older answer is none.

--- a/pollenfork/catalogue/messages.py
+++ b/pollenfork/catalogue/messages.py
@@ -60,6 +60,7 @@
     HISTORY_GONE = "history_gone"  # The changes asked for are forgotten.
     NO_ANSWER = "no_answer"  # Closed, unreachable or too late.
     UNREADABLE = "unreadable"  # The answer can't be decoded.
+    STALE = "stale"  # It is from before what is known already.
 
     @property
     def is_failure(self) -> bool:
--- a/pollenfork/catalogue/tests/test_watch.py
+++ b/pollenfork/catalogue/tests/test_watch.py
@@ -88,6 +88,24 @@
     assert watched.next_ask().start == ""
 
 
+def test_an_answer_from_before_what_is_known_is_stale() -> None:
+    watched = make_watch()
+    answer(watched, Row("a", b"", 4), version=9)
+    assert watched.is_stale(Rows((), 8))
+    assert not watched.is_stale(Rows((), 9))
+    # Forgotten history doesn't make older answers any better.
+    watched.take_trouble(messages.Trouble.HISTORY_GONE)
+    assert watched.is_stale(Rows((Row("b", b"", 3),), 8))
+    assert watched.take_table(Rows((Row("b", b"", 3),), 9)) is None
+    assert watched.take_table(Rows((Row("b", b"", 10),), 10)) is not None
+
+
+def test_a_page_from_before_the_first_is_stale() -> None:
+    watched = make_watch()
+    answer(watched, Row("a", b"", 1), version=5, more=True)
+    assert watched.is_stale(Rows((Row("b", b"", 3),), 4))
+
+
 class StoreMachine(stateful.RuleBasedStateMachine):
     """A store that changes, forgets and fails, and one that watches it."""
 
@@ -99,6 +117,7 @@
         self.forgotten = 0
         self.watched = make_watch()
         self.seen: dict[str, Row] = {}
+        self.copies: list[tuple[dict[str, Row], int]] = [({}, 0)]
 
     @stateful.rule(key=strategies.sampled_from("abcd"))
     def put(self, key: str) -> None:
@@ -119,6 +138,20 @@
         self.history.clear()
         self.forgotten = self.version
 
+    @stateful.rule()
+    def copy(self) -> None:
+        self.copies.append((dict(self.rows), self.version))
+
+    @stateful.rule(behind=strategies.integers(1, 3))
+    def read_an_old_copy(self, behind: int) -> None:
+        ask = self.watched.next_ask()
+        if ask.after is not None:
+            return
+        present, version = self.copies[-min(behind, len(self.copies))]
+        found = sorted(key for key in present if key >= ask.start)
+        page = tuple(present[key] for key in found[:2])
+        self._take(ask, Rows(page, version, len(found) > 2))
+
     @stateful.rule()
     def fail(self) -> None:
         self.watched.take_trouble(messages.Trouble.NO_ANSWER)
@@ -140,6 +173,12 @@
         else:
             changed = [r for r in self.history if r.version > ask.after]
             rows = Rows(tuple(changed), self.version)
+        self._take(ask, rows)
+
+    def _take(self, ask: messages.Ask, rows: Rows) -> None:
+        if self.watched.is_stale(rows):
+            self.watched.take_trouble(messages.Trouble.STALE)
+            return
         changes = self.watched.take_rows(ask, rows)
         for row in changes.rows if changes else ():
             known = self.seen.get(row.key)
--- a/pollenfork/catalogue/watch.py
+++ b/pollenfork/catalogue/watch.py
@@ -57,6 +57,8 @@
         self._state = WatchState()
         self._known: dict[str, int] = {}
         self._pages: list[messages.Row] = []
+        # The newest version up to which everything was ever known.
+        self._floor = 0
 
     @property
     def loaded(self) -> bool:
@@ -81,6 +83,14 @@
             after=state.version, wait_s=wait_s, timeout_s=wait_s + _SLACK_S
         )
 
+    def is_stale(self, rows: messages.Rows) -> bool:
+        """Returns whether an answer is from before what is known already.
+
+        A store that answers from an old copy would bring back runners that
+        have left, and pass for proof that nothing has changed.
+        """
+        return rows.version < max(self._floor, self._state.reading_version or 0)
+
     def ask_at_once(self) -> None:
         """Lets the next call ask for what is there now, without a wait."""
         self._state.at_once = True
@@ -93,7 +103,7 @@
         self._state.at_once = False
         if ask.after is None:
             return self._take_page(rows)
-        through = self._state.version = max(ask.after, rows.version)
+        through = self._advance(max(ask.after, rows.version))
         return messages.Changes(self._keep_newer(rows.rows), through)
 
     def take_table(self, rows: messages.Rows) -> messages.Changes | None:
@@ -104,7 +114,7 @@
             holds also for one that has read nothing yet: its empty table must
             not pass for the store's.
         """
-        if rows.version <= (self._state.version or 0):
+        if rows.version <= self._floor:
             return None
         self._restart_read()
         return self._take_page(rows)
@@ -131,6 +141,12 @@
         """Counts failures anew, as the table is heard of elsewhere."""
         self._state.failures = 0
 
+    def _advance(self, version: int) -> int:
+        """Notes that everything up to a version is known; returns it."""
+        self._state.version = version
+        self._floor = max(self._floor, version)
+        return version
+
     def _restart_read(self) -> None:
         self._pages.clear()
         self._state.start = ""
@@ -146,7 +162,7 @@
             return None
         # Later pages are newer than the first: changes since that one come
         # again and are dropped by their versions.
-        through = state.version = state.reading_version
+        through = self._advance(state.reading_version)
         present = {row.key for row in self._pages}
         # They were removed after their last known version, nobody knows when.
         gone = tuple(
--- a/pollenfork/gateway/following.py
+++ b/pollenfork/gateway/following.py
@@ -233,9 +233,11 @@
             if self._guide.relay is not None and self._guide.news:
                 return 0.0
             return self._take_trouble(answer.err_value, sent_at)
+        rows = answer.ok_value
+        if self._watch.is_stale(rows):
+            return self._take_trouble(catalogue.Trouble.STALE, sent_at)
         for note in self._on_answer:
             note(self._loop.time())
-        rows = answer.ok_value
         self._note_back()
         changes = self._watch.take_rows(ask, rows)
         if changes is None:
--- a/pollenfork/gateway/tests/test_following.py
+++ b/pollenfork/gateway/tests/test_following.py
@@ -200,6 +200,7 @@
         bench.tell(7, Row("b", b"2", 7))
         bench.guide(news=True)
         await bench.wait_for(lambda: len(bench.seen) == 2)
+        bench.store.rows = messages.Rows((Row("b", b"2", 7),), 7)
         bench.follower.hurry()
         await bench.wait_for(lambda: len(bench.proofs) == 2)
         assert bench.store.asked[2].wait_s == 0.0
@@ -207,6 +208,22 @@
     play(course)
 
 
+def test_an_answer_older_than_what_a_relay_told_is_no_proof(caplog) -> None:
+    caplog.set_level(logging.INFO, "pollenfork.gateway.following")
+
+    async def course(bench):
+        await bench.wait_for(lambda: len(bench.store.asked) == 2)
+        bench.tell(7, Row("b", b"2", 7))
+        bench.guide(news=True)
+        await bench.wait_for(lambda: len(bench.seen) == 2)
+        # The store answers from a copy that is older than that.
+        bench.follower.hurry()
+        await bench.wait_for(lambda: "trouble=stale" in caplog.text)
+        assert (len(bench.proofs), len(bench.seen)) == (1, 2)
+
+    play(course)
+
+
 def test_a_relay_that_is_silent_or_behind_changes_nothing(caplog) -> None:
     async def course(bench):
         await bench.wait_for(lambda: len(bench.store.asked) == 2)
