Let what is believed of a runner end with its incarnation

Cause: a runner may start again under its id and then knows nothing of before. Connections, caches, loads, failure rates and patience were kept by id alone, and the feeds' epoch wasn't read.

Now an incarnation is an id with its start. An entry with a later start, or an answer of a runner's own that names one, ends everything at once; an earlier one changes nothing wherever its news comes from. Where no start is told, counts that begin anew tell it. The hash that stands for a runner among instances is of its incarnation, so loads and placements of the one before fall away by themselves; without a start it is as before, so both versions hear each other during a roll. A feed whose epoch changes is asked from the start again.

Ruled out: breaking off what is under way where no start is told, as a connection may be to the new one already. A runner's clock decides that, with the machine's: a step of 2 s between them may break off an attempt begun in the 2 s after a restart, or leave one before it to its patience.

The tests found a fault of the change itself: a feed's first answer lost its epoch, so each call would have begun anew.

--- a/pollenfork/fleet/choice.py
+++ b/pollenfork/fleet/choice.py
@@ -229,7 +229,13 @@
         """Returns what is known of a runner."""
         seen = self._standings.get(runner)
         if seen is None:
-            seen = standing.Standing(loads.hash_name(runner.encode()))
+            known = self._registry.find(runner)
+            incarnation = (
+                model.Incarnation(runner)
+                if known is None
+                else known.incarnation
+            )
+            seen = standing.Standing(loads.hash_name(incarnation.name))
             self._standings[runner] = seen
         return seen
 
--- a/pollenfork/fleet/messages.py
+++ b/pollenfork/fleet/messages.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from pollenfork import ids
+
 
 class End(enum.Enum):
     """How an attempt at a runner ended, and what that proves.
@@ -46,9 +48,13 @@
         through: The number of the last change, from which to go on.
         whole: Whether these are all parts kept, not changes.
         gap: Whether changes before these are missing.
+        epoch: Another one where its numbers begin anew, as it does itself.
+        start: When it started; None where it doesn't say.
     """
 
     changes: tuple[CacheChange, ...]
     through: int
     whole: bool = False
     gap: bool = False
+    epoch: str = ""
+    start: ids.RunnerStart | None = None
--- a/pollenfork/fleet/registry.py
+++ b/pollenfork/fleet/registry.py
@@ -1,11 +1,18 @@
 """Which runners there are, by the registry's rows."""
 
+import collections
 from collections.abc import Callable
 import enum
 
+import msgspec
+
 from pollenfork import ids
 from pollenfork.fleet import model
 
+# Runners whose latest start is remembered, those that have left among them, so
+# that late news of an earlier one is known as such. Some 200 bytes each.
+_STARTS_REMEMBERED = 4096
+
 
 class Removal(enum.Enum):
     """What came of the news that an entry is gone."""
@@ -15,6 +22,14 @@
     KEPT = "kept"  # Its entry may only have lapsed; it takes work meanwhile.
 
 
+class Arrival(enum.Enum):
+    """What came of an entry."""
+
+    TAKEN = "taken"  # It is in force.
+    RESTARTED = "restarted"  # It is, and its runner has started anew.
+    OUTDATED = "outdated"  # It is of a start before the known one.
+
+
 class Registry:
     """The runners of every service.
 
@@ -32,21 +47,55 @@
         self._trusted_until = 0.0
         self.kept = 0
         self._on_gone: list[Callable[[ids.EndpointId], None]] = []
+        self._on_restart: list[Callable[[model.Runner], None]] = []
+        # The latest start of each runner, also of those that have left.
+        self._starts: collections.OrderedDict[
+            ids.EndpointId, ids.RunnerStart
+        ] = collections.OrderedDict()
+
+    def when_restarted(self, call: Callable[[model.Runner], None]) -> None:
+        """Calls `call` with each runner that has started anew under its id.
+
+        Whatever was believed of it is forgotten by then.
+        """
+        self._on_restart.append(call)
 
     def when_gone(self, call: Callable[[ids.EndpointId], None]) -> None:
         """Calls `call` with each runner that takes no more work."""
         self._on_gone.append(call)
 
-    def put(self, runner: model.Runner) -> None:
-        """Takes a runner's entry."""
+    def put(self, runner: model.Runner) -> Arrival:
+        """Takes a runner's entry, newer by the registry than the one known."""
+        if self._is_outdated(runner):
+            return Arrival.OUTDATED
+        self._note_start(runner)
         old = self._runners.get(runner.id)
         self._lapsed.pop(runner.id, None)
-        if old is not None and old.service != runner.service:
+        restarted = old is not None and runner.is_restart_of(old)
+        if old is not None and (restarted or old.service != runner.service):
             self._drop(runner.id)
         self._runners[runner.id] = runner
         self._services.setdefault(runner.service, {})[runner.id] = None
         if runner.leaving and not (old is not None and old.leaving):
             self._tell_gone(runner.id)
+        if not restarted:
+            return Arrival.TAKEN
+        for call in self._on_restart:
+            call(runner)
+        return Arrival.RESTARTED
+
+    def note_start(
+        self, runner: ids.EndpointId, start: ids.RunnerStart | None
+    ) -> Arrival:
+        """Takes what a runner's own answer says of its start."""
+        known = self._runners.get(runner)
+        if known is None or known.start is None or start is None:
+            return Arrival.TAKEN
+        if start == known.start:
+            return Arrival.TAKEN
+        # It leaves no more than it has left: that was the one before.
+        told = msgspec.structs.replace(known, start=start, leaving=False)
+        return self.put(told)
 
     def remove(self, runner: ids.EndpointId, now: float) -> Removal:
         """Takes the news that a runner's entry is gone."""
@@ -107,6 +156,22 @@
         """The number of runners known."""
         return len(self._runners)
 
+    def _is_outdated(self, runner: model.Runner) -> bool:
+        latest = self._starts.get(runner.id)
+        return (
+            latest is not None
+            and runner.start is not None
+            and runner.start < latest
+        )
+
+    def _note_start(self, runner: model.Runner) -> None:
+        if runner.start is None:
+            return
+        self._starts[runner.id] = runner.start
+        self._starts.move_to_end(runner.id)
+        if len(self._starts) > _STARTS_REMEMBERED:
+            self._starts.popitem(last=False)
+
     def _drop(self, runner: ids.EndpointId) -> None:
         known = self._runners.pop(runner)
         self._services[known.service].pop(runner, None)
--- a/pollenfork/fleet/tests/test_registry.py
+++ b/pollenfork/fleet/tests/test_registry.py
@@ -1,4 +1,10 @@
+import random
+
+from hypothesis import stateful
+from hypothesis import strategies
+
 from pollenfork import ids
+from pollenfork.fleet import choice
 from pollenfork.fleet import model
 from pollenfork.fleet import registry
 
@@ -81,3 +87,165 @@
     runners.remove(ids.EndpointId("r1"), now=5.0)
     assert list_takers(runners, "s") == []
     assert list_takers(runners, "t") == ["r2"]
+
+
+Arrival = registry.Arrival
+
+
+def test_a_later_start_under_its_id_is_another_incarnation() -> None:
+    runners, gone, restarted = registry.Registry(), [], []
+    runners.when_gone(gone.append)
+    runners.when_restarted(restarted.append)
+    assert runners.put(make_runner("r", start=100)) is Arrival.TAKEN
+    assert runners.put(make_runner("r", start=100)) is Arrival.TAKEN
+    assert gone == []
+    again = make_runner("r", start=200)
+    assert runners.put(again) is Arrival.RESTARTED
+    assert (gone, restarted) == (["r"], [again])
+    assert list_takers(runners) == ["r"]
+
+
+def test_an_earlier_start_never_replaces_a_later_one() -> None:
+    runners = registry.Registry()
+    runners.put(make_runner("r", start=200))
+    late = make_runner("r", start=100, leaving=True)
+    assert runners.put(late) is Arrival.OUTDATED
+    assert list_takers(runners) == ["r"]
+    runners.remove(ids.EndpointId("r"), now=5.0)
+    assert runners.put(make_runner("r", start=100)) is Arrival.OUTDATED
+    assert list_takers(runners) == []
+    assert runners.put(make_runner("r", start=200)) is Arrival.TAKEN
+
+
+def test_one_that_left_and_started_again_takes_work_at_once() -> None:
+    runners = registry.Registry()
+    runners.put(make_runner("r", start=100, leaving=True))
+    assert runners.put(make_runner("r", start=200)) is Arrival.RESTARTED
+    assert list_takers(runners) == ["r"]
+
+
+def test_a_start_that_a_runner_tells_itself_counts_before_its_entry() -> None:
+    runners, gone = registry.Registry(), []
+    runners.when_gone(gone.append)
+    runner = ids.EndpointId("r")
+    runners.put(make_runner("r", start=100))
+    assert runners.note_start(runner, 200) is Arrival.RESTARTED
+    assert runners.find(runner).start == 200 and gone == ["r"]
+    # Its entry brings nothing new then, and the one before is outdated.
+    assert runners.put(make_runner("r", start=200)) is Arrival.TAKEN
+    assert runners.put(make_runner("r", start=100)) is Arrival.OUTDATED
+    assert runners.note_start(runner, 100) is Arrival.OUTDATED
+    assert gone == ["r"]
+
+
+def test_counts_that_begin_anew_tell_a_start_that_nobody_names() -> None:
+    runners = registry.Registry()
+    runners.put(make_runner("r", sequence=7))
+    assert runners.put(make_runner("r", sequence=9)) is Arrival.TAKEN
+    assert runners.put(make_runner("r", sequence=1)) is Arrival.RESTARTED
+    # One that names its start is told by that alone.
+    runners.put(make_runner("q", sequence=7, start=100))
+    assert runners.put(make_runner("q", sequence=1, start=100)) is Arrival.TAKEN
+
+
+def test_all_that_is_believed_of_a_runner_ends_with_its_incarnation() -> None:
+    runners = registry.Registry()
+    chooser = choice.Chooser(runners, random.Random(1))
+    runners.put(make_runner("r", start=100))
+    before = chooser.find_standing(ids.EndpointId("r"))
+    before.failing, before.active = 0.9, 3
+    chooser.caches.note(before.mark, 7)
+    runners.put(make_runner("r", start=200))
+    after = chooser.find_standing(ids.EndpointId("r"))
+    assert (after.failing, after.active) == (0.0, 0)
+    assert after.mark != before.mark
+    assert chooser.caches.list_kept() == []
+    assert chooser.list_loads() == {}
+
+
+class News(stateful.RuleBasedStateMachine):
+    """Starts and leavings; news of them by several ways, late and reordered.
+
+    Entries arrive in the order of their versions, as a table's follower sees
+    to; what a runner says of its own start arrives at any time.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.runners = registry.Registry()
+        self.written: list[model.Runner | None] = []
+        self.read = 0
+        self.starts: list[int] = []
+        self.latest_told = 0
+        self.sequence = 0
+
+    @stateful.initialize()
+    def start_first(self) -> None:
+        self.start_again()
+
+    def _write(self, leaving: bool) -> None:
+        self.sequence += 1
+        self.written.append(
+            make_runner(
+                "r",
+                start=self.starts[-1],
+                leaving=leaving,
+                sequence=self.sequence,
+            )
+        )
+
+    @stateful.rule()
+    def start_again(self) -> None:
+        self.starts.append(len(self.starts) + 1)
+        self.sequence = 0
+        self._write(leaving=False)
+
+    @stateful.rule()
+    def leave(self) -> None:
+        self._write(leaving=True)
+
+    @stateful.rule()
+    def remove(self) -> None:
+        self.written.append(None)
+
+    @stateful.rule(count=strategies.integers(1, 3))
+    def read_on(self, count: int) -> None:
+        for entry in self.written[self.read : self.read + count]:
+            self.read += 1
+            if entry is None:
+                self.runners.remove(ids.EndpointId("r"), now=0.0)
+            else:
+                self.runners.put(entry)
+                self.latest_told = max(self.latest_told, entry.start)
+
+    @stateful.rule(back=strategies.integers(1, 4))
+    def read_an_old_entry(self, back: int) -> None:
+        entry = self.written[max(0, self.read - back)]
+        if entry is None or entry.start >= self.latest_told:
+            return
+        assert self.runners.put(entry) is Arrival.OUTDATED
+
+    @stateful.rule(back=strategies.integers(1, 3))
+    def hear_a_start(self, back: int) -> None:
+        start = self.starts[-min(back, len(self.starts))]
+        known = self.runners.find(ids.EndpointId("r"))
+        self.runners.note_start(ids.EndpointId("r"), start)
+        if known is not None:
+            self.latest_told = max(self.latest_told, start)
+
+    @stateful.invariant()
+    def no_earlier_start_is_in_force(self) -> None:
+        known = self.runners.find(ids.EndpointId("r"))
+        assert known is None or known.start == self.latest_told
+
+    @stateful.rule()
+    def settle(self) -> None:
+        self.read_on(len(self.written))
+        last, known = self.written[-1], self.runners.find(ids.EndpointId("r"))
+        if last is None:
+            assert known is None
+        else:
+            assert known == last or known.start > last.start
+
+
+TestNews = News.TestCase
--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -102,7 +102,7 @@
             counters=self.counters,
             read_loads_age=self._read_loads_age,
         )
-        self.known.runners.when_gone(self._tools.pool.forget)
+        connections.follow(self.known.runners)
         self._readiness = readiness.Readiness(self.known, self._stopping.is_set)
         self._sources = sources.Sources(told.store, store, self.known, rng)
         self._cache_feed = cache_feed.CacheFeed(
--- a/pollenfork/gateway/cache_feed.py
+++ b/pollenfork/gateway/cache_feed.py
@@ -10,6 +10,7 @@
 import logging
 import random
 
+import msgspec
 import result
 
 from pollenfork import failures
@@ -17,6 +18,7 @@
 from pollenfork.fleet import choice
 from pollenfork.fleet import messages as fleet_messages
 from pollenfork.fleet import model as fleet
+from pollenfork.fleet import registry
 from pollenfork.gateway import client
 from pollenfork.gateway import edges
 from pollenfork.gateway import knowledge
@@ -73,7 +75,7 @@
         self._data_centre = data_centre
         self._rng = rng
         self._relays_since: float | None = None
-        self._tasks: dict[ids.EndpointId, asyncio.Task[None]] = {}
+        self._tasks: dict[fleet.Incarnation, asyncio.Task[None]] = {}
 
     def check(self, others: peers.Peers) -> None:
         """Begins or ends to ask, by who relays and which runners there are."""
@@ -97,13 +99,13 @@
         for task in self._tasks.values():
             task.cancel()
 
-    def _list_wanted(self) -> dict[ids.EndpointId, fleet.Runner]:
+    def _list_wanted(self) -> dict[fleet.Incarnation, fleet.Runner]:
         if self._known.lookup is None:
             return {}
         services = self._known.lookup.configuration.services
         reading = {name for name, each in services.items() if each.cache_tokens}
         return {
-            runner.id: runner
+            runner.incarnation: runner
             for runner in self._known.runners.list_all()
             if runner.data_centre == self._data_centre
             and not runner.leaving
@@ -118,6 +120,7 @@
         """Follows one runner until cancelled."""
         calls = client.Client(loads.Address(runner.host, runner.port))
         after: int | None = None
+        epoch = ""
         pause_s = _FIRST_PAUSE_S
         try:
             while True:
@@ -133,6 +136,15 @@
                     pause_s = min(pause_s * 2, _LONGEST_PAUSE_S)
                     continue
                 news = heard.ok_value
+                if not self._is_of(runner, news):
+                    after = None
+                    await asyncio.sleep(_FIRST_PAUSE_S)
+                    continue
+                if after is not None and news.epoch != epoch:
+                    # Its numbers begin anew, and so must the questions.
+                    after = None
+                    continue
+                epoch = news.epoch
                 changed = self._chooser.take_news(runner.id, news)
                 if news.whole:
                     _LOG.info(
@@ -147,6 +159,25 @@
         finally:
             calls.close()
 
+    def _is_of(
+        self, runner: fleet.Runner, news: fleet_messages.CacheNews
+    ) -> bool:
+        """Returns whether news are of the start that is followed.
+
+        A later one that its entry doesn't show yet is told to all from here.
+        """
+        if news.start is None or news.start == runner.start:
+            return True
+        arrival = self._known.runners.note_start(runner.id, news.start)
+        if arrival is registry.Arrival.RESTARTED:
+            _LOG.info(
+                "event=runner_restarted runner=%s start=%d before=%s",
+                runner.id,
+                news.start,
+                runner.start,
+            )
+        return runner.start is None
+
     async def _ask(
         self, calls: client.Client, runner: fleet.Runner, after: int | None
     ) -> News:
@@ -188,4 +219,4 @@
         else:
             kept.pop(change.part, None)
     changes = tuple(fleet_messages.CacheChange(part, True) for part in kept)
-    return fleet_messages.CacheNews(changes, news.through, whole=True)
+    return msgspec.structs.replace(news, changes=changes, whole=True)
--- a/pollenfork/gateway/connection.py
+++ b/pollenfork/gateway/connection.py
@@ -46,6 +46,7 @@
             None where it doesn't say.
         reusable: Whether another exchange may follow.
         exchanges: Exchanges begun on it.
+        opened_at: The time of day at which it was opened, in seconds.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -59,6 +60,7 @@
         self._skipping = False
         self._lost = False
         self.idle_since = 0.0
+        self.opened_at = 0.0
         self.idle_limit_s: float | None = None
         self.reusable = True
         self.exchanges = 0
--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -168,6 +168,7 @@
             grant.note_first,
         )
         self._current = found
+        self._tools.pool.note_begun(grant.runner, found)
         found.send(self._write_call(grant), receiver)
         limits = patience.Patience.of(
             admitted,
@@ -181,6 +182,7 @@
             raise
         finally:
             self._current = None
+            self._tools.pool.note_ended(grant.runner, found)
         if receiver.phase is attempt.Phase.ENDED and found.usable:
             self._tools.pool.give_back(grant.runner, found)
         else:
--- a/pollenfork/gateway/knowledge.py
+++ b/pollenfork/gateway/knowledge.py
@@ -255,13 +255,23 @@
             if isinstance(read, result.Err):
                 self._refuse_entry(row, read.err_value)
                 continue
-            self.runners.put(read.ok_value)
+            arrival = self.runners.put(read.ok_value)
+            if arrival is registry.Arrival.OUTDATED:
+                _LOG.info(
+                    "event=runner_outdated runner=%s row=%d start=%s",
+                    row.key,
+                    row.version,
+                    read.ok_value.start,
+                )
+                continue
             _LOG.info(
-                "event=runner_known runner=%s service=%s leaving=%s row=%d",
+                "event=runner_known runner=%s service=%s leaving=%s row=%d "
+                "restarted=%s",
                 row.key,
                 read.ok_value.service,
                 read.ok_value.leaving,
                 row.version,
+                arrival is registry.Arrival.RESTARTED,
             )
 
     def expire_runners(self, now: float) -> None:
--- a/pollenfork/gateway/pool.py
+++ b/pollenfork/gateway/pool.py
@@ -1,7 +1,9 @@
 """Kept connections to runners, by incarnation."""
 
 import asyncio
+from collections.abc import Callable
 import enum
+import time
 
 import msgspec
 import result
@@ -9,6 +11,7 @@
 from pollenfork import failures
 from pollenfork import ids
 from pollenfork.fleet import model as fleet
+from pollenfork.fleet import registry
 from pollenfork.gateway import connection
 
 # A connection that will be established takes 1 to 3 ms here; one that was
@@ -45,16 +48,33 @@
 class Pool:
     """Hands out connections, newest first, and closes those left over."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        wall: Callable[[], float] = time.time,
+    ) -> None:
+        """Starts with none.
+
+        Args:
+            loop: Its clock tells how long a connection was idle.
+            wall: Returns the time of day, which runners' starts are told in.
+        """
         self._loop = loop
-        self._idle: dict[ids.EndpointId, list[connection.Connection]] = {}
+        self._wall = wall
+        self._idle: dict[fleet.Incarnation, list[connection.Connection]] = {}
+        self._busy: dict[ids.EndpointId, set[connection.Connection]] = {}
         self.counters = PoolCounters()
 
+    def follow(self, runners: registry.Registry) -> None:
+        """Lets go of what is kept or under way at runners that end."""
+        runners.when_gone(self.forget)
+        runners.when_restarted(self.end_before)
+
     def take(
         self, runner: fleet.Runner, care: Care
     ) -> connection.Connection | None:
         """Returns a kept connection that is fit for use."""
-        kept = self._idle.get(runner.id)
+        kept = self._idle.get(runner.incarnation)
         while kept:
             found = kept.pop()
             if self._is_fit(found, care):
@@ -84,13 +104,14 @@
             kind = type(error).__name__
             return result.Err(Unreachable(detail=f"{runner.host}: {kind}"))
         opened.idle_since = self._loop.time()
+        opened.opened_at = self._wall()
         return result.Ok(opened)
 
     def give_back(
         self, runner: fleet.Runner, used: connection.Connection
     ) -> None:
         """Keeps a connection for the next request, if it may have one."""
-        kept = self._idle.setdefault(runner.id, [])
+        kept = self._idle.setdefault(runner.incarnation, [])
         if not used.usable or len(kept) >= _IDLE_LIMIT:
             used.abort()
             return
@@ -98,8 +119,38 @@
 
     def forget(self, runner: ids.EndpointId) -> None:
         """Closes what is kept for a runner."""
-        for kept in self._idle.pop(runner, []):
-            kept.abort()
+        for incarnation in [each for each in self._idle if each.id == runner]:
+            for kept in self._idle.pop(incarnation):
+                kept.abort()
+
+    def note_begun(
+        self, runner: fleet.Runner, used: connection.Connection
+    ) -> None:
+        """Notes that an exchange begins on a connection."""
+        self._busy.setdefault(runner.id, set()).add(used)
+
+    def note_ended(
+        self, runner: fleet.Runner, used: connection.Connection
+    ) -> None:
+        """Notes that the exchange on a connection has ended."""
+        busy = self._busy.get(runner.id, set())
+        busy.discard(used)
+        if not busy:
+            self._busy.pop(runner.id, None)
+
+    def end_before(self, runner: fleet.Runner) -> None:
+        """Ends the exchanges with what a runner was before its last start.
+
+        Whoever waits there is told at once. A connection opened since then is
+        to the one that runs now. The two clocks may differ by milliseconds,
+        and a runner listens some hundred after its start.
+        """
+        if runner.start is None:
+            return
+        started_at = runner.start / 1000.0
+        for used in list(self._busy.get(runner.id, ())):
+            if used.opened_at < started_at:
+                used.break_off()
 
     def sweep(self) -> None:
         """Closes what has been idle for too long."""
@@ -112,7 +163,7 @@
 
     def close(self) -> None:
         """Closes everything."""
-        for runner in list(self._idle):
+        for runner in {each.id for each in self._idle}:
             self.forget(runner)
 
     def _is_fit(self, found: connection.Connection, care: Care) -> bool:
--- a/pollenfork/gateway/probing.py
+++ b/pollenfork/gateway/probing.py
@@ -11,7 +11,6 @@
 
 import result
 
-from pollenfork import ids
 from pollenfork.fleet import model as fleet
 from pollenfork.fleet import registry
 from pollenfork.fleet import standing
@@ -44,17 +43,18 @@
         self._pool = connections
         self._runners = runners
         self._rng = rng
-        self._tasks: dict[ids.EndpointId, asyncio.Task[None]] = {}
+        self._tasks: dict[fleet.Incarnation, asyncio.Task[None]] = {}
 
     def watch(self, runner: fleet.Runner, seen: standing.Standing) -> None:
         """Tries a runner until it is reached or gone."""
-        if runner.id in self._tasks:
+        tried = runner.incarnation
+        if tried in self._tasks:
             return
         # What is kept may be as dead, and tell nobody.
         self._pool.forget(runner.id)
         task = asyncio.get_running_loop().create_task(self._try(runner, seen))
-        self._tasks[runner.id] = task
-        task.add_done_callback(lambda done: self._tasks.pop(runner.id, None))
+        self._tasks[tried] = task
+        task.add_done_callback(lambda done: self._tasks.pop(tried, None))
 
     def close(self) -> None:
         """Ends all tries."""
@@ -64,7 +64,7 @@
     async def _try(self, runner: fleet.Runner, seen: standing.Standing) -> None:
         pause_s = _FIRST_S
         tries = 0
-        while not seen.reachable and self._runners.find(runner.id) is not None:
+        while not seen.reachable and self._is_known(runner):
             await asyncio.sleep(pause_s * self._rng.uniform(0.8, 1.2))
             pause_s = min(pause_s * 2, _LONGEST_S)
             tries += 1
@@ -78,3 +78,8 @@
             seen.reachable,
             tries,
         )
+
+    def _is_known(self, runner: fleet.Runner) -> bool:
+        """Returns whether the runner is there and hasn't started anew."""
+        known = self._runners.find(runner.id)
+        return known is not None and known.incarnation == runner.incarnation
--- a/pollenfork/gateway/tests/support.py
+++ b/pollenfork/gateway/tests/support.py
@@ -180,6 +180,7 @@
         self.longest_s: float | None = None
         self.runners = registry.Registry()
         connections = pool.Pool(loop)
+        connections.follow(self.runners)
         self.tools = context.Tools(
             loop=loop,
             rng=rng,
--- a/pollenfork/gateway/tests/test_cache_feed.py
+++ b/pollenfork/gateway/tests/test_cache_feed.py
@@ -21,7 +21,7 @@
 
 
 class CacheCodec:
-    """Answers hold `+part`, `-part`, and `gap` in words."""
+    """Answers hold `+part`, `-part`, `gap`, `epoch=` and `born=` in words."""
 
     def write_feed_ask(self, runner, after, wait_s):
         return b"GET /feed/%d HTTP/1.1\r\nx-id: q\r\n\r\n" % after
@@ -36,17 +36,22 @@
         changes = tuple(
             fleet_messages.CacheChange(word[1:], word[:1] == b"+")
             for word in words
-            if word != b"gap"
+            if word[:1] in b"+-"
         )
+        said = dict(word.split(b"=") for word in words if b"=" in word)
         news = fleet_messages.CacheNews(
-            changes, len(changes), gap=b"gap" in words
+            changes,
+            len(changes),
+            gap=b"gap" in words,
+            epoch=said.get(b"epoch", b"").decode(),
+            start=int(said[b"born"]) if b"born" in said else None,
         )
         return result.Ok(news)
 
     def read_list(self, status, body):
         return self.read_feed(status, body).map(
             lambda news: fleet_messages.CacheNews(
-                news.changes, news.through, whole=True
+                news.changes, news.through, whole=True, epoch=news.epoch
             )
         )
 
@@ -84,7 +89,7 @@
 
 
 @contextlib.asynccontextmanager
-async def follow(monkeypatch, *script: bytes | None):
+async def follow(monkeypatch, *script: bytes | None, start=None):
     """Follows a runner that answers by a script; yields all that matters."""
     monkeypatch.setattr(cache_feed, "_SETTLED_S", 0.0)
     monkeypatch.setattr(cache_feed, "_REST_S", 0.001)
@@ -93,7 +98,8 @@
     runner = support.Runner("r0", *script)
     runner.keeps = True
     known = Known()
-    known.runners.put(await runner.start())
+    entry = msgspec.structs.replace(await runner.start(), start=start)
+    known.runners.put(entry)
     feed, chooser = make_feed(known)
     try:
         yield feed, runner, chooser
@@ -157,6 +163,69 @@
     assert kept == mark(b"a", b"b")
 
 
+def test_numbers_that_begin_anew_are_asked_for_from_the_start(
+    monkeypatch,
+) -> None:
+    async def run() -> tuple[list[bytes], set[int]]:
+        told = [
+            b"epoch=1 +a +b +c",
+            b"epoch=1 -a",
+            b"epoch=2 +d",
+            b"epoch=2 +e",
+            b"epoch=2",
+        ]
+        script = [answer(text) for text in told]
+        async with follow(monkeypatch, *script) as (feed, runner, chooser):
+            feed.check(Peers())
+            await wait_until(lambda: len(runner.got) > 5)
+            paths = [head.split()[1] for head in runner.got[:5]]
+            return paths, list_kept(chooser)
+
+    paths, kept = asyncio.run(run())
+    assert paths == [
+        b"/feed/0",
+        b"/feed/3",
+        b"/feed/1",
+        b"/feed/0",
+        b"/feed/1",
+    ]
+    assert kept == mark(b"e")
+
+
+def test_a_later_start_in_an_answer_ends_what_was_believed(
+    monkeypatch,
+) -> None:
+    async def run() -> tuple[list[bytes], set[int]]:
+        told = [b"born=100 +a +b", b"born=200 +c", b"born=200 +d"]
+        script = [answer(text) for text in told]
+        follows = follow(monkeypatch, *script, start=100)
+        async with follows as (feed, runner, chooser):
+            feed.check(Peers())
+            await wait_until(lambda: len(runner.got) > 1)
+            while len(runner.got) < 4:
+                feed.check(Peers())
+                await asyncio.sleep(0)
+            paths = [head.split()[1] for head in runner.got[:4]]
+            return paths, list_kept(chooser)
+
+    paths, kept = asyncio.run(run())
+    assert paths == [b"/feed/0", b"/feed/2", b"/feed/0", b"/feed/1"]
+    assert kept == mark(b"d")
+
+
+def test_an_answer_of_an_earlier_start_is_left_out(monkeypatch) -> None:
+    async def run() -> set[int]:
+        told = [b"born=100 +a", b"born=200 +b"]
+        script = [answer(text) for text in told]
+        follows = follow(monkeypatch, *script, start=200)
+        async with follows as (feed, runner, chooser):
+            feed.check(Peers())
+            await wait_until(lambda: len(runner.got) > 2)
+            return list_kept(chooser)
+
+    assert asyncio.run(run()) == mark(b"b")
+
+
 def test_a_connection_that_falls_silent_is_left(monkeypatch) -> None:
     monkeypatch.setattr(cache_feed, "_WAIT_S", 0.01)
     monkeypatch.setattr(cache_feed, "_SLACK_S", 0.02)
--- a/pollenfork/gateway/tests/test_exchange.py
+++ b/pollenfork/gateway/tests/test_exchange.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import re
+import time
 
 import msgspec
 import pytest
@@ -361,3 +362,63 @@
     answer, asked = play(support.make_route(STREAM), [empty], [WHOLE])
     assert read_status(answer) == 502
     assert asked == [1, 0]
+
+
+def play_restart(route: model.Route, opened_before: bool) -> tuple:
+    """The first runner starts again while it works on a request, in silence.
+
+    Returns:
+        The caller's answer, how often each runner was asked, and seconds from
+        the news to the answer.
+    """
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        first = support.Runner("r0", support.HANG)
+        second = support.Runner("r1", GOOD)
+        async with support.run_gateway(route, first, second) as gateway:
+            asking = asyncio.create_task(support.ask(gateway))
+            async with asyncio.timeout(5):
+                while not first.got:
+                    await asyncio.sleep(0)
+            await asyncio.sleep(0.05)
+            since_ms = 10 if opened_before else -60_000
+            known = gateway.runners.find(ids.EndpointId("r0"))
+            start = ids.RunnerStart(int(time.time() * 1000) + since_ms)
+            gateway.runners.put(msgspec.structs.replace(known, start=start))
+            told_at = loop.time()
+            answer = await asking
+            took_s = loop.time() - told_at
+            return answer, [len(first.got), len(second.got)], took_s
+
+    return asyncio.run(run())
+
+
+def make_patient_route(kind: model.Kind, **given) -> model.Route:
+    return support.make_route(
+        kind, time_limit_s=15.0, target_s=20.0, gap_s=20.0, **given
+    )
+
+
+def test_what_ran_at_an_ended_incarnation_goes_on_elsewhere_at_once() -> None:
+    route = make_patient_route(REPEATABLE)
+    answer, asked, took_s = play_restart(route, opened_before=True)
+    assert answer.endswith(b"good")
+    assert asked == [1, 1] and took_s < 2.0
+
+
+def test_what_may_run_once_gets_its_final_answer_when_its_runner_restarts() -> (
+    None
+):
+    route = make_patient_route(ONCE)
+    answer, asked, took_s = play_restart(route, opened_before=True)
+    # It may have run, so it isn't told as not run.
+    assert read_status(answer) == 502
+    assert asked == [1, 0] and took_s < 2.0
+
+
+def test_what_runs_at_the_new_incarnation_is_left_alone() -> None:
+    route = support.make_route(ONCE, time_limit_s=0.5)
+    answer, asked, _ = play_restart(route, opened_before=False)
+    assert read_status(answer) == 504
+    assert asked == [1, 0]
--- a/pollenfork/ids.py
+++ b/pollenfork/ids.py
@@ -18,4 +18,5 @@
 Tier = NewType("Tier", int)  # 0 is the most urgent.
 Revision = NewType("Revision", int)  # Grows by one with each accepted write.
 Incarnation = NewType("Incarnation", int)  # Grows with each process start.
+RunnerStart = NewType("RunnerStart", int)  # Unix ms of a runner's start.
 FencingNumber = NewType("FencingNumber", int)  # Grows with each lease holder.
--- a/pollenfork/platform/caches.py
+++ b/pollenfork/platform/caches.py
@@ -8,6 +8,7 @@
 from pollenfork import failures
 from pollenfork.fleet import messages
 from pollenfork.fleet import model as fleet
+from pollenfork.platform import entries
 from pollenfork.platform import names
 
 _OK = 200
@@ -36,11 +37,15 @@
     next: int  # The number after which the next call goes on.
     lost: bool = False
     events: list[_Event] = []
+    epoch: int | str = ""
+    born: int | msgspec.UnsetType = msgspec.UNSET
 
 
 class _List(msgspec.Struct):
     next: int
     held: list[_Held] = []
+    epoch: int | str = ""
+    born: int | msgspec.UnsetType = msgspec.UNSET
 
 
 _Answer = TypeVar("_Answer", _Feed, _List)
@@ -73,6 +78,8 @@
             ),
             feed.next,
             gap=feed.lost,
+            epoch=str(feed.epoch),
+            start=entries.read_start(feed.born),
         )
     )
 
@@ -89,6 +96,8 @@
             ),
             listed.next,
             whole=True,
+            epoch=str(listed.epoch),
+            start=entries.read_start(listed.born),
         )
     )
 
--- a/pollenfork/platform/entries.py
+++ b/pollenfork/platform/entries.py
@@ -68,6 +68,11 @@
     return _decode(value).and_then(lambda entry: _check(key, entry))
 
 
+def read_start(born: int | msgspec.UnsetType) -> ids.RunnerStart | None:
+    """Returns when a runner started; None where it doesn't say."""
+    return None if born is msgspec.UNSET else ids.RunnerStart(born)
+
+
 def _decode(value: bytes) -> result.Result[_Entry, errors.BadEntry]:
     try:
         told = msgspec.json.decode(value)
@@ -106,6 +111,8 @@
             slots=entry.slots,
             leaving=entry.state != _READY,
             cold_s=entry.cold_remaining_ms / 1000.0,
+            start=read_start(entry.born),
+            sequence=entry.sequence,
         )
     )
 
--- a/pollenfork/platform/tests/test_caches.py
+++ b/pollenfork/platform/tests/test_caches.py
@@ -36,17 +36,27 @@
     )
     lost = messages.CacheChange(b"e129f473a0f0", False)
     assert caches.read_feed(200, body).ok_value == messages.CacheNews(
-        (KEPT, lost), 12, gap=True
+        (KEPT, lost), 12, gap=True, epoch="7"
     )
 
 
 def test_a_list_is_whole() -> None:
     body = b'{"epoch":7,"next":44,"held":[["","e129f473a0f0",242,"m"]]}'
     assert caches.read_list(200, body).ok_value == messages.CacheNews(
-        (KEPT,), 44, whole=True
+        (KEPT,), 44, whole=True, epoch="7"
     )
 
 
+@pytest.mark.parametrize("read", [caches.read_feed, caches.read_list])
+def test_a_runner_may_say_when_it_started(read) -> None:
+    told = read(200, b'{"epoch":"x","next":1,"born":1764712843123}').unwrap()
+    assert (told.epoch, told.start) == ("x", 1764712843123)
+    assert read(200, b'{"epoch":"x","next":1}').unwrap().start is None
+    for born in (b"1.5", b'"7"', b"null"):
+        answer = b'{"epoch":"x","next":1,"born":%b}' % born
+        assert isinstance(read(200, answer), result.Err)
+
+
 @pytest.mark.parametrize("read", [caches.read_feed, caches.read_list])
 @pytest.mark.parametrize(
     ("status", "body"), [(429, b""), (200, b"{"), (200, b'{"next":"x"}')]
