Ask whoever told of news also where no relay is followed

Cause: an instance whose relay's proof was older than its limit asked only the store, which turned it away until the outage ended; asking whoever had told of the news was reserved for relays.

--- a/pollenfork/gateway/sources.py
+++ b/pollenfork/gateway/sources.py
@@ -113,9 +113,10 @@
         age_s = known.freshness.age(now) or 0.0
         relays = relay is None
         configuration = runners = relay if known.follows_relay(now) else None
-        if relays:
+        if configuration is None:
             # The store may turn this one away and not the one that told of
-            # the news, and those that report here go by what is known here.
+            # the news. That is asked, however old its proof: its rows are
+            # newer all the same.
             if known.lacks_configuration(now):
                 configuration = others.locate(known.configuration_teller)
             if known.lacks_runners(now):
--- a/pollenfork/gateway/tests/test_sources.py
+++ b/pollenfork/gateway/tests/test_sources.py
@@ -197,3 +197,16 @@
         assert took_s < 1.0
 
     play(course)
+
+
+def test_whoever_follows_no_relay_asks_whoever_told_the_news() -> None:
+    async def course(bench):
+        bench.store.silent = True
+        bench.others.relay = bench.address
+        change(bench, 6, 9)
+        # Its relay has the news, but no proof recent enough to go by.
+        bench.hear(9, age_s=2.0)
+        took_s = await bench.choose_until(lambda: read_version(bench) == 6)
+        assert took_s < 1.0
+
+    play(course)
