Find each other again after a cut, and count proof of those that report

One relay cut off alone was heard again after 13 to 15 s. Now whoever misses a data centre, or everybody, greets a member of it every 0.5 s, and its answer is a sign: heard again within 2 s, one alone within 6.5 s, which is 1.2 + 4 + 1.3 s. 2. What one that reports to a relay had from the store proved nothing at the relay, as its report echoed nothing. It does now, so proof that only one instance has reaches all, and says apart from that when the store answered anyone: an outage is judged by that, not by a configuration that waits to be fetched. 3. A call to a silent store kept an instance from fetching what another one had told of, for up to 0.7 s a hop. It is broken off.

Both versions read each other's datagrams: the new fields come last. 18 bytes more a report and an answer, 9 a proof.

--- a/benchmarks/loads_cost.py
+++ b/benchmarks/loads_cost.py
@@ -61,6 +61,9 @@
     ) -> None:
         """Takes nothing."""
 
+    def note_answered(self, moment: float) -> None:
+        """Leaves it out."""
+
     def note_versions(self, proof: messages.Proof, teller: str) -> None:
         """Takes nothing."""
 
--- a/pollenfork/catalogue/outages.py
+++ b/pollenfork/catalogue/outages.py
@@ -31,6 +31,10 @@
         self._answered_at: float | None = None
         self._failed_at: float | None = None
 
+    def read_age(self, now: float) -> float | None:
+        """Returns seconds since the store answered anyone; None: unknown."""
+        return None if self._answered_at is None else now - self._answered_at
+
     def note_failure(self, sent_at: float) -> None:
         """Takes a call of this instance's own that the store didn't answer.
 
--- a/pollenfork/gateway/following.py
+++ b/pollenfork/gateway/following.py
@@ -80,6 +80,7 @@
         self._rest_s = rest_s
         self._hurried = False
         self._waiting = False
+        self._calling = False
         self._other: Follower | None = None
         self._write = write
         self._read = read
@@ -124,8 +125,9 @@
                 self._table.value,
                 guide.relay.host,
             )
-        if guide.news and guide.relay is not None and self._waiting:
-            # The relay knows already what this call waits for.
+        if guide.news and guide.relay is not None and self._calling:
+            # The relay knows already what this call waits for, and the store
+            # may be silent to this instance.
             self._store.break_off()
 
     @property
@@ -222,8 +224,9 @@
         ask = self._watch.next_ask()
         sent_at = self._loop.time()
         self._waiting = ask.wait_s > 0.0
+        self._calling = True
         answer = await self._call(ask)
-        self._waiting = False
+        self._waiting = self._calling = False
         hurried, self._hurried = self._hurried, False
         if isinstance(answer, result.Err):
             if hurried and ask.wait_s > 0.0:
--- a/pollenfork/gateway/knowledge.py
+++ b/pollenfork/gateway/knowledge.py
@@ -116,7 +116,10 @@
         if age_s is None:
             return None
         return messages.Proof(
-            self._configuration_news, self._runners_news, age_s
+            self._configuration_news,
+            self._runners_news,
+            age_s,
+            self._outages.read_age(now),
         )
 
     def take_proof(
@@ -131,7 +134,8 @@
         """
         self.take_versions(proof, teller)
         self.note_answer(moment)
-        self._proof_at = moment
+        if self._proof_at is None or moment > self._proof_at:
+            self._proof_at = moment
         if proof.configuration <= self._configuration_through:
             self.freshness.vouch(moment)
 
--- a/pollenfork/gateway/peers.py
+++ b/pollenfork/gateway/peers.py
@@ -60,6 +60,10 @@
         """Takes what a relay knows."""
         self._known.take_proof(proof, moment, teller)
 
+    def note_answered(self, moment: float) -> None:
+        """Takes about when the store answered another instance."""
+        self._known.note_answer(moment)
+
     def note_versions(self, proof: messages.Proof, teller: str) -> None:
         """Takes what one that reports here has read."""
         self._known.take_versions(proof, teller)
--- a/pollenfork/loads/core.py
+++ b/pollenfork/loads/core.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable
 
 from pollenfork.loads import edges
+from pollenfork.loads import greetings
 from pollenfork.loads import lines
 from pollenfork.loads import members
 from pollenfork.loads import messages
@@ -22,7 +23,6 @@
 # under 3% of a core at any size.
 _ROUND_S = 0.002
 _MEMBERS_S = 1.0
-_HELLO_S = 0.5
 # What was told this long ago no longer counts, in seconds.
 _EXPIRY_S = 1.3
 
@@ -47,23 +47,26 @@
         """
         self._me = me
         self._data_centre = data_centre
-        self._seeds: list[messages.Address] = []
-        self.set_seeds(seeds)
         self._instance = instance
         self._roster = members.Roster(messages.Member(me.host, data_centre))
+        self._greetings = greetings.Greetings(
+            self._roster, data_centre, _EXPIRY_S
+        )
+        self.set_seeds(seeds)
         self._own: messages.Table = {}
         self._reports: dict[str, lines.Heard] = {}
         self._sums: dict[str, lines.Heard] = {}
         self._others = lines.Heard({}, -_EXPIRY_S)
+        self._others_teller = ""
         self._lines: dict[str, lines.Line] = collections.defaultdict(lines.Line)
-        self._hello_at = 0.0
         self._members_at = 0.0
         self._urgent = False
         self._round_at = 0.0
 
     def set_seeds(self, seeds: Iterable[messages.Address]) -> None:
         """Sets the instances to ask while no other is known."""
-        self._seeds = [seed for seed in seeds if seed.host != self._me.host]
+        hosts = {seed.host for seed in seeds}
+        self._greetings.set_seeds(hosts - {self._me.host})
 
     @property
     def instances(self) -> int:
@@ -141,6 +144,13 @@
         self, message: messages.Message, host: str, now: float
     ) -> list[messages.Send]:
         """Takes a message; returns what to answer."""
+        answers = self._take(message, host, now)
+        self._greetings.note_heard(host, self._sums, now)
+        return answers
+
+    def _take(
+        self, message: messages.Message, host: str, now: float
+    ) -> list[messages.Send]:
         match message:
             case messages.Hello():
                 self._note(host, message.data_centre, now)
@@ -157,9 +167,8 @@
                 heard = lines.Heard(message.loads, now, message.sent_at)
                 self._reports[host] = heard
                 self._urgent = self._urgent or message.urgent
-                if message.proof is not None:
-                    self._instance.note_versions(message.proof, host)
                 self._take_placed(message.placed, host)
+                self._take_proof(message.proof, message.echo, host, now)
             case messages.Sum():
                 self._note(host, message.data_centre, now)
                 self._roster.note_answer(host)
@@ -169,7 +178,7 @@
                 heard = lines.Heard(message.loads, now, message.sent_at)
                 self._sums[host] = heard
                 self._take_placed(message.placed, host)
-                self._take_proof(message.proof, message.echo, host)
+                self._take_proof(message.proof, message.echo, host, now)
             case messages.Others():
                 self._take_others(message, host, now)
         return []
@@ -178,17 +187,28 @@
         self, message: messages.Others, host: str, now: float
     ) -> None:
         self._roster.note_answer(host)
-        self._others = lines.Heard(message.loads, now)
+        self._others = lines.Heard(message.loads, now, message.sent_at)
+        self._others_teller = host
         self._instance.note_placed(message.placed)
-        self._take_proof(message.proof, message.echo, host)
+        self._take_proof(message.proof, message.echo, host, now)
 
     def _take_proof(
-        self, proof: messages.Proof | None, echo: float, host: str
+        self, proof: messages.Proof | None, echo: float, host: str, now: float
     ) -> None:
-        # The answer was written after what it repeats was sent, however long
-        # either was under way or this instance stood still.
-        if proof is not None and echo > 0.0:
-            self._instance.note_proof(proof, echo - proof.age_s, host)
+        if proof is None:
+            return
+        answered_s = proof.answered_s
+        if answered_s is None:
+            answered_s = proof.age_s
+        if not 0.0 < echo <= now:
+            # It answers nothing yet, or what was sent before a new start.
+            self._instance.note_answered(now - answered_s)
+            self._instance.note_versions(proof, host)
+            return
+        # It was written after what it repeats was sent, however long either
+        # was under way or this instance stood still.
+        self._instance.note_answered(echo - answered_s)
+        self._instance.note_proof(proof, echo - proof.age_s, host)
 
     # Reporting.
 
@@ -207,6 +227,7 @@
             now,
             self._urgent,
             self._instance.read_proof(now),
+            self._others.sent_at if self._others_teller == relay else 0.0,
         )
         line.note_told(self._own, now)
         return [self._address(relay, report)]
@@ -264,6 +285,7 @@
             line.next_placed,
             self._reports[host].sent_at,
             proof,
+            now,
         )
         line.note_told(others, now)
         return [self._address(host, told)]
@@ -323,11 +345,9 @@
     # Sending.
 
     def _greet(self, now: float) -> list[messages.Send]:
-        if self._roster.size > 1 or now < self._hello_at:
-            return []
-        self._hello_at = now + _HELLO_S
+        hosts = self._greetings.choose(self.is_relay(now), self._sums, now)
         hello = messages.Hello(self._data_centre)
-        return [messages.Send(seed, hello) for seed in self._seeds]
+        return [self._address(host, hello) for host in hosts]
 
     def _address(self, host: str, message: messages.Message) -> messages.Send:
         return messages.Send(messages.Address(host, self._me.port), message)
--- a/pollenfork/loads/edges.py
+++ b/pollenfork/loads/edges.py
@@ -39,4 +39,12 @@
         """
 
     def note_versions(self, proof: messages.Proof, teller: str) -> None:
-        """Takes what a reporter has read, which proves no moment."""
+        """Takes what another one has read, which proves no moment."""
+
+    def note_answered(self, moment: float) -> None:
+        """Takes about when the store answered another instance.
+
+        Args:
+            moment: Monotonic seconds here; too late by as long as the word of
+                it was under way.
+        """
--- a/pollenfork/loads/members.py
+++ b/pollenfork/loads/members.py
@@ -23,6 +23,7 @@
         self._seen: dict[messages.Member, float] = {}
         self._passed_over: dict[str, float] = {}
         self._waiting_since: dict[str, float] = {}
+        self._greeted: dict[str | None, str] = {}
 
     @property
     def size(self) -> int:
@@ -54,6 +55,42 @@
             self._passed_over[host] = now
             del self._waiting_since[host]
 
+    def forgive(self, data_centre: str, since: float) -> None:
+        """Passes over none any more of those seen there since a moment."""
+        for member, seen_at in self._seen.items():
+            if member.data_centre == data_centre and seen_at >= since:
+                self._passed_over.pop(member.host, None)
+                self._waiting_since.pop(member.host, None)
+
+    def knows(self, host: str) -> bool:
+        """Returns whether a host is that of a known member."""
+        return self.find_data_centre(host) is not None
+
+    def find_data_centre(self, host: str) -> str | None:
+        """Returns where a host's member runs; None: it isn't known."""
+        for member in (self._me, *self._seen):
+            if member.host == host:
+                return member.data_centre
+        return None
+
+    def choose_next(self, data_centre: str | None) -> list[str]:
+        """Returns a known member to greet, another one each time; if any.
+
+        Args:
+            data_centre: Where it must run; None: anywhere.
+        """
+        hosts = sorted(
+            member.host
+            for member in self._seen
+            if data_centre in (None, member.data_centre)
+        )
+        if not hosts:
+            return []
+        greeted = self._greeted.get(data_centre, "")
+        later = [host for host in hosts if host > greeted]
+        self._greeted[data_centre] = later[0] if later else hosts[0]
+        return [self._greeted[data_centre]]
+
     def forget(self, now: float) -> None:
         """Forgets members that nobody has heard of for long."""
         for member, seen in list(self._seen.items()):
--- a/pollenfork/loads/messages.py
+++ b/pollenfork/loads/messages.py
@@ -78,11 +78,14 @@
         configuration: The store's version of the configuration's last change.
         runners: The store's version of the runners' last change.
         age_s: Seconds since there was proof that the configuration is current.
+        answered_s: Seconds since the store answered anyone; None where the
+            teller doesn't say, as earlier versions don't.
     """
 
     configuration: int
     runners: int
     age_s: float
+    answered_s: float | None = None
 
 
 class Report(msgspec.Struct, frozen=True, array_like=True, tag="r"):
@@ -96,6 +99,7 @@
         urgent: Whether a long prompt is among the news.
         proof: What it knows of the store, if anything: the store may turn
             all relays away and not this one.
+        echo: The `sent_at` of the relay's last answer.
     """
 
     data_centre: str
@@ -104,6 +108,7 @@
     sent_at: float = 0.0
     urgent: bool = False
     proof: Proof | None = None
+    echo: float = 0.0
 
 
 class Sum(msgspec.Struct, frozen=True, array_like=True, tag="s"):
@@ -136,12 +141,14 @@
         placed: What others have placed since the last time.
         echo: The `sent_at` of the reporter's last report.
         proof: What the relay knows of the store, if anything.
+        sent_at: The relay's clock; the reporter's next report repeats it.
     """
 
     loads: Table
     placed: tuple[Placed, ...] = ()
     echo: float = 0.0
     proof: Proof | None = None
+    sent_at: float = 0.0
 
 
 Message = Hello | Members | Report | Sum | Others
--- a/pollenfork/loads/tests/test_exchange.py
+++ b/pollenfork/loads/tests/test_exchange.py
@@ -1,5 +1,7 @@
 import random
 
+import pytest
+
 from pollenfork.loads import core
 from pollenfork.loads import messages
 
@@ -16,6 +18,7 @@
         self.kept_here: list[messages.Placed] = []
         self.heard: set[messages.Placed] = set()
         self.proof: messages.Proof | None = None
+        self.answered: list[float] = []
         self.proven: list[tuple[messages.Proof, float]] = []
         self.versions: set[tuple[messages.Proof, str]] = set()
 
@@ -43,6 +46,9 @@
     ) -> None:
         self.proven.append((proof, moment))
 
+    def note_answered(self, moment: float) -> None:
+        self.answered.append(moment)
+
     def note_versions(self, proof: messages.Proof, teller: str) -> None:
         self.versions.add((proof, teller))
 
@@ -55,6 +61,7 @@
         self.loss = loss
         self.rng = random.Random(4)
         self.down: set[str] = set()
+        self.apart: set[str] = set()
         self.sent = 0
         self.crossed = 0
         self.instances: dict[str, FakeInstance] = {}
@@ -93,6 +100,8 @@
             self.crossed += crossing
             if self.rng.random() < self.loss or send.to.host in self.down:
                 continue
+            if (send.to.host in self.apart) != (sender in self.apart):
+                continue
             message = messages.decode(messages.encode(send.message))
             exchange = self.exchanges.get(send.to.host)
             if exchange is not None and message is not None:
@@ -313,3 +322,56 @@
     network.run(4.0)
     relay = network.instances["10.0.0.000"]
     assert (proof, "10.0.0.003") in relay.versions
+
+
+@pytest.mark.parametrize("cut_s", [1.5, 4.0, 30.0])
+@pytest.mark.parametrize("count", [3, 8, 24])
+def test_a_data_centre_that_was_cut_off_is_heard_again(count, cut_s) -> None:
+    network = Network(count)
+    network.run(4.0)
+    network.apart = {host for host in network.exchanges if "10.2." in host}
+    network.run(cut_s)
+    network.apart.clear()
+    network.run(2.0)
+    network.check_totals()
+
+
+@pytest.mark.parametrize("cut_s", [1.5, 4.0, 30.0])
+def test_one_that_was_cut_off_alone_is_heard_again(cut_s) -> None:
+    network = Network(8)
+    network.run(4.0)
+    # The relay of a data centre of three.
+    network.apart = {"10.0.0.000"}
+    network.run(cut_s)
+    network.apart.clear()
+    # Those that passed it over, 1.2 s into its silence, give it another chance
+    # 4 s after that; what it was told before counts for 1.3 s more.
+    network.run(1.2 + 4.0 + 1.3)
+    network.check_totals()
+
+
+def test_the_proof_of_one_that_reports_counts_at_its_relay() -> None:
+    network = Network(8)
+    network.run(4.0)
+    # The store answers one instance that relays for nobody.
+    lone = network.instances["10.0.0.006"]
+    for _ in range(40):
+        lone.proof = messages.Proof(7, 9, 0.0, 0.0)
+        network.run(0.05)
+        lone.proof = messages.Proof(7, 9, 0.05, 0.05)
+    relay = network.instances["10.0.0.000"]
+    newest = max(moment for _, moment in relay.proven)
+    assert network.now - newest < 0.5
+    assert network.now - max(relay.answered) < 0.5
+
+
+def test_a_proof_that_answers_a_former_start_proves_no_moment() -> None:
+    network = Network(2)
+    exchange = next(iter(network.exchanges.values()))
+    seen = network.instances["10.0.0.000"]
+    proof = messages.Proof(7, 9, 0.5)
+    report = messages.Report("a", {}, proof=proof, echo=5000.0)
+    exchange.hear(report, "10.0.0.003", network.now)
+    assert seen.proven == []
+    assert seen.versions == {(proof, "10.0.0.003")}
+    assert seen.answered == [network.now - 0.5]
