--- a/pollenfork/catalogue/messages.py
+++ b/pollenfork/catalogue/messages.py
@@ -68,16 +68,25 @@
         return self in (Trouble.REFUSED, Trouble.NO_ANSWER)
 
 
+class Way(enum.Enum):
+    """From whom changes came."""
+
+    STORE = "store"
+    PEER = "peer"  # Another instance, which had them from the store.
+
+
 class Changes(msgspec.Struct, frozen=True):
     """What a table's rows have become.
 
     Attributes:
         rows: Rows that changed, each newer than what was known of its key.
         through: The store's version up to which nothing is unknown.
+        way: From whom they came.
     """
 
     rows: tuple[Row, ...]
     through: int
+    way: Way = Way.STORE
 
     @property
     def news(self) -> int:
--- a/pollenfork/catalogue/watch.py
+++ b/pollenfork/catalogue/watch.py
@@ -117,7 +117,10 @@
         if rows.version <= self._floor:
             return None
         self._restart_read()
-        return self._take_page(rows)
+        changes = self._take_page(rows)
+        if changes is None:
+            return None
+        return msgspec.structs.replace(changes, way=messages.Way.PEER)
 
     def take_trouble(self, trouble: messages.Trouble) -> float:
         """Takes a failure; returns seconds to wait before the next call."""
--- a/pollenfork/cli/definition.py
+++ b/pollenfork/cli/definition.py
@@ -205,6 +205,20 @@
     file: LogFiles
 
 
+@cappa.command(
+    name="news",
+    help="Show from the logs when each instance had each change.",
+    epilog=make_examples("news front-*.log"),
+)
+@dataclasses.dataclass
+class News:
+    """Changes of settings and runners, and how late they were known."""
+
+    BEHAVIOUR: ClassVar[str] = "pollenfork.cli.explaining:run_news"
+
+    file: LogFiles
+
+
 @cappa.command(
     name="pollenfork",
     help="A router for language-model traffic with service levels.",
@@ -220,6 +234,7 @@
         | Load
         | Explain
         | Losses
+        | News
         | Standin
         | operator_commands.Settings
         | operator_commands.Endpoints
--- a/pollenfork/cli/explaining.py
+++ b/pollenfork/cli/explaining.py
@@ -1,4 +1,4 @@
-"""Behaviour of `explain` and `losses`."""
+"""Behaviour of `explain`, `losses` and `news`."""
 
 import pathlib
 
@@ -12,6 +12,8 @@
 from pollenfork.logbook import lines
 from pollenfork.logbook import losses
 from pollenfork.logbook import losses_page
+from pollenfork.logbook import news
+from pollenfork.logbook import news_page
 from pollenfork.logbook import page
 
 _INPUT = pathlib.Path("-")
@@ -45,6 +47,17 @@
     return status.ExitStatus.SUCCESS
 
 
+def run_news(
+    command: definition.News, env: context.Environment
+) -> status.ExitStatus:
+    """Writes when each instance had each change."""
+    log = _read_all(command.file, env)
+    if log is None:
+        return status.ExitStatus.USAGE
+    news_page.write(news.follow(log), env.stdout)
+    return status.ExitStatus.SUCCESS
+
+
 def _read_all(
     files: list[pathlib.Path], env: context.Environment
 ) -> list[lines.Line] | None:
--- a/pollenfork/gateway/knowledge.py
+++ b/pollenfork/gateway/knowledge.py
@@ -239,11 +239,12 @@
             self.lookup = lookup.Lookup(configuration)
             _LOG.info(
                 "event=configuration_in_force version=%d row=%d routes=%d "
-                "tiered_accounts=%s",
+                "tiered_accounts=%s way=%s",
                 configuration.version,
                 row.version,
                 len(configuration.routes),
                 _describe_tiers(configuration),
+                changes.way.value,
             )
 
     def take_runners(self, changes: catalogue.Changes, now: float) -> None:
@@ -253,7 +254,7 @@
         self._runners_news = max(self._runners_news, changes.news)
         for row in changes.rows:
             if row.removed:
-                self._remove_runner(row, now)
+                self._remove_runner(row, changes.way, now)
                 continue
             read = self._store.read_runner(row)
             if isinstance(read, result.Err):
@@ -270,12 +271,13 @@
                 continue
             _LOG.info(
                 "event=runner_known runner=%s service=%s leaving=%s row=%d "
-                "restarted=%s",
+                "restarted=%s way=%s",
                 row.key,
                 read.ok_value.service,
                 read.ok_value.leaving,
                 row.version,
                 arrival is registry.Arrival.RESTARTED,
+                changes.way.value,
             )
 
     def expire_runners(self, now: float) -> None:
@@ -283,22 +285,26 @@
         for runner in self.runners.expire(now):
             _LOG.info("event=runner_gone runner=%s row=- kept=True", runner)
 
-    def _remove_runner(self, row: catalogue.Row, now: float) -> None:
+    def _remove_runner(
+        self, row: catalogue.Row, way: catalogue.Way, now: float
+    ) -> None:
         runner = ids.EndpointId(row.key)
         removal = self.runners.remove(runner, now)
         if removal is registry.Removal.KEPT:
             until = self.runners.read_kept_until(runner) or now
             _LOG.info(
-                "event=runner_kept runner=%s row=%d for_ms=%d",
+                "event=runner_kept runner=%s row=%d for_ms=%d way=%s",
                 logs.write_value(row.key),
                 row.version,
                 (until - now) * 1000,
+                way.value,
             )
             return
         _LOG.info(
-            "event=runner_gone runner=%s row=%d",
+            "event=runner_gone runner=%s row=%d way=%s",
             logs.write_value(row.key),
             row.version,
+            way.value,
         )
 
     def _refuse_entry(
