Break off a call that can't connect, and keep asking whoever has the news

A call that waits for its connection wasn't broken off (0.5 s), and each time the store was asked anew whoever had the news was no longer asked for 0.25 s: the two alternated for as long as the cut lasted.

Now breaking off ends a call in any phase, and what is lacking stays lacking until it comes. The simulation caught a fault of this change: breaking off twice raised, and ended the exchange of that instance for good; parts that end so are logged now.

--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -174,6 +174,8 @@
         self._peers = joined
         await self._listen(tables.make_server(self._sources.tables), me)
         self._tasks.append(self._loop.create_task(joined.run()))
+        for task in self._tasks:
+            task.add_done_callback(_note_end)
 
     def _read_others(self, runner: int) -> loads.Load:
         if self._peers is None:
@@ -328,3 +330,10 @@
         ready = self._readiness.check(now)
         status = 200 if ready else 503
         caller.write(replies.write_text(status, b"ready" if ready else b"no"))
+
+
+def _note_end(task: asyncio.Task[None]) -> None:
+    """Tells of a part that should run for good and has failed."""
+    if task.cancelled():
+        return
+    _LOG.critical("event=part_failed", exc_info=task.exception())
--- a/pollenfork/gateway/client.py
+++ b/pollenfork/gateway/client.py
@@ -50,6 +50,7 @@
     def __init__(self, address: loads.Address) -> None:
         self._loop = asyncio.get_running_loop()
         self._connection: connection.Connection | None = None
+        self._limit: asyncio.Timeout | None = None
         self.address = address
 
     async def call(self, request: bytes, timeout_s: float) -> Answer | None:
@@ -57,20 +58,26 @@
         body = Body(self._loop)
         answer = None
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(timeout_s) as self._limit:
                 opened = await self._connect()
                 opened.send(request, body)
                 answer = await body.done
         except (OSError, TimeoutError):
             pass  # The caller of this decides what no answer means.
+        finally:
+            self._limit = None
         if answer is None:
             self.close()
         return answer
 
     def break_off(self) -> None:
-        """Ends a call under way; it brings no answer."""
-        if self._connection is not None:
-            self._connection.break_off()
+        """Ends a call under way; it brings no answer.
+
+        Also one that still waits for its connection, which takes longest
+        where the address can't be reached.
+        """
+        if self._limit is not None and not self._limit.expired():
+            self._limit.reschedule(self._loop.time())
 
     def close(self) -> None:
         """Closes the connection."""
--- a/pollenfork/gateway/knowledge.py
+++ b/pollenfork/gateway/knowledge.py
@@ -89,6 +89,7 @@
         self._configuration_through = 0
         self._runners_through = 0
         self._behind_since: dict[str, float] = {}
+        self._told_at: dict[str, float] = {}
 
     def note_current(self, moment: float) -> None:
         """Takes this instance's own proof that the configuration is current."""
@@ -208,10 +209,13 @@
         return now - self._behind_since.setdefault(what, now)
 
     def _has_lasted(self, what: str, holds: bool, now: float) -> bool:
-        """Returns once whether something has held for long."""
+        """Returns whether something has held for long, once in that time."""
         if self._time(what, holds, now) < self._BEHIND_S:
             return False
-        del self._behind_since[what]
+        told_at = self._told_at.get(what)
+        if told_at is not None and now - told_at < self._BEHIND_S:
+            return False
+        self._told_at[what] = now
         return True
 
     def take_configuration(self, changes: catalogue.Changes) -> None:
--- a/pollenfork/gateway/tests/test_following.py
+++ b/pollenfork/gateway/tests/test_following.py
@@ -10,6 +10,7 @@
 
 from pollenfork.catalogue import messages
 from pollenfork.catalogue import watch
+from pollenfork.gateway import client
 from pollenfork.gateway import following
 from pollenfork.gateway import settings
 from pollenfork.gateway import tables
@@ -277,3 +278,49 @@
         writer.close()
 
     play(course)
+
+
+def test_a_call_that_cannot_connect_gives_way_to_news_elsewhere() -> None:
+    async def course(bench):
+        await bench.wait_for(lambda: len(bench.store.asked) == 2)
+        loop = asyncio.get_running_loop()
+        connect = loop.create_connection
+
+        async def hang(factory, host, port):
+            if (host, port) == tuple(bench.relay):
+                return await connect(factory, host, port)
+            return await loop.create_future()
+
+        loop.create_connection = hang
+        bench.follower.hurry()
+        await bench.wait_for(lambda: len(bench.store.asked) > 2)
+        await asyncio.sleep(0.05)
+        bench.tell(7, Row("b", b"2", 7))
+        bench.guide(news=True)
+        bench.follower.hurry()  # Breaking it off twice is harmless.
+        told_at = loop.time()
+        await bench.wait_for(lambda: len(bench.seen) == 2)
+        # Connecting to a host that can't be reached takes 0.5 s.
+        assert loop.time() - told_at < 0.25
+        assert bench.failures == []
+
+    play(course)
+
+
+def test_a_call_may_be_broken_off_at_any_time_and_twice() -> None:
+    async def run():
+        store = Store()
+        store.silent = True
+        caller = client.Client(await store.start())
+        caller.break_off()
+        calling = asyncio.create_task(
+            caller.call(b"GET /0/0 HTTP/1.1\r\n\r\n", _WAIT_S)
+        )
+        for _ in range(3):
+            await asyncio.sleep(0)
+        caller.break_off()
+        caller.break_off()
+        assert await calling is None
+        caller.break_off()
+
+    asyncio.run(run())
--- a/pollenfork/gateway/tests/test_knowledge.py
+++ b/pollenfork/gateway/tests/test_knowledge.py
@@ -274,3 +274,15 @@
     known.note_answer(110.0)
     remove_runner(known, 110.0)
     assert list_runners(known) == []
+
+
+def test_what_is_lacking_is_lacking_until_it_comes() -> None:
+    known = make_known()
+    configure(known, 5, 10)
+    known.take_proof(messages.Proof(10, 30, 0.0), 100.0, "a")
+    lacking = []
+    for step in range(30):
+        now = 100.0 + step * 0.05
+        known.is_behind_runners(now)
+        lacking.append(known.lacks_runners(now))
+    assert lacking == sorted(lacking) and sum(lacking) > 20
--- a/pollenfork/platform/tests/simulation/play.py
+++ b/pollenfork/platform/tests/simulation/play.py
@@ -26,6 +26,9 @@
 # it doesn't know yet, in seconds.
 _BACK_S = 3.0
 _RUNNERS = 12
+# Schedules from this seed on also cut hosts off from the store alone; those
+# before stay as they were when they showed what they showed.
+_FIRST_PARTED = 10_000
 # Entries are kept for up to 2 s after an outage, which lasts 2.4 s as instances
 # see it: their proof is up to 1 s older than the answer that it came from.
 _KEPT_S = 7.0
@@ -53,7 +56,7 @@
     Attributes:
         at: Seconds from the start.
         kind: What: `leave`, `vanish`, `add`, `configure`, `turn_away`,
-            `serve`, `cut`, `heal`, `kill`, `start`, `forget` or `lose`.
+            `serve`, `part`, `cut`, `heal`, `kill`, `start`, `forget` or `lose`.
         hosts: To whom.
         mood: How the store treats them.
         loss: The part of datagrams lost from then on.
@@ -118,6 +121,8 @@
         steps += _draw_turning_away(rng, hosts)
     if cuts and rng.random() < 0.5:
         steps += _draw_trouble(rng, hosts)
+    if seed >= _FIRST_PARTED:
+        steps += _draw_parting(rng, hosts)
     return Schedule(sizes, tuple(sorted(steps, key=lambda step: step.at)))
 
 
@@ -204,6 +209,8 @@
     match step.kind:
         case "cut":
             site.ways.cut(hosts, {*site.hosts, sites.STORE.host} - hosts)
+        case "part":
+            site.ways.cut(hosts, {sites.STORE.host})
         case "heal":
             site.ways.heal()
         case "lose":
@@ -254,6 +261,8 @@
         if now < SETTLED_S:
             return
         for each in self._site.instances:
+            for error in each.list_failures():
+                self._tell("raised", each, now, repr(error))
             known = each.known
             if known is None or known.lookup is None or not known.has_runners:
                 continue
@@ -378,6 +387,17 @@
     ]
 
 
+def _draw_parting(rng: random.Random, hosts: list[str]) -> list[Step]:
+    """Cuts some hosts off from the store alone; connecting takes for ever."""
+    count = rng.randint(1, max(1, len(hosts) // 2))
+    parted = tuple(rng.sample(hosts, count))
+    at = rng.uniform(SETTLED_S, LENGTH_S - 8.0)
+    return [
+        Step(at, "part", parted),
+        Step(at + rng.uniform(1.0, 6.0), "heal", parted),
+    ]
+
+
 def _draw_trouble(rng: random.Random, hosts: list[str]) -> list[Step]:
     centre = rng.choice(hosts).rpartition(".")[0]
     chosen = rng.choice(
--- a/pollenfork/platform/tests/simulation/site.py
+++ b/pollenfork/platform/tests/simulation/site.py
@@ -91,6 +91,15 @@
         ways.end(self.host)
         self.known = None
 
+    def list_failures(self) -> list[BaseException]:
+        """Returns what has ended its tasks, which should run for good."""
+        ended = [
+            task.exception()
+            for task in self._tasks
+            if task.done() and not task.cancelled()
+        ]
+        return [error for error in ended if error is not None]
+
     def list_kept(self) -> set[str]:
         """Returns the runners whose entry is gone and that still get work."""
         assert self.known is not None
