--- a/pollenfork/platform/tests/soak/faults.py
+++ b/pollenfork/platform/tests/soak/faults.py
@@ -130,6 +130,22 @@
         await site.drain_runner(site.rng.choice(staying))
 
 
+async def restart_runner(site: sites.Site) -> None:
+    """A runner starts again under its id."""
+    staying = sorted(set(site.runners) - set(site.gone))
+    if len(staying) > 2:
+        vanishes = site.rng.random() < 0.5
+        await site.restart_runner(site.rng.choice(staying), vanishes)
+
+
+async def overwrite_entry(site: sites.Site) -> None:
+    """Another writer leaves what is no entry in a runner's place."""
+    staying = sorted(set(site.runners) - set(site.gone))
+    if len(staying) > 2:
+        value = site.rng.choice(({}, {"service": 7}, {"state": "ready"}))
+        await site.overwrite_entry(site.rng.choice(staying), value)
+
+
 async def revoke(site: sites.Site) -> None:
     """A key is taken away."""
     await site.revoke()
@@ -158,6 +174,8 @@
 # kept as regression cases must go on playing the same schedule.
 _FIRST_SEED_WITH_ALL = 500
 ALL_FAULTS = (*FAULTS, mute_connections, mute_connections)
+_FIRST_SEED_WITH_RESTARTS = 1000
+RESTARTS = (restart_runner, restart_runner, overwrite_entry)
 
 
 async def play(site: sites.Site, seconds: float) -> list[str]:
@@ -172,6 +190,8 @@
     tasks = []
     busy: set[sites.Gateway] = set()
     kinds = ALL_FAULTS if site.seed >= _FIRST_SEED_WITH_ALL else FAULTS
+    if site.seed >= _FIRST_SEED_WITH_RESTARTS:
+        kinds += RESTARTS
     while loop.time() - begun < seconds:
         fault = site.rng.choice(kinds)
         played.append(f"{loop.time() - begun:.2f} {fault.__name__}")
--- a/pollenfork/platform/tests/soak/site.py
+++ b/pollenfork/platform/tests/soak/site.py
@@ -144,6 +144,7 @@
         self.store = store.Store()
         self.record = runner.Record()
         self.runners: dict[str, runner.Runner] = {}
+        self.born: dict[str, int] = {}
         self.to_runners: dict[str, proxy.Proxy] = {}
         self.gateways = [Gateway(self, n) for n in range(INSTANCES)]
         self.keys = {f"key-{n}": f"account-{n}" for n in range(4)}
@@ -248,6 +249,7 @@
         way = proxy.Proxy(host, self.port)
         await way.start(host, self.port + 1)
         self.runners[name] = made
+        self.born[name] = _read_clock_ms()
         self.to_runners[name] = way
         await self.put_runner(name, "ready")
         return name
@@ -256,9 +258,37 @@
         """Writes a runner's entry; returns when it was acknowledged."""
         port = self.port + 1
         address = f"{self.base}.{100 + int(name[2:])}:{port}"
-        value = support.make_entry("model", address, state=state)
+        value = support.make_entry(
+            "model", address, state=state, born=self.born[name]
+        )
         return await self.store.put("servers", name, value)
 
+    async def restart_runner(self, name: str, vanishes: bool) -> None:
+        """Lets a runner crash and start again under its id.
+
+        Args:
+            name: Its id.
+            vanishes: Whether its entry is gone meanwhile.
+        """
+        self.runners[name].crash()
+        if vanishes:
+            await self.store.remove("servers", name)
+        await asyncio.sleep(self.rng.uniform(0.0, 1.0))
+        if name not in self.runners or name in self.gone:
+            return
+        again = runner.Runner(name, "model", self.record, self.rng)
+        await again.start(f"{self.base}.{100 + int(name[2:])}", self.port)
+        self.runners[name] = again
+        self.born[name] = _read_clock_ms()
+        await self.put_runner(name, "ready")
+
+    async def overwrite_entry(self, name: str, value: dict) -> None:
+        """Lets another writer leave something in a runner's place."""
+        await self.store.put("servers", name, value)
+        await asyncio.sleep(self.rng.uniform(0.3, 1.5))
+        if name in self.runners and name not in self.gone:
+            await self.put_runner(name, "ready")
+
     async def drain_runner(self, name: str) -> None:
         """Lets a runner leave as planned: it serves on for a while."""
         self.gone[name] = await self.put_runner(name, "draining")
@@ -274,3 +304,7 @@
         made.crash()
         self.to_runners.pop(name).stop()
         self.gone.setdefault(name, await self.store.remove("servers", name))
+
+
+def _read_clock_ms() -> int:
+    return int(time.time() * 1000)
