--- a/pollenfork/gateway/following.py
+++ b/pollenfork/gateway/following.py
@@ -185,7 +185,11 @@
             self._woken.set()
 
     async def _follow_relay(self, relay: settings.Address) -> bool:
-        """Waits for news at the relay, or fetches it; says if that failed."""
+        """Waits for news at the relay, or fetches it.
+
+        Returns:
+            False where it was to be fetched and didn't come.
+        """
         if not self._guide.news:
             self._woken.clear()
             await self._woken.wait()
--- a/pollenfork/platform/tests/simulation/play.py
+++ b/pollenfork/platform/tests/simulation/play.py
@@ -234,6 +234,9 @@
         self._cuts: dict[str, list[tuple[float, float]]] = {
             host: [] for host in site.hosts
         }
+        self._parts: dict[str, list[tuple[float, float]]] = {
+            host: [] for host in site.hosts
+        }
         self._first_at: dict[str, float] = {}
         self._knew_at: dict[tuple[str, str], float] = {}
         self._knows: dict[str, set[str]] = collections.defaultdict(set)
@@ -245,12 +248,14 @@
             self._away |= set(step.hosts)
             for host in step.hosts:
                 self._cuts[host].append((now, math.inf))
+        elif step.kind == "part":
+            for host in step.hosts:
+                self._parts[host].append((now, math.inf))
         elif step.kind in ("heal", "start"):
             for host in step.hosts:
                 self._back_at[host] = now
-                if self._cuts[host]:
-                    begun, _ = self._cuts[host][-1]
-                    self._cuts[host][-1] = begun, now
+                _end_spell(self._cuts[host], now)
+                _end_spell(self._parts[host], now)
             self._away -= set(step.hosts)
             if step.kind == "start":
                 for knowing in self._knows.values():
@@ -318,6 +323,8 @@
         for at, answered in reversed(self._site.store.answers):
             if at < now - _KEPT_S:
                 break
+            if self._is_parted(answered, at):
+                continue
             ways = self._is_linked(answered, at), self._is_linked(host, at)
             if answered == host or all(ways):
                 heard.append(at)
@@ -335,6 +342,10 @@
         ]
         return min(known, default=now)
 
+    def _is_parted(self, host: str, at: float) -> bool:
+        """Returns whether the store's answer didn't arrive at a host."""
+        return any(begun <= at <= back for begun, back in self._parts[host])
+
     def _is_linked(self, host: str, at: float) -> bool:
         """Returns whether a host was there long enough to tell or hear."""
         until = at + _WORD_S
@@ -360,6 +371,13 @@
             self.outcome.broken.append(Broken(rule, each.host, now, detail))
 
 
+def _end_spell(spells: list[tuple[float, float]], now: float) -> None:
+    """Notes when the last of a host's spells ended, if it lasts."""
+    if spells:
+        begun, back = spells[-1]
+        spells[-1] = begun, min(back, now)
+
+
 def _draw_changes(rng: random.Random) -> list[Step]:
     steps = []
     at = SETTLED_S
--- a/pollenfork/platform/tests/soak/site.py
+++ b/pollenfork/platform/tests/soak/site.py
@@ -145,6 +145,7 @@
         self.record = runner.Record()
         self.runners: dict[str, runner.Runner] = {}
         self.born: dict[str, int] = {}
+        self.restarting: set[str] = set()
         self.to_runners: dict[str, proxy.Proxy] = {}
         self.gateways = [Gateway(self, n) for n in range(INSTANCES)]
         self.keys = {f"key-{n}": f"account-{n}" for n in range(4)}
@@ -270,10 +271,14 @@
             name: Its id.
             vanishes: Whether its entry is gone meanwhile.
         """
+        if name in self.restarting:
+            return
+        self.restarting.add(name)
         self.runners[name].crash()
         if vanishes:
             await self.store.remove("servers", name)
         await asyncio.sleep(self.rng.uniform(0.0, 1.0))
+        self.restarting.discard(name)
         if name not in self.runners or name in self.gone:
             return
         again = runner.Runner(name, "model", self.record, self.rng)
--- a/pollenfork/platform/tests/test_simulation.py
+++ b/pollenfork/platform/tests/test_simulation.py
@@ -59,10 +59,9 @@
     2874,
     3377,
 )
-# Relays that die or are cut off in the middle of a spell in which the store
-# turns most instances away; in 10046 a tenth of all datagrams is lost and an
-# entry is kept.
-_TWO_TROUBLES = (1753, 1966, 2077, 3039, 10046, 10336)
+# Relays that die or are cut off, or a tenth of all datagrams lost, in the
+# middle of a spell in which the store turns most instances away.
+_TWO_TROUBLES = (1753, 1966, 2077, 3039, 10046, 10336, 10358, 10377)
 
 
 @pytest.mark.parametrize("seed", _ONCE_FAILED)
