Wait until the stand-in has read a request before counting it

The client gives up after 50 ms, and the stand-in's thread hadn't read it yet. Traced: with the stand-in's reading put off by 0.2 s it fails each time in the same place; with the wait it passes so too. It still demands exactly one.

--- a/pollenfork/store/tests/test_client.py
+++ b/pollenfork/store/tests/test_client.py
@@ -26,6 +26,7 @@
         self.status, self.headers, self.body = 200, {}, b"{}"
         self.cut = None  # Bytes of the answer sent before the cut.
         self.silent = threading.Event()
+        self.heard = threading.Event()
         self.asked = []
 
     @property
@@ -41,6 +42,7 @@
         length = int(self.headers.get("Content-Length") or 0)
         asked = (self.command, self.path, self.rfile.read(length))
         script.asked.append(asked)
+        script.heard.set()
         if script.silent.is_set():
             self.rfile.read(1)  # Until the client gives up.
             self.close_connection = True
@@ -231,8 +233,10 @@
     script.silent.set()
     channel = client.Channel(script.address, read_timeout_s=0.05)
     failure = CALLS["commit"](channel).unwrap_err()
-    channel.close()
     assert type(failure) is errors.Unanswered
+    # The server's thread may come to read it only after the client gave up.
+    assert script.heard.wait(10.0)
+    channel.close()
     assert len(script.asked) == 1
 
 
