Let a test of bounded logs go by a clock that it pauses

It wrote 2,000 lines by the real clock, while the bound lets 400 more through each second. Traced: with a clock that moves 2 ms a line it fails each time in the same place. The clock is passed in now, and the count is demanded exactly where any was enough.

--- a/pollenfork/logs.py
+++ b/pollenfork/logs.py
@@ -111,14 +111,17 @@
         return True
 
 
-def configure_bounded(stream: TextIO, instance: str) -> BoundedHandler:
+def configure_bounded(
+    stream: TextIO, instance: str, now: Callable[[], float] = time.monotonic
+) -> BoundedHandler:
     """Writes events to `stream` without ever waiting for its reader.
 
     Args:
         stream: Where to; must have a file descriptor.
         instance: Stands in each line, as logs of many are read together.
+        now: The clock that the bound goes by, in monotonic seconds.
     """
-    handler = BoundedHandler(stream.fileno())
+    handler = BoundedHandler(stream.fileno(), now)
     handler.setFormatter(Formatter(f"instance={instance} {_FORMAT}"))
     logging.basicConfig(level=logging.INFO, handlers=[handler])
     return handler
--- a/tests/test_bounded_logs.py
+++ b/tests/test_bounded_logs.py
@@ -69,7 +69,7 @@
 ) -> None:
     written = tmp_path / "log"
     with written.open("w") as stream:
-        handler = logs.configure_bounded(stream, "i-1")
+        handler = logs.configure_bounded(stream, "i-1", Clock())
         logging.getLogger().removeHandler(handler)
         logger = logging.Logger("pollenfork.test")
         logger.addHandler(handler)
@@ -79,4 +79,4 @@
     found = list(lines.read(written.read_text().splitlines(), "file"))
     assert {line.instance for line in found} == {"i-1"}
     assert [line.event for line in found[-2:]] == ["last", "lines_missing"]
-    assert int(found[-1].fields["count"]) > 0
+    assert int(found[-1].fields["count"]) == logs.BoundedHandler.RESERVE
