Look a datagram's sender up by host, and whom to greet twice a second

Cause: reading the change once more, each datagram heard and each period walked all members to find a host's data centre, and each period asked anew who relays.

Ruled out: leaving the lookup out for one's own data centre alone; a relay hears sums of all others too.

A data centre that was cut off is still heard again within 2 s (tests unchanged).

--- a/pollenfork/loads/core.py
+++ b/pollenfork/loads/core.py
@@ -349,6 +349,8 @@
     # Sending.
 
     def _greet(self, now: float) -> list[messages.Send]:
+        if not self._greetings.is_due(now):
+            return []
         hosts = self._greetings.choose(self.is_relay(now), self._sums, now)
         hello = messages.Hello(self._data_centre)
         return [self._address(host, hello) for host in hosts]
--- a/pollenfork/loads/greetings.py
+++ b/pollenfork/loads/greetings.py
@@ -49,12 +49,12 @@
             heard: The hosts of relays that it hears.
             now: Monotonic seconds.
         """
-        if now < self._due_at:
-            return []
-        hosts = self._list_missed(relays, heard, now)
-        if hosts:
-            self._due_at = now + _HELLO_S
-        return sorted(hosts)
+        self._due_at = now + _HELLO_S
+        return sorted(self._list_missed(relays, heard, now))
+
+    def is_due(self, now: float) -> bool:
+        """Returns whether to look again for whom to greet."""
+        return now >= self._due_at
 
     def note_heard(self, host: str, heard: Collection[str], now: float) -> None:
         """Takes a sign of a host: a way that was cut may work again.
--- a/pollenfork/loads/members.py
+++ b/pollenfork/loads/members.py
@@ -21,6 +21,8 @@
     def __init__(self, me: messages.Member) -> None:
         self._me = me
         self._seen: dict[messages.Member, float] = {}
+        # By host, as each datagram's sender is looked up.
+        self._data_centres = {me.host: me.data_centre}
         self._passed_over: dict[str, float] = {}
         self._waiting_since: dict[str, float] = {}
         self._greeted: dict[str | None, str] = {}
@@ -42,6 +44,7 @@
         """Notes a sign of a member that it gave at `at`."""
         if member != self._me and at > self._seen.get(member, 0.0):
             self._seen[member] = at
+            self._data_centres[member.host] = member.data_centre
 
     def note_answer(self, host: str) -> None:
         """Notes that a relay has spoken."""
@@ -68,14 +71,11 @@
 
     def knows(self, host: str) -> bool:
         """Returns whether a host is that of a known member."""
-        return self.find_data_centre(host) is not None
+        return host in self._data_centres
 
     def find_data_centre(self, host: str) -> str | None:
         """Returns where a host's member runs; None: it isn't known."""
-        for member in (self._me, *self._seen):
-            if member.host == host:
-                return member.data_centre
-        return None
+        return self._data_centres.get(host)
 
     def choose_next(self, data_centre: str | None) -> list[str]:
         """Returns a known member to greet, another one each time; if any.
@@ -100,6 +100,7 @@
         for member, seen in list(self._seen.items()):
             if now - seen > _FORGOTTEN_S:
                 del self._seen[member]
+                self._data_centres.pop(member.host, None)
 
     def find_relay(self, data_centre: str, now: float) -> str | None:
         """Returns the host that relays for a data centre."""
