Tell a restart also where the entry was gone meanwhile

Cause: reading the change once more, a runner whose entry vanished before it was back with a later start counted as new, not as restarted, so what was under way at its earlier start wasn't ended but waited out its patience.

Ruled out: ending it when the entry vanishes, as a runner that leaves serves on.

Before: the new test failed (told as taken). After: told as a restart once, and an entry that merely comes back as none. Conclusion: kept; the start was remembered already, so it costs nothing.

--- a/pollenfork/fleet/registry.py
+++ b/pollenfork/fleet/registry.py
@@ -68,10 +68,14 @@
         """Takes a runner's entry, newer by the registry than the one known."""
         if self._is_outdated(runner):
             return Arrival.OUTDATED
-        self._note_start(runner)
+        started_anew = self._note_start(runner)
         old = self._runners.get(runner.id)
         self._lapsed.pop(runner.id, None)
-        restarted = old is not None and runner.is_restart_of(old)
+        # What ran there before may still be waited for, though its entry has
+        # been gone meanwhile.
+        restarted = started_anew or (
+            old is not None and runner.is_restart_of(old)
+        )
         if old is not None and (restarted or old.service != runner.service):
             self._drop(runner.id)
         self._runners[runner.id] = runner
@@ -164,13 +168,16 @@
             and runner.start < latest
         )
 
-    def _note_start(self, runner: model.Runner) -> None:
+    def _note_start(self, runner: model.Runner) -> bool:
+        """Takes a runner's start; returns whether an earlier one was known."""
         if runner.start is None:
-            return
+            return False
+        before = self._starts.get(runner.id)
         self._starts[runner.id] = runner.start
         self._starts.move_to_end(runner.id)
         if len(self._starts) > _STARTS_REMEMBERED:
             self._starts.popitem(last=False)
+        return before is not None and before < runner.start
 
     def _drop(self, runner: ids.EndpointId) -> None:
         known = self._runners.pop(runner)
--- a/pollenfork/fleet/tests/test_registry.py
+++ b/pollenfork/fleet/tests/test_registry.py
@@ -249,3 +249,16 @@
 
 
 TestNews = News.TestCase
+
+
+def test_a_start_after_its_entry_was_gone_is_told_as_a_restart() -> None:
+    runners, restarted = registry.Registry(), []
+    runners.when_restarted(restarted.append)
+    runners.put(make_runner("r", start=100))
+    runners.remove(ids.EndpointId("r"), now=5.0)
+    again = make_runner("r", start=200)
+    assert runners.put(again) is Arrival.RESTARTED
+    assert restarted == [again]
+    # One whose entry merely came back has not started anew.
+    runners.remove(ids.EndpointId("r"), now=6.0)
+    assert runners.put(again) is Arrival.TAKEN
