Give each run of the soak addresses of its own

Cause: addresses followed from the seed alone, so two test runs on one machine played the same seed at the same addresses.

Ruled out: ports by process alone; metrics are shown on one port of the host.

Schedules draw nothing from addresses, so seeds play as before.

--- a/pollenfork/platform/tests/soak/site.py
+++ b/pollenfork/platform/tests/soak/site.py
@@ -139,7 +139,10 @@
         self.seed = seed
         self.rng = random.Random(seed)
         self.folder = folder
-        self.base = f"127.{20 + seed // 200 % 200}.{seed % 200 + 1}"
+        # Addresses of this process's own: two runs on one machine may play the
+        # same seed at once, and metrics are always shown on one port.
+        place = (os.getpid() + seed // 200) % 200
+        self.base = f"127.{20 + place}.{seed % 200 + 1}"
         self.port = 21000 + seed % 7 * 10
         self.store = store.Store()
         self.record = runner.Record()
