Count when the store answered others from when the word of it arrives

Cause: each hop counted that from what its answer repeats, up to 0.35 s too old, so over three hops and with lost datagrams an outage seemed 1 s longer than it was, and an entry was kept though another instance was answered 1.2 to 1.4 s before.

Ruled out: a longer least outage; entries that end in one of 2.4 to 3.4 s would no longer be kept. A word that was long under way errs to the other side: it keeps less. Proof that keys hold still counts from what the answer repeats.

--- a/pollenfork/loads/core.py
+++ b/pollenfork/loads/core.py
@@ -204,14 +204,15 @@
         answered_s = proof.answered_s
         if answered_s is None:
             answered_s = proof.age_s
+        # Counted from its arrival: where the word was long under way this makes
+        # an outage shorter, and entries are kept less rather than wrongly.
+        self._instance.note_answered(now - answered_s)
         if not 0.0 < echo <= now:
             # It answers nothing yet, or what was sent before a new start.
-            self._instance.note_answered(now - answered_s)
             self._instance.note_versions(proof, host)
             return
         # It was written after what it repeats was sent, however long either
         # was under way or this instance stood still.
-        self._instance.note_answered(echo - answered_s)
         self._instance.note_proof(proof, echo - proof.age_s, host)
 
     # Reporting.
--- a/pollenfork/platform/tests/simulation/play.py
+++ b/pollenfork/platform/tests/simulation/play.py
@@ -92,12 +92,14 @@
         broken: What didn't hold.
         ages: Seconds from the first instance's knowledge of a leaving to each
             other's.
+        keepers: Instances that gave work to a runner whose entry was gone.
         stale_s: Seconds for which instances didn't trust keys.
         calls: Calls to the store.
     """
 
     broken: list[Broken] = msgspec.field(default_factory=list)
     ages: list[float] = msgspec.field(default_factory=list)
+    keepers: set[str] = msgspec.field(default_factory=set)
     stale_s: float = 0.0
     calls: int = 0
 
@@ -276,6 +278,8 @@
 
     def _check_runners(self, each: sites.Instance, now: float) -> None:
         takers, kept = each.list_takers(), each.list_kept()
+        if kept:
+            self.outcome.keepers.add(each.host)
         if kept and not self._was_away(each.host, now):
             self._tell("kept", each, now, f"{kept}, though the store was there")
         for name, gone_at in self._site.gone_at.items():
