Gossip past the relays, so that news outlives a relay lost in a bad spell

Cause: instances heard of the store's changes by their relay alone, or asked whoever it had named.

What is known of one table moved to gateway/news.py.

--- a/pollenfork/gateway/knowledge.py
+++ b/pollenfork/gateway/knowledge.py
@@ -3,7 +3,6 @@
 import collections
 import logging
 
-import msgspec
 import result
 
 from pollenfork import ids
@@ -13,6 +12,7 @@
 from pollenfork.fleet import errors as fleet_errors
 from pollenfork.fleet import registry
 from pollenfork.gateway import edges
+from pollenfork.gateway import news
 from pollenfork.gateway import settings
 from pollenfork.loads import messages
 from pollenfork.routes import freshness
@@ -22,26 +22,6 @@
 _LOG = logging.getLogger(__name__)
 
 
-class News(msgspec.Struct, frozen=True):
-    """The newest version of a table that other instances have told of.
-
-    Where the store turns some away, their words differ: the newest counts,
-    whoever spoke last. Going by the last word, two relays without news kept a
-    third from fetching it, and runners got work 3.8 s after they had left.
-
-    Attributes:
-        version: The store's version of its last change.
-        teller: The host that last told of it.
-    """
-
-    version: int = 0
-    teller: str = ""
-
-    def renew(self, version: int, teller: str) -> "News":
-        """Returns the newer of this and what another instance tells."""
-        return News(version, teller) if version >= self.version else self
-
-
 class Knowledge:
     """Takes rows of the store; answers what they mean.
 
@@ -51,14 +31,10 @@
         runners: The runners of all services.
         has_runners: Whether the registry has been read whole.
         refused_entries: How many rows named no runner, by why.
+        configuration_news: What is told of the configuration's changes.
+        runners_news: What is told of the runners' changes.
     """
 
-    # How long news that others have may take to come from the store too; then
-    # a relay asks the one that proved it.
-    _LACKING_S = 0.25
-    # How long news that a relay has may take to come from it; then the store
-    # is asked. A relay answers within some milliseconds.
-    _BEHIND_S = 0.5
     # How old a relay's proof may be for others to go by its word. News must be
     # in force 2 s after the store has it, and the store still has to be asked
     # where the relay doesn't hear it.
@@ -82,14 +58,8 @@
         self.runners = registry.Registry()
         self.has_runners = False
         self._proof_at: float | None = None
-        self._newest_configuration = News()
-        self._newest_runners = News()
-        self._configuration_news = 0
-        self._runners_news = 0
-        self._configuration_through = 0
-        self._runners_through = 0
-        self._behind_since: dict[str, float] = {}
-        self._told_at: dict[str, float] = {}
+        self.configuration_news = news.TableNews()
+        self.runners_news = news.TableNews()
 
     def note_current(self, moment: float) -> None:
         """Takes this instance's own proof that the configuration is current."""
@@ -117,8 +87,8 @@
         if age_s is None:
             return None
         return messages.Proof(
-            self._configuration_news,
-            self._runners_news,
+            self.configuration_news.last_change,
+            self.runners_news.last_change,
             age_s,
             self._outages.read_age(now),
         )
@@ -137,15 +107,18 @@
         self.note_answer(moment)
         if self._proof_at is None or moment > self._proof_at:
             self._proof_at = moment
-        if proof.configuration <= self._configuration_through:
+        if proof.configuration <= self.configuration_news.through:
             self.freshness.vouch(moment)
 
     def take_versions(self, proof: messages.Proof, teller: str) -> None:
         """Takes what another instance has read, whenever that was."""
-        self._newest_configuration = self._newest_configuration.renew(
-            proof.configuration, teller
-        )
-        self._newest_runners = self._newest_runners.renew(proof.runners, teller)
+        self.configuration_news.take_word(proof.configuration, teller)
+        self.runners_news.take_word(proof.runners, teller)
+
+    def pass_over(self, teller: str) -> None:
+        """Takes that another instance doesn't answer."""
+        self.configuration_news.pass_over(teller)
+        self.runners_news.pass_over(teller)
 
     def follows_relay(self, now: float) -> bool:
         """Returns whether a relay's word is recent enough to go by."""
@@ -155,73 +128,13 @@
         """Returns whether others' proof is recent enough to need no own."""
         return self._is_proof_within(self._PROVEN_S, now)
 
-    @property
-    def has_newer_configuration(self) -> bool:
-        """Whether another instance knows a newer one."""
-        return self._newest_configuration.version > self._configuration_through
-
-    @property
-    def has_newer_runners(self) -> bool:
-        """Whether another instance knows newer runners."""
-        return self._newest_runners.version > self._runners_through
-
-    @property
-    def configuration_teller(self) -> str:
-        """The host that last told of the newest configuration."""
-        return self._newest_configuration.teller
-
-    @property
-    def runners_teller(self) -> str:
-        """The host that last told of the newest runners."""
-        return self._newest_runners.teller
-
     def _is_proof_within(self, limit_s: float, now: float) -> bool:
         at = self._proof_at
         return at is not None and now - at < limit_s
 
-    def lacks_configuration(self, now: float) -> bool:
-        """Returns whether a newer one is known elsewhere and doesn't come."""
-        lasted_s = self._time(
-            "configuration", self.has_newer_configuration, now
-        )
-        return lasted_s >= self._LACKING_S
-
-    def lacks_runners(self, now: float) -> bool:
-        """Returns whether newer runners are known elsewhere and don't come."""
-        lasted_s = self._time("runners", self.has_newer_runners, now)
-        return lasted_s >= self._LACKING_S
-
-    def is_behind_configuration(self, now: float) -> bool:
-        """Returns whether a relay has known a newer one for a while."""
-        return self._has_lasted(
-            "configuration", self.has_newer_configuration, now
-        )
-
-    def is_behind_runners(self, now: float) -> bool:
-        """Returns whether a relay has known newer runners for a while."""
-        return self._has_lasted("runners", self.has_newer_runners, now)
-
-    def _time(self, what: str, holds: bool, now: float) -> float:
-        """Returns for how long something has held, in seconds."""
-        if not holds:
-            self._behind_since.pop(what, None)
-            return 0.0
-        return now - self._behind_since.setdefault(what, now)
-
-    def _has_lasted(self, what: str, holds: bool, now: float) -> bool:
-        """Returns whether something has held for long, once in that time."""
-        if self._time(what, holds, now) < self._BEHIND_S:
-            return False
-        told_at = self._told_at.get(what)
-        if told_at is not None and now - told_at < self._BEHIND_S:
-            return False
-        self._told_at[what] = now
-        return True
-
     def take_configuration(self, changes: catalogue.Changes) -> None:
         """Puts a newer configuration in force."""
-        self._configuration_through = changes.through
-        self._configuration_news = max(self._configuration_news, changes.news)
+        self.configuration_news.take(changes)
         for row in changes.rows:
             read = self._store.read_configuration(row)
             if read is None:
@@ -254,8 +167,7 @@
     def take_runners(self, changes: catalogue.Changes, now: float) -> None:
         """Takes runners that came, changed or left."""
         self.has_runners = True
-        self._runners_through = changes.through
-        self._runners_news = max(self._runners_news, changes.news)
+        self.runners_news.take(changes)
         for row in changes.rows:
             if row.removed:
                 self._remove_runner(row, changes.way, now)
--- a/pollenfork/gateway/sources.py
+++ b/pollenfork/gateway/sources.py
@@ -4,10 +4,13 @@
 from collections.abc import Callable
 import random
 
+import msgspec
+
 from pollenfork.catalogue import watch
 from pollenfork.gateway import edges
 from pollenfork.gateway import following
 from pollenfork.gateway import knowledge
+from pollenfork.gateway import news
 from pollenfork.gateway import peers
 from pollenfork.gateway import settings
 from pollenfork.gateway import tables
@@ -99,15 +102,16 @@
             silent = follower.take_silent()
             if silent is not None:
                 others.pass_over(silent)
+                known.pass_over(silent)
         prover = others.find_prover(now)
         self._guide(others, now)
         proven = prover is not None and known.is_proven_by_others(now)
         self._configuration.set_wait(
             _PROVEN_WAIT_S if proven else _CONFIGURATION_WAIT_S
         )
-        if known.is_behind_configuration(now):
+        if known.configuration_news.is_behind(now):
             self._configuration.hurry()
-        if known.is_behind_runners(now):
+        if known.runners_news.is_behind(now):
             self._runners.hurry()
 
     def _guide(self, others: peers.Peers, now: float) -> None:
@@ -116,22 +120,17 @@
         relay = others.find_relay(now)
         age_s = known.freshness.age(now) or 0.0
         relays = relay is None
-        configuration = runners = relay if known.follows_relay(now) else None
-        if configuration is None:
-            # The store may turn this one away and not the one that told of
-            # the news. That is asked, however old its proof: its rows are
-            # newer all the same.
-            if known.lacks_configuration(now):
-                configuration = others.locate(known.configuration_teller)
-            if known.lacks_runners(now):
-                runners = others.locate(known.runners_teller)
-        overdue = configuration is None and age_s > _OVERDUE_S
+        followed = relay if known.follows_relay(now) else None
+        configuration = _choose_guide(
+            known.configuration_news, followed, others, now
+        )
+        overdue = configuration.relay is None and age_s > _OVERDUE_S
         self._configuration.guide(
-            following.Guide(
-                configuration, known.has_newer_configuration, overdue
-            )
+            msgspec.structs.replace(configuration, at_once=overdue)
+        )
+        self._runners.guide(
+            _choose_guide(known.runners_news, followed, others, now)
         )
-        self._runners.guide(following.Guide(runners, known.has_newer_runners))
         self._runners.set_wait(
             _RELAY_RUNNERS_WAIT_S if relays else _RUNNERS_WAIT_S
         )
@@ -171,3 +170,31 @@
         configuration.when_troubled(lambda lost: runners.hurry())
         # One table is enough to find out that the store is back.
         runners.wait_for(configuration)
+
+
+def _choose_guide(
+    table: news.TableNews,
+    relay: settings.Address | None,
+    others: peers.Peers,
+    now: float,
+) -> following.Guide:
+    """Returns whom to ask for a table.
+
+    Args:
+        table: What is told of it.
+        relay: The relay to go by, if any.
+        others: Knows where instances listen.
+        now: Monotonic seconds.
+    """
+    newer = table.is_newer_elsewhere
+    teller = others.locate(table.teller)
+    if relay is None:
+        # The store may turn this one away and not the one that told of the
+        # news. That is asked, however old its proof: its rows are newer all
+        # the same.
+        return following.Guide(teller if table.lacks(now) else None, newer)
+    if newer and teller is not None and teller != relay:
+        if not table.is_relay_late(now):
+            return following.Guide(relay)
+        return following.Guide(teller, news=True)
+    return following.Guide(relay, newer)
--- a/pollenfork/loads/core.py
+++ b/pollenfork/loads/core.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable
 
 from pollenfork.loads import edges
+from pollenfork.loads import gossip
 from pollenfork.loads import greetings
 from pollenfork.loads import lines
 from pollenfork.loads import members
@@ -48,7 +49,9 @@
         self._me = me
         self._data_centre = data_centre
         self._instance = instance
-        self._roster = members.Roster(messages.Member(me.host, data_centre))
+        member = messages.Member(me.host, data_centre)
+        self._roster = members.Roster(member)
+        self._gossip = gossip.Gossip(member, self._roster)
         self._greetings = greetings.Greetings(
             self._roster, data_centre, _EXPIRY_S
         )
@@ -131,6 +134,7 @@
         placed = self._instance.take_placed()
         self._expire(now)
         sends = self._greet(now)
+        sends += self._tell_gossip(now)
         relay = self.find_relay(now)
         if relay is not None and relay != self._me.host:
             sends += self._report(relay, placed, now)
@@ -185,6 +189,8 @@
                 self._take_proof(message.proof, message.echo, host, now)
             case messages.Others():
                 self._take_others(message, host, now)
+            case messages.Gossip():
+                return self._take_gossip(message, host, now)
         return []
 
     def _take_others(
@@ -196,6 +202,15 @@
         self._instance.note_placed(message.placed)
         self._take_proof(message.proof, message.echo, host, now)
 
+    def _take_gossip(
+        self, message: messages.Gossip, host: str, now: float
+    ) -> list[messages.Send]:
+        self._note(host, message.data_centre, now)
+        self._take_proof(message.proof, message.echo, host, now)
+        proof = self._instance.read_proof(now)
+        answer = self._gossip.answer(message, proof, now)
+        return [] if answer is None else [self._address(host, answer)]
+
     def _take_proof(
         self, proof: messages.Proof | None, echo: float, host: str, now: float
     ) -> None:
@@ -356,6 +371,10 @@
         hello = messages.Hello(self._data_centre)
         return [self._address(host, hello) for host in hosts]
 
+    def _tell_gossip(self, now: float) -> list[messages.Send]:
+        told = self._gossip.tell(self._instance.read_proof(now), now)
+        return [self._address(host, message) for host, message in told]
+
     def _address(self, host: str, message: messages.Message) -> messages.Send:
         return messages.Send(messages.Address(host, self._me.port), message)
 
--- a/pollenfork/loads/members.py
+++ b/pollenfork/loads/members.py
@@ -73,6 +73,15 @@
         """Returns whether a host is that of a known member."""
         return host in self._data_centres
 
+    def list_hosts(self, here: bool) -> list[str]:
+        """Returns the hosts of members of this data centre, or of others."""
+        home = self._me.data_centre
+        return [
+            member.host
+            for member in self._seen
+            if (member.data_centre == home) is here
+        ]
+
     def find_data_centre(self, host: str) -> str | None:
         """Returns where a host's member runs; None: it isn't known."""
         return self._data_centres.get(host)
--- a/pollenfork/loads/messages.py
+++ b/pollenfork/loads/messages.py
@@ -151,7 +151,23 @@
     sent_at: float = 0.0
 
 
-Message = Hello | Members | Report | Sum | Others
+class Gossip(msgspec.Struct, frozen=True, array_like=True, tag="g"):
+    """An instance tells any other what it knows of the store.
+
+    Attributes:
+        data_centre: Where it runs.
+        proof: What it knows.
+        sent_at: Its own clock; an answer repeats it.
+        echo: The `sent_at` of what it answers; 0 where it asks.
+    """
+
+    data_centre: str
+    proof: Proof
+    sent_at: float = 0.0
+    echo: float = 0.0
+
+
+Message = Hello | Members | Report | Sum | Others | Gossip
 
 
 class Send(msgspec.Struct, frozen=True):
