Tell all instances what one finds out of a runner

Cause: a runner that crashes says nothing, and its entry lapses 3.6 s later.

Ruled out: a prober a runner (costs probes, and needs whoever takes over); condemning on broken streams or silence of one witness (a way may be cut).

Change: a 421 ends a runner at that address everywhere; a refused connection lets others go first for 0.8 s; silence counts where two witnesses of the own data centre, or of two, agree within 1 s (fleet/evidence.py). Findings travel with the gossip. A send that met another runner no longer spends one of the route's attempts (it still takes a repeat from the budget).

--- a/benchmarks/loads_cost.py
+++ b/benchmarks/loads_cost.py
@@ -67,6 +67,12 @@
     def note_versions(self, proof: messages.Proof, teller: str) -> None:
         """Takes nothing."""
 
+    def take_found(self) -> list[messages.Finding]:
+        return []
+
+    def note_found(self, finding: messages.Finding, now: float) -> None:
+        """Takes nothing."""
+
 
 class _Fleet:
     """All exchanges, and what each has cost."""
--- a/pollenfork/fleet/choice.py
+++ b/pollenfork/fleet/choice.py
@@ -147,7 +147,7 @@
             return None
         takers = [
             runner
-            for runner in takers
+            for runner in self._leave_out_displaced(takers)
             if self.find_standing(runner.id).reachable
         ]
         if not takers:
@@ -242,6 +242,17 @@
     def _mark(self, runner: model.Runner) -> int:
         return self.find_standing(runner.id).mark
 
+    def _leave_out_displaced(
+        self, takers: list[model.Runner]
+    ) -> list[model.Runner]:
+        """Returns runners that are where their entries say, if any is."""
+        there = [
+            runner
+            for runner in takers
+            if self.find_standing(runner.id).displaced_from != runner.address
+        ]
+        return there or takers
+
     def _make_offer(
         self, demand: offers.Demand, runner: model.Runner, now: float
     ) -> offers.Offer:
--- a/pollenfork/fleet/model.py
+++ b/pollenfork/fleet/model.py
@@ -68,6 +68,11 @@
         """Its start, which all that is believed of it belongs to."""
         return Incarnation(self.id, self.start)
 
+    @property
+    def address(self) -> tuple[str, int]:
+        """Its host and port."""
+        return self.host, self.port
+
     def is_restart_of(self, before: "Runner") -> bool:
         """Returns whether it has started anew since a known entry.
 
--- a/pollenfork/fleet/standing.py
+++ b/pollenfork/fleet/standing.py
@@ -28,6 +28,7 @@
         unsent: Of them, those in a row that made no connection.
         failing: Recent part of answers that failed, 0 to 1.
         shunned_until: Monotonic seconds until which others go first.
+        displaced_from: The address where another runner answers instead.
     """
 
     mark: int
@@ -38,6 +39,7 @@
     unsent: int = 0
     failing: float = 0.0
     shunned_until: float = 0.0
+    displaced_from: tuple[str, int] | None = None
 
     @property
     def reachable(self) -> bool:
--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -13,6 +13,7 @@
 from pollenfork import failures
 from pollenfork import logs
 from pollenfork.fleet import choice
+from pollenfork.fleet import evidence
 from pollenfork.fleet import repeats
 from pollenfork.gateway import admission
 from pollenfork.gateway import cache_feed
@@ -90,11 +91,15 @@
             store, told.revocation_s, told.heartbeat_s
         )
         connections = pool.Pool(self._loop)
+        chooser = choice.Chooser(self.known.runners, rng, self._read_others)
         self._tools = context.Tools(
             loop=self._loop,
             rng=rng,
             codec=codec,
-            chooser=choice.Chooser(self.known.runners, rng, self._read_others),
+            chooser=chooser,
+            evidence=evidence.Evidence(
+                self.known.runners, chooser.find_standing, told.data_centre
+            ),
             pool=connections,
             prober=probing.Prober(connections, self.known.runners, rng),
             repeats=repeats.RepeatBudget(told.retry_ratio, told.retry_window_s),
@@ -163,7 +168,10 @@
         if me is None:
             return
         here = peers.Here(
-            self._tools.chooser, self.known, self._settings.data_centre
+            self._tools.chooser,
+            self.known,
+            self._tools.evidence,
+            self._settings.data_centre,
         )
         _, joined = await self._loop.create_datagram_endpoint(
             lambda: peers.Peers(here, self._settings, me), local_addr=me
@@ -314,6 +322,10 @@
             shown.set_count(
                 "pollenfork_entries_refused_total", count, reason=why.value
             )
+        for sign, count in self._tools.evidence.counts.items():
+            shown.set_count(
+                "pollenfork_findings_taken_total", count, sign=sign.name.lower()
+            )
         kept = known.runners.kept
         shown.set_count("pollenfork_runners_kept_total", kept)
         age_s = known.freshness.age(self._loop.time())
--- a/pollenfork/gateway/attempt.py
+++ b/pollenfork/gateway/attempt.py
@@ -11,6 +11,7 @@
 from pollenfork.gateway import edges
 from pollenfork.gateway import events
 from pollenfork.gateway import messages
+from pollenfork.loads import messages as loads
 
 # Plain answers are kept whole before they are passed on.
 _LARGEST_ANSWER = 16 << 20
@@ -35,12 +36,23 @@
         head: The runner's head, if any came.
         body: The body of a plain answer.
         breach: What broke it.
+        nobody: Whether nobody listens at the runner's address.
     """
 
     end: End
     head: messages.AnswerHead | None = None
     body: bytes = b""
     breach: connection.Breach | None = None
+    nobody: bool = False
+
+    @property
+    def sign(self) -> loads.Sign | None:
+        """What it shows of the runner's address, for other instances too."""
+        if self.end is End.DISPLACED:
+            return loads.Sign.DISPLACED
+        if self.end is not End.UNSENT:
+            return None
+        return loads.Sign.REFUSED if self.nobody else loads.Sign.SILENT
 
 
 class Relay(msgspec.Struct):
--- a/pollenfork/gateway/context.py
+++ b/pollenfork/gateway/context.py
@@ -8,6 +8,7 @@
 
 from pollenfork import ids
 from pollenfork.fleet import choice
+from pollenfork.fleet import evidence
 from pollenfork.fleet import offers
 from pollenfork.fleet import repeats
 from pollenfork.gateway import counters
@@ -60,6 +61,7 @@
     rng: random.Random
     codec: edges.Codec
     chooser: choice.Chooser
+    evidence: evidence.Evidence
     pool: pool.Pool
     repeats: repeats.RepeatBudget
     prober: probing.Prober
--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -137,24 +137,24 @@
         """Sends the request to one runner and waits for the end of it."""
         try:
             found = await self._connect(grant.runner)
-            if found is None:
-                return attempt.Ended(_End.UNSENT)
+            if isinstance(found, result.Err):
+                nobody = found.err_value.nobody
+                return attempt.Ended(_End.UNSENT, nobody=nobody)
             self._course.sent += 1
             self._tools.counters.note_sent()
-            return await self._exchange(grant, found)
+            return await self._exchange(grant, found.ok_value)
         finally:
             self._tools.chooser.settle(grant)
 
     async def _connect(
         self, runner: fleet.Runner
-    ) -> connection.Connection | None:
+    ) -> result.Result[connection.Connection, pool.Unreachable]:
         idempotent = self._admitted.route.idempotent
         care = pool.Care.ANY if idempotent else pool.Care.SURE
         kept = self._tools.pool.take(runner, care)
         if kept is not None:
-            return kept
-        opened = await self._tools.pool.open(runner, max(0.0, self._left()))
-        return opened.ok_value if isinstance(opened, result.Ok) else None
+            return result.Ok(kept)
+        return await self._tools.pool.open(runner, max(0.0, self._left()))
 
     async def _exchange(
         self, grant: choice.Grant, found: connection.Connection
@@ -233,6 +233,8 @@
         now = self._tools.loop.time()
         seen.note_end(ended.end, repetition.is_error(ended), now)
         self._record.note_standing(grant, ended, failures)
+        if ended.sign is not None:
+            self._tools.evidence.note(grant.runner, ended.sign)
         if not seen.reachable:
             self._tools.prober.watch(grant.runner, seen)
 
--- a/pollenfork/gateway/peers.py
+++ b/pollenfork/gateway/peers.py
@@ -7,6 +7,7 @@
 
 from pollenfork import ids
 from pollenfork.fleet import choice
+from pollenfork.fleet import evidence
 from pollenfork.gateway import knowledge
 from pollenfork.gateway import settings
 from pollenfork.loads import core
@@ -24,10 +25,12 @@
         self,
         chooser: choice.Chooser,
         known: knowledge.Knowledge,
+        found: evidence.Evidence,
         data_centre: ids.DataCentre,
     ) -> None:
         self._chooser = chooser
         self._known = known
+        self._evidence = found
         self._data_centre = data_centre
 
     def read_loads(self) -> messages.Table:
@@ -68,6 +71,14 @@
         """Takes what one that reports here has read."""
         self._known.take_versions(proof, teller)
 
+    def take_found(self) -> list[messages.Finding]:
+        """Returns what it has found out of runners since the last call."""
+        return self._evidence.take_found()
+
+    def note_found(self, finding: messages.Finding, now: float) -> None:
+        """Takes what another one has found out of a runner."""
+        self._evidence.take(finding, now)
+
 
 class Peers(asyncio.DatagramProtocol):
     """Carries out the exchange with other instances."""
--- a/pollenfork/gateway/pool.py
+++ b/pollenfork/gateway/pool.py
@@ -27,7 +27,13 @@
 
 
 class Unreachable(failures.Failure, frozen=True, kw_only=True):
-    """No connection could be made; nothing was sent."""
+    """No connection could be made; nothing was sent.
+
+    Attributes:
+        nobody: Whether the host said that nobody listens there.
+    """
+
+    nobody: bool = False
 
 
 class Care(enum.Enum):
@@ -102,7 +108,9 @@
         except (OSError, TimeoutError) as error:
             self.counters.unreachable += 1
             kind = type(error).__name__
-            return result.Err(Unreachable(detail=f"{runner.host}: {kind}"))
+            nobody = isinstance(error, ConnectionRefusedError)
+            detail = f"{runner.host}: {kind}"
+            return result.Err(Unreachable(detail=detail, nobody=nobody))
         opened.idle_since = self._loop.time()
         opened.opened_at = self._wall()
         return result.Ok(opened)
--- a/pollenfork/gateway/repetition.py
+++ b/pollenfork/gateway/repetition.py
@@ -33,7 +33,7 @@
     """The attempts of one request so far.
 
     Attributes:
-        sent: Runners that it was sent to.
+        sent: Runners that it was sent to and that were there.
         searched: Runners that were tried, reached or not.
         may_have_run: Whether one of them may have run it.
     """
@@ -45,6 +45,10 @@
     def note(self, ended: attempt.Ended) -> None:
         """Takes the end of an attempt."""
         self.searched += 1
+        if ended.end is End.DISPLACED:
+            # The runner that was meant is gone and never got it; who answered
+            # at its address doesn't count against the route's attempts.
+            self.sent -= 1
         if is_error(ended) or ended.end in (End.BROKEN, End.SILENT):
             self.may_have_run = True
 
--- a/pollenfork/gateway/tests/support.py
+++ b/pollenfork/gateway/tests/support.py
@@ -6,6 +6,7 @@
 
 from pollenfork import ids
 from pollenfork.fleet import choice
+from pollenfork.fleet import evidence
 from pollenfork.fleet import model as fleet
 from pollenfork.fleet import offers
 from pollenfork.fleet import registry
@@ -181,11 +182,15 @@
         self.runners = registry.Registry()
         connections = pool.Pool(loop)
         connections.follow(self.runners)
+        chooser = choice.Chooser(self.runners, rng)
         self.tools = context.Tools(
             loop=loop,
             rng=rng,
             codec=Codec(),
-            chooser=choice.Chooser(self.runners, rng),
+            chooser=chooser,
+            evidence=evidence.Evidence(
+                self.runners, chooser.find_standing, ids.DataCentre("a")
+            ),
             pool=connections,
             prober=probing.Prober(connections, self.runners, rng),
             repeats=repeats.RepeatBudget(0.2, 10.0),
--- a/pollenfork/gateway/tests/test_repetition.py
+++ b/pollenfork/gateway/tests/test_repetition.py
@@ -83,3 +83,23 @@
     course.note(make_ended(End.REFUSED))
     assert course.may_have_run
     assert course.searched == 5
+
+
+def test_a_send_that_met_another_runner_spends_no_attempt() -> None:
+    single = support.make_route(model.Kind.AT_MOST_ONCE, attempts=1)
+    course = repetition.Course(sent=1)
+    displaced = make_ended(End.DISPLACED)
+    course.note(displaced)
+    sequel = repetition.decide(displaced, single, course, 1.0, lambda: True)
+    assert sequel is Sequel.REPEATED
+    assert not course.may_have_run
+
+
+def test_the_search_past_displaced_runners_ends() -> None:
+    course = repetition.Course()
+    displaced = make_ended(End.DISPLACED)
+    for _ in range(4):
+        course.sent += 1
+        course.note(displaced)
+    sequel = repetition.decide(displaced, ONCE, course, 1.0, lambda: True)
+    assert sequel is Sequel.SEARCH_ENDED
--- a/pollenfork/loads/core.py
+++ b/pollenfork/loads/core.py
@@ -11,11 +11,12 @@
 from collections.abc import Iterable
 
 from pollenfork.loads import edges
-from pollenfork.loads import gossip
 from pollenfork.loads import greetings
 from pollenfork.loads import lines
 from pollenfork.loads import members
 from pollenfork.loads import messages
+from pollenfork.loads import proofs
+from pollenfork.loads import rumours
 
 # How often small changes of loads are told, in seconds.
 PERIOD_S = 0.05
@@ -51,7 +52,7 @@
         self._instance = instance
         member = messages.Member(me.host, data_centre)
         self._roster = members.Roster(member)
-        self._gossip = gossip.Gossip(member, self._roster)
+        self._rumours = rumours.Rumours(member, self._roster, instance)
         self._greetings = greetings.Greetings(
             self._roster, data_centre, _EXPIRY_S
         )
@@ -134,7 +135,7 @@
         placed = self._instance.take_placed()
         self._expire(now)
         sends = self._greet(now)
-        sends += self._tell_gossip(now)
+        sends += self._address_all(self._rumours.tick(now))
         relay = self.find_relay(now)
         if relay is not None and relay != self._me.host:
             sends += self._report(relay, placed, now)
@@ -176,7 +177,7 @@
                 self._reports[host] = heard
                 self._urgent = self._urgent or message.urgent
                 self._take_placed(message.placed, host)
-                self._take_proof(message.proof, message.echo, host, now)
+                self._take_proof(message, host, now)
             case messages.Sum():
                 self._note(host, message.data_centre, now)
                 self._roster.note_answer(host)
@@ -186,11 +187,12 @@
                 heard = lines.Heard(message.loads, now, message.sent_at)
                 self._sums[host] = heard
                 self._take_placed(message.placed, host)
-                self._take_proof(message.proof, message.echo, host, now)
+                self._take_proof(message, host, now)
             case messages.Others():
                 self._take_others(message, host, now)
-            case messages.Gossip():
-                return self._take_gossip(message, host, now)
+            case messages.Gossip() | messages.Findings():
+                self._note(host, message.data_centre, now)
+                return self._address_all(self._rumours.hear(message, host, now))
         return []
 
     def _take_others(
@@ -200,35 +202,15 @@
         self._others = lines.Heard(message.loads, now, message.sent_at)
         self._others_teller = host
         self._instance.note_placed(message.placed)
-        self._take_proof(message.proof, message.echo, host, now)
-
-    def _take_gossip(
-        self, message: messages.Gossip, host: str, now: float
-    ) -> list[messages.Send]:
-        self._note(host, message.data_centre, now)
-        self._take_proof(message.proof, message.echo, host, now)
-        proof = self._instance.read_proof(now)
-        answer = self._gossip.answer(message, proof, now)
-        return [] if answer is None else [self._address(host, answer)]
+        self._take_proof(message, host, now)
 
     def _take_proof(
-        self, proof: messages.Proof | None, echo: float, host: str, now: float
+        self,
+        message: messages.Report | messages.Sum | messages.Others,
+        host: str,
+        now: float,
     ) -> None:
-        if proof is None:
-            return
-        answered_s = proof.answered_s
-        if answered_s is None:
-            answered_s = proof.age_s
-        # Counted from its arrival: where the word was long under way this makes
-        # an outage shorter, and entries are kept less rather than wrongly.
-        self._instance.note_answered(now - answered_s)
-        if not 0.0 < echo <= now:
-            # It answers nothing yet, or what was sent before a new start.
-            self._instance.note_versions(proof, host)
-            return
-        # It was written after what it repeats was sent, however long either
-        # was under way or this instance stood still.
-        self._instance.note_proof(proof, echo - proof.age_s, host)
+        proofs.take(self._instance, message.proof, message.echo, host, now)
 
     # Reporting.
 
@@ -371,8 +353,7 @@
         hello = messages.Hello(self._data_centre)
         return [self._address(host, hello) for host in hosts]
 
-    def _tell_gossip(self, now: float) -> list[messages.Send]:
-        told = self._gossip.tell(self._instance.read_proof(now), now)
+    def _address_all(self, told: rumours.Told) -> list[messages.Send]:
         return [self._address(host, message) for host, message in told]
 
     def _address(self, host: str, message: messages.Message) -> messages.Send:
--- a/pollenfork/loads/edges.py
+++ b/pollenfork/loads/edges.py
@@ -48,3 +48,9 @@
             moment: Monotonic seconds here; too late by as long as the word of
                 it was under way.
         """
+
+    def take_found(self) -> list[messages.Finding]:
+        """Returns what it has found out of runners since the last call."""
+
+    def note_found(self, finding: messages.Finding, now: float) -> None:
+        """Takes what another one has found out of a runner."""
--- a/pollenfork/loads/gossip.py
+++ b/pollenfork/loads/gossip.py
@@ -67,6 +67,10 @@
             self._me.data_centre, proof, now, message.sent_at
         )
 
+    def pick_round(self) -> list[str]:
+        """Returns the hosts to tell of news in one period."""
+        return self._pick(True, _NEAR) + self._pick(False, _FAR)
+
     def _choose(self, proof: messages.Proof, now: float) -> list[str]:
         versions = proof.configuration, proof.runners
         if versions != self._told:
@@ -74,7 +78,7 @@
             self._rounds_left = _ROUNDS
         if self._rounds_left:
             self._rounds_left -= 1
-            return self._pick(True, _NEAR) + self._pick(False, _FAR)
+            return self.pick_round()
         if now < self._exchange_at:
             return []
         self._exchange_at = now + _EXCHANGE_S
--- a/pollenfork/loads/messages.py
+++ b/pollenfork/loads/messages.py
@@ -1,5 +1,6 @@
 """Datagrams between instances, as msgpack arrays."""
 
+import enum
 from typing import NamedTuple
 
 import msgspec
@@ -167,7 +168,45 @@
     echo: float = 0.0
 
 
-Message = Hello | Members | Report | Sum | Others | Gossip
+class Sign(enum.Enum):
+    """What a runner's address has shown an instance."""
+
+    DISPLACED = "d"  # Another runner answers there: this one is gone.
+    REFUSED = "r"  # Nobody listens there.
+    SILENT = "s"  # No connection came about; the way may be cut.
+
+
+class Finding(msgspec.Struct, frozen=True, array_like=True):
+    """What an instance has found out of a runner by itself.
+
+    Attributes:
+        place: A hash of the runner's start and its address.
+        sign: What was found.
+        age_s: How long ago, in seconds.
+        data_centre: Where the instance runs that found it.
+        witness: A hash of that instance's host.
+    """
+
+    place: int
+    sign: Sign
+    age_s: float = 0.0
+    data_centre: str = ""
+    witness: int = 0
+
+
+class Findings(msgspec.Struct, frozen=True, array_like=True, tag="f"):
+    """An instance passes on what was found out of runners.
+
+    Attributes:
+        data_centre: Where it runs.
+        found: What it or others have found.
+    """
+
+    data_centre: str
+    found: tuple[Finding, ...]
+
+
+Message = Hello | Members | Report | Sum | Others | Gossip | Findings
 
 
 class Send(msgspec.Struct, frozen=True):
--- a/pollenfork/loads/tests/test_exchange.py
+++ b/pollenfork/loads/tests/test_exchange.py
@@ -21,6 +21,8 @@
         self.answered: list[float] = []
         self.proven: list[tuple[messages.Proof, float]] = []
         self.versions: set[tuple[messages.Proof, str]] = set()
+        self.found: list[messages.Finding] = []
+        self.found_elsewhere: list[messages.Finding] = []
 
     def read_loads(self) -> messages.Table:
         return dict(self.loads)
@@ -52,6 +54,13 @@
     def note_versions(self, proof: messages.Proof, teller: str) -> None:
         self.versions.add((proof, teller))
 
+    def take_found(self) -> list[messages.Finding]:
+        found, self.found = self.found, []
+        return found
+
+    def note_found(self, finding: messages.Finding, now: float) -> None:
+        self.found_elsewhere.append(finding)
+
 
 class Network:
     """Instances of three data centres on a clock that tests advance."""
@@ -375,3 +384,20 @@
     assert seen.proven == []
     assert seen.versions == {(proof, "10.0.0.003")}
     assert seen.answered == [network.now - 0.5]
+
+
+def test_what_one_found_of_a_runner_reaches_all_within_a_third_of_a_second():
+    network = Network(24)
+    network.run(4.0)
+    finding = messages.Finding(7, messages.Sign.DISPLACED)
+    network.instances["10.1.0.004"].found.append(finding)
+    network.run(0.3)
+    heard = [
+        each.found_elsewhere
+        for host, each in network.instances.items()
+        if host != "10.1.0.004"
+    ]
+    assert all(len(each) == 1 for each in heard)
+    witness = messages.hash_name(b"10.1.0.004")
+    assert {each[0].witness for each in heard} == {witness}
+    assert {each[0].data_centre for each in heard} == {"b"}
--- a/pollenfork/platform/tests/simulation/site.py
+++ b/pollenfork/platform/tests/simulation/site.py
@@ -6,6 +6,7 @@
 
 from pollenfork import ids
 from pollenfork.fleet import choice
+from pollenfork.fleet import evidence
 from pollenfork.gateway import knowledge
 from pollenfork.gateway import peers
 from pollenfork.gateway import settings
@@ -140,7 +141,10 @@
             seeds=self._seeds,
         )
         chooser = choice.Chooser(self.known.runners, self._rng)
-        here = peers.Here(chooser, self.known, self.data_centre)
+        found = evidence.Evidence(
+            self.known.runners, chooser.find_standing, self.data_centre
+        )
+        here = peers.Here(chooser, self.known, found, self.data_centre)
         _, joined = await loop.create_datagram_endpoint(
             lambda: peers.Peers(here, told, me), local_addr=me
         )
