Split the simulation's judge and schedules off, and explain findings

Cause: play.py had grown to 440 lines with three jobs; pollenfork explain left out what other instances had found of a request's runners, and the new metric and log line stood on no page.

--- a/pollenfork/logbook/course.py
+++ b/pollenfork/logbook/course.py
@@ -20,7 +20,13 @@
 }
 # What is said of a runner.
 _RUNNER_EVENTS = frozenset(
-    {"runner_known", "runner_gone", "runner_shunned", "runner_trusted"}
+    {
+        "runner_found",
+        "runner_gone",
+        "runner_known",
+        "runner_shunned",
+        "runner_trusted",
+    }
 )
 _FAILURES = frozenset({"attempt_failed", "runner_shunned"})
 # News of a runner's end this long after a request still bears on it: a
--- a/pollenfork/logbook/tests/test_causes.py
+++ b/pollenfork/logbook/tests/test_causes.py
@@ -167,3 +167,13 @@
     assert written[0] == "request q"
     assert "      +1500 ms  i-2  runner_shunned  runner=r request=z" in written
     assert written[-1].startswith("cause: failed: its runner failed")
+
+
+def test_what_others_found_of_its_runner_is_shown() -> None:
+    found = follow(
+        write(60.0, CHOSEN),
+        write(60.5, "runner_found runner=r sign=refused age_ms=60", "i-2"),
+        write(60.6, "runner_found runner=other sign=refused age_ms=60", "i-2"),
+        write(62.0, GIVEN_UP),
+    )
+    assert [line.fields["runner"] for line in found.runners] == ["r"]
--- a/pollenfork/metric_help.py
+++ b/pollenfork/metric_help.py
@@ -42,6 +42,10 @@
     "pollenfork_failed_requests_total": (
         "Requests that got no answer from any endpoint, by the last cause."
     ),
+    "pollenfork_findings_taken_total": (
+        "Findings of other instances that changed what is believed of a "
+        "runner, by what was found."
+    ),
     "pollenfork_first_token_seconds": (
         "Time from a request's arrival to its answer's first byte."
     ),
--- a/pollenfork/platform/tests/simulation/__main__.py
+++ b/pollenfork/platform/tests/simulation/__main__.py
@@ -9,7 +9,9 @@
 
 import msgspec
 
+from pollenfork.platform.tests.simulation import judge
 from pollenfork.platform.tests.simulation import play
+from pollenfork.platform.tests.simulation import schedules
 
 _PARTS = (0.5, 0.99, 0.999, 1.0)
 
@@ -24,7 +26,7 @@
     first, last = map(int, told.seeds.split("-"))
     sizes = tuple(map(int, filter(None, told.sizes.split(","))))
     logging.disable(logging.CRITICAL)
-    outcomes: list[play.Outcome] = []
+    outcomes: list[judge.Outcome] = []
     with multiprocessing.Pool(told.processes) as workers:
         seeds = range(first, last + 1)
         play_seed = functools.partial(_play, sizes=sizes)
@@ -45,22 +47,22 @@
     return 1 if broken else 0
 
 
-def _play(seed: int, sizes: tuple[int, ...]) -> play.Outcome:
-    return play.run(play.draw(seed, sizes=sizes), seed)
+def _play(seed: int, sizes: tuple[int, ...]) -> judge.Outcome:
+    return play.run(schedules.draw(seed, sizes=sizes), seed)
 
 
-def _show(seed: int, sizes: tuple[int, ...], outcome: play.Outcome) -> None:
+def _show(seed: int, sizes: tuple[int, ...], outcome: judge.Outcome) -> None:
     for each in outcome.broken[:3]:
         print(
             f"seed={seed} {each.rule} {each.host} {each.at:.2f} {each.detail}"
         )
     if sizes:
         return  # A large site takes too long to be played for each step.
-    short = play.shrink(play.draw(seed), seed, outcome.broken[0].rule)
+    short = play.shrink(schedules.draw(seed), seed, outcome.broken[0].rule)
     print(f"  {short.sizes} {_write(short.steps)}", flush=True)
 
 
-def _write(steps: Iterable[play.Step]) -> str:
+def _write(steps: Iterable[schedules.Step]) -> str:
     return msgspec.json.encode(tuple(steps)).decode()
 
 
--- a/pollenfork/platform/tests/simulation/play.py
+++ b/pollenfork/platform/tests/simulation/play.py
@@ -1,143 +1,29 @@
-"""Plays schedules drawn from seeds; checks what must hold at each step."""
+"""Plays schedules; the judge looks at each step."""
 
 import asyncio
 import collections
-import itertools
-import math
 import random
 from typing import Any
 
-import msgspec
-
 from pollenfork.platform.tests.simulation import clock
+from pollenfork.platform.tests.simulation import judge as judges
 from pollenfork.platform.tests.simulation import network
+from pollenfork.platform.tests.simulation import schedules
 from pollenfork.platform.tests.simulation import site as sites
-from pollenfork.platform.tests.soak import store as standin
 
-# Instances have found each other and read both tables by then, in seconds.
-SETTLED_S = 4.0
-LENGTH_S = 24.0
-# The clock's resolution of what is checked, in seconds.
-STEP_S = 0.05
-# What the strictest deployment allows from a leaving's acknowledgement to the
-# last request sent to it, in seconds.
-STRICTEST_S = 2.0
-# An instance that started or was cut off this recently is not judged by what
-# it doesn't know yet, in seconds.
-_BACK_S = 3.0
 _RUNNERS = 12
-# Schedules from this seed on also cut hosts off from the store alone; those
-# before stay as they were when they showed what they showed.
-_FIRST_PARTED = 10_000
-# Entries are kept for up to 2 s after an outage, which lasts 2.4 s as instances
-# see it: their proof is up to 1 s older than the answer that it came from.
-_KEPT_S = 7.0
-_LEAST_GAP_S = 1.4
-# How long the word of an answer takes to reach all, in seconds.
-_WORD_S = 0.5
-_MOODS = (standin.Mood.SILENT, standin.Mood.REFUSING)
-
-
-class Schedule(msgspec.Struct, frozen=True):
-    """What happens when, in seconds from the start.
-
-    Attributes:
-        sizes: Instances in each data centre.
-        steps: Moments with what happens then, in order.
-    """
-
-    sizes: tuple[int, ...]
-    steps: tuple["Step", ...]
-
-
-class Step(msgspec.Struct, frozen=True):
-    """Something that happens.
-
-    Attributes:
-        at: Seconds from the start.
-        kind: What: `leave`, `vanish`, `add`, `configure`, `turn_away`,
-            `serve`, `part`, `cut`, `heal`, `kill`, `start`, `forget` or `lose`.
-        hosts: To whom.
-        mood: How the store treats them.
-        loss: The part of datagrams lost from then on.
-    """
-
-    at: float
-    kind: str
-    hosts: tuple[str, ...] = ()
-    mood: standin.Mood = standin.Mood.WELL
-    loss: float = 0.001
-
-
-class Broken(msgspec.Struct, frozen=True):
-    """Something that doesn't hold.
-
-    Attributes:
-        rule: What should.
-        host: Where.
-        at: Simulated seconds.
-        detail: What was seen.
-    """
 
-    rule: str
-    host: str
-    at: float
-    detail: str
 
-
-class Outcome(msgspec.Struct):
-    """What came of a schedule.
-
-    Attributes:
-        broken: What didn't hold.
-        ages: Seconds from the first instance's knowledge of a leaving to each
-            other's.
-        keepers: Instances that gave work to a runner whose entry was gone.
-        stale_s: Seconds for which instances didn't trust keys.
-        calls: Calls to the store.
-    """
-
-    broken: list[Broken] = msgspec.field(default_factory=list)
-    ages: list[float] = msgspec.field(default_factory=list)
-    keepers: set[str] = msgspec.field(default_factory=set)
-    stale_s: float = 0.0
-    calls: int = 0
-
-
-def draw(seed: int, cuts: bool = True, sizes: tuple[int, ...] = ()) -> Schedule:
-    """Returns the schedule of a seed.
-
-    Args:
-        seed: The same schedule for the same seed.
-        cuts: Whether hosts are cut off and killed too.
-        sizes: Instances in each data centre; none: drawn too.
-    """
-    rng = random.Random(seed)
-    drawn = rng.choice(((3,), (2, 2), (3, 3, 2), (2, 2, 2), (4, 4, 4, 3)))
-    sizes = sizes or drawn
-    hosts = [
-        f"10.{centre}.0.{number}"
-        for centre, size in enumerate(sizes, start=1)
-        for number in range(1, size + 1)
-    ]
-    steps = _draw_changes(rng)
-    for _ in range(rng.randint(1, 4)):
-        steps += _draw_turning_away(rng, hosts)
-    if cuts and rng.random() < 0.5:
-        steps += _draw_trouble(rng, hosts)
-    if seed >= _FIRST_PARTED:
-        steps += _draw_parting(rng, hosts)
-    return Schedule(sizes, tuple(sorted(steps, key=lambda step: step.at)))
-
-
-def run(schedule: Schedule, seed: int) -> Outcome:
+def run(schedule: schedules.Schedule, seed: int) -> judges.Outcome:
     """Plays a schedule; a seed gives the same outcome each time."""
     loop = clock.Loop()
     raised: list[str] = []
     loop.set_exception_handler(lambda _, told: _note_raised(told, raised))
     try:
         outcome = loop.run_until_complete(_play(loop, schedule, seed))
-        outcome.broken += [Broken("raised", "", 0.0, each) for each in raised]
+        outcome.broken += [
+            judges.Broken("raised", "", 0.0, each) for each in raised
+        ]
         return outcome
     finally:
         for task in asyncio.all_tasks(loop):
@@ -146,18 +32,20 @@
         loop.close()
 
 
-def shrink(schedule: Schedule, seed: int, rule: str) -> Schedule:
+def shrink(
+    schedule: schedules.Schedule, seed: int, rule: str
+) -> schedules.Schedule:
     """Returns a schedule of fewer steps that breaks the same rule."""
     steps = schedule.steps
     position = 0
     while position < len(steps):
         fewer = steps[:position] + steps[position + 1 :]
-        outcome = run(Schedule(schedule.sizes, fewer), seed)
+        outcome = run(schedules.Schedule(schedule.sizes, fewer), seed)
         if any(each.rule == rule for each in outcome.broken):
             steps = fewer
         else:
             position += 1
-    return Schedule(schedule.sizes, steps)
+    return schedules.Schedule(schedule.sizes, steps)
 
 
 def _note_raised(told: dict[str, Any], raised: list[str]) -> None:
@@ -167,19 +55,21 @@
         raised.append(f"{told.get('message')}: {error!r}")
 
 
-async def _play(loop: clock.Loop, schedule: Schedule, seed: int) -> Outcome:
+async def _play(
+    loop: clock.Loop, schedule: schedules.Schedule, seed: int
+) -> judges.Outcome:
     rng = random.Random(seed)
     ways = network.Network(loop, rng)
     site = sites.Site(ways, schedule.sizes, rng)
     await site.start(_RUNNERS)
-    judge = Judge(site)
+    judge = judges.Judge(site)
     steps = collections.deque(schedule.steps)
-    while loop.time() < LENGTH_S:
+    while loop.time() < schedules.LENGTH_S:
         while steps and steps[0].at <= loop.time():
             step = steps.popleft()
             await _carry_out(step, site)
             judge.note(step, loop.time())
-        await asyncio.sleep(STEP_S)
+        await asyncio.sleep(judges.STEP_S)
         judge.check(loop.time())
     for each in site.instances:
         each.stop(ways)
@@ -187,7 +77,7 @@
     return judge.outcome
 
 
-async def _carry_out(step: Step, site: sites.Site) -> None:
+async def _carry_out(step: schedules.Step, site: sites.Site) -> None:
     hosts = set(step.hosts)
     match step.kind:
         case "leave" | "vanish":
@@ -206,7 +96,7 @@
             _trouble(step, site)
 
 
-def _trouble(step: Step, site: sites.Site) -> None:
+def _trouble(step: schedules.Step, site: sites.Site) -> None:
     """Cuts hosts off, kills them, or lets the network lose datagrams."""
     hosts = set(step.hosts)
     chosen = [each for each in site.instances if each.host in hosts]
@@ -225,216 +115,3 @@
         case "start":
             for each in chosen:
                 each.start(site.ways)
-
-
-class Judge:
-    """Compares what instances believe with what is true."""
-
-    def __init__(self, site: sites.Site) -> None:
-        self.outcome = Outcome()
-        self._site = site
-        self._back_at = dict.fromkeys(site.hosts, 0.0)
-        self._away: set[str] = set()
-        self._cuts: dict[str, list[tuple[float, float]]] = {
-            host: [] for host in site.hosts
-        }
-        self._parts: dict[str, list[tuple[float, float]]] = {
-            host: [] for host in site.hosts
-        }
-        self._first_at: dict[str, float] = {}
-        self._knew_at: dict[tuple[str, str], float] = {}
-        self._knows: dict[str, set[str]] = collections.defaultdict(set)
-        self._told: set[tuple[str, str, str]] = set()
-
-    def note(self, step: Step, now: float) -> None:
-        """Takes what has just been done."""
-        if step.kind in ("cut", "kill"):
-            self._away |= set(step.hosts)
-            for host in step.hosts:
-                self._cuts[host].append((now, math.inf))
-        elif step.kind == "part":
-            for host in step.hosts:
-                self._parts[host].append((now, math.inf))
-        elif step.kind in ("heal", "start"):
-            for host in step.hosts:
-                self._back_at[host] = now
-                _end_spell(self._cuts[host], now)
-                _end_spell(self._parts[host], now)
-            self._away -= set(step.hosts)
-            if step.kind == "start":
-                for knowing in self._knows.values():
-                    knowing.difference_update(step.hosts)
-
-    def check(self, now: float) -> None:
-        """Checks all instances."""
-        if now < SETTLED_S:
-            return
-        for each in self._site.instances:
-            for error in each.list_failures():
-                self._tell("raised", each, now, repr(error))
-            known = each.known
-            if known is None or known.lookup is None or not known.has_runners:
-                continue
-            self._check_runners(each, now)
-            self._check_proof(each, now)
-
-    def _check_runners(self, each: sites.Instance, now: float) -> None:
-        takers, kept = each.list_takers(), each.list_kept()
-        if kept:
-            self.outcome.keepers.add(each.host)
-        if kept and not self._was_away(each.host, now):
-            self._tell("kept", each, now, f"{kept}, though the store was there")
-        for name, gone_at in self._site.gone_at.items():
-            knowing = self._knows[name]
-            if name not in takers or name in kept:
-                if each.host not in knowing:
-                    knowing.add(each.host)
-                    first_at = self._first_at.setdefault(name, now)
-                    self._knew_at[each.host, name] = now
-                    if self._is_judged(each.host, gone_at):
-                        self.outcome.ages.append(now - first_at)
-                continue
-            if each.host in knowing:
-                self._tell("goes_back", each, now, f"{name} takes work again")
-            first_at = self._find_first(name, now)
-            late_s = now - first_at
-            if late_s > STRICTEST_S and self._is_judged(each.host, first_at):
-                detail = f"{name} takes work {late_s:.2f} s after it is known"
-                self._tell("late", each, now, detail, name)
-
-    def _check_proof(self, each: sites.Instance, now: float) -> None:
-        assert each.known is not None and each.known.lookup is not None
-        known = each.known
-        age_s = known.freshness.age(now)
-        if age_s is None:
-            return
-        if not known.freshness.trusts_keys(now):
-            self.outcome.stale_s += STEP_S
-        version = each.known.lookup.configuration.version
-        newer = [
-            at
-            for newer_version, at in self._site.configured_at.items()
-            if newer_version > version
-        ]
-        if newer and now - age_s > min(newer) + 1e-6:
-            detail = f"version {version} was proven after a newer one"
-            self._tell("false_proof", each, now, detail)
-
-    def _was_away(self, host: str, now: float) -> bool:
-        """Returns whether the store had answered nobody in reach for long.
-
-        An answer counts for another host once its word had time to arrive.
-        """
-        heard = [now]
-        for at, answered in reversed(self._site.store.answers):
-            if at < now - _KEPT_S:
-                break
-            if self._is_parted(answered, at):
-                continue
-            ways = self._is_linked(answered, at), self._is_linked(host, at)
-            if answered == host or all(ways):
-                heard.append(at)
-        heard.append(now - _KEPT_S)
-        gaps = [later - at for later, at in itertools.pairwise(heard)]
-        return max(gaps) > _LEAST_GAP_S
-
-    def _find_first(self, name: str, now: float) -> float:
-        """Returns since when somebody knows who was never cut off since."""
-        known = [
-            self._knew_at[host, name]
-            for host in self._knows[name]
-            if host not in self._away
-            and self._back_at[host] <= self._knew_at[host, name]
-        ]
-        return min(known, default=now)
-
-    def _is_parted(self, host: str, at: float) -> bool:
-        """Returns whether the store's answer didn't arrive at a host."""
-        return any(begun <= at <= back for begun, back in self._parts[host])
-
-    def _is_linked(self, host: str, at: float) -> bool:
-        """Returns whether a host was there long enough to tell or hear."""
-        until = at + _WORD_S
-        return all(
-            begun > until or back < at for begun, back in self._cuts[host]
-        )
-
-    def _is_judged(self, host: str, since: float) -> bool:
-        """Returns whether a host could hear of what was known since then."""
-        return host not in self._away and self._back_at[host] + _BACK_S < since
-
-    def _tell(
-        self,
-        rule: str,
-        each: sites.Instance,
-        now: float,
-        detail: str,
-        about: str = "",
-    ) -> None:
-        key = rule, each.host, about
-        if key not in self._told:
-            self._told.add(key)
-            self.outcome.broken.append(Broken(rule, each.host, now, detail))
-
-
-def _end_spell(spells: list[tuple[float, float]], now: float) -> None:
-    """Notes when the last of a host's spells ended, if it lasts."""
-    if spells:
-        begun, back = spells[-1]
-        spells[-1] = begun, min(back, now)
-
-
-def _draw_changes(rng: random.Random) -> list[Step]:
-    steps = []
-    at = SETTLED_S
-    while at < LENGTH_S - 3.0:
-        at += rng.uniform(0.2, 1.6)
-        kind = rng.choice(("leave", "vanish", "add", "add", "configure"))
-        steps.append(Step(at, kind))
-    if rng.random() < 0.3:
-        steps.append(Step(rng.uniform(SETTLED_S, LENGTH_S - 4.0), "forget"))
-    if rng.random() < 0.3:
-        at = rng.uniform(SETTLED_S, LENGTH_S - 8.0)
-        steps.append(Step(at, "lose", loss=0.1))
-        steps.append(Step(at + 4.0, "lose"))
-    return steps
-
-
-def _draw_turning_away(rng: random.Random, hosts: list[str]) -> list[Step]:
-    part = rng.uniform(0.2, 0.9)
-    count = min(len(hosts) - 1, max(1, round(len(hosts) * part)))
-    turned = tuple(rng.sample(hosts, count))
-    at = rng.uniform(SETTLED_S, LENGTH_S - 8.0)
-    return [
-        Step(at, "turn_away", turned, rng.choice(_MOODS)),
-        Step(at + rng.uniform(1.0, 8.0), "serve"),
-    ]
-
-
-def _draw_parting(rng: random.Random, hosts: list[str]) -> list[Step]:
-    """Cuts some hosts off from the store alone; connecting takes for ever."""
-    count = rng.randint(1, max(1, len(hosts) // 2))
-    parted = tuple(rng.sample(hosts, count))
-    at = rng.uniform(SETTLED_S, LENGTH_S - 8.0)
-    return [
-        Step(at, "part", parted),
-        Step(at + rng.uniform(1.0, 6.0), "heal", parted),
-    ]
-
-
-def _draw_trouble(rng: random.Random, hosts: list[str]) -> list[Step]:
-    centre = rng.choice(hosts).rpartition(".")[0]
-    chosen = rng.choice(
-        (
-            tuple(each for each in hosts if each.startswith(centre)),
-            (rng.choice(hosts),),
-        )
-    )
-    if len(chosen) == len(hosts):
-        chosen = chosen[:1]
-    begin, end = rng.choice((("cut", "heal"), ("kill", "start")))
-    at = rng.uniform(SETTLED_S + 1.0, LENGTH_S - 8.0)
-    return [
-        Step(at, begin, chosen),
-        Step(at + rng.uniform(0.5, 5.0), end, chosen),
-    ]
--- /dev/null
+++ b/pollenfork/platform/tests/simulation/schedules.py
@@ -0,0 +1,128 @@
+"""What happens in a simulated site: schedules drawn from seeds."""
+
+import random
+
+import msgspec
+
+from pollenfork.platform.tests.soak import store as standin
+
+# Instances have found each other and read both tables by then, in seconds.
+SETTLED_S = 4.0
+LENGTH_S = 24.0
+# Schedules from this seed on also cut hosts off from the store alone; those
+# before stay as they were when they showed what they showed.
+_FIRST_PARTED = 10_000
+_MOODS = (standin.Mood.SILENT, standin.Mood.REFUSING)
+
+
+class Schedule(msgspec.Struct, frozen=True):
+    """What happens when, in seconds from the start.
+
+    Attributes:
+        sizes: Instances in each data centre.
+        steps: Moments with what happens then, in order.
+    """
+
+    sizes: tuple[int, ...]
+    steps: tuple["Step", ...]
+
+
+class Step(msgspec.Struct, frozen=True):
+    """Something that happens.
+
+    Attributes:
+        at: Seconds from the start.
+        kind: What: `leave`, `vanish`, `add`, `configure`, `turn_away`,
+            `serve`, `part`, `cut`, `heal`, `kill`, `start`, `forget` or `lose`.
+        hosts: To whom.
+        mood: How the store treats them.
+        loss: The part of datagrams lost from then on.
+    """
+
+    at: float
+    kind: str
+    hosts: tuple[str, ...] = ()
+    mood: standin.Mood = standin.Mood.WELL
+    loss: float = 0.001
+
+
+def draw(seed: int, cuts: bool = True, sizes: tuple[int, ...] = ()) -> Schedule:
+    """Returns the schedule of a seed.
+
+    Args:
+        seed: The same schedule for the same seed.
+        cuts: Whether hosts are cut off and killed too.
+        sizes: Instances in each data centre; none: drawn too.
+    """
+    rng = random.Random(seed)
+    drawn = rng.choice(((3,), (2, 2), (3, 3, 2), (2, 2, 2), (4, 4, 4, 3)))
+    sizes = sizes or drawn
+    hosts = [
+        f"10.{centre}.0.{number}"
+        for centre, size in enumerate(sizes, start=1)
+        for number in range(1, size + 1)
+    ]
+    steps = _draw_changes(rng)
+    for _ in range(rng.randint(1, 4)):
+        steps += _draw_turning_away(rng, hosts)
+    if cuts and rng.random() < 0.5:
+        steps += _draw_trouble(rng, hosts)
+    if seed >= _FIRST_PARTED:
+        steps += _draw_parting(rng, hosts)
+    return Schedule(sizes, tuple(sorted(steps, key=lambda step: step.at)))
+
+
+def _draw_changes(rng: random.Random) -> list[Step]:
+    steps = []
+    at = SETTLED_S
+    while at < LENGTH_S - 3.0:
+        at += rng.uniform(0.2, 1.6)
+        kind = rng.choice(("leave", "vanish", "add", "add", "configure"))
+        steps.append(Step(at, kind))
+    if rng.random() < 0.3:
+        steps.append(Step(rng.uniform(SETTLED_S, LENGTH_S - 4.0), "forget"))
+    if rng.random() < 0.3:
+        at = rng.uniform(SETTLED_S, LENGTH_S - 8.0)
+        steps.append(Step(at, "lose", loss=0.1))
+        steps.append(Step(at + 4.0, "lose"))
+    return steps
+
+
+def _draw_turning_away(rng: random.Random, hosts: list[str]) -> list[Step]:
+    part = rng.uniform(0.2, 0.9)
+    count = min(len(hosts) - 1, max(1, round(len(hosts) * part)))
+    turned = tuple(rng.sample(hosts, count))
+    at = rng.uniform(SETTLED_S, LENGTH_S - 8.0)
+    return [
+        Step(at, "turn_away", turned, rng.choice(_MOODS)),
+        Step(at + rng.uniform(1.0, 8.0), "serve"),
+    ]
+
+
+def _draw_parting(rng: random.Random, hosts: list[str]) -> list[Step]:
+    """Cuts some hosts off from the store alone; connecting takes for ever."""
+    count = rng.randint(1, max(1, len(hosts) // 2))
+    parted = tuple(rng.sample(hosts, count))
+    at = rng.uniform(SETTLED_S, LENGTH_S - 8.0)
+    return [
+        Step(at, "part", parted),
+        Step(at + rng.uniform(1.0, 6.0), "heal", parted),
+    ]
+
+
+def _draw_trouble(rng: random.Random, hosts: list[str]) -> list[Step]:
+    centre = rng.choice(hosts).rpartition(".")[0]
+    chosen = rng.choice(
+        (
+            tuple(each for each in hosts if each.startswith(centre)),
+            (rng.choice(hosts),),
+        )
+    )
+    if len(chosen) == len(hosts):
+        chosen = chosen[:1]
+    begin, end = rng.choice((("cut", "heal"), ("kill", "start")))
+    at = rng.uniform(SETTLED_S + 1.0, LENGTH_S - 8.0)
+    return [
+        Step(at, begin, chosen),
+        Step(at + rng.uniform(0.5, 5.0), end, chosen),
+    ]
--- a/pollenfork/platform/tests/test_simulation.py
+++ b/pollenfork/platform/tests/test_simulation.py
@@ -11,7 +11,10 @@
 from pollenfork.catalogue import outages
 from pollenfork.gateway import knowledge
 from pollenfork.gateway import news
+from pollenfork.platform.tests.simulation import judge
 from pollenfork.platform.tests.simulation import play
+from pollenfork.platform.tests.simulation import schedules
+from pollenfork.platform.tests.soak import store as standin
 
 _EACH = 5
 
@@ -23,8 +26,8 @@
     logging.disable(logging.NOTSET)
 
 
-def run(seed: int) -> play.Outcome:
-    return play.run(play.draw(seed), seed)
+def run(seed: int) -> judge.Outcome:
+    return play.run(schedules.draw(seed), seed)
 
 
 def list_rules(seeds) -> set[str]:
@@ -85,11 +88,11 @@
         for number in range(1, size + 1)
     )
     steps = (
-        play.Step(6.0, "turn_away", hosts, play.standin.Mood.SILENT),
-        play.Step(9.5, "vanish"),
-        play.Step(10.0, "serve"),
+        schedules.Step(6.0, "turn_away", hosts, standin.Mood.SILENT),
+        schedules.Step(9.5, "vanish"),
+        schedules.Step(10.0, "serve"),
     )
-    outcome = play.run(play.Schedule(sizes, steps), seed=1)
+    outcome = play.run(schedules.Schedule(sizes, steps), seed=1)
     assert outcome.broken == []
     assert outcome.keepers == set(hosts)
 
