--- a/benchmarks/ablations.py
+++ b/benchmarks/ablations.py
@@ -14,6 +14,7 @@
 
 from pollenfork.fleet import choice
 from pollenfork.fleet import copies
+from pollenfork.fleet import evidence
 from pollenfork.fleet import offers
 from pollenfork.fleet import repeats
 from pollenfork.fleet import standing
@@ -21,6 +22,7 @@
 from pollenfork.gateway import patience
 from pollenfork.gateway import peers
 from pollenfork.gateway import refusals
+from pollenfork.loads import gossip
 from pollenfork.loads import messages as loads
 
 _NEVER = 1e9
@@ -68,6 +70,11 @@
     "long-prompts-told-at-once": (
         Switch(peers.Peers, "tell_soon", _do_nothing),
     ),
+    "findings-of-others": (
+        Switch(evidence.Evidence, "take_found", _give([])),
+    ),
+    "gossip-of-the-store": (Switch(gossip.Gossip, "tell", _give([])),),
+    "room-in-kept-apart-slots": (Switch(offers, "_QUICK_SLOTS", _NEVER),),
     "pauses-after-failures": (Switch(choice, "_SHUNNED_S", 0.0),),
     "rate-of-failures": (Switch(choice, "_FAILING_S", 0.0),),
     "out-of-reach": (Switch(standing, "_OUT_OF_REACH", _NEVER),),
