--- a/pollenfork/fleet/tests/test_choice.py
+++ b/pollenfork/fleet/tests/test_choice.py
@@ -213,8 +213,8 @@
 
 
 def test_urgent_streams_are_kept_room_in_the_slots_of_their_runners() -> None:
-    # A burst of urgent streams, 300 at once before 59 runners: kept 35 each, the
-    # nine runners of 32 slots had none free, and a third of the streams was late.
+    # A burst of urgent streams, 300 at once before 59 runners: kept 35 each,
+    # the nine runners of 32 slots had none free, and a third was late.
     for slots, least, most in ((32, 12, 14), (64, 8, 9), (128, 8, 9)):
         chooser = make_chooser(
             make_fleet(59, slots), read_others=lambda mark: loads.Load(5, 0, 5)
