Bound findings that nobody takes, and add make soak and make simulation

Cause: an instance that is told no address for its peers never hands its findings on, so the list grew with each send to a dead runner: 10,000 after 10,000 in the new test, 200 now. The soak and the simulation were run by module name only; both have a target now.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: trial test check bench binary binary-check proto clean
+.PHONY: trial test check bench soak simulation binary binary-check proto clean
 
 trial: $(VENV)/run  ## Run the whole system in one process and print a table.
 	$(BIN)/python -m pollenfork trial
@@ -18,6 +18,14 @@
 bench: $(VENV)/dev  ## Measure every slope; writes benchmarks/results/*.json.
 	$(BIN)/python -m benchmarks
 
+SEEDS ?= 1000-1009
+
+soak: $(VENV)/dev  ## Play random faults against real gateways; SEEDS=first-last.
+	$(BIN)/python -m pollenfork.platform.tests.soak --seeds $(SEEDS)
+
+simulation: $(VENV)/dev  ## Play schedules of news through whole sites; SEEDS=first-last.
+	$(BIN)/python -m pollenfork.platform.tests.simulation --seeds $(SEEDS)
+
 binary: $(VENV)/run  ## Build dist/pollenfork, one file; see docs/design/binary.md.
 	$(BIN)/python -m bundle.build dist/pollenfork
 
--- a/pollenfork/fleet/evidence.py
+++ b/pollenfork/fleet/evidence.py
@@ -25,6 +25,9 @@
 # a lost packet makes one connection fail, rarely two to the same runner.
 _AGREED_S = 1.0
 _WITNESSES = 2
+# Own findings that wait to be told; where nobody is there to be told, as many
+# stay. A busy instance makes a few a second while runners are down.
+_FOUND_LIMIT = 200
 
 Sign = messages.Sign
 
@@ -48,7 +51,9 @@
         self._runners = runners
         self._find_standing = find_standing
         self._data_centre = data_centre
-        self._found: list[messages.Finding] = []
+        self._found: collections.deque[messages.Finding] = collections.deque(
+            maxlen=_FOUND_LIMIT
+        )
         # Who found a runner silent, and when, by its place.
         self._silent: dict[int, dict[messages.Finding, float]] = {}
         self.counts: collections.Counter[Sign] = collections.Counter()
@@ -61,7 +66,8 @@
 
     def take_found(self) -> list[messages.Finding]:
         """Returns what this instance has found since the last call."""
-        found, self._found = self._found, []
+        found = list(self._found)
+        self._found.clear()
         return found
 
     def take(self, finding: messages.Finding, now: float) -> None:
--- a/pollenfork/fleet/tests/test_evidence.py
+++ b/pollenfork/fleet/tests/test_evidence.py
@@ -126,6 +126,13 @@
     assert bench.choose() == {"r0", "r1", "r2"}
 
 
+def test_findings_that_nobody_takes_do_not_pile_up(bench) -> None:
+    runner = bench.runners.find(ids.EndpointId("r1"))
+    for _ in range(10_000):
+        bench.evidence.note(runner, Sign.REFUSED)
+    assert len(bench.evidence.take_found()) <= 200
+
+
 class _Teller:
     """What the exchange asks of an instance; only findings matter here."""
 
