Name a request's digest where its attempts fail

What ended each runner of the incident couldn't be told: an attempt's id is new with each send, so nothing said which attempts carried the same request. The digest covers account, method, path and body.

--- a/pollenfork/gateway/admission.py
+++ b/pollenfork/gateway/admission.py
@@ -8,6 +8,7 @@
 from pollenfork.gateway import messages
 from pollenfork.gateway import refusals
 from pollenfork.gateway import replies
+from pollenfork.poison import digests
 from pollenfork.routes import lookup
 from pollenfork.routes import model as routes
 
@@ -84,6 +85,9 @@
         version=found.configuration.version,
         age_s=age_s,
         until=call.arrived + limit_s,
+        digest=digests.make(
+            account.id if account else None, call.method, call.target, call.body
+        ),
     )
 
 
--- a/pollenfork/gateway/context.py
+++ b/pollenfork/gateway/context.py
@@ -35,6 +35,7 @@
         version: The version of the configuration that admitted it.
         age_s: Seconds for which that version wasn't known to be the newest.
         until: Monotonic seconds at which its answer is of no use.
+        digest: What tells the same request when it comes again.
     """
 
     call: messages.Call
@@ -47,6 +48,7 @@
     version: int
     age_s: float
     until: float
+    digest: ids.RequestDigest
 
 
 class Tools(msgspec.Struct, frozen=True):
--- a/pollenfork/gateway/record.py
+++ b/pollenfork/gateway/record.py
@@ -91,9 +91,11 @@
         else:
             self._counters.note_not_repeated(sequel)
         _LOG.warning(
-            "event=attempt_failed request=%s runner=%s end=%s breach=%s "
-            "status=%s route=%s took_ms=%d left_ms=%d sent=%d sequel=%s",
+            "event=attempt_failed request=%s digest=%016x runner=%s end=%s "
+            "breach=%s status=%s route=%s took_ms=%d left_ms=%d sent=%d "
+            "sequel=%s",
             self._request,
+            self._admitted.digest,
             grant.runner.id,
             ended.end.value,
             ended.breach.value if ended.breach else "-",
@@ -170,9 +172,10 @@
         """Tells the gateway's own final answer."""
         self._counters.note_refused(reason)
         _LOG.warning(
-            "event=given_up request=%s route=%s reason=%s may_have_run=%s "
-            "sent=%d configuration=%d took_ms=%d left_ms=%d",
+            "event=given_up request=%s digest=%016x route=%s reason=%s "
+            "may_have_run=%s sent=%d configuration=%d took_ms=%d left_ms=%d",
             self._request,
+            self._admitted.digest,
             self._admitted.route.name,
             reason.value,
             may_have_run,
--- a/pollenfork/gateway/tests/support.py
+++ b/pollenfork/gateway/tests/support.py
@@ -19,6 +19,7 @@
 from pollenfork.gateway import pool
 from pollenfork.gateway import probing
 from pollenfork.gateway import refusals
+from pollenfork.poison import digests
 from pollenfork.routes import model as routes
 
 SERVICE = ids.ServiceName("s")
@@ -229,6 +230,7 @@
             version=1,
             age_s=0.0,
             until=call.arrived + self.route.time_limit_s,
+            digest=digests.make(None, call.method, call.target, call.body),
         )
         await exchange.Exchange(self.tools, admitted, caller).run()
 
--- a/pollenfork/ids.py
+++ b/pollenfork/ids.py
@@ -13,6 +13,7 @@
 
 RequestId = NewType("RequestId", str)
 AttemptId = NewType("AttemptId", str)
+RequestDigest = NewType("RequestDigest", int)  # Alike for repeated requests.
 WriteId = NewType("WriteId", str)
 
 Tier = NewType("Tier", int)  # 0 is the most urgent.
--- /dev/null
+++ b/pollenfork/poison/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that end the runners that run them."""
--- /dev/null
+++ b/pollenfork/poison/tests/test_digests.py
@@ -0,0 +1,25 @@
+"""The same request is known again; no other one passes for it."""
+
+from pollenfork import ids
+from pollenfork.poison import digests
+
+ACCOUNT = ids.AccountId("a")
+GIVEN = (ACCOUNT, b"POST", b"/p/1", b"text")
+
+
+def test_the_same_request_has_the_same_digest_in_every_process() -> None:
+    assert digests.make(*GIVEN) == digests.make(*GIVEN)
+    assert digests.make(None, b"GET", b"/", b"") == 0x80621653CB764083
+
+
+def test_any_other_account_method_target_or_body_has_another_one() -> None:
+    others = [
+        (None, b"POST", b"/p/1", b"text"),
+        (ids.AccountId("b"), b"POST", b"/p/1", b"text"),
+        (ACCOUNT, b"PUT", b"/p/1", b"text"),
+        (ACCOUNT, b"POST", b"/p/2", b"text"),
+        (ACCOUNT, b"POST", b"/p/1", b"texts"),
+        (ACCOUNT, b"POST", b"/p/1 t", b"ext"),
+    ]
+    made = {digests.make(*each) for each in (GIVEN, *others)}
+    assert len(made) == 1 + len(others)
