--- a/pollenfork/platform/tests/soak/caller.py
+++ b/pollenfork/platform/tests/soak/caller.py
@@ -20,6 +20,7 @@
         status: The HTTP status; 0 where none came.
         body: The body's bytes that came.
         whole: Whether the answer's framing came to its end.
+        path: The path that it asked for.
     """
 
     attempt: str
@@ -32,6 +33,7 @@
     body: bytes = b""
     whole: bool = False
     headers: dict[str, str] = dataclasses.field(default_factory=dict)
+    path: str = ""
 
 
 class Caller:
@@ -55,14 +57,21 @@
         self._asked = asked
         self._connection: tuple | None = None
 
-    async def ask(self, kind: str, key: str) -> Asked:
-        """Sends a request and reads its answer."""
+    async def ask(self, kind: str, key: str, text: str = "") -> Asked:
+        """Sends a request and reads its answer.
+
+        Args:
+            kind: The kind of its route.
+            key: The key it shows.
+            text: Stands in its path; where empty, its id does.
+        """
         attempt = f"{self._rng.getrandbits(64):016x}"
         asked = Asked(attempt, kind, key, self._address[0], time.monotonic())
+        asked.path = f"/{kind}/{text or attempt}"
         self._asked.append(asked)
         try:
             async with asyncio.timeout(6):
-                await self._exchange(asked, f"/{kind}/{attempt}")
+                await self._exchange(asked)
         except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
             self.close()
         asked.ended = time.monotonic()
@@ -74,12 +83,12 @@
             self._connection[1].close()
             self._connection = None
 
-    async def _exchange(self, asked: Asked, path: str) -> None:
+    async def _exchange(self, asked: Asked) -> None:
         if self._connection is None:
             self._connection = await asyncio.open_connection(*self._address)
         reader, writer = self._connection
         writer.write(
-            f"POST {path} HTTP/1.1\r\nHost: soak.example\r\n"
+            f"POST {asked.path} HTTP/1.1\r\nHost: soak.example\r\n"
             f"X-Pollenfork-Attempt-Id: {asked.attempt}\r\n"
             f"X-Pollenfork-Deadline-Ms: 3000\r\n"
             f"Authorization: Bearer {asked.key}\r\n"
--- a/pollenfork/platform/tests/soak/checks.py
+++ b/pollenfork/platform/tests/soak/checks.py
@@ -62,7 +62,7 @@
         calm = gateway.disturbed + _TOUCH_S < left
         if late > 0 and calm:
             found.append(f"reached a runner {late:.2f} s too late")
-        if not run.path.endswith(asked.attempt):
+        if run.path != asked.path:
             found.append(f"ran as {run.path}")
     return found
 
--- /dev/null
+++ b/pollenfork/platform/tests/soak/poison.py
@@ -0,0 +1,142 @@
+"""Plays one request that comes again and ends each runner that begins it."""
+
+import asyncio
+import pathlib
+import random
+import time
+
+import msgspec
+
+from pollenfork.platform.tests.soak import caller
+from pollenfork.platform.tests.soak import runner
+from pollenfork.platform.tests.soak import site as sites
+
+_PERIOD_S = 0.25
+_ORDINARY = 6
+_POPULAR = 2
+_POPULAR_TEXT = "popular"
+_KEY = "key-0"
+# What the promise counts: sends later than this after the third end.
+WINDOW_S = 3.0
+_ENDS = 3
+_RECOVERY_S = 2.0
+
+
+class Poisoned(msgspec.Struct):
+    """What came of it.
+
+    Attributes:
+        asked: How often the request came.
+        ended: Runners that it ended.
+        late: Its sends to runners later than the window after the third end.
+        others: The part of all other requests that was served meanwhile.
+        popular: The same for one whose text is always the same.
+        after: The part of other requests served afterwards.
+        slowest_s: How long its caller waited for an answer, at most.
+    """
+
+    asked: int
+    ended: int
+    late: int
+    others: float
+    popular: float
+    after: float
+    slowest_s: float
+
+
+async def play(
+    kind: str, seed: int, seconds: float, folder: pathlib.Path
+) -> Poisoned:
+    """Sends it to each gateway in turn, beside other callers.
+
+    Args:
+        kind: The kind of its route.
+        seed: Draws what is random.
+        seconds: How long it comes.
+        folder: For settings and logs.
+    """
+    site = sites.Site(seed, folder)
+    asked: list[caller.Asked] = []
+    tasks = []
+    try:
+        await site.start(direct=True)
+        tasks = _start_others(site, asked, seed)
+        await asyncio.sleep(_RECOVERY_S / 2)
+        begun = time.monotonic()
+        sent = await _send(site, kind, seed, seconds)
+        ended = time.monotonic()
+        await asyncio.sleep(_RECOVERY_S)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+    finally:
+        await site.stop()
+    whole = [each for each in asked if each.ended]
+    meanwhile = [each for each in whole if begun <= each.sent < ended]
+    ends = [at for at, _ in site.ended_by_requests]
+    return Poisoned(
+        asked=len(sent),
+        ended=len(ends),
+        late=_count_late(site, ends),
+        others=_share([e for e in meanwhile if not _is_popular(e)]),
+        popular=_share([e for e in meanwhile if _is_popular(e)]),
+        after=_share([e for e in whole if e.sent > ended + _RECOVERY_S / 2]),
+        slowest_s=max(each.ended - each.sent for each in sent),
+    )
+
+
+def _start_others(
+    site: sites.Site, asked: list[caller.Asked], seed: int
+) -> list[asyncio.Task[None]]:
+    tasks = []
+    for number in range(_ORDINARY + _POPULAR):
+        address = site.gateways[number % sites.INSTANCES].address
+        rng = random.Random(seed * 1000 + number)
+        sender = caller.Caller(address, rng, asked)
+        text = _POPULAR_TEXT if number >= _ORDINARY else ""
+        tasks.append(asyncio.create_task(_load(sender, rng, text)))
+    return tasks
+
+
+async def _load(sender: caller.Caller, rng: random.Random, text: str) -> None:
+    while True:
+        kind = "safe" if text else rng.choice(sites.KINDS)
+        await sender.ask(kind, _KEY, text)
+        await asyncio.sleep(rng.uniform(0.02, 0.08))
+
+
+async def _send(
+    site: sites.Site, kind: str, seed: int, seconds: float
+) -> list[caller.Asked]:
+    """Sends the request again and again; returns once all are answered."""
+    sent: list[caller.Asked] = []
+    rng = random.Random(seed)
+    begun = time.monotonic()
+    tasks = []
+    while time.monotonic() < begun + seconds:
+        gateway = site.gateways[len(tasks) % sites.INSTANCES]
+        sender = caller.Caller(gateway.address, rng, sent)
+        asking = sender.ask(kind, _KEY, runner.ENDING)
+        tasks.append(asyncio.create_task(asking))
+        await asyncio.sleep(_PERIOD_S)
+    await asyncio.gather(*tasks)
+    return sent
+
+
+def _count_late(site: sites.Site, ends: list[float]) -> int:
+    if len(ends) < _ENDS:
+        return 0
+    since = ends[_ENDS - 1] + WINDOW_S
+    return sum(
+        runner.ENDING in run.path and run.began > since
+        for run in site.record.runs
+    )
+
+
+def _is_popular(asked: caller.Asked) -> bool:
+    return asked.path.endswith(_POPULAR_TEXT)
+
+
+def _share(asked: list[caller.Asked]) -> float:
+    served = sum(each.status == 200 and each.whole for each in asked)
+    return served / len(asked) if asked else 0.0
--- a/pollenfork/platform/tests/soak/runner.py
+++ b/pollenfork/platform/tests/soak/runner.py
@@ -1,6 +1,7 @@
 """A stand-in for a runner, and the record of everything that ran."""
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 import random
 import time
@@ -48,8 +49,16 @@
     cut: float = 0.0
 
 
+# A request with this in its path ends each runner that begins to run it.
+ENDING = "ends-its-runner"
+
+
 class Runner:
-    """Serves plain requests and streams of ten events."""
+    """Serves plain requests and streams of ten events.
+
+    Attributes:
+        on_ending: Called with this runner where a request is to end it.
+    """
 
     def __init__(
         self, name: str, service: str, record: Record, rng: random.Random
@@ -57,6 +66,7 @@
         self.name = name
         self.service = service
         self.faults = Faults()
+        self.on_ending: Callable[[Runner], None] = Runner.crash
         self._record = record
         self._rng = rng
         self._server: asyncio.Server | None = None
@@ -114,6 +124,9 @@
 
     async def _run(self, attempt, headers, path, writer) -> bool:
         await asyncio.sleep(self._rng.uniform(0.01, 0.06))
+        if ENDING in path:
+            self.on_ending(self)
+            return False
         if self._rng.random() < self.faults.lost:
             return False
         if self._rng.random() < self.faults.error:
--- a/pollenfork/platform/tests/soak/site.py
+++ b/pollenfork/platform/tests/soak/site.py
@@ -133,6 +133,7 @@
         added: When a key's addition was acknowledged.
         revoked: When a key's removal was acknowledged.
         gone: When a runner's leaving was acknowledged, by its id.
+        ended_by_requests: When a request ended which runner.
     """
 
     def __init__(self, seed: int, folder: pathlib.Path) -> None:
@@ -149,6 +150,9 @@
         self.runners: dict[str, runner.Runner] = {}
         self.born: dict[str, int] = {}
         self.restarting: set[str] = set()
+        self.ended_by_requests: list[tuple[float, str]] = []
+        self._direct: set[str] = set()
+        self._endings: set[asyncio.Task[None]] = set()
         self.to_runners: dict[str, proxy.Proxy] = {}
         self.gateways = [Gateway(self, n) for n in range(INSTANCES)]
         self.keys = {f"key-{n}": f"account-{n}" for n in range(4)}
@@ -158,12 +162,17 @@
         self._version = 1
         self._made = 0
 
-    async def start(self) -> None:
-        """Starts everything; returns once all gateways are ready."""
+    async def start(self, direct: bool = False) -> None:
+        """Starts everything; returns once all gateways are ready.
+
+        Args:
+            direct: Whether runners are registered at their own addresses, where
+                nobody listens while they are down, and not behind proxies.
+        """
         await self.store.start(f"{self.base}.1", self.port)
         await self.publish()
         for _ in range(4):
-            await self.add_runner()
+            await self.add_runner(direct)
         for gateway in self.gateways:
             await gateway.prepare()
             gateway.start()
@@ -243,12 +252,14 @@
         self.revoked[key] = await self.publish()
         self.added[f"key-new-{self._made}"] = self.revoked[key]
 
-    async def add_runner(self) -> str:
-        """Starts a runner behind a proxy and registers it."""
+    async def add_runner(self, direct: bool = False) -> str:
+        """Starts a runner, behind a proxy or not, and registers it."""
         self._made += 1
         name = f"i-{self._made}"
         host = f"{self.base}.{100 + self._made}"
-        made = runner.Runner(name, "model", self.record, self.rng)
+        if direct:
+            self._direct.add(name)
+        made = self._make_runner(name)
         await made.start(host, self.port)
         way = proxy.Proxy(host, self.port)
         await way.start(host, self.port + 1)
@@ -260,7 +271,7 @@
 
     async def put_runner(self, name: str, state: str) -> float:
         """Writes a runner's entry; returns when it was acknowledged."""
-        port = self.port + 1
+        port = self.port if name in self._direct else self.port + 1
         address = f"{self.base}.{100 + int(name[2:])}:{port}"
         value = support.make_entry(
             "model", address, state=state, born=self.born[name]
@@ -284,12 +295,28 @@
         self.restarting.discard(name)
         if name not in self.runners or name in self.gone:
             return
-        again = runner.Runner(name, "model", self.record, self.rng)
+        again = self._make_runner(name)
         await again.start(f"{self.base}.{100 + int(name[2:])}", self.port)
         self.runners[name] = again
         self.born[name] = _read_clock_ms()
         await self.put_runner(name, "ready")
 
+    def _make_runner(self, name: str) -> runner.Runner:
+        made = runner.Runner(name, "model", self.record, self.rng)
+        made.on_ending = self._end_by_request
+        return made
+
+    def _end_by_request(self, ended: runner.Runner) -> None:
+        """Lets a runner that a request ends be back within a second."""
+        if ended.name in self.restarting:
+            return
+        self.ended_by_requests.append((time.monotonic(), ended.name))
+        task = asyncio.create_task(
+            self.restart_runner(ended.name, vanishes=False)
+        )
+        self._endings.add(task)
+        task.add_done_callback(self._endings.discard)
+
     async def overwrite_entry(self, name: str, value: dict) -> None:
         """Lets another writer leave something in a runner's place."""
         await self.store.put("servers", name, value)
--- a/pollenfork/platform/tests/test_soak.py
+++ b/pollenfork/platform/tests/test_soak.py
@@ -5,6 +5,7 @@
 import pytest
 
 from pollenfork.platform.tests.soak import play
+from pollenfork.platform.tests.soak import poison
 
 
 # 102: SIGHUP came to a process that was still loading, and ended it.
@@ -14,3 +15,19 @@
     played = asyncio.run(play.play(seed, seconds=4.0, folder=tmp_path))
     assert played.broken == []
     assert played.served > 50
+
+
+# What was seen: one request came again and again at six gateways, and each
+# runner that began it ended; nine in all, whose other streams broke with them.
+# How it came about: nothing outlived an exchange that told of it.
+@pytest.mark.parametrize("kind", ["safe", "unsafe", "stream"])
+def test_a_request_that_ends_its_runners_ends_three_at_most(
+    kind, tmp_path
+) -> None:
+    played = asyncio.run(poison.play(kind, 11, seconds=10.0, folder=tmp_path))
+    assert played.ended <= 3, played
+    assert played.late == 0, played
+    assert played.others >= 0.99, played
+    assert played.popular >= 0.99, played
+    assert played.after >= 0.99, played
+    assert played.slowest_s < 1.0, played
