Show that a key is trusted after a suspension by a proof from before

A gateway whose machine was suspended for 5 s serves with a key that was taken away meanwhile: its proof of the configuration seems as old as before. The soak runs gateways under a launcher whose clocks can be suspended.

--- a/pollenfork/platform/tests/soak/site.py
+++ b/pollenfork/platform/tests/soak/site.py
@@ -13,6 +13,7 @@
 from pollenfork.platform.tests.soak import proxy
 from pollenfork.platform.tests.soak import runner
 from pollenfork.platform.tests.soak import store
+from pollenfork.platform.tests.soak import suspendable
 
 ROOT = pathlib.Path(__file__).parents[4]
 INSTANCES = 3
@@ -86,7 +87,7 @@
         """Starts the process."""
         with self._log.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "pollenfork.platform"],
+                [sys.executable, "-m", suspendable.__name__],
                 cwd=ROOT,
                 env={**os.environ, "POLLENFORK_BOOT": str(self._boot)},
                 stdout=log,
--- a/pollenfork/platform/tests/test_soak.py
+++ b/pollenfork/platform/tests/test_soak.py
@@ -1,11 +1,18 @@
 """A short seeded run of the soak; more seeds are run by hand."""
 
 import asyncio
+import pathlib
+import random
+import signal
 
 import pytest
 
+from pollenfork.platform.tests.soak import caller
 from pollenfork.platform.tests.soak import play
 from pollenfork.platform.tests.soak import poison
+from pollenfork.platform.tests.soak import proxy
+from pollenfork.platform.tests.soak import site as sites
+from pollenfork.platform.tests.soak import suspendable
 
 
 # 102: SIGHUP came to a process that was still loading, and ended it.
@@ -34,3 +41,33 @@
     assert played.popular >= 0.99, played
     assert played.after >= 0.99, played
     assert played.slowest_s < 1.0, played
+
+
+# What was seen: nothing yet; the steady clock stands still while a machine is
+# suspended. How it comes about: a proof that was 0.2 s old before is believed
+# to be 0.2 s old after five seconds, in which a key may have been taken away.
+def test_after_a_suspension_no_key_is_trusted_by_what_was_known(
+    tmp_path,
+) -> None:
+    status = asyncio.run(_ask_after_suspension(tmp_path))
+    assert status == 503
+
+
+async def _ask_after_suspension(folder: pathlib.Path) -> int:
+    """Returns what a caller gets whose key was taken away meanwhile."""
+    site = sites.Site(5, folder)
+    try:
+        await site.start()
+        first, *others = site.gateways
+        sender = caller.Caller(first.address, random.Random(1), [])
+        assert (await sender.ask("safe", "key-0")).status == 200
+        first.to_store.way = proxy.Way.SILENT
+        for each in others:
+            each.send(signal.SIGSTOP)
+        del site.keys["key-0"]
+        await site.publish()
+        first.send(suspendable.SIGNAL)
+        await asyncio.sleep(0.1)
+        return (await sender.ask("safe", "key-0")).status
+    finally:
+        await site.stop()
