Store which requests are kept back, and read them at the start

Where all instances lost power at once, a request that had ended three runners would end three more. The instances that saw one of its ends write a row, each start reads the table; 503 to six asks after all three gateways were killed.

With it, found by its test: an instance in its first second knew no places of runners yet, so what others told of ends wasn't checked, was doubted for a second, and let a fourth send through. Places are looked up when they are told of.

--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -5,6 +5,7 @@
 import logging
 import random
 import signal
+import time
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -23,6 +24,7 @@
 from pollenfork.gateway import edges
 from pollenfork.gateway import endings
 from pollenfork.gateway import exchange
+from pollenfork.gateway import keeping
 from pollenfork.gateway import knowledge
 from pollenfork.gateway import messages
 from pollenfork.gateway import peers
@@ -125,6 +127,7 @@
         connections.follow(self.known.runners)
         self._readiness = readiness.Readiness(self.known, self._stopping.is_set)
         self._sources = sources.Sources(told.store, store, self.known, rng)
+        self._keeper = keeping.Keeper(told.store, store, suspected, time.time)
         self._cache_feed = cache_feed.CacheFeed(
             cache_codec, self._tools.chooser, self.known, told.data_centre, rng
         )
@@ -159,6 +162,7 @@
             await self._listen(self._probes, self._settings.metrics)
         self._sources.when_configured(self._apply_limits)
         self._tasks += self._sources.start()
+        self._tasks.append(self._loop.create_task(self._keeper.run()))
         self._tasks.append(self._loop.create_task(self._sweep()))
         self._tasks.append(self._loop.create_task(self._tidy()))
         await self._join_peers()
--- a/pollenfork/gateway/edges.py
+++ b/pollenfork/gateway/edges.py
@@ -64,7 +64,7 @@
 
 
 class Store(Protocol):
-    """Decodes and encodes the store's reading calls."""
+    """Decodes and encodes the store's calls."""
 
     def write_configuration_ask(self, ask: catalogue.Ask) -> bytes:
         """Returns the request that follows the configuration."""
@@ -72,10 +72,16 @@
     def write_runners_ask(self, ask: catalogue.Ask) -> bytes:
         """Returns the request that follows the registry."""
 
+    def write_kept_ask(self, start: str) -> bytes:
+        """Returns the request for the requests kept back, from a key on."""
+
+    def write_kept(self, key: str, value: bytes | None) -> bytes:
+        """Returns the request that writes one of them, or removes it."""
+
     def read_rows(
         self, status: int, body: bytes
     ) -> result.Result[catalogue.Rows, catalogue.Trouble]:
-        """Decodes the answer to either."""
+        """Decodes the answer to any that reads."""
 
     def read_configuration(
         self, row: catalogue.Row
--- /dev/null
+++ b/pollenfork/gateway/keeping.py
@@ -0,0 +1,136 @@
+"""Stores which requests are kept back, and reads that at the start."""
+
+import asyncio
+from collections.abc import Callable
+import logging
+
+import msgspec
+import result
+
+from pollenfork import ids
+from pollenfork import logs
+from pollenfork.gateway import client
+from pollenfork.gateway import edges
+from pollenfork.gateway import settings
+from pollenfork.poison import cases
+from pollenfork.poison import quarantine
+from pollenfork.poison import records
+
+_LOG = logging.getLogger(__name__)
+
+# A call takes some milliseconds; the store may be slow.
+_CALL_S = 1.0
+# The pause after a call that came to nothing, in seconds. Until the rows are
+# read a start knows what others tell it.
+_PAUSE_S = 0.5
+# Rows that wait to be written; the oldest go first, which others still know.
+_WAITING_LIMIT = 256
+_OK = 200
+
+
+class _Write(msgspec.Struct, frozen=True):
+    """A row to write, or to remove where it has no value."""
+
+    digest: ids.RequestDigest
+    value: bytes | None
+
+
+class Keeper:
+    """Writes a row when a request is first kept back here, and removes it.
+
+    Only instances that saw one of its ends themselves write, three at most. So
+    a request costs the store three small calls, and each start one.
+    """
+
+    def __init__(
+        self,
+        address: settings.Address,
+        store: edges.Store,
+        suspected: quarantine.Quarantine,
+        read_wall: Callable[[], float],
+    ) -> None:
+        """Takes what it needs.
+
+        Args:
+            address: The store's.
+            store: Decodes and encodes the store's calls.
+            suspected: Tells what is kept back, and is told.
+            read_wall: Returns the time of day in Unix seconds.
+        """
+        self._loop = asyncio.get_running_loop()
+        self._client = client.Client(address)
+        self._store = store
+        self._suspected = suspected
+        self._read_wall = read_wall
+        self._waiting: asyncio.Queue[_Write] = asyncio.Queue(_WAITING_LIMIT)
+        self._stored: set[ids.RequestDigest] = set()
+        suspected.book.when_kept(self._note_kept)
+        suspected.book.when_cleared(self._note_cleared)
+
+    async def run(self) -> None:
+        """Reads what is stored, then writes until cancelled."""
+        while not await self._read():
+            await asyncio.sleep(_PAUSE_S)
+        while True:
+            write = await self._waiting.get()
+            while not await self._write(write):
+                await asyncio.sleep(_PAUSE_S)
+
+    async def _read(self) -> bool:
+        """Returns whether all rows have been read."""
+        start = ""
+        while True:
+            ask = self._store.write_kept_ask(start)
+            answer = await self._client.call(ask, _CALL_S)
+            if answer is None:
+                return False
+            read = self._store.read_rows(*answer)
+            if isinstance(read, result.Err):
+                return False
+            rows = read.ok_value
+            for row in rows.rows:
+                self._restore(row.key, row.value)
+            if not rows.more or not rows.rows:
+                return True
+            start = rows.rows[-1].key + "\0"
+
+    def _restore(self, key: str, value: bytes) -> None:
+        now = self._loop.time()
+        read = records.read(key, value, now, self._read_wall())
+        if isinstance(read, result.Err):
+            _LOG.warning(
+                "event=kept_request_unreadable key=%s detail=%s",
+                logs.write_value(key),
+                logs.write_value(read.err_value.detail),
+            )
+            return
+        self._stored.add(read.ok_value.digest)
+        self._suspected.book.restore(read.ok_value, now)
+
+    async def _write(self, write: _Write) -> bool:
+        """Returns whether the store took a row, or will never take it."""
+        key = records.write_key(write.digest)
+        call = self._store.write_kept(key, write.value)
+        answer = await self._client.call(call, _CALL_S)
+        if answer is None or answer[0] in (429, 503):
+            return False
+        if answer[0] != _OK:
+            _LOG.error("event=store_refused key=%s status=%d", key, answer[0])
+        return True
+
+    def _note_kept(self, case: cases.Case, now: float) -> None:
+        if case.digest in self._stored or not self._suspected.saw(case):
+            return
+        self._stored.add(case.digest)
+        value = records.write(case, now, self._read_wall())
+        self._put(_Write(case.digest, value))
+
+    def _note_cleared(self, case: cases.Case, now: float) -> None:
+        if case.kept_since is None and case.digest in self._stored:
+            self._stored.discard(case.digest)
+            self._put(_Write(case.digest, None))
+
+    def _put(self, write: _Write) -> None:
+        if self._waiting.full():
+            self._waiting.get_nowait()
+        self._waiting.put_nowait(write)
--- a/pollenfork/platform/names.py
+++ b/pollenfork/platform/names.py
@@ -41,6 +41,7 @@
 CACHE_LIST_PATH = "/api/kv-list"
 FEED_PATH = "/api/rows-feed"
 RANGE_PATH = "/api/rows-get"
+CHANGE_PATH = "/api/rows-tx"
 
 SETTINGS_VARIABLE = "POLLENFORK_BOOT"
 SETTINGS_PATH = "/etc/pollenfork/boot.toml"
--- a/pollenfork/platform/rows.py
+++ b/pollenfork/platform/rows.py
@@ -1,4 +1,4 @@
-"""The store's reading calls: their paths, and their answers decoded."""
+"""The store's calls: their paths and bodies, and their answers decoded."""
 
 import base64
 import enum
@@ -13,10 +13,11 @@
 
 
 class Table(enum.Enum):
-    """The tables that an instance reads."""
+    """The tables that an instance reads; it writes to the last alone."""
 
     CONFIGURATION = "op"
     RUNNERS = "servers"
+    KEPT_REQUESTS = "kept-requests"
 
 
 CONFIGURATION_KEY = "config"
@@ -40,13 +41,29 @@
     has_more: bool = False
 
 
+class _Place(msgspec.Struct):
+    table: str
+    part: str
+    key: str
+
+
+class _Written(_Place):
+    value: str
+
+
+class _Change(msgspec.Struct, kw_only=True):
+    precondition: tuple[_Place, ...] = ()
+    upserts: tuple[_Written, ...] = ()
+    remove: tuple[_Place, ...] = ()
+
+
 _DECODER = msgspec.json.Decoder(_Answer)
 
 
 def write_ask(table: Table, ask: messages.Ask) -> str:
     """Returns the path, with its query, of a reading call."""
     if ask.after is None:
-        return _write_range(table, ask.start)
+        return write_range(table, ask.start)
     query = {
         "table": table.value,
         "after-revision": ask.after,
@@ -55,6 +72,24 @@
     return f"{names.FEED_PATH}?{urllib.parse.urlencode(query)}"
 
 
+def write_range(table: Table, start: str) -> str:
+    """Returns the path, with its query, that reads a table from a key on."""
+    query = {"table": table.value, "part": ""}
+    if start:
+        query["from"] = start
+    return f"{names.RANGE_PATH}?{urllib.parse.urlencode(query)}"
+
+
+def write_change(table: Table, key: str, value: bytes | None) -> bytes:
+    """Returns the body that writes a row, or removes it without a value."""
+    row = _Place(table.value, "", key)
+    if value is None:
+        return msgspec.json.encode(_Change(remove=(row,)))
+    text = base64.b64encode(value).decode()
+    written = _Written(table.value, "", key, text)
+    return msgspec.json.encode(_Change(upserts=(written,)))
+
+
 def read(body: bytes) -> result.Result[messages.Rows, BadRows]:
     """Decodes the body of either call."""
     try:
@@ -90,10 +125,3 @@
     if status == _HISTORY_GONE:
         return messages.Trouble.HISTORY_GONE
     return messages.Trouble.REFUSED
-
-
-def _write_range(table: Table, start: str) -> str:
-    query = {"table": table.value, "part": ""}
-    if start:
-        query["from"] = start
-    return f"{names.RANGE_PATH}?{urllib.parse.urlencode(query)}"
--- a/pollenfork/platform/store.py
+++ b/pollenfork/platform/store.py
@@ -9,6 +9,7 @@
 from pollenfork.fleet import model as fleet
 from pollenfork.platform import documents
 from pollenfork.platform import entries
+from pollenfork.platform import names
 from pollenfork.platform import rows
 from pollenfork.routes import model as routes
 
@@ -16,7 +17,7 @@
 
 
 class Store(msgspec.Struct, frozen=True):
-    """The reading calls of the store at one address.
+    """The calls of the store at one address.
 
     Attributes:
         host: The store's `host:port`.
@@ -32,6 +33,20 @@
         """Returns the request that follows the registry."""
         return self._write(rows.write_ask(rows.Table.RUNNERS, ask))
 
+    def write_kept_ask(self, start: str) -> bytes:
+        """Returns the request for the requests that are kept back."""
+        return self._write(rows.write_range(rows.Table.KEPT_REQUESTS, start))
+
+    def write_kept(self, key: str, value: bytes | None) -> bytes:
+        """Returns the request that writes one of them, or removes it."""
+        body = rows.write_change(rows.Table.KEPT_REQUESTS, key, value)
+        head = (
+            f"POST {names.CHANGE_PATH} HTTP/1.1\r\nhost: {self.host}\r\n"
+            "content-type: application/json\r\n"
+            f"content-length: {len(body)}\r\n\r\n"
+        )
+        return head.encode() + body
+
     def read_rows(
         self, status: int, body: bytes
     ) -> result.Result[messages.Rows, messages.Trouble]:
--- a/pollenfork/platform/tests/soak/store.py
+++ b/pollenfork/platform/tests/soak/store.py
@@ -81,6 +81,8 @@
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 target = head.split(b" ", 2)[1].decode()
+                if head.startswith(b"POST"):
+                    await self._change(json.loads(await _read(head, reader)))
                 status, body = await self._answer(target)
                 data = encode(body)
                 writer.write(
@@ -91,6 +93,15 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
 
+    async def _change(self, change: dict) -> None:
+        if self.mood is Mood.REFUSING:
+            return
+        for row in change["upserts"]:
+            value = json.loads(base64.b64decode(row["value"]))
+            await self.put(row["table"], row["key"], value)
+        for row in change["remove"]:
+            await self.remove(row["table"], row["key"])
+
     async def _answer(self, target: str) -> tuple[int, dict]:
         if self.mood is Mood.REFUSING:
             return 503, {}
@@ -98,7 +109,9 @@
             await asyncio.sleep(_SLOW_S)
         url = urllib.parse.urlsplit(target)
         query = dict(urllib.parse.parse_qsl(url.query, True))
-        if url.path == "/api/rows-get":
+        if url.path == "/api/rows-tx":
+            answer = 200, {"row-version": self._version}
+        elif url.path == "/api/rows-get":
             answer = 200, self._read_range(query["table"])
         else:
             answer = await self._feed(query)
@@ -138,3 +151,9 @@
 def encode(body: dict) -> bytes:
     """Returns an answer's body as it goes over the wire."""
     return json.dumps(body).encode()
+
+
+async def _read(head: bytes, reader) -> bytes:
+    """Returns the body that follows a head."""
+    length = head.lower().partition(b"content-length: ")[2].split(b"\r\n")[0]
+    return await reader.readexactly(int(length))
--- a/pollenfork/platform/tests/test_soak.py
+++ b/pollenfork/platform/tests/test_soak.py
@@ -11,6 +11,7 @@
 from pollenfork.platform.tests.soak import play
 from pollenfork.platform.tests.soak import poison
 from pollenfork.platform.tests.soak import proxy
+from pollenfork.platform.tests.soak import runner
 from pollenfork.platform.tests.soak import site as sites
 from pollenfork.platform.tests.soak import suspendable
 
@@ -74,3 +75,47 @@
         return (await sender.ask("safe", "key-0")).status
     finally:
         await site.stop()
+
+
+def test_a_request_stays_kept_back_though_all_instances_lose_power(
+    tmp_path,
+) -> None:
+    ended, statuses = asyncio.run(_ask_after_power_loss(tmp_path))
+    assert ended == 3
+    assert statuses == [503] * 6
+
+
+async def _ask_after_power_loss(
+    folder: pathlib.Path,
+) -> tuple[int, list[int]]:
+    """Returns the runners ended, and what callers got after the loss."""
+    site = sites.Site(6, folder)
+    asked: list[caller.Asked] = []
+    try:
+        await site.start(direct=True)
+        senders = [
+            caller.Caller(each.address, random.Random(1), asked)
+            for each in site.gateways
+        ]
+        for _ in range(2):
+            for sender in senders:
+                await sender.ask("unsafe", "key-0", runner.ENDING)
+                await asyncio.sleep(0.3)
+        for each in site.gateways:
+            each.send(signal.SIGKILL)
+        for each, sender in zip(site.gateways, senders, strict=True):
+            await each.wait()
+            each.start()
+            sender.close()
+        async with asyncio.timeout(30):
+            for each in site.gateways:
+                while not await each.is_ready():
+                    await asyncio.sleep(0.05)
+        await asyncio.sleep(1.0)
+        again = [
+            (await sender.ask("unsafe", "key-0", runner.ENDING)).status
+            for sender in senders * 2
+        ]
+        return len(site.ended_by_requests), again
+    finally:
+        await site.stop()
--- a/pollenfork/poison/book.py
+++ b/pollenfork/poison/book.py
@@ -140,6 +140,21 @@
         self._tell_cleared(case, now)
         return True
 
+    def restore(self, stored: cases.Case, now: float) -> None:
+        """Takes a request that was kept back before this start.
+
+        Args:
+            stored: What spoke against it.
+            now: Monotonic seconds.
+        """
+        case = self._find(stored.digest, now)
+        if case.cleared_at is not None or case.kept_since is not None:
+            return
+        for end in stored.ends:
+            case.add(end, now)
+        self.keep_back(case, now)
+        self._limit()
+
     def find(self, digest: ids.RequestDigest) -> cases.Case | None:
         """Returns what is known of a request; None: nothing."""
         return self._cases.get(digest)
--- a/pollenfork/poison/quarantine.py
+++ b/pollenfork/poison/quarantine.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+import logging
 
 from pollenfork import ids
 from pollenfork.fleet import evidence
@@ -17,6 +18,8 @@
 from pollenfork.poison import outbox
 from pollenfork.poison import witness
 
+_LOG = logging.getLogger(__name__)
+
 Verdict = cases.Verdict
 
 
@@ -40,9 +43,10 @@
             read_time: Returns monotonic seconds.
         """
         self._read_time = read_time
+        self._mark = messages.hash_name(host.encode())
         self._witness = witness.Witness(
             runners,
-            messages.hash_name(host.encode()),
+            self._mark,
             lives_since,
             self._note_end,
             read_time(),
@@ -103,6 +107,23 @@
         """Takes that a new connection to a runner was dropped at once."""
         self._witness.note_ended(evidence.mark(runner), now, "dropped")
 
+    def saw(self, case: cases.Case) -> bool:
+        """Returns whether this instance saw a runner end under a request."""
+        return any(each.witness == self._mark for each in case.ends)
+
+    def lift(self, digest: ids.RequestDigest) -> bool:
+        """Lets a request go to runners again, everywhere.
+
+        Returns:
+            Whether anything was known against it.
+        """
+        case = self.book.find(digest)
+        if case is None or not case.ends:
+            return False
+        now = self._read_time()
+        _LOG.warning("event=request_lifted digest=%016x", digest)
+        return self.book.clear(digest, now, now)
+
     def sweep(self, now: float) -> None:
         """Forgets what is old and judges what has settled."""
         self._witness.sweep(now)
--- a/pollenfork/poison/witness.py
+++ b/pollenfork/poison/witness.py
@@ -177,11 +177,7 @@
 
     def sweep(self, now: float) -> None:
         """Takes over the runners known now; forgets what is old."""
-        live = {runner.id: runner for runner in self._runners.list_all()}
-        for runner_id in [each for each in self._places if each not in live]:
-            del self._places[runner_id]
-        for runner in live.values():
-            self._note_place(runner)
+        self._note_places()
         for place, broken in list(self._broken.items()):
             if now - broken[-1].broken_at > _PROOF_S:
                 del self._broken[place]
@@ -215,15 +211,22 @@
             for known in (self._ended, self._told_ended)
         )
 
-    def _note_place(self, runner: model.Runner) -> None:
-        known = self._places.get(runner.id)
-        if known is None or known[0] is not runner:
-            self._places[runner.id] = runner, evidence.mark(runner)
+    def _note_places(self) -> None:
+        live = {runner.id: runner for runner in self._runners.list_all()}
+        for runner_id in [each for each in self._places if each not in live]:
+            del self._places[runner_id]
+        for runner in live.values():
+            known = self._places.get(runner.id)
+            if known is None or known[0] is not runner:
+                self._places[runner.id] = runner, evidence.mark(runner)
 
     def _find_runner(self, place: int) -> model.Runner | None:
-        for runner, known in self._places.values():
-            if known == place:
-                return runner
+        """Returns the runner at a place, if it is listed; it may be new."""
+        for _ in range(2):
+            for runner, known in self._places.values():
+                if known == place:
+                    return runner
+            self._note_places()
         return None
 
 
