Show operators which requests are kept back, and let them lift that

A caller whose request is kept back by mistake had no way out.

With it, found by the lifting's test: an answer told on seemed some milliseconds later with each way and so was news for ever, and cleared ends that came after it (nine ends where six were due). Within 0.25 s of what is known it is no news.

--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -25,6 +25,7 @@
 from pollenfork.gateway import endings
 from pollenfork.gateway import exchange
 from pollenfork.gateway import keeping
+from pollenfork.gateway import kept_page
 from pollenfork.gateway import knowledge
 from pollenfork.gateway import messages
 from pollenfork.gateway import peers
@@ -127,6 +128,9 @@
         connections.follow(self.known.runners)
         self._readiness = readiness.Readiness(self.known, self._stopping.is_set)
         self._sources = sources.Sources(told.store, store, self.known, rng)
+        self._sources.tables.show(
+            kept_page.KeptPage(suspected, self._loop.time)
+        )
         self._keeper = keeping.Keeper(told.store, store, suspected, time.time)
         self._cache_feed = cache_feed.CacheFeed(
             cache_codec, self._tools.chooser, self.known, told.data_centre, rng
@@ -349,6 +353,11 @@
             shown.set_count(
                 "pollenfork_findings_taken_total", count, sign=sign.name.lower()
             )
+        counts = self._tools.suspected.book.counts
+        shown.set_count("pollenfork_runner_ends_total", counts["ends"])
+        shown.set_count(
+            "pollenfork_requests_kept_back_total", counts["kept_back"]
+        )
         kept = known.runners.kept
         shown.set_count("pollenfork_runners_kept_total", kept)
         age_s = known.freshness.age(self._loop.time())
--- a/pollenfork/gateway/replies.py
+++ b/pollenfork/gateway/replies.py
@@ -62,6 +62,11 @@
     return _write(status, body, b"", closing, b"text/plain; charset=utf-8")
 
 
+def write_document(body: bytes) -> bytes:
+    """Returns JSON for an operator."""
+    return _write(200, body, b"", False)
+
+
 def write_table(body: bytes) -> bytes:
     """Returns a table for another instance."""
     return _write(200, body, b"", False, b"application/octet-stream")
--- a/pollenfork/gateway/tables.py
+++ b/pollenfork/gateway/tables.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import enum
+from typing import Protocol
 
 from pollenfork.catalogue import messages as catalogue
 from pollenfork.catalogue import shelf
@@ -22,12 +23,32 @@
     RUNNERS = "runners"
 
 
+class Page(Protocol):
+    """Something else that is served at the same address.
+
+    Attributes:
+        path: What its targets begin with.
+    """
+
+    path: bytes
+
+    def serve(
+        self, call: messages.Call, caller: callers.CallerConnection
+    ) -> None:
+        """Answers a call."""
+
+
 class Tables:
     """What this instance knows, as others may ask for it."""
 
     def __init__(self) -> None:
+        self._page: Page | None = None
         self._shelves = {table: shelf.Shelf() for table in Table}
 
+    def show(self, page: Page) -> None:
+        """Serves an operator's page beside the tables."""
+        self._page = page
+
     def take(self, table: Table, changes: catalogue.Changes) -> None:
         """Takes what changed in a table."""
         self._shelves[table].take(changes)
@@ -36,6 +57,9 @@
         self, call: messages.Call, caller: callers.CallerConnection
     ) -> None:
         """Answers another instance."""
+        if self._page is not None and call.target.startswith(self._page.path):
+            self._page.serve(call, caller)
+            return
         try:
             table = Table(call.target.decode("latin-1").removeprefix("/"))
         except ValueError:
--- a/pollenfork/metric_help.py
+++ b/pollenfork/metric_help.py
@@ -91,6 +91,9 @@
     "pollenfork_requests_in_progress": (
         "Requests accepted whose answer isn't handed over yet."
     ),
+    "pollenfork_requests_kept_back_total": (
+        "Requests kept back from runners, as runners ended under them."
+    ),
     "pollenfork_requests_sent_total": (
         "Requests sent to an endpoint at least once."
     ),
@@ -103,6 +106,9 @@
     "pollenfork_runner_connections_total": (
         "Connections to runners: opened, reused, unreachable."
     ),
+    "pollenfork_runner_ends_total": (
+        "Ends of runners, for each request that they were running."
+    ),
     "pollenfork_runners_kept_total": (
         "Entries of runners that vanished and were kept for a moment."
     ),
--- a/pollenfork/poison/book.py
+++ b/pollenfork/poison/book.py
@@ -96,9 +96,8 @@
             return False
         case = self._find(digest, now)
         answered_at = self._answered.get(digest)
-        if answered_at is not None:
-            case.clear(answered_at, now)
-        if case.cleared_at is not None:
+        learned = answered_at is not None and case.clear(answered_at, now)
+        if learned or case.is_before_clearance(end):
             # Whoever tells of the end may not know.
             self._tell_cleared(case, now)
         if not case.add(end, now):
--- a/pollenfork/poison/cases.py
+++ b/pollenfork/poison/cases.py
@@ -24,6 +24,10 @@
 # never was. The first may run everywhere when runners end for other reasons.
 _ROUNDS_AFTER_ANSWERS = 3
 _ROUNDS = 2
+# An answer told by another instance seems some milliseconds later with each
+# way; within this, in seconds, it is the one that is known. Else it would be
+# news for ever.
+_SAME_S = 0.25
 # An end that nothing followed says nothing after this long, in seconds.
 LAPSE_S = 600.0
 # Ends kept of each request; further ones change nothing.
@@ -74,7 +78,7 @@
 
     def add(self, end: End, now: float) -> bool:
         """Takes an end; returns whether it is news."""
-        if self.cleared_at is not None and end.ended_at <= self.cleared_at:
+        if self.is_before_clearance(end):
             return False
         if len(self.ends) >= _ENDS_KEPT or any(
             _is_same(end, known) for known in self.ends
@@ -87,15 +91,21 @@
 
     def clear(self, at: float, now: float) -> bool:
         """Takes an answer or a word for it; returns whether it is news."""
-        if self.cleared_at is not None and at <= self.cleared_at:
+        left = [each for each in self.ends if each.ended_at > at]
+        known = self.cleared_at is not None and at < self.cleared_at + _SAME_S
+        if known and len(left) == len(self.ends):
             return False
-        self.cleared_at = at
+        self.cleared_at = max(at, self.cleared_at or at)
         self.moved_at = now
-        self.ends = [each for each in self.ends if each.ended_at > at]
+        self.ends = left
         if not self.ends:
             self.kept_since = None
         return True
 
+    def is_before_clearance(self, end: End) -> bool:
+        """Returns whether a runner has answered since an end."""
+        return self.cleared_at is not None and end.ended_at <= self.cleared_at
+
     @property
     def is_serious(self) -> bool:
         """Whether one more end may keep it back, or it is kept back."""
--- a/pollenfork/poison/quarantine.py
+++ b/pollenfork/poison/quarantine.py
@@ -107,6 +107,10 @@
         """Takes that a new connection to a runner was dropped at once."""
         self._witness.note_ended(evidence.mark(runner), now, "dropped")
 
+    def list_kept(self) -> list[cases.Case]:
+        """Returns the requests that are kept back."""
+        return self.book.list_kept()
+
     def saw(self, case: cases.Case) -> bool:
         """Returns whether this instance saw a runner end under a request."""
         return any(each.witness == self._mark for each in case.ends)
--- a/pollenfork/poison/tests/test_quarantine.py
+++ b/pollenfork/poison/tests/test_quarantine.py
@@ -173,6 +173,21 @@
     assert cases.Verdict.KEPT_BACK not in judge(fleet, POISON)
 
 
+def test_an_operator_lifts_it_everywhere_and_it_counts_anew() -> None:
+    fleet = fleets.Fleet(instances=8, runners=9)
+    fleet.poison.add(POISON)
+    fleet.repeat(POISON, 0.25, 4.0)
+    fleet.run(4.0)
+    digest = ids.RequestDigest(POISON)
+    assert fleet.instances[5].suspected.lift(digest)
+    fleet.run(1.0)
+    assert judge(fleet, POISON) == {cases.Verdict.CLEAR}
+    fleet.repeat(POISON, 0.5, 10.0)
+    fleet.run(11.0)
+    assert judge(fleet, POISON) == {cases.Verdict.KEPT_BACK}
+    assert fleet.count_ends(POISON) == 6
+
+
 @pytest.mark.parametrize("loss", [0.0, 0.3])
 def test_one_that_starts_or_was_cut_off_knows_within_the_window(loss) -> None:
     fleet = fleets.Fleet(instances=12, runners=9)
