Judge a request anew when an answer is told late

An instance that heard of three ends first and then of an answer between them kept the request back for good, though two ends were left.

--- a/pollenfork/poison/cases.py
+++ b/pollenfork/poison/cases.py
@@ -98,7 +98,9 @@
         self.cleared_at = max(at, self.cleared_at or at)
         self.moved_at = now
         self.ends = left
-        if not self.ends:
+        # An answer that was told late may leave too few ends, or too few
+        # rounds of what was answered before.
+        if self.judge(self.ends, now) is not Verdict.KEPT_BACK:
             self.kept_since = None
         return True
 
