--- /dev/null
+++ b/pollenfork/poison/tests/test_bounds.py
@@ -0,0 +1,48 @@
+"""How soon a third end is known everywhere, added up from the constants.
+
+The promise allows sends for 3 s after the third end. The table of these sums is
+in docs/design/poison.md.
+"""
+
+import pathlib
+
+from pollenfork.loads import core
+from pollenfork.loads import rumours
+from pollenfork.poison import cases
+from pollenfork.poison import witness
+
+WINDOW_S = 3.0
+# A way of a datagram, and a connection that is refused.
+WAY_S = 0.02
+# Three listeners each reach 195 instances in four ways, with those who told.
+WAYS = 4
+PAGE = pathlib.Path(__file__).parents[3] / "docs" / "design" / "poison.md"
+
+PROOF_S = WAY_S
+CHECK_S = WAY_S
+SUMS = {
+    "no loss": PROOF_S + WAYS * WAY_S + CHECK_S,
+    "first telling lost": (PROOF_S + WAYS * (WAY_S + core.PERIOD_S) + CHECK_S),
+    "can't connect": PROOF_S + WAYS * WAY_S + witness._DOUBTED_S,
+    "all news lost": (
+        PROOF_S + WAYS * (WAY_S + core.PERIOD_S) + rumours._PAGE_S + CHECK_S
+    ),
+    "at one moment": cases.SETTLING_S,
+    "that starts": core.PERIOD_S + rumours._ASK_S + 2 * WAY_S + CHECK_S,
+}
+
+
+def test_each_sum_leaves_a_quarter_of_the_window() -> None:
+    assert max(SUMS.values()) <= 0.75 * WINDOW_S
+
+
+def test_the_page_states_the_sums() -> None:
+    rows = [
+        [cell.strip() for cell in line.split("|")[1:-1]]
+        for line in PAGE.read_text().splitlines()
+        if line.startswith("|")
+    ]
+    for name, total in SUMS.items():
+        row = next(row for row in rows if name in row[0])
+        assert row[1] == f"{total:.2f} s", name
+        assert row[2] == f"{WINDOW_S - total:.2f} s", name
