--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -8,7 +8,6 @@
 import time
 from typing import TYPE_CHECKING
 
-import msgspec
 import result
 
 from pollenfork import failures
@@ -34,6 +33,7 @@
 from pollenfork.gateway import readiness
 from pollenfork.gateway import refusals
 from pollenfork.gateway import replies
+from pollenfork.gateway import scrape
 from pollenfork.gateway import settings
 from pollenfork.gateway import sources
 from pollenfork.gateway import tables
@@ -331,38 +331,9 @@
         caller.write(replies.write_refusal(refusal, caller.closing))
 
     def _show_state(self, shown: "metrics.Metrics") -> None:
-        """Shows a scraper what other parts have counted, and the settings."""
-        for fault, count in self._front.counters.refused.items():
-            shown.set_count(
-                "pollenfork_caller_faults_total", count, reason=fault
-            )
-        used = self._tools.pool.counters
-        for event, count in msgspec.structs.asdict(used).items():
-            shown.set_count(
-                "pollenfork_runner_connections_total", count, event=event
-            )
-        known = self.known
-        if known.lookup is not None:
-            version = known.lookup.configuration.version
-            shown.set_gauge("pollenfork_settings_revision", version)
-        for why, count in known.refused_entries.items():
-            shown.set_count(
-                "pollenfork_entries_refused_total", count, reason=why.value
-            )
-        for sign, count in self._tools.evidence.counts.items():
-            shown.set_count(
-                "pollenfork_findings_taken_total", count, sign=sign.name.lower()
-            )
-        counts = self._tools.suspected.book.counts
-        shown.set_count("pollenfork_runner_ends_total", counts["ends"])
-        shown.set_count(
-            "pollenfork_requests_kept_back_total", counts["kept_back"]
+        scrape.show(
+            shown, self._tools, self.known, self._front.counters.refused
         )
-        kept = known.runners.kept
-        shown.set_count("pollenfork_runners_kept_total", kept)
-        age_s = known.freshness.age(self._loop.time())
-        if age_s is not None:
-            shown.set_gauge("pollenfork_settings_age_seconds", age_s)
 
     async def _serve_probe(
         self, call: messages.Call, caller: callers.CallerConnection
