Explain a request kept back by the ends that prove it

Whoever looked up a refused request was told that runners had ended under it, and had to search all logs for its digest to see which. Seen: the page of a request lists the ends that two instances told of, and no others.

--- a/pollenfork/logbook/course.py
+++ b/pollenfork/logbook/course.py
@@ -28,6 +28,15 @@
         "runner_trusted",
     }
 )
+# What is said of requests that end runners, by their digest.
+_DIGEST_EVENTS = frozenset(
+    {
+        "runner_ended",
+        "request_kept_back",
+        "request_cleared",
+        "request_lifted",
+    }
+)
 _FAILURES = frozenset({"attempt_failed", "runner_shunned"})
 # News of a runner's end this long after a request still bears on it: a
 # registry takes several heartbeats to notice a crash.
@@ -48,6 +57,8 @@
         others: Requests of others that failed at its runners around then.
         starts: Starts of its instances after its last line.
         missing: Lines that its instances left out around then.
+        ends: What any instance said of ends of runners under the same request,
+            however often it came.
     """
 
     request: str
@@ -57,6 +68,7 @@
     others: list[Line]
     starts: list[Line]
     missing: int
+    ends: list[Line] = []
 
 
 def follow(request: str, log: Iterable[Line]) -> Course:
@@ -102,9 +114,19 @@
         missing=lines.count_missing(
             line for line in around if line.instance in instances
         ),
+        ends=_find_ends(ordered, own),
     )
 
 
+def _find_ends(log: list[Line], own: list[Line]) -> list[Line]:
+    digests = {line.fields["digest"] for line in own if "digest" in line.fields}
+    return [
+        line
+        for line in log
+        if line.event in _DIGEST_EVENTS and line.fields.get("digest") in digests
+    ]
+
+
 def _find_beliefs(log: list[Line], until: float) -> Iterator[Line]:
     latest: dict[tuple[str, str], Line] = {}
     for line in log:
--- a/pollenfork/logbook/page.py
+++ b/pollenfork/logbook/page.py
@@ -17,6 +17,7 @@
         _write_part("believed by its instances", course.beliefs, start, out)
         _write_part("said of its runners", course.runners, start, out)
         _write_part("others at its runners", course.others, start, out)
+        _write_part("ends of runners under it", course.ends, start, out)
         _write_part("started after it", course.starts, start, out)
     out.write(f"cause: {causes.explain(course)}\n")
 
--- a/pollenfork/logbook/tests/test_causes.py
+++ b/pollenfork/logbook/tests/test_causes.py
@@ -177,3 +177,19 @@
         write(62.0, GIVEN_UP),
     )
     assert [line.fields["runner"] for line in found.runners] == ["r"]
+
+
+def test_a_request_kept_back_is_told_with_the_ends_that_prove_it() -> None:
+    told = follow(
+        "runner_ended digest=0a place=1 proof=nobody_there ran_ms=40",
+        "runner_ended digest=0b place=1 proof=nobody_there ran_ms=900",
+        write(63.0, "runner_ended digest=0a place=2 proof=told", "i-2"),
+        write(64.0, "request_kept_back digest=0a ends=3 places=1,2,3", "i-2"),
+        "given_up request=q digest=0a reason=ends_runners may_have_run=False",
+    )
+    out = io.StringIO()
+    page.write(told, out)
+    assert [line.instance for line in told.ends] == ["i-1", "i-2", "i-2"]
+    assert "ends of runners under it" in out.getvalue()
+    assert "places=1,2,3" in out.getvalue()
+    assert "each runner that ran the same request has ended" in out.getvalue()
