Forget broken attempts that no end followed

A runner that went on breaking connections, and never ended, would have taken more and more memory of each instance: 5,000 breaks in 500 s were all kept. Now those of the last 5 s are, as no older one can be proven any more. Found by reading; its test failed first.

--- a/pollenfork/poison/witness.py
+++ b/pollenfork/poison/witness.py
@@ -101,8 +101,12 @@
         if self._runners.read_kept_until(runner.id) is not None:
             return
         place = evidence.mark(runner)
-        broken = _Broken(digest, sent_at, now)
-        self._broken.setdefault(place, []).append(broken)
+        waiting = self._broken.setdefault(place, [])
+        # A runner may break connections for hours and never end.
+        waiting[:] = [
+            each for each in waiting if now - each.broken_at <= _PROOF_S
+        ]
+        waiting.append(_Broken(digest, sent_at, now))
         if known.incarnation != runner.incarnation:
             self.note_ended(place, now, "registry")
         elif self._has_ended(place, now):
