Bound the rows of requests that are kept back

Every request ever kept back stayed in the store's table and was read by each start, for ever. A start goes by the latest 1,024 and removes the others. Its test failed first: 1,100 rows were all taken.

--- a/pollenfork/gateway/keeping.py
+++ b/pollenfork/gateway/keeping.py
@@ -9,6 +9,7 @@
 
 from pollenfork import ids
 from pollenfork import logs
+from pollenfork.catalogue import messages as catalogue
 from pollenfork.gateway import client
 from pollenfork.gateway import edges
 from pollenfork.gateway import settings
@@ -25,6 +26,9 @@
 _PAUSE_S = 0.5
 # Rows that wait to be written; the oldest go first, which others still know.
 _WAITING_LIMIT = 256
+# Rows that a start goes by; it removes older ones, by their last end, so that
+# the table doesn't grow for ever. As many as an instance knows of at once.
+_ROWS_LIMIT = 1024
 _OK = 200
 
 
@@ -79,6 +83,7 @@
     async def _read(self) -> bool:
         """Returns whether all rows have been read."""
         start = ""
+        found: list[cases.Case] = []
         while True:
             ask = self._store.write_kept_ask(start)
             answer = await self._client.call(ask, _CALL_S)
@@ -88,24 +93,32 @@
             if isinstance(read, result.Err):
                 return False
             rows = read.ok_value
-            for row in rows.rows:
-                self._restore(row.key, row.value)
+            found += filter(None, map(self._decode, rows.rows))
             if not rows.more or not rows.rows:
+                self._restore(found)
                 return True
             start = rows.rows[-1].key + "\0"
 
-    def _restore(self, key: str, value: bytes) -> None:
+    def _decode(self, row: catalogue.Row) -> cases.Case | None:
         now = self._loop.time()
-        read = records.read(key, value, now, self._read_wall())
-        if isinstance(read, result.Err):
-            _LOG.warning(
-                "event=kept_request_unreadable key=%s detail=%s",
-                logs.write_value(key),
-                logs.write_value(read.err_value.detail),
-            )
-            return
-        self._stored.add(read.ok_value.digest)
-        self._suspected.book.restore(read.ok_value, now)
+        read = records.read(row.key, row.value, now, self._read_wall())
+        if isinstance(read, result.Ok):
+            return read.ok_value
+        _LOG.warning(
+            "event=kept_request_unreadable key=%s detail=%s",
+            logs.write_value(row.key),
+            logs.write_value(read.err_value.detail),
+        )
+        return None
+
+    def _restore(self, found: list[cases.Case]) -> None:
+        found.sort(key=lambda case: case.ends[-1].ended_at, reverse=True)
+        now = self._loop.time()
+        for case in reversed(found[:_ROWS_LIMIT]):
+            self._stored.add(case.digest)
+            self._suspected.book.restore(case, now)
+        for case in found[_ROWS_LIMIT : _ROWS_LIMIT + _WAITING_LIMIT]:
+            self._put(_Write(case.digest, None))
 
     async def _write(self, write: _Write) -> bool:
         """Returns whether the store took a row, or will never take it."""
--- /dev/null
+++ b/pollenfork/gateway/tests/test_keeping.py
@@ -0,0 +1,95 @@
+"""What is stored of requests kept back is read whole, and doesn't pile up."""
+
+import asyncio
+
+import result
+
+from pollenfork import ids
+from pollenfork.catalogue import messages as catalogue
+from pollenfork.fleet import registry
+from pollenfork.gateway import keeping
+from pollenfork.gateway import settings
+from pollenfork.poison import cases
+from pollenfork.poison import quarantine
+from pollenfork.poison import records
+
+
+class Store:
+    """Answers with rows, a hundred at a time, and keeps what is written."""
+
+    def __init__(self, rows: list[catalogue.Row]) -> None:
+        self.rows = rows
+        self.removed: list[str] = []
+
+    def write_kept_ask(self, start: str) -> bytes:
+        return start.encode()
+
+    def write_kept(self, key: str, value: bytes | None) -> bytes:
+        assert value is None
+        self.removed.append(key)
+        return b"change"
+
+    def read_rows(self, status: int, body: bytes):
+        left = [row for row in self.rows if row.key >= body.decode()]
+        return result.Ok(catalogue.Rows(tuple(left[:100]), 1, len(left) > 100))
+
+
+def make_row(number: int, now: float) -> catalogue.Row:
+    """A request whose last end was that many seconds ago."""
+    ended_at = now - 5.0 - number
+    case = cases.Case(
+        ids.RequestDigest(number), [cases.End(1, ended_at - 1, ended_at, 1)]
+    )
+    value = records.write(case, now, 1_700_000_000.0)
+    return catalogue.Row(records.write_key(case.digest), value, 1)
+
+
+def play(count: int, extra: list[catalogue.Row]):
+    """Returns what is kept back after a start, and the keys removed."""
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        store = Store([make_row(n, now) for n in range(count)] + extra)
+        suspected = quarantine.Quarantine(
+            registry.Registry(), "10.0.0.1", lambda runner, at: False, loop.time
+        )
+        keeper = keeping.Keeper(
+            settings.Address("127.0.0.1", 1),
+            store,
+            suspected,
+            lambda: 1_700_000_000.0,
+        )
+
+        async def call(request: bytes, timeout_s: float):
+            return 200, request
+
+        keeper._client.call = call
+        task = loop.create_task(keeper.run())
+        for _ in range(2 * count):
+            await asyncio.sleep(0)
+        task.cancel()
+        return [case.digest for case in suspected.list_kept()], store.removed
+
+    return asyncio.run(run())
+
+
+def test_a_start_goes_by_all_rows_over_several_answers() -> None:
+    kept, removed = play(250, [])
+    assert sorted(kept) == list(range(250))
+    assert removed == []
+
+
+def test_the_oldest_rows_go_where_there_are_too_many() -> None:
+    kept, removed = play(1100, [])
+    assert sorted(kept) == list(range(1024))
+    assert sorted(int(key, 16) for key in removed) == list(range(1024, 1100))
+
+
+def test_a_row_that_is_none_hides_no_other() -> None:
+    foreign = [
+        catalogue.Row("zz", b"{}", 1),
+        catalogue.Row("ff", b"not a document", 1),
+    ]
+    kept, _ = play(3, foreign)
+    assert sorted(kept) == [0, 1, 2]
