Take the word of two that keep a request back for ends that can't be checked

For its first minute an instance believed any end at a place that it didn't know, so one instance out of its mind could keep back what it liked at all that had just started, and fill a request's list of ends with what it made up. Such an end counts now where two others, that have checked, keep the request back themselves (one where there is but one); pages say so; an instance fills half of the list at most. The test of such an instance failed first (kept back without an end).

--- a/benchmarks/loads_cost.py
+++ b/benchmarks/loads_cost.py
@@ -82,7 +82,12 @@
     def list_suspicions(self, now: float) -> list[messages.Suspicions]:
         return [messages.Suspicions("")]
 
-    def note_suspicions(self, told: messages.Suspicions, now: float) -> None:
+    def note_suspicions(
+        self, told: messages.Suspicions, host: str, now: float
+    ) -> None:
+        """Takes nothing."""
+
+    def note_instances(self, count: int) -> None:
         """Takes nothing."""
 
 
--- a/benchmarks/poison_cost.py
+++ b/benchmarks/poison_cost.py
@@ -61,10 +61,13 @@
 def _fill(suspected: quarantine.Quarantine, now: float) -> None:
     for number in range(_REQUESTS):
         digest = ids.RequestDigest((1 << 60) + number)
-        for place in range(3):
-            ended_at = now - 8.0 + 2.0 * place
-            end = cases.End(place, ended_at - 0.1, ended_at, 1)
-            suspected.book.note_end(digest, end, now)
+        ends = [
+            cases.End(
+                place, now - 8.1 + 2.0 * place, now - 8.0 + 2.0 * place, 1
+            )
+            for place in range(3)
+        ]
+        suspected.book.restore(cases.Case(digest, ends), now)
 
 
 def _weigh() -> int:
--- a/pollenfork/fleet/tests/test_evidence.py
+++ b/pollenfork/fleet/tests/test_evidence.py
@@ -157,9 +157,12 @@
     def list_suspicions(self, now):
         return [loads.Suspicions("")]
 
-    def note_suspicions(self, told, now):
+    def note_suspicions(self, told, host, now):
         pass
 
+    def note_instances(self, count: int) -> None:
+        """Takes nothing."""
+
 
 class _Instance:
     """One of many instances that share the requests to a fleet."""
--- a/pollenfork/gateway/peers.py
+++ b/pollenfork/gateway/peers.py
@@ -94,9 +94,15 @@
         """Returns all that it knows of them, by datagram."""
         return self._suspected.list_all(now)
 
-    def note_suspicions(self, told: messages.Suspicions, now: float) -> None:
+    def note_suspicions(
+        self, told: messages.Suspicions, host: str, now: float
+    ) -> None:
         """Takes what another one knows of them."""
-        self._suspected.note_told(told, now)
+        self._suspected.note_told(told, host, now)
+
+    def note_instances(self, count: int) -> None:
+        """Takes how many instances are known, this one included."""
+        self._suspected.note_others(count - 1)
 
 
 class Peers(asyncio.DatagramProtocol):
--- a/pollenfork/loads/edges.py
+++ b/pollenfork/loads/edges.py
@@ -64,5 +64,16 @@
     def list_suspicions(self, now: float) -> list[messages.Suspicions]:
         """Returns all that it knows of them, by datagram."""
 
-    def note_suspicions(self, told: messages.Suspicions, now: float) -> None:
-        """Takes what another one knows of them."""
+    def note_suspicions(
+        self, told: messages.Suspicions, host: str, now: float
+    ) -> None:
+        """Takes what another one knows of them.
+
+        Args:
+            told: What it knows.
+            host: Where it runs.
+            now: Monotonic seconds.
+        """
+
+    def note_instances(self, count: int) -> None:
+        """Takes how many instances are known, this one included."""
--- a/pollenfork/loads/messages.py
+++ b/pollenfork/loads/messages.py
@@ -244,12 +244,15 @@
         ends: Ends of runners.
         cleared: Requests that are known to be well.
         asks: Whether it wants to be told all, as it may have missed some.
+        kept: Digests of requests that it keeps back itself. News is passed on
+            unchecked; for these it stands.
     """
 
     data_centre: str
     ends: tuple[RunnerEnd, ...] = ()
     cleared: tuple[Clearance, ...] = ()
     asks: bool = False
+    kept: tuple[int, ...] = ()
 
 
 Message = (
--- a/pollenfork/loads/rumours.py
+++ b/pollenfork/loads/rumours.py
@@ -41,6 +41,7 @@
         self._me = me
         self._witness = messages.hash_name(me.host.encode())
         self._instance = instance
+        self._roster = roster
         self._gossip = gossip.Gossip(me, roster)
         self._outbox = findings.Outbox()
         self._page_at = 0.0
@@ -106,7 +107,8 @@
                 told += self._address(page, [host])
             return told
         self._ask_until = 0.0
-        self._instance.note_suspicions(message, now)
+        self._instance.note_instances(self._roster.size)
+        self._instance.note_suspicions(message, host, now)
         # Passed on as it comes, it is everywhere within a few ways.
         return self.tell_suspicions(now)
 
--- a/pollenfork/loads/tests/test_exchange.py
+++ b/pollenfork/loads/tests/test_exchange.py
@@ -70,9 +70,12 @@
     def list_suspicions(self, now: float) -> list[messages.Suspicions]:
         return [messages.Suspicions("")]
 
-    def note_suspicions(self, told: messages.Suspicions, now: float) -> None:
+    def note_suspicions(self, told, host, now) -> None:
         pass
 
+    def note_instances(self, count: int) -> None:
+        """Takes nothing."""
+
 
 class Network:
     """Instances of three data centres on a clock that tests advance."""
--- a/pollenfork/poison/book.py
+++ b/pollenfork/poison/book.py
@@ -15,6 +15,8 @@
 # go first, the oldest of them: what ends runners comes again and is learned
 # anew. Where all have more, the oldest goes.
 _CASES_LIMIT = 2048
+# Instances remembered that keep a request back too; two are asked for.
+_VOUCHERS_LIMIT = 4
 # Requests answered here, the latest, some 120 bytes each: half a minute of the
 # busiest instance's. A forgotten one that runs wherever runners end is kept
 # back after two rounds instead of three.
@@ -25,14 +27,13 @@
     """Judges requests by what this instance and others have seen of them."""
 
     def __init__(
-        self, believes: Callable[[cases.End, int, float], bool]
+        self, believes: Callable[[cases.End, cases.Case, float], bool]
     ) -> None:
         """Starts with nothing known.
 
         Args:
             believes: Returns whether an end that was told may be true, by the
-                end, the number of instances that told of the request's ends,
-                and the moment.
+                end, the request's case, and the moment.
         """
         self._believes = believes
         self._cases: collections.OrderedDict[ids.RequestDigest, cases.Case] = (
@@ -154,6 +155,12 @@
         self.keep_back(case, now)
         self._limit()
 
+    def note_voucher(self, digest: ids.RequestDigest, host: str) -> None:
+        """Takes that another instance keeps a request back itself."""
+        case = self._cases.get(digest)
+        if case is not None and len(case.vouchers) < _VOUCHERS_LIMIT:
+            case.vouchers.add(host)
+
     def find(self, digest: ids.RequestDigest) -> cases.Case | None:
         """Returns what is known of a request; None: nothing."""
         return self._cases.get(digest)
@@ -190,10 +197,7 @@
         """
         if len(case.ends) < cases.ENDS_ALLOWED:
             return case.ends
-        witnesses = len({each.witness for each in case.ends})
-        return [
-            each for each in case.ends if self._believes(each, witnesses, now)
-        ]
+        return [each for each in case.ends if self._believes(each, case, now)]
 
     def _tell_cleared(self, case: cases.Case, now: float) -> None:
         for call in self._on_cleared:
--- a/pollenfork/poison/cases.py
+++ b/pollenfork/poison/cases.py
@@ -30,8 +30,10 @@
 _SAME_S = 0.25
 # An end that nothing followed says nothing after this long, in seconds.
 LAPSE_S = 600.0
-# Ends kept of each request; further ones change nothing.
+# Ends kept of each request; further ones change nothing. Of them, those that
+# one instance tells of: what it makes up must leave room for what others saw.
 _ENDS_KEPT = 8
+_ENDS_EACH = 4
 
 
 class Verdict(enum.Enum):
@@ -68,6 +70,7 @@
             it; None: never, as far as is known.
         kept_since: Since when it is kept back; None while it isn't.
         moved_at: When anything was last learned of it.
+        vouchers: Other instances that keep it back themselves.
     """
 
     digest: ids.RequestDigest
@@ -75,14 +78,16 @@
     cleared_at: float | None = None
     kept_since: float | None = None
     moved_at: float = 0.0
+    vouchers: set[str] = msgspec.field(default_factory=set)
 
     def add(self, end: End, now: float) -> bool:
         """Takes an end; returns whether it is news."""
         if self.is_before_clearance(end):
             return False
-        if len(self.ends) >= _ENDS_KEPT or any(
-            _is_same(end, known) for known in self.ends
-        ):
+        told = sum(each.witness == end.witness for each in self.ends)
+        if len(self.ends) >= _ENDS_KEPT or told >= _ENDS_EACH:
+            return False
+        if any(_is_same(end, known) for known in self.ends):
             return False
         self.ends.append(end)
         self.ends.sort(key=lambda each: each.ended_at)
@@ -102,6 +107,7 @@
         # rounds of what was answered before.
         if self.judge(self.ends, now) is not Verdict.KEPT_BACK:
             self.kept_since = None
+            self.vouchers.clear()
         return True
 
     def is_before_clearance(self, end: End) -> bool:
--- a/pollenfork/poison/outbox.py
+++ b/pollenfork/poison/outbox.py
@@ -96,15 +96,13 @@
 
     def list_all(self, now: float) -> list[messages.Suspicions]:
         """Returns what speaks against requests; one is empty if nothing."""
-        serious = self._known.list_serious()
-        pieces = [
-            piece for case in reversed(serious) for piece in _tell(case, now)
-        ]
-        pages = [
-            _pack(pieces[first : first + _EACH])
-            for first in range(0, max(1, len(pieces)), _EACH)
-        ]
-        return pages[:_PAGES]
+        serious = self._known.list_serious()[::-1]
+        pages: list[messages.Suspicions] = []
+        while serious and len(pages) < _PAGES:
+            page = _cut_page(serious)
+            pages.append(_write_page(page, now))
+            serious = serious[len(page) :]
+        return pages or [messages.Suspicions("")]
 
     def take_page(self, now: float) -> messages.Suspicions | None:
         """Returns the next few of what speaks against requests, by turns."""
@@ -112,14 +110,9 @@
         if not serious:
             return None
         first = self._page_from % len(serious)
-        pieces: list[_Piece] = []
-        for case in serious[first:] + serious[:first]:
-            told = _tell(case, now)
-            if len(pieces) + len(told) > _EACH:
-                break
-            pieces += told
-            self._page_from += 1
-        return _pack(pieces)
+        page = _cut_page(serious[first:] + serious[:first])
+        self._page_from = first + len(page)
+        return _write_page(page, now)
 
     def _choose(
         self, waiting: collections.deque[_Waiting], count: int
@@ -141,8 +134,26 @@
     return messages.Suspicions("", tuple(ends), tuple(cleared))
 
 
-def _tell(case: cases.Case, now: float) -> list[_Piece]:
-    return [_write_end(case.digest, end, now) for end in case.ends]
+def _cut_page(known: list[cases.Case]) -> list[cases.Case]:
+    """Returns the first cases whose ends go into one datagram."""
+    count = 0
+    for number, case in enumerate(known):
+        count += len(case.ends)
+        if count > _EACH:
+            return known[:number]
+    return known
+
+
+def _write_page(page: list[cases.Case], now: float) -> messages.Suspicions:
+    return messages.Suspicions(
+        "",
+        tuple(
+            _write_end(case.digest, end, now)
+            for case in page
+            for end in case.ends
+        ),
+        kept=tuple(case.digest for case in page if case.kept_since is not None),
+    )
 
 
 def _write_end(
--- a/pollenfork/poison/quarantine.py
+++ b/pollenfork/poison/quarantine.py
@@ -43,13 +43,14 @@
             read_time: Returns monotonic seconds.
         """
         self._read_time = read_time
+        self._others = 0
         self._mark = messages.hash_name(host.encode())
         self._witness = witness.Witness(
             runners,
             self._mark,
             lives_since,
             self._note_end,
-            read_time(),
+            lambda: self._others,
         )
         self.book = book.Book(self._witness.believes)
         self._outbox = outbox.Outbox(self.book)
@@ -147,8 +148,20 @@
         """Returns all that is known, by datagram."""
         return self._outbox.list_all(now)
 
-    def note_told(self, told: messages.Suspicions, now: float) -> None:
-        """Takes what another instance tells."""
+    def note_others(self, count: int) -> None:
+        """Takes how many other instances there are."""
+        self._others = count
+
+    def note_told(
+        self, told: messages.Suspicions, host: str, now: float
+    ) -> None:
+        """Takes what another instance tells.
+
+        Args:
+            told: What.
+            host: Its host.
+            now: Monotonic seconds.
+        """
         for word in told.cleared:
             digest = ids.RequestDigest(word.digest)
             self.book.clear(digest, now - word.age_ms / 1000.0, now)
@@ -163,6 +176,8 @@
             if self.book.note_end(digest, end, now):
                 self._outbox.add_end(digest, end)
                 self._witness.check(end.place)
+        for kept in told.kept:
+            self.book.note_voucher(ids.RequestDigest(kept), host)
 
     def _note_end(
         self, digest: ids.RequestDigest, end: cases.End, now: float
--- a/pollenfork/poison/tests/fleet.py
+++ b/pollenfork/poison/tests/fleet.py
@@ -105,8 +105,11 @@
     def list_suspicions(self, now):
         return self.suspected.list_all(now)
 
-    def note_suspicions(self, told, now):
-        self.suspected.note_told(told, now)
+    def note_suspicions(self, told, host, now):
+        self.suspected.note_told(told, host, now)
+
+    def note_instances(self, count: int) -> None:
+        self.suspected.note_others(count - 1)
 
 
 class Fleet:
--- a/pollenfork/poison/tests/test_quarantine.py
+++ b/pollenfork/poison/tests/test_quarantine.py
@@ -161,6 +161,24 @@
         assert cases.Verdict.KEPT_BACK not in judge(fleet, digest)
 
 
+def test_an_instance_out_of_its_mind_hides_no_true_end() -> None:
+    fleet = fleets.Fleet(instances=8, runners=9)
+    fleet.repeat(OTHER, 0.02, 20.0)
+    fleet.run(2.0)
+    for each in fleet.instances:
+        for number in range(20):
+            place = fleets.evidence.mark(fleet.runners[f"r{number % 9}"])
+            end = messages.RunnerEnd(POISON, place + number, 90, 80, 1)
+            told = messages.Suspicions("c0", (end,))
+            each.suspected.note_told(told, "10.0.0.000", fleet.now)
+            fleet.run(0.05)
+    fleet.poison.add(POISON)
+    fleet.repeat(POISON, 0.25, 8.0)
+    fleet.run(9.0)
+    assert judge(fleet, POISON) == {cases.Verdict.KEPT_BACK}
+    assert fleet.count_ends(POISON) == 3
+
+
 def test_it_is_served_again_once_a_runner_has_answered_it() -> None:
     fleet = fleets.Fleet(instances=8, runners=9)
     fleet.poison.add(POISON)
@@ -222,11 +240,14 @@
     idle = (fleet.bytes - idle) / 10.0 / 8
     for number in range(1000):
         digest = ids.RequestDigest(5000 + number)
-        for place in range(3):
-            end = cases.End(
+        ends = [
+            cases.End(
                 place, fleet.now - 9 + 2 * place, fleet.now - 8 + 2 * place, 1
             )
-            fleet.instances[0].suspected.book.note_end(digest, end, fleet.now)
+            for place in range(3)
+        ]
+        stored = cases.Case(digest, ends)
+        fleet.instances[0].suspected.book.restore(stored, fleet.now)
     before = fleet.bytes
     fleet.run(10.0)
     assert len(fleet.instances[0].suspected.book.list_kept()) == 1000
--- a/pollenfork/poison/tests/test_witness.py
+++ b/pollenfork/poison/tests/test_witness.py
@@ -17,7 +17,7 @@
         1,
         lambda runner, at: False,
         lambda digest, end, now: ends.append(end),
-        0.0,
+        lambda: 2,
     )
     return made, runners
 
--- a/pollenfork/poison/witness.py
+++ b/pollenfork/poison/witness.py
@@ -30,10 +30,11 @@
 # seconds, without a sign of it; a connection is tried meanwhile, which tells
 # within some milliseconds.
 _DOUBTED_S = 1.0
-# An instance that started less than this long ago, in seconds, knows nothing of
-# the runners that ended before, and believes what it is told of them.
-_YOUNG_S = 60.0
-_WITNESSES = 2
+# A runner that isn't known here, as it ended before this start or while this
+# instance was cut off, has ended if this many others keep the request back,
+# which have checked. One alone may be out of its mind; where it is alone beside
+# this one, its word is all there is.
+_AGREED = 2
 
 
 class _Broken(msgspec.Struct, frozen=True):
@@ -53,7 +54,7 @@
         witness: int,
         lives_since: Callable[[ids.EndpointId, float], bool],
         note_end: Callable[[ids.RequestDigest, cases.End, float], object],
-        now: float,
+        count_others: Callable[[], int],
     ) -> None:
         """Starts with nothing seen.
 
@@ -63,14 +64,14 @@
             lives_since: Returns whether a runner has shown here since a moment
                 that it runs.
             note_end: Takes each end that is proven.
-            now: Monotonic seconds.
+            count_others: Returns how many other instances there are.
         """
         self._runners = runners
         self._witness = witness
         self._lives_since = lives_since
         self._on_doubted: list[Callable[[model.Runner], object]] = []
         self._note_end = note_end
-        self._started_at = now
+        self._count_others = count_others
         self._broken: dict[int, list[_Broken]] = {}
         self._ended: dict[int, float] = {}
         self._told_ended: dict[int, float] = {}
@@ -134,7 +135,7 @@
             self._told_ended[place] = now
         self._prove(place, now, "told")
 
-    def believes(self, end: cases.End, witnesses: int, now: float) -> bool:
+    def believes(self, end: cases.End, case: cases.Case, now: float) -> bool:
         """Returns whether an end that was told may be true.
 
         One instance that is out of its mind may tell of ends that never were,
@@ -142,7 +143,7 @@
 
         Args:
             end: The end.
-            witnesses: Instances that told of ends under the same request.
+            case: What is known of the request that it ran.
             now: Monotonic seconds.
         """
         if end.place in self._ended:
@@ -152,8 +153,7 @@
             if self._lives_since(runner.id, end.ended_at):
                 return False
             return now - end.ended_at > _DOUBTED_S
-        young = now - self._started_at < _YOUNG_S
-        return young or witnesses >= _WITNESSES
+        return len(case.vouchers) >= min(_AGREED, self._count_others())
 
     def check(self, place: int) -> None:
         """Has a runner tried that another instance says has ended.
