--- a/pollenfork/poison/witness.py
+++ b/pollenfork/poison/witness.py
@@ -32,8 +32,8 @@
 _DOUBTED_S = 1.0
 # A runner that isn't known here, as it ended before this start or while this
 # instance was cut off, has ended if this many others keep the request back,
-# which have checked. One alone may be broken; where it is alone beside this one,
-# its word is all there is.
+# which have checked. One alone may be broken; where it is alone beside this
+# one, its word is all there is.
 _AGREED = 2
 
 
