--- a/pollenfork/poison/book.py
+++ b/pollenfork/poison/book.py
@@ -11,7 +11,7 @@
 
 Verdict = cases.Verdict
 
-# Requests against which anything is known, some 0.7 KB each. Those with one end
+# Requests against which anything is known, some 0.8 KB each. Those with one end
 # go first, the oldest of them: what ends runners comes again and is learned
 # anew. Where all have more, the oldest goes.
 _CASES_LIMIT = 2048
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -20,7 +20,14 @@
 }
 METRIC = re.compile(r"\bpollenfork_[a-z_]+(?:total|seconds|progress|revision)")
 # Slices that only the gateways use.
-GATEWAY_SLICES = {"gateway", "catalogue", "fleet", "loads", "routes"}
+GATEWAY_SLICES = {
+    "gateway",
+    "catalogue",
+    "fleet",
+    "loads",
+    "poison",
+    "routes",
+}
 EVENT = re.compile(r"event=([a-z_]+)[ \"]")
 
 
