--- a/pollenfork/platform/tests/soak/checks.py
+++ b/pollenfork/platform/tests/soak/checks.py
@@ -31,8 +31,8 @@
 def _judge_endings(site: sites.Site) -> list[str]:
     """Judges sends of requests that end runners, after their third end."""
     ends: dict[str, list[float]] = {}
-    for at, path in site.ended_by_requests:
-        ends.setdefault(path, []).append(at)
+    for each in site.ended_by_requests:
+        ends.setdefault(each.path, []).append(each.at)
     found = []
     instances = {each.attempt: each.instance for each in site.asked}
     disturbed = {each.host: each.disturbed for each in site.gateways}
--- a/pollenfork/platform/tests/soak/poison.py
+++ b/pollenfork/platform/tests/soak/poison.py
@@ -4,6 +4,7 @@
 import pathlib
 import random
 import time
+from typing import NamedTuple
 
 import msgspec
 
@@ -20,6 +21,23 @@
 WINDOW_S = 3.0
 _ENDS = 3
 _RECOVERY_S = 2.0
+# A request may be sent to a runner this long after its end, in seconds, on a
+# connection whose close hasn't been read.
+_CROSSING_S = 0.1
+
+
+class Pause(NamedTuple):
+    """The shortest and longest pause of a caller between requests, in seconds.
+
+    With the long ones six ordinary callers send some 30 requests a second.
+    """
+
+    least_s: float
+    most_s: float
+
+
+LONG = Pause(0.02, 0.08)
+SHORT = Pause(0.0, 0.01)
 
 
 class Poisoned(msgspec.Struct):
@@ -33,6 +51,9 @@
         popular: The same for one whose text is always the same.
         after: The part of other requests served afterwards.
         slowest_s: How long its caller waited for an answer, at most.
+        others_asked: How many other requests came meanwhile.
+        unexplained: Those not served that an end needn't have cost: not under
+            way at a runner as it ended, or at one only and fit to run again.
     """
 
     asked: int
@@ -42,10 +63,16 @@
     popular: float
     after: float
     slowest_s: float
+    others_asked: int
+    unexplained: list[str]
 
 
 async def play(
-    kind: str, seed: int, seconds: float, folder: pathlib.Path
+    kind: str,
+    seed: int,
+    seconds: float,
+    folder: pathlib.Path,
+    pause: Pause = LONG,
 ) -> Poisoned:
     """Sends it to each gateway in turn, beside other callers.
 
@@ -54,13 +81,14 @@
         seed: Draws what is random.
         seconds: How long it comes.
         folder: For settings and logs.
+        pause: Between two requests of each other caller.
     """
     site = sites.Site(seed, folder)
     asked: list[caller.Asked] = []
     tasks = []
     try:
         await site.start(direct=True)
-        tasks = _start_others(site, asked, seed)
+        tasks = _start_others(site, asked, seed, pause)
         await asyncio.sleep(_RECOVERY_S / 2)
         begun = time.monotonic()
         sent = await _send(site, kind, seed, seconds)
@@ -73,7 +101,7 @@
         await site.stop()
     whole = [each for each in asked if each.ended]
     meanwhile = [each for each in whole if begun <= each.sent < ended]
-    ends = [at for at, _ in site.ended_by_requests]
+    ends = [each.at for each in site.ended_by_requests]
     return Poisoned(
         asked=len(sent),
         ended=len(ends),
@@ -82,11 +110,13 @@
         popular=_share([e for e in meanwhile if _is_popular(e)]),
         after=_share([e for e in whole if e.sent > ended + _RECOVERY_S / 2]),
         slowest_s=max(each.ended - each.sent for each in sent),
+        others_asked=len(meanwhile),
+        unexplained=_list_unexplained(site, meanwhile),
     )
 
 
 def _start_others(
-    site: sites.Site, asked: list[caller.Asked], seed: int
+    site: sites.Site, asked: list[caller.Asked], seed: int, pause: Pause
 ) -> list[asyncio.Task[None]]:
     tasks = []
     for number in range(_ORDINARY + _POPULAR):
@@ -94,15 +124,17 @@
         rng = random.Random(seed * 1000 + number)
         sender = caller.Caller(address, rng, asked)
         text = _POPULAR_TEXT if number >= _ORDINARY else ""
-        tasks.append(asyncio.create_task(_load(sender, rng, text)))
+        tasks.append(asyncio.create_task(_load(sender, rng, text, pause)))
     return tasks
 
 
-async def _load(sender: caller.Caller, rng: random.Random, text: str) -> None:
+async def _load(
+    sender: caller.Caller, rng: random.Random, text: str, pause: Pause
+) -> None:
     while True:
         kind = "safe" if text else rng.choice(sites.KINDS)
         await sender.ask(kind, _KEY, text)
-        await asyncio.sleep(rng.uniform(0.0, 0.01))
+        await asyncio.sleep(rng.uniform(*pause))
 
 
 async def _send(
@@ -133,6 +165,29 @@
     )
 
 
+def _list_unexplained(site: sites.Site, asked: list[caller.Asked]) -> list[str]:
+    """Returns the requests that no runner's end needed to cost."""
+    found = []
+    for each in asked:
+        if each.status == 200 and each.whole:
+            continue
+        allowed = 1 if each.kind in ("unsafe", "stream") else 2
+        if _count_lost(site, each) < allowed:
+            found.append(f"{each.attempt} {each.kind} {each.status}")
+    return found
+
+
+def _count_lost(site: sites.Site, asked: caller.Asked) -> int:
+    """Returns the ends of runners that a request was under way at."""
+    runs = {run.runner for run in site.record.list_runs(asked.attempt)}
+    return sum(
+        asked.sent <= ended.at + _CROSSING_S
+        and asked.ended >= ended.at
+        and (not runs or ended.runner in runs)
+        for ended in site.ended_by_requests
+    )
+
+
 def _is_popular(asked: caller.Asked) -> bool:
     return asked.path.endswith(_POPULAR_TEXT)
 
--- a/pollenfork/platform/tests/soak/site.py
+++ b/pollenfork/platform/tests/soak/site.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import time
+from typing import NamedTuple
 
 from pollenfork.platform.tests import support
 from pollenfork.platform.tests.soak import caller
@@ -43,6 +44,20 @@
 """
 
 
+class Ending(NamedTuple):
+    """A request has ended a runner.
+
+    Attributes:
+        at: Monotonic seconds.
+        path: The request's path.
+        runner: The runner's id.
+    """
+
+    at: float
+    path: str
+    runner: str
+
+
 class Gateway:
     """One gateway process, its way to the store, and its signals.
 
@@ -153,7 +168,7 @@
         self.runners: dict[str, runner.Runner] = {}
         self.born: dict[str, int] = {}
         self.restarting: set[str] = set()
-        self.ended_by_requests: list[tuple[float, str]] = []
+        self.ended_by_requests: list[Ending] = []
         self.asked: list[caller.Asked] = []
         self._direct: set[str] = set()
         self._endings: set[asyncio.Task[None]] = set()
@@ -315,7 +330,8 @@
         """Lets a runner that a request ends be back within a second."""
         if ended.name in self.restarting:
             return
-        self.ended_by_requests.append((time.monotonic(), path))
+        ending = Ending(time.monotonic(), path, ended.name)
+        self.ended_by_requests.append(ending)
         task = asyncio.create_task(
             self.restart_runner(ended.name, vanishes=False)
         )
--- a/pollenfork/platform/tests/test_soak.py
+++ b/pollenfork/platform/tests/test_soak.py
@@ -36,15 +36,32 @@
 def test_a_request_that_ends_its_runners_ends_three_at_most(
     kind, tmp_path
 ) -> None:
-    played = asyncio.run(poison.play(kind, 11, seconds=20.0, folder=tmp_path))
+    played = asyncio.run(poison.play(kind, 11, seconds=10.0, folder=tmp_path))
     assert played.ended <= 3, played
     assert played.late == 0, played
-    assert played.others >= 0.99, played
+    assert played.unexplained == [], played
     assert played.popular >= 0.99, played
     assert played.after >= 0.99, played
     assert played.slowest_s < 1.0, played
 
 
+# What runs once at a runner as it ends is lost, some two requests an end; the
+# share of others is demanded where that is less than one in a hundred.
+@pytest.mark.parametrize("kind", ["safe", "unsafe", "stream"])
+def test_others_are_served_beside_a_request_that_ends_runners(
+    kind, tmp_path
+) -> None:
+    played = asyncio.run(
+        poison.play(kind, 11, 20.0, tmp_path, pause=poison.SHORT)
+    )
+    assert played.ended <= 3, played
+    assert played.late == 0, played
+    assert played.others >= 0.99, played
+    assert played.unexplained == [], played
+    assert played.popular >= 0.99, played
+    assert played.after >= 0.99, played
+
+
 # What was seen: nothing yet; the steady clock stands still while a machine is
 # suspended. How it comes about: a proof that was 0.2 s old before is believed
 # to be 0.2 s old after five seconds, in which a key may have been taken away.
