Bound the wait of the overloaded where it is computed

Cause: the mend had put a special case for kept-back requests into the one place that answers all, though only an overloaded fleet computes a wait that can be too long. Ruled out: a longer bound for all, which callers would wait out. Conclusion: one branch less.

--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -98,7 +98,8 @@
                 self._give_up(_Reason.NO_RUNNER)
                 return
             if isinstance(grant, choice.Overloaded):
-                self._give_up(_Reason.OVERLOADED, grant.wait_s)
+                wait_s = min(grant.wait_s, _LONGEST_COME_BACK_S)
+                self._give_up(_Reason.OVERLOADED, wait_s)
                 return
             if isinstance(grant, choice.OutOfReach):
                 self._give_up(_Reason.UNREACHABLE)
@@ -316,8 +317,6 @@
             refusal = replies.Refusal(status, reason)
         else:
             wait_s = max(wait_s, _COME_BACK_S)
-            if reason is not _Reason.ENDS_RUNNERS:
-                wait_s = min(wait_s, _LONGEST_COME_BACK_S)
             refusal = replies.Refusal(503, reason, wait_s)
         self._caller.write(replies.write_refusal(refusal, self._caller.closing))
 
