--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -107,6 +107,7 @@
             self._loop.time,
         )
         found.when_ended(suspected.note_absent)
+        self._keeper = keeping.Keeper(told.store, store, suspected, time.time)
         self._tools = context.Tools(
             loop=self._loop,
             rng=rng,
@@ -117,6 +118,7 @@
                 connections, found, suspected, chooser.find_standing
             ),
             suspected=suspected,
+            claim_trial=self._keeper.claim_trial,
             pool=connections,
             prober=probing.Prober(connections, self.known.runners, rng),
             repeats=repeats.RepeatBudget(told.retry_ratio, told.retry_window_s),
@@ -131,7 +133,6 @@
         self._sources.tables.show(
             kept_page.KeptPage(suspected, self._loop.time)
         )
-        self._keeper = keeping.Keeper(told.store, store, suspected, time.time)
         self._cache_feed = cache_feed.CacheFeed(
             cache_codec, self._tools.chooser, self.known, told.data_centre, rng
         )
--- a/pollenfork/gateway/connection.py
+++ b/pollenfork/gateway/connection.py
@@ -47,6 +47,7 @@
         reusable: Whether another exchange may follow.
         exchanges: Exchanges begun on it.
         opened_at: The time of day at which it was opened, in seconds.
+        made_at: Monotonic seconds of the same moment.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -61,6 +62,7 @@
         self._lost = False
         self.idle_since = 0.0
         self.opened_at = 0.0
+        self.made_at = 0.0
         self.idle_limit_s: float | None = None
         self.reusable = True
         self.exchanges = 0
--- a/pollenfork/gateway/context.py
+++ b/pollenfork/gateway/context.py
@@ -1,7 +1,7 @@
 """What an exchange is given: the request admitted, and the shared tools."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 import random
 
 import msgspec
@@ -57,6 +57,7 @@
     """What all exchanges share.
 
     Attributes:
+        claim_trial: Returns whether a request that is kept back may run once.
         read_loads_age: Returns how old others' loads are, in seconds; None
             where there are none.
     """
@@ -71,6 +72,7 @@
     prober: probing.Prober
     endings: endings.Endings
     suspected: quarantine.Quarantine
+    claim_trial: Callable[[ids.RequestDigest], Awaitable[bool]]
     turns: refusals.Turns
     counters: counters.Counters
     read_loads_age: Callable[[], float | None]
--- a/pollenfork/gateway/edges.py
+++ b/pollenfork/gateway/edges.py
@@ -75,8 +75,19 @@
     def write_kept_ask(self, start: str) -> bytes:
         """Returns the request for the requests kept back, from a key on."""
 
-    def write_kept(self, key: str, value: bytes | None) -> bytes:
-        """Returns the request that writes one of them, or removes it."""
+    def write_kept(
+        self, key: str, value: bytes | None, trials: tuple[str, ...]
+    ) -> bytes:
+        """Returns the request that writes one of them, or removes it.
+
+        Args:
+            key: The row's.
+            value: Its bytes; None removes it, and the claims of its trials.
+            trials: The keys of those.
+        """
+
+    def write_trial(self, key: str) -> bytes:
+        """Returns the request that claims a trial, which one caller can."""
 
     def read_rows(
         self, status: int, body: bytes
--- a/pollenfork/gateway/endings.py
+++ b/pollenfork/gateway/endings.py
@@ -87,7 +87,9 @@
                 self._find_standing(runner.id).reached_at = reached_at
                 self._pool.give_back(runner, opened.ok_value)
             else:
-                self._suspected.note_dropped(runner, reached_at)
+                # Later than all that broke there meanwhile.
+                ended_by = asyncio.get_running_loop().time()
+                self._suspected.note_dropped(runner, ended_by)
         finally:
             del self._tries[runner.incarnation]
             if not known.done():
--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -62,6 +62,7 @@
         self._gap_s = 0.0
         self._event_at = 0.0
         self._current: connection.Connection | None = None
+        self._made_at: float | None = None
         if admitted.route.kind is routes.Kind.STREAM:
             self._relay = attempt.Relay(
                 events.EventCutter(), self._begin_stream, self._write_events
@@ -90,10 +91,13 @@
                 self._give_up(_Reason.TIME_LIMIT)
                 return
             verdict = self._suspicion.judge()
-            if verdict is cases.Verdict.KEPT_BACK:
+            if (
+                verdict is cases.Verdict.KEPT_BACK
+                and not await self._suspicion.may_try()
+            ):
                 self._give_up(_Reason.ENDS_RUNNERS, _KEPT_BACK_S)
                 return
-            grant = self._choose(verdict is cases.Verdict.SUSPECT)
+            grant = self._choose(verdict is not cases.Verdict.CLEAR)
             if grant is None:
                 self._give_up(_Reason.NO_RUNNER)
                 return
@@ -111,7 +115,9 @@
             sent_at = tools.loop.time()
             ended = await self._try(grant)
             flows = self._first_s is not None
-            self._suspicion.note(grant.runner, ended, sent_at, flows)
+            self._suspicion.note(
+                grant.runner, ended, sent_at, self._made_at, flows
+            )
             if self._note(grant, ended) is not _Sequel.REPEATED:
                 self._finish(ended)
                 return
@@ -191,6 +197,7 @@
             grant.note_first,
         )
         self._current = found
+        self._made_at = found.made_at
         self._tools.pool.note_begun(grant.runner, found)
         found.send(self._write_call(grant), receiver)
         limits = patience.Patience.of(
--- a/pollenfork/gateway/keeping.py
+++ b/pollenfork/gateway/keeping.py
@@ -32,6 +32,8 @@
 # Rows that a start goes by; it removes older ones, by their last end, so that
 # the table doesn't grow for ever. As many as an instance knows of at once.
 _ROWS_LIMIT = 1024
+# A caller waits for a claim; the store takes some milliseconds.
+_CLAIM_S = 0.3
 _OK = 200
 
 
@@ -66,6 +68,8 @@
         """
         self._loop = asyncio.get_running_loop()
         self._client = client.Client(address)
+        self._claims = client.Client(address)
+        self._claiming = asyncio.Lock()
         self._store = store
         self._suspected = suspected
         self._read_wall = read_wall
@@ -81,6 +85,31 @@
             write = await self._waiting.get()
             await _try_until(functools.partial(self._write, write))
 
+    async def claim_trial(self, digest: ids.RequestDigest) -> bool:
+        """Returns whether this instance may try a request that is kept back.
+
+        The store lets one instance of all have each trial.
+        """
+        number = self._suspected.take_trial(digest, self._loop.time())
+        if number is None:
+            return False
+        key = records.write_trial_key(digest, number)
+        async with self._claiming:
+            call = self._store.write_trial(key)
+            answer = await self._claims.call(call, _CLAIM_S)
+        status = None if answer is None else answer[0]
+        _LOG.warning(
+            "event=trial_claimed digest=%016x number=%d status=%s",
+            digest,
+            number,
+            status or "-",
+        )
+        if status in (429, 503):
+            self._suspected.trials.note_refused(digest, self._loop.time())
+        if status == _OK:
+            self._stored.add(digest)
+        return status == _OK
+
     async def _read(self) -> bool:
         """Returns whether all rows have been read."""
         start = ""
@@ -125,7 +154,8 @@
     async def _write(self, write: _Write) -> bool:
         """Returns whether the store took a row, or will never take it."""
         key = records.write_key(write.digest)
-        call = self._store.write_kept(key, write.value)
+        trials = records.list_trial_keys(write.digest)
+        call = self._store.write_kept(key, write.value, trials)
         answer = await self._client.call(call, _CALL_S)
         if answer is None or answer[0] in (429, 503):
             return False
--- a/pollenfork/gateway/pool.py
+++ b/pollenfork/gateway/pool.py
@@ -111,7 +111,7 @@
             nobody = isinstance(error, ConnectionRefusedError)
             detail = f"{runner.host}: {kind}"
             return result.Err(Unreachable(detail=detail, nobody=nobody))
-        opened.idle_since = self._loop.time()
+        opened.idle_since = opened.made_at = self._loop.time()
         opened.opened_at = self._wall()
         return result.Ok(opened)
 
--- a/pollenfork/gateway/suspicion.py
+++ b/pollenfork/gateway/suspicion.py
@@ -36,11 +36,16 @@
         now = self._tools.loop.time()
         return self._tools.suspected.judge(self._digest, now)
 
+    async def may_try(self) -> bool:
+        """Returns whether a request that is kept back may run this once."""
+        return await self._tools.claim_trial(self._digest)
+
     def note(
         self,
         runner: fleet.Runner,
         ended: attempt.Ended,
         sent_at: float,
+        made_at: float | None,
         flows: bool,
     ) -> None:
         """Takes the end of an attempt.
@@ -49,6 +54,7 @@
             runner: Where it was, as it was when chosen.
             ended: How it ended.
             sent_at: Monotonic seconds at which it began.
+            made_at: The same of its connection.
             flows: Whether events of its answer have come.
         """
         tools = self._tools
@@ -58,7 +64,9 @@
         if not ended.is_cut:
             return
         if not (flows and now - sent_at > _RAN_WELL_S):
-            tools.suspected.note_broken(self._digest, runner, sent_at, now)
+            tools.suspected.note_broken(
+                self._digest, runner, sent_at, now, made_at
+            )
         tools.endings.try_runner(runner)
 
     async def await_end(
--- a/pollenfork/gateway/tests/support.py
+++ b/pollenfork/gateway/tests/support.py
@@ -206,6 +206,7 @@
                 connections, found, suspected, chooser.find_standing
             ),
             suspected=suspected,
+            claim_trial=self._claim_trial,
             pool=connections,
             prober=probing.Prober(connections, self.runners, rng),
             repeats=repeats.RepeatBudget(0.2, 10.0),
@@ -213,9 +214,15 @@
             counters=counters.Counters(),
             read_loads_age=lambda: None,
         )
+        self.claims = 0
         self.callers = callers.Server(loop, self._serve)
         self._server: asyncio.Server | None = None
 
+    async def _claim_trial(self, digest: ids.RequestDigest) -> bool:
+        """Returns whether a claim of a trial is left."""
+        self.claims -= 1
+        return self.claims >= 0
+
     async def start(self) -> None:
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
--- a/pollenfork/gateway/tests/test_keeping.py
+++ b/pollenfork/gateway/tests/test_keeping.py
@@ -20,15 +20,23 @@
     def __init__(self, rows: list[catalogue.Row]) -> None:
         self.rows = rows
         self.removed: list[str] = []
+        self.claimed: list[str] = []
 
     def write_kept_ask(self, start: str) -> bytes:
         return start.encode()
 
-    def write_kept(self, key: str, value: bytes | None) -> bytes:
+    def write_kept(
+        self, key: str, value: bytes | None, trials: tuple[str, ...]
+    ) -> bytes:
         assert value is None
+        assert trials == (f"{key}-1", f"{key}-2")
         self.removed.append(key)
         return b"change"
 
+    def write_trial(self, key: str) -> bytes:
+        self.claimed.append(key)
+        return b"claim"
+
     def read_rows(self, status: int, body: bytes):
         left = [row for row in self.rows if row.key >= body.decode()]
         return result.Ok(catalogue.Rows(tuple(left[:100]), 1, len(left) > 100))
@@ -93,3 +101,53 @@
     ]
     kept, _ = play(3, foreign)
     assert sorted(kept) == [0, 1, 2]
+
+
+def claim(statuses: list[int]) -> tuple[list[bool], list[str]]:
+    """Claims a trial as often as there are answers of the store."""
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        store = Store([])
+        suspected = quarantine.Quarantine(
+            registry.Registry(), "10.0.0.1", lambda runner, at: False, loop.time
+        )
+        keeper = keeping.Keeper(
+            settings.Address("127.0.0.1", 1), store, suspected, lambda: 0.0
+        )
+        answers = list(statuses)
+
+        async def call(request: bytes, timeout_s: float):
+            status = answers.pop(0)
+            return (status, b"") if status else None
+
+        keeper._claims.call = call
+        now = loop.time()
+        end = cases.End(1, now - 40.0, now - 39.0, 1)
+        stored = cases.Case(ids.RequestDigest(7), [end], answered=True)
+        suspected.book.restore(stored, now)
+        granted = []
+        for _ in statuses:
+            granted.append(await keeper.claim_trial(stored.digest))
+            suspected.trials._asked[stored.digest].not_before = 0.0
+        return granted, store.claimed
+
+    return asyncio.run(run())
+
+
+def test_a_trial_is_claimed_once_and_another_ones_claim_stands() -> None:
+    granted, claimed = claim([200, 412])
+    assert granted == [True, False]
+    assert claimed == [f"{7:016x}-1", f"{7:016x}-2"]
+
+
+def test_a_claim_that_the_store_refused_is_made_again() -> None:
+    granted, claimed = claim([503, 200])
+    assert granted == [False, True]
+    assert claimed == [f"{7:016x}-1"] * 2
+
+
+def test_a_claim_without_an_answer_is_taken_for_another_ones() -> None:
+    granted, claimed = claim([0, 200])
+    assert granted == [False, True]
+    assert claimed == [f"{7:016x}-1", f"{7:016x}-2"]
--- a/pollenfork/loads/messages.py
+++ b/pollenfork/loads/messages.py
@@ -215,6 +215,8 @@
         sent_ms: How long ago the request was sent there.
         ended_ms: How long ago the runner ended.
         witness: A hash of the host of the instance that had sent it.
+        made_ms: How long ago its connection was made; None where the teller
+            doesn't say, as earlier versions don't.
     """
 
     digest: int
@@ -222,6 +224,7 @@
     sent_ms: int
     ended_ms: int
     witness: int
+    made_ms: int | None = None
 
 
 class Clearance(msgspec.Struct, frozen=True, array_like=True):
@@ -230,10 +233,12 @@
     Attributes:
         digest: The request's.
         age_ms: How long ago; ends before that no longer speak against it.
+        lifted: Whether no runner has answered it, as far as is known.
     """
 
     digest: int
     age_ms: int
+    lifted: bool = False
 
 
 class Suspicions(msgspec.Struct, frozen=True, array_like=True, tag="p"):
--- a/pollenfork/platform/rows.py
+++ b/pollenfork/platform/rows.py
@@ -13,11 +13,12 @@
 
 
 class Table(enum.Enum):
-    """The tables that an instance reads; it writes to the last alone."""
+    """The tables that an instance reads; it can't write to the first two."""
 
     CONFIGURATION = "op"
     RUNNERS = "servers"
     KEPT_REQUESTS = "kept-requests"
+    TRIALS = "kept-trials"
 
 
 CONFIGURATION_KEY = "config"
@@ -51,12 +52,42 @@
     value: str
 
 
+class _Condition(_Place, rename="kebab"):
+    row_version: int
+
+
 class _Change(msgspec.Struct, kw_only=True):
-    precondition: tuple[_Place, ...] = ()
+    precondition: tuple[_Condition, ...] = ()
     upserts: tuple[_Written, ...] = ()
     remove: tuple[_Place, ...] = ()
 
 
+ABSENT = 0  # The version of a row that doesn't exist.
+
+
+class Key(msgspec.Struct, frozen=True):
+    """Names a row."""
+
+    table: Table
+    key: str
+
+
+class Put(msgspec.Struct, frozen=True):
+    """Writes a row.
+
+    Attributes:
+        table: Its table.
+        key: Its key.
+        value: Its bytes.
+        expected: The version that it must have; None: any.
+    """
+
+    table: Table
+    key: str
+    value: bytes
+    expected: int | None = None
+
+
 _DECODER = msgspec.json.Decoder(_Answer)
 
 
@@ -80,14 +111,27 @@
     return f"{names.RANGE_PATH}?{urllib.parse.urlencode(query)}"
 
 
-def write_change(table: Table, key: str, value: bytes | None) -> bytes:
-    """Returns the body that writes a row, or removes it without a value."""
-    row = _Place(table.value, "", key)
-    if value is None:
-        return msgspec.json.encode(_Change(remove=(row,)))
-    text = base64.b64encode(value).decode()
-    written = _Written(table.value, "", key, text)
-    return msgspec.json.encode(_Change(upserts=(written,)))
+def write_change(
+    written: tuple[Put, ...] = (), removed: tuple[Key, ...] = ()
+) -> bytes:
+    """Returns the body that writes and removes rows, all or none of them."""
+    conditions = tuple(
+        _Condition(each.table.value, "", each.key, each.expected)
+        for each in written
+        if each.expected is not None
+    )
+    upserts = tuple(
+        _Written(
+            each.table.value,
+            "",
+            each.key,
+            base64.b64encode(each.value).decode(),
+        )
+        for each in written
+    )
+    gone = tuple(_Place(each.table.value, "", each.key) for each in removed)
+    change = _Change(precondition=conditions, upserts=upserts, remove=gone)
+    return msgspec.json.encode(change)
 
 
 def read(body: bytes) -> result.Result[messages.Rows, BadRows]:
--- a/pollenfork/platform/store.py
+++ b/pollenfork/platform/store.py
@@ -37,9 +37,28 @@
         """Returns the request for the requests that are kept back."""
         return self._write(rows.write_range(rows.Table.KEPT_REQUESTS, start))
 
-    def write_kept(self, key: str, value: bytes | None) -> bytes:
+    def write_kept(
+        self, key: str, value: bytes | None, trials: tuple[str, ...]
+    ) -> bytes:
         """Returns the request that writes one of them, or removes it."""
-        body = rows.write_change(rows.Table.KEPT_REQUESTS, key, value)
+        if value is not None:
+            written = rows.Put(rows.Table.KEPT_REQUESTS, key, value)
+            return self._write_change((written,))
+        removed = [rows.Key(rows.Table.KEPT_REQUESTS, key)]
+        removed += [rows.Key(rows.Table.TRIALS, each) for each in trials]
+        return self._write_change(removed=tuple(removed))
+
+    def write_trial(self, key: str) -> bytes:
+        """Returns the request that claims a trial, which one caller can."""
+        claim = rows.Put(rows.Table.TRIALS, key, b"", rows.ABSENT)
+        return self._write_change((claim,))
+
+    def _write_change(
+        self,
+        written: tuple[rows.Put, ...] = (),
+        removed: tuple[rows.Key, ...] = (),
+    ) -> bytes:
+        body = rows.write_change(written, removed)
         head = (
             f"POST {names.CHANGE_PATH} HTTP/1.1\r\nhost: {self.host}\r\n"
             "content-type: application/json\r\n"
--- a/pollenfork/platform/tests/soak/store.py
+++ b/pollenfork/platform/tests/soak/store.py
@@ -81,9 +81,13 @@
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 target = head.split(b" ", 2)[1].decode()
+                met = True
                 if head.startswith(b"POST"):
-                    await self._change(json.loads(await _read(head, reader)))
+                    change = json.loads(await _read(head, reader))
+                    met = await self._change(change)
                 status, body = await self._answer(target)
+                if not met:
+                    status = 412
                 data = encode(body)
                 writer.write(
                     f"HTTP/1.1 {status} X\r\n"
@@ -93,14 +97,20 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
 
-    async def _change(self, change: dict) -> None:
+    async def _change(self, change: dict) -> bool:
+        """Applies a change; returns whether its conditions were met."""
         if self.mood is Mood.REFUSING:
-            return
+            return True
+        for row in change["precondition"]:
+            known = self._rows.get((row["table"], row["key"]), {})
+            if known.get("row-version", 0) != row["row-version"]:
+                return False
         for row in change["upserts"]:
-            value = json.loads(base64.b64decode(row["value"]))
+            value = json.loads(base64.b64decode(row["value"]) or b"{}")
             await self.put(row["table"], row["key"], value)
         for row in change["remove"]:
             await self.remove(row["table"], row["key"])
+        return True
 
     async def _answer(self, target: str) -> tuple[int, dict]:
         if self.mood is Mood.REFUSING:
--- a/pollenfork/poison/book.py
+++ b/pollenfork/poison/book.py
@@ -42,6 +42,10 @@
         self._answered: collections.OrderedDict[ids.RequestDigest, float] = (
             collections.OrderedDict()
         )
+        # Made anew when it is asked for, as ends come and go.
+        self._places: dict[int, list[tuple[cases.Case, cases.End]]] | None = (
+            None
+        )
         self._on_kept: list[Callable[[cases.Case, float], None]] = []
         self._on_cleared: list[Callable[[cases.Case, float], None]] = []
         self.counts: collections.Counter[str] = collections.Counter()
@@ -66,7 +70,7 @@
             return Verdict.CLEAR
         if case.kept_since is not None:
             return Verdict.KEPT_BACK
-        verdict = case.judge(self._list_believed(case, now), now)
+        verdict = case.judge(self._list_counted(case, now), now)
         if verdict is Verdict.KEPT_BACK:
             self.keep_back(case, now)
         return verdict
@@ -93,16 +97,18 @@
         self, digest: ids.RequestDigest, end: cases.End, now: float
     ) -> bool:
         """Takes a runner's end under a request; returns whether it is news."""
-        if now - end.ended_at > cases.LAPSE_S:
+        if not now - cases.LAPSE_S <= end.ended_at <= now:
             return False
         case = self._find(digest, now)
         answered_at = self._answered.get(digest)
         learned = answered_at is not None and case.clear(answered_at, now)
+        case.answered = case.answered or answered_at is not None
         if learned or case.is_before_clearance(end):
             # Whoever tells of the end may not know.
             self._tell_cleared(case, now)
         if not case.add(end, now):
             return False
+        self._places = None
         self.counts["ends"] += 1
         self.judge(digest, now)
         self._limit()
@@ -118,18 +124,27 @@
         if case is not None and case.ends:
             self.clear(digest, now, now)
 
-    def clear(self, digest: ids.RequestDigest, at: float, now: float) -> bool:
+    def clear(
+        self,
+        digest: ids.RequestDigest,
+        at: float,
+        now: float,
+        answered: bool = True,
+    ) -> bool:
         """Takes that a request was well; returns whether that is news.
 
         Args:
             digest: The request's.
             at: The moment up to which nothing speaks against it.
             now: Monotonic seconds.
+            answered: Whether a runner answered it; else an operator vouches.
         """
         case = self._find(digest, now)
+        case.answered = case.answered or answered
         kept_since = case.kept_since
         if not case.clear(at, now):
             return False
+        self._places = None
         if kept_since is not None and case.kept_since is None:
             _LOG.warning(
                 "event=request_cleared digest=%016x kept_ms=%d age_ms=%d",
@@ -150,6 +165,8 @@
         case = self._find(stored.digest, now)
         if case.cleared_at is not None or case.kept_since is not None:
             return
+        case.cleared_at = stored.cleared_at
+        case.answered = stored.answered
         for end in stored.ends:
             case.add(end, now)
         self.keep_back(case, now)
@@ -183,6 +200,8 @@
                     del self._cases[digest]
                 elif len(case.ends) >= cases.ENDS_ALLOWED:
                     self.judge(digest, now)
+            elif case.cleared_at is not None:
+                self._judge_anew(case, now)
 
     def _find(self, digest: ids.RequestDigest, now: float) -> cases.Case:
         case = self._cases.get(digest)
@@ -190,6 +209,61 @@
             case = self._cases[digest] = cases.Case(digest, moved_at=now)
         return case
 
+    def _judge_anew(self, case: cases.Case, now: float) -> None:
+        """Lets a request go that others' ends explain, told since."""
+        counted = self._leave_out_explained(case, case.ends)
+        if case.judge(counted, now) is Verdict.KEPT_BACK:
+            return
+        _LOG.warning(
+            "event=request_explained digest=%016x kept_ms=%d ends=%d "
+            "counted=%d",
+            case.digest,
+            (now - (case.kept_since or now)) * 1000,
+            len(case.ends),
+            len(counted),
+        )
+        case.kept_since = None
+        case.moved_at = now
+        self._tell_cleared(case, now)
+
+    def _list_counted(self, case: cases.Case, now: float) -> list[cases.End]:
+        """Returns the ends that speak against a request."""
+        believed = self._list_believed(case, now)
+        # Where they are too few anyway, there is nothing to find out.
+        if case.cleared_at is None or len(believed) < cases.ENDS_ALLOWED:
+            return believed
+        return self._leave_out_explained(case, believed)
+
+    def _leave_out_explained(
+        self, case: cases.Case, ends: list[cases.End]
+    ) -> list[cases.End]:
+        """Returns the ends that no other request explains.
+
+        A text that everybody sends runs wherever a runner ends, and is sent on
+        where one has just ended. It has been answered before; what was never
+        answered, and ended several runners one after the other, goes before it.
+        """
+        at = self._find_places()
+        return [
+            each
+            for each in ends
+            if not any(
+                _explains(other, known, each)
+                for other, known in at.get(each.place, ())
+                if other is not case
+            )
+        ]
+
+    def _find_places(self) -> dict[int, list[tuple[cases.Case, cases.End]]]:
+        """Returns all known ends by their place."""
+        if self._places is None:
+            self._places = {}
+            for case in self._cases.values():
+                for end in case.ends:
+                    at = self._places.setdefault(end.place, [])
+                    at.append((case, end))
+        return self._places
+
     def _list_believed(self, case: cases.Case, now: float) -> list[cases.End]:
         """Returns the ends that count.
 
@@ -208,3 +282,11 @@
             return
         light = (d for d, case in self._cases.items() if not case.is_serious)
         del self._cases[next(light, next(iter(self._cases)))]
+
+
+def _explains(other: cases.Case, known: cases.End, end: cases.End) -> bool:
+    """Returns whether another request's end leaves nothing to one's own."""
+    if end.is_after(known):
+        return True
+    suspected = other.cleared_at is None and other.has_followed
+    return suspected and end.is_beside(known)
--- a/pollenfork/poison/cases.py
+++ b/pollenfork/poison/cases.py
@@ -30,6 +30,10 @@
 _SAME_S = 0.25
 # The least time in which a runner is back after its end, in seconds.
 _RESTART_S = 0.1
+# A connection that breaks sooner than this after the sending, in seconds, at a
+# place where a runner ended within `_GONE_S` before, met nobody.
+_SHORTEST_RUN_S = 0.01
+_GONE_S = 1.0
 # An end that nothing followed says nothing after this long, in seconds.
 LAPSE_S = 600.0
 # Ends kept of each request; further ones change nothing. Of them, those that
@@ -54,12 +58,39 @@
         sent_at: When the request was sent there, in monotonic seconds.
         ended_at: When the runner ended.
         witness: A hash of the host of the instance that had sent it.
+        made_at: When the connection was made on which it was sent; None where
+            the teller doesn't say, as earlier versions don't.
     """
 
     place: int
     sent_at: float
     ended_at: float
     witness: int
+    made_at: float | None = None
+
+    @property
+    def connected_at(self) -> float:
+        """When the connection was made, at the latest."""
+        return self.sent_at if self.made_at is None else self.made_at
+
+    def is_after(self, other: "End") -> bool:
+        """Returns whether its runner had ended before it could begin.
+
+        Args:
+            other: An end at the same place, under another request.
+        """
+        if self.place != other.place or self.sent_at < other.ended_at:
+            return False
+        if self.connected_at < other.ended_at:
+            return True  # A connection doesn't outlive its runner.
+        # A new connection may be taken where nobody is left to serve it.
+        unserved = self.ended_at - self.sent_at < _SHORTEST_RUN_S
+        return unserved and self.sent_at < other.ended_at + _GONE_S
+
+    def is_beside(self, other: "End") -> bool:
+        """Returns whether both ran at one runner when it ended."""
+        near = abs(self.ended_at - other.ended_at) < _RESTART_S
+        return self.place == other.place and near
 
 
 class Case(msgspec.Struct):
@@ -70,6 +101,7 @@
         ends: Ends of runners under it since it was last answered.
         cleared_at: When a runner last answered it, or an operator vouched for
             it; None: never, as far as is known.
+        answered: Whether a runner has ever answered it, as far as is known.
         kept_since: Since when it is kept back; None while it isn't.
         moved_at: When anything was last learned of it.
         vouchers: Other instances that keep it back themselves.
@@ -78,6 +110,7 @@
     digest: ids.RequestDigest
     ends: list[End] = msgspec.field(default_factory=list)
     cleared_at: float | None = None
+    answered: bool = False
     kept_since: float | None = None
     moved_at: float = 0.0
     vouchers: set[str] = msgspec.field(default_factory=set)
@@ -116,6 +149,11 @@
         """Returns whether a runner has answered since an end."""
         return self.cleared_at is not None and end.ended_at <= self.cleared_at
 
+    @property
+    def has_followed(self) -> bool:
+        """Whether one of its ends followed another one."""
+        return count_rounds(self.ends) >= _ROUNDS
+
     @property
     def is_serious(self) -> bool:
         """Whether one more end may keep it back, or it is kept back."""
@@ -173,4 +211,7 @@
     if one.place != other.place:
         return False
     first, second = sorted((one, other), key=lambda each: each.sent_at)
-    return second.sent_at < first.ended_at + _RESTART_S
+    return (
+        second.sent_at < first.ended_at + _RESTART_S
+        or second.connected_at < first.ended_at
+    )
--- a/pollenfork/poison/outbox.py
+++ b/pollenfork/poison/outbox.py
@@ -35,12 +35,13 @@
     digest: ids.RequestDigest
     end: cases.End | None
     moment: float
+    lifted: bool = False
     rounds_left: int = _ROUNDS
 
     def write(self, now: float) -> _Piece:
         if self.end is None:
             age_ms = _to_ms(now - self.moment)
-            return messages.Clearance(self.digest, age_ms)
+            return messages.Clearance(self.digest, age_ms, self.lifted)
         return _write_end(self.digest, self.end, now)
 
 
@@ -72,15 +73,24 @@
         waiting = self._urgent if serious else self._ordinary
         waiting.append(_Waiting(digest, end, end.ended_at))
 
-    def add_cleared(self, digest: ids.RequestDigest, at: float) -> None:
-        """Takes up to when nothing speaks against a request."""
+    def add_cleared(
+        self, digest: ids.RequestDigest, at: float, lifted: bool
+    ) -> None:
+        """Takes up to when nothing speaks against a request.
+
+        Args:
+            digest: The request's.
+            at: Monotonic seconds.
+            lifted: Whether it is an operator's word alone.
+        """
         known = self._cleared.get(digest)
         if known is not None and known.rounds_left:
             known.moment = max(known.moment, at)
+            known.lifted = known.lifted and lifted
             return
         if len(self._cleared) >= _WAITING_LIMIT:
             self._cleared.clear()  # Told again when it is asked for again.
-        self._cleared[digest] = _Waiting(digest, None, at)
+        self._cleared[digest] = _Waiting(digest, None, at, lifted)
         self._urgent.append(self._cleared[digest])
 
     def take(self, now: float) -> messages.Suspicions | None:
@@ -165,6 +175,7 @@
         _to_ms(now - end.sent_at),
         _to_ms(now - end.ended_at),
         end.witness,
+        None if end.made_at is None else _to_ms(now - end.made_at),
     )
 
 
--- a/pollenfork/poison/quarantine.py
+++ b/pollenfork/poison/quarantine.py
@@ -16,6 +16,7 @@
 from pollenfork.poison import book
 from pollenfork.poison import cases
 from pollenfork.poison import outbox
+from pollenfork.poison import trials
 from pollenfork.poison import witness
 
 _LOG = logging.getLogger(__name__)
@@ -53,11 +54,12 @@
             lambda: self._others,
         )
         self.book = book.Book(self._witness.believes)
+        self.trials = trials.Trials()
         self._outbox = outbox.Outbox(self.book)
         self._on_urgent: list[Callable[[], None]] = []
         self.book.when_cleared(
             lambda case, now: self._outbox.add_cleared(
-                case.digest, case.cleared_at or now
+                case.digest, case.cleared_at or now, not case.answered
             )
         )
         runners.when_gone(
@@ -86,9 +88,10 @@
         runner: model.Runner,
         sent_at: float,
         now: float,
+        made_at: float | None = None,
     ) -> None:
         """Takes that the connection broke on which a request was sent."""
-        self._witness.note_broken(digest, runner, sent_at, now)
+        self._witness.note_broken(digest, runner, sent_at, now, made_at)
 
     def note_absent(self, place: int, here: bool) -> None:
         """Takes that nobody is where a runner was.
@@ -127,12 +130,23 @@
             return False
         now = self._read_time()
         _LOG.warning("event=request_lifted digest=%016x", digest)
-        return self.book.clear(digest, now, now)
+        return self.book.clear(digest, now, now, answered=False)
+
+    def take_trial(self, digest: ids.RequestDigest, now: float) -> int | None:
+        """Returns the number of a trial to claim for a request that is kept.
+
+        Args:
+            digest: The request's.
+            now: Monotonic seconds.
+        """
+        case = self.book.find(digest)
+        return None if case is None else self.trials.take_due(case, now)
 
     def sweep(self, now: float) -> None:
         """Forgets what is old and judges what has settled."""
         self._witness.sweep(now)
         self.book.sweep(now)
+        self.trials.forget({each.digest for each in self.list_kept()})
 
     # What instances tell each other.
 
@@ -164,7 +178,8 @@
         """
         for word in told.cleared:
             digest = ids.RequestDigest(word.digest)
-            self.book.clear(digest, now - word.age_ms / 1000.0, now)
+            at = now - word.age_ms / 1000.0
+            self.book.clear(digest, at, now, answered=not word.lifted)
         for each in told.ends:
             digest = ids.RequestDigest(each.digest)
             end = cases.End(
@@ -172,6 +187,7 @@
                 now - each.sent_ms / 1000.0,
                 now - each.ended_ms / 1000.0,
                 each.witness,
+                None if each.made_ms is None else now - each.made_ms / 1000.0,
             )
             if self.book.note_end(digest, end, now):
                 self._outbox.add_end(digest, end)
--- a/pollenfork/poison/tests/fleet.py
+++ b/pollenfork/poison/tests/fleet.py
@@ -36,6 +36,7 @@
         """Starts anew, knowing nothing but the registry."""
         fleet = self._fleet
         self.alive = True
+        self.kept_connections: dict[str, float] = {}
         self.runners = registry.Registry()
         self.chooser = choice.Chooser(self.runners, random.Random(self.host))
         self.suspected = quarantine.Quarantine(
@@ -121,8 +122,12 @@
         ended_at: When a runner ended, and under which requests.
         sent: When each request reached a runner.
         kept: How often each request was kept back.
+        kept_at: When that was.
+        trials: Trials that were claimed, by request and number.
         cuts: Hosts that no datagram reaches or leaves.
         loss: The part of datagrams that is lost.
+        stale_s: How long an instance may not notice that a kept connection
+            was closed, at most.
     """
 
     def __init__(
@@ -131,14 +136,19 @@
         self.now = 100.0
         self.rng = random.Random(seed)
         self.loss = 0.0
+        self.stale_s = 0.0
         self.cuts: set[str] = set()
         self.poison: set[int] = set()
         self.ended_at: list[tuple[float, list[int]]] = []
         self.sent: dict[int, list[float]] = {}
         self.kept: dict[int, int] = {}
+        self.kept_at: dict[int, list[float]] = {}
+        self.trials: set[tuple[int, int]] = set()
         self.answered: dict[int, int] = {}
+        self.answered_at: dict[int, list[float]] = {}
         self.down: set[str] = set()
         self.bytes = 0
+        self._ended_last: dict[str, float] = {}
         self._running: dict[str, list[tuple]] = {}
         self._events: list[tuple] = []
         self._order = itertools.count()
@@ -205,8 +215,11 @@
         if not instance.alive:
             return
         verdict = instance.suspected.judge(ids.RequestDigest(digest), self.now)
-        if verdict is cases.Verdict.KEPT_BACK:
+        if verdict is cases.Verdict.KEPT_BACK and not self._claim_trial(
+            instance, digest
+        ):
             self.kept[digest] = self.kept.get(digest, 0) + 1
+            self.kept_at.setdefault(digest, []).append(self.now)
             return
         suspect = ids.RequestDigest(digest)
         grant = instance.chooser.choose(
@@ -214,7 +227,7 @@
             set(),
             self.now,
             None,
-            suspect if verdict is cases.Verdict.SUSPECT else None,
+            suspect if verdict is not cases.Verdict.CLEAR else None,
         )
         assert isinstance(grant, choice.Grant)
         sent_at = self.now
@@ -222,6 +235,16 @@
             _WAY_S, lambda: self._begin(instance, digest, grant, sent_at, run_s)
         )
 
+    def _claim_trial(self, instance: Instance, digest: int) -> bool:
+        """Returns whether an instance may try a request; each trial once."""
+        number = instance.suspected.take_trial(
+            ids.RequestDigest(digest), self.now
+        )
+        if number is None or (digest, number) in self.trials:
+            return False
+        self.trials.add((digest, number))
+        return True
+
     def ask_all(self, digest: int, over_s: float, run_s: float = 0.1) -> None:
         """Sends a request to each instance within some time."""
         for each in self.instances:
@@ -247,6 +270,7 @@
         if name in self.down:
             return
         self.down.add(name)
+        self._ended_last[name] = self.now
         running = self._running.pop(name, [])
         self.ended_at.append((self.now, [each[1] for each in running]))
         place = evidence.mark(self.runners[name])
@@ -278,6 +302,18 @@
 
     def _begin(self, instance, digest, grant, sent_at, run_s) -> None:
         name = grant.runner.id
+        if self._is_stale(instance, name):
+            made_at = instance.kept_connections.pop(name)
+            instance.chooser.settle(grant)
+            instance.suspected.note_broken(
+                ids.RequestDigest(digest),
+                grant.runner,
+                sent_at,
+                self.now,
+                made_at,
+            )
+            self.connect(instance, grant.runner)
+            return
         if name in self.down:
             instance.chooser.settle(grant)
             grant.standing.shunned_until = self.now + 0.8
@@ -299,8 +335,10 @@
         self._running[name].remove(running)
         instance.chooser.settle(grant)
         if instance.alive:
+            instance.kept_connections[name] = self.now
             grant.standing.answered_at = self.now
             self.answered[digest] = self.answered.get(digest, 0) + 1
+            self.answered_at.setdefault(digest, []).append(self.now)
             instance.suspected.note_answered(
                 ids.RequestDigest(digest), self.now
             )
@@ -312,6 +350,17 @@
                 ids.RequestDigest(digest), grant.runner, sent_at, self.now
             )
 
+    def _is_stale(self, instance: Instance, name: str) -> bool:
+        """Returns whether a request goes on a connection to what has ended."""
+        made_at = instance.kept_connections.get(name)
+        ended_at = self._ended_last.get(name, 0.0)
+        if made_at is None or made_at > ended_at:
+            return False
+        if self.now - ended_at < self.stale_s * self.rng.random():
+            return True
+        del instance.kept_connections[name]
+        return False
+
     def _restart(self, name: str) -> None:
         self.down.discard(name)
         before = self.runners[name]
--- /dev/null
+++ b/pollenfork/poison/tests/test_drawn.py
@@ -0,0 +1,60 @@
+"""No innocent is kept back for long, whatever ends the runners."""
+
+import pytest
+
+from pollenfork import ids
+from pollenfork.poison import cases
+from pollenfork.poison import trials
+from pollenfork.poison.tests import drawn
+from pollenfork.poison.tests import fleet as fleets
+
+
+@pytest.mark.parametrize("first", range(0, 40, 10))
+def test_an_innocent_is_served_again_soon_and_the_guilty_is_not(first) -> None:
+    played = [drawn.play(first + number) for number in range(10)]
+    assert [each for each in played if not each.holds] == []
+
+
+def test_what_was_answered_before_is_tried_once_by_one_of_all() -> None:
+    fleet = fleets.Fleet(instances=20, runners=9)
+    fleet.repeat(drawn.POISON, 0.1, 4.0)
+    fleet.run(2.0)
+    fleet.poison.add(drawn.POISON)
+    fleet.run(2.0)
+    kept = fleet.count_ends(drawn.POISON)
+    fleet.repeat(drawn.POISON, 0.02, 20.0)
+    fleet.run(20.0)
+    assert fleet.count_ends(drawn.POISON) == kept + 1
+    assert fleet.count_late(drawn.POISON) <= 1
+
+
+def test_a_trial_that_is_answered_lets_it_go_everywhere() -> None:
+    fleet = fleets.Fleet(instances=20, runners=9)
+    fleet.repeat(drawn.POISON, 0.1, 4.0)
+    fleet.run(2.0)
+    fleet.poison.add(drawn.POISON)
+    fleet.run(2.0)
+    fleet.poison.clear()
+    begun = fleet.now
+    fleet.repeat(drawn.POISON, 0.05, 6.0)
+    fleet.run(6.0)
+    assert max(fleet.kept_at[drawn.POISON]) < begun + trials.WAITS_S[0] + 0.5
+
+
+def test_what_was_never_answered_is_not_tried() -> None:
+    case = cases.Case(
+        ids.RequestDigest(1), [cases.End(1, 1.0, 1.1, 1)], kept_since=1.2
+    )
+    assert trials.Trials().take_due(case, 100.0) is None
+
+
+def test_two_trials_are_all_that_one_instance_asks_for() -> None:
+    case = cases.Case(
+        ids.RequestDigest(1),
+        [cases.End(1, 1.0, 1.1, 1)],
+        kept_since=1.2,
+        answered=True,
+    )
+    made = trials.Trials()
+    due = [made.take_due(case, 0.1 * tenth) for tenth in range(2000)]
+    assert [each for each in due if each] == [1, 2]
--- a/pollenfork/poison/witness.py
+++ b/pollenfork/poison/witness.py
@@ -43,6 +43,7 @@
     digest: ids.RequestDigest
     sent_at: float
     broken_at: float
+    made_at: float | None
 
 
 class Witness:
@@ -87,6 +88,7 @@
         runner: model.Runner,
         sent_at: float,
         now: float,
+        made_at: float | None = None,
     ) -> None:
         """Takes that an attempt's connection broke.
 
@@ -95,6 +97,7 @@
             runner: Where it ran, as it was when chosen.
             sent_at: Monotonic seconds at which it was sent.
             now: Monotonic seconds.
+            made_at: When the connection was made, if that is known.
         """
         known = self._runners.find(runner.id)
         if known is None or known.leaving or runner.leaving:
@@ -107,7 +110,7 @@
         waiting[:] = [
             each for each in waiting if now - each.broken_at <= _PROOF_S
         ]
-        waiting.append(_Broken(digest, sent_at, now))
+        waiting.append(_Broken(digest, sent_at, now, made_at))
         if known.incarnation != runner.incarnation:
             self.note_ended(place, now, "registry")
         elif self._has_ended(place, now):
@@ -203,7 +206,11 @@
                 (now - broken.broken_at) * 1000,
             )
             end = cases.End(
-                place, broken.sent_at, broken.broken_at, self._witness
+                place,
+                broken.sent_at,
+                broken.broken_at,
+                self._witness,
+                broken.made_at,
             )
             self._note_end(broken.digest, end, now)
 
