--- a/pollenfork/endpoints/holder.py
+++ b/pollenfork/endpoints/holder.py
@@ -12,15 +12,33 @@
 
 from pollenfork import ids
 from pollenfork.endpoints import edges
-from pollenfork.endpoints import lease
 from pollenfork.endpoints import loading
 from pollenfork.endpoints import orders
 from pollenfork.endpoints import rows
 from pollenfork.endpoints import steps
+from pollenfork.leases import lease
 from pollenfork.store import edges as platform_edges
 from pollenfork.store import errors
 
-_LONGEST_BACKOFF = 16  # Times `lease.Pace.retry_s`.
+_LONGEST_BACKOFF = 16  # Times `Pace.retry_s`.
+
+
+class Pace(msgspec.Struct, frozen=True, kw_only=True):
+    """How often the holder looks and tries again, in seconds.
+
+    Attributes:
+        look_s: Between two readings of a row that others may have changed.
+        retry_s: After a refusal that had no effect; doubles up to 16 times.
+        rejected_s: Before an order is given again that was rejected, or
+            that the endpoint confirmed but does not report.
+        rank_s: How much longer each further candidate waits for the ones
+            before it to take the lease.
+    """
+
+    look_s: float = 15.0
+    retry_s: float = 2.0
+    rejected_s: float = 60.0
+    rank_s: float = 30.0
 
 
 class Holder:
@@ -33,14 +51,16 @@
         instance: ids.InstanceId,
         new_id: Callable[[], ids.WriteId],
         limits: lease.Limits | None = None,
-        pace: lease.Pace | None = None,
+        pace: Pace | None = None,
     ) -> None:
         self._endpoint = endpoint
         self._data_centre = data_centre
         self._key = rows.lease_key(data_centre, endpoint)
         self._limits = limits or lease.Limits()
-        self._pace = pace or lease.Pace()
-        self._lease = lease.Lease(instance, self._limits, new_id)
+        self._pace = pace or Pace()
+        self._lease = lease.Lease(
+            instance, self._limits, new_id, lambda: _make_first(instance)
+        )
         self._desired: orders.Desired | None = None
         self._loading = loading.Loading(endpoint, data_centre)
         self._reported: tuple[str, ...] = ()
@@ -285,7 +305,10 @@
         self, row: rows.LeaseRow, more: tuple[platform_edges.Put, ...]
     ) -> steps.Write:
         self._proposed = row
-        puts = (self._lease.make_put(self._key, row), *more)
+        put = platform_edges.Put(
+            self._key, rows.encode(row), self._lease.version
+        )
+        puts = (put, *more)
         return steps.Write(platform_edges.Transaction(row.write_id, puts))
 
     def _read_hold(self, now: float) -> lease.Hold:
@@ -337,3 +360,14 @@
         if isinstance(failure, errors.Throttled):
             wait_s = max(wait_s, failure.retry_after_s)
         self._not_before = now + wait_s
+
+
+def _make_first(instance: ids.InstanceId) -> rows.LeaseRow:
+    """Returns the row that stands for none: the first claim is number one."""
+    return rows.LeaseRow(
+        holder=instance,
+        fencing=ids.FencingNumber(0),
+        write_id=ids.WriteId(""),
+        lease_ms=0,
+        order_ms=0,
+    )
--- a/pollenfork/endpoints/rows.py
+++ b/pollenfork/endpoints/rows.py
@@ -12,6 +12,7 @@
 from pollenfork import failures
 from pollenfork import ids
 from pollenfork.endpoints import edges
+from pollenfork.leases import claims
 
 FORMAT = 1
 T = TypeVar("T", bound=msgspec.Struct)
@@ -47,26 +48,13 @@
     drained: str = ""
 
 
-class LeaseRow(msgspec.Struct, frozen=True, kw_only=True):
+class LeaseRow(claims.Claim, frozen=True, kw_only=True):
     """Who may give orders to one endpoint, and how far the orders are.
 
-    It holds no time of day: readers count `lease_ms` by their own monotonic
-    clock from when they first saw the row's present version.
-
     Attributes:
-        holder: Empty when the lease was given back.
-        write_id: The write that made this version, by which its writer
-            knows it again when the answer was lost.
-        lease_ms: How long the holder may act on this version.
-        order_ms: The longest time from sending an order to its effect.
         sequence: Of the latest order written down.
     """
 
-    holder: ids.InstanceId
-    fencing: ids.FencingNumber
-    write_id: ids.WriteId
-    lease_ms: int
-    order_ms: int
     sequence: int = 0
     pending: PendingOrder | None = None
     applied: Applied = Applied()
--- a/pollenfork/endpoints/tests/world.py
+++ b/pollenfork/endpoints/tests/world.py
@@ -11,9 +11,9 @@
 from pollenfork.endpoints import calls
 from pollenfork.endpoints import edges
 from pollenfork.endpoints import holder
-from pollenfork.endpoints import lease
 from pollenfork.endpoints import orders
 from pollenfork.endpoints import steps
+from pollenfork.leases import lease
 from pollenfork.standin.platform import fake
 from pollenfork.store import edges as platform_edges
 from pollenfork.store import errors
--- /dev/null
+++ b/pollenfork/leases/__init__.py
@@ -0,0 +1,1 @@
+"""Who may act alone on something, by a row of the store."""
--- a/pollenfork/endpoints/lease.py
+++ b/pollenfork/leases/lease.py
@@ -1,4 +1,4 @@
-"""The lease of one endpoint: who may act on it, and until when.
+"""A lease: who may act on something, and until when.
 
 Two clocks never have to agree. The holder counts from before it sent the
 write; everybody else counts from after they read what it wrote, which is
@@ -7,15 +7,18 @@
 
 from collections.abc import Callable
 import enum
+from typing import Generic, TypeVar
 
 import msgspec
 
 from pollenfork import ids
-from pollenfork.endpoints import rows
-from pollenfork.store import edges as platform_edges
+from pollenfork.leases import claims
 
+ABSENT = 0  # The version of a row that doesn't exist.
 _REMEMBERED_WRITES = 16
 
+RowT = TypeVar("RowT", bound=claims.Claim)
+
 
 class Limits(msgspec.Struct, frozen=True, kw_only=True):
     """Times of leases and orders, in seconds.
@@ -32,24 +35,6 @@
     margin_s: float = 1.0
 
 
-class Pace(msgspec.Struct, frozen=True, kw_only=True):
-    """How often the holder looks and tries again, in seconds.
-
-    Attributes:
-        look_s: Between two readings of a row that others may have changed.
-        retry_s: After a refusal that had no effect; doubles up to 16 times.
-        rejected_s: Before an order is given again that was rejected, or
-            that the endpoint confirmed but does not report.
-        rank_s: How much longer each further candidate waits for the ones
-            before it to take the lease.
-    """
-
-    look_s: float = 15.0
-    retry_s: float = 2.0
-    rejected_s: float = 60.0
-    rank_s: float = 30.0
-
-
 class Hold(enum.Enum):
     """How this instance stands to the lease."""
 
@@ -60,20 +45,35 @@
     LAPSED = "lapsed"  # Ours by the row, but too old to act on.
 
 
-class Lease:
-    """What this instance knows of one endpoint's lease row."""
+class Lease(Generic[RowT]):
+    """What this instance knows of one lease's row.
+
+    Attributes:
+        row: As last seen or written; None where there is none.
+        version: The store's version of it, which the next write must meet.
+    """
 
     def __init__(
         self,
         instance: ids.InstanceId,
         limits: Limits,
         new_id: Callable[[], ids.WriteId],
+        make_first: Callable[[], RowT],
     ) -> None:
-        self.row: rows.LeaseRow | None = None
+        """Starts with nothing read.
+
+        Args:
+            instance: This one.
+            limits: Times of the lease.
+            new_id: Returns an id that no other write has.
+            make_first: Returns the row that stands for none.
+        """
+        self.row: RowT | None = None
+        self.version = ABSENT
         self._instance = instance
         self._limits = limits
         self._new_id = new_id
-        self._version = platform_edges.ABSENT
+        self._make_first = make_first
         self._known = False
         self._seen_at = 0.0
         self._sent_at: dict[ids.WriteId, float] = {}
@@ -102,7 +102,7 @@
             return float("inf")
         return now - self._sent_at[self.row.write_id]
 
-    def propose(self, row: rows.LeaseRow, now: float) -> rows.LeaseRow:
+    def propose(self, row: RowT, now: float) -> RowT:
         """Returns `row` as this instance's next write, sent not before `now`.
 
         `now` is read before the write leaves, so that the time in flight is
@@ -119,34 +119,20 @@
             order_ms=round(self._limits.order_s * 1000),
         )
 
-    def propose_claim(self, now: float) -> rows.LeaseRow:
+    def propose_claim(self, now: float) -> RowT:
         """Returns the row that makes this instance the next holder."""
-        old = self.row
-        if old is None:
-            old = rows.LeaseRow(
-                holder=self._instance,
-                fencing=ids.FencingNumber(0),
-                write_id=ids.WriteId(""),
-                lease_ms=0,
-                order_ms=0,
-            )
+        old = self._make_first() if self.row is None else self.row
         fencing = ids.FencingNumber(old.fencing + 1)
         claim = msgspec.structs.replace(
             old, holder=self._instance, fencing=fencing
         )
         return self.propose(claim, now)
 
-    def make_put(self, key: str, row: rows.LeaseRow) -> platform_edges.Put:
-        """Returns the write of `row` on the condition of what was read."""
-        return platform_edges.Put(key, rows.encode(row), self._version)
-
-    def confirm(self, row: rows.LeaseRow, version: int, now: float) -> None:
+    def confirm(self, row: RowT, version: int, now: float) -> None:
         """Takes in that this instance's write of `row` made `version`."""
         self._adopt(row, version, now)
 
-    def observe(
-        self, row: rows.LeaseRow | None, version: int, now: float
-    ) -> None:
+    def observe(self, row: RowT | None, version: int, now: float) -> None:
         """Takes in a row as read; `now` is after the answer came.
 
         A write of ours whose answer was lost is known again by its id and
@@ -158,14 +144,12 @@
         """The row may have changed: it must be read before the next step."""
         self._known = False
 
-    def _adopt(
-        self, row: rows.LeaseRow | None, version: int, now: float
-    ) -> None:
+    def _adopt(self, row: RowT | None, version: int, now: float) -> None:
         self._known = True
-        if version == self._version and row == self.row:
+        if version == self.version and row == self.row:
             return  # Counted from when this version was first seen.
         self.row = row
-        self._version = version
+        self.version = version
         self._seen_at = now
 
     def _judge_other(self, now: float, checks_fencing: bool) -> Hold:
