--- /dev/null
+++ b/pollenfork/duties/__init__.py
@@ -0,0 +1,1 @@
+"""What one instance at a time does for all."""
--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -11,6 +11,7 @@
 import result
 
 from pollenfork import failures
+from pollenfork import ids
 from pollenfork import logs
 from pollenfork.fleet import choice
 from pollenfork.fleet import evidence
@@ -27,6 +28,7 @@
 from pollenfork.gateway import kept_page
 from pollenfork.gateway import knowledge
 from pollenfork.gateway import messages
+from pollenfork.gateway import officer
 from pollenfork.gateway import peers
 from pollenfork.gateway import pool
 from pollenfork.gateway import probing
@@ -71,6 +73,7 @@
         codec: edges.Codec,
         store: edges.Store,
         cache_codec: edges.CacheCodec,
+        make_cloud: Callable[[settings.DutySettings], edges.Cloud],
         rng: random.Random,
         reread: Reread,
     ) -> None:
@@ -81,6 +84,8 @@
             codec: Decodes and encodes callers' and runners' heads.
             store: Decodes and encodes the store's calls.
             cache_codec: The same for runners' calls about what they keep.
+            make_cloud: Returns the same for the calls to the platform that
+                one instance makes for all.
             rng: Spreads what must not happen everywhere at once.
             reread: Returns the settings as they stand now.
         """
@@ -107,6 +112,11 @@
             self._loop.time,
         )
         found.when_ended(suspected.note_absent)
+        self._officer: officer.Officer | None = None
+        if told.duties is not None:
+            self._officer = officer.Officer(
+                told, told.duties, store, make_cloud(told.duties), rng
+            )
         self._keeper = keeping.Keeper(told.store, store, suspected, time.time)
         self._tools = context.Tools(
             loop=self._loop,
@@ -118,6 +128,9 @@
                 connections, found, suspected, chooser.find_standing
             ),
             suspected=suspected,
+            note_begun=(
+                self._officer.note_begun if self._officer else _count_nothing
+            ),
             claim_trial=self._keeper.claim_trial,
             pool=connections,
             prober=probing.Prober(connections, self.known.runners, rng),
@@ -170,6 +183,8 @@
         self._tasks.append(self._loop.create_task(self._keeper.run()))
         self._tasks.append(self._loop.create_task(self._sweep()))
         self._tasks.append(self._loop.create_task(self._tidy()))
+        if self._officer is not None:
+            self._tasks.append(self._loop.create_task(self._officer.run()))
         await self._join_peers()
         _LOG.info(
             "event=started instance=%s data_centre=%s front=%s:%d store=%s:%d",
@@ -206,6 +221,9 @@
         self._tools.chooser.when_long(joined.tell_soon)
         self._tools.suspected.when_urgent(joined.tell_suspicions)
         self._peers = joined
+        if self._officer is not None:
+            self._officer.join(joined)
+            joined.when_duty(self._officer.hear)
         await self._listen(tables.make_server(self._sources.tables), me)
         self._tasks.append(self._loop.create_task(joined.run()))
         for task in self._tasks:
@@ -348,6 +366,10 @@
         caller.write(replies.write_text(status, b"ready" if ready else b"no"))
 
 
+def _count_nothing(account: ids.AccountId) -> None:
+    """Leaves uncounted what nobody is told of."""
+
+
 def _note_end(task: asyncio.Task[None]) -> None:
     """Tells of a part that should run for good and has failed."""
     if task.cancelled():
--- a/pollenfork/gateway/client.py
+++ b/pollenfork/gateway/client.py
@@ -53,15 +53,25 @@
         self._limit: asyncio.Timeout | None = None
         self.address = address
 
-    async def call(self, request: bytes, timeout_s: float) -> Answer | None:
-        """Returns status and body; None where no whole answer came in time."""
+    async def call(
+        self, request: bytes, timeout_s: float, before: float | None = None
+    ) -> Answer | None:
+        """Returns status and body; None where no whole answer came in time.
+
+        Args:
+            request: The whole request.
+            timeout_s: Seconds until its answer is of no use.
+            before: Monotonic seconds from which on it must not be sent.
+        """
         body = Body(self._loop)
         answer = None
         try:
             async with asyncio.timeout(timeout_s) as self._limit:
                 opened = await self._connect()
-                opened.send(request, body)
-                answer = await body.done
+                # Looked at last: this process may have stood still.
+                if before is None or self._loop.time() < before:
+                    opened.send(request, body)
+                    answer = await body.done
         except (OSError, TimeoutError):
             pass  # The caller of this decides what no answer means.
         finally:
--- a/pollenfork/gateway/context.py
+++ b/pollenfork/gateway/context.py
@@ -57,6 +57,7 @@
     """What all exchanges share.
 
     Attributes:
+        note_begun: Counts a request of an account that began to run.
         claim_trial: Returns whether a request that is kept back may run once.
         read_loads_age: Returns how old others' loads are, in seconds; None
             where there are none.
@@ -72,6 +73,7 @@
     prober: probing.Prober
     endings: endings.Endings
     suspected: quarantine.Quarantine
+    note_begun: Callable[[ids.AccountId], None]
     claim_trial: Callable[[ids.RequestDigest], Awaitable[bool]]
     turns: refusals.Turns
     counters: counters.Counters
--- a/pollenfork/gateway/edges.py
+++ b/pollenfork/gateway/edges.py
@@ -5,7 +5,9 @@
 import result
 
 from pollenfork import failures
+from pollenfork.catalogue import changes
 from pollenfork.catalogue import messages as catalogue
+from pollenfork.duties import messages as duties
 from pollenfork.fleet import errors
 from pollenfork.fleet import messages as fleet_messages
 from pollenfork.fleet import model as fleet
@@ -72,22 +74,16 @@
     def write_runners_ask(self, ask: catalogue.Ask) -> bytes:
         """Returns the request that follows the registry."""
 
-    def write_kept_ask(self, start: str) -> bytes:
-        """Returns the request for the requests kept back, from a key on."""
+    def write_range_ask(self, table: changes.Table, start: str) -> bytes:
+        """Returns the request for the rows of a table, from a key on."""
 
-    def write_kept(
-        self, key: str, value: bytes | None, trials: tuple[str, ...]
-    ) -> bytes:
-        """Returns the request that writes one of them, or removes it.
-
-        Args:
-            key: The row's.
-            value: Its bytes; None removes it, and the claims of its trials.
-            trials: The keys of those.
-        """
+    def write_change(self, change: changes.Change) -> bytes:
+        """Returns the request that writes and removes rows."""
 
-    def write_trial(self, key: str) -> bytes:
-        """Returns the request that claims a trial, which one caller can."""
+    def read_changed(
+        self, status: int, body: bytes
+    ) -> result.Result[int, changes.Trouble]:
+        """Decodes the answer to that: the version of the rows written."""
 
     def read_rows(
         self, status: int, body: bytes
@@ -103,3 +99,13 @@
         self, row: catalogue.Row
     ) -> result.Result[fleet.Runner, errors.BadEntry]:
         """Decodes a row of the registry."""
+
+
+class Cloud(Protocol):
+    """Encodes the calls to the platform that one instance at a time makes."""
+
+    def write(self, task: duties.Task) -> bytes:
+        """Returns the request that tells or orders something."""
+
+    def read(self, status: int) -> duties.Reply:
+        """Decodes the status of an answer."""
--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -63,6 +63,7 @@
         self._event_at = 0.0
         self._current: connection.Connection | None = None
         self._made_at: float | None = None
+        self._has_run = False
         if admitted.route.kind is routes.Kind.STREAM:
             self._relay = attempt.Relay(
                 events.EventCutter(), self._begin_stream, self._write_events
@@ -194,7 +195,7 @@
             self._tools.codec,
             admitted.head,
             self._relay,
-            grant.note_first,
+            lambda: self._note_first(grant),
         )
         self._current = found
         self._made_at = found.made_at
@@ -236,6 +237,14 @@
             relay.cutter.restart()
         return self._tools.codec.write_call(admitted.call, sending)
 
+    def _note_first(self, grant: choice.Grant) -> None:
+        """Notes that a runner has begun to answer."""
+        grant.note_first()
+        account = self._admitted.account
+        if account is not None and not self._has_run:
+            self._tools.note_begun(account.id)
+        self._has_run = True
+
     def _left(self) -> float:
         return self._admitted.until - self._tools.loop.time()
 
--- a/pollenfork/gateway/keeping.py
+++ b/pollenfork/gateway/keeping.py
@@ -10,6 +10,7 @@
 
 from pollenfork import ids
 from pollenfork import logs
+from pollenfork.catalogue import changes
 from pollenfork.catalogue import messages as catalogue
 from pollenfork.gateway import client
 from pollenfork.gateway import edges
@@ -35,6 +36,7 @@
 # A caller waits for a claim; the store takes some milliseconds.
 _CLAIM_S = 0.3
 _OK = 200
+_TABLE = changes.Table.KEPT_REQUESTS
 
 
 class _Write(msgspec.Struct, frozen=True):
@@ -95,7 +97,8 @@
             return False
         key = records.write_trial_key(digest, number)
         async with self._claiming:
-            call = self._store.write_trial(key)
+            claim = changes.Put(changes.Table.TRIALS, key, b"", changes.ABSENT)
+            call = self._store.write_change(changes.Change((claim,)))
             answer = await self._claims.call(call, _CLAIM_S)
         status = None if answer is None else answer[0]
         _LOG.warning(
@@ -115,7 +118,7 @@
         start = ""
         found: list[cases.Case] = []
         while True:
-            ask = self._store.write_kept_ask(start)
+            ask = self._store.write_range_ask(_TABLE, start)
             answer = await self._client.call(ask, _CALL_S)
             if answer is None:
                 return False
@@ -154,8 +157,7 @@
     async def _write(self, write: _Write) -> bool:
         """Returns whether the store took a row, or will never take it."""
         key = records.write_key(write.digest)
-        trials = records.list_trial_keys(write.digest)
-        call = self._store.write_kept(key, write.value, trials)
+        call = self._store.write_change(_make_change(write))
         answer = await self._client.call(call, _CALL_S)
         if answer is None or answer[0] in (429, 503):
             return False
@@ -181,6 +183,16 @@
         self._waiting.put_nowait(write)
 
 
+def _make_change(write: _Write) -> changes.Change:
+    """Returns what writes a row, or removes it and its trials' claims."""
+    key = records.write_key(write.digest)
+    if write.value is not None:
+        return changes.Change((changes.Put(_TABLE, key, write.value),))
+    trials = records.list_trial_keys(write.digest)
+    claims = [changes.Key(changes.Table.TRIALS, each) for each in trials]
+    return changes.Change(removed=(changes.Key(_TABLE, key), *claims))
+
+
 async def _try_until(call: Callable[[], Awaitable[bool]]) -> None:
     """Makes a call again and again until it says that it is done."""
     pause_s = _FIRST_PAUSE_S
--- a/pollenfork/gateway/peers.py
+++ b/pollenfork/gateway/peers.py
@@ -18,6 +18,8 @@
 
 _NONE = messages.Load()
 
+DutyMessage = messages.Tally | messages.HolderWord
+
 
 class Here:
     """This instance, as the exchange sees it."""
@@ -133,6 +135,7 @@
         self._urgent = False
         self._hurrying: asyncio.TimerHandle | None = None
         self._on_tick: list[Callable[[], None]] = []
+        self._on_duty: list[Callable[[DutyMessage, str], None]] = []
 
     def set_seeds(self, seeds: Iterable[messages.Address]) -> None:
         """Sets the instances to ask while no other is known."""
@@ -142,6 +145,19 @@
         """Calls `call` each period."""
         self._on_tick.append(call)
 
+    def when_duty(self, call: Callable[[DutyMessage, str], None]) -> None:
+        """Calls `call` with what others tell of the duties, and their host."""
+        self._on_duty.append(call)
+
+    def tell(self, host: str, message: messages.Message) -> None:
+        """Sends one instance a message."""
+        to = messages.Address(host, self._me.port)
+        self._send([messages.Send(to, message)])
+
+    def list_candidates(self) -> list[str]:
+        """Returns all hosts in the order in which they should act for all."""
+        return self._exchange.list_candidates(self._loop.time())
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keeps the transport."""
         # The event loop's own class doesn't derive from the declared one.
@@ -154,6 +170,11 @@
             _LOG.warning("event=datagram_unreadable host=%s", address[0])
             return
         now = self._loop.time()
+        if isinstance(message, messages.Tally | messages.HolderWord):
+            self._exchange.note_sign(message.data_centre, address[0], now)
+            for take in self._on_duty:
+                take(message, address[0])
+            return
         self._send(self._exchange.hear(message, address[0], now))
         if isinstance(message, messages.Others):
             self._read_exchange(now)
@@ -213,6 +234,11 @@
         """Returns another instance that proves the configuration for all."""
         return self.locate(self._exchange.find_prover(now))
 
+    @property
+    def instances(self) -> int:
+        """How many instances are known, this one included."""
+        return self._exchange.instances
+
     def find_relay(self, now: float) -> messages.Address | None:
         """Returns another instance that relays for this data centre."""
         return self.locate(self._exchange.find_relay(now))
--- a/pollenfork/gateway/settings.py
+++ b/pollenfork/gateway/settings.py
@@ -17,6 +17,36 @@
 )
 
 
+class DutySettings(msgspec.Struct, frozen=True, kw_only=True):
+    """What one instance at a time does for all, and by which bounds.
+
+    Attributes:
+        platform: Where that is told.
+        reports: Whether the platform is told what began to run.
+        scales: Whether it is told how many runners there shall be.
+        window_s: The length of a window of reports, in seconds.
+        due_s: When a window's report is due, in seconds after its end.
+        alternation_s: Seconds within which two holders must not act by turns.
+    """
+
+    platform: Address
+    reports: bool = True
+    scales: bool = True
+    window_s: float = 5.0
+    due_s: float = 10.0
+    alternation_s: float = 3.0
+
+    def __post_init__(self) -> None:
+        """Refuses what can't be meant.
+
+        Raises:
+            ValueError: A time isn't above 0.
+        """
+        for name in ("window_s", "due_s", "alternation_s"):
+            if getattr(self, name) <= 0:
+                raise ValueError(f"{name} of the duties must be above 0")
+
+
 class GatewaySettings(msgspec.Struct, frozen=True, kw_only=True):
     """Addresses, limits and bounds.
 
@@ -35,6 +65,7 @@
         retry_ratio: Repeats allowed to all instances, for each request.
         retry_window_s: The window of that ratio in seconds.
         heartbeat_s: Seconds between two renewals of a runner's entry.
+        duties: What one instance does for all; None: nothing.
     """
 
     instance: ids.InstanceId
@@ -50,6 +81,7 @@
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
     heartbeat_s: float = HEARTBEAT_S
+    duties: DutySettings | None = None
 
     def find_changes(self, told: "GatewaySettings") -> "Changes":
         """Returns what is different in settings read anew."""
--- a/pollenfork/gateway/tests/support.py
+++ b/pollenfork/gateway/tests/support.py
@@ -181,6 +181,7 @@
         rng = random.Random(1)
         self.route = route
         self.demand = offers.Demand(SERVICE)
+        self.begun: list[ids.AccountId] = []
         self.longest_s: float | None = None
         self.runners = registry.Registry()
         connections = pool.Pool(loop)
@@ -206,6 +207,7 @@
                 connections, found, suspected, chooser.find_standing
             ),
             suspected=suspected,
+            note_begun=self.begun.append,
             claim_trial=self._claim_trial,
             pool=connections,
             prober=probing.Prober(connections, self.runners, rng),
--- a/pollenfork/gateway/tests/test_keeping.py
+++ b/pollenfork/gateway/tests/test_keeping.py
@@ -5,6 +5,7 @@
 import result
 
 from pollenfork import ids
+from pollenfork.catalogue import changes
 from pollenfork.catalogue import messages as catalogue
 from pollenfork.fleet import registry
 from pollenfork.gateway import keeping
@@ -22,19 +23,20 @@
         self.removed: list[str] = []
         self.claimed: list[str] = []
 
-    def write_kept_ask(self, start: str) -> bytes:
+    def write_range_ask(self, table: changes.Table, start: str) -> bytes:
+        assert table is changes.Table.KEPT_REQUESTS
         return start.encode()
 
-    def write_kept(
-        self, key: str, value: bytes | None, trials: tuple[str, ...]
-    ) -> bytes:
-        assert value is None
-        assert trials == (f"{key}-1", f"{key}-2")
-        self.removed.append(key)
-        return b"change"
-
-    def write_trial(self, key: str) -> bytes:
-        self.claimed.append(key)
+    def write_change(self, change: changes.Change) -> bytes:
+        if not change.written:
+            row, *trials = [each.key for each in change.removed]
+            assert trials == [f"{row}-1", f"{row}-2"]
+            self.removed.append(row)
+            return b"change"
+        (claim,) = change.written
+        assert claim.table is changes.Table.TRIALS
+        assert claim.expected == changes.ABSENT
+        self.claimed.append(claim.key)
         return b"claim"
 
     def read_rows(self, status: int, body: bytes):
--- a/pollenfork/loads/core.py
+++ b/pollenfork/loads/core.py
@@ -99,6 +99,21 @@
         relays = [self._roster.find_relay(each, now) for each in data_centres]
         return min(filter(None, relays), default=None)
 
+    def list_candidates(self, now: float) -> list[str]:
+        """Returns all hosts in the order in which they should act for all.
+
+        It is the same everywhere while all know of each other.
+        """
+        hosts = [self._me.host, *self._roster.list_hosts(True)]
+        hosts += self._roster.list_hosts(False)
+        ranked = sorted(
+            hosts, key=lambda host: messages.hash_name(host.encode())
+        )
+        first = self.find_prover(now)
+        if first is None:
+            return ranked
+        return [first, *(host for host in ranked if host != first)]
+
     def read_age(self, now: float) -> float | None:
         """Returns how old the others' loads are in seconds; None: unknown.
 
@@ -215,6 +230,10 @@
     ) -> None:
         proofs.take(self._instance, message.proof, message.echo, host, now)
 
+    def note_sign(self, data_centre: str, host: str, now: float) -> None:
+        """Takes a sign of another instance beside the exchange."""
+        self._note(host, data_centre, now)
+
     def tell_suspicions(self, now: float) -> list[messages.Send]:
         """Returns what to send at once of requests that end runners."""
         return self._address_all(self._rumours.tell_suspicions(now))
--- a/pollenfork/loads/messages.py
+++ b/pollenfork/loads/messages.py
@@ -6,6 +6,8 @@
 import msgspec
 import xxhash
 
+from pollenfork import ids
+
 
 class Address(NamedTuple):
     """Where an instance listens for datagrams."""
@@ -260,8 +262,67 @@
     kept: tuple[int, ...] = ()
 
 
+class Counted(msgspec.Struct, frozen=True, array_like=True):
+    """Requests that began to run at an instance in a window of time.
+
+    Attributes:
+        window: The window's number.
+        counts: How many, by account.
+    """
+
+    window: int
+    counts: dict[ids.AccountId, int]
+
+
+class Tally(msgspec.Struct, frozen=True, array_like=True, tag="t"):
+    """An instance tells the holder of the duties what it has counted.
+
+    Attributes:
+        data_centre: Where it runs.
+        start: Tells its starts apart.
+        counted: Counts that the holder doesn't have.
+        through: Unix seconds up to which it has told all.
+        wall: Its own time of day in Unix seconds.
+        sent_at: Its own clock; the answer repeats it.
+    """
+
+    data_centre: str
+    start: int
+    counted: tuple[Counted, ...]
+    through: float
+    wall: float
+    sent_at: float
+
+
+class HolderWord(msgspec.Struct, frozen=True, array_like=True, tag="w"):
+    """Says who holds the duties.
+
+    Attributes:
+        data_centre: Where the teller runs.
+        holder: The holder's host; empty: nobody is known to.
+        age_s: How long ago the holder itself said so, in seconds.
+        echo: The `sent_at` of the tally that this answers.
+        time: Unix seconds as the holder has them; 0 where another one tells.
+    """
+
+    data_centre: str
+    holder: str
+    age_s: float
+    echo: float = 0.0
+    time: float = 0.0
+
+
 Message = (
-    Hello | Members | Report | Sum | Others | Gossip | Findings | Suspicions
+    Hello
+    | Members
+    | Report
+    | Sum
+    | Others
+    | Gossip
+    | Findings
+    | Suspicions
+    | Tally
+    | HolderWord
 )
 
 
--- a/pollenfork/platform/__main__.py
+++ b/pollenfork/platform/__main__.py
@@ -21,6 +21,7 @@
 from pollenfork.gateway import settings  # noqa: E402
 from pollenfork.platform import boot  # noqa: E402
 from pollenfork.platform import caches  # noqa: E402
+from pollenfork.platform import cloud  # noqa: E402
 from pollenfork.platform import heads  # noqa: E402
 from pollenfork.platform import names  # noqa: E402
 from pollenfork.platform import store  # noqa: E402
@@ -51,7 +52,13 @@
 ) -> None:
     rows = store.Store(f"{told.store.host}:{told.store.port}")
     made = application.Application(
-        told, heads, rows, caches, random.Random(), _read_settings
+        told,
+        heads,
+        rows,
+        caches,
+        lambda duties: _make_cloud(told, duties),
+        random.Random(),
+        _read_settings,
     )
     made.counters.when_shown(
         lambda shown: shown.set_count(
@@ -61,5 +68,12 @@
     await made.run()
 
 
+def _make_cloud(
+    told: settings.GatewaySettings, duties: settings.DutySettings
+) -> cloud.Cloud:
+    address = duties.platform
+    return cloud.Cloud(f"{address.host}:{address.port}", told.instance)
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/pollenfork/platform/boot.py
+++ b/pollenfork/platform/boot.py
@@ -9,6 +9,7 @@
 from pollenfork import failures
 from pollenfork import ids
 from pollenfork.gateway import settings
+from pollenfork.platform import names
 
 # Where metrics are shown, on the machine's own address. The deploy file names
 # the same port.
@@ -34,6 +35,14 @@
     strict_revocation: bool = True
     retry_budget_ratio: float = 0.2
     budget_window_s: float = 10.0
+    usage_window_s: float = 5.0
+    usage_late_s: float = 10.0
+    lease_ms: float = 3000.0
+
+
+class _Cloud(_Wire):
+    address: str = ""
+    duties: list[str] = []
 
 
 class _Platform(_Wire):
@@ -49,6 +58,7 @@
     internal_ports: list[int] = []
     seeds: list[str] = []
     heartbeat_ms: float = settings.HEARTBEAT_S * 1000.0
+    cloud: _Cloud = msgspec.field(default_factory=_Cloud)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
 
@@ -86,6 +96,21 @@
         retry_ratio=bounds.retry_budget_ratio,
         retry_window_s=bounds.budget_window_s,
         heartbeat_s=boot.heartbeat_ms / 1000.0,
+        duties=_make_duties(boot),
+    )
+
+
+def _make_duties(boot: _Boot) -> settings.DutySettings | None:
+    asked = {*boot.cloud.duties} & {names.REPORTS, names.SCALES}
+    if not asked:
+        return None
+    return settings.DutySettings(
+        platform=_split_address(boot.cloud.address),
+        reports=names.REPORTS in asked,
+        scales=names.SCALES in asked,
+        window_s=boot.bounds.usage_window_s,
+        due_s=boot.bounds.usage_late_s,
+        alternation_s=boot.bounds.lease_ms / 1000.0,
     )
 
 
--- a/pollenfork/platform/caches.py
+++ b/pollenfork/platform/caches.py
@@ -1,7 +1,5 @@
 """A runner's calls about the parts of prompts that it keeps."""
 
-from typing import TypeVar
-
 import msgspec
 import result
 
@@ -33,25 +31,16 @@
     tokens: int
 
 
-class _Feed(msgspec.Struct):
+class _News(msgspec.Struct):
     next: int  # The number after which the next call goes on.
     lost: bool = False
-    events: list[_Event] = []
+    events: list[_Event] = []  # Of a feed.
+    held: list[_Held] = []  # Of a list.
     epoch: int | str = ""
     born: int | msgspec.UnsetType = msgspec.UNSET
 
 
-class _List(msgspec.Struct):
-    next: int
-    held: list[_Held] = []
-    epoch: int | str = ""
-    born: int | msgspec.UnsetType = msgspec.UNSET
-
-
-_Answer = TypeVar("_Answer", _Feed, _List)
-
-_FEED = msgspec.json.Decoder(_Feed)
-_LIST = msgspec.json.Decoder(_List)
+_DECODER = msgspec.json.Decoder(_News)
 
 
 def write_feed_ask(runner: fleet.Runner, after: int, wait_s: float) -> bytes:
@@ -70,45 +59,37 @@
     status: int, body: bytes
 ) -> result.Result[messages.CacheNews, BadCacheNews]:
     """Decodes the answer to the first."""
-    return _decode(_FEED, status, body).map(
-        lambda feed: messages.CacheNews(
-            tuple(
-                messages.CacheChange(event.part.encode(), event.sign == _KEPT)
-                for event in feed.events
-            ),
-            feed.next,
-            gap=feed.lost,
-            epoch=str(feed.epoch),
-            start=entries.read_start(feed.born),
-        )
-    )
+    return _decode(status, body).map(lambda told: _make_news(told, whole=False))
 
 
 def read_list(
     status: int, body: bytes
 ) -> result.Result[messages.CacheNews, BadCacheNews]:
     """Decodes the answer to the second."""
-    return _decode(_LIST, status, body).map(
-        lambda listed: messages.CacheNews(
-            tuple(
-                messages.CacheChange(held.part.encode(), True)
-                for held in listed.held
-            ),
-            listed.next,
-            whole=True,
-            epoch=str(listed.epoch),
-            start=entries.read_start(listed.born),
-        )
+    return _decode(status, body).map(lambda told: _make_news(told, whole=True))
+
+
+def _make_news(told: _News, whole: bool) -> messages.CacheNews:
+    changed = [(each.part, each.sign == _KEPT) for each in told.events]
+    held = [(each.part, True) for each in told.held]
+    return messages.CacheNews(
+        tuple(
+            messages.CacheChange(part.encode(), kept)
+            for part, kept in (held if whole else changed)
+        ),
+        told.next,
+        whole=whole,
+        gap=told.lost,
+        epoch=str(told.epoch),
+        start=entries.read_start(told.born),
     )
 
 
-def _decode(
-    decoder: msgspec.json.Decoder[_Answer], status: int, body: bytes
-) -> result.Result[_Answer, BadCacheNews]:
+def _decode(status: int, body: bytes) -> result.Result[_News, BadCacheNews]:
     if status != _OK:
         return result.Err(BadCacheNews(detail=f"status {status}"))
     try:
-        return result.Ok(decoder.decode(body))
+        return result.Ok(_DECODER.decode(body))
     except msgspec.MsgspecError as error:
         return result.Err(BadCacheNews(detail=str(error)))
 
--- /dev/null
+++ b/pollenfork/platform/cloud.py
@@ -0,0 +1,75 @@
+"""The platform's calls that one instance at a time makes, as whole requests."""
+
+import msgspec
+
+from pollenfork import ids
+from pollenfork.duties import messages
+from pollenfork.duties import rows
+from pollenfork.platform import names
+
+_REPLIES = {
+    200: messages.Reply.DONE,
+    409: messages.Reply.UNAVAILABLE,
+    429: messages.Reply.BUSY,
+}
+
+
+class _Usage(msgspec.Struct):
+    window: int
+    counts: dict[ids.AccountId, int]
+
+
+class _Scaling(msgspec.Struct, rename="kebab", omit_defaults=True):
+    service: str
+    zone: str
+    desired_count: int
+    spot: bool = False
+
+
+class Cloud(msgspec.Struct, frozen=True):
+    """The calls at one address.
+
+    Attributes:
+        host: The platform's `host:port`.
+        instance: This instance's name.
+    """
+
+    host: str
+    instance: ids.InstanceId
+
+    def write(self, task: messages.Task) -> bytes:
+        """Returns the request that tells or orders something."""
+        if isinstance(task.work, rows.Order):
+            path, body = names.SCALING_PATH, _write_order(task.work)
+        else:
+            path, body = names.USAGE_PATH, _write_report(task.work)
+        head = (
+            f"POST {path} HTTP/1.1\r\nHost: {self.host}\r\n"
+            f"{names.HOLDER}: {self.instance}\r\n"
+            f"{names.FENCING}: {task.fencing}\r\n"
+            "Content-Type: application/json\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        return head.encode() + body
+
+    def read(self, status: int) -> messages.Reply:
+        """Decodes the status of an answer."""
+        if status >= 500:
+            return messages.Reply.BUSY
+        return _REPLIES.get(status, messages.Reply.REJECTED)
+
+
+def _write_report(report: messages.Report) -> bytes:
+    return msgspec.json.encode(_Usage(report.window, report.counts))
+
+
+def _write_order(order: rows.Order) -> bytes:
+    subject = order.subject
+    return msgspec.json.encode(
+        _Scaling(
+            subject.service,
+            subject.data_centre,
+            order.count,
+            subject.reclaimable,
+        )
+    )
--- a/pollenfork/platform/names.py
+++ b/pollenfork/platform/names.py
@@ -35,6 +35,12 @@
     }
 )
 
+HOLDER = "X-Pollenfork-Duty-Holder"
+FENCING = "X-Pollenfork-Fencing-Token"
+
+REPORTS = "usage_report"
+SCALES = "autoscale"
+
 READY_PATH = b"/api/ready"
 REPORT_PATH = "/api/report"
 CACHE_FEED_PATH = "/api/kv-events"
@@ -42,6 +48,8 @@
 FEED_PATH = "/api/rows-feed"
 RANGE_PATH = "/api/rows-get"
 CHANGE_PATH = "/api/rows-tx"
+USAGE_PATH = "/usage"
+SCALING_PATH = "/scaling"
 
 SETTINGS_VARIABLE = "POLLENFORK_BOOT"
 SETTINGS_PATH = "/etc/pollenfork/boot.toml"
@@ -64,4 +72,11 @@
     "stable-window",
     "revoke-ms",
     "pollenfork_boot",
+    "duty-holder",
+    "fencing-token",
+    "usage_report",
+    "autoscale",
+    "desired-count",
+    "zone-prices",
+    '"spot"',
 )
--- a/pollenfork/platform/rows.py
+++ b/pollenfork/platform/rows.py
@@ -1,26 +1,18 @@
 """The store's calls: their paths and bodies, and their answers decoded."""
 
 import base64
-import enum
 import urllib.parse
 
 import msgspec
 import result
 
 from pollenfork import failures
+from pollenfork.catalogue import changes
 from pollenfork.catalogue import messages
 from pollenfork.platform import names
 
-
-class Table(enum.Enum):
-    """The tables that an instance reads; it can't write to the first two."""
-
-    CONFIGURATION = "op"
-    RUNNERS = "servers"
-    KEPT_REQUESTS = "kept-requests"
-    TRIALS = "kept-trials"
-
-
+CONFIGURATION = "op"
+RUNNERS = "servers"
 CONFIGURATION_KEY = "config"
 _HISTORY_GONE = 410
 
@@ -56,82 +48,47 @@
     row_version: int
 
 
-class _Change(msgspec.Struct, kw_only=True):
-    precondition: tuple[_Condition, ...] = ()
-    upserts: tuple[_Written, ...] = ()
-    remove: tuple[_Place, ...] = ()
-
-
-ABSENT = 0  # The version of a row that doesn't exist.
-
-
-class Key(msgspec.Struct, frozen=True):
-    """Names a row."""
-
-    table: Table
-    key: str
-
-
-class Put(msgspec.Struct, frozen=True):
-    """Writes a row.
-
-    Attributes:
-        table: Its table.
-        key: Its key.
-        value: Its bytes.
-        expected: The version that it must have; None: any.
-    """
-
-    table: Table
-    key: str
-    value: bytes
-    expected: int | None = None
+class _Change(msgspec.Struct):
+    precondition: list[_Condition] = []
+    upserts: list[_Written] = []
+    remove: list[_Place] = []
 
 
 _DECODER = msgspec.json.Decoder(_Answer)
 
 
-def write_ask(table: Table, ask: messages.Ask) -> str:
+def write_ask(table: str, ask: messages.Ask) -> str:
     """Returns the path, with its query, of a reading call."""
     if ask.after is None:
         return write_range(table, ask.start)
     query = {
-        "table": table.value,
+        "table": table,
         "after-revision": ask.after,
         "wait-ms": int(ask.wait_s * 1000),
     }
     return f"{names.FEED_PATH}?{urllib.parse.urlencode(query)}"
 
 
-def write_range(table: Table, start: str) -> str:
+def write_range(table: str, start: str) -> str:
     """Returns the path, with its query, that reads a table from a key on."""
-    query = {"table": table.value, "part": ""}
+    query = {"table": table, "part": ""}
     if start:
         query["from"] = start
     return f"{names.RANGE_PATH}?{urllib.parse.urlencode(query)}"
 
 
-def write_change(
-    written: tuple[Put, ...] = (), removed: tuple[Key, ...] = ()
-) -> bytes:
+def write_change(change: changes.Change) -> bytes:
     """Returns the body that writes and removes rows, all or none of them."""
-    conditions = tuple(
-        _Condition(each.table.value, "", each.key, each.expected)
-        for each in written
-        if each.expected is not None
-    )
-    upserts = tuple(
-        _Written(
-            each.table.value,
-            "",
-            each.key,
-            base64.b64encode(each.value).decode(),
-        )
-        for each in written
-    )
-    gone = tuple(_Place(each.table.value, "", each.key) for each in removed)
-    change = _Change(precondition=conditions, upserts=upserts, remove=gone)
-    return msgspec.json.encode(change)
+    made = _Change()
+    for put in change.written:
+        place = put.table.value, "", put.key
+        text = base64.b64encode(put.value).decode()
+        made.upserts.append(_Written(*place, text))
+        if put.expected is not None:
+            made.precondition.append(_Condition(*place, put.expected))
+    for gone in change.removed:
+        made.remove.append(_Place(gone.table.value, "", gone.key))
+    return msgspec.json.encode(made)
 
 
 def read(body: bytes) -> result.Result[messages.Rows, BadRows]:
--- a/pollenfork/platform/store.py
+++ b/pollenfork/platform/store.py
@@ -4,6 +4,7 @@
 import result
 
 from pollenfork import failures
+from pollenfork.catalogue import changes
 from pollenfork.catalogue import messages
 from pollenfork.fleet import errors
 from pollenfork.fleet import model as fleet
@@ -14,6 +15,7 @@
 from pollenfork.routes import model as routes
 
 _OK = 200
+_CONFLICT = 412
 
 
 class Store(msgspec.Struct, frozen=True):
@@ -27,38 +29,19 @@
 
     def write_configuration_ask(self, ask: messages.Ask) -> bytes:
         """Returns the request that follows the configuration."""
-        return self._write(rows.write_ask(rows.Table.CONFIGURATION, ask))
+        return self._write(rows.write_ask(rows.CONFIGURATION, ask))
 
     def write_runners_ask(self, ask: messages.Ask) -> bytes:
         """Returns the request that follows the registry."""
-        return self._write(rows.write_ask(rows.Table.RUNNERS, ask))
-
-    def write_kept_ask(self, start: str) -> bytes:
-        """Returns the request for the requests that are kept back."""
-        return self._write(rows.write_range(rows.Table.KEPT_REQUESTS, start))
-
-    def write_kept(
-        self, key: str, value: bytes | None, trials: tuple[str, ...]
-    ) -> bytes:
-        """Returns the request that writes one of them, or removes it."""
-        if value is not None:
-            written = rows.Put(rows.Table.KEPT_REQUESTS, key, value)
-            return self._write_change((written,))
-        removed = [rows.Key(rows.Table.KEPT_REQUESTS, key)]
-        removed += [rows.Key(rows.Table.TRIALS, each) for each in trials]
-        return self._write_change(removed=tuple(removed))
-
-    def write_trial(self, key: str) -> bytes:
-        """Returns the request that claims a trial, which one caller can."""
-        claim = rows.Put(rows.Table.TRIALS, key, b"", rows.ABSENT)
-        return self._write_change((claim,))
-
-    def _write_change(
-        self,
-        written: tuple[rows.Put, ...] = (),
-        removed: tuple[rows.Key, ...] = (),
-    ) -> bytes:
-        body = rows.write_change(written, removed)
+        return self._write(rows.write_ask(rows.RUNNERS, ask))
+
+    def write_range_ask(self, table: changes.Table, start: str) -> bytes:
+        """Returns the request for the rows of a table, from a key on."""
+        return self._write(rows.write_range(table.value, start))
+
+    def write_change(self, change: changes.Change) -> bytes:
+        """Returns the request that writes and removes rows."""
+        body = rows.write_change(change)
         head = (
             f"POST {names.CHANGE_PATH} HTTP/1.1\r\nhost: {self.host}\r\n"
             "content-type: application/json\r\n"
@@ -66,10 +49,21 @@
         )
         return head.encode() + body
 
+    def read_changed(
+        self, status: int, body: bytes
+    ) -> result.Result[int, changes.Trouble]:
+        """Decodes the answer to that: the version of the rows written."""
+        if status == _CONFLICT:
+            return result.Err(changes.Trouble.CONFLICT)
+        if status != _OK:
+            return result.Err(changes.Trouble.REFUSED)
+        read = rows.read(body).map_err(lambda bad: changes.Trouble.NO_ANSWER)
+        return read.map(lambda answer: answer.version)
+
     def read_rows(
         self, status: int, body: bytes
     ) -> result.Result[messages.Rows, messages.Trouble]:
-        """Decodes the answer to either."""
+        """Decodes the answer to any that reads."""
         if status != _OK:
             return result.Err(rows.read_trouble(status))
         return rows.read(body).map_err(lambda bad: messages.Trouble.UNREADABLE)
--- a/pollenfork/platform/tests/test_gateway.py
+++ b/pollenfork/platform/tests/test_gateway.py
@@ -15,6 +15,7 @@
 from pollenfork.gateway import application
 from pollenfork.gateway import settings
 from pollenfork.platform import caches
+from pollenfork.platform import cloud
 from pollenfork.platform import heads
 from pollenfork.platform import store
 from pollenfork.platform.tests import support
@@ -51,6 +52,7 @@
             heads,
             store.Store(f"{_HOST}:{_STORE}"),
             caches,
+            lambda duties: cloud.Cloud("", self.told.instance),
             random.Random(1),
             lambda: self.reread,
         )
