--- a/pollenfork/duties/office.py
+++ b/pollenfork/duties/office.py
@@ -26,8 +26,10 @@
 _RENEWED = 1.0 / 3.0
 # Between two changes of the row, in seconds.
 _SPACING_S = 0.1
-# After a refusal by the store, in seconds.
+# After a call to the store that came to nothing, in seconds; it doubles, as
+# all who would act ask when the store is away.
 _RETRY_S = 0.3
+_LONGEST_RETRY_S = 2.4
 # Between two readings of a row that can't be read, in seconds.
 _LOOK_S = 2.0
 # After a call to the platform that came to nothing, in seconds.
@@ -35,7 +37,11 @@
 
 
 class Office:
-    """The lease, and the tasks that come with it."""
+    """The lease, and the tasks that come with it.
+
+    Attributes:
+        claims: How often this instance began to act for all.
+    """
 
     def __init__(
         self,
@@ -54,6 +60,7 @@
             new_id: Returns an id that no other write has.
             read_window: Returns the number of the present window.
         """
+        self.claims = 0
         self._host = host
         self._limits = limits
         self._lease = lease.Lease(
@@ -61,6 +68,7 @@
         )
         self._busy: messages.Step | None = None
         self._not_before = 0.0
+        self._failures = 0
         self._ready: dict[int, messages.Report] = {}
         self._frozen: dict[int, messages.Report] = {}
         self._stored_keys: dict[int, tuple[str, ...]] = {}
@@ -68,6 +76,7 @@
         self._orders: dict[rows.Subject, rows.Order] = {}
         self._wanted: dict[rows.Subject, rows.Order] = {}
         self._accepted: dict[rows.Subject, rows.Order] = {}
+        self._baselines: dict[ids.ServiceName, int] = {}
         self._paused_until: dict[int | rows.Subject, float] = {}
 
     def holds(self, now: float) -> bool:
@@ -80,6 +89,12 @@
         row = self._lease.row
         return row.fencing if row else ids.FencingNumber(0)
 
+    def find_holder(self, now: float) -> str:
+        """Returns the host of another instance that holds the row, if any."""
+        if self._lease.read_hold(now, False) is not lease.Hold.OTHERS:
+            return ""
+        return self._lease.row.host if self._lease.row else ""
+
     @property
     def next_window(self) -> int:
         """The first window without a report, written down or ready."""
@@ -91,6 +106,16 @@
         """Returns the latest order on each subject."""
         return list({**self._orders, **self._wanted}.values())
 
+    def find_baseline(self, service: ids.ServiceName) -> int | None:
+        """Returns how many runners a service was started with, if known."""
+        row = self._lease.row
+        written = row.baselines if row else {}
+        return self._baselines.get(service, written.get(service))
+
+    def set_baseline(self, service: ids.ServiceName, count: int) -> None:
+        """Takes how many runners a service was started with."""
+        self._baselines[service] = count
+
     def add_report(self, report: messages.Report) -> None:
         """Takes a report to be written down, then told."""
         self._ready[report.window] = report
@@ -120,8 +145,9 @@
         """Takes in the table; `now` is after the answer came."""
         self._busy = None
         if isinstance(answer, result.Err):
-            self._not_before = now + _RETRY_S
+            self._back_off(now)
             return
+        self._failures = 0
         known = {row.key: row for row in answer.ok_value.rows}
         stored = known.pop(rows.HOLDER_KEY, None)
         if stored is None:
@@ -149,7 +175,7 @@
         if isinstance(answer, result.Ok):
             self._note_written(step, answer.ok_value, now)
         elif answer.err_value is changes.Trouble.REFUSED:
-            self._not_before = now + _RETRY_S
+            self._back_off(now)
         else:
             self._lease.forget()  # Reading shows whose write it was.
 
@@ -207,6 +233,7 @@
         # Whatever this instance had ready is of the time when it held.
         self._ready.clear()
         self._wanted.clear()
+        self._baselines.clear()
         claim = self._lease.propose_claim(now)
         row = msgspec.structs.replace(claim, host=self._host)
         return messages.Write(row, self._lease.version)
@@ -217,7 +244,10 @@
         ready = sorted(self._ready.values(), key=lambda each: each.window)
         orders = {**self._orders, **self._wanted}
         changed = msgspec.structs.replace(
-            old, next_window=self.next_window, orders=tuple(orders.values())
+            old,
+            next_window=self.next_window,
+            orders=tuple(orders.values()),
+            baselines={**old.baselines, **self._baselines},
         )
         return messages.Write(
             self._lease.propose(changed, now),
@@ -234,17 +264,24 @@
             ),
         )
 
+    def _back_off(self, now: float) -> None:
+        wait_s = min(_RETRY_S * 2.0**self._failures, _LONGEST_RETRY_S)
+        self._failures += 1
+        self._not_before = now + wait_s
+
     def _has_news(self) -> bool:
         return bool(self._ready or self._wanted)
 
     def _note_written(
         self, written: messages.Write, version: int, now: float
     ) -> None:
+        self._failures = 0
         before = self._lease.row
         self._lease.confirm(written.row, version, now)
         self._not_before = now + _SPACING_S
         if before is None or before.fencing != written.row.fencing:
             self._accepted.clear()
+            self.claims += 1
             _LOG.info(
                 "event=duties_taken fencing=%d after=%s next_window=%d "
                 "frozen=%d",
--- a/pollenfork/duties/rows.py
+++ b/pollenfork/duties/rows.py
@@ -53,11 +53,13 @@
         host: The holder's host.
         next_window: The first window whose report isn't written down.
         orders: The latest order on each subject.
+        baselines: How many runners an operator started each service with.
     """
 
     host: str = ""
     next_window: int = 0
     orders: tuple[Order, ...] = ()
+    baselines: dict[ids.ServiceName, int] = msgspec.field(default_factory=dict)
     format: int = FORMAT
 
 
--- a/pollenfork/duties/tallies.py
+++ b/pollenfork/duties/tallies.py
@@ -41,7 +41,7 @@
         self._windows = windows
         self._counts: dict[int, Counts] = {}
         self._told: dict[int, int] = {}
-        self._told_to = ""
+        self._told_to = ("", 0)
 
     def note(self, account: ids.AccountId, time: float) -> None:
         """Counts a request that began to run.
@@ -62,8 +62,8 @@
 
     def list_untold(self, holder: str) -> tuple[loads.Counted, ...]:
         """Returns the windows of which a holder doesn't have all counts."""
-        if holder != self._told_to:
-            self._told_to = holder
+        if holder != self._told_to[0]:
+            self._told_to = holder, 0
             self._told.clear()
         return tuple(
             each
@@ -71,11 +71,23 @@
             if self._told.get(each.window) != sum(each.counts.values())
         )
 
-    def note_told(self, windows: Iterable[loads.Counted], holder: str) -> None:
-        """Takes that a holder has these counts."""
-        if holder == self._told_to:
-            for each in windows:
-                self._told[each.window] = sum(each.counts.values())
+    def note_told(
+        self, windows: Iterable[loads.Counted], holder: str, start: int
+    ) -> None:
+        """Takes that a holder has these counts.
+
+        Args:
+            windows: The counts.
+            holder: Its host.
+            start: Tells its starts apart: a new one knows nothing.
+        """
+        if holder != self._told_to[0]:
+            return
+        if start != self._told_to[1]:
+            self._told_to = holder, start
+            self._told.clear()
+        for each in windows:
+            self._told[each.window] = sum(each.counts.values())
 
     def forget(self, time: float) -> None:
         """Forgets windows that are too old to be reported."""
--- a/pollenfork/duties/tests/test_tallies.py
+++ b/pollenfork/duties/tests/test_tallies.py
@@ -27,13 +27,26 @@
     counted.note(ACCOUNT, 100.0)
     told = counted.list_untold("one")
     assert told
-    counted.note_told(told, "one")
+    counted.note_told(told, "one", 1)
     assert counted.list_untold("one") == ()
     counted.note(ACCOUNT, 101.0)
     assert [each.window for each in counted.list_untold("one")] == [20]
     assert [each.window for each in counted.list_untold("two")] == [20]
 
 
+def test_a_holder_that_started_anew_is_told_all_again() -> None:
+    counted = tallies.Tallies(WINDOWS)
+    counted.note(ACCOUNT, 100.0)
+    counted.note(ACCOUNT, 105.0)
+    told = counted.list_untold("one")
+    counted.note_told(told, "one", 1)
+    counted.note(ACCOUNT, 106.0)
+    later = counted.list_untold("one")
+    assert [each.window for each in later] == [21]
+    counted.note_told(later, "one", 2)
+    assert [each.window for each in counted.list_untold("one")] == [20]
+
+
 def test_sums_are_exact_whatever_is_lost_or_comes_twice_or_late() -> None:
     for seed in range(30):
         rng = random.Random(seed)
--- a/pollenfork/fleet/choice.py
+++ b/pollenfork/fleet/choice.py
@@ -180,6 +180,18 @@
         grant.kept_cost = min(kept, default=0.0)
         return grant
 
+    def measure(self, service: ids.ServiceName) -> messages.Use:
+        """Returns how busy a service's runners are that take work."""
+        use = messages.Use()
+        for runner in self._registry.list_takers(service):
+            seen = self.find_standing(runner.id)
+            others = self._read_others(seen.mark)
+            use.runners += 1
+            use.places += runner.slots
+            use.active += seen.active + others.active
+            use.reading += seen.reading + others.reading
+        return use
+
     def settle(self, grant: Grant) -> None:
         """Notes that an attempt has ended."""
         grant.note_first()
--- a/pollenfork/fleet/messages.py
+++ b/pollenfork/fleet/messages.py
@@ -58,3 +58,19 @@
     gap: bool = False
     epoch: str = ""
     start: ids.RunnerStart | None = None
+
+
+class Use(msgspec.Struct):
+    """What the runners of a service have under way in all.
+
+    Attributes:
+        runners: Those that take work.
+        places: Requests that they work on at once.
+        active: Requests that they work on.
+        reading: Prompt tokens that they have yet to read.
+    """
+
+    runners: int = 0
+    places: int = 0
+    active: int = 0
+    reading: float = 0.0
--- a/pollenfork/fleet/model.py
+++ b/pollenfork/fleet/model.py
@@ -50,6 +50,7 @@
         cold_s: How much longer it is slow after its start, in seconds.
         start: When it started by its own clock; None where it doesn't say.
         sequence: Its count of what it has said, which begins anew with it.
+        reclaimable: Whether it may be taken away at any time.
     """
 
     id: ids.EndpointId
@@ -62,6 +63,7 @@
     cold_s: float
     start: ids.RunnerStart | None = None
     sequence: int = 0
+    reclaimable: bool = False
 
     @property
     def incarnation(self) -> Incarnation:
--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -29,6 +29,7 @@
 from pollenfork.gateway import knowledge
 from pollenfork.gateway import messages
 from pollenfork.gateway import officer
+from pollenfork.gateway import ordering
 from pollenfork.gateway import peers
 from pollenfork.gateway import pool
 from pollenfork.gateway import probing
@@ -115,7 +116,12 @@
         self._officer: officer.Officer | None = None
         if told.duties is not None:
             self._officer = officer.Officer(
-                told, told.duties, store, make_cloud(told.duties), rng
+                self._loop,
+                told,
+                told.duties,
+                store,
+                make_cloud(told.duties),
+                rng,
             )
         self._keeper = keeping.Keeper(told.store, store, suspected, time.time)
         self._tools = context.Tools(
@@ -149,8 +155,16 @@
         self._cache_feed = cache_feed.CacheFeed(
             cache_codec, self._tools.chooser, self.known, told.data_centre, rng
         )
+        if self._officer is not None and told.duties and told.duties.scales:
+            orders = ordering.Ordering(
+                self._officer.office, self.known, chooser
+            )
+            self._officer.when_held(orders.check)
+            self._officer.when_answered(orders.note_reply)
         self._peers: peers.Peers | None = None
         self.counters.when_shown(self._show_state)
+        if self._officer is not None:
+            self.counters.when_shown(self._officer.show)
         self._front = callers.Server(self._loop, self._serve)
         self._probes = callers.Server(self._loop, self._serve_probe)
 
--- a/pollenfork/gateway/officer.py
+++ b/pollenfork/gateway/officer.py
@@ -1,12 +1,13 @@
 """Carries out the duties: calls to the store, to the platform, to others."""
 
 import asyncio
+import collections
 from collections.abc import Callable, Coroutine
 import logging
 import math
 import random
 import time
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 import result
 
@@ -24,6 +25,9 @@
 from pollenfork.leases import lease
 from pollenfork.loads import messages as loads
 
+if TYPE_CHECKING:
+    from pollenfork import metrics
+
 _LOG = logging.getLogger(__name__)
 
 # The lease is longer than the time in which two holders must not act by turns
@@ -51,6 +55,11 @@
 # The least time after a window's end until it is reported, in seconds: what
 # began to run just before is counted by then.
 _SETTLED_S = 0.3
+# Who has taken over has been told by all others after this long, in seconds.
+_TAKEN_S = 2.0
+_SHOWN_LIMIT = 720
+# Candidates that the holder tells of itself again and again.
+_TOLD_FIRST = 3
 
 
 class Others(Protocol):
@@ -76,6 +85,7 @@
 
     def __init__(
         self,
+        loop: asyncio.AbstractEventLoop,
         told: settings.GatewaySettings,
         duties: settings.DutySettings,
         store: edges.Store,
@@ -86,6 +96,7 @@
         """Takes what it needs.
 
         Args:
+            loop: Its clock is used, and runs what takes time.
             told: The settings.
             duties: Of them, those of the duties.
             store: Encodes and decodes the store's calls.
@@ -93,7 +104,7 @@
             rng: Draws what must differ between instances.
             read_wall: Returns the time of day in Unix seconds.
         """
-        self._loop = asyncio.get_running_loop()
+        self._loop = loop
         self._told = told
         self._duties = duties
         self._store = store
@@ -122,10 +133,13 @@
         )
         self._others: Others | None = None
         self._holder = ""
-        self._heard_at = now
+        self._heard_at = self._held_since = now
         self._tell_at = now
         self._telling: dict[float, tuple[loads.Counted, ...]] = {}
         self._on_held: list[Callable[[float], None]] = []
+        self._on_reply: list[
+            Callable[[messages.Task, messages.Reply, float], None]
+        ] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._calling = {
             messages.Report: client.Client(duties.platform),
@@ -133,6 +147,13 @@
         }
         self._rows = client.Client(told.store)
         self._busy: set[type] = set()
+        self._replies: collections.Counter[tuple[str, messages.Reply]] = (
+            collections.Counter()
+        )
+        # Until a scraper takes them; an hour of windows where none comes.
+        self._reported_s: collections.deque[float] = collections.deque(
+            maxlen=_SHOWN_LIMIT
+        )
 
     def join(self, others: Others) -> None:
         """Takes the other instances."""
@@ -142,6 +163,26 @@
         """Calls `call` with the moment each time that this one may act."""
         self._on_held.append(call)
 
+    def when_answered(
+        self, call: Callable[[messages.Task, messages.Reply, float], None]
+    ) -> None:
+        """Calls `call` with each answer of the platform, and its moment."""
+        self._on_reply.append(call)
+
+    def show(self, shown: "metrics.Metrics") -> None:
+        """Shows what was done for all."""
+        shown.set_count("pollenfork_duty_claims_total", self.office.claims)
+        for (kind, reply), count in self._replies.items():
+            shown.set_count(
+                "pollenfork_platform_replies_total",
+                count,
+                kind=kind,
+                reason=reply.value,
+            )
+        for late_s in self._reported_s:
+            shown.observe("pollenfork_window_report_seconds", late_s)
+        self._reported_s.clear()
+
     def note_begun(self, account: ids.AccountId) -> None:
         """Counts a request that began to run."""
         time_now = self._time.read(self._loop.time())
@@ -177,6 +218,9 @@
             self._host, self._start, self._tallies.list_all(), time_now, now
         )
         if self.office.holds(now):
+            if self._holder != self._host:
+                self._held_since = now
+                self._announce(self._list_candidates())
             self._holder = self._host
             self._heard_at = now
             self._time.agree(now)
@@ -226,7 +270,14 @@
         read = result.Err(catalogue.Trouble.NO_ANSWER)
         if answer is not None:
             read = self._store.read_rows(*answer)
-        self.office.take_rows(read, self._loop.time())
+        now = self._loop.time()
+        self.office.take_rows(read, now)
+        holder = self.office.find_holder(now)
+        if holder and holder != self._host:
+            # Its row may be some seconds old: asking it will show.
+            self._holder = holder
+            self._tell_at = now
+            self._ask(holder, now)
 
     async def _write(self, step: messages.Write) -> None:
         change = self._store.write_change(_make_change(step))
@@ -254,7 +305,8 @@
             if late_s < _SETTLED_S:
                 return
             missing = self._ledger.list_missing(window, now)
-            if missing and late_s < self._duties.due_s * _WAITED_PART:
+            early = late_s < self._duties.due_s * _WAITED_PART
+            if early and (missing or now - self._held_since < _TAKEN_S):
                 return
             counts = self._ledger.add_up(window)
             _LOG.info(
@@ -287,11 +339,15 @@
         if answer is not None:
             reply = self._cloud.read(answer[0])
         self._note_reply(task, reply)
-        self.office.take_reply(task, reply, self._loop.time())
+        now = self._loop.time()
+        self.office.take_reply(task, reply, now)
+        for call in self._on_reply:
+            call(task, reply, now)
 
     def _note_reply(self, task: messages.Task, reply: messages.Reply) -> None:
         work = task.work
         if isinstance(work, rows.Order):
+            self._replies["order", reply] += 1
             _LOG.info(
                 "event=runners_ordered service=%s data_centre=%s "
                 "reclaimable=%s count=%d fencing=%d reply=%s",
@@ -305,6 +361,9 @@
             return
         time_now = self._time.read(self._loop.time())
         late_s = time_now - self._windows.end(work.window)
+        self._replies["report", reply] += 1
+        if reply is messages.Reply.DONE:
+            self._reported_s.append(late_s)
         _LOG.info(
             "event=window_reported window=%d late_ms=%d due=%s fencing=%d "
             "reply=%s",
@@ -323,7 +382,15 @@
         size = self._others.instances
         self._tell_at = now + max(_TELL_S, size * _TELL_EACH_S)
         holder = self._find_holder(now)
-        if holder == self._host:
+        if holder != self._host:
+            self._ask(holder, now)
+        elif self.office.holds(now):
+            # Those whom others ask first must know.
+            self._announce(self._list_candidates()[:_TOLD_FIRST])
+
+    def _ask(self, holder: str, now: float) -> None:
+        """Tells the holder, or who may know it, what was counted here."""
+        if self._others is None:
             return
         counted = self._tallies.list_untold(holder)
         self._telling = {now: counted}
@@ -345,16 +412,26 @@
         word = loads.HolderWord(
             self._told.data_centre,
             self._host if holds else self._holder if known else "",
+            self._start,
             0.0 if holds else now - self._heard_at,
             tally.sent_at,
             self._time.read(now) if holds else 0.0,
         )
         self._others.tell(host, word)
 
+    def _announce(self, hosts: list[str]) -> None:
+        """Says that this instance acts for all."""
+        word = loads.HolderWord(
+            self._told.data_centre, self._host, self._start, 0.0
+        )
+        for host in hosts:
+            if self._others is not None and host != self._host:
+                self._others.tell(host, word)
+
     def _take_word(self, word: loads.HolderWord, host: str, now: float) -> None:
         counted = self._telling.pop(word.echo, None)
         if counted is not None:
-            self._tallies.note_told(counted, host)
+            self._tallies.note_told(counted, host, word.start)
         heard_at = now - max(0.0, word.age_s)
         if not word.holder or self.office.holds(now):
             return
--- /dev/null
+++ b/pollenfork/gateway/ordering.py
@@ -0,0 +1,139 @@
+"""Orders runners while this instance acts for all."""
+
+import logging
+
+from pollenfork import ids
+from pollenfork.duties import messages
+from pollenfork.duties import office
+from pollenfork.duties import rows
+from pollenfork.fleet import choice
+from pollenfork.fleet import offers
+from pollenfork.gateway import knowledge
+from pollenfork.routes import model as routes
+from pollenfork.scaling import model
+from pollenfork.scaling import planner
+
+_LOG = logging.getLogger(__name__)
+
+# How often the need is looked at, in seconds; news of loads is 0.1 s old.
+_PERIOD_S = 0.25
+# Runners that start together are known within this time, in seconds.
+_SETTLED_S = 1.0
+
+
+class Ordering:
+    """Turns what is known of runners into orders."""
+
+    def __init__(
+        self,
+        held: office.Office,
+        known: knowledge.Knowledge,
+        chooser: choice.Chooser,
+    ) -> None:
+        """Takes what it needs.
+
+        Args:
+            held: Takes the orders.
+            known: What is known of the configuration and of the runners.
+            chooser: Tells how busy runners are.
+        """
+        self._office = held
+        self._known = known
+        self._chooser = chooser
+        self._planners: dict[ids.ServiceName, planner.Planner] = {}
+        self._seen: dict[ids.ServiceName, tuple[int, float]] = {}
+        self._fencing = ids.FencingNumber(0)
+        self._next_at = 0.0
+
+    def check(self, now: float) -> None:
+        """Orders what is needed; for the one that acts for all."""
+        found = self._known.lookup
+        if now < self._next_at or found is None or not self._known.has_runners:
+            return
+        self._next_at = now + _PERIOD_S
+        if self._office.fencing != self._fencing:
+            # Whoever held meanwhile may have ordered something else.
+            self._fencing = self._office.fencing
+            self._planners.clear()
+        for service in found.configuration.services.values():
+            if service.scaling is not None:
+                self._plan(service.name, service.scaling, now)
+
+    def note_reply(
+        self, task: messages.Task, reply: messages.Reply, now: float
+    ) -> None:
+        """Takes what the platform answered to an order."""
+        if not isinstance(task.work, rows.Order):
+            return
+        subject = task.work.subject
+        planned = self._planners.get(subject.service)
+        if planned is not None and reply is messages.Reply.UNAVAILABLE:
+            planned.note_unavailable(subject.data_centre, now)
+
+    def _plan(
+        self, service: ids.ServiceName, terms: routes.Scaling, now: float
+    ) -> None:
+        zones = self._count(service)
+        usual = self._office.find_baseline(service)
+        if usual is None:
+            usual = planner.find_usual(zones)
+            if self._is_growing(service, usual, now):
+                return
+            self._office.set_baseline(service, usual)
+        planned = self._planners.get(service)
+        if planned is None or planned.terms != terms:
+            planned = self._planners[service] = planner.Planner(terms, usual)
+        ordered = self._list_ordered(service)
+        use = self._measure(service)
+        for target in planned.plan(zones, use, ordered, now):
+            _LOG.info(
+                "event=runners_wanted service=%s data_centre=%s reclaimable=%s "
+                "count=%d before=%s ready=%d backlog_ms=%d taken=%.2f usual=%d",
+                service,
+                target.kind.data_centre,
+                target.kind.reclaimable,
+                target.count,
+                ordered.get(target.kind, "-"),
+                sum(zone.ready for zone in zones.values()),
+                use.backlog_s * 1000,
+                use.taken,
+                planned.usual,
+            )
+            subject = rows.Subject(
+                service, target.kind.data_centre, target.kind.reclaimable
+            )
+            self._office.add_order(rows.Order(subject, target.count))
+
+    def _is_growing(
+        self, service: ids.ServiceName, count: int, now: float
+    ) -> bool:
+        """Returns whether runners that were started may not be known yet."""
+        known, since = self._seen.get(service, (0, now))
+        if count > known:
+            self._seen[service] = known, since = count, now
+        return not known or now - since < _SETTLED_S
+
+    def _count(
+        self, service: ids.ServiceName
+    ) -> dict[ids.DataCentre, model.Zone]:
+        counted: dict[ids.DataCentre, list[int]] = {}
+        for runner in self._known.runners.list_takers(service):
+            counts = counted.setdefault(runner.data_centre, [0, 0])
+            counts[runner.reclaimable] += 1
+        return {each: model.Zone(*both) for each, both in counted.items()}
+
+    def _measure(self, service: ids.ServiceName) -> model.Use:
+        use = self._chooser.measure(service)
+        if not use.runners:
+            return model.Use()
+        backlog_s = use.reading / offers.READ_RATE / use.runners
+        return model.Use(backlog_s, use.active / use.places)
+
+    def _list_ordered(self, service: ids.ServiceName) -> dict[model.Kind, int]:
+        return {
+            model.Kind(
+                each.subject.data_centre, each.subject.reclaimable
+            ): each.count
+            for each in self._office.list_orders()
+            if each.subject.service == service
+        }
--- a/pollenfork/loads/messages.py
+++ b/pollenfork/loads/messages.py
@@ -300,6 +300,7 @@
     Attributes:
         data_centre: Where the teller runs.
         holder: The holder's host; empty: nobody is known to.
+        start: Tells the starts of the teller apart.
         age_s: How long ago the holder itself said so, in seconds.
         echo: The `sent_at` of the tally that this answers.
         time: Unix seconds as the holder has them; 0 where another one tells.
@@ -307,6 +308,7 @@
 
     data_centre: str
     holder: str
+    start: int
     age_s: float
     echo: float = 0.0
     time: float = 0.0
--- a/pollenfork/metric_help.py
+++ b/pollenfork/metric_help.py
@@ -91,6 +91,15 @@
     "pollenfork_requests_in_progress": (
         "Requests accepted whose answer isn't handed over yet."
     ),
+    "pollenfork_duty_claims_total": (
+        "Times that this instance began to act for all."
+    ),
+    "pollenfork_platform_replies_total": (
+        "What the platform answered to calls that one instance makes for all."
+    ),
+    "pollenfork_window_report_seconds": (
+        "From a window's end until the platform had its report."
+    ),
     "pollenfork_requests_kept_back_total": (
         "Requests kept back from runners, as runners ended under them."
     ),
--- a/pollenfork/platform/__main__.py
+++ b/pollenfork/platform/__main__.py
@@ -56,7 +56,9 @@
         heads,
         rows,
         caches,
-        lambda duties: _make_cloud(told, duties),
+        lambda duties: cloud.Cloud(
+            f"{duties.platform.host}:{duties.platform.port}", told.instance
+        ),
         random.Random(),
         _read_settings,
     )
@@ -68,12 +70,5 @@
     await made.run()
 
 
-def _make_cloud(
-    told: settings.GatewaySettings, duties: settings.DutySettings
-) -> cloud.Cloud:
-    address = duties.platform
-    return cloud.Cloud(f"{address.host}:{address.port}", told.instance)
-
-
 if __name__ == "__main__":
     sys.exit(main())
--- a/pollenfork/platform/cloud.py
+++ b/pollenfork/platform/cloud.py
@@ -39,10 +39,21 @@
 
     def write(self, task: messages.Task) -> bytes:
         """Returns the request that tells or orders something."""
-        if isinstance(task.work, rows.Order):
-            path, body = names.SCALING_PATH, _write_order(task.work)
+        work = task.work
+        if isinstance(work, rows.Order):
+            path = names.SCALING_PATH
+            about = work.subject
+            body = msgspec.json.encode(
+                _Scaling(
+                    about.service,
+                    about.data_centre,
+                    work.count,
+                    about.reclaimable,
+                )
+            )
         else:
-            path, body = names.USAGE_PATH, _write_report(task.work)
+            path = names.USAGE_PATH
+            body = msgspec.json.encode(_Usage(work.window, work.counts))
         head = (
             f"POST {path} HTTP/1.1\r\nHost: {self.host}\r\n"
             f"{names.HOLDER}: {self.instance}\r\n"
@@ -57,19 +68,3 @@
         if status >= 500:
             return messages.Reply.BUSY
         return _REPLIES.get(status, messages.Reply.REJECTED)
-
-
-def _write_report(report: messages.Report) -> bytes:
-    return msgspec.json.encode(_Usage(report.window, report.counts))
-
-
-def _write_order(order: rows.Order) -> bytes:
-    subject = order.subject
-    return msgspec.json.encode(
-        _Scaling(
-            subject.service,
-            subject.data_centre,
-            order.count,
-            subject.reclaimable,
-        )
-    )
--- a/pollenfork/platform/documents.py
+++ b/pollenfork/platform/documents.py
@@ -45,11 +45,20 @@
     link_mbps: float = 0.0
 
 
+class _Scaling(_Wire):
+    min_replicas: int = 0
+    max_replicas: int = 0
+    boot_time_s: float = 0.0
+    spot_price: float | None = None
+    zone_prices: dict[ids.DataCentre, float] = {}
+
+
 class _Service(_Wire):
     name: str
     health_path: str = "/health"
     max_connections: int = 0
     engine: _Engine | None = None
+    scaling: _Scaling | None = None
 
 
 class _Limits(_Wire):
@@ -145,6 +154,19 @@
         connections=wire.max_connections,
         cache_tokens=engine.kv_capacity_tokens,
         copy_s=copy_s,
+        scaling=_make_scaling(wire.scaling),
+    )
+
+
+def _make_scaling(wire: _Scaling | None) -> routes.Scaling | None:
+    if wire is None or not wire.zone_prices:
+        return None
+    return routes.Scaling(
+        least=wire.min_replicas,
+        most=wire.max_replicas,
+        boot_s=wire.boot_time_s,
+        reclaimable_price=wire.spot_price,
+        prices=wire.zone_prices,
     )
 
 
--- a/pollenfork/platform/entries.py
+++ b/pollenfork/platform/entries.py
@@ -44,6 +44,7 @@
     state: str
     cold_remaining_ms: float
     sequence: int
+    spot: bool = False
     born: int | msgspec.UnsetType = msgspec.UNSET
     stage: str | msgspec.UnsetType = msgspec.UNSET
     models: list[Any] | msgspec.UnsetType = msgspec.UNSET
@@ -113,6 +114,7 @@
             cold_s=entry.cold_remaining_ms / 1000.0,
             start=read_start(entry.born),
             sequence=entry.sequence,
+            reclaimable=entry.spot,
         )
     )
 
--- a/pollenfork/platform/rows.py
+++ b/pollenfork/platform/rows.py
@@ -14,7 +14,6 @@
 CONFIGURATION = "op"
 RUNNERS = "servers"
 CONFIGURATION_KEY = "config"
-_HISTORY_GONE = 410
 
 
 class BadRows(failures.Failure, frozen=True, kw_only=True):
@@ -119,10 +118,3 @@
         return base64.b64decode(text, validate=True)
     except ValueError:
         return b""
-
-
-def read_trouble(status: int) -> messages.Trouble:
-    """Decodes a status that brings no rows."""
-    if status == _HISTORY_GONE:
-        return messages.Trouble.HISTORY_GONE
-    return messages.Trouble.REFUSED
--- a/pollenfork/platform/store.py
+++ b/pollenfork/platform/store.py
@@ -16,6 +16,7 @@
 
 _OK = 200
 _CONFLICT = 412
+_HISTORY_GONE = 410
 
 
 class Store(msgspec.Struct, frozen=True):
@@ -64,8 +65,10 @@
         self, status: int, body: bytes
     ) -> result.Result[messages.Rows, messages.Trouble]:
         """Decodes the answer to any that reads."""
+        if status == _HISTORY_GONE:
+            return result.Err(messages.Trouble.HISTORY_GONE)
         if status != _OK:
-            return result.Err(rows.read_trouble(status))
+            return result.Err(messages.Trouble.REFUSED)
         return rows.read(body).map_err(lambda bad: messages.Trouble.UNREADABLE)
 
     def read_configuration(
--- a/pollenfork/routes/model.py
+++ b/pollenfork/routes/model.py
@@ -65,6 +65,25 @@
         return self.kind is Kind.REPEATABLE or self.resumable
 
 
+class Scaling(msgspec.Struct, frozen=True, kw_only=True):
+    """How many runners of a service may be ordered, and for which price.
+
+    Attributes:
+        least: In each data centre, of both kinds.
+        most: The same.
+        boot_s: Seconds from an order until new runners work.
+        reclaimable_price: The part of the price that runners cost which may
+            be taken away; None: there are none.
+        prices: What a second of a runner costs, by data centre.
+    """
+
+    least: int
+    most: int
+    boot_s: float
+    reclaimable_price: float | None
+    prices: dict[ids.DataCentre, float]
+
+
 class Service(msgspec.Struct, frozen=True):
     """A service that runners offer.
 
@@ -75,6 +94,7 @@
         cache_tokens: A runner's memory for prompts; 0: no model runs there.
         copy_s: Seconds in which a runner copies a token of a prompt from
             another one's memory; None where it can't.
+        scaling: How many runners may be ordered; None: nobody orders any.
     """
 
     name: ids.ServiceName
@@ -82,6 +102,7 @@
     connections: int
     cache_tokens: int
     copy_s: float | None = None
+    scaling: Scaling | None = None
 
 
 class CallerLimits(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/pollenfork/scaling/demand.py
@@ -0,0 +1,48 @@
+"""How many runners a service needs in all."""
+
+import math
+
+from pollenfork.scaling import model
+
+# More runners are ordered once each has this much to read on average, in
+# seconds, or this part of their places is taken: the next long prompt would
+# be late, and a new runner takes seconds to start.
+_BUSY_S = 0.15
+_BUSY_TAKEN = 0.6
+# At the first sign there are this many times as many; at twice the mark, up to
+# the largest part.
+_FIRST_STEP = 1.3
+_LARGEST_STEP = 1.7
+# What was added stays for this long after the last sign, in seconds: waves and
+# bursts come again sooner, and an emptied runner forgets what it has read.
+_HELD_S = 20.0
+
+
+class Demand:
+    """Adds to the usual number of runners while they are busy."""
+
+    def __init__(self, usual: int) -> None:
+        """Starts with no runner added.
+
+        Args:
+            usual: How many there are when nothing special goes on.
+        """
+        self.usual = usual
+        self._step = 1.0
+        self._until = float("-inf")
+
+    def find_total(self, use: model.Use, now: float) -> int:
+        """Returns how many runners there shall be.
+
+        Args:
+            use: How busy they are.
+            now: Monotonic seconds.
+        """
+        pressure = max(use.backlog_s / _BUSY_S, use.taken / _BUSY_TAKEN)
+        if pressure >= 1.0:
+            step = min(_LARGEST_STEP, _FIRST_STEP * pressure)
+            self._step = max(self._step, step)
+            self._until = now + _HELD_S
+        elif now >= self._until:
+            self._step = 1.0
+        return math.ceil(self.usual * self._step)
