--- a/pollenfork/duties/office.py
+++ b/pollenfork/duties/office.py
@@ -190,7 +190,7 @@
     def next_order(self, now: float) -> messages.Task | None:
         """Returns an order that is to be given now."""
         for subject, order in self._orders.items():
-            if self._accepted.get(subject) == order:
+            if self._accepted.get(subject) == order or subject in self._wanted:
                 continue
             if now >= self._paused_until.get(subject, now):
                 return self._make_task(order, now)
--- a/pollenfork/gateway/officer.py
+++ b/pollenfork/gateway/officer.py
@@ -55,8 +55,10 @@
 # The least time after a window's end until it is reported, in seconds: what
 # began to run just before is counted by then.
 _SETTLED_S = 0.3
-# Who has taken over has been told by all others after this long, in seconds.
-_TAKEN_S = 2.0
+# Who has taken over has been told by all others after this long, in seconds;
+# they tell it within `_TURN_S` of hearing of it.
+_TAKEN_S = 1.0
+_TURN_S = 0.3
 _SHOWN_LIMIT = 720
 # Candidates that the holder tells of itself again and again.
 _TOLD_FIRST = 3
@@ -110,6 +112,7 @@
         self._store = store
         self._cloud = cloud
         self._read_wall = read_wall
+        self._rng = rng
         self._host = told.front.host
         self._start = rng.getrandbits(32)
         length_s = duties.window_s
@@ -305,8 +308,10 @@
             if late_s < _SETTLED_S:
                 return
             missing = self._ledger.list_missing(window, now)
-            early = late_s < self._duties.due_s * _WAITED_PART
-            if early and (missing or now - self._held_since < _TAKEN_S):
+            if missing and late_s < self._duties.due_s * _WAITED_PART:
+                return
+            untold = now - self._held_since < _TAKEN_S
+            if untold and late_s < self._duties.due_s - _TAKEN_S:
                 return
             counts = self._ledger.add_up(window)
             _LOG.info(
@@ -438,6 +443,8 @@
         if heard_at >= self._heard_at or word.holder == host:
             if word.holder != self._holder:
                 _LOG.info("event=duty_holder_changed holder=%s", word.holder)
+                turn_s = self._rng.random() * _TURN_S
+                self._tell_at = min(self._tell_at, now + turn_s)
             self._holder = word.holder
             self._heard_at = max(heard_at, self._heard_at)
         if word.time and counted is not None:
--- a/pollenfork/gateway/ordering.py
+++ b/pollenfork/gateway/ordering.py
@@ -1,5 +1,6 @@
 """Orders runners while this instance acts for all."""
 
+import collections
 import logging
 
 from pollenfork import ids
@@ -41,16 +42,22 @@
         self._known = known
         self._chooser = chooser
         self._planners: dict[ids.ServiceName, planner.Planner] = {}
-        self._seen: dict[ids.ServiceName, tuple[int, float]] = {}
+        self._most_seen: collections.Counter[ids.ServiceName] = (
+            collections.Counter()
+        )
+        self._grown_at: dict[ids.ServiceName, float] = {}
         self._fencing = ids.FencingNumber(0)
         self._next_at = 0.0
 
     def check(self, now: float) -> None:
         """Orders what is needed; for the one that acts for all."""
-        found = self._known.lookup
-        if now < self._next_at or found is None or not self._known.has_runners:
+        if now < self._next_at:
             return
         self._next_at = now + _PERIOD_S
+        self._note_growth(now)
+        found = self._known.lookup
+        if found is None:
+            return
         if self._office.fencing != self._fencing:
             # Whoever held meanwhile may have ordered something else.
             self._fencing = self._office.fencing
@@ -75,14 +82,17 @@
     ) -> None:
         zones = self._count(service)
         usual = self._office.find_baseline(service)
+        unasked = usual is None
         if usual is None:
             usual = planner.find_usual(zones)
-            if self._is_growing(service, usual, now):
-                return
+            since = self._grown_at.get(service)
+            if since is None or now - since < _SETTLED_S:
+                return  # More of those started together may not be known yet.
             self._office.set_baseline(service, usual)
         planned = self._planners.get(service)
         if planned is None or planned.terms != terms:
-            planned = self._planners[service] = planner.Planner(terms, usual)
+            planned = planner.Planner(terms, usual, unasked)
+            self._planners[service] = planned
         ordered = self._list_ordered(service)
         use = self._measure(service)
         for target in planned.plan(zones, use, ordered, now):
@@ -104,14 +114,15 @@
             )
             self._office.add_order(rows.Order(subject, target.count))
 
-    def _is_growing(
-        self, service: ids.ServiceName, count: int, now: float
-    ) -> bool:
-        """Returns whether runners that were started may not be known yet."""
-        known, since = self._seen.get(service, (0, now))
-        if count > known:
-            self._seen[service] = known, since = count, now
-        return not known or now - since < _SETTLED_S
+    def _note_growth(self, now: float) -> None:
+        """Notes since when the runners of each service are as many."""
+        counted = collections.Counter(
+            runner.service for runner in self._known.runners.list_all()
+        )
+        for service, count in counted.items():
+            if count > self._most_seen[service]:
+                self._most_seen[service] = count
+                self._grown_at[service] = now
 
     def _count(
         self, service: ids.ServiceName
--- a/pollenfork/platform/tests/soak/checks.py
+++ b/pollenfork/platform/tests/soak/checks.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from pollenfork.duties.tests import judge
 from pollenfork.platform.tests.soak import caller
 from pollenfork.platform.tests.soak import runner
 from pollenfork.platform.tests.soak import site as sites
@@ -25,6 +26,7 @@
     for each in asked:
         broken += _judge(each, runs.pop(each.attempt, []), site)
     broken += [f"{attempt}: nobody asked for it" for attempt in runs]
+    broken += judge.find_broken(site.cloud.calls, sites.ALTERNATION_S)
     return broken + _judge_endings(site)
 
 
--- a/pollenfork/platform/tests/soak/site.py
+++ b/pollenfork/platform/tests/soak/site.py
@@ -12,6 +12,7 @@
 
 from pollenfork.platform.tests import support
 from pollenfork.platform.tests.soak import caller
+from pollenfork.platform.tests.soak import cloud
 from pollenfork.platform.tests.soak import proxy
 from pollenfork.platform.tests.soak import runner
 from pollenfork.platform.tests.soak import store
@@ -23,6 +24,9 @@
 DRAIN_S = 2.0
 APPLY_S = 2.0
 GRACE_S = 4.0
+WINDOW_S = 1.0
+DUE_S = 6.0
+ALTERNATION_S = 1.0
 KINDS = ("safe", "unsafe", "stream", "resume")
 
 _BOOT = """
@@ -39,8 +43,14 @@
 revoke-ms = 5000
 drain-ms = 2000
 retry-budget-ratio = 0.2
+usage-window-s = {window}
+usage-late-s = {due}
+lease-ms = 1000
 [platform]
 address = "{host}:{store}"
+[cloud]
+address = "{base}.1:{cloud}"
+duties = ["usage_report"]
 """
 
 
@@ -96,6 +106,9 @@
             ready=site.port + 1,
             grace=GRACE_S,
             store=site.port + 3,
+            cloud=site.port + 4,
+            window=WINDOW_S,
+            due=DUE_S,
         )
         self._boot.write_text(text)
 
@@ -164,6 +177,7 @@
         self.base = f"127.{20 + place}.{seed % 200 + 1}"
         self.port = 21000 + seed % 7 * 10
         self.store = store.Store()
+        self.cloud = cloud.Cloud(self._has_gone_on)
         self.record = runner.Record()
         self.runners: dict[str, runner.Runner] = {}
         self.born: dict[str, int] = {}
@@ -189,6 +203,7 @@
                 nobody listens while they are down, and not behind proxies.
         """
         await self.store.start(f"{self.base}.1", self.port)
+        await self.cloud.start(f"{self.base}.1", self.port + 4)
         await self.publish()
         for _ in range(4):
             await self.add_runner(direct)
@@ -228,6 +243,12 @@
         for each in self.runners.values():
             each.crash()
         self.store.stop()
+        self.cloud.stop()
+
+    def _has_gone_on(self, name: str, within_s: float) -> bool:
+        """Returns whether a gateway was disturbed just now, by its name."""
+        gateway = self.gateways[int(name.rpartition("-")[2])]
+        return time.monotonic() - gateway.disturbed < within_s
 
     async def publish(self) -> float:
         """Writes the configuration; returns when it was acknowledged."""
--- a/pollenfork/platform/tests/test_soak.py
+++ b/pollenfork/platform/tests/test_soak.py
@@ -8,6 +8,7 @@
 import pytest
 
 from pollenfork.platform.tests.soak import caller
+from pollenfork.platform.tests.soak import duties
 from pollenfork.platform.tests.soak import play
 from pollenfork.platform.tests.soak import poison
 from pollenfork.platform.tests.soak import proxy
@@ -62,6 +63,23 @@
     assert played.after >= 0.99, played
 
 
+# What was seen: no window was ever reported; nobody knew of the duty.
+def test_what_began_to_run_is_reported_to_the_request(tmp_path) -> None:
+    played = asyncio.run(duties.play(21, tmp_path, faults=False))
+    assert played.broken == [], played
+    assert played.missing == [], played
+    assert played.reported == played.ran > 100, played
+
+
+def test_windows_are_reported_though_their_holders_are_lost(tmp_path) -> None:
+    played = asyncio.run(duties.play(22, tmp_path, faults=True))
+    assert played.broken == [], played
+    assert played.missing == [], played
+    assert len(played.holders) > 2, played
+    # A killed gateway takes along what it told nobody, half a second's.
+    assert 0.9 * played.ran < played.reported <= played.ran, played
+
+
 # What was seen: nothing yet; the steady clock stands still while a machine is
 # suspended. How it comes about: a proof that was 0.2 s old before is believed
 # to be 0.2 s old after five seconds, in which a key may have been taken away.
--- a/pollenfork/scaling/planner.py
+++ b/pollenfork/scaling/planner.py
@@ -1,8 +1,10 @@
 """Decides how many runners of which kind each data centre shall have.
 
 Runners that may be taken away cost a fraction of the others, so they do the
-work; the others fill in where such runners aren't to be had. A runner is let go
-only once another one is ready in its place.
+work; the others fill in where none of them are to be had. A runner is let go
+only once another one is ready in its place, as it takes seconds to start and
+what it has read is lost with it. For the same reason nothing is moved merely to
+be spread evenly.
 """
 
 from collections.abc import Mapping
@@ -17,29 +19,40 @@
 # until then it counts as coming.
 _LATE_S = 1.5
 # Runners that may be taken away aren't asked for again for this long after
-# there were none, in seconds.
+# there were none in a data centre, in seconds.
 _DRY_S = 2.0
-# Dear runners are ordered where less than this part of all is ready or coming:
-# those of one data centre of three may be taken away at any time.
-_ESSENTIAL = 0.6
-# The same while the others are busy.
-_ESSENTIAL_BUSY = 0.9
+# Dear runners are ordered where no others are to be had and less than this part
+# of all is ready: those of one data centre of three may be taken away at any
+# time.
+_ESSENTIAL = 0.7
+# The part of dear runners that stays while the others start, as long as nobody
+# has asked for anything.
+_UNASKED = 1.0 / 3.0
 
 Zones = Mapping[ids.DataCentre, model.Zone]
 Ordered = Mapping[model.Kind, int]
 
 
 class Planner:
-    """Plans one service's runners."""
+    """Plans one service's runners.
 
-    def __init__(self, terms: routes.Scaling, usual: int) -> None:
+    Attributes:
+        terms: What may be ordered, and for which price.
+        unasked: Whether nothing has been asked of the service yet.
+    """
+
+    def __init__(
+        self, terms: routes.Scaling, usual: int, unasked: bool = False
+    ) -> None:
         """Starts with nothing ordered.
 
         Args:
             terms: What may be ordered, and for which price.
             usual: How many runners there are when nothing special goes on.
+            unasked: Whether nothing has been asked of the service yet.
         """
         self.terms = terms
+        self.unasked = unasked
         self._demand = demand.Demand(usual)
         self._dry_until: dict[ids.DataCentre, float] = {}
         self._coming_until: dict[model.Kind, float] = {}
@@ -65,102 +78,154 @@
             ordered: What was ordered last; what never was isn't there.
             now: Monotonic seconds.
         """
+        self.unasked = self.unasked and not use.taken
         total = self._demand.find_total(use, now)
-        wanted: dict[model.Kind, int] = {}
-        for data_centre, count in self._share_out(total).items():
-            zone = zones.get(data_centre, model.Zone())
-            firm = ordered.get(model.Kind(data_centre, False), zone.firm)
-            cheap = self._find_reclaimable(count, firm)
-            kept = max(0, count - zone.reclaimable)
-            wanted[model.Kind(data_centre, False)] = min(firm, kept)
-            if cheap is not None and now >= self._dry_until.get(
-                data_centre, 0.0
-            ):
-                wanted[model.Kind(data_centre, True)] = cheap
-        self._fill_in(wanted, zones, total, now)
-        return self._list_due(wanted, zones, ordered, now)
-
-    def _share_out(self, total: int) -> dict[ids.DataCentre, int]:
-        """Returns each data centre's part; the cheapest have one more.
-
-        All of one that may be taken away go together, so none has more than
-        its part.
-        """
-        ranked = self._rank()
-        least, more = divmod(total, len(ranked))
-        return {
-            data_centre: min(
-                self.terms.most,
-                max(self.terms.least, least + (1 if rank < more else 0)),
-            )
-            for rank, data_centre in enumerate(ranked)
-        }
-
-    def _rank(self) -> list[ids.DataCentre]:
-        prices = self.terms.prices
-        return sorted(prices, key=lambda each: (prices[each], each))
+        cheap = self._plan_cheap(total, zones, ordered, now)
+        dear = self._plan_dear(total, zones, ordered, now)
+        wanted = {**cheap, **dear}
+        due = [
+            model.Target(kind, count)
+            for kind, count in wanted.items()
+            if self._is_due(kind, count, zones, ordered, now)
+        ]
+        for target in due:
+            if target.count > _count(zones, target.kind):
+                late_s = self.terms.boot_s + _LATE_S
+                self._coming_until[target.kind] = now + late_s
+        return due
 
-    def _find_reclaimable(self, count: int, firm: int) -> int | None:
-        """Returns how many that may be taken away there shall be; None: any.
+    # Runners that may be taken away.
 
-        Args:
-            count: How many of both kinds there shall be.
-            firm: How many of the others there are meanwhile.
-        """
+    def _plan_cheap(
+        self, total: int, zones: Zones, ordered: Ordered, now: float
+    ) -> dict[model.Kind, int]:
+        """Returns how many there shall be where that changes."""
         if self.terms.reclaimable_price is None:
-            return None
-        return max(0, min(count, self.terms.most - firm))
+            return {}
+        kinds = [model.Kind(each, True) for each in self.terms.prices]
+        have = {
+            kind: self._find_coming(kind, zones, ordered, now) for kind in kinds
+        }
+        before = dict(have)
+        missing = total - sum(have.values())
+        for _ in range(missing):
+            kind = self._find_least(have, zones, ordered, now)
+            if kind is None:
+                break
+            have[kind] += 1
+        spare = sum(zone.ready for zone in zones.values()) - total
+        for _ in range(min(-missing, spare)):
+            have[max(have, key=lambda kind: have[kind])] -= 1
+        return {
+            kind: count for kind, count in have.items() if count != before[kind]
+        }
 
-    def _fill_in(
+    def _find_least(
         self,
-        wanted: dict[model.Kind, int],
+        have: dict[model.Kind, int],
         zones: Zones,
-        total: int,
+        ordered: Ordered,
         now: float,
-    ) -> None:
-        """Adds dear runners where too few others are ready or coming."""
-        busy = total > self._demand.usual
-        part = _ESSENTIAL_BUSY if busy else _ESSENTIAL
-        ready = sum(zone.ready for zone in zones.values())
-        coming = sum(
-            max(0, count - _count(zones, kind))
-            for kind, count in wanted.items()
-            if now < self._coming_until.get(kind, 0.0)
+    ) -> model.Kind | None:
+        """Returns where one more goes: all of a place go together."""
+        prices = self.terms.prices
+        open_kinds = [
+            kind
+            for kind, count in have.items()
+            if now >= self._dry_until.get(kind.data_centre, 0.0)
+            and count + self._count_dear(kind.data_centre, zones, ordered)
+            < self.terms.most
+        ]
+        return min(
+            open_kinds,
+            key=lambda kind: (have[kind], prices[kind.data_centre]),
+            default=None,
         )
-        missing = math.ceil(total * part) - ready - coming
-        for data_centre in self._rank():
-            firm = model.Kind(data_centre, False)
-            zone = zones.get(data_centre, model.Zone())
-            room = (
-                self.terms.most
-                - zone.ready
-                - max(0, wanted.get(firm, 0) - zone.firm)
+
+    def _count_dear(
+        self, data_centre: ids.DataCentre, zones: Zones, ordered: Ordered
+    ) -> int:
+        kind = model.Kind(data_centre, False)
+        ready = _count(zones, kind)
+        return max(ready, ordered.get(kind, ready))
+
+    # The others.
+
+    def _plan_dear(
+        self, total: int, zones: Zones, ordered: Ordered, now: float
+    ) -> dict[model.Kind, int]:
+        """Returns how many there shall be of the others."""
+        kinds = [
+            model.Kind(each, False)
+            for each in sorted(
+                self.terms.prices, key=lambda each: self.terms.prices[each]
             )
+        ]
+        wanted = {
+            kind: ordered.get(kind, _count(zones, kind)) for kind in kinds
+        }
+        cheap = sum(zone.reclaimable for zone in zones.values())
+        self._let_go(wanted, self._find_kept(total, cheap, zones))
+        missing = math.ceil(total * _ESSENTIAL) - cheap - sum(wanted.values())
+        if self._has_cheap(now):
+            missing = 0
+        for kind in kinds:
+            zone = zones.get(kind.data_centre, model.Zone())
+            room = self.terms.most - zone.reclaimable - wanted[kind]
             added = max(0, min(missing, room))
-            if added:
-                wanted[firm] = max(wanted.get(firm, 0), zone.firm) + added
-                missing -= added
+            wanted[kind] += added
+            missing -= added
+        return wanted
 
-    def _list_due(
+    def _find_kept(self, total: int, cheap: int, zones: Zones) -> int:
+        """Returns how many of the dear ones may stay."""
+        if self.terms.reclaimable_price is None:
+            return total
+        kept = max(0, total - cheap)
+        if self.unasked and any(self._coming_until.values()):
+            kept = min(kept, math.ceil(total * _UNASKED))
+        return kept
+
+    def _let_go(self, wanted: dict[model.Kind, int], kept: int) -> None:
+        """Lowers counts to what is kept, the dearest first."""
+        spare = sum(wanted.values()) - kept
+        for kind in reversed(list(wanted)):
+            gone = max(0, min(spare, wanted[kind]))
+            wanted[kind] -= gone
+            spare -= gone
+
+    def _has_cheap(self, now: float) -> bool:
+        """Returns whether any that may be taken away may be had somewhere."""
+        if self.terms.reclaimable_price is None:
+            return False
+        return any(
+            now >= self._dry_until.get(each, 0.0) for each in self.terms.prices
+        )
+
+    # Orders.
+
+    def _find_coming(
+        self, kind: model.Kind, zones: Zones, ordered: Ordered, now: float
+    ) -> int:
+        """Returns how many are ready or, as ordered, on their way."""
+        ready = _count(zones, kind)
+        if now < self._coming_until.get(kind, 0.0):
+            return max(ready, ordered.get(kind, 0))
+        return ready
+
+    def _is_due(
         self,
-        wanted: dict[model.Kind, int],
+        kind: model.Kind,
+        count: int,
         zones: Zones,
         ordered: Ordered,
         now: float,
-    ) -> list[model.Target]:
-        """Returns what differs from what was ordered, or hasn't come."""
-        due = []
-        for kind, count in wanted.items():
-            ready = _count(zones, kind)
-            known = ordered.get(kind, ready)
-            overdue = now >= self._coming_until.get(kind, 0.0)
-            if count == known and not (ready < count and overdue):
-                continue
-            if count > ready:
-                late_s = self.terms.boot_s + _LATE_S
-                self._coming_until[kind] = now + late_s
-            due.append(model.Target(kind, count))
-        return due
+    ) -> bool:
+        """Returns whether an order differs, or what was ordered hasn't come."""
+        ready = _count(zones, kind)
+        if count != ordered.get(kind, ready):
+            return True
+        return ready < count and now >= self._coming_until.get(kind, 0.0)
 
 
 def _count(zones: Zones, kind: model.Kind) -> int:
