--- a/pollenfork/scaling/planner.py
+++ b/pollenfork/scaling/planner.py
@@ -81,7 +81,7 @@
         self.unasked = self.unasked and not use.taken
         total = self._demand.find_total(use, now)
         cheap = self._plan_cheap(total, zones, ordered, now)
-        dear = self._plan_dear(total, zones, ordered, now)
+        dear = self._plan_dear(total, sum(cheap.values()), zones, ordered)
         wanted = {**cheap, **dear}
         due = [
             model.Target(kind, count)
@@ -99,14 +99,13 @@
     def _plan_cheap(
         self, total: int, zones: Zones, ordered: Ordered, now: float
     ) -> dict[model.Kind, int]:
-        """Returns how many there shall be where that changes."""
+        """Returns how many there shall be, as far as they are to be had."""
         if self.terms.reclaimable_price is None:
             return {}
         kinds = [model.Kind(each, True) for each in self.terms.prices]
         have = {
             kind: self._find_coming(kind, zones, ordered, now) for kind in kinds
         }
-        before = dict(have)
         missing = total - sum(have.values())
         for _ in range(missing):
             kind = self._find_least(have, zones, ordered, now)
@@ -116,9 +115,7 @@
         spare = sum(zone.ready for zone in zones.values()) - total
         for _ in range(min(-missing, spare)):
             have[max(have, key=lambda kind: have[kind])] -= 1
-        return {
-            kind: count for kind, count in have.items() if count != before[kind]
-        }
+        return have
 
     def _find_least(
         self,
@@ -152,9 +149,16 @@
     # The others.
 
     def _plan_dear(
-        self, total: int, zones: Zones, ordered: Ordered, now: float
+        self, total: int, cheap: int, zones: Zones, ordered: Ordered
     ) -> dict[model.Kind, int]:
-        """Returns how many there shall be of the others."""
+        """Returns how many there shall be of the others.
+
+        Args:
+            total: How many there shall be of both.
+            cheap: How many of the cheap ones are ready or coming.
+            zones: The runners that take work.
+            ordered: What was ordered last.
+        """
         kinds = [
             model.Kind(each, False)
             for each in sorted(
@@ -164,11 +168,9 @@
         wanted = {
             kind: ordered.get(kind, _count(zones, kind)) for kind in kinds
         }
-        cheap = sum(zone.reclaimable for zone in zones.values())
-        self._let_go(wanted, self._find_kept(total, cheap, zones))
+        ready = sum(zone.reclaimable for zone in zones.values())
+        self._let_go(wanted, self._find_kept(total, ready, zones))
         missing = math.ceil(total * _ESSENTIAL) - cheap - sum(wanted.values())
-        if self._has_cheap(now):
-            missing = 0
         for kind in kinds:
             zone = zones.get(kind.data_centre, model.Zone())
             room = self.terms.most - zone.reclaimable - wanted[kind]
@@ -194,14 +196,6 @@
             wanted[kind] -= gone
             spare -= gone
 
-    def _has_cheap(self, now: float) -> bool:
-        """Returns whether any that may be taken away may be had somewhere."""
-        if self.terms.reclaimable_price is None:
-            return False
-        return any(
-            now >= self._dry_until.get(each, 0.0) for each in self.terms.prices
-        )
-
     # Orders.
 
     def _find_coming(
