--- a/pollenfork/fleet/choice.py
+++ b/pollenfork/fleet/choice.py
@@ -115,6 +115,9 @@
         self._standings: dict[ids.EndpointId, standing.Standing] = {}
         self._placed: list[loads.Placed] = []
         self._on_long: list[Callable[[], None]] = []
+        self._leavers: dict[
+            ids.EndpointId, tuple[model.Runner, standing.Standing]
+        ] = {}
         self.caches = caches.Caches()
         runners.when_gone(self._forget)
 
@@ -161,7 +164,8 @@
             takers = self._list_least(takers, suspect, now)
         found = [self._make_offer(demand, runner, now) for runner in takers]
         if demand.shared:
-            copies.find_sources(demand, found, now)
+            leavers = self._list_leavers(demand)
+            copies.find_sources(demand, found, now, leavers)
         crowd_s = sum(offer.reading for offer in found) / len(found)
         crowd_s /= offers.READ_RATE
         if demand.parts and demand.quick is not None:
@@ -354,8 +358,27 @@
             source=offer.source,
         )
 
+    def _list_leavers(self, demand: offers.Demand) -> list[offers.Offer]:
+        """Returns runners that take no new work and keep the shared parts.
+
+        Until they end others may copy from them what is lost with them.
+        """
+        return [
+            offers.Offer(runner, seen, 0.0)
+            for runner, seen in self._leavers.values()
+            if runner.service == demand.service
+            and not self.caches.count_unread(seen.mark, demand.shared)
+        ]
+
     def _forget(self, runner: ids.EndpointId) -> None:
+        known = self._registry.find(runner)
         seen = self._standings.pop(runner, None)
+        if known is not None and known.leaving and seen is not None:
+            self._leavers[runner] = known, seen
+            return
+        left = self._leavers.pop(runner, None)
+        if left is not None:
+            self.caches.forget(left[1].mark)
         if seen is not None:
             self.caches.forget(seen.mark)
 
--- a/pollenfork/fleet/copies.py
+++ b/pollenfork/fleet/copies.py
@@ -5,6 +5,8 @@
 where a prompt goes anyway; they don't make prompts go elsewhere.
 """
 
+from collections.abc import Sequence
+
 from pollenfork.fleet import model
 from pollenfork.fleet import offers
 
@@ -16,7 +18,10 @@
 
 
 def find_sources(
-    demand: offers.Demand, found: list[offers.Offer], now: float
+    demand: offers.Demand,
+    found: list[offers.Offer],
+    now: float,
+    leavers: Sequence[offers.Offer] = (),
 ) -> None:
     """Notes for each offer from whom its runner would copy.
 
@@ -24,6 +29,8 @@
         demand: What is asked.
         found: Offers of all runners that take work.
         now: Monotonic seconds.
+        leavers: Those that take none any more and keep the shared parts; asked
+            where no other one does.
     """
     if demand.copy_s is None:
         return
@@ -31,6 +38,7 @@
     if part > _LARGEST_PART:
         return
     holders = [offer for offer in found if _is_source(offer, now)]
+    holders = holders or [each for each in leavers if _is_source(each, now)]
     for offer in found:
         if holders and offer.unread >= _LEAST_TOKENS:
             offer.source = _choose_source(offer, holders)
--- a/pollenfork/fleet/tests/test_copies.py
+++ b/pollenfork/fleet/tests/test_copies.py
@@ -1,5 +1,6 @@
 """Shared parts are copied from a runner that has them, where that pays."""
 
+import msgspec
 import pytest
 
 from pollenfork import ids
@@ -112,3 +113,37 @@
         )
         chooser.caches.note(mark("r0"), loads.hash_name(b"shared"))
         assert chooser.choose(ask(copy_s), set(), 0.0).runner.id == "r0"
+
+
+def make_leaver(chooser: choice.Chooser, name: str) -> None:
+    """Lets a runner leave that keeps the shared part."""
+    chooser.caches.note(mark(name), loads.hash_name(b"shared"))
+    known = chooser._registry.find(ids.EndpointId(name))
+    chooser.find_standing(known.id)
+    chooser._registry.put(msgspec.structs.replace(known, leaving=True))
+
+
+def test_what_a_leaving_runner_keeps_is_copied_before_it_is_lost() -> None:
+    chooser = test_choice.make_chooser()
+    make_leaver(chooser, "r0")
+    grant = chooser.choose(ask(), set(), 10.0)
+    assert grant.runner.id != "r0"
+    assert grant.source is not None and grant.source.id == "r0"
+
+
+def test_nothing_is_copied_from_a_runner_that_has_left() -> None:
+    chooser = test_choice.make_chooser()
+    make_leaver(chooser, "r0")
+    chooser._registry.remove(ids.EndpointId("r0"), 10.0)
+    grant = chooser.choose(ask(), set(), 10.0)
+    assert grant.source is None
+    assert not chooser._leavers
+
+
+def test_a_runner_that_stays_goes_before_one_that_leaves() -> None:
+    chooser = test_choice.make_chooser()
+    make_leaver(chooser, "r0")
+    chooser.caches.note(mark("r1"), loads.hash_name(b"shared"))
+    grant = chooser.choose(ask(), set(), 10.0)
+    assert grant.runner.id == "r1"
+    assert grant.source is None
