--- a/pollenfork/cli/definition.py
+++ b/pollenfork/cli/definition.py
@@ -219,6 +219,20 @@
     file: LogFiles
 
 
+@cappa.command(
+    name="duties",
+    help="Show from the logs what one instance did for all, and why.",
+    epilog=make_examples("duties front-*.log"),
+)
+@dataclasses.dataclass
+class Duties:
+    """Who acted for all, what was reported, and which runners ordered."""
+
+    BEHAVIOUR: ClassVar[str] = "pollenfork.cli.explaining:run_duties"
+
+    file: LogFiles
+
+
 @cappa.command(
     name="pollenfork",
     help="A router for language-model traffic with service levels.",
@@ -235,6 +249,7 @@
         | Explain
         | Losses
         | News
+        | Duties
         | Standin
         | operator_commands.Settings
         | operator_commands.Endpoints
--- a/pollenfork/cli/explaining.py
+++ b/pollenfork/cli/explaining.py
@@ -1,4 +1,4 @@
-"""Behaviour of `explain`, `losses` and `news`."""
+"""Behaviour of `explain`, `losses`, `news` and `duties`."""
 
 import pathlib
 
@@ -9,6 +9,7 @@
 from pollenfork.cli import definition
 from pollenfork.logbook import causes
 from pollenfork.logbook import course
+from pollenfork.logbook import duties
 from pollenfork.logbook import lines
 from pollenfork.logbook import losses
 from pollenfork.logbook import losses_page
@@ -58,6 +59,23 @@
     return status.ExitStatus.SUCCESS
 
 
+def run_duties(
+    command: definition.Duties, env: context.Environment
+) -> status.ExitStatus:
+    """Writes what one instance at a time did for all."""
+    log = _read_all(command.file, env)
+    if log is None:
+        return status.ExitStatus.USAGE
+    steps = duties.follow(log)
+    for step in steps:
+        mark = "!" if step.alarming else " "
+        after_s = step.at - steps[0].at
+        env.stdout.write(
+            f"{mark} {after_s:8.1f} s  {step.instance}  {step.what}\n"
+        )
+    return status.ExitStatus.SUCCESS
+
+
 def _read_all(
     files: list[pathlib.Path], env: context.Environment
 ) -> list[lines.Line] | None:
