--- a/pollenfork/gateway/ordering.py
+++ b/pollenfork/gateway/ordering.py
@@ -56,7 +56,7 @@
         self._next_at = now + _PERIOD_S
         self._note_growth(now)
         found = self._known.lookup
-        if found is None:
+        if found is None or not self._known.has_runners:
             return
         if self._office.fencing != self._fencing:
             # Whoever held meanwhile may have ordered something else.
