--- a/pollenfork/gateway/ordering.py
+++ b/pollenfork/gateway/ordering.py
@@ -11,6 +11,7 @@
 from pollenfork.fleet import offers
 from pollenfork.gateway import knowledge
 from pollenfork.routes import model as routes
+from pollenfork.scaling import demand
 from pollenfork.scaling import model
 from pollenfork.scaling import planner
 
@@ -91,7 +92,9 @@
             self._office.set_baseline(service, usual)
         planned = self._planners.get(service)
         if planned is None or planned.terms != terms:
-            planned = planner.Planner(terms, usual, unasked)
+            present = sum(zone.ready for zone in zones.values())
+            need = demand.Demand(usual, present, now)
+            planned = planner.Planner(terms, need, unasked)
             self._planners[service] = planned
         ordered = self._list_ordered(service)
         use = self._measure(service)
--- a/pollenfork/scaling/demand.py
+++ b/pollenfork/scaling/demand.py
@@ -23,16 +23,20 @@
 class Demand:
     """Adds to the usual number of runners while they are busy."""
 
-    def __init__(self, usual: int) -> None:
-        """Starts with no runner added.
+    def __init__(self, usual: int, present: int = 0, now: float = 0.0) -> None:
+        """Starts with the runners that there are.
+
+        Whoever takes over doesn't know when they were last needed.
 
         Args:
             usual: How many there are when nothing special goes on.
+            present: How many there are now.
+            now: Monotonic seconds.
         """
         self.usual = usual
-        self._step = 1.0
+        self._step = max(1.0, min(_LARGEST_STEP, present / usual))
         self._pressure = 0.0
-        self._until = float("-inf")
+        self._until = now + _HELD_S
 
     def find_total(self, use: model.Use, now: float) -> int:
         """Returns how many runners there shall be.
--- a/pollenfork/scaling/planner.py
+++ b/pollenfork/scaling/planner.py
@@ -42,18 +42,21 @@
     """
 
     def __init__(
-        self, terms: routes.Scaling, usual: int, unasked: bool = False
+        self,
+        terms: routes.Scaling,
+        need: demand.Demand,
+        unasked: bool = False,
     ) -> None:
         """Starts with nothing ordered.
 
         Args:
             terms: What may be ordered, and for which price.
-            usual: How many runners there are when nothing special goes on.
+            need: Tells how many runners there shall be in all.
             unasked: Whether nothing has been asked of the service yet.
         """
         self.terms = terms
         self.unasked = unasked
-        self._demand = demand.Demand(usual)
+        self._demand = need
         self._dry_until: dict[ids.DataCentre, float] = {}
         self._coming_until: dict[model.Kind, float] = {}
 
--- a/pollenfork/scaling/tests/test_planner.py
+++ b/pollenfork/scaling/tests/test_planner.py
@@ -26,7 +26,7 @@
     def __init__(self, terms: routes.Scaling = TERMS, usual: int = 45) -> None:
         self.now = 0.0
         self.terms = terms
-        self.planner = planner.Planner(terms, usual)
+        self.planner = planner.Planner(terms, demand.Demand(usual))
         self.ordered: dict[model.Kind, int] = {}
         self.ready = {
             model.Kind(zone, False): usual // 3 for zone in terms.prices
@@ -157,7 +157,7 @@
 
 def test_dear_ones_go_sooner_while_nobody_has_asked_for_anything() -> None:
     fleet = Fleet()
-    fleet.planner = planner.Planner(TERMS, 45, unasked=True)
+    fleet.planner = planner.Planner(TERMS, demand.Demand(45), unasked=True)
     fleet.run(1.0)
     assert fleet.total == 15
     fleet.run(8.0)
@@ -203,7 +203,9 @@
 def test_a_new_holder_orders_nothing_that_stands() -> None:
     fleet = Fleet()
     fleet.run(20.0)
-    fleet.planner = planner.Planner(TERMS, 45)
+    fleet.planner = planner.Planner(
+        TERMS, demand.Demand(45, fleet.total, fleet.now)
+    )
     count = len(fleet.orders)
     fleet.run(10.0)
     assert len(fleet.orders) == count
@@ -245,3 +247,19 @@
     need = demand.Demand(30)
     assert need.find_total(model.Use(backlog_s=0.9), 1.0) == 30
     assert need.find_total(CALM, 1.25) == 30
+
+
+def test_who_takes_over_lets_go_no_runner_that_was_just_needed() -> None:
+    fleet = Fleet()
+    fleet.run(20.0)
+    fleet.run(2.0, BUSY)
+    fleet.run(6.0)
+    many = fleet.total
+    assert many > 58
+    fleet.planner = planner.Planner(
+        TERMS, demand.Demand(45, fleet.total, fleet.now)
+    )
+    fleet.run(15.0)
+    assert fleet.total == many
+    fleet.run(10.0)
+    assert fleet.total == 45
