--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -258,12 +258,22 @@
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(_SWEEP_S)
+            self._share_connections()
             self._tools.pool.sweep()
             now = self._loop.time()
             self.known.expire_runners(now)
             self._tools.suspected.sweep(now)
             self._readiness.check(now)
 
+    def _share_connections(self) -> None:
+        found = self.known.lookup
+        if found is None or self._peers is None:
+            return
+        for service in found.configuration.services.values():
+            self._tools.pool.share(
+                service.name, service.connections, self._peers.instances
+            )
+
     async def _tidy(self) -> None:
         while True:
             await asyncio.sleep(_TIDY_S)
--- a/pollenfork/gateway/pool.py
+++ b/pollenfork/gateway/pool.py
@@ -24,6 +24,10 @@
 # turns out to be dead, so it goes on one that was in use just now.
 _SURE_IDLE_S = 0.6
 _IDLE_LIMIT = 16
+# Idle connections of all instances to a runner take this part of those that it
+# accepts: where all lose power at once theirs stay open there, and new ones
+# must fit in beside them.
+_IDLE_PART = 0.4
 
 
 class Unreachable(failures.Failure, frozen=True, kw_only=True):
@@ -68,6 +72,7 @@
         self._loop = loop
         self._wall = wall
         self._idle: dict[fleet.Incarnation, list[connection.Connection]] = {}
+        self._limits: dict[ids.ServiceName, int] = {}
         self._busy: dict[ids.EndpointId, set[connection.Connection]] = {}
         self.counters = PoolCounters()
 
@@ -76,6 +81,20 @@
         runners.when_gone(self.forget)
         runners.when_restarted(self.end_before)
 
+    def share(
+        self, service: ids.ServiceName, accepted: int, instances: int
+    ) -> None:
+        """Takes how many connections a runner accepts, and from how many.
+
+        Args:
+            service: The runner's.
+            accepted: Connections that it accepts in all; 0: unknown.
+            instances: Instances that connect to it.
+        """
+        if accepted:
+            part = int(accepted * _IDLE_PART / instances)
+            self._limits[service] = max(1, min(_IDLE_LIMIT, part))
+
     def take(
         self, runner: fleet.Runner, care: Care
     ) -> connection.Connection | None:
@@ -120,7 +139,8 @@
     ) -> None:
         """Keeps a connection for the next request, if it may have one."""
         kept = self._idle.setdefault(runner.incarnation, [])
-        if not used.usable or len(kept) >= _IDLE_LIMIT:
+        limit = self._limits.get(runner.service, _IDLE_LIMIT)
+        if not used.usable or len(kept) >= limit:
             used.abort()
             return
         kept.append(used)
