--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -135,7 +135,9 @@
             ),
             suspected=suspected,
             note_begun=(
-                self._officer.note_begun if self._officer else _count_nothing
+                self._officer.accounts.note_begun
+                if self._officer
+                else _count_nothing
             ),
             claim_trial=self._keeper.claim_trial,
             pool=connections,
--- /dev/null
+++ b/pollenfork/gateway/platform_calls.py
@@ -0,0 +1,140 @@
+"""Calls to the platform that one instance makes for all."""
+
+import asyncio
+import collections
+from collections.abc import Callable
+import logging
+from typing import TYPE_CHECKING
+
+from pollenfork.duties import messages
+from pollenfork.duties import rows
+from pollenfork.gateway import client
+from pollenfork.gateway import edges
+from pollenfork.gateway import settings
+
+if TYPE_CHECKING:
+    from pollenfork import metrics
+
+_LOG = logging.getLogger(__name__)
+
+# From the sending of a call until it is given up, in seconds.
+ORDER_S = 0.8
+# Times that are kept until a scraper takes them: an hour of windows.
+_SHOWN_LIMIT = 720
+
+TakeReply = Callable[[messages.Task, messages.Reply], None]
+
+
+class PlatformCalls:
+    """Makes one call of a kind at a time; a slow one holds up no other kind."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        duties: settings.DutySettings,
+        cloud: edges.Cloud,
+        read_late: Callable[[int], float],
+    ) -> None:
+        """Takes what it needs.
+
+        Args:
+            loop: Runs the calls.
+            duties: Settings of the duties.
+            cloud: Encodes and decodes the calls.
+            read_late: Returns how long ago a window ended, in seconds.
+        """
+        self._loop = loop
+        self._duties = duties
+        self._cloud = cloud
+        self._read_late = read_late
+        self._clients = {
+            messages.Report: client.Client(duties.platform),
+            rows.Order: client.Client(duties.platform),
+        }
+        self._tasks: dict[type, asyncio.Task[None]] = {}
+        self._replies: collections.Counter[tuple[str, messages.Reply]] = (
+            collections.Counter()
+        )
+        self._reported_s: collections.deque[float] = collections.deque(
+            maxlen=_SHOWN_LIMIT
+        )
+
+    def begin(self, task: messages.Task | None, take: TakeReply) -> None:
+        """Begins a call, unless one of its kind is under way.
+
+        Args:
+            task: What to call for; None: nothing.
+            take: Takes what came of it.
+        """
+        if task is None:
+            return
+        kind = type(task.work)
+        if kind not in self._tasks or self._tasks[kind].done():
+            self._tasks[kind] = self._loop.create_task(self._call(task, take))
+
+    def close(self) -> None:
+        """Ends calls under way."""
+        for task in self._tasks.values():
+            task.cancel()
+
+    def show(self, shown: "metrics.Metrics") -> None:
+        """Shows what the platform answered, and how late reports were."""
+        for (kind, reply), count in self._replies.items():
+            shown.set_count(
+                "pollenfork_platform_replies_total",
+                count,
+                kind=kind,
+                reason=reply.value,
+            )
+        for late_s in self._reported_s:
+            shown.observe("pollenfork_window_report_seconds", late_s)
+        self._reported_s.clear()
+
+    async def _call(self, task: messages.Task, take: TakeReply) -> None:
+        request = self._cloud.write(task)
+        answer = await self._clients[type(task.work)].call(
+            request, ORDER_S, task.before
+        )
+        reply = messages.Reply.NO_ANSWER
+        if answer is not None:
+            reply = self._cloud.read(answer[0])
+        if isinstance(task.work, rows.Order):
+            self._note_order(task.work, task, reply)
+        else:
+            self._note_report(task.work, task, reply)
+        take(task, reply)
+
+    def _note_order(
+        self, order: rows.Order, task: messages.Task, reply: messages.Reply
+    ) -> None:
+        self._replies["order", reply] += 1
+        _LOG.info(
+            "event=runners_ordered service=%s data_centre=%s reclaimable=%s "
+            "count=%d fencing=%d reply=%s",
+            order.subject.service,
+            order.subject.data_centre,
+            order.subject.reclaimable,
+            order.count,
+            task.fencing,
+            reply.value,
+        )
+
+    def _note_report(
+        self,
+        report: messages.Report,
+        task: messages.Task,
+        reply: messages.Reply,
+    ) -> None:
+        late_s = self._read_late(report.window)
+        self._replies["report", reply] += 1
+        if reply is messages.Reply.DONE:
+            self._reported_s.append(late_s)
+        _LOG.info(
+            "event=window_reported window=%d late_ms=%d due=%s fencing=%d "
+            "reply=%s",
+            report.window,
+            late_s * 1000,
+            late_s <= self._duties.due_s,
+            task.fencing,
+            reply.value,
+        )
--- a/pollenfork/gateway/tests/test_officer.py
+++ b/pollenfork/gateway/tests/test_officer.py
@@ -39,6 +39,9 @@
     def cancel(self) -> None:
         pass
 
+    def done(self) -> bool:
+        return True
+
 
 class Store:
     """Carries what would be encoded as it is."""
@@ -101,7 +104,7 @@
             lambda: self.site.now + self.wall_off,
         )
         self.officer._rows.call = self._call_store
-        for client in self.officer._calling.values():
+        for client in self.officer._calls._clients.values():
             client.call = self._call_platform
         self.officer.join(self)
 
@@ -174,9 +177,9 @@
                 if not each.alive:
                     continue
                 if self.rng.random() < begun_each:
-                    each.officer.note_begun(ACCOUNT)
+                    each.officer.accounts.note_begun(ACCOUNT)
                     begun += 1
-                each.officer._tick(self.now)
+                each.officer.tick(self.now)
         return begun
 
     def count_told(self) -> int:
@@ -256,7 +259,7 @@
         )
         own = sum(
             sum(each.counts.values())
-            for each in holder.officer._tallies.list_all()
+            for each in holder.officer.accounts._tallies.list_all()
         )
         holder.start()
         begun += site.run(9.0, begun_each=0.4)
