--- a/pollenfork/gateway/officer.py
+++ b/pollenfork/gateway/officer.py
@@ -283,9 +283,10 @@
             return
         holds = self.office.holds(now)
         age_s = 0.0 if holds else now - self._heard_at
+        holder = self._host if holds else self._holder
         word = loads.HolderWord(
             self._data_centre,
-            self._holder if age_s < _SILENT_S else "",
+            holder if age_s < _SILENT_S else "",
             self.accounts.start,
             age_s,
             tally.sent_at,
