--- a/pollenfork/gateway/accounting.py
+++ b/pollenfork/gateway/accounting.py
@@ -77,17 +77,24 @@
         self._tallies.note(account, self.read_time())
 
     def sweep(self, now: float) -> None:
-        """Takes over the own counts; forgets what is old."""
+        """Forgets what is old."""
         time_now = self._time.read(now)
         self._tallies.forget(time_now)
         self._ledger.forget(time_now, now)
-        self._ledger.take(
-            self._host, self.start, self._tallies.list_all(), time_now, now
-        )
 
-    def agree_on_time(self, now: float) -> None:
-        """Goes by the clocks of all; for the one that acts for all."""
+    def lead(self, now: float) -> None:
+        """Goes by all clocks and takes over the own counts.
+
+        For the one that acts for all.
+        """
         self._time.agree(now)
+        self._ledger.take(
+            self._host,
+            self.start,
+            self._tallies.list_all(),
+            self._time.read(now),
+            now,
+        )
 
     # What instances tell each other.
 
--- a/pollenfork/gateway/officer.py
+++ b/pollenfork/gateway/officer.py
@@ -185,7 +185,7 @@
             self._held_since = now
             self._announce(self._list_candidates())
         self._heard_at = now
-        self.accounts.agree_on_time(now)
+        self.accounts.lead(now)
         if self._duties.reports:
             first = self.office.next_window
             for each in self.accounts.sum_up(first, self._held_since, now):
