--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -16,18 +16,16 @@
 from pollenfork.fleet import choice
 from pollenfork.fleet import evidence
 from pollenfork.fleet import repeats
-from pollenfork.gateway import admission
 from pollenfork.gateway import cache_feed
 from pollenfork.gateway import callers
 from pollenfork.gateway import context
 from pollenfork.gateway import counters
 from pollenfork.gateway import edges
 from pollenfork.gateway import endings
-from pollenfork.gateway import exchange
+from pollenfork.gateway import intake
 from pollenfork.gateway import keeping
 from pollenfork.gateway import kept_page
 from pollenfork.gateway import knowledge
-from pollenfork.gateway import messages
 from pollenfork.gateway import officer
 from pollenfork.gateway import ordering
 from pollenfork.gateway import peers
@@ -35,7 +33,6 @@
 from pollenfork.gateway import probing
 from pollenfork.gateway import readiness
 from pollenfork.gateway import refusals
-from pollenfork.gateway import replies
 from pollenfork.gateway import scrape
 from pollenfork.gateway import settings
 from pollenfork.gateway import sources
@@ -59,7 +56,6 @@
 _LAST_S = 0.8
 _STOP_POLL_S = 0.05
 _BACKLOG = 512
-_BAD_REQUEST = 400
 
 
 Reread = Callable[[], result.Result[settings.GatewaySettings, failures.Failure]]
@@ -167,8 +163,9 @@
         self.counters.when_shown(self._show_state)
         if self._officer is not None:
             self.counters.when_shown(self._officer.show)
-        self._front = callers.Server(self._loop, self._serve)
-        self._probes = callers.Server(self._loop, self._serve_probe)
+        taken = intake.Intake(self._tools, self.known, self._readiness)
+        self._front = callers.Server(self._loop, taken.serve)
+        self._probes = callers.Server(self._loop, taken.serve_probe)
 
     async def run(self) -> None:
         """Serves until told to stop, then ends what is under way."""
@@ -333,64 +330,11 @@
         self._tools.endings.close()
         self._tools.pool.close()
 
-    # Requests.
-
-    async def _serve(
-        self, call: messages.Call, caller: callers.CallerConnection
-    ) -> None:
-        repeated = self._codec.find_repeated(call.headers)
-        if repeated is not None:
-            refusal = replies.Refusal(
-                _BAD_REQUEST, replies.Reason.REPEATED_HEADER
-            )
-            self._refuse(call, caller, refusal, "")
-            return
-        head = self._codec.read_call(call.headers)
-        admitted = admission.admit(self.known, call, head, self._loop.time())
-        if isinstance(admitted, result.Err):
-            self._refuse(call, caller, admitted.err_value, head.attempt)
-            return
-        await exchange.Exchange(self._tools, admitted.ok_value, caller).run()
-
-    def _refuse(
-        self,
-        call: messages.Call,
-        caller: callers.CallerConnection,
-        refusal: replies.Refusal,
-        request: str,
-    ) -> None:
-        self.counters.note_refused(refusal.reason)
-        age_s = self.known.freshness.age(self._loop.time())
-        known = self.known.lookup
-        _LOG.info(
-            "event=refused request=%s status=%d reason=%s host=%s path=%s "
-            "configuration=%s age_ms=%s",
-            logs.write_value(request),
-            refusal.status,
-            refusal.reason.value,
-            logs.write_value(admission.find_host(call)),
-            logs.write_value(admission.find_path(call)),
-            known.configuration.version if known else "-",
-            "-" if age_s is None else int(age_s * 1000),
-        )
-        caller.write(replies.write_refusal(refusal, caller.closing))
-
     def _show_state(self, shown: "metrics.Metrics") -> None:
         scrape.show(
             shown, self._tools, self.known, self._front.counters.refused
         )
 
-    async def _serve_probe(
-        self, call: messages.Call, caller: callers.CallerConnection
-    ) -> None:
-        if not self._codec.is_ready_check(call.target):
-            caller.write(replies.write_text(200, self.counters.write()))
-            return
-        now = self._loop.time()
-        ready = self._readiness.check(now)
-        status = 200 if ready else 503
-        caller.write(replies.write_text(status, b"ready" if ready else b"no"))
-
 
 def _count_nothing(account: ids.AccountId) -> None:
     """Leaves uncounted what nobody is told of."""
