--- a/pollenfork/duties/rows.py
+++ b/pollenfork/duties/rows.py
@@ -4,26 +4,20 @@
 its condition: whoever reads them sees them as of one moment.
 """
 
-from typing import TypeVar
-
 import msgspec
-import result
 
-from pollenfork import failures
 from pollenfork import ids
 from pollenfork.leases import claims
+from pollenfork.leases import records
 
 HOLDER_KEY = "holder"
-FORMAT = 1
+FORMAT = records.FORMAT
+BadRow = records.BadRow
+encode = records.encode
+decode = records.decode
 # Accounts in one row, some 30 bytes each; a row takes 64 KB.
 _ACCOUNTS_EACH = 1500
 
-T = TypeVar("T", bound=msgspec.Struct)
-
-
-class BadRow(failures.Failure, frozen=True, kw_only=True):
-    """A row that this version can't read."""
-
 
 class Subject(msgspec.Struct, frozen=True):
     """What an order to the platform is about.
@@ -103,19 +97,3 @@
         )
         for part, piece in enumerate(pieces)
     )
-
-
-def encode(row: msgspec.Struct) -> bytes:
-    """Returns a row as the bytes that the store keeps."""
-    return msgspec.json.encode(row)
-
-
-def decode(value: bytes, kind: type[T]) -> result.Result[T, BadRow]:
-    """Returns a row, or why this version can't read it."""
-    try:
-        row = msgspec.json.decode(value, type=kind)
-    except msgspec.MsgspecError as error:
-        return result.Err(BadRow(detail=str(error)))
-    if getattr(row, "format", FORMAT) > FORMAT:
-        return result.Err(BadRow(detail="format is too new"))
-    return result.Ok(row)
--- a/pollenfork/endpoints/rows.py
+++ b/pollenfork/endpoints/rows.py
@@ -4,22 +4,17 @@
 the golden files in `tests/golden` keep what earlier versions wrote.
 """
 
-from typing import TypeVar
-
 import msgspec
-import result
 
-from pollenfork import failures
 from pollenfork import ids
 from pollenfork.endpoints import edges
 from pollenfork.leases import claims
+from pollenfork.leases import records
 
-FORMAT = 1
-T = TypeVar("T", bound=msgspec.Struct)
-
-
-class BadRow(failures.Failure, frozen=True, kw_only=True):
-    """A row that this version can't read; it is left alone."""
+FORMAT = records.FORMAT
+BadRow = records.BadRow
+encode = records.encode
+decode = records.decode
 
 
 class PendingOrder(msgspec.Struct, frozen=True, kw_only=True):
@@ -94,20 +89,3 @@
 def drain_key(data_centre: ids.DataCentre, endpoint: str) -> str:
     """Returns the key of an endpoint's drain row; all share a prefix."""
     return f"endpoints/{data_centre}/drains/{endpoint}"
-
-
-def encode(row: msgspec.Struct) -> bytes:
-    """Returns the row as the bytes that the table keeps."""
-    return msgspec.json.encode(row)
-
-
-def decode(value: bytes, kind: type[T]) -> result.Result[T, BadRow]:
-    """Returns the row, or why this version can't read it."""
-    try:
-        row = msgspec.json.decode(value, type=kind)
-    except msgspec.MsgspecError as error:
-        return result.Err(BadRow(detail=str(error)))
-    written = getattr(row, "format", FORMAT)
-    if written > FORMAT:
-        return result.Err(BadRow(detail=f"format {written} is too new"))
-    return result.Ok(row)
--- /dev/null
+++ b/pollenfork/leases/records.py
@@ -0,0 +1,36 @@
+"""Rows of leases as the bytes that the store keeps.
+
+Every format stays readable: a later version adds fields with defaults.
+"""
+
+from typing import TypeVar
+
+import msgspec
+import result
+
+from pollenfork import failures
+
+FORMAT = 1
+
+T = TypeVar("T", bound=msgspec.Struct)
+
+
+class BadRow(failures.Failure, frozen=True, kw_only=True):
+    """A row that this version can't read; it is left alone."""
+
+
+def encode(row: msgspec.Struct) -> bytes:
+    """Returns a row as bytes."""
+    return msgspec.json.encode(row)
+
+
+def decode(value: bytes, kind: type[T]) -> result.Result[T, BadRow]:
+    """Returns a row, or why this version can't read it."""
+    try:
+        row = msgspec.json.decode(value, type=kind)
+    except msgspec.MsgspecError as error:
+        return result.Err(BadRow(detail=str(error)))
+    written = getattr(row, "format", FORMAT)
+    if written > FORMAT:
+        return result.Err(BadRow(detail=f"format {written} is too new"))
+    return result.Ok(row)
