--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -23,10 +23,12 @@
 GATEWAY_SLICES = {
     "gateway",
     "catalogue",
+    "duties",
     "fleet",
     "loads",
     "poison",
     "routes",
+    "scaling",
 }
 EVENT = re.compile(r"event=([a-z_]+)[ \"]")
 
