--- a/pollenfork/gateway/ordering.py
+++ b/pollenfork/gateway/ordering.py
@@ -81,24 +81,22 @@
     def _plan(
         self, service: ids.ServiceName, terms: routes.Scaling, now: float
     ) -> None:
-        zones = self._count(service)
+        view = model.View(self._count(service), self._list_ordered(service))
         usual = self._office.find_baseline(service)
         unasked = usual is None
         if usual is None:
-            usual = planner.find_usual(zones)
+            usual = view.ready
             since = self._grown_at.get(service)
             if since is None or now - since < _SETTLED_S:
                 return  # More of those started together may not be known yet.
             self._office.set_baseline(service, usual)
         planned = self._planners.get(service)
         if planned is None or planned.terms != terms:
-            present = sum(zone.ready for zone in zones.values())
-            need = demand.Demand(usual, present, now)
+            need = demand.Demand(usual, view.ready, now)
             planned = planner.Planner(terms, need, unasked)
             self._planners[service] = planned
-        ordered = self._list_ordered(service)
         use = self._measure(service)
-        for target in planned.plan(zones, use, ordered, now):
+        for target in planned.plan(view, use, now):
             _LOG.info(
                 "event=runners_wanted service=%s data_centre=%s reclaimable=%s "
                 "count=%d before=%s ready=%d backlog_ms=%d taken=%.2f usual=%d",
@@ -106,8 +104,8 @@
                 target.kind.data_centre,
                 target.kind.reclaimable,
                 target.count,
-                ordered.get(target.kind, "-"),
-                sum(zone.ready for zone in zones.values()),
+                view.ordered.get(target.kind, "-"),
+                view.ready,
                 use.backlog_s * 1000,
                 use.taken,
                 planned.usual,
--- a/pollenfork/scaling/planner.py
+++ b/pollenfork/scaling/planner.py
@@ -1,13 +1,12 @@
 """Decides how many runners of which kind each data centre shall have.
 
-Runners that may be taken away cost a fraction of the others, so they do the
-work; the others fill in where none of them are to be had. A runner is let go
+Runners that may be taken away cost a fraction of the firm ones, so they do the
+work; firm ones fill in where none of them are to be had. A runner is let go
 only once another one is ready in its place, as it takes seconds to start and
 what it has read is lost with it. For the same reason nothing is moved merely to
 be spread evenly.
 """
 
-from collections.abc import Mapping
 import math
 
 from pollenfork import ids
@@ -21,17 +20,14 @@
 # Runners that may be taken away aren't asked for again for this long after
 # there were none in a data centre, in seconds.
 _DRY_S = 2.0
-# Dear runners are ordered where no others are to be had and less than this part
+# Firm runners are ordered where no others are to be had and less than this part
 # of all is ready: those of one data centre of three may be taken away at any
 # time.
 _ESSENTIAL = 0.7
-# The part of dear runners that stays while the others start, as long as nobody
+# The part of firm runners that stays while the others start, as long as nobody
 # has asked for anything.
 _UNASKED = 1.0 / 3.0
 
-Zones = Mapping[ids.DataCentre, model.Zone]
-Ordered = Mapping[model.Kind, int]
-
 
 class Planner:
     """Plans one service's runners.
@@ -71,61 +67,61 @@
         self._coming_until.pop(model.Kind(data_centre, True), None)
 
     def plan(
-        self, zones: Zones, use: model.Use, ordered: Ordered, now: float
+        self, view: model.View, use: model.Use, now: float
     ) -> list[model.Target]:
         """Returns what to order now, by data centre and kind.
 
         Args:
-            zones: The runners that take work.
+            view: The runners that there are, and what was ordered last.
             use: How busy they are.
-            ordered: What was ordered last; what never was isn't there.
             now: Monotonic seconds.
         """
         self.unasked = self.unasked and not use.taken
         total = self._demand.find_total(use, now)
-        cheap = self._plan_cheap(total, zones, ordered, now)
-        dear = self._plan_dear(total, sum(cheap.values()), zones, ordered)
-        wanted = {**cheap, **dear}
+        reclaimable = self._plan_reclaimable(total, view, now)
+        firm = self._plan_firm(total, reclaimable, view)
         due = [
             model.Target(kind, count)
-            for kind, count in wanted.items()
-            if self._is_due(kind, count, zones, ordered, now)
+            for kind, count in {**reclaimable, **firm}.items()
+            if self._is_due(kind, count, view, now)
         ]
         for target in due:
-            if target.count > _count(zones, target.kind):
+            if target.count > view.count(target.kind):
                 late_s = self.terms.boot_s + _LATE_S
                 self._coming_until[target.kind] = now + late_s
         return due
 
     # Runners that may be taken away.
 
-    def _plan_cheap(
-        self, total: int, zones: Zones, ordered: Ordered, now: float
+    def _plan_reclaimable(
+        self, total: int, view: model.View, now: float
     ) -> dict[model.Kind, int]:
         """Returns how many there shall be, as far as they are to be had."""
         if self.terms.reclaimable_price is None:
             return {}
         kinds = [model.Kind(each, True) for each in self.terms.prices]
-        have = {
-            kind: self._find_coming(kind, zones, ordered, now) for kind in kinds
-        }
+        have = {kind: self._find_coming(kind, view, now) for kind in kinds}
         missing = total - sum(have.values())
         for _ in range(missing):
-            kind = self._find_least(have, zones, ordered, now)
+            kind = self._find_least(have, view, now)
             if kind is None:
                 break
             have[kind] += 1
-        spare = sum(zone.ready for zone in zones.values()) - total
+        spare = view.ready - total
         for _ in range(min(-missing, spare)):
             have[max(have, key=lambda kind: have[kind])] -= 1
         return have
 
+    def _find_coming(
+        self, kind: model.Kind, view: model.View, now: float
+    ) -> int:
+        """Returns how many are ready or, as ordered, on their way."""
+        if now < self._coming_until.get(kind, 0.0):
+            return max(view.count(kind), view.find_ordered(kind))
+        return view.count(kind)
+
     def _find_least(
-        self,
-        have: dict[model.Kind, int],
-        zones: Zones,
-        ordered: Ordered,
-        now: float,
+        self, have: dict[model.Kind, int], view: model.View, now: float
     ) -> model.Kind | None:
         """Returns where one more goes: all of a place go together."""
         prices = self.terms.prices
@@ -133,8 +129,7 @@
             kind
             for kind, count in have.items()
             if now >= self._dry_until.get(kind.data_centre, 0.0)
-            and count + self._count_dear(kind.data_centre, zones, ordered)
-            < self.terms.most
+            and count + view.count_firm(kind.data_centre) < self.terms.most
         ]
         return min(
             open_kinds,
@@ -142,51 +137,39 @@
             default=None,
         )
 
-    def _count_dear(
-        self, data_centre: ids.DataCentre, zones: Zones, ordered: Ordered
-    ) -> int:
-        kind = model.Kind(data_centre, False)
-        ready = _count(zones, kind)
-        return max(ready, ordered.get(kind, ready))
-
-    # The others.
+    # Those that stay.
 
-    def _plan_dear(
-        self, total: int, cheap: int, zones: Zones, ordered: Ordered
+    def _plan_firm(
+        self, total: int, reclaimable: dict[model.Kind, int], view: model.View
     ) -> dict[model.Kind, int]:
-        """Returns how many there shall be of the others.
+        """Returns how many there shall be of those that stay.
 
         Args:
             total: How many there shall be of both.
-            cheap: How many of the cheap ones are ready or coming.
-            zones: The runners that take work.
-            ordered: What was ordered last.
+            reclaimable: How many of the others are ready or coming.
+            view: The runners that there are, and what was ordered last.
         """
-        kinds = [
-            model.Kind(each, False)
-            for each in sorted(
-                self.terms.prices, key=lambda each: self.terms.prices[each]
-            )
-        ]
-        wanted = {
-            kind: ordered.get(kind, _count(zones, kind)) for kind in kinds
-        }
-        ready = sum(zone.reclaimable for zone in zones.values())
-        self._let_go(wanted, self._find_kept(total, ready, zones))
-        missing = math.ceil(total * _ESSENTIAL) - cheap - sum(wanted.values())
+        prices = self.terms.prices
+        ranked = sorted(prices, key=lambda each: prices[each])
+        kinds = [model.Kind(each, False) for each in ranked]
+        wanted = {kind: view.find_ordered(kind) for kind in kinds}
+        self._let_go(wanted, self._find_kept(total, view.reclaimable))
+        coming = sum(reclaimable.values())
+        missing = math.ceil(total * _ESSENTIAL) - coming - sum(wanted.values())
         for kind in kinds:
-            zone = zones.get(kind.data_centre, model.Zone())
-            room = self.terms.most - zone.reclaimable - wanted[kind]
+            others = reclaimable.get(model.Kind(kind.data_centre, True), 0)
+            room = max(0, self.terms.most - others - wanted[kind])
             added = max(0, min(missing, room))
-            wanted[kind] += added
             missing -= added
+            least = self.terms.least - others
+            wanted[kind] = max(wanted[kind] + added, least)
         return wanted
 
-    def _find_kept(self, total: int, cheap: int, zones: Zones) -> int:
-        """Returns how many of the dear ones may stay."""
+    def _find_kept(self, total: int, ready: int) -> int:
+        """Returns how many may stay beside others that are ready."""
         if self.terms.reclaimable_price is None:
             return total
-        kept = max(0, total - cheap)
+        kept = max(0, total - ready)
         if self.unasked and any(self._coming_until.values()):
             kept = min(kept, math.ceil(total * _UNASKED))
         return kept
@@ -199,36 +182,11 @@
             wanted[kind] -= gone
             spare -= gone
 
-    # Orders.
-
-    def _find_coming(
-        self, kind: model.Kind, zones: Zones, ordered: Ordered, now: float
-    ) -> int:
-        """Returns how many are ready or, as ordered, on their way."""
-        ready = _count(zones, kind)
-        if now < self._coming_until.get(kind, 0.0):
-            return max(ready, ordered.get(kind, 0))
-        return ready
-
     def _is_due(
-        self,
-        kind: model.Kind,
-        count: int,
-        zones: Zones,
-        ordered: Ordered,
-        now: float,
+        self, kind: model.Kind, count: int, view: model.View, now: float
     ) -> bool:
         """Returns whether an order differs, or what was ordered hasn't come."""
-        ready = _count(zones, kind)
-        if count != ordered.get(kind, ready):
+        if count != view.find_ordered(kind):
             return True
-        return ready < count and now >= self._coming_until.get(kind, 0.0)
-
-
-def _count(zones: Zones, kind: model.Kind) -> int:
-    return zones.get(kind.data_centre, model.Zone()).count(kind)
-
-
-def find_usual(zones: Zones) -> int:
-    """Returns how many runners an operator has started a service with."""
-    return sum(zone.ready for zone in zones.values())
+        overdue = now >= self._coming_until.get(kind, 0.0)
+        return view.count(kind) < count and overdue
