--- a/pollenfork/duties/office.py
+++ b/pollenfork/duties/office.py
@@ -35,6 +35,9 @@
 # A row that was read longer ago is read again by whoever would act, in seconds:
 # a claim by what it was long ago fails, and the wait only begins then.
 _RECENT_S = 2.0
+# Windows that wait for the platform; the oldest go when there are more: five
+# minutes of them, some 60 rows of the store at the usual size.
+_WAITING_LIMIT = 60
 # Writes that fail in a row until another one may act sooner than this one.
 _STRUGGLES = 2
 # After a call to the platform that came to nothing, in seconds.
@@ -130,6 +133,11 @@
     def add_report(self, report: messages.Report) -> None:
         """Takes a report to be written down, then told."""
         self._ready[report.window] = report
+        waiting = sorted(set(self._frozen) - self._confirmed)
+        for window in waiting[: max(0, len(waiting) - _WAITING_LIMIT)]:
+            # Nobody was there to be told for as long as that.
+            _LOG.error("event=window_dropped window=%d", window)
+            self._confirmed.add(window)
 
     def add_order(self, order: rows.Order) -> None:
         """Takes an order to be written down, then given."""
--- a/pollenfork/duties/tests/test_schedules.py
+++ b/pollenfork/duties/tests/test_schedules.py
@@ -109,3 +109,21 @@
     world._ask_store = note
     world.run(20.0)
     assert set(map(id, asked)) == {id(holder)}
+
+
+def test_reports_that_nobody_takes_are_bounded() -> None:
+    world = worlds.World(5, machines=3)
+    world.platform_up = False
+    world.run(500.0)
+    (holder,) = world.list_holders()
+    assert len(holder.office._frozen) <= office._WAITING_LIMIT + 3
+    assert len(world.store.rows) <= office._WAITING_LIMIT + 4
+    world.platform_up = True
+    world.run(60.0)
+    told = {
+        call.work.window
+        for call in world.calls
+        if isinstance(call.work, messages.Report)
+    }
+    assert len(told) >= office._WAITING_LIMIT
+    assert len(world.store.rows) <= 3
--- a/pollenfork/gateway/officer.py
+++ b/pollenfork/gateway/officer.py
@@ -229,12 +229,7 @@
             await self._write(step)
 
     async def _read(self) -> None:
-        ask = self._store.write_range_ask(changes.Table.DUTIES, "")
-        answer = await self._rows.call(ask, _STORE_CALL_S)
-        read: result.Result[catalogue.Rows, catalogue.Trouble]
-        read = result.Err(catalogue.Trouble.NO_ANSWER)
-        if answer is not None:
-            read = self._store.read_rows(*answer)
+        read = await self._read_table()
         now = self._loop.time()
         self.office.take_rows(read, now)
         holder = self.office.find_holder(now)
@@ -243,6 +238,26 @@
             self._holder = holder
             self._ask(holder, now)
 
+    async def _read_table(
+        self,
+    ) -> result.Result[catalogue.Rows, catalogue.Trouble]:
+        """Returns all rows of the duties; they may take several answers."""
+        found: tuple[catalogue.Row, ...] = ()
+        start = ""
+        while True:
+            ask = self._store.write_range_ask(changes.Table.DUTIES, start)
+            answer = await self._rows.call(ask, _STORE_CALL_S)
+            if answer is None:
+                return result.Err(catalogue.Trouble.NO_ANSWER)
+            read = self._store.read_rows(*answer)
+            if isinstance(read, result.Err):
+                return read
+            page = read.ok_value
+            found += page.rows
+            if not page.more or not page.rows:
+                return result.Ok(catalogue.Rows(found, page.version))
+            start = page.rows[-1].key + "\0"
+
     async def _write(self, step: messages.Write) -> None:
         change = self._store.write_change(_make_change(step))
         answer = await self._rows.call(change, _STORE_CALL_S)
--- a/pollenfork/gateway/tests/test_officer.py
+++ b/pollenfork/gateway/tests/test_officer.py
@@ -7,12 +7,14 @@
 import result
 
 from pollenfork import ids
+from pollenfork.catalogue import messages as catalogue
 from pollenfork.duties import messages
 from pollenfork.duties.tests import world as worlds
 from pollenfork.gateway import officer
 from pollenfork.gateway import settings
 
 ACCOUNT = ids.AccountId("a")
+PAGE = 2  # Rows in an answer of the store.
 
 
 class Loop:
@@ -50,13 +52,17 @@
         self._site = site
 
     def write_range_ask(self, table, start):
-        return "read"
+        return ("read", start)
 
     def write_change(self, change):
         return change
 
     def read_rows(self, status, body):
-        return result.Ok(self._site.rows.read())
+        rows = self._site.rows.read()
+        left = [row for row in rows.rows if row.key >= body]
+        page = tuple(sorted(left, key=lambda row: row.key)[:PAGE])
+        more = len(left) > PAGE
+        return result.Ok(catalogue.Rows(page, rows.version, more))
 
     def read_changed(self, status, body):
         return body
@@ -121,11 +127,13 @@
     async def _call_store(self, request, timeout_s):
         if not self.reaches_store:
             return None
-        if request == "read":
-            return 200, b""
+        if isinstance(request, tuple):
+            return 200, request[1]
         return 200, self.site.change(request)
 
     async def _call_platform(self, task, timeout_s, before):
+        if not self.site.platform_up:
+            return None
         if self.site.now < before:
             self.site.told.append((self.site.now, self.host, task))
         return 200, b""
@@ -141,6 +149,7 @@
         self.told: list[tuple] = []
         self.first: dict[str, str] = {}
         self.loss = 0.0
+        self.platform_up = True
         self.instances: list[Instance] = []
         self.instances = [Instance(self, n) for n in range(count)]
 
@@ -330,6 +339,26 @@
     play(check)
 
 
+def test_a_next_holder_reads_reports_over_several_answers() -> None:
+    def check() -> None:
+        site = Site(5)
+        site.run(8.0)
+        site.platform_up = False
+        begun = site.run(25.0, begun_each=0.4)
+        holder = find_holder(site)
+        assert len(holder.officer.office._frozen) > PAGE
+        holder.alive = False
+        site.platform_up = True
+        site.run(20.0)
+        own = sum(
+            sum(each.counts.values())
+            for each in holder.officer.accounts._tallies.list_all()
+        )
+        assert begun - own <= site.count_told() <= begun
+
+    play(check)
+
+
 def find_holder(site: Site) -> Instance:
     return next(
         each for each in site.instances if each.officer.office.holds(site.now)
