--- a/pollenfork/duties/office.py
+++ b/pollenfork/duties/office.py
@@ -6,7 +6,7 @@
 way at a time.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 import logging
 
 import msgspec
@@ -15,6 +15,7 @@
 from pollenfork import ids
 from pollenfork.catalogue import changes
 from pollenfork.catalogue import messages as catalogue
+from pollenfork.duties import agenda
 from pollenfork.duties import messages
 from pollenfork.duties import rows
 from pollenfork.leases import lease
@@ -35,13 +36,8 @@
 # A row that was read longer ago is read again by whoever would act, in seconds:
 # a claim by what it was long ago fails, and the wait only begins then.
 _RECENT_S = 2.0
-# Windows that wait for the platform; the oldest go when there are more: five
-# minutes of them, some 60 rows of the store at the usual size.
-_WAITING_LIMIT = 60
 # Writes that fail in a row until another one may act sooner than this one.
 _STRUGGLES = 2
-# After a call to the platform that came to nothing, in seconds.
-_PAUSE_S = 0.5
 
 
 class Office:
@@ -49,6 +45,7 @@
 
     Attributes:
         claims: How often this instance began to act for all.
+        agenda: What the platform is to be told.
     """
 
     def __init__(
@@ -78,15 +75,7 @@
         self._not_before = 0.0
         self._read_at = float("-inf")
         self._failures = 0
-        self._ready: dict[int, messages.Report] = {}
-        self._frozen: dict[int, messages.Report] = {}
-        self._stored_keys: dict[int, tuple[str, ...]] = {}
-        self._confirmed: set[int] = set()
-        self._orders: dict[rows.Subject, rows.Order] = {}
-        self._wanted: dict[rows.Subject, rows.Order] = {}
-        self._accepted: dict[rows.Subject, rows.Order] = {}
-        self._baselines: dict[ids.ServiceName, int] = {}
-        self._paused_until: dict[int | rows.Subject, float] = {}
+        self.agenda = agenda.Agenda()
 
     def holds(self, now: float) -> bool:
         """Returns whether this instance may act for all."""
@@ -112,37 +101,11 @@
     @property
     def next_window(self) -> int:
         """The first window without a report, written down or ready."""
-        row = self._lease.row
-        written = row.next_window if row else 0
-        return max([written, *(window + 1 for window in self._ready)])
-
-    def list_orders(self) -> list[rows.Order]:
-        """Returns the latest order on each subject."""
-        return list({**self._orders, **self._wanted}.values())
+        return self.agenda.find_next_window(self._lease.row)
 
     def find_baseline(self, service: ids.ServiceName) -> int | None:
         """Returns how many runners a service was started with, if known."""
-        row = self._lease.row
-        written = row.baselines if row else {}
-        return self._baselines.get(service, written.get(service))
-
-    def set_baseline(self, service: ids.ServiceName, count: int) -> None:
-        """Takes how many runners a service was started with."""
-        self._baselines[service] = count
-
-    def add_report(self, report: messages.Report) -> None:
-        """Takes a report to be written down, then told."""
-        self._ready[report.window] = report
-        waiting = sorted(set(self._frozen) - self._confirmed)
-        for window in waiting[: max(0, len(waiting) - _WAITING_LIMIT)]:
-            # Nobody was there to be told for as long as that.
-            _LOG.error("event=window_dropped window=%d", window)
-            self._confirmed.add(window)
-
-    def add_order(self, order: rows.Order) -> None:
-        """Takes an order to be written down, then given."""
-        self._wanted[order.subject] = order
-        self._accepted.pop(order.subject, None)
+        return self.agenda.find_baseline(self._lease.row, service)
 
     def next_step(self, now: float, stands: bool) -> messages.Step | None:
         """Returns the next call to the store, if there is one to make.
@@ -172,7 +135,7 @@
         stored = known.pop(rows.HOLDER_KEY, None)
         if stored is None:
             self._lease.observe(None, lease.ABSENT, now)
-            self._adopt(())
+            self.agenda.adopt(None, ())
             return
         row = rows.decode(stored.value, rows.HolderRow)
         if isinstance(row, result.Err):
@@ -184,7 +147,7 @@
             self._not_before = now + _LOOK_S
             return
         self._lease.observe(row.ok_value, stored.version, now)
-        self._adopt(known.values())
+        self.agenda.adopt(row.ok_value, known.values())
 
     def take_commit(
         self, answer: result.Result[int, changes.Trouble], now: float
@@ -202,37 +165,11 @@
 
     def next_report(self, now: float) -> messages.Task | None:
         """Returns the oldest report that is to be told now."""
-        due = sorted(set(self._frozen) - self._confirmed)
-        for window in due:
-            if now >= self._paused_until.get(window, now):
-                return self._make_task(self._frozen[window], now)
-        return None
+        return self._make_task(self.agenda.next_report(now), now)
 
     def next_order(self, now: float) -> messages.Task | None:
         """Returns an order that is to be given now."""
-        for subject, order in self._orders.items():
-            if self._accepted.get(subject) == order or subject in self._wanted:
-                continue
-            if now >= self._paused_until.get(subject, now):
-                return self._make_task(order, now)
-        return None
-
-    def take_reply(
-        self, task: messages.Task, reply: messages.Reply, now: float
-    ) -> None:
-        """Takes in what the platform answered."""
-        work = task.work
-        again = reply in (messages.Reply.BUSY, messages.Reply.NO_ANSWER)
-        if isinstance(work, messages.Report):
-            if again:
-                self._paused_until[work.window] = now + _PAUSE_S
-            else:
-                self._confirmed.add(work.window)
-            return
-        if again:
-            self._paused_until[work.subject] = now + _PAUSE_S
-        else:
-            self._accepted[work.subject] = work
+        return self._make_task(self.agenda.next_order(now), now)
 
     # Holding the row.
 
@@ -240,7 +177,7 @@
         hold = self._lease.read_hold(now, False)
         if hold is lease.Hold.MINE:
             due = self._lease.read_age(now) >= self._limits.lease_s * _RENEWED
-            return self._write(now) if due or self._has_news() else None
+            return self._write(now) if due or self.agenda.has_news else None
         if hold is lease.Hold.LAPSED:
             return self._claim(now)
         unsure = hold is lease.Hold.UNREAD and now < self._lease.act_until()
@@ -251,10 +188,7 @@
         return self._claim(now) if hold is lease.Hold.FREE else None
 
     def _claim(self, now: float) -> messages.Write:
-        # Whatever this instance had ready is of the time when it held.
-        self._ready.clear()
-        self._wanted.clear()
-        self._baselines.clear()
+        self.agenda.begin()
         claim = self._lease.propose_claim(now)
         row = msgspec.structs.replace(claim, host=self._host)
         return messages.Write(row, self._lease.version)
@@ -262,27 +196,11 @@
     def _write(self, now: float) -> messages.Write:
         old = self._lease.row
         assert old is not None
-        ready = sorted(self._ready.values(), key=lambda each: each.window)
-        orders = {**self._orders, **self._wanted}
-        changed = msgspec.structs.replace(
-            old,
-            next_window=self.next_window,
-            orders=tuple(orders.values()),
-            baselines={**old.baselines, **self._baselines},
-        )
         return messages.Write(
-            self._lease.propose(changed, now),
+            self._lease.propose(self.agenda.change(old), now),
             self._lease.version,
-            tuple(
-                part
-                for report in ready
-                for part in rows.cut_report(report.window, report.counts)
-            ),
-            tuple(
-                key
-                for window in sorted(self._confirmed)
-                for key in self._stored_keys.get(window, ())
-            ),
+            self.agenda.list_reports(),
+            self.agenda.list_removable(),
         )
 
     def _back_off(self, now: float) -> None:
@@ -290,9 +208,6 @@
         self._failures += 1
         self._not_before = now + wait_s
 
-    def _has_news(self) -> bool:
-        return bool(self._ready or self._wanted)
-
     def _note_written(
         self, written: messages.Write, version: int, now: float
     ) -> None:
@@ -301,67 +216,22 @@
         self._lease.confirm(written.row, version, now)
         self._not_before = now + _SPACING_S
         if before is None or before.fencing != written.row.fencing:
-            self._accepted.clear()
             self.claims += 1
+            self.agenda.note_taken()
             _LOG.info(
                 "event=duties_taken fencing=%d after=%s next_window=%d "
                 "frozen=%d",
                 written.row.fencing,
                 before.holder if before else "-",
                 written.row.next_window,
-                len(self._frozen),
+                len(self.agenda.frozen),
             )
-        for part in written.reports:
-            report = self._ready.pop(part.window, None)
-            if report is not None:
-                self._frozen[part.window] = report
-            key = rows.report_key(part.window, part.part)
-            keys = self._stored_keys.get(part.window, ())
-            self._stored_keys[part.window] = (*keys, key)
-        self._orders = {each.subject: each for each in written.row.orders}
-        self._wanted = {
-            subject: order
-            for subject, order in self._wanted.items()
-            if self._orders.get(subject) != order
-        }
-        self._forget(set(written.removed))
-
-    def _adopt(self, stored: Iterable[catalogue.Row]) -> None:
-        """Takes over what is written down, by whomever."""
-        row = self._lease.row
-        parts: dict[int, list[rows.ReportRow]] = {}
-        self._stored_keys = {}
-        for each in stored:
-            read = rows.decode(each.value, rows.ReportRow)
-            if isinstance(read, result.Err):
-                continue  # Nothing that this version has to tell.
-            part = read.ok_value
-            parts.setdefault(part.window, []).append(part)
-            keys = self._stored_keys.get(part.window, ())
-            self._stored_keys[part.window] = (*keys, each.key)
-        self._frozen = {
-            window: _join(window, found)
-            for window, found in parts.items()
-            if len(found) == found[0].parts
-        }
-        written = row.next_window if row else 0
-        self._ready = {w: r for w, r in self._ready.items() if w >= written}
-        orders = row.orders if row else ()
-        self._orders = {each.subject: each for each in orders}
-
-    def _forget(self, removed: set[str]) -> None:
-        for window in sorted(self._confirmed):
-            keys = self._stored_keys.get(window, ())
-            if removed.issuperset(keys):
-                self._confirmed.discard(window)
-                self._frozen.pop(window, None)
-                self._stored_keys.pop(window, None)
-                self._paused_until.pop(window, None)
+        self.agenda.note_written(written)
 
     def _make_task(
-        self, work: messages.Report | rows.Order, now: float
+        self, work: messages.Report | rows.Order | None, now: float
     ) -> messages.Task | None:
-        if not self.holds(now):
+        if work is None or not self.holds(now):
             return None
         return messages.Task(self.fencing, self._lease.act_until(), work)
 
@@ -376,10 +246,3 @@
         order_ms=0,
         next_window=window,
     )
-
-
-def _join(window: int, parts: list[rows.ReportRow]) -> messages.Report:
-    counts: dict[ids.AccountId, int] = {}
-    for part in parts:
-        counts.update(part.counts)
-    return messages.Report(window, counts)
--- a/pollenfork/duties/tests/test_schedules.py
+++ b/pollenfork/duties/tests/test_schedules.py
@@ -3,6 +3,7 @@
 import msgspec
 import pytest
 
+from pollenfork.duties import agenda
 from pollenfork.duties import messages
 from pollenfork.duties import office
 from pollenfork.duties.tests import schedules
@@ -31,6 +32,8 @@
 
 def test_who_acts_after_its_lease_is_found(monkeypatch) -> None:
     def make(self, work, now):
+        if work is None:
+            return None
         return messages.Task(self.fencing, float("inf"), work)
 
     monkeypatch.setattr(office.Office, "_make_task", make)
@@ -53,11 +56,11 @@
     monkeypatch,
 ) -> None:
     def find(self, now):
-        ready = {**self._ready, **self._frozen}
+        ready = {**self._ready, **self.frozen}
         due = sorted(set(ready) - self._confirmed)
-        return self._make_task(ready[due[0]], now) if due else None
+        return ready[due[0]] if due else None
 
-    monkeypatch.setattr(office.Office, "next_report", find)
+    monkeypatch.setattr(agenda.Agenda, "next_report", find)
     assert any("two reports" in each for each in _find_broken())
 
 
@@ -82,7 +85,7 @@
     world.platform_up = False
     world.run(8.0)
     (holder,) = world.list_holders()
-    frozen = dict(holder.office._frozen)
+    frozen = dict(holder.office.agenda.frozen)
     holder.alive = False
     world.platform_up = True
     world.run(12.0)
@@ -116,8 +119,8 @@
     world.platform_up = False
     world.run(500.0)
     (holder,) = world.list_holders()
-    assert len(holder.office._frozen) <= office._WAITING_LIMIT + 3
-    assert len(world.store.rows) <= office._WAITING_LIMIT + 4
+    assert len(holder.office.agenda.frozen) <= agenda.WAITING_LIMIT + 3
+    assert len(world.store.rows) <= agenda.WAITING_LIMIT + 4
     world.platform_up = True
     world.run(60.0)
     told = {
@@ -125,5 +128,5 @@
         for call in world.calls
         if isinstance(call.work, messages.Report)
     }
-    assert len(told) >= office._WAITING_LIMIT
+    assert len(told) >= agenda.WAITING_LIMIT
     assert len(world.store.rows) <= 3
--- a/pollenfork/duties/tests/world.py
+++ b/pollenfork/duties/tests/world.py
@@ -195,10 +195,10 @@
             # Each machine counts something else: who writes first is frozen.
             counts = {ids.AccountId(machine.name): self.rng.randint(1, 9)}
             report = messages.Report(office.next_window, counts)
-            office.add_report(report)
+            office.agenda.add_report(report)
         if self.rng.random() < 0.05:
             order = rows.Order(_SUBJECT, self.rng.randint(1, 9))
-            office.add_order(order)
+            office.agenda.add_order(order)
 
     def _ask_store(self, machine: Machine, step: messages.Step) -> None:
         process = machine.process
@@ -259,7 +259,7 @@
                 return
             done.append(reply)
             machine.busy.discard(kind)
-            machine.office.take_reply(task, reply, self.now)
+            machine.office.agenda.take_reply(task.work, reply, self.now)
 
         def arrive() -> None:
             if not self.platform_up:
--- a/pollenfork/gateway/officer.py
+++ b/pollenfork/gateway/officer.py
@@ -189,7 +189,7 @@
         if self._duties.reports:
             first = self.office.next_window
             for each in self.accounts.sum_up(first, self._held_since, now):
-                self.office.add_report(each)
+                self.office.agenda.add_report(each)
         for call in self._on_held:
             call(now)
         self._calls.begin(self.office.next_report(now), self._take_reply)
@@ -197,7 +197,7 @@
 
     def _take_reply(self, task: messages.Task, reply: messages.Reply) -> None:
         now = self._loop.time()
-        self.office.take_reply(task, reply, now)
+        self.office.agenda.take_reply(task.work, reply, now)
         for call in self._on_reply:
             call(task, reply, now)
 
--- a/pollenfork/gateway/ordering.py
+++ b/pollenfork/gateway/ordering.py
@@ -89,7 +89,7 @@
             since = self._grown_at.get(service)
             if since is None or now - since < _SETTLED_S:
                 return  # More of those started together may not be known yet.
-            self._office.set_baseline(service, usual)
+            self._office.agenda.set_baseline(service, usual)
         planned = self._planners.get(service)
         if planned is None or planned.terms != terms:
             need = demand.Demand(usual, view.ready, now)
@@ -113,7 +113,7 @@
             subject = rows.Subject(
                 service, target.kind.data_centre, target.kind.reclaimable
             )
-            self._office.add_order(rows.Order(subject, target.count))
+            self._office.agenda.add_order(rows.Order(subject, target.count))
 
     def _note_growth(self, now: float) -> None:
         """Notes since when the runners of each service are as many."""
@@ -146,6 +146,6 @@
             model.Kind(
                 each.subject.data_centre, each.subject.reclaimable
             ): each.count
-            for each in self._office.list_orders()
+            for each in self._office.agenda.list_orders()
             if each.subject.service == service
         }
--- a/pollenfork/gateway/tests/test_officer.py
+++ b/pollenfork/gateway/tests/test_officer.py
@@ -346,7 +346,7 @@
         site.platform_up = False
         begun = site.run(25.0, begun_each=0.4)
         holder = find_holder(site)
-        assert len(holder.officer.office._frozen) > PAGE
+        assert len(holder.officer.office.agenda.frozen) > PAGE
         holder.alive = False
         site.platform_up = True
         site.run(20.0)
