--- /dev/null
+++ b/pollenfork/gateway/duty_rows.py
@@ -0,0 +1,84 @@
+"""Reads and writes the duties' rows in the store."""
+
+import logging
+
+import result
+
+from pollenfork.catalogue import changes
+from pollenfork.catalogue import messages as catalogue
+from pollenfork.duties import messages
+from pollenfork.duties import rows
+from pollenfork.gateway import client
+from pollenfork.gateway import edges
+from pollenfork.gateway import settings
+
+_LOG = logging.getLogger(__name__)
+
+# A call takes some milliseconds; the store may be slow.
+_CALL_S = 1.0
+
+
+class DutyRows:
+    """The table of the duties, one call at a time."""
+
+    def __init__(self, address: settings.Address, store: edges.Store) -> None:
+        """Takes what it needs.
+
+        Args:
+            address: The store's.
+            store: Encodes and decodes its calls.
+        """
+        self._client = client.Client(address)
+        self._store = store
+
+    async def read(self) -> result.Result[catalogue.Rows, catalogue.Trouble]:
+        """Returns all rows; they may take several answers."""
+        found: tuple[catalogue.Row, ...] = ()
+        start = ""
+        while True:
+            ask = self._store.write_range_ask(changes.Table.DUTIES, start)
+            answer = await self._client.call(ask, _CALL_S)
+            if answer is None:
+                return result.Err(catalogue.Trouble.NO_ANSWER)
+            read = self._store.read_rows(*answer)
+            if isinstance(read, result.Err):
+                return read
+            page = read.ok_value
+            found += page.rows
+            if not page.more or not page.rows:
+                return result.Ok(catalogue.Rows(found, page.version))
+            start = page.rows[-1].key + "\0"
+
+    async def write(
+        self, step: messages.Write
+    ) -> result.Result[int, changes.Trouble]:
+        """Returns the version of what was written, or why it wasn't."""
+        change = self._store.write_change(_make_change(step))
+        answer = await self._client.call(change, _CALL_S)
+        written: result.Result[int, changes.Trouble]
+        written = result.Err(changes.Trouble.NO_ANSWER)
+        if answer is not None:
+            written = self._store.read_changed(*answer)
+        if isinstance(written, result.Err):
+            _LOG.warning(
+                "event=duty_write_failed fencing=%d trouble=%s",
+                step.row.fencing,
+                written.err_value.value,
+            )
+        return written
+
+
+def _make_change(step: messages.Write) -> changes.Change:
+    """Returns the rows that a write of the holder changes."""
+    table = changes.Table.DUTIES
+    holder = changes.Put(
+        table, rows.HOLDER_KEY, rows.encode(step.row), step.version
+    )
+    reports = [
+        changes.Put(
+            table, rows.report_key(each.window, each.part), rows.encode(each)
+        )
+        for each in step.reports
+    ]
+    removed = [changes.Key(table, key) for key in step.removed]
+    return changes.Change((holder, *reports), tuple(removed))
--- a/pollenfork/gateway/officer.py
+++ b/pollenfork/gateway/officer.py
@@ -7,16 +7,11 @@
 import time
 from typing import TYPE_CHECKING, Protocol
 
-import result
-
 from pollenfork import ids
-from pollenfork.catalogue import changes
-from pollenfork.catalogue import messages as catalogue
 from pollenfork.duties import messages
 from pollenfork.duties import office
-from pollenfork.duties import rows
 from pollenfork.gateway import accounting
-from pollenfork.gateway import client
+from pollenfork.gateway import duty_rows
 from pollenfork.gateway import edges
 from pollenfork.gateway import platform_calls
 from pollenfork.gateway import settings
@@ -33,7 +28,6 @@
 _LEASE_PART = 1.2
 # Clocks that run at different rates, and this process's own delay, in seconds.
 _MARGIN_S = 0.3
-_STORE_CALL_S = 1.0
 _TICK_S = 0.1
 # How often an instance tells what it has counted, in seconds; less often where
 # there are many, so that the holder takes in some 170 tellings a second.
@@ -96,7 +90,6 @@
         """
         self._loop = loop
         self._duties = duties
-        self._store = store
         self._rng = rng
         self._host = told.front.host
         self._data_centre = told.data_centre
@@ -123,7 +116,7 @@
         self._holder = ""
         self._heard_at = self._held_since = now
         self._tell_at = now
-        self._rows = client.Client(told.store)
+        self._rows = duty_rows.DutyRows(told.store, store)
         self._tasks: set[asyncio.Task[None]] = set()
         self._on_held: list[Callable[[float], None]] = []
         self._on_reply: list[TakeReply] = []
@@ -229,7 +222,7 @@
             await self._write(step)
 
     async def _read(self) -> None:
-        read = await self._read_table()
+        read = await self._rows.read()
         now = self._loop.time()
         self.office.take_rows(read, now)
         holder = self.office.find_holder(now)
@@ -238,39 +231,8 @@
             self._holder = holder
             self._ask(holder, now)
 
-    async def _read_table(
-        self,
-    ) -> result.Result[catalogue.Rows, catalogue.Trouble]:
-        """Returns all rows of the duties; they may take several answers."""
-        found: tuple[catalogue.Row, ...] = ()
-        start = ""
-        while True:
-            ask = self._store.write_range_ask(changes.Table.DUTIES, start)
-            answer = await self._rows.call(ask, _STORE_CALL_S)
-            if answer is None:
-                return result.Err(catalogue.Trouble.NO_ANSWER)
-            read = self._store.read_rows(*answer)
-            if isinstance(read, result.Err):
-                return read
-            page = read.ok_value
-            found += page.rows
-            if not page.more or not page.rows:
-                return result.Ok(catalogue.Rows(found, page.version))
-            start = page.rows[-1].key + "\0"
-
     async def _write(self, step: messages.Write) -> None:
-        change = self._store.write_change(_make_change(step))
-        answer = await self._rows.call(change, _STORE_CALL_S)
-        written: result.Result[int, changes.Trouble]
-        written = result.Err(changes.Trouble.NO_ANSWER)
-        if answer is not None:
-            written = self._store.read_changed(*answer)
-        if isinstance(written, result.Err):
-            _LOG.warning(
-                "event=duty_write_failed fencing=%d trouble=%s",
-                step.row.fencing,
-                written.err_value.value,
-            )
+        written = await self._rows.write(step)
         self.office.take_commit(written, self._loop.time())
 
     # What instances tell each other.
@@ -343,19 +305,3 @@
         task = self._loop.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-
-
-def _make_change(step: messages.Write) -> changes.Change:
-    """Returns the rows that a write of the holder changes."""
-    table = changes.Table.DUTIES
-    holder = changes.Put(
-        table, rows.HOLDER_KEY, rows.encode(step.row), step.version
-    )
-    reports = [
-        changes.Put(
-            table, rows.report_key(each.window, each.part), rows.encode(each)
-        )
-        for each in step.reports
-    ]
-    removed = [changes.Key(table, key) for key in step.removed]
-    return changes.Change((holder, *reports), tuple(removed))
--- a/pollenfork/gateway/tests/test_officer.py
+++ b/pollenfork/gateway/tests/test_officer.py
@@ -109,7 +109,7 @@
             random.Random(f"{self.host} {self.site.now}"),
             lambda: self.site.now + self.wall_off,
         )
-        self.officer._rows.call = self._call_store
+        self.officer._rows._client.call = self._call_store
         for client in self.officer._calls._clients.values():
             client.call = self._call_platform
         self.officer.join(self)
