--- a/pollenfork/platform/tests/test_gateway.py
+++ b/pollenfork/platform/tests/test_gateway.py
@@ -8,6 +8,7 @@
 import signal
 
 import msgspec
+import pytest
 import result
 
 from pollenfork import failures
@@ -101,6 +102,44 @@
         return b" 200 " in line
 
 
+@contextlib.contextmanager
+def keep_signals():
+    """Leaves the process's signals as they are: a closed loop resets them."""
+    numbers = (signal.SIGHUP, signal.SIGINT, signal.SIGTERM)
+    kept = {number: signal.getsignal(number) for number in numbers}
+    try:
+        yield
+    finally:
+        for number, handler in kept.items():
+            signal.signal(number, handler)
+
+
+@pytest.fixture(autouse=True)
+def _keep_signals():
+    with keep_signals():
+        yield
+
+
+# What was seen: a test process was gone in CI, twice, while it played a
+# schedule of the simulation; no other word. How it came about: the shell that
+# had started CI in the background hung up, which CI was told to ignore. Cause:
+# the loop of a gateway in a test before had set what a hang-up does to its
+# default, which ends the process. Proof: the process ended with status 129.
+def test_a_gateway_in_a_test_leaves_the_process_its_signals() -> None:
+    before = signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+    async def run():
+        async with run_bench():
+            pass
+
+    try:
+        with keep_signals():
+            asyncio.run(run())
+        assert signal.getsignal(signal.SIGHUP) is signal.SIG_IGN
+    finally:
+        signal.signal(signal.SIGHUP, before)
+
+
 @contextlib.asynccontextmanager
 async def run_bench(revocation_s: float = 5.0):
     bench = Bench(revocation_s)
