--- a/pollenfork/poison/book.py
+++ b/pollenfork/poison/book.py
@@ -169,6 +169,7 @@
         case.answered = stored.answered
         for end in stored.ends:
             case.add(end, now)
+        self._places = None
         self.keep_back(case, now)
         self._limit()
 
@@ -197,7 +198,7 @@
         for digest, case in list(self._cases.items()):
             if case.kept_since is None:
                 if now - case.moved_at > cases.LAPSE_S:
-                    del self._cases[digest]
+                    self._drop(digest)
                 elif len(case.ends) >= cases.ENDS_ALLOWED:
                     self.judge(digest, now)
             elif case.cleared_at is not None:
@@ -281,7 +282,11 @@
         if len(self._cases) <= _CASES_LIMIT:
             return
         light = (d for d, case in self._cases.items() if not case.is_serious)
-        del self._cases[next(light, next(iter(self._cases)))]
+        self._drop(next(light, next(iter(self._cases))))
+
+    def _drop(self, digest: ids.RequestDigest) -> None:
+        del self._cases[digest]
+        self._places = None
 
 
 def _explains(other: cases.Case, known: cases.End, end: cases.End) -> bool:
--- a/pollenfork/poison/tests/test_popular.py
+++ b/pollenfork/poison/tests/test_popular.py
@@ -103,3 +103,32 @@
     known = make_book()
     ahead = cases.End(FIRST, 9.9, 10.1, 1)
     assert not known.note_end(POISON, ahead, 10.0)
+
+
+# What was seen: nothing yet; found by reading. How it comes about: an instance
+# that has looked its ends up by place goes on with that list. Cause: it was
+# made anew for ends that were told, not for those read from the store, and not
+# when cases were forgotten. Proof: the two tests below failed.
+def test_what_was_stored_explains_the_ends_of_a_popular_text() -> None:
+    known = make_book()
+    known.note_answered(POPULAR, 7.0)
+    for number, place in enumerate((FIRST, SECOND, THIRD)):
+        note(known, POPULAR, place, 8.0 + number, 0.04)
+    assert known.judge(POPULAR, 10.1) is cases.Verdict.KEPT_BACK
+    ends = [
+        cases.End(place, 7.95 + number, 8.001 + number, 1, 1.0)
+        for number, place in enumerate((FIRST, SECOND, THIRD))
+    ]
+    known.restore(cases.Case(POISON, ends), 10.2)
+    known.sweep(10.6)
+    assert known.judge(POPULAR, 10.6) is not cases.Verdict.KEPT_BACK
+
+
+def test_what_was_forgotten_explains_nothing() -> None:
+    known = make_book()
+    known.note_answered(POPULAR, 1.0)
+    note(known, POISON, FIRST, 2.0, 0.05)
+    known.sweep(2.1)
+    assert known._find_places()
+    known.sweep(2.0 + 2 * cases.LAPSE_S)
+    assert not known._find_places()
