--- a/pollenfork/gateway/officer.py
+++ b/pollenfork/gateway/officer.py
@@ -260,12 +260,11 @@
             return
         holds = self.office.holds(now) and not self.office.struggles
         age_s = 0.0 if holds else now - self._heard_at
-        holder = self._host if holds else self._holder
-        if holder == self._host and not holds:
-            holder = ""
+        known = self._holder != self._host and age_s < _SILENT_S
+        holder = self._host if holds else self._holder if known else ""
         word = loads.HolderWord(
             self._data_centre,
-            holder if holds or age_s < _SILENT_S else "",
+            holder,
             self.accounts.start,
             age_s,
             tally.sent_at,
