--- a/pollenfork/duties/tests/test_bounds.py
+++ b/pollenfork/duties/tests/test_bounds.py
@@ -9,6 +9,7 @@
 from pollenfork.gateway import officer
 from pollenfork.gateway import platform_calls
 from pollenfork.gateway import settings
+from pollenfork.poison.tests import pages
 
 PAGE = pathlib.Path(__file__).parents[3] / "docs" / "design" / "duties.md"
 BOUNDS = settings.DutySettings(platform=settings.Address("10.0.0.1", 1))
@@ -45,11 +46,6 @@
 
 
 def test_the_page_states_the_sums() -> None:
-    rows = [
-        [cell.strip() for cell in line.split("|")[1:-1]]
-        for line in PAGE.read_text().splitlines()
-        if line.startswith("|")
-    ]
     for name, total in SUMS.items():
-        row = next(row for row in rows if name in row[0])
+        row = pages.find_row(PAGE, name)
         assert row[2] == f"{total:.1f} s", (name, total)
--- a/pollenfork/poison/tests/test_bounds.py
+++ b/pollenfork/poison/tests/test_bounds.py
@@ -10,6 +10,7 @@
 from pollenfork.loads import rumours
 from pollenfork.poison import cases
 from pollenfork.poison import witness
+from pollenfork.poison.tests import pages
 
 WINDOW_S = 3.0
 # A way of a datagram, and a connection that is refused.
@@ -37,12 +38,7 @@
 
 
 def test_the_page_states_the_sums() -> None:
-    rows = [
-        [cell.strip() for cell in line.split("|")[1:-1]]
-        for line in PAGE.read_text().splitlines()
-        if line.startswith("|")
-    ]
     for name, total in SUMS.items():
-        row = next(row for row in rows if name in row[0])
+        row = pages.find_row(PAGE, name)
         assert row[1] == f"{total:.2f} s", name
         assert row[2] == f"{WINDOW_S - total:.2f} s", name
