Hold a request back while the ends that may be under it are in doubt

Cause: whoever is told of an end checks the runner by a new connection. A runner that is back by then answers as if it had never ended, so the end was taken for a made-up one until the registry told of the new start, 0.8 to 1 s later. The same holds for a break of one's own whose check comes late.

Why it holds: ends that only time can tell from made-up ones, and breaks here that aren't proven yet, are assumed to be true for the second that the registry needs: where the request would be kept back then, it is refused with a Retry-After of 1 s and neither sent nor counted. Others' words are in doubt, rather than false, only if this instance saw an end under the same request itself, two are proven here, or two others saw one each. A single instance that accuses everything refuses nothing by it; the tests of that are unchanged.

--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -37,6 +37,9 @@
 # The same for a request that is kept back, in seconds: it stays so until an
 # operator or a runner's answer clears it.
 _KEPT_BACK_S = 60.0
+# The same for one that may have ended as many runners, in seconds: until then
+# the registry tells of a runner's new start.
+_DOUBTED_S = 1.0
 # Callers wait no longer than a third of their time, 2.7 s for the longest.
 _LONGEST_COME_BACK_S = 2.5
 # A backlog that takes limited runners longer than this, in seconds, is unlikely
@@ -104,6 +107,9 @@
             ):
                 self._give_up(_Reason.ENDS_RUNNERS, _KEPT_BACK_S)
                 return
+            if verdict is cases.Verdict.DOUBTED:
+                self._give_up(_Reason.ENDS_RUNNERS, _DOUBTED_S)
+                return
             grant = await self._selection.find(
                 verdict is not cases.Verdict.CLEAR, bool(self._course.searched)
             )
--- a/pollenfork/poison/book.py
+++ b/pollenfork/poison/book.py
@@ -15,7 +15,8 @@
 # go first, the oldest of them: what ends runners comes again and is learned
 # anew. Where all have more, the oldest goes.
 _CASES_LIMIT = 2048
-# Instances remembered that keep a request back too; two are asked for.
+# Instances remembered that keep a request back too, or that saw its ends; two
+# are asked for.
 _VOUCHERS_LIMIT = 4
 # Requests answered here, the latest, some 120 bytes each: half a minute of the
 # busiest instance's. A forgotten one that runs wherever runners end is kept
@@ -173,12 +174,41 @@
         self.keep_back(case, now)
         self._limit()
 
+    def note_reporter(self, digest: ids.RequestDigest, host: str) -> None:
+        """Takes that another instance tells of an end that it saw itself."""
+        case = self._cases.get(digest)
+        if case is not None and len(case.reporters) < _VOUCHERS_LIMIT:
+            case.reporters.add(host)
+
     def note_voucher(self, digest: ids.RequestDigest, host: str) -> None:
         """Takes that another instance keeps a request back itself."""
         case = self._cases.get(digest)
         if case is not None and len(case.vouchers) < _VOUCHERS_LIMIT:
             case.vouchers.add(host)
 
+    def would_keep_back(
+        self, digest: ids.RequestDigest, more: list[cases.End], now: float
+    ) -> bool:
+        """Returns whether a request is kept back if further ends are true.
+
+        Args:
+            digest: The request's.
+            more: The ends.
+            now: Monotonic seconds.
+        """
+        known = self._cases.get(digest, cases.Case(digest))
+        assumed = cases.Case(
+            digest,
+            cleared_at=known.cleared_at or self._answered.get(digest),
+            answered=known.answered,
+        )
+        for end in (*self._list_believed(known, now), *more):
+            assumed.add(end, now)
+        ends = assumed.ends
+        if assumed.cleared_at is not None:
+            ends = self._leave_out_explained(known, ends)
+        return assumed.judge(ends, now) is Verdict.KEPT_BACK
+
     def count_other_ends(self, case: cases.Case, ended: list[int]) -> int:
         """Returns how many runners ended that no poison request ended.
 
--- a/pollenfork/poison/cases.py
+++ b/pollenfork/poison/cases.py
@@ -47,6 +47,7 @@
 
     CLEAR = "clear"
     SUSPECT = "suspect"  # It goes where it can end least.
+    DOUBTED = "doubted"  # It goes to no runner until proof has had its time.
     KEPT_BACK = "kept_back"  # It goes to no runner.
 
 
@@ -105,6 +106,7 @@
         kept_since: Since when it is kept back; None while it isn't.
         moved_at: When anything was last learned of it.
         vouchers: Other instances that keep it back themselves.
+        reporters: Other instances that told of ends that they saw themselves.
     """
 
     digest: ids.RequestDigest
@@ -114,6 +116,7 @@
     kept_since: float | None = None
     moved_at: float = 0.0
     vouchers: set[str] = msgspec.field(default_factory=set)
+    reporters: set[str] = msgspec.field(default_factory=set)
 
     def add(self, end: End, now: float) -> bool:
         """Takes an end; returns whether it is news."""
@@ -138,6 +141,8 @@
         self.cleared_at = max(at, self.cleared_at or at)
         self.moved_at = now
         self.ends = left
+        if not left:
+            self.reporters.clear()
         # An answer that was told late may leave too few ends, or too few
         # rounds of what was answered before.
         if self.judge(self.ends, now) is not Verdict.KEPT_BACK:
--- a/pollenfork/poison/quarantine.py
+++ b/pollenfork/poison/quarantine.py
@@ -76,7 +76,27 @@
 
     def judge(self, digest: ids.RequestDigest, now: float) -> Verdict:
         """Returns what may be done with a request."""
-        return self.book.judge(digest, now)
+        verdict = self.book.judge(digest, now)
+        if verdict is Verdict.KEPT_BACK:
+            return verdict
+        possible = self._list_doubted(digest, now)
+        if possible and self.book.would_keep_back(digest, possible, now):
+            return Verdict.DOUBTED
+        return verdict
+
+    def list_possible_ends(
+        self, digest: ids.RequestDigest, now: float
+    ) -> set[int]:
+        """Returns the places of runners that a request may have ended.
+
+        Args:
+            digest: The request's.
+            now: Monotonic seconds.
+        """
+        case = self.book.find(digest)
+        known = [] if case is None else case.ends
+        doubted = self._list_doubted(digest, now)
+        return {each.place for each in [*known, *doubted]}
 
     def note_answered(self, digest: ids.RequestDigest, now: float) -> None:
         """Takes that a runner has answered a request."""
@@ -196,9 +216,21 @@
             if self.book.note_end(digest, end, now):
                 self._outbox.add_end(digest, end)
                 self._witness.check(end.place)
+            if each.witness == messages.hash_name(host.encode()):
+                self.book.note_reporter(digest, host)
         for kept in told.kept:
             self.book.note_voucher(ids.RequestDigest(kept), host)
 
+    def _list_doubted(
+        self, digest: ids.RequestDigest, now: float
+    ) -> list[cases.End]:
+        """Returns ends under a request that time will prove or disprove."""
+        unproven = self._witness.list_unproven(digest, now)
+        case = self.book.find(digest)
+        if case is None:
+            return unproven
+        return unproven + self._witness.list_doubted(case, now)
+
     def _count_other_ends(self, case: cases.Case) -> int:
         """Returns how many runners have ended without a request."""
         ended = self._witness.list_ended(case.ends[0].ended_at)
--- a/pollenfork/poison/tests/fleet.py
+++ b/pollenfork/poison/tests/fleet.py
@@ -129,6 +129,12 @@
         loss: The part of datagrams that is lost.
         stale_s: How long an instance may not notice that a kept connection
             was closed, at most.
+        down_s: How long a runner is down that a request has ended.
+        connect_s: How long an instance takes to connect to a runner of whose
+            end another one tells.
+        registry_s: From a runner's start until instances hear of it.
+        tells_findings: Whether instances tell each other where they found
+            nobody, and none of that is lost.
     """
 
     def __init__(
@@ -138,6 +144,10 @@
         self.rng = random.Random(seed)
         self.loss = 0.0
         self.stale_s = 0.0
+        self.down_s = 1.0
+        self.connect_s = _PROOF_S
+        self.registry_s = 0.0
+        self.tells_findings = False
         self.cuts: set[str] = set()
         self.poison: set[int] = set()
         self.ended_at: list[tuple[float, list[int]]] = []
@@ -192,7 +202,7 @@
 
     def connect(self, instance: Instance, runner: model.Runner) -> None:
         """Tries a connection to a runner; it tells whether it is there."""
-        begun_at = self.now
+        begun_at = self.now + self.connect_s - _PROOF_S
 
         def tell() -> None:
             if runner.id in self.down:
@@ -202,7 +212,7 @@
                 seen = instance.chooser.find_standing(runner.id)
                 seen.reached_at = begun_at
 
-        self.call_in(_PROOF_S, tell)
+        self.call_in(self.connect_s, tell)
 
     def ask(self, instance: Instance, digest: int, run_s: float = 0.2) -> None:
         """Sends a request to an instance.
@@ -216,8 +226,9 @@
         if not instance.alive:
             return
         verdict = instance.suspected.judge(ids.RequestDigest(digest), self.now)
-        if verdict is cases.Verdict.KEPT_BACK and not self._claim_trial(
-            instance, digest
+        if verdict is cases.Verdict.DOUBTED or (
+            verdict is cases.Verdict.KEPT_BACK
+            and not self._claim_trial(instance, digest)
         ):
             self.kept[digest] = self.kept.get(digest, 0) + 1
             self.kept_at.setdefault(digest, []).append(self.now)
@@ -279,12 +290,24 @@
             self._break(instance, digest, grant, sent_at)
             self.call_in(
                 _PROOF_S,
-                lambda instance=instance: instance.suspected.note_absent(
-                    place, here=True
-                ),
+                lambda instance=instance: self._find(place, instance),
             )
         self.call_in(down_s, lambda: self._restart(name))
 
+    def _find(self, place: int, finder: Instance) -> None:
+        """Lets an instance find that nobody is there, and tell the others."""
+        finder.suspected.note_absent(place, here=True)
+        if not self.tells_findings:
+            return
+        for each in self.instances:
+            if each is not finder and each.alive:
+                self.call_in(
+                    core.PERIOD_S,
+                    lambda each=each: each.suspected.note_absent(
+                        place, here=False
+                    ),
+                )
+
     def cut_connections(self, name: str) -> None:
         """Breaks all connections to a runner, which goes on."""
         for running in self._running.pop(name, []):
@@ -331,7 +354,7 @@
             return  # It broke before.
         instance, digest, grant, _ = running
         if digest in self.poison:
-            self.crash(name)
+            self.crash(name, self.down_s)
             return
         self._running[name].remove(running)
         instance.chooser.settle(grant)
@@ -368,8 +391,11 @@
         start = (before.start or 0) + 1
         again = make_runner(name, before.host, start)
         self.runners[name] = again
+        self.call_in(self.registry_s, lambda: self._register(again))
+
+    def _register(self, runner: model.Runner) -> None:
         for each in self.instances:
-            each.runners.put(again)
+            each.runners.put(runner)
 
     def _tick(self, instance: Instance) -> None:
         self.call_in(core.PERIOD_S, lambda: self._tick(instance))
--- a/pollenfork/poison/tests/test_quarantine.py
+++ b/pollenfork/poison/tests/test_quarantine.py
@@ -35,6 +35,24 @@
     assert len(fleet.sent[POISON]) == 3
 
 
+# Guards against a runner that is back before others check it, and seems to have
+# lived on: its end was doubted, and the request sent once more.
+@pytest.mark.parametrize("gap_s", [0.18, 0.25, 0.4, 1.1])
+def test_runners_back_before_they_are_checked_end_three_times_at_most(
+    gap_s,
+) -> None:
+    fleet = fleets.Fleet(instances=3, runners=4)
+    fleet.down_s = 0.12
+    fleet.connect_s = 0.13
+    fleet.tells_findings = True
+    fleet.registry_s = 0.85
+    fleet.poison.add(POISON)
+    fleet.repeat(POISON, gap_s, 8.0, run_s=0.04)
+    fleet.run(8.0)
+    assert fleet.count_ends(POISON) <= 3
+    assert fleet.count_late(POISON) == 0
+
+
 @pytest.mark.parametrize("size", [8, 75, 195])
 def test_one_that_comes_everywhere_at_once_ends_what_it_ran_at_by_then(
     size,
--- a/pollenfork/poison/witness.py
+++ b/pollenfork/poison/witness.py
@@ -35,6 +35,11 @@
 # which have checked. One alone may be broken; where it is alone beside this
 # one, its word is all there is.
 _AGREED = 2
+# A runner that is back at once passes for one that has lived on. What another
+# one says of its end is in doubt, and not false, where this many ends under the
+# same request are proven here, or this many others saw ends, or this instance
+# saw one.
+_CORROBORATING = 2
 
 
 class _Broken(msgspec.Struct, frozen=True):
@@ -173,6 +178,36 @@
             return now - end.ended_at > _DOUBTED_S
         return len(case.vouchers) >= min(_AGREED, self._count_others())
 
+    def list_unproven(
+        self, digest: ids.RequestDigest, now: float
+    ) -> list[cases.End]:
+        """Returns the ends of runners that breaks just now may turn out to be.
+
+        A connection that is made meanwhile doesn't disprove them: the runner
+        may have started again, which the registry tells within a second.
+
+        Args:
+            digest: The request's.
+            now: Monotonic seconds.
+        """
+        return [
+            self._make_end(place, each)
+            for place, waiting in self._broken.items()
+            for each in waiting
+            if each.digest == digest and now - each.broken_at <= _DOUBTED_S
+        ]
+
+    def list_doubted(self, case: cases.Case, now: float) -> list[cases.End]:
+        """Returns the ends just now that can't be told from made-up ones yet.
+
+        Args:
+            case: What is known of a request.
+            now: Monotonic seconds.
+        """
+        if not self._is_corroborated(case):
+            return []
+        return [each for each in case.ends if now - each.ended_at <= _DOUBTED_S]
+
     def list_ended(self, since: float) -> list[int]:
         """Returns the places of runners that were found to have ended.
 
@@ -224,6 +259,17 @@
             if known.proven_at < before:
                 del self._ended[place]
 
+    def _is_corroborated(self, case: cases.Case) -> bool:
+        """Returns whether ends proven here speak for those that were told.
+
+        A runner that is back within milliseconds answers a check as if it had
+        never ended.
+        """
+        proven = [each for each in case.ends if each.place in self._ended]
+        seen = any(each.witness == self._witness for each in proven)
+        told = len(case.reporters)
+        return seen or max(len(proven), told) >= _CORROBORATING
+
     def _prove(self, place: int, now: float, proof: str) -> None:
         """Turns what broke at a runner into its end under these requests."""
         for broken in self._broken.pop(place, ()):
@@ -238,15 +284,18 @@
                 (broken.broken_at - broken.sent_at) * 1000,
                 (now - broken.broken_at) * 1000,
             )
-            end = cases.End(
-                place,
-                broken.sent_at,
-                broken.broken_at,
-                self._witness,
-                broken.made_at,
-            )
+            end = self._make_end(place, broken)
             self._note_end(broken.digest, end, now)
 
+    def _make_end(self, place: int, broken: _Broken) -> cases.End:
+        return cases.End(
+            place,
+            broken.sent_at,
+            broken.broken_at,
+            self._witness,
+            broken.made_at,
+        )
+
     def _has_ended(self, place: int, now: float) -> bool:
         """Returns whether it was proven just now that a runner has ended."""
         since = now - _PROOF_S
