Reach runners beside requests though packets wait on the link

A runner that two connections in a row didn't reach is passed over until the prober reaches it, and the prober gave its connections 0.30 s as well; on a link whose packets wait 0.25 s each way it never did.

Why it holds: nobody waits for the prober's connection, so it gets 1.5 s; what comes of it is kept, and requests go over that. A request's own limit stays 0.3 s: it can go to another runner meanwhile.

--- a/pollenfork/gateway/pool.py
+++ b/pollenfork/gateway/pool.py
@@ -109,20 +109,21 @@
         return None
 
     async def open(
-        self, runner: fleet.Runner, left_s: float
+        self, runner: fleet.Runner, left_s: float, limit_s: float = CONNECT_S
     ) -> result.Result[connection.Connection, Unreachable]:
         """Returns a new connection.
 
         Args:
             runner: Where to.
             left_s: Seconds that the request has left.
+            limit_s: Seconds that connecting may take.
         """
         self.counters.opened += 1
         connecting = self._loop.create_connection(
             lambda: connection.Connection(self._loop), runner.host, runner.port
         )
         try:
-            async with asyncio.timeout(min(CONNECT_S, left_s)):
+            async with asyncio.timeout(min(limit_s, left_s)):
                 _, opened = await connecting
         except (OSError, TimeoutError) as error:
             self.counters.unreachable += 1
--- a/pollenfork/gateway/probing.py
+++ b/pollenfork/gateway/probing.py
@@ -23,6 +23,9 @@
 # Cuts last for seconds, and each try is a new connection for the runner.
 _FIRST_S = 0.4
 _LONGEST_S = 1.0
+# Nobody waits for this connection: it may take as long as packets wait on a
+# busy link, in seconds, where a request's own attempts fail.
+_CONNECT_S = 1.5
 
 
 class Prober:
@@ -69,7 +72,7 @@
             await asyncio.sleep(pause_s * self._rng.uniform(0.8, 1.2))
             pause_s = min(pause_s * 2, _LONGEST_S)
             tries += 1
-            opened = await self._pool.open(runner, pool.CONNECT_S)
+            opened = await self._pool.open(runner, _CONNECT_S, _CONNECT_S)
             if isinstance(opened, result.Err):
                 continue
             await asyncio.sleep(endings.DROPPED_S)
