Wait for the first copy in the test that cancels it

Cause: the test let the second copy win without waiting for the first one's request. A first copy that is interrupted before it has sent anything ends as never sent; nothing runs at its engine, so nothing is to be cancelled.

Evidence: the new test holds the first copy before it connects until it is interrupted: its end is `never_sent`, no cancel is asked for, and the engine got no request, as was seen. With the old test's check that would wait for 20 s.

The test now waits until the first engine has the request, and its checks are as they were. That what was never sent isn't cancelled is a check of its own.

--- a/pollenfork/answers/tests/test_hedges.py
+++ b/pollenfork/answers/tests/test_hedges.py
@@ -1,11 +1,13 @@
 """A second copy of a request whose first token is late."""
 
 import concurrent.futures
+import threading
 
 import msgspec
 import pytest
 import result
 
+from pollenfork.answers import engine
 from pollenfork.answers.tests import far_ends
 
 REPLY = far_ends.STREAM_HEAD + far_ends.write_whole(3)
@@ -48,6 +50,7 @@
 
 def test_second_copy_wins_and_the_first_is_cancelled() -> None:
     race = Race()
+    assert race.first.answered.wait(20)
     assert race.second.answered.wait(20)
     race.second.stop()
     race.wait()
@@ -60,6 +63,39 @@
     assert ends == [("a0", "cancelled", 0), ("a1", "finished", 3)]
 
 
+# Guards against a cancel for what never reached an endpoint: a second copy that
+# wins before the first is sent interrupts it, and nothing runs there.
+def test_a_first_copy_that_was_never_sent_is_not_cancelled(monkeypatch) -> None:
+    connect = engine.Exchange._connect
+    interrupt = engine.Exchange.interrupt
+    interrupted = threading.Event()
+    begun = threading.Event()
+
+    def connect_late(exchange, streamed, timeout_s):
+        assert begun.wait(20)
+        if exchange._address == race.first.address:
+            assert interrupted.wait(20)
+        return connect(exchange, streamed, timeout_s)
+
+    def note_interrupt(exchange):
+        interrupt(exchange)
+        interrupted.set()
+
+    monkeypatch.setattr(engine.Exchange, "_connect", connect_late)
+    monkeypatch.setattr(engine.Exchange, "interrupt", note_interrupt)
+    race = Race()
+    begun.set()
+    assert race.second.answered.wait(20)
+    race.second.stop()
+    assert race.finish() == WHOLE
+    assert race.relay.counters.hedges == {"won": 1}
+    assert race.relay.counters.cancels == {}
+    assert not race.first.answered.is_set()
+    assert "POST /v1/cancel" not in race.first.calls
+    ends = sorted(race.slots.list_ends())
+    assert ends == [("a0", "never_sent", 0), ("a1", "finished", 3)]
+
+
 def test_first_copy_wins_and_the_second_is_cancelled() -> None:
     race = Race()
     assert race.second.answered.wait(20)
