--- a/pollenfork/answers/tests/far_ends.py
+++ b/pollenfork/answers/tests/far_ends.py
@@ -87,7 +87,10 @@
 
     def _answer(self, connection: socket.socket) -> None:
         with connection, connection.makefile("rb") as lines:
-            method, path, _ = lines.readline().decode().split(" ")
+            first = lines.readline().decode()
+            if not first:
+                return  # Interrupted before anything was sent.
+            method, path, _ = first.split(" ")
             length = 0
             while (line := lines.readline()) not in (b"\r\n", b""):
                 name, _, value = line.decode().partition(":")
