--- a/pollenfork/gateway/suspicion.py
+++ b/pollenfork/gateway/suspicion.py
@@ -1,6 +1,7 @@
 """What one request's attempts show of the runners that end under it."""
 
 import asyncio
+import logging
 
 from pollenfork import ids
 from pollenfork.fleet import messages as fleet_messages
@@ -9,6 +10,8 @@
 from pollenfork.gateway import context
 from pollenfork.poison import cases
 
+_LOG = logging.getLogger(__name__)
+
 # A repeat waits this long at most, in seconds, to hear whether the runner has
 # ended; a connection there takes 1 to 3 ms to be made or refused. Else a second
 # runner ends before the first is known to have.
@@ -44,12 +47,39 @@
             repeats: Whether the request has been sent before.
         """
         tools = self._tools
-        possible = tools.suspected.list_possible_ends(
-            self._digest, tools.loop.time()
-        )
+        begun_at = tools.loop.time()
+        possible = tools.suspected.list_possible_ends(self._digest, begun_at)
         if len(possible) >= (_REPEATED_ENDS if repeats else cases.ENDS_ALLOWED):
             await tools.endings.wait_concluded(possible)
-        return tools.suspected.judge(self._digest, tools.loop.time())
+        now = tools.loop.time()
+        verdict = tools.suspected.judge(self._digest, now)
+        if possible:
+            self._log_verdict(verdict, len(possible), now - begun_at)
+        return verdict
+
+    def _log_verdict(
+        self, verdict: cases.Verdict, possible: int, waited_s: float
+    ) -> None:
+        """Tells what a send of a request that may end runners was decided by.
+
+        Args:
+            verdict: What may be done with it.
+            possible: Runners that it may have ended.
+            waited_s: Seconds for which proof was waited for.
+        """
+        case = self._tools.suspected.book.find(self._digest)
+        ends = case.ends if case is not None else []
+        now = self._tools.loop.time()
+        _LOG.info(
+            "event=request_judged digest=%016x verdict=%s ends=%d possible=%d "
+            "last_ms=%s waited_ms=%d",
+            self._digest,
+            verdict.value,
+            len(ends),
+            possible,
+            int((now - ends[-1].ended_at) * 1000) if ends else "-",
+            waited_s * 1000,
+        )
 
     async def may_try(self) -> bool:
         """Returns whether a request that is kept back may run this once."""
