--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -34,6 +34,7 @@
 from pollenfork.gateway import quarantine_store
 from pollenfork.gateway import readiness
 from pollenfork.gateway import request_handler
+from pollenfork.gateway import runner_notices
 from pollenfork.gateway import scaler
 from pollenfork.gateway import scrape
 from pollenfork.gateway import settings
@@ -141,6 +142,7 @@
             ),
             request_quarantine=request_quarantine,
             limit_events=limit_events.LimitEvents(),
+            runner_notices=runner_notices.RunnerNotices(),
             permits=granted,
             record_started=(
                 self._duty_agent.accounts.record_started
@@ -160,6 +162,7 @@
         request_quarantine.when_probe_needed(self._deps.crash_probes.probe)
         connections.watch_registry(self.state.runners)
         self.state.runners.when_gone(self._deps.limit_events.forget)
+        self.state.runners.when_gone(self._deps.runner_notices.forget)
         self._readiness = readiness.Readiness(self.state, self._stopping.is_set)
         self._sources = sources.Sources(config.store, store, self.state, rng)
         self._sources.tables.add_page(
--- a/pollenfork/gateway/context.py
+++ b/pollenfork/gateway/context.py
@@ -20,6 +20,7 @@
 from pollenfork.gateway import permits
 from pollenfork.gateway import pool
 from pollenfork.gateway import probing
+from pollenfork.gateway import runner_notices
 from pollenfork.poison import quarantine
 from pollenfork.routes import model as routes
 
@@ -76,6 +77,7 @@
     crash_probes: crash_probes.CrashProbes
     request_quarantine: quarantine.Quarantine
     limit_events: limit_events.LimitEvents
+    runner_notices: runner_notices.RunnerNotices
     permits: permits.Permits
     record_started: Callable[[ids.AccountId], None]
     claim_trial: Callable[[ids.RequestDigest], Awaitable[bool]]
--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -244,7 +244,8 @@
     def _on_head(
         self, grant: outcomes.Grant, sent_at: float, head: messages.ResponseHead
     ) -> None:
-        """Applies the rate limits in a response head."""
+        """Applies what a response head announces about its runner."""
+        self._deps.runner_notices.on_head(grant.runner, head)
         if head.displaced:
             return  # Another runner answered at its address.
         read = parsing.parse(head.rates)
--- a/pollenfork/gateway/messages.py
+++ b/pollenfork/gateway/messages.py
@@ -80,6 +80,10 @@
         headers: All headers, names in lower case.
         rates: The rate limits that the runner announces, in requests a second
             from all instances together; None for a value that isn't a number.
+        leaving: Whether the runner announces that it accepts no new work.
+        retry_after: For how long this instance is to send the runner nothing,
+            in seconds, if the answer is a refusal; None for a value that isn't
+            a number.
     """
 
     status: int
@@ -90,3 +94,5 @@
     events: bool
     headers: list[Header]
     rates: tuple[float | None, ...] = ()
+    leaving: bool = False
+    retry_after: tuple[float | None, ...] = ()
--- /dev/null
+++ b/pollenfork/gateway/runner_notices.py
@@ -0,0 +1,78 @@
+"""Logs what runners announce about themselves in the heads of their answers."""
+
+import collections
+import http
+import logging
+
+from pollenfork import ids
+from pollenfork.fleet import model as fleet
+from pollenfork.fleet import pauses
+from pollenfork.gateway import messages
+
+_LOG = logging.getLogger(__name__)
+
+
+class RunnerNotices:
+    """Receives the heads of all answers of runners.
+
+    Attributes:
+        counts: The number of heads by what they announce.
+    """
+
+    def __init__(self) -> None:
+        self._leaving: dict[ids.EndpointId, fleet.Incarnation] = {}
+        self.counts: collections.Counter[str] = collections.Counter()
+
+    def on_head(
+        self, runner: fleet.Runner, head: messages.ResponseHead
+    ) -> None:
+        """Handles the head of an answer.
+
+        Args:
+            runner: The runner that the request was sent to.
+            head: The head.
+        """
+        if head.displaced:
+            return  # Another runner answered at its address.
+        if head.leaving:
+            self._record_leaving(runner, head)
+        if head.status != http.HTTPStatus.SERVICE_UNAVAILABLE:
+            return
+        pause = pauses.parse(head.retry_after)
+        if not pause.well_formed:
+            _LOG.warning(
+                "event=pause_irregular runner=%s stated=%s",
+                runner.id,
+                _format(head.retry_after),
+            )
+        if pause.seconds is not None:
+            self._record_pause(runner, pause.seconds)
+
+    def forget(self, runner: ids.EndpointId) -> None:
+        """Drops a runner that is gone."""
+        self._leaving.pop(runner, None)
+
+    def _record_leaving(
+        self, runner: fleet.Runner, head: messages.ResponseHead
+    ) -> None:
+        self.counts["leaving"] += 1
+        if self._leaving.get(runner.id) == runner.incarnation:
+            return
+        self._leaving[runner.id] = runner.incarnation
+        _LOG.info(
+            "event=leaving_announced runner=%s status=%d",
+            runner.id,
+            head.status,
+        )
+
+    def _record_pause(self, runner: fleet.Runner, seconds: float) -> None:
+        self.counts["pause"] += 1
+        _LOG.info(
+            "event=pause_requested runner=%s for_ms=%d",
+            runner.id,
+            seconds * 1000,
+        )
+
+
+def _format(stated: tuple[float | None, ...]) -> str:
+    return ",".join("-" if each is None else f"{each:g}" for each in stated)
--- a/pollenfork/gateway/scrape.py
+++ b/pollenfork/gateway/scrape.py
@@ -51,6 +51,8 @@
         output.set_count(
             "pollenfork_findings_taken_total", count, sign=symptom.name.lower()
         )
+    for kind, count in deps.runner_notices.counts.items():
+        output.set_count("pollenfork_runner_notices_total", count, kind=kind)
     counts = deps.request_quarantine.tracker.counts
     output.set_count("pollenfork_runner_ends_total", counts["ends"])
     output.set_count("pollenfork_requests_kept_back_total", counts["kept_back"])
--- a/pollenfork/gateway/tests/support.py
+++ b/pollenfork/gateway/tests/support.py
@@ -22,6 +22,7 @@
 from pollenfork.gateway import permits
 from pollenfork.gateway import pool
 from pollenfork.gateway import probing
+from pollenfork.gateway import runner_notices
 from pollenfork.poison import digests
 from pollenfork.poison import quarantine
 from pollenfork.routes import model as routes
@@ -73,6 +74,10 @@
             rates=tuple(
                 float(value) for name, value in headers if name == b"x-rate"
             ),
+            leaving=b"x-leaving" in found,
+            retry_after=tuple(
+                float(value) for name, value in headers if name == b"x-pause"
+            ),
         )
 
     def encode_response(self, head, length, closing):
@@ -214,6 +219,7 @@
             ),
             request_quarantine=request_quarantine,
             limit_events=limit_events.LimitEvents(),
+            runner_notices=runner_notices.RunnerNotices(),
             permits=granted,
             record_started=self.begun.append,
             claim_trial=self._claim_trial,
--- a/pollenfork/logbook/trace.py
+++ b/pollenfork/logbook/trace.py
@@ -22,6 +22,8 @@
 # Changes of a runner's state.
 _RUNNER_EVENTS = frozenset(
     {
+        "leaving_announced",
+        "pause_requested",
         "runner_found",
         "runner_gone",
         "runner_known",
--- a/pollenfork/metric_help.py
+++ b/pollenfork/metric_help.py
@@ -122,6 +122,9 @@
         "Requests for leave to send to a runner that names a rate limit, by "
         "what became of them."
     ),
+    "pollenfork_runner_notices_total": (
+        "Answers in which runners announce that they leave or want a pause."
+    ),
     "pollenfork_runners_kept_total": (
         "Entries of runners that vanished and were kept for a moment."
     ),
--- a/pollenfork/platform/heads.py
+++ b/pollenfork/platform/heads.py
@@ -117,7 +117,9 @@
         displaced=status == _MISDIRECTED,
         events=found.get(b"content-type", b"").startswith(b"text/event-stream"),
         headers=headers,
-        rates=_parse_rates(headers),
+        rates=_parse_numbers(headers, names.RATE_LIMIT),
+        leaving=(names.LEAVING, b"1") in headers,
+        retry_after=_parse_numbers(headers, names.RETRY_AFTER),
     )
 
 
@@ -161,21 +163,20 @@
 
 
 def _parse_seconds(value: bytes | None) -> float | None:
-    try:
-        return None if value is None else max(0.0, float(value) / 1000.0)
-    except ValueError:
-        return None
+    number = None if value is None else _parse_number(value)
+    return None if number is None else max(0.0, number / 1000.0)
 
 
-def _parse_rates(headers: list[Header]) -> tuple[float | None, ...]:
+def _parse_numbers(
+    headers: list[Header], name: bytes
+) -> tuple[float | None, ...]:
+    """Returns the values of a header; None for one that isn't a number."""
     return tuple(
-        _parse_rate(value)
-        for name, value in headers
-        if name == names.RATE_LIMIT
+        _parse_number(value) for each, value in headers if each == name
     )
 
 
-def _parse_rate(value: bytes) -> float | None:
+def _parse_number(value: bytes) -> float | None:
     try:
         return float(value)
     except ValueError:
--- a/pollenfork/platform/names.py
+++ b/pollenfork/platform/names.py
@@ -17,6 +17,7 @@
 LAST_EVENT = b"last-event-id"
 RETRY_AFTER = b"retry-after"
 RATE_LIMIT = b"server-limit"
+LEAVING = b"server-leaving"
 FEED_WAIT_MS = b"wait-ms"
 AUTHORIZATION = b"authorization"
 
--- a/pollenfork/platform/tests/test_heads.py
+++ b/pollenfork/platform/tests/test_heads.py
@@ -200,3 +200,18 @@
     status, headers, not_run
 ) -> None:
     assert heads.decode_response(status, headers).not_run is not_run
+
+
+def test_any_answer_may_announce_that_its_runner_leaves() -> None:
+    announced = [(b"server-leaving", b"1")]
+    for status in (200, 404, 500, 503):
+        assert heads.decode_response(status, announced).leaving
+        assert not heads.decode_response(status, []).leaving
+    withdrawn = [(b"server-leaving", b"0")]
+    assert not heads.decode_response(200, withdrawn).leaving
+
+
+def test_the_time_to_retry_after_is_decoded() -> None:
+    stated = [(b"retry-after", b"1.5"), (b"retry-after", b"Fri, 04 Dec 2026")]
+    assert heads.decode_response(503, stated).retry_after == (1.5, None)
+    assert heads.decode_response(503, []).retry_after == ()
