--- a/pollenfork/gateway/tests/test_runner_notices.py
+++ b/pollenfork/gateway/tests/test_runner_notices.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from pollenfork import ids
 from pollenfork.gateway.tests import support
 from pollenfork.routes import model
 
@@ -49,3 +50,30 @@
     run(support.make_route(REPEATABLE), [malformed], [GOOD], 1)
     assert "event=pause_irregular runner=r0 stated=-1,nan" in caplog.text
     assert "pause_requested" not in caplog.text
+
+
+# Guards against requests to a runner whose answers say that it leaves while the
+# store can't say so: it got them until the store was back, 11 s later.
+def test_a_runner_gets_no_request_after_an_answer_that_says_it_leaves() -> None:
+    route = support.make_route(REPEATABLE)
+    answers, asked = run(route, [LEAVING] * 3, [GOOD] * 3, 3)
+    assert all(answer.endswith(b"good") for answer in answers)
+    assert asked == [1, 2]
+
+
+# Guards against requests to a runner that has asked for a pause: one instance
+# sent it three in three seconds, and their callers got 503 for each.
+def test_a_runner_gets_no_request_during_the_pause_that_it_requested() -> None:
+    async def play():
+        runners = support.Runner("r0", *[PAUSE] * 4), support.Runner("r1")
+        route = support.make_route(REPEATABLE, attempts=1)
+        async with support.run_gateway(route, *runners) as gateway:
+            for number in range(4):
+                # The other runner has always just failed more often.
+                state = gateway.deps.chooser.get_state(ids.EndpointId("r1"))
+                state.failure_rate = 1.0 + number
+                runners[1].script.append(GOOD)
+                await support.ask(gateway)
+        return [len(runner.got) for runner in runners]
+
+    assert asyncio.run(play()) == [1, 3]
