--- a/pollenfork/platform/tests/soak/runner.py
+++ b/pollenfork/platform/tests/soak/runner.py
@@ -34,11 +34,13 @@
         runner: Where it arrived.
         at: Monotonic seconds.
         attempt: The caller's id.
+        pause_s: For how long its refusal asked for nothing; 0: it didn't.
     """
 
     runner: str
     at: float
     attempt: str
+    pause_s: float = 0.0
 
 
 class Record:
@@ -79,6 +81,9 @@
             it.
         named: The rate limit that its answers name, as written there; empty:
             none.
+        leaving: Whether its answers say that it leaves.
+        pause_s: It refuses everything and asks for a pause of so many seconds;
+            0: it doesn't.
     """
 
     def __init__(
@@ -88,6 +93,8 @@
         self.service = service
         self.faults = Faults()
         self.named = ""
+        self.leaving = False
+        self.pause_s = 0.0
         self.on_ending: Callable[[Runner, str], None] = lambda me, _: me.crash()
         self._record = record
         self._rng = rng
@@ -138,13 +145,24 @@
         if length := int(headers.get("content-length", 0)):
             await reader.readexactly(length)
         attempt = headers.get("x-pollenfork-attempt-id", "")
-        arrival = Arrival(self.name, time.monotonic(), attempt)
+        arrival = Arrival(self.name, time.monotonic(), attempt, self.pause_s)
         self._record.arrivals.append(arrival)
         if headers.get("x-pollenfork-expect-instance") != self.name:
             writer.write(
                 self._write(421, attempt, b"", "X-Pollenfork-Not-Executed: 1")
             )
             return True
+        if self.pause_s:
+            pause = f"Retry-After: {self.pause_s:g}"
+            writer.write(
+                self._write(
+                    503,
+                    attempt,
+                    b"",
+                    f"X-Pollenfork-Not-Executed: 1\r\n{pause}",
+                )
+            )
+            return True
         if self._rng.random() < self.faults.refused:
             writer.write(
                 self._write(503, attempt, b"", "X-Pollenfork-Not-Executed: 1")
@@ -185,7 +203,7 @@
     async def _stream(self, attempt, headers, writer) -> bool:
         writer.write(
             f"HTTP/1.1 200 OK\r\nX-Pollenfork-Attempt-Id: {attempt}\r\n"
-            f"{self._write_limit()}"
+            f"{self._write_notices()}"
             "X-Pollenfork-Response-Seal: s\r\n"
             "Content-Type: text/event-stream\r\n"
             "Transfer-Encoding: chunked\r\n\r\n".encode()
@@ -203,8 +221,9 @@
         writer.write(b"0\r\n\r\n")
         return True
 
-    def _write_limit(self) -> str:
-        return f"Server-Limit: {self.named}\r\n" if self.named else ""
+    def _write_notices(self) -> str:
+        limit = f"Server-Limit: {self.named}\r\n" if self.named else ""
+        return limit + ("Server-Leaving: 1\r\n" if self.leaving else "")
 
     def _write(
         self, status: int, attempt: str, body: bytes, extra: str = ""
@@ -212,7 +231,7 @@
         seal = extra or "X-Pollenfork-Response-Seal: s"
         return (
             f"HTTP/1.1 {status} X\r\nX-Pollenfork-Attempt-Id: {attempt}\r\n"
-            f"{self._write_limit()}"
+            f"{self._write_notices()}"
             f"{seal}\r\nContent-Length: {len(body)}\r\n\r\n".encode()
             + body
         )
