Stop using runners whose answers say that they leave

Callers saw nothing; a runner that had told one gateway that it leaves got two requests from it 11.4 and 11.8 s later (bound 2 s), and could have ended under them. Class: a statement of a runner that acts on one path alone.

Why it works: the registry holds the announcement for the incarnation's life, whatever entries arrive, and every choice and the cache feed read the registry; a request chosen before, that waits for a permit or a connection, is withheld and goes elsewhere without a mark on the runner. A restart, by start or by sequence, is another incarnation and used again. A 421 speaks for another runner and is not heard.

--- a/pollenfork/fleet/choice.py
+++ b/pollenfork/fleet/choice.py
@@ -160,6 +160,10 @@
         """Confirms a grant of a rate-limited runner."""
         self._record_placement(profile, grant)
 
+    def accepts(self, runner: model.Runner) -> bool:
+        """Returns whether a chosen runner may still be sent a request."""
+        return self._registry.is_accepting(runner.incarnation)
+
     def is_limited(self, runner: ids.EndpointId) -> bool:
         """Returns whether a runner has a rate limit."""
         incarnation = self.get_state(runner).incarnation_hash
--- /dev/null
+++ b/pollenfork/fleet/departures.py
@@ -0,0 +1,52 @@
+"""Runners that have announced in an answer that they accept no new work.
+
+The registry may learn of it much later, or not at all while the store is
+unavailable, and entries written before the announcement may arrive after it.
+"""
+
+import collections
+
+import xxhash
+
+from pollenfork.fleet import model
+
+# The number of announcements that are kept, those of departed runners included,
+# so that delayed entries don't put them back to use. About 200 bytes each.
+_MAX_KEPT = 4096
+
+
+class Departures:
+    """Incarnations that have announced that they leave, by their hashes.
+
+    An announcement holds for the rest of the incarnation's life.
+    """
+
+    def __init__(self) -> None:
+        self._announced: collections.OrderedDict[int, None] = (
+            collections.OrderedDict()
+        )
+
+    def add(self, announced: int) -> bool:
+        """Adds an incarnation; returns whether it is new."""
+        if announced in self._announced:
+            return False
+        self._announced[announced] = None
+        if len(self._announced) > _MAX_KEPT:
+            self._announced.popitem(last=False)
+        return True
+
+    def has(self, incarnation: model.Incarnation) -> bool:
+        """Returns whether an incarnation has announced that it leaves."""
+        return (
+            bool(self._announced)
+            and hash_incarnation(incarnation) in self._announced
+        )
+
+    def discard(self, incarnation: model.Incarnation) -> None:
+        """Drops an incarnation whose name a later one uses again."""
+        self._announced.pop(hash_incarnation(incarnation), None)
+
+
+def hash_incarnation(incarnation: model.Incarnation) -> int:
+    """Returns the hash that identifies an incarnation to other instances."""
+    return xxhash.xxh64_intdigest(incarnation.name)
--- a/pollenfork/fleet/messages.py
+++ b/pollenfork/fleet/messages.py
@@ -10,13 +10,16 @@
 class End(enum.Enum):
     """How an attempt at a runner ended, and what that proves.
 
-    `UNSENT`, `REFUSED` and `DISPLACED` prove that the request hasn't run;
-    after `BROKEN` and `SILENT` it may have. `DISPLACED` also proves that the
-    runner is gone, because another runner answers at its address.
+    `UNSENT`, `WITHHELD`, `REFUSED` and `DISPLACED` prove that the request
+    hasn't run; after `BROKEN` and `SILENT` it may have. `DISPLACED` also proves
+    that the runner is gone, because another runner answers at its address.
+    `WITHHELD` shows nothing about the runner: the request wasn't sent because
+    the runner stopped accepting work after it had been chosen.
     """
 
     WHOLE = "whole"
     UNSENT = "unsent"
+    WITHHELD = "withheld"
     REFUSED = "refused"
     DISPLACED = "displaced"
     BROKEN = "broken"
@@ -25,7 +28,17 @@
     @property
     def proves_not_run(self) -> bool:
         """Whether the request is certain not to have run on the runner."""
-        return self in (End.UNSENT, End.REFUSED, End.DISPLACED)
+        return self in (
+            End.UNSENT,
+            End.WITHHELD,
+            End.REFUSED,
+            End.DISPLACED,
+        )
+
+    @property
+    def reached_runner(self) -> bool:
+        """Whether the request was sent."""
+        return self not in (End.UNSENT, End.WITHHELD)
 
 
 class CacheChange(msgspec.Struct, frozen=True):
--- a/pollenfork/fleet/registry.py
+++ b/pollenfork/fleet/registry.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from pollenfork import ids
+from pollenfork.fleet import departures
 from pollenfork.fleet import model
 
 # The number of runners, departed ones included, whose latest start is kept, so
@@ -39,6 +40,8 @@
     renewed while the store was unavailable. In the latter case the entry is
     kept for a short time.
 
+    A runner is leaving if its entry or any of its answers says so.
+
     Attributes:
         kept: How many removed entries were kept.
     """
@@ -48,6 +51,7 @@
         self._services: dict[ids.ServiceName, dict[ids.EndpointId, None]] = {}
         self._expiring: dict[ids.EndpointId, float] = {}
         self._kept_until = 0.0
+        self._departures = departures.Departures()
         self.kept = 0
         self._on_gone: list[Callable[[ids.EndpointId], None]] = []
         self._on_restart: list[Callable[[model.Runner], None]] = []
@@ -85,6 +89,10 @@
         )
         if old is not None and (restarted or old.service != runner.service):
             self._drop(runner.id)
+        if restarted and runner.start is None:
+            self._departures.discard(runner.incarnation)
+        if self._departures.has(runner.incarnation):
+            runner = msgspec.structs.replace(runner, leaving=True)
         self._runners[runner.id] = runner
         self._services.setdefault(runner.service, {})[runner.id] = None
         if runner.leaving and not (old is not None and old.leaving):
@@ -95,6 +103,27 @@
             call(runner)
         return PutResult.RESTARTED
 
+    def announce_leaving(self, runner: model.Runner) -> bool:
+        """Marks a runner that announced in an answer that it leaves.
+
+        Args:
+            runner: Its entry when the request was sent.
+
+        Returns:
+            Whether this wasn't known yet.
+        """
+        known = self._runners.get(runner.id)
+        if known is not None and known.is_restart_of(runner):
+            return False  # The answer is of an earlier incarnation.
+        announced = departures.hash_incarnation(runner.incarnation)
+        if not self._departures.add(announced):
+            return False
+        if known is None or known.leaving:
+            return True
+        self._runners[runner.id] = msgspec.structs.replace(known, leaving=True)
+        self._notify_gone(runner.id)
+        return True
+
     def record_start(
         self, runner: ids.EndpointId, start: ids.RunnerStart | None
     ) -> PutResult:
@@ -150,6 +179,15 @@
         """Returns the runner's entry; None if it isn't known."""
         return self._runners.get(runner)
 
+    def is_accepting(self, incarnation: model.Incarnation) -> bool:
+        """Returns whether a runner still runs and accepts new work."""
+        known = self._runners.get(incarnation.id)
+        return (
+            known is not None
+            and known.incarnation == incarnation
+            and not known.leaving
+        )
+
     def list_accepting(self, service: ids.ServiceName) -> list[model.Runner]:
         """Returns the service's runners that accept new work."""
         return [
--- a/pollenfork/fleet/runner_state.py
+++ b/pollenfork/fleet/runner_state.py
@@ -74,6 +74,8 @@
             failed: Whether the answer was complete but an error.
             now: Monotonic seconds.
         """
+        if end is messages.End.WITHHELD:
+            return
         self.unsent = self.unsent + 1 if end is messages.End.UNSENT else 0
         if end is messages.End.WHOLE:
             self.answered_at = now
--- a/pollenfork/fleet/tests/test_registry.py
+++ b/pollenfork/fleet/tests/test_registry.py
@@ -268,3 +268,65 @@
     # A runner whose entry merely reappears has not restarted.
     runners.remove(ids.EndpointId("r"), now=6.0)
     assert runners.put(again) is PutResult.TAKEN
+
+
+def announce(runners: registry.Registry, **given) -> bool:
+    return runners.announce_leaving(make_runner("r", **given))
+
+
+# Guards against putting a leaving runner back to use by an entry that was
+# written before it announced that it leaves.
+def test_an_announced_leaving_holds_whatever_entries_arrive() -> None:
+    runners, gone = registry.Registry(), []
+    runners.when_gone(gone.append)
+    runners.put(make_runner("r", sequence=1))
+    assert announce(runners, sequence=1)
+    assert not announce(runners, sequence=1)
+    assert gone == ["r"]
+    runners.put(make_runner("r", sequence=2))
+    assert list_accepting(runners) == []
+    runners.remove(ids.EndpointId("r"), now=5.0)
+    runners.put(make_runner("r", sequence=3))
+    assert list_accepting(runners) == []
+
+
+def test_a_removed_runner_that_announced_its_leaving_is_not_kept() -> None:
+    runners = registry.Registry()
+    runners.put(make_runner("r"))
+    announce(runners)
+    runners.keep_removed_until(9.0)
+    removed = runners.remove(ids.EndpointId("r"), now=5.0)
+    assert removed is registry.RemoveResult.DROPPED
+
+
+def test_an_announcement_that_arrives_before_its_entry_holds() -> None:
+    runners = registry.Registry()
+    assert announce(runners, start=100)
+    runners.put(make_runner("r", start=100))
+    assert list_accepting(runners) == []
+
+
+# Guards against never using a runner again that has restarted under its id.
+def test_a_restarted_runner_is_used_though_the_one_before_left() -> None:
+    for before, after in (
+        ({"start": 100}, {"start": 200}),
+        ({"sequence": 9}, {"sequence": 1}),
+    ):
+        runners = registry.Registry()
+        runners.put(make_runner("r", **before))
+        announce(runners, **before)
+        runners.put(make_runner("r", **after))
+        assert list_accepting(runners) == ["r"]
+        # A late answer of the earlier incarnation.
+        assert not announce(runners, **before)
+        assert list_accepting(runners) == ["r"]
+
+
+def test_a_start_that_a_runner_reports_ends_its_leaving() -> None:
+    runners = registry.Registry()
+    runners.put(make_runner("r", start=100))
+    announce(runners, start=100)
+    runners.record_start(ids.EndpointId("r"), ids.RunnerStart(200))
+    assert list_accepting(runners) == ["r"]
+    runners.put(make_runner("r", start=100))
+    assert list_accepting(runners) == ["r"]
--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -15,6 +15,7 @@
 from pollenfork import logs
 from pollenfork.fleet import choice
 from pollenfork.fleet import evidence
+from pollenfork.fleet import model as fleet
 from pollenfork.fleet import retry_budget
 from pollenfork.gateway import cache_feed
 from pollenfork.gateway import callers
@@ -26,6 +27,7 @@
 from pollenfork.gateway import edges
 from pollenfork.gateway import limit_events
 from pollenfork.gateway import load_shedding
+from pollenfork.gateway import messages
 from pollenfork.gateway import peers
 from pollenfork.gateway import permits
 from pollenfork.gateway import pool
@@ -142,7 +144,7 @@
             ),
             request_quarantine=request_quarantine,
             limit_events=limit_events.LimitEvents(),
-            runner_notices=runner_notices.RunnerNotices(),
+            runner_notices=runner_notices.RunnerNotices(self.state.runners),
             permits=granted,
             record_started=(
                 self._duty_agent.accounts.record_started
@@ -162,7 +164,6 @@
         request_quarantine.when_probe_needed(self._deps.crash_probes.probe)
         connections.watch_registry(self.state.runners)
         self.state.runners.when_gone(self._deps.limit_events.forget)
-        self.state.runners.when_gone(self._deps.runner_notices.forget)
         self._readiness = readiness.Readiness(self.state, self._stopping.is_set)
         self._sources = sources.Sources(config.store, store, self.state, rng)
         self._sources.tables.add_page(
@@ -174,6 +175,7 @@
             self.state,
             config.data_centre,
             rng,
+            self._on_cache_head,
         )
         if (
             self._duty_agent is not None
@@ -274,6 +276,12 @@
         for task in self._tasks:
             task.add_done_callback(_log_failure)
 
+    def _on_cache_head(
+        self, runner: fleet.Runner, status: int, headers: list[messages.Header]
+    ) -> None:
+        head = self._codec.decode_response(status, headers)
+        self._deps.runner_notices.on_head(runner, head)
+
     def _read_others(self, runner: int) -> loads.Load:
         if self._peers is None:
             return loads.Load()
--- a/pollenfork/gateway/attempt.py
+++ b/pollenfork/gateway/attempt.py
@@ -101,13 +101,27 @@
         relay: StreamRelay | None,
         on_first_output: Callable[[], None],
         on_head: Callable[[messages.ResponseHead], None] | None = None,
+        on_any_head: Callable[[messages.ResponseHead], None] | None = None,
     ) -> None:
+        """Creates an attempt that waits for its answer.
+
+        Args:
+            loop: Provides the clock and the result's future.
+            codec: Decodes response heads.
+            request: The request's head.
+            relay: Forwards a stream to the caller; None if it isn't streamed.
+            on_first_output: Called when the runner has started to answer.
+            on_head: Called with the head of the answer.
+            on_any_head: Called with every head that arrives on the connection,
+                also those of answers to earlier requests.
+        """
         self._loop = loop
         self._codec = codec
         self._request = request
         self._relay = relay
         self._on_first_output = on_first_output
         self._on_head = on_head
+        self._on_any_head = on_any_head
         self._head: messages.ResponseHead | None = None
         self._body: list[bytes] = []
         self._size = 0
@@ -118,6 +132,8 @@
     def on_head(self, status: int, headers: list[messages.Header]) -> bool:
         """Handles the head; returns False if it answers another request."""
         head = self._codec.decode_response(status, headers)
+        if self._on_any_head is not None:
+            self._on_any_head(head)
         if head.attempt and head.attempt != self._request.attempt:
             return False
         self._head = head
--- a/pollenfork/gateway/cache_feed.py
+++ b/pollenfork/gateway/cache_feed.py
@@ -7,6 +7,8 @@
 """
 
 import asyncio
+from collections.abc import Callable
+import functools
 import logging
 import random
 
@@ -22,6 +24,7 @@
 from pollenfork.gateway import client
 from pollenfork.gateway import cluster_state
 from pollenfork.gateway import edges
+from pollenfork.gateway import messages
 from pollenfork.gateway import peers
 from pollenfork.loads import messages as loads
 
@@ -47,6 +50,7 @@
 # knows others.
 _SETTLED_S = 0.5
 
+OnRunnerHead = Callable[[fleet.Runner, int, list[messages.Header]], None]
 ReportResult = result.Result[fleet_messages.CacheReport, failures.Failure]
 
 
@@ -60,6 +64,7 @@
         state: cluster_state.ClusterState,
         data_centre: ids.DataCentre,
         rng: random.Random,
+        on_head: OnRunnerHead | None = None,
     ) -> None:
         """Creates a feed that follows no runner yet.
 
@@ -69,7 +74,10 @@
             state: The runners, and the services that process prompts.
             data_centre: The data centre whose runners are asked.
             rng: Spreads the calls over time.
+            on_head: Called with a runner, and the status and headers of its
+                answer.
         """
+        self._on_head = on_head
         self._loop = asyncio.get_running_loop()
         self._codec = codec
         self._chooser = chooser
@@ -122,7 +130,8 @@
 
     async def _follow(self, runner: fleet.Runner) -> None:
         """Follows one runner until cancelled."""
-        calls = client.Client(loads.Address(runner.host, runner.port))
+        on_head = self._on_head and functools.partial(self._on_head, runner)
+        calls = client.Client(loads.Address(runner.host, runner.port), on_head)
         after: int | None = None
         epoch = ""
         pause_s = _FIRST_PAUSE_S
--- a/pollenfork/gateway/client.py
+++ b/pollenfork/gateway/client.py
@@ -1,6 +1,7 @@
 """An HTTP client for one address, with one persistent connection."""
 
 import asyncio
+from collections.abc import Callable
 
 from pollenfork.gateway import connection
 from pollenfork.gateway import messages
@@ -10,6 +11,7 @@
 _CONNECT_S = 0.5
 
 Answer = tuple[int, bytes]
+OnHead = Callable[[int, list[messages.Header]], None]
 
 
 class ResponseBuffer:
@@ -20,7 +22,16 @@
             incomplete.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, on_head: OnHead | None = None
+    ) -> None:
+        """Creates an empty buffer.
+
+        Args:
+            loop: Provides the future.
+            on_head: Called with the response's status and headers.
+        """
+        self._on_head = on_head
         self.done: asyncio.Future[Answer | None] = loop.create_future()
         self._status = 0
         self._pieces: list[bytes] = []
@@ -28,6 +39,8 @@
     def on_head(self, status: int, headers: list[messages.Header]) -> bool:
         """Stores the status."""
         self._status = status
+        if self._on_head is not None:
+            self._on_head(status, headers)
         return True
 
     def on_body(self, data: bytes) -> None:
@@ -48,7 +61,16 @@
 class Client:
     """Sends requests to one address, one at a time."""
 
-    def __init__(self, address: loads.Address) -> None:
+    def __init__(
+        self, address: loads.Address, on_head: OnHead | None = None
+    ) -> None:
+        """Creates a client without a connection.
+
+        Args:
+            address: The server's address.
+            on_head: Called with the status and headers of each response.
+        """
+        self._on_head = on_head
         self._loop = asyncio.get_running_loop()
         self._connection: connection.Connection | None = None
         self._limit: asyncio.Timeout | None = None
@@ -67,7 +89,7 @@
         Returns:
             None if no complete response arrived in time.
         """
-        body = ResponseBuffer(self._loop)
+        body = ResponseBuffer(self._loop, self._on_head)
         answer = None
         try:
             async with asyncio.timeout(timeout_s) as self._limit:
--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -172,6 +172,9 @@
                 return attempt.AttemptResult(
                     _End.UNSENT, connection_refused=refused
                 )
+            if not self._deps.chooser.accepts(grant.runner):
+                found.ok_value.abort()
+                return attempt.AttemptResult(_End.WITHHELD)
             self._history.sent += 1
             self._deps.counters.record_attempt()
             return await self._send(grant, found.ok_value)
@@ -199,6 +202,7 @@
             self._relay,
             lambda: self._on_first_output(grant),
             functools.partial(self._on_head, grant, self._deps.loop.time()),
+            functools.partial(self._deps.runner_notices.on_head, grant.runner),
         )
         self._current = found
         self._connected_at = found.connected_at
@@ -244,8 +248,7 @@
     def _on_head(
         self, grant: outcomes.Grant, sent_at: float, head: messages.ResponseHead
     ) -> None:
-        """Applies what a response head announces about its runner."""
-        self._deps.runner_notices.on_head(grant.runner, head)
+        """Applies the rate limits in a response head."""
         if head.displaced:
             return  # Another runner answered at its address.
         read = parsing.parse(head.rates)
@@ -311,7 +314,7 @@
             self._deliver(ended)
         elif self._remaining_s() <= 0:
             self._end_with_error(_Reason.TIME_LIMIT)
-        elif ended.end is _End.UNSENT:
+        elif not ended.end.reached_runner:
             self._end_with_error(_Reason.UNREACHABLE)
         elif ended.end.proves_not_run:
             self._end_with_error(_Reason.RUNNERS_FULL)
--- a/pollenfork/gateway/retries.py
+++ b/pollenfork/gateway/retries.py
@@ -11,8 +11,8 @@
 
 End = messages.End
 
-# Unreachable runners don't count as attempts, but the number of runners that
-# are tried must be bounded.
+# Runners that were sent nothing don't count as attempts, but the number of
+# runners that are tried must be bounded.
 _MAX_RUNNERS_TRIED = 4
 _SERVER_ERROR = 500
 
@@ -94,6 +94,6 @@
     if left_s <= 0:
         return RetryDecision.NO_TIME
     # A request that was never sent isn't a retry.
-    if ended.end is not End.UNSENT and not take_retry():
+    if ended.end.reached_runner and not take_retry():
         return RetryDecision.BUDGET_SPENT
     return RetryDecision.RETRIED
--- a/pollenfork/gateway/runner_notices.py
+++ b/pollenfork/gateway/runner_notices.py
@@ -1,12 +1,12 @@
-"""Logs what runners announce about themselves in the heads of their answers."""
+"""Applies what runners announce about themselves in their answers' heads."""
 
 import collections
 import http
 import logging
 
-from pollenfork import ids
 from pollenfork.fleet import model as fleet
 from pollenfork.fleet import pauses
+from pollenfork.fleet import registry
 from pollenfork.gateway import messages
 
 _LOG = logging.getLogger(__name__)
@@ -19,8 +19,13 @@
         counts: The number of heads by what they announce.
     """
 
-    def __init__(self) -> None:
-        self._leaving: dict[ids.EndpointId, fleet.Incarnation] = {}
+    def __init__(self, runners: registry.Registry) -> None:
+        """Creates an instance that has received no head.
+
+        Args:
+            runners: The runners of all services.
+        """
+        self._runners = runners
         self.counts: collections.Counter[str] = collections.Counter()
 
     def on_head(
@@ -48,17 +53,12 @@
         if pause.seconds is not None:
             self._record_pause(runner, pause.seconds)
 
-    def forget(self, runner: ids.EndpointId) -> None:
-        """Drops a runner that is gone."""
-        self._leaving.pop(runner, None)
-
     def _record_leaving(
         self, runner: fleet.Runner, head: messages.ResponseHead
     ) -> None:
         self.counts["leaving"] += 1
-        if self._leaving.get(runner.id) == runner.incarnation:
+        if not self._runners.announce_leaving(runner):
             return
-        self._leaving[runner.id] = runner.incarnation
         _LOG.info(
             "event=leaving_announced runner=%s status=%d",
             runner.id,
--- a/pollenfork/gateway/tests/support.py
+++ b/pollenfork/gateway/tests/support.py
@@ -219,7 +219,7 @@
             ),
             request_quarantine=request_quarantine,
             limit_events=limit_events.LimitEvents(),
-            runner_notices=runner_notices.RunnerNotices(),
+            runner_notices=runner_notices.RunnerNotices(self.runners),
             permits=granted,
             record_started=self.begun.append,
             claim_trial=self._claim_trial,
--- a/pollenfork/gateway/tests/test_runner_notices.py
+++ b/pollenfork/gateway/tests/test_runner_notices.py
@@ -77,3 +77,51 @@
         return [len(runner.got) for runner in runners]
 
     assert asyncio.run(play()) == [1, 3]
+
+
+# Guards against sending what was chosen before the announcement: a request that
+# waits for its connection goes elsewhere, at no cost to the runner's standing.
+def test_a_request_waiting_for_its_connection_goes_elsewhere() -> None:
+    async def play():
+        runners = support.Runner("r0"), support.Runner("r1", GOOD)
+        route = support.make_route(model.Kind.AT_MOST_ONCE, attempts=1)
+        async with support.run_gateway(route, *runners) as gateway:
+            pool = gateway.deps.pool
+            open_connection = pool.open
+
+            async def open_late(runner, left_s):
+                gateway.runners.announce_leaving(
+                    gateway.runners.find(ids.EndpointId("r0"))
+                )
+                return await open_connection(runner, left_s)
+
+            pool.open = open_late
+            answer = await support.ask(gateway)
+        return answer, [len(runner.got) for runner in runners]
+
+    answer, asked = asyncio.run(play())
+    assert answer.endswith(b"good")
+    assert asked == [0, 1]
+
+
+def test_an_answer_to_an_earlier_request_announces_too() -> None:
+    late = support.write_answer(b"late", request="p", extra="x-leaving: 1\r\n")
+    route = support.make_route(REPEATABLE)
+    answers, asked = run(route, [late + GOOD, GOOD], [GOOD] * 2, 2)
+    assert all(answer.endswith(b"good") for answer in answers)
+    assert asked == [1, 1]
+
+
+def test_another_runner_at_the_address_announces_nothing() -> None:
+    moved = support.DISPLACED.replace(
+        b"x-displaced", b"x-leaving: 1\r\nx-displaced"
+    )
+
+    async def play():
+        runners = support.Runner("r0", moved), support.Runner("r1", GOOD)
+        route = support.make_route(REPEATABLE)
+        async with support.run_gateway(route, *runners) as gateway:
+            await support.ask(gateway)
+            return gateway.runners.find(ids.EndpointId("r0")).leaving
+
+    assert not asyncio.run(play())
