Tell other instances which runners announced that they leave

Only the instance that a leaving runner had answered kept away from it; with the store away the others went on sending it work, which ends with the runner. Announcements now go to three instances at once and in the next two ticks, are forwarded on arrival, and are repeated every 0.25 s to one instance here and one elsewhere until the runner's entry says the same. They name an incarnation, so a restarted runner isn't meant; of a runner that restarts without saying when it started, peers are neither told nor believed any more.

--- a/pollenfork/fleet/departures.py
+++ b/pollenfork/fleet/departures.py
@@ -25,11 +25,15 @@
         self._announced: collections.OrderedDict[int, None] = (
             collections.OrderedDict()
         )
+        self._reused: set[int] = set()
+        self._recent: list[int] = []
 
     def add(self, announced: int) -> bool:
         """Adds an incarnation; returns whether it is new."""
         if announced in self._announced:
             return False
+        if announced not in self._reused:
+            self._recent.append(announced)
         self._announced[announced] = None
         if len(self._announced) > _MAX_KEPT:
             self._announced.popitem(last=False)
@@ -42,9 +46,28 @@
             and hash_incarnation(incarnation) in self._announced
         )
 
+    def add_reported(self, announced: int) -> bool:
+        """Adds an incarnation known from a peer; returns whether it is new."""
+        return announced not in self._reused and self.add(announced)
+
+    def is_shareable(self, announced: int) -> bool:
+        """Returns whether an incarnation has left and no other has its name."""
+        return announced in self._announced and announced not in self._reused
+
+    def take_recent(self) -> list[int]:
+        """Returns the incarnations for peers, added since the last call."""
+        recent, self._recent = self._recent, []
+        return recent
+
     def discard(self, incarnation: model.Incarnation) -> None:
-        """Drops an incarnation whose name a later one uses again."""
-        self._announced.pop(hash_incarnation(incarnation), None)
+        """Drops an incarnation whose name a later one uses again.
+
+        Peers may still mean the earlier one, so of this name they are neither
+        told nor believed any more.
+        """
+        announced = hash_incarnation(incarnation)
+        self._announced.pop(announced, None)
+        self._reused.add(announced)
 
 
 def hash_incarnation(incarnation: model.Incarnation) -> int:
--- a/pollenfork/fleet/registry.py
+++ b/pollenfork/fleet/registry.py
@@ -52,6 +52,8 @@
         self._expiring: dict[ids.EndpointId, float] = {}
         self._kept_until = 0.0
         self._departures = departures.Departures()
+        # Runners that are leaving although their entries say otherwise.
+        self._announced: set[ids.EndpointId] = set()
         self.kept = 0
         self._on_gone: list[Callable[[ids.EndpointId], None]] = []
         self._on_restart: list[Callable[[model.Runner], None]] = []
@@ -91,8 +93,10 @@
             self._drop(runner.id)
         if restarted and runner.start is None:
             self._departures.discard(runner.incarnation)
-        if self._departures.has(runner.incarnation):
+        self._announced.discard(runner.id)
+        if not runner.leaving and self._departures.has(runner.incarnation):
             runner = msgspec.structs.replace(runner, leaving=True)
+            self._announced.add(runner.id)
         self._runners[runner.id] = runner
         self._services.setdefault(runner.service, {})[runner.id] = None
         if runner.leaving and not (old is not None and old.leaving):
@@ -118,12 +122,40 @@
         announced = departures.hash_incarnation(runner.incarnation)
         if not self._departures.add(announced):
             return False
-        if known is None or known.leaving:
-            return True
-        self._runners[runner.id] = msgspec.structs.replace(known, leaving=True)
-        self._notify_gone(runner.id)
+        if known is not None:
+            self._mark_leaving(known)
         return True
 
+    def record_departure(self, announced: int) -> ids.EndpointId | None:
+        """Marks a runner that announced to a peer that it leaves.
+
+        Args:
+            announced: The hash of its incarnation.
+
+        Returns:
+            The runner, if it is known here and wasn't known to leave.
+        """
+        if not self._departures.add_reported(announced):
+            return None
+        for runner in self.list_all():
+            hashed = departures.hash_incarnation(runner.incarnation)
+            if hashed == announced and not runner.leaving:
+                self._mark_leaving(runner)
+                return runner.id
+        return None
+
+    def take_departures(self) -> list[int]:
+        """Returns the hashes of newly announced departures."""
+        return self._departures.take_recent()
+
+    def list_departures(self) -> list[int]:
+        """Returns the hashes of leaving runners whose entries don't say so."""
+        hashes = [
+            departures.hash_incarnation(self._runners[each].incarnation)
+            for each in self._announced
+        ]
+        return [each for each in hashes if self._departures.is_shareable(each)]
+
     def record_start(
         self, runner: ids.EndpointId, start: ids.RunnerStart | None
     ) -> PutResult:
@@ -224,7 +256,15 @@
             self._starts.popitem(last=False)
         return before is not None and before < runner.start
 
+    def _mark_leaving(self, runner: model.Runner) -> None:
+        if runner.leaving:
+            return
+        self._announced.add(runner.id)
+        self._runners[runner.id] = msgspec.structs.replace(runner, leaving=True)
+        self._notify_gone(runner.id)
+
     def _drop(self, runner: ids.EndpointId) -> None:
+        self._announced.discard(runner)
         known = self._runners.pop(runner)
         self._services[known.service].pop(runner, None)
         self._notify_gone(runner)
--- a/pollenfork/fleet/tests/test_evidence.py
+++ b/pollenfork/fleet/tests/test_evidence.py
@@ -154,6 +154,15 @@
     def record_finding(self, finding: loads.Finding, now: float) -> None:
         self._evidence.receive(finding, now)
 
+    def take_departures(self):
+        return []
+
+    def list_departures(self):
+        return []
+
+    def record_departures(self, announced):
+        pass
+
     def take_suspicions(self, now):
         return None
 
--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -254,6 +254,7 @@
             self._deps.chooser,
             self.state,
             self._deps.evidence,
+            self._deps.runner_notices,
             self._deps.request_quarantine,
             self._settings.data_centre,
         )
@@ -266,6 +267,7 @@
         joined.on_limits(self._deps.permits.receive)
         joined.when_ticked(self._deps.permits.tick)
         self._deps.chooser.when_long(joined.announce_soon)
+        self._deps.runner_notices.when_announced(joined.flush_departures)
         self._deps.request_quarantine.when_urgent(joined.flush_suspicions)
         self._peers = joined
         if self._duty_agent is not None:
--- a/pollenfork/gateway/peers.py
+++ b/pollenfork/gateway/peers.py
@@ -9,6 +9,7 @@
 from pollenfork.fleet import choice
 from pollenfork.fleet import evidence
 from pollenfork.gateway import cluster_state
+from pollenfork.gateway import runner_notices
 from pollenfork.gateway import settings
 from pollenfork.loads import core
 from pollenfork.loads import limit_messages
@@ -30,9 +31,11 @@
         chooser: choice.Chooser,
         state: cluster_state.ClusterState,
         findings: evidence.Evidence,
+        notices: runner_notices.RunnerNotices,
         request_quarantine: quarantine.Quarantine,
         data_centre: ids.DataCentre,
     ) -> None:
+        self._notices = notices
         self._quarantine = request_quarantine
         self._chooser = chooser
         self._state = state
@@ -87,6 +90,18 @@
         """Records another instance's finding about a runner."""
         self._evidence.receive(finding, now)
 
+    def take_departures(self) -> list[int]:
+        """Returns the runners newly known to leave, by incarnation hash."""
+        return self._state.runners.take_departures()
+
+    def list_departures(self) -> list[int]:
+        """Returns those known to leave only by their own announcement."""
+        return self._state.runners.list_departures()
+
+    def record_departures(self, announced: Iterable[int]) -> None:
+        """Records runners that announced to a peer that they leave."""
+        self._notices.record_departures(announced)
+
     def take_suspicions(self, now: float) -> messages.Suspicions | None:
         """Returns new suspicions of requests that crash runners, if any."""
         return self._quarantine.take_updates(now)
@@ -231,6 +246,10 @@
         self._urgent = True
         self._schedule_early_tick()
 
+    def flush_departures(self) -> None:
+        """Sends new announcements of leaving runners immediately."""
+        self._send_all(self._exchange.flush_departures())
+
     def flush_suspicions(self) -> None:
         """Sends suspicions of requests that crash runners immediately."""
         self._send_all(self._exchange.flush_suspicions(self._loop.time()))
--- a/pollenfork/gateway/runner_notices.py
+++ b/pollenfork/gateway/runner_notices.py
@@ -1,6 +1,7 @@
 """Applies what runners announce about themselves in their answers' heads."""
 
 import collections
+from collections.abc import Callable, Iterable
 import http
 import logging
 
@@ -26,6 +27,7 @@
             runners: The runners of all services.
         """
         self._runners = runners
+        self._on_announced: list[Callable[[], None]] = []
         self.counts: collections.Counter[str] = collections.Counter()
 
     def on_head(
@@ -53,6 +55,24 @@
         if pause.seconds is not None:
             self._record_pause(runner, pause.seconds)
 
+    def when_announced(self, call: Callable[[], None]) -> None:
+        """Registers a callback for runners that newly announce to leave."""
+        self._on_announced.append(call)
+
+    def record_departures(self, announced: Iterable[int]) -> None:
+        """Applies the announcements that peers have received.
+
+        Args:
+            announced: Hashes of the runners' incarnations.
+        """
+        for each in announced:
+            runner = self._runners.record_departure(each)
+            if runner is not None:
+                _LOG.info(
+                    "event=leaving_announced runner=%s status=- way=peer",
+                    runner,
+                )
+
     def _record_leaving(
         self, runner: fleet.Runner, head: messages.ResponseHead
     ) -> None:
@@ -60,10 +80,12 @@
         if not self._runners.announce_leaving(runner):
             return
         _LOG.info(
-            "event=leaving_announced runner=%s status=%d",
+            "event=leaving_announced runner=%s status=%d way=answer",
             runner.id,
             head.status,
         )
+        for call in self._on_announced:
+            call()
 
     def _record_pause(self, runner: fleet.Runner, seconds: float) -> None:
         self.counts["pause"] += 1
--- a/pollenfork/loads/core.py
+++ b/pollenfork/loads/core.py
@@ -230,7 +230,10 @@
             case messages.OtherLoads():
                 self._receive_others(message, host, now)
             case (
-                messages.Gossip() | messages.Findings() | messages.Suspicions()
+                messages.Gossip()
+                | messages.Findings()
+                | messages.Departures()
+                | messages.Suspicions()
             ):
                 self._record_sighting(host, message.data_centre, now)
                 return self._address_all(
@@ -263,6 +266,10 @@
         """Notes a message of another instance that is handled elsewhere."""
         self._record_sighting(host, data_centre, now)
 
+    def flush_departures(self) -> list[messages.Send]:
+        """Returns new announcements of leaving runners, to be sent at once."""
+        return self._address_all(self._disseminator.flush_departures())
+
     def flush_suspicions(self, now: float) -> list[messages.Send]:
         """Returns the new suspicions, to be sent at once."""
         return self._address_all(self._disseminator.flush_suspicions(now))
--- a/pollenfork/loads/dissemination.py
+++ b/pollenfork/loads/dissemination.py
@@ -3,8 +3,11 @@
 Decides what to send to whom; performs no I/O.
 """
 
+from collections.abc import Callable
+
 import msgspec
 
+from pollenfork.loads import departures
 from pollenfork.loads import edges
 from pollenfork.loads import findings
 from pollenfork.loads import gossip
@@ -29,7 +32,7 @@
 
 
 class Disseminator:
-    """Spreads the store's status, findings and suspicions."""
+    """Spreads the store's status, findings, departures and suspicions."""
 
     def __init__(
         self,
@@ -50,6 +53,7 @@
         self._roster = roster
         self._gossip = gossip.Gossip(me, roster)
         self._outbox = findings.Outbox()
+        self._departures = departures.Outbox(instance)
         self._page_at = 0.0
         self._ticked_at: float | None = None
         self._received_at: float | None = None
@@ -72,8 +76,29 @@
         if due:
             message = messages.Findings(self._me.data_centre, due)
             outgoing += [(host, message) for host in self._gossip.pick_fanout()]
+        outgoing += self._spread_departures(now)
         return outgoing + self.flush_suspicions(now) + self._catch_up(now)
 
+    def flush_departures(self) -> Outgoing:
+        """Returns new announcements of leaving runners, to be sent at once."""
+        return self._address_departures(
+            self._departures.take_recent(), self._gossip.pick_fanout
+        )
+
+    def _spread_departures(self, now: float) -> Outgoing:
+        due = self._departures.tick(now)
+        return self._address_departures(
+            due.recent, self._gossip.pick_fanout
+        ) + self._address_departures(due.repeated, self._gossip.pick_pair)
+
+    def _address_departures(
+        self, announced: tuple[int, ...], pick: Callable[[], list[str]]
+    ) -> Outgoing:
+        if not announced:
+            return []
+        message = messages.Departures(self._me.data_centre, announced)
+        return [(host, message) for host in pick()]
+
     def flush_suspicions(self, now: float) -> Outgoing:
         """Returns the new suspicions, to be sent at once."""
         updates = self._instance.take_suspicions(now)
@@ -102,7 +127,10 @@
 
     def receive(
         self,
-        message: messages.Gossip | messages.Findings | messages.Suspicions,
+        message: messages.Gossip
+        | messages.Findings
+        | messages.Departures
+        | messages.Suspicions,
         host: str,
         now: float,
     ) -> Outgoing:
@@ -110,6 +138,10 @@
         if isinstance(message, messages.Findings):
             self._receive_findings(message, now)
             return []
+        if isinstance(message, messages.Departures):
+            self._instance.record_departures(message.incarnations)
+            # Forwarded at once, it reaches all instances in a few hops.
+            return self.flush_departures()
         if isinstance(message, messages.Suspicions):
             return self._receive_suspicions(message, host, now)
         store_status.receive(
--- a/pollenfork/loads/edges.py
+++ b/pollenfork/loads/edges.py
@@ -63,6 +63,15 @@
     def record_finding(self, finding: messages.Finding, now: float) -> None:
         """Adds another instance's finding about a runner."""
 
+    def take_departures(self) -> list[int]:
+        """Returns the runners newly known to leave, by incarnation hash."""
+
+    def list_departures(self) -> list[int]:
+        """Returns those known to leave only by their own announcement."""
+
+    def record_departures(self, announced: Iterable[int]) -> None:
+        """Adds runners that announced to another instance that they leave."""
+
     def take_suspicions(self, now: float) -> messages.Suspicions | None:
         """Returns new crashes and clearances of requests, if any."""
 
--- a/pollenfork/loads/messages.py
+++ b/pollenfork/loads/messages.py
@@ -210,6 +210,18 @@
     findings: tuple[Finding, ...]
 
 
+class Departures(msgspec.Struct, frozen=True, array_like=True, tag="e"):
+    """An instance passes on which runners have announced that they leave.
+
+    Attributes:
+        data_centre: The sender's data centre.
+        incarnations: Hashes of the runners' incarnations.
+    """
+
+    data_centre: str
+    incarnations: tuple[int, ...]
+
+
 class RunnerCrash(msgspec.Struct, frozen=True, array_like=True):
     """A runner crashed while it ran a request.
 
@@ -325,6 +337,7 @@
     | OtherLoads
     | Gossip
     | Findings
+    | Departures
     | Suspicions
     | Tally
     | HolderNotice
--- a/pollenfork/loads/tests/test_exchange.py
+++ b/pollenfork/loads/tests/test_exchange.py
@@ -1,3 +1,4 @@
+import collections
 import random
 
 import pytest
@@ -23,6 +24,8 @@
         self.versions: set[tuple[messages.StoreStatus, str]] = set()
         self.findings: list[messages.Finding] = []
         self.received_findings: list[messages.Finding] = []
+        self.departures: set[int] = set()
+        self.new_departures: list[int] = []
 
     def read_loads(self) -> messages.LoadTable:
         return dict(self.loads)
@@ -63,6 +66,22 @@
     def record_finding(self, finding: messages.Finding, now: float) -> None:
         self.received_findings.append(finding)
 
+    def announce(self, announced: int) -> None:
+        """A runner announces to this instance that it leaves."""
+        self.record_departures([announced])
+
+    def take_departures(self) -> list[int]:
+        new, self.new_departures = self.new_departures, []
+        return new
+
+    def list_departures(self) -> list[int]:
+        return sorted(self.departures)
+
+    def record_departures(self, announced) -> None:
+        for each in set(announced) - self.departures:
+            self.departures.add(each)
+            self.new_departures.append(each)
+
     def take_suspicions(self, now: float) -> messages.Suspicions | None:
         return None
 
@@ -89,6 +108,7 @@
         self.down: set[str] = set()
         self.partitioned: set[str] = set()
         self.sent = 0
+        self.bytes = 0
         self.crossings = 0
         self.instances: dict[str, FakeInstance] = {}
         self.exchanges: dict[str, core.Exchange] = {}
@@ -118,8 +138,11 @@
                     self.deliver(host, exchange.tick(self.now))
 
     def deliver(self, sender: str, sends: list[messages.Send]) -> None:
-        for send in sends:
+        waiting = collections.deque((sender, send) for send in sends)
+        while waiting:
+            sender, send = waiting.popleft()
             self.sent += 1
+            self.bytes += len(messages.encode(send.message))
             crossing = (
                 self.data_centres.get(send.to.host) != self.data_centres[sender]
             )
@@ -134,7 +157,7 @@
             exchange = self.exchanges.get(send.to.host)
             if exchange is not None and message is not None:
                 answers = exchange.receive(message, sender, self.now)
-                self.deliver(send.to.host, answers)
+                waiting.extend((send.to.host, each) for each in answers)
 
     def check_totals(self) -> None:
         live = [host for host in self.exchanges if host not in self.down]
--- a/pollenfork/platform/tests/simulation/site.py
+++ b/pollenfork/platform/tests/simulation/site.py
@@ -9,6 +9,7 @@
 from pollenfork.fleet import evidence
 from pollenfork.gateway import cluster_state
 from pollenfork.gateway import peers
+from pollenfork.gateway import runner_notices
 from pollenfork.gateway import settings
 from pollenfork.gateway import sources
 from pollenfork.gateway import tables
@@ -146,6 +147,7 @@
         found = evidence.Evidence(
             self.known.runners, chooser.get_state, self.data_centre
         )
+        self.notices = runner_notices.RunnerNotices(self.known.runners)
         self.suspected = quarantine.Quarantine(
             self.known.runners,
             self.host,
@@ -153,11 +155,17 @@
             loop.time,
         )
         here = peers.LocalInstance(
-            chooser, self.known, found, self.suspected, self.data_centre
+            chooser,
+            self.known,
+            found,
+            self.notices,
+            self.suspected,
+            self.data_centre,
         )
         _, joined = await loop.create_datagram_endpoint(
             lambda: peers.Peers(here, told, me), local_addr=me
         )
+        self.notices.when_announced(joined.flush_departures)
         self.suspected.when_urgent(joined.flush_suspicions)
         joined.when_ticked(lambda: followed.choose(joined))
         server = tables.make_server(followed.tables)
--- a/pollenfork/poison/tests/fleet.py
+++ b/pollenfork/poison/tests/fleet.py
@@ -100,6 +100,15 @@
     def record_finding(self, finding, now):
         pass
 
+    def take_departures(self):
+        return []
+
+    def list_departures(self):
+        return []
+
+    def record_departures(self, announced):
+        pass
+
     def take_suspicions(self, now):
         return self.quarantine.take_updates(now)
 
