Send runners nothing during a pause that they requested

Cause: a refusal's Retry-After was decoded nowhere, so a refusal cost the runner only a little of its standing here; where all runners refused, nothing held requests back at all.

Why it works: every choice and the cache feed read the pause; what was chosen before and waits for a permit or a connection is withheld. The longest stated end counts, an answer to an older request doesn't end it, and nonsense is ignored and logged. A pause is no failure: no mark on the runner, no lost capacity for the scaler. After it one request at a time is tried, first those that may go elsewhere, and many instances return spread over up to 0.8 s. Where all runners pause, callers are refused at once and told when there is a place for them, more urgent tiers 0.1 s earlier.

The exclusions of the choice moved to fleet/availability.py.

--- a/benchmarks/loads_cost.py
+++ b/benchmarks/loads_cost.py
@@ -5,6 +5,7 @@
 same table told by everyone to everyone.
 """
 
+from collections.abc import Iterable
 import json
 import pathlib
 import random
@@ -69,6 +70,15 @@
     ) -> None:
         """Takes nothing."""
 
+    def take_departures(self) -> list[int]:
+        return []
+
+    def list_departures(self) -> list[int]:
+        return []
+
+    def record_departures(self, announced: Iterable[int]) -> None:
+        """Takes nothing."""
+
     def take_findings(self) -> list[messages.Finding]:
         return []
 
--- /dev/null
+++ b/pollenfork/fleet/availability.py
@@ -0,0 +1,157 @@
+"""Finds the runners that a request may be sent to now."""
+
+from collections.abc import Callable
+
+from pollenfork import ids
+from pollenfork.fleet import candidates
+from pollenfork.fleet import limits as rate_limits
+from pollenfork.fleet import model
+from pollenfork.fleet import outcomes
+from pollenfork.fleet import pauses as runner_pauses
+from pollenfork.fleet import registry
+from pollenfork.fleet import runner_state
+
+GetState = Callable[[ids.EndpointId], runner_state.RunnerState]
+
+
+class Availability:
+    """Excludes runners that are gone, unreachable, pausing or limited."""
+
+    def __init__(
+        self,
+        runners: registry.Registry,
+        get_state: GetState,
+        limits: rate_limits.Limits,
+        pauses: runner_pauses.Pauses,
+    ) -> None:
+        """Creates an instance.
+
+        Args:
+            runners: The runners of all services.
+            get_state: Returns this instance's state of a runner.
+            limits: The runners' rate limits.
+            pauses: The pauses that runners have requested.
+        """
+        self._registry = runners
+        self._get_state = get_state
+        self._limits = limits
+        self._pauses = pauses
+
+    def find(
+        self,
+        profile: candidates.RequestProfile,
+        avoid: set[ids.EndpointId],
+        now: float,
+    ) -> list[model.Runner] | outcomes.Refusal | None:
+        """Returns the runners for a request, or why there are none.
+
+        Args:
+            profile: What the request needs.
+            avoid: Runners that this request has already been sent to.
+            now: Monotonic seconds.
+        """
+        self._registry.expire(now)
+        accepting = [
+            runner
+            for runner in self._registry.list_accepting(profile.service)
+            if runner.id not in avoid
+        ]
+        if not accepting:
+            return None
+        reachable = self._exclude_unreachable(accepting)
+        if not reachable:
+            return outcomes.Unreachable()
+        resumed = self._exclude_paused(reachable, profile.tier, now)
+        if not resumed:
+            return self._describe_pauses(reachable, profile.tier, now)
+        if not profile.retriable:
+            resumed = self._exclude_unconfirmed(resumed, now)
+        admitting = self._exclude_limited(resumed, profile.tier, now)
+        return admitting or self._describe_limits(resumed, profile.tier, now)
+
+    def accepts(self, runner: model.Runner, now: float) -> bool:
+        """Returns whether a chosen runner may still be sent a request."""
+        return self._registry.is_accepting(
+            runner.incarnation
+        ) and not self._pauses.is_paused(runner.incarnation, now)
+
+    def find_pause(
+        self, profile: candidates.RequestProfile, now: float
+    ) -> outcomes.Paused | None:
+        """Returns when to retry if all runners of a service pause."""
+        reachable = self._exclude_unreachable(
+            self._registry.list_accepting(profile.service)
+        )
+        if not reachable or self._exclude_paused(reachable, profile.tier, now):
+            return None
+        return self._describe_pauses(reachable, profile.tier, now)
+
+    def _exclude_unreachable(
+        self, accepting: list[model.Runner]
+    ) -> list[model.Runner]:
+        """Returns the runners believed to accept connections.
+
+        Runners displaced from their address are excluded, unless all are.
+        """
+        present = [
+            runner
+            for runner in accepting
+            if self._get_state(runner.id).displaced_from != runner.address
+        ]
+        return [
+            runner
+            for runner in present or accepting
+            if self._get_state(runner.id).reachable
+        ]
+
+    def _exclude_paused(
+        self, accepting: list[model.Runner], tier: ids.Tier, now: float
+    ) -> list[model.Runner]:
+        """Returns the runners that haven't asked for a pause."""
+        return [
+            runner
+            for runner in accepting
+            if self._pauses.find_until(runner, tier, now) <= now
+        ]
+
+    def _exclude_unconfirmed(
+        self, accepting: list[model.Runner], now: float
+    ) -> list[model.Runner]:
+        """Excludes runners that may still refuse, unless all may."""
+        confirmed = [
+            runner
+            for runner in accepting
+            if not self._pauses.is_unconfirmed(runner.incarnation, now)
+        ]
+        return confirmed or accepting
+
+    def _describe_pauses(
+        self, paused: list[model.Runner], tier: ids.Tier, now: float
+    ) -> outcomes.Paused:
+        return outcomes.Paused(self._pauses.plan_return(paused, tier, now))
+
+    def _exclude_limited(
+        self, accepting: list[model.Runner], tier: ids.Tier, now: float
+    ) -> list[model.Runner]:
+        """Returns the runners whose rate limits admit a request now."""
+        return [
+            runner
+            for runner in accepting
+            if self._limits.find_blocked_until(
+                self._get_hash(runner), tier, now
+            )
+            <= now
+        ]
+
+    def _describe_limits(
+        self, accepting: list[model.Runner], tier: ids.Tier, now: float
+    ) -> outcomes.Limited:
+        hashes = [self._get_hash(runner) for runner in accepting]
+        until = min(
+            self._limits.find_blocked_until(each, tier, now) for each in hashes
+        )
+        rate = sum(self._limits.find_rate(each) or 0.0 for each in hashes)
+        return outcomes.Limited(until - now, rate)
+
+    def _get_hash(self, runner: model.Runner) -> int:
+        return self._get_state(runner.id).incarnation_hash
--- a/pollenfork/fleet/candidates.py
+++ b/pollenfork/fleet/candidates.py
@@ -53,6 +53,7 @@
         copy_s: Seconds that a runner takes to copy one prompt token from
             another runner; None if it can't.
         tier: The request's tier; 0 is the most urgent.
+        retriable: Whether it may be sent to another runner after a refusal.
     """
 
     service: ids.ServiceName
@@ -60,6 +61,7 @@
     top_tier: bool | None = None
     copy_s: float | None = None
     tier: ids.Tier = ids.Tier(0)
+    retriable: bool = True
 
     @property
     def shared(self) -> tuple[model.Part, ...]:
--- a/pollenfork/fleet/choice.py
+++ b/pollenfork/fleet/choice.py
@@ -7,12 +7,14 @@
 import xxhash
 
 from pollenfork import ids
+from pollenfork.fleet import availability
 from pollenfork.fleet import candidates
 from pollenfork.fleet import copies
 from pollenfork.fleet import limits as rate_limits
 from pollenfork.fleet import messages
 from pollenfork.fleet import model
 from pollenfork.fleet import outcomes
+from pollenfork.fleet import pauses as runner_pauses
 from pollenfork.fleet import prefix_index
 from pollenfork.fleet import registry
 from pollenfork.fleet import runner_state
@@ -57,6 +59,7 @@
         rng: random.Random,
         read_others: Callable[[int], loads.Load] | None = None,
         limits: rate_limits.Limits | None = None,
+        pauses: runner_pauses.Pauses | None = None,
     ) -> None:
         """Creates a chooser without load or cached parts.
 
@@ -66,7 +69,9 @@
             read_others: Returns the load of other instances on a runner, by
                 the hash of its incarnation.
             limits: The runners' rate limits; None: no runner has one.
+            pauses: The pauses that runners have requested.
         """
+        self.pauses = pauses or runner_pauses.Pauses(rng)
         self._limits = limits or rate_limits.NoLimits()
         self._read_others = read_others or (lambda runner: loads.Load())
         self._registry = runners
@@ -78,6 +83,9 @@
             ids.EndpointId, tuple[model.Runner, runner_state.RunnerState]
         ] = {}
         self.caches = prefix_index.PrefixIndex()
+        self.availability = availability.Availability(
+            runners, self.get_state, self._limits, self.pauses
+        )
         runners.when_gone(self._forget)
 
     def choose(
@@ -102,28 +110,13 @@
         Returns:
             The grant; `Overloaded` if that runner's backlog exceeds
             `max_wait_s`; `Unreachable` if there are runners but none can be
-            reached; `Limited` if the reachable ones accept no more requests
-            now; None if there are no runners.
+            reached; `Paused` if all reachable ones have asked for a pause;
+            `Limited` if the others accept no more requests now; None if there
+            are no runners.
         """
-        self._registry.expire(now)
-        accepting = [
-            runner
-            for runner in self._registry.list_accepting(profile.service)
-            if runner.id not in avoid
-        ]
-        if not accepting:
-            return None
-        accepting = [
-            runner
-            for runner in self._exclude_displaced(accepting)
-            if self.get_state(runner.id).reachable
-        ]
-        if not accepting:
-            return outcomes.Unreachable()
-        reached = accepting
-        accepting = self._exclude_limited(reached, profile.tier, now)
-        if not accepting:
-            return self._describe_limits(reached, profile.tier, now)
+        accepting = self.availability.find(profile, avoid, now)
+        if not isinstance(accepting, list):
+            return accepting
         if suspect is not None:
             accepting = self._choose_for_suspect(accepting, suspect, now)
         found = [
@@ -148,6 +141,7 @@
         ):
             return outcomes.Overloaded(_find_wait(candidate, profile))
         grant = self._grant(profile, candidate)
+        self.pauses.record_sent(candidate.runner.incarnation, now)
         holder_costs = [each.cost for each in found if not each.uncached_tokens]
         grant.mean_backlog_s = backlog_s
         grant.holders = len(holder_costs)
@@ -160,10 +154,6 @@
         """Confirms a grant of a rate-limited runner."""
         self._record_placement(profile, grant)
 
-    def accepts(self, runner: model.Runner) -> bool:
-        """Returns whether a chosen runner may still be sent a request."""
-        return self._registry.is_accepting(runner.incarnation)
-
     def is_limited(self, runner: ids.EndpointId) -> bool:
         """Returns whether a runner has a rate limit."""
         incarnation = self.get_state(runner).incarnation_hash
@@ -261,40 +251,6 @@
     def _get_hash(self, runner: model.Runner) -> int:
         return self.get_state(runner.id).incarnation_hash
 
-    def _exclude_displaced(
-        self, accepting: list[model.Runner]
-    ) -> list[model.Runner]:
-        """Excludes runners displaced from their address, unless all are."""
-        present = [
-            runner
-            for runner in accepting
-            if self.get_state(runner.id).displaced_from != runner.address
-        ]
-        return present or accepting
-
-    def _exclude_limited(
-        self, accepting: list[model.Runner], tier: ids.Tier, now: float
-    ) -> list[model.Runner]:
-        """Returns the runners whose rate limits admit a request now."""
-        return [
-            runner
-            for runner in accepting
-            if self._limits.find_blocked_until(
-                self._get_hash(runner), tier, now
-            )
-            <= now
-        ]
-
-    def _describe_limits(
-        self, accepting: list[model.Runner], tier: ids.Tier, now: float
-    ) -> outcomes.Limited:
-        hashes = [self._get_hash(runner) for runner in accepting]
-        until = min(
-            self._limits.find_blocked_until(each, tier, now) for each in hashes
-        )
-        rate = sum(self._limits.find_rate(each) or 0.0 for each in hashes)
-        return outcomes.Limited(until - now, rate)
-
     def _choose_for_suspect(
         self,
         accepting: list[model.Runner],
--- a/pollenfork/fleet/messages.py
+++ b/pollenfork/fleet/messages.py
@@ -10,9 +10,9 @@
 class End(enum.Enum):
     """How an attempt at a runner ended, and what that proves.
 
-    `UNSENT`, `WITHHELD`, `REFUSED` and `DISPLACED` prove that the request
-    hasn't run; after `BROKEN` and `SILENT` it may have. `DISPLACED` also proves
-    that the runner is gone, because another runner answers at its address.
+    All but `WHOLE`, `BROKEN` and `SILENT` prove that the request hasn't run.
+    `DISPLACED` also proves that the runner is gone, because another runner
+    answers at its address. `PAUSED` is a refusal that asks for a pause.
     `WITHHELD` shows nothing about the runner: the request wasn't sent because
     the runner stopped accepting work after it had been chosen.
     """
@@ -21,6 +21,7 @@
     UNSENT = "unsent"
     WITHHELD = "withheld"
     REFUSED = "refused"
+    PAUSED = "paused"
     DISPLACED = "displaced"
     BROKEN = "broken"
     SILENT = "silent"
@@ -28,12 +29,7 @@
     @property
     def proves_not_run(self) -> bool:
         """Whether the request is certain not to have run on the runner."""
-        return self in (
-            End.UNSENT,
-            End.WITHHELD,
-            End.REFUSED,
-            End.DISPLACED,
-        )
+        return self not in (End.WHOLE, End.BROKEN, End.SILENT)
 
     @property
     def reached_runner(self) -> bool:
--- a/pollenfork/fleet/outcomes.py
+++ b/pollenfork/fleet/outcomes.py
@@ -32,6 +32,16 @@
     rate: float
 
 
+class Paused(msgspec.Struct, frozen=True):
+    """Every reachable runner has asked for a pause.
+
+    Attributes:
+        wait_s: Seconds after which the caller should return.
+    """
+
+    wait_s: float
+
+
 class Grant(msgspec.Struct):
     """A runner selected for one attempt, until the attempt is settled.
 
@@ -70,4 +80,5 @@
         self.pending_tokens = 0.0
 
 
-Outcome = Grant | Overloaded | Unreachable | Limited | None
+Refusal = Unreachable | Limited | Paused
+Outcome = Grant | Overloaded | Refusal | None
--- a/pollenfork/fleet/runner_state.py
+++ b/pollenfork/fleet/runner_state.py
@@ -77,6 +77,8 @@
         if end is messages.End.WITHHELD:
             return
         self.unsent = self.unsent + 1 if end is messages.End.UNSENT else 0
+        if end is messages.End.PAUSED:
+            return
         if end is messages.End.WHOLE:
             self.answered_at = now
         if end is messages.End.WHOLE and failed:
--- a/pollenfork/gateway/admission.py
+++ b/pollenfork/gateway/admission.py
@@ -71,7 +71,12 @@
     config = settings.configuration.services.get(service)
     tier = settings.get_tier(route, account)
     demand = candidates.RequestProfile(
-        service, head.parts, quick, config.copy_s if config else None, tier
+        service,
+        head.parts,
+        quick,
+        config.copy_s if config else None,
+        tier,
+        retriable=route.attempts > 1,
     )
     return context.AdmittedRequest(
         call=call,
--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -144,7 +144,9 @@
             ),
             request_quarantine=request_quarantine,
             limit_events=limit_events.LimitEvents(),
-            runner_notices=runner_notices.RunnerNotices(self.state.runners),
+            runner_notices=runner_notices.RunnerNotices(
+                self.state.runners, chooser.pauses, self._loop.time
+            ),
             permits=granted,
             record_started=(
                 self._duty_agent.accounts.record_started
@@ -313,6 +315,7 @@
         self._deps.retry_budget.set_instances(
             self._peers.instances, self._loop.time()
         )
+        self._deps.chooser.pauses.set_instances(self._peers.instances)
         for service in lookup.configuration.services.values():
             self._deps.pool.set_accepted(
                 service.name, service.max_connections, self._peers.instances
--- a/pollenfork/gateway/attempt.py
+++ b/pollenfork/gateway/attempt.py
@@ -171,7 +171,8 @@
         if head.displaced:
             self._finish(AttemptResult(End.DISPLACED, head))
         elif head.not_run:
-            self._finish(AttemptResult(End.REFUSED, head))
+            end = End.PAUSED if head.pause.seconds else End.REFUSED
+            self._finish(AttemptResult(end, head))
         elif not head.sealed or not head.attempt:
             self._fail(connection.ResponseFailure.INVALID)
         elif not self._is_streamed:
--- a/pollenfork/gateway/cache_feed.py
+++ b/pollenfork/gateway/cache_feed.py
@@ -137,6 +137,7 @@
         pause_s = _FIRST_PAUSE_S
         try:
             while True:
+                await self._wait_for_pause(runner)
                 reply = await self._ask(calls, runner, after)
                 if isinstance(reply, result.Err):
                     _LOG.info(
@@ -173,6 +174,12 @@
         finally:
             calls.close()
 
+    async def _wait_for_pause(self, runner: fleet.Runner) -> None:
+        """Returns once the runner doesn't ask for a pause."""
+        pauses = self._chooser.pauses
+        while pauses.is_paused(runner.incarnation, self._loop.time()):
+            await asyncio.sleep(self._rest_s)
+
     def _is_current_start(
         self, runner: fleet.Runner, report: fleet_messages.CacheReport
     ) -> bool:
@@ -214,6 +221,7 @@
     async def _ask_all(
         self, calls: client.Client, runner: fleet.Runner
     ) -> ReportResult:
+        await self._wait_for_pause(runner)
         request = self._codec.encode_list_request(runner)
         answer = await calls.call(request, _SLACK_S)
         if answer is None:
--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -139,13 +139,12 @@
 
     def _refuse(
         self,
-        found: outcomes.Overloaded
-        | outcomes.Unreachable
-        | outcomes.Limited
-        | None,
+        found: outcomes.Overloaded | outcomes.Refusal | None,
     ) -> None:
         """Refuses the request because no runner accepts it."""
         match found:
+            case outcomes.Paused():
+                self._refuse_until_resumed(found)
             case outcomes.Overloaded():
                 wait_s = min(found.wait_s, _MAX_RETRY_AFTER_S)
                 self._end_with_error(_Reason.OVERLOADED, wait_s)
@@ -159,7 +158,21 @@
             case outcomes.Unreachable():
                 self._end_with_error(_Reason.UNREACHABLE)
             case None:
-                self._end_with_error(_Reason.NO_RUNNER)
+                self._end_unless_paused(_Reason.NO_RUNNER)
+
+    def _end_unless_paused(self, reason: _Reason) -> None:
+        """Ends the request; callers of pausing runners are told how long."""
+        paused = self._deps.chooser.availability.find_pause(
+            self._admitted.demand, self._deps.loop.time()
+        )
+        if paused is None:
+            self._end_with_error(reason)
+        else:
+            self._refuse_until_resumed(paused)
+
+    def _refuse_until_resumed(self, paused: outcomes.Paused) -> None:
+        wait_s = min(paused.wait_s, _MAX_LIMITED_RETRY_S)
+        self._end_with_error(_Reason.RUNNERS_PAUSED, wait_s)
 
     # Attempts.
 
@@ -172,7 +185,8 @@
                 return attempt.AttemptResult(
                     _End.UNSENT, connection_refused=refused
                 )
-            if not self._deps.chooser.accepts(grant.runner):
+            now = self._deps.loop.time()
+            if not self._deps.chooser.availability.accepts(grant.runner, now):
                 found.ok_value.abort()
                 return attempt.AttemptResult(_End.WITHHELD)
             self._history.sent += 1
@@ -317,7 +331,7 @@
         elif not ended.end.reached_runner:
             self._end_with_error(_Reason.UNREACHABLE)
         elif ended.end.proves_not_run:
-            self._end_with_error(_Reason.RUNNERS_FULL)
+            self._end_unless_paused(_Reason.RUNNERS_FULL)
         else:
             self._end_with_error(_Reason.MAY_HAVE_RUN)
 
--- a/pollenfork/gateway/messages.py
+++ b/pollenfork/gateway/messages.py
@@ -1,9 +1,12 @@
 """Requests and responses of the gateway, independent of a wire format."""
 
+import http
+
 import msgspec
 
 from pollenfork import ids
 from pollenfork.fleet import model as fleet
+from pollenfork.fleet import pauses
 
 Header = tuple[bytes, bytes]
 
@@ -96,3 +99,10 @@
     rates: tuple[float | None, ...] = ()
     leaving: bool = False
     retry_after: tuple[float | None, ...] = ()
+
+    @property
+    def pause(self) -> pauses.ParsedPause:
+        """The pause that the runner requests."""
+        if self.status != http.HTTPStatus.SERVICE_UNAVAILABLE:
+            return pauses.NO_PAUSE
+        return pauses.parse(self.retry_after)
--- a/pollenfork/gateway/replies.py
+++ b/pollenfork/gateway/replies.py
@@ -26,6 +26,7 @@
     FAULT = "fault"
     OVERLOADED = "overloaded"
     RUNNERS_LIMITED = "runners_limited"
+    RUNNERS_PAUSED = "runners_paused"
     ENDS_RUNNERS = "ends_runners"
 
 
--- a/pollenfork/gateway/runner_notices.py
+++ b/pollenfork/gateway/runner_notices.py
@@ -2,7 +2,6 @@
 
 import collections
 from collections.abc import Callable, Iterable
-import http
 import logging
 
 from pollenfork.fleet import model as fleet
@@ -20,13 +19,25 @@
         counts: The number of heads by what they announce.
     """
 
-    def __init__(self, runners: registry.Registry) -> None:
+    def __init__(
+        self,
+        runners: registry.Registry,
+        requested_pauses: pauses.Pauses,
+        clock: Callable[[], float],
+    ) -> None:
         """Creates an instance that has received no head.
 
         Args:
             runners: The runners of all services.
+            requested_pauses: Receives the pauses that they request.
+            clock: Returns monotonic seconds.
         """
         self._runners = runners
+        self._pauses = requested_pauses
+        self._clock = clock
+        runners.when_restarted(
+            lambda runner: requested_pauses.forget(runner.incarnation)
+        )
         self._on_announced: list[Callable[[], None]] = []
         self.counts: collections.Counter[str] = collections.Counter()
 
@@ -43,17 +54,18 @@
             return  # Another runner answered at its address.
         if head.leaving:
             self._record_leaving(runner, head)
-        if head.status != http.HTTPStatus.SERVICE_UNAVAILABLE:
-            return
-        pause = pauses.parse(head.retry_after)
+        pause = head.pause
         if not pause.well_formed:
             _LOG.warning(
                 "event=pause_irregular runner=%s stated=%s",
                 runner.id,
                 _format(head.retry_after),
             )
-        if pause.seconds is not None:
-            self._record_pause(runner, pause.seconds)
+        now = self._clock()
+        if pause.seconds:
+            self._record_pause(runner, pause.seconds, now)
+        else:
+            self._pauses.record_accepted(runner.incarnation, now)
 
     def when_announced(self, call: Callable[[], None]) -> None:
         """Registers a callback for runners that newly announce to leave."""
@@ -87,8 +99,14 @@
         for call in self._on_announced:
             call()
 
-    def _record_pause(self, runner: fleet.Runner, seconds: float) -> None:
+    def _record_pause(
+        self, runner: fleet.Runner, seconds: float, now: float
+    ) -> None:
         self.counts["pause"] += 1
+        known = self._runners.find(runner.id)
+        if known is not None and known.is_restart_of(runner):
+            return  # The answer is of an earlier incarnation.
+        self._pauses.record(runner.incarnation, seconds, now)
         _LOG.info(
             "event=pause_requested runner=%s for_ms=%d",
             runner.id,
--- a/pollenfork/gateway/tests/support.py
+++ b/pollenfork/gateway/tests/support.py
@@ -219,7 +219,9 @@
             ),
             request_quarantine=request_quarantine,
             limit_events=limit_events.LimitEvents(),
-            runner_notices=runner_notices.RunnerNotices(self.runners),
+            runner_notices=runner_notices.RunnerNotices(
+                self.runners, chooser.pauses, loop.time
+            ),
             permits=granted,
             record_started=self.begun.append,
             claim_trial=self._claim_trial,
--- a/pollenfork/gateway/tests/test_runner_notices.py
+++ b/pollenfork/gateway/tests/test_runner_notices.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import re
 
 import pytest
 
@@ -125,3 +126,29 @@
             return gateway.runners.find(ids.EndpointId("r0")).leaving
 
     assert not asyncio.run(play())
+
+
+def test_a_caller_of_pausing_runners_is_told_their_pause() -> None:
+    route = support.make_route(REPEATABLE)
+    answers, asked = run(route, [PAUSE] * 3, [PAUSE] * 3, 3)
+    waits = [
+        float(re.search(rb"retry-after: ([0-9.]+)", answer)[1])
+        for answer in answers
+    ]
+    assert asked == [1, 1]
+    assert all(2.5 < wait_s <= 3.5 for wait_s in waits)
+    assert all(b"runners_paused" in answer for answer in answers)
+
+
+# Guards against treating a full runner as an ill one.
+def test_a_pause_does_not_count_as_a_failure() -> None:
+    async def play():
+        runners = support.Runner("r0", PAUSE), support.Runner("r1", GOOD)
+        route = support.make_route(REPEATABLE)
+        async with support.run_gateway(route, *runners) as gateway:
+            await support.ask(gateway)
+            return gateway.deps.chooser.get_state(ids.EndpointId("r0"))
+
+    state = asyncio.run(play())
+    assert (state.failures, state.unsent, state.failure_rate) == (0, 0, 0.0)
+    assert state.avoid_until == 0.0
--- a/pollenfork/logbook/causes.py
+++ b/pollenfork/logbook/causes.py
@@ -27,6 +27,10 @@
     _Reason.RUNNERS_LIMITED: (
         "each runner in reach names a rate limit and had no permit left for it"
     ),
+    _Reason.RUNNERS_PAUSED: (
+        "each runner in reach has asked this instance for a pause; see"
+        " pause_requested"
+    ),
     _Reason.UNREACHABLE: "no connection to its runners could be made",
     _Reason.STOPPING: "the instance was stopping",
     _Reason.TIME_LIMIT: "its time was over",
--- a/pollenfork/platform/tests/simulation/site.py
+++ b/pollenfork/platform/tests/simulation/site.py
@@ -147,7 +147,9 @@
         found = evidence.Evidence(
             self.known.runners, chooser.get_state, self.data_centre
         )
-        self.notices = runner_notices.RunnerNotices(self.known.runners)
+        self.notices = runner_notices.RunnerNotices(
+            self.known.runners, chooser.pauses, loop.time
+        )
         self.suspected = quarantine.Quarantine(
             self.known.runners,
             self.host,
