--- a/pollenfork/gateway/cache_feed.py
+++ b/pollenfork/gateway/cache_feed.py
@@ -209,7 +209,7 @@
         answer = await calls.call(request, _WAIT_S + _SLACK_S)
         if answer is None:
             return result.Err(NoAnswer(detail="no answer"))
-        reply = self._codec.decode_feed(*answer)
+        reply = self._codec.decode_feed(answer.status, answer.body)
         if isinstance(reply, result.Err):
             return reply
         if reply.ok_value.gap:
@@ -226,7 +226,7 @@
         answer = await calls.call(request, _SLACK_S)
         if answer is None:
             return result.Err(NoAnswer(detail="no answer"))
-        return self._codec.decode_list(*answer)
+        return self._codec.decode_list(answer.status, answer.body)
 
 
 class NoAnswer(failures.Failure, frozen=True, kw_only=True):
--- a/pollenfork/gateway/client.py
+++ b/pollenfork/gateway/client.py
@@ -1,7 +1,8 @@
 """An HTTP client for one address, with one persistent connection."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
 
 from pollenfork.gateway import connection
 from pollenfork.gateway import messages
@@ -10,7 +11,15 @@
 # Connections that succeed are established within some milliseconds.
 _CONNECT_S = 0.5
 
-Answer = tuple[int, bytes]
+
+class Answer(NamedTuple):
+    """A whole response."""
+
+    status: int
+    body: bytes
+    headers: Sequence[messages.Header] = ()
+
+
 OnHead = Callable[[int, list[messages.Header]], None]
 
 
@@ -18,8 +27,7 @@
     """Buffers a whole response.
 
     Attributes:
-        done: Resolves with status and body; with None if the response stayed
-            incomplete.
+        done: Resolves with the response; with None if it stayed incomplete.
     """
 
     def __init__(
@@ -34,11 +42,13 @@
         self._on_head = on_head
         self.done: asyncio.Future[Answer | None] = loop.create_future()
         self._status = 0
+        self._headers: Sequence[messages.Header] = ()
         self._pieces: list[bytes] = []
 
     def on_head(self, status: int, headers: list[messages.Header]) -> bool:
-        """Stores the status."""
+        """Stores status and headers."""
         self._status = status
+        self._headers = headers
         if self._on_head is not None:
             self._on_head(status, headers)
         return True
@@ -50,7 +60,8 @@
     def on_end(self) -> None:
         """Resolves `done` with the response."""
         if not self.done.done():
-            self.done.set_result((self._status, b"".join(self._pieces)))
+            body = b"".join(self._pieces)
+            self.done.set_result(Answer(self._status, body, self._headers))
 
     def on_failure(self, failure: connection.ResponseFailure) -> None:
         """Resolves `done` with None."""
@@ -79,7 +90,7 @@
     async def call(
         self, request: bytes, timeout_s: float, before: float | None = None
     ) -> Answer | None:
-        """Sends a request; returns status and body.
+        """Sends a request; returns the response.
 
         Args:
             request: The request as bytes.
--- a/pollenfork/gateway/edges.py
+++ b/pollenfork/gateway/edges.py
@@ -1,5 +1,6 @@
 """Protocols of the wire formats that the gateway depends on."""
 
+from collections.abc import Iterable
 from typing import Protocol
 
 import result
@@ -83,12 +84,12 @@
         """Returns the request that writes and removes rows."""
 
     def decode_change_result(
-        self, status: int, body: bytes
+        self, status: int, body: bytes, headers: Iterable[messages.Header]
     ) -> result.Result[int, changes.WriteFailure]:
         """Decodes the response to a change: the version of the rows written."""
 
     def decode_rows(
-        self, status: int, body: bytes
+        self, status: int, body: bytes, headers: Iterable[messages.Header]
     ) -> result.Result[catalogue.Rows, catalogue.ReadFailure]:
         """Decodes the response to any read."""
 
--- a/pollenfork/gateway/following.py
+++ b/pollenfork/gateway/following.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 import functools
 import logging
 
@@ -18,6 +18,7 @@
 from pollenfork.catalogue import table_copy
 from pollenfork.catalogue import watch
 from pollenfork.gateway import client
+from pollenfork.gateway import messages
 from pollenfork.gateway import settings
 from pollenfork.gateway import tables
 
@@ -39,7 +40,8 @@
 
 Write = Callable[[catalogue.ReadCall], bytes]
 ReadRows = Callable[
-    [int, bytes], result.Result[catalogue.Rows, catalogue.ReadFailure]
+    [int, bytes, Iterable[messages.Header]],
+    result.Result[catalogue.Rows, catalogue.ReadFailure],
 ]
 
 
@@ -93,6 +95,7 @@
         self._source = SourceChoice()
         self._wake_event = asyncio.Event()
         self._watch = watched
+        self._epoch = 0
         self._cooldown_s = cooldown_s
         self._store_requested = False
         self._waiting = False
@@ -321,10 +324,10 @@
     def _read_answer(
         self, relay: settings.Address, answer: client.Answer | None
     ) -> catalogue.Changes | None:
-        if answer is None or answer[0] != _OK:
-            self._log_no_answer(relay, answer[0] if answer else None)
+        if answer is None or answer.status != _OK:
+            self._log_no_answer(relay, answer.status if answer else None)
             return None
-        read = table_copy.decode(answer[1])
+        read = table_copy.decode(answer.body)
         if isinstance(read, result.Err):
             _LOG.error(
                 "event=table_unreadable table=%s relay=%s detail=%r",
@@ -358,6 +361,7 @@
                 return 0.0
             return self._handle_trouble(answer.err_value, sent_at)
         rows = answer.ok_value
+        self._log_epoch(rows)
         if self._watch.is_stale(rows):
             return self._handle_trouble(catalogue.ReadFailure.STALE, sent_at)
         for on_answer in self._on_answer:
@@ -374,6 +378,20 @@
             on_current(moment)
         return self._cooldown_s if changes.rows else 0.0
 
+    def _log_epoch(self, rows: catalogue.Rows) -> None:
+        """Logs that the store answers from a copy that it was restored from."""
+        if rows.epoch != self._epoch:
+            _LOG.info(
+                "event=store_epoch table=%s epoch=%d before=%d version=%d "
+                "known=%d",
+                self._table.value,
+                rows.epoch,
+                self._epoch,
+                rows.version,
+                self._watch.version,
+            )
+        self._epoch = rows.epoch
+
     def _find_proven_until(
         self, ask: catalogue.ReadCall, rows: catalogue.Rows, sent_at: float
     ) -> float:
--- a/pollenfork/gateway/platform_calls.py
+++ b/pollenfork/gateway/platform_calls.py
@@ -100,7 +100,7 @@
         )
         reply = messages.Reply.NO_ANSWER
         if answer is not None:
-            reply = self._cloud.decode(answer[0])
+            reply = self._cloud.decode(answer.status)
         if isinstance(task.work, rows.ScalingOrder):
             self._record_order(task.work, task, reply)
         else:
--- a/pollenfork/gateway/quarantine_store.py
+++ b/pollenfork/gateway/quarantine_store.py
@@ -105,7 +105,7 @@
             claim = changes.Put(changes.Table.TRIALS, key, b"", changes.ABSENT)
             call = self._store.encode_change(changes.Change((claim,)))
             answer = await self._claims.call(call, _CLAIM_TIMEOUT_S)
-        status = None if answer is None else answer[0]
+        status = None if answer is None else answer.status
         _LOG.warning(
             "event=trial_claimed digest=%016x number=%d status=%s",
             digest,
@@ -168,10 +168,12 @@
         key = records.format_key(write.digest)
         call = self._store.encode_change(_make_change(write))
         answer = await self._client.call(call, _CALL_TIMEOUT_S)
-        if answer is None or answer[0] in (429, 503):
+        if answer is None or answer.status in (429, 503):
             return False
-        if answer[0] != _OK:
-            _LOG.error("event=store_refused key=%s status=%d", key, answer[0])
+        if answer.status != _OK:
+            _LOG.error(
+                "event=store_refused key=%s status=%d", key, answer.status
+            )
         return True
 
     def _on_quarantined(
--- a/pollenfork/gateway/tests/test_duty_agent.py
+++ b/pollenfork/gateway/tests/test_duty_agent.py
@@ -10,6 +10,7 @@
 from pollenfork.catalogue import messages as catalogue
 from pollenfork.duties import messages
 from pollenfork.duties.tests import simulation as worlds
+from pollenfork.gateway import client
 from pollenfork.gateway import duty_agent
 from pollenfork.gateway import settings
 
@@ -57,14 +58,14 @@
     def encode_change(self, change):
         return change
 
-    def decode_rows(self, status, body):
+    def decode_rows(self, status, body, headers=()):
         rows = self._site.rows.read()
         left = [row for row in rows.rows if row.key >= body]
         page = tuple(sorted(left, key=lambda row: row.key)[:PAGE])
         more = len(left) > PAGE
         return result.Ok(catalogue.Rows(page, rows.version, more))
 
-    def decode_change_result(self, status, body):
+    def decode_change_result(self, status, body, headers=()):
         return body
 
 
@@ -110,8 +111,8 @@
             lambda: self.site.now + self.wall_off,
         )
         self.agent._rows._client.call = self._call_store
-        for client in self.agent._calls._clients.values():
-            client.call = self._call_platform
+        for each in self.agent._calls._clients.values():
+            each.call = self._call_platform
         self.agent.join(self)
 
     @property
@@ -128,15 +129,15 @@
         if not self.reaches_store:
             return None
         if isinstance(request, tuple):
-            return 200, request[1]
-        return 200, self.site.change(request)
+            return client.Answer(200, request[1])
+        return client.Answer(200, self.site.change(request))
 
     async def _call_platform(self, task, timeout_s, before):
         if not self.site.platform_up:
             return None
         if self.site.now < before:
             self.site.platform_calls.append((self.site.now, self.host, task))
-        return 200, b""
+        return client.Answer(200, b"")
 
 
 class Site:
--- a/pollenfork/gateway/tests/test_following.py
+++ b/pollenfork/gateway/tests/test_following.py
@@ -39,7 +39,7 @@
         waits = int(ask.wait_s > 0.0)
         return b"GET /%d/%d HTTP/1.1\r\n\r\n" % (waits, ask.after or 0)
 
-    def read(self, status: int, body: bytes):
+    def read(self, status: int, body: bytes, headers=()):
         return result.Ok(msgspec.msgpack.decode(body, type=messages.Rows))
 
     async def _serve(self, reader, writer) -> None:
--- a/pollenfork/gateway/tests/test_quarantine_store.py
+++ b/pollenfork/gateway/tests/test_quarantine_store.py
@@ -8,6 +8,7 @@
 from pollenfork.catalogue import changes
 from pollenfork.catalogue import messages as catalogue
 from pollenfork.fleet import registry
+from pollenfork.gateway import client
 from pollenfork.gateway import quarantine_store
 from pollenfork.gateway import settings
 from pollenfork.poison import crashes
@@ -39,7 +40,7 @@
         self.claimed.append(claim.key)
         return b"claim"
 
-    def decode_rows(self, status: int, body: bytes):
+    def decode_rows(self, status: int, body: bytes, headers=()):
         left = [row for row in self.rows if row.key >= body.decode()]
         return result.Ok(catalogue.Rows(tuple(left[:100]), 1, len(left) > 100))
 
@@ -72,7 +73,7 @@
         )
 
         async def call(request: bytes, timeout_s: float):
-            return 200, request
+            return client.Answer(200, request)
 
         keeper._client.call = call
         task = loop.create_task(keeper.run())
@@ -126,7 +127,7 @@
 
         async def call(request: bytes, timeout_s: float):
             status = answers.pop(0)
-            return (status, b"") if status else None
+            return client.Answer(status, b"") if status else None
 
         keeper._claims.call = call
         now = loop.time()
--- a/pollenfork/gateway/tests/test_removals.py
+++ b/pollenfork/gateway/tests/test_removals.py
@@ -57,7 +57,7 @@
         row = messages.Row(_RUNNER, b"", _REMOVED_AT, removed=True)
         self.rows = messages.Rows((row,), _REMOVED_AT)
 
-    def read(self, status: int, body: bytes):
+    def read(self, status: int, body: bytes, headers=()):
         if self.refuses:
             self.refused += 1
             return result.Err(messages.ReadFailure.REFUSED)
--- a/pollenfork/platform/boot.py
+++ b/pollenfork/platform/boot.py
@@ -76,12 +76,11 @@
 
 def _make_settings(boot: _Boot) -> settings.GatewaySettings:
     bounds = boot.bounds
-    readiness = boot.listen.readiness or boot.listen.front
     return settings.GatewaySettings(
         instance=ids.InstanceId(boot.node_name),
         data_centre=ids.DataCentre(boot.zone),
         front=_parse_address(boot.listen.front),
-        readiness=_parse_address(readiness),
+        readiness=_parse_address(boot.listen.readiness or boot.listen.front),
         metrics=settings.Address(boot.ip, METRICS_PORT),
         store=_parse_address(boot.platform.address),
         peer=_make_peer_address(boot, boot.ip),
--- a/pollenfork/platform/heads.py
+++ b/pollenfork/platform/heads.py
@@ -1,7 +1,8 @@
 """Decodes and encodes the HTTP heads of callers and runners."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 import math
+from typing import TypeVar
 
 from pollenfork import ids
 from pollenfork.fleet import model as fleet
@@ -9,6 +10,7 @@
 from pollenfork.platform import names
 
 Header = tuple[bytes, bytes]
+_T = TypeVar("_T")
 
 # Hop-by-hop headers, besides those that a `Connection` header lists.
 _HOP_BY_HOP = frozenset(
@@ -72,7 +74,7 @@
         wait_s=_parse_seconds(found.get(names.DEADLINE)),
         parts=_parse_parts(found.get(names.PROMPT_PARTS)),
         tokens=_parse_tokens(found.get(names.TOKENS)),
-        last_event=_parse_integer(found.get(names.LAST_EVENT)),
+        last_event=_parse(int, found.get(names.LAST_EVENT)),
     )
 
 
@@ -163,8 +165,8 @@
 
 
 def _parse_seconds(value: bytes | None) -> float | None:
-    number = None if value is None else _parse_number(value)
-    return None if number is None else max(0.0, number / 1000.0)
+    milliseconds = _parse(float, value)
+    return None if milliseconds is None else max(0.0, milliseconds / 1000.0)
 
 
 def _parse_numbers(
@@ -172,20 +174,13 @@
 ) -> tuple[float | None, ...]:
     """Returns the values of a header; None for one that isn't a number."""
     return tuple(
-        _parse_number(value) for each, value in headers if each == name
+        _parse(float, value) for each, value in headers if each == name
     )
 
 
-def _parse_number(value: bytes) -> float | None:
+def _parse(kind: Callable[[bytes], _T], value: bytes | None) -> _T | None:
     try:
-        return float(value)
-    except ValueError:
-        return None
-
-
-def _parse_integer(value: bytes | None) -> int | None:
-    try:
-        return None if value is None else int(value)
+        return None if value is None else kind(value)
     except ValueError:
         return None
 
@@ -204,11 +199,10 @@
 
 def _parse_tokens(value: bytes | None) -> tuple[int, int]:
     first, _, second = (value or b"").partition(b",")
-    prompt, output = first.strip(), second.strip()
-    return (
-        int(prompt) if prompt.isdigit() else 0,
-        int(output) if output.isdigit() else 0,
+    prompt, output = (
+        int(each) if each.strip().isdigit() else 0 for each in (first, second)
     )
+    return prompt, output
 
 
 def is_ready_check(target: bytes) -> bool:
--- a/pollenfork/platform/rows.py
+++ b/pollenfork/platform/rows.py
@@ -1,6 +1,7 @@
 """Encodes paths and bodies of store calls and decodes the responses."""
 
 import base64
+from collections.abc import Iterable
 import urllib.parse
 
 import msgspec
@@ -90,22 +91,24 @@
     return msgspec.json.encode(body)
 
 
-def decode(body: bytes) -> result.Result[messages.Rows, BadRows]:
-    """Decodes the body of a response to a read or a transaction."""
+def decode(
+    body: bytes, headers: Iterable[tuple[bytes, bytes]] = ()
+) -> result.Result[messages.Rows, BadRows]:
+    """Decodes the response to a read or a transaction."""
     try:
+        epoch = int(dict(headers).get(names.STORE_EPOCH, b"0"))
         reply = _DECODER.decode(body)
         rows = tuple(
             messages.Row(
-                key=row.key,
-                value=_decode_value(row.value),
-                version=row.row_version,
-                removed=row.removed,
+                row.key, _decode_value(row.value), row.row_version, row.removed
             )
             for row in reply.rows
         )
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, ValueError) as error:
         return result.Err(BadRows(detail=str(error)))
-    return result.Ok(messages.Rows(rows, reply.row_version, reply.has_more))
+    return result.Ok(
+        messages.Rows(rows, reply.row_version, reply.has_more, epoch=epoch)
+    )
 
 
 def _decode_value(text: str) -> bytes:
--- a/pollenfork/platform/store.py
+++ b/pollenfork/platform/store.py
@@ -1,5 +1,7 @@
 """Encodes calls to the store as HTTP requests and decodes the responses."""
 
+from collections.abc import Iterable
+
 import msgspec
 import result
 
@@ -14,6 +16,7 @@
 from pollenfork.platform import rows
 from pollenfork.routes import model as routes
 
+_Header = tuple[bytes, bytes]
 _OK = 200
 _CONFLICT = 412
 _HISTORY_GONE = 410
@@ -51,27 +54,27 @@
         return head.encode() + body
 
     def decode_change_result(
-        self, status: int, body: bytes
+        self, status: int, body: bytes, headers: Iterable[_Header] = ()
     ) -> result.Result[int, changes.WriteFailure]:
         """Decodes the response to a change: the version of the rows written."""
         if status == _CONFLICT:
             return result.Err(changes.WriteFailure.CONFLICT)
         if status != _OK:
             return result.Err(changes.WriteFailure.REFUSED)
-        decoded = rows.decode(body).map_err(
+        decoded = rows.decode(body, headers).map_err(
             lambda error: changes.WriteFailure.NO_ANSWER
         )
         return decoded.map(lambda response: response.version)
 
     def decode_rows(
-        self, status: int, body: bytes
+        self, status: int, body: bytes, headers: Iterable[_Header] = ()
     ) -> result.Result[messages.Rows, messages.ReadFailure]:
         """Decodes the response to any read."""
         if status == _HISTORY_GONE:
             return result.Err(messages.ReadFailure.HISTORY_GONE)
         if status != _OK:
             return result.Err(messages.ReadFailure.REFUSED)
-        return rows.decode(body).map_err(
+        return rows.decode(body, headers).map_err(
             lambda error: messages.ReadFailure.UNREADABLE
         )
 
--- a/pollenfork/platform/tests/soak/store.py
+++ b/pollenfork/platform/tests/soak/store.py
@@ -4,6 +4,7 @@
 import base64
 import enum
 import json
+from typing import NamedTuple
 import urllib.parse
 
 
@@ -20,15 +21,25 @@
 _LOOK_S = 0.01
 
 
+class Copy(NamedTuple):
+    """The rows at a moment, as a backup keeps them."""
+
+    version: int
+    rows: dict[tuple[str, str], dict]
+
+
 class Store:
     """Rows of tables, their history, and calls that wait for changes.
 
     Attributes:
         mood: How calls are answered from now on.
+        era: How often it was restored from a copy, named in all answers.
     """
 
     def __init__(self) -> None:
         self.mood = Mood.WELL
+        self.era = 1
+        self._writers: set[asyncio.StreamWriter] = set()
         self._version = 1
         self._rows: dict[tuple[str, str], dict] = {}
         self._history: list[dict] = []
@@ -70,6 +81,20 @@
         self._history.clear()
         self._forgotten = self._version
 
+    def save(self) -> Copy:
+        """Returns a copy of all rows."""
+        return Copy(self._version, dict(self._rows))
+
+    def restore(self, copy: Copy) -> None:
+        """Comes back from a copy: what was written since is lost."""
+        self.era += 1
+        self._version = copy.version
+        self._rows = dict(copy.rows)
+        self._history.clear()
+        self._forgotten = copy.version
+        for writer in list(self._writers):
+            writer.transport.abort()
+
     async def _note(self, row: dict) -> float:
         self._history.append(row)
         async with self._changed:
@@ -77,6 +102,7 @@
         return asyncio.get_running_loop().time()
 
     async def _serve(self, reader, writer) -> None:
+        self._writers.add(writer)
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -90,12 +116,14 @@
                     status = 412
                 data = encode(body)
                 writer.write(
-                    f"HTTP/1.1 {status} X\r\n"
+                    f"HTTP/1.1 {status} X\r\nStore-Era: {self.era}\r\n"
                     f"content-length: {len(data)}\r\n\r\n".encode()
                     + data
                 )
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
+        finally:
+            self._writers.discard(writer)
 
     async def _change(self, change: dict) -> bool:
         """Applies a change; returns whether its conditions were met."""
@@ -142,7 +170,7 @@
     async def _feed(self, query: dict) -> tuple[int, dict]:
         after = int(query["after-revision"])
         wait_s = int(query["wait-ms"]) / 1000
-        if after < self._forgotten:
+        if not self._forgotten <= after <= self._version:
             return 410, {}
         found: list[dict] = []
 
