Order the store's versions by epoch, so that a restored store is believed

Cause: a lower version was taken for an older one. Class: an order that holds within one life of its source only.

Evidence: history_gone, then nothing taken although the store's record counts each call as answered; configuration 84 was followed by 95, 86 to 91 were never in force.

Why it works: a version contains its epoch (pollenfork/versions.py), decoded from the store's answers and passed between instances beside the plain number, so earlier builds read what they did before. Any answer of another epoch than its call's position, or than a read's first page, starts a full read. Proof of one epoch says nothing in another.

What the copy shows is older than what is known: a runner that left stays out, one that was removed waits 5 s or until it writes again, one that is missing is kept for 2 s, and a lower sequence is no restart. An older configuration was refused already.

--- a/pollenfork/catalogue/messages.py
+++ b/pollenfork/catalogue/messages.py
@@ -1,4 +1,7 @@
-"""Rows of the store, the calls that read them, and their results."""
+"""Rows of the store, the calls that read them, and their results.
+
+Versions are those of `pollenfork.versions`, which order those of all epochs.
+"""
 
 import enum
 
@@ -32,14 +35,12 @@
         more: Whether the range continues after these rows.
         last_change: The store's version of the table's last change, if
             another instance sent it.
-        epoch: How often the store was restored from a copy, if it says so.
     """
 
     rows: tuple[Row, ...]
     version: int
     more: bool = False
     last_change: int = 0
-    epoch: int = 0
 
 
 class ReadCall(msgspec.Struct, frozen=True, kw_only=True):
--- a/pollenfork/catalogue/table_copy.py
+++ b/pollenfork/catalogue/table_copy.py
@@ -6,6 +6,7 @@
 import result
 
 from pollenfork import failures
+from pollenfork import versions
 from pollenfork.catalogue import messages
 
 
@@ -19,12 +20,15 @@
         packed: The rows, encoded and compressed.
         last_change: The store's version of the table's last change; 0: sent by
             an earlier version, which doesn't tell.
+        epoch: The epoch of all versions in it, which they don't contain
+            themselves; 0: sent by an earlier version, which doesn't tell.
     """
 
     through: int
     unused: float | None
     packed: bytes
     last_change: int = 0
+    epoch: int = 0
 
 
 class BadTable(failures.Failure, frozen=True, kw_only=True):
@@ -56,12 +60,21 @@
     def encode(self) -> bytes:
         """Returns the encoded table for another instance."""
         if self._packed is None:
-            rows = tuple(self._rows.values())
+            rows = tuple(
+                msgspec.structs.replace(
+                    row, version=versions.get_number(row.version)
+                )
+                for row in self._rows.values()
+            )
             # A configuration of 350 routes takes 90 KB. Compressed to a tenth,
             # two dozen instances can fetch it over a small link.
             self._packed = zlib.compress(msgspec.msgpack.encode(rows), 1)
         table = EncodedTable(
-            self._through, None, self._packed, self._last_change
+            versions.get_number(self._through),
+            None,
+            self._packed,
+            versions.get_number(self._last_change),
+            versions.get_epoch(self._through),
         )
         return msgspec.msgpack.encode(table)
 
@@ -77,6 +90,17 @@
         rows = _ROWS.decode(zlib.decompress(table.packed))
     except (msgspec.MsgspecError, zlib.error) as error:
         return result.Err(BadTable(detail=str(error)))
+    epoch = table.epoch
+    combined = tuple(
+        msgspec.structs.replace(
+            row, version=versions.combine(epoch, row.version)
+        )
+        for row in rows
+    )
     return result.Ok(
-        messages.Rows(rows, table.through, last_change=table.last_change)
+        messages.Rows(
+            combined,
+            versions.combine(epoch, table.through),
+            last_change=versions.combine(epoch, table.last_change),
+        )
     )
--- a/pollenfork/catalogue/tests/test_watch.py
+++ b/pollenfork/catalogue/tests/test_watch.py
@@ -2,7 +2,9 @@
 
 from hypothesis import stateful
 from hypothesis import strategies
+import msgspec
 
+from pollenfork import versions
 from pollenfork.catalogue import messages
 from pollenfork.catalogue import watch
 
@@ -199,3 +201,70 @@
 
 
 TestStore = StoreMachine.TestCase
+
+
+# Guards against refusing a restored store, as its versions are lower.
+def test_versions_of_a_later_epoch_are_newer() -> None:
+    assert versions.combine(2, 3) > versions.combine(1, 900)
+    assert versions.get_epoch(versions.combine(2, 3)) == 2
+    assert versions.get_number(versions.combine(2, 3)) == 3
+
+
+def make_epoch_rows(epoch: int, version: int, **rows: int) -> messages.Rows:
+    return messages.Rows(
+        tuple(
+            messages.Row(key, b"", versions.combine(epoch, number))
+            for key, number in rows.items()
+        ),
+        versions.combine(epoch, version),
+    )
+
+
+def read_in_full(watched: watch.Watch, rows: messages.Rows):
+    call = watched.next_call()
+    assert call.after is None
+    assert not watched.is_stale(rows)
+    return watched.take_rows(call, rows)
+
+
+def test_a_restored_store_is_read_in_full() -> None:
+    watched = watch.Watch(random.Random(1), 1.0)
+    read_in_full(watched, make_epoch_rows(1, 90, kept=10, lost=80, changed=85))
+    # Its versions have overtaken the known one, so it doesn't say that it lacks
+    # the changes since, and some of them aren't in the answer.
+    call = watched.next_call()
+    assert watched.take_rows(call, make_epoch_rows(2, 95, late=95)) is None
+    restored = make_epoch_rows(2, 95, kept=10, changed=40, late=95)
+    changes = read_in_full(watched, restored)
+    assert {row.key: row.removed for row in changes.rows} == {
+        "kept": False,
+        "changed": False,
+        "late": False,
+        "lost": True,
+    }
+    assert changes.through == versions.combine(2, 95)
+
+
+def test_an_answer_of_the_earlier_epoch_is_stale() -> None:
+    watched = watch.Watch(random.Random(1), 1.0)
+    read_in_full(watched, make_epoch_rows(2, 30, a=10))
+    assert watched.is_stale(make_epoch_rows(1, 900, a=800))
+
+
+def test_a_restoration_between_two_pages_restarts_the_read() -> None:
+    watched = watch.Watch(random.Random(1), 1.0)
+    first = msgspec.structs.replace(make_epoch_rows(1, 90, a=10), more=True)
+    assert read_in_full(watched, first) is None
+    assert watched.next_call().start
+    assert read_in_full(watched, make_epoch_rows(2, 40, b=20)) is None
+    assert not watched.next_call().start
+    changes = read_in_full(watched, make_epoch_rows(2, 40, b=20))
+    assert [row.key for row in changes.rows] == ["b"]
+
+
+def test_a_peers_table_of_an_earlier_epoch_is_ignored() -> None:
+    watched = watch.Watch(random.Random(1), 1.0)
+    read_in_full(watched, make_epoch_rows(2, 30, a=10))
+    assert watched.take_table(make_epoch_rows(1, 900, a=800)) is None
+    assert watched.take_table(make_epoch_rows(0, 900, a=800)) is None
+    assert watched.take_table(make_epoch_rows(3, 1, a=1)) is not None
--- a/pollenfork/catalogue/watch.py
+++ b/pollenfork/catalogue/watch.py
@@ -2,13 +2,15 @@
 
 The table is read in full once, then calls wait for changes. If the store no
 longer has the changes since then, the table is read in full again, and rows
-that it lacks are reported as removed.
+that it lacks are reported as removed. The same applies if the store was
+restored from a copy.
 """
 
 import random
 
 import msgspec
 
+from pollenfork import versions
 from pollenfork.catalogue import messages
 
 # The pause before a failed call is retried, in seconds; it doubles up to the
@@ -110,6 +112,11 @@
         self._state.skip_wait = False
         if call.after is None:
             return self._take_page(rows)
+        if not versions.is_same_epoch(call.after, rows.version):
+            # Changes since a version of another epoch lack what the store lost.
+            self._state.version = None
+            self._restart_read()
+            return None
         through = self._advance(max(call.after, rows.version))
         return messages.Changes(self._keep_newer(rows.rows), through)
 
@@ -170,6 +177,10 @@
         state = self._state
         if state.reading_version is None:
             state.reading_version = rows.version
+        if not versions.is_same_epoch(state.reading_version, rows.version):
+            # The store was restored between two pages.
+            self._restart_read()
+            return None
         self._pages.extend(rows.rows)
         if rows.more and rows.rows:
             state.start = rows.rows[-1].key + "\0"
--- a/pollenfork/fleet/tests/test_registry.py
+++ b/pollenfork/fleet/tests/test_registry.py
@@ -330,3 +330,79 @@
     assert list_accepting(runners) == ["r"]
     runners.put(make_runner("r", start=100))
     assert list_accepting(runners) == ["r"]
+
+
+def restore(runners: registry.Registry, now: float = 100.0) -> None:
+    runners.begin_epoch(now, kept_until=now + 2.0)
+
+
+# Guards against work for runners that had left, as a restored store lists them
+# as ready again.
+def test_after_a_restoration_a_leaving_runner_stays_out() -> None:
+    runners = registry.Registry()
+    runners.put(make_runner("r", leaving=True, sequence=5))
+    restore(runners)
+    runners.put(make_runner("r", sequence=3))
+    assert list_accepting(runners) == []
+    runners.put(make_runner("r", sequence=9))
+    assert list_accepting(runners) == []
+
+
+def test_after_a_restoration_a_removed_runner_waits() -> None:
+    for leaving in (True, False):
+        runners = registry.Registry()
+        runners.put(make_runner("r", leaving=leaving, sequence=5))
+        runners.remove(ids.EndpointId("r"), now=99.0)
+        restore(runners)
+        listed = runners.put(make_runner("r", sequence=3))
+        assert listed is PutResult.WITHHELD
+        runners.expire(now=104.0)
+        assert list_accepting(runners) == []
+        # Its removal is written again.
+        runners.remove(ids.EndpointId("r"), now=104.5)
+        runners.expire(now=106.0)
+        assert list_accepting(runners) == []
+
+
+def test_a_removed_runner_that_is_still_listed_is_used_again() -> None:
+    runners = registry.Registry()
+    runners.put(make_runner("r", sequence=5))
+    runners.remove(ids.EndpointId("r"), now=99.0)
+    restore(runners)
+    runners.put(make_runner("r", sequence=3))
+    runners.expire(now=105.1)
+    assert list_accepting(runners) == ["r"]
+
+
+def test_a_removed_runner_that_writes_again_is_used_at_once() -> None:
+    runners = registry.Registry()
+    runners.put(make_runner("r", sequence=5))
+    runners.remove(ids.EndpointId("r"), now=99.0)
+    restore(runners)
+    runners.put(make_runner("r", sequence=6))
+    assert list_accepting(runners) == ["r"]
+
+
+# Guards against dropping live runners that started after the copy was made.
+def test_after_a_restoration_a_missing_runner_is_kept_for_a_moment() -> None:
+    runners = registry.Registry()
+    runners.put(make_runner("r"))
+    restore(runners)
+    removal = runners.remove(ids.EndpointId("r"), now=100.5)
+    assert removal is registry.RemoveResult.KEPT
+    runners.expire(now=101.9)
+    assert list_accepting(runners) == ["r"]
+    runners.expire(now=102.1)
+    assert list_accepting(runners) == []
+
+
+def test_an_earlier_sequence_of_the_copy_is_no_restart() -> None:
+    runners, restarted = registry.Registry(), []
+    runners.when_restarted(restarted.append)
+    runners.put(make_runner("r", sequence=9))
+    restore(runners)
+    runners.put(make_runner("r", sequence=4))
+    runners.put(make_runner("r", sequence=10))
+    assert restarted == []
+    runners.put(make_runner("r", sequence=1))
+    assert [each.sequence for each in restarted] == [1]
--- a/pollenfork/gateway/cluster_state.py
+++ b/pollenfork/gateway/cluster_state.py
@@ -1,12 +1,14 @@
 """An instance's view of the configuration and the runners."""
 
 import collections
+from collections.abc import Callable
 import logging
 
 import result
 
 from pollenfork import ids
 from pollenfork import logs
+from pollenfork import versions
 from pollenfork.catalogue import messages as catalogue
 from pollenfork.catalogue import outages
 from pollenfork.fleet import errors as fleet_errors
@@ -61,10 +63,15 @@
         self.freshness = freshness.Freshness(revocation_s)
         self.runners = registry.Registry()
         self.has_runners = False
+        self._on_restored: list[Callable[[], None]] = []
         self._status_at: float | None = None
         self.configuration_versions = version_tracker.VersionTracker()
         self.runners_versions = version_tracker.VersionTracker()
 
+    def when_restored(self, call: Callable[[], None]) -> None:
+        """Registers a callback for restorations of the store from a copy."""
+        self._on_restored.append(call)
+
     def record_current(self, moment: float) -> None:
         """Records this instance's own proof of a current configuration."""
         self.freshness.record_current(moment)
@@ -91,11 +98,15 @@
         age_s = self.freshness.age(now)
         if age_s is None:
             return None
+        configuration = self.configuration_versions.last_change
+        runners = self.runners_versions.last_change
         return messages.StoreStatus(
-            self.configuration_versions.last_change,
-            self.runners_versions.last_change,
+            versions.get_number(configuration),
+            versions.get_number(runners),
             age_s,
             self._outages.read_age(now),
+            versions.get_epoch(configuration),
+            versions.get_epoch(runners),
         )
 
     def record_store_status(
@@ -113,7 +124,10 @@
         self.record_store_answer(moment)
         if self._status_at is None or moment > self._status_at:
             self._status_at = moment
-        if status.configuration <= self.configuration_versions.through:
+        announced = status.configuration_version
+        through = self.configuration_versions.through
+        # What was the newest in an earlier epoch may not be so in this one.
+        if announced <= through and versions.is_same_epoch(announced, through):
             self.freshness.record_current(moment)
 
     def record_store_versions(
@@ -121,9 +135,9 @@
     ) -> None:
         """Records which versions another instance has read, at any time."""
         self.configuration_versions.record_announced(
-            status.configuration, sender
+            status.configuration_version, sender
         )
-        self.runners_versions.record_announced(status.runners, sender)
+        self.runners_versions.record_announced(status.runners_version, sender)
 
     def pass_over(self, sender: str) -> None:
         """Skips an instance that doesn't answer."""
@@ -152,7 +166,7 @@
             if isinstance(read, result.Err):
                 _LOG.error(
                     "event=configuration_unreadable version=%d detail=%r",
-                    row.version,
+                    versions.get_number(row.version),
                     read.err_value.detail,
                 )
                 continue
@@ -165,10 +179,11 @@
                 continue
             self.lookup = lookup.Lookup(configuration)
             _LOG.info(
-                "event=configuration_in_force version=%d row=%d routes=%d "
-                "tiered_accounts=%s way=%s",
+                "event=configuration_in_force version=%d row=%d epoch=%d "
+                "routes=%d tiered_accounts=%s way=%s",
                 configuration.version,
-                row.version,
+                versions.get_number(row.version),
+                versions.get_epoch(row.version),
                 len(configuration.routes),
                 _describe_tiers(configuration),
                 changes.source.value,
@@ -176,6 +191,7 @@
 
     def take_runners(self, changes: catalogue.Changes, now: float) -> None:
         """Applies added, changed and removed runner entries."""
+        self._begin_epoch(changes, now)
         self.has_runners = True
         self.runners_versions.take(changes)
         for row in changes.rows:
@@ -187,11 +203,11 @@
                 self._refuse_entry(row, read.err_value)
                 continue
             arrival = self.runners.put(read.ok_value)
-            if arrival is registry.PutResult.OUTDATED:
+            if not arrival.in_use:
                 _LOG.info(
                     "event=runner_outdated runner=%s row=%d start=%s",
                     row.key,
-                    row.version,
+                    versions.get_number(row.version),
                     read.ok_value.start,
                 )
                 continue
@@ -201,11 +217,28 @@
                 row.key,
                 read.ok_value.service,
                 read.ok_value.leaving,
-                row.version,
+                versions.get_number(row.version),
                 arrival is registry.PutResult.RESTARTED,
                 changes.source.value,
             )
 
+    def _begin_epoch(self, changes: catalogue.Changes, now: float) -> None:
+        """Prepares the registry if the store was restored from a copy."""
+        through = self.runners_versions.through
+        if not self.has_runners or versions.is_same_epoch(
+            changes.through, through
+        ):
+            return
+        self.runners.begin_epoch(now, now + outages.LAPSE_S)
+        _LOG.warning(
+            "event=store_restored epoch=%d version=%d before=%d",
+            versions.get_epoch(changes.through),
+            versions.get_number(changes.through),
+            versions.get_number(through),
+        )
+        for call in self._on_restored:
+            call()
+
     def expire_runners(self, now: float) -> None:
         """Drops runners whose entries expired and were not renewed in time."""
         for runner in self.runners.expire(now):
@@ -221,7 +254,7 @@
             _LOG.info(
                 "event=runner_kept runner=%s row=%d for_ms=%d way=%s",
                 logs.quote_value(row.key),
-                row.version,
+                versions.get_number(row.version),
                 (until - now) * 1000,
                 way.value,
             )
@@ -229,7 +262,7 @@
         _LOG.info(
             "event=runner_gone runner=%s row=%d way=%s",
             logs.quote_value(row.key),
-            row.version,
+            versions.get_number(row.version),
             way.value,
         )
 
@@ -242,7 +275,7 @@
         _LOG.error(
             "event=runner_unreadable runner=%s row=%d reason=%s detail=%s",
             logs.quote_value(row.key),
-            row.version,
+            versions.get_number(row.version),
             bad.fault.value,
             logs.quote_value(bad.detail),
         )
--- a/pollenfork/gateway/following.py
+++ b/pollenfork/gateway/following.py
@@ -14,6 +14,7 @@
 import msgspec
 import result
 
+from pollenfork import versions
 from pollenfork.catalogue import messages as catalogue
 from pollenfork.catalogue import table_copy
 from pollenfork.catalogue import watch
@@ -317,7 +318,7 @@
             self._table.value,
             relay.host,
             status or "-",
-            self._watch.version,
+            versions.get_number(self._watch.version),
             missing_s * 1000,
         )
 
@@ -380,17 +381,18 @@
 
     def _log_epoch(self, rows: catalogue.Rows) -> None:
         """Logs that the store answers from a copy that it was restored from."""
-        if rows.epoch != self._epoch:
+        epoch = versions.get_epoch(rows.version)
+        if epoch != self._epoch:
             _LOG.info(
                 "event=store_epoch table=%s epoch=%d before=%d version=%d "
                 "known=%d",
                 self._table.value,
-                rows.epoch,
+                epoch,
                 self._epoch,
-                rows.version,
-                self._watch.version,
+                versions.get_number(rows.version),
+                versions.get_number(self._watch.version),
             )
-        self._epoch = rows.epoch
+        self._epoch = epoch
 
     def _find_proven_until(
         self, ask: catalogue.ReadCall, rows: catalogue.Rows, sent_at: float
--- a/pollenfork/loads/gossip.py
+++ b/pollenfork/loads/gossip.py
@@ -80,9 +80,8 @@
         return self._pick(True, 1) + self._pick(False, 1)
 
     def _choose(self, status: messages.StoreStatus, now: float) -> list[str]:
-        versions = status.configuration, status.runners
-        if versions != self._sent_versions:
-            self._sent_versions = versions
+        if status.versions != self._sent_versions:
+            self._sent_versions = status.versions
             self._rounds_left = _ROUNDS
         if self._rounds_left:
             self._rounds_left -= 1
@@ -119,7 +118,7 @@
 def _is_newer(mine: messages.StoreStatus, theirs: messages.StoreStatus) -> bool:
     """Returns whether a status has anything that the other one lacks."""
     return (
-        mine.configuration > theirs.configuration
-        or mine.runners > theirs.runners
+        mine.configuration_version > theirs.configuration_version
+        or mine.runners_version > theirs.runners_version
         or mine.age_s + _MORE_RECENT_S < theirs.age_s
     )
--- a/pollenfork/loads/links.py
+++ b/pollenfork/loads/links.py
@@ -108,7 +108,4 @@
         return False
     if sent is None:
         return True
-    return (status.configuration, status.runners) != (
-        sent.configuration,
-        sent.runners,
-    )
+    return status.versions != sent.versions
--- a/pollenfork/loads/messages.py
+++ b/pollenfork/loads/messages.py
@@ -7,6 +7,7 @@
 import xxhash
 
 from pollenfork import ids
+from pollenfork import versions
 from pollenfork.loads import limit_messages
 
 
@@ -80,17 +81,38 @@
     """What an instance knows of the store's tables, and how recent that is.
 
     Attributes:
-        configuration: The store's version of the configuration's last change.
-        runners: The store's version of the runners' last change.
+        configuration: The store's version of the configuration's last change,
+            as numbered in its epoch.
+        runners: The same for the runners.
         age_s: Seconds since the configuration was known to be current.
         answered_s: Seconds since the store answered any instance; None: sent
             by an earlier version, which doesn't tell.
+        configuration_epoch: The epoch of `configuration`; 0: sent by an
+            earlier version, which doesn't tell.
+        runners_epoch: The same for `runners`.
     """
 
     configuration: int
     runners: int
     age_s: float
     answered_s: float | None = None
+    configuration_epoch: int = 0
+    runners_epoch: int = 0
+
+    @property
+    def configuration_version(self) -> int:
+        """The version of the configuration's last change."""
+        return versions.combine(self.configuration_epoch, self.configuration)
+
+    @property
+    def runners_version(self) -> int:
+        """The version of the runners' last change."""
+        return versions.combine(self.runners_epoch, self.runners)
+
+    @property
+    def versions(self) -> tuple[int, int]:
+        """The versions of both tables."""
+        return self.configuration_version, self.runners_version
 
 
 class Report(msgspec.Struct, frozen=True, array_like=True, tag="r"):
--- a/pollenfork/platform/documents.py
+++ b/pollenfork/platform/documents.py
@@ -179,6 +179,5 @@
     for tenant in document:
         tier = None if tenant.priority is None else ids.Tier(tenant.priority)
         account = routes.Account(ids.AccountId(tenant.name), tier)
-        for key in tenant.api_keys:
-            accounts[key] = account
+        accounts.update(dict.fromkeys(tenant.api_keys, account))
     return accounts
--- a/pollenfork/platform/entries.py
+++ b/pollenfork/platform/entries.py
@@ -101,13 +101,12 @@
     address = _parse_address(entry.address)
     if address is None:
         return _fail(_Fault.NO_ADDRESS, entry.address)
-    host, port = address
     return result.Ok(
         fleet.Runner(
             id=ids.EndpointId(key),
             service=ids.ServiceName(entry.service),
-            host=host,
-            port=port,
+            host=address[0],
+            port=address[1],
             data_centre=ids.DataCentre(entry.zone),
             slots=entry.slots,
             leaving=entry.state != _READY,
--- a/pollenfork/platform/names.py
+++ b/pollenfork/platform/names.py
@@ -40,7 +40,6 @@
 
 DUTY_HOLDER = "X-Pollenfork-Duty-Holder"
 FENCING_TOKEN = "X-Pollenfork-Fencing-Token"
-
 REPORTING_DUTY = "usage_report"
 SCALING_DUTY = "autoscale"
 
--- a/pollenfork/platform/rows.py
+++ b/pollenfork/platform/rows.py
@@ -8,6 +8,7 @@
 import result
 
 from pollenfork import failures
+from pollenfork import versions
 from pollenfork.catalogue import changes
 from pollenfork.catalogue import messages
 from pollenfork.platform import names
@@ -63,7 +64,7 @@
         return format_range_path(table, call.start)
     query = {
         "table": table,
-        "after-revision": call.after,
+        "after-revision": versions.get_number(call.after),
         "wait-ms": int(call.wait_s * 1000),
     }
     return f"{names.FEED_PATH}?{urllib.parse.urlencode(query)}"
@@ -85,7 +86,8 @@
         text = base64.b64encode(put.value).decode()
         body.upserts.append(_Upsert(*row_key, text))
         if put.expected is not None:
-            body.precondition.append(_Precondition(*row_key, put.expected))
+            number = versions.get_number(put.expected)
+            body.precondition.append(_Precondition(*row_key, number))
     for removal in change.removed:
         body.remove.append(_RowKey(removal.table.value, "", removal.key))
     return msgspec.json.encode(body)
@@ -100,15 +102,17 @@
         reply = _DECODER.decode(body)
         rows = tuple(
             messages.Row(
-                row.key, _decode_value(row.value), row.row_version, row.removed
+                row.key,
+                _decode_value(row.value),
+                versions.combine(epoch, row.row_version),
+                row.removed,
             )
             for row in reply.rows
         )
     except (msgspec.MsgspecError, ValueError) as error:
         return result.Err(BadRows(detail=str(error)))
-    return result.Ok(
-        messages.Rows(rows, reply.row_version, reply.has_more, epoch=epoch)
-    )
+    version = versions.combine(epoch, reply.row_version)
+    return result.Ok(messages.Rows(rows, version, reply.has_more))
 
 
 def _decode_value(text: str) -> bytes:
