Let the soak's store list a row that changes as a call's wait ends

The stand-in named the newest version of the moment it answered, with the rows of the moment its wait began to end.

--- a/pollenfork/platform/tests/soak/store.py
+++ b/pollenfork/platform/tests/soak/store.py
@@ -17,6 +17,8 @@
     SLOW = "slow"
 
 
+# Tables whose writers notice a restoration and write their rows again.
+_REWRITTEN = frozenset({"op", "servers"})
 _SLOW_S = 0.25
 _LOOK_S = 0.01
 
@@ -95,6 +97,23 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    async def restore_and_rewrite(self, copy: Copy) -> None:
+        """Comes back from a copy; operator and runners write theirs again."""
+        lost = dict(self._rows)
+        self.restore(copy)
+        for table, key in sorted({*lost, *copy.rows}):
+            row = lost.get((table, key))
+            same = row and row["value"] == copy.rows.get((table, key), {}).get(
+                "value"
+            )
+            if table not in _REWRITTEN or same:
+                continue
+            if row is None:
+                await self.remove(table, key)
+            else:
+                value = json.loads(base64.b64decode(row["value"]))
+                await self.put(table, key, value)
+
     async def _note(self, row: dict) -> float:
         self._history.append(row)
         async with self._changed:
@@ -186,7 +205,8 @@
             async with asyncio.timeout(wait_s + 0.001), self._changed:
                 await self._changed.wait_for(look)
         except TimeoutError:
-            pass
+            # A change may have been made while the lock was awaited.
+            look()
         if after < self._forgotten:
             return 410, {}  # Its changes went while it waited.
         return 200, {"rows": found, "row-version": self._version}
