Keep the duties exact though the store loses a claim

Each epoch of the store has fencing numbers of its own. Whoever sees a new epoch stops acting, and claims only after the lease and the orders of an unknown holder have ended; a write that succeeded in another epoch than the one it was conditional on counts for nothing. Tallies and holders' notices say through which window the platform has reports, and such windows aren't reported again. Earlier builds ignore the added fields.

120 schedules with one or two restorations, holders suspended before and during them: nobody acts beside another, no number and no window twice.

Also the soak of drills, and both soaks as tests.

--- a/pollenfork/duties/duty_lease.py
+++ b/pollenfork/duties/duty_lease.py
@@ -13,6 +13,7 @@
 import result
 
 from pollenfork import ids
+from pollenfork import versions
 from pollenfork.catalogue import changes
 from pollenfork.catalogue import messages as catalogue
 from pollenfork.duties import messages
@@ -39,6 +40,9 @@
 _MAX_READ_AGE_S = 2.0
 # Successive failed calls after which another instance should take over early.
 _FAILURE_LIMIT = 2
+# A restored store may have lost claims, whose fencing numbers must not be used
+# again. So each epoch of the store has numbers of its own, this many.
+_FENCING_PER_EPOCH = 1 << 20
 
 
 class DutyLease:
@@ -76,6 +80,8 @@
         self._not_before = 0.0
         self._read_at = float("-inf")
         self._failures = 0
+        self._epoch: int | None = None
+        self._claim_not_before = float("-inf")
         self.work_queue = work_queue.WorkQueue()
 
     def holds(self, now: float) -> bool:
@@ -138,6 +144,7 @@
             return
         self._failures = 0
         self._read_at = now
+        self._follow_epoch(answer.ok_value.version, now)
         found = {row.key: row for row in answer.ok_value.rows}
         stored = found.pop(rows.HOLDER_KEY, None)
         if stored is None:
@@ -163,6 +170,8 @@
         call, self._in_progress = self._in_progress, None
         assert isinstance(call, messages.Write)
         if isinstance(answer, result.Ok):
+            if self._follow_epoch(answer.ok_value, now):
+                return  # The version that it was conditional on was another.
             self._record_written(call, answer.ok_value, now)
         elif answer.err_value is changes.WriteFailure.REFUSED:
             self._back_off(now)
@@ -192,7 +201,7 @@
                 else None
             )
         if state is lease.LeaseState.EXPIRED:
-            return self._claim(now)
+            return self._claim(now) if now >= self._claim_not_before else None
         unsure = (
             state is lease.LeaseState.UNREAD and now < self._lease.act_until()
         )
@@ -203,11 +212,29 @@
             or now - self._read_at > _MAX_READ_AGE_S
         ):
             return messages.Read()
-        return self._claim(now) if state is lease.LeaseState.FREE else None
+        if state is not lease.LeaseState.FREE or now < self._claim_not_before:
+            return None
+        return self._claim(now)
+
+    def _follow_epoch(self, version: int, now: float) -> bool:
+        """Returns whether the store was restored since its last answer.
+
+        The claims since the copy are lost, so the one who made the last of them
+        may still act until its lease ends.
+        """
+        epoch = versions.get_epoch(version)
+        before, self._epoch = self._epoch, epoch
+        if before is None or epoch == before:
+            return False
+        self._lease.abandon()
+        self._claim_not_before = now + self._times.lease_s + self._times.order_s
+        _LOG.warning("event=duties_suspended epoch=%d before=%d", epoch, before)
+        return True
 
     def _claim(self, now: float) -> messages.Write:
         self.work_queue.reset()
-        claim = self._lease.propose_claim(now)
+        epoch = self._epoch or 0
+        claim = self._lease.propose_claim(now, epoch * _FENCING_PER_EPOCH)
         row = msgspec.structs.replace(claim, host=self._host)
         return messages.Write(row, self._lease.version)
 
--- a/pollenfork/duties/tests/simulation.py
+++ b/pollenfork/duties/tests/simulation.py
@@ -5,9 +5,11 @@
 import itertools
 import random
 
+import msgspec
 import result
 
 from pollenfork import ids
+from pollenfork import versions
 from pollenfork.catalogue import changes
 from pollenfork.catalogue import messages as catalogue
 from pollenfork.duties import duty_lease
@@ -36,9 +38,32 @@
     """The store, with conditional writes."""
 
     def __init__(self) -> None:
-        self.version = 0
+        self.epoch = 0
+        self.number = 0
         self.rows: dict[str, catalogue.Row] = {}
 
+    @property
+    def version(self) -> int:
+        return versions.combine(self.epoch, self.number)
+
+    def save(self) -> tuple[int, dict[str, catalogue.Row]]:
+        """Returns a copy to restore the store from."""
+        return self.number, dict(self.rows)
+
+    def restore(self, copy: tuple[int, dict[str, catalogue.Row]]) -> None:
+        """Loses what was written since a copy was made."""
+        self.epoch += 1
+        self.number = copy[0]
+        self.rows = {
+            key: msgspec.structs.replace(
+                row,
+                version=versions.combine(
+                    self.epoch, versions.get_number(row.version)
+                ),
+            )
+            for key, row in copy[1].items()
+        }
+
     def read(self) -> catalogue.Rows:
         return catalogue.Rows(tuple(self.rows.values()), self.version)
 
@@ -46,9 +71,10 @@
         self, change: messages.Write
     ) -> result.Result[int, changes.WriteFailure]:
         known = self.rows.get(rows.HOLDER_KEY)
-        if (known.version if known else 0) != change.version:
+        number = versions.get_number(known.version) if known else 0
+        if number != versions.get_number(change.version):
             return result.Err(changes.WriteFailure.CONFLICT)
-        self.version += 1
+        self.number += 1
         self._put(rows.HOLDER_KEY, rows.encode(change.row))
         for each in change.reports:
             key = rows.format_report_key(each.window, each.part)
@@ -195,6 +221,11 @@
                 each.reaches_others and machine.reaches_others
             ):
                 machine.heard_at = self.now
+        for each in self.machines:
+            if each.runs and each.reaches_others and machine.reaches_others:
+                machine.duty_lease.work_queue.record_reported_through(
+                    each.duty_lease.work_queue.reported_through
+                )
 
     def _add_work(self, machine: Machine) -> None:
         held_lease = machine.duty_lease
--- a/pollenfork/duties/tests/test_schedules.py
+++ b/pollenfork/duties/tests/test_schedules.py
@@ -6,6 +6,7 @@
 from pollenfork.duties import duty_lease
 from pollenfork.duties import messages
 from pollenfork.duties import work_queue
+from pollenfork.duties.tests import call_rules
 from pollenfork.duties.tests import schedules
 from pollenfork.duties.tests import simulation as simulations
 from pollenfork.leases import lease
@@ -50,7 +51,7 @@
 def test_a_fencing_number_that_isnt_incremented_is_detected(
     monkeypatch,
 ) -> None:
-    def propose_claim(self, now):
+    def propose_claim(self, now, min_fencing=0):
         old = self.row or self._make_first()
         return self.propose(
             msgspec.structs.replace(old, holder=self._instance), now
@@ -141,3 +142,50 @@
     }
     assert len(sent) >= work_queue.BACKLOG_LIMIT
     assert len(simulation.store.rows) <= 3
+
+
+def _restore_after_a_claim(seed: int) -> simulations.Simulation:
+    """Loses claims and renewals of a few seconds, once or twice."""
+    simulation = simulations.Simulation(seed, machines=5)
+    simulation.run(10.0)
+    for _ in range(1 + seed % 2):
+        copy = simulation.store.save()
+        for holder in simulation.list_holders():
+            if seed % 3:
+                simulation.suspend(holder, simulation.rng.uniform(5.0, 9.0))
+        simulation.run(simulation.rng.uniform(0.5, 8.0))
+        for holder in simulation.list_holders():
+            if seed % 2:
+                simulation.suspend(holder, simulation.rng.uniform(5.0, 9.0))
+        simulation.store.restore(copy)
+        simulation.run(simulation.rng.uniform(4.0, 12.0))
+    simulation.run(10.0)
+    return simulation
+
+
+def _find_reused(simulation: simulations.Simulation) -> list[int]:
+    holders: dict[int, set[str]] = {}
+    for call in simulation.calls:
+        holders.setdefault(call.fencing, set()).add(call.machine)
+    return [number for number, names in holders.items() if len(names) > 1]
+
+
+# Guards against a fencing number that is given out twice, two holders, and
+# windows reported twice, as a restored store has lost the last claim.
+@pytest.mark.parametrize("first", range(0, 120, 30))
+def test_after_a_restoration_the_duties_stay_exact(first) -> None:
+    for seed in range(first, first + 30):
+        simulation = _restore_after_a_claim(seed)
+        assert _find_reused(simulation) == [], seed
+        violations = call_rules.find_violations(
+            simulation.calls, simulations.ALTERNATION_S
+        )
+        assert violations == [], seed
+        assert len(simulation.list_holders()) == 1, seed
+
+
+def test_a_number_that_does_not_grow_with_the_epoch_is_detected(
+    monkeypatch,
+) -> None:
+    monkeypatch.setattr(duty_lease, "_FENCING_PER_EPOCH", 0)
+    assert any(_find_reused(_restore_after_a_claim(seed)) for seed in range(60))
--- a/pollenfork/duties/work_queue.py
+++ b/pollenfork/duties/work_queue.py
@@ -23,6 +23,7 @@
 BACKLOG_LIMIT = 60
 # The delay after a failed call to the platform, in seconds.
 _RETRY_DELAY_S = 0.5
+NO_WINDOW = -1
 
 
 class WorkQueue:
@@ -30,6 +31,8 @@
 
     Attributes:
         stored_reports: Reports that are in the store, by window.
+        reported_through: The last window of an uninterrupted sequence that the
+            platform has.
     """
 
     def __init__(self) -> None:
@@ -43,6 +46,9 @@
         self._accepted: dict[rows.RunnerPool, rows.ScalingOrder] = {}
         self._baselines: dict[ids.ServiceName, int] = {}
         self._paused_until: dict[int | rows.RunnerPool, float] = {}
+        # Windows that the platform has, also if the store has lost their rows.
+        self._reported: set[int] = set()
+        self.reported_through = NO_WINDOW
 
     @property
     def has_unwritten(self) -> bool:
@@ -52,9 +58,14 @@
     def find_next_window(self, row: rows.HolderRow | None) -> int:
         """Returns the first window without a report, stored or unwritten."""
         stored = row.next_window if row else 0
-        return max(
-            [stored, *(window + 1 for window in self._unwritten_reports)]
+        following = max(
+            stored,
+            self.reported_through + 1,
+            *(window + 1 for window in self._unwritten_reports),
         )
+        while following in self._reported:
+            following += 1
+        return following
 
     def list_orders(self) -> list[rows.ScalingOrder]:
         """Returns the latest order for each pool."""
@@ -119,12 +130,31 @@
                 self._paused_until[work.window] = now + _RETRY_DELAY_S
             else:
                 self._acknowledged.add(work.window)
+                self._record_reported(work.window)
             return
         if retry:
             self._paused_until[work.subject] = now + _RETRY_DELAY_S
         else:
             self._accepted[work.subject] = work
 
+    def record_reported_through(self, window: int) -> None:
+        """Records which windows the platform has according to the holder."""
+        self.reported_through = max(self.reported_through, window)
+
+    def _record_reported(self, window: int) -> None:
+        self._reported.add(window)
+        is_first = all(each >= window for each in self._list_waiting())
+        if self.reported_through == NO_WINDOW and is_first:
+            self.reported_through = window
+        while self.reported_through + 1 in self._reported:
+            self.reported_through += 1
+        self._reported = {
+            each for each in self._reported if each > self.reported_through
+        }
+
+    def _is_reported(self, window: int) -> bool:
+        return window <= self.reported_through or window in self._reported
+
     # Rows of the store.
 
     def reset(self) -> None:
@@ -203,6 +233,10 @@
             for window, found in parts.items()
             if len(found) == found[0].parts
         }
+        # A restored store lists reports that the platform already has.
+        self._acknowledged.update(
+            filter(self._is_reported, self.stored_reports)
+        )
         next_window = row.next_window if row else 0
         self._unwritten_reports = {
             number: report
--- a/pollenfork/gateway/duty_agent.py
+++ b/pollenfork/gateway/duty_agent.py
@@ -11,6 +11,8 @@
 import time
 from typing import TYPE_CHECKING, Protocol
 
+import msgspec
+
 from pollenfork import ids
 from pollenfork.duties import duty_lease
 from pollenfork.duties import messages
@@ -152,6 +154,7 @@
             self.accounts.receive_acknowledgement(message, host, now)
             self._receive_holder_notice(message, host, now)
             return
+        self.lease.work_queue.record_reported_through(message.reported_through)
         self.accounts.receive_tally(message, host, now)
         self._acknowledge(message, host, now)
 
@@ -263,7 +266,11 @@
     def _send_tally_to(self, holder: str, now: float) -> None:
         """Sends this instance's tally to the holder or to a candidate."""
         if self._peers is not None:
-            self._peers.send(holder, self.accounts.make_tally(holder, now))
+            tally = msgspec.structs.replace(
+                self.accounts.make_tally(holder, now),
+                reported_through=self.lease.work_queue.reported_through,
+            )
+            self._peers.send(holder, tally)
 
     def _acknowledge(self, tally: loads.Tally, host: str, now: float) -> None:
         """Acknowledges a tally and names the holder to its sender."""
@@ -280,6 +287,7 @@
             age_s,
             tally.sent_at,
             self.accounts.read_time() if holds else 0.0,
+            self.lease.work_queue.reported_through,
         )
         self._peers.send(host, notice)
 
@@ -287,7 +295,11 @@
         """Announces this instance as the holder, or that it can't remain it."""
         holder = "" if self.lease.is_store_failing else self._host
         notice = loads.HolderNotice(
-            self._data_centre, holder, self.accounts.start, 0.0
+            self._data_centre,
+            holder,
+            self.accounts.start,
+            0.0,
+            reported_through=self.lease.work_queue.reported_through,
         )
         for host in hosts:
             if self._peers is not None and host != self._host:
@@ -296,6 +308,7 @@
     def _receive_holder_notice(
         self, notice: loads.HolderNotice, host: str, now: float
     ) -> None:
+        self.lease.work_queue.record_reported_through(notice.reported_through)
         contact_at = now - max(0.0, notice.age_s)
         if self.lease.holds(now):
             return
--- a/pollenfork/gateway/tests/test_duty_agent.py
+++ b/pollenfork/gateway/tests/test_duty_agent.py
@@ -170,7 +170,7 @@
         known = self.rows.rows.get(holder.key)
         if (known.version if known else 0) != holder.expected:
             return result.Err(worlds.changes.WriteFailure.CONFLICT)
-        self.rows.version += 1
+        self.rows.number += 1
         for put in (holder, *reports):
             self.rows._put(put.key, put.value)
         for gone in change.removed:
--- a/pollenfork/leases/lease.py
+++ b/pollenfork/leases/lease.py
@@ -130,10 +130,15 @@
             order_ms=round(self._times.order_s * 1000),
         )
 
-    def propose_claim(self, now: float) -> RowT:
-        """Returns the row that makes this instance the next holder."""
+    def propose_claim(self, now: float, min_fencing: int = 0) -> RowT:
+        """Returns the row that makes this instance the next holder.
+
+        Args:
+            now: Monotonic seconds.
+            min_fencing: The least fencing number to use.
+        """
         old = self._make_first() if self.row is None else self.row
-        fencing = ids.FencingNumber(old.fencing + 1)
+        fencing = ids.FencingNumber(max(old.fencing + 1, min_fencing))
         claim = msgspec.structs.replace(
             old, holder=self._instance, fencing=fencing
         )
@@ -151,6 +156,11 @@
         """
         self._adopt(row, version, now)
 
+    def abandon(self) -> None:
+        """Stops acting on own writes, which the store may have lost."""
+        self._sent_at.clear()
+        self._known = False
+
     def invalidate(self) -> None:
         """Requires a read before the next write; the row may have changed."""
         self._known = False
--- a/pollenfork/loads/messages.py
+++ b/pollenfork/loads/messages.py
@@ -321,6 +321,8 @@
         through: Unix seconds up to which the counts are complete.
         wall: The sender's time of day in Unix seconds.
         sent_at: Its monotonic clock; the answer echoes it.
+        reported_through: The last window of an uninterrupted sequence that the
+            platform has; -1: unknown.
     """
 
     data_centre: str
@@ -329,6 +331,7 @@
     through: float
     wall: float
     sent_at: float
+    reported_through: int = -1
 
 
 class HolderNotice(msgspec.Struct, frozen=True, array_like=True, tag="w"):
@@ -341,6 +344,8 @@
         age_s: How long ago the holder itself announced it, in seconds.
         echo: The `sent_at` of the tally that this answers.
         time: The holder's time in Unix seconds; 0: not sent by the holder.
+        reported_through: The last window of an uninterrupted sequence that the
+            platform has; -1: unknown.
     """
 
     data_centre: str
@@ -349,6 +354,7 @@
     age_s: float
     echo: float = 0.0
     time: float = 0.0
+    reported_through: int = -1
 
 
 Message = (
--- a/pollenfork/platform/tests/test_soak.py
+++ b/pollenfork/platform/tests/test_soak.py
@@ -8,8 +8,10 @@
 import pytest
 
 from pollenfork.platform.tests.soak import caller
+from pollenfork.platform.tests.soak import drills
 from pollenfork.platform.tests.soak import duties
 from pollenfork.platform.tests.soak import limits
+from pollenfork.platform.tests.soak import notices
 from pollenfork.platform.tests.soak import play
 from pollenfork.platform.tests.soak import poison
 from pollenfork.platform.tests.soak import proxy
@@ -194,3 +196,29 @@
     outcome = asyncio.run(limits.play(31, tmp_path))
     for use in outcome.uses:
         assert use.total >= 0.9 * use.rate * use.seconds - 1.0, use
+
+
+# Guards against ignoring runners that say in their answers that they leave, or
+# want a pause: each was known from the registry alone, or not at all.
+def test_what_runners_say_of_themselves_is_observed(tmp_path) -> None:
+    outcome = asyncio.run(notices.play(41, tmp_path))
+    assert outcome.notices.late == 0, outcome
+    assert outcome.notices.heard_late == 0, outcome
+    assert outcome.notices.refusals > 10, outcome
+    assert outcome.notices.in_pause == 0, outcome
+    assert min(outcome.served) >= 0.99, outcome
+    assert max(outcome.back_s, outcome.all_back_s) <= 1.0, outcome
+    assert outcome.slowest_s < 0.5, outcome
+    assert outcome.without_hint == 0, outcome
+
+
+# Guards against refusing a restored store, as its versions are lower:
+# revoked keys and leaving runners went on being used, and callers were refused.
+def test_a_restored_store_is_believed_in_time(tmp_path) -> None:
+    outcome = asyncio.run(drills.play(51, tmp_path, 3))
+    assert (outcome.revoked, outcome.refused, outcome.left) == (0, 0, 0), (
+        outcome
+    )
+    assert outcome.served >= 0.99, outcome
+    assert outcome.after >= 0.99, outcome
+    assert outcome.fencing == 0, outcome
