Write quarantined requests again that a restored store may lack

Instances that start later read them from the store, and nobody else writes rows of ours again. The instances that saw a crash do, as they did at first.

--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -133,6 +133,7 @@
         self._quarantine_store = quarantine_store.QuarantineStore(
             config.store, store, request_quarantine, time.time
         )
+        self.state.when_restored(self._quarantine_store.rewrite)
         self._deps = context.Dependencies(
             loop=self._loop,
             rng=rng,
--- a/pollenfork/gateway/quarantine_store.py
+++ b/pollenfork/gateway/quarantine_store.py
@@ -92,6 +92,16 @@
             write = await self._queue.get()
             await _retry_until_done(functools.partial(self._write, write))
 
+    def rewrite(self) -> None:
+        """Writes rows again that the store may have lost when it was restored.
+
+        As at first, only instances that observed one of the crashes do.
+        """
+        now = self._loop.time()
+        for history in self._quarantine.tracker.list_quarantined():
+            self._stored.discard(history.digest)
+            self._on_quarantined(history, now)
+
     async def claim_trial(self, digest: ids.RequestDigest) -> bool:
         """Returns whether this instance may run a trial of a request.
 
--- a/pollenfork/gateway/tests/test_quarantine_store.py
+++ b/pollenfork/gateway/tests/test_quarantine_store.py
@@ -11,6 +11,7 @@
 from pollenfork.gateway import client
 from pollenfork.gateway import quarantine_store
 from pollenfork.gateway import settings
+from pollenfork.loads import messages as loads
 from pollenfork.poison import crashes
 from pollenfork.poison import quarantine
 from pollenfork.poison import records
@@ -23,6 +24,7 @@
         self.rows = rows
         self.removed: list[str] = []
         self.claimed: list[str] = []
+        self.written: list[str] = []
 
     def encode_range_read(self, table: changes.Table, start: str) -> bytes:
         assert table is changes.Table.KEPT_REQUESTS
@@ -35,6 +37,9 @@
             self.removed.append(row)
             return b"change"
         (claim,) = change.written
+        if claim.table is changes.Table.KEPT_REQUESTS:
+            self.written.append(claim.key)
+            return b"change"
         assert claim.table is changes.Table.TRIALS
         assert claim.expected == changes.ABSENT
         self.claimed.append(claim.key)
@@ -161,3 +166,44 @@
     granted, claimed = claim([0, 200])
     assert granted == [False, True]
     assert claimed == [f"{7:016x}-1", f"{7:016x}-2"]
+
+
+# Guards against a quarantined request that instances no longer learn of at
+# their start, as a restored store has lost its row.
+def test_rows_that_a_restored_store_may_lack_are_written_again() -> None:
+    async def run():
+        loop = asyncio.get_running_loop()
+        store = Store([])
+        request_quarantine = quarantine.Quarantine(
+            registry.Registry(), "10.0.0.1", lambda runner, at: False, loop.time
+        )
+        keeper = quarantine_store.QuarantineStore(
+            settings.Address("127.0.0.1", 1),
+            store,
+            request_quarantine,
+            lambda: 0.0,
+        )
+
+        async def answer(request, timeout_s):
+            return client.Answer(200, b"")
+
+        keeper._client.call = answer
+        now = loop.time()
+        for digest, host in ((1, b"10.0.0.1"), (2, b"10.0.0.2")):
+            crash = crashes.Crash(1, now - 1, now - 1, loads.hash_name(host))
+            request_quarantine.tracker.restore(
+                crashes.CrashHistory(ids.RequestDigest(digest), [crash]), now
+            )
+        running = asyncio.create_task(keeper.run())
+        written = []
+        for _ in range(2):
+            async with asyncio.timeout(5):
+                while not store.written:
+                    await asyncio.sleep(0)
+            written += store.written
+            store.written = []
+            keeper.rewrite()
+        running.cancel()
+        return written
+
+    assert asyncio.run(run()) == [records.format_key(ids.RequestDigest(1))] * 2
