Split what a restored store may list wrongly from the registry

No change of behaviour but one: a sequence is carried over only within an incarnation. explain shows the store's epochs among what instances believed.

--- a/pollenfork/fleet/registry.py
+++ b/pollenfork/fleet/registry.py
@@ -9,18 +9,12 @@
 from pollenfork import ids
 from pollenfork.fleet import departures
 from pollenfork.fleet import model
+from pollenfork.fleet import restoration
 
 # The number of runners, departed ones included, whose latest start is kept, so
 # that delayed updates about an earlier incarnation are recognised. About 200
 # bytes each.
 _MAX_STARTS = 4096
-# The number of removed runners whose last entries are kept. About 500 bytes
-# each.
-_MAX_REMOVED = 1024
-# How long a restored store may list runners that have left, in seconds: their
-# removals are written again at once, and those that are gone stop renewing
-# their entries.
-_WITHHELD_S = 5.0
 
 
 class RemoveResult(enum.Enum):
@@ -67,15 +61,7 @@
         self._runners: dict[ids.EndpointId, model.Runner] = {}
         self._services: dict[ids.ServiceName, dict[ids.EndpointId, None]] = {}
         self._expiring: dict[ids.EndpointId, float] = {}
-        # The last entries of runners that were removed, by incarnation.
-        self._removed: collections.OrderedDict[
-            model.Incarnation, model.Runner
-        ] = collections.OrderedDict()
-        # Entries that a restored store lists although they were removed.
-        self._withheld: dict[ids.EndpointId, model.Runner] = {}
-        self._withheld_until: float | None = None
-        # Runners whose entries are of an earlier epoch of the store.
-        self._earlier: set[ids.EndpointId] = set()
+        self._restoration = restoration.Restoration()
         self._kept_until = 0.0
         self._departures = departures.Departures()
         # Runners that are leaving although their entries say otherwise.
@@ -107,11 +93,12 @@
         """
         if self._is_outdated(runner):
             return PutResult.OUTDATED
-        if self._withhold(runner):
+        old = self._runners.get(runner.id)
+        if old is not None:
+            runner = self._restoration.keep_sequence(runner, old)
+        elif self._restoration.withhold(runner):
             return PutResult.WITHHELD
-        runner = self._keep_sequence(runner)
         started_again = self._update_start(runner)
-        old = self._runners.get(runner.id)
         self._expiring.pop(runner.id, None)
         # Requests of the earlier incarnation may still be awaited, even though
         # its entry has been removed meanwhile.
@@ -201,7 +188,7 @@
     def remove(self, runner: ids.EndpointId, now: float) -> RemoveResult:
         """Handles the removal of a runner's entry from the registry."""
         known = self._runners.get(runner)
-        self._withheld.pop(runner, None)
+        self._restoration.drop(runner)
         if known is None:
             return RemoveResult.UNKNOWN
         if now < self._kept_until and not known.leaving:
@@ -225,13 +212,13 @@
             kept_until: Until when entries that the copy lacks are assumed to
                 be written again.
         """
-        for runner in (*self._runners.values(), *self._removed.values()):
+        removed = self._restoration.list_removed()
+        for runner in (*self._runners.values(), *removed):
             if runner.leaving:
                 self._departures.add(
                     departures.hash_incarnation(runner.incarnation)
                 )
-        self._earlier = set(self._runners)
-        self._withheld_until = now + _WITHHELD_S
+        self._restoration.begin(self._runners, now)
         self.keep_removed_until(kept_until)
 
     def keep_removed_until(self, until: float) -> None:
@@ -244,7 +231,8 @@
 
     def expire(self, now: float) -> list[ids.EndpointId]:
         """Drops kept entries that weren't renewed in time; returns them."""
-        self._release_withheld(now)
+        for entry in self._restoration.release(now):
+            self.put(entry)
         due = [each for each, until in self._expiring.items() if now >= until]
         for runner in due:
             del self._expiring[runner]
@@ -285,41 +273,6 @@
         """The number of known runners."""
         return len(self._runners)
 
-    def _withhold(self, runner: model.Runner) -> bool:
-        """Returns whether an entry must wait as its runner may have left."""
-        removed = self._removed.get(runner.incarnation)
-        if (
-            self._withheld_until is None
-            or removed is None
-            or runner.id in self._runners
-            or runner.sequence > removed.sequence
-        ):
-            return False
-        self._withheld[runner.id] = runner
-        return True
-
-    def _release_withheld(self, now: float) -> None:
-        """Uses the entries that are still listed after a restoration."""
-        if self._withheld_until is None or now < self._withheld_until:
-            return
-        self._withheld_until = None
-        withheld, self._withheld = self._withheld, {}
-        for runner in withheld.values():
-            self.put(runner)
-
-    def _keep_sequence(self, runner: model.Runner) -> model.Runner:
-        """Returns an entry with its sequence comparable to the known one.
-
-        In an earlier epoch of the store, the same incarnation may have reached
-        a higher sequence.
-        """
-        known = self._runners.get(runner.id)
-        if runner.id not in self._earlier or known is None:
-            return runner
-        self._earlier.discard(runner.id)
-        sequence = max(runner.sequence, known.sequence)
-        return msgspec.structs.replace(runner, sequence=sequence)
-
     def _is_outdated(self, runner: model.Runner) -> bool:
         latest = self._starts.get(runner.id)
         return (
@@ -348,12 +301,8 @@
 
     def _drop(self, runner: ids.EndpointId) -> None:
         self._announced.discard(runner)
-        self._earlier.discard(runner)
         known = self._runners.pop(runner)
-        self._removed[known.incarnation] = known
-        self._removed.move_to_end(known.incarnation)
-        if len(self._removed) > _MAX_REMOVED:
-            self._removed.popitem(last=False)
+        self._restoration.record_removed(known)
         self._services[known.service].pop(runner, None)
         self._notify_gone(runner)
 
--- a/pollenfork/logbook/trace.py
+++ b/pollenfork/logbook/trace.py
@@ -16,6 +16,8 @@
     "store_lost": "store",
     "store_back": "store",
     "store_bypassed": "store",
+    "store_epoch": "epoch",
+    "store_restored": "epoch",
     "relay_changed": "relay",
     "peers_known": "peers",
 }
