--- a/pollenfork/platform/tests/soak/checks.py
+++ b/pollenfork/platform/tests/soak/checks.py
@@ -14,6 +14,9 @@
 # What the rule on rate limits counts, and allows beyond one and a half times.
 _LIMIT_WINDOW_S = 4.0
 _LIMIT_EXTRA = 5
+# What the rule on pauses excludes after a refusal, and allows until their end.
+_PAUSE_SLACK_S = 0.5
+_PAUSE_ALLOWED = 2
 # A request may be under way this long between its sending and its run.
 _SLACK_S = 0.6
 # A gateway that was disturbed knows news again after this long.
@@ -30,7 +33,8 @@
         broken += _judge(each, runs.pop(each.attempt, []), site)
     broken += [f"{attempt}: nobody asked for it" for attempt in runs]
     broken += call_rules.find_violations(site.cloud.calls, sites.ALTERNATION_S)
-    return broken + _judge_endings(site) + _judge_limits(site)
+    broken += _judge_endings(site) + _judge_limits(site)
+    return broken + _judge_departures(site) + _judge_pauses(site)
 
 
 def _judge_endings(site: sites.Site) -> list[str]:
@@ -78,6 +82,60 @@
     return found
 
 
+def _judge_departures(site: sites.Site) -> list[str]:
+    """Judges what reached runners that had said that they leave.
+
+    A gateway that has passed such an answer on sends nothing there from 2 s
+    later on, unless it was restarted or stood still since then. A runner that
+    restarts says nothing of the kind.
+    """
+    asked = {each.attempt: each for each in site.asked}
+    interrupted = {each.host: each.interrupted for each in site.gateways}
+    told: dict[tuple[str, str], float] = {}
+    found = []
+    for arrival in sorted(site.record.arrivals, key=lambda each: each.at):
+        request = asked[arrival.attempt]
+        key = request.instance, arrival.runner
+        at = told.get(key, float("inf"))
+        excused = any(at < each <= arrival.at for each in interrupted[key[0]])
+        if not arrival.leaving or excused:
+            told.pop(key, None)
+        elif request.sent > at + sites.DRAIN_S:
+            found.append(
+                f"{request.attempt} by {request.instance}: reached "
+                f"{arrival.runner} {request.sent - at:.2f} s after its word"
+            )
+        if arrival.leaving and "server-leaving" in request.headers:
+            told.setdefault(key, request.ended)
+    return found
+
+
+def _judge_pauses(site: sites.Site) -> list[str]:
+    """Judges what reached runners that had asked for a pause."""
+    instances = {each.attempt: each.instance for each in site.asked}
+    interrupted = {each.host: each.interrupted for each in site.gateways}
+    found = []
+    for refusal in site.record.arrivals:
+        if not refusal.pause_s:
+            continue
+        host = instances[refusal.attempt]
+        since = refusal.at + _PAUSE_SLACK_S
+        until = refusal.at + refusal.pause_s
+        later = [
+            each
+            for each in site.record.arrivals
+            if each.runner == refusal.runner
+            and since < each.at < until
+            and instances[each.attempt] == host
+        ]
+        excused = any(refusal.at < at < until for at in interrupted[host])
+        if len(later) > _PAUSE_ALLOWED and not excused:
+            found.append(
+                f"{host}: {len(later)} requests in a pause of {refusal.runner}"
+            )
+    return found
+
+
 def _is_calm(moments: list[float], at: float) -> bool:
     """Returns whether none of some moments was just before another one."""
     return not any(moment <= at < moment + _TOUCH_S for moment in moments)
--- a/pollenfork/platform/tests/soak/faults.py
+++ b/pollenfork/platform/tests/soak/faults.py
@@ -194,6 +194,48 @@
     site.limited.append(period)
 
 
+async def announce_leaving(site: sites.Site) -> None:
+    """A runner says in its answers alone that it leaves, then ends."""
+    await site.add_runner()
+    staying = sorted(set(site.runners) - set(site.gone))
+    if len(staying) <= 2:
+        return
+    name = site.rng.choice(staying)
+    site.runners[name].leaving = True
+    await asyncio.sleep(site.rng.uniform(2.5, 5.0))
+    if site.rng.random() < 0.5 and name in site.runners:
+        await site.restart_runner(name, vanishes=False)
+    else:
+        await site.crash_runner(name)
+
+
+async def ask_for_pauses(site: sites.Site) -> None:
+    """Some runners refuse everything, and each asks for a pause."""
+    pausing = site.rng.sample(
+        sorted(site.runners), site.rng.randint(1, len(site.runners))
+    )
+    made = [site.runners[name] for name in pausing]
+    for each in made:
+        each.pause_s = site.rng.choice((0.4, 1.0, 3.0))
+    await asyncio.sleep(site.rng.uniform(0.5, 4.0))
+    for each in made:
+        each.pause_s = 0.0
+
+
+async def restore_store(site: sites.Site) -> None:
+    """The store is away for a moment and comes back from an older copy."""
+    copy = site.store.save()
+    await asyncio.sleep(site.rng.uniform(0.6, 4.0))
+    for gateway in site.gateways:
+        gateway.disturbed = float("inf")
+    site.store.mood = store.Mood.SILENT
+    await asyncio.sleep(site.rng.uniform(0.5, 2.0))
+    site.store.mood = store.Mood.WELL
+    await site.store.restore_and_rewrite(copy)
+    for gateway in site.gateways:
+        gateway.disturbed = asyncio.get_running_loop().time()
+
+
 FAULTS: tuple[Fault, ...] = (
     kill,
     stop,
@@ -222,6 +264,15 @@
 _FIRST_SEED_WITH_POISON = 2000
 LIMITS = (name_limit, name_limit, name_limit)
 _FIRST_SEED_WITH_LIMITS = 3000
+_FIRST_SEED_WITH_NOTICES = 4000
+NOTICES = (
+    announce_leaving,
+    announce_leaving,
+    ask_for_pauses,
+    ask_for_pauses,
+    restore_store,
+    restore_store,
+)
 POISON = (suspend, suspend, send_poison, send_poison)
 
 
@@ -243,6 +294,8 @@
         kinds += POISON
     if site.seed >= _FIRST_SEED_WITH_LIMITS:
         kinds += LIMITS
+    if site.seed >= _FIRST_SEED_WITH_NOTICES:
+        kinds += NOTICES
     while loop.time() - begun < seconds:
         fault = site.rng.choice(kinds)
         played.append(f"{loop.time() - begun:.2f} {fault.__name__}")
--- a/pollenfork/platform/tests/soak/runner.py
+++ b/pollenfork/platform/tests/soak/runner.py
@@ -35,12 +35,14 @@
         at: Monotonic seconds.
         attempt: The caller's id.
         pause_s: For how long its refusal asked for nothing; 0: it didn't.
+        leaving: Whether its answer says that the runner leaves.
     """
 
     runner: str
     at: float
     attempt: str
     pause_s: float = 0.0
+    leaving: bool = False
 
 
 class Record:
@@ -145,7 +147,9 @@
         if length := int(headers.get("content-length", 0)):
             await reader.readexactly(length)
         attempt = headers.get("x-pollenfork-attempt-id", "")
-        arrival = Arrival(self.name, time.monotonic(), attempt, self.pause_s)
+        arrival = Arrival(
+            self.name, time.monotonic(), attempt, self.pause_s, self.leaving
+        )
         self._record.arrivals.append(arrival)
         if headers.get("x-pollenfork-expect-instance") != self.name:
             writer.write(
--- a/pollenfork/platform/tests/test_soak.py
+++ b/pollenfork/platform/tests/test_soak.py
@@ -24,7 +24,9 @@
 # From 1000 on, runners restart under their ids, and entries are overwritten.
 # From 2000 on, requests crash runners, and machines are suspended.
 # From 3000 on, runners announce rate limits.
-@pytest.mark.parametrize("seed", [3, 102, 1000, 2000, 3002])
+# From 4000 on, they say that they leave or want a pause, and the store is
+# restored from copies.
+@pytest.mark.parametrize("seed", [3, 102, 1000, 2000, 3002, 4000])
 def test_promises_hold_under_random_faults(seed, tmp_path) -> None:
     outcome = asyncio.run(play.play(seed, seconds=4.0, folder=tmp_path))
     assert outcome.broken == []
