--- a/pollenfork/fleet/pauses.py
+++ b/pollenfork/fleet/pauses.py
@@ -143,6 +143,9 @@
         self, runner: model.Runner, tier: ids.Tier, now: float
     ) -> float:
         """Returns the earliest time to send a runner a request of a tier."""
+        # Called for every runner at every choice; pauses are rare.
+        if not self._pauses:
+            return now
         known = self._pauses.get(runner.incarnation)
         if known is None:
             return now
