--- a/pollenfork/fleet/pauses.py
+++ b/pollenfork/fleet/pauses.py
@@ -27,6 +27,9 @@
 # If all runners pause, each more urgent tier whose callers were told to return
 # then gets the first runners for this long, in seconds.
 _LEAD_S = 0.1
+# The number of planned returns that are kept for each service, the latest
+# ones.
+_MAX_RETURNS = 1000
 # Ended pauses of runners that were not used since are kept this long, in
 # seconds.
 _KEPT_S = 10.0
@@ -177,6 +180,7 @@
                 break
             ahead -= slots
         planned.append((at, tier))
+        del planned[:-_MAX_RETURNS]
         return max(0.0, at - now)
 
     def _count_ahead(
