Judge a pause by the runner's start that asked for it

The trace: pause_requested at 59.27 s, runner_gone at 60.60, runner_known restarted=True at 61.37; the seven went to the new start, which had asked for nothing.

--- a/pollenfork/platform/tests/soak/checks.py
+++ b/pollenfork/platform/tests/soak/checks.py
@@ -125,6 +125,8 @@
             each
             for each in site.record.arrivals
             if each.runner == refusal.runner
+            # A pause ends with the runner that asked for it.
+            and each.started == refusal.started
             and since < each.at < until
             and instances[each.attempt] == host
         ]
--- a/pollenfork/platform/tests/soak/runner.py
+++ b/pollenfork/platform/tests/soak/runner.py
@@ -36,6 +36,7 @@
         attempt: The caller's id.
         pause_s: For how long its refusal asked for nothing; 0: it didn't.
         leaving: Whether its answer says that the runner leaves.
+        started: Monotonic seconds of the runner's start.
     """
 
     runner: str
@@ -43,6 +44,7 @@
     attempt: str
     pause_s: float = 0.0
     leaving: bool = False
+    started: float = 0.0
 
 
 class Record:
@@ -101,6 +103,7 @@
         self._record = record
         self._rng = rng
         self._server: asyncio.Server | None = None
+        self._started = time.monotonic()
         self._ended = False
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -148,7 +151,12 @@
             await reader.readexactly(length)
         attempt = headers.get("x-pollenfork-attempt-id", "")
         arrival = Arrival(
-            self.name, time.monotonic(), attempt, self.pause_s, self.leaving
+            self.name,
+            time.monotonic(),
+            attempt,
+            self.pause_s,
+            self.leaving,
+            self._started,
         )
         self._record.arrivals.append(arrival)
         if headers.get("x-pollenfork-expect-instance") != self.name:
