Explain a lost request whose first attempt crossed its runner's end

Cause, from its logs: sent to i-1 at 27:25.005, closed 1 ms later together with three others as i-1 ended; sent again to i-2, which ended under it at 25.224. Both attempts met ends, but the check counts an end only where the runner noted a run, and i-1 ended before it read the request.

Now an end within 0.1 s of the request's sending counts too. Nothing else does: the new test's three cases are that one, a request sent 0.2 s before the end, and one whose second attempt met no end; the last two stay unexplained. The first failed before.

--- a/pollenfork/platform/tests/soak/poison.py
+++ b/pollenfork/platform/tests/soak/poison.py
@@ -21,8 +21,8 @@
 WINDOW_S = 3.0
 _ENDS = 3
 _RECOVERY_S = 2.0
-# A request may be sent to a runner this long after its end, in seconds, on a
-# connection whose close hasn't been read.
+# A request may cross a runner's end by this much, in seconds: it is sent on a
+# connection whose close hasn't been read, or ends unread with the runner.
 _CROSSING_S = 0.1
 
 
@@ -186,7 +186,11 @@
     return sum(
         asked.sent <= ended.at + _CROSSING_S
         and asked.ended >= ended.at
-        and (not runs or ended.runner in runs)
+        and (
+            not runs
+            or ended.runner in runs
+            or abs(asked.sent - ended.at) <= _CROSSING_S
+        )
         for ended in site.ended_by_requests
     )
 
--- a/pollenfork/platform/tests/test_poison_losses.py
+++ b/pollenfork/platform/tests/test_poison_losses.py
@@ -39,3 +39,11 @@
     assert list_unexplained(make("safe", 9.9, 10.2), "i-1")
     assert list_unexplained(make("resume", 9.9, 10.6, 200), "i-1")
     assert not list_unexplained(make("resume", 9.9, 10.6), "i-1", "i-2")
+
+
+# Guards against blaming the gateway for a request whose first attempt crossed
+# the end of its runner, which noted no run, and whose second met another end.
+def test_a_request_sent_as_its_runner_crashes_may_have_left_no_run() -> None:
+    assert not list_unexplained(make("resume", 9.999, 10.6), "i-2")
+    assert list_unexplained(make("resume", 9.8, 10.6), "i-2")
+    assert list_unexplained(make("resume", 9.999, 10.4), "i-3")
