Play restored stores and announced departures in whole-site schedules

The store's stand-in restores and rewrites in two steps, so that instances meet the copy itself. Two tests disable the mechanisms and are detected.

--- a/pollenfork/platform/tests/simulation/play.py
+++ b/pollenfork/platform/tests/simulation/play.py
@@ -10,6 +10,7 @@
 from pollenfork.platform.tests.simulation import network
 from pollenfork.platform.tests.simulation import schedules
 from pollenfork.platform.tests.simulation import site as sites
+from pollenfork.platform.tests.soak import store as standin
 
 _RUNNERS = 12
 
@@ -94,12 +95,33 @@
             site.store.moods.clear()
         case "forget":
             site.store.forget_history()
+        case "announce":
+            site.announce_leaving(step.hosts[0])
+        case "copy" | "silence" | "restore" | "rewrite":
+            await _restore(step, site)
         case "bar" | "unbar" | "queue" | "clear" | "stall":
             _slow(step, site.ways)
         case _:
             _trouble(step, site)
 
 
+async def _restore(step: schedules.Step, site: sites.Site) -> None:
+    """Carries out one of the steps of a restoration."""
+    match step.kind:
+        case "copy":
+            site.copy = site.store.save()
+            site.copied_at = step.at
+        case "silence":
+            site.store.mood = standin.Mood.SILENT
+        case "restore":
+            site.store.mood = standin.Mood.WELL
+            # A reduced schedule may lack the step that makes the copy.
+            if site.copy is not None:
+                site.restore_store()
+        case "rewrite":
+            await site.rewrite()
+
+
 def _slow(step: schedules.Step, ways: network.Network) -> None:
     """Lets connections of hosts fail, their packets or processes wait."""
     hosts = set(step.hosts)
--- a/pollenfork/platform/tests/test_simulation.py
+++ b/pollenfork/platform/tests/test_simulation.py
@@ -9,6 +9,7 @@
 import pytest
 
 from pollenfork.catalogue import outages
+from pollenfork.fleet import registry
 from pollenfork.gateway import cluster_state
 from pollenfork.gateway import following
 from pollenfork.gateway import version_tracker
@@ -101,6 +102,34 @@
     }
 
 
+# Guards against learning of a restored store by one table's call alone: the one
+# that waits for runners returns after 4 s.
+@pytest.mark.parametrize("first", range(50_000, 50_040, _SEEDS_PER_TEST))
+def test_updates_arrive_in_time_though_the_store_is_restored(first) -> None:
+    seeds = range(first, first + _SEEDS_PER_TEST)
+    assert {seed: run(seed).broken for seed in seeds} == {
+        seed: [] for seed in seeds
+    }
+
+
+# Injects a fault: runners of a copy are taken as they are.
+def test_a_runner_that_a_copy_revives_is_detected(monkeypatch) -> None:
+    monkeypatch.setattr(
+        registry.Registry, "begin_epoch", lambda self, now, kept_until: None
+    )
+    assert "goes_back" in list_rules([50_000, 50_001, 50_002, 50_003])
+
+
+# Injects a fault: an announcement stays with the instance that got it.
+def test_an_announcement_that_is_not_passed_on_is_detected(
+    monkeypatch,
+) -> None:
+    monkeypatch.setattr(
+        registry.Registry, "record_departure", lambda self, announced: None
+    )
+    assert "late" in list_rules([50_000, 50_001, 50_002, 50_003])
+
+
 # Injects a fault: relays are awaited one by one, and the store isn't called in
 # parallel.
 def test_sequential_calls_to_relays_are_detected(monkeypatch) -> None:
