Add the interfaces of forecasts, paces and planned returns

A service is forecast if all its prompts' targets are at least 1 s; the fixed costs are a profile of their own and are used for all other services as before. Loads carry the KV cache tokens held, and the peers' datagrams carry updates; nothing fills them yet.

--- a/pollenfork/fleet/candidates.py
+++ b/pollenfork/fleet/candidates.py
@@ -54,6 +54,9 @@
             another runner; None if it can't.
         tier: The request's tier; 0 is the most urgent.
         retriable: Whether it may be sent to another runner after a refusal.
+        forecast: Whether its runner is chosen by a forecast of the answer.
+        target_s: Target time to the first event, in seconds.
+        gap_s: Target for the longest pause between events, in seconds.
     """
 
     service: ids.ServiceName
@@ -62,6 +65,9 @@
     copy_s: float | None = None
     tier: ids.Tier = ids.Tier(0)
     retriable: bool = True
+    forecast: bool = False
+    target_s: float = 0.0
+    gap_s: float = 0.0
 
     @property
     def shared(self) -> tuple[model.Part, ...]:
@@ -87,16 +93,22 @@
         pending_tokens: Prompt tokens queued ahead of the request.
         top_tier: Requests of the most urgent tier that it is running.
         source: The runner from which it would copy the shared parts.
+        active: Requests that it is running.
+        held_tokens: KV cache tokens that these occupy.
+        forecast_s: Expected seconds until the first event; None: not forecast.
     """
 
     runner: model.Runner
     state: runner_state.RunnerState
-    cost: float
+    cost: float = 0.0
     uncached_tokens: int = 0
     prefill_tokens: float = 0.0
     pending_tokens: float = 0.0
     top_tier: int = 0
     source: model.Runner | None = None
+    active: int = 0
+    held_tokens: int = 0
+    forecast_s: float | None = None
 
 
 def reserve_runners(
--- a/pollenfork/fleet/choice.py
+++ b/pollenfork/fleet/choice.py
@@ -10,34 +10,18 @@
 from pollenfork.fleet import availability
 from pollenfork.fleet import candidates
 from pollenfork.fleet import copies
+from pollenfork.fleet import costs
 from pollenfork.fleet import limits as rate_limits
 from pollenfork.fleet import messages
 from pollenfork.fleet import model
 from pollenfork.fleet import outcomes
 from pollenfork.fleet import pauses as runner_pauses
 from pollenfork.fleet import prefix_index
+from pollenfork.fleet import profiles
 from pollenfork.fleet import registry
 from pollenfork.fleet import runner_state
 from pollenfork.loads import messages as loads
 
-# What each running request adds to the time to first token, in seconds: one
-# more request lengthens a batch step by about 0.1 ms, and the first token takes
-# several steps.
-_ACTIVE_COST_S = 0.002
-# A plain service processes a request in about 45 ms.
-_PLAIN_ACTIVE_COST_S = 0.045
-# The cost of a runner that has just failed, in seconds: more than the wait at
-# any other runner.
-_AVOIDED_COST_S = 5.0
-# The cost of a runner at a failure rate of 1, in seconds.
-_FAILURE_COST_S = 1.0
-# The length in tokens above which a prompt is announced to other instances at
-# once, so that their short requests don't queue behind it. At the prefill rate
-# it takes 35 ms.
-_LONG_PROMPT_TOKENS = 2000
-# The cost of a runner without a free slot, in seconds: about the remaining time
-# of a long answer there.
-_FULL_COST_S = 1.0
 # A runner whose backlog is within this fraction of the allowed wait isn't
 # overloaded, however long the request's own prompt is.
 _MAX_IDLE_BACKLOG = 0.2
@@ -60,6 +44,7 @@
         read_others: Callable[[int], loads.Load] | None = None,
         limits: rate_limits.Limits | None = None,
         pauses: runner_pauses.Pauses | None = None,
+        forecasts: costs.Costs | None = None,
     ) -> None:
         """Creates a chooser without load or cached parts.
 
@@ -70,7 +55,10 @@
                 the hash of its incarnation.
             limits: The runners' rate limits; None: no runner has one.
             pauses: The pauses that runners have requested.
+            forecasts: Costs of forecast services; None: the fixed ones.
         """
+        self._costs = costs.FixedCosts()
+        self._forecasts = forecasts or self._costs
         self.pauses = pauses or runner_pauses.Pauses(rng)
         self._limits = limits or rate_limits.NoLimits()
         self._read_others = read_others or (lambda runner: loads.Load())
@@ -119,20 +107,13 @@
             return accepting
         if suspect is not None:
             accepting = self._choose_for_suspect(accepting, suspect, now)
-        found = [
-            self._make_candidate(profile, runner, now) for runner in accepting
-        ]
+        found = [self._make_candidate(profile, runner) for runner in accepting]
         if profile.shared:
             leaving = self._list_leaving_holders(profile)
             copies.find_sources(profile, found, now, leaving)
-        backlog_s = sum(candidate.pending_tokens for candidate in found) / len(
-            found
-        )
-        backlog_s /= candidates.PREFILL_TOKENS_PER_S
-        if profile.parts and profile.top_tier is not None:
-            found = candidates.reserve_runners(profile, found)
-        if profile.shared:
-            candidates.add_cache_miss_costs(profile, found, backlog_s)
+        backlog_s = costs.measure_backlog_s(found)
+        priced = self._forecasts if profile.forecast else self._costs
+        found = priced.apply(profile, found, now)
         lowest = min(candidate.cost for candidate in found)
         tied = [each for each in found if each.cost <= lowest + _TIE_S]
         candidate = self._rng.choice(tied)
@@ -281,40 +262,25 @@
         return state.active + self._read_others(state.incarnation_hash).active
 
     def _make_candidate(
-        self,
-        profile: candidates.RequestProfile,
-        runner: model.Runner,
-        now: float,
+        self, profile: candidates.RequestProfile, runner: model.Runner
     ) -> candidates.Candidate:
         state = self.get_state(runner.id)
-        cost = state.failure_rate * _FAILURE_COST_S
-        if now < state.avoid_until:
-            cost += _AVOIDED_COST_S
         others = self._read_others(state.incarnation_hash)
         active = state.active + others.active
         if not profile.parts:
-            return candidates.Candidate(
-                runner, state, cost + active * _PLAIN_ACTIVE_COST_S
-            )
+            return candidates.Candidate(runner, state, active=active)
         uncached = self.caches.count_uncached(
             state.incarnation_hash, profile.shared
         )
-        if active >= runner.slots:
-            cost += _FULL_COST_S
-        pending = state.pending_tokens + others.pending_tokens
-        cost += (
-            pending + profile.unshared_tokens
-        ) / candidates.PREFILL_TOKENS_PER_S
-        cost += active * _ACTIVE_COST_S
-        top_tier = state.top_tier + others.top_tier
         return candidates.Candidate(
             runner=runner,
             state=state,
-            cost=cost,
             uncached_tokens=uncached,
             prefill_tokens=uncached,
-            pending_tokens=pending,
-            top_tier=top_tier,
+            pending_tokens=state.pending_tokens + others.pending_tokens,
+            top_tier=state.top_tier + others.top_tier,
+            active=active,
+            held_tokens=others.held_tokens,
         )
 
     def _grant(
@@ -352,7 +318,7 @@
             self.caches.add(runner, part_hash)
             if grant.uncached_tokens:
                 self._placed.append(loads.Placement(part_hash, runner))
-        if grant.pending_tokens > _LONG_PROMPT_TOKENS:
+        if grant.pending_tokens > profiles.DEFAULT.long_prompt_tokens:
             for call in self._on_long:
                 call()
 
@@ -364,7 +330,7 @@
         Other runners can copy the parts from them until they end.
         """
         return [
-            candidates.Candidate(runner, state, 0.0)
+            candidates.Candidate(runner, state)
             for runner, state in self._leaving.values()
             if runner.service == profile.service
             and not self.caches.count_uncached(
--- a/pollenfork/gateway/admission.py
+++ b/pollenfork/gateway/admission.py
@@ -77,6 +77,9 @@
         config.copy_s if config else None,
         tier,
         retriable=route.attempts > 1,
+        forecast=bool(head.parts) and settings.is_forecast(service),
+        target_s=route.target_s,
+        gap_s=route.gap_s,
     )
     return context.AdmittedRequest(
         call=call,
--- a/pollenfork/loads/links.py
+++ b/pollenfork/loads/links.py
@@ -78,6 +78,7 @@
                     known.active + load.active,
                     known.pending_tokens + load.pending_tokens,
                     known.top_tier + load.top_tier,
+                    known.held_tokens + load.held_tokens,
                 )
             total[runner] = load
     return total
@@ -97,6 +98,7 @@
             known.active - load.active,
             known.pending_tokens - load.pending_tokens,
             known.top_tier - load.top_tier,
+            known.held_tokens - load.held_tokens,
         )
     return rest
 
--- a/pollenfork/loads/messages.py
+++ b/pollenfork/loads/messages.py
@@ -26,11 +26,14 @@
         pending_tokens: Their prompt tokens that it has yet to process.
         top_tier: Those of the requests that are of their service's most urgent
             tier.
+        held_tokens: Tokens of KV cache that the requests occupy, their
+            expected output included; 0: sent by an earlier version.
     """
 
     active: int = 0
     pending_tokens: int = 0
     top_tier: int = 0
+    held_tokens: int = 0
 
 
 # Loads by a hash of the runner's id: an id is three times as long as a load.
@@ -77,6 +80,44 @@
     kept: bool = True
 
 
+class PaceSample(msgspec.Struct, frozen=True, array_like=True):
+    """How fast a runner generated one answer.
+
+    Attributes:
+        runner: A hash of the runner's incarnation.
+        interval_ms: The typical interval between two events of the answer.
+    """
+
+    runner: int
+    interval_ms: float
+
+
+class PlannedReturn(msgspec.Struct, frozen=True, array_like=True):
+    """A refused caller was told when to return.
+
+    Attributes:
+        digest: Identifies the request when it is sent again.
+        due_in_ms: Milliseconds from now until it is due.
+        tokens: Prompt tokens that it will need.
+    """
+
+    digest: int
+    due_in_ms: float
+    tokens: int = 0
+
+
+class Updates(msgspec.Struct, frozen=True, array_like=True):
+    """News for all instances that is sent once.
+
+    Attributes:
+        paces: Samples of runners' paces.
+        returns: Returns that callers were told.
+    """
+
+    paces: tuple[PaceSample, ...] = ()
+    returns: tuple[PlannedReturn, ...] = ()
+
+
 class StoreStatus(msgspec.Struct, frozen=True, array_like=True):
     """What an instance knows of the store's tables, and how recent that is.
 
@@ -127,6 +168,7 @@
         status: What it knows of the store, if anything: the store may refuse
             all relays but not this instance.
         echo: The `sent_at` of the relay's last answer.
+        updates: News of this instance.
     """
 
     data_centre: str
@@ -136,6 +178,7 @@
     urgent: bool = False
     status: StoreStatus | None = None
     echo: float = 0.0
+    updates: Updates | None = None
 
 
 class DataCentreLoads(msgspec.Struct, frozen=True, array_like=True, tag="s"):
@@ -149,6 +192,7 @@
         sent_at: Its own clock; the receiver's next message echoes it.
         echo: The `sent_at` of the receiver's last message.
         status: What it knows of the store.
+        updates: News of the data centre's instances.
     """
 
     data_centre: str
@@ -158,6 +202,7 @@
     sent_at: float = 0.0
     echo: float = 0.0
     status: StoreStatus | None = None
+    updates: Updates | None = None
 
 
 class OtherLoads(msgspec.Struct, frozen=True, array_like=True, tag="o"):
@@ -169,6 +214,7 @@
         echo: The `sent_at` of the reporter's last report.
         status: What the relay knows of the store, if anything.
         sent_at: The relay's clock; the reporter's next report echoes it.
+        updates: News of other instances.
     """
 
     loads: LoadTable
@@ -176,6 +222,7 @@
     echo: float = 0.0
     status: StoreStatus | None = None
     sent_at: float = 0.0
+    updates: Updates | None = None
 
 
 class Gossip(msgspec.Struct, frozen=True, array_like=True, tag="g"):
--- /dev/null
+++ b/pollenfork/pace/__init__.py
@@ -0,0 +1,1 @@
+"""Learns how fast each runner generates."""
--- a/pollenfork/routes/lookup.py
+++ b/pollenfork/routes/lookup.py
@@ -5,6 +5,10 @@
 from pollenfork import ids
 from pollenfork.routes import model
 
+# The shortest target of a forecast service's prompts, in seconds: four times
+# the forecast's error.
+_MIN_FORECAST_TARGET_S = 1.0
+
 
 class Lookup:
     """One configuration, indexed for lookups."""
@@ -17,6 +21,7 @@
         for routes in self._hosts.values():
             routes.sort(key=lambda route: len(route.prefix), reverse=True)
         self._tiers = _collect_tiers(configuration)
+        self._forecast = _collect_forecast(configuration)
         accounts = (configuration.accounts or {}).values()
         self._last_account_tier = max(
             (item.tier for item in accounts if item.tier is not None),
@@ -53,6 +58,14 @@
         """Returns the tiers of all routes to a service, most urgent first."""
         return self._tiers.get(service, ())
 
+    def is_forecast(self, service: ids.ServiceName) -> bool:
+        """Returns whether runners are chosen by forecasts of their answers.
+
+        They are if every route with prompts to the service allows enough time
+        for the forecast's error. Other services use fixed costs.
+        """
+        return service in self._forecast
+
     def get_tier(
         self, route: model.Route, account: model.Account | None
     ) -> ids.Tier:
@@ -85,6 +98,23 @@
     return {service: tuple(sorted(each)) for service, each in tiers.items()}
 
 
+def _collect_forecast(
+    configuration: model.Configuration,
+) -> set[ids.ServiceName]:
+    shortest: dict[ids.ServiceName, float] = {}
+    for route in configuration.routes:
+        if not route.prefix_affinity:
+            continue
+        for target in route.targets:
+            known = shortest.get(target.service, route.target_s)
+            shortest[target.service] = min(known, route.target_s)
+    return {
+        service
+        for service, target_s in shortest.items()
+        if target_s >= _MIN_FORECAST_TARGET_S
+    }
+
+
 def choose_service(route: model.Route, token: bytes) -> ids.ServiceName:
     """Returns the service that serves the request identified by `token`.
 
--- a/pollenfork/routes/tests/test_lookup.py
+++ b/pollenfork/routes/tests/test_lookup.py
@@ -120,3 +120,35 @@
     assert table.has_priority(first)
     assert not any(map(table.has_priority, (last, unranked, None)))
     assert not make_lookup(accounts={"k1": first}).has_priority(first)
+
+
+# Guards against forecasts for deployments whose callers wait too briefly for
+# the forecast's error: those keep the fixed costs.
+@pytest.mark.parametrize(
+    ("targets_s", "expected"),
+    [
+        ((0.3, 0.5, 1.5), False),
+        ((0.4, 0.6, 1.5), False),
+        ((0.999, 2.0), False),
+        ((1.0, 2.0), True),
+        ((0.0, 2.0), False),
+    ],
+)
+def test_short_targets_switch_forecasts_off(targets_s, expected) -> None:
+    streams = [
+        make_route(
+            f"/{number}/",
+            kind=model.Kind.STREAM,
+            prefix_affinity=True,
+            target_s=target_s,
+        )
+        for number, target_s in enumerate(targets_s)
+    ]
+    plain = make_route("/plain/", target_s=0.2)
+    table = make_lookup(*streams, plain)
+    assert table.is_forecast(ids.ServiceName("s")) is expected
+
+
+def test_a_service_without_prompts_is_not_forecast() -> None:
+    table = make_lookup(make_route("/plain/", target_s=5.0))
+    assert not table.is_forecast(ids.ServiceName("s"))
