Choose runners of forecast services by the expected first event

For forecast services the cost is now the time to connect, wait for a slot, process what is queued and the request's own prompt at the runner's pace, corrected by the median error of recent answers. Paces are all 1.0 until they are learned.

--- a/pollenfork/fleet/candidates.py
+++ b/pollenfork/fleet/candidates.py
@@ -95,6 +95,7 @@
         source: The runner from which it would copy the shared parts.
         active: Requests that it is running.
         held_tokens: KV cache tokens that these occupy.
+        queue_s: Expected seconds until it can begin with the request.
         forecast_s: Expected seconds until the first event; None: not forecast.
     """
 
@@ -108,6 +109,7 @@
     source: model.Runner | None = None
     active: int = 0
     held_tokens: int = 0
+    queue_s: float = 0.0
     forecast_s: float | None = None
 
 
@@ -120,8 +122,20 @@
     more. Other requests may use only unreserved ones.
     """
     ranked = sorted(found, key=lambda each: each.state.incarnation_hash)
-    least = round(len(found) * _MIN_RESERVED)
-    most = int(len(found) * _MAX_RESERVED)
+    return apply_reservation(profile, ranked)
+
+
+def apply_reservation(
+    profile: RequestProfile, ranked: list[Candidate]
+) -> list[Candidate]:
+    """Returns the candidates that the request may use.
+
+    Args:
+        profile: What the request needs.
+        ranked: All candidates; the first ones are reserved.
+    """
+    least = round(len(ranked) * _MIN_RESERVED)
+    most = int(len(ranked) * _MAX_RESERVED)
     count = max(least, min(_count_needed(ranked), most))
     if not profile.top_tier:
         return ranked[count:]
@@ -147,9 +161,7 @@
     profile: RequestProfile, found: list[Candidate], mean_backlog_s: float
 ) -> None:
     """Adds the cost of processing shared parts that a runner hasn't cached."""
-    weight = _MOVE_WEIGHT + _BACKLOG_MOVE_WEIGHT * max(
-        0.0, mean_backlog_s - _NORMAL_BACKLOG_S
-    )
+    weight = find_move_weight(mean_backlog_s)
     owner = _find_hash_owner(profile, found)
     for candidate in found:
         if candidate is not owner:
@@ -158,6 +170,17 @@
             )
 
 
+def find_move_weight(mean_backlog_s: float) -> float:
+    """Returns how much processing a cached part elsewhere counts.
+
+    Args:
+        mean_backlog_s: The mean prompt backlog of the runners, in seconds.
+    """
+    return _MOVE_WEIGHT + _BACKLOG_MOVE_WEIGHT * max(
+        0.0, mean_backlog_s - _NORMAL_BACKLOG_S
+    )
+
+
 def _find_hash_owner(
     profile: RequestProfile, found: list[Candidate]
 ) -> Candidate | None:
--- a/pollenfork/fleet/choice.py
+++ b/pollenfork/fleet/choice.py
@@ -135,6 +135,14 @@
         """Confirms a grant of a rate-limited runner."""
         self._record_placement(profile, grant)
 
+    def record_first_output(
+        self, grant: outcomes.Grant, observed_s: float
+    ) -> None:
+        """Records the seconds from sending a request to its first output."""
+        if grant.forecast_s is not None:
+            service = grant.runner.service
+            self._forecasts.record(service, grant.forecast_s, observed_s)
+
     def is_limited(self, runner: ids.EndpointId) -> bool:
         """Returns whether a runner has a rate limit."""
         incarnation = self.get_state(runner).incarnation_hash
@@ -302,6 +310,7 @@
             uncached_tokens=candidate.uncached_tokens,
             top_tier=top_tier,
             source=candidate.source,
+            forecast_s=candidate.forecast_s,
             limited=self._limits.find_rate(state.incarnation_hash) is not None,
         )
         if not grant.limited:
@@ -355,6 +364,8 @@
     candidate: candidates.Candidate, profile: candidates.RequestProfile
 ) -> float:
     """Returns the seconds until a runner would have processed a prompt."""
+    if candidate.forecast_s is not None:
+        return candidate.forecast_s
     tokens = (
         candidate.pending_tokens
         + candidate.prefill_tokens
@@ -372,7 +383,9 @@
 
     A prompt that takes too long by its own length alone isn't refused.
     """
-    backlog_s = candidate.pending_tokens / candidates.PREFILL_TOKENS_PER_S
+    backlog_s = candidate.queue_s
+    if candidate.forecast_s is None:
+        backlog_s = candidate.pending_tokens / candidates.PREFILL_TOKENS_PER_S
     if backlog_s <= max_wait_s * _MAX_IDLE_BACKLOG:
         return False
     return _find_wait(candidate, profile) > max_wait_s
--- a/pollenfork/fleet/costs.py
+++ b/pollenfork/fleet/costs.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 from typing import Protocol
 
+from pollenfork import ids
 from pollenfork.fleet import candidates
 from pollenfork.fleet import profiles
 
@@ -24,6 +25,11 @@
             now: Monotonic seconds.
         """
 
+    def record(
+        self, service: ids.ServiceName, expected_s: float, observed_s: float
+    ) -> None:
+        """Records the time to an answer's first event, in seconds."""
+
 
 class FixedCosts:
     """Costs that are the same for all runners of all services."""
@@ -49,6 +55,11 @@
             candidates.add_cache_miss_costs(profile, found, backlog_s)
         return found
 
+    def record(
+        self, service: ids.ServiceName, expected_s: float, observed_s: float
+    ) -> None:
+        """Ignores the time, as the costs are fixed."""
+
     def _find_cost(
         self,
         profile: candidates.RequestProfile,
--- a/pollenfork/fleet/outcomes.py
+++ b/pollenfork/fleet/outcomes.py
@@ -60,6 +60,7 @@
             seconds.
         limited: Whether the runner has a rate limit. The grant must then be
             confirmed once a permit is available.
+        forecast_s: Expected seconds until the first event; None: not forecast.
     """
 
     runner: model.Runner
@@ -73,6 +74,7 @@
     top_tier: int = 0
     mean_backlog_s: float = 0.0
     limited: bool = False
+    forecast_s: float | None = None
 
     def record_prefill_done(self) -> None:
         """Records that the runner has processed the prompt."""
--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -17,6 +17,7 @@
 from pollenfork.fleet import evidence
 from pollenfork.fleet import model as fleet
 from pollenfork.fleet import retry_budget
+from pollenfork.forecast import costs as forecasts
 from pollenfork.gateway import cache_feed
 from pollenfork.gateway import callers
 from pollenfork.gateway import cluster_state
@@ -43,6 +44,7 @@
 from pollenfork.gateway import sources
 from pollenfork.gateway import tables
 from pollenfork.loads import messages as loads
+from pollenfork.pace import model as pace
 from pollenfork.poison import quarantine
 
 if TYPE_CHECKING:
@@ -108,7 +110,11 @@
         me = config.peer or config.front
         granted = permits.Permits(self._loop, me.host, config.data_centre)
         chooser = choice.Chooser(
-            self.state.runners, rng, self._read_others, granted
+            self.state.runners,
+            rng,
+            self._read_others,
+            granted,
+            forecasts=forecasts.ForecastCosts(pace.UniformPace()),
         )
         findings = evidence.Evidence(
             self.state.runners, chooser.get_state, config.data_centre
--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -214,7 +214,9 @@
             self._deps.codec,
             admitted.head,
             self._relay,
-            lambda: self._on_first_output(grant),
+            functools.partial(
+                self._on_first_output, grant, self._deps.loop.time()
+            ),
             functools.partial(self._on_head, grant, self._deps.loop.time()),
             functools.partial(self._deps.runner_notices.on_head, grant.runner),
         )
@@ -271,8 +273,11 @@
         if read.rate is not None or (head.sealed and head.status < 400):
             self._deps.permits.on_answer(grant, read, sent_at)
 
-    def _on_first_output(self, grant: outcomes.Grant) -> None:
+    def _on_first_output(self, grant: outcomes.Grant, sent_at: float) -> None:
         """Records that a runner has started to answer."""
+        if grant.pending_tokens:
+            observed_s = self._deps.loop.time() - sent_at
+            self._deps.chooser.record_first_output(grant, observed_s)
         grant.record_prefill_done()
         account = self._admitted.account
         if account is not None and not self._has_started:
--- a/pollenfork/gateway/request_log.py
+++ b/pollenfork/gateway/request_log.py
@@ -58,7 +58,7 @@
             "event=chosen request=%s route=%s tier=%d configuration=%d "
             "age_ms=%d runner=%s waited_ms=%d cost_ms=%d unread=%d source=%s "
             "holders=%d kept_cost_ms=%d crowd_ms=%d own=%d parts=%d "
-            "loads_age_ms=%s left_ms=%d",
+            "loads_age_ms=%s left_ms=%d forecast_ms=%s",
             self._request,
             admitted.route.name,
             admitted.tier,
@@ -74,8 +74,9 @@
             grant.mean_backlog_s * 1000,
             grant.pending_tokens - grant.uncached_tokens,
             len(admitted.head.parts),
-            "-" if loads_age_s is None else int(loads_age_s * 1000),
+            _format_ms(loads_age_s),
             self._left_s * 1000,
+            _format_ms(grant.forecast_s),
             extra=logs.ORDINARY,
         )
 
@@ -213,3 +214,7 @@
     @property
     def _left_s(self) -> float:
         return self._admitted.deadline - self._loop.time()
+
+
+def _format_ms(seconds: float | None) -> str:
+    return "-" if seconds is None else str(int(seconds * 1000))
