Let ablations switch off the costs of failures where they are now

The costs of failures are functions that they replace.

Measured: tests/test_ablations.py failed in two cases and passes.

--- a/benchmarks/ablations.py
+++ b/benchmarks/ablations.py
@@ -14,6 +14,7 @@
 
 from pollenfork.fleet import candidates
 from pollenfork.fleet import choice
+from pollenfork.fleet import costs
 from pollenfork.fleet import copies
 from pollenfork.fleet import evidence
 from pollenfork.fleet import retry_budget
@@ -81,8 +82,10 @@
     "room-in-kept-apart-slots": (
         Switch(candidates, "_RESERVED_SLOT_SHARE", _NEVER),
     ),
-    "pauses-after-failures": (Switch(choice, "_AVOIDED_COST_S", 0.0),),
-    "rate-of-failures": (Switch(choice, "_FAILURE_COST_S", 0.0),),
+    "pauses-after-failures": (
+        Switch(costs, "_find_back_off_cost", _give(0.0)),
+    ),
+    "rate-of-failures": (Switch(costs, "_find_rate_cost", _give(0.0)),),
     "out-of-reach": (Switch(runner_state, "_UNREACHABLE_FAILURES", _NEVER),),
     "repeats": (Switch(retry_budget.RetryBudget, "try_take", _give(False)),),
     "patience": (
--- a/pollenfork/fleet/costs.py
+++ b/pollenfork/fleet/costs.py
@@ -67,7 +67,7 @@
         now: float,
     ) -> float:
         fixed = self._profile
-        cost = find_failure_cost(candidate, now, fixed)
+        cost = find_failure_cost(candidate, now)
         if not profile.parts:
             return cost + candidate.active * fixed.plain_active_s
         if candidate.active >= candidate.runner.slots:
@@ -78,17 +78,18 @@
         return cost + candidate.active * fixed.active_s
 
 
-def find_failure_cost(
-    candidate: candidates.Candidate,
-    now: float,
-    fixed: profiles.CostProfile = profiles.DEFAULT,
-) -> float:
+def find_failure_cost(candidate: candidates.Candidate, now: float) -> float:
     """Returns the cost of a runner's recent failures, in seconds."""
-    state = candidate.state
-    cost = state.failure_rate * fixed.failure_s
-    if now < state.avoid_until:
-        cost += fixed.avoided_s
-    return cost
+    return _find_rate_cost(candidate) + _find_back_off_cost(candidate, now)
+
+
+def _find_rate_cost(candidate: candidates.Candidate) -> float:
+    return candidate.state.failure_rate * profiles.DEFAULT.failure_s
+
+
+def _find_back_off_cost(candidate: candidates.Candidate, now: float) -> float:
+    is_avoided = now < candidate.state.avoid_until
+    return profiles.DEFAULT.avoided_s if is_avoided else 0.0
 
 
 def measure_backlog_s(found: Sequence[candidates.Candidate]) -> float:
