--- a/pollenfork/fleet/choice.py
+++ b/pollenfork/fleet/choice.py
@@ -157,7 +157,10 @@
             usable = min(runner.slots, max(1, active))
             use.slots += usable if limited else runner.slots
             use.active += active
-            use.pending_tokens += state.pending_tokens + others.pending_tokens
+            pending = state.pending_tokens + others.pending_tokens
+            use.pending_tokens += pending
+            # Less than a token is a rounding error of sums.
+            use.prefilling += pending >= 1.0
         return use
 
     def settle(self, grant: outcomes.Grant) -> None:
--- a/pollenfork/fleet/messages.py
+++ b/pollenfork/fleet/messages.py
@@ -79,9 +79,11 @@
         slots: Requests that they can run concurrently.
         active: Requests that they are running.
         pending_tokens: Prompt tokens that they have yet to process.
+        prefilling: Runners that have prompt tokens to process.
     """
 
     runners: int = 0
     slots: int = 0
     active: int = 0
     pending_tokens: float = 0.0
+    prefilling: int = 0
--- a/pollenfork/fleet/tests/test_choice.py
+++ b/pollenfork/fleet/tests/test_choice.py
@@ -259,3 +259,19 @@
     assert chooser.list_loads() == {}
     found = chooser.choose(ask(), set(), 0.0, max_wait_s=1.3)
     assert isinstance(found, outcomes.Grant)
+
+
+# Guards against runners that count as processing prompts for ever: sums of
+# fractions of tokens don't return to exactly 0.
+def test_runners_that_process_prompts_are_counted() -> None:
+    chooser = make_chooser(
+        read_others=lambda each: loads.Load(
+            1, 700 if each == loads.hash_name(b"r5") else 0
+        )
+    )
+    assert chooser.measure(SERVICE).prefilling == 1
+    grant = chooser.choose(ask(), {ids.EndpointId("r5")}, 0.0)
+    assert chooser.measure(SERVICE).prefilling == 2
+    grant.record_prefill_done()
+    grant.state.pending_tokens += 1e-9
+    assert chooser.measure(SERVICE).prefilling == 1
--- a/pollenfork/gateway/scaler.py
+++ b/pollenfork/gateway/scaler.py
@@ -11,7 +11,9 @@
 from pollenfork.fleet import choice
 from pollenfork.gateway import cluster_state
 from pollenfork.routes import model as routes
+from pollenfork.scaling import calm_release
 from pollenfork.scaling import demand
+from pollenfork.scaling import edges
 from pollenfork.scaling import model
 from pollenfork.scaling import planner
 
@@ -43,6 +45,7 @@
         self._state = state
         self._chooser = chooser
         self._planners: dict[ids.ServiceName, planner.Planner] = {}
+        self._forecast: set[ids.ServiceName] = set()
         self._most_seen: collections.Counter[ids.ServiceName] = (
             collections.Counter()
         )
@@ -65,6 +68,9 @@
             self._planners.clear()
         for service in lookup.configuration.services.values():
             if service.scaling is not None:
+                self._note_forecast(
+                    service.name, lookup.is_forecast(service.name)
+                )
                 self._plan(service.name, service.scaling, now)
 
     def record_reply(
@@ -92,10 +98,10 @@
             self._lease.work_queue.set_baseline(service, baseline)
         planned = self._planners.get(service)
         if planned is None or planned.terms != terms:
-            need = demand.DemandEstimator(baseline, view.ready, now)
+            need = self._make_estimator(service, baseline, view, now)
             planned = planner.Planner(terms, need, unasked)
             self._planners[service] = planned
-        use = self._measure(service)
+        use = self._measure(service, view)
         for target in planned.plan(view, use, now):
             _LOG.info(
                 "event=runners_wanted service=%s data_centre=%s reclaimable=%s "
@@ -117,6 +123,34 @@
                 rows.ScalingOrder(subject, target.count)
             )
 
+    def _note_forecast(
+        self, service: ids.ServiceName, is_forecast: bool
+    ) -> None:
+        """Discards a service's planner once it should use the other kind."""
+        if is_forecast == (service in self._forecast):
+            return
+        self._planners.pop(service, None)
+        if is_forecast:
+            self._forecast.add(service)
+        else:
+            self._forecast.discard(service)
+
+    def _make_estimator(
+        self,
+        service: ids.ServiceName,
+        baseline: int,
+        view: model.View,
+        now: float,
+    ) -> edges.Estimator:
+        if service not in self._forecast:
+            return demand.DemandEstimator(baseline, view.ready, now)
+        # Runners ordered by an earlier holder may still be starting. More than
+        # the baseline are ordered while on-demand runners are replaced.
+        present = max(view.ready, min(view.ordered_total, baseline))
+        return calm_release.CalmReleaseEstimator(
+            service, baseline, present, now
+        )
+
     def _record_growth(self, now: float) -> None:
         """Records when the number of each service's runners last grew."""
         counted = collections.Counter(
@@ -138,14 +172,22 @@
             each: model.RunnerCounts(*both) for each, both in counted.items()
         }
 
-    def _measure(self, service: ids.ServiceName) -> model.Load:
+    def _measure(
+        self, service: ids.ServiceName, view: model.View
+    ) -> model.Load:
         use = self._chooser.measure(service)
         if not use.runners:
             return model.Load()
         backlog_s = (
             use.pending_tokens / candidates.PREFILL_TOKENS_PER_S / use.runners
         )
-        return model.Load(backlog_s, use.active / use.slots)
+        return model.Load(
+            backlog_s,
+            use.active / use.slots,
+            use.prefilling / use.runners,
+            use.runners,
+            view.exposed,
+        )
 
     def _list_ordered(
         self, service: ids.ServiceName
--- a/pollenfork/scaling/model.py
+++ b/pollenfork/scaling/model.py
@@ -32,10 +32,17 @@
     Attributes:
         backlog_s: The mean prompt backlog, in seconds.
         slot_utilization: The fraction of slots in use.
+        prefill_utilization: The fraction of runners that process prompts.
+        runners: The number of runners.
+        exposed: The most reclaimable runners in one data centre; they may be
+            reclaimed together.
     """
 
     backlog_s: float = 0.0
     slot_utilization: float = 0.0
+    prefill_utilization: float = 0.0
+    runners: int = 0
+    exposed: int = 0
 
 
 class RunnerKind(msgspec.Struct, frozen=True):
@@ -74,6 +81,22 @@
         """The number of reclaimable runners among them."""
         return sum(zone.reclaimable for zone in self.zones.values())
 
+    @property
+    def exposed(self) -> int:
+        """The most reclaimable runners in one data centre."""
+        zones = self.zones.values()
+        return max((zone.reclaimable for zone in zones), default=0)
+
+    @property
+    def ordered_total(self) -> int:
+        """The number ordered last; of kinds never ordered, those present."""
+        present = {
+            RunnerKind(zone, reclaimable)
+            for zone in self.zones
+            for reclaimable in (False, True)
+        }
+        return sum(map(self.get_ordered, present | self.ordered.keys()))
+
     def count(self, kind: RunnerKind) -> int:
         """Returns the number of runners of a kind that accept work."""
         return self.zones.get(kind.data_centre, RunnerCounts()).count(kind)
--- a/pollenfork/scaling/planner.py
+++ b/pollenfork/scaling/planner.py
@@ -11,7 +11,7 @@
 
 from pollenfork import ids
 from pollenfork.routes import model as routes
-from pollenfork.scaling import demand
+from pollenfork.scaling import edges
 from pollenfork.scaling import model
 
 # How long after its boot time an ordered runner still counts as starting, in
@@ -40,7 +40,7 @@
     def __init__(
         self,
         terms: routes.Scaling,
-        estimator: demand.DemandEstimator,
+        estimator: edges.Estimator,
         unused: bool = False,
     ) -> None:
         """Creates a planner without orders.
@@ -111,7 +111,10 @@
             have[kind] += 1
         spare = view.ready - total
         for _ in range(min(-missing, spare)):
-            have[max(have, key=lambda kind: have[kind])] -= 1
+            released = self._find_released(have, total)
+            if released is None:
+                break
+            have[released] -= 1
         return have
 
     def _count_coming(
@@ -144,6 +147,24 @@
             default=None,
         )
 
+    def _find_released(
+        self, have: dict[model.RunnerKind, int], total: int
+    ) -> model.RunnerKind | None:
+        """Returns the kind to release a runner of; None if there is none.
+
+        Below the baseline, the most expensive of the largest is chosen. Each
+        data centre keeps its minimum there: on-demand runners would be ordered
+        in place of the reclaimable ones.
+        """
+        if total >= self.baseline:
+            return max(have, key=lambda kind: have[kind])
+        prices = self.terms.prices
+        return max(
+            (kind for kind in have if have[kind] > self.terms.min_runners),
+            key=lambda kind: (have[kind], prices[kind.data_centre]),
+            default=None,
+        )
+
     # On-demand runners.
 
     def _plan_on_demand(
