Describe and count how runners of calm services are released

Two mutations weren't detected by the tests: without the loss of a data centre, and without the peak of the last 20 s; a test for each detects them now.

--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -190,6 +190,7 @@
             )
             self._duty_agent.when_held(service_scaler.check)
             self._duty_agent.when_answered(service_scaler.record_reply)
+            self.counters.when_scraped(service_scaler.show)
         self._peers: peers.Peers | None = None
         self.counters.when_scraped(self._show_state)
         if self._duty_agent is not None:
--- a/pollenfork/gateway/scaler.py
+++ b/pollenfork/gateway/scaler.py
@@ -1,7 +1,10 @@
 """Orders runners from the platform while this instance is the duty holder."""
 
+from __future__ import annotations
+
 import collections
 import logging
+from typing import TYPE_CHECKING
 
 from pollenfork import ids
 from pollenfork.duties import duty_lease
@@ -17,6 +20,9 @@
 from pollenfork.scaling import model
 from pollenfork.scaling import planner
 
+if TYPE_CHECKING:
+    from pollenfork import metrics
+
 _LOG = logging.getLogger(__name__)
 
 # How often the demand is evaluated, in seconds; load reports are 0.1 s old.
@@ -46,6 +52,8 @@
         self._chooser = chooser
         self._planners: dict[ids.ServiceName, planner.Planner] = {}
         self._forecast: set[ids.ServiceName] = set()
+        self._raised = 0
+        self._released = 0
         self._most_seen: collections.Counter[ids.ServiceName] = (
             collections.Counter()
         )
@@ -73,6 +81,12 @@
                 )
                 self._plan(service.name, service.scaling, now)
 
+    def show(self, output: metrics.Metrics) -> None:
+        """Exports how often the totals of services changed."""
+        name = "pollenfork_runner_total_changes_total"
+        output.set_count(name, self._raised, reason="raised")
+        output.set_count(name, self._released, reason="released")
+
     def record_reply(
         self, task: messages.PlatformCall, reply: messages.Reply, now: float
     ) -> None:
@@ -102,7 +116,12 @@
             planned = planner.Planner(terms, need, unasked)
             self._planners[service] = planned
         use = self._measure(service, view)
-        for target in planned.plan(view, use, now):
+        before = planned.total
+        targets = planned.plan(view, use, now)
+        if before is not None and planned.total is not None:
+            self._raised += planned.total > before
+            self._released += planned.total < before
+        for target in targets:
             _LOG.info(
                 "event=runners_wanted service=%s data_centre=%s reclaimable=%s "
                 "count=%d before=%s ready=%d backlog_ms=%d taken=%.2f usual=%d",
--- a/pollenfork/gateway/tests/test_scaler.py
+++ b/pollenfork/gateway/tests/test_scaler.py
@@ -166,6 +166,27 @@
     assert ordered  # The loads changed the orders.
 
 
+class Metrics:
+    """Keeps the counts that are exported."""
+
+    def __init__(self) -> None:
+        self.counts: dict[str, int] = {}
+
+    def set_count(self, name: str, value: int, reason: str) -> None:
+        self.counts[reason] = value
+
+
+# Guards against a total that swings without a metric that shows it.
+def test_changes_of_the_total_are_counted() -> None:
+    instance = Instance(1.5)
+    instance.run(0.0, 60.0)
+    instance.load = loads.Load(5)
+    instance.run(60.0, 5.0)
+    shown = Metrics()
+    instance.scaler.show(shown)
+    assert shown.counts == {"raised": 1, "released": 6}
+
+
 # Guards against a service that stays below its baseline after its
 # configuration makes it one that isn't forecast, and the reverse.
 def test_the_estimate_follows_the_configuration() -> None:
@@ -201,3 +222,12 @@
     instance.load = loads.Load(1, 2000)
     instance.run(0.0, 60.0)
     assert sum(instance.ordered.values()) == 12
+
+
+# Guards against a need that forgets the loss of a data centre: work of 2.4
+# runners asks for 7, but for 11 if a third of them may be reclaimed.
+def test_the_need_allows_for_the_loss_of_a_data_centre() -> None:
+    instance = Instance(1.5)
+    instance.load = loads.Load(2)
+    instance.run(0.0, 60.0)
+    assert 11 <= sum(instance.ordered.values()) <= 12
--- a/pollenfork/metric_help.py
+++ b/pollenfork/metric_help.py
@@ -94,6 +94,9 @@
     "pollenfork_duty_claims_total": (
         "Times that this instance began to act for all."
     ),
+    "pollenfork_runner_total_changes_total": (
+        "Changes of the number of runners that a service shall have."
+    ),
     "pollenfork_platform_replies_total": (
         "What the platform answered to calls that one instance makes for all."
     ),
--- a/pollenfork/scaling/planner.py
+++ b/pollenfork/scaling/planner.py
@@ -35,6 +35,7 @@
     Attributes:
         terms: How many runners may be ordered, and at which price.
         unused: Whether the service has had no request yet.
+        total: The number of runners to have; None before the first plan.
     """
 
     def __init__(
@@ -52,6 +53,7 @@
         """
         self.terms = terms
         self.unused = unused
+        self.total: int | None = None
         self._estimator = estimator
         self._unavailable_until: dict[ids.DataCentre, float] = {}
         self._starting_until: dict[model.RunnerKind, float] = {}
@@ -80,6 +82,7 @@
         """
         self.unused = self.unused and not load.slot_utilization
         total = self._estimator.estimate_total(load, now)
+        self.total = total
         reclaimable = self._plan_reclaimable(total, view, now)
         on_demand = self._plan_on_demand(total, reclaimable, view)
         due = [
--- a/pollenfork/scaling/tests/test_calm_release.py
+++ b/pollenfork/scaling/tests/test_calm_release.py
@@ -243,6 +243,24 @@
         assert fleet.total < 30
 
 
+# Guards against releases after which the next crest is pressure, where no data
+# centre may be lost and the need is therefore lower. The mean of 10 s doesn't
+# show waves of 5 s.
+@pytest.mark.parametrize("period_s", [5.0, 15.0])
+@pytest.mark.parametrize("mean", [4.0, 6.0, 8.0, 10.0, 12.0])
+def test_waves_over_on_demand_runners_do_not_either(mean, period_s) -> None:
+    estimator = calm_release.CalmReleaseEstimator(SERVICE, 45, 45, 0.0)
+    totals = [45]
+    for period in range(2400):
+        wave = 1.0 + 0.55 * math.sin(math.pi * period / 2.0 / period_s)
+        load = model.Load(
+            slot_utilization=mean * wave / totals[-1], runners=totals[-1]
+        )
+        totals.append(estimator.estimate_total(load, period / 4))
+    assert count_rises(totals) == 0
+    assert totals[-1] < 45 or mean > 11.0
+
+
 # Guards against a hold time that is always the same: pressure every 30 s would
 # release and order the same runners each time.
 def test_pressure_after_a_release_doubles_the_hold_time() -> None:
