--- a/pollenfork/gateway/scaler.py
+++ b/pollenfork/gateway/scaler.py
@@ -1,7 +1,10 @@
 """Orders runners from the platform while this instance is the duty holder."""
 
+from __future__ import annotations
+
 import collections
 import logging
+from typing import TYPE_CHECKING
 
 from pollenfork import ids
 from pollenfork.duties import duty_lease
@@ -11,10 +14,15 @@
 from pollenfork.fleet import choice
 from pollenfork.gateway import cluster_state
 from pollenfork.routes import model as routes
+from pollenfork.scaling import calm_release
 from pollenfork.scaling import demand
+from pollenfork.scaling import edges
 from pollenfork.scaling import model
 from pollenfork.scaling import planner
 
+if TYPE_CHECKING:
+    from pollenfork import metrics
+
 _LOG = logging.getLogger(__name__)
 
 # How often the demand is evaluated, in seconds; load reports are 0.1 s old.
@@ -43,6 +51,9 @@
         self._state = state
         self._chooser = chooser
         self._planners: dict[ids.ServiceName, planner.Planner] = {}
+        self._forecast: set[ids.ServiceName] = set()
+        self._raised = 0
+        self._released = 0
         self._most_seen: collections.Counter[ids.ServiceName] = (
             collections.Counter()
         )
@@ -65,8 +76,17 @@
             self._planners.clear()
         for service in lookup.configuration.services.values():
             if service.scaling is not None:
+                self._note_forecast(
+                    service.name, lookup.is_forecast(service.name)
+                )
                 self._plan(service.name, service.scaling, now)
 
+    def show(self, output: metrics.Metrics) -> None:
+        """Exports how often the totals of services changed."""
+        name = "pollenfork_runner_total_changes_total"
+        output.set_count(name, self._raised, reason="raised")
+        output.set_count(name, self._released, reason="released")
+
     def record_reply(
         self, task: messages.PlatformCall, reply: messages.Reply, now: float
     ) -> None:
@@ -92,11 +112,16 @@
             self._lease.work_queue.set_baseline(service, baseline)
         planned = self._planners.get(service)
         if planned is None or planned.terms != terms:
-            need = demand.DemandEstimator(baseline, view.ready, now)
+            need = self._make_estimator(service, baseline, view, now)
             planned = planner.Planner(terms, need, unasked)
             self._planners[service] = planned
-        use = self._measure(service)
-        for target in planned.plan(view, use, now):
+        use = self._measure(service, view)
+        before = planned.total
+        targets = planned.plan(view, use, now)
+        if before is not None and planned.total is not None:
+            self._raised += planned.total > before
+            self._released += planned.total < before
+        for target in targets:
             _LOG.info(
                 "event=runners_wanted service=%s data_centre=%s reclaimable=%s "
                 "count=%d before=%s ready=%d backlog_ms=%d taken=%.2f usual=%d",
@@ -117,6 +142,34 @@
                 rows.ScalingOrder(subject, target.count)
             )
 
+    def _note_forecast(
+        self, service: ids.ServiceName, is_forecast: bool
+    ) -> None:
+        """Discards a service's planner once it should use the other kind."""
+        if is_forecast == (service in self._forecast):
+            return
+        self._planners.pop(service, None)
+        if is_forecast:
+            self._forecast.add(service)
+        else:
+            self._forecast.discard(service)
+
+    def _make_estimator(
+        self,
+        service: ids.ServiceName,
+        baseline: int,
+        view: model.View,
+        now: float,
+    ) -> edges.Estimator:
+        if service not in self._forecast:
+            return demand.DemandEstimator(baseline, view.ready, now)
+        # Runners ordered by an earlier holder may still be starting. More than
+        # the baseline are ordered while on-demand runners are replaced.
+        present = max(view.ready, min(view.ordered_total, baseline))
+        return calm_release.CalmReleaseEstimator(
+            service, baseline, present, now
+        )
+
     def _record_growth(self, now: float) -> None:
         """Records when the number of each service's runners last grew."""
         counted = collections.Counter(
@@ -138,14 +191,22 @@
             each: model.RunnerCounts(*both) for each, both in counted.items()
         }
 
-    def _measure(self, service: ids.ServiceName) -> model.Load:
+    def _measure(
+        self, service: ids.ServiceName, view: model.View
+    ) -> model.Load:
         use = self._chooser.measure(service)
         if not use.runners:
             return model.Load()
         backlog_s = (
             use.pending_tokens / candidates.PREFILL_TOKENS_PER_S / use.runners
         )
-        return model.Load(backlog_s, use.active / use.slots)
+        return model.Load(
+            backlog_s,
+            use.active / use.slots,
+            use.prefilling / use.runners,
+            use.runners,
+            view.exposed,
+        )
 
     def _list_ordered(
         self, service: ids.ServiceName
