Plan when refused callers return and admit them then

Change: each instance assigns its share of half of the runners' prefill rate as return times, promises them and admits a caller that returns when due without load shedding. Other services are refused as before. Consecutive refusals admit a request only where there is no free place: with a promise nobody starves, and callers that return at once gained most by it.

--- a/pollenfork/fleet/availability.py
+++ b/pollenfork/fleet/availability.py
@@ -69,6 +69,10 @@
         admitting = self._exclude_limited(resumed, profile.tier, now)
         return admitting or self._describe_limits(resumed, profile.tier, now)
 
+    def count_accepting(self, service: ids.ServiceName) -> int:
+        """Returns the number of a service's runners that accept new work."""
+        return len(self._registry.list_accepting(service))
+
     def accepts(self, runner: model.Runner, now: float) -> bool:
         """Returns whether a chosen runner may still be sent a request."""
         return self._registry.is_accepting(
--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -44,6 +44,7 @@
 from pollenfork.gateway import tables
 from pollenfork.loads import messages as loads
 from pollenfork.poison import quarantine
+from pollenfork.returns import planner as return_planner
 
 if TYPE_CHECKING:
     from pollenfork import metrics
@@ -134,6 +135,9 @@
             config.store, store, request_quarantine, time.time
         )
         self.state.when_restored(self._quarantine_store.rewrite)
+        self._returns = return_planner.ReturnPlanner(
+            rng, self.counters, alone=config.peer is None
+        )
         self._deps = context.Dependencies(
             loop=self._loop,
             rng=rng,
@@ -163,6 +167,7 @@
             shed_streaks=load_shedding.ShedStreaks(),
             counters=self.counters,
             read_loads_age=self._read_loads_age,
+            returns=self._returns,
         )
         request_quarantine.when_probe_needed(self._deps.crash_probes.probe)
         connections.watch_registry(self.state.runners)
@@ -316,6 +321,7 @@
         self._deps.retry_budget.set_instances(
             self._peers.instances, self._loop.time()
         )
+        self._returns.set_instances(self._peers.instances, self._loop.time())
         self._deps.chooser.pauses.set_instances(self._peers.instances)
         for service in lookup.configuration.services.values():
             self._deps.pool.set_accepted(
--- a/pollenfork/gateway/context.py
+++ b/pollenfork/gateway/context.py
@@ -22,6 +22,7 @@
 from pollenfork.gateway import probing
 from pollenfork.gateway import runner_notices
 from pollenfork.poison import quarantine
+from pollenfork.returns import planner as return_planner
 from pollenfork.routes import model as routes
 
 
@@ -64,6 +65,8 @@
         claim_trial: Returns whether a quarantined request may run once.
         read_loads_age: Returns the age of the other instances' loads in
             seconds; None if there are none.
+        returns: Plans the returns of refused callers of forecast services;
+            None: they are told how long the runners are overloaded.
     """
 
     loop: asyncio.AbstractEventLoop
@@ -84,3 +87,4 @@
     shed_streaks: load_shedding.ShedStreaks
     counters: counters.Counters
     read_loads_age: Callable[[], float | None]
+    returns: return_planner.ReturnPlanner | None = None
--- a/pollenfork/gateway/counters.py
+++ b/pollenfork/gateway/counters.py
@@ -13,6 +13,7 @@
 from pollenfork.fleet import messages as fleet_messages
 from pollenfork.gateway import replies
 from pollenfork.gateway import retries
+from pollenfork.returns import edges as returns
 from pollenfork.routes import model as routes
 
 if TYPE_CHECKING:
@@ -109,6 +110,7 @@
         self._refused: dict[replies.Reason, int] = {}
         self._repeats: dict[fleet_messages.End, int] = {}
         self._not_repeated: dict[retries.RetryDecision, int] = {}
+        self._returns = dict.fromkeys(returns.ReturnEvent, 0)
         self._sent = 0
         self._gone = 0
         self._metrics: metrics.Metrics | None = None
@@ -151,6 +153,10 @@
         count = self._not_repeated.get(sequel, 0)
         self._not_repeated[sequel] = count + 1
 
+    def record_return(self, event: returns.ReturnEvent) -> None:
+        """Counts a refused caller's return, by what became of it."""
+        self._returns[event] += 1
+
     def record_disconnect(self) -> None:
         """Counts a caller that disconnected before its answer was complete."""
         self._gone += 1
@@ -160,6 +166,9 @@
         output = self._load_metrics()
         output.set_count("pollenfork_attempts_total", self._sent)
         output.set_count("pollenfork_callers_gone_total", self._gone)
+        for event, count in self._returns.items():
+            metric = f"pollenfork_returns_{event.value}_total"
+            output.set_count(metric, count)
         _show(output, "pollenfork_refusals_total", self._refused)
         _show(output, "pollenfork_relay_retries_total", self._repeats)
         _show(output, "pollenfork_not_repeated_total", self._not_repeated)
--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -146,8 +146,7 @@
             case outcomes.Paused():
                 self._refuse_until_resumed(found)
             case outcomes.Overloaded():
-                wait_s = min(found.wait_s, _MAX_RETRY_AFTER_S)
-                self._end_with_error(_Reason.OVERLOADED, wait_s)
+                self._refuse_overloaded(found)
             case outcomes.Limited():
                 admitted = self._admitted
                 wait_s = self._deps.permits.estimate_retry_after(
@@ -160,6 +159,15 @@
             case None:
                 self._end_unless_paused(_Reason.NO_RUNNER)
 
+    def _refuse_overloaded(self, found: outcomes.Overloaded) -> None:
+        planned_s = self._selection.find_retry_after()
+        if planned_s is None:
+            wait_s = min(found.wait_s, _MAX_RETRY_AFTER_S)
+            self._end_with_error(_Reason.OVERLOADED, wait_s)
+        else:
+            # A planned time may be as short as the caller's remaining time.
+            self._end_with_error(_Reason.OVERLOADED, planned_s, least_s=0.0)
+
     def _end_unless_paused(self, reason: _Reason) -> None:
         """Ends the request; callers of pausing runners are told how long."""
         paused = self._deps.chooser.availability.find_pause(
@@ -356,7 +364,10 @@
         )
 
     def _end_with_error(
-        self, reason: _Reason, wait_s: float = _RETRY_AFTER_S
+        self,
+        reason: _Reason,
+        wait_s: float = _RETRY_AFTER_S,
+        least_s: float = _RETRY_AFTER_S,
     ) -> None:
         """Ends the request with an error response.
 
@@ -365,6 +376,7 @@
         Args:
             reason: The reason, sent in the body.
             wait_s: Seconds after which a retry is likely to be served.
+            least_s: The least seconds to tell the caller.
         """
         may_have_run = self._history.may_have_run
         # An internal error shows nothing about a request already sent.
@@ -378,7 +390,7 @@
             status = 504 if reason is _Reason.TIME_LIMIT else 502
             refusal = replies.Refusal(status, reason)
         else:
-            wait_s = max(wait_s, _RETRY_AFTER_S)
+            wait_s = max(wait_s, least_s)
             refusal = replies.Refusal(503, reason, wait_s)
         self._caller.write(replies.write_refusal(refusal, self._caller.closing))
 
--- a/pollenfork/gateway/selection.py
+++ b/pollenfork/gateway/selection.py
@@ -3,6 +3,8 @@
 from pollenfork import ids
 from pollenfork.fleet import outcomes
 from pollenfork.gateway import context
+from pollenfork.gateway import returning
+from pollenfork.returns import promises
 
 # Maximum number of rate-limited runners for which a request seeks a permit.
 _MAX_PERMIT_REQUESTS = 16
@@ -27,6 +29,7 @@
         self._deps = deps
         self._admitted = admitted
         self.tried: set[ids.EndpointId] = set()
+        self._return = returning.CallerReturn(deps, admitted)
 
     async def find(self, suspect: bool, is_retry: bool) -> outcomes.Outcome:
         """Returns a grant for a runner, or the reason why there is none.
@@ -49,6 +52,13 @@
         service = self._admitted.demand.service
         self._deps.shed_streaks.reset(service, self._admitted.route.tier)
 
+    def find_retry_after(self) -> float | None:
+        """Returns the seconds after which a shed request should return.
+
+        None: returns aren't planned for its service.
+        """
+        return self._return.find_retry_after()
+
     async def _is_final(self, found: outcomes.Outcome) -> bool:
         """Returns whether an outcome is final; otherwise choose again."""
         permits = self._deps.permits
@@ -83,13 +93,20 @@
         # An admitted request isn't shed because of load that arrived later.
         if is_retry:
             return self._find_runner(longest_s=None)
-        found = self._find_runner(self._admitted.prefill_limit_s)
-        if (
-            isinstance(found, outcomes.Overloaded)
-            and self._is_admitted_anyway()
-        ):
+        claimed = self._return.claim()
+        if isinstance(claimed, promises.Early):
+            return outcomes.Overloaded(claimed.left_s)
+        if claimed is not None:
             return self._find_runner(longest_s=None)
-        return found
+        found = self._find_runner(self._return.limit_prefill())
+        if not isinstance(found, outcomes.Overloaded):
+            return found
+        # A caller with a promise doesn't starve. Admitting every sixth one
+        # nevertheless let callers that return at once, before other instances
+        # know their promise, get ahead by 2 s of 3 s in a fake site.
+        if self._return.promise(found) or not self._is_admitted_anyway():
+            return found
+        return self._find_runner(longest_s=None)
 
     def _find_runner(
         self,
--- a/pollenfork/gateway/tests/test_counters.py
+++ b/pollenfork/gateway/tests/test_counters.py
@@ -5,6 +5,7 @@
 from pollenfork.gateway import replies
 from pollenfork.gateway import retries
 from pollenfork.gateway.tests import support
+from pollenfork.returns import edges as returns
 from pollenfork.routes import model
 
 
@@ -24,6 +25,9 @@
     counted.record_refused(replies.Reason.NO_RUNNER)
     counted.record_retry(messages.End.BROKEN)
     counted.record_not_retried(retries.RetryDecision.BUDGET_SPENT)
+    for event in returns.ReturnEvent:
+        counted.record_return(event)
+    counted.record_return(returns.ReturnEvent.KEPT)
     labels = 'kind="stream",tier="0"'
     for _ in range(2):  # A second scrape shows the same.
         text = counted.write().decode()
@@ -38,6 +42,10 @@
         assert f"pollenfork_targets_met_total{{{labels}}} 2" in text
         assert f"pollenfork_targets_missed_total{{{labels}}} 1" in text
         assert "pollenfork_attempts_total 1" in text
+        assert "pollenfork_returns_planned_total 1" in text
+        assert "pollenfork_returns_unplanned_total 1" in text
+        assert "pollenfork_returns_kept_total 2" in text
+        assert "pollenfork_returns_early_total 1" in text
         assert "pollenfork_callers_gone_total 1" in text
 
 
--- a/pollenfork/logbook/causes.py
+++ b/pollenfork/logbook/causes.py
@@ -48,6 +48,14 @@
     "no_time": "its time was over",
     "budget_spent": "the budget of repeats was spent",
 }
+# Why a refused caller was promised no time to return.
+_NO_PLACE = {
+    "instances_unknown": "its instance had just started",
+    "no_runners": "no runner accepted work",
+    "no_time": "it couldn't have been answered within its time limit",
+    "no_place": "all places up to a third of its remaining time were taken",
+    "table_full": "its instance knew the maximum number of promises",
+}
 
 
 def explain(trace: traces.Trace) -> str:
@@ -88,7 +96,32 @@
             f"; the attempt at {fields['runner']} ended {fields['end']}"
             f" ({fields['breach']}), and no other followed: {why}"
         )
-    return text + _describe_runner_failures(trace)
+    return text + _describe_return(trace) + _describe_runner_failures(trace)
+
+
+def _describe_return(trace: traces.Trace) -> str:
+    """Describes when a refused caller was told to return, and why then."""
+    for line in reversed(trace.lines):
+        fields = line.fields
+        match line.event:
+            case "return_planned":
+                return (
+                    f"; it was promised to be admitted after {fields['due_ms']}"
+                    f" ms: {fields['wait_ms']} ms of overload, then the first"
+                    f" free place of {fields['queue']} promises"
+                )
+            case "return_unplanned":
+                why = _NO_PLACE.get(fields["reason"], fields["reason"])
+                return (
+                    f"; it was told to return after {fields['told_ms']} ms"
+                    f" without a promise: {why}"
+                )
+            case "return_early":
+                return (
+                    f"; it returned {fields['left_ms']} ms before the time"
+                    " promised and was told the rest"
+                )
+    return ""
 
 
 def _explain_disconnect(last: lines.Line) -> str:
--- a/pollenfork/logbook/tests/test_causes.py
+++ b/pollenfork/logbook/tests/test_causes.py
@@ -191,3 +191,55 @@
     assert "ends of runners under it" in out.getvalue()
     assert "places=1,2,3" in out.getvalue()
     assert "each runner that ran the same request has ended" in out.getvalue()
+
+
+OVERLOADED = "given_up request=q digest=0f reason=overloaded"
+PLANNED = (
+    "return_planned request=q digest=0f due_ms=1700 queue=9 wait_ms=1600 "
+    "latest_ms=4000 own=3720 rate=3962000 instances=81"
+)
+
+
+@pytest.mark.parametrize(
+    ("told", "cause"),
+    [
+        (
+            PLANNED,
+            "promised to be admitted after 1700 ms: 1600 ms of overload, then "
+            "the first free place of 9 promises",
+        ),
+        (
+            "return_unplanned request=q digest=0f told_ms=900 queue=9 "
+            "reason=no_place",
+            "told to return after 900 ms without a promise: all places up to a "
+            "third of its remaining time were taken",
+        ),
+        (
+            "return_early request=q digest=0f left_ms=700 told_ms=700",
+            "returned 700 ms before the time promised",
+        ),
+    ],
+)
+def test_the_retry_after_of_a_refusal_is_explained(told, cause) -> None:
+    """Guards against a Retry-After whose reason nobody can find."""
+    assert cause in explain(told, OVERLOADED)
+
+
+def test_the_promise_to_an_earlier_request_is_shown() -> None:
+    """Guards against a return that seems to be admitted without a reason."""
+    found = collect(
+        PLANNED.replace("=q ", "=first "),
+        OVERLOADED.replace("=q ", "=first "),
+        PLANNED.replace("=q ", "=other ").replace("0f", "aa"),
+        "return_kept request=q digest=0f late_ms=3",
+        CHOSEN,
+        ANSWERED,
+    )
+    assert found.lines[0].event == "return_kept"
+    assert [line.fields["request"] for line in found.returns] == ["first"]
+    shown = io.StringIO()
+    trace_report.write(found, shown)
+    assert "returns of the same\n" in shown.getvalue()
+    assert "return_planned  request=first digest=0f due_ms=1700" in (
+        shown.getvalue()
+    )
--- a/pollenfork/logbook/trace.py
+++ b/pollenfork/logbook/trace.py
@@ -42,6 +42,15 @@
         "request_lifted",
     }
 )
+# Events about when refused callers return; they carry the request's digest.
+_RETURN_EVENTS = frozenset(
+    {
+        "return_planned",
+        "return_unplanned",
+        "return_kept",
+        "return_early",
+    }
+)
 _FAILURE_EVENTS = frozenset({"attempt_failed", "runner_shunned"})
 # Runner events are included up to this long after a request's last line, since
 # a registry takes several heartbeats to notice a crash.
@@ -67,6 +76,9 @@
         missing: Number of lines that its instances dropped around that time.
         ends: Runner crashes and quarantine decisions that any instance logged
             under the request's digest, at any time.
+        returns: What other requests with its digest were told of their return,
+            and how they returned. A refused request that is sent again has
+            another id.
     """
 
     request: str
@@ -77,6 +89,7 @@
     starts: list[Line]
     missing: int
     ends: list[Line] = []
+    returns: list[Line] = []
 
 
 def collect(request: str, log: Iterable[Line]) -> Trace:
@@ -128,18 +141,25 @@
         missing=lines.count_missing(
             line for line in nearby if line.instance in instances
         ),
-        ends=_find_crashes(ordered, own_lines),
+        ends=_find_same_digest(ordered, own_lines, _DIGEST_EVENTS),
+        returns=[
+            line
+            for line in _find_same_digest(ordered, own_lines, _RETURN_EVENTS)
+            if line.fields.get("request") != request
+        ],
     )
 
 
-def _find_crashes(log: list[Line], own_lines: list[Line]) -> list[Line]:
+def _find_same_digest(
+    log: list[Line], own_lines: list[Line], events: frozenset[str]
+) -> list[Line]:
     digests = {
         line.fields["digest"] for line in own_lines if "digest" in line.fields
     }
     return [
         line
         for line in log
-        if line.event in _DIGEST_EVENTS and line.fields.get("digest") in digests
+        if line.event in events and line.fields.get("digest") in digests
     ]
 
 
--- a/pollenfork/logbook/trace_report.py
+++ b/pollenfork/logbook/trace_report.py
@@ -18,6 +18,7 @@
         _write_section("said of its runners", trace.runners, start, out)
         _write_section("others at its runners", trace.others, start, out)
         _write_section("ends of runners under it", trace.ends, start, out)
+        _write_section("returns of the same", trace.returns, start, out)
         _write_section("started after it", trace.starts, start, out)
     out.write(f"cause: {causes.explain(trace)}\n")
 
--- a/pollenfork/metric_help.py
+++ b/pollenfork/metric_help.py
@@ -112,6 +112,18 @@
     "pollenfork_retries_granted_total": (
         "Further attempts that the scheduler granted, by why."
     ),
+    "pollenfork_returns_early_total": (
+        "Requests refused as they returned before the time promised."
+    ),
+    "pollenfork_returns_kept_total": (
+        "Requests admitted as they returned at the time promised."
+    ),
+    "pollenfork_returns_planned_total": (
+        "Refused requests that were promised a time to return."
+    ),
+    "pollenfork_returns_unplanned_total": (
+        "Refused requests of forecast services that were promised no time."
+    ),
     "pollenfork_runner_connections_total": (
         "Connections to runners: opened, reused, unreachable."
     ),
--- /dev/null
+++ b/pollenfork/returns/__init__.py
@@ -0,0 +1,1 @@
+"""Plans when refused callers return, so that runners can then serve them."""
