--- a/pollenfork/gateway/counters.py
+++ b/pollenfork/gateway/counters.py
@@ -20,6 +20,12 @@
     from pollenfork import metrics
 
 _BOUNDS_S = metric_help.LATENCY_BOUNDS_S
+_RETURN_METRICS = {
+    returns.ReturnEvent.PLANNED: "pollenfork_returns_planned_total",
+    returns.ReturnEvent.UNPLANNED: "pollenfork_returns_unplanned_total",
+    returns.ReturnEvent.KEPT: "pollenfork_returns_kept_total",
+    returns.ReturnEvent.EARLY: "pollenfork_returns_early_total",
+}
 
 
 class AnswerLatency(msgspec.Struct, frozen=True):
@@ -167,8 +173,7 @@
         output.set_count("pollenfork_attempts_total", self._sent)
         output.set_count("pollenfork_callers_gone_total", self._gone)
         for event, count in self._returns.items():
-            metric = f"pollenfork_returns_{event.value}_total"
-            output.set_count(metric, count)
+            output.set_count(_RETURN_METRICS[event], count)
         _show(output, "pollenfork_refusals_total", self._refused)
         _show(output, "pollenfork_relay_retries_total", self._repeats)
         _show(output, "pollenfork_not_repeated_total", self._not_repeated)
