--- a/benchmarks/ablations.py
+++ b/benchmarks/ablations.py
@@ -14,8 +14,8 @@
 
 from pollenfork.fleet import candidates
 from pollenfork.fleet import choice
-from pollenfork.fleet import costs
 from pollenfork.fleet import copies
+from pollenfork.fleet import costs
 from pollenfork.fleet import evidence
 from pollenfork.fleet import retry_budget
 from pollenfork.fleet import runner_state
