Keep connections to runners as long as they state, and prefer a subset

For forecast services, a connection is now kept for as long as the runner states, and each instance has a subset of the runners for short prompts, balanced by a limit on the instances per runner. The choice doesn't use either yet.

--- a/pollenfork/fleet/candidates.py
+++ b/pollenfork/fleet/candidates.py
@@ -54,6 +54,7 @@
             another runner; None if it can't.
         tier: The request's tier; 0 is the most urgent.
         retriable: Whether it may be sent to another runner after a refusal.
+        idempotent: Whether it may run more than once.
         forecast: Whether its runner is chosen by a forecast of the answer.
         target_s: Target time to the first event, in seconds.
         gap_s: Target for the longest pause between events, in seconds.
@@ -65,6 +66,7 @@
     copy_s: float | None = None
     tier: ids.Tier = ids.Tier(0)
     retriable: bool = True
+    idempotent: bool = False
     forecast: bool = False
     target_s: float = 0.0
     gap_s: float = 0.0
--- a/pollenfork/gateway/admission.py
+++ b/pollenfork/gateway/admission.py
@@ -77,6 +77,7 @@
         config.copy_s if config else None,
         tier,
         retriable=route.attempts > 1,
+        idempotent=route.idempotent,
         forecast=bool(head.parts) and settings.is_forecast(service),
         target_s=route.target_s,
         gap_s=route.gap_s,
--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -42,6 +42,7 @@
 from pollenfork.gateway import settings
 from pollenfork.gateway import sources
 from pollenfork.gateway import tables
+from pollenfork.gateway.connections import subsets
 from pollenfork.loads import messages as loads
 from pollenfork.poison import quarantine
 
@@ -120,6 +121,7 @@
             self._loop.time,
         )
         findings.when_ended(request_quarantine.record_absence)
+        self._subset = subsets.RunnerSubset(me.host)
         self._duty_agent: duty_agent.DutyAgent | None = None
         if config.duties is not None:
             self._duty_agent = duty_agent.DutyAgent(
@@ -317,10 +319,19 @@
             self._peers.instances, self._loop.time()
         )
         self._deps.chooser.pauses.set_instances(self._peers.instances)
-        for service in lookup.configuration.services.values():
+        services = lookup.configuration.services
+        for service in services.values():
             self._deps.pool.set_accepted(
-                service.name, service.max_connections, self._peers.instances
+                service.name,
+                service.max_connections,
+                self._peers.instances,
+                lookup.is_forecast(service.name),
             )
+        forecast = [each for each in services if lookup.is_forecast(each)]
+        self._subset.retain(forecast)
+        for name in forecast:
+            accepting = self.state.runners.list_accepting(name)
+            self._subset.update(name, self._peers.list_hosts(), accepting)
 
     async def _clean_up(self) -> None:
         while True:
--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -23,6 +23,7 @@
 from pollenfork.gateway import retries
 from pollenfork.gateway import selection
 from pollenfork.gateway import timeouts
+from pollenfork.gateway.connections import view
 from pollenfork.poison import crashes
 from pollenfork.ratelimits import parsing
 from pollenfork.routes import model as routes
@@ -199,7 +200,7 @@
         self, runner: fleet.Runner
     ) -> result.Result[connection.Connection, pool.Unreachable]:
         idempotent = self._admitted.route.idempotent
-        freshness = pool.Freshness.ANY if idempotent else pool.Freshness.RECENT
+        freshness = view.Freshness.ANY if idempotent else view.Freshness.RECENT
         pooled = self._deps.pool.acquire(runner, freshness)
         if pooled is not None:
             return result.Ok(pooled)
--- a/pollenfork/gateway/pool.py
+++ b/pollenfork/gateway/pool.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-import enum
 import time
 
 import msgspec
@@ -13,6 +12,7 @@
 from pollenfork.fleet import model as fleet
 from pollenfork.fleet import registry
 from pollenfork.gateway import connection
+from pollenfork.gateway.connections import view
 
 # Connections that succeed are established within 1 to 3 ms. A SYN dropped
 # from a full accept queue is retransmitted after a second at the earliest.
@@ -21,6 +21,9 @@
 # while the peer closes.
 _IDLE_MARGIN_S = 0.7
 _MAX_IDLE_S = 8.0
+# The same for forecast services if the runner states that it keeps connections
+# open for longer. A longer time would keep connections that one burst opened.
+_MAX_STATED_IDLE_S = 30.0
 # A request that must not run twice can't be resent when its connection turns
 # out to be dead, so it uses only connections that were in use this recently.
 _RECENT_IDLE_S = 0.6
@@ -42,13 +45,6 @@
     connection_refused: bool = False
 
 
-class Freshness(enum.Enum):
-    """How recently an idle connection must have been in use."""
-
-    ANY = "any"
-    RECENT = "sure"
-
-
 class PoolCounters(msgspec.Struct):
     """Counts of connections."""
 
@@ -57,6 +53,27 @@
     unreachable: int = 0
 
 
+class ServiceCounters(msgspec.Struct):
+    """Counts of connections to the runners of one service."""
+
+    opened: int = 0
+    reused: int = 0
+
+
+class _IdleConnections(msgspec.Struct):
+    """The idle connections to one incarnation of a runner.
+
+    Attributes:
+        service: The runner's service.
+        connections: The connections, the newest last.
+    """
+
+    service: ids.ServiceName
+    connections: list[connection.Connection] = msgspec.field(
+        default_factory=list
+    )
+
+
 class Pool:
     """Hands out connections, the newest first, and closes surplus ones."""
 
@@ -73,10 +90,13 @@
         """
         self._loop = loop
         self._unix_time = unix_time
-        self._idle: dict[fleet.Incarnation, list[connection.Connection]] = {}
+        self._idle: dict[fleet.Incarnation, _IdleConnections] = {}
         self._limits: dict[ids.ServiceName, int] = {}
+        # Services whose connections are kept for as long as runners state.
+        self._stated: set[ids.ServiceName] = set()
         self._busy: dict[ids.EndpointId, set[connection.Connection]] = {}
         self.counters = PoolCounters()
+        self.service_counters: dict[ids.ServiceName, ServiceCounters] = {}
 
     def watch_registry(self, runners: registry.Registry) -> None:
         """Closes connections to runners that are removed or restarted."""
@@ -84,31 +104,64 @@
         runners.when_restarted(self.fail_stale)
 
     def set_accepted(
-        self, service: ids.ServiceName, accepted: int, instances: int
+        self,
+        service: ids.ServiceName,
+        accepted: int,
+        instances: int,
+        forecast: bool = False,
     ) -> None:
-        """Sets the idle limit from the connections that a runner accepts.
+        """Sets the idle limits from the connections that a runner accepts.
+
+        Connections to runners of a forecast service are kept for as long as
+        the runners state, unless one connection of each instance would take
+        more than the share of idle connections.
 
         Args:
             service: The service of the runners.
             accepted: Connections that each runner accepts in all; 0: unknown.
             instances: Number of instances that connect to it.
+            forecast: Whether it is a forecast service.
         """
+        part = int(accepted * _IDLE_SHARE / instances)
         if accepted:
-            part = int(accepted * _IDLE_SHARE / instances)
             self._limits[service] = max(1, min(_MAX_IDLE, part))
+        if forecast and (part or not accepted):
+            self._stated.add(service)
+        else:
+            self._stated.discard(service)
 
     def acquire(
-        self, runner: fleet.Runner, freshness: Freshness
+        self, runner: fleet.Runner, freshness: view.Freshness
     ) -> connection.Connection | None:
         """Returns an idle connection that may be used, if there is one."""
         idle = self._idle.get(runner.incarnation)
-        while idle:
-            candidate = idle.pop()
-            if self._is_usable(candidate, freshness):
-                self.counters.reused += 1
-                return candidate
-            candidate.abort()
-        return None
+        if idle is None:
+            return None
+        found = None
+        kept: list[connection.Connection] = []
+        while idle.connections and found is None:
+            candidate = idle.connections.pop()
+            if self._is_usable(candidate, idle.service, freshness):
+                found = candidate
+            elif self._is_kept(candidate, idle.service):
+                kept.append(candidate)
+            else:
+                candidate.abort()
+        idle.connections.extend(reversed(kept))
+        if found is not None:
+            self.counters.reused += 1
+            self._count(idle.service).reused += 1
+        return found
+
+    def has_idle(self, runner: fleet.Runner, freshness: view.Freshness) -> bool:
+        """Returns whether a runner has an idle connection that may be used."""
+        idle = self._idle.get(runner.incarnation)
+        if idle is None:
+            return False
+        for candidate in reversed(idle.connections):
+            if self._is_usable(candidate, idle.service, freshness):
+                return True
+        return False
 
     async def open(
         self,
@@ -124,6 +177,7 @@
             limit_s: Seconds that connecting may take.
         """
         self.counters.opened += 1
+        self._count(runner.service).opened += 1
         connecting = self._loop.create_connection(
             lambda: connection.Connection(self._loop), runner.host, runner.port
         )
@@ -146,17 +200,24 @@
         self, runner: fleet.Runner, used: connection.Connection
     ) -> None:
         """Returns a connection to the pool, or closes it."""
-        idle = self._idle.setdefault(runner.incarnation, [])
+        idle = self._idle.setdefault(
+            runner.incarnation, _IdleConnections(runner.service)
+        )
         limit = self._limits.get(runner.service, _MAX_IDLE)
-        if not used.usable or len(idle) >= limit:
+        is_full = len(idle.connections) >= limit
+        if not used.usable or (is_full and runner.service not in self._stated):
             used.abort()
             return
-        idle.append(used)
+        idle.connections.append(used)
+        if is_full:
+            # Requests that can't be resent need a recent connection; they would
+            # otherwise open one each until the oldest expires.
+            idle.connections.pop(0).abort()
 
     def close_idle(self, runner: ids.EndpointId) -> None:
         """Closes the idle connections to a runner."""
         for incarnation in [each for each in self._idle if each.id == runner]:
-            for idle in self._idle.pop(incarnation):
+            for idle in self._idle.pop(incarnation).connections:
                 idle.abort()
 
     def mark_busy(
@@ -191,28 +252,53 @@
 
     def close_expired(self) -> None:
         """Closes connections that have been idle for too long."""
-        for idle in self._idle.values():
+        for incarnation, idle in list(self._idle.items()):
             usable = [
-                each for each in idle if self._is_usable(each, Freshness.ANY)
+                each
+                for each in idle.connections
+                if self._is_usable(each, idle.service, view.Freshness.ANY)
             ]
-            for each in idle:
+            for each in idle.connections:
                 if each not in usable:
                     each.abort()
-            idle[:] = usable
+            idle.connections = usable
+            if not usable:
+                del self._idle[incarnation]
 
     def close(self) -> None:
         """Closes all idle connections."""
         for runner in {each.id for each in self._idle}:
             self.close_idle(runner)
 
+    def _is_kept(
+        self, candidate: connection.Connection, service: ids.ServiceName
+    ) -> bool:
+        """Returns whether it is kept though it is too old for one request.
+
+        Another request, one that may be resent, can still use it.
+        """
+        return service in self._stated and self._is_usable(
+            candidate, service, view.Freshness.ANY
+        )
+
+    def _count(self, service: ids.ServiceName) -> ServiceCounters:
+        return self.service_counters.setdefault(service, ServiceCounters())
+
     def _is_usable(
-        self, candidate: connection.Connection, freshness: Freshness
+        self,
+        candidate: connection.Connection,
+        service: ids.ServiceName,
+        freshness: view.Freshness,
     ) -> bool:
         if not candidate.usable:
             return False
         limit_s = _MAX_IDLE_S
-        if candidate.idle_limit_s is not None:
-            limit_s = min(limit_s, candidate.idle_limit_s - _IDLE_MARGIN_S)
-        if freshness is Freshness.RECENT:
+        stated_s = candidate.idle_limit_s
+        if stated_s is not None:
+            longest_s = limit_s
+            if service in self._stated:
+                longest_s = _MAX_STATED_IDLE_S
+            limit_s = min(longest_s, stated_s - _IDLE_MARGIN_S)
+        if freshness is view.Freshness.RECENT:
             limit_s = min(limit_s, _RECENT_IDLE_S)
         return self._loop.time() - candidate.idle_since < limit_s
--- a/pollenfork/gateway/scrape.py
+++ b/pollenfork/gateway/scrape.py
@@ -41,6 +41,14 @@
         output.set_count(
             "pollenfork_runner_connections_total", count, event=event
         )
+    for service, counts in deps.pool.service_counters.items():
+        for event, count in msgspec.structs.asdict(counts).items():
+            output.set_count(
+                "pollenfork_service_connections_total",
+                count,
+                service=service,
+                event=event,
+            )
     for outcome, count in msgspec.structs.asdict(deps.permits.counts).items():
         output.set_count("pollenfork_permits_total", count, outcome=outcome)
     for why, count in state.refused_entries.items():
@@ -53,9 +61,9 @@
         )
     for kind, count in deps.runner_notices.counts.items():
         output.set_count("pollenfork_runner_notices_total", count, kind=kind)
-    counts = deps.request_quarantine.tracker.counts
-    output.set_count("pollenfork_runner_ends_total", counts["ends"])
-    output.set_count("pollenfork_requests_kept_back_total", counts["kept_back"])
+    ends = deps.request_quarantine.tracker.counts
+    output.set_count("pollenfork_runner_ends_total", ends["ends"])
+    output.set_count("pollenfork_requests_kept_back_total", ends["kept_back"])
     output.set_count("pollenfork_runners_kept_total", state.runners.kept)
 
 
--- a/pollenfork/metric_help.py
+++ b/pollenfork/metric_help.py
@@ -134,6 +134,9 @@
     "pollenfork_series_dropped_total": (
         "Samples counted under `other`, as their metric has too many series."
     ),
+    "pollenfork_service_connections_total": (
+        "Connections to a service's runners: opened, reused."
+    ),
     "pollenfork_settings_adopted_total": (
         "Settings trees that came into force, by where they were found."
     ),
--- a/pollenfork/platform/tests/test_slow_links.py
+++ b/pollenfork/platform/tests/test_slow_links.py
@@ -7,6 +7,7 @@
 from pollenfork.fleet import runner_state
 from pollenfork.gateway import pool
 from pollenfork.gateway import probing
+from pollenfork.gateway.connections import view
 from pollenfork.platform.tests.simulation import clock
 from pollenfork.platform.tests.simulation import network
 from pollenfork.poison.tests import fleet as fleets
@@ -42,5 +43,5 @@
     await asyncio.sleep(3.0)
     prober.close()
     return state.reachable, connections.acquire(
-        runner, pool.Freshness.ANY
+        runner, view.Freshness.ANY
     ) is not None
