--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -329,9 +329,10 @@
             )
         forecast = [each for each in services if lookup.is_forecast(each)]
         self._subset.retain(forecast)
+        now = self._loop.time()
         for name in forecast:
             accepting = self.state.runners.list_accepting(name)
-            self._subset.update(name, self._peers.list_hosts(), accepting)
+            self._subset.update(name, self._peers.list_hosts(), accepting, now)
 
     async def _clean_up(self) -> None:
         while True:
--- a/pollenfork/gateway/connections/assignment.py
+++ b/pollenfork/gateway/connections/assignment.py
@@ -13,6 +13,9 @@
 
 import xxhash
 
+from pollenfork.fleet import model as fleet
+from pollenfork.loads import messages as loads
+
 _MIN_SIZE = 4
 # Most instances that prefer one runner, relative to the mean. Plain rendezvous
 # hashing without this limit reaches 1.46 for 81 instances and 70 runners.
@@ -44,6 +47,11 @@
     return max(math.ceil(mean), int(_MAX_RATIO * mean))
 
 
+def hash_runner(incarnation: fleet.Incarnation) -> int:
+    """Returns the hash of a runner's incarnation."""
+    return loads.hash_name(incarnation.name)
+
+
 def rank_host(host: str) -> int:
     """Returns the position of an instance in the order of assignment."""
     return xxhash.xxh64_intdigest(host.encode(), _ORDER_SEED)
--- a/pollenfork/gateway/connections/connect_costs.py
+++ b/pollenfork/gateway/connections/connect_costs.py
@@ -29,22 +29,28 @@
         """
         self._connections = connections
         self._subset = subset
+        self._profile: candidates.RequestProfile | None = None
+        self._freshness = view.Freshness.RECENT
+        self._is_short = False
 
     def find_cost(
         self, profile: candidates.RequestProfile, runner: fleet.Runner
     ) -> float:
         """Returns the cost of connecting to a runner, in seconds."""
-        freshness = view.Freshness.RECENT
-        if profile.idempotent:
-            freshness = view.Freshness.ANY
+        if profile is not self._profile:
+            self._set_profile(profile)
         cost_s = 0.0
-        if not self._connections.has_idle(runner, freshness):
+        if not self._connections.has_idle(runner, self._freshness):
             cost_s = _CONNECT_S
-        if _is_short(profile) and not self._subset.prefers(runner):
+        if self._is_short and not self._subset.prefers(runner):
             cost_s += _OUTSIDE_S
         return cost_s
 
-
-def _is_short(profile: candidates.RequestProfile) -> bool:
-    shared = sum(part.tokens for part in profile.shared)
-    return shared < _SHORT_TOKENS
+    def _set_profile(self, profile: candidates.RequestProfile) -> None:
+        """Keeps what is the same for all runners that a request may use."""
+        self._profile = profile
+        self._freshness = view.Freshness.RECENT
+        if profile.idempotent:
+            self._freshness = view.Freshness.ANY
+        shared = sum(part.tokens for part in profile.shared)
+        self._is_short = shared < _SHORT_TOKENS
--- a/pollenfork/gateway/connections/subsets.py
+++ b/pollenfork/gateway/connections/subsets.py
@@ -2,11 +2,11 @@
 
 from collections.abc import Iterable
 import logging
+import math
 
 from pollenfork import ids
 from pollenfork.fleet import model as fleet
 from pollenfork.gateway.connections import assignment
-from pollenfork.loads import messages as loads
 
 _LOG = logging.getLogger(__name__)
 
@@ -14,6 +14,9 @@
 # rankings of 360 instances for 600 runners take 0.1 to 0.2 s, which would
 # delay the events of answers if they were computed at once.
 _MAX_PAIRS = 15_000
+# An assignment for 360 instances and 600 runners takes 29 ms. With this pause,
+# runners that come and go all the time cost 0.6% of a core.
+_PAUSE_S = 5.0
 
 
 class RunnerSubset:
@@ -46,6 +49,7 @@
         service: ids.ServiceName,
         hosts: Iterable[str],
         runners: Iterable[fleet.Runner],
+        now: float,
     ) -> None:
         """Updates a service's subset if the instances or runners have changed.
 
@@ -53,18 +57,21 @@
             service: The service.
             hosts: The hosts of all known instances.
             runners: The service's runners that accept work.
+            now: Monotonic seconds.
         """
         subset = self._services.get(service)
         if subset is None:
             subset = _ServiceSubset(self._host)
         before = subset.preferred
         hashes = {
-            loads.hash_name(each.incarnation.name): each.id for each in runners
+            assignment.hash_runner(each.incarnation): each.id
+            for each in runners
         }
         if not hashes:
             self._services.pop(service, None)
             return
-        if not subset.update(frozenset(hosts) | {self._host}, hashes):
+        instances = frozenset(hosts) | {self._host}
+        if not subset.update(instances, hashes, now):
             return
         self._services[service] = subset
         if subset.preferred == before:
@@ -101,6 +108,7 @@
         self._runners: dict[int, ids.EndpointId] = {}
         self._rankings: dict[str, assignment.Ranking] = {}
         self._complete = False
+        self._assigned_at = -math.inf
         self.preferred: frozenset[ids.EndpointId] = frozenset()
 
     @property
@@ -109,23 +117,27 @@
         return len(self._hosts)
 
     def update(
-        self, hosts: frozenset[str], runners: dict[int, ids.EndpointId]
+        self,
+        hosts: frozenset[str],
+        runners: dict[int, ids.EndpointId],
+        now: float,
     ) -> bool:
         """Assigns the runners again if anything has changed.
 
         Returns:
             Whether they were assigned.
         """
-        if (
-            self._complete
-            and hosts == self._hosts
-            and runners.keys() == self._runners.keys()
-        ):
+        is_same = (
+            hosts == self._hosts and runners.keys() == self._runners.keys()
+        )
+        is_recent = now - self._assigned_at < _PAUSE_S
+        if self._complete and (is_same or is_recent):
             return False
         self._update_rankings(hosts, runners)
         self._hosts = hosts
         self._runners = runners
         if self._complete:
+            self._assigned_at = now
             order = sorted(hosts, key=assignment.rank_host)
             rankings = [self._rankings[host] for host in order]
             chosen = assignment.assign(
