--- a/benchmarks/loads_cost.py
+++ b/benchmarks/loads_cost.py
@@ -57,6 +57,12 @@
     def record_placements(self, placed: object) -> None:
         """Takes nothing."""
 
+    def take_updates(self, now: float) -> messages.Updates:
+        return messages.Updates()
+
+    def record_updates(self, updates: messages.Updates, now: float) -> None:
+        """Takes nothing."""
+
     def record_store_status(
         self, proof: messages.StoreStatus, moment: float, teller: str
     ) -> None:
--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -28,6 +28,7 @@
 from pollenfork.gateway import limit_events
 from pollenfork.gateway import load_shedding
 from pollenfork.gateway import messages
+from pollenfork.gateway import pace_samples
 from pollenfork.gateway import peers
 from pollenfork.gateway import permits
 from pollenfork.gateway import pool
@@ -42,7 +43,9 @@
 from pollenfork.gateway import settings
 from pollenfork.gateway import sources
 from pollenfork.gateway import tables
+from pollenfork.gateway import updates
 from pollenfork.loads import messages as loads
+from pollenfork.pace import estimator
 from pollenfork.poison import quarantine
 
 if TYPE_CHECKING:
@@ -110,6 +113,12 @@
         chooser = choice.Chooser(
             self.state.runners, rng, self._read_others, granted
         )
+        index = pace_samples.RunnerIndex(self.state.runners, self._loop.time)
+        paces = estimator.PaceTable(index.find)
+        self.state.runners.when_restarted(
+            lambda runner: paces.forget(pace_samples.hash_incarnation(runner))
+        )
+        self._updates = updates.UpdateExchange(paces, self._loop.time)
         findings = evidence.Evidence(
             self.state.runners, chooser.get_state, config.data_centre
         )
@@ -163,6 +172,7 @@
             shed_streaks=load_shedding.ShedStreaks(),
             counters=self.counters,
             read_loads_age=self._read_loads_age,
+            paces=paces,
         )
         request_quarantine.when_probe_needed(self._deps.crash_probes.probe)
         connections.watch_registry(self.state.runners)
@@ -260,6 +270,7 @@
             self._deps.runner_notices,
             self._deps.request_quarantine,
             self._settings.data_centre,
+            self._updates,
         )
         _, joined = await self._loop.create_datagram_endpoint(
             lambda: peers.Peers(instance, self._settings, me), local_addr=me
@@ -306,6 +317,7 @@
             self._deps.pool.close_expired()
             now = self._loop.time()
             self.state.expire_runners(now)
+            self._deps.paces.refresh(now)
             self._deps.request_quarantine.sweep(now)
             self._readiness.check(now)
 
@@ -317,6 +329,7 @@
             self._peers.instances, self._loop.time()
         )
         self._deps.chooser.pauses.set_instances(self._peers.instances)
+        self._deps.paces.set_instances(self._peers.instances)
         for service in lookup.configuration.services.values():
             self._deps.pool.set_accepted(
                 service.name, service.max_connections, self._peers.instances
@@ -326,7 +339,9 @@
         while True:
             await asyncio.sleep(_CLEANUP_S)
             self._deps.chooser.sweep()
-            self._deps.permits.retain(self._deps.chooser.list_hashes())
+            known = self._deps.chooser.list_hashes()
+            self._deps.permits.retain(known)
+            self._deps.paces.retain(known)
 
     def _reload(self) -> None:
         """Reads the settings again and applies those that are reloadable."""
--- a/pollenfork/gateway/context.py
+++ b/pollenfork/gateway/context.py
@@ -21,6 +21,7 @@
 from pollenfork.gateway import pool
 from pollenfork.gateway import probing
 from pollenfork.gateway import runner_notices
+from pollenfork.pace import estimator
 from pollenfork.poison import quarantine
 from pollenfork.routes import model as routes
 
@@ -64,6 +65,7 @@
         claim_trial: Returns whether a quarantined request may run once.
         read_loads_age: Returns the age of the other instances' loads in
             seconds; None if there are none.
+        paces: Receives samples of how fast runners generate.
     """
 
     loop: asyncio.AbstractEventLoop
@@ -84,3 +86,4 @@
     shed_streaks: load_shedding.ShedStreaks
     counters: counters.Counters
     read_loads_age: Callable[[], float | None]
+    paces: estimator.PaceTable
--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -16,6 +16,7 @@
 from pollenfork.gateway import counters
 from pollenfork.gateway import events
 from pollenfork.gateway import messages
+from pollenfork.gateway import pace_samples
 from pollenfork.gateway import pool
 from pollenfork.gateway import quarantine_check
 from pollenfork.gateway import replies
@@ -72,6 +73,7 @@
         self._runner: ids.EndpointId | None = None
         self._first_s: float | None = None
         self._gap_s = 0.0
+        self._pace = pace_samples.AnswerObserver(deps.paces, admitted.demand)
         self._event_at = 0.0
         self._current: connection.Connection | None = None
         self._connected_at: float | None = None
@@ -299,7 +301,11 @@
             self._remaining_s(),
             self._take_retry,
         )
-        if decision is not _RetryDecision.ANSWERED:
+        if decision is _RetryDecision.ANSWERED:
+            self._pace.on_answered(
+                grant, self._history.sent, self._deps.loop.time()
+            )
+        else:
             self._log.log_failed_attempt(grant, ended, decision, self._history)
         return decision
 
@@ -397,9 +403,12 @@
         if self._event_at:
             self._gap_s = max(self._gap_s, now - self._event_at)
         self._event_at = now
+        if self._relay is not None:
+            self._pace.on_events(now, self._relay.splitter.forwarded)
         self._caller.write(b"%x\r\n%b\r\n" % (len(whole), whole))
 
     def _on_backpressure(self, paused: bool) -> None:
+        self._pace.discard()
         current = self._current
         if current is None:
             return
--- a/pollenfork/gateway/peers.py
+++ b/pollenfork/gateway/peers.py
@@ -11,6 +11,7 @@
 from pollenfork.gateway import cluster_state
 from pollenfork.gateway import runner_notices
 from pollenfork.gateway import settings
+from pollenfork.gateway import updates
 from pollenfork.loads import core
 from pollenfork.loads import limit_messages
 from pollenfork.loads import messages
@@ -34,7 +35,9 @@
         notices: runner_notices.RunnerNotices,
         request_quarantine: quarantine.Quarantine,
         data_centre: ids.DataCentre,
+        update_exchange: updates.UpdateExchange,
     ) -> None:
+        self._updates = update_exchange
         self._notices = notices
         self._quarantine = request_quarantine
         self._chooser = chooser
@@ -54,6 +57,14 @@
         """Records the prompt parts that other instances have placed."""
         self._chooser.caches.apply(placed)
 
+    def take_updates(self, now: float) -> messages.Updates:
+        """Returns this instance's paces and planned returns to send now."""
+        return self._updates.take(now)
+
+    def record_updates(self, received: messages.Updates, now: float) -> None:
+        """Records paces and planned returns of other instances."""
+        self._updates.receive(received, now)
+
     def list_placements(self) -> list[messages.Placement]:
         """Returns all prompt parts that runners are believed to cache."""
         return self._chooser.caches.list_cached()
--- a/pollenfork/gateway/scrape.py
+++ b/pollenfork/gateway/scrape.py
@@ -57,6 +57,13 @@
     output.set_count("pollenfork_runner_ends_total", counts["ends"])
     output.set_count("pollenfork_requests_kept_back_total", counts["kept_back"])
     output.set_count("pollenfork_runners_kept_total", state.runners.kept)
+    for rejection, count in deps.paces.rejected.items():
+        output.set_count(
+            "pollenfork_pace_samples_rejected_total",
+            count,
+            reason=rejection.value,
+        )
+    output.set_gauge("pollenfork_slow_runners", deps.paces.slow_runners)
 
 
 def _show_settings(
--- a/pollenfork/gateway/tests/support.py
+++ b/pollenfork/gateway/tests/support.py
@@ -19,10 +19,12 @@
 from pollenfork.gateway import limit_events
 from pollenfork.gateway import load_shedding
 from pollenfork.gateway import messages
+from pollenfork.gateway import pace_samples
 from pollenfork.gateway import permits
 from pollenfork.gateway import pool
 from pollenfork.gateway import probing
 from pollenfork.gateway import runner_notices
+from pollenfork.pace import estimator
 from pollenfork.poison import digests
 from pollenfork.poison import quarantine
 from pollenfork.routes import model as routes
@@ -231,6 +233,9 @@
             shed_streaks=load_shedding.ShedStreaks(),
             counters=counters.Counters(),
             read_loads_age=lambda: None,
+            paces=estimator.PaceTable(
+                pace_samples.RunnerIndex(self.runners, loop.time).find
+            ),
         )
         self.claims = 0
         self.callers = callers.Server(loop, self._serve)
--- a/pollenfork/loads/core.py
+++ b/pollenfork/loads/core.py
@@ -8,7 +8,7 @@
 """
 
 import collections
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from pollenfork.loads import discovery
 from pollenfork.loads import dissemination
@@ -17,6 +17,7 @@
 from pollenfork.loads import members
 from pollenfork.loads import messages
 from pollenfork.loads import store_status
+from pollenfork.loads import updates
 
 # Interval at which small changes of loads are sent, in seconds.
 PERIOD_S = 0.05
@@ -167,14 +168,17 @@
         self._urgent = self._urgent or urgent
         self._own = self._instance.read_loads()
         placements = self._instance.take_placements()
+        own = self._instance.take_updates(now)
         self._expire(now)
         sends = self._send_hellos(now)
         sends += self._address_all(self._disseminator.tick(now))
         relay = self.find_relay(now)
         if relay is not None and relay != self._me.host:
-            sends += self._report(relay, placements, now)
-        elif placements:
-            self._queue_placements(placements, None)
+            self._links[relay].add_placements(placements)
+            self._links[relay].updates.add(own, now)
+            sends += self._report(relay, now)
+        else:
+            self._queue(placements, own, None, now)
         if not self._acts_as_relay(now):
             self._urgent = False
         elif now >= self._round_at:
@@ -213,7 +217,7 @@
                 )
                 self._reports[host] = received
                 self._urgent = self._urgent or message.urgent
-                self._receive_placements(message.placements, host)
+                self._receive_news(message, host, now)
                 self._receive_status(message, host, now)
             case messages.DataCentreLoads():
                 self._record_sighting(host, message.data_centre, now)
@@ -225,7 +229,7 @@
                     message.loads, now, message.sent_at
                 )
                 self._sums[host] = received
-                self._receive_placements(message.placements, host)
+                self._receive_news(message, host, now)
                 self._receive_status(message, host, now)
             case messages.OtherLoads():
                 self._receive_others(message, host, now)
@@ -248,6 +252,7 @@
         self._others = links.ReceivedLoads(message.loads, now, message.sent_at)
         self._others_sender = host
         self._instance.record_placements(message.placements)
+        self._instance.record_updates(updates.limit(message.updates), now)
         self._receive_status(message, host, now)
 
     def _receive_status(
@@ -276,11 +281,8 @@
 
     # Reporting.
 
-    def _report(
-        self, relay: str, placements: list[messages.Placement], now: float
-    ) -> list[messages.Send]:
+    def _report(self, relay: str, now: float) -> list[messages.Send]:
         link = self._links[relay]
-        link.add_placements(placements)
         self._roster.record_request(relay, now)
         if not links.is_due(link, self._own, now):
             return []
@@ -292,6 +294,7 @@
             self._urgent,
             self._instance.read_store_status(now),
             self._others.sent_at if self._others_sender == relay else 0.0,
+            link.updates.take(now),
         )
         link.record_sent(self._own, now)
         return [self._address(relay, report)]
@@ -330,6 +333,7 @@
             sent_at=now,
             echo=received.sent_at if received else 0.0,
             status=status,
+            updates=link.updates.take(now),
         )
         link.record_sent(local, now)
         return [self._address(host, message)]
@@ -350,6 +354,7 @@
             self._reports[host].sent_at,
             status,
             now,
+            link.updates.take(now),
         )
         link.record_sent(others, now)
         return [self._address(host, message)]
@@ -385,27 +390,38 @@
         tables += [received.loads for received in self._reports.values()]
         return links.add(tables)
 
-    def _receive_placements(
-        self, placements: tuple[messages.Placement, ...], host: str
+    def _receive_news(
+        self,
+        message: messages.Report | messages.DataCentreLoads,
+        host: str,
+        now: float,
     ) -> None:
-        if placements:
-            self._instance.record_placements(placements)
-            self._queue_placements(placements, host)
+        received = updates.limit(message.updates)
+        self._instance.record_placements(message.placements)
+        self._instance.record_updates(received, now)
+        self._queue(message.placements, received, host, now)
 
-    def _queue_placements(
-        self, placements: Iterable[messages.Placement], sender: str | None
+    def _queue(
+        self,
+        placements: Sequence[messages.Placement],
+        news: messages.Updates,
+        sender: str | None,
+        now: float,
     ) -> None:
-        """Queues placements for all links whose hosts lack them.
+        """Queues placements and updates for all links whose hosts lack them.
 
-        Relays pass on to each other only what their own reporters placed, so
-        that no placement circulates between them.
+        Relays pass on to each other only what comes from their own reporters,
+        so that nothing circulates between them.
         """
+        if not placements and news == updates.NONE:
+            return
         hosts = set(self._reports)
         if sender is None or sender in self._reports:
             hosts.update(self._sums)
         hosts.discard(sender or "")
         for host in hosts:
             self._links[host].add_placements(placements)
+            self._links[host].updates.add(news, now)
 
     # Sending.
 
--- a/pollenfork/loads/edges.py
+++ b/pollenfork/loads/edges.py
@@ -33,6 +33,12 @@
     ) -> None:
         """Adds placements made by other instances."""
 
+    def take_updates(self, now: float) -> messages.Updates:
+        """Returns this instance's paces and planned returns to send now."""
+
+    def record_updates(self, updates: messages.Updates, now: float) -> None:
+        """Adds paces and planned returns of other instances."""
+
     def record_store_status(
         self, status: messages.StoreStatus, moment: float, sender: str
     ) -> None:
--- a/pollenfork/loads/links.py
+++ b/pollenfork/loads/links.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from pollenfork.loads import messages
+from pollenfork.loads import updates
 
 # Placements that wait to be sent; the oldest are dropped beyond this. It is the
 # number of shared parts that 45 runners cache.
@@ -37,12 +38,16 @@
         sent_at: When that was.
         placements: Placements that wait to be sent.
         status: The store's versions sent last.
+        updates: Paces and planned returns that wait to be sent.
     """
 
     loads: messages.LoadTable = {}
     sent_at: float = -_REPEAT_S
     placements: list[messages.Placement] = msgspec.field(default_factory=list)
     status: messages.StoreStatus | None = None
+    updates: updates.UpdateQueue = msgspec.field(
+        default_factory=updates.UpdateQueue
+    )
 
     def add_placements(self, placements: Iterable[messages.Placement]) -> None:
         """Queues placements to send."""
@@ -64,6 +69,7 @@
 def is_due(link: Link, loads: messages.LoadTable, now: float) -> bool:
     """Returns whether anything changed, or it is time to repeat the loads."""
     changed = bool(link.placements) or link.loads != loads
+    changed = changed or link.updates.is_urgent
     return changed or now - link.sent_at >= _REPEAT_S
 
 
--- a/pollenfork/loads/tests/test_exchange.py
+++ b/pollenfork/loads/tests/test_exchange.py
@@ -26,6 +26,15 @@
         self.received_findings: list[messages.Finding] = []
         self.departures: set[int] = set()
         self.new_departures: list[int] = []
+        self.updates = messages.Updates()
+        self.received_updates: list[tuple[messages.Updates, float]] = []
+
+    def take_updates(self, now: float) -> messages.Updates:
+        taken, self.updates = self.updates, messages.Updates()
+        return taken
+
+    def record_updates(self, updates: messages.Updates, now: float) -> None:
+        self.received_updates.append((updates, now))
 
     def read_loads(self) -> messages.LoadTable:
         return dict(self.loads)
--- /dev/null
+++ b/pollenfork/loads/updates.py
@@ -0,0 +1,83 @@
+"""Updates that wait to be sent to another instance."""
+
+import collections
+
+import msgspec
+
+from pollenfork.loads import messages
+
+# Updates of each kind in one datagram: a pace takes 15 bytes, a return up to
+# 24, and a lost datagram loses few.
+MAX_PER_DATAGRAM = 100
+# Updates of each kind that wait for one instance; the oldest are dropped beyond
+# this. It is what all instances together send in 5 s.
+_MAX_QUEUED = 1000
+# A pace that has waited longer is dropped, in seconds: receivers take the time
+# of arrival for the time of the answer.
+_MAX_PACE_WAIT_S = 2.0
+# A return is useless this long after it was due, in milliseconds.
+_MAX_OVERDUE_MS = 2000.0
+
+NONE = messages.Updates()
+
+
+class UpdateQueue(msgspec.Struct):
+    """The updates that one instance has yet to receive.
+
+    Attributes:
+        paces: Samples of paces, and when they were queued.
+        returns: Planned returns, and when they were queued.
+    """
+
+    paces: collections.deque[tuple[float, messages.PaceSample]] = msgspec.field(
+        default_factory=lambda: collections.deque(maxlen=_MAX_QUEUED)
+    )
+    returns: collections.deque[tuple[float, messages.PlannedReturn]] = (
+        msgspec.field(
+            default_factory=lambda: collections.deque(maxlen=_MAX_QUEUED)
+        )
+    )
+
+    def add(self, updates: messages.Updates, now: float) -> None:
+        """Queues updates to send."""
+        for sample in updates.paces:
+            self.paces.append((now, sample))
+        for planned in updates.returns:
+            self.returns.append((now, planned))
+
+    @property
+    def is_urgent(self) -> bool:
+        """Whether they are to be sent at once.
+
+        A caller may return 0.15 s after it was refused, while a pace can wait
+        for the next regular datagram.
+        """
+        return bool(self.returns)
+
+    def take(self, now: float) -> messages.Updates | None:
+        """Returns the updates for the next datagram, if there are any."""
+        paces: list[messages.PaceSample] = []
+        while self.paces and len(paces) < MAX_PER_DATAGRAM:
+            queued_at, sample = self.paces.popleft()
+            if now - queued_at <= _MAX_PACE_WAIT_S:
+                paces.append(sample)
+        returns: list[messages.PlannedReturn] = []
+        while self.returns and len(returns) < MAX_PER_DATAGRAM:
+            queued_at, planned = self.returns.popleft()
+            due_in_ms = planned.due_in_ms - (now - queued_at) * 1000
+            if due_in_ms >= -_MAX_OVERDUE_MS:
+                returns.append(
+                    msgspec.structs.replace(planned, due_in_ms=due_in_ms)
+                )
+        if not paces and not returns:
+            return None
+        return messages.Updates(tuple(paces), tuple(returns))
+
+
+def limit(updates: messages.Updates | None) -> messages.Updates:
+    """Returns received updates, without those beyond the limit."""
+    if updates is None:
+        return NONE
+    return messages.Updates(
+        updates.paces[:MAX_PER_DATAGRAM], updates.returns[:MAX_PER_DATAGRAM]
+    )
--- a/pollenfork/metric_help.py
+++ b/pollenfork/metric_help.py
@@ -67,6 +67,9 @@
     "pollenfork_operator_refusals_total": (
         "Operators' requests refused, by the code that they were told."
     ),
+    "pollenfork_pace_samples_rejected_total": (
+        "Samples of runners' paces that weren't used, by reason."
+    ),
     "pollenfork_peer_failures_total": (
         "Failures at the interface between instances, by kind."
     ),
@@ -144,6 +147,9 @@
         "Reads of the settings that failed, by the failure's type."
     ),
     "pollenfork_settings_revision": ("Revision of the settings in force."),
+    "pollenfork_slow_runners": (
+        "Runners whose pace is below 0.75 of their service's median."
+    ),
     "pollenfork_stalled_callers_total": (
         "Connections cut as their callers took nothing of their answers."
     ),
--- a/pollenfork/platform/tests/simulation/site.py
+++ b/pollenfork/platform/tests/simulation/site.py
@@ -15,6 +15,8 @@
 from pollenfork.gateway import settings
 from pollenfork.gateway import sources
 from pollenfork.gateway import tables
+from pollenfork.gateway import updates
+from pollenfork.pace import estimator
 from pollenfork.platform import store as platform
 from pollenfork.platform.tests import support
 from pollenfork.platform.tests.simulation import network
@@ -174,6 +176,9 @@
             self.notices,
             self.suspected,
             self.data_centre,
+            updates.UpdateExchange(
+                estimator.PaceTable(lambda _: None), loop.time
+            ),
         )
         _, joined = await loop.create_datagram_endpoint(
             lambda: peers.Peers(here, told, me), local_addr=me
--- a/pollenfork/poison/tests/fleet.py
+++ b/pollenfork/poison/tests/fleet.py
@@ -85,6 +85,12 @@
     def record_placements(self, placed):
         pass
 
+    def take_updates(self, now):
+        return messages.Updates()
+
+    def record_updates(self, updates, now):
+        pass
+
     def record_store_status(self, status, moment, sender):
         pass
 
