--- a/pollenfork/loads/core.py
+++ b/pollenfork/loads/core.py
@@ -175,7 +175,7 @@
         relay = self.find_relay(now)
         if relay is not None and relay != self._me.host:
             self._links[relay].add_placements(placements)
-            self._links[relay].updates.add(own, now)
+            self._links[relay].queue.add(own, now)
             sends += self._report(relay, now)
         else:
             self._queue(placements, own, None, now)
@@ -294,7 +294,7 @@
             self._urgent,
             self._instance.read_store_status(now),
             self._others.sent_at if self._others_sender == relay else 0.0,
-            link.updates.take(now),
+            link.queue.take(now),
         )
         link.record_sent(self._own, now)
         return [self._address(relay, report)]
@@ -333,7 +333,7 @@
             sent_at=now,
             echo=received.sent_at if received else 0.0,
             status=status,
-            updates=link.updates.take(now),
+            updates=link.queue.take(now),
         )
         link.record_sent(local, now)
         return [self._address(host, message)]
@@ -354,7 +354,7 @@
             self._reports[host].sent_at,
             status,
             now,
-            link.updates.take(now),
+            link.queue.take(now),
         )
         link.record_sent(others, now)
         return [self._address(host, message)]
@@ -421,7 +421,7 @@
         hosts.discard(sender or "")
         for host in hosts:
             self._links[host].add_placements(placements)
-            self._links[host].updates.add(news, now)
+            self._links[host].queue.add(news, now)
 
     # Sending.
 
--- a/pollenfork/loads/links.py
+++ b/pollenfork/loads/links.py
@@ -38,14 +38,14 @@
         sent_at: When that was.
         placements: Placements that wait to be sent.
         status: The store's versions sent last.
-        updates: Paces and planned returns that wait to be sent.
+        queue: Paces and planned returns that wait to be sent.
     """
 
     loads: messages.LoadTable = {}
     sent_at: float = -_REPEAT_S
     placements: list[messages.Placement] = msgspec.field(default_factory=list)
     status: messages.StoreStatus | None = None
-    updates: updates.UpdateQueue = msgspec.field(
+    queue: updates.UpdateQueue = msgspec.field(
         default_factory=updates.UpdateQueue
     )
 
@@ -69,7 +69,7 @@
 def is_due(link: Link, loads: messages.LoadTable, now: float) -> bool:
     """Returns whether anything changed, or it is time to repeat the loads."""
     changed = bool(link.placements) or link.loads != loads
-    changed = changed or link.updates.is_urgent
+    changed = changed or link.queue.is_urgent
     return changed or now - link.sent_at >= _REPEAT_S
 
 
--- /dev/null
+++ b/pollenfork/loads/tests/test_updates.py
@@ -0,0 +1,203 @@
+"""Guards the propagation of paces and planned returns through relays."""
+
+import msgspec
+import pytest
+
+from pollenfork.loads import core
+from pollenfork.loads import messages
+from pollenfork.loads import updates
+from pollenfork.loads.tests import test_exchange
+
+SAMPLE = messages.PaceSample(5, 20.0)
+RETURN = messages.PlannedReturn(2**60, 1500.0, 900)
+
+
+def list_paces(network, host) -> list[messages.PaceSample]:
+    received = network.instances[host].received_updates
+    return [sample for each, _ in received for sample in each.paces]
+
+
+def list_returns(network, host) -> list[tuple[float, float]]:
+    """Returns when each return arrived and when it is due."""
+    received = network.instances[host].received_updates
+    return [
+        (at, at + planned.due_in_ms / 1000)
+        for each, at in received
+        for planned in each.returns
+    ]
+
+
+@pytest.mark.parametrize("sender", ["10.0.0.000", "10.1.0.004", "10.2.0.008"])
+def test_updates_reach_every_other_instance_once(sender) -> None:
+    network = test_exchange.Network(12)
+    network.run(4.0)
+    network.instances[sender].updates = messages.Updates((SAMPLE,), (RETURN,))
+    sent_at = network.now + core.PERIOD_S
+    network.run(2.0)
+    for host in network.instances:
+        expected = [] if host == sender else [SAMPLE]
+        assert list_paces(network, host) == expected
+        arrived = list_returns(network, host)
+        assert len(arrived) == len(expected)
+        for at, due_at in arrived:
+            # A return arrives before a caller that was told 0.15 s.
+            assert at - sent_at <= 0.15 + 1e-6
+            # The time that it waited in queues has been taken off.
+            assert due_at == pytest.approx(sent_at + 1.5, abs=1e-6)
+
+
+def test_lost_datagrams_lose_updates_and_nothing_waits_for_them() -> None:
+    network = test_exchange.Network(12)
+    network.run(4.0)
+    network.loss = 1.0
+    network.instances["10.1.0.004"].updates = messages.Updates((SAMPLE,))
+    network.run(0.6)
+    network.loss = 0.0
+    network.run(3.0)
+    network.instances["10.1.0.007"].updates = messages.Updates((SAMPLE,))
+    network.run(1.0)
+    assert list_paces(network, "10.2.0.002") == [SAMPLE]
+    network.check_totals()
+
+
+def test_a_data_centre_that_is_cut_off_shares_its_own_updates() -> None:
+    network = test_exchange.Network(12)
+    network.run(4.0)
+    network.partitioned = {
+        host for host in network.exchanges if host.startswith("10.2.")
+    }
+    network.run(3.0)
+    network.instances["10.2.0.005"].updates = messages.Updates((SAMPLE,))
+    network.run(1.0)
+    reached = {host for host in network.instances if list_paces(network, host)}
+    assert reached == network.partitioned - {"10.2.0.005"}
+
+
+def test_a_killed_instances_updates_are_known_to_the_others() -> None:
+    network = test_exchange.Network(12)
+    network.run(4.0)
+    network.instances["10.1.0.004"].updates = messages.Updates(
+        returns=(RETURN,)
+    )
+    network.run(core.PERIOD_S)
+    network.down = {"10.1.0.004"}
+    network.run(1.0)
+    for host in set(network.instances) - network.down:
+        assert list_returns(network, host)
+
+
+@pytest.mark.parametrize("instances", [6, 81])
+def test_paces_at_the_highest_rate_take_few_bytes(instances) -> None:
+    sent = {}
+    for rate in (0, 200):
+        network = test_exchange.Network(instances)
+        network.run(4.0)
+        network.bytes = 0
+        hosts = list(network.instances)
+        for tick in range(40):
+            for number in range(int(rate * core.PERIOD_S)):
+                host = hosts[(tick * 10 + number) % instances]
+                samples = network.instances[host].updates.paces
+                sample = messages.PaceSample(2**31 + number, 20.5 + tick)
+                network.instances[host].updates = messages.Updates(
+                    (*samples, sample)
+                )
+            network.run(core.PERIOD_S * 0.99)
+        sent[rate] = network.bytes / 2.0 / instances
+    # Each sample reaches each instance about once, at 15 bytes and its share of
+    # the arrays around it.
+    assert 0 < sent[200] - sent[0] <= 200 * 24
+
+
+def test_a_datagram_holds_at_most_100_updates_of_each_kind() -> None:
+    queue = updates.UpdateQueue()
+    queue.add(messages.Updates((SAMPLE,) * 250, (RETURN,) * 120), 100.0)
+    taken = [queue.take(100.0) for _ in range(4)]
+    counts = [each and (len(each.paces), len(each.returns)) for each in taken]
+    assert counts == [(100, 100), (100, 20), (50, 0), None]
+
+
+def test_a_queue_drops_the_oldest_beyond_1000() -> None:
+    queue = updates.UpdateQueue()
+    for number in range(1300):
+        sample = messages.PaceSample(number, 20.0)
+        planned = messages.PlannedReturn(number, 1500.0)
+        queue.add(messages.Updates((sample,), (planned,)), 100.0)
+    assert len(queue.paces) == len(queue.returns) == 1000
+    first = queue.take(100.0)
+    assert first.paces[0].runner == first.returns[0].digest == 300
+
+
+def test_updates_that_waited_too_long_are_dropped() -> None:
+    queue = updates.UpdateQueue()
+    queue.add(messages.Updates((SAMPLE,), (RETURN,)), 100.0)
+    # The return was due 1.4 s ago, and is remembered until 2 s after that.
+    taken = queue.take(102.9)
+    assert taken.paces == ()
+    assert taken.returns[0].due_in_ms == pytest.approx(-1400.0)
+    queue.add(messages.Updates((SAMPLE,), (RETURN,)), 100.0)
+    assert queue.take(103.6) is None
+
+
+def test_more_updates_than_a_datagram_may_hold_are_cut_off() -> None:
+    received = messages.Updates((SAMPLE,) * 5000, (RETURN,) * 5000)
+    kept = updates.limit(received)
+    assert (len(kept.paces), len(kept.returns)) == (100, 100)
+
+
+class _EarlierReport(msgspec.Struct, frozen=True, array_like=True, tag="r"):
+    data_centre: str
+    loads: dict
+    placements: tuple = ()
+    sent_at: float = 0.0
+    urgent: bool = False
+    status: tuple | None = None
+    echo: float = 0.0
+
+
+class _EarlierSum(msgspec.Struct, frozen=True, array_like=True, tag="s"):
+    data_centre: str
+    loads: dict
+    placements: tuple = ()
+    urgent: bool = False
+    sent_at: float = 0.0
+    echo: float = 0.0
+    status: tuple | None = None
+
+
+class _EarlierOthers(msgspec.Struct, frozen=True, array_like=True, tag="o"):
+    loads: dict
+    placements: tuple = ()
+    echo: float = 0.0
+    status: tuple | None = None
+    sent_at: float = 0.0
+
+
+EARLIER = {
+    "report": (_EarlierReport("a", {}), messages.Report("a", {})),
+    "sum": (_EarlierSum("a", {}), messages.DataCentreLoads("a", {})),
+    "others": (_EarlierOthers({}), messages.OtherLoads({})),
+}
+
+
+@pytest.mark.parametrize("kinds", EARLIER.values(), ids=EARLIER)
+def test_versions_without_updates_are_understood_both_ways(kinds) -> None:
+    earlier, present = kinds
+    assert messages.decode(msgspec.msgpack.encode(earlier)) == present
+    sent = msgspec.structs.replace(
+        present, updates=messages.Updates((SAMPLE,), (RETURN,))
+    )
+    data = messages.encode(sent)
+    assert msgspec.msgpack.decode(data, type=type(earlier)) == earlier
+    assert messages.decode(data) == sent
+
+
+def test_instances_of_an_earlier_version_still_exchange_loads() -> None:
+    network = test_exchange.Network(3)
+    network.run(4.0)
+    relay = network.exchanges["10.0.0.000"]
+    report = messages.decode(msgspec.msgpack.encode(_EarlierReport("a", {})))
+    relay.receive(report, "10.0.0.009", network.now)
+    network.instances["10.0.0.000"].updates = messages.Updates((SAMPLE,))
+    sends = relay.tick(network.now + 10 * core.PERIOD_S)
+    assert any(send.to.host == "10.0.0.009" for send in sends)
--- a/pollenfork/loads/updates.py
+++ b/pollenfork/loads/updates.py
@@ -1,6 +1,7 @@
 """Updates that wait to be sent to another instance."""
 
 import collections
+import itertools
 
 import msgspec
 
@@ -40,10 +41,10 @@
 
     def add(self, updates: messages.Updates, now: float) -> None:
         """Queues updates to send."""
-        for sample in updates.paces:
-            self.paces.append((now, sample))
-        for planned in updates.returns:
-            self.returns.append((now, planned))
+        if updates.paces:
+            self.paces.extend(zip(itertools.repeat(now), updates.paces))
+        if updates.returns:
+            self.returns.extend(zip(itertools.repeat(now), updates.returns))
 
     @property
     def is_urgent(self) -> bool:
