--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -29,6 +29,7 @@
 from pollenfork.gateway import limit_events
 from pollenfork.gateway import load_shedding
 from pollenfork.gateway import messages
+from pollenfork.gateway import pace_samples
 from pollenfork.gateway import peers
 from pollenfork.gateway import permits
 from pollenfork.gateway import pool
@@ -43,9 +44,10 @@
 from pollenfork.gateway import settings
 from pollenfork.gateway import sources
 from pollenfork.gateway import tables
+from pollenfork.gateway import updates
 from pollenfork.gateway.connections import subsets
 from pollenfork.loads import messages as loads
-from pollenfork.pace import model as pace
+from pollenfork.pace import estimator
 from pollenfork.poison import quarantine
 from pollenfork.returns import planner as return_planner
 
@@ -118,6 +120,12 @@
             granted,
             forecasts=forecasts.ForecastCosts(pace.UniformPace()),
         )
+        index = pace_samples.RunnerIndex(self.state.runners, self._loop.time)
+        paces = estimator.PaceTable(index.find)
+        self.state.runners.when_restarted(
+            lambda runner: paces.forget(pace_samples.hash_incarnation(runner))
+        )
+        self._updates = updates.UpdateExchange(paces, self._loop.time)
         findings = evidence.Evidence(
             self.state.runners, chooser.get_state, config.data_centre
         )
@@ -175,6 +183,7 @@
             shed_streaks=load_shedding.ShedStreaks(),
             counters=self.counters,
             read_loads_age=self._read_loads_age,
+            paces=paces,
             returns=self._returns,
         )
         request_quarantine.when_probe_needed(self._deps.crash_probes.probe)
@@ -274,6 +283,7 @@
             self._deps.runner_notices,
             self._deps.request_quarantine,
             self._settings.data_centre,
+            self._updates,
         )
         _, joined = await self._loop.create_datagram_endpoint(
             lambda: peers.Peers(instance, self._settings, me), local_addr=me
@@ -320,6 +330,7 @@
             self._deps.pool.close_expired()
             now = self._loop.time()
             self.state.expire_runners(now)
+            self._deps.paces.refresh(now)
             self._deps.request_quarantine.sweep(now)
             self._readiness.check(now)
 
@@ -332,6 +343,7 @@
         )
         self._returns.set_instances(self._peers.instances, self._loop.time())
         self._deps.chooser.pauses.set_instances(self._peers.instances)
+        self._deps.paces.set_instances(self._peers.instances)
         services = lookup.configuration.services
         for service in services.values():
             self._deps.pool.set_accepted(
@@ -351,7 +363,9 @@
         while True:
             await asyncio.sleep(_CLEANUP_S)
             self._deps.chooser.sweep()
-            self._deps.permits.retain(self._deps.chooser.list_hashes())
+            known = self._deps.chooser.list_hashes()
+            self._deps.permits.retain(known)
+            self._deps.paces.retain(known)
 
     def _reload(self) -> None:
         """Reads the settings again and applies those that are reloadable."""
--- a/pollenfork/gateway/context.py
+++ b/pollenfork/gateway/context.py
@@ -21,6 +21,7 @@
 from pollenfork.gateway import pool
 from pollenfork.gateway import probing
 from pollenfork.gateway import runner_notices
+from pollenfork.pace import estimator
 from pollenfork.poison import quarantine
 from pollenfork.returns import planner as return_planner
 from pollenfork.routes import model as routes
@@ -65,6 +66,7 @@
         claim_trial: Returns whether a quarantined request may run once.
         read_loads_age: Returns the age of the other instances' loads in
             seconds; None if there are none.
+        paces: Receives samples of how fast runners generate.
         returns: Plans the returns of refused callers of forecast services;
             None: they are told how long the runners are overloaded.
     """
@@ -87,4 +89,5 @@
     shed_streaks: load_shedding.ShedStreaks
     counters: counters.Counters
     read_loads_age: Callable[[], float | None]
+    paces: estimator.PaceTable
     returns: return_planner.ReturnPlanner | None = None
