Count the KV cache tokens that requests hold until they end

A runner takes 64 requests but has memory for 34 of the longest; counting slots alone overcommits it. A request of a forecast service now holds its prompt and its expected output, by the caller's hint and the route's learned ratio, from grant to settle; the sums travel as Load.held_tokens. pollenfork/room gives the cost of a lack of room, and suspected preemptions are logged and counted. The costs aren't part of the chooser's yet.

--- a/pollenfork/fleet/candidates.py
+++ b/pollenfork/fleet/candidates.py
@@ -57,6 +57,9 @@
         forecast: Whether its runner is chosen by a forecast of the answer.
         target_s: Target time to the first event, in seconds.
         gap_s: Target for the longest pause between events, in seconds.
+        needed_tokens: KV cache tokens that it occupies when it ends: its
+            prompt and its expected output; 0 if it isn't forecast.
+        cache_tokens: Tokens that a runner's KV cache holds; 0 if unknown.
     """
 
     service: ids.ServiceName
@@ -68,6 +71,8 @@
     forecast: bool = False
     target_s: float = 0.0
     gap_s: float = 0.0
+    needed_tokens: int = 0
+    cache_tokens: int = 0
 
     @property
     def shared(self) -> tuple[model.Part, ...]:
@@ -95,6 +100,7 @@
         source: The runner from which it would copy the shared parts.
         active: Requests that it is running.
         held_tokens: KV cache tokens that these occupy.
+        own_held_tokens: Those of them that this instance's requests occupy.
         forecast_s: Expected seconds until the first event; None: not forecast.
     """
 
@@ -108,6 +114,7 @@
     source: model.Runner | None = None
     active: int = 0
     held_tokens: int = 0
+    own_held_tokens: int = 0
     forecast_s: float | None = None
 
 
--- a/pollenfork/fleet/choice.py
+++ b/pollenfork/fleet/choice.py
@@ -21,6 +21,7 @@
 from pollenfork.fleet import registry
 from pollenfork.fleet import runner_state
 from pollenfork.loads import messages as loads
+from pollenfork.room import ledger
 
 # A runner whose backlog is within this fraction of the allowed wait isn't
 # overloaded, however long the request's own prompt is.
@@ -71,6 +72,7 @@
             ids.EndpointId, tuple[model.Runner, runner_state.RunnerState]
         ] = {}
         self.caches = prefix_index.PrefixIndex()
+        self._room = ledger.RoomLedger()
         self.availability = availability.Availability(
             runners, self.get_state, self._limits, self.pauses
         )
@@ -165,17 +167,27 @@
         grant.record_prefill_done()
         grant.state.active -= 1
         grant.state.top_tier -= grant.top_tier
+        if grant.hold is not None:
+            self._room.release(grant.hold)
 
     def list_loads(self) -> loads.LoadTable:
         """Returns this instance's load on each runner."""
         return {
             state.incarnation_hash: loads.Load(
-                state.active, int(state.pending_tokens), state.top_tier
+                state.active,
+                int(state.pending_tokens),
+                state.top_tier,
+                self._room.get_held(state.incarnation_hash),
             )
             for state in self._states.values()
             if state.active
         }
 
+    def count_held(self, runner: int) -> int:
+        """Returns the KV cache tokens held by requests of all instances."""
+        others = self._read_others(runner)
+        return self._room.get_held(runner) + others.held_tokens
+
     def when_long(self, call: Callable[[], None]) -> None:
         """Registers a callback for long prompts that are sent to a runner."""
         self._on_long.append(call)
@@ -272,6 +284,7 @@
         uncached = self.caches.count_uncached(
             state.incarnation_hash, profile.shared
         )
+        own_held = self._room.get_held(state.incarnation_hash)
         return candidates.Candidate(
             runner=runner,
             state=state,
@@ -280,7 +293,8 @@
             pending_tokens=state.pending_tokens + others.pending_tokens,
             top_tier=state.top_tier + others.top_tier,
             active=active,
-            held_tokens=others.held_tokens,
+            held_tokens=own_held + others.held_tokens,
+            own_held_tokens=own_held,
         )
 
     def _grant(
@@ -303,6 +317,7 @@
             top_tier=top_tier,
             source=candidate.source,
             limited=self._limits.find_rate(state.incarnation_hash) is not None,
+            hold=self._room.hold(state.incarnation_hash, profile),
         )
         if not grant.limited:
             self._record_placement(profile, grant)
@@ -341,6 +356,8 @@
     def _forget(self, runner: ids.EndpointId) -> None:
         known = self._registry.find(runner)
         state = self._states.pop(runner, None)
+        if state is not None:
+            self._room.forget(state.incarnation_hash)
         if known is not None and known.leaving and state is not None:
             self._leaving[runner] = known, state
             return
--- a/pollenfork/fleet/outcomes.py
+++ b/pollenfork/fleet/outcomes.py
@@ -4,6 +4,7 @@
 
 from pollenfork.fleet import model
 from pollenfork.fleet import runner_state
+from pollenfork.room import ledger
 
 
 class Overloaded(msgspec.Struct, frozen=True):
@@ -60,6 +61,7 @@
             seconds.
         limited: Whether the runner has a rate limit. The grant must then be
             confirmed once a permit is available.
+        hold: The KV cache tokens that the attempt holds; None: none.
     """
 
     runner: model.Runner
@@ -73,6 +75,7 @@
     top_tier: int = 0
     mean_backlog_s: float = 0.0
     limited: bool = False
+    hold: ledger.Hold | None = None
 
     def record_prefill_done(self) -> None:
         """Records that the runner has processed the prompt."""
--- a/pollenfork/gateway/admission.py
+++ b/pollenfork/gateway/admission.py
@@ -9,6 +9,7 @@
 from pollenfork.gateway import messages
 from pollenfork.gateway import replies
 from pollenfork.poison import digests
+from pollenfork.room import expectation
 from pollenfork.routes import lookup
 from pollenfork.routes import model as routes
 
@@ -24,6 +25,7 @@
     call: messages.Request,
     head: messages.RequestHead,
     now: float,
+    outputs: expectation.OutputExpectation,
 ) -> result.Result[context.AdmittedRequest, replies.Refusal]:
     """Determines a request's route, account, service and deadline.
 
@@ -32,6 +34,7 @@
         call: The request.
         head: Values decoded from its headers.
         now: Monotonic seconds.
+        outputs: Expects the output of requests.
     """
     settings = state.lookup
     if settings is None:
@@ -51,7 +54,9 @@
         if account is None:
             return _refuse(401, _Reason.UNKNOWN_KEY)
     age_s = state.freshness.age(now) or 0.0
-    return result.Ok(_admit(settings, call, head, route, account, age_s))
+    return result.Ok(
+        _admit(settings, call, head, route, account, age_s, outputs)
+    )
 
 
 def _admit(
@@ -61,6 +66,7 @@
     route: routes.Route,
     account: routes.Account | None,
     age_s: float,
+    outputs: expectation.OutputExpectation,
 ) -> context.AdmittedRequest:
     limit_s = route.time_limit_s
     if head.wait_s is not None:
@@ -70,6 +76,7 @@
     quick = route.tier <= tiers[0] if len(tiers) > 1 else None
     config = settings.configuration.services.get(service)
     tier = settings.get_tier(route, account)
+    forecast = bool(head.parts) and settings.is_forecast(service)
     demand = candidates.RequestProfile(
         service,
         head.parts,
@@ -77,9 +84,11 @@
         config.copy_s if config else None,
         tier,
         retriable=route.attempts > 1,
-        forecast=bool(head.parts) and settings.is_forecast(service),
+        forecast=forecast,
         target_s=route.target_s,
         gap_s=route.gap_s,
+        needed_tokens=_find_needed(route, head, outputs) if forecast else 0,
+        cache_tokens=config.cache_tokens if config else 0,
     )
     return context.AdmittedRequest(
         call=call,
@@ -97,9 +106,21 @@
         digest=digests.compute(
             account.id if account else None, call.method, call.target, call.body
         ),
+        event_tokens=config.event_tokens if config else 1,
     )
 
 
+def _find_needed(
+    route: routes.Route,
+    head: messages.RequestHead,
+    outputs: expectation.OutputExpectation,
+) -> int:
+    """Returns the KV cache tokens that a request occupies when it ends."""
+    prompt, maximum = head.tokens
+    prompt = max(prompt, sum(part.tokens for part in head.parts))
+    return outputs.find_needed(route.name, prompt, head.length_hint, maximum)
+
+
 def find_host(call: messages.Request) -> str:
     """Returns the value of the host header, or an empty string."""
     for name, value in call.headers:
--- a/pollenfork/gateway/context.py
+++ b/pollenfork/gateway/context.py
@@ -22,6 +22,7 @@
 from pollenfork.gateway import probing
 from pollenfork.gateway import runner_notices
 from pollenfork.poison import quarantine
+from pollenfork.room import learning
 from pollenfork.routes import model as routes
 
 
@@ -41,6 +42,7 @@
         age_s: Seconds since that version was last confirmed to be the newest.
         deadline: Monotonic seconds from which on its answer is useless.
         digest: Identifies the same request when it is sent again.
+        event_tokens: Tokens in one event of its answer.
     """
 
     call: messages.Request
@@ -54,6 +56,7 @@
     age_s: float
     deadline: float
     digest: ids.RequestDigest
+    event_tokens: int = 1
 
 
 class Dependencies(msgspec.Struct, frozen=True):
@@ -64,6 +67,7 @@
         claim_trial: Returns whether a quarantined request may run once.
         read_loads_age: Returns the age of the other instances' loads in
             seconds; None if there are none.
+        learned: What earlier answers show about room at runners.
     """
 
     loop: asyncio.AbstractEventLoop
@@ -84,3 +88,6 @@
     shed_streaks: load_shedding.ShedStreaks
     counters: counters.Counters
     read_loads_age: Callable[[], float | None]
+    learned: learning.LearnedAnswers = msgspec.field(
+        default_factory=learning.LearnedAnswers
+    )
--- a/pollenfork/gateway/counters.py
+++ b/pollenfork/gateway/counters.py
@@ -111,6 +111,7 @@
         self._not_repeated: dict[retries.RetryDecision, int] = {}
         self._sent = 0
         self._gone = 0
+        self._preemptions_suspected = 0
         self._metrics: metrics.Metrics | None = None
         self._on_shown: list[Callable[[metrics.Metrics], None]] = []
 
@@ -155,11 +156,19 @@
         """Counts a caller that disconnected before its answer was complete."""
         self._gone += 1
 
+    def record_preemption(self) -> None:
+        """Counts an answer whose request was probably preempted."""
+        self._preemptions_suspected += 1
+
     def write(self) -> bytes:
         """Returns all metrics in the text format of Prometheus."""
         output = self._load_metrics()
         output.set_count("pollenfork_attempts_total", self._sent)
         output.set_count("pollenfork_callers_gone_total", self._gone)
+        output.set_count(
+            "pollenfork_preemptions_suspected_total",
+            self._preemptions_suspected,
+        )
         _show(output, "pollenfork_refusals_total", self._refused)
         _show(output, "pollenfork_relay_retries_total", self._repeats)
         _show(output, "pollenfork_not_repeated_total", self._not_repeated)
--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -21,6 +21,7 @@
 from pollenfork.gateway import replies
 from pollenfork.gateway import request_log
 from pollenfork.gateway import retries
+from pollenfork.gateway import room_observer
 from pollenfork.gateway import selection
 from pollenfork.gateway import timeouts
 from pollenfork.poison import crashes
@@ -69,6 +70,7 @@
         )
         self._selection = selection.RunnerSelector(deps, admitted)
         self._history = retries.AttemptHistory()
+        self._room = room_observer.RoomObserver(deps, admitted, self._log)
         self._runner: ids.EndpointId | None = None
         self._first_s: float | None = None
         self._gap_s = 0.0
@@ -133,6 +135,9 @@
                 grant.runner, ended, sent_at, self._connected_at, is_streaming
             )
             if self._handle_result(grant, ended) is not _RetryDecision.RETRIED:
+                self._room.record_end(
+                    ended, self._history, self._relay, sent_at
+                )
                 self._finish(ended)
                 return
             await self._quarantine_check.wait_for_probe(grant.runner, ended)
@@ -190,6 +195,7 @@
                 found.ok_value.abort()
                 return attempt.AttemptResult(_End.WITHHELD)
             self._history.sent += 1
+            self._room.start(grant)
             self._deps.counters.record_attempt()
             return await self._send(grant, found.ok_value)
         finally:
@@ -397,9 +403,11 @@
         if self._event_at:
             self._gap_s = max(self._gap_s, now - self._event_at)
         self._event_at = now
+        self._room.observe_events(now)
         self._caller.write(b"%x\r\n%b\r\n" % (len(whole), whole))
 
     def _on_backpressure(self, paused: bool) -> None:
+        self._room.interrupt()
         current = self._current
         if current is None:
             return
--- a/pollenfork/gateway/messages.py
+++ b/pollenfork/gateway/messages.py
@@ -21,6 +21,7 @@
         parts: The prompt's parts in order; only the last isn't shared.
         tokens: Tokens of the prompt, and the maximum for the answer.
         last_event: Position of the last event that the caller has received.
+        length_hint: Tokens that the caller expects of the answer; 0: unknown.
     """
 
     attempt: ids.AttemptId
@@ -29,6 +30,7 @@
     parts: tuple[fleet.Part, ...]
     tokens: tuple[int, int]
     last_event: int | None
+    length_hint: int = 0
 
 
 class Request(msgspec.Struct, kw_only=True):
--- a/pollenfork/gateway/request_handler.py
+++ b/pollenfork/gateway/request_handler.py
@@ -52,7 +52,11 @@
             return
         head = self._deps.codec.decode_request(call.headers)
         admitted = admission.admit(
-            self._state, call, head, self._deps.loop.time()
+            self._state,
+            call,
+            head,
+            self._deps.loop.time(),
+            self._deps.learned.outputs,
         )
         if isinstance(admitted, result.Err):
             self._refuse(call, caller, admitted.err_value, head.attempt)
--- a/pollenfork/gateway/request_log.py
+++ b/pollenfork/gateway/request_log.py
@@ -164,6 +164,28 @@
             extra=logs.ORDINARY if served.meets(route) else None,
         )
 
+    def log_preemption(
+        self, runner: ids.EndpointId, gap_s: float, held: int
+    ) -> None:
+        """Logs a pause that suggests that a runner preempted the request.
+
+        Args:
+            runner: The runner.
+            gap_s: The pause in seconds.
+            held: KV cache tokens that requests of all instances hold there.
+        """
+        self._counters.record_preemption()
+        _LOG.info(
+            "event=preemption_suspected request=%s route=%s runner=%s "
+            "gap_ms=%d held=%d capacity=%d",
+            self._request,
+            self._admitted.route.name,
+            runner,
+            gap_s * 1000,
+            held,
+            self._admitted.demand.cache_tokens,
+        )
+
     def log_refusal(
         self,
         reason: replies.Reason,
--- a/pollenfork/metric_help.py
+++ b/pollenfork/metric_help.py
@@ -79,6 +79,10 @@
     "pollenfork_predictions_total": (
         "Requests granted after a wait that had been predicted."
     ),
+    "pollenfork_preemptions_suspected_total": (
+        "Answers with a pause so long that their request was probably "
+        "preempted."
+    ),
     "pollenfork_refusals_total": (
         "Requests that got an error of the router's own instead of an answer."
     ),
--- a/pollenfork/platform/documents.py
+++ b/pollenfork/platform/documents.py
@@ -42,6 +42,7 @@
     slots: int = 0
     kv_capacity_tokens: int = 0
     kv_token_bytes: float = 0.0
+    stride: int = 1
     link_mbps: float = 0.0
 
 
@@ -155,6 +156,7 @@
         cache_tokens=engine.kv_capacity_tokens,
         copy_s=copy_s,
         scaling=_make_scaling(document.scaling),
+        event_tokens=max(1, engine.stride),
     )
 
 
--- a/pollenfork/platform/heads.py
+++ b/pollenfork/platform/heads.py
@@ -33,19 +33,12 @@
     {names.ATTEMPT, names.MODEL, names.TOKENS, names.PROMPT_PARTS, b"host"}
 )
 # Repeated, these could be read as different requests by different servers.
-_SINGLE_VALUED = frozenset(
-    {
-        names.ATTEMPT,
-        names.DEADLINE,
-        names.MODEL,
-        names.TOKENS,
-        names.PROMPT_PARTS,
-        names.AUTHORIZATION,
-        b"host",
-        b"content-length",
-        b"transfer-encoding",
-    }
-)
+_SINGLE_VALUED = _PROTECTED | {
+    names.DEADLINE,
+    names.AUTHORIZATION,
+    b"content-length",
+    b"transfer-encoding",
+}
 _SCHEME = b"bearer "
 _MAX_PRIORITY = 9
 _MISDIRECTED = 421
@@ -75,6 +68,7 @@
         parts=_parse_parts(found.get(names.PROMPT_PARTS)),
         tokens=_parse_tokens(found.get(names.TOKENS)),
         last_event=_parse(int, found.get(names.LAST_EVENT)),
+        length_hint=max(0, _parse(int, found.get(names.LENGTH_HINT)) or 0),
     )
 
 
--- a/pollenfork/platform/tests/test_documents.py
+++ b/pollenfork/platform/tests/test_documents.py
@@ -43,6 +43,7 @@
             "engine": {
                 "kv-capacity-tokens": 640439,
                 "kv-token-bytes": 20_000,
+                "stride": 4,
                 "link-mbps": 400_000.0,
             },
         },
@@ -73,6 +74,8 @@
     assert decoded.services["huvo"].cache_tokens == 640439
     assert decoded.services["huvo"].copy_s == pytest.approx(0.4e-6)
     assert decoded.services["wuno"].copy_s is None
+    assert decoded.services["huvo"].event_tokens == 4
+    assert decoded.services["wuno"].event_tokens == 1
     assert decoded.limits.header_bytes == 100 and decoded.limits.idle_s == 1.5
     assert set(decoded.accounts) == {"k1", "k2"}
     assert decoded.accounts["k1"].tier == 1
--- a/pollenfork/platform/tests/test_heads.py
+++ b/pollenfork/platform/tests/test_heads.py
@@ -215,3 +215,24 @@
     stated = [(b"retry-after", b"1.5"), (b"retry-after", b"Fri, 04 Dec 2026")]
     assert heads.decode_response(503, stated).retry_after == (1.5, None)
     assert heads.decode_response(503, []).retry_after == ()
+
+
+@pytest.mark.parametrize(
+    ("value", "hint"),
+    [
+        (b"180", 180),
+        (b"", 0),
+        (b"many", 0),
+        (b"-5", 0),
+        (b"1e3", 0),
+        (b"9" * 5000, 0),
+    ],
+)
+def test_a_length_hint_is_decoded_and_forwarded_unchanged(value, hint) -> None:
+    # Guards against a request that fails, or a hint that is lost, because the
+    # router can't read it.
+    headers = [*HEADERS, (b"x-pollenfork-length-hint", value)]
+    assert heads.decode_request(headers).length_hint == hint
+    line = b"x-pollenfork-length-hint: " + value
+    assert split_lines(encode(headers)).count(line) == 1
+    assert heads.decode_request(HEADERS).length_hint == 0
--- /dev/null
+++ b/pollenfork/room/__init__.py
@@ -0,0 +1,1 @@
+"""Tokens that requests hold in the KV caches of runners."""
--- a/pollenfork/routes/model.py
+++ b/pollenfork/routes/model.py
@@ -97,6 +97,7 @@
         copy_s: Seconds that a runner takes to copy one prompt token from
             another runner's cache; None if it can't.
         scaling: How many runners may be ordered; None if none may.
+        event_tokens: Tokens in one event of an answer.
     """
 
     name: ids.ServiceName
@@ -105,6 +106,7 @@
     cache_tokens: int
     copy_s: float | None = None
     scaling: Scaling | None = None
+    event_tokens: int = 1
 
 
 class CallerLimits(msgspec.Struct, frozen=True):
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -28,6 +28,7 @@
     "loads",
     "poison",
     "ratelimits",
+    "room",
     "routes",
     "scaling",
 }
