Test that the exchange tells the room's observer of attempts and callers

Two mutations of the exchange (the observer isn't told of an attempt, or of a slow caller) passed all tests. Two tests now cover them.

Measured: with either mutation one test fails; without, test_room_observer.py passes.

--- a/pollenfork/gateway/tests/test_room_observer.py
+++ b/pollenfork/gateway/tests/test_room_observer.py
@@ -16,6 +16,7 @@
 from pollenfork.gateway import cluster_state
 from pollenfork.gateway import context
 from pollenfork.gateway import events
+from pollenfork.gateway import exchange
 from pollenfork.gateway import messages
 from pollenfork.gateway import request_log
 from pollenfork.gateway import retries
@@ -39,6 +40,9 @@
 REST = support.write_stream(support.write_events(3, 44), whole=True)
 
 
+REST_EVENTS = support.write_events(2, 4)
+
+
 class Codec(support.Codec):
     """Adds a length hint of 60 tokens to each request."""
 
@@ -273,6 +277,62 @@
     run_fake(check)
 
 
+class Caller:
+    """A caller's connection that takes everything."""
+
+    def write(self, data: bytes) -> None:
+        pass
+
+
+def test_an_exchange_reports_pauses_but_not_those_of_its_caller() -> None:
+    # Guards against an observer that the exchange doesn't tell of slow
+    # callers.
+    def count(is_slow: bool) -> int:
+        fake = Fake()
+        served = exchange.Exchange(fake.deps, make_admitted(DEMAND), Caller())
+        served._room.start(fake.grant)
+        for now in (101.0, 109.0):
+            fake.clock.now = now
+            served._write_events(b"id: 1\n\n")
+            if is_slow:
+                served._on_backpressure(True)
+                served._on_backpressure(False)
+        return fake.deps.counters._preemptions_suspected
+
+    def check():
+        assert (count(False), count(True)) == (1, 0)
+
+    run_fake(check)
+
+
+def test_a_runner_that_pauses_is_named(caplog) -> None:
+    # Guards against an observer that the exchange doesn't tell of attempts.
+    caplog.set_level(logging.INFO, "pollenfork.gateway.request_log")
+
+    class PausingRunner(support.Runner):
+        async def _serve(self, reader, writer) -> None:
+            self.got.append(await reader.readuntil(b"\r\n\r\n"))
+            writer.write(
+                support.write_stream(support.write_events(0, 1), False)
+            )
+            await asyncio.sleep(0.1)
+            writer.write(
+                support.write_stream(REST_EVENTS, True).split(b"\r\n\r\n", 1)[1]
+            )
+            writer.close()
+
+    async def run():
+        route = support.make_route(STREAM, gap_s=0.01)
+        async with support.run_gateway(route, PausingRunner("r0")) as gateway:
+            gateway.demand = DEMAND
+            await support.ask(gateway)
+
+    asyncio.run(run())
+    assert (
+        "event=preemption_suspected request=q route=r runner=r0" in caplog.text
+    )
+
+
 def test_output_is_counted_in_tokens_and_time_from_the_sending() -> None:
     # Guards against a ratio in events, which is a quarter of that in tokens.
     def check():
