Ignore lengths of prompts that no datagram can hold

A caller's prompt part of 23 digits was added to the pending tokens; encoding the next report raised OverflowError, in the loop that sends all reports. A token usage of 5,000 digits raised ValueError while its head was decoded. Lengths of more than 9 digits now count as unreadable, as other text does.

Measured: the three cases of the new test fail without the change; the tests of the platform's heads, words, documents, gateway and entries pass with it.

--- a/pollenfork/platform/heads.py
+++ b/pollenfork/platform/heads.py
@@ -42,6 +42,8 @@
 _SCHEME = b"bearer "
 _MAX_PRIORITY = 9
 _MISDIRECTED = 421
+# Sums of longer numbers of tokens may not fit in a datagram's 64 bits.
+_MAX_DIGITS = 9
 
 
 def find_duplicate(headers: list[Header]) -> bytes | None:
@@ -68,7 +70,7 @@
         parts=_parse_parts(found.get(names.PROMPT_PARTS)),
         tokens=_parse_tokens(found.get(names.TOKENS)),
         last_event=_parse(int, found.get(names.LAST_EVENT)),
-        length_hint=max(0, _parse(int, found.get(names.LENGTH_HINT)) or 0),
+        length_hint=_parse_length(found.get(names.LENGTH_HINT, b"")),
     )
 
 
@@ -180,12 +182,10 @@
 
 
 def _parse_parts(value: bytes | None) -> tuple[fleet.Part, ...]:
-    if not value:
-        return ()
     parts = []
-    for entry in value.split(b","):
+    for entry in (value or b"").split(b","):
         name, _, tokens = entry.strip().rpartition(b":")
-        if not tokens.isdigit():
+        if not tokens.isdigit() or len(tokens) > _MAX_DIGITS:
             return ()
         parts.append(fleet.Part(name, int(tokens)))
     return tuple(parts)
@@ -193,10 +193,12 @@
 
 def _parse_tokens(value: bytes | None) -> tuple[int, int]:
     first, _, second = (value or b"").partition(b",")
-    prompt, output = (
-        int(each) if each.strip().isdigit() else 0 for each in (first, second)
-    )
-    return prompt, output
+    return _parse_length(first), _parse_length(second)
+
+
+def _parse_length(value: bytes) -> int:
+    is_valid = value.strip().isdigit() and len(value) <= _MAX_DIGITS
+    return int(value) if is_valid else 0
 
 
 def is_ready_check(target: bytes) -> bool:
--- a/pollenfork/platform/tests/test_heads.py
+++ b/pollenfork/platform/tests/test_heads.py
@@ -236,3 +236,17 @@
     line = b"x-pollenfork-length-hint: " + value
     assert split_lines(encode(headers)).count(line) == 1
     assert heads.decode_request(HEADERS).length_hint == 0
+
+
+@pytest.mark.parametrize("digits", [10, 23, 5000])
+def test_lengths_that_no_datagram_can_hold_are_ignored(digits) -> None:
+    # Guards against one caller's header that ends an instance's exchange of
+    # loads: sums of such lengths can't be encoded, or the number can't be read.
+    length = b"9" * digits
+    head = heads.decode_request(
+        [
+            (b"x-pollenfork-prompt-prefix", b"a:1,b:" + length),
+            (b"x-pollenfork-token-usage", length + b"," + length),
+        ]
+    )
+    assert head.parts == () and head.tokens == (0, 0)
