--- a/pollenfork/fleet/outcomes.py
+++ b/pollenfork/fleet/outcomes.py
@@ -4,6 +4,7 @@
 
 from pollenfork.fleet import model
 from pollenfork.fleet import runner_state
+from pollenfork.room import ledger
 
 
 class Overloaded(msgspec.Struct, frozen=True):
@@ -64,6 +65,7 @@
         limited: Whether the runner has a rate limit. The grant must then be
             confirmed once a permit is available.
         forecast_s: Expected seconds until the first event; None: not forecast.
+        hold: The KV cache tokens that the attempt holds; None: none.
     """
 
     runner: model.Runner
@@ -78,6 +80,7 @@
     mean_backlog_s: float = 0.0
     limited: bool = False
     forecast_s: float | None = None
+    hold: ledger.Hold | None = None
 
     def record_prefill_done(self) -> None:
         """Records that the runner has processed the prompt."""
--- a/pollenfork/forecast/costs.py
+++ b/pollenfork/forecast/costs.py
@@ -10,6 +10,7 @@
 from pollenfork.forecast import placement
 from pollenfork.forecast import timing
 from pollenfork.pace import model as pace
+from pollenfork.room import costs as room
 
 # The cost of pauses longer than the caller's target, as a fraction of the
 # target for the first event: a runner with such pauses is used once the others
@@ -17,7 +18,6 @@
 _PAUSE_COST_SHARE = 0.25
 
 ConnectCost = Callable[[candidates.RequestProfile, fleet.Runner], float]
-RoomCost = Callable[[candidates.RequestProfile, candidates.Candidate], float]
 
 
 class ForecastCosts:
@@ -31,7 +31,6 @@
         self,
         paces: pace.PaceSource,
         find_connect_s: ConnectCost | None = None,
-        find_room_s: RoomCost | None = None,
         find_answer_s: Callable[[ids.ServiceName], float] | None = None,
     ) -> None:
         """Creates forecasts without calibration.
@@ -39,13 +38,11 @@
         Args:
             paces: The paces of runners.
             find_connect_s: Returns the cost of connecting to a runner.
-            find_room_s: Returns the wait for room in a runner's KV cache.
             find_answer_s: Returns how long a request of a service holds a
                 slot, in seconds.
         """
         self._paces = paces
         self._find_connect_s = find_connect_s
-        self._find_room_s = find_room_s
         self._find_answer_s = find_answer_s
         self.calibration = calibration.Calibration()
 
@@ -94,11 +91,10 @@
         if self._find_answer_s is not None:
             answer_s = self._find_answer_s(profile.service)
         bias_s = self.calibration.get_bias(profile.service)
-        for each in found:
+        rooms_s = room.find_costs(profile, found, answer_s)
+        for each, room_s in zip(found, rooms_s, strict=True):
             value = paces[each.state.incarnation_hash]
-            queue_s = timing.find_queue_s(each, value, answer_s)
-            if self._find_room_s is not None:
-                queue_s += self._find_room_s(profile, each)
+            queue_s = timing.find_queue_s(each, value, answer_s) + room_s
             if self._find_connect_s is not None:
                 queue_s += self._find_connect_s(profile, each.runner)
             own_s = timing.find_own_prefill_s(profile, each, value)
--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -17,7 +17,6 @@
 from pollenfork.fleet import evidence
 from pollenfork.fleet import model as fleet
 from pollenfork.fleet import retry_budget
-from pollenfork.forecast import costs as forecasts
 from pollenfork.gateway import cache_feed
 from pollenfork.gateway import callers
 from pollenfork.gateway import cluster_state
@@ -26,10 +25,10 @@
 from pollenfork.gateway import crash_probes
 from pollenfork.gateway import duty_agent
 from pollenfork.gateway import edges
+from pollenfork.gateway import forecasting
 from pollenfork.gateway import limit_events
 from pollenfork.gateway import load_shedding
 from pollenfork.gateway import messages
-from pollenfork.gateway import pace_samples
 from pollenfork.gateway import peers
 from pollenfork.gateway import permits
 from pollenfork.gateway import pool
@@ -44,12 +43,8 @@
 from pollenfork.gateway import settings
 from pollenfork.gateway import sources
 from pollenfork.gateway import tables
-from pollenfork.gateway import updates
-from pollenfork.gateway.connections import subsets
 from pollenfork.loads import messages as loads
-from pollenfork.pace import estimator
 from pollenfork.poison import quarantine
-from pollenfork.returns import planner as return_planner
 
 if TYPE_CHECKING:
     from pollenfork import metrics
@@ -113,19 +108,22 @@
         connections = pool.Pool(self._loop)
         me = config.peer or config.front
         granted = permits.Permits(self._loop, me.host, config.data_centre)
+        self._forecasting = forecasting.Forecasting(
+            self._loop,
+            rng,
+            self.state,
+            connections,
+            self.counters,
+            me.host,
+            alone=config.peer is None,
+        )
         chooser = choice.Chooser(
             self.state.runners,
             rng,
             self._read_others,
             granted,
-            forecasts=forecasts.ForecastCosts(pace.UniformPace()),
+            forecasts=self._forecasting.costs,
         )
-        index = pace_samples.RunnerIndex(self.state.runners, self._loop.time)
-        paces = estimator.PaceTable(index.find)
-        self.state.runners.when_restarted(
-            lambda runner: paces.forget(pace_samples.hash_incarnation(runner))
-        )
-        self._updates = updates.UpdateExchange(paces, self._loop.time)
         findings = evidence.Evidence(
             self.state.runners, chooser.get_state, config.data_centre
         )
@@ -136,7 +134,6 @@
             self._loop.time,
         )
         findings.when_ended(request_quarantine.record_absence)
-        self._subset = subsets.RunnerSubset(me.host)
         self._duty_agent: duty_agent.DutyAgent | None = None
         if config.duties is not None:
             self._duty_agent = duty_agent.DutyAgent(
@@ -151,9 +148,6 @@
             config.store, store, request_quarantine, time.time
         )
         self.state.when_restored(self._quarantine_store.rewrite)
-        self._returns = return_planner.ReturnPlanner(
-            rng, self.counters, alone=config.peer is None
-        )
         self._deps = context.Dependencies(
             loop=self._loop,
             rng=rng,
@@ -183,8 +177,9 @@
             shed_streaks=load_shedding.ShedStreaks(),
             counters=self.counters,
             read_loads_age=self._read_loads_age,
-            paces=paces,
-            returns=self._returns,
+            paces=self._forecasting.paces,
+            learned=self._forecasting.learned,
+            returns=self._forecasting.returns,
         )
         request_quarantine.when_probe_needed(self._deps.crash_probes.probe)
         connections.watch_registry(self.state.runners)
@@ -283,8 +278,9 @@
             self._deps.runner_notices,
             self._deps.request_quarantine,
             self._settings.data_centre,
-            self._updates,
+            self._forecasting.updates,
         )
+        self._forecasting.join()
         _, joined = await self._loop.create_datagram_endpoint(
             lambda: peers.Peers(instance, self._settings, me), local_addr=me
         )
@@ -330,7 +326,7 @@
             self._deps.pool.close_expired()
             now = self._loop.time()
             self.state.expire_runners(now)
-            self._deps.paces.refresh(now)
+            self._forecasting.refresh()
             self._deps.request_quarantine.sweep(now)
             self._readiness.check(now)
 
@@ -341,31 +337,22 @@
         self._deps.retry_budget.set_instances(
             self._peers.instances, self._loop.time()
         )
-        self._returns.set_instances(self._peers.instances, self._loop.time())
         self._deps.chooser.pauses.set_instances(self._peers.instances)
-        self._deps.paces.set_instances(self._peers.instances)
-        services = lookup.configuration.services
-        for service in services.values():
+        self._forecasting.share(self._peers)
+        for service in lookup.configuration.services.values():
             self._deps.pool.set_accepted(
                 service.name,
                 service.max_connections,
                 self._peers.instances,
                 lookup.is_forecast(service.name),
             )
-        forecast = [each for each in services if lookup.is_forecast(each)]
-        self._subset.retain(forecast)
-        now = self._loop.time()
-        for name in forecast:
-            accepting = self.state.runners.list_accepting(name)
-            self._subset.update(name, self._peers.list_hosts(), accepting, now)
 
     async def _clean_up(self) -> None:
         while True:
             await asyncio.sleep(_CLEANUP_S)
             self._deps.chooser.sweep()
-            known = self._deps.chooser.list_hashes()
-            self._deps.permits.retain(known)
-            self._deps.paces.retain(known)
+            self._deps.permits.retain(self._deps.chooser.list_hashes())
+            self._forecasting.retain(self._deps.chooser)
 
     def _reload(self) -> None:
         """Reads the settings again and applies those that are reloadable."""
--- a/pollenfork/gateway/context.py
+++ b/pollenfork/gateway/context.py
@@ -24,6 +24,7 @@
 from pollenfork.pace import estimator
 from pollenfork.poison import quarantine
 from pollenfork.returns import planner as return_planner
+from pollenfork.room import learning
 from pollenfork.routes import model as routes
 
 
@@ -43,6 +44,7 @@
         age_s: Seconds since that version was last confirmed to be the newest.
         deadline: Monotonic seconds from which on its answer is useless.
         digest: Identifies the same request when it is sent again.
+        event_tokens: Tokens in one event of its answer.
     """
 
     call: messages.Request
@@ -56,6 +58,7 @@
     age_s: float
     deadline: float
     digest: ids.RequestDigest
+    event_tokens: int = 1
 
 
 class Dependencies(msgspec.Struct, frozen=True):
@@ -69,6 +72,7 @@
         paces: Receives samples of how fast runners generate.
         returns: Plans the returns of refused callers of forecast services;
             None: they are told how long the runners are overloaded.
+        learned: What earlier answers show about room at runners.
     """
 
     loop: asyncio.AbstractEventLoop
@@ -91,3 +95,6 @@
     read_loads_age: Callable[[], float | None]
     paces: estimator.PaceTable
     returns: return_planner.ReturnPlanner | None = None
+    learned: learning.LearnedAnswers = msgspec.field(
+        default_factory=learning.LearnedAnswers
+    )
--- a/pollenfork/gateway/tests/test_connection_use.py
+++ b/pollenfork/gateway/tests/test_connection_use.py
@@ -10,6 +10,7 @@
 from pollenfork.gateway import messages
 from pollenfork.gateway import scrape
 from pollenfork.gateway.tests import support
+from pollenfork.room import expectation
 from pollenfork.routes import lookup
 from pollenfork.routes import model as routes
 
@@ -42,7 +43,8 @@
         tokens=(0, 0),
         last_event=None,
     )
-    return admission.admit(state, call, head, 0.0).ok_value
+    outputs = expectation.OutputExpectation()
+    return admission.admit(state, call, head, 0.0, outputs).ok_value
 
 
 # Guards against a choice by connections that the request may not use, as it
--- a/pollenfork/platform/tests/test_heads.py
+++ b/pollenfork/platform/tests/test_heads.py
@@ -215,3 +215,38 @@
     stated = [(b"retry-after", b"1.5"), (b"retry-after", b"Fri, 04 Dec 2026")]
     assert heads.decode_response(503, stated).retry_after == (1.5, None)
     assert heads.decode_response(503, []).retry_after == ()
+
+
+@pytest.mark.parametrize(
+    ("value", "hint"),
+    [
+        (b"180", 180),
+        (b"", 0),
+        (b"many", 0),
+        (b"-5", 0),
+        (b"1e3", 0),
+        (b"9" * 5000, 0),
+    ],
+)
+def test_a_length_hint_is_decoded_and_forwarded_unchanged(value, hint) -> None:
+    # Guards against a request that fails, or a hint that is lost, because the
+    # router can't read it.
+    headers = [*HEADERS, (b"x-pollenfork-length-hint", value)]
+    assert heads.decode_request(headers).length_hint == hint
+    line = b"x-pollenfork-length-hint: " + value
+    assert split_lines(encode(headers)).count(line) == 1
+    assert heads.decode_request(HEADERS).length_hint == 0
+
+
+@pytest.mark.parametrize("digits", [10, 23, 5000])
+def test_lengths_that_no_datagram_can_hold_are_ignored(digits) -> None:
+    # Guards against one caller's header that ends an instance's exchange of
+    # loads: sums of such lengths can't be encoded, or the number can't be read.
+    length = b"9" * digits
+    head = heads.decode_request(
+        [
+            (b"x-pollenfork-prompt-prefix", b"a:1,b:" + length),
+            (b"x-pollenfork-token-usage", length + b"," + length),
+        ]
+    )
+    assert head.parts == () and head.tokens == (0, 0)
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -32,6 +32,7 @@
     "poison",
     "ratelimits",
     "returns",
+    "room",
     "routes",
     "scaling",
 }
