--- a/pollenfork/pace/outbox.py
+++ b/pollenfork/pace/outbox.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from pollenfork.loads import messages
+from pollenfork.loads import updates
 
 # Samples that all instances together send in a second, at most. 600 runners
 # then get one sample each in 3 s.
@@ -42,7 +43,7 @@
 
     def add(self, sample: messages.PaceSample, now: float) -> None:
         """Replaces the runner's waiting sample."""
-        self._waiting[sample.runner] = now, sample
+        self._waiting[sample.runner] = now, updates.shorten(sample)
 
     def take(self, now: float) -> tuple[messages.PaceSample, ...]:
         """Returns the samples to send now."""
