--- a/pollenfork/gateway/tests/test_connection_use.py
+++ b/pollenfork/gateway/tests/test_connection_use.py
@@ -73,6 +73,9 @@
         def set_count(self, name: str, value: int, **labels: str) -> None:
             shown[(name, *sorted(labels.values()))] = value
 
+        def set_gauge(self, name: str, value: float) -> None:
+            shown[(name,)] = value
+
     async def run() -> None:
         good = (
             b"HTTP/1.1 200 X\r\nx-id: q\r\nx-seal: z\r\ncontent-length: 4\r\n"
