--- a/pollenfork/forecast/costs.py
+++ b/pollenfork/forecast/costs.py
@@ -17,6 +17,10 @@
 # are that much busier.
 _PAUSE_COST_SHARE = 0.25
 
+# A runner that processes few prompts beside its streams looks faster than it
+# is at prompts, so a higher pace isn't used.
+_MAX_PACE = 1.25
+
 ConnectCost = Callable[[candidates.RequestProfile, fleet.Runner], float]
 
 
@@ -60,10 +64,8 @@
             now: Monotonic seconds.
         """
         paces = {
-            each.state.incarnation_hash: self._paces.get_pace(
-                each.state.incarnation_hash
-            ).value
-            for each in found
+            runner: min(_MAX_PACE, self._paces.get_pace(runner).value)
+            for runner in (each.state.incarnation_hash for each in found)
         }
         backlog_s = costs.measure_backlog_s(found)
         self._forecast(profile, found, paces, now)
