Take samples of paces only from runners without queued prompts

In a trial on an uneven deployment, up to 32 changes between slow and not slow were logged at one instance in 20 s: under load an interval between events shows the queue of prompts at a runner, five times as long as without, and the median over runners moved with it. Samples need a short queue at both ends of the answer and are corrected by 2% for each further running request.

--- a/pollenfork/fleet/choice.py
+++ b/pollenfork/fleet/choice.py
@@ -195,6 +195,15 @@
             if state.active
         }
 
+    def read_load(self, state: runner_state.RunnerState) -> loads.Load:
+        """Returns the load of a runner over all instances."""
+        others = self._read_others(state.incarnation_hash)
+        return loads.Load(
+            state.active + others.active,
+            int(state.pending_tokens) + others.pending_tokens,
+            state.top_tier + others.top_tier,
+        )
+
     def count_held(self, runner: int) -> int:
         """Returns the KV cache tokens held by requests of all instances."""
         others = self._read_others(runner)
--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -76,7 +76,9 @@
         self._runner: ids.EndpointId | None = None
         self._first_s: float | None = None
         self._gap_s = 0.0
-        self._pace = pace_samples.AnswerObserver(deps.paces, admitted.demand)
+        self._pace = pace_samples.AnswerObserver(
+            deps.paces, admitted.demand, deps.chooser.read_load
+        )
         self._event_at = 0.0
         self._current: connection.Connection | None = None
         self._connected_at: float | None = None
@@ -296,6 +298,7 @@
             observed_s = self._deps.loop.time() - sent_at
             self._deps.chooser.record_first_output(grant, observed_s)
         grant.record_prefill_done()
+        self._pace.on_first_output(grant)
         account = self._admitted.account
         if account is not None and not self._has_started:
             self._deps.record_started(account.id)
--- a/pollenfork/gateway/pace_samples.py
+++ b/pollenfork/gateway/pace_samples.py
@@ -7,6 +7,7 @@
 from pollenfork.fleet import model as fleet
 from pollenfork.fleet import outcomes
 from pollenfork.fleet import registry
+from pollenfork.fleet import runner_state
 from pollenfork.loads import messages as loads
 from pollenfork.pace import estimator
 from pollenfork.pace import observer
@@ -20,19 +21,30 @@
     """Times one request's answer if its service is forecast."""
 
     def __init__(
-        self, paces: estimator.PaceTable, profile: candidates.RequestProfile
+        self,
+        paces: estimator.PaceTable,
+        profile: candidates.RequestProfile,
+        read_load: Callable[[runner_state.RunnerState], loads.Load],
     ) -> None:
         """Starts before the first event.
 
         Args:
             paces: Receives the sample.
             profile: What the request needs.
+            read_load: Returns a runner's load over all instances.
         """
+        self._read_load = read_load
+        self._begun = loads.Load()
         self._paces = paces
         self._service = profile.service
         self._timer = observer.EventTimer() if profile.forecast else None
         self._events = 0
 
+    def on_first_output(self, grant: outcomes.Grant) -> None:
+        """Notes the load of a runner that starts to answer."""
+        if self._timer is not None:
+            self._begun = self._read_load(grant.state)
+
     def on_events(self, now: float, events: int) -> None:
         """Notes events that a runner sent.
 
@@ -62,9 +74,14 @@
         if self._timer is None or attempts != 1:
             return
         interval_ms = self._timer.get_interval_ms()
-        if interval_ms is not None:
-            runner = grant.state.incarnation_hash
-            self._paces.record_local(runner, self._service, interval_ms, now)
+        if interval_ms is None:
+            return
+        runner = grant.state.incarnation_hash
+        unloaded_ms = observer.find_unloaded_ms(
+            interval_ms, self._begun, self._read_load(grant.state)
+        )
+        if unloaded_ms is not None:
+            self._paces.record_local(runner, self._service, unloaded_ms, now)
 
 
 class RunnerIndex:
--- a/pollenfork/gateway/tests/test_pace_samples.py
+++ b/pollenfork/gateway/tests/test_pace_samples.py
@@ -88,7 +88,9 @@
     profile = msgspec.structs.replace(
         support.candidates.RequestProfile(support.SERVICE), forecast=True
     )
-    observed = pace_samples.AnswerObserver(table, profile)
+    observed = pace_samples.AnswerObserver(
+        table, profile, lambda state: loads.Load()
+    )
     observed.on_events(100.0, 5)
     observed.discard()
     observed.on_events(110.0, 10)
--- a/pollenfork/pace/observer.py
+++ b/pollenfork/pace/observer.py
@@ -2,6 +2,13 @@
 
 import collections
 
+from pollenfork.loads import messages
+
+# A runner processes so many prompt tokens in one step. Fewer lengthen one step
+# of an answer, which the lower quartile leaves out.
+_MAX_PENDING_TOKENS = 2048
+# What each further running request adds to a decode step, as a fraction.
+_STEP_GROWTH = 0.02
 # A lower quartile of fewer intervals may consist of delayed ones only.
 MIN_INTERVALS = 6
 # Bounds the memory that a long answer takes; the latest intervals are kept.
@@ -44,3 +51,23 @@
             return None
         ordered = sorted(self._intervals)
         return ordered[len(ordered) // 4] * 1000
+
+
+def find_unloaded_ms(
+    interval_ms: float, begun: messages.Load, ended: messages.Load
+) -> float | None:
+    """Returns the interval that the runner would have had without load.
+
+    Args:
+        interval_ms: The typical interval between two events of an answer.
+        begun: The runner's load, over all instances, at the first event.
+        ended: The same after the end.
+
+    Returns:
+        None if the runner was processing long prompts: with a queue of prompts,
+        an interval shows the queue and not the runner.
+    """
+    if max(begun.pending_tokens, ended.pending_tokens) > _MAX_PENDING_TOKENS:
+        return None
+    others = (begun.active - 1 + ended.active) / 2
+    return interval_ms / (1.0 + _STEP_GROWTH * max(0.0, others))
--- a/pollenfork/pace/tests/test_observer.py
+++ b/pollenfork/pace/tests/test_observer.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from pollenfork.loads import messages as loads
 from pollenfork.pace import observer
 
 
@@ -40,3 +41,21 @@
 def test_the_memory_of_a_long_answer_is_bounded() -> None:
     steps = [(1.0, 10**6)] + [(0.02, 1)] * 200
     assert time_events(*steps) == pytest.approx(20.0)
+
+
+# Guards against paces that follow the load: beside queued prompts, intervals
+# were five times as long, and half of the runners changed between slow and not.
+@pytest.mark.parametrize(
+    ("begun", "ended", "expected"),
+    [
+        (loads.Load(1), loads.Load(0), 20.0),
+        (loads.Load(11), loads.Load(10), 20.0 / 1.2),
+        (loads.Load(3, 2_048), loads.Load(2, 0), 20.0 / 1.04),
+        (loads.Load(3, 2_049), loads.Load(2, 0), None),
+        (loads.Load(3, 0), loads.Load(2, 9_000), None),
+        (loads.Load(0), loads.Load(0), 20.0),
+    ],
+)
+def test_intervals_are_corrected_for_load(begun, ended, expected) -> None:
+    found = observer.find_unloaded_ms(20.0, begun, ended)
+    assert found == (None if expected is None else pytest.approx(expected))
