Let the instances with the fastest links relay for forecast services

Relays were the first hosts in sorted order. In a data centre with 28 reporters this was an instance with a link of 5 Mbit/s, which its datagrams filled: it fell silent within 1.3 s, and so did each successor. Instances now tell their link's speed, and the fastest relay if the configuration has a forecast service; otherwise relays are chosen as before.

--- a/pollenfork/gateway/forecasting.py
+++ b/pollenfork/gateway/forecasting.py
@@ -82,6 +82,7 @@
         self.paces.set_instances(joined.instances)
         services = lookup.configuration.services
         forecast = [each for each in services if lookup.is_forecast(each)]
+        joined.prefer_capacity(bool(forecast))
         self._subset.retain(forecast)
         for name in forecast:
             accepting = self._state.runners.list_accepting(name)
--- a/pollenfork/gateway/peers.py
+++ b/pollenfork/gateway/peers.py
@@ -154,7 +154,11 @@
         """
         self._loop = asyncio.get_running_loop()
         self._exchange = core.Exchange(
-            me, config.data_centre, config.seeds, instance
+            me,
+            config.data_centre,
+            config.seeds,
+            instance,
+            int(config.link_mbps),
         )
         self._me = me
         self._transport: asyncio.DatagramTransport | None = None
@@ -175,6 +179,10 @@
         """Sets the instances to contact while no other is known."""
         self._exchange.set_seeds(seeds)
 
+    def prefer_capacity(self, preferred: bool) -> None:
+        """Sets whether the instances that can send most relay first."""
+        self._exchange.prefer_capacity(preferred)
+
     def when_ticked(self, callback: Callable[[], None]) -> None:
         """Calls `callback` each period."""
         self._on_tick.append(callback)
--- a/pollenfork/gateway/settings.py
+++ b/pollenfork/gateway/settings.py
@@ -76,6 +76,7 @@
         retry_extra: Additional retries allowed to all instances per window.
         heartbeat_s: Seconds between two renewals of a runner's entry.
         duties: The duties that one instance performs for all; None for none.
+        link_mbps: How much its host can send, in Mbit/s; 0: unknown.
     """
 
     instance: ids.InstanceId
@@ -93,6 +94,7 @@
     retry_extra: float = 10.0
     heartbeat_s: float = HEARTBEAT_S
     duties: DutySettings | None = None
+    link_mbps: float = 0.0
 
     def find_changes(self, reloaded: "GatewaySettings") -> "Changes":
         """Returns how reloaded settings differ from these."""
--- a/pollenfork/loads/core.py
+++ b/pollenfork/loads/core.py
@@ -39,6 +39,7 @@
         data_centre: str,
         seeds: Iterable[messages.Address],
         instance: edges.Instance,
+        capacity: int = 0,
     ) -> None:
         """Starts with no other instance known.
 
@@ -47,12 +48,13 @@
             data_centre: Where it runs.
             seeds: Instances that may know others.
             instance: The state of this instance.
+            capacity: How much it can send, in Mbit/s; 0: unknown.
         """
         self._me = me
         self._data_centre = data_centre
         self._instance = instance
         member = messages.Member(me.host, data_centre)
-        self._roster = members.Roster(member)
+        self._roster = members.Roster(member, capacity)
         self._disseminator = dissemination.Disseminator(
             member, self._roster, instance
         )
@@ -75,6 +77,10 @@
         hosts = {seed.host for seed in seeds}
         self._discovery.set_seeds(hosts - {self._me.host})
 
+    def prefer_capacity(self, preferred: bool) -> None:
+        """Sets whether the instances that can send most relay first."""
+        self._roster.prefer_capacity(preferred)
+
     @property
     def instances(self) -> int:
         """The number of instances known, this one included."""
@@ -207,8 +213,12 @@
             case messages.Members():
                 for each in message.members:
                     self._roster.record_sighting(each.member, now - each.age_s)
+                    self._roster.record_capacity(
+                        each.member.host, each.capacity
+                    )
             case messages.Report():
                 self._record_sighting(host, message.data_centre, now)
+                self._roster.record_capacity(host, message.capacity)
                 if host not in self._reports:
                     link = self._links[host]
                     link.placements = self._instance.list_placements()
@@ -295,6 +305,7 @@
             self._instance.read_store_status(now),
             self._others.sent_at if self._others_sender == relay else 0.0,
             link.queue.take(now),
+            self._roster.told_capacity,
         )
         link.record_sent(self._own, now)
         return [self._address(relay, report)]
--- a/pollenfork/loads/members.py
+++ b/pollenfork/loads/members.py
@@ -18,8 +18,16 @@
     once, as an instance reports to one relay at a time.
     """
 
-    def __init__(self, me: messages.Member) -> None:
+    def __init__(self, me: messages.Member, capacity: int = 0) -> None:
+        """Creates a roster that knows only its own instance.
+
+        Args:
+            me: The instance.
+            capacity: How much it can send, in Mbit/s; 0: unknown.
+        """
         self._me = me
+        self._capacities = {me.host: capacity}
+        self._prefers_capacity = False
         self._seen_at: dict[messages.Member, float] = {}
         # By host, to look up the sender of each datagram.
         self._data_centres = {me.host: me.data_centre}
@@ -35,10 +43,34 @@
     def list_sightings(self, now: float) -> tuple[messages.Sighting, ...]:
         """Returns all members known, this one included."""
         others = [
-            messages.Sighting(member, round(now - seen_at, 2))
+            messages.Sighting(
+                member,
+                round(now - seen_at, 2),
+                self._rank(member.host),
+            )
             for member, seen_at in self._seen_at.items()
         ]
-        return (messages.Sighting(self._me, 0.0), *others)
+        own = messages.Sighting(self._me, 0.0, self.told_capacity)
+        return (own, *others)
+
+    def prefer_capacity(self, preferred: bool) -> None:
+        """Sets whether the members that can send most relay first.
+
+        A relay sends every other instance of its data centre the loads up to
+        20 times a second. Small instances with links of 5 Mbit/s fell silent
+        as relays of 28 others.
+        """
+        self._prefers_capacity = preferred
+
+    @property
+    def told_capacity(self) -> int:
+        """What others are told of this instance's capacity; 0: nothing."""
+        return self._rank(self._me.host)
+
+    def record_capacity(self, host: str, capacity: int) -> None:
+        """Notes how much another instance can send; 0: it didn't say."""
+        if capacity > 0 and host != self._me.host:
+            self._capacities[host] = capacity
 
     def record_sighting(self, member: messages.Member, seen_at: float) -> None:
         """Notes when a member was last heard from, by any instance."""
@@ -118,19 +150,24 @@
             if now - seen_at > _EXPIRY_S:
                 del self._seen_at[member]
                 self._data_centres.pop(member.host, None)
+                self._capacities.pop(member.host, None)
 
     def find_relay(self, data_centre: str, now: float) -> str | None:
         """Returns the host that relays for a data centre."""
         candidates = sorted(
-            (member.host, member)
+            (-self._rank(member.host), member.host, member)
             for member in (self._me, *self._seen_at)
             if member.data_centre == data_centre
         )
-        for host, member in candidates:
+        for _, host, member in candidates:
             if self._may_relay(member, now):
                 return host
         return None
 
+    def _rank(self, host: str) -> int:
+        """Returns a host's capacity if it counts, else the same for all."""
+        return self._capacities.get(host, 0) if self._prefers_capacity else 0
+
     def _may_relay(self, member: messages.Member, now: float) -> bool:
         """Returns whether a member may be asked to relay.
 
--- a/pollenfork/loads/messages.py
+++ b/pollenfork/loads/messages.py
@@ -48,10 +48,17 @@
 
 
 class Sighting(msgspec.Struct, frozen=True, array_like=True):
-    """A member, and how long ago any instance heard from it, in seconds."""
+    """A member as it was last heard of.
+
+    Attributes:
+        member: The member.
+        age_s: How long ago any instance heard from it, in seconds.
+        capacity: How much it can send, in Mbit/s; 0: unknown.
+    """
 
     member: Member
     age_s: float
+    capacity: int = 0
 
 
 class Hello(msgspec.Struct, frozen=True, array_like=True, tag="h"):
@@ -169,6 +176,7 @@
             all relays but not this instance.
         echo: The `sent_at` of the relay's last answer.
         updates: News of this instance.
+        capacity: How much the sender can send, in Mbit/s; 0: unknown.
     """
 
     data_centre: str
@@ -179,6 +187,7 @@
     status: StoreStatus | None = None
     echo: float = 0.0
     updates: Updates | None = None
+    capacity: int = 0
 
 
 class DataCentreLoads(msgspec.Struct, frozen=True, array_like=True, tag="s"):
--- a/pollenfork/platform/boot.py
+++ b/pollenfork/platform/boot.py
@@ -59,6 +59,7 @@
     internal_ports: list[int] = []
     seeds: list[str] = []
     heartbeat_ms: float = settings.HEARTBEAT_S * 1000.0
+    limits: dict[str, float] = {}
     cloud: _Cloud = msgspec.field(default_factory=_Cloud)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
@@ -98,6 +99,7 @@
         retry_extra=bounds.retry_budget_extra,
         heartbeat_s=boot.heartbeat_ms / 1000.0,
         duties=_make_duties(boot),
+        link_mbps=boot.limits.get("link-mbps", 0.0),
     )
 
 
--- a/pollenfork/platform/names.py
+++ b/pollenfork/platform/names.py
@@ -45,7 +45,6 @@
 SCALING_DUTY = "autoscale"
 
 READY_PATH = b"/api/ready"
-REPORT_PATH = "/api/report"
 CACHE_FEED_PATH = "/api/kv-events"
 CACHE_LIST_PATH = "/api/kv-list"
 FEED_PATH = "/api/rows-feed"
