--- a/pollenfork/forecast/costs.py
+++ b/pollenfork/forecast/costs.py
@@ -72,8 +72,8 @@
         if profile.top_tier is not None:
             found = placement.reserve_runners(profile, found, paces)
         if profile.shared:
-            owners = placement.find_hash_owners(profile, found)
-            _add_cache_miss_costs(found, paces, owners, backlog_s)
+            owners = placement.rank_hash_owners(profile, found)
+            _add_cache_miss_costs(found, owners, backlog_s)
         return found
 
     def record(
@@ -109,14 +109,12 @@
 
 def _add_cache_miss_costs(
     found: Sequence[candidates.Candidate],
-    paces: dict[int, float],
-    owners: set[int],
+    owners: dict[int, float],
     backlog_s: float,
 ) -> None:
     """Adds what others lose while a runner processes shared parts again."""
-    weight = candidates.find_move_weight(backlog_s) - 1.0
+    weight = candidates.find_move_weight(backlog_s)
     for each in found:
-        runner = each.state.incarnation_hash
-        if runner not in owners:
-            lost_s = each.uncached_tokens / candidates.PREFILL_TOKENS_PER_S
-            each.cost += lost_s * weight / paces[runner]
+        share = owners.get(each.state.incarnation_hash, weight)
+        lost_s = each.uncached_tokens / candidates.PREFILL_TOKENS_PER_S
+        each.cost += lost_s * share
--- a/pollenfork/forecast/placement.py
+++ b/pollenfork/forecast/placement.py
@@ -11,9 +11,12 @@
 # reserved runners, so they are ordered by this limit and not by the pace.
 SLOW_PACE = 0.75
 # The number of runners among which a prompt that is cached nowhere is placed
-# by load. With two the busiest has about twice the mean when all instances
-# choose at once.
-_HASH_OWNERS = 4
+# by load. More of them spread prompts little better, but instances that choose
+# at once then process the same prompt at several runners.
+_HASH_OWNERS = 2
+# What the second of them costs more than the first, as a fraction of the time
+# to process the shared parts: it is chosen once the first is that much busier.
+_NEXT_OWNER_SHARE = 0.5
 
 
 def reserve_runners(
@@ -41,21 +44,23 @@
     return candidates.apply_reservation(profile, ranked)
 
 
-def find_hash_owners(
+def rank_hash_owners(
     profile: candidates.RequestProfile, found: Sequence[candidates.Candidate]
-) -> set[int]:
-    """Returns the runners that may cache a new prompt at no extra cost.
+) -> dict[int, float]:
+    """Returns which runners may cache a new prompt, and at which cost.
 
     Returns:
-        The incarnation hashes of the first runners by rendezvous hashing; none
-        if a runner has all shared parts cached.
+        The cost by incarnation hash, as a fraction of the time to process the
+        shared parts; empty if a runner has all shared parts cached.
     """
     if not all(each.uncached_tokens for each in found):
-        return set()
+        return {}
     key = b",".join(part.name for part in profile.shared)
     owners = heapq.nlargest(
         _HASH_OWNERS,
         (each.state.incarnation_hash for each in found),
         key=lambda runner: xxhash.xxh64_intdigest(key, runner),
     )
-    return set(owners)
+    return {
+        runner: rank * _NEXT_OWNER_SHARE for rank, runner in enumerate(owners)
+    }
