Use one constant for the pace below which a runner is slow

`forecast/placement.py` and `pace/estimator.py` each had 0.75 under a name of its own, so one could change without the other. It is `pace.model.SLOW` now. No behaviour changes.

--- a/pollenfork/forecast/placement.py
+++ b/pollenfork/forecast/placement.py
@@ -6,10 +6,8 @@
 import xxhash
 
 from pollenfork.fleet import candidates
+from pollenfork.pace import model as pace
 
-# A runner below this pace counts as slow. All instances must agree on the
-# reserved runners, so they are ordered by this limit and not by the pace.
-SLOW_PACE = 0.75
 # The number of runners among which a prompt that is cached nowhere is placed
 # by load. With two the busiest has about twice the mean when all instances
 # choose at once.
@@ -24,7 +22,9 @@
     """Returns the candidates that the request may use.
 
     Runners of normal pace are reserved for the most urgent tier before slow
-    ones, whose pauses are too long beside a long prompt.
+    ones, whose pauses are too long beside a long prompt. All instances must
+    agree on the reserved runners, so they are ordered by the limit for slow
+    ones and not by the pace.
 
     Args:
         profile: What the request needs.
@@ -34,7 +34,7 @@
     ranked = sorted(
         found,
         key=lambda each: (
-            paces[each.state.incarnation_hash] < SLOW_PACE,
+            paces[each.state.incarnation_hash] < pace.SLOW,
             each.state.incarnation_hash,
         ),
     )
--- a/pollenfork/pace/estimator.py
+++ b/pollenfork/pace/estimator.py
@@ -35,9 +35,8 @@
 # How often the medians over runners are computed, in seconds. With 600 runners
 # one computation takes about 1 ms.
 _REFRESH_S = 0.25
-# A runner counts as slow below the first pace and until it is above the second.
-# The value of a runner at the limit varies by about 0.06.
-SLOW = 0.75
+# A runner that became slow counts as slow until its pace is above this one. The
+# value of a runner at the limit varies by about 0.06.
 _NO_LONGER_SLOW = 0.85
 # Samples after which the stated error holds; with fewer, a runner doesn't
 # become slow.
@@ -271,7 +270,7 @@
                 return
             self._slow.remove(runner)
         else:
-            if pace.value >= SLOW or pace.samples < _MIN_SLOW_SAMPLES:
+            if pace.value >= model.SLOW or pace.samples < _MIN_SLOW_SAMPLES:
                 return
             self._slow.add(runner)
         known = self._find_runner(runner)
--- a/pollenfork/pace/model.py
+++ b/pollenfork/pace/model.py
@@ -4,6 +4,9 @@
 
 import msgspec
 
+# A runner with a lower pace counts as slow.
+SLOW = 0.75
+
 
 class Pace(msgspec.Struct, frozen=True):
     """A runner's speed relative to the median runner of its service.
