--- a/pollenfork/gateway/updates.py
+++ b/pollenfork/gateway/updates.py
@@ -5,8 +5,7 @@
 from pollenfork.loads import messages
 from pollenfork.loads import updates as queues
 from pollenfork.pace import estimator
-
-ReturnsCallback = Callable[[tuple[messages.PlannedReturn, ...], float], None]
+from pollenfork.returns import edges as returns
 
 
 class UpdateExchange:
@@ -24,9 +23,9 @@
         self._paces = paces
         self._clock = clock
         self._queue = queues.UpdateQueue()
-        self._on_returns: list[ReturnsCallback] = []
+        self._on_returns: list[returns.ReturnsCallback] = []
 
-    def when_returns(self, callback: ReturnsCallback) -> None:
+    def when_returns(self, callback: returns.ReturnsCallback) -> None:
         """Calls `callback` with other instances' planned returns and a time.
 
         The time is when they arrived, in monotonic seconds; `due_in_ms` counts
