Correct doc comments of the parts for forecast services

`DEFAULT_ANSWER_S` isn't used until answers are seen: gateways start at the 1 s of `room/learning.py`. `Candidate.own_held_tokens` referred to the wrong line, `plan` left out the full table, `claim` spoke of promises that aren't due as if they were, and tokens of the KV cache were held or occupied. No behaviour changes.

--- a/pollenfork/fleet/candidates.py
+++ b/pollenfork/fleet/candidates.py
@@ -58,7 +58,7 @@
         forecast: Whether its runner is chosen by a forecast of the answer.
         target_s: Target time to the first event, in seconds.
         gap_s: Target for the longest pause between events, in seconds.
-        needed_tokens: KV cache tokens that it occupies when it ends: its
+        needed_tokens: KV cache tokens that it holds when it ends: its
             prompt and its expected output; 0 if it isn't forecast.
         cache_tokens: Tokens that a runner's KV cache holds; 0 if unknown.
     """
@@ -101,9 +101,11 @@
         top_tier: Requests of the most urgent tier that it is running.
         source: The runner from which it would copy the shared parts.
         active: Requests that it is running.
-        held_tokens: KV cache tokens that these occupy.
-        queue_s: Expected seconds until it can begin with the request.
-        own_held_tokens: Those of them that this instance's requests occupy.
+        held_tokens: KV cache tokens that requests of all instances hold there.
+        queue_s: Expected seconds until it can begin with the request; 0 if it
+            isn't forecast.
+        own_held_tokens: The part of `held_tokens` that requests of this
+            instance hold.
         forecast_s: Expected seconds until the first event; None: not forecast.
     """
 
--- a/pollenfork/fleet/choice.py
+++ b/pollenfork/fleet/choice.py
@@ -196,7 +196,7 @@
         }
 
     def read_load(self, state: runner_state.RunnerState) -> loads.Load:
-        """Returns the load of a runner over all instances."""
+        """Returns a runner's load over all instances, without held tokens."""
         others = self._read_others(state.incarnation_hash)
         return loads.Load(
             state.active + others.active,
--- a/pollenfork/forecast/calibration.py
+++ b/pollenfork/forecast/calibration.py
@@ -60,7 +60,7 @@
         return self._biases.get(service, 0.0)
 
     def measure(self, service: ids.ServiceName) -> ForecastError:
-        """Returns the error of a service's recent forecasts, uncorrected."""
+        """Returns the error that recent forecasts would have uncorrected."""
         errors = sorted(self._errors.get(service, ()))
         if len(errors) < _MIN_ANSWERS:
             return ForecastError()
--- a/pollenfork/forecast/timing.py
+++ b/pollenfork/forecast/timing.py
@@ -2,8 +2,8 @@
 
 from pollenfork.fleet import candidates
 
-# How long a request holds a slot on average, in seconds; used until answers
-# have been seen.
+# How long a request holds a slot, in seconds, where the costs are created
+# without a source of learned times. Gateways have one, which starts at 1 s.
 DEFAULT_ANSWER_S = 1.5
 # Prompt tokens that a runner processes between two events of a stream while a
 # long prompt is being read: an event has 4 tokens, and between two of them up
--- a/pollenfork/gateway/context.py
+++ b/pollenfork/gateway/context.py
@@ -71,8 +71,8 @@
             seconds; None if there are none.
         paces: Receives samples of how fast runners generate.
         returns: Plans the returns of refused callers of forecast services;
-            None: they are told how long the runners are overloaded.
-        learned: What earlier answers show about room at runners.
+            None: they are told how long the best runner is overloaded.
+        learned: What earlier answers show about output and duration.
     """
 
     loop: asyncio.AbstractEventLoop
--- a/pollenfork/gateway/returning.py
+++ b/pollenfork/gateway/returning.py
@@ -40,9 +40,10 @@
         self._plan: return_planner.Plan | None = None
 
     def claim(self) -> promises.Kept | promises.Early | None:
-        """Returns whether the request was promised that it may return now.
+        """Returns what was promised to the request; None: nothing.
 
-        The promise is used up by the first call; others return the same.
+        A promise that is due is used up by the first call. Later calls return
+        the same.
         """
         if self._planner is not None and not self._has_claimed:
             now = self._deps.loop.time()
--- a/pollenfork/loads/messages.py
+++ b/pollenfork/loads/messages.py
@@ -26,7 +26,7 @@
         pending_tokens: Their prompt tokens that it has yet to process.
         top_tier: Those of the requests that are of their service's most urgent
             tier.
-        held_tokens: Tokens of KV cache that the requests occupy, their
+        held_tokens: KV cache tokens that the requests hold, their
             expected output included; 0: sent by an earlier version.
     """
 
--- a/pollenfork/returns/planner.py
+++ b/pollenfork/returns/planner.py
@@ -219,7 +219,8 @@
 
         Returns:
             A promise if there is a free place; otherwise the latest time
-            allowed, without a promise.
+            allowed, without a promise. If only the table of promises is full,
+            the time of the free place, without a promise.
         """
         latest = self._find_latest(caller, now)
         spare = self._measure_spare(caller.service, overload, now)
