--- a/pollenfork/gateway/connections/view.py
+++ b/pollenfork/gateway/connections/view.py
@@ -10,7 +10,7 @@
     """How recently an idle connection must have been in use."""
 
     ANY = "any"
-    RECENT = "sure"
+    RECENT = "recent"
 
 
 class ConnectionView(Protocol):
