Show the error of forecasts by route in `losses`

Nothing showed from logs alone whether forecasts are right, and `explain` and `losses` took the cost, which includes penalties, for an expected time. `losses` prints p10, p50 and p90 of observed less forecast time to the first event by route; both commands compare answers with `forecast_ms` where there is one; `explain` shows `pace_changed` and `preemption_suspected` of the runners and names a suspected preemption as the cause of a pause.

Logs without `forecast_ms` are reported as before.

--- a/pollenfork/logbook/causes.py
+++ b/pollenfork/logbook/causes.py
@@ -146,12 +146,23 @@
     if gap_target_ms and gap_ms > gap_target_ms:
         return (
             f"late: a pause of {gap_ms} ms of {gap_target_ms} between events;"
-            " its runner read other prompts, or a connection was slow"
-            + _describe_runner_failures(trace)
+            f" {_explain_pause(trace)}" + _describe_runner_failures(trace)
         )
     return "answered within its targets"
 
 
+def _explain_pause(trace: traces.Trace) -> str:
+    for line in trace.lines:
+        if line.event == "preemption_suspected":
+            fields = line.fields
+            return (
+                "its runner has probably preempted it for lack of room in its"
+                f" KV cache ({fields['held']} of {fields['capacity']} tokens"
+                " held)"
+            )
+    return "its runner read other prompts, or a connection was slow"
+
+
 def _explain_delay(trace: traces.Trace, first_ms: int) -> str:
     """Describes what took most of the time to the first event."""
     chosen = [line for line in trace.lines if line.event == "chosen"]
@@ -163,25 +174,26 @@
             " ms" + _describe_runner_failures(trace)
         )
     fields = chosen[-1].fields
-    waited_ms, cost_ms = int(fields["waited_ms"]), int(fields["cost_ms"])
-    largest = max(waited_ms, cost_ms, first_ms - waited_ms - cost_ms)
+    waited_ms = int(fields["waited_ms"])
+    expected_ms = lines.get_expected_ms(chosen[-1])
+    largest = max(waited_ms, expected_ms, first_ms - waited_ms - expected_ms)
     if waited_ms == largest:
         return (
             f"its instance took {waited_ms} ms to choose a runner: it was slow"
             " or stood still"
         )
-    if cost_ms == largest:
+    if expected_ms == largest:
         uncached_tokens = int(fields["unread"])
         uncached = (
             f", {uncached_tokens} tokens of shared parts anew"
             if uncached_tokens
             else ""
         )
-        return f"{cost_ms} ms were expected of the best runner{uncached}"
+        return f"{expected_ms} ms were expected of the best runner{uncached}"
     return (
-        f"its runner took longer than the {cost_ms} ms expected: it was slower,"
-        f" or others' prompts weren't known (loads {fields['loads_age_ms']} ms"
-        " old)" + _describe_runner_failures(trace)
+        f"its runner took longer than the {expected_ms} ms expected: it was"
+        " slower, or others' prompts weren't known (loads"
+        f" {fields['loads_age_ms']} ms old)" + _describe_runner_failures(trace)
     )
 
 
--- a/pollenfork/logbook/lines.py
+++ b/pollenfork/logbook/lines.py
@@ -50,6 +50,28 @@
         yield Line(_parse_time(match["time"]), instance, event, pairs)
 
 
+def get_forecast_ms(chosen: Line) -> int | None:
+    """Returns the time to the first event that a choice forecast.
+
+    Args:
+        chosen: The line of the choice.
+
+    Returns:
+        None if the service isn't forecast, or the line is of a version that
+        didn't log forecasts.
+    """
+    forecast_ms = chosen.fields.get("forecast_ms", "-")
+    return None if forecast_ms == "-" else int(forecast_ms)
+
+
+def get_expected_ms(chosen: Line) -> int:
+    """Returns the forecast of a choice, or its cost if there is none."""
+    forecast_ms = get_forecast_ms(chosen)
+    if forecast_ms is not None:
+        return forecast_ms
+    return int(chosen.fields["cost_ms"])
+
+
 def count_missing(log: Iterable[Line]) -> int:
     """Returns how many lines the instances report as dropped."""
     return sum(
--- a/pollenfork/logbook/losses.py
+++ b/pollenfork/logbook/losses.py
@@ -1,4 +1,7 @@
-"""Counts of lost and late requests, by route, time interval and cause."""
+"""Counts of lost and late requests, by route, time interval and cause.
+
+Also measures the error of forecasts, by route.
+"""
 
 import collections
 from collections.abc import Iterable, Iterator
@@ -35,12 +38,32 @@
         at: Seconds since the epoch at its first line.
         outcome: How it ended.
         cause: Short text of what led to the outcome.
+        error_ms: Observed less expected time from the choice of its runner to
+            the first event; None: not forecast, or not answered by the first
+            runner.
     """
 
     route: str
     at: float
     outcome: Outcome
     cause: str
+    error_ms: int | None = None
+
+
+class ForecastErrors(msgspec.Struct, frozen=True):
+    """Observed less expected time to the first event, in milliseconds.
+
+    Attributes:
+        count: The number of answers.
+        p10: A tenth of the answers came earlier than this.
+        p50: The median.
+        p90: A tenth of the answers came later than this.
+    """
+
+    count: int
+    p10: int
+    p50: int
+    p90: int
 
 
 class Losses(msgspec.Struct, frozen=True):
@@ -54,12 +77,14 @@
             first request.
         missing: Lines that the instances dropped; lines of successful
             requests are dropped first.
+        errors: The errors of forecasts by route.
     """
 
     routes: dict[str, Outcomes]
     causes: collections.Counter[tuple[str, Outcome, str]]
     intervals: dict[float, Outcomes]
     missing: int
+    errors: dict[str, ForecastErrors] = {}
 
 
 def count(log: Iterable[lines.Line]) -> Losses:
@@ -75,14 +100,25 @@
     intervals: dict[float, Outcomes] = collections.defaultdict(Outcomes)
     causes: collections.Counter[tuple[str, Outcome, str]]
     causes = collections.Counter()
+    errors_ms: dict[str, list[int]] = collections.defaultdict(list)
     for end in ends:
         interval = (end.at - start) // INTERVAL_S * INTERVAL_S
         routes[end.route][end.outcome] += 1
         intervals[interval][end.outcome] += 1
         if end.outcome is not Outcome.IN_TIME:
             causes[end.route, end.outcome, end.cause] += 1
+        if end.error_ms is not None:
+            errors_ms[end.route].append(end.error_ms)
     missing = lines.count_missing(log_lines)
-    return Losses(dict(routes), causes, dict(intervals), missing)
+    errors = {route: _summarize(found) for route, found in errors_ms.items()}
+    return Losses(dict(routes), causes, dict(intervals), missing, errors)
+
+
+def _summarize(errors_ms: list[int]) -> ForecastErrors:
+    ordered = sorted(errors_ms)
+    last = len(ordered) - 1
+    p10, p50, p90 = (ordered[round(last * part)] for part in (0.1, 0.5, 0.9))
+    return ForecastErrors(len(ordered), p10, p50, p90)
 
 
 def _list_request_ends(log: Iterable[lines.Line]) -> Iterator[RequestEnd]:
@@ -93,7 +129,30 @@
             traces.setdefault(request, []).append(line)
     for trace in traces.values():
         outcome, cause = _classify(trace)
-        yield RequestEnd(_find_route(trace), trace[0].at, outcome, cause)
+        yield RequestEnd(
+            _find_route(trace),
+            trace[0].at,
+            outcome,
+            cause,
+            _find_forecast_error(trace),
+        )
+
+
+def _find_forecast_error(trace: list[lines.Line]) -> int | None:
+    """Returns observed less expected time to the first event, if known.
+
+    An answer after several choices is left out: the time of the attempts
+    before isn't in the forecast.
+    """
+    chosen = [line for line in trace if line.event == "chosen"]
+    last = trace[-1]
+    if len(chosen) != 1 or last.event != "answered":
+        return None
+    forecast_ms = lines.get_forecast_ms(chosen[0])
+    if forecast_ms is None or int(last.fields["status"]) >= _SERVER_ERROR:
+        return None
+    waited_ms = int(chosen[0].fields["waited_ms"])
+    return int(last.fields["first_ms"]) - waited_ms - forecast_ms
 
 
 def _find_route(trace: list[lines.Line]) -> str:
@@ -141,10 +200,10 @@
     if len(chosen) > 1:
         return "attempts before"
     waited_ms = int(chosen[0].fields["waited_ms"])
-    cost_ms = int(chosen[0].fields["cost_ms"])
+    expected_ms = lines.get_expected_ms(chosen[0])
     parts = {
         "choosing": waited_ms,
-        "expected at the best runner": cost_ms,
-        "longer than expected": first_ms - waited_ms - cost_ms,
+        "expected at the best runner": expected_ms,
+        "longer than expected": first_ms - waited_ms - expected_ms,
     }
     return max(parts, key=lambda part: parts[part])
--- a/pollenfork/logbook/losses_report.py
+++ b/pollenfork/logbook/losses_report.py
@@ -1,4 +1,8 @@
-"""Text report of losses: a table by route, the causes, a plot over time."""
+"""Text report of losses.
+
+It has a table by route, the errors of forecasts, the causes and a plot over
+time.
+"""
 
 from typing import TextIO
 
@@ -23,6 +27,8 @@
         _write_row(
             route or "-", [*counts, f"{_compute_share(outcomes):.3f}"], out
         )
+    if losses.errors:
+        _write_errors(losses.errors, out)
     out.write("causes\n")
     for (route, outcome, cause), count in losses.causes.most_common(
         _MAX_CAUSES
@@ -38,6 +44,16 @@
         )
 
 
+def _write_errors(
+    errors: dict[str, loss_counts.ForecastErrors], out: TextIO
+) -> None:
+    out.write("first event, ms observed less forecast\n")
+    _write_row("route", ["answers", "p10", "p50", "p90"], out)
+    for route, error in sorted(errors.items()):
+        values = [error.count, error.p10, error.p50, error.p90]
+        _write_row(route or "-", [str(each) for each in values], out)
+
+
 def _write_row(name: str, values: list[str], out: TextIO) -> None:
     out.write(f"{name:16}" + "".join(f"{each:>9}" for each in values) + "\n")
 
--- a/pollenfork/logbook/tests/test_causes.py
+++ b/pollenfork/logbook/tests/test_causes.py
@@ -243,3 +243,31 @@
     assert "return_planned  request=first digest=0f due_ms=1700" in (
         shown.getvalue()
     )
+
+
+def test_a_late_answer_is_explained_by_its_forecast() -> None:
+    """Guards against a cost that is told as if it were an expected time."""
+    chosen = CHOSEN.replace("cost_ms=20", "cost_ms=290") + " forecast_ms=40"
+    assert "longer than the 40 ms expected" in explain(chosen, ANSWERED)
+
+
+def test_a_pause_after_a_suspected_preemption_is_explained_by_it() -> None:
+    """Guards against a full KV cache that is taken for a slow connection."""
+    cause = explain(
+        CHOSEN,
+        "preemption_suspected request=q runner=r gap_ms=900 held=600 "
+        "capacity=500",
+        ANSWERED.replace("first_ms=300", "first_ms=9").replace(
+            "gap_ms=0 gap_target_ms=0", "gap_ms=900 gap_target_ms=200"
+        ),
+    )
+    assert "preempted" in cause
+    assert "600 of 500 tokens" in cause
+
+
+def test_the_pace_of_its_runner_is_shown() -> None:
+    """Guards against a slow runner whose pace a late answer doesn't show."""
+    slow = "pace_changed runner=r pace=0.50 samples=9"
+    other = "pace_changed runner=s pace=0.50 samples=9"
+    found = collect(slow, other, CHOSEN, ANSWERED)
+    assert [line.fields["runner"] for line in found.runners] == ["r"]
--- a/pollenfork/logbook/tests/test_losses.py
+++ b/pollenfork/logbook/tests/test_losses.py
@@ -82,6 +82,55 @@
     assert counts.causes == {("r", outcome, cause): 1}
 
 
+FORECAST = CHOSEN + " forecast_ms={}"
+
+
+def test_late_answer_is_compared_with_its_forecast() -> None:
+    """Guards against a cause from the cost, which isn't only time."""
+    chosen = FORECAST.format(9, 250, 20)
+    counts = count(chosen, ANSWERED.format(200, 300, 0))
+    assert counts.causes == {("r", Outcome.LATE, "longer than expected"): 1}
+
+
+def test_errors_of_forecasts_are_counted_by_route() -> None:
+    """Guards against forecasts whose error shows nowhere in operation."""
+    texts = []
+    for number in range(11):
+        chosen = FORECAST.format(5, 900, 100)
+        answered = ANSWERED.format(200, 105 + 10 * number, 0)
+        texts += [
+            each.replace("=q", f"=q{number}") for each in (chosen, answered)
+        ]
+    counts = count(*texts)
+    assert counts.errors == {"r": losses.ForecastErrors(11, 10, 50, 90)}
+    out = io.StringIO()
+    losses_report.write(counts, out)
+    assert "first event, ms observed less forecast\n" in out.getvalue()
+    assert "r                      11       10       50       90\n" in (
+        out.getvalue()
+    )
+
+
+@pytest.mark.parametrize(
+    "texts",
+    [
+        [CHOSEN.format(5, 9), ANSWERED.format(200, 99, 0)],
+        [FORECAST.format(5, 9, "-"), ANSWERED.format(200, 99, 0)],
+        [FORECAST.format(5, 9, 9)] * 2 + [ANSWERED.format(200, 99, 0)],
+        [FORECAST.format(5, 9, 9), ANSWERED.format(500, 99, 0)],
+        [FORECAST.format(5, 9, 9), GIVEN_UP.format("time_limit", "True")],
+        [ANSWERED.format(200, 99, 0)],
+    ],
+)
+def test_other_requests_have_no_error_of_a_forecast(texts) -> None:
+    """Guards against errors that no forecast made."""
+    counts = count(*texts)
+    assert not counts.errors
+    out = io.StringIO()
+    losses_report.write(counts, out)
+    assert "forecast" not in out.getvalue()
+
+
 def test_request_refused_before_routing_is_counted() -> None:
     counts = count("refused request=q reason=no_route")
     assert counts.causes == {("", Outcome.REFUSED, "no_route"): 1}
--- a/pollenfork/logbook/trace.py
+++ b/pollenfork/logbook/trace.py
@@ -25,7 +25,9 @@
 _RUNNER_EVENTS = frozenset(
     {
         "leaving_announced",
+        "pace_changed",
         "pause_requested",
+        "preemption_suspected",
         "runner_found",
         "runner_gone",
         "runner_known",
