--- a/pollenfork/pace/estimator.py
+++ b/pollenfork/pace/estimator.py
@@ -26,13 +26,13 @@
 # Intervals outside these bounds are no measurements, in milliseconds.
 _MIN_INTERVAL_MS = 0.05
 _MAX_INTERVAL_MS = 60_000.0
-# A sample may differ from the median of its service by this factor, ten times
+# A sample may differ from the usual one of its service by this factor, ten times
 # as much as the value may.
 _MAX_FACTOR = 30.0
-# The factor is only applied if the median is one of at least so many runners;
+# The factor is only applied if the usual one is of at least so many runners;
 # below, one wrong runner could make the right samples of others be rejected.
 _MIN_RUNNERS = 3
-# How often the medians over runners are computed, in seconds. With 600 runners
+# How often the usual intervals are computed, in seconds. With 600 runners
 # one computation takes about 1 ms.
 _REFRESH_S = 0.25
 # A runner that became slow counts as slow until its pace is above this one. The
@@ -128,8 +128,8 @@
         self._find_runner = find_runner
         self._records: dict[int, _Record] = {}
         self._paces: dict[int, model.Pace] = {}
-        # The median interval of each service, and of how many runners it is.
-        self._medians: dict[ids.ServiceName, tuple[float, int]] = {}
+        # The usual interval of each service, and of how many runners it is.
+        self._usual: dict[ids.ServiceName, tuple[float, int]] = {}
         self._refreshed_at = -math.inf
         self._slow: set[int] = set()
         self._outbox = outbox.Outbox(self._count_samples)
@@ -200,8 +200,8 @@
             elif len(record.samples) >= _MIN_SAMPLES:
                 found = intervals.setdefault(record.service, [])
                 found.append(record.interval_ms)
-        self._medians = {
-            service: (statistics.median(found), len(found))
+        self._usual = {
+            service: (_find_lower_quartile(found), len(found))
             for service, found in intervals.items()
         }
         for runner, record in self._records.items():
@@ -244,21 +244,21 @@
         # The comparison is also false for a value that isn't a number.
         if not _MIN_INTERVAL_MS <= interval_ms <= _MAX_INTERVAL_MS:
             return Rejection.INVALID
-        median_ms, runners = self._medians.get(service, (0.0, 0))
+        usual_ms, runners = self._usual.get(service, (0.0, 0))
         if runners < _MIN_RUNNERS:
             return None
-        factor = interval_ms / median_ms
+        factor = interval_ms / usual_ms
         if 1 / _MAX_FACTOR <= factor <= _MAX_FACTOR:
             return None
         return Rejection.IMPLAUSIBLE
 
     def _update(self, runner: int, record: _Record) -> None:
-        median_ms, _ = self._medians.get(record.service, (0.0, 0))
+        usual_ms, _ = self._usual.get(record.service, (0.0, 0))
         count = len(record.samples)
-        if count < _MIN_SAMPLES or not median_ms:
+        if count < _MIN_SAMPLES or not usual_ms:
             pace = model.Pace(samples=count)
         else:
-            value = median_ms / record.interval_ms
+            value = usual_ms / record.interval_ms
             value = min(_MAX_VALUE, max(1 / _MAX_VALUE, value))
             pace = model.Pace(value, record.spread, count)
         self._paces[runner] = pace
@@ -288,3 +288,13 @@
     def _remove(self, runner: int) -> None:
         self._records.pop(runner, None)
         self._paces.pop(runner, None)
+
+
+def _find_lower_quartile(intervals_ms: list[float]) -> float:
+    """Returns the interval of the runner faster than three quarters.
+
+    Runners with queued prompts give no samples, so half of those with samples
+    may be slow for a moment. A median would then change between the fast and
+    the slow ones.
+    """
+    return sorted(intervals_ms)[(len(intervals_ms) - 1) // 4]
