Mend what a review of the planned returns and forecasts found

A promise was used up and counted as kept although no runner was found for the request; each kept return reset the count of consecutive refusals, so callers without a promise were never admitted; and a forecast, with it the time that a caller is told, contained preferences for connections and even filling, which are no time.

--- a/pollenfork/forecast/costs.py
+++ b/pollenfork/forecast/costs.py
@@ -96,13 +96,13 @@
         rooms_s = room.find_costs(profile, found, answer_s)
         for each, room_s in zip(found, rooms_s, strict=True):
             value = paces[each.state.incarnation_hash]
-            queue_s = timing.find_queue_s(each, value, answer_s) + room_s
-            if self._find_connect_s is not None:
-                queue_s += self._find_connect_s(profile, each.runner)
+            each.queue_s = timing.find_queue_s(each, value, answer_s)
             own_s = timing.find_own_prefill_s(profile, each, value)
-            each.queue_s = queue_s
-            each.forecast_s = max(0.0, queue_s + own_s + bias_s)
-            each.cost = each.forecast_s + costs.find_failure_cost(each, now)
+            each.forecast_s = max(0.0, each.queue_s + own_s + bias_s)
+            each.cost = each.forecast_s + room_s
+            each.cost += costs.find_failure_cost(each, now)
+            if self._find_connect_s is not None:
+                each.cost += self._find_connect_s(profile, each.runner)
             if profile.gap_s and timing.find_pause_s(value) > profile.gap_s:
                 each.cost += profile.target_s * _PAUSE_COST_SHARE
 
--- a/pollenfork/forecast/tests/test_costs.py
+++ b/pollenfork/forecast/tests/test_costs.py
@@ -199,3 +199,14 @@
     fixed.FixedCosts().apply(profile, [candidate], 0.0)
     assert candidate.cost == pytest.approx(1.006)
     assert candidate.forecast_s is None
+
+
+# Guards against a forecast, and a time to return, that contain preferences.
+def test_preferences_are_no_expected_time() -> None:
+    profile = fakes.make_profile(needed_tokens=100, cache_tokens=600_000)
+    empty, half = (fakes.make_candidate(number) for number in range(2))
+    half.held_tokens = half.own_held_tokens = 300_000
+    half.active = 1
+    apply([empty, half], None, profile)
+    assert half.cost > empty.cost
+    assert half.forecast_s == empty.forecast_s
--- a/pollenfork/gateway/returning.py
+++ b/pollenfork/gateway/returning.py
@@ -51,6 +51,24 @@
             self._has_claimed = True
         return self._claimed
 
+    @property
+    def is_kept(self) -> bool:
+        """Whether the request was admitted because of its promise."""
+        return isinstance(self._claimed, promises.Kept)
+
+    def settle(self, found: outcomes.Outcome) -> None:
+        """Uses the claimed promise up if a runner was found, or renews it."""
+        claimed = self._claimed
+        if self._planner is None or not isinstance(claimed, promises.Kept):
+            return
+        if isinstance(found, outcomes.Grant):
+            self._planner.confirm(self._caller, claimed)
+            return
+        now = self._deps.loop.time()
+        self._planner.restore(self._caller, claimed, now)
+        self._claimed = None
+        self._has_claimed = False
+
     def limit_prefill(self) -> float | None:
         """Returns the prefill limit, less the work of returns due soon."""
         limit_s = self._admitted.prefill_limit_s
--- a/pollenfork/gateway/selection.py
+++ b/pollenfork/gateway/selection.py
@@ -48,7 +48,12 @@
         return limited
 
     def record_admission(self) -> None:
-        """Records that the request was admitted without load shedding."""
+        """Records that the request was admitted without load shedding.
+
+        One that was promised its return says nothing about the load.
+        """
+        if self._return.is_kept:
+            return
         service = self._admitted.demand.service
         self._deps.shed_streaks.reset(service, self._admitted.route.tier)
 
@@ -97,7 +102,9 @@
         if isinstance(claimed, promises.Early):
             return outcomes.Overloaded(claimed.left_s)
         if claimed is not None:
-            return self._find_runner(longest_s=None)
+            found = self._find_runner(longest_s=None)
+            self._return.settle(found)
+            return found
         found = self._find_runner(self._return.limit_prefill())
         if not isinstance(found, outcomes.Overloaded):
             return found
--- a/pollenfork/gateway/tests/test_returning.py
+++ b/pollenfork/gateway/tests/test_returning.py
@@ -245,3 +245,36 @@
     assert answer.startswith(b"HTTP/1.1 503 ") and b"overloaded" in answer
     told = re.search(rb"retry-after: ([\d.]+)", answer)
     assert least <= float(told[1]) <= most
+
+
+# Guards against a promise that is used up by a refusal.
+def test_a_promise_outlasts_a_moment_without_runners() -> None:
+    instance = Instance(pending=120_000)
+    _, wait_s = instance.select()
+    instance.now += wait_s
+    runners = instance._deps.chooser._registry
+    for number in range(RUNNERS):
+        runners.remove(ids.EndpointId(f"r{number}"), instance.now)
+    assert instance.select()[0] is None
+    assert instance.counters.counts[_Event.KEPT] == 0
+    for number in range(RUNNERS):
+        runners.put(make_runner(number))
+    instance.now += 0.15
+    assert isinstance(instance.select()[0], outcomes.Grant)
+
+
+# Guards against a count of refusals that each kept return resets.
+def test_kept_returns_do_not_starve_callers_without_a_place() -> None:
+    instance = Instance(pending=120_000)
+    found = []
+    for number in range(6):
+        found.append(instance.select(digest=100 + number, left_s=2.5)[0])
+        returned = (loads.PlannedReturn(number, 0, TOKENS),)
+        instance.peers.callback(returned, instance.now)
+        instance.now += 0.01
+        admitted = make_request(instance.now, True, number, 12.0)
+        selector = selection.RunnerSelector(instance._deps, admitted)
+        kept = asyncio.run(selector.find(suspect=False, is_retry=False))
+        assert isinstance(kept, outcomes.Grant)
+        selector.record_admission()  # As `Exchange` does.
+    assert isinstance(found[-1], outcomes.Grant)
--- a/pollenfork/pace/estimator.py
+++ b/pollenfork/pace/estimator.py
@@ -26,8 +26,8 @@
 # Intervals outside these bounds are no measurements, in milliseconds.
 _MIN_INTERVAL_MS = 0.05
 _MAX_INTERVAL_MS = 60_000.0
-# A sample may differ from the usual one of its service by this factor, ten times
-# as much as the value may.
+# A sample may differ from the usual one of its service by this factor, ten
+# times as much as the value may.
 _MAX_FACTOR = 30.0
 # The factor is only applied if the usual one is of at least so many runners;
 # below, one wrong runner could make the right samples of others be rejected.
--- a/pollenfork/returns/planner.py
+++ b/pollenfork/returns/planner.py
@@ -169,17 +169,23 @@
             Whether its promise is due; None: it has none.
         """
         short = promises.shorten_digest(caller.digest)
-        claimed = self._promises.claim(short, caller.arrived, now)
-        if isinstance(claimed, promises.Kept):
-            self._counters.record_return(_Event.KEPT)
-            _LOG.info(
-                "event=return_kept request=%s digest=%016x late_ms=%d",
-                caller.request,
-                caller.digest,
-                claimed.late_s * 1000,
-                extra=logs.ORDINARY,
-            )
-        return claimed
+        return self._promises.claim(short, caller.arrived, now)
+
+    def confirm(self, caller: Caller, kept: promises.Kept) -> None:
+        """Records that a request was admitted because of its promise."""
+        self._counters.record_return(_Event.KEPT)
+        _LOG.info(
+            "event=return_kept request=%s digest=%016x late_ms=%d",
+            caller.request,
+            caller.digest,
+            kept.late_s * 1000,
+            extra=logs.ORDINARY,
+        )
+
+    def restore(self, caller: Caller, kept: promises.Kept, now: float) -> None:
+        """Renews the promise of a request for which there was no runner."""
+        short = promises.shorten_digest(caller.digest)
+        self._promises.add(short, now - kept.late_s, caller.tokens, now)
 
     def measure_backlog(self, rate: float, now: float) -> float:
         """Returns the seconds of work that the returns due soon will take.
--- a/pollenfork/returns/tests/fake_site.py
+++ b/pollenfork/returns/tests/fake_site.py
@@ -190,6 +190,8 @@
             deadline=caller.deadline,
         )
         claimed = plans.claim(request, self.now)
+        if isinstance(claimed, promises.Kept):
+            plans.confirm(request, claimed)
         if isinstance(claimed, promises.Early):
             return plans.refuse_early(request, claimed, self.now)
         wait_s = self.measure_wait()
--- a/pollenfork/returns/tests/test_planner.py
+++ b/pollenfork/returns/tests/test_planner.py
@@ -69,7 +69,9 @@
     told_s = plans.refuse_early(make_caller(at), early, at)
     assert told_s == pytest.approx(plan.wait_s - 0.5, abs=0.011)
     at = NOW + plan.wait_s + 0.02
-    assert isinstance(plans.claim(make_caller(at), at), promises.Kept)
+    kept = plans.claim(make_caller(at), at)
+    assert isinstance(kept, promises.Kept)
+    plans.confirm(make_caller(at), kept)
     name = "request=q digest=0123456789abcdef"
     assert f"event=return_planned {name} due_ms={due_ms} queue=0" in caplog.text
     assert f"event=return_early {name} left_ms=" in caplog.text
@@ -197,7 +199,7 @@
     at = NOW + 0.5
     plans.refuse_early(make_caller(at), plans.claim(make_caller(at), at), at)
     at = NOW + told_s
-    plans.claim(make_caller(at), at)
+    plans.confirm(make_caller(at), plans.claim(make_caller(at), at))
     plans.refuse_unplanned(make_caller(), planner.Plan(1.0, "no_place"))
     assert counted.counts == dict.fromkeys(edges.ReturnEvent, 1)
 
