--- a/pollenfork/fleet/choice.py
+++ b/pollenfork/fleet/choice.py
@@ -15,6 +15,7 @@
 from pollenfork.fleet import messages
 from pollenfork.fleet import model
 from pollenfork.fleet import outcomes
+from pollenfork.fleet import overload
 from pollenfork.fleet import pauses as runner_pauses
 from pollenfork.fleet import prefix_index
 from pollenfork.fleet import profiles
@@ -23,9 +24,6 @@
 from pollenfork.loads import messages as loads
 from pollenfork.room import ledger
 
-# A runner whose backlog is within this fraction of the allowed wait isn't
-# overloaded, however long the request's own prompt is.
-_MAX_IDLE_BACKLOG = 0.2
 # Candidates whose costs differ by less than this, in seconds, are equivalent.
 _TIE_S = 0.004
 
@@ -119,10 +117,10 @@
         lowest = min(candidate.cost for candidate in found)
         tied = [each for each in found if each.cost <= lowest + _TIE_S]
         candidate = self._rng.choice(tied)
-        if max_wait_s is not None and _is_overloaded(
+        if max_wait_s is not None and overload.is_overloaded(
             candidate, profile, max_wait_s
         ):
-            wait_s = _find_wait(candidate, profile)
+            wait_s = overload.find_wait(candidate, profile)
             return outcomes.Overloaded(wait_s, backlog_s)
         grant = self._grant(profile, candidate)
         self.pauses.record_sent(candidate.runner.incarnation, now)
@@ -388,34 +386,3 @@
             self.caches.forget(departed[1].incarnation_hash)
         if state is not None:
             self.caches.forget(state.incarnation_hash)
-
-
-def _find_wait(
-    candidate: candidates.Candidate, profile: candidates.RequestProfile
-) -> float:
-    """Returns the seconds until a runner would have processed a prompt."""
-    if candidate.forecast_s is not None:
-        return candidate.forecast_s
-    tokens = (
-        candidate.pending_tokens
-        + candidate.prefill_tokens
-        + profile.unshared_tokens
-    )
-    return tokens / candidates.PREFILL_TOKENS_PER_S
-
-
-def _is_overloaded(
-    candidate: candidates.Candidate,
-    profile: candidates.RequestProfile,
-    max_wait_s: float,
-) -> bool:
-    """Returns whether a runner's backlog would delay a prompt too much.
-
-    A prompt that takes too long by its own length alone isn't refused.
-    """
-    backlog_s = candidate.queue_s
-    if candidate.forecast_s is None:
-        backlog_s = candidate.pending_tokens / candidates.PREFILL_TOKENS_PER_S
-    if backlog_s <= max_wait_s * _MAX_IDLE_BACKLOG:
-        return False
-    return _find_wait(candidate, profile) > max_wait_s
