--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -9,20 +9,18 @@
 from pollenfork.fleet import messages as fleet_messages
 from pollenfork.fleet import model as fleet
 from pollenfork.fleet import outcomes
+from pollenfork.gateway import answer_observer
 from pollenfork.gateway import attempt
 from pollenfork.gateway import callers
 from pollenfork.gateway import connection
 from pollenfork.gateway import context
-from pollenfork.gateway import counters
 from pollenfork.gateway import events
 from pollenfork.gateway import messages
-from pollenfork.gateway import pace_samples
 from pollenfork.gateway import pool
 from pollenfork.gateway import quarantine_check
 from pollenfork.gateway import replies
 from pollenfork.gateway import request_log
 from pollenfork.gateway import retries
-from pollenfork.gateway import room_observer
 from pollenfork.gateway import selection
 from pollenfork.gateway import timeouts
 from pollenfork.gateway.connections import view
@@ -72,14 +70,10 @@
         )
         self._selection = selection.RunnerSelector(deps, admitted)
         self._history = retries.AttemptHistory()
-        self._room = room_observer.RoomObserver(deps, admitted, self._log)
-        self._runner: ids.EndpointId | None = None
-        self._first_s: float | None = None
-        self._gap_s = 0.0
-        self._pace = pace_samples.AnswerObserver(
-            deps.paces, admitted.demand, deps.chooser.read_load
+        self._observer = answer_observer.AnswerObserver(
+            deps, admitted, self._log
         )
-        self._event_at = 0.0
+        self._runner: ids.EndpointId | None = None
         self._current: connection.Connection | None = None
         self._connected_at: float | None = None
         self._has_started = False
@@ -135,12 +129,15 @@
             self._log.log_choice(grant, self._history)
             sent_at = deps.loop.time()
             ended = await self._attempt(grant)
-            is_streaming = self._first_s is not None
             self._quarantine_check.record_attempt(
-                grant.runner, ended, sent_at, self._connected_at, is_streaming
+                grant.runner,
+                ended,
+                sent_at,
+                self._connected_at,
+                self._observer.is_streaming,
             )
             if self._handle_result(grant, ended) is not _RetryDecision.RETRIED:
-                self._room.record_end(
+                self._observer.on_end(
                     ended, self._history, self._relay, sent_at
                 )
                 self._finish(ended)
@@ -208,7 +205,7 @@
                 found.ok_value.abort()
                 return attempt.AttemptResult(_End.WITHHELD)
             self._history.sent += 1
-            self._room.start(grant)
+            self._observer.on_sent(grant)
             self._deps.counters.record_attempt()
             return await self._send(grant, found.ok_value)
         finally:
@@ -294,11 +291,7 @@
 
     def _on_first_output(self, grant: outcomes.Grant, sent_at: float) -> None:
         """Records that a runner has started to answer."""
-        if grant.pending_tokens:
-            observed_s = self._deps.loop.time() - sent_at
-            self._deps.chooser.record_first_output(grant, observed_s)
-        grant.record_prefill_done()
-        self._pace.on_first_output(grant)
+        self._observer.on_first_output(grant, sent_at)
         account = self._admitted.account
         if account is not None and not self._has_started:
             self._deps.record_started(account.id)
@@ -325,9 +318,7 @@
             self._take_retry,
         )
         if decision is _RetryDecision.ANSWERED:
-            self._pace.on_answered(
-                grant, self._history.sent, self._deps.loop.time()
-            )
+            self._observer.on_whole(grant, self._history.sent)
         else:
             self._log.log_failed_attempt(grant, ended, decision, self._history)
         return decision
@@ -377,11 +368,11 @@
             return
         else:
             self._caller.write(b"0\r\n\r\n")
-        took_s = self._log.took_s
-        first_s = took_s if self._first_s is None else self._first_s
-        served = counters.AnswerLatency(took_s, first_s, self._gap_s)
         self._log.log_answer(
-            self._runner, ended.head.status, served, self._history
+            self._runner,
+            ended.head.status,
+            self._observer.measure(),
+            self._history,
         )
 
     def _end_with_error(
@@ -418,7 +409,7 @@
     # Streaming to the caller.
 
     def _start_stream(self, head: messages.ResponseHead) -> None:
-        self._first_s = self._log.took_s
+        self._observer.on_stream()
         self._caller.watch_backpressure(self._on_backpressure)
         closing = self._caller.closing
         self._caller.write(
@@ -426,18 +417,12 @@
         )
 
     def _write_events(self, whole: bytes) -> None:
-        now = self._deps.loop.time()
-        if self._event_at:
-            self._gap_s = max(self._gap_s, now - self._event_at)
-        self._event_at = now
-        if self._relay is not None:
-            self._pace.on_events(now, self._relay.splitter.forwarded)
-        self._room.observe_events(now)
+        assert self._relay is not None
+        self._observer.on_events(self._relay.splitter.forwarded)
         self._caller.write(b"%x\r\n%b\r\n" % (len(whole), whole))
 
     def _on_backpressure(self, paused: bool) -> None:
-        self._pace.discard()
-        self._room.interrupt()
+        self._observer.on_backpressure()
         current = self._current
         if current is None:
             return
--- a/pollenfork/gateway/tests/test_room_observer.py
+++ b/pollenfork/gateway/tests/test_room_observer.py
@@ -290,7 +290,7 @@
     def count(is_slow: bool) -> int:
         fake = Fake()
         served = exchange.Exchange(fake.deps, make_admitted(DEMAND), Caller())
-        served._room.start(fake.grant)
+        served._observer.on_sent(fake.grant)
         for now in (101.0, 109.0):
             fake.clock.now = now
             served._write_events(b"id: 1\n\n")
