Bound what a gateway holds for slow callers and runners

Reading from a runner stopped while its caller's write buffer was above 64 KiB, so one slow caller left a response unread until the runner cut it off, and nothing bounded the sum over all connections.

An account measures unread answers, unsent requests and bodies held. Where the settings name a memory limit and the configuration has a forecast service, a quarter of the limit bounds the sum: an answer is read up to 256 KiB for each caller, less as the account fills, and bodies that don't fit are refused with 503 and the reason memory. An attempt that isn't read isn't timed out as silent.

--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -17,6 +17,7 @@
 from pollenfork.fleet import evidence
 from pollenfork.fleet import model as fleet
 from pollenfork.fleet import retry_budget
+from pollenfork.gateway import buffers
 from pollenfork.gateway import cache_feed
 from pollenfork.gateway import callers
 from pollenfork.gateway import cluster_state
@@ -215,7 +216,9 @@
         handler = request_handler.RequestHandler(
             self._deps, self.state, self._readiness
         )
-        self._front = callers.Server(self._loop, handler.serve)
+        self._buffers = buffers.Account(config.memory_bytes)
+        self.counters.when_scraped(self._buffers.show)
+        self._front = callers.Server(self._loop, handler.serve, self._buffers)
         self._probes = callers.Server(self._loop, handler.serve_probe)
 
     async def run(self) -> None:
@@ -318,6 +321,7 @@
     def _apply_limits(self) -> None:
         if self.state.lookup is not None:
             self._front.limits = self.state.lookup.configuration.limits
+            self._buffers.set_forecast(self.state.lookup.has_forecast)
 
     async def _sweep(self) -> None:
         while True:
@@ -327,6 +331,7 @@
             now = self._loop.time()
             self.state.expire_runners(now)
             self._forecasting.refresh()
+            self._buffers.refresh()
             self._deps.request_quarantine.sweep(now)
             self._readiness.check(now)
 
--- a/pollenfork/gateway/attempt.py
+++ b/pollenfork/gateway/attempt.py
@@ -91,6 +91,7 @@
         done: Resolves with the result of the attempt.
         phase: How much of the answer has arrived.
         last_data_at: Monotonic seconds of the last head or event received.
+        paused: Whether the gateway doesn't read the answer for now.
     """
 
     def __init__(
@@ -102,6 +103,7 @@
         on_first_output: Callable[[], None],
         on_head: Callable[[messages.ResponseHead], None] | None = None,
         on_any_head: Callable[[messages.ResponseHead], None] | None = None,
+        on_buffered: Callable[[int], None] | None = None,
     ) -> None:
         """Creates an attempt that waits for its answer.
 
@@ -114,6 +116,8 @@
             on_head: Called with the head of the answer.
             on_any_head: Called with every head that arrives on the connection,
                 also those of answers to earlier requests.
+            on_buffered: Called with the size of each piece that is kept until
+                the answer is whole.
         """
         self._loop = loop
         self._codec = codec
@@ -122,12 +126,19 @@
         self._on_first_output = on_first_output
         self._on_head = on_head
         self._on_any_head = on_any_head
+        self._on_buffered = on_buffered
         self._head: messages.ResponseHead | None = None
         self._body: list[bytes] = []
         self._size = 0
         self.done: asyncio.Future[AttemptResult] = loop.create_future()
         self.phase = Phase.WAITING
         self.last_data_at = loop.time()
+        self.paused = False
+
+    def record_paused(self, paused: bool) -> None:
+        """Records that reading was paused or resumed."""
+        self.paused = paused
+        self.last_data_at = self._loop.time()
 
     def on_head(self, status: int, headers: list[messages.Header]) -> bool:
         """Handles the head; returns False if it answers another request."""
@@ -153,6 +164,8 @@
                 self._fail(connection.ResponseFailure.INVALID)
             else:
                 self._body.append(data)
+                if self._on_buffered is not None:
+                    self._on_buffered(len(data))
             return
         assert self._relay is not None
         try:
--- a/pollenfork/gateway/callers.py
+++ b/pollenfork/gateway/callers.py
@@ -9,6 +9,7 @@
 import httptools
 import msgspec
 
+from pollenfork.gateway import buffers
 from pollenfork.gateway import messages
 from pollenfork.gateway import replies
 from pollenfork.routes import model as routes
@@ -29,6 +30,7 @@
     HEADERS_TOO_LARGE = "headers_too_large"
     BODY_TOO_LARGE = "body_too_large"
     TOO_SLOW = "too_slow"
+    MEMORY = "memory"
 
 
 class CallerCounters(msgspec.Struct):
@@ -49,6 +51,7 @@
         closing: Whether each connection closes after its current answer.
         counters: Counts of connections and requests.
         connections: The open connections.
+        buffers: What is held for the callers.
     """
 
     def __init__(
@@ -57,6 +60,7 @@
         serve: Callable[
             [messages.Request, "CallerConnection"], Coroutine[Any, Any, None]
         ],
+        account: buffers.Account | None = None,
     ) -> None:
         self.loop = loop
         self.serve = serve
@@ -64,6 +68,7 @@
         self.closing = False
         self.counters = CallerCounters()
         self.connections: set[CallerConnection] = set()
+        self.buffers = account or buffers.Account()
 
     def make_connection(self) -> "CallerConnection":
         """Returns the protocol of a newly accepted connection."""
@@ -101,6 +106,7 @@
         self._closing = False
         self._fault: Fault | None = None
         self._on_paused: Callable[[bool], None] | None = None
+        self.buffers = buffers.CallerBuffers(server.buffers, self)
 
     @property
     def idle(self) -> bool:
@@ -116,6 +122,18 @@
         """Writes to the caller."""
         if self._transport is not None:
             self._transport.write(data)
+            self.buffers.update()
+
+    def count_unread(self) -> int:
+        """Returns the bytes written that the caller hasn't read."""
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
+
+    def count_received(self) -> int:
+        """Returns the bytes of received bodies that aren't served yet."""
+        waiting = sum(len(call.body) for call, _ in self._waiting)
+        return waiting + (self._body_bytes if self._body else 0)
 
     def watch_backpressure(self, callback: Callable[[bool], None]) -> None:
         """Sets the callback for a write buffer that fills (True) or drains."""
@@ -146,6 +164,7 @@
         host, port = transport.get_extra_info("peername")[:2]
         self._peer = f"{host}:{port}"
         self._server.connections.add(self)
+        self.buffers.open()
         self._server.counters.connections += 1
         self._start_timer(self._server.limits.header_s, self._on_read_timeout)
 
@@ -154,6 +173,7 @@
         self._server.connections.discard(self)
         self._stop_timer()
         self._transport = None
+        self.buffers.close()
         self._waiting.clear()
         if self._task is not None:
             self._server.counters.gone += 1
@@ -170,6 +190,7 @@
 
     def resume_writing(self) -> None:
         """Reports that the write buffer has drained."""
+        self.buffers.update()
         if self._on_paused is not None:
             self._on_paused(False)
 
@@ -231,8 +252,12 @@
         if self._body_bytes > self._server.limits.body_bytes:
             self._fault = self._fault or Fault.BODY_TOO_LARGE
             self._body.clear()
+        elif not self._server.buffers.has_room(len(data)):
+            self._fault = self._fault or Fault.MEMORY
+            self._body.clear()
         elif self._fault is None:
             self._body.append(data)
+        self.buffers.update()
 
     def on_message_complete(self) -> None:
         """Serves the request, or queues it behind the one in progress."""
@@ -317,7 +342,9 @@
         if self._transport is None:
             return
         if self._task is None:
-            self.write(replies.write_fault(_STATUSES[fault], fault.value))
+            wait_s = _RETRY_AFTER_S.get(fault)
+            status = _STATUSES[fault]
+            self.write(replies.write_fault(status, fault.value, wait_s))
             self._transport.close()
 
     def _start_timer(self, seconds: float, call: Callable[[], None]) -> None:
@@ -335,4 +362,6 @@
     Fault.HEADERS_TOO_LARGE: 431,
     Fault.BODY_TOO_LARGE: 413,
     Fault.TOO_SLOW: 408,
+    Fault.MEMORY: 503,
 }
+_RETRY_AFTER_S = {Fault.MEMORY: buffers.RETRY_AFTER_S}
--- a/pollenfork/gateway/connection.py
+++ b/pollenfork/gateway/connection.py
@@ -81,6 +81,12 @@
         self.exchanges += 1
         self._transport.write(data)
 
+    def count_unsent(self) -> int:
+        """Returns the bytes of the request that the peer hasn't read."""
+        if self._transport is None or self._lost:
+            return 0
+        return self._transport.get_write_buffer_size()
+
     def pause(self) -> None:
         """Stops reading, which makes the peer stop sending."""
         if self._transport is not None and not self._lost:
--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -10,6 +10,7 @@
 from pollenfork.fleet import model as fleet
 from pollenfork.fleet import outcomes
 from pollenfork.gateway import attempt
+from pollenfork.gateway import buffers
 from pollenfork.gateway import callers
 from pollenfork.gateway import connection
 from pollenfork.gateway import context
@@ -80,7 +81,6 @@
             deps.paces, admitted.demand, deps.chooser.read_load
         )
         self._event_at = 0.0
-        self._current: connection.Connection | None = None
         self._connected_at: float | None = None
         self._has_started = False
         if admitted.route.kind is routes.Kind.STREAM:
@@ -100,9 +100,15 @@
             # An internal error; the caller must not wait until its time limit.
             self._log.log_internal_error()
             self._end_with_error(_Reason.FAULT)
+        finally:
+            self._caller.buffers.end()
 
     async def _serve(self) -> None:
         deps = self._deps
+        if not self._caller.buffers.begin(len(self._admitted.call.body)):
+            wait_s = min(buffers.RETRY_AFTER_S, self._remaining_s() / 3)
+            self._end_with_error(_Reason.MEMORY, max(0.0, wait_s), least_s=0.0)
+            return
         deps.retry_budget.record_request(
             self._admitted.demand.service, deps.loop.time()
         )
@@ -238,12 +244,15 @@
             ),
             functools.partial(self._on_head, grant, self._deps.loop.time()),
             functools.partial(self._deps.runner_notices.on_head, grant.runner),
+            self._caller.buffers.record_answer,
         )
-        self._current = found
         self._connected_at = found.connected_at
         self._deps.pool.mark_busy(grant.runner, found)
         self._deps.limit_events.on_sent(grant.runner, self._deps.loop.time())
         found.send(self._encode_request(grant), receiver)
+        self._caller.buffers.attach(
+            found, functools.partial(self._on_reading_paused, receiver)
+        )
         limits = timeouts.AttemptTimeouts.for_attempt(
             admitted,
             grant.cost,
@@ -255,7 +264,7 @@
             found.abort()
             raise
         finally:
-            self._current = None
+            self._caller.buffers.detach()
             self._deps.pool.mark_done(grant.runner, found)
         if receiver.phase is attempt.Phase.ENDED and found.usable:
             self._deps.pool.release(grant.runner, found)
@@ -438,10 +447,11 @@
     def _on_backpressure(self, paused: bool) -> None:
         self._pace.discard()
         self._room.interrupt()
-        current = self._current
-        if current is None:
-            return
-        if paused:
-            current.pause()
-        else:
-            current.resume()
+        self._caller.buffers.record_full(paused)
+
+    def _on_reading_paused(
+        self, receiver: attempt.Attempt, paused: bool
+    ) -> None:
+        self._pace.discard()
+        self._room.interrupt()
+        receiver.record_paused(paused)
--- a/pollenfork/gateway/replies.py
+++ b/pollenfork/gateway/replies.py
@@ -28,6 +28,7 @@
     RUNNERS_LIMITED = "runners_limited"
     RUNNERS_PAUSED = "runners_paused"
     ENDS_RUNNERS = "ends_runners"
+    MEMORY = "memory"
 
 
 class Refusal(msgspec.Struct, frozen=True):
@@ -47,16 +48,17 @@
 def write_refusal(refusal: Refusal, closing: bool) -> bytes:
     """Returns a refusal as an HTTP response."""
     body = msgspec.json.encode({"error": refusal.reason.value})
-    extra = b""
-    if refusal.retry_after_s is not None:
-        extra = b"retry-after: %.2f\r\n" % refusal.retry_after_s
+    extra = _write_retry_after(refusal.retry_after_s)
     return _write(refusal.status, body, extra, closing)
 
 
-def write_fault(status: int, reason: str) -> bytes:
-    """Returns the response to bytes that aren't a valid request."""
+def write_fault(
+    status: int, reason: str, retry_after_s: float | None = None
+) -> bytes:
+    """Returns the response to bytes that can't be taken as a request."""
     body = msgspec.json.encode({"error": reason})
-    return _write(status, body, b"", closing=True)
+    extra = _write_retry_after(retry_after_s)
+    return _write(status, body, extra, closing=True)
 
 
 def write_text(status: int, body: bytes, closing: bool = False) -> bytes:
@@ -74,6 +76,10 @@
     return _write(200, body, b"", False, b"application/octet-stream")
 
 
+def _write_retry_after(seconds: float | None) -> bytes:
+    return b"" if seconds is None else b"retry-after: %.2f\r\n" % seconds
+
+
 def _write(
     status: int,
     body: bytes,
--- a/pollenfork/gateway/settings.py
+++ b/pollenfork/gateway/settings.py
@@ -76,6 +76,8 @@
         retry_extra: Additional retries allowed to all instances per window.
         heartbeat_s: Seconds between two renewals of a runner's entry.
         duties: The duties that one instance performs for all; None for none.
+        memory_bytes: The memory above which the process is killed; None: no
+            bound on what is held for slow callers and runners.
     """
 
     instance: ids.InstanceId
@@ -93,6 +95,16 @@
     retry_extra: float = 10.0
     heartbeat_s: float = HEARTBEAT_S
     duties: DutySettings | None = None
+    memory_bytes: int | None = None
+
+    def __post_init__(self) -> None:
+        """Validates the memory limit.
+
+        Raises:
+            ValueError: The memory limit isn't above 0.
+        """
+        if self.memory_bytes is not None and self.memory_bytes <= 0:
+            raise ValueError("the memory limit must be above 0")
 
     def find_changes(self, reloaded: "GatewaySettings") -> "Changes":
         """Returns how reloaded settings differ from these."""
--- a/pollenfork/gateway/tests/test_room_observer.py
+++ b/pollenfork/gateway/tests/test_room_observer.py
@@ -13,6 +13,7 @@
 from pollenfork.fleet.tests import test_registry
 from pollenfork.gateway import admission
 from pollenfork.gateway import attempt
+from pollenfork.gateway import buffers
 from pollenfork.gateway import cluster_state
 from pollenfork.gateway import context
 from pollenfork.gateway import events
@@ -280,6 +281,9 @@
 class Caller:
     """A caller's connection that takes everything."""
 
+    def __init__(self) -> None:
+        self.buffers = buffers.CallerBuffers(buffers.Account(), self)
+
     def write(self, data: bytes) -> None:
         pass
 
--- a/pollenfork/gateway/timeouts.py
+++ b/pollenfork/gateway/timeouts.py
@@ -63,15 +63,17 @@
         """Returns the result of an attempt, at its timeout at the latest."""
         while not running.done.done():
             now = loop.time()
-            limit = self._find_limit(running)
+            limit = self._find_limit(running, now)
             if now >= limit:
                 return attempt.AttemptResult(fleet_messages.End.SILENT)
             await asyncio.wait([running.done], timeout=limit - now)
         return running.done.result()
 
-    def _find_limit(self, running: attempt.Attempt) -> float:
+    def _find_limit(self, running: attempt.Attempt, now: float) -> float:
         flowing = running.phase is attempt.Phase.STREAMING
         pause_s = self.gap_s if flowing else self.first_s
         if pause_s is None:
             return self.deadline
-        return min(self.deadline, running.last_data_at + pause_s)
+        # A runner whose answer isn't read can't be found silent.
+        last_at = now if running.paused else running.last_data_at
+        return min(self.deadline, last_at + pause_s)
--- a/pollenfork/metric_help.py
+++ b/pollenfork/metric_help.py
@@ -13,6 +13,9 @@
     "pollenfork_broken_answers_total": (
         "Answers that ended with an error event, by what broke them."
     ),
+    "pollenfork_buffered_bytes": (
+        "Bytes held for callers and runners that haven't read them."
+    ),
     "pollenfork_caller_faults_total": (
         "Bytes of callers that were no proper request, by what was wrong."
     ),
--- a/pollenfork/platform/__main__.py
+++ b/pollenfork/platform/__main__.py
@@ -40,9 +40,7 @@
     return status.ExitStatus.SUCCESS
 
 
-def _read_settings() -> result.Result[
-    settings.GatewaySettings, boot.BadSettings
-]:
+def _read_settings() -> boot.Loaded:
     path = os.environ.get(names.SETTINGS_VARIABLE, names.SETTINGS_PATH)
     return boot.load(pathlib.Path(path))
 
--- a/pollenfork/platform/boot.py
+++ b/pollenfork/platform/boot.py
@@ -11,9 +11,12 @@
 from pollenfork.gateway import settings
 from pollenfork.platform import names
 
+Loaded = result.Result[settings.GatewaySettings, "BadSettings"]
+
 # The port that serves metrics, on the machine's own address. The deploy file
 # names the same port.
 METRICS_PORT = 9464
+_MEGABYTE = 1_000_000
 
 
 class BadSettings(failures.Failure, frozen=True, kw_only=True):
@@ -41,6 +44,10 @@
     lease_ms: float = 3000.0
 
 
+class _Limits(_KebabTable):
+    memory_mb: float | None = None
+
+
 class _Cloud(_KebabTable):
     address: str = ""
     duties: list[str] = []
@@ -61,11 +68,10 @@
     heartbeat_ms: float = settings.HEARTBEAT_S * 1000.0
     cloud: _Cloud = msgspec.field(default_factory=_Cloud)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
-def load(
-    path: pathlib.Path,
-) -> result.Result[settings.GatewaySettings, BadSettings]:
+def load(path: pathlib.Path) -> Loaded:
     """Reads and decodes the settings file at `path`."""
     try:
         boot = msgspec.convert(tomllib.loads(path.read_text()), _Boot)
@@ -76,6 +82,8 @@
 
 def _make_settings(boot: _Boot) -> settings.GatewaySettings:
     bounds = boot.bounds
+    limit_s = bounds.revoke_ms / 1000.0 if bounds.strict_revocation else None
+    memory_mb = boot.limits.memory_mb
     return settings.GatewaySettings(
         instance=ids.InstanceId(boot.node_name),
         data_centre=ids.DataCentre(boot.zone),
@@ -90,14 +98,13 @@
             if (peer := _make_peer_address(boot, _parse_address(seed).host))
         ),
         grace_s=bounds.grace_s,
-        revocation_s=(
-            bounds.revoke_ms / 1000.0 if bounds.strict_revocation else None
-        ),
+        revocation_s=limit_s,
         retry_ratio=bounds.retry_budget_ratio,
         retry_window_s=bounds.budget_window_s,
         retry_extra=bounds.retry_budget_extra,
         heartbeat_s=boot.heartbeat_ms / 1000.0,
         duties=_make_duties(boot),
+        memory_bytes=None if memory_mb is None else int(memory_mb * _MEGABYTE),
     )
 
 
--- a/pollenfork/platform/caches.py
+++ b/pollenfork/platform/caches.py
@@ -9,6 +9,8 @@
 from pollenfork.platform import entries
 from pollenfork.platform import names
 
+_Decoded = result.Result[messages.CacheReport, "BadCacheReport"]
+
 _OK = 200
 _ADDED = "+"
 
@@ -57,16 +59,12 @@
     return _encode(runner, names.CACHE_LIST_PATH)
 
 
-def decode_feed(
-    status: int, body: bytes
-) -> result.Result[messages.CacheReport, BadCacheReport]:
+def decode_feed(status: int, body: bytes) -> _Decoded:
     """Decodes the response to a feed request."""
     return _decode(status, body).map(lambda raw: _convert(raw, complete=False))
 
 
-def decode_list(
-    status: int, body: bytes
-) -> result.Result[messages.CacheReport, BadCacheReport]:
+def decode_list(status: int, body: bytes) -> _Decoded:
     """Decodes the response to a list request."""
     return _decode(status, body).map(lambda raw: _convert(raw, complete=True))
 
--- a/pollenfork/platform/entries.py
+++ b/pollenfork/platform/entries.py
@@ -18,6 +18,7 @@
 from pollenfork.fleet import model as fleet
 
 _Fault = errors.EntryFault
+_Decoded = result.Result[fleet.Runner, errors.BadEntry]
 _Failed = result.Err[errors.BadEntry]
 
 _MAX_PORT = 65_535
@@ -57,9 +58,7 @@
 )
 
 
-def decode(
-    key: str, value: bytes
-) -> result.Result[fleet.Runner, errors.BadEntry]:
+def decode(key: str, value: bytes) -> _Decoded:
     """Decodes one runner's entry.
 
     Args:
@@ -90,9 +89,7 @@
         return _fail(_Fault.OTHER_TYPE, str(error))
 
 
-def _validate(
-    key: str, entry: _Entry
-) -> result.Result[fleet.Runner, errors.BadEntry]:
+def _validate(key: str, entry: _Entry) -> _Decoded:
     field = _find_out_of_range(key, entry)
     if field is not None:
         return _fail(_Fault.OUT_OF_RANGE, field)
--- a/pollenfork/platform/tests/test_boot.py
+++ b/pollenfork/platform/tests/test_boot.py
@@ -58,3 +58,18 @@
 )
 def test_invalid_duty_settings_are_an_error(tmp_path, text) -> None:
     assert isinstance(read(tmp_path, text), result.Err)
+
+
+def test_the_memory_limit_is_read_and_none_by_default(tmp_path) -> None:
+    # Guards against a bound on buffers where the settings name no limit.
+    assert read(tmp_path, "").ok_value.memory_bytes is None
+    other = read(tmp_path, "[limits]\nopen-files = 9\n")
+    assert other.ok_value.memory_bytes is None
+    limited = read(tmp_path, "[limits]\nmemory-mb = 200\n")
+    assert limited.ok_value.memory_bytes == 200_000_000
+
+
+def test_a_memory_limit_that_is_not_above_0_is_an_error(tmp_path) -> None:
+    # Guards against an instance that refuses every body.
+    read_limits = read(tmp_path, "[limits]\nmemory-mb = 0\n")
+    assert isinstance(read_limits, result.Err)
--- a/pollenfork/routes/lookup.py
+++ b/pollenfork/routes/lookup.py
@@ -58,6 +58,11 @@
         """Returns the tiers of all routes to a service, most urgent first."""
         return self._tiers.get(service, ())
 
+    @property
+    def has_forecast(self) -> bool:
+        """Whether the configuration has a forecast service."""
+        return bool(self._forecast)
+
     def is_forecast(self, service: ids.ServiceName) -> bool:
         """Returns whether runners are chosen by forecasts of their answers.
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -19,7 +19,8 @@
     if "tests" not in path.parts and "standin" not in path.parts
 }
 METRIC = re.compile(
-    r"\bpollenfork_[a-z_]*(?:total|seconds|progress|revision|slow_runners)"
+    r"\bpollenfork_[a-z_]*"
+    r"(?:total|seconds|progress|revision|slow_runners|buffered_bytes)"
 )
 # Packages that only gateways use.
 GATEWAY_PACKAGES = {
@@ -100,6 +101,7 @@
 @pytest.mark.parametrize("name", metric_help.HELP)
 def test_metric_has_a_conventional_name(name: str) -> None:
     gauges = {
+        "pollenfork_buffered_bytes",
         "pollenfork_requests_in_progress",
         "pollenfork_settings_revision",
         "pollenfork_slow_runners",
