Test that the account of buffers forgets callers and their bodies

Removing the end of a request or of a connection from the account passed all tests. The tests now read the account while the connection is open and count the callers left; both removals fail them.

--- a/pollenfork/gateway/tests/test_buffers.py
+++ b/pollenfork/gateway/tests/test_buffers.py
@@ -282,7 +282,10 @@
     return got
 
 
-ASK = b"GET /p HTTP/1.1\r\nx-id: q\r\n\r\n"
+ASK = (
+    b"POST /p HTTP/1.1\r\nx-id: q\r\ncontent-length: 50000\r\n\r\n"
+    + b"x" * 50_000
+)
 EVENTS = support.write_events(1, 9_000)  # 165 KB
 
 
@@ -357,7 +360,7 @@
 def test_the_account_returns_to_0(end) -> None:
     # Guards against bytes that stay in the account and in the end refuse all
     # bodies.
-    async def run() -> tuple[int, int]:
+    async def run() -> tuple[int, tuple[int, int]]:
         stream = support.write_stream(EVENTS, whole=False)
         if end == "cancelled":
             runner = HoldingRunner("r0", stream)
@@ -367,23 +370,24 @@
             routes.Kind.STREAM, MEMORY, runner, attempts=1
         ) as gateway:
             account = gateway.callers.buffers
-            body = b"x" * 50_000
-            post = b"POST /p HTTP/1.1\r\nx-id: q\r\ncontent-length: 50000\r\n"
-            opened = await connect(gateway, post + b"\r\n" + body)
+            opened = await connect(gateway, ASK)
             if end == "cancelled":
                 await wait_until(lambda: account.total > 100_000)
                 most = account.total
                 opened.close()
             else:
-                most = 1
+                served = gateway.callers.counters
+                await wait_until(lambda: served.requests)
+                most = len(ASK)  # It may already be cut.
             await wait_until(lambda: not gateway.callers.connections)
-            await asyncio.sleep(0)
             opened.close()
+            left = account.total, len(account.callers)
             account.refresh()
-            return most, account.total
+            assert account.total == 0
+            return most, left
 
     most, left = asyncio.run(run())
-    assert most and left == 0
+    assert most and left == (0, 0)
 
 
 class HoldingRunner(support.Runner):
--- a/pollenfork/routes/tests/test_lookup.py
+++ b/pollenfork/routes/tests/test_lookup.py
@@ -147,8 +147,10 @@
     plain = make_route("/plain/", target_s=0.2)
     table = make_lookup(*streams, plain)
     assert table.is_forecast(ids.ServiceName("s")) is expected
+    assert table.has_forecast is expected
 
 
 def test_a_service_without_prompts_is_not_forecast() -> None:
     table = make_lookup(make_route("/plain/", target_s=5.0))
     assert not table.is_forecast(ids.ServiceName("s"))
+    assert not table.has_forecast
