--- a/pollenfork/forecast/placement.py
+++ b/pollenfork/forecast/placement.py
@@ -6,8 +6,12 @@
 import xxhash
 
 from pollenfork.fleet import candidates
-from pollenfork.pace import model as pace
 
+# Runners below this pace are reserved last. Beside long prompts, estimates of
+# equally fast runners went down to 0.57 for a moment; each change of the
+# reserved runners sends urgent requests to runners that still process long
+# prompts.
+_LAST_RESERVED_PACE = 0.55
 # The number of runners among which a prompt that is cached nowhere is placed
 # by load. More of them spread prompts little better, but instances that choose
 # at once then process the same prompt at several runners.
@@ -26,8 +30,8 @@
 
     Runners of normal pace are reserved for the most urgent tier before slow
     ones, whose pauses are too long beside a long prompt. All instances must
-    agree on the reserved runners, so they are ordered by the limit for slow
-    ones and not by the pace.
+    agree on the reserved runners, so they are ordered by a limit and not by
+    the pace.
 
     Args:
         profile: What the request needs.
@@ -37,7 +41,7 @@
     ranked = sorted(
         found,
         key=lambda each: (
-            paces[each.state.incarnation_hash] < pace.SLOW,
+            paces[each.state.incarnation_hash] < _LAST_RESERVED_PACE,
             each.state.incarnation_hash,
         ),
     )
--- a/pollenfork/logbook/causes.py
+++ b/pollenfork/logbook/causes.py
@@ -31,6 +31,10 @@
         "each runner in reach has asked this instance for a pause; see"
         " pause_requested"
     ),
+    _Reason.MEMORY: (
+        "what this instance held for callers and runners that read slowly left"
+        " no memory for its body; see reading_paused"
+    ),
     _Reason.UNREACHABLE: "no connection to its runners could be made",
     _Reason.STOPPING: "the instance was stopping",
     _Reason.TIME_LIMIT: "its time was over",
