--- a/pollenfork/gateway/tests/test_room_observer.py
+++ b/pollenfork/gateway/tests/test_room_observer.py
@@ -35,7 +35,6 @@
     forecast=True,
     needed_tokens=1_640,
     cache_tokens=50_000,
-    event_tokens=4,
 )
 WHOLE = support.write_stream(support.write_events(0, 44), whole=True)
 HALF = support.write_stream(support.write_events(0, 2), whole=False)
@@ -179,7 +178,7 @@
         call=call,
         head=messages.RequestHead(**{**fields, **head}),
         route=support.make_route(STREAM, gap_s=0.2),
-        demand=demand,
+        demand=msgspec.structs.replace(demand, event_tokens=4),
         prefill_limit_s=None,
         account=None,
         tier=ids.Tier(0),
