--- a/pollenfork/gateway/request_log.py
+++ b/pollenfork/gateway/request_log.py
@@ -94,13 +94,14 @@
             self._counters.record_not_retried(decision)
         _LOG.warning(
             "event=attempt_failed request=%s digest=%016x runner=%s end=%s "
-            "breach=%s status=%s route=%s took_ms=%d left_ms=%d sent=%d "
-            "sequel=%s",
+            "breach=%s unsent=%s status=%s route=%s took_ms=%d left_ms=%d "
+            "sent=%d sequel=%s",
             self._request,
             self._admitted.digest,
             grant.runner.id,
             ended.end.value,
             ended.failure.value if ended.failure else "-",
+            ended.symptom.name.lower() if ended.symptom else "-",
             ended.head.status if ended.head else "-",
             self._admitted.route.name,
             self.took_s * 1000,
--- a/pollenfork/gateway/scrape.py
+++ b/pollenfork/gateway/scrape.py
@@ -49,6 +49,7 @@
                 service=service,
                 event=event,
             )
+    _show_reachable(output, deps, state)
     for outcome, count in msgspec.structs.asdict(deps.permits.counts).items():
         output.set_count("pollenfork_permits_total", count, outcome=outcome)
     for why, count in state.refused_entries.items():
@@ -74,6 +75,27 @@
     output.set_gauge("pollenfork_slow_runners", deps.paces.slow_runners)
 
 
+def _show_reachable(
+    output: "metrics.Metrics",
+    deps: context.Dependencies,
+    state: cluster_state.ClusterState,
+) -> None:
+    """Exports how many runners of each service this instance can connect to."""
+    if state.lookup is None:
+        return
+    for service in state.lookup.configuration.services:
+        accepting = state.runners.list_accepting(service)
+        reachable = sum(
+            deps.chooser.get_state(runner.id).reachable for runner in accepting
+        )
+        output.set_gauge(
+            "pollenfork_runners_accepting", len(accepting), service=service
+        )
+        output.set_gauge(
+            "pollenfork_runners_reachable", reachable, service=service
+        )
+
+
 def _show_settings(
     output: "metrics.Metrics", state: cluster_state.ClusterState, now: float
 ) -> None:
--- a/pollenfork/metric_help.py
+++ b/pollenfork/metric_help.py
@@ -104,6 +104,12 @@
     "pollenfork_duty_claims_total": (
         "Times that this instance began to act for all."
     ),
+    "pollenfork_runners_accepting": (
+        "Registered runners that accept new work, by service."
+    ),
+    "pollenfork_runners_reachable": (
+        "Those of them that this instance believes it can connect to."
+    ),
     "pollenfork_runner_total_changes_total": (
         "Changes of the number of runners that a service shall have."
     ),
