Test that callers of instances without runners are served (known red)

Six gateways as processes, of which two, a data centre or all but one lose their connections to all runners for five seconds: hanging, reset, living on while new ones are refused, or accepted and reset.

The gateways of the soak connect from their own addresses now, so that proxies can tell them apart.

--- a/pollenfork/platform/tests/soak/site.py
+++ b/pollenfork/platform/tests/soak/site.py
@@ -13,6 +13,7 @@
 from pollenfork.platform.tests import support
 from pollenfork.platform.tests.soak import caller
 from pollenfork.platform.tests.soak import cloud
+from pollenfork.platform.tests.soak import partitions
 from pollenfork.platform.tests.soak import proxy
 from pollenfork.platform.tests.soak import runner
 from pollenfork.platform.tests.soak import store
@@ -32,7 +33,7 @@
 _BOOT = """
 node-name = "gateway-{number}"
 ip = "{host}"
-zone = "hall-{zone}"
+zone = "{zone}"
 internal-ports = [{peer}, {peer}]
 seeds = ["{base}.2:1", "{base}.3:1"]
 [listen]
@@ -110,6 +111,7 @@
         self._number = number
         self._log = site.folder / f"gateway-{number}.log"
         self._boot = site.folder / f"gateway-{number}.toml"
+        self._cut = site.folder / f"gateway-{number}.cut"
 
     async def prepare(self) -> None:
         """Writes the settings and opens the way to the store."""
@@ -119,7 +121,7 @@
             number=self._number,
             host=self.host,
             base=site.base,
-            zone="ab"[self._number % 2],
+            zone=self.zone,
             peer=site.port + 2,
             front=site.port,
             ready=site.port + 1,
@@ -138,11 +140,38 @@
             self.process = subprocess.Popen(
                 [sys.executable, "-m", suspendable.__name__],
                 cwd=ROOT,
-                env={**os.environ, "POLLENFORK_BOOT": str(self._boot)},
+                env={
+                    **os.environ,
+                    "POLLENFORK_BOOT": str(self._boot),
+                    **partitions.make_environment(self.host, self._cut),
+                },
                 stdout=log,
                 stderr=log,
             )
 
+    @property
+    def zone(self) -> str:
+        """The data centre of the process."""
+        return f"hall-{'ab'[self._number % 2]}"
+
+    def cut_off(self, cut: partitions.Cut) -> None:
+        """Cuts its connections to all runners."""
+        self._cut.write_text(cut.value)
+        for way in self._site.to_runners.values():
+            if cut is partitions.Cut.HANG:
+                way.silenced.add(self.host)
+            elif cut is partitions.Cut.DROP:
+                way.rejected.add(self.host)
+            if cut in (partitions.Cut.RESET, partitions.Cut.DROP):
+                way.reset_from(self.host)
+
+    def reconnect(self) -> None:
+        """Ends a cut."""
+        self._cut.unlink(missing_ok=True)
+        for way in self._site.to_runners.values():
+            way.silenced.discard(self.host)
+            way.rejected.discard(self.host)
+
     def send(self, number: int) -> None:
         """Sends a signal to the process, if it runs."""
         self.disturbed = time.monotonic()
--- a/pollenfork/platform/tests/soak/suspendable.py
+++ b/pollenfork/platform/tests/soak/suspendable.py
@@ -9,6 +9,8 @@
 import signal
 import time
 
+from pollenfork.platform.tests.soak import partitions
+
 SIGNAL = signal.SIGUSR1
 # How long the machine is suspended, in seconds: longer than any key is trusted
 # without proof.
@@ -24,6 +26,7 @@
     signal.signal(SIGNAL, _suspend)
     time.clock_gettime = _read
     time.time = lambda: _read_wall() + _slept_s
+    partitions.install()
     runpy.run_module("pollenfork.platform", run_name="__main__")
 
 
--- a/pollenfork/platform/tests/test_soak.py
+++ b/pollenfork/platform/tests/test_soak.py
@@ -10,8 +10,10 @@
 from pollenfork.platform.tests.soak import caller
 from pollenfork.platform.tests.soak import drills
 from pollenfork.platform.tests.soak import duties
+from pollenfork.platform.tests.soak import isolation
 from pollenfork.platform.tests.soak import limits
 from pollenfork.platform.tests.soak import notices
+from pollenfork.platform.tests.soak import partitions
 from pollenfork.platform.tests.soak import play
 from pollenfork.platform.tests.soak import poison
 from pollenfork.platform.tests.soak import proxy
@@ -240,3 +242,37 @@
     assert outcome.told > 0, outcome
     assert outcome.slow_readers > 10, outcome
     assert outcome.served > 0.5, outcome
+
+
+# Guards against instances that refuse their callers as they have lost their own
+# connections to all runners, while other instances reach every runner.
+@pytest.mark.parametrize(
+    ("cut", "choose"),
+    [
+        (partitions.Cut.HANG, isolation.choose_two),
+        (partitions.Cut.HANG, isolation.choose_all_but_one),
+        (partitions.Cut.RESET, isolation.choose_data_centre),
+        (partitions.Cut.LIVE, isolation.choose_two),
+        (partitions.Cut.DROP, isolation.choose_all_but_one),
+    ],
+)
+def test_callers_of_instances_without_runners_are_served(
+    cut, choose, tmp_path
+) -> None:
+    outcome = asyncio.run(isolation.play(71, tmp_path, cut, choose))
+    assert outcome.broken == [], outcome
+    assert outcome.there >= 0.98 * outcome.elsewhere, outcome
+    assert outcome.elsewhere >= 0.99, outcome
+    assert outcome.later_s <= 0.06, outcome
+    assert outcome.after >= 0.99, outcome
+
+
+# Guards against instances that shun sound runners, as others that have lost
+# their connections say that these refuse them.
+def test_runners_are_not_shunned_for_what_cut_off_instances_find(
+    tmp_path,
+) -> None:
+    outcome = asyncio.run(
+        isolation.play(72, tmp_path, partitions.Cut.LIVE, isolation.choose_two)
+    )
+    assert outcome.shunned == 0, outcome
