Serve callers through another instance while no runner can be reached

A request could only be sent on a connection that its own instance makes.

It then asks other instances which of them reach runners, and forwards requests whole, with their keys, to one that does. Forwarded requests aren't forwarded again, and are counted once.

--- a/pollenfork/fleet/registry.py
+++ b/pollenfork/fleet/registry.py
@@ -264,6 +264,10 @@
             if not self._runners[each].leaving
         ]
 
+    def list_services(self) -> list[ids.ServiceName]:
+        """Returns the services that have had runners."""
+        return list(self._services)
+
     def list_all(self) -> list[model.Runner]:
         """Returns the runners of all services."""
         return list(self._runners.values())
--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -27,6 +27,7 @@
 from pollenfork.gateway import duty_agent
 from pollenfork.gateway import edges
 from pollenfork.gateway import forecasting
+from pollenfork.gateway import forwarding
 from pollenfork.gateway import limit_events
 from pollenfork.gateway import load_shedding
 from pollenfork.gateway import messages
@@ -36,6 +37,7 @@
 from pollenfork.gateway import probing
 from pollenfork.gateway import quarantine_page
 from pollenfork.gateway import quarantine_store
+from pollenfork.gateway import reach_monitor
 from pollenfork.gateway import readiness
 from pollenfork.gateway import request_handler
 from pollenfork.gateway import runner_notices
@@ -45,7 +47,9 @@
 from pollenfork.gateway import sources
 from pollenfork.gateway import tables
 from pollenfork.loads import messages as loads
+from pollenfork.loads import reach_messages
 from pollenfork.poison import quarantine
+from pollenfork.reach import helpers
 
 if TYPE_CHECKING:
     from pollenfork import metrics
@@ -135,6 +139,17 @@
             self._loop.time,
         )
         findings.when_ended(request_quarantine.record_absence)
+        self._reach = reach_monitor.ReachMonitor(
+            self._loop, connections, self.state.runners, chooser, rng
+        )
+        self._forwarder = forwarding.Forwarder(
+            self._loop,
+            codec,
+            helpers.Helpers(config.data_centre, rng),
+            config.instance,
+            config.data_centre,
+        )
+        self._reach.when_suspected(self._forwarder.ask)
         self._duty_agent: duty_agent.DutyAgent | None = None
         if config.duties is not None:
             self._duty_agent = duty_agent.DutyAgent(
@@ -156,7 +171,11 @@
             chooser=chooser,
             evidence=findings,
             crash_probes=crash_probes.CrashProbes(
-                connections, findings, request_quarantine, chooser.get_state
+                connections,
+                findings,
+                request_quarantine,
+                chooser.get_state,
+                self._reach,
             ),
             request_quarantine=request_quarantine,
             limit_events=limit_events.LimitEvents(),
@@ -178,6 +197,8 @@
             shed_streaks=load_shedding.ShedStreaks(),
             counters=self.counters,
             read_loads_age=self._read_loads_age,
+            reach=self._reach,
+            forwarder=self._forwarder,
             paces=self._forecasting.paces,
             learned=self._forecasting.learned,
             returns=self._forecasting.returns,
@@ -213,13 +234,18 @@
         self.counters.when_scraped(self._show_state)
         if self._duty_agent is not None:
             self.counters.when_scraped(self._duty_agent.show)
-        handler = request_handler.RequestHandler(
+        self._handler = handler = request_handler.RequestHandler(
             self._deps, self.state, self._readiness
         )
+        self._sources.tables.accept_forwarded(handler.serve_forwarded)
         self._buffers = buffers.Account(config.memory_bytes)
         self.counters.when_scraped(self._buffers.show)
         self._front = callers.Server(self._loop, handler.serve, self._buffers)
         self._probes = callers.Server(self._loop, handler.serve_probe)
+        # Serves other instances, also the requests that they forward.
+        self._peer_server = tables.make_server(
+            self._sources.tables, self._buffers
+        )
 
     async def run(self) -> None:
         """Serves until `stop` is called, then drains and closes."""
@@ -299,11 +325,33 @@
         if self._duty_agent is not None:
             self._duty_agent.join(joined)
             joined.when_duty(self._duty_agent.receive)
-        await self._listen(tables.make_server(self._sources.tables), me)
+        self._forwarder.join(
+            forwarding.Peers(joined.list_hosts, joined.locate, joined.send)
+        )
+        joined.on_reach(self._receive_reach)
+        joined.when_ticked(self._reach.tick)
+        await self._listen(self._peer_server, me)
         self._tasks.append(self._loop.create_task(joined.run()))
         for task in self._tasks:
             task.add_done_callback(_log_failure)
 
+    def _receive_reach(
+        self, message: reach_messages.ReachMessage, host: str
+    ) -> None:
+        """Answers an instance that asks for help, or records its offer."""
+        if isinstance(message, reach_messages.HelpOffer):
+            self._forwarder.record_offer(host, message)
+            return
+        if self._peers is None or not self._readiness.check(self._loop.time()):
+            return
+        lost = [
+            loads.hash_name(each.encode()) for each in self._reach.list_lost()
+        ]
+        offer = reach_messages.HelpOffer(
+            self._settings.data_centre, self._handler.forwarded, tuple(lost)
+        )
+        self._peers.send(host, offer)
+
     def _on_cache_head(
         self, runner: fleet.Runner, status: int, headers: list[messages.Header]
     ) -> None:
@@ -320,7 +368,9 @@
 
     def _apply_limits(self) -> None:
         if self.state.lookup is not None:
-            self._front.limits = self.state.lookup.configuration.limits
+            limits = self.state.lookup.configuration.limits
+            self._front.limits = limits
+            self._peer_server.limits = forwarding.widen_limits(limits)
             self._buffers.set_forecast(self.state.lookup.has_forecast)
 
     async def _sweep(self) -> None:
@@ -396,7 +446,8 @@
         for listener in self._listeners:
             listener.close()
         self._front.close_idle()
-        while self._front.busy and self._loop.time() < last:
+        self._peer_server.close_idle()
+        while self._is_busy and self._loop.time() < last:
             await asyncio.sleep(_STOP_POLL_S)
             self._front.close_idle()
         _LOG.info(
@@ -406,12 +457,18 @@
             (self._loop.time() - begun) * 1000,
         )
 
+    @property
+    def _is_busy(self) -> bool:
+        """Whether any caller's request is in progress here."""
+        return self._front.busy or self._handler.forwarded > 0
+
     def _close(self) -> None:
         for task in self._tasks:
             task.cancel()
         self._cache_feed.close()
         self._deps.prober.close()
         self._deps.crash_probes.close()
+        self._reach.close()
         self._deps.pool.close()
 
     def _show_state(self, shown: "metrics.Metrics") -> None:
--- a/pollenfork/gateway/connection.py
+++ b/pollenfork/gateway/connection.py
@@ -1,7 +1,9 @@
 """An HTTP/1.1 client connection that carries one exchange at a time."""
 
 import asyncio
+from collections.abc import Callable
 import enum
+import http
 from typing import Protocol
 
 import httptools
@@ -50,6 +52,9 @@
         exchanges: Exchanges started on the connection.
         connected_at_unix: Unix time at which it was opened, in seconds.
         connected_at: Monotonic seconds of the same moment.
+        has_received: Whether any response bytes have arrived on it.
+        on_data: Called with the connection when response bytes arrive.
+        on_continue: Called when the peer asks for the request's body.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -68,6 +73,9 @@
         self.idle_limit_s: float | None = None
         self.reusable = True
         self.exchanges = 0
+        self.has_received = False
+        self.on_data: Callable[[Connection], None] = _ignore
+        self.on_continue: Callable[[], None] | None = None
 
     @property
     def usable(self) -> bool:
@@ -81,6 +89,11 @@
         self.exchanges += 1
         self._transport.write(data)
 
+    def send_rest(self, data: bytes) -> None:
+        """Sends the rest of the request."""
+        if self._transport is not None and not self._lost:
+            self._transport.write(data)
+
     def count_unsent(self) -> int:
         """Returns the bytes of the request that the peer hasn't read."""
         if self._transport is None or self._lost:
@@ -120,6 +133,8 @@
         if self._receiver is None:
             self.abort()
             return
+        self.on_data(self)
+        self.has_received = True
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -163,6 +178,8 @@
     def on_headers_complete(self) -> None:
         """Passes the head to the receiver."""
         status = self._parser.get_status_code()
+        if status == http.HTTPStatus.CONTINUE and self.on_continue is not None:
+            self.on_continue()
         if self._receiver is None or status < 200:
             return
         if status in _WITHOUT_BODY:
@@ -215,3 +232,7 @@
             self._transport.abort()
         if receiver is not None:
             receiver.on_failure(failure)
+
+
+def _ignore(connection: Connection) -> None:
+    """Ignores that bytes have arrived."""
--- a/pollenfork/gateway/context.py
+++ b/pollenfork/gateway/context.py
@@ -2,7 +2,9 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+import enum
 import random
+from typing import Protocol
 
 import msgspec
 
@@ -11,6 +13,8 @@
 from pollenfork.fleet import choice
 from pollenfork.fleet import evidence
 from pollenfork.fleet import retry_budget
+from pollenfork.gateway import attempt
+from pollenfork.gateway import buffers
 from pollenfork.gateway import counters
 from pollenfork.gateway import crash_probes
 from pollenfork.gateway import edges
@@ -20,6 +24,7 @@
 from pollenfork.gateway import permits
 from pollenfork.gateway import pool
 from pollenfork.gateway import probing
+from pollenfork.gateway import reach_monitor
 from pollenfork.gateway import runner_notices
 from pollenfork.pace import estimator
 from pollenfork.poison import quarantine
@@ -59,6 +64,41 @@
     digest: ids.RequestDigest
 
 
+class ForwardOutcome(enum.Enum):
+    """What became of forwarded requests."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    BROKEN = "broken"
+    NO_HELPER = "no_helper"
+
+
+class Forwarder(Protocol):
+    """Sends requests to an instance that reaches the runners.
+
+    Attributes:
+        counts: The number of forwarded requests, by what became of them.
+    """
+
+    counts: dict[ForwardOutcome, int]
+
+    async def forward(
+        self,
+        admitted: AdmittedRequest,
+        sent: int,
+        relay: attempt.StreamRelay | None,
+        held: buffers.CallerBuffers,
+    ) -> attempt.AttemptResult | None:
+        """Returns the result; None: no instance helps, nothing has run.
+
+        Args:
+            admitted: The request.
+            sent: The number of runners that it has been sent to.
+            relay: Forwards a stream to the caller; None if it isn't streamed.
+            held: What is held for the caller.
+        """
+
+
 class Dependencies(msgspec.Struct, frozen=True):
     """Dependencies that all exchanges share.
 
@@ -67,6 +107,8 @@
         claim_trial: Returns whether a quarantined request may run once.
         read_loads_age: Returns the age of the other instances' loads in
             seconds; None if there are none.
+        reach: Tells whether runners can be connected to.
+        forwarder: Forwards requests while they can't; None: nobody else can.
         paces: Receives samples of how fast runners generate.
         returns: Plans the returns of refused callers of forecast services;
             None: they are told how long the best runner is overloaded.
@@ -91,7 +133,9 @@
     shed_streaks: load_shedding.ShedStreaks
     counters: counters.Counters
     read_loads_age: Callable[[], float | None]
+    reach: reach_monitor.ReachMonitor
     paces: estimator.PaceTable
+    forwarder: Forwarder | None = None
     returns: return_planner.ReturnPlanner | None = None
     learned: learning.LearnedAnswers = msgspec.field(
         default_factory=learning.LearnedAnswers
--- a/pollenfork/gateway/crash_probes.py
+++ b/pollenfork/gateway/crash_probes.py
@@ -17,6 +17,7 @@
 from pollenfork.fleet import model as fleet
 from pollenfork.fleet import runner_state
 from pollenfork.gateway import pool
+from pollenfork.gateway import reach_monitor
 from pollenfork.loads import messages as loads
 from pollenfork.poison import quarantine
 
@@ -50,6 +51,7 @@
         findings: evidence.Evidence,
         request_quarantine: quarantine.Quarantine,
         get_state: Callable[[ids.EndpointId], runner_state.RunnerState],
+        reach: reach_monitor.ReachMonitor,
     ) -> None:
         """Creates an instance without probes.
 
@@ -59,7 +61,9 @@
             request_quarantine: Receives the runners that drop a connection at
                 once.
             get_state: Returns this instance's state of a runner.
+            reach: Checks the path when a connection breaks.
         """
+        self._reach = reach
         self._get_state = get_state
         self._pool = connections
         self._evidence = findings
--- a/pollenfork/gateway/edges.py
+++ b/pollenfork/gateway/edges.py
@@ -32,6 +32,14 @@
     ) -> bytes:
         """Encodes a request for a runner."""
 
+    def encode_forwarded(
+        self,
+        call: messages.Request,
+        remaining_s: float,
+        last_event: int | None,
+    ) -> bytes:
+        """Encodes the head of a request for another instance, unframed."""
+
     def decode_response(
         self, status: int, headers: list[messages.Header]
     ) -> messages.ResponseHead:
--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -16,6 +16,7 @@
 from pollenfork.gateway import connection
 from pollenfork.gateway import context
 from pollenfork.gateway import events
+from pollenfork.gateway import forwarding
 from pollenfork.gateway import messages
 from pollenfork.gateway import pool
 from pollenfork.gateway import quarantine_check
@@ -58,7 +59,20 @@
         deps: context.Dependencies,
         admitted: context.AdmittedRequest,
         caller: callers.CallerConnection,
+        forwarded: forwarding.Forwarded | None = None,
     ) -> None:
+        """Creates the exchange; `run` serves the request.
+
+        Args:
+            deps: Dependencies that all exchanges share.
+            admitted: The request.
+            caller: The connection of the caller, or of the instance that
+                forwards its request.
+            forwarded: What that instance has told; None: a caller's request.
+        """
+        self._forwarded = forwarded
+        # A request that was sent before is counted where that was done.
+        self._is_counted = forwarded is not None and forwarded.attempts > 0
         self._deps = deps
         self._admitted = admitted
         self._caller = caller
@@ -98,57 +112,116 @@
             self._caller.buffers.end()
 
     async def _serve(self) -> None:
-        deps = self._deps
         if not self._caller.buffers.begin(len(self._admitted.call.body)):
             wait_s = min(buffers.RETRY_AFTER_S, self._remaining_s() / 3)
             self._end_with_error(_Reason.MEMORY, max(0.0, wait_s), least_s=0.0)
             return
-        deps.retry_budget.record_request(
-            self._admitted.demand.service, deps.loop.time()
+        while not await self._advance():
+            pass
+
+    async def _advance(self) -> bool:
+        """Takes the next step; returns whether the request has been served."""
+        deps = self._deps
+        if self._remaining_s() <= 0:
+            self._end_with_error(_Reason.TIME_LIMIT)
+            return True
+        lost = deps.reach.is_lost(self._admitted.demand.service)
+        if lost and await self._forward():
+            return True
+        verdict = await self._quarantine_check.evaluate(
+            bool(self._history.runners_tried)
         )
-        while True:
-            if self._remaining_s() <= 0:
-                self._end_with_error(_Reason.TIME_LIMIT)
-                return
-            verdict = await self._quarantine_check.evaluate(
-                bool(self._history.runners_tried)
-            )
-            if (
-                verdict is crashes.Verdict.QUARANTINED
-                and not await self._quarantine_check.claim_trial()
-            ):
-                self._end_with_error(_Reason.ENDS_RUNNERS, _QUARANTINED_RETRY_S)
-                return
-            if verdict is crashes.Verdict.UNCONFIRMED:
-                self._end_with_error(_Reason.ENDS_RUNNERS, _UNCONFIRMED_RETRY_S)
-                return
-            grant = await self._selection.find(
-                verdict is not crashes.Verdict.CLEAR,
-                bool(self._history.runners_tried),
-            )
-            if not isinstance(grant, outcomes.Grant):
+        if await self._refuse_quarantined(verdict):
+            return True
+        grant = await self._selection.find(
+            verdict is not crashes.Verdict.CLEAR,
+            bool(self._history.runners_tried),
+        )
+        if not isinstance(grant, outcomes.Grant):
+            if not (self._is_unreached(grant) and await self._forward()):
                 self._refuse(grant)
-                return
-            self._runner = grant.runner.id
-            if not self._history.runners_tried:
-                self._selection.record_admission()
-            self._log.log_choice(grant, self._history)
-            sent_at = deps.loop.time()
-            ended = await self._attempt(grant)
-            self._quarantine_check.record_attempt(
-                grant.runner,
-                ended,
-                sent_at,
-                self._connected_at,
-                self._observer.is_streaming,
-            )
-            if self._handle_result(grant, ended) is not _RetryDecision.RETRIED:
-                self._observer.on_end(
-                    ended, self._history, self._relay, sent_at
-                )
-                self._finish(ended)
-                return
+            return True
+        return await self._try_runner(grant)
+
+    async def _try_runner(self, grant: outcomes.Grant) -> bool:
+        """Sends the request to a runner; returns whether it was served."""
+        deps = self._deps
+        self._runner = grant.runner.id
+        if not self._history.runners_tried:
+            self._selection.record_admission()
+        self._log.log_choice(grant, self._history)
+        sent_at = deps.loop.time()
+        ended = await self._attempt(grant)
+        self._quarantine_check.record_attempt(
+            grant.runner,
+            ended,
+            sent_at,
+            self._connected_at,
+            self._observer.is_streaming,
+        )
+        if self._handle_result(grant, ended) is _RetryDecision.RETRIED:
             await self._quarantine_check.wait_for_probe(grant.runner, ended)
+            return False
+        self._observer.on_end(ended, self._history, self._relay, sent_at)
+        if ended.end.reached_runner or not await self._forward():
+            self._finish(ended)
+        return True
+
+    async def _refuse_quarantined(self, verdict: crashes.Verdict) -> bool:
+        """Returns whether a request that crashes runners was refused."""
+        if verdict is crashes.Verdict.UNCONFIRMED:
+            self._end_with_error(_Reason.ENDS_RUNNERS, _UNCONFIRMED_RETRY_S)
+            return True
+        quarantined = verdict is crashes.Verdict.QUARANTINED
+        if quarantined and not await self._quarantine_check.claim_trial():
+            self._end_with_error(_Reason.ENDS_RUNNERS, _QUARANTINED_RETRY_S)
+            return True
+        return False
+
+    def _is_unreached(
+        self, found: outcomes.Overloaded | outcomes.Refusal | None
+    ) -> bool:
+        """Returns whether runners exist but couldn't be connected to."""
+        if isinstance(found, outcomes.Unreachable):
+            return True
+        tried = self._history.runners_tried
+        return found is None and tried > 0 and not self._history.sent
+
+    async def _forward(self) -> bool:
+        """Lets another instance serve the request; returns whether one did."""
+        forwarder = self._deps.forwarder
+        if forwarder is None or self._forwarded is not None:
+            return False
+        ended = await forwarder.forward(
+            self._admitted,
+            self._history.sent,
+            self._relay,
+            self._caller.buffers,
+        )
+        if ended is None:
+            return False
+        self._is_counted = True
+        match ended.end:
+            case _End.WHOLE:
+                self._write_answer(ended)
+            case _End.REFUSED:
+                self._pass_refusal(forwarding.read_refusal(ended))
+            case _:
+                self._history.may_have_run = True
+                late = self._remaining_s() <= 0
+                self._end_with_error(
+                    _Reason.TIME_LIMIT if late else _Reason.MAY_HAVE_RUN
+                )
+        return True
+
+    def _pass_refusal(self, refusal: replies.Refusal) -> None:
+        """Passes on the refusal of the instance that served the request."""
+        if self._relay is not None and self._relay.begun:
+            self._caller.abort()
+            return
+        if self._history.may_have_run and refusal.retry_after_s is not None:
+            refusal = replies.Refusal(502, _Reason.MAY_HAVE_RUN)
+        self._caller.write(replies.write_refusal(refusal, self._caller.closing))
 
     def _refuse(
         self,
@@ -210,7 +283,9 @@
             if not self._deps.chooser.availability.accepts(grant.runner, now):
                 found.ok_value.abort()
                 return attempt.AttemptResult(_End.WITHHELD)
+            self._count_request()
             self._history.sent += 1
+            self._deps.reach.record_sent(grant.runner)
             self._observer.on_sent(grant)
             self._deps.counters.record_attempt()
             return await self._send(grant, found.ok_value)
@@ -306,6 +381,14 @@
             self._deps.record_started(account.id)
         self._has_started = True
 
+    def _count_request(self) -> None:
+        """Counts the request for the retry budget, once at all instances."""
+        if not self._is_counted:
+            self._is_counted = True
+            self._deps.retry_budget.record_request(
+                self._admitted.demand.service, self._deps.loop.time()
+            )
+
     def _remaining_s(self) -> float:
         return self._admitted.deadline - self._deps.loop.time()
 
@@ -341,11 +424,22 @@
         now = self._deps.loop.time()
         state.record_end(ended.end, retries.is_error(ended), now)
         self._log.log_state_change(grant, ended, failures)
-        if ended.symptom is not None:
-            self._deps.evidence.record(grant.runner, ended.symptom)
+        self._report_failure(grant.runner, ended)
         if not state.reachable:
             self._deps.prober.watch(grant.runner, state)
 
+    def _report_failure(
+        self, runner: fleet.Runner, ended: attempt.AttemptResult
+    ) -> None:
+        """Tells other instances what a failed attempt shows of a runner."""
+        deps = self._deps
+        if ended.symptom is not None:
+            deps.evidence.record(runner, ended.symptom)
+        if ended.end is _End.UNSENT:
+            deps.reach.confirm(runner, _ignore)
+        elif ended.connection_lost and ended.head is None:
+            deps.reach.record_broken(runner)
+
     def _take_retry(self) -> bool:
         now = self._deps.loop.time()
         return self._deps.retry_budget.try_take(
@@ -365,7 +459,23 @@
             self._end_with_error(_Reason.MAY_HAVE_RUN)
 
     def _deliver(self, ended: attempt.AttemptResult) -> None:
-        """Writes the answer, or the end of its stream, to the caller."""
+        """Delivers a runner's answer."""
+        assert ended.head is not None
+        if not self._write_answer(ended):
+            return
+        self._log.log_answer(
+            self._runner,
+            ended.head.status,
+            self._observer.measure(),
+            self._history,
+        )
+
+    def _write_answer(self, ended: attempt.AttemptResult) -> bool:
+        """Writes the answer, or the end of its stream, to the caller.
+
+        Returns:
+            Whether it was written: an error can't end a stream that has begun.
+        """
         assert ended.head is not None
         if self._relay is None or not self._relay.begun:
             written = self._deps.codec.encode_response(
@@ -374,15 +484,10 @@
             self._caller.write(written + ended.body)
         elif retries.is_error(ended):
             self._end_with_error(_Reason.MAY_HAVE_RUN)
-            return
+            return False
         else:
             self._caller.write(b"0\r\n\r\n")
-        self._log.log_answer(
-            self._runner,
-            ended.head.status,
-            self._observer.measure(),
-            self._history,
-        )
+        return True
 
     def _end_with_error(
         self,
@@ -399,6 +504,7 @@
             wait_s: Seconds after which a retry is likely to be served.
             least_s: The least seconds to tell the caller.
         """
+        self._count_request()
         may_have_run = self._history.may_have_run
         # An internal error shows nothing about a request already sent.
         if reason is _Reason.FAULT and self._history.sent:
@@ -439,3 +545,7 @@
     ) -> None:
         self._observer.on_backpressure()
         receiver.record_paused(paused)
+
+
+def _ignore() -> None:
+    """Ignores that a runner is at fault, as others have been told already."""
--- a/pollenfork/gateway/peers.py
+++ b/pollenfork/gateway/peers.py
@@ -15,6 +15,7 @@
 from pollenfork.loads import core
 from pollenfork.loads import limit_messages
 from pollenfork.loads import messages
+from pollenfork.loads import reach_messages
 from pollenfork.poison import quarantine
 
 _LOG = logging.getLogger(__name__)
@@ -171,10 +172,19 @@
         self._early_tick: asyncio.TimerHandle | None = None
         self._on_tick: list[Callable[[], None]] = []
         self._on_duty: list[Callable[[DutyMessage, str], None]] = []
+        self._on_reach: list[
+            Callable[[reach_messages.ReachMessage, str], None]
+        ] = []
         self._on_limits: list[
             Callable[[limit_messages.LimitMessage, str], None]
         ] = []
 
+    def on_reach(
+        self, callback: Callable[[reach_messages.ReachMessage, str], None]
+    ) -> None:
+        """Calls `callback` with queries for help and offers, and their host."""
+        self._on_reach.append(callback)
+
     def set_seeds(self, seeds: Iterable[messages.Address]) -> None:
         """Sets the instances to contact while no other is known."""
         self._exchange.set_seeds(seeds)
@@ -240,6 +250,11 @@
             for on_limits in self._on_limits:
                 on_limits(message, address[0])
             return
+        if isinstance(message, reach_messages.ReachMessage):
+            self._exchange.record_contact(message.data_centre, address[0], now)
+            for on_reach in self._on_reach:
+                on_reach(message, address[0])
+            return
         self._send_all(self._exchange.receive(message, address[0], now))
         if isinstance(message, messages.OtherLoads):
             self._read_exchange(now)
--- a/pollenfork/gateway/pool.py
+++ b/pollenfork/gateway/pool.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import functools
 import time
 
 import msgspec
@@ -34,6 +35,9 @@
 _IDLE_SHARE = 0.4
 
 
+OnData = Callable[[fleet.Runner, connection.Connection], None]
+
+
 class Unreachable(failures.Failure, frozen=True, kw_only=True):
     """No connection could be established; nothing was sent.
 
@@ -97,12 +101,17 @@
         self._busy: dict[ids.EndpointId, set[connection.Connection]] = {}
         self.counters = PoolCounters()
         self.service_counters: dict[ids.ServiceName, ServiceCounters] = {}
+        self._on_data: OnData | None = None
 
     def watch_registry(self, runners: registry.Registry) -> None:
         """Closes connections to runners that are removed or restarted."""
         runners.when_gone(self.close_idle)
         runners.when_restarted(self.fail_stale)
 
+    def watch_data(self, callback: OnData) -> None:
+        """Sets the callback for bytes that runners send."""
+        self._on_data = callback
+
     def set_accepted(
         self,
         service: ids.ServiceName,
@@ -194,6 +203,8 @@
             )
         opened.idle_since = opened.connected_at = self._loop.time()
         opened.connected_at_unix = self._unix_time()
+        if self._on_data is not None:
+            opened.on_data = functools.partial(self._on_data, runner)
         return result.Ok(opened)
 
     def release(
--- a/pollenfork/gateway/request_handler.py
+++ b/pollenfork/gateway/request_handler.py
@@ -2,6 +2,7 @@
 
 import logging
 
+import msgspec
 import result
 
 from pollenfork import logs
@@ -10,6 +11,7 @@
 from pollenfork.gateway import cluster_state
 from pollenfork.gateway import context
 from pollenfork.gateway import exchange
+from pollenfork.gateway import forwarding
 from pollenfork.gateway import messages
 from pollenfork.gateway import readiness
 from pollenfork.gateway import replies
@@ -38,11 +40,53 @@
         self._deps = deps
         self._state = state
         self._readiness = ready
+        self._forwarded = 0
 
     async def serve(
         self, call: messages.Request, caller: callers.CallerConnection
     ) -> None:
         """Serves or refuses one request of a caller."""
+        await self._serve(call, caller, None)
+
+    async def serve_forwarded(
+        self,
+        call: messages.Request,
+        forwarded: forwarding.Forwarded,
+        caller: callers.CallerConnection,
+    ) -> None:
+        """Serves a caller's request that another instance forwards.
+
+        Args:
+            call: The request as the caller sent it.
+            forwarded: What the other instance has told about it.
+            caller: The connection of that instance.
+        """
+        _LOG.info(
+            "event=forward_received request=%s sender=%s attempts=%d",
+            logs.quote_value(
+                self._deps.codec.decode_request(call.headers).attempt
+            ),
+            logs.quote_value(forwarded.sender),
+            forwarded.attempts,
+            extra=logs.ORDINARY,
+        )
+        self._forwarded += 1
+        try:
+            await self._serve(call, caller, forwarded)
+        finally:
+            self._forwarded -= 1
+
+    @property
+    def forwarded(self) -> int:
+        """Forwarded requests in progress."""
+        return self._forwarded
+
+    async def _serve(
+        self,
+        call: messages.Request,
+        caller: callers.CallerConnection,
+        forwarded: forwarding.Forwarded | None,
+    ) -> None:
         repeated = self._deps.codec.find_duplicate(call.headers)
         if repeated is not None:
             refusal = replies.Refusal(
@@ -61,7 +105,14 @@
         if isinstance(admitted, result.Err):
             self._refuse(call, caller, admitted.err_value, head.attempt)
             return
-        await exchange.Exchange(self._deps, admitted.ok_value, caller).run()
+        request = admitted.ok_value
+        if forwarded is not None:
+            request = _limit_attempts(request, forwarded)
+            if self._readiness.state is readiness.State.STOPPING:
+                refusal = replies.Refusal(503, replies.Reason.STOPPING)
+                self._refuse(call, caller, refusal, head.attempt)
+                return
+        await exchange.Exchange(self._deps, request, caller, forwarded).run()
 
     def _refuse(
         self,
@@ -97,3 +148,12 @@
         ready = self._readiness.check(now)
         status = 200 if ready else 503
         caller.write(replies.write_text(status, b"ready" if ready else b"no"))
+
+
+def _limit_attempts(
+    admitted: context.AdmittedRequest, forwarded: forwarding.Forwarded
+) -> context.AdmittedRequest:
+    """Returns a request without the attempts that were made elsewhere."""
+    left = max(1, admitted.route.attempts - forwarded.attempts)
+    route = msgspec.structs.replace(admitted.route, attempts=left)
+    return msgspec.structs.replace(admitted, route=route)
--- a/pollenfork/gateway/scrape.py
+++ b/pollenfork/gateway/scrape.py
@@ -80,7 +80,13 @@
     deps: context.Dependencies,
     state: cluster_state.ClusterState,
 ) -> None:
-    """Exports how many runners of each service this instance can connect to."""
+    """Exports how many runners can be connected to, and what follows."""
+    output.set_count("pollenfork_findings_withheld_total", deps.reach.withheld)
+    if deps.forwarder is not None:
+        for result, count in deps.forwarder.counts.items():
+            output.set_count(
+                "pollenfork_forwarded_total", count, outcome=result.value
+            )
     if state.lookup is None:
         return
     for service in state.lookup.configuration.services:
--- a/pollenfork/gateway/tables.py
+++ b/pollenfork/gateway/tables.py
@@ -7,12 +7,15 @@
 """
 
 import asyncio
+from collections.abc import Awaitable, Callable
 import enum
 from typing import Protocol
 
 from pollenfork.catalogue import messages as catalogue
 from pollenfork.catalogue import table_copy
+from pollenfork.gateway import buffers
 from pollenfork.gateway import callers
+from pollenfork.gateway import forwarding
 from pollenfork.gateway import messages
 from pollenfork.gateway import replies
 
@@ -39,17 +42,28 @@
         """Answers a call."""
 
 
+ServeForwarded = Callable[
+    [messages.Request, forwarding.Forwarded, callers.CallerConnection],
+    Awaitable[None],
+]
+
+
 class Tables:
     """The copies of the tables that other instances may request."""
 
     def __init__(self) -> None:
         self._page: Page | None = None
+        self._serve_forwarded: ServeForwarded | None = None
         self._shelves = {table: table_copy.TableCopy() for table in Table}
 
     def add_page(self, page: Page) -> None:
         """Serves a page for operators in addition to the tables."""
         self._page = page
 
+    def accept_forwarded(self, serve: ServeForwarded) -> None:
+        """Serves requests that other instances forward."""
+        self._serve_forwarded = serve
+
     def take(self, table: Table, changes: catalogue.Changes) -> None:
         """Applies changes to the copy of a table."""
         self._shelves[table].apply(changes)
@@ -58,6 +72,10 @@
         self, call: messages.Request, caller: callers.CallerConnection
     ) -> None:
         """Answers a request of another instance."""
+        forwarded = forwarding.take_forwarded(call)
+        if forwarded is not None and self._serve_forwarded is not None:
+            await self._serve_forwarded(*forwarded, caller)
+            return
         if self._page is not None and call.target.startswith(self._page.path):
             self._page.serve(call, caller)
             return
@@ -76,6 +94,13 @@
     return b"GET /%b HTTP/1.1\r\nhost: peer\r\n\r\n" % table.value.encode()
 
 
-def make_server(tables: Tables) -> callers.Server:
-    """Returns a server for other instances."""
-    return callers.Server(asyncio.get_running_loop(), tables.serve)
+def make_server(
+    tables: Tables, account: buffers.Account | None = None
+) -> callers.Server:
+    """Returns a server for other instances.
+
+    Args:
+        tables: The tables that it serves.
+        account: What is held for callers; None: no bound.
+    """
+    return callers.Server(asyncio.get_running_loop(), tables.serve, account)
--- a/pollenfork/gateway/tests/support.py
+++ b/pollenfork/gateway/tests/support.py
@@ -23,6 +23,7 @@
 from pollenfork.gateway import permits
 from pollenfork.gateway import pool
 from pollenfork.gateway import probing
+from pollenfork.gateway import reach_monitor
 from pollenfork.gateway import runner_notices
 from pollenfork.pace import estimator
 from pollenfork.poison import digests
@@ -63,6 +64,13 @@
         length = b"content-length: %d\r\n\r\n" % len(call.body)
         return head + length + call.body
 
+    def encode_forwarded(self, call, remaining_s, last_event):
+        lines = [b"%b %b HTTP/1.1" % (call.method, call.target)]
+        if last_event is not None:
+            lines.append(b"x-after: %d" % last_event)
+        lines += [name + b": " + value for name, value in call.headers]
+        return b"\r\n".join(lines) + b"\r\n"
+
     def decode_response(self, status, headers):
         found = dict(headers)
         return messages.ResponseHead(
@@ -210,6 +218,9 @@
             loop.time,
         )
         findings.when_ended(request_quarantine.record_absence)
+        reach = reach_monitor.ReachMonitor(
+            loop, connections, self.runners, chooser, rng
+        )
         self.deps = context.Dependencies(
             loop=loop,
             rng=rng,
@@ -217,7 +228,11 @@
             chooser=chooser,
             evidence=findings,
             crash_probes=crash_probes.CrashProbes(
-                connections, findings, request_quarantine, chooser.get_state
+                connections,
+                findings,
+                request_quarantine,
+                chooser.get_state,
+                reach,
             ),
             request_quarantine=request_quarantine,
             limit_events=limit_events.LimitEvents(),
@@ -233,6 +248,7 @@
             shed_streaks=load_shedding.ShedStreaks(),
             counters=counters.Counters(),
             read_loads_age=lambda: None,
+            reach=reach,
             paces=estimator.PaceTable(
                 pace_samples.RunnerIndex(self.runners, loop.time).find
             ),
@@ -260,6 +276,7 @@
         self._server.close()
         self.deps.prober.close()
         self.deps.crash_probes.close()
+        self.deps.reach.close()
         self.deps.pool.close()
 
     async def _serve(self, call, caller) -> None:
--- a/pollenfork/loads/messages.py
+++ b/pollenfork/loads/messages.py
@@ -9,6 +9,7 @@
 from pollenfork import ids
 from pollenfork import versions
 from pollenfork.loads import limit_messages
+from pollenfork.loads import reach_messages
 
 
 class Address(NamedTuple):
@@ -426,6 +427,7 @@
     | Tally
     | HolderNotice
     | limit_messages.LimitMessage
+    | reach_messages.ReachMessage
 )
 
 
--- a/pollenfork/logbook/causes.py
+++ b/pollenfork/logbook/causes.py
@@ -1,5 +1,7 @@
 """Explains in a sentence why a request ended as it did."""
 
+import msgspec
+
 from pollenfork.gateway import replies
 from pollenfork.logbook import lines
 from pollenfork.logbook import trace as traces
@@ -52,6 +54,8 @@
     "no_time": "its time was over",
     "budget_spent": "the budget of repeats was spent",
 }
+# Events that end a request at its instance.
+_FINAL_EVENTS = frozenset({"refused", "given_up", "caller_gone", "answered"})
 # Why a refused caller was promised no time to return.
 _NO_PLACE = {
     "instances_unknown": "its instance had just started",
@@ -77,6 +81,8 @@
             return _explain_disconnect(last)
         case "answered":
             return _explain_answer(trace, last)
+        case "forward_ended":
+            return _explain_forwarded(trace, last)
     return _explain_unfinished(trace)
 
 
@@ -155,6 +161,24 @@
     return "answered within its targets"
 
 
+def _explain_forwarded(trace: traces.Trace, last: lines.Line) -> str:
+    """Explains what became of a request at the instance that served it."""
+    text = (
+        f"forwarded to {last.fields['helper']}, as {last.instance} could"
+        " connect to no runner"
+    )
+    elsewhere = [
+        number
+        for number, line in enumerate(trace.lines)
+        if line.instance != last.instance and line.event in _FINAL_EVENTS
+    ]
+    if not elsewhere:
+        return f"{text}; how it ended there isn't in these logs"
+    shown = trace.lines[: elsewhere[-1] + 1]
+    there = msgspec.structs.replace(trace, lines=shown)
+    return f"{text}; there: {explain(there)}"
+
+
 def _explain_pause(trace: traces.Trace) -> str:
     for line in trace.lines:
         if line.event == "preemption_suspected":
--- a/pollenfork/logbook/trace.py
+++ b/pollenfork/logbook/trace.py
@@ -20,6 +20,8 @@
     "store_restored": "epoch",
     "relay_changed": "relay",
     "peers_known": "peers",
+    "runners_lost": "runners",
+    "runners_back": "runners",
 }
 # Changes of a runner's state.
 _RUNNER_EVENTS = frozenset(
--- a/pollenfork/metric_help.py
+++ b/pollenfork/metric_help.py
@@ -49,9 +49,17 @@
         "Findings of other instances that changed what is believed of a "
         "runner, by what was found."
     ),
+    "pollenfork_findings_withheld_total": (
+        "Failures to connect to a runner that weren't told others, as no other "
+        "runner could be connected to either."
+    ),
     "pollenfork_first_token_seconds": (
         "Time from a request's arrival to its answer's first byte."
     ),
+    "pollenfork_forwarded_total": (
+        "Requests forwarded to another instance as no runner could be "
+        "connected to, by what became of them."
+    ),
     "pollenfork_full_refusals_total": (
         "Requests refused since every worker was busy."
     ),
--- a/pollenfork/platform/heads.py
+++ b/pollenfork/platform/heads.py
@@ -1,33 +1,16 @@
 """Decodes and encodes the HTTP heads of callers and runners."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 import math
-from typing import TypeVar
 
 from pollenfork import ids
 from pollenfork.fleet import model as fleet
+from pollenfork.gateway import header_fields
 from pollenfork.gateway import messages
 from pollenfork.platform import names
 
 Header = tuple[bytes, bytes]
-_T = TypeVar("_T")
-
-# Hop-by-hop headers, besides those that a `Connection` header lists.
-_HOP_BY_HOP = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-connection",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"expect",
-        b"content-length",
-    }
-)
+
 # Headers that a caller can't drop by listing them in `Connection`.
 _PROTECTED = frozenset(
     {names.ATTEMPT, names.MODEL, names.TOKENS, names.PROMPT_PARTS, b"host"}
@@ -69,7 +52,7 @@
         wait_s=_parse_seconds(found.get(names.DEADLINE)),
         parts=_parse_parts(found.get(names.PROMPT_PARTS)),
         tokens=_parse_tokens(found.get(names.TOKENS)),
-        last_event=_parse(int, found.get(names.LAST_EVENT)),
+        last_event=header_fields.parse(int, found.get(names.LAST_EVENT)),
         length_hint=_parse_length(found.get(names.LENGTH_HINT, b"")),
     )
 
@@ -78,16 +61,8 @@
     call: messages.Request, sending: messages.ForwardContext
 ) -> bytes:
     """Encodes a caller's request for a runner."""
-    lines = [b"%b %b HTTP/1.1" % (call.method, call.target)]
     dropped = _list_dropped(call.headers)
-    if sending.last_event is not None:
-        dropped = dropped | {names.LAST_EVENT}
-        lines.append(b"Last-Event-Id: %d" % sending.last_event)
-    for name, value in call.headers:
-        if name not in dropped:
-            lines.append(name + b": " + value)
-    left_ms = max(1, math.floor(sending.remaining_s * 1000))
-    lines.append(names.DEADLINE + b": %d" % left_ms)
+    lines = _list_lines(call, dropped, sending.remaining_s, sending.last_event)
     lines.append(names.EXPECTED_RUNNER + b": " + sending.runner.encode())
     if sending.source is not None:
         address = f"{sending.source.host}:{sending.source.port}"
@@ -102,6 +77,24 @@
     return b"\r\n".join(lines) + b"\r\n\r\n" + call.body
 
 
+def encode_forwarded(
+    call: messages.Request, remaining_s: float, last_event: int | None
+) -> bytes:
+    """Encodes the head of a caller's request for another instance.
+
+    It lacks the framing of the body and the empty line at the end.
+
+    Args:
+        call: The request.
+        remaining_s: Seconds until the deadline.
+        last_event: The position after which a stream resumes; None: as the
+            caller sent it.
+    """
+    dropped = _list_dropped(call.headers) - {names.AUTHORIZATION}
+    lines = _list_lines(call, dropped, remaining_s, last_event)
+    return b"\r\n".join(lines) + b"\r\n"
+
+
 def decode_response(
     status: int, headers: list[Header]
 ) -> messages.ResponseHead:
@@ -115,9 +108,9 @@
         displaced=status == _MISDIRECTED,
         events=found.get(b"content-type", b"").startswith(b"text/event-stream"),
         headers=headers,
-        rates=_parse_numbers(headers, names.RATE_LIMIT),
+        rates=header_fields.parse_numbers(headers, names.RATE_LIMIT),
         leaving=(names.LEAVING, b"1") in headers,
-        retry_after=_parse_numbers(headers, names.RETRY_AFTER),
+        retry_after=header_fields.parse_numbers(headers, names.RETRY_AFTER),
     )
 
 
@@ -145,13 +138,27 @@
     return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
+def _list_lines(
+    call: messages.Request,
+    dropped: frozenset[bytes],
+    remaining_s: float,
+    last_event: int | None,
+) -> list[bytes]:
+    """Returns a request's first line and the headers that are passed on."""
+    lines = [b"%b %b HTTP/1.1" % (call.method, call.target)]
+    if last_event is not None:
+        dropped = dropped | {names.LAST_EVENT}
+        lines.append(b"Last-Event-Id: %d" % last_event)
+    for name, value in call.headers:
+        if name not in dropped:
+            lines.append(name + b": " + value)
+    left_ms = max(1, math.floor(remaining_s * 1000))
+    return [*lines, names.DEADLINE + b": %d" % left_ms]
+
+
 def _list_dropped(headers: Iterable[Header]) -> frozenset[bytes]:
-    dropped = _HOP_BY_HOP | names.RESERVED | {names.AUTHORIZATION}
-    for name, value in headers:
-        if name == b"connection":
-            listed = {part.strip().lower() for part in value.split(b",")}
-            dropped = dropped | (listed - _PROTECTED)
-    return dropped
+    hop_by_hop = header_fields.find_hop_by_hop(headers, _PROTECTED)
+    return hop_by_hop | names.RESERVED | {names.AUTHORIZATION}
 
 
 def _parse_key(value: bytes | None) -> str | None:
@@ -161,26 +168,10 @@
 
 
 def _parse_seconds(value: bytes | None) -> float | None:
-    milliseconds = _parse(float, value)
+    milliseconds = header_fields.parse(float, value)
     return None if milliseconds is None else max(0.0, milliseconds / 1000.0)
 
 
-def _parse_numbers(
-    headers: list[Header], name: bytes
-) -> tuple[float | None, ...]:
-    """Returns the values of a header; None for one that isn't a number."""
-    return tuple(
-        _parse(float, value) for each, value in headers if each == name
-    )
-
-
-def _parse(kind: Callable[[bytes], _T], value: bytes | None) -> _T | None:
-    try:
-        return None if value is None else kind(value)
-    except ValueError:
-        return None
-
-
 def _parse_parts(value: bytes | None) -> tuple[fleet.Part, ...]:
     parts = []
     for entry in (value or b"").split(b","):
--- /dev/null
+++ b/pollenfork/reach/__init__.py
@@ -0,0 +1,1 @@
+"""Which runners this instance can connect to, and who helps if it is none."""
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -20,7 +20,8 @@
 }
 METRIC = re.compile(
     r"\bpollenfork_[a-z_]*"
-    r"(?:total|seconds|progress|revision|slow_runners|buffered_bytes)"
+    r"(?:total|seconds|progress|revision|slow_runners|buffered_bytes"
+    r"|runners_accepting|runners_reachable)"
 )
 # Packages that only gateways use.
 GATEWAY_PACKAGES = {
@@ -32,6 +33,7 @@
     "pace",
     "poison",
     "ratelimits",
+    "reach",
     "returns",
     "room",
     "routes",
@@ -103,6 +105,8 @@
     gauges = {
         "pollenfork_buffered_bytes",
         "pollenfork_requests_in_progress",
+        "pollenfork_runners_accepting",
+        "pollenfork_runners_reachable",
         "pollenfork_settings_revision",
         "pollenfork_slow_runners",
     }
