Believe a failed connection to a runner only if another one succeeds

A connection that can't be made, or that is dropped, is now told others and counted as a crash only once a later connection to another runner of the service has been established, or has held. Class: evidence of a path taken for evidence of its end.

--- a/pollenfork/gateway/crash_probes.py
+++ b/pollenfork/gateway/crash_probes.py
@@ -61,7 +61,7 @@
             request_quarantine: Receives the runners that drop a connection at
                 once.
             get_state: Returns this instance's state of a runner.
-            reach: Checks the path when a connection breaks.
+            reach: Tells whether a runner is at fault, or the network path.
         """
         self._reach = reach
         self._get_state = get_state
@@ -108,10 +108,12 @@
     async def _run_probe(
         self, runner: fleet.Runner, started: CrashProbe
     ) -> None:
+        path = self._reach.check_path(runner)
         try:
             opened = await self._pool.open(runner, pool.CONNECT_TIMEOUT_S)
             if isinstance(opened, result.Err):
-                if opened.err_value.connection_refused:
+                refused = opened.err_value.connection_refused
+                if refused and await path.established:
                     self._evidence.record(runner, loads.Symptom.REFUSED)
                 return
             reached_at = asyncio.get_running_loop().time()
@@ -123,6 +125,8 @@
             else:
                 # Later than all connections that broke there meanwhile.
                 crashed_by = asyncio.get_running_loop().time()
+                if not await path.held:
+                    return
                 self._quarantine.record_dropped_connection(runner, crashed_by)
         finally:
             del self._probes[evidence.hash_runner(runner)]
--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -26,6 +26,7 @@
 from pollenfork.gateway import selection
 from pollenfork.gateway import timeouts
 from pollenfork.gateway.connections import view
+from pollenfork.loads import messages as loads
 from pollenfork.poison import crashes
 from pollenfork.ratelimits import parsing
 from pollenfork.routes import model as routes
@@ -433,10 +434,13 @@
     ) -> None:
         """Tells other instances what a failed attempt shows of a runner."""
         deps = self._deps
-        if ended.symptom is not None:
+        if ended.symptom is loads.Symptom.DISPLACED:
             deps.evidence.record(runner, ended.symptom)
-        if ended.end is _End.UNSENT:
-            deps.reach.confirm(runner, _ignore)
+        elif ended.symptom is not None:
+            record = deps.evidence.record
+            deps.reach.confirm(
+                runner, functools.partial(record, runner, ended.symptom)
+            )
         elif ended.connection_lost and ended.head is None:
             deps.reach.record_broken(runner)
 
@@ -545,7 +549,3 @@
     ) -> None:
         self._observer.on_backpressure()
         receiver.record_paused(paused)
-
-
-def _ignore() -> None:
-    """Ignores that a runner is at fault, as others have been told already."""
--- a/pollenfork/gateway/tests/test_forwarding.py
+++ b/pollenfork/gateway/tests/test_forwarding.py
@@ -112,6 +112,7 @@
     async def ask() -> bytes:
         async with run_cut_off(route, *given) as gateway:
             answer = await support.ask(gateway, data)
+            assert gateway.deps.evidence.take_findings() == []
             return answer
 
     return asyncio.run(ask())
