End the avoidance of a runner with its next whole answer

A sound runner may be silent for a second. Several requests that time out there at once count as several failures, so that it was avoided for up to 3 s, though it had answered meanwhile. A whole answer now ends it.

test_an_answer_ends_the_time_in_which_a_runner_is_avoided failed before.

--- a/pollenfork/fleet/runner_state.py
+++ b/pollenfork/fleet/runner_state.py
@@ -85,6 +85,8 @@
             self.failure_rate += (1.0 - self.failure_rate) * _EWMA_WEIGHT
             return
         if end is messages.End.WHOLE:
+            # It was only silent, or one of its connections was at fault.
+            self.avoid_until = min(self.avoid_until, now)
             self.failures = 0
             self.failure_rate *= 1.0 - _EWMA_WEIGHT
             return
