--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -23,6 +23,7 @@
 from pollenfork.gateway import quarantine_check
 from pollenfork.gateway import replies
 from pollenfork.gateway import request_log
+from pollenfork.gateway import responder
 from pollenfork.gateway import retries
 from pollenfork.gateway import selection
 from pollenfork.gateway import timeouts
@@ -36,21 +37,12 @@
 _Reason = replies.Reason
 _RetryDecision = retries.RetryDecision
 
-# Seconds to retry after a refusal: a little longer than it usually takes to
-# learn of a burst of more urgent requests or of the loss of a runner.
-_RETRY_AFTER_S = 0.15
-# The same for a quarantined request, which stays so until an operator or a
-# runner's answer clears it.
+# Seconds to retry after the refusal of a quarantined request, which stays so
+# until an operator or a runner's answer clears it.
 _QUARANTINED_RETRY_S = 60.0
 # The same for a request that may have crashed as many runners without proof;
 # by then the registry shows whether a runner has restarted.
 _UNCONFIRMED_RETRY_S = 1.0
-# Callers wait no longer than a third of their time limit, 2.7 s for the
-# longest.
-_MAX_RETRY_AFTER_S = 2.5
-# If rate-limited runners need longer than this for their backlog, in seconds,
-# not all callers in it are likely to retry.
-_MAX_LIMITED_RETRY_S = 10.0
 
 
 class Exchange:
@@ -98,6 +90,16 @@
             self._relay = attempt.StreamRelay(
                 events.EventSplitter(), self._start_stream, self._write_events
             )
+        self._responder = responder.Responder(
+            deps,
+            admitted,
+            caller,
+            self._log,
+            self._selection,
+            self._history,
+            self._relay,
+            self._count_request,
+        )
 
     async def run(self) -> None:
         """Serves the request; returns once the final answer is written."""
@@ -110,14 +112,16 @@
         except Exception:
             # An internal error; the caller must not wait until its time limit.
             self._log.log_internal_error()
-            self._end_with_error(_Reason.FAULT)
+            self._responder.end_with_error(_Reason.FAULT)
         finally:
             self._caller.buffers.end()
 
     async def _serve(self) -> None:
         if not self._caller.buffers.begin(len(self._admitted.call.body)):
             wait_s = min(buffers.RETRY_AFTER_S, self._remaining_s() / 3)
-            self._end_with_error(_Reason.MEMORY, max(0.0, wait_s), least_s=0.0)
+            self._responder.end_with_error(
+                _Reason.MEMORY, max(0.0, wait_s), least_s=0.0
+            )
             return
         while not await self._advance():
             pass
@@ -126,7 +130,7 @@
         """Takes the next step; returns whether the request has been served."""
         deps = self._deps
         if self._remaining_s() <= 0:
-            self._end_with_error(_Reason.TIME_LIMIT)
+            self._responder.end_with_error(_Reason.TIME_LIMIT)
             return True
         lost = deps.reach.is_lost(self._admitted.demand.service)
         if lost and await self._forward():
@@ -142,7 +146,7 @@
         )
         if not isinstance(grant, outcomes.Grant):
             if not await self._find_elsewhere(grant):
-                self._refuse(grant)
+                self._responder.refuse(grant)
             return True
         return await self._try_runner(grant)
 
@@ -173,11 +177,15 @@
     async def _refuse_quarantined(self, verdict: crashes.Verdict) -> bool:
         """Returns whether a request that crashes runners was refused."""
         if verdict is crashes.Verdict.UNCONFIRMED:
-            self._end_with_error(_Reason.ENDS_RUNNERS, _UNCONFIRMED_RETRY_S)
+            self._responder.end_with_error(
+                _Reason.ENDS_RUNNERS, _UNCONFIRMED_RETRY_S
+            )
             return True
         quarantined = verdict is crashes.Verdict.QUARANTINED
         if quarantined and not await self._quarantine_check.claim_trial():
-            self._end_with_error(_Reason.ENDS_RUNNERS, _QUARANTINED_RETRY_S)
+            self._responder.end_with_error(
+                _Reason.ENDS_RUNNERS, _QUARANTINED_RETRY_S
+            )
             return True
         return False
 
@@ -221,76 +229,17 @@
         self._is_counted = True
         match ended.end:
             case _End.WHOLE:
-                self._write_answer(ended)
+                self._responder.write_answer(ended)
             case _End.REFUSED:
-                self._pass_refusal(forwarding.read_refusal(ended))
+                self._responder.pass_refusal(forwarding.read_refusal(ended))
             case _:
                 self._history.may_have_run = True
                 late = self._remaining_s() <= 0
-                self._end_with_error(
+                self._responder.end_with_error(
                     _Reason.TIME_LIMIT if late else _Reason.MAY_HAVE_RUN
                 )
         return True
 
-    def _pass_refusal(self, refusal: replies.Refusal) -> None:
-        """Passes on the refusal of the instance that served the request."""
-        if self._relay is not None and self._relay.begun:
-            self._caller.abort()
-            return
-        if self._history.may_have_run and refusal.retry_after_s is not None:
-            refusal = replies.Refusal(502, _Reason.MAY_HAVE_RUN)
-        self._caller.write(replies.write_refusal(refusal, self._caller.closing))
-
-    def _refuse(
-        self,
-        found: outcomes.Overloaded | outcomes.Refusal | None,
-    ) -> None:
-        """Refuses the request because no runner accepts it."""
-        match found:
-            case outcomes.Paused():
-                self._refuse_until_resumed(found)
-            case outcomes.Overloaded():
-                self._refuse_overloaded(found)
-            case outcomes.Limited():
-                admitted = self._admitted
-                wait_s = self._deps.permits.estimate_retry_after(
-                    admitted.demand.service, admitted.tier, found
-                )
-                wait_s = min(wait_s, _MAX_LIMITED_RETRY_S)
-                self._end_with_error(_Reason.RUNNERS_LIMITED, wait_s)
-            case outcomes.Full():
-                wait_s = self._deps.brittle.find_retry_after(
-                    self._admitted.tier
-                )
-                self._end_with_error(_Reason.RUNNERS_BRITTLE, wait_s)
-            case outcomes.Unreachable():
-                self._end_with_error(_Reason.UNREACHABLE)
-            case None:
-                self._end_unless_paused(_Reason.NO_RUNNER)
-
-    def _refuse_overloaded(self, found: outcomes.Overloaded) -> None:
-        planned_s = self._selection.find_retry_after()
-        if planned_s is None:
-            wait_s = min(found.wait_s, _MAX_RETRY_AFTER_S)
-            self._end_with_error(_Reason.OVERLOADED, wait_s)
-        else:
-            # A planned time may be as short as the caller's remaining time.
-            self._end_with_error(_Reason.OVERLOADED, planned_s, least_s=0.0)
-
-    def _end_unless_paused(self, reason: _Reason) -> None:
-        """Ends the request; callers of pausing runners are told how long."""
-        paused = self._deps.chooser.availability.find_pause(
-            self._admitted.demand, self._deps.loop.time()
-        )
-        if paused is None:
-            self._end_with_error(reason)
-        else:
-            self._refuse_until_resumed(paused)
-
-    def _refuse_until_resumed(self, paused: outcomes.Paused) -> None:
-        wait_s = min(paused.wait_s, _MAX_LIMITED_RETRY_S)
-        self._end_with_error(_Reason.RUNNERS_PAUSED, wait_s)
-
     # Attempts.
 
     async def _attempt(self, grant: outcomes.Grant) -> attempt.AttemptResult:
@@ -481,18 +430,18 @@
         if ended.end is _End.WHOLE:
             self._deliver(ended)
         elif self._remaining_s() <= 0:
-            self._end_with_error(_Reason.TIME_LIMIT)
+            self._responder.end_with_error(_Reason.TIME_LIMIT)
         elif not ended.end.reached_runner:
-            self._end_with_error(_Reason.UNREACHABLE)
+            self._responder.end_with_error(_Reason.UNREACHABLE)
         elif ended.end.proves_not_run:
-            self._end_unless_paused(_Reason.RUNNERS_FULL)
+            self._responder.end_unless_paused(_Reason.RUNNERS_FULL)
         else:
-            self._end_with_error(_Reason.MAY_HAVE_RUN)
+            self._responder.end_with_error(_Reason.MAY_HAVE_RUN)
 
     def _deliver(self, ended: attempt.AttemptResult) -> None:
         """Delivers a runner's answer."""
         assert ended.head is not None
-        if not self._write_answer(ended):
+        if not self._responder.write_answer(ended):
             return
         self._log.log_answer(
             self._runner,
@@ -501,57 +450,6 @@
             self._history,
         )
 
-    def _write_answer(self, ended: attempt.AttemptResult) -> bool:
-        """Writes the answer, or the end of its stream, to the caller.
-
-        Returns:
-            Whether it was written: an error can't end a stream that has begun.
-        """
-        assert ended.head is not None
-        if self._relay is None or not self._relay.begun:
-            written = self._deps.codec.encode_response(
-                ended.head, len(ended.body), self._caller.closing
-            )
-            self._caller.write(written + ended.body)
-        elif retries.is_error(ended):
-            self._end_with_error(_Reason.MAY_HAVE_RUN)
-            return False
-        else:
-            self._caller.write(b"0\r\n\r\n")
-        return True
-
-    def _end_with_error(
-        self,
-        reason: _Reason,
-        wait_s: float = _RETRY_AFTER_S,
-        least_s: float = _RETRY_AFTER_S,
-    ) -> None:
-        """Ends the request with an error response.
-
-        If a stream has started, its connection is closed instead.
-
-        Args:
-            reason: The reason, sent in the body.
-            wait_s: Seconds after which a retry is likely to be served.
-            least_s: The least seconds to tell the caller.
-        """
-        self._count_request()
-        may_have_run = self._history.may_have_run
-        # An internal error shows nothing about a request already sent.
-        if reason is _Reason.FAULT and self._history.sent:
-            may_have_run = True
-        self._log.log_refusal(reason, may_have_run, self._history)
-        if self._relay is not None and self._relay.begun:
-            self._caller.abort()
-            return
-        if may_have_run:
-            status = 504 if reason is _Reason.TIME_LIMIT else 502
-            refusal = replies.Refusal(status, reason)
-        else:
-            wait_s = max(wait_s, least_s)
-            refusal = replies.Refusal(503, reason, wait_s)
-        self._caller.write(replies.write_refusal(refusal, self._caller.closing))
-
     # Streaming to the caller.
 
     def _start_stream(self, head: messages.ResponseHead) -> None:
