--- a/pollenfork/platform/tests/soak/checks.py
+++ b/pollenfork/platform/tests/soak/checks.py
@@ -19,6 +19,8 @@
 # What the rule on pauses excludes after a refusal, and allows until their end.
 _PAUSE_SLACK_S = 0.5
 _PAUSE_ALLOWED = 2
+# Brittle runners that may fall over in one time, beside a tenth of them.
+_FALLS = 2
 # A request may be under way this long between its sending and its run.
 _SLACK_S = 0.6
 # A gateway that was disturbed knows news again after this long.
@@ -36,6 +38,11 @@
     broken += [f"{attempt}: nobody asked for it" for attempt in runs]
     broken += call_rules.find_violations(site.cloud.calls, sites.ALTERNATION_S)
     broken += _judge_endings(site) + _judge_limits(site)
+    broken += [
+        f"{falls} of {runners} brittle runners fell over"
+        for falls, runners in site.falls
+        if falls > _FALLS + runners / 10
+    ]
     return broken + _judge_departures(site) + _judge_pauses(site)
 
 
--- a/pollenfork/platform/tests/soak/faults.py
+++ b/pollenfork/platform/tests/soak/faults.py
@@ -6,6 +6,7 @@
 import time
 
 from pollenfork.platform.tests.soak import caller
+from pollenfork.platform.tests.soak import partitions
 from pollenfork.platform.tests.soak import proxy
 from pollenfork.platform.tests.soak import runner
 from pollenfork.platform.tests.soak import site as sites
@@ -14,6 +15,10 @@
 
 Fault = Callable[[sites.Site], Awaitable[None]]
 
+# For how long a runner that has fallen over is away, in seconds, and how long
+# before it has less room it says that it is brittle.
+_FALLEN_S = 3.0
+_TOLD_S = 3.0
 # What runners name, and the rate that it is taken for.
 _LIMITS = (("0.5", 0.5), ("1", 1.0), ("3.5", 3.5), ("10", 10.0), ("-1", 0.25))
 
@@ -237,6 +242,48 @@
         gateway.disturbed = asyncio.get_running_loop().time()
 
 
+async def cut_from_runners(site: sites.Site) -> None:
+    """Some gateways, or all but one, lose their connections to all runners."""
+    cut = site.rng.choice(list(partitions.Cut))
+    count = site.rng.randint(1, len(site.gateways) - 1)
+    victims = site.rng.sample(site.gateways, count)
+    for gateway in victims:
+        gateway.cut_off(cut)
+    await asyncio.sleep(site.rng.uniform(0.5, 5.0))
+    for gateway in victims:
+        gateway.reconnect()
+
+
+async def be_brittle(site: sites.Site) -> None:
+    """All runners say that they are brittle, and then have less room."""
+    made = list(site.runners.values())
+    if any(each.brittle is not None for each in made):
+        return
+    falls: list[float] = []
+    returning: set[asyncio.Task[None]] = set()
+
+    def fall(fallen: runner.Runner) -> None:
+        if fallen.name in site.restarting:
+            return
+        falls.append(time.monotonic())
+        again = site.restart_runner(fallen.name, False, away_s=_FALLEN_S)
+        task = asyncio.create_task(again)
+        returning.add(task)
+        task.add_done_callback(returning.discard)
+
+    for each in made:
+        each.brittle = 5
+        each.on_fall = fall
+    await asyncio.sleep(_TOLD_S)
+    for each in site.runners.values():
+        if each.brittle is not None:
+            each.places = site.rng.randint(2, 4)
+    await asyncio.sleep(site.rng.uniform(2.0, 5.0))
+    for each in site.runners.values():
+        each.brittle = each.places = None
+    site.falls.append((len(falls), len(made)))
+
+
 FAULTS: tuple[Fault, ...] = (
     kill,
     stop,
@@ -274,6 +321,8 @@
     restore_store,
     restore_store,
 )
+_FIRST_SEED_WITH_CUTS = 5000
+CUTS = (cut_from_runners, cut_from_runners, cut_from_runners, be_brittle)
 POISON = (suspend, suspend, send_poison, send_poison)
 
 
@@ -297,6 +346,8 @@
         kinds += LIMITS
     if site.seed >= _FIRST_SEED_WITH_NOTICES:
         kinds += NOTICES
+    if site.seed >= _FIRST_SEED_WITH_CUTS:
+        kinds += CUTS
     while loop.time() - begun < seconds:
         fault = site.rng.choice(kinds)
         played.append(f"{loop.time() - begun:.2f} {fault.__name__}")
--- a/pollenfork/platform/tests/soak/site.py
+++ b/pollenfork/platform/tests/soak/site.py
@@ -216,6 +216,7 @@
         gone: When a runner's leaving was acknowledged, by its id.
         ended_by_requests: When a runner ended, and the path that ended it.
         limited: When runners named rate limits.
+        falls: How many brittle runners fell over in one time, of how many.
         asked: What callers sent, and what they got.
         lingers_s: For how long a runner that a request ends still accepts
             connections.
@@ -242,6 +243,7 @@
         self.restarting: set[str] = set()
         self.ended_by_requests: list[Ending] = []
         self.limited: list[Limited] = []
+        self.falls: list[tuple[int, int]] = []
         self.asked: list[caller.Asked] = []
         self.lingers_s = 0.0
         self.changes: dict[str, dict] = {}
