--- a/pollenfork/brittle/rooms.py
+++ b/pollenfork/brittle/rooms.py
@@ -16,6 +16,9 @@
 _STATED_S = 4.0
 # The same once an answer lacks it.
 _UNSTATED_S = 0.5
+# What was learned of rooms is used again if runners are brittle again within
+# this time, in seconds.
+_FORGET_S = 10.0
 # After a refusal nobody sends the runner anything for this long, in seconds, so
 # that its room is known to all before the next request: at least, and divided
 # by the refusals that it can bear in a second. Half of the longest pause
@@ -117,6 +120,8 @@
             return False
         if now >= known.until:
             known.refusals = float("inf")
+        if now >= known.until + _FORGET_S:
+            known.runners.clear()
         is_new = now >= known.until
         known.until = now + _STATED_S
         known.refusals = min(known.refusals, refusals)
--- a/pollenfork/brittle/tests/test_rooms.py
+++ b/pollenfork/brittle/tests/test_rooms.py
@@ -86,6 +86,15 @@
     assert find_room(made, 33.0) >= 1
 
 
+def test_rooms_of_an_earlier_time_are_forgotten() -> None:
+    made = make_rooms()
+    refuse(made, 11.0, active=3)
+    made.record_statement(SERVICE, 5.0, 16.0)
+    assert made.has_refused(SERVICE, RUNNER)
+    made.record_statement(SERVICE, 5.0, 40.0)
+    assert not made.has_refused(SERVICE, RUNNER)
+
+
 # Guards against all instances sending to a runner as soon as it is back.
 def test_a_runner_that_is_back_has_no_more_room_than_the_others() -> None:
     made = make_rooms()
