Judge pauses in the soak by the gateway that sent the request

The refusal was of a request that the caller's gateway, cut off at that moment, had forwarded; the pause was asked of the other one, which kept it (its log has pause_requested, and no send to that runner until the end). The check took the caller's gateway for the sender. Proxies now connect from the gateway's address, and each arrival names its sender; the rule and its bound are as before.

Other instances get the usual idle limit again at the address for instances, whatever callers get.

--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -383,7 +383,7 @@
         if self.state.lookup is not None:
             limits = self.state.lookup.configuration.limits
             self._front.limits = limits
-            self._peer_server.limits = forwarding.widen_limits(limits)
+            self._peer_server.limits = forwarding.make_limits(limits)
             self._buffers.set_forecast(self.state.lookup.has_forecast)
 
     async def _sweep(self) -> None:
--- a/pollenfork/gateway/forwarding.py
+++ b/pollenfork/gateway/forwarding.py
@@ -98,10 +98,12 @@
     return original, Forwarded(sender.decode("latin-1"), attempts)
 
 
-def widen_limits(limits: routes.CallerLimits) -> routes.CallerLimits:
-    """Returns the limits on callers, for requests that are forwarded."""
-    header_bytes = limits.header_bytes + _ADDED_HEADER_BYTES
-    return msgspec.structs.replace(limits, header_bytes=header_bytes)
+def make_limits(limits: routes.CallerLimits) -> routes.CallerLimits:
+    """Returns the limits for forwarded requests of callers with such limits."""
+    return routes.CallerLimits(
+        header_bytes=limits.header_bytes + _ADDED_HEADER_BYTES,
+        body_bytes=limits.body_bytes,
+    )
 
 
 class _HelperAttempt(attempt.Attempt):
--- a/pollenfork/platform/tests/soak/checks.py
+++ b/pollenfork/platform/tests/soak/checks.py
@@ -121,13 +121,14 @@
 
 def _judge_pauses(site: sites.Site) -> list[str]:
     """Judges what reached runners that had asked for a pause."""
-    instances = {each.attempt: each.instance for each in site.asked}
     interrupted = {each.host: each.interrupted for each in site.gateways}
     found = []
     for refusal in site.record.arrivals:
         if not refusal.pause_s:
             continue
-        host = instances[refusal.attempt]
+        # The pause is asked of the gateway that sent the request, which isn't
+        # the caller's if that one has forwarded it.
+        host = refusal.sender
         since = refusal.at + _PAUSE_SLACK_S
         until = refusal.at + refusal.pause_s
         later = [
@@ -137,7 +138,7 @@
             # A pause ends with the runner that asked for it.
             and each.started == refusal.started
             and since < each.at < until
-            and instances[each.attempt] == host
+            and each.sender == host
         ]
         excused = any(refusal.at < at < until for at in interrupted[host])
         if len(later) > _PAUSE_ALLOWED and not excused:
--- a/pollenfork/platform/tests/soak/proxy.py
+++ b/pollenfork/platform/tests/soak/proxy.py
@@ -69,7 +69,10 @@
         self._writers.add(writer)
         self._sources[writer] = source
         try:
-            there_reader, there = await asyncio.open_connection(*self._target)
+            # The other side sees who connects, as without a proxy.
+            there_reader, there = await asyncio.open_connection(
+                *self._target, local_addr=(source, 0)
+            )
         except OSError:
             writer.transport.abort()
             self._writers.discard(writer)
--- a/pollenfork/platform/tests/soak/runner.py
+++ b/pollenfork/platform/tests/soak/runner.py
@@ -38,6 +38,7 @@
         pause_s: For how long its refusal asked for nothing; 0: it didn't.
         leaving: Whether its answer says that the runner leaves.
         started: Monotonic seconds of the runner's start.
+        sender: The host of the gateway that sent it.
     """
 
     runner: str
@@ -46,6 +47,7 @@
     pause_s: float = 0.0
     leaving: bool = False
     started: float = 0.0
+    sender: str = ""
 
 
 class Record:
@@ -189,6 +191,7 @@
             self.pause_s,
             self.leaving,
             self._started,
+            writer.get_extra_info("peername")[0],
         )
         self._record.arrivals.append(arrival)
         if headers.get("x-pollenfork-expect-instance") != self.name:
