--- a/pollenfork/gateway/tables.py
+++ b/pollenfork/gateway/tables.py
@@ -4,6 +4,8 @@
 table from it when it announces a newer version. So most instances call the
 store only at their start, and an instance that the store refuses still
 receives changes.
+
+Requests that other instances forward arrive at the same address.
 """
 
 import asyncio
--- a/pollenfork/logbook/causes.py
+++ b/pollenfork/logbook/causes.py
@@ -169,7 +169,7 @@
     """Explains what became of a request at the instance that served it."""
     text = (
         f"forwarded to {last.fields['helper']}, as {last.instance} could"
-        " connect to no runner"
+        " connect to no runner or had no place at one"
     )
     elsewhere = [
         number
--- a/pollenfork/logbook/tests/test_causes.py
+++ b/pollenfork/logbook/tests/test_causes.py
@@ -271,3 +271,18 @@
     other = "pace_changed runner=s pace=0.50 samples=9"
     found = collect(slow, other, CHOSEN, ANSWERED)
     assert [line.fields["runner"] for line in found.runners] == ["r"]
+
+
+def test_a_forwarded_request_is_explained_by_the_instance_that_served_it():
+    ended = "forward_ended request=q helper=10.0.0.2 end=whole status=200"
+    there = [write(60.0, CHOSEN, "i-2"), write(60.2, ANSWERED, "i-2")]
+    text = explain(*there, write(60.3, ended, "i-1"))
+    assert text.startswith("forwarded to 10.0.0.2, as i-1 could connect to no")
+    assert "there: late: the first event after 300 ms of 200" in text
+
+
+def test_a_forwarded_request_without_lines_of_its_server_is_explained() -> None:
+    text = explain(
+        "forward_ended request=q helper=10.0.0.2 end=whole status=200"
+    )
+    assert text.endswith("how it ended there isn't in these logs")
