--- a/pollenfork/platform/tests/simulation/site.py
+++ b/pollenfork/platform/tests/simulation/site.py
@@ -8,6 +8,7 @@
 from pollenfork import ids
 from pollenfork.fleet import choice
 from pollenfork.fleet import evidence
+from pollenfork.gateway import brittle_runners
 from pollenfork.gateway import cluster_state
 from pollenfork.gateway import messages
 from pollenfork.gateway import peers
@@ -161,7 +162,12 @@
             self.known.runners, chooser.get_state, self.data_centre
         )
         self.notices = runner_notices.RunnerNotices(
-            self.known.runners, chooser.pauses, loop.time
+            self.known.runners,
+            chooser.pauses,
+            loop.time,
+            brittle_runners.BrittleRunners(
+                loop, self.known.runners, self.host, self.data_centre
+            ),
         )
         self.suspected = quarantine.Quarantine(
             self.known.runners,
