Log which row held an older configuration, and what is in force

configuration_older named only the refused version, so that a row that a relay refused and then handed to others couldn't be told from two different rows.

--- a/pollenfork/gateway/cluster_state.py
+++ b/pollenfork/gateway/cluster_state.py
@@ -172,10 +172,7 @@
                 continue
             configuration = read.ok_value
             if self._is_older(configuration.version):
-                _LOG.warning(
-                    "event=configuration_older version=%d",
-                    configuration.version,
-                )
+                self._log_older(configuration.version, row, changes.source)
                 continue
             self.lookup = lookup.Lookup(configuration)
             _LOG.info(
@@ -280,6 +277,20 @@
             logs.quote_value(bad.detail),
         )
 
+    def _log_older(
+        self, version: int, row: catalogue.Row, way: catalogue.ChangeSource
+    ) -> None:
+        in_force = self.lookup.configuration.version if self.lookup else 0
+        _LOG.warning(
+            "event=configuration_older version=%d in_force=%d row=%d epoch=%d "
+            "way=%s",
+            version,
+            in_force,
+            versions.get_number(row.version),
+            versions.get_epoch(row.version),
+            way.value,
+        )
+
     def _is_older(self, version: int) -> bool:
         known = self.lookup
         return known is not None and version < known.configuration.version
