Hand on the configuration that is in force, not the row that was refused

Callers of two instances of one data centre got answers by two configurations, each proven the newest: a route or key of one was refused by the other.

Cause: the operators' version decided what came into force, but only after the row had entered the copy that other instances fetch. A relay that refused a row handed it on.

Now the watch orders rows by the rank of their content where they have one, so that what it lets through is one and the same for the registry, the copy and the peers. A copy keeps a row that outlived its epoch; it has number 0 there, older than all that the epoch writes, so that earlier builds read it as ever.

--- a/pollenfork/catalogue/messages.py
+++ b/pollenfork/catalogue/messages.py
@@ -91,12 +91,15 @@
         known_last_change: The store's version of the last change, if these
             rows don't show it: rows may have been removed that were never
             known here.
+        superseded: Rows that were received but whose content is older than the
+            known one, which stays.
     """
 
     rows: tuple[Row, ...]
     through: int
     source: ChangeSource = ChangeSource.STORE
     known_last_change: int = 0
+    superseded: tuple[Row, ...] = ()
 
     @property
     def last_change(self) -> int:
--- a/pollenfork/catalogue/table_copy.py
+++ b/pollenfork/catalogue/table_copy.py
@@ -61,9 +61,7 @@
         """Returns the encoded table for another instance."""
         if self._packed is None:
             rows = tuple(
-                msgspec.structs.replace(
-                    row, version=versions.get_number(row.version)
-                )
+                msgspec.structs.replace(row, version=self._number(row))
                 for row in self._rows.values()
             )
             # A configuration of 350 routes takes 90 KB. Compressed to a tenth,
@@ -78,6 +76,15 @@
         )
         return msgspec.msgpack.encode(table)
 
+    def _number(self, row: messages.Row) -> int:
+        """Returns a row's version as numbered in the table's epoch.
+
+        A row that outlived its epoch is older than all that the epoch wrote.
+        """
+        if not versions.is_same_epoch(row.version, self._through):
+            return 0
+        return versions.get_number(row.version)
+
 
 _ROWS = msgspec.msgpack.Decoder(tuple[messages.Row, ...])
 _TABLE = msgspec.msgpack.Decoder(EncodedTable)
--- a/pollenfork/catalogue/watch.py
+++ b/pollenfork/catalogue/watch.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from pollenfork import versions
+from pollenfork.catalogue import known_rows
 from pollenfork.catalogue import messages
 
 # The pause before a failed call is retried, in seconds; it doubles up to the
@@ -47,17 +48,23 @@
         wait_s: How long the store may hold a call, in seconds.
     """
 
-    def __init__(self, rng: random.Random, wait_s: float) -> None:
+    def __init__(
+        self,
+        rng: random.Random,
+        wait_s: float,
+        read_rank: known_rows.ReadRank = known_rows.read_no_rank,
+    ) -> None:
         """Starts without any row known.
 
         Args:
             rng: Adds jitter to the retries of many instances.
             wait_s: How long the store may hold a call, in seconds.
+            read_rank: Reads the rank of a row's content.
         """
         self._rng = rng
         self.wait_s = wait_s
         self._state = WatchState()
-        self._known: dict[str, int] = {}
+        self._known = known_rows.KnownRows(read_rank)
         self._pages: list[messages.Row] = []
         # The newest version up to which all changes were ever known.
         self._newest = 0
@@ -65,7 +72,7 @@
     @property
     def loaded(self) -> bool:
         """Whether the table has been read in full."""
-        return self._state.version is not None or bool(self._known)
+        return self._state.version is not None or not self._known.is_empty
 
     @property
     def version(self) -> int:
@@ -118,7 +125,10 @@
             self._restart_read()
             return None
         through = self._advance(max(call.after, rows.version))
-        return messages.Changes(self._keep_newer(rows.rows), through)
+        selection = self._known.take(rows.rows)
+        return messages.Changes(
+            selection.newer, through, superseded=selection.superseded
+        )
 
     def take_table(self, rows: messages.Rows) -> messages.Changes | None:
         """Applies the full table of another instance.
@@ -129,7 +139,7 @@
             must not be taken for the store's.
         """
         if rows.version <= self._newest:
-            return None
+            return self._take_higher_ranked(rows)
         self._restart_read()
         changes = self._take_page(rows)
         if changes is None:
@@ -140,6 +150,19 @@
             known_last_change=rows.last_change,
         )
 
+    def _take_higher_ranked(
+        self, rows: messages.Rows
+    ) -> messages.Changes | None:
+        """Takes content that is newer though the table as a whole isn't."""
+        higher = self._known.select_higher_ranked(rows.rows)
+        if not higher:
+            return None
+        return messages.Changes(
+            self._known.take(higher).newer,
+            self._newest,
+            source=messages.ChangeSource.PEER,
+        )
+
     def record_failure(self, failure: messages.ReadFailure) -> float:
         """Notes a failed call; returns the seconds until the next one."""
         state = self._state
@@ -189,27 +212,13 @@
         # received again and dropped by their versions.
         through = self._advance(state.reading_version)
         present = {row.key for row in self._pages}
-        # When they were removed after their last known version is unknown.
-        missing = tuple(
-            messages.Row(key, b"", version + 1, removed=True, missing=True)
-            for key, version in self._known.items()
-            if key not in present
-        )
-        changed = self._keep_newer((*self._pages, *missing))
+        missing = self._known.list_missing(present)
+        selection = self._known.take((*self._pages, *missing))
         self._restart_read()
         # Others may know of rows that were added and removed unseen here.
-        return messages.Changes(changed, through, known_last_change=through)
-
-    def _keep_newer(
-        self, rows: tuple[messages.Row, ...]
-    ) -> tuple[messages.Row, ...]:
-        newer = []
-        for row in rows:
-            if row.version <= self._known.get(row.key, -1):
-                continue
-            newer.append(row)
-            if row.removed:
-                self._known.pop(row.key, None)
-            else:
-                self._known[row.key] = row.version
-        return tuple(newer)
+        return messages.Changes(
+            selection.newer,
+            through,
+            known_last_change=through,
+            superseded=selection.superseded,
+        )
--- a/pollenfork/gateway/cluster_state.py
+++ b/pollenfork/gateway/cluster_state.py
@@ -156,9 +156,18 @@
         at = self._status_at
         return at is not None and now - at < limit_s
 
+    def read_configuration_version(self, row: catalogue.Row) -> int | None:
+        """Returns the operators' version that a row holds, if it does."""
+        read = self._store.decode_configuration(row)
+        return read.ok_value.version if isinstance(read, result.Ok) else None
+
     def take_configuration(self, changes: catalogue.Changes) -> None:
         """Puts a newer configuration in force."""
         self.configuration_versions.take(changes)
+        for row in changes.superseded:
+            version = self.read_configuration_version(row)
+            if version is not None:
+                self._log_older(version, row, changes.source)
         for row in changes.rows:
             read = self._store.decode_configuration(row)
             if read is None:
--- a/pollenfork/gateway/sources.py
+++ b/pollenfork/gateway/sources.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from pollenfork.catalogue import known_rows
 from pollenfork.catalogue import watch
 from pollenfork.gateway import cluster_state
 from pollenfork.gateway import edges
@@ -75,6 +76,7 @@
             tables.Table.CONFIGURATION,
             (_CONFIGURATION_WAIT_S, _CONFIGURATION_REST_S),
             store.encode_configuration_read,
+            state.read_configuration_version,
         )
         self._runners = self._make_follower(
             tables.Table.RUNNERS,
@@ -144,12 +146,13 @@
         table: tables.Table,
         times: tuple[float, float],
         write: following.Write,
+        read_rank: known_rows.ReadRank = known_rows.read_no_rank,
     ) -> following.Follower:
         wait_s, cooldown_s = times
         follower = following.Follower(
             table,
             self._address,
-            watch.Watch(self._rng, wait_s),
+            watch.Watch(self._rng, wait_s, read_rank),
             cooldown_s,
             write,
             self._store.decode_rows,
--- a/pollenfork/platform/tests/simulation/judge.py
+++ b/pollenfork/platform/tests/simulation/judge.py
@@ -56,6 +56,7 @@
         keepers: Instances that gave work to a runner whose entry was gone.
         stale_s: Seconds for which instances didn't trust keys.
         calls: Calls to the store.
+        versions: The configuration in force at each host at the end.
     """
 
     broken: list[Broken] = msgspec.field(default_factory=list)
@@ -63,6 +64,7 @@
     keepers: set[str] = msgspec.field(default_factory=set)
     stale_s: float = 0.0
     calls: int = 0
+    versions: dict[str, int] = msgspec.field(default_factory=dict)
 
 
 class Judge:
@@ -108,6 +110,12 @@
                 for knowing in self._knows.values():
                     knowing.difference_update(step.hosts)
 
+    def note_end(self, each: sites.Instance) -> None:
+        """Notes what an instance has in force at the end."""
+        if each.known is not None and each.known.lookup is not None:
+            version = each.known.lookup.configuration.version
+            self.outcome.versions[each.host] = version
+
     def check(self, now: float) -> None:
         """Checks all instances."""
         if now < schedules.SETTLED_S:
--- a/pollenfork/platform/tests/simulation/play.py
+++ b/pollenfork/platform/tests/simulation/play.py
@@ -75,6 +75,7 @@
         await asyncio.sleep(judges.STEP_S)
         judge.check(loop.time())
     for each in site.instances:
+        judge.note_end(each)
         each.stop(ways)
     judge.outcome.calls = sum(site.store.calls.values())
     return judge.outcome
@@ -87,8 +88,8 @@
             await site.let_leave(step.kind == "leave")
         case "add":
             await site.add_runner()
-        case "configure":
-            await site.configure()
+        case "configure" | "revert":
+            await _configure(step, site)
         case "turn_away":
             site.store.turn_away(hosts, step.mood)
         case "serve":
@@ -105,6 +106,14 @@
             _trouble(step, site)
 
 
+async def _configure(step: schedules.Step, site: sites.Site) -> None:
+    """Writes a newer configuration, or an older one as a newer row."""
+    if step.kind == "configure":
+        await site.configure()
+    else:
+        await site.revert()
+
+
 async def _restore(step: schedules.Step, site: sites.Site) -> None:
     """Carries out one of the steps of a restoration."""
     match step.kind:
--- a/pollenfork/platform/tests/simulation/schedules.py
+++ b/pollenfork/platform/tests/simulation/schedules.py
@@ -51,7 +51,7 @@
         kind: What: `leave`, `vanish`, `add`, `configure`, `turn_away`,
             `serve`, `part`, `cut`, `heal`, `kill`, `start`, `forget`, `lose`,
             `bar`, `unbar`, `queue`, `clear`, `stall`, `announce`, `copy`,
-            `silence`, `restore` or `rewrite`.
+            `silence`, `restore`, `rewrite` or `revert`.
         hosts: To whom.
         mood: How the store treats them.
         loss: The part of datagrams lost from then on.
--- a/pollenfork/platform/tests/simulation/site.py
+++ b/pollenfork/platform/tests/simulation/site.py
@@ -260,14 +260,11 @@
     async def configure(self) -> None:
         """Writes a newer configuration."""
         self._version += 1
-        value = {
-            "version": self._version,
-            "routes": [],
-            "services": [{"name": SERVICE}],
-            "tenants": [],
-        }
-        at = await self.store.put("op", "config", value)
-        self.configured_at[self._version] = at
+        self.configured_at[self._version] = await self._configure(self._version)
+
+    async def revert(self) -> None:
+        """Writes the configuration before the newest one as a newer row."""
+        await self._configure(self._version - 1)
 
     def restore_store(self) -> None:
         """Lets the store come back from its copy.
@@ -319,6 +316,15 @@
         self.gone_at[name] = asyncio.get_running_loop().time()
         instance.notices.on_head(entry, _LEAVING)
 
+    async def _configure(self, version: int) -> float:
+        value = {
+            "version": version,
+            "routes": [],
+            "services": [{"name": SERVICE}],
+            "tenants": [],
+        }
+        return await self.store.put("op", "config", value)
+
     async def _put(self, name: str, state: str) -> float:
         address = f"10.9.0.{int(name[1:]) % 250 + 1}:80"
         entry = support.make_entry(SERVICE, address, state=state)
