Let no proof stand for a configuration that a peer has superseded

An instance that started, or came back from a partition, after an older configuration had become the store's newest row served by it, with a proof, for as long as nobody wrote again; all others went by a newer one.

Cause: a proof named the row of the store, not the version that the operators gave what is in force, and that is what the instances' knowledge is ordered by.

A store status now ends with the operators' version in force at its sender. Whoever hears of a higher one than its own proves nothing, neither by the store nor by peers, and fetches it like any newer table. Earlier builds skip the field and are read as naming none.

--- a/pollenfork/catalogue/tests/test_table_epochs.py
+++ b/pollenfork/catalogue/tests/test_table_epochs.py
@@ -32,3 +32,26 @@
         msgspec.msgpack.encode([7, 8, 0.5]), type=loads.StoreStatus
     )
     assert status.versions == (7, 8)
+
+
+class StatusBefore(msgspec.Struct, array_like=True):
+    """A status as the build before this one sends and reads it."""
+
+    configuration: int
+    runners: int
+    age_s: float
+    answered_s: float | None = None
+    configuration_epoch: int = 0
+    runners_epoch: int = 0
+
+
+def test_statuses_with_and_without_a_configuration_are_read_by_both() -> None:
+    sent = loads.StoreStatus(7, 8, 0.5, 0.1, 2, 2, in_force=41)
+    before = msgspec.msgpack.decode(
+        msgspec.msgpack.encode(sent), type=StatusBefore
+    )
+    assert before == StatusBefore(7, 8, 0.5, 0.1, 2, 2)
+    read = msgspec.msgpack.decode(
+        msgspec.msgpack.encode(before), type=loads.StoreStatus
+    )
+    assert read == msgspec.structs.replace(sent, in_force=0)
--- a/pollenfork/gateway/cluster_state.py
+++ b/pollenfork/gateway/cluster_state.py
@@ -13,6 +13,7 @@
 from pollenfork.catalogue import outages
 from pollenfork.fleet import errors as fleet_errors
 from pollenfork.fleet import registry
+from pollenfork.gateway import configuration_tracker
 from pollenfork.gateway import edges
 from pollenfork.gateway import settings
 from pollenfork.gateway import version_tracker
@@ -65,7 +66,9 @@
         self.has_runners = False
         self._on_restored: list[Callable[[], None]] = []
         self._status_at: float | None = None
-        self.configuration_versions = version_tracker.VersionTracker()
+        self.configuration_versions = (
+            configuration_tracker.ConfigurationTracker()
+        )
         self.runners_versions = version_tracker.VersionTracker()
 
     def when_restored(self, call: Callable[[], None]) -> None:
@@ -73,8 +76,12 @@
         self._on_restored.append(call)
 
     def record_current(self, moment: float) -> None:
-        """Records this instance's own proof of a current configuration."""
-        self.freshness.record_current(moment)
+        """Records this instance's own proof of a current configuration.
+
+        The store may have been restored from a copy that lacks what a peer has.
+        """
+        if not self.configuration_versions.is_superseded:
+            self.freshness.record_current(moment)
 
     def record_store_failure(self, sent_at: float) -> None:
         """Records that the store didn't answer a call sent at that time."""
@@ -107,6 +114,7 @@
             self._outages.read_age(now),
             versions.get_epoch(configuration),
             versions.get_epoch(runners),
+            self.configuration_versions.in_force,
         )
 
     def record_store_status(
@@ -128,7 +136,7 @@
         through = self.configuration_versions.through
         # What was the newest in an earlier epoch may not be so in this one.
         if announced <= through and versions.is_same_epoch(announced, through):
-            self.freshness.record_current(moment)
+            self.record_current(moment)
 
     def record_store_versions(
         self, status: messages.StoreStatus, sender: str
@@ -137,6 +145,7 @@
         self.configuration_versions.record_announced(
             status.configuration_version, sender
         )
+        self.configuration_versions.record_in_force(status.in_force, sender)
         self.runners_versions.record_announced(status.runners_version, sender)
 
     def pass_over(self, sender: str) -> None:
@@ -184,6 +193,7 @@
                 self._log_older(configuration.version, row, changes.source)
                 continue
             self.lookup = lookup.Lookup(configuration)
+            self.configuration_versions.in_force = configuration.version
             _LOG.info(
                 "event=configuration_in_force version=%d row=%d epoch=%d "
                 "routes=%d tiered_accounts=%s way=%s",
--- a/pollenfork/gateway/following.py
+++ b/pollenfork/gateway/following.py
@@ -102,6 +102,7 @@
         self._waiting = False
         self._calling = False
         self._unresponsive: str | None = None
+        self._without_news: str | None = None
         self._deferred_to: Follower | None = None
         self._write = write
         self._read = read
@@ -160,6 +161,11 @@
         unresponsive, self._unresponsive = self._unresponsive, None
         return unresponsive
 
+    def take_without_news(self) -> str | None:
+        """Returns and clears the relay whose table was last no newer."""
+        without_news, self._without_news = self._without_news, None
+        return without_news
+
     @property
     def failing(self) -> bool:
         """Whether the last call to the store failed."""
@@ -337,7 +343,10 @@
                 read.err_value.detail,
             )
             return None
-        return self._watch.take_table(read.ok_value)
+        changes = self._watch.take_table(read.ok_value)
+        if changes is None:
+            self._without_news = relay.host
+        return changes
 
     async def _call_once(self, cancellable: bool = True) -> float:
         """Calls the store and returns the seconds until the next call.
--- a/pollenfork/gateway/sources.py
+++ b/pollenfork/gateway/sources.py
@@ -107,6 +107,10 @@
             if unresponsive is not None:
                 peer_exchange.pass_over(unresponsive)
                 state.pass_over(unresponsive)
+        without_news = self._configuration.take_without_news()
+        if without_news is not None:
+            state.configuration_versions.refute(without_news)
+        state.configuration_versions.expire(now)
         poller = peer_exchange.find_store_poller(now)
         self._update_sources(peer_exchange, now)
         proven = poller is not None and state.is_proven_by_others(now)
--- a/pollenfork/gateway/tests/test_cluster_state.py
+++ b/pollenfork/gateway/tests/test_cluster_state.py
@@ -202,7 +202,9 @@
         configure(state, 5, 10)
     assert second.make_store_status(100.0) is None
     first.record_current(99.0)
-    assert first.make_store_status(100.5) == messages.StoreStatus(10, 0, 1.5)
+    assert first.make_store_status(100.5) == messages.StoreStatus(
+        10, 0, 1.5, in_force=5
+    )
     # Two instances forward the proof to each other, with 0.1 s between steps.
     now = 100.5
     for _ in range(20):
@@ -215,6 +217,33 @@
     assert not first.freshness.trusts_keys(now)
 
 
+# Guards against a proof by the store's rows alone: its newest row may hold an
+# older configuration than a peer has in force.
+def test_nothing_proves_a_configuration_that_is_superseded_elsewhere() -> None:
+    state = make_state()
+    configure(state, 4, 16)
+    newer = messages.StoreStatus(15, 0, 0.2, in_force=5)
+    state.record_store_status(newer, 100.0, "a")
+    state.record_current(100.0)
+    state.record_store_status(messages.StoreStatus(16, 0, 0.2), 100.0, "b")
+    assert state.freshness.age(100.0) is None
+    assert state.configuration_versions.is_newer_elsewhere
+    assert state.configuration_versions.sender == "a"
+    configure(state, 5, 15, through=16)
+    state.record_current(101.0)
+    assert state.freshness.trusts_keys(101.0)
+    assert not state.configuration_versions.is_newer_elsewhere
+    assert state.make_store_status(101.0).in_force == 5
+
+
+def test_a_peer_with_an_older_configuration_takes_no_proof_away() -> None:
+    state = make_state()
+    configure(state, 5, 15)
+    older = messages.StoreStatus(15, 0, 0.2, in_force=4)
+    state.record_store_status(older, 100.0, "a")
+    assert state.freshness.trusts_keys(100.0)
+
+
 def test_own_proof_is_needed_once_peers_proof_is_old() -> None:
     state = make_state()
     configure(state, 5, 10)
--- a/pollenfork/gateway/tests/test_sources.py
+++ b/pollenfork/gateway/tests/test_sources.py
@@ -62,9 +62,13 @@
         self.sources: sources.Sources
 
     def receive(
-        self, version: int, age_s: float = 0.1, sender: str = "sender"
+        self,
+        version: int,
+        age_s: float = 0.1,
+        sender: str = "sender",
+        in_force: int = 0,
     ) -> None:
-        status = loads.StoreStatus(version, version, age_s)
+        status = loads.StoreStatus(version, version, age_s, in_force=in_force)
         self.state.record_store_status(status, self.loop.time() - age_s, sender)
 
     async def choose_until(self, holds, limit_s: float = 5.0) -> float:
@@ -223,3 +227,42 @@
         assert took_s < 1.0
 
     run_scenario(scenario)
+
+
+# Guards against following the store's row numbers alone: the store holds an
+# older configuration in a newer row than the one that a peer has in force.
+def test_a_newer_configuration_is_fetched_though_its_row_is_older() -> None:
+    async def scenario(bench):
+        bench.store.rows = messages.Rows((messages.Row("c", b"6", 12),), 12)
+        await bench.choose_until(lambda: read_version(bench) == 6)
+        change(bench, 7, 9)
+
+        def is_there() -> bool:
+            bench.receive(9, in_force=7)
+            return read_version(bench) == 7
+
+        took_s = await bench.choose_until(is_there)
+        assert took_s < 1.0
+        await bench.choose_until(
+            lambda: bench.state.freshness.trusts_keys(bench.loop.time())
+        )
+
+    run_scenario(scenario)
+
+
+# Guards against an instance that claims a version and stops all others.
+def test_a_claim_that_the_senders_table_refutes_is_ignored() -> None:
+    async def scenario(bench):
+        bench.others.hosts[_HOST] = bench.address
+        change(bench, 5, 1)
+
+        def is_refuted() -> bool:
+            bench.receive(1, sender=_HOST, in_force=900)
+            return not bench.state.configuration_versions.is_superseded
+
+        assert not is_refuted()
+        await bench.choose_until(is_refuted)
+        bench.receive(1, in_force=5)
+        assert bench.state.freshness.trusts_keys(bench.loop.time())
+
+    run_scenario(scenario)
--- a/pollenfork/loads/gossip.py
+++ b/pollenfork/loads/gossip.py
@@ -118,7 +118,8 @@
 def _is_newer(mine: messages.StoreStatus, theirs: messages.StoreStatus) -> bool:
     """Returns whether a status has anything that the other one lacks."""
     return (
-        mine.configuration_version > theirs.configuration_version
+        mine.in_force > theirs.in_force
+        or mine.configuration_version > theirs.configuration_version
         or mine.runners_version > theirs.runners_version
         or mine.age_s + _MORE_RECENT_S < theirs.age_s
     )
--- a/pollenfork/loads/messages.py
+++ b/pollenfork/loads/messages.py
@@ -140,6 +140,8 @@
         configuration_epoch: The epoch of `configuration`; 0: sent by an
             earlier version, which doesn't tell.
         runners_epoch: The same for `runners`.
+        in_force: The operators' version of the configuration in force at the
+            sender; 0: none, or sent by an earlier version, which doesn't tell.
     """
 
     configuration: int
@@ -148,6 +150,7 @@
     answered_s: float | None = None
     configuration_epoch: int = 0
     runners_epoch: int = 0
+    in_force: int = 0
 
     @property
     def configuration_version(self) -> int:
--- a/pollenfork/loads/tests/test_gossip.py
+++ b/pollenfork/loads/tests/test_gossip.py
@@ -95,6 +95,16 @@
         assert answer == messages.Gossip("dc0", status, 9.0, echo=50.0)
 
 
+def test_an_older_configuration_in_force_is_answered() -> None:
+    instance = make_gossip(0, 3, 1)
+    behind = messages.StoreStatus(5, 7, 0.1, in_force=3)
+    ahead = messages.StoreStatus(5, 7, 0.1, in_force=4)
+    question = messages.Gossip("dc0", behind, sent_at=50.0)
+    assert instance.answer(question, ahead, 9.0) is not None
+    question = messages.Gossip("dc0", ahead, sent_at=50.0)
+    assert instance.answer(question, behind, 9.0) is None
+
+
 def test_an_answer_is_not_answered() -> None:
     instance = make_gossip(0, 3, 1)
     answer = messages.Gossip("dc0", _OLD, sent_at=50.0, echo=8.0)
--- a/pollenfork/platform/tests/test_superseded_configuration.py
+++ b/pollenfork/platform/tests/test_superseded_configuration.py
@@ -78,6 +78,22 @@
     expect_all(outcome, 2)
 
 
+# Instances that are cut off with the newest version bring it back, though the
+# others have read a later epoch meanwhile.
+def test_a_version_that_survives_only_behind_a_cut_is_kept() -> None:
+    hosts = ("10.3.0.1", "10.3.0.2")
+    outcome = run(
+        Step(5.0, "copy"),
+        Step(6.0, "configure"),
+        Step(6.5, "cut", hosts),
+        Step(6.5, "kill", _HOSTS[:4]),
+        Step(7.5, "restore"),
+        Step(8.5, "start", _HOSTS[:4]),
+        Step(10.0, "heal", hosts),
+    )
+    expect_all(outcome, 2)
+
+
 # Guards against waiting for good for a version that nobody has any more.
 def test_a_version_that_nobody_remembers_is_gone() -> None:
     outcome = run(
