Ask no host that has no name for a newer table

Where the instance that had announced a newer table was passed over as silent, the table was asked of the empty host name: 0.25 s went by, and that 'relay' was passed over too (event=relay_silent relay=), while others announced the table.

--- a/pollenfork/gateway/peers.py
+++ b/pollenfork/gateway/peers.py
@@ -351,8 +351,8 @@
         self._exchange.mark_unresponsive(host, self._loop.time())
 
     def locate(self, host: str | None) -> messages.Address | None:
-        """Returns another instance's address; None for this instance."""
-        if host is None or host == self._me.host:
+        """Returns another instance's address; None for this one or no host."""
+        if not host or host == self._me.host:
             return None
         return messages.Address(host, self._me.port)
 
