Hold the store's proof back until peers could supersede it

An instance that started while the store's newest row held an older version of the configuration served by it, with a proof, for 0.1 s and more, until it heard of the newer one: keys that had been revoked worked, routes were missing.

Cause: it reads the store 2.5 ms after its start, and its peers 0.1 s later. One that comes back from a partition meets the same in any order.

After a start or a failed call, own proof now waits until a relay's proof has come, or this relay has heard every data centre that it ever knew, its own among them; at most for 1 s, after which an instance whose peers stay silent goes by the store alone. While peers are in touch nothing waits. A greeting is answered with the store status too, and a relay without reporters greets its own data centre, so that one that starts again hears them at once; before, only gossip reached it for 4 s.

--- a/pollenfork/gateway/peers.py
+++ b/pollenfork/gateway/peers.py
@@ -342,6 +342,10 @@
         """How many instances are known, including this one."""
         return self._exchange.instances
 
+    def hears_all_data_centres(self, now: float) -> bool:
+        """Returns whether this relay hears of what all others know."""
+        return self._exchange.hears_all_data_centres(now)
+
     def find_relay(self, now: float) -> messages.Address | None:
         """Returns the relay of this data centre; None for this instance."""
         return self.locate(self._exchange.find_relay(now))
--- a/pollenfork/gateway/sources.py
+++ b/pollenfork/gateway/sources.py
@@ -9,6 +9,7 @@
 from pollenfork.catalogue import known_rows
 from pollenfork.catalogue import watch
 from pollenfork.gateway import cluster_state
+from pollenfork.gateway import consultation
 from pollenfork.gateway import edges
 from pollenfork.gateway import following
 from pollenfork.gateway import peers
@@ -72,6 +73,10 @@
         self._state = state
         self._rng = rng
         self.tables = tables.Tables()
+        self._consultation = consultation.Consultation()
+        self._peer_exchange: peers.Peers | None = None
+        # Up to when the store said that the configuration is current.
+        self._confirmed_at = 0.0
         self._configuration = self._make_follower(
             tables.Table.CONFIGURATION,
             (_CONFIGURATION_WAIT_S, _CONFIGURATION_REST_S),
@@ -102,6 +107,8 @@
         """
         now = self._loop.time()
         state = self._state
+        self._peer_exchange = peer_exchange
+        self._release_proof(now)
         for follower in (self._configuration, self._runners):
             unresponsive = follower.take_unresponsive()
             if unresponsive is not None:
@@ -126,7 +133,8 @@
         """Sets where both followers fetch their tables from."""
         state = self._state
         relay = peer_exchange.find_relay(now)
-        age_s = state.freshness.age(now) or 0.0
+        # Proof that is held back is no reason to ask again.
+        age_s = min(state.freshness.age(now) or 0.0, now - self._confirmed_at)
         relays = relay is None
         followed = relay if state.follows_relay(now) else None
         configuration = _choose_source(
@@ -170,7 +178,8 @@
         configuration, runners = self._configuration, self._runners
         state = self._state
         configuration.when_changed(state.take_configuration)
-        configuration.when_current(state.record_current)
+        configuration.when_current(self._on_current)
+        configuration.when_failed(lambda sent_at: self._consultation.begin())
         runners.when_changed(
             lambda changes: state.take_runners(changes, self._loop.time())
         )
@@ -180,6 +189,28 @@
         # One follower is enough to find out that the store is back.
         runners.defer_to(configuration)
 
+    def _on_current(self, moment: float) -> None:
+        now = self._loop.time()
+        self._confirmed_at = max(self._confirmed_at, moment)
+        self._consultation.offer(moment, now)
+        self._release_proof(now)
+
+    def _release_proof(self, now: float) -> None:
+        """Records the store's proof once peers had time to supersede it."""
+        if not self._consultation.holds_proof:
+            return
+        moment = self._consultation.release(now, self._is_in_touch(now))
+        if moment is not None:
+            self._state.record_current(moment)
+
+    def _is_in_touch(self, now: float) -> bool:
+        """Returns whether peers could name a newer configuration."""
+        if self._state.follows_relay(now):
+            return True
+        return self._peer_exchange is not None and (
+            self._peer_exchange.hears_all_data_centres(now)
+        )
+
 
 def _choose_source(
     table: version_tracker.VersionTracker,
--- a/pollenfork/gateway/tests/test_sources.py
+++ b/pollenfork/gateway/tests/test_sources.py
@@ -6,6 +6,7 @@
 
 from pollenfork.catalogue import messages
 from pollenfork.gateway import cluster_state
+from pollenfork.gateway import consultation
 from pollenfork.gateway import settings
 from pollenfork.gateway import sources
 from pollenfork.gateway import tables
@@ -33,6 +34,7 @@
         self.poller: settings.Address | None = None
         self.hosts: dict[str, settings.Address] = {}
         self.passed_over: list[str] = []
+        self.hears_all = True
 
     def find_relay(self, now: float) -> settings.Address | None:
         return self.relay
@@ -40,6 +42,9 @@
     def find_store_poller(self, now: float) -> settings.Address | None:
         return self.poller
 
+    def hears_all_data_centres(self, now: float) -> bool:
+        return self.hears_all
+
     def pass_over(self, host: str) -> None:
         self.passed_over.append(host)
 
@@ -82,7 +87,7 @@
 
 
 @contextlib.asynccontextmanager
-async def run_bench():
+async def run_bench(hears_all: bool):
     loop = asyncio.get_running_loop()
     standin = test_following.Store()
     standin.rows = messages.Rows((messages.Row("c", b"5", 1),), 1)
@@ -98,6 +103,7 @@
     bench.sources = sources.Sources(
         await standin.start(), Store(standin), bench.state, random.Random(1)
     )
+    bench.others.hears_all = hears_all
     tasks = bench.sources.start()
     try:
         await bench.choose_until(lambda: bench.state.lookup is not None)
@@ -118,9 +124,9 @@
     bench.peer_tables.take(tables.Table.CONFIGURATION, changes)
 
 
-def run_scenario(scenario):
+def run_scenario(scenario, hears_all: bool = True):
     async def run():
-        async with run_bench() as bench:
+        async with run_bench(hears_all) as bench:
             await scenario(bench)
 
     asyncio.run(run())
@@ -266,3 +272,28 @@
         assert bench.state.freshness.trusts_keys(bench.loop.time())
 
     run_scenario(scenario)
+
+
+# Guards against an instance that was away and believes a restored store before
+# it has heard what its peers have in force.
+def test_own_proof_waits_for_the_peers_that_may_know_more() -> None:
+    async def scenario(bench):
+        assert bench.state.freshness.age(bench.loop.time()) is None
+        bench.receive(1, in_force=6)
+        bench.others.hears_all = True
+        for _ in range(5):
+            bench.sources.choose(bench.others)
+        assert bench.state.freshness.age(bench.loop.time()) is None
+
+    run_scenario(scenario, hears_all=False)
+
+
+def test_own_proof_counts_once_silent_peers_had_their_time() -> None:
+    async def scenario(bench):
+        took_s = await bench.choose_until(
+            lambda: bench.state.freshness.trusts_keys(bench.loop.time())
+        )
+        limit_s = consultation.Consultation.LIMIT_S
+        assert limit_s / 2 < took_s < limit_s + 0.5
+
+    run_scenario(scenario, hears_all=False)
--- a/pollenfork/loads/core.py
+++ b/pollenfork/loads/core.py
@@ -28,6 +28,13 @@
 _MEMBERS_INTERVAL_S = 1.0
 # Loads received longer ago than this are dropped, in seconds.
 _EXPIRY_S = 1.3
+# Messages by which an instance tells what it knows of the store.
+_WITH_STATUS = (
+    messages.Report,
+    messages.DataCentreLoads,
+    messages.OtherLoads,
+    messages.Gossip,
+)
 
 
 class Exchange:
@@ -68,6 +75,8 @@
         self._others = links.ReceivedLoads({}, -_EXPIRY_S)
         self._others_sender = ""
         self._links: dict[str, links.Link] = collections.defaultdict(links.Link)
+        # When an instance of a data centre last told what it knows.
+        self._status_heard_at: dict[str, float] = {}
         self._members_at = 0.0
         self._urgent = False
         self._round_at = 0.0
@@ -108,6 +117,24 @@
         relays = [self._roster.find_relay(each, now) for each in data_centres]
         return min(filter(None, relays), default=None)
 
+    def hears_all_data_centres(self, now: float) -> bool:
+        """Returns whether this relay hears each data centre known so far.
+
+        Instances that report to a relay hear other data centres through it
+        alone, so this is false for them.
+        """
+        if not self.is_relay(now):
+            return False
+        if self._discovery.lacks_members:
+            return False
+        awaited = set(self._roster.ever_elsewhere)
+        if self._roster.list_hosts(True):
+            awaited.add(self._data_centre)
+        return all(
+            now - self._status_heard_at.get(each, 0.0) <= _EXPIRY_S
+            for each in awaited
+        )
+
     def list_candidates(self, now: float) -> list[str]:
         """Returns all hosts in the order of preference for cluster-wide tasks.
 
@@ -199,17 +226,24 @@
         """Processes a message; returns what to send in turn."""
         self._disseminator.record_contact(host, now)
         answers = self._process(message, host, now)
+        self._record_status_heard(message, host, now)
         self._discovery.record_contact(host, self._sums, now)
         return answers
 
+    def _record_status_heard(
+        self, message: messages.Message, host: str, now: float
+    ) -> None:
+        data_centre = self._roster.find_data_centre(host)
+        if data_centre is not None and isinstance(message, _WITH_STATUS):
+            self._status_heard_at[data_centre] = now
+
     def _process(
         self, message: messages.Message, host: str, now: float
     ) -> list[messages.Send]:
         match message:
             case messages.Hello():
                 self._record_sighting(host, message.data_centre, now)
-                known = messages.Members(self._roster.list_sightings(now))
-                return [self._address(host, known)]
+                return self._answer_hello(host, now)
             case messages.Members():
                 for each in message.members:
                     self._roster.record_sighting(each.member, now - each.age_s)
@@ -255,6 +289,15 @@
                 )
         return []
 
+    def _answer_hello(self, host: str, now: float) -> list[messages.Send]:
+        known = messages.Members(self._roster.list_sightings(now))
+        sends = [self._address(host, known)]
+        status = self._instance.read_store_status(now)
+        if status is not None:
+            told = messages.Gossip(self._data_centre, status, now)
+            sends.append(self._address(host, told))
+        return sends
+
     def _receive_others(
         self, message: messages.OtherLoads, host: str, now: float
     ) -> None:
@@ -440,6 +483,8 @@
         if not self._discovery.is_due(now):
             return []
         hosts = self._discovery.choose(self.is_relay(now), self._sums, now)
+        if self.is_relay(now) and not self._reports:
+            hosts += self._roster.choose_next(self._data_centre)
         hello = messages.Hello(self._data_centre)
         return [self._address(host, hello) for host in hosts]
 
--- a/pollenfork/loads/discovery.py
+++ b/pollenfork/loads/discovery.py
@@ -40,6 +40,11 @@
         """Sets the hosts to contact while no other is known."""
         self._seeds = frozenset(hosts)
 
+    @property
+    def lacks_members(self) -> bool:
+        """Whether there are seeds to contact, but no instance is known."""
+        return self._roster.size == 1 and bool(self._seeds)
+
     def choose(
         self, is_relay: bool, active_relays: Collection[str], now: float
     ) -> list[str]:
--- a/pollenfork/loads/members.py
+++ b/pollenfork/loads/members.py
@@ -16,6 +16,9 @@
     All instances sort the same members in the same way, so they agree on the
     relays without an election. While they disagree, loads are still counted
     once, as an instance reports to one relay at a time.
+
+    Attributes:
+        ever_elsewhere: The other data centres that ever had a member.
     """
 
     def __init__(self, me: messages.Member, capacity: int = 0) -> None:
@@ -34,6 +37,7 @@
         self._unresponsive_since: dict[str, float] = {}
         self._waiting_since: dict[str, float] = {}
         self._last_chosen: dict[str | None, str] = {}
+        self.ever_elsewhere: set[str] = set()
 
     @property
     def size(self) -> int:
@@ -77,6 +81,8 @@
         if member != self._me and seen_at > self._seen_at.get(member, 0.0):
             self._seen_at[member] = seen_at
             self._data_centres[member.host] = member.data_centre
+            if member.data_centre != self._me.data_centre:
+                self.ever_elsewhere.add(member.data_centre)
 
     def record_answer(self, host: str) -> None:
         """Notes that a relay has sent a message."""
--- a/pollenfork/platform/tests/test_superseded_configuration.py
+++ b/pollenfork/platform/tests/test_superseded_configuration.py
@@ -55,6 +55,18 @@
     expect_all(outcome, 2)
 
 
+# Guards against an instance that believes the store although others know more.
+@pytest.mark.parametrize("hosts", _ABSENT)
+def test_an_instance_that_starts_later_gets_the_newest(hosts) -> None:
+    outcome = run(
+        Step(6.0, "configure"),
+        Step(7.0, "revert"),
+        Step(8.0, "kill", hosts),
+        Step(9.0, "start", hosts),
+    )
+    expect_all(outcome, 2)
+
+
 @pytest.mark.parametrize("hosts", _ABSENT)
 def test_an_instance_that_was_cut_off_gets_the_newest(hosts) -> None:
     outcome = run(
