Tell both tables' followers of a restored store

Runners that left within seconds of a restoration got work for 2.65 s after the store had acknowledged it, and removed runners were kept beyond their time.

Cause: a feed's position of the epoch before is as good as one of this epoch to the store, which holds the call until its versions pass it. The configuration's call, which returns every 0.6 s, found out about the epoch; the runners' call didn't hear of it, and returned 4 s after it was sent. The tests so far play a store that is silent first, and the failed call ended the held one.

Each follower now tells the other of a later epoch, whether it comes from the store or a peer's table. A position of an earlier epoch is dropped, and a held call replaced by a full read.

--- a/pollenfork/catalogue/tests/test_watch.py
+++ b/pollenfork/catalogue/tests/test_watch.py
@@ -268,3 +268,14 @@
     assert watched.take_table(make_epoch_rows(1, 900, a=800)) is None
     assert watched.take_table(make_epoch_rows(0, 900, a=800)) is None
     assert watched.take_table(make_epoch_rows(3, 1, a=1)) is not None
+
+
+def test_a_position_of_an_earlier_epoch_is_dropped() -> None:
+    watched = watch.Watch(random.Random(1), 1.0)
+    assert not watched.begin_epoch(2)  # Nothing has been read yet.
+    read_in_full(watched, make_epoch_rows(1, 90, a=10))
+    assert not watched.begin_epoch(1)
+    assert watched.begin_epoch(2)
+    changes = read_in_full(watched, make_epoch_rows(2, 90, a=10, b=90))
+    assert [row.key for row in changes.rows] == ["a", "b"]
+    assert not watched.begin_epoch(2)
--- a/pollenfork/catalogue/watch.py
+++ b/pollenfork/catalogue/watch.py
@@ -111,6 +111,22 @@
         """Lets the next call return the present state, without a wait."""
         self._state.skip_wait = True
 
+    def begin_epoch(self, epoch: int) -> bool:
+        """Reads the table in full if its position is of an earlier epoch.
+
+        The store would hold a call from such a position until its versions
+        pass it, whatever it has written in the meantime.
+
+        Returns:
+            Whether the position was of an earlier epoch.
+        """
+        known = self._state.version
+        if known is None or versions.get_epoch(known) >= epoch:
+            return False
+        self._state.version = None
+        self._restart_read()
+        return True
+
     def take_rows(
         self, call: messages.ReadCall, rows: messages.Rows
     ) -> messages.Changes | None:
--- a/pollenfork/gateway/following.py
+++ b/pollenfork/gateway/following.py
@@ -97,6 +97,7 @@
         self._wake_event = asyncio.Event()
         self._watch = watched
         self._epoch = 0
+        self._latest_epoch = 0
         self._cooldown_s = cooldown_s
         self._store_requested = False
         self._waiting = False
@@ -111,6 +112,7 @@
         self._on_outage: list[Callable[[bool], None]] = []
         self._on_answer: list[Callable[[float], None]] = []
         self._on_failure: list[Callable[[float], None]] = []
+        self._on_epoch: list[Callable[[int], None]] = []
 
     def when_changed(
         self, callback: Callable[[catalogue.Changes], None]
@@ -134,6 +136,15 @@
         """Calls `callback` with the time at which a failed call was sent."""
         self._on_failure.append(callback)
 
+    def when_epoch_began(self, callback: Callable[[int], None]) -> None:
+        """Calls `callback` with each epoch of the store that is later."""
+        self._on_epoch.append(callback)
+
+    def begin_epoch(self, epoch: int) -> None:
+        """Handles an epoch that another table's answer belongs to."""
+        if self._watch.begin_epoch(epoch) and self._waiting:
+            self.ask_store_now()
+
     def set_source(self, source: SourceChoice) -> None:
         """Sets where to fetch the table from."""
         if source == self._source:
@@ -250,6 +261,7 @@
         self._missing_since = None
         for on_changes in self._on_changes:
             on_changes(changes)
+        self._note_epoch(versions.get_epoch(changes.through))
 
     async def _ask_relay(
         self, relay: settings.Address
@@ -372,6 +384,7 @@
             return self._handle_trouble(answer.err_value, sent_at)
         rows = answer.ok_value
         self._log_epoch(rows)
+        self._note_epoch(versions.get_epoch(rows.version))
         if self._watch.is_stale(rows):
             return self._handle_trouble(catalogue.ReadFailure.STALE, sent_at)
         for on_answer in self._on_answer:
@@ -388,6 +401,13 @@
             on_current(moment)
         return self._cooldown_s if changes.rows else 0.0
 
+    def _note_epoch(self, epoch: int) -> None:
+        if epoch <= self._latest_epoch:
+            return
+        self._latest_epoch = epoch
+        for on_epoch in self._on_epoch:
+            on_epoch(epoch)
+
     def _log_epoch(self, rows: catalogue.Rows) -> None:
         """Logs that the store answers from a copy that it was restored from."""
         epoch = versions.get_epoch(rows.version)
--- a/pollenfork/gateway/sources.py
+++ b/pollenfork/gateway/sources.py
@@ -186,6 +186,8 @@
         # The runners' call may be waiting on a connection that has broken
         # unnoticed; the configuration's calls are short enough to detect it.
         configuration.when_outage_changed(lambda lost: runners.ask_store_now())
+        configuration.when_epoch_began(runners.begin_epoch)
+        runners.when_epoch_began(configuration.begin_epoch)
         # One follower is enough to find out that the store is back.
         runners.defer_to(configuration)
 
--- a/pollenfork/gateway/tests/test_following.py
+++ b/pollenfork/gateway/tests/test_following.py
@@ -8,6 +8,7 @@
 import msgspec
 import result
 
+from pollenfork import versions
 from pollenfork.catalogue import messages
 from pollenfork.catalogue import watch
 from pollenfork.gateway import client
@@ -324,3 +325,23 @@
         caller.cancel()
 
     asyncio.run(run())
+
+
+# Guards against a call that the store holds, as its versions haven't passed
+# those of the epoch before.
+def test_a_held_call_is_replaced_once_a_later_epoch_is_known() -> None:
+    async def scenario(bench):
+        await bench.wait_for(lambda: len(bench.store.asked) == 2)
+        assert bench.store.asked[1].wait_s > 0.0
+        bench.follower.begin_epoch(0)
+        await asyncio.sleep(0.05)
+        assert len(bench.store.asked) == 2
+        restored = versions.combine(1, 1)
+        bench.store.rows = messages.Rows((Row("b", b"2", restored),), restored)
+        bench.follower.begin_epoch(1)
+        await bench.wait_for(lambda: len(bench.seen) == 2)
+        assert bench.store.asked[2].after is None
+        found = {row.key: row.removed for row in bench.seen[1].rows}
+        assert found == {"a": True, "b": False}
+
+    run_scenario(scenario)
--- a/pollenfork/platform/tests/simulation/judge.py
+++ b/pollenfork/platform/tests/simulation/judge.py
@@ -57,6 +57,8 @@
         stale_s: Seconds for which instances didn't trust keys.
         calls: Calls to the store.
         versions: The configuration in force at each host at the end.
+        leaving_s: Seconds from the store's acknowledgement of a leaving to the
+            last instance's knowledge of it, by runner.
     """
 
     broken: list[Broken] = msgspec.field(default_factory=list)
@@ -65,6 +67,7 @@
     stale_s: float = 0.0
     calls: int = 0
     versions: dict[str, int] = msgspec.field(default_factory=dict)
+    leaving_s: dict[str, float] = msgspec.field(default_factory=dict)
 
 
 class Judge:
@@ -111,10 +114,14 @@
                     knowing.difference_update(step.hosts)
 
     def note_end(self, each: sites.Instance) -> None:
-        """Notes what an instance has in force at the end."""
+        """Notes what an instance knows at the end."""
         if each.known is not None and each.known.lookup is not None:
             version = each.known.lookup.configuration.version
             self.outcome.versions[each.host] = version
+        for name, gone_at in self._site.gone_at.items():
+            known_at = self._knew_at.get((each.host, name), math.inf)
+            known = self.outcome.leaving_s.get(name, 0.0)
+            self.outcome.leaving_s[name] = max(known, known_at - gone_at)
 
     def check(self, now: float) -> None:
         """Checks all instances."""
