Hand on no entry of a runner's earlier incarnation

An instance that had never known a runner's later start took the entry of an earlier one from its relay, which had refused it, and would send requests to an incarnation that has ended.

Found by looking for it; no caller's report.

The watch of the runners ranks entries by the start that they name. Their rows stay removable, and the ranks of the last 4,096 are kept as in the registry. A row that outlived its epoch has no number that could show that it is known: the state machine found that a copy encoded before a restoration kept the old one.

--- a/pollenfork/catalogue/known_rows.py
+++ b/pollenfork/catalogue/known_rows.py
@@ -1,19 +1,25 @@
 """Decides which rows of a table are newer than those already known.
 
 The store orders rows by their versions. Content with an order of its own, such
-as the operators' configuration, is ordered by that: after a restoration, or
-where an older content is written again, the two orders differ.
+as the operators' configuration or a runner's start, is ordered by that: after a
+restoration, or where older content is written again, the two orders differ.
 """
 
+import collections
 from collections.abc import Callable, Collection, Iterable
 from typing import NamedTuple
 
+from pollenfork import versions
 from pollenfork.catalogue import messages
 
 # Returns the place of a row's content in the content's own order; None if only
 # the row's version orders it.
 ReadRank = Callable[[messages.Row], int | None]
 
+# The number of rows, removed ones included, whose ranks are kept. About 200
+# bytes each.
+_MAX_RANKS = 4096
+
 
 class Selection(NamedTuple):
     """Rows divided by whether they are newer than what is known.
@@ -35,16 +41,23 @@
 class KnownRows:
     """The versions, and ranks if any, of the rows of one table."""
 
-    def __init__(self, read_rank: ReadRank = read_no_rank) -> None:
+    def __init__(
+        self, read_rank: ReadRank = read_no_rank, removable: bool = True
+    ) -> None:
         """Starts without any row.
 
         Args:
-            read_rank: Reads the rank of a row. A row with a rank isn't removed:
-                what it configures stays in force without it.
+            read_rank: Reads the rank of a row.
+            removable: Whether rows with a rank can be removed. What others
+                configure stays in force without them.
         """
         self._read_rank = read_rank
+        self._removable = removable
         self._versions: dict[str, int] = {}
-        self._ranks: dict[str, int] = {}
+        # The highest ranks, those of removed rows included.
+        self._ranks: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
 
     @property
     def is_empty(self) -> bool:
@@ -55,10 +68,12 @@
         """Adds rows to those that are known."""
         newer, superseded = [], []
         for row in rows:
-            rank = None if row.removed else self._read_rank(row)
             known_rank = self._ranks.get(row.key)
-            if row.removed and known_rank is not None:
+            if self._is_known(row) or (
+                row.removed and known_rank is not None and not self._removable
+            ):
                 continue
+            rank = None if row.removed else self._read_rank(row)
             if rank is not None and known_rank is not None:
                 if rank < known_rank:
                     superseded.append(row)
@@ -74,7 +89,12 @@
     def select_higher_ranked(
         self, rows: Iterable[messages.Row]
     ) -> tuple[messages.Row, ...]:
-        """Returns the rows that are newer by their rank alone."""
+        """Returns the rows that are newer by their rank alone.
+
+        A removable one may have been removed since.
+        """
+        if self._removable:
+            return ()
         ranked = ((self._read_rank(row), row) for row in rows)
         return tuple(
             row
@@ -95,6 +115,12 @@
             if key not in present
         )
 
+    def _is_known(self, row: messages.Row) -> bool:
+        if row.removed or row.version != self._versions.get(row.key):
+            return False
+        # Rows that outlived their epoch have no number of their own.
+        return versions.get_number(row.version) != 0
+
     def _is_newer(self, row: messages.Row) -> bool:
         return row.version > self._versions.get(row.key, -1)
 
@@ -103,5 +129,9 @@
             self._versions.pop(row.key, None)
             return
         self._versions[row.key] = row.version
-        if rank is not None:
-            self._ranks[row.key] = rank
+        if rank is None:
+            return
+        self._ranks[row.key] = rank
+        self._ranks.move_to_end(row.key)
+        if len(self._ranks) > _MAX_RANKS:
+            self._ranks.popitem(last=False)
--- a/pollenfork/catalogue/table_copy.py
+++ b/pollenfork/catalogue/table_copy.py
@@ -46,6 +46,9 @@
 
     def apply(self, changes: messages.Changes) -> None:
         """Applies changes."""
+        if not versions.is_same_epoch(changes.through, self._through):
+            # Rows are numbered by the epoch that they are sent in.
+            self._packed = None
         self._through = changes.through
         self._last_change = max(self._last_change, changes.last_change)
         if not changes.rows:
--- a/pollenfork/catalogue/tests/test_known_rows.py
+++ b/pollenfork/catalogue/tests/test_known_rows.py
@@ -18,14 +18,14 @@
     return int(row.value) if row.value.isdigit() else None
 
 
-def make_known(*rows: Row) -> known_rows.KnownRows:
-    known = known_rows.KnownRows(read_rank)
+def make_known(*rows: Row, removable: bool = False) -> known_rows.KnownRows:
+    known = known_rows.KnownRows(read_rank, removable)
     known.take(rows)
     return known
 
 
 def make_watch() -> watch.Watch:
-    return watch.Watch(random.Random(1), 1.0, read_rank)
+    return watch.Watch(random.Random(1), 1.0, make_known())
 
 
 def make_rows(epoch: int, version: int, *rows: tuple[int, int]):
@@ -69,6 +69,21 @@
     assert known.take([Row("c", b"3", 17)]).newer == ()
 
 
+# Guards against reviving an earlier incarnation of a runner that has left.
+def test_a_removable_row_is_removed_and_its_rank_remembered() -> None:
+    known = make_known(Row("r", b"200", 5), removable=True)
+    gone = Row("r", b"", 6, removed=True)
+    assert known.take([gone]).newer == (gone,)
+    earlier, later = Row("r", b"100", 7), Row("r", b"300", 8)
+    assert known.take([earlier]) == ((), (earlier,))
+    assert known.take([later]).newer == (later,)
+
+
+def test_a_removable_row_of_an_older_table_may_have_been_removed() -> None:
+    known = make_known(Row("q", b"200", 5), removable=True)
+    assert known.select_higher_ranked([Row("r", b"200", 4)]) == ()
+
+
 def test_rows_without_rank_are_ordered_by_version_and_removed() -> None:
     known = make_known(Row("a", b"x", 5))
     assert known.take([Row("a", b"y", 4)]) == ((), ())
@@ -108,6 +123,16 @@
     assert handed.last_change == versions.combine(2, 14)
 
 
+def test_a_copy_that_was_sent_before_is_numbered_by_the_next_epoch() -> None:
+    copy = table_copy.TableCopy()
+    row = Row("c", b"4", versions.combine(1, 2))
+    copy.apply(messages.Changes((row,), versions.combine(1, 2)))
+    copy.encode()
+    copy.apply(messages.Changes((), versions.combine(2, 2)))
+    handed = table_copy.decode(copy.encode()).unwrap()
+    assert [row.version for row in handed.rows] == [versions.combine(2, 0)]
+
+
 def test_an_older_table_gives_what_it_has_of_higher_rank() -> None:
     watched = make_watch()
     read(watched, make_rows(2, 30, (20, 3)))
--- a/pollenfork/catalogue/watch.py
+++ b/pollenfork/catalogue/watch.py
@@ -52,19 +52,19 @@
         self,
         rng: random.Random,
         wait_s: float,
-        read_rank: known_rows.ReadRank = known_rows.read_no_rank,
+        known: known_rows.KnownRows | None = None,
     ) -> None:
         """Starts without any row known.
 
         Args:
             rng: Adds jitter to the retries of many instances.
             wait_s: How long the store may hold a call, in seconds.
-            read_rank: Reads the rank of a row's content.
+            known: Orders the rows; None: by the store's versions alone.
         """
         self._rng = rng
         self.wait_s = wait_s
         self._state = WatchState()
-        self._known = known_rows.KnownRows(read_rank)
+        self._known = known or known_rows.KnownRows()
         self._pages: list[messages.Row] = []
         # The newest version up to which all changes were ever known.
         self._newest = 0
--- a/pollenfork/gateway/cluster_state.py
+++ b/pollenfork/gateway/cluster_state.py
@@ -170,6 +170,11 @@
         read = self._store.decode_configuration(row)
         return read.ok_value.version if isinstance(read, result.Ok) else None
 
+    def read_runner_start(self, row: catalogue.Row) -> int | None:
+        """Returns the start of a row's runner, if the row is valid."""
+        read = self._store.decode_runner(row)
+        return read.ok_value.start if isinstance(read, result.Ok) else None
+
     def take_configuration(self, changes: catalogue.Changes) -> None:
         """Puts a newer configuration in force."""
         self.configuration_versions.take(changes)
@@ -210,6 +215,8 @@
         self._begin_epoch(changes, now)
         self.has_runners = True
         self.runners_versions.take(changes)
+        for row in changes.superseded:
+            _log_outdated(row, self.read_runner_start(row))
         for row in changes.rows:
             if row.removed:
                 self._remove_runner(row, changes.source, now)
@@ -220,12 +227,7 @@
                 continue
             arrival = self.runners.put(read.ok_value)
             if not arrival.in_use:
-                _LOG.info(
-                    "event=runner_outdated runner=%s row=%d start=%s",
-                    row.key,
-                    versions.get_number(row.version),
-                    read.ok_value.start,
-                )
+                _log_outdated(row, read.ok_value.start)
                 continue
             _LOG.info(
                 "event=runner_known runner=%s service=%s leaving=%s row=%d "
@@ -315,6 +317,15 @@
         return known is not None and version < known.configuration.version
 
 
+def _log_outdated(row: catalogue.Row, start: int | None) -> None:
+    _LOG.info(
+        "event=runner_outdated runner=%s row=%d start=%s",
+        row.key,
+        versions.get_number(row.version),
+        start,
+    )
+
+
 def _describe_tiers(configuration: routes.Configuration) -> str:
     accounts = {
         account.id: account.tier
--- a/pollenfork/gateway/sources.py
+++ b/pollenfork/gateway/sources.py
@@ -81,12 +81,15 @@
             tables.Table.CONFIGURATION,
             (_CONFIGURATION_WAIT_S, _CONFIGURATION_REST_S),
             store.encode_configuration_read,
-            state.read_configuration_version,
+            known_rows.KnownRows(
+                state.read_configuration_version, removable=False
+            ),
         )
         self._runners = self._make_follower(
             tables.Table.RUNNERS,
             (_RUNNERS_WAIT_S, _RUNNERS_REST_S),
             store.encode_runners_read,
+            known_rows.KnownRows(state.read_runner_start),
         )
         self._connect()
 
@@ -158,13 +161,13 @@
         table: tables.Table,
         times: tuple[float, float],
         write: following.Write,
-        read_rank: known_rows.ReadRank = known_rows.read_no_rank,
+        known: known_rows.KnownRows,
     ) -> following.Follower:
         wait_s, cooldown_s = times
         follower = following.Follower(
             table,
             self._address,
-            watch.Watch(self._rng, wait_s, read_rank),
+            watch.Watch(self._rng, wait_s, known),
             cooldown_s,
             write,
             self._store.decode_rows,
