Let a refuted claim count again after a while

A host whose table was fetched just before it put a version in force, and whose announcement came meanwhile, was ignored for that version for good; where it is the only one that has it, others would have stayed behind until the next one.

Found by reading the diff; the new test fails without the lapse.

--- a/pollenfork/gateway/configuration_tracker.py
+++ b/pollenfork/gateway/configuration_tracker.py
@@ -30,6 +30,7 @@
         self._renewed_at = 0.0
         # The versions that hosts announced, but whose tables don't hold them.
         self._refuted: dict[str, int] = {}
+        self._refuted_since: float | None = None
 
     @property
     def is_superseded(self) -> bool:
@@ -67,7 +68,10 @@
             )
 
     def refute(self, sender: str) -> None:
-        """Ignores what a host announced, as its table doesn't hold it."""
+        """Ignores what a host announced, as its table doesn't hold it.
+
+        This lapses: it may have put the version in force after it answered.
+        """
         announced = self._in_force_elsewhere
         if not self.is_superseded or announced.sender != sender:
             return
@@ -86,6 +90,7 @@
         Args:
             now: Monotonic seconds; to be called at least once a second.
         """
+        self._expire_refuted(now)
         if self._is_renewed:
             self._is_renewed = False
             self._renewed_at = now
@@ -98,3 +103,11 @@
                 self.in_force,
             )
         self._in_force_elsewhere = version_tracker.AnnouncedVersion()
+
+    def _expire_refuted(self, now: float) -> None:
+        if not self._refuted:
+            self._refuted_since = None
+        elif self._refuted_since is None:
+            self._refuted_since = now
+        elif now - self._refuted_since > self.ANNOUNCED_S:
+            self._refuted.clear()
--- a/pollenfork/gateway/tests/test_configuration_tracker.py
+++ b/pollenfork/gateway/tests/test_configuration_tracker.py
@@ -57,3 +57,18 @@
     tracker.refute("b")
     tracker.record_in_force(6, "a")
     assert tracker.is_superseded
+
+
+# Guards against ignoring for good a host that put the version in force between
+# its answer and the announcement that came meanwhile.
+def test_a_refuted_version_counts_again_after_a_while() -> None:
+    tracker = make_tracker()
+    tracker.record_in_force(5, "a")
+    tracker.refute("a")
+    for now in (100.0, 100.0 + ANNOUNCED_S):
+        tracker.expire(now)
+        tracker.record_in_force(5, "a")
+        assert not tracker.is_superseded
+    tracker.expire(100.1 + ANNOUNCED_S)
+    tracker.record_in_force(5, "a")
+    assert tracker.is_superseded
