Wait for one other data centre only, not for each, after a failed call

A relay now needs to hear one other data centre, whose relay hears the rest. The one that hears nobody elsewhere is the one that was cut off, and it still waits.

--- a/pollenfork/gateway/peers.py
+++ b/pollenfork/gateway/peers.py
@@ -342,9 +342,9 @@
         """How many instances are known, including this one."""
         return self._exchange.instances
 
-    def hears_all_data_centres(self, now: float) -> bool:
-        """Returns whether this relay hears of what all others know."""
-        return self._exchange.hears_all_data_centres(now)
+    def hears_others(self, now: float) -> bool:
+        """Returns whether this relay hears what instances elsewhere know."""
+        return self._exchange.hears_others(now)
 
     def find_relay(self, now: float) -> messages.Address | None:
         """Returns the relay of this data centre; None for this instance."""
--- a/pollenfork/gateway/sources.py
+++ b/pollenfork/gateway/sources.py
@@ -213,7 +213,7 @@
         if self._state.follows_relay(now):
             return True
         return self._peer_exchange is not None and (
-            self._peer_exchange.hears_all_data_centres(now)
+            self._peer_exchange.hears_others(now)
         )
 
 
--- a/pollenfork/loads/core.py
+++ b/pollenfork/loads/core.py
@@ -117,22 +117,21 @@
         relays = [self._roster.find_relay(each, now) for each in data_centres]
         return min(filter(None, relays), default=None)
 
-    def hears_all_data_centres(self, now: float) -> bool:
-        """Returns whether this relay hears each data centre known so far.
+    def hears_others(self, now: float) -> bool:
+        """Returns whether this relay hears what instances elsewhere know.
 
-        Instances that report to a relay hear other data centres through it
-        alone, so this is false for them.
+        One other data centre is enough: its relay hears the others. Instances
+        that report to a relay hear them through it alone, so this is false for
+        them.
         """
-        if not self.is_relay(now):
+        if not self.is_relay(now) or self._discovery.lacks_members:
             return False
-        if self._discovery.lacks_members:
-            return False
-        awaited = set(self._roster.ever_elsewhere)
-        if self._roster.list_hosts(True):
-            awaited.add(self._data_centre)
-        return all(
+        sources = set(self._roster.ever_elsewhere)
+        if not sources and self._roster.list_hosts(True):
+            sources.add(self._data_centre)
+        return not sources or any(
             now - self._status_heard_at.get(each, 0.0) <= _EXPIRY_S
-            for each in awaited
+            for each in sources
         )
 
     def list_candidates(self, now: float) -> list[str]:
