--- a/pollenfork/gateway/peers.py
+++ b/pollenfork/gateway/peers.py
@@ -343,7 +343,7 @@
         return self._exchange.instances
 
     def hears_others(self, now: float) -> bool:
-        """Returns whether this instance hears from another data centre."""
+        """Returns whether this relay hears what instances elsewhere know."""
         return self._exchange.hears_others(now)
 
     def find_relay(self, now: float) -> messages.Address | None:
--- a/pollenfork/loads/core.py
+++ b/pollenfork/loads/core.py
@@ -28,9 +28,8 @@
 _MEMBERS_INTERVAL_S = 1.0
 # Loads received longer ago than this are dropped, in seconds.
 _EXPIRY_S = 1.3
-# Messages by which an instance tells what it knows of the store, if anything.
+# Messages by which an instance tells what it knows of the store.
 _WITH_STATUS = (
-    messages.Members,
     messages.Report,
     messages.DataCentreLoads,
     messages.OtherLoads,
@@ -119,11 +118,13 @@
         return min(filter(None, relays), default=None)
 
     def hears_others(self, now: float) -> bool:
-        """Returns whether this instance hears from another data centre.
+        """Returns whether this relay hears what instances elsewhere know.
 
-        One is enough, as its relay hears the others.
+        One other data centre is enough: its relay hears the others. Instances
+        that report to a relay hear them through it alone, so this is false for
+        them.
         """
-        if self._discovery.lacks_members:
+        if not self.is_relay(now) or self._discovery.lacks_members:
             return False
         sources = set(self._roster.ever_elsewhere)
         if not sources and self._roster.list_hosts(True):
@@ -288,14 +289,13 @@
         return []
 
     def _answer_hello(self, host: str, now: float) -> list[messages.Send]:
-        sends = []
+        known = messages.Members(self._roster.list_sightings(now))
+        sends = [self._address(host, known)]
         status = self._instance.read_store_status(now)
         if status is not None:
-            # Sent first: without it, the members say that nothing is known.
             told = messages.Gossip(self._data_centre, status, now)
             sends.append(self._address(host, told))
-        known = messages.Members(self._roster.list_sightings(now))
-        return [*sends, self._address(host, known)]
+        return sends
 
     def _receive_others(
         self, message: messages.OtherLoads, host: str, now: float
--- a/pollenfork/loads/tests/test_exchange.py
+++ b/pollenfork/loads/tests/test_exchange.py
@@ -458,13 +458,14 @@
     assert {each[0].data_centre for each in received} == {"b"}
 
 
-def test_an_instance_hears_others_unless_its_data_centre_is_cut_off() -> None:
+def test_a_relay_hears_others_unless_its_data_centre_is_cut_off() -> None:
     network = Network(9)
     network.run(1.0)
     relay = network.exchanges["10.0.0.000"]
     cut_off = network.exchanges["10.1.0.001"]
     assert relay.hears_others(network.now)
     assert cut_off.hears_others(network.now)
+    assert not network.exchanges["10.0.0.003"].hears_others(network.now)
     network.partitioned = {"10.1.0.001", "10.1.0.004", "10.1.0.007"}
     # Longer than it takes to forget the members there.
     network.run(20.0)
