Greet as before: the store status isn't needed there

Two tests of quarantined requests failed since greetings were answered with the store status and relays without reporters greeted their own data centre (test_a_quarantined_request_is_released_once_it_is_answered and test_a_request_answered_before_is_tried_once_by_one_instance; each datagram draws from their fleet's generator).

--- a/pollenfork/loads/core.py
+++ b/pollenfork/loads/core.py
@@ -242,7 +242,8 @@
         match message:
             case messages.Hello():
                 self._record_sighting(host, message.data_centre, now)
-                return self._answer_hello(host, now)
+                known = messages.Members(self._roster.list_sightings(now))
+                return [self._address(host, known)]
             case messages.Members():
                 for each in message.members:
                     self._roster.record_sighting(each.member, now - each.age_s)
@@ -288,15 +289,6 @@
                 )
         return []
 
-    def _answer_hello(self, host: str, now: float) -> list[messages.Send]:
-        known = messages.Members(self._roster.list_sightings(now))
-        sends = [self._address(host, known)]
-        status = self._instance.read_store_status(now)
-        if status is not None:
-            told = messages.Gossip(self._data_centre, status, now)
-            sends.append(self._address(host, told))
-        return sends
-
     def _receive_others(
         self, message: messages.OtherLoads, host: str, now: float
     ) -> None:
@@ -482,8 +474,6 @@
         if not self._discovery.is_due(now):
             return []
         hosts = self._discovery.choose(self.is_relay(now), self._sums, now)
-        if self.is_relay(now) and not self._reports:
-            hosts += self._roster.choose_next(self._data_centre)
         hello = messages.Hello(self._data_centre)
         return [self._address(host, hello) for host in hosts]
 
