Hold proof back for less time at a relay that starts

Cause: after a loss of power of all instances each waited for others that were starting too, and for greetings that went out before those listened, up to 1 s. Callers were refused as settings_stale meanwhile.

A relay that starts now waits 0.3 s at most: relays that run answer it within a few ticks. Instances that report to one wait for its word as before. Lost instances are greeted in the tick after the store's return instead of within 0.5 s.

Where there is one data centre only, a relay that starts may go by the store for up to 0.6 s, until gossip reaches it.

--- a/pollenfork/gateway/consultation.py
+++ b/pollenfork/gateway/consultation.py
@@ -11,13 +11,22 @@
     An instance whose peers stay silent relies on the store alone.
     """
 
-    # Peers that were lost greet each other every 0.5 s, and send what they have
-    # in force 0.3 s later at most.
+    # Relays that run answer one that starts within a few ticks.
+    RELAY_START_LIMIT_S = 0.3
+    # Instances that were lost greet each other every 0.5 s, and send what they
+    # have in force 0.3 s later at most. One that reports to a relay hears of it
+    # last.
     LIMIT_S = 1.0
 
-    def __init__(self) -> None:
+    def __init__(self, now: float) -> None:
+        """Begins as the instance starts.
+
+        Args:
+            now: Monotonic seconds.
+        """
         self._is_open = True
-        self._offered_at: float | None = None
+        self._starts = True
+        self._since: float | None = now
         self._moment: float | None = None
 
     @property
@@ -28,7 +37,8 @@
     def begin(self) -> None:
         """Holds proof back from now on, as the store didn't answer."""
         self._is_open = True
-        self._offered_at = None
+        self._starts = False
+        self._since = None
         self._moment = None
 
     def offer(self, moment: float, now: float) -> None:
@@ -38,21 +48,23 @@
             moment: The time up to which it holds, in monotonic seconds.
             now: Monotonic seconds.
         """
-        if self._offered_at is None:
-            self._offered_at = now
+        if self._since is None:
+            self._since = now
         self._moment = max(moment, self._moment or moment)
 
-    def release(self, now: float, in_touch: bool) -> float | None:
+    def release(self, now: float, in_touch: bool, relays: bool) -> float | None:
         """Returns the time up to which proof counts; None: not yet.
 
         Args:
             now: Monotonic seconds.
             in_touch: Whether peers have been heard.
+            relays: Whether this instance relays for its data centre.
         """
-        if self._moment is None or self._offered_at is None:
+        if self._moment is None or self._since is None:
             return None
-        waited_s = now - self._offered_at
-        if self._is_open and not in_touch and waited_s < self.LIMIT_S:
+        brief = self._starts and relays
+        limit_s = self.RELAY_START_LIMIT_S if brief else self.LIMIT_S
+        if self._is_open and not in_touch and now - self._since < limit_s:
             return None
         self._is_open = False
         moment, self._moment = self._moment, None
--- a/pollenfork/gateway/peers.py
+++ b/pollenfork/gateway/peers.py
@@ -346,6 +346,10 @@
         """Returns whether this relay hears what instances elsewhere know."""
         return self._exchange.hears_others(now)
 
+    def greet_lost(self) -> None:
+        """Greets instances that were lost in the next period."""
+        self._exchange.greet_lost()
+
     def find_relay(self, now: float) -> messages.Address | None:
         """Returns the relay of this data centre; None for this instance."""
         return self.locate(self._exchange.find_relay(now))
--- a/pollenfork/gateway/sources.py
+++ b/pollenfork/gateway/sources.py
@@ -73,7 +73,7 @@
         self._state = state
         self._rng = rng
         self.tables = tables.Tables()
-        self._consultation = consultation.Consultation()
+        self._consultation = consultation.Consultation(self._loop.time())
         self._peer_exchange: peers.Peers | None = None
         # Up to when the store said that the configuration is current.
         self._confirmed_at = 0.0
@@ -197,14 +197,23 @@
     def _on_current(self, moment: float) -> None:
         now = self._loop.time()
         self._confirmed_at = max(self._confirmed_at, moment)
+        is_first = not self._consultation.holds_proof
         self._consultation.offer(moment, now)
         self._release_proof(now)
+        is_held = self._consultation.holds_proof
+        if is_held and is_first and self._peer_exchange is not None:
+            self._peer_exchange.greet_lost()
 
     def _release_proof(self, now: float) -> None:
         """Records the store's proof once peers had time to supersede it."""
         if not self._consultation.holds_proof:
             return
-        moment = self._consultation.release(now, self._is_in_touch(now))
+        peer_exchange = self._peer_exchange
+        moment = self._consultation.release(
+            now,
+            self._is_in_touch(now),
+            peer_exchange is not None and peer_exchange.find_relay(now) is None,
+        )
         if moment is not None:
             self._state.record_current(moment)
 
--- a/pollenfork/loads/core.py
+++ b/pollenfork/loads/core.py
@@ -117,6 +117,10 @@
         relays = [self._roster.find_relay(each, now) for each in data_centres]
         return min(filter(None, relays), default=None)
 
+    def greet_lost(self) -> None:
+        """Greets instances that were lost in the next tick."""
+        self._discovery.hasten()
+
     def hears_others(self, now: float) -> bool:
         """Returns whether this relay hears what instances elsewhere know.
 
--- a/pollenfork/loads/discovery.py
+++ b/pollenfork/loads/discovery.py
@@ -58,6 +58,10 @@
         self._due_at = now + _HELLO_INTERVAL_S
         return sorted(self._list_lost(is_relay, active_relays, now))
 
+    def hasten(self) -> None:
+        """Makes it time to choose hosts again."""
+        self._due_at = 0.0
+
     def is_due(self, now: float) -> bool:
         """Returns whether it is time to choose hosts again."""
         return now >= self._due_at
--- a/pollenfork/loads/tests/test_exchange.py
+++ b/pollenfork/loads/tests/test_exchange.py
@@ -499,3 +499,17 @@
     assert alone.hears_others(100.0)
     alone.set_seeds([messages.Address("10.0.0.2", PORT)])
     assert not alone.hears_others(100.0)
+
+
+def test_lost_instances_are_greeted_early_on_request() -> None:
+    alone = core.Exchange(
+        messages.Address("10.0.0.1", PORT),
+        "a",
+        [messages.Address("10.0.0.2", PORT)],
+        FakeInstance(1),
+    )
+    assert alone.tick(100.0)
+    assert not alone.tick(100.1)
+    alone.greet_lost()
+    (greeting,) = alone.tick(100.15)
+    assert isinstance(greeting.message, messages.Hello)
