Keep the longer hold where there is only one data centre

Cause: there a relay that starts is reached by gossip alone, as the others report to another relay for 4 s, so that 0.3 s were too short.

Conclusion: the brief hold rests on relays elsewhere that answer at once, and is taken only where there are any, or where nobody is known.

--- a/pollenfork/gateway/consultation.py
+++ b/pollenfork/gateway/consultation.py
@@ -52,17 +52,20 @@
             self._since = now
         self._moment = max(moment, self._moment or moment)
 
-    def release(self, now: float, in_touch: bool, relays: bool) -> float | None:
+    def release(
+        self, now: float, in_touch: bool, expects_relays: bool
+    ) -> float | None:
         """Returns the time up to which proof counts; None: not yet.
 
         Args:
             now: Monotonic seconds.
             in_touch: Whether peers have been heard.
-            relays: Whether this instance relays for its data centre.
+            expects_relays: Whether other relays that run answer this instance
+                at once.
         """
         if self._moment is None or self._since is None:
             return None
-        brief = self._starts and relays
+        brief = self._starts and expects_relays
         limit_s = self.RELAY_START_LIMIT_S if brief else self.LIMIT_S
         if self._is_open and not in_touch and now - self._since < limit_s:
             return None
--- a/pollenfork/gateway/peers.py
+++ b/pollenfork/gateway/peers.py
@@ -346,6 +346,10 @@
         """Returns whether this relay hears what instances elsewhere know."""
         return self._exchange.hears_others(now)
 
+    def expects_relays(self, now: float) -> bool:
+        """Returns whether other relays that run answer this one at once."""
+        return self._exchange.expects_relays(now)
+
     def greet_lost(self) -> None:
         """Greets instances that were lost in the next period."""
         self._exchange.greet_lost()
--- a/pollenfork/gateway/sources.py
+++ b/pollenfork/gateway/sources.py
@@ -212,7 +212,7 @@
         moment = self._consultation.release(
             now,
             self._is_in_touch(now),
-            peer_exchange is not None and peer_exchange.find_relay(now) is None,
+            peer_exchange is not None and peer_exchange.expects_relays(now),
         )
         if moment is not None:
             self._state.record_current(moment)
--- a/pollenfork/gateway/tests/test_consultation.py
+++ b/pollenfork/gateway/tests/test_consultation.py
@@ -23,9 +23,9 @@
     held: consultation.Consultation,
     now: float,
     in_touch: bool = False,
-    relays: bool = True,
+    expects_relays: bool = True,
 ) -> float | None:
-    return held.release(now, in_touch, relays)
+    return held.release(now, in_touch, expects_relays)
 
 
 def test_proof_waits_for_peers_and_keeps_its_moment() -> None:
@@ -52,7 +52,7 @@
     assert release(started, 100.2) is None
     # The limit counts from the start, not from the store's first answer.
     late = 100.01 + RELAY_START_LIMIT_S
-    assert release(started, late, relays=False) is None
+    assert release(started, late, expects_relays=False) is None
     assert release(started, late) == 100.0
 
 
--- a/pollenfork/gateway/tests/test_sources.py
+++ b/pollenfork/gateway/tests/test_sources.py
@@ -43,6 +43,9 @@
     def find_store_poller(self, now: float) -> settings.Address | None:
         return self.poller
 
+    def expects_relays(self, now: float) -> bool:
+        return self.relay is None
+
     def greet_lost(self) -> None:
         self.greetings += 1
 
--- a/pollenfork/loads/core.py
+++ b/pollenfork/loads/core.py
@@ -121,6 +121,17 @@
         """Greets instances that were lost in the next tick."""
         self._discovery.hasten()
 
+    def expects_relays(self, now: float) -> bool:
+        """Returns whether other relays that run answer this one at once.
+
+        Within a data centre, instances go on reporting to another relay for
+        some seconds, and only gossip reaches one that starts.
+        """
+        elsewhere = bool(self._roster.ever_elsewhere)
+        return self.is_relay(now) and (
+            elsewhere or self._discovery.lacks_members
+        )
+
     def hears_others(self, now: float) -> bool:
         """Returns whether this relay hears what instances elsewhere know.
 
--- a/pollenfork/loads/tests/test_exchange.py
+++ b/pollenfork/loads/tests/test_exchange.py
@@ -513,3 +513,18 @@
     alone.greet_lost()
     (greeting,) = alone.tick(100.15)
     assert isinstance(greeting.message, messages.Hello)
+
+
+def test_only_relays_beside_other_data_centres_expect_relays() -> None:
+    network = Network(9)
+    network.run(1.0)
+    expecting = [
+        host
+        for host, exchange in network.exchanges.items()
+        if exchange.expects_relays(network.now)
+    ]
+    assert expecting == ["10.0.0.000", "10.1.0.001", "10.2.0.002"]
+    alone = core.Exchange(
+        messages.Address("10.0.0.1", PORT), "a", (), FakeInstance(1)
+    )
+    assert not alone.expects_relays(100.0)
--- a/pollenfork/platform/tests/test_superseded_configuration.py
+++ b/pollenfork/platform/tests/test_superseded_configuration.py
@@ -106,6 +106,20 @@
     expect_all(outcome, 2)
 
 
+# Where there is one data centre only, gossip alone reaches a relay that starts.
+@pytest.mark.parametrize("host", ["10.1.0.1", "10.1.0.2"])
+def test_an_instance_of_the_only_data_centre_gets_the_newest(host) -> None:
+    outcome = run(
+        Step(6.0, "configure"),
+        Step(7.0, "revert"),
+        Step(8.0, "kill", (host,)),
+        Step(9.0, "start", (host,)),
+        sizes=(6,),
+    )
+    assert outcome.broken == []
+    assert set(outcome.versions.values()) == {2}
+
+
 # Guards against waiting for good for a version that nobody has any more.
 def test_a_version_that_nobody_remembers_is_gone() -> None:
     outcome = run(
