--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -156,6 +156,11 @@
         if self.process.poll() is None:
             self.process.send_signal(number)
 
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has not ended."""
+        return self.process is not None and self.process.poll() is None
+
     def kill(self) -> None:
         """Ends the process and waits for it."""
         if self.process is not None:
