--- a/review/3/case.py
+++ b/review/3/case.py
@@ -53,6 +53,10 @@
         ]
         for number, each in enumerate(asking):
             await each.ask("GET", f"/status/{number}", 1500)
+        if trouble:
+            site.record.add("SIGHUP")
+            for gateway in site.gateways:
+                gateway.send(signal.SIGHUP)
         tasks = []
         for number, each in enumerate(asking):
             call = each.ask(
@@ -64,9 +68,6 @@
             tasks.append(asyncio.create_task(call))
             await asyncio.sleep(0.02)
         if trouble:
-            site.record.add("SIGHUP")
-            for gateway in site.gateways:
-                gateway.send(signal.SIGHUP)
             await asyncio.sleep(0.5)
             busiest = max(site.runners.values(), key=lambda r: r.streaming)
             busiest.silent_until = time.monotonic() + _SILENT_S
