--- a/review/3/case.py
+++ b/review/3/case.py
@@ -93,6 +93,8 @@
     ]
     whole = sum(each.whole and each.status == 200 for each in answers)
     sys.stdout.write(f"{len(answers)} streams, {whole} whole, {len(cut)} cut\n")
+    if not whole:
+        return 2
     return 1 if len(cut) > 3 else 0
 
 
