Review: the stand-ins lie beside the cases, not in a folder

Cause: each folder of review/ is a case, and the stand-ins' was read as a fourth one without a claim.

Change: the four modules lie in review/ itself. A case that gets SIGTERM ends its gateways, too; before, they would have run on.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -7,8 +7,8 @@
 import sys
 import time
 
-from review.standins import client as clients
-from review.standins import site as sites
+from review import client as clients
+from review import site as sites
 
 _GATEWAYS = 2
 _RUNNERS = 4
--- a/review/standins/client.py
+++ b/review/client.py
@@ -7,7 +7,7 @@
 import socket
 import time
 
-from review.standins import site as sites
+from review import site as sites
 
 # A client that reads slowly has a small window and segments of an ordinary
 # network; the loopback's would let the kernel hold megabytes for it.
--- a/review/standins/site.py
+++ b/review/site.py
@@ -16,9 +16,9 @@
 from typing import Any, NoReturn, TypeVar
 
 from pollenfork.platform.tests.soak import store as stores
-from review.standins import runner as runners
+from review import runner as runners
 
-ROOT = pathlib.Path(__file__).parents[2]
+ROOT = pathlib.Path(__file__).parents[1]
 FRONT, READY, CONTROL, STORE, CLOUD = 8227, 8220, 8229, 8223, 8424
 KEY = "n2ctnfzs989anu6wsjnb"
 HOST = "ficu95.example"
@@ -315,7 +315,11 @@
 
 
 def end(main: Callable[[], int]) -> NoReturn:
-    """Ends the process with what a case returns; with 2 if it can't run."""
+    """Ends the process with what a case returns; with 2 if it can't run.
+
+    A case that is told to stop ends what it has started, too.
+    """
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         code = main()
     except Exception:
--- a/review/standins/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Stand-ins that the review's cases start; the standard library is enough."""
