Log how long a runner was silent, and count streams that are cut

Cause: the log of a failed attempt couldn't tell a silent runner from a silent connection, and a stream cut off after it had begun was counted like a request that was refused.

Change: attempt_failed has runner_silent_ms, the time since the runner sent anything on any connection; given_up has begun, and pollenfork_streams_cut_total counts cut streams by reason.

--- a/pollenfork/fleet/runner_state.py
+++ b/pollenfork/fleet/runner_state.py
@@ -36,6 +36,7 @@
         displaced_from: The address at which another runner answers instead.
         answered_at: Monotonic seconds of its last whole answer.
         reached_at: Monotonic seconds at which a new connection to it held.
+        heard_at: Monotonic seconds at which it last sent anything.
     """
 
     incarnation_hash: int
@@ -49,6 +50,7 @@
     displaced_from: tuple[str, int] | None = None
     answered_at: float = 0.0
     reached_at: float = 0.0
+    heard_at: float = 0.0
 
     @property
     def reachable(self) -> bool:
@@ -60,6 +62,10 @@
         answered = self.answered_at > moment + _IN_FLIGHT_S
         return answered or self.reached_at >= moment
 
+    def record_heard(self, now: float) -> None:
+        """Records that the runner has sent something, on any connection."""
+        self.heard_at = now
+
     def record_connected(self) -> None:
         """Records a successful connection, which ends the back-off."""
         self.unsent = 0
--- a/pollenfork/gateway/counters.py
+++ b/pollenfork/gateway/counters.py
@@ -114,6 +114,7 @@
         self._latencies: dict[Series, Latencies] = {}
         self._targets: dict[Series, int] = {}
         self._refused: dict[replies.Reason, int] = {}
+        self._cut: dict[replies.Reason, int] = {}
         self._repeats: dict[fleet_messages.End, int] = {}
         self._not_repeated: dict[retries.RetryDecision, int] = {}
         self._returns = dict.fromkeys(returns.ReturnEvent, 0)
@@ -151,6 +152,10 @@
         """Counts a request that the gateway itself refused."""
         self._refused[reason] = self._refused.get(reason, 0) + 1
 
+    def record_cut(self, reason: replies.Reason) -> None:
+        """Counts a stream that the gateway cut off after it had begun."""
+        self._cut[reason] = self._cut.get(reason, 0) + 1
+
     def record_retry(self, end: fleet_messages.End) -> None:
         """Counts a retry, by how the previous attempt ended."""
         self._repeats[end] = self._repeats.get(end, 0) + 1
@@ -184,6 +189,7 @@
             self._preemptions_suspected,
         )
         _show(output, "pollenfork_refusals_total", self._refused)
+        _show(output, "pollenfork_streams_cut_total", self._cut)
         _show(output, "pollenfork_relay_retries_total", self._repeats)
         _show(output, "pollenfork_not_repeated_total", self._not_repeated)
         for series, count in self._targets.items():
--- a/pollenfork/gateway/request_log.py
+++ b/pollenfork/gateway/request_log.py
@@ -111,7 +111,8 @@
         _LOG.warning(
             "event=attempt_failed request=%s digest=%016x runner=%s end=%s "
             "breach=%s unsent=%s status=%s route=%s took_ms=%d left_ms=%d "
-            "sent=%d sequel=%s version=%s events=%d account=%s parts=%s",
+            "sent=%d sequel=%s version=%s events=%d account=%s parts=%s "
+            "runner_silent_ms=%d",
             self._request,
             self._admitted.digest,
             grant.runner.id,
@@ -128,6 +129,7 @@
             events,
             self._admitted.account.id if self._admitted.account else "-",
             self._format_parts(),
+            (self._loop.time() - grant.state.heard_at) * 1000,
         )
 
     def log_state_change(
@@ -213,12 +215,23 @@
         reason: replies.Reason,
         may_have_run: bool,
         history: retries.AttemptHistory,
+        begun: bool,
     ) -> None:
-        """Logs the gateway's own final response."""
+        """Logs the gateway's own final response, or the end of a stream.
+
+        Args:
+            reason: Why the request isn't served.
+            may_have_run: Whether a runner may have run it.
+            history: The request's attempts.
+            begun: Whether its stream had begun, which is cut off now.
+        """
         self._counters.record_refused(reason)
+        if begun:
+            self._counters.record_cut(reason)
         _LOG.warning(
             "event=given_up request=%s digest=%016x route=%s reason=%s "
-            "may_have_run=%s sent=%d configuration=%d took_ms=%d left_ms=%d",
+            "may_have_run=%s sent=%d configuration=%d took_ms=%d left_ms=%d "
+            "begun=%s",
             self._request,
             self._admitted.digest,
             self._admitted.route.name,
@@ -228,6 +241,7 @@
             self._admitted.version,
             self.took_s * 1000,
             self._left_s * 1000,
+            begun,
         )
 
     def log_caller_gone(
--- a/pollenfork/gateway/responder.py
+++ b/pollenfork/gateway/responder.py
@@ -101,8 +101,9 @@
         # An internal error shows nothing about a request already sent.
         if reason is _Reason.FAULT and self._history.sent:
             may_have_run = True
-        self._log.log_refusal(reason, may_have_run, self._history)
-        if self._relay is not None and self._relay.begun:
+        begun = self._relay is not None and self._relay.begun
+        self._log.log_refusal(reason, may_have_run, self._history, begun)
+        if begun:
             self._caller.abort()
             return
         if may_have_run:
--- a/pollenfork/gateway/tests/test_counters.py
+++ b/pollenfork/gateway/tests/test_counters.py
@@ -23,6 +23,7 @@
     counted.record_attempt()
     counted.record_disconnect()
     counted.record_refused(replies.Reason.NO_RUNNER)
+    counted.record_cut(replies.Reason.TIME_LIMIT)
     counted.record_retry(messages.End.BROKEN)
     counted.record_not_retried(retries.RetryDecision.BUDGET_SPENT)
     for event in returns.ReturnEvent:
@@ -32,6 +33,7 @@
     for _ in range(2):  # A second scrape shows the same.
         text = counted.write().decode()
         assert 'pollenfork_refusals_total{reason="no_runner"} 1' in text
+        assert 'pollenfork_streams_cut_total{reason="time_limit"} 1' in text
         assert 'pollenfork_relay_retries_total{reason="broken"} 1' in text
         assert 'not_repeated_total{reason="budget_spent"} 1' in text
         assert 'answer_seconds_bucket{kind="stream",le="0.1",' in text
--- a/pollenfork/metric_help.py
+++ b/pollenfork/metric_help.py
@@ -131,6 +131,9 @@
     "pollenfork_platform_replies_total": (
         "What the platform answered to calls that one instance makes for all."
     ),
+    "pollenfork_streams_cut_total": (
+        "Streams that this instance cut off after they had begun, by why."
+    ),
     "pollenfork_window_report_seconds": (
         "From a window's end until the platform had its report."
     ),
