Keep an attempt at a silent runner until another one goes on

Cause: an attempt was given up after three gap targets of silence, and only then was it asked whether anything else could go on. A spent retry budget is one of the reasons why nothing can; one runner, no other of its version, full, limited, paused, quarantined or unreachable ones are others, and each cut the stream. So did a second runner that refused.

Change: an attempt at a silent runner stays open while another runner, or another instance, is looked for, chosen and asked, under the same limits as any. Whichever goes on first stays; the other one is closed in the same step. While nothing can go on the attempt waits for its runner, until the request's time is over or its caller leaves. A runner that is heard again gives its requests the same time anew.

--- a/pollenfork/fleet/choice.py
+++ b/pollenfork/fleet/choice.py
@@ -249,11 +249,14 @@
         }
         return self.caches.list_cached(near)
 
-    def record_heard(self, runner: ids.EndpointId, now: float) -> None:
-        """Records that a runner has sent something, on any connection."""
+    def record_heard(self, runner: ids.EndpointId, now: float) -> bool:
+        """Records that a runner has sent something, on any connection.
+
+        Returns:
+            Whether that ended a silence.
+        """
         state = self._states.get(runner)
-        if state is not None:
-            state.record_heard(now)
+        return state is not None and state.record_heard(now)
 
     def get_state(self, runner: ids.EndpointId) -> runner_state.RunnerState:
         """Returns this instance's state of a runner, creating it if needed."""
--- a/pollenfork/fleet/retry_budget.py
+++ b/pollenfork/fleet/retry_budget.py
@@ -57,15 +57,19 @@
 
     def try_take(self, service: ids.ServiceName, now: float) -> bool:
         """Takes one retry; returns False if the budget is exhausted."""
+        if not self.has_left(service, now):
+            return False
+        self._recent(self._retries, service, now).append(now)
+        return True
+
+    def has_left(self, service: ids.ServiceName, now: float) -> bool:
+        """Returns whether a retry can be taken now."""
         requests = self._recent(self._requests, service, now)
         retries = self._recent(self._retries, service, now)
         share = self._extra * _USED_RATIO / self._instances
         allowed = self._ratio * _USED_RATIO * len(requests)
         allowed += min(_MAX_EXTRA, share)
-        if len(retries) + 1 > allowed:
-            return False
-        retries.append(now)
-        return True
+        return len(retries) + 1 <= allowed
 
     def _recent(
         self,
--- a/pollenfork/fleet/runner_state.py
+++ b/pollenfork/fleet/runner_state.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from pollenfork.fleet import messages
+from pollenfork.fleet import silence as silences
 
 # The back-off after a runner's first failure, in seconds; it doubles with each
 # consecutive failure. A crashed runner is back after 2 to 4 s.
@@ -36,7 +37,7 @@
         displaced_from: The address at which another runner answers instead.
         answered_at: Monotonic seconds of its last whole answer.
         reached_at: Monotonic seconds at which a new connection to it held.
-        heard_at: Monotonic seconds at which it last sent anything.
+        silence: When it last sent anything, and its last silence.
     """
 
     incarnation_hash: int
@@ -50,7 +51,7 @@
     displaced_from: tuple[str, int] | None = None
     answered_at: float = 0.0
     reached_at: float = 0.0
-    heard_at: float = 0.0
+    silence: silences.Silence = msgspec.field(default_factory=silences.Silence)
 
     @property
     def reachable(self) -> bool:
@@ -62,9 +63,25 @@
         answered = self.answered_at > moment + _IN_FLIGHT_S
         return answered or self.reached_at >= moment
 
-    def record_heard(self, now: float) -> None:
-        """Records that the runner has sent something, on any connection."""
-        self.heard_at = now
+    def record_heard(self, now: float) -> bool:
+        """Records that the runner has sent something, on any connection.
+
+        Returns:
+            Whether that ended a silence.
+        """
+        return self.silence.record_heard(now)
+
+    def record_silence(self, since: float, now: float) -> bool:
+        """Records that the runner sends nothing, on any connection.
+
+        Args:
+            since: Monotonic seconds since which a request has waited.
+            now: Monotonic seconds.
+
+        Returns:
+            Whether the silence wasn't known before.
+        """
+        return self.silence.record_found(now)
 
     def record_connected(self) -> None:
         """Records a successful connection, which ends the back-off."""
@@ -103,5 +120,9 @@
         if end is messages.End.DISPLACED:
             self.avoid_until = now + _MAX_BACKOFF_S
             return
+        self.avoid_until = now + self._find_backoff()
+
+    def _find_backoff(self) -> float:
+        """Returns the back-off after the consecutive failures, in seconds."""
         backoff_s = _INITIAL_BACKOFF_S * 2 ** min(self.failures - 1, 6)
-        self.avoid_until = now + min(backoff_s, _MAX_BACKOFF_S)
+        return min(backoff_s, _MAX_BACKOFF_S)
--- /dev/null
+++ b/pollenfork/fleet/silence.py
@@ -0,0 +1,50 @@
+"""One instance's observations of a runner's silences.
+
+A runner may send nothing for a moment and then go on with all its work.
+"""
+
+import math
+
+import msgspec
+
+# A runner that has sent nothing on any connection for this long, in seconds, is
+# silent itself. If it has, only one of its connections is.
+_RUNNER_SILENT_S = 0.3
+
+
+class Silence(msgspec.Struct):
+    """The last silence of one runner.
+
+    Attributes:
+        heard_at: Monotonic seconds at which the runner last sent anything.
+        found_at: Monotonic seconds at which its last silence was found.
+        resumed_at: Monotonic seconds at which it was heard after a silence.
+    """
+
+    heard_at: float = 0.0
+    found_at: float = -math.inf
+    resumed_at: float = 0.0
+
+    @property
+    def is_known(self) -> bool:
+        """Whether the runner was found silent and hasn't been heard since."""
+        return self.found_at > self.heard_at
+
+    def is_due(self, now: float) -> bool:
+        """Returns whether the runner, not one connection, is silent."""
+        return now - self.heard_at >= _RUNNER_SILENT_S
+
+    def record_heard(self, now: float) -> bool:
+        """Records that the runner sends; returns whether a silence ended."""
+        resumed = self.is_known
+        if resumed:
+            self.resumed_at = now
+        self.heard_at = now
+        return resumed
+
+    def record_found(self, now: float) -> bool:
+        """Records that the runner is silent; returns whether that is new."""
+        if self.is_known:
+            return False
+        self.found_at = now
+        return True
--- a/pollenfork/gateway/attempt.py
+++ b/pollenfork/gateway/attempt.py
@@ -15,6 +15,7 @@
 
 # Answers that aren't streamed are buffered whole before they are forwarded.
 _MAX_ANSWER_BYTES = 16 << 20
+_SERVER_ERROR = 500
 
 End = fleet_messages.End
 
@@ -45,6 +46,15 @@
     failure: connection.ResponseFailure | None = None
     connection_refused: bool = False
 
+    @property
+    def is_error(self) -> bool:
+        """Whether it is a complete answer that is a server error."""
+        return (
+            self.end is End.WHOLE
+            and self.head is not None
+            and self.head.status >= _SERVER_ERROR
+        )
+
     @property
     def connection_lost(self) -> bool:
         """Whether the connection was closed before the answer was complete."""
@@ -101,6 +111,8 @@
         phase: How much of the answer has arrived.
         last_data_at: Monotonic seconds of the last head or event received.
         paused: Whether the gateway doesn't read the answer for now.
+        claim: Asks whether this attempt may answer, while another one may too;
+            None: it is the only one.
     """
 
     def __init__(
@@ -143,6 +155,8 @@
         self.phase = Phase.WAITING
         self.last_data_at = loop.time()
         self.paused = False
+        self.claim: Callable[[], bool] | None = None
+        self._has_taken_over = False
 
     def record_paused(self, paused: bool) -> None:
         """Records that reading was paused or resumed."""
@@ -167,7 +181,7 @@
         """Buffers or forwards a piece of the body."""
         if self.done.done():
             return
-        if not self._is_streamed:
+        if not self.is_streamed:
             self._size += len(data)
             if self._size > _MAX_ANSWER_BYTES:
                 self._fail(connection.ResponseFailure.INVALID)
@@ -177,6 +191,9 @@
                     self._on_buffered(len(data))
             return
         assert self._relay is not None
+        if not self._may_answer():
+            return
+        self._take_over()
         try:
             complete = self._relay.splitter.feed(data)
         except events.StreamError:
@@ -197,7 +214,9 @@
             self._finish(AttemptResult(end, head))
         elif not head.sealed or not head.attempt:
             self._fail(connection.ResponseFailure.INVALID)
-        elif not self._is_streamed:
+        elif head.status < _SERVER_ERROR and not self._may_answer():
+            return
+        elif not self.is_streamed:
             self._on_first_output()
             self._finish(AttemptResult(End.WHOLE, head, b"".join(self._body)))
         else:
@@ -208,8 +227,14 @@
         self._fail(failure)
 
     @property
-    def _is_streamed(self) -> bool:
-        """Whether events are forwarded as they arrive."""
+    def can_follow(self) -> bool:
+        """Whether its answer may follow what the caller has been sent."""
+        relay = self._relay
+        return relay is None or not relay.begun or self.is_streamed
+
+    @property
+    def is_streamed(self) -> bool:
+        """Whether its events are forwarded as they arrive."""
         head = self._head
         return (
             self._relay is not None
@@ -220,6 +245,16 @@
             and head.status == 200
         )
 
+    def _may_answer(self) -> bool:
+        return self.claim is None or self.claim()
+
+    def _take_over(self) -> None:
+        """Drops what another attempt has left of an incomplete event."""
+        assert self._relay is not None
+        if not self._has_taken_over:
+            self._has_taken_over = True
+            self._relay.splitter.restart()
+
     def _forward(self, complete: bytes) -> None:
         assert self._relay is not None and self._head is not None
         self.last_data_at = self._loop.time()
@@ -231,6 +266,7 @@
 
     def _end_stream(self, head: messages.ResponseHead) -> None:
         assert self._relay is not None
+        self._take_over()
         # Without framing, a runner that ends before its first event looks as if
         # it had nothing to say.
         is_new = not self._relay.begun and self._request.last_event is None
--- a/pollenfork/gateway/context.py
+++ b/pollenfork/gateway/context.py
@@ -92,10 +92,13 @@
         held: buffers.CallerBuffers,
         hosts: Sequence[str] = (),
         version: ids.SoftwareVersion | None = None,
+        claim: Callable[[], bool] | None = None,
     ) -> attempt.AttemptResult | None:
         """Returns the result; None: no instance helps, nothing has run.
 
         Args:
+            claim: Asks whether the helper may answer, while a runner may too;
+                None: it may.
             hosts: The hosts that may help; none: those that have offered to.
             version: The only software version that may serve it; None: any.
             admitted: The request.
--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -1,7 +1,7 @@
 """Serves one admitted request, until its final answer."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 import functools
 
 import result
@@ -14,25 +14,22 @@
 from pollenfork.gateway import attempt
 from pollenfork.gateway import buffers
 from pollenfork.gateway import callers
-from pollenfork.gateway import connection
 from pollenfork.gateway import context
 from pollenfork.gateway import events
 from pollenfork.gateway import forwarding
 from pollenfork.gateway import messages
-from pollenfork.gateway import pool
 from pollenfork.gateway import quarantine_check
 from pollenfork.gateway import replies
 from pollenfork.gateway import request_log
 from pollenfork.gateway import responder
 from pollenfork.gateway import retries
 from pollenfork.gateway import selection
-from pollenfork.gateway import timeouts
-from pollenfork.gateway.connections import view
+from pollenfork.gateway.failover import handover
+from pollenfork.gateway.failover import recording
+from pollenfork.gateway.failover import sending
 from pollenfork.gateway.streams import version_pin
-from pollenfork.loads import messages as loads
 from pollenfork.poison import crashes
 from pollenfork.poison import subjects
-from pollenfork.ratelimits import parsing
 from pollenfork.routes import model as routes
 
 _End = fleet_messages.End
@@ -97,8 +94,6 @@
         self._runner: ids.EndpointId | None = None
         # The runner whose answer is awaited; None: another instance's.
         self._asked: fleet.Runner | None = None
-        self._connected_at: float | None = None
-        self._sent_at = 0.0
         self._has_started = False
         if admitted.route.kind is routes.Kind.STREAM:
             self._relay = attempt.StreamRelay(
@@ -114,6 +109,41 @@
             self._relay,
             self._count_request,
         )
+        self._sender = sending.Sender(
+            deps,
+            admitted,
+            self._history,
+            self._relay,
+            sending.Callbacks(
+                self._count_request,
+                self._on_first_output,
+                caller.buffers.record_answer,
+            ),
+        )
+        self._recorder = recording.AttemptRecorder(
+            deps,
+            admitted,
+            self._history,
+            self._selection,
+            self._quarantine_check,
+            self._log,
+            self._relay,
+        )
+        self._handover = handover.Handover(
+            deps,
+            admitted,
+            self._history,
+            self._sender,
+            self._selection,
+            self._quarantine_check,
+            self._recorder,
+            handover.Callbacks(
+                self._attach,
+                lambda: self._observer.is_streaming,
+                self._list_helpers,
+                self._ask_helper,
+            ),
+        )
 
     async def run(self) -> None:
         """Serves the request; returns once the final answer is written."""
@@ -172,25 +202,49 @@
 
     async def _try_runner(self, grant: outcomes.Grant) -> bool:
         """Sends the request to a runner; returns whether it was served."""
-        deps = self._deps
-        self._runner = grant.runner.id
-        self._asked = grant.runner
         if not self._history.runners_tried:
             self._selection.record_admission()
         self._log.log_choice(grant, self._history)
-        sent_at = deps.loop.time()
-        ended = await self._attempt(grant)
-        self._quarantine_check.record_attempt(
-            grant.runner,
-            ended,
-            sent_at,
-            self._connected_at,
-            self._observer.is_streaming,
-        )
-        if self._handle_result(grant, ended) is _RetryDecision.RETRIED:
+        begun_at = self._deps.loop.time()
+        opened = await self._sender.connect(grant)
+        if isinstance(opened, result.Err):
+            return await self._end_attempt(grant, opened.err_value, None)
+        first = self._sender.send(grant, opened.ok_value, begun_at)
+        try:
+            answered = await self._handover.await_answer(first)
+        finally:
+            self._caller.buffers.detach()
+        sent = answered.sent
+        if sent is None:
+            self._finish_forwarded(answered.ended)
+            return True
+        return await self._end_attempt(sent.grant, answered.ended, sent)
+
+    async def _end_attempt(
+        self,
+        grant: outcomes.Grant,
+        ended: attempt.AttemptResult,
+        sent: sending.SentAttempt | None,
+    ) -> bool:
+        """Handles the end of an attempt; returns whether it was the last."""
+        if sent is not None:
+            self._quarantine_check.record_attempt(
+                grant.runner,
+                ended,
+                sent.begun_at,
+                sent.opened.connected_at,
+                self._observer.is_streaming,
+            )
+        decision = self._recorder.decide(grant, ended, sent)
+        if decision is _RetryDecision.RETRIED:
             await self._quarantine_check.wait_for_probe(grant.runner, ended)
             return False
-        self._observer.on_end(ended, self._history, self._relay, sent_at)
+        if decision is _RetryDecision.ANSWERED:
+            self._observer.on_whole(grant, self._history.sent)
+        if sent is not None:
+            self._observer.on_end(
+                ended, self._history, self._relay, sent.begun_at
+            )
         if ended.end.reached_runner or not await self._forward():
             self._finish(ended)
         return True
@@ -219,17 +273,27 @@
         self, found: outcomes.Overloaded | outcomes.Refusal | None
     ) -> bool:
         """Returns whether another instance served what has no runner here."""
+        hosts = self._list_helpers(found)
+        return hosts is not None and await self._forward(hosts)
+
+    def _list_helpers(self, found: outcomes.Outcome) -> Sequence[str] | None:
+        """Returns the hosts that may serve what was found to have no runner.
+
+        Returns:
+            None of them: those that reach the runners; None: the request isn't
+            for another instance.
+        """
+        if self._deps.forwarder is None or self._forwarded is not None:
+            return None
         if isinstance(found, outcomes.Full):
             service = self._admitted.demand.service
             owners = self._deps.brittle.list_owners(service)
             # They may be of a build that doesn't keep to a version.
             free = self._pin.version is None
-            return bool(owners) and free and await self._forward(owners)
-        return self._is_unreached(found) and await self._forward()
+            return owners if owners and free else None
+        return () if self._is_unreached(found) else None
 
-    def _is_unreached(
-        self, found: outcomes.Overloaded | outcomes.Refusal | None
-    ) -> bool:
+    def _is_unreached(self, found: outcomes.Outcome) -> bool:
         """Returns whether runners exist but couldn't be connected to."""
         if isinstance(found, outcomes.Unreachable):
             return True
@@ -242,20 +306,44 @@
         Args:
             hosts: The hosts that may; none: those that reach the runners.
         """
+        ended = await self._ask_helper(hosts, None)
+        if ended is None:
+            return False
+        self._finish_forwarded(ended)
+        return True
+
+    async def _ask_helper(
+        self, hosts: Sequence[str], claim: Callable[[], bool] | None
+    ) -> attempt.AttemptResult | None:
+        """Returns another instance's answer; None if nobody helps.
+
+        Args:
+            hosts: The hosts that may; none: those that reach the runners.
+            claim: Asks whether its answer is the caller's, while a runner's
+                may be, too; None: it is.
+        """
         forwarder = self._deps.forwarder
         if forwarder is None or self._forwarded is not None:
-            return False
-        self._asked = None
-        ended = await forwarder.forward(
+            return None
+
+        def claim_answer() -> bool:
+            if claim is not None and not claim():
+                return False
+            self._asked = None
+            return True
+
+        return await forwarder.forward(
             self._admitted,
             self._history.sent,
             self._relay,
             self._caller.buffers,
             hosts,
             self._pin.version,
+            claim_answer,
         )
-        if ended is None:
-            return False
+
+    def _finish_forwarded(self, ended: attempt.AttemptResult) -> None:
+        """Ends a request that another instance has served or refused."""
         self._is_counted = True
         match ended.end:
             case _End.WHOLE:
@@ -268,113 +356,18 @@
                 self._responder.end_with_error(
                     _Reason.TIME_LIMIT if late else _Reason.MAY_HAVE_RUN
                 )
-        return True
 
     # Attempts.
 
-    async def _attempt(self, grant: outcomes.Grant) -> attempt.AttemptResult:
-        """Sends the request to one runner; returns the result."""
-        try:
-            found = await self._connect(grant.runner)
-            if isinstance(found, result.Err):
-                refused = found.err_value.connection_refused
-                return attempt.AttemptResult(
-                    _End.UNSENT, connection_refused=refused
-                )
-            now = self._deps.loop.time()
-            if not self._deps.chooser.availability.accepts(grant.runner, now):
-                found.ok_value.abort()
-                return attempt.AttemptResult(_End.WITHHELD)
-            self._count_request()
-            self._history.sent += 1
-            self._sent_at = now
-            self._deps.reach.record_sent(grant.runner)
-            self._observer.on_sent(grant)
-            self._deps.counters.record_attempt()
-            return await self._send(grant, found.ok_value)
-        finally:
-            self._deps.chooser.settle(grant)
-
-    async def _connect(
-        self, runner: fleet.Runner
-    ) -> result.Result[connection.Connection, pool.Unreachable]:
-        idempotent = self._admitted.route.idempotent
-        freshness = view.Freshness.ANY if idempotent else view.Freshness.RECENT
-        pooled = self._deps.pool.acquire(runner, freshness)
-        if pooled is not None:
-            return result.Ok(pooled)
-        return await self._deps.pool.open(runner, max(0.0, self._remaining_s()))
-
-    async def _send(
-        self, grant: outcomes.Grant, found: connection.Connection
-    ) -> attempt.AttemptResult:
-        admitted = self._admitted
-        receiver = attempt.Attempt(
-            self._deps.loop,
-            self._deps.codec,
-            admitted.head,
-            self._relay,
-            functools.partial(
-                self._on_first_output, grant, self._deps.loop.time()
-            ),
-            functools.partial(self._on_head, grant, self._deps.loop.time()),
-            functools.partial(self._deps.runner_notices.on_head, grant.runner),
-            self._caller.buffers.record_answer,
-        )
-        self._connected_at = found.connected_at
-        self._deps.pool.mark_busy(grant.runner, found)
-        self._deps.limit_events.on_sent(grant.runner, self._deps.loop.time())
-        found.send(self._encode_request(grant), receiver)
+    def _attach(self, sent: sending.SentAttempt) -> None:
+        """Takes the answer from an attempt."""
+        self._runner = sent.grant.runner.id
+        self._asked = sent.grant.runner
+        self._observer.on_sent(sent.grant)
         self._caller.buffers.attach(
-            found, functools.partial(self._on_reading_paused, receiver)
+            sent.opened,
+            functools.partial(self._on_reading_paused, sent.receiver),
         )
-        limits = timeouts.AttemptTimeouts.for_attempt(
-            admitted,
-            grant.cost,
-            retries.may_retry(admitted.route, self._history),
-        )
-        try:
-            ended = await limits.wait(receiver, self._deps.loop)
-        except asyncio.CancelledError:
-            found.abort()
-            raise
-        finally:
-            self._caller.buffers.detach()
-            self._deps.pool.mark_done(grant.runner, found)
-        if receiver.phase is attempt.Phase.ENDED and found.usable:
-            self._deps.pool.release(grant.runner, found)
-        else:
-            found.abort()
-        return ended
-
-    def _encode_request(self, grant: outcomes.Grant) -> bytes:
-        admitted = self._admitted
-        relay = self._relay
-        begun = relay is not None and relay.begun
-        account = admitted.account
-        sending = messages.ForwardContext(
-            runner=grant.runner.id,
-            remaining_s=self._remaining_s(),
-            account=account.id if account else None,
-            tier=admitted.tier if admitted.head.parts else None,
-            last_event=relay.splitter.last if relay and begun else None,
-            source=grant.source,
-        )
-        if relay is not None:
-            relay.splitter.restart()
-        return self._deps.codec.encode_request(admitted.call, sending)
-
-    def _on_head(
-        self, grant: outcomes.Grant, sent_at: float, head: messages.ResponseHead
-    ) -> None:
-        """Applies the rate limits in a response head."""
-        if head.displaced:
-            return  # Another runner answered at its address.
-        read = parsing.parse(head.rates)
-        self._deps.limit_events.on_answer(grant.runner, read)
-        # A refusal or an error without a rate doesn't lift a limit.
-        if read.rate is not None or (head.sealed and head.status < 400):
-            self._deps.permits.on_answer(grant, read, sent_at)
 
     def _on_first_output(self, grant: outcomes.Grant, sent_at: float) -> None:
         """Records that a runner has started to answer."""
@@ -396,70 +389,6 @@
     def _remaining_s(self) -> float:
         return self._admitted.deadline - self._deps.loop.time()
 
-    # Results of attempts.
-
-    def _handle_result(
-        self, grant: outcomes.Grant, ended: attempt.AttemptResult
-    ) -> retries.RetryDecision:
-        """Records the result of an attempt; returns the next step."""
-        admitted = self._admitted
-        self._selection.tried.add(grant.runner.id)
-        self._history.record(ended)
-        self._update_state(grant, ended)
-        decision = retries.decide(
-            ended,
-            admitted.route,
-            self._history,
-            self._remaining_s(),
-            self._take_retry,
-        )
-        if decision is _RetryDecision.ANSWERED:
-            self._observer.on_whole(grant, self._history.sent)
-        else:
-            events = self._relay.splitter.forwarded if self._relay else 0
-            self._log.log_failed_attempt(
-                grant, ended, decision, self._history, events
-            )
-        return decision
-
-    def _update_state(
-        self, grant: outcomes.Grant, ended: attempt.AttemptResult
-    ) -> None:
-        """Updates the state of the runner."""
-        state = grant.state
-        failures = state.failures
-        now = self._deps.loop.time()
-        state.record_end(ended.end, retries.is_error(ended), now)
-        self._log.log_state_change(grant, ended, failures)
-        self._report_failure(grant.runner, ended)
-        if ended.end is _End.REFUSED:
-            self._deps.brittle.record_refusal(grant.runner, self._sent_at)
-        elif ended.end is _End.WHOLE:
-            self._deps.brittle.record_served(grant.runner.service)
-        if not state.reachable:
-            self._deps.prober.watch(grant.runner, state)
-
-    def _report_failure(
-        self, runner: fleet.Runner, ended: attempt.AttemptResult
-    ) -> None:
-        """Tells other instances what a failed attempt shows of a runner."""
-        deps = self._deps
-        if ended.symptom is loads.Symptom.DISPLACED:
-            deps.evidence.record(runner, ended.symptom)
-        elif ended.symptom is not None:
-            record = deps.evidence.record
-            deps.reach.confirm(
-                runner, functools.partial(record, runner, ended.symptom)
-            )
-        elif ended.connection_lost and ended.head is None:
-            deps.reach.record_broken(runner)
-
-    def _take_retry(self) -> bool:
-        now = self._deps.loop.time()
-        return self._deps.retry_budget.try_take(
-            self._admitted.demand.service, now
-        )
-
     def _finish(self, ended: attempt.AttemptResult) -> None:
         if ended.end is _End.WHOLE:
             self._deliver(ended)
@@ -490,6 +419,7 @@
         self._observer.on_stream()
         if self._asked is not None:
             self._pin.record_begun(self._asked)
+            self._selection.version = self._pin.version
         self._caller.watch_backpressure(self._on_backpressure)
         closing = self._caller.closing
         self._caller.write(
--- a/pollenfork/gateway/forwarding.py
+++ b/pollenfork/gateway/forwarding.py
@@ -214,10 +214,13 @@
         held: buffers.CallerBuffers,
         hosts: Sequence[str] = (),
         version: ids.SoftwareVersion | None = None,
+        claim: Callable[[], bool] | None = None,
     ) -> attempt.AttemptResult | None:
         """Sends a request to a helper; returns the result.
 
         Args:
+            claim: Asks whether the helper may answer, while a runner may too;
+                None: it may.
             hosts: The hosts that may help; none: those that have offered to.
             version: The only software version that may serve it; None: any.
                 Hosts of earlier builds don't keep to it and aren't asked.
@@ -245,7 +248,7 @@
             self._helpers.record_sent(host)
             try:
                 ended = await self._send(
-                    host, admitted, sent, relay, held, version
+                    host, admitted, sent, relay, held, version, claim
                 )
             finally:
                 self._helpers.record_ended(host)
@@ -267,6 +270,7 @@
         relay: attempt.StreamRelay | None,
         held: buffers.CallerBuffers,
         version: ids.SoftwareVersion | None,
+        claim: Callable[[], bool] | None,
     ) -> attempt.AttemptResult:
         opened = await self._connect(host)
         if opened is None:
@@ -279,6 +283,7 @@
             on_first_output=_ignore,
             on_buffered=held.record_answer,
         )
+        receiver.claim = claim
         try:
             head = self._encode(admitted, sent, relay, version)
             if not await self._is_accepted(opened, head, receiver):
@@ -336,8 +341,6 @@
     ) -> bytes:
         begun = relay is not None and relay.begun
         last_event = relay.splitter.last if relay and begun else None
-        if relay is not None:
-            relay.splitter.restart()
         remaining_s = admitted.deadline - self._loop.time()
         head = self._codec.encode_forwarded(
             admitted.call, remaining_s, last_event
--- a/pollenfork/gateway/quarantine_check.py
+++ b/pollenfork/gateway/quarantine_check.py
@@ -1,6 +1,7 @@
 """Checks one request against the quarantine, and reports its attempts to it."""
 
 import asyncio
+from collections.abc import Sequence
 import logging
 
 from pollenfork import ids
@@ -173,8 +174,7 @@
             connected_at: Monotonic seconds at which its connection was opened.
             is_streaming: Whether events of its answer have arrived.
         """
-        deps = self._deps
-        now = deps.loop.time()
+        now = self._deps.loop.time()
         first_at, self._first_output_at = self._first_output_at, None
         self.close()
         if ended.is_unframed:
@@ -185,15 +185,39 @@
             return
         is_harmless = is_streaming and now - sent_at > _HARMLESS_AFTER_S
         wrote_s = 0.0 if first_at is None else now - first_at
-        for subject in self._subjects:
-            if is_harmless or (
-                subject.is_part and wrote_s > _PART_HARMLESS_AFTER_S
-            ):
-                continue
-            deps.request_quarantine.record_broken_connection(
+        suspects = [
+            subject
+            for subject in self._subjects
+            if not is_harmless
+            and not (subject.is_part and wrote_s > _PART_HARMLESS_AFTER_S)
+        ]
+        self._record_broken(runner, sent_at, connected_at, suspects)
+
+    def record_broken(
+        self, runner: fleet.Runner, sent_at: float, connected_at: float
+    ) -> None:
+        """Records a broken attempt beside another one, which goes on.
+
+        Args:
+            runner: The runner, as registered when it was chosen.
+            sent_at: Monotonic seconds at which the attempt started.
+            connected_at: Monotonic seconds at which its connection was opened.
+        """
+        self._record_broken(runner, sent_at, connected_at, self._subjects)
+
+    def _record_broken(
+        self,
+        runner: fleet.Runner,
+        sent_at: float,
+        connected_at: float | None,
+        suspects: Sequence[subjects.Subject],
+    ) -> None:
+        now = self._deps.loop.time()
+        for subject in suspects:
+            self._deps.request_quarantine.record_broken_connection(
                 subject.digest, runner, sent_at, now, connected_at
             )
-        deps.crash_probes.probe(runner)
+        self._deps.crash_probes.probe(runner)
 
     def _record_answer(self) -> None:
         now = self._deps.loop.time()
--- a/pollenfork/gateway/reach_monitor.py
+++ b/pollenfork/gateway/reach_monitor.py
@@ -188,7 +188,8 @@
     ) -> None:
         service, now = runner.service, self._loop.time()
         self._tracker.record_heard(service, now)
-        self._chooser.record_heard(runner.id, now)
+        if self._chooser.record_heard(runner.id, now):
+            _LOG.info("event=runner_heard_again runner=%s", runner.id)
         if not received_on.has_received:
             # A connection that has carried data has held since it was made.
             self._tracker.record_connected(
--- a/pollenfork/gateway/request_log.py
+++ b/pollenfork/gateway/request_log.py
@@ -129,7 +129,7 @@
             events,
             self._admitted.account.id if self._admitted.account else "-",
             self._format_parts(),
-            (self._loop.time() - grant.state.heard_at) * 1000,
+            (self._loop.time() - grant.state.silence.heard_at) * 1000,
         )
 
     def log_state_change(
--- a/pollenfork/gateway/responder.py
+++ b/pollenfork/gateway/responder.py
@@ -74,7 +74,7 @@
                 ended.head, len(ended.body), self._caller.closing
             )
             self._caller.write(written + ended.body)
-        elif retries.is_error(ended):
+        elif ended.is_error:
             self.end_with_error(_Reason.MAY_HAVE_RUN)
             return False
         else:
--- a/pollenfork/gateway/retries.py
+++ b/pollenfork/gateway/retries.py
@@ -14,7 +14,6 @@
 # Runners that were sent nothing don't count as attempts, but the number of
 # runners that are tried must be bounded.
 _MAX_RUNNERS_TRIED = 4
-_SERVER_ERROR = 500
 
 
 class RetryDecision(enum.Enum):
@@ -49,22 +48,17 @@
             # The intended runner is gone and never received the request. The
             # one that answered at its address doesn't count as an attempt.
             self.sent -= 1
-        if is_error(ended) or ended.end in (End.BROKEN, End.SILENT):
+        if ended.is_error or ended.end in (End.BROKEN, End.SILENT):
             self.may_have_run = True
 
 
-def is_error(ended: attempt.AttemptResult) -> bool:
-    """Returns whether a complete answer is a server error of the runner."""
-    return (
-        ended.end is End.WHOLE
-        and ended.head is not None
-        and ended.head.status >= _SERVER_ERROR
-    )
-
-
 def may_retry(route: routes.Route, history: AttemptHistory) -> bool:
     """Returns whether a request that may have run may be retried."""
-    return route.idempotent and history.sent < route.attempts
+    return (
+        route.idempotent
+        and history.sent < route.attempts
+        and history.runners_tried < _MAX_RUNNERS_TRIED
+    )
 
 
 def decide(
@@ -83,7 +77,7 @@
         left_s: Seconds until the request's deadline.
         take_retry: Takes a retry from the budget; called last.
     """
-    if ended.end is End.WHOLE and not is_error(ended):
+    if ended.end is End.WHOLE and not ended.is_error:
         return RetryDecision.ANSWERED
     if not ended.end.proves_not_run and not route.idempotent:
         return RetryDecision.NOT_IDEMPOTENT
--- a/pollenfork/gateway/room_observer.py
+++ b/pollenfork/gateway/room_observer.py
@@ -76,7 +76,7 @@
         if not admitted.demand.forecast or not whole:
             return
         resumed = history.sent > 1 or admitted.head.last_event is not None
-        if resumed or retries.is_error(ended):
+        if resumed or ended.is_error:
             return
         learned = self._deps.learned
         learned.record_time(
--- a/pollenfork/gateway/tests/test_buffers.py
+++ b/pollenfork/gateway/tests/test_buffers.py
@@ -235,9 +235,9 @@
         limits = timeouts.AttemptTimeouts(1e9, 1.0, route.gap_s)
         running.phase = attempt.Phase.STREAMING
         running.last_data_at = 100.0
-        assert limits._find_limit(running, 500.0) == pytest.approx(100.1)
+        assert limits.find_limit(running, 500.0) == pytest.approx(100.1)
         running.record_paused(True)
-        assert limits._find_limit(running, 500.0) == pytest.approx(500.1)
+        assert limits.find_limit(running, 500.0) == pytest.approx(500.1)
 
     asyncio.run(run())
 
--- a/pollenfork/gateway/timeouts.py
+++ b/pollenfork/gateway/timeouts.py
@@ -63,17 +63,26 @@
         """Returns the result of an attempt, at its timeout at the latest."""
         while not running.done.done():
             now = loop.time()
-            limit = self._find_limit(running, now)
+            limit = self.find_limit(running, now)
             if now >= limit:
                 return attempt.AttemptResult(fleet_messages.End.SILENT)
             await asyncio.wait([running.done], timeout=limit - now)
         return running.done.result()
 
-    def _find_limit(self, running: attempt.Attempt, now: float) -> float:
+    def find_limit(
+        self, running: attempt.Attempt, now: float, resumed_at: float = 0.0
+    ) -> float:
+        """Returns when the answer should have gone on, in monotonic seconds.
+
+        Args:
+            running: The attempt.
+            now: Monotonic seconds.
+            resumed_at: When its runner was last heard again after a silence.
+        """
         flowing = running.phase is attempt.Phase.STREAMING
         pause_s = self.gap_s if flowing else self.first_s
         if pause_s is None:
             return self.deadline
         # A runner whose answer isn't read can't be found silent.
         last_at = now if running.paused else running.last_data_at
-        return min(self.deadline, last_at + pause_s)
+        return min(self.deadline, max(last_at, resumed_at) + pause_s)
