Let requests leave a silent runner gradually, and count a silence once

Cause: each attempt decided and counted by itself, though all of them see one silence of one runner.

Change: requests of an instance leave a silent runner one by one, twice as many each 0.1 s. A silence is one failure; the runner is avoided for as long as it has been silent so far, and no longer once it is heard. A silent connection of a runner that sends on others is left at once, as before.

--- a/pollenfork/fleet/runner_state.py
+++ b/pollenfork/fleet/runner_state.py
@@ -67,13 +67,21 @@
         """Records that the runner has sent something, on any connection.
 
         Returns:
-            Whether that ended a silence.
+            Whether that ended a silence, which then doesn't count as a failure.
         """
-        return self.silence.record_heard(now)
+        resumed = self.silence.record_heard(now)
+        if resumed:
+            self.failures = max(0, self.failures - 1)
+            if not self.failures:
+                self.avoid_until = min(self.avoid_until, now)
+        return resumed
 
     def record_silence(self, since: float, now: float) -> bool:
         """Records that the runner sends nothing, on any connection.
 
+        A silence is one failure, however many requests it concerns. The runner
+        is avoided for as long as it has lasted.
+
         Args:
             since: Monotonic seconds since which a request has waited.
             now: Monotonic seconds.
@@ -81,7 +89,13 @@
         Returns:
             Whether the silence wasn't known before.
         """
-        return self.silence.record_found(now)
+        is_new = self.silence.record_found(now)
+        if is_new:
+            self.failure_rate += (1.0 - self.failure_rate) * _EWMA_WEIGHT
+            self.failures += 1
+        backoff_s = max(self._find_backoff(), min(now - since, _MAX_BACKOFF_S))
+        self.avoid_until = max(self.avoid_until, now + backoff_s)
+        return is_new
 
     def record_connected(self) -> None:
         """Records a successful connection, which ends the back-off."""
@@ -102,6 +116,8 @@
         self.unsent = self.unsent + 1 if end is messages.End.UNSENT else 0
         if end is messages.End.PAUSED:
             return
+        if end is messages.End.SILENT and self.silence.is_known:
+            return
         if end is messages.End.WHOLE:
             self.answered_at = now
         if end is messages.End.WHOLE and failed:
--- a/pollenfork/fleet/silence.py
+++ b/pollenfork/fleet/silence.py
@@ -1,6 +1,8 @@
 """One instance's observations of a runner's silences.
 
-A runner may send nothing for a moment and then go on with all its work.
+A runner may send nothing for a moment and then go on with all its work. All of
+its requests see that at once. Moving them all would lose their work and burden
+the other runners, so they leave gradually, until the runner is heard again.
 """
 
 import math
@@ -10,6 +12,9 @@
 # A runner that has sent nothing on any connection for this long, in seconds, is
 # silent itself. If it has, only one of its connections is.
 _RUNNER_SILENT_S = 0.3
+# The number of requests that may leave doubles in this time, in seconds.
+_DOUBLING_S = 0.1
+_MAX_DOUBLINGS = 16
 
 
 class Silence(msgspec.Struct):
@@ -19,11 +24,13 @@
         heard_at: Monotonic seconds at which the runner last sent anything.
         found_at: Monotonic seconds at which its last silence was found.
         resumed_at: Monotonic seconds at which it was heard after a silence.
+        leaving: Requests that leave, or have left, because of that silence.
     """
 
     heard_at: float = 0.0
     found_at: float = -math.inf
     resumed_at: float = 0.0
+    leaving: int = 0
 
     @property
     def is_known(self) -> bool:
@@ -47,4 +54,17 @@
         if self.is_known:
             return False
         self.found_at = now
+        self.leaving = 0
         return True
+
+    def take_turn(self, now: float) -> bool:
+        """Returns whether one more request may leave the runner now."""
+        doublings = int((now - self.found_at) / _DOUBLING_S)
+        if self.leaving >= 2 ** min(doublings, _MAX_DOUBLINGS):
+            return False
+        self.leaving += 1
+        return True
+
+    def return_turn(self) -> None:
+        """Gives back the turn of a request that couldn't leave."""
+        self.leaving = max(0, self.leaving - 1)
--- a/pollenfork/gateway/failover/handover.py
+++ b/pollenfork/gateway/failover/handover.py
@@ -138,16 +138,24 @@
         """
         now = self._deps.loop.time()
         left_s = self._admitted.deadline - now
-        self._recorder.record_silence(current)
+        is_runner_silent = self._recorder.record_silence(current)
         if not retries.may_retry(self._admitted.route, self._history):
             await current.wait(min(left_s, _LONGEST_PAUSE_S))
             return current
         service = self._admitted.demand.service
-        if not self._deps.retry_budget.has_left(service, now):
+        silence = current.grant.state.silence
+        if not self._deps.retry_budget.has_left(service, now) or (
+            is_runner_silent and not silence.take_turn(now)
+        ):
             await current.wait(min(left_s, _FIRST_PAUSE_S))
             return current
         self._selection.tried.add(current.grant.runner.id)
-        gone_on = await self._try_elsewhere(current)
+        gone_on: sending.SentAttempt | attempt.AttemptResult | None = None
+        try:
+            gone_on = await self._try_elsewhere(current)
+        finally:
+            if is_runner_silent and gone_on in (None, current):
+                silence.return_turn()
         if gone_on is not None:
             return gone_on
         await current.wait(min(left_s, self._pause_s))
