Tell an attempt that its answer isn't read on services without a forecast

A slow caller's stream could be taken for a silent runner's, as the gateway itself had stopped to read it.

Cause: CallerBuffers told the attempt that reading was paused only where the bound on buffers applies, which is on services with a forecast.

Change: it tells the attempt wherever it pauses or resumes reading.

Evidence: test_an_attempt_is_told_that_its_answer_is_not_read[False] failed before ([] instead of [True]) and passes now.

--- a/pollenfork/gateway/buffers.py
+++ b/pollenfork/gateway/buffers.py
@@ -286,14 +286,16 @@
     def _set_paused(self, paused: bool) -> None:
         if self._source is None:
             return
+        is_changed = paused != self._is_paused
         self._is_paused = paused
         if paused:
             self._source.pause()
         else:
             self._source.resume()
+        if is_changed:
+            self._on_paused(paused)
         if not self._account.active:
             return
-        self._on_paused(paused)
         _LOG.info(
             (_PAUSED if paused else _RESUMED) + _SIZES,
             self._transport.count_unread(),
