--- a/pollenfork/fleet/silence.py
+++ b/pollenfork/fleet/silence.py
@@ -13,8 +13,10 @@
 # silent itself. If it has, only one of its connections is.
 _RUNNER_SILENT_S = 0.3
 # The number of requests that may leave doubles in this time, in seconds.
-_DOUBLING_S = 0.1
-_MAX_DOUBLINGS = 16
+_DOUBLING_S = 0.15
+# All may leave a runner that is still silent after this time, in seconds.
+# Callers give up a stream that has paused for 2 s.
+_ALL_LEAVE_S = 0.5
 
 
 class Silence(msgspec.Struct):
@@ -59,8 +61,9 @@
 
     def take_turn(self, now: float) -> bool:
         """Returns whether one more request may leave the runner now."""
-        doublings = int((now - self.found_at) / _DOUBLING_S)
-        if self.leaving >= 2 ** min(doublings, _MAX_DOUBLINGS):
+        known_s = now - self.found_at
+        doublings = int(known_s / _DOUBLING_S)
+        if known_s < _ALL_LEAVE_S and self.leaving >= 2**doublings:
             return False
         self.leaving += 1
         return True
