Count a runner's silence from when it was last heard on any connection

What callers saw: streams of a runner were run again for a silence that was shorter than their limit, where their events come at different times.

Cause: the time counted from the last event of the stream that had waited the longest, though the runner had sent others events since.

Change: while the runner itself is silent, its requests' time counts from when it was last heard. A connection that is silent alone still counts from its own last event.

--- a/pollenfork/gateway/failover/sending.py
+++ b/pollenfork/gateway/failover/sending.py
@@ -71,10 +71,14 @@
     def find_limit(self, now: float) -> float:
         """Returns when the runner should have sent something.
 
-        A runner that goes on after a silence is given the same time again.
+        A runner that goes on after a silence is given the same time again, and
+        a silent one from when it was last heard on any connection.
         """
-        resumed_at = self.grant.state.silence.resumed_at
-        return self._limits.find_limit(self.receiver, now, resumed_at)
+        silence = self.grant.state.silence
+        since = silence.resumed_at
+        if silence.is_due(now):
+            since = max(since, silence.heard_at)
+        return self._limits.find_limit(self.receiver, now, since)
 
     def is_silent(self, now: float) -> bool:
         """Returns whether the runner should have sent something by now."""
--- a/pollenfork/gateway/timeouts.py
+++ b/pollenfork/gateway/timeouts.py
@@ -70,14 +70,14 @@
         return running.done.result()
 
     def find_limit(
-        self, running: attempt.Attempt, now: float, resumed_at: float = 0.0
+        self, running: attempt.Attempt, now: float, heard_at: float = 0.0
     ) -> float:
         """Returns when the answer should have gone on, in monotonic seconds.
 
         Args:
             running: The attempt.
             now: Monotonic seconds.
-            resumed_at: When its runner was last heard again after a silence.
+            heard_at: When its runner was heard, if that counts for it.
         """
         flowing = running.phase is attempt.Phase.STREAMING
         pause_s = self.gap_s if flowing else self.first_s
@@ -85,4 +85,4 @@
             return self.deadline
         # A runner whose answer isn't read can't be found silent.
         last_at = now if running.paused else running.last_data_at
-        return min(self.deadline, max(last_at, resumed_at) + pause_s)
+        return min(self.deadline, max(last_at, heard_at) + pause_s)
