--- a/pollenfork/gateway/tests/test_forwarding.py
+++ b/pollenfork/gateway/tests/test_forwarding.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import random
 
 import msgspec
 import pytest
@@ -12,17 +11,16 @@
 from pollenfork.gateway import forwarding
 from pollenfork.gateway import messages
 from pollenfork.gateway.streams import origin_directory
+from pollenfork.gateway.tests import helping
 from pollenfork.gateway.tests import support
 from pollenfork.loads import messages as loads
 from pollenfork.loads import reach_messages
-from pollenfork.reach import helpers
 from pollenfork.routes import model
 
 ONCE = support.make_route(model.Kind.AT_MOST_ONCE, attempts=1)
 SAFE = support.make_route(model.Kind.REPEATABLE)
 STREAM = support.make_route(model.Kind.STREAM, resumable=True, gap_s=0.1)
 POST = b"POST /p HTTP/1.1\r\nx-id: q\r\ncontent-length: 4\r\n\r\nbody"
-ACCEPT = b"HTTP/1.1 100 Continue\r\n\r\n"
 FULL = (
     b"HTTP/1.1 503 X\r\nretry-after: 0.70\r\ncontent-length: 22\r\n\r\n"
     b'{"error":"overloaded"}'
@@ -31,85 +29,22 @@
 OLD = b"HTTP/1.1 404 X\r\ncontent-length: 20\r\n\r\n" + b'{"error":"no_table"}'
 
 
-class Helper:
-    """Another instance: asks for the body, or not, and then answers.
-
-    Attributes:
-        heads: The heads received.
-        bodies: The bodies received, in chunked encoding.
-        gone: Set once its connection is closed.
-    """
-
-    def __init__(self, answer: bytes | None, *, accepts: bool = True) -> None:
-        self.answer = answer
-        self.accepts = accepts
-        self.heads: list[bytes] = []
-        self.bodies: list[bytes] = []
-        self.gone = asyncio.Event()
-
-    async def start(self) -> loads.Address:
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.server = server
-        return loads.Address(*server.sockets[0].getsockname()[:2])
-
-    async def _serve(self, reader, writer) -> None:
-        try:
-            self.heads.append(await reader.readuntil(b"\r\n\r\n"))
-            if not self.accepts:
-                await reader.read()
-                return
-            writer.write(ACCEPT)
-            self.bodies.append(await reader.readuntil(b"0\r\n\r\n"))
-            if self.answer is None:
-                await reader.read()
-                return
-            writer.write(self.answer)
-            await writer.drain()
-        except (asyncio.IncompleteReadError, ConnectionError):
-            pass
-        finally:
-            self.gone.set()
-            writer.close()
-
-
 @contextlib.asynccontextmanager
-async def run_cut_off(route: model.Route, *given: Helper):
+async def run_cut_off(route: model.Route, *given: helping.Helper):
     """Runs a gateway whose runners don't listen, beside some helpers."""
     runners = [support.Runner("a"), support.Runner("b")]
     async with support.run_gateway(route, *runners) as gateway:
         for runner in runners:
             runner.stop()
-        known = helpers.Helpers(ids.DataCentre("a"), random.Random(1))
-        addresses = {}
-        for number, helper in enumerate(given):
-            addresses[f"h{number}"] = await helper.start()
-        forwarder = forwarding.Forwarder(
-            gateway.deps.loop,
-            gateway.deps.codec,
-            known,
-            ids.InstanceId("me"),
-            ids.DataCentre("a"),
-        )
-        forwarder.join(
-            forwarding.Peers(
-                lambda data_centre: list(addresses),
-                addresses.get,
-                lambda host, query: None,
-            )
-        )
-        # The first is preferred: the others are busy.
-        for number, host in enumerate(addresses):
-            offer = reach_messages.HelpOffer("a", 50 * number)
-            known.record_offer(host, offer, gateway.deps.loop.time())
-        gateway.deps = msgspec.structs.replace(
-            gateway.deps, forwarder=forwarder
-        )
+        await helping.join_helpers(gateway, *given)
         yield gateway
         for helper in given:
             helper.server.close()
 
 
-def run(route: model.Route, *given: Helper, data: bytes = POST) -> bytes:
+def run(
+    route: model.Route, *given: helping.Helper, data: bytes = POST
+) -> bytes:
     async def ask() -> bytes:
         async with run_cut_off(route, *given) as gateway:
             answer = await support.ask(gateway, data)
@@ -122,7 +57,7 @@
 # Guards against refusing callers though another instance reaches the runners.
 @pytest.mark.parametrize("route", [ONCE, SAFE])
 def test_the_answer_of_another_instance_is_passed_on(route) -> None:
-    helper = Helper(support.write_answer(b"whole"))
+    helper = helping.Helper(support.write_answer(b"whole"))
     answer = run(route, helper)
     assert answer.startswith(b"HTTP/1.1 200")
     assert answer.endswith(b"whole")
@@ -132,19 +67,21 @@
 
 def test_a_stream_is_passed_on_event_by_event() -> None:
     events = support.write_events(0, 4)
-    helper = Helper(support.write_stream(events, whole=True))
+    helper = helping.Helper(support.write_stream(events, whole=True))
     answer = run(STREAM, helper)
     assert events in answer
     assert answer.endswith(b"0\r\n\r\n")
 
 
 def test_a_stream_that_breaks_does_not_look_complete() -> None:
-    helper = Helper(support.write_stream(support.write_events(0, 1), False))
+    helper = helping.Helper(
+        support.write_stream(support.write_events(0, 1), False)
+    )
     assert not run(STREAM, helper).endswith(b"0\r\n\r\n")
 
 
 def test_the_refusal_of_another_instance_is_passed_on() -> None:
-    answer = run(ONCE, Helper(FULL))
+    answer = run(ONCE, helping.Helper(FULL))
     assert answer.startswith(b"HTTP/1.1 503")
     assert b"retry-after: 0.70" in answer
 
@@ -152,8 +89,8 @@
 # Guards against running a request twice: a frozen instance would serve it when
 # it wakes.
 def test_an_instance_that_does_not_ask_for_the_body_never_gets_it() -> None:
-    frozen = Helper(None, accepts=False)
-    answer = run(ONCE, frozen, Helper(support.write_answer(b"whole")))
+    frozen = helping.Helper(None, accepts=False)
+    answer = run(ONCE, frozen, helping.Helper(support.write_answer(b"whole")))
     assert answer.endswith(b"whole")
     assert frozen.bodies == []
     assert frozen.gone.is_set()
@@ -161,15 +98,15 @@
 
 @pytest.mark.parametrize("declined", [LOST, OLD])
 def test_an_instance_that_can_not_help_is_passed_over(declined) -> None:
-    first = Helper(declined)
-    answer = run(ONCE, first, Helper(support.write_answer(b"whole")))
+    first = helping.Helper(declined)
+    answer = run(ONCE, first, helping.Helper(support.write_answer(b"whole")))
     assert answer.endswith(b"whole")
     assert len(first.heads) == 1
 
 
 def test_a_request_that_may_have_run_is_not_sent_to_another_instance() -> None:
-    other = Helper(support.write_answer(b"whole"))
-    answer = run(ONCE, Helper(b""), other)
+    other = helping.Helper(support.write_answer(b"whole"))
+    answer = run(ONCE, helping.Helper(b""), other)
     assert answer.startswith(b"HTTP/1.1 502")
     assert other.heads == []
 
@@ -180,7 +117,7 @@
 
 def test_a_caller_that_leaves_ends_the_request_at_the_other_instance() -> None:
     async def leave() -> None:
-        helper = Helper(None)
+        helper = helping.Helper(None)
         async with run_cut_off(SAFE, helper) as gateway:
             _, writer = await asyncio.open_connection("127.0.0.1", gateway.port)
             writer.write(POST)
@@ -221,7 +158,7 @@
 
 def test_what_was_forwarded_is_counted() -> None:
     async def count() -> dict:
-        helper = Helper(support.write_answer(b"whole"))
+        helper = helping.Helper(support.write_answer(b"whole"))
         async with run_cut_off(SAFE, helper) as gateway:
             await support.ask(gateway, POST)
             await support.ask(gateway, POST)
@@ -231,10 +168,10 @@
     assert counts[context.ForwardOutcome.ANSWERED] == 2
 
 
-def take_up(keeps_versions: bool) -> tuple[bytes, Helper]:
+def take_up(keeps_versions: bool) -> tuple[bytes, helping.Helper]:
     """Returns the answer to a caller that takes a stream up while cut off."""
     rest = support.write_stream(support.write_events(3, 4), whole=True)
-    helper = Helper(rest)
+    helper = helping.Helper(rest)
 
     async def ask() -> bytes:
         async with run_cut_off(STREAM, helper) as gateway:
--- a/pollenfork/platform/tests/soak/faults.py
+++ b/pollenfork/platform/tests/soak/faults.py
@@ -284,6 +284,15 @@
     site.falls.append((len(falls), len(made)))
 
 
+async def silence_runners(site: sites.Site) -> None:
+    """Some sound runners send nothing for a moment, and then go on."""
+    silent_s = site.rng.uniform(0.4, 1.6)
+    count = site.rng.randint(1, len(site.runners))
+    for name in site.rng.sample(sorted(site.runners), count):
+        site.runners[name].silent_until = time.monotonic() + silent_s
+    await asyncio.sleep(silent_s)
+
+
 FAULTS: tuple[Fault, ...] = (
     kill,
     stop,
@@ -323,6 +332,8 @@
 )
 _FIRST_SEED_WITH_CUTS = 5000
 CUTS = (cut_from_runners, cut_from_runners, cut_from_runners, be_brittle)
+_FIRST_SEED_WITH_SILENCES = 6000
+SILENCES = (silence_runners, silence_runners, silence_runners)
 POISON = (suspend, suspend, send_poison, send_poison)
 
 
@@ -348,6 +359,8 @@
         kinds += NOTICES
     if site.seed >= _FIRST_SEED_WITH_CUTS:
         kinds += CUTS
+    if site.seed >= _FIRST_SEED_WITH_SILENCES:
+        kinds += SILENCES
     while loop.time() - begun < seconds:
         fault = site.rng.choice(kinds)
         played.append(f"{loop.time() - begun:.2f} {fault.__name__}")
--- a/pollenfork/platform/tests/soak/runner.py
+++ b/pollenfork/platform/tests/soak/runner.py
@@ -76,6 +76,8 @@
 
 # A request with this in its path ends each runner that begins to run it.
 ENDING = "ends-its-runner"
+# How often a silent runner looks whether it goes on, in seconds.
+_LOOK_S = 0.01
 # How long a runner that ends holds a connection that it has accepted since.
 _DROP_S = 0.02
 # Events of a path with this in it are padded to this many bytes and more.
@@ -117,6 +119,7 @@
         version: The version of its software, named in each of its events;
             empty: not named.
         ending_part: A part of a prompt that ends it; empty: none.
+        silent_until: Monotonic seconds until which it sends nothing.
     """
 
     def __init__(
@@ -135,6 +138,7 @@
         self.on_fall: Callable[[Runner], None] = lambda me: me.crash()
         self.version = ""
         self.ending_part = ""
+        self.silent_until = 0.0
         self._active = 0
         self._refused: list[float] = []
         # Tokens of the prompt parts that it caches; it evicts nothing.
@@ -190,6 +194,7 @@
         headers = {name.lower(): value for name, _, value in pairs}
         if length := int(headers.get("content-length", 0)):
             await reader.readexactly(length)
+        await self._wait_while_silent()
         if first.split()[1].startswith("/api/"):
             writer.write(await self._list_cached(first.split()[1], headers))
             return True
@@ -235,6 +240,15 @@
         finally:
             self._active -= 1
 
+    @property
+    def active(self) -> int:
+        """The number of requests that it runs."""
+        return self._active
+
+    async def _wait_while_silent(self) -> None:
+        while time.monotonic() < self.silent_until:
+            await asyncio.sleep(_LOOK_S)
+
     def _refuse_for_room(self, attempt: str, writer) -> bool:
         now = time.monotonic()
         self._refused = [at for at in self._refused if now - at < 1.0] + [now]
@@ -291,6 +305,7 @@
     async def _run(self, attempt, headers, path, reader, writer) -> bool:
         await asyncio.sleep(self._rng.uniform(0.01, 0.06) * self.slowness)
         await self._process_prompt(headers, reader)
+        await self._wait_while_silent()
         if ENDING in path or self._has_ending_part(headers):
             self.on_ending(self, path)
             return False
@@ -321,6 +336,7 @@
         )
         after = int(headers.get("last-event-id", -1))
         for position in range(after + 1, 10):
+            await self._wait_while_silent()
             event = make_event(path, attempt, position, self.version)
             if self._rng.random() < self.faults.cut / 5:
                 writer.write(b"%x\r\n%b" % (len(event), event[:5]))
@@ -329,6 +345,7 @@
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             await writer.drain()
             await asyncio.sleep(self.interval_s * self.slowness)
+        await self._wait_while_silent()
         writer.write(b"0\r\n\r\n")
         return True
 
