Log the choice of a runner that goes on with a silent one's request

What operators saw: the log of a request that left a silent runner had no 'chosen' for the runner that went on, which 'pollenfork explain' reads.

Cause: the exchange logs the choices that it makes; the handover makes its own.

Change: the handover logs them too. How long a request waited for its first choice is still observed once.

Evidence: test_each_choice_is_logged_and_only_the_first_wait_counts failed before (['r0'] for ['r0', 'r1']) and passes now.

--- a/pollenfork/gateway/failover/handover.py
+++ b/pollenfork/gateway/failover/handover.py
@@ -186,6 +186,7 @@
         self, current: sending.SentAttempt, grant: outcomes.Grant
     ) -> sending.SentAttempt | None:
         loop = self._deps.loop
+        self._recorder.record_choice(grant)
         begun_at = loop.time()
         opened = await self._sender.connect(grant)
         if isinstance(opened, result.Err):
--- a/pollenfork/gateway/failover/recording.py
+++ b/pollenfork/gateway/failover/recording.py
@@ -125,6 +125,10 @@
             self._history.sent,
         )
 
+    def record_choice(self, grant: outcomes.Grant) -> None:
+        """Records the runner that shall take the place of a silent one."""
+        self._log.log_choice(grant, self._history)
+
     def record_unsent(
         self, grant: outcomes.Grant, ended: attempt.AttemptResult
     ) -> None:
--- a/pollenfork/gateway/failover/tests/test_silent_runners.py
+++ b/pollenfork/gateway/failover/tests/test_silent_runners.py
@@ -1,6 +1,8 @@
 """Requests outlast the silence of their runner, whatever else can't go on."""
 
 import asyncio
+import logging
+import re
 
 import msgspec
 import pytest
@@ -244,6 +246,22 @@
         assert b"x-after: 2" in head
 
 
+def test_each_choice_is_logged_and_only_the_first_wait_counts(caplog) -> None:
+    caplog.set_level(logging.INFO, "pollenfork.gateway.request_log")
+
+    async def run():
+        hung, other = make_silent(), support.Runner("r1", WHOLE_STREAM)
+        async with support.run_gateway(STREAM, hung, other) as gateway:
+            await support.ask(gateway)
+            return gateway.deps.counters.write().decode()
+
+    metrics = asyncio.run(run())
+    chosen = re.findall(r"event=chosen .* runner=(\w+) ", caplog.text)
+    assert chosen == ["r0", "r1"]
+    labels = 'kind="stream",tier="0"'
+    assert f"pollenfork_request_wait_seconds_count{{{labels}}} 1" in metrics
+
+
 def test_a_request_leaves_a_connection_that_is_dead_while_others_work() -> None:
     async def run():
         dead, other = make_silent(), support.Runner("r1", WHOLE_STREAM)
--- a/pollenfork/gateway/request_log.py
+++ b/pollenfork/gateway/request_log.py
@@ -54,7 +54,7 @@
     ) -> None:
         """Logs which runner was chosen and why."""
         admitted = self._admitted
-        if not history.runners_tried:
+        if not history.runners_tried and not history.sent:
             self._counters.record_wait(admitted.route, self.took_s)
         loads_age_s = self._read_loads_age()
         _LOG.info(
