Charge no retry for help that nobody offers

A request at a silent runner asks other instances again each 0.8 s while this one reaches no runner, and took a retry from the budget each time, also if nobody could help.

Change: the retry is given back if no instance was sent the request.

Evidence: test_a_retry_is_not_charged_if_nobody_helps failed before (1 retry left, 2 asked for) and passes now.

--- a/pollenfork/fleet/retry_budget.py
+++ b/pollenfork/fleet/retry_budget.py
@@ -62,6 +62,12 @@
         self._recent(self._retries, service, now).append(now)
         return True
 
+    def give_back(self, service: ids.ServiceName) -> None:
+        """Gives back the last retry that was taken, as nothing was sent."""
+        retries = self._retries.get(service)
+        if retries:
+            retries.pop()
+
     def has_left(self, service: ids.ServiceName, now: float) -> bool:
         """Returns whether a retry can be taken now."""
         requests = self._recent(self._requests, service, now)
--- a/pollenfork/gateway/failover/handover.py
+++ b/pollenfork/gateway/failover/handover.py
@@ -229,6 +229,8 @@
         )
         if ended is not None:
             return ended
+        if rivals.has_no_helper:
+            self._recorder.give_back_retry()
         self._callbacks.attach(current)
         self._pause_s = _LONGEST_PAUSE_S
         return current if rivals.is_decided else None
--- a/pollenfork/gateway/failover/race.py
+++ b/pollenfork/gateway/failover/race.py
@@ -120,6 +120,7 @@
         self._current = current
         self._replace = replace
         self._is_helped: bool | None = None
+        self._asked: asyncio.Future[attempt.AttemptResult | None] | None = None
         self._resumed: asyncio.Future[None] = loop.create_future()
         current.receiver.claim = self._claim_for_current
 
@@ -128,6 +129,14 @@
         """Whether either goes on with the request."""
         return self._is_helped is not None
 
+    @property
+    def has_no_helper(self) -> bool:
+        """Whether nobody was sent the request."""
+        asked = self._asked
+        if asked is None or not asked.done() or asked.cancelled():
+            return False
+        return asked.result() is None
+
     async def run(
         self, forwarding: Awaitable[attempt.AttemptResult | None]
     ) -> attempt.AttemptResult | None:
@@ -136,7 +145,7 @@
         Args:
             forwarding: Asks for help.
         """
-        asked = asyncio.ensure_future(forwarding)
+        asked = self._asked = asyncio.ensure_future(forwarding)
         awaited: set[asyncio.Future[Any]] = {
             asked,
             self._resumed,
--- a/pollenfork/gateway/failover/recording.py
+++ b/pollenfork/gateway/failover/recording.py
@@ -125,6 +125,10 @@
             self._history.sent,
         )
 
+    def give_back_retry(self) -> None:
+        """Gives back the last retry, as nothing was sent."""
+        self._deps.retry_budget.give_back(self._admitted.demand.service)
+
     def record_choice(self, grant: outcomes.Grant) -> None:
         """Records the runner that shall take the place of a silent one."""
         self._log.log_choice(grant, self._history)
--- a/pollenfork/gateway/failover/tests/test_helpers.py
+++ b/pollenfork/gateway/failover/tests/test_helpers.py
@@ -5,6 +5,7 @@
 import pytest
 
 from pollenfork import ids
+from pollenfork.gateway import context
 from pollenfork.gateway.failover.tests import pausing
 from pollenfork.gateway.tests import helping
 from pollenfork.gateway.tests import support
@@ -93,6 +94,31 @@
     assert cut == 0
 
 
+# Guards against spending the retry budget on help that nobody offers.
+def test_a_retry_is_not_charged_if_nobody_helps() -> None:
+    async def run():
+        silent, helper = make_silent(), helping.Helper(LOST)
+        async with support.run_gateway(STREAM, silent) as gateway:
+            await helping.join_helpers(gateway, helper)
+            budget = gateway.deps.retry_budget
+            asking = asyncio.create_task(support.ask(gateway))
+            await pausing.wait_until(lambda: silent.got)
+            gateway.deps.reach.is_lost = lambda service: True
+            counts = gateway.deps.forwarder.counts
+            no_helper = context.ForwardOutcome.NO_HELPER
+            await pausing.wait_until(lambda: counts[no_helper])
+            silent.goes_on.set()
+            await asking
+            helper.server.close()
+            now = gateway.deps.loop.time()
+            left = 0
+            while budget.try_take(support.SERVICE, now):
+                left += 1
+            return left
+
+    assert asyncio.run(run()) == 2
+
+
 def test_a_plain_request_is_answered_by_whichever_is_first() -> None:
     good = support.write_answer(b"good")
 
