Name silences of runners and dropped successors more plainly

Read as a newcomer would: is_due said nothing of what it asks, record_lost could be read as the loss of a request, two docstrings were riddles, and one constant of a test was unused.

--- a/pollenfork/fleet/silence.py
+++ b/pollenfork/fleet/silence.py
@@ -9,8 +9,8 @@
 
 import msgspec
 
-# A runner that has sent nothing on any connection for this long, in seconds, is
-# silent itself. If it has, only one of its connections is.
+# A runner is silent if it has sent nothing on any connection for this long, in
+# seconds. Otherwise only the connection of a waiting request is.
 _RUNNER_SILENT_S = 0.3
 # The number of requests that may leave doubles in this time, in seconds.
 _DOUBLING_S = 0.15
@@ -39,7 +39,7 @@
         """Whether the runner was found silent and hasn't been heard since."""
         return self.found_at > self.heard_at
 
-    def is_due(self, now: float) -> bool:
+    def is_runner_wide(self, now: float) -> bool:
         """Returns whether the runner, not one connection, is silent."""
         return now - self.heard_at >= _RUNNER_SILENT_S
 
--- a/pollenfork/fleet/tests/test_silence.py
+++ b/pollenfork/fleet/tests/test_silence.py
@@ -24,8 +24,8 @@
 def test_a_runner_that_sends_on_another_connection_is_not_silent() -> None:
     known = silence.Silence()
     known.record_heard(10.0)
-    assert not known.is_due(10.1)
-    assert known.is_due(10.5)
+    assert not known.is_runner_wide(10.1)
+    assert known.is_runner_wide(10.5)
 
 
 def test_a_silence_is_found_once_and_ends_when_the_runner_is_heard() -> None:
--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -280,8 +280,8 @@
         """Returns the hosts that may serve what was found to have no runner.
 
         Returns:
-            None of them: those that reach the runners; None: the request isn't
-            for another instance.
+            The hosts; empty: any that reaches the runners; None: no other
+            instance may.
         """
         if self._deps.forwarder is None or self._forwarded is not None:
             return None
--- a/pollenfork/gateway/failover/handover.py
+++ b/pollenfork/gateway/failover/handover.py
@@ -58,8 +58,8 @@
         attach: Called with the attempt that the caller's answer comes from.
         is_streaming: Returns whether the caller has got the head of a stream.
         list_helpers: Returns the hosts that may serve a request for which this
-            was found here, none of them: those that reach the runners; None:
-            it isn't for another instance.
+            was found here; empty: any that reaches the runners; None: no other
+            instance may.
         forward: Asks another instance to serve the request.
     """
 
@@ -205,7 +205,7 @@
         rivals = race.Race(loop, current, successor, replace)
         winner = await rivals.run(_OVERLAP_S)
         if winner is current:
-            self._recorder.record_lost(successor)
+            self._recorder.record_dropped(successor)
         return winner
 
     async def _ask_helper(
--- a/pollenfork/gateway/failover/recording.py
+++ b/pollenfork/gateway/failover/recording.py
@@ -102,7 +102,7 @@
         self._record(sent.grant, ended, sent)
         self._log_failure(sent.grant, ended, _RetryDecision.RETRIED)
 
-    def record_lost(self, sent: sending.SentAttempt) -> None:
+    def record_dropped(self, sent: sending.SentAttempt) -> None:
         """Records an attempt that didn't take the place of another one."""
         ended = sent.ended
         grant = sent.grant
@@ -133,6 +133,26 @@
         """Records the runner that shall take the place of a silent one."""
         self._log.log_choice(grant, self._history)
 
+    def record_silence(self, sent: sending.SentAttempt) -> bool:
+        """Records that an attempt is silent.
+
+        Returns:
+            Whether its runner is silent too, and not its connection alone.
+        """
+        state = sent.grant.state
+        now = self._deps.loop.time()
+        if not state.silence.is_runner_wide(now):
+            return False
+        silent_s = now - max(sent.receiver.last_data_at, state.silence.heard_at)
+        if state.record_silence(now - silent_s, now):
+            _LOG.warning(
+                "event=runner_silent runner=%s silent_ms=%d active=%d",
+                sent.grant.runner.id,
+                silent_s * 1000,
+                state.active,
+            )
+        return True
+
     def record_unsent(
         self, grant: outcomes.Grant, ended: attempt.AttemptResult
     ) -> None:
@@ -169,26 +189,6 @@
         if not state.reachable:
             self._deps.prober.watch(grant.runner, state)
 
-    def record_silence(self, sent: sending.SentAttempt) -> bool:
-        """Records that an attempt is silent.
-
-        Returns:
-            Whether its runner is silent too, and not its connection alone.
-        """
-        state = sent.grant.state
-        now = self._deps.loop.time()
-        if not state.silence.is_due(now):
-            return False
-        silent_s = now - max(sent.receiver.last_data_at, state.silence.heard_at)
-        if state.record_silence(now - silent_s, now):
-            _LOG.warning(
-                "event=runner_silent runner=%s silent_ms=%d active=%d",
-                sent.grant.runner.id,
-                silent_s * 1000,
-                state.active,
-            )
-        return True
-
     def _log_failure(
         self,
         grant: outcomes.Grant,
--- a/pollenfork/gateway/failover/sending.py
+++ b/pollenfork/gateway/failover/sending.py
@@ -76,7 +76,7 @@
         """
         silence = self.grant.state.silence
         since = silence.resumed_at
-        if silence.is_due(now):
+        if silence.is_runner_wide(now):
             since = max(since, silence.heard_at)
         return self._limits.find_limit(self.receiver, now, since)
 
--- a/pollenfork/gateway/failover/tests/pausing.py
+++ b/pollenfork/gateway/failover/tests/pausing.py
@@ -5,7 +5,6 @@
 from pollenfork.gateway.tests import support
 from pollenfork.routes import model
 
-GONE_ON = 5.0
 LAST = 4
 
 
