--- a/pollenfork/fleet/choice.py
+++ b/pollenfork/fleet/choice.py
@@ -123,8 +123,12 @@
         if max_wait_s is not None and overload.is_overloaded(
             candidate, profile, max_wait_s
         ):
-            wait_s = overload.find_wait(candidate, profile)
-            return outcomes.Overloaded(wait_s, backlog_s)
+            return outcomes.Overloaded(
+                overload.find_wait(candidate, profile),
+                backlog_s,
+                min(overload.find_wait(each, profile) for each in found),
+                candidate.runner.id,
+            )
         grant = self._grant(profile, candidate)
         self.pauses.record_sent(candidate.runner.incarnation, now)
         holder_costs = [each.cost for each in found if not each.uncached_tokens]
--- a/pollenfork/fleet/outcomes.py
+++ b/pollenfork/fleet/outcomes.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from pollenfork import ids
 from pollenfork.fleet import model
 from pollenfork.fleet import runner_state
 from pollenfork.room import ledger
@@ -14,10 +15,14 @@
         wait_s: Seconds until that runner would have processed the prompt.
         mean_backlog_s: The mean prompt backlog of the service's runners, in
             seconds.
+        least_wait_s: The same as `wait_s` for the runner at which it is least.
+        runner: The runner with the lowest cost; None: none was chosen.
     """
 
     wait_s: float
     mean_backlog_s: float = 0.0
+    least_wait_s: float = 0.0
+    runner: ids.EndpointId | None = None
 
 
 class Unreachable(msgspec.Struct, frozen=True):
--- a/pollenfork/gateway/admission.py
+++ b/pollenfork/gateway/admission.py
@@ -100,6 +100,7 @@
         prefill_limit_s=load_shedding.find_prefill_limit(
             route, tiers, demand, settings.has_priority(account)
         ),
+        tier_targets=settings.list_targets(service),
         account=account,
         tier=tier,
         version=settings.configuration.version,
--- a/pollenfork/gateway/context.py
+++ b/pollenfork/gateway/context.py
@@ -1,7 +1,7 @@
 """Inputs of an exchange: the admitted request and shared dependencies."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 import enum
 import random
 from typing import Protocol
@@ -45,6 +45,8 @@
         demand: What it needs from a runner of the service chosen for it.
         prefill_limit_s: Seconds within which its prompt must be processed;
             beyond that the request is refused; None: no limit.
+        tier_targets: The longest target of each tier's routes to its service,
+            in seconds.
         account: The client account, if the request has a key.
         tier: Its priority tier; lower is more urgent.
         version: The version of the configuration that admitted it.
@@ -58,6 +60,7 @@
     route: routes.Route
     demand: candidates.RequestProfile
     prefill_limit_s: float | None
+    tier_targets: Mapping[ids.Tier, float] = msgspec.field(default_factory=dict)
     account: routes.Account | None
     tier: ids.Tier
     version: int
--- a/pollenfork/gateway/counters.py
+++ b/pollenfork/gateway/counters.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import bisect
+import collections
 from collections.abc import Callable
 import importlib
 from typing import TYPE_CHECKING
 
 import msgspec
 
+from pollenfork import ids
 from pollenfork import metric_help
 from pollenfork.fleet import messages as fleet_messages
+from pollenfork.gateway import load_shedding
 from pollenfork.gateway import replies
 from pollenfork.gateway import retries
 from pollenfork.returns import edges as returns
@@ -114,6 +117,12 @@
         self._latencies: dict[Series, Latencies] = {}
         self._targets: dict[Series, int] = {}
         self._refused: dict[replies.Reason, int] = {}
+        self._refused_by_tier: collections.Counter[
+            tuple[replies.Reason, ids.Tier]
+        ] = collections.Counter()
+        self._admitted: collections.Counter[
+            tuple[load_shedding.Admission, ids.Tier]
+        ] = collections.Counter()
         self._cut: dict[replies.Reason, int] = {}
         self._repeats: dict[fleet_messages.End, int] = {}
         self._not_repeated: dict[retries.RetryDecision, int] = {}
@@ -148,9 +157,24 @@
         series = Series.of(metric, route)
         self._targets[series] = self._targets.get(series, 0) + 1
 
-    def record_refused(self, reason: replies.Reason) -> None:
-        """Counts a request that the gateway itself refused."""
+    def record_refused(
+        self, reason: replies.Reason, tier: ids.Tier | None = None
+    ) -> None:
+        """Counts a request that the gateway itself refused.
+
+        Args:
+            reason: Why.
+            tier: Its tier; None: it has none, as it wasn't admitted.
+        """
         self._refused[reason] = self._refused.get(reason, 0) + 1
+        if tier is not None:
+            self._refused_by_tier[reason, tier] += 1
+
+    def record_admission(
+        self, tier: ids.Tier, admission: load_shedding.Admission
+    ) -> None:
+        """Counts a request that is sent to its first runner."""
+        self._admitted[admission, tier] += 1
 
     def record_cut(self, reason: replies.Reason) -> None:
         """Counts a stream that the gateway cut off after it had begun."""
@@ -189,6 +213,20 @@
             self._preemptions_suspected,
         )
         _show(output, "pollenfork_refusals_total", self._refused)
+        for (reason, tier), count in self._refused_by_tier.items():
+            output.set_count(
+                "pollenfork_refusals_by_tier_total",
+                count,
+                reason=reason.value,
+                tier=str(tier),
+            )
+        for (admission, tier), count in self._admitted.items():
+            output.set_count(
+                "pollenfork_admissions_total",
+                count,
+                admission=admission.value,
+                tier=str(tier),
+            )
         _show(output, "pollenfork_streams_cut_total", self._cut)
         _show(output, "pollenfork_relay_retries_total", self._repeats)
         _show(output, "pollenfork_not_repeated_total", self._not_repeated)
--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -204,7 +204,7 @@
         """Sends the request to a runner; returns whether it was served."""
         if not self._history.runners_tried:
             self._selection.record_admission()
-        self._log.log_choice(grant, self._history)
+        self._log.log_choice(grant, self._history, self._selection.admission)
         begun_at = self._deps.loop.time()
         opened = await self._sender.connect(grant)
         if isinstance(opened, result.Err):
--- a/pollenfork/gateway/failover/recording.py
+++ b/pollenfork/gateway/failover/recording.py
@@ -9,6 +9,7 @@
 from pollenfork.fleet import outcomes
 from pollenfork.gateway import attempt
 from pollenfork.gateway import context
+from pollenfork.gateway import load_shedding
 from pollenfork.gateway import quarantine_check
 from pollenfork.gateway import request_log
 from pollenfork.gateway import retries
@@ -131,7 +132,9 @@
 
     def record_choice(self, grant: outcomes.Grant) -> None:
         """Records the runner that shall take the place of a silent one."""
-        self._log.log_choice(grant, self._history)
+        self._log.log_choice(
+            grant, self._history, load_shedding.Admission.RETRY
+        )
 
     def record_silence(self, sent: sending.SentAttempt) -> bool:
         """Records that an attempt is silent.
--- a/pollenfork/gateway/load_shedding.py
+++ b/pollenfork/gateway/load_shedding.py
@@ -11,6 +11,9 @@
 twentieth of the value due to callers was lost.
 """
 
+from collections.abc import Mapping
+import enum
+
 from pollenfork import ids
 from pollenfork.fleet import candidates
 from pollenfork.routes import model as routes
@@ -54,6 +57,39 @@
     return route.target_s * factor
 
 
+def format_limits(targets: Mapping[ids.Tier, float]) -> str:
+    """Returns the prefill limits of all tiers of a service, for a log line.
+
+    Args:
+        targets: The longest target of each tier's routes, in seconds.
+    """
+    if len(targets) < 2:
+        return "-"
+    first, last = min(targets), max(targets)
+    limits = []
+    for tier in sorted(targets):
+        factor = _LEAST_URGENT_LIMIT if tier == last else _OTHERS_LIMIT
+        limit_s = targets[tier] * factor
+        unlimited = tier == first or not limit_s
+        limits.append(f"{tier}:{'-' if unlimited else round(limit_s * 1000)}")
+    return ",".join(limits)
+
+
+class Admission(enum.Enum):
+    """Why a request may be sent to a runner.
+
+    `IN_TIME` requests are expected to be processed in time, or have no limit.
+    `AFTER_REFUSALS` requests follow refusals of their tier. `PROMISED` ones
+    were told to return. `RETRY` and `SUSPECT` ones aren't shed.
+    """
+
+    IN_TIME = "in_time"
+    AFTER_REFUSALS = "after_refusals"
+    PROMISED = "promised"
+    RETRY = "retry"
+    SUSPECT = "suspect"
+
+
 class ShedStreaks:
     """Counts consecutive refusals by service and tier."""
 
@@ -69,6 +105,10 @@
         self._refused[service, tier] = 0 if due else refused + 1
         return due
 
+    def count(self, service: ids.ServiceName, tier: ids.Tier) -> int:
+        """Returns the number of consecutive refusals."""
+        return self._refused.get((service, tier), 0)
+
     def reset(self, service: ids.ServiceName, tier: ids.Tier) -> None:
         """Resets the count, as a request of the tier was admitted normally."""
         self._refused.pop((service, tier), None)
--- a/pollenfork/gateway/request_log.py
+++ b/pollenfork/gateway/request_log.py
@@ -10,6 +10,7 @@
 from pollenfork.gateway import attempt
 from pollenfork.gateway import context
 from pollenfork.gateway import counters
+from pollenfork.gateway import load_shedding
 from pollenfork.gateway import replies
 from pollenfork.gateway import retries
 
@@ -50,19 +51,29 @@
         return self._loop.time() - self._admitted.call.arrived
 
     def log_choice(
-        self, grant: outcomes.Grant, history: retries.AttemptHistory
+        self,
+        grant: outcomes.Grant,
+        history: retries.AttemptHistory,
+        admission: load_shedding.Admission,
     ) -> None:
-        """Logs which runner was chosen and why."""
+        """Logs which runner was chosen and why.
+
+        Args:
+            grant: The runner.
+            history: The request's attempts.
+            admission: Why the request may be sent.
+        """
         admitted = self._admitted
         if not history.runners_tried and not history.sent:
             self._counters.record_wait(admitted.route, self.took_s)
+            self._counters.record_admission(admitted.tier, admission)
         loads_age_s = self._read_loads_age()
         _LOG.info(
             "event=chosen request=%s route=%s tier=%d configuration=%d "
             "age_ms=%d runner=%s waited_ms=%d cost_ms=%d unread=%d source=%s "
             "holders=%d kept_cost_ms=%d crowd_ms=%d own=%d parts=%d "
             "loads_age_ms=%s left_ms=%d forecast_ms=%s version=%s resumes=%s "
-            "after=%s",
+            "after=%s admission=%s limit_ms=%s",
             self._request,
             admitted.route.name,
             admitted.tier,
@@ -84,6 +95,8 @@
             logs.quote_value(grant.runner.version),
             logs.quote_value(admitted.head.resumes or "-"),
             _format_position(admitted.head.last_event),
+            admission.value,
+            _format_ms(admitted.prefill_limit_s),
             extra=logs.ORDINARY,
         )
 
@@ -225,7 +238,7 @@
             history: The request's attempts.
             begun: Whether its stream had begun, which is cut off now.
         """
-        self._counters.record_refused(reason)
+        self._counters.record_refused(reason, self._admitted.tier)
         if begun:
             self._counters.record_cut(reason)
         _LOG.warning(
@@ -244,6 +257,32 @@
             begun,
         )
 
+    def log_shed(self, found: outcomes.Overloaded, refused: int) -> None:
+        """Logs which limit refused the request, and the other tiers' limits.
+
+        Args:
+            found: Why no runner was chosen.
+            refused: Consecutive refusals of its tier.
+        """
+        admitted = self._admitted
+        _LOG.info(
+            "event=shed request=%s service=%s tier=%d limit=prefill "
+            "limit_ms=%s wait_ms=%d least_wait_ms=%d backlog_ms=%d runner=%s "
+            "own=%d refused=%d tier_limits_ms=%s",
+            self._request,
+            admitted.demand.service,
+            admitted.tier,
+            _format_ms(admitted.prefill_limit_s),
+            found.wait_s * 1000,
+            found.least_wait_s * 1000,
+            found.mean_backlog_s * 1000,
+            found.runner or "-",
+            admitted.demand.unshared_tokens,
+            refused,
+            load_shedding.format_limits(admitted.tier_targets),
+            extra=logs.ORDINARY,
+        )
+
     def log_caller_gone(
         self,
         runner: ids.EndpointId | None,
--- a/pollenfork/gateway/responder.py
+++ b/pollenfork/gateway/responder.py
@@ -155,6 +155,13 @@
                 self.end_unless_paused(_Reason.NO_RUNNER)
 
     def _refuse_overloaded(self, found: outcomes.Overloaded) -> None:
+        admitted = self._admitted
+        self._log.log_shed(
+            found,
+            self._deps.shed_streaks.count(
+                admitted.demand.service, admitted.route.tier
+            ),
+        )
         planned_s = self._selection.find_retry_after()
         if planned_s is None:
             wait_s = min(found.wait_s, _MAX_RETRY_AFTER_S)
--- a/pollenfork/gateway/selection.py
+++ b/pollenfork/gateway/selection.py
@@ -8,6 +8,7 @@
 from pollenfork.fleet import outcomes
 from pollenfork.gateway import brittle_runners
 from pollenfork.gateway import context
+from pollenfork.gateway import load_shedding
 from pollenfork.gateway import returning
 from pollenfork.returns import promises
 
@@ -23,6 +24,7 @@
     Attributes:
         tried: Runners to which the request has been sent.
         version: The only software version that may serve it; None: any.
+        admission: Why the runner that was found last may serve it.
     """
 
     def __init__(
@@ -39,6 +41,7 @@
         self.tried: set[ids.EndpointId] = set()
         self.version: ids.SoftwareVersion | None = None
         self._return = returning.CallerReturn(deps, admitted)
+        self.admission = load_shedding.Admission.IN_TIME
 
     async def find(
         self, suspect: ids.RequestDigest | None, is_retry: bool
@@ -130,17 +133,21 @@
         if not self._deps.brittle.has_turn(self._admitted.tier):
             return outcomes.Full()
         if suspect is not None:
+            self.admission = load_shedding.Admission.SUSPECT
             return self._find_runner(None, suspect)
         # An admitted request isn't shed because of load that arrived later.
         if is_retry:
+            self.admission = load_shedding.Admission.RETRY
             return self._find_runner(longest_s=None)
         claimed = self._return.claim()
         if isinstance(claimed, promises.Early):
             return outcomes.Overloaded(claimed.left_s)
         if claimed is not None:
+            self.admission = load_shedding.Admission.PROMISED
             found = self._find_runner(longest_s=None)
             self._return.settle(found)
             return found
+        self.admission = load_shedding.Admission.IN_TIME
         found = self._find_runner(self._return.limit_prefill())
         if not isinstance(found, outcomes.Overloaded):
             return found
@@ -149,6 +156,7 @@
         # know their promise, get ahead by 2 s of 3 s in a fake site.
         if self._return.promise(found) or not self._is_admitted_anyway():
             return found
+        self.admission = load_shedding.Admission.AFTER_REFUSALS
         return self._find_runner(longest_s=None)
 
     def _find_runner(
--- a/pollenfork/gateway/tests/test_load_shedding.py
+++ b/pollenfork/gateway/tests/test_load_shedding.py
@@ -47,6 +47,13 @@
     assert find_prefill_limit(2, favoured=True) == pytest.approx(2.0)
 
 
+def test_the_limits_of_all_tiers_are_shown() -> None:
+    targets = {ids.Tier(2): 1.5, ids.Tier(0): 0.3, ids.Tier(1): 0.5}
+    shown = load_shedding.format_limits(targets)
+    assert shown == "0:-,1:1000,2:1050"
+    assert load_shedding.format_limits({ids.Tier(2): 1.5}) == "-"
+
+
 def test_a_tier_is_not_starved() -> None:
     streaks = load_shedding.ShedStreaks()
     taken = [
--- a/pollenfork/gateway/tests/test_overload.py
+++ b/pollenfork/gateway/tests/test_overload.py
@@ -59,6 +59,19 @@
     assert got == []
 
 
+def test_the_log_tells_which_limit_shed_a_request(caplog) -> None:
+    with caplog.at_level("INFO"):
+        run_loaded([56_600] * 9, 0.5)
+    line = next(
+        each.getMessage()
+        for each in caplog.records
+        if "event=shed" in each.getMessage()
+    )
+    assert "tier=0 limit=prefill limit_ms=500 wait_ms=1010" in line
+    assert "least_wait_ms=1010 backlog_ms=1000 runner=r0" in line
+    assert "own=566 refused=1" in line
+
+
 def test_a_request_is_admitted_after_consecutive_refusals() -> None:
     streaks = load_shedding.ShedStreaks()
     for _ in range(5):
--- a/pollenfork/metric_help.py
+++ b/pollenfork/metric_help.py
@@ -5,6 +5,10 @@
         "Streams that callers took up, by how the software version that began "
         "them was found."
     ),
+    "pollenfork_admissions_total": (
+        "Requests sent to a first runner, by tier and by why they were "
+        "admitted."
+    ),
     "pollenfork_answer_seconds": (
         "Time from a request's arrival to its answer's last byte."
     ),
@@ -107,6 +111,9 @@
     "pollenfork_refusals_total": (
         "Requests that got an error of the router's own instead of an answer."
     ),
+    "pollenfork_refusals_by_tier_total": (
+        "Requests refused by the gateway itself, by reason and tier."
+    ),
     "pollenfork_relay_retries_total": (
         "Requests sent again before their first byte, by why."
     ),
--- a/pollenfork/routes/lookup.py
+++ b/pollenfork/routes/lookup.py
@@ -1,5 +1,6 @@
 """Looks up the route, service and account of a request."""
 
+from collections.abc import Mapping
 import zlib
 
 from pollenfork import ids
@@ -20,7 +21,11 @@
             self._hosts.setdefault(route.host, []).append(route)
         for routes in self._hosts.values():
             routes.sort(key=lambda route: len(route.prefix), reverse=True)
-        self._tiers = _collect_tiers(configuration)
+        self._targets = _collect_targets(configuration)
+        self._tiers = {
+            service: tuple(sorted(targets))
+            for service, targets in self._targets.items()
+        }
         self._forecast = _collect_forecast(configuration)
         accounts = (configuration.accounts or {}).values()
         self._last_account_tier = max(
@@ -58,6 +63,15 @@
         """Returns the tiers of all routes to a service, most urgent first."""
         return self._tiers.get(service, ())
 
+    def list_targets(
+        self, service: ids.ServiceName
+    ) -> Mapping[ids.Tier, float]:
+        """Returns the longest target of each tier's routes to a service.
+
+        In seconds; 0 if one of the routes has none.
+        """
+        return self._targets.get(service, {})
+
     @property
     def has_forecast(self) -> bool:
         """Whether the configuration has a forecast service."""
@@ -93,14 +107,19 @@
         return self.configuration.accounts is not None and not route.public
 
 
-def _collect_tiers(
+def _collect_targets(
     configuration: model.Configuration,
-) -> dict[ids.ServiceName, tuple[ids.Tier, ...]]:
-    tiers: dict[ids.ServiceName, set[ids.Tier]] = {}
+) -> dict[ids.ServiceName, dict[ids.Tier, float]]:
+    targets: dict[ids.ServiceName, dict[ids.Tier, float]] = {}
     for route in configuration.routes:
         for target in route.targets:
-            tiers.setdefault(target.service, set()).add(route.tier)
-    return {service: tuple(sorted(each)) for service, each in tiers.items()}
+            known = targets.setdefault(target.service, {})
+            longest = known.get(route.tier, route.target_s)
+            unlimited = not route.target_s or not longest
+            known[route.tier] = (
+                0.0 if unlimited else max(longest, route.target_s)
+            )
+    return targets
 
 
 def _collect_forecast(
