--- /dev/null
+++ b/pollenfork/gateway/shedding/__init__.py
@@ -0,0 +1,1 @@
+"""Refuses requests in the order of their tiers while runners are overloaded."""
