Refuse requests of an overloaded service in the order of their tiers

Three causes, of one class: each tier was judged by a measure of its own.

Now an instance that finds a tier pressed, as even the least loaded runner would delay it by half its target, tells all others, and all close the less urgent tiers: the least urgent at once, each further one, or the pressed one itself, only once those below it have been closed for five seconds. Refused tiers together keep a twentieth of what the runners can process, by tokens, in place of one request in six. A more urgent request goes to another runner if its cheapest one is overloaded.

ShedStreaks and its tests are gone: admission after five refusals in a row (test_a_tier_is_not_starved, test_an_admission_resets_the_count_of_refusals); those of promised returns and of overload now assert the share.

--- a/pollenfork/fleet/choice.py
+++ b/pollenfork/fleet/choice.py
@@ -86,6 +86,7 @@
         now: float,
         max_wait_s: float | None = None,
         suspect: ids.RequestDigest | None = None,
+        longest_s: float | None = None,
     ) -> outcomes.Outcome:
         """Selects the runner with the lowest cost.
 
@@ -97,13 +98,16 @@
                 been processed; None: unlimited.
             suspect: The request's digest if runners have crashed while running
                 it; it is then routed so that it crashes as few as possible.
+            longest_s: Seconds that its prompt may wait at another runner if
+                the one with the lowest cost is overloaded; None: it may not go
+                to another one.
 
         Returns:
             The grant; `Overloaded` if that runner's backlog exceeds
-            `max_wait_s`; `Unreachable` if there are runners but none can be
-            reached; `Paused` if all reachable ones have asked for a pause;
-            `Limited` if the others accept no more requests now; None if there
-            are no runners.
+            `max_wait_s` and no other one may be used; `Unreachable` if there
+            are runners but none can be reached; `Paused` if all reachable ones
+            have asked for a pause; `Limited` if the others accept no more
+            requests now; None if there are no runners.
         """
         accepting = self.availability.find(profile, avoid, now)
         if not isinstance(accepting, list):
@@ -119,20 +123,32 @@
         found = priced.apply(profile, found, now)
         lowest = min(candidate.cost for candidate in found)
         tied = [each for each in found if each.cost <= lowest + _TIE_S]
-        candidate = self._rng.choice(tied)
+        chosen = self._rng.choice(tied)
+        candidate: candidates.Candidate | None = chosen
+        least_s = overload.find_least_backlog(found)
         if max_wait_s is not None and overload.is_overloaded(
-            candidate, profile, max_wait_s
+            chosen, profile, max_wait_s
         ):
+            candidate = None
+            if longest_s is not None:
+                candidate = overload.find_alternative(
+                    found, profile, max_wait_s, longest_s
+                )
+        if candidate is None:
             return outcomes.Overloaded(
-                overload.find_wait(candidate, profile),
+                overload.find_wait(chosen, profile),
                 backlog_s,
                 min(overload.find_wait(each, profile) for each in found),
-                candidate.runner.id,
+                least_s,
+                chosen.runner.id,
             )
+        wait_s = overload.find_wait(candidate, profile)
         grant = self._grant(profile, candidate)
         self.pauses.record_sent(candidate.runner.incarnation, now)
         holder_costs = [each.cost for each in found if not each.uncached_tokens]
         grant.mean_backlog_s = backlog_s
+        grant.least_backlog_s = least_s
+        grant.wait_s = wait_s
         grant.holders = len(holder_costs)
         grant.holder_cost = min(holder_costs, default=0.0)
         return grant
--- a/pollenfork/fleet/outcomes.py
+++ b/pollenfork/fleet/outcomes.py
@@ -16,12 +16,15 @@
         mean_backlog_s: The mean prompt backlog of the service's runners, in
             seconds.
         least_wait_s: The same as `wait_s` for the runner at which it is least.
+        least_backlog_s: The shortest backlog of a runner that the request may
+            use, in seconds.
         runner: The runner with the lowest cost; None: none was chosen.
     """
 
     wait_s: float
     mean_backlog_s: float = 0.0
     least_wait_s: float = 0.0
+    least_backlog_s: float = 0.0
     runner: ids.EndpointId | None = None
 
 
@@ -55,6 +58,16 @@
     """No brittle runner has a place for this instance now."""
 
 
+class Closed(msgspec.Struct, frozen=True):
+    """Requests of the tier may not begin, as more urgent ones wait.
+
+    Attributes:
+        wait_s: Seconds after which the caller should return.
+    """
+
+    wait_s: float
+
+
 class OtherVersions(msgspec.Struct, frozen=True):
     """No runner of the version that began the stream accepts work."""
 
@@ -75,6 +88,9 @@
         top_tier: 1 if the attempt counts as of the most urgent tier, else 0.
         mean_backlog_s: The mean prompt backlog of the service's runners, in
             seconds.
+        least_backlog_s: The shortest backlog of a runner that the request may
+            use, in seconds.
+        wait_s: Seconds until the runner will have processed the prompt.
         limited: Whether the runner has a rate limit. The grant must then be
             confirmed once a permit is available.
         forecast_s: Expected seconds until the first event; None: not forecast.
@@ -91,6 +107,8 @@
     holder_cost: float = 0.0
     top_tier: int = 0
     mean_backlog_s: float = 0.0
+    least_backlog_s: float = 0.0
+    wait_s: float = 0.0
     limited: bool = False
     forecast_s: float | None = None
     hold: ledger.Hold | None = None
@@ -101,5 +119,5 @@
         self.pending_tokens = 0.0
 
 
-Refusal = Unreachable | Limited | Paused | Full | OtherVersions
+Refusal = Unreachable | Limited | Paused | Full | Closed | OtherVersions
 Outcome = Grant | Overloaded | Refusal | None
--- a/pollenfork/gateway/admission.py
+++ b/pollenfork/gateway/admission.py
@@ -5,9 +5,9 @@
 from pollenfork.fleet import candidates
 from pollenfork.gateway import cluster_state
 from pollenfork.gateway import context
-from pollenfork.gateway import load_shedding
 from pollenfork.gateway import messages
 from pollenfork.gateway import replies
+from pollenfork.gateway.shedding import limits as shedding_limits
 from pollenfork.poison import digests
 from pollenfork.room import expectation
 from pollenfork.routes import lookup
@@ -72,8 +72,9 @@
     if head.wait_s is not None:
         limit_s = min(limit_s, head.wait_s)
     service = lookup.choose_service(route, head.attempt.encode())
-    tiers = settings.list_tiers(service)
-    quick = route.tier <= tiers[0] if len(tiers) > 1 else None
+    route_tiers = settings.list_tiers(service)
+    quick = route.tier <= route_tiers[0] if len(route_tiers) > 1 else None
+    tiers = settings.list_request_tiers(service)
     config = settings.configuration.services.get(service)
     tier = settings.get_tier(route, account)
     forecast = bool(head.parts) and settings.is_forecast(service)
@@ -97,9 +98,10 @@
         head=head,
         route=route,
         demand=demand,
-        prefill_limit_s=load_shedding.find_prefill_limit(
-            route, tiers, demand, settings.has_priority(account)
+        prefill_limit_s=shedding_limits.find_prefill_limit(
+            route, tier, tiers, demand
         ),
+        tiers=tiers,
         tier_targets=settings.list_targets(service),
         account=account,
         tier=tier,
--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -30,7 +30,6 @@
 from pollenfork.gateway import forecasting
 from pollenfork.gateway import forwarding
 from pollenfork.gateway import limit_events
-from pollenfork.gateway import load_shedding
 from pollenfork.gateway import messages
 from pollenfork.gateway import peers
 from pollenfork.gateway import permits
@@ -47,6 +46,7 @@
 from pollenfork.gateway import settings
 from pollenfork.gateway import sources
 from pollenfork.gateway import tables
+from pollenfork.gateway.shedding import shedder
 from pollenfork.gateway.streams import origin_directory
 from pollenfork.loads import messages as loads
 from pollenfork.loads import reach_messages
@@ -213,7 +213,7 @@
             retry_budget=retry_budget.RetryBudget(
                 config.retry_ratio, config.retry_window_s, config.retry_extra
             ),
-            shed_streaks=load_shedding.ShedStreaks(),
+            shedder=shedder.Shedder(self._loop, rng, chooser),
             counters=self.counters,
             read_loads_age=self._read_loads_age,
             reach=self._reach,
@@ -331,6 +331,7 @@
             self._forecasting.updates,
         )
         self._forecasting.join()
+        self._deps.shedder.join(self._forecasting.updates)
         _, joined = await self._loop.create_datagram_endpoint(
             lambda: peers.Peers(instance, self._settings, me), local_addr=me
         )
@@ -419,6 +420,7 @@
             now = self._loop.time()
             self.state.expire_runners(now)
             self._forecasting.refresh()
+            self._deps.shedder.sweep()
             self._buffers.refresh()
             self._deps.request_quarantine.sweep(now)
             self._stream_origins.sweep()
@@ -432,6 +434,7 @@
             self._peers.instances, self._loop.time()
         )
         self._deps.chooser.pauses.set_instances(self._peers.instances)
+        self._deps.shedder.set_instances(self._peers.instances)
         self._forecasting.share(self._peers)
         for service in lookup.configuration.services.values():
             self._deps.pool.set_accepted(
--- a/pollenfork/gateway/context.py
+++ b/pollenfork/gateway/context.py
@@ -20,13 +20,13 @@
 from pollenfork.gateway import crash_probes
 from pollenfork.gateway import edges
 from pollenfork.gateway import limit_events
-from pollenfork.gateway import load_shedding
 from pollenfork.gateway import messages
 from pollenfork.gateway import permits
 from pollenfork.gateway import pool
 from pollenfork.gateway import probing
 from pollenfork.gateway import reach_monitor
 from pollenfork.gateway import runner_notices
+from pollenfork.gateway.shedding import shedder
 from pollenfork.gateway.streams import origin_directory
 from pollenfork.pace import estimator
 from pollenfork.poison import quarantine
@@ -45,6 +45,7 @@
         demand: What it needs from a runner of the service chosen for it.
         prefill_limit_s: Seconds within which its prompt must be processed;
             beyond that the request is refused; None: no limit.
+        tiers: The tiers of all requests to its service, most urgent first.
         tier_targets: The longest target of each tier's routes to its service,
             in seconds.
         account: The client account, if the request has a key.
@@ -60,6 +61,7 @@
     route: routes.Route
     demand: candidates.RequestProfile
     prefill_limit_s: float | None
+    tiers: tuple[ids.Tier, ...] = ()
     tier_targets: Mapping[ids.Tier, float] = msgspec.field(default_factory=dict)
     account: routes.Account | None
     tier: ids.Tier
@@ -145,7 +147,7 @@
     permits: permits.Permits
     record_started: Callable[[ids.AccountId], None]
     claim_trial: Callable[[ids.RequestDigest, bool], Awaitable[bool]]
-    shed_streaks: load_shedding.ShedStreaks
+    shedder: shedder.Shedder
     counters: counters.Counters
     read_loads_age: Callable[[], float | None]
     reach: reach_monitor.ReachMonitor
--- a/pollenfork/gateway/counters.py
+++ b/pollenfork/gateway/counters.py
@@ -13,9 +13,9 @@
 from pollenfork import ids
 from pollenfork import metric_help
 from pollenfork.fleet import messages as fleet_messages
-from pollenfork.gateway import load_shedding
 from pollenfork.gateway import replies
 from pollenfork.gateway import retries
+from pollenfork.gateway.shedding import limits as shedding_limits
 from pollenfork.returns import edges as returns
 from pollenfork.routes import model as routes
 
@@ -121,7 +121,7 @@
             tuple[replies.Reason, ids.Tier]
         ] = collections.Counter()
         self._admitted: collections.Counter[
-            tuple[load_shedding.Admission, ids.Tier]
+            tuple[shedding_limits.Admission, ids.Tier]
         ] = collections.Counter()
         self._cut: dict[replies.Reason, int] = {}
         self._repeats: dict[fleet_messages.End, int] = {}
@@ -171,7 +171,7 @@
             self._refused_by_tier[reason, tier] += 1
 
     def record_admission(
-        self, tier: ids.Tier, admission: load_shedding.Admission
+        self, tier: ids.Tier, admission: shedding_limits.Admission
     ) -> None:
         """Counts a request that is sent to its first runner."""
         self._admitted[admission, tier] += 1
--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -193,6 +193,7 @@
         grant = await self._selection.find(
             None if is_clear else finding.subject.digest,
             bool(self._history.runners_tried),
+            self._history.may_have_run,
         )
         if not isinstance(grant, outcomes.Grant):
             if not await self._find_elsewhere(grant):
@@ -202,8 +203,6 @@
 
     async def _try_runner(self, grant: outcomes.Grant) -> bool:
         """Sends the request to a runner; returns whether it was served."""
-        if not self._history.runners_tried:
-            self._selection.record_admission()
         self._log.log_choice(grant, self._history, self._selection.admission)
         begun_at = self._deps.loop.time()
         opened = await self._sender.connect(grant)
--- a/pollenfork/gateway/failover/recording.py
+++ b/pollenfork/gateway/failover/recording.py
@@ -9,12 +9,12 @@
 from pollenfork.fleet import outcomes
 from pollenfork.gateway import attempt
 from pollenfork.gateway import context
-from pollenfork.gateway import load_shedding
 from pollenfork.gateway import quarantine_check
 from pollenfork.gateway import request_log
 from pollenfork.gateway import retries
 from pollenfork.gateway import selection
 from pollenfork.gateway.failover import sending
+from pollenfork.gateway.shedding import limits as shedding_limits
 from pollenfork.loads import messages as loads
 
 _LOG = logging.getLogger(__name__)
@@ -133,7 +133,7 @@
     def record_choice(self, grant: outcomes.Grant) -> None:
         """Records the runner that shall take the place of a silent one."""
         self._log.log_choice(
-            grant, self._history, load_shedding.Admission.RETRY
+            grant, self._history, shedding_limits.Admission.RETRY
         )
 
     def record_silence(self, sent: sending.SentAttempt) -> bool:
--- a/pollenfork/gateway/request_log.py
+++ b/pollenfork/gateway/request_log.py
@@ -1,7 +1,7 @@
 """Log lines and counters of one request's progress."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 import logging
 
 from pollenfork import ids
@@ -10,9 +10,9 @@
 from pollenfork.gateway import attempt
 from pollenfork.gateway import context
 from pollenfork.gateway import counters
-from pollenfork.gateway import load_shedding
 from pollenfork.gateway import replies
 from pollenfork.gateway import retries
+from pollenfork.gateway.shedding import limits as shedding_limits
 
 _LOG = logging.getLogger(__name__)
 
@@ -54,7 +54,7 @@
         self,
         grant: outcomes.Grant,
         history: retries.AttemptHistory,
-        admission: load_shedding.Admission,
+        admission: shedding_limits.Admission,
     ) -> None:
         """Logs which runner was chosen and why.
 
@@ -257,29 +257,40 @@
             begun,
         )
 
-    def log_shed(self, found: outcomes.Overloaded, refused: int) -> None:
-        """Logs which limit refused the request, and the other tiers' limits.
+    def log_shed(
+        self,
+        found: outcomes.Overloaded | outcomes.Closed,
+        pressed: Mapping[ids.Tier, float],
+    ) -> None:
+        """Logs which limit refused the request, and the other tiers' state.
 
         Args:
             found: Why no runner was chosen.
-            refused: Consecutive refusals of its tier.
+            pressed: The pressed tiers of its service, and for how long.
         """
         admitted = self._admitted
+        overloaded = found if isinstance(found, outcomes.Overloaded) else None
         _LOG.info(
-            "event=shed request=%s service=%s tier=%d limit=prefill "
-            "limit_ms=%s wait_ms=%d least_wait_ms=%d backlog_ms=%d runner=%s "
-            "own=%d refused=%d tier_limits_ms=%s",
+            "event=shed request=%s service=%s tier=%d limit=%s limit_ms=%s "
+            "wait_ms=%d least_wait_ms=%s least_backlog_ms=%s backlog_ms=%s "
+            "runner=%s own=%d tier_limits_ms=%s pressed_ms=%s",
             self._request,
             admitted.demand.service,
             admitted.tier,
+            "prefill" if overloaded else "tier",
             _format_ms(admitted.prefill_limit_s),
             found.wait_s * 1000,
-            found.least_wait_s * 1000,
-            found.mean_backlog_s * 1000,
-            found.runner or "-",
+            _format_ms(overloaded.least_wait_s if overloaded else None),
+            _format_ms(overloaded.least_backlog_s if overloaded else None),
+            _format_ms(overloaded.mean_backlog_s if overloaded else None),
+            (overloaded and overloaded.runner) or "-",
             admitted.demand.unshared_tokens,
-            refused,
-            load_shedding.format_limits(admitted.tier_targets),
+            shedding_limits.format_limits(admitted.tier_targets),
+            ",".join(
+                f"{tier}:{seconds * 1000:.0f}"
+                for tier, seconds in sorted(pressed.items())
+            )
+            or "-",
             extra=logs.ORDINARY,
         )
 
--- a/pollenfork/gateway/responder.py
+++ b/pollenfork/gateway/responder.py
@@ -26,6 +26,14 @@
 # not all callers in it are likely to retry.
 _MAX_LIMITED_RETRY_S = 10.0
 
+# Refusals that show that a service's runners can't take all requests.
+_LACKS_RUNNERS = (
+    outcomes.Overloaded,
+    outcomes.Full,
+    outcomes.Limited,
+    outcomes.Paused,
+)
+
 
 class Responder:
     """Ends one request."""
@@ -130,11 +138,16 @@
         found: outcomes.Overloaded | outcomes.Refusal | None,
     ) -> None:
         """Refuses the request because no runner accepts it."""
+        if isinstance(found, _LACKS_RUNNERS):
+            self._selection.record_refusal()
         match found:
             case outcomes.Paused():
                 self._refuse_until_resumed(found)
             case outcomes.Overloaded():
                 self._refuse_overloaded(found)
+            case outcomes.Closed():
+                self._log_shed(found)
+                self.end_with_error(_Reason.OVERLOADED, found.wait_s)
             case outcomes.Limited():
                 admitted = self._admitted
                 wait_s = self._deps.permits.estimate_retry_after(
@@ -155,13 +168,7 @@
                 self.end_unless_paused(_Reason.NO_RUNNER)
 
     def _refuse_overloaded(self, found: outcomes.Overloaded) -> None:
-        admitted = self._admitted
-        self._log.log_shed(
-            found,
-            self._deps.shed_streaks.count(
-                admitted.demand.service, admitted.route.tier
-            ),
-        )
+        self._log_shed(found)
         planned_s = self._selection.find_retry_after()
         if planned_s is None:
             wait_s = min(found.wait_s, _MAX_RETRY_AFTER_S)
@@ -170,6 +177,10 @@
             # A planned time may be as short as the caller's remaining time.
             self.end_with_error(_Reason.OVERLOADED, planned_s, least_s=0.0)
 
+    def _log_shed(self, found: outcomes.Overloaded | outcomes.Closed) -> None:
+        service = self._admitted.demand.service
+        self._log.log_shed(found, self._deps.shedder.find_pressed(service))
+
     def end_unless_paused(self, reason: _Reason) -> None:
         """Ends the request; callers of pausing runners are told how long."""
         paused = self._deps.chooser.availability.find_pause(
--- a/pollenfork/gateway/selection.py
+++ b/pollenfork/gateway/selection.py
@@ -8,8 +8,9 @@
 from pollenfork.fleet import outcomes
 from pollenfork.gateway import brittle_runners
 from pollenfork.gateway import context
-from pollenfork.gateway import load_shedding
 from pollenfork.gateway import returning
+from pollenfork.gateway.shedding import limits as shedding_limits
+from pollenfork.gateway.shedding import shedder
 from pollenfork.returns import promises
 
 # Maximum number of rate-limited runners for which a request seeks a permit.
@@ -41,10 +42,15 @@
         self.tried: set[ids.EndpointId] = set()
         self.version: ids.SoftwareVersion | None = None
         self._return = returning.CallerReturn(deps, admitted)
-        self.admission = load_shedding.Admission.IN_TIME
+        self.admission = shedding_limits.Admission.IN_TIME
+        self._is_new = True
+        self._claim = shedder.Claim(deps.shedder, _make_demand(admitted))
 
     async def find(
-        self, suspect: ids.RequestDigest | None, is_retry: bool
+        self,
+        suspect: ids.RequestDigest | None,
+        is_retry: bool,
+        has_begun: bool = True,
     ) -> outcomes.Outcome:
         """Returns a grant for a runner, or the reason why there is none.
 
@@ -52,7 +58,9 @@
             suspect: The digest of what may crash runners, the request or a
                 part of its prompt; None: nothing.
             is_retry: Whether the request has been sent to a runner before.
+            has_begun: Whether it may have run there.
         """
+        self._is_new = not (is_retry and has_begun)
         limited = outcomes.Limited(0.0, 0.0)
         for _ in range(_MAX_PERMIT_REQUESTS):
             if self._deps.loop.time() >= self._admitted.deadline:
@@ -74,6 +82,7 @@
         tier = self._admitted.tier
         left_s = self._admitted.deadline - loop.time()
         until = loop.time() + min(_MAX_PLACE_WAIT_S, left_s / 4)
+        self._claim.record_wait()
         found: outcomes.Outcome = outcomes.Full()
         with brittle.wait(tier):
             while loop.time() < until and isinstance(found, outcomes.Full):
@@ -82,15 +91,9 @@
                     found = self._choose(suspect, is_retry)
         return found
 
-    def record_admission(self) -> None:
-        """Records that the request was admitted without load shedding.
-
-        One that was promised its return says nothing about the load.
-        """
-        if self._return.is_kept:
-            return
-        service = self._admitted.demand.service
-        self._deps.shed_streaks.reset(service, self._admitted.route.tier)
+    def record_refusal(self) -> None:
+        """Records that the request is refused for want of runners."""
+        self._claim.record_wait()
 
     def find_retry_after(self) -> float | None:
         """Returns the seconds after which a shed request should return.
@@ -132,49 +135,68 @@
     ) -> outcomes.Outcome:
         if not self._deps.brittle.has_turn(self._admitted.tier):
             return outcomes.Full()
+        if self._is_new and not self._claim.may_begin():
+            return self._deps.shedder.refuse_closed()
         if suspect is not None:
-            self.admission = load_shedding.Admission.SUSPECT
+            self.admission = shedding_limits.Admission.SUSPECT
             return self._find_runner(None, suspect)
         # An admitted request isn't shed because of load that arrived later.
         if is_retry:
-            self.admission = load_shedding.Admission.RETRY
+            self.admission = shedding_limits.Admission.RETRY
             return self._find_runner(longest_s=None)
         claimed = self._return.claim()
         if isinstance(claimed, promises.Early):
             return outcomes.Overloaded(claimed.left_s)
         if claimed is not None:
-            self.admission = load_shedding.Admission.PROMISED
+            self.admission = shedding_limits.Admission.PROMISED
             found = self._find_runner(longest_s=None)
             self._return.settle(found)
             return found
-        self.admission = load_shedding.Admission.IN_TIME
-        found = self._find_runner(self._return.limit_prefill())
+        return self._find_new()
+
+    def _find_new(self) -> outcomes.Outcome:
+        """Chooses a runner for a request without a promise."""
+        claim = self._claim
+        if claim.has_share:
+            self.admission = shedding_limits.Admission.SHARE
+            return self._find_runner(longest_s=None)
+        limit_s = self._return.limit_prefill()
+        self.admission = shedding_limits.Admission.IN_TIME
+        found = self._find_runner(limit_s, fallback_s=claim.find_longest_wait())
+        claim.record_found(found)
+        if isinstance(found, outcomes.Grant):
+            if limit_s is not None and found.wait_s > limit_s:
+                self.admission = shedding_limits.Admission.URGENT
+            return found
         if not isinstance(found, outcomes.Overloaded):
             return found
-        # A caller with a promise doesn't starve. Admitting every sixth one
-        # nevertheless let callers that return at once, before other instances
-        # know their promise, get ahead by 2 s of 3 s in a fake site.
-        if self._return.promise(found) or not self._is_admitted_anyway():
+        # A caller with a promise doesn't starve.
+        if self._return.promise(found) or not claim.take_share():
             return found
-        self.admission = load_shedding.Admission.AFTER_REFUSALS
+        self.admission = shedding_limits.Admission.SHARE
         return self._find_runner(longest_s=None)
 
     def _find_runner(
         self,
         longest_s: float | None,
         suspect: ids.RequestDigest | None = None,
+        fallback_s: float | None = None,
     ) -> outcomes.Outcome:
         now = self._deps.loop.time()
         demand = self._admitted.demand
         if self.version is not None:
             demand = msgspec.structs.replace(demand, version=self.version)
         return self._deps.chooser.choose(
-            demand, self.tried, now, longest_s, suspect
+            demand, self.tried, now, longest_s, suspect, fallback_s
         )
 
-    def _is_admitted_anyway(self) -> bool:
-        """Returns whether a request that would be shed is admitted anyway."""
-        service = self._admitted.demand.service
-        return self._deps.shed_streaks.admit_after_refusals(
-            service, self._admitted.route.tier
-        )
+
+def _make_demand(admitted: context.AdmittedRequest) -> shedder.Demand:
+    return shedder.Demand(
+        profile=admitted.demand,
+        tier=admitted.tier,
+        tiers=admitted.tiers,
+        target_s=admitted.route.target_s,
+        limit_s=admitted.prefill_limit_s,
+        deadline=admitted.deadline,
+    )
--- a/pollenfork/gateway/updates.py
+++ b/pollenfork/gateway/updates.py
@@ -7,6 +7,8 @@
 from pollenfork.pace import estimator
 from pollenfork.returns import edges as returns
 
+PressuresCallback = Callable[[tuple[messages.TierPressure, ...], float], None]
+
 
 class UpdateExchange:
     """Collects this instance's updates and passes on those of others."""
@@ -24,6 +26,20 @@
         self._clock = clock
         self._queue = queues.UpdateQueue()
         self._on_returns: list[returns.ReturnsCallback] = []
+        self._on_pressures: list[PressuresCallback] = []
+
+    def when_pressures(self, callback: PressuresCallback) -> None:
+        """Calls `callback` with the tiers that other instances find pressed.
+
+        And with the time at which that arrived, in monotonic seconds.
+        """
+        self._on_pressures.append(callback)
+
+    def announce_pressures(
+        self, pressures: tuple[messages.TierPressure, ...]
+    ) -> None:
+        """Queues the tiers that this instance finds pressed."""
+        self._queue.add(messages.Updates(pressures=pressures), self._clock())
 
     def when_returns(self, callback: returns.ReturnsCallback) -> None:
         """Calls `callback` with other instances' planned returns and a time.
@@ -39,8 +55,10 @@
 
     def take(self, now: float) -> messages.Updates:
         """Returns this instance's updates to send now."""
-        planned = self._queue.take(now) or messages.Updates()
-        return messages.Updates(self._paces.take_samples(now), planned.returns)
+        queued = self._queue.take(now) or messages.Updates()
+        return messages.Updates(
+            self._paces.take_samples(now), queued.returns, queued.pressures
+        )
 
     def receive(self, updates: messages.Updates, now: float) -> None:
         """Passes on the updates of other instances."""
@@ -48,3 +66,6 @@
         if updates.returns:
             for notify in self._on_returns:
                 notify(updates.returns, now)
+        if updates.pressures:
+            for inform in self._on_pressures:
+                inform(updates.pressures, now)
--- a/pollenfork/loads/messages.py
+++ b/pollenfork/loads/messages.py
@@ -116,16 +116,34 @@
     tokens: int = 0
 
 
+class TierPressure(msgspec.Struct, frozen=True, array_like=True):
+    """A tier of a service waits, so less urgent ones are closed.
+
+    Attributes:
+        service: A hash of the service.
+        tier: The tier.
+        since_ms: For how long it has been pressed, in milliseconds.
+        age_ms: How long ago it was last found so, in milliseconds.
+    """
+
+    service: int
+    tier: ids.Tier
+    since_ms: int
+    age_ms: int
+
+
 class Updates(msgspec.Struct, frozen=True, array_like=True):
     """News for all instances that is sent once.
 
     Attributes:
         paces: Samples of runners' paces.
         returns: Returns that callers were told.
+        pressures: Pressed tiers.
     """
 
     paces: tuple[PaceSample, ...] = ()
     returns: tuple[PlannedReturn, ...] = ()
+    pressures: tuple[TierPressure, ...] = ()
 
 
 class StoreStatus(msgspec.Struct, frozen=True, array_like=True):
--- a/pollenfork/loads/updates.py
+++ b/pollenfork/loads/updates.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from pollenfork import ids
 from pollenfork.loads import messages
 
 # Updates of each kind in one datagram: a pace takes 7 to 15 bytes, a return up
@@ -32,6 +33,7 @@
     Attributes:
         paces: Samples of paces, and when they were queued.
         returns: Planned returns, and when they were queued.
+        pressures: Pressed tiers by service and tier, and when they were queued.
     """
 
     paces: collections.deque[tuple[float, messages.PaceSample]] = msgspec.field(
@@ -43,21 +45,27 @@
         )
     )
 
+    pressures: dict[
+        tuple[int, ids.Tier], tuple[float, messages.TierPressure]
+    ] = msgspec.field(default_factory=dict)
+
     def add(self, updates: messages.Updates, now: float) -> None:
         """Queues updates to send."""
         if updates.paces:
             self.paces.extend(zip(itertools.repeat(now), updates.paces))
         if updates.returns:
             self.returns.extend(zip(itertools.repeat(now), updates.returns))
+        for pressure in updates.pressures:
+            self._add_pressure(pressure, now)
 
     @property
     def is_urgent(self) -> bool:
         """Whether they are to be sent at once.
 
-        A caller may return 0.15 s after it was refused, while a pace can wait
-        for the next regular datagram.
+        A caller may return 0.15 s after it was refused, and a pressed tier
+        waits, while a pace can wait for the next regular datagram.
         """
-        return bool(self.returns)
+        return bool(self.returns or self.pressures)
 
     def take(self, now: float) -> messages.Updates | None:
         """Returns the updates for the next datagram, if there are any."""
@@ -74,9 +82,41 @@
                 returns.append(
                     msgspec.structs.replace(planned, due_in_ms=due_in_ms)
                 )
-        if not paces and not returns:
+        pressures = self._take_pressures(now)
+        if not paces and not returns and not pressures:
             return None
-        return messages.Updates(tuple(paces), tuple(returns))
+        return messages.Updates(tuple(paces), tuple(returns), pressures)
+
+    def _add_pressure(
+        self, pressure: messages.TierPressure, now: float
+    ) -> None:
+        """Queues a pressed tier; of several announcements the newest counts."""
+        key = pressure.service, pressure.tier
+        if key not in self.pressures and len(self.pressures) >= _MAX_QUEUED:
+            return
+        known = self.pressures.get(key)
+        if known is not None:
+            waited_ms = int((now - known[0]) * 1000)
+            pressure = msgspec.structs.replace(
+                pressure,
+                since_ms=max(pressure.since_ms, known[1].since_ms + waited_ms),
+                age_ms=min(pressure.age_ms, known[1].age_ms + waited_ms),
+            )
+        self.pressures[key] = now, pressure
+
+    def _take_pressures(self, now: float) -> tuple[messages.TierPressure, ...]:
+        taken = []
+        for key in list(self.pressures)[:MAX_PER_DATAGRAM]:
+            queued_at, pressure = self.pressures.pop(key)
+            waited_ms = int((now - queued_at) * 1000)
+            taken.append(
+                msgspec.structs.replace(
+                    pressure,
+                    since_ms=pressure.since_ms + waited_ms,
+                    age_ms=pressure.age_ms + waited_ms,
+                )
+            )
+        return tuple(taken)
 
 
 def limit(updates: messages.Updates | None) -> messages.Updates:
@@ -89,6 +129,7 @@
     return messages.Updates(
         tuple(shorten(each) for each in updates.paces[:MAX_PER_DATAGRAM]),
         updates.returns[:MAX_PER_DATAGRAM],
+        updates.pressures[:MAX_PER_DATAGRAM],
     )
 
 
--- a/pollenfork/routes/lookup.py
+++ b/pollenfork/routes/lookup.py
@@ -35,6 +35,17 @@
         self._route_tiers = 1 + max(
             (route.tier for route in configuration.routes), default=0
         )
+        account_tiers = {item.tier or 0 for item in accounts} | {0}
+        self._request_tiers = {
+            service: tuple(
+                sorted(
+                    ids.Tier(first * self._route_tiers + tier)
+                    for first in account_tiers
+                    for tier in route_tiers
+                )
+            )
+            for service, route_tiers in self._tiers.items()
+        }
 
     def find_route(self, host: str, path: str) -> model.Route | None:
         """Returns the host's route with the longest matching prefix.
@@ -63,6 +74,15 @@
         """Returns the tiers of all routes to a service, most urgent first."""
         return self._tiers.get(service, ())
 
+    def list_request_tiers(
+        self, service: ids.ServiceName
+    ) -> tuple[ids.Tier, ...]:
+        """Returns the tiers of all requests to a service, most urgent first.
+
+        They follow from the accounts' tiers and the routes'.
+        """
+        return self._request_tiers.get(service, ())
+
     def list_targets(
         self, service: ids.ServiceName
     ) -> Mapping[ids.Tier, float]:
