Bound the pressed tiers that other instances may state, and test their order

A test of the bound found that a service without a place in the table still got an entry (5,000 of 5,000 kept, 1,024 meant).

--- a/pollenfork/shedding/order.py
+++ b/pollenfork/shedding/order.py
@@ -50,6 +50,7 @@
     def __init__(self) -> None:
         """Starts without a pressed tier."""
         self._spans: dict[int, dict[ids.Tier, _Span]] = {}
+        self._size = 0
         self._news: dict[tuple[int, ids.Tier], _Span] = {}
 
     def record_pressure(
@@ -155,6 +156,7 @@
             for tier, span in list(spans.items()):
                 if now - span.last >= _MAX_AGE_S:
                     del spans[tier]
+                    self._size -= 1
             if not spans:
                 del self._spans[mark]
 
@@ -167,12 +169,12 @@
     def _extend(
         self, mark: int, tier: ids.Tier, since: float, last: float
     ) -> _Span:
-        spans = self._spans.setdefault(mark, {})
-        span = spans.get(tier)
+        span = self._spans.get(mark, {}).get(tier)
         if span is None:
-            if sum(map(len, self._spans.values())) >= _MAX_SPANS:
-                return _Span(since, last)
-            span = spans[tier] = _Span(since, last)
+            span = _Span(since, last)
+            if self._size < _MAX_SPANS:
+                self._spans.setdefault(mark, {})[tier] = span
+                self._size += 1
         elif since - span.last >= _HOLD_S:
             # Less urgent requests have begun meanwhile.
             span.since, span.last = since, last
