--- a/pollenfork/loads/tests/test_updates.py
+++ b/pollenfork/loads/tests/test_updates.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 
+from pollenfork import ids
 from pollenfork.loads import core
 from pollenfork.loads import messages
 from pollenfork.loads import updates
@@ -221,3 +222,61 @@
     network.instances["10.0.0.000"].updates = messages.Updates((SAMPLE,))
     sends = relay.tick(network.now + 10 * core.PERIOD_S)
     assert any(send.to.host == "10.0.0.009" for send in sends)
+
+
+PRESSURE = messages.TierPressure(7, ids.Tier(1), 400, 50)
+
+
+class EarlierUpdates(msgspec.Struct, frozen=True, array_like=True):
+    """Updates as builds without pressed tiers know them."""
+
+    paces: tuple[messages.PaceSample, ...] = ()
+    returns: tuple[messages.PlannedReturn, ...] = ()
+
+
+@pytest.mark.parametrize("sender", ["10.0.0.000", "10.1.0.004"])
+def test_a_pressed_tier_is_known_everywhere_at_once(sender) -> None:
+    """Guards against less urgent requests that begin at other instances."""
+    network = test_exchange.Network(12)
+    network.run(4.0)
+    network.instances[sender].updates = messages.Updates(pressures=(PRESSURE,))
+    sent_at = network.now + core.PERIOD_S
+    network.run(2.0)
+    for host, instance in network.instances.items():
+        received = [
+            (at, pressure)
+            for each, at in instance.received_updates
+            for pressure in each.pressures
+        ]
+        if host == sender:
+            assert received == []
+            continue
+        [(at, pressure)] = received
+        assert at - sent_at <= 0.15 + 1e-6
+        # The time that it waited in queues has been added.
+        assert 50 <= pressure.age_ms <= 201
+        assert pressure.since_ms - pressure.age_ms == 350
+
+
+def test_a_queue_merges_what_is_told_of_a_tier() -> None:
+    queue = updates.UpdateQueue()
+    queue.add(messages.Updates(pressures=(PRESSURE,)), 10.0)
+    newer = messages.TierPressure(7, ids.Tier(1), 100, 10)
+    queue.add(messages.Updates(pressures=(newer,)), 10.25)
+    assert queue.is_urgent
+    taken = queue.take(10.5)
+    assert taken.pressures == (
+        messages.TierPressure(7, ids.Tier(1), 900, 260),
+    )
+    assert queue.take(10.5) is None
+
+
+def test_builds_with_and_without_pressed_tiers_read_each_other() -> None:
+    sent = messages.Updates((SAMPLE,), (RETURN,), (PRESSURE,))
+    data = msgspec.msgpack.encode(sent)
+    earlier = msgspec.msgpack.decode(data, type=EarlierUpdates)
+    assert earlier == EarlierUpdates((SAMPLE,), (RETURN,))
+    back = msgspec.msgpack.decode(
+        msgspec.msgpack.encode(earlier), type=messages.Updates
+    )
+    assert back == messages.Updates((SAMPLE,), (RETURN,))
