Let promised returns take no room from more urgent callers

A promise admitted its caller whatever its tier, and its tokens shortened the limit of every request: callers of an urgent kind were refused for returns of less urgent ones.

--- a/pollenfork/gateway/returning.py
+++ b/pollenfork/gateway/returning.py
@@ -34,6 +34,7 @@
             target_s=admitted.demand.target_s,
             arrived=admitted.call.arrived,
             deadline=admitted.deadline,
+            tier=admitted.tier,
         )
         self._claimed: promises.Kept | promises.Early | None = None
         self._has_claimed = False
@@ -75,7 +76,9 @@
         if self._planner is None or limit_s is None:
             return limit_s
         now = self._deps.loop.time()
-        backlog_s = self._planner.measure_backlog(self._find_rate(), now)
+        backlog_s = self._planner.measure_backlog(
+            self._find_rate(), now, self._admitted.tier
+        )
         return max(0.0, limit_s - backlog_s)
 
     def promise(self, found: outcomes.Overloaded) -> bool:
--- a/pollenfork/gateway/tests/test_returning.py
+++ b/pollenfork/gateway/tests/test_returning.py
@@ -117,6 +117,7 @@
         prefill_limit_s=LIMIT_S,
         account=None,
         tier=ids.Tier(2),
+        tiers=(ids.Tier(0), ids.Tier(1), ids.Tier(2)),
         version=1,
         age_s=0.0,
         deadline=now + left_s,
@@ -286,3 +287,42 @@
         assert isinstance(kept, outcomes.Grant)
     # The share of ten runners is earned in 0.13 s.
     assert sum(isinstance(each, outcomes.Grant) for each in found) >= 3
+
+
+def test_returns_of_less_urgent_callers_take_no_room_from_urgent_ones() -> None:
+    """Guards against urgent requests refused for less urgent promises."""
+    instance = Instance(pending=70_000)
+    promised = tuple(
+        loads.PlannedReturn(number, 100, TOKENS, ids.Tier(3))
+        for number in range(40)
+    )
+    instance.peers.callback(promised, instance.now)
+    assert isinstance(instance.select(digest=99)[0], outcomes.Grant)
+    urgent = tuple(
+        loads.PlannedReturn(number, 100, TOKENS, ids.Tier(2))
+        for number in range(100, 140)
+    )
+    instance.peers.callback(urgent, instance.now)
+    assert isinstance(instance.select(digest=99)[0], outcomes.Overloaded)
+
+
+def press(instance: Instance) -> None:
+    """Lets another instance find a more urgent tier pressed."""
+    pressed = loads.TierPressure(
+        loads.hash_name(support.SERVICE.encode()), ids.Tier(1), 500, 0
+    )
+    instance._deps.shedder._order.receive((pressed,), instance.now)
+
+
+def test_a_promise_of_a_closed_tier_is_kept_once_the_tier_is_open() -> None:
+    """Guards against promised returns that overtake more urgent callers."""
+    instance = Instance(pending=120_000)
+    _, wait_s = instance.select()
+    instance.now += wait_s
+    press(instance)
+    found, told_s = instance.select()
+    assert isinstance(found, outcomes.Closed)
+    assert 1.0 <= found.wait_s <= 2.0 and told_s is None
+    instance.now += found.wait_s
+    assert isinstance(instance.select()[0], outcomes.Grant)
+    assert instance.counters.counts[_Event.KEPT] == 1
--- a/pollenfork/loads/messages.py
+++ b/pollenfork/loads/messages.py
@@ -109,11 +109,13 @@
         digest: Identifies the request when it is sent again.
         due_in_ms: Milliseconds from now until it is due.
         tokens: Prompt tokens that it will need.
+        tier: Its tier; 0 if sent by an earlier version, which doesn't tell.
     """
 
     digest: int
     due_in_ms: float
     tokens: int = 0
+    tier: ids.Tier = ids.Tier(0)
 
 
 class TierPressure(msgspec.Struct, frozen=True, array_like=True):
--- a/pollenfork/loads/tests/test_updates.py
+++ b/pollenfork/loads/tests/test_updates.py
@@ -265,9 +265,7 @@
     queue.add(messages.Updates(pressures=(newer,)), 10.25)
     assert queue.is_urgent
     taken = queue.take(10.5)
-    assert taken.pressures == (
-        messages.TierPressure(7, ids.Tier(1), 900, 260),
-    )
+    assert taken.pressures == (messages.TierPressure(7, ids.Tier(1), 900, 260),)
     assert queue.take(10.5) is None
 
 
--- a/pollenfork/returns/planner.py
+++ b/pollenfork/returns/planner.py
@@ -64,6 +64,7 @@
         target_s: Target time to the first event, in seconds.
         arrived: Monotonic seconds at which it arrived.
         deadline: Monotonic seconds from which on its answer is useless.
+        tier: The request's tier.
     """
 
     request: str
@@ -73,6 +74,7 @@
     target_s: float
     arrived: float
     deadline: float
+    tier: ids.Tier = ids.Tier(0)
 
 
 class Overload(msgspec.Struct, frozen=True):
@@ -159,7 +161,7 @@
         """Adds the promises of other instances."""
         for each in planned:
             due = now + each.due_in_ms / 1000
-            self._promises.add(each.digest, due, each.tokens, now)
+            self._promises.add(each.digest, due, each.tokens, now, each.tier)
 
     def claim(
         self, caller: Caller, now: float
@@ -186,18 +188,23 @@
     def restore(self, caller: Caller, kept: promises.Kept, now: float) -> None:
         """Renews the promise of a request for which there was no runner."""
         short = promises.shorten_digest(caller.digest)
-        self._promises.add(short, now - kept.late_s, caller.tokens, now)
+        due = now - kept.late_s
+        self._promises.add(short, due, caller.tokens, now, caller.tier)
 
-    def measure_backlog(self, rate: float, now: float) -> float:
+    def measure_backlog(
+        self, rate: float, now: float, tier: ids.Tier | None = None
+    ) -> float:
         """Returns the seconds of work that the returns due soon will take.
 
         Args:
+            tier: Less urgent returns than of this tier are left out, as they
+                give way to it; None: none are.
             rate: Prompt tokens per second that the service's runners process.
             now: Monotonic seconds.
         """
         if rate <= 0:
             return 0.0
-        return self._promises.count_tokens(now, _HORIZON_S) / rate
+        return self._promises.count_tokens(now, _HORIZON_S, tier) / rate
 
     def refuse_early(
         self, caller: Caller, early: promises.Early, now: float
@@ -238,12 +245,15 @@
         due = now + told_s
         short = promises.shorten_digest(caller.digest)
         queue = len(self._promises)
-        if not self._promises.add(short, due, caller.tokens, now):
+        if not self._promises.add(short, due, caller.tokens, now, caller.tier):
             return Plan(told_s, "table_full")
         if self._peers is not None:
             self._peers.announce_return(
                 messages.PlannedReturn(
-                    short, math.floor(told_s * 1000), caller.tokens
+                    short,
+                    math.floor(told_s * 1000),
+                    caller.tokens,
+                    caller.tier,
                 )
             )
         self._counters.record_return(_Event.PLANNED)
--- a/pollenfork/returns/promises.py
+++ b/pollenfork/returns/promises.py
@@ -54,6 +54,7 @@
     due: float
     digest: int
     tokens: int
+    tier: ids.Tier
     made_at: float
     open: bool = True
 
@@ -71,15 +72,22 @@
         self._added = 0
         self._size = 0
         # Prompt tokens by the time at which they are due: of the promises that
-        # aren't used up, and of all.
-        self._tokens: collections.Counter[int] = collections.Counter()
+        # aren't used up, by tier, and of all.
+        self._tokens: dict[ids.Tier, collections.Counter[int]] = {}
         self._all_tokens: collections.Counter[int] = collections.Counter()
 
     def __len__(self) -> int:
         """Returns the number of promises that aren't used up."""
         return self._size
 
-    def add(self, digest: int, due: float, tokens: int, now: float) -> bool:
+    def add(
+        self,
+        digest: int,
+        due: float,
+        tokens: int,
+        now: float,
+        tier: ids.Tier = ids.Tier(0),
+    ) -> bool:
         """Adds a promise.
 
         If the table is full, the promise due first makes room if it is overdue:
@@ -90,6 +98,7 @@
             due: Monotonic seconds at which it is due.
             tokens: Prompt tokens that the request will need.
             now: Monotonic seconds.
+            tier: The request's tier.
 
         Returns:
             Whether it was added; False: it is invalid, or the table is full.
@@ -101,12 +110,13 @@
         self._expire(now - _GRACE_S)
         if self._size >= _MAX_PROMISES and not self._evict_overdue(now):
             return False
-        promise = _Promise(due, digest, tokens, now)
+        promise = _Promise(due, digest, tokens, tier, now)
         self._by_digest.setdefault(digest, []).append(promise)
         self._added += 1
         heapq.heappush(self._queue, (due, self._added, promise))
         self._size += 1
-        self._tokens[_find_bucket(due)] += tokens
+        of_tier = self._tokens.setdefault(tier, collections.Counter())
+        of_tier[_find_bucket(due)] += tokens
         self._all_tokens[_find_bucket(due)] += tokens
         return True
 
@@ -138,18 +148,27 @@
         self._remove(first)
         return Kept(now - first.due)
 
-    def count_tokens(self, now: float, horizon_s: float) -> int:
+    def count_tokens(
+        self, now: float, horizon_s: float, tier: ids.Tier | None = None
+    ) -> int:
         """Returns the prompt tokens of the returns that are due soon.
 
         Args:
             now: Monotonic seconds.
             horizon_s: How far ahead to look, in seconds.
+            tier: Less urgent returns than of this tier are left out; None:
+                none are.
         """
         self._expire(now - _GRACE_S)
         if not self._size:
             return 0
         buckets = range(_find_bucket(now), _find_bucket(now + horizon_s) + 1)
-        return sum(self._tokens.get(each, 0) for each in buckets)
+        return sum(
+            of_tier.get(each, 0)
+            for urgency, of_tier in self._tokens.items()
+            if tier is None or urgency <= tier
+            for each in buckets
+        )
 
     def count_returned(self, start: float, end: float) -> int:
         """Returns the prompt tokens of all returns that were due in a period.
@@ -190,7 +209,10 @@
         same.remove(promise)
         if not same:
             del self._by_digest[promise.digest]
-        _subtract(self._tokens, promise)
+        of_tier = self._tokens[promise.tier]
+        _subtract(of_tier, promise)
+        if not of_tier:
+            del self._tokens[promise.tier]
 
 
 def _subtract(tokens: collections.Counter[int], promise: _Promise) -> None:
