Test the order of tiers on each path on which requests wait

Retries of what never ran, forwarded requests, waits for places at brittle runners, refusals by rate limits, pauses and overload, and the tiers of accounts: a refusal at one instance closes the less urgent tiers at all.

--- a/pollenfork/gateway/tests/support.py
+++ b/pollenfork/gateway/tests/support.py
@@ -17,6 +17,7 @@
 from pollenfork.gateway import counters
 from pollenfork.gateway import crash_probes
 from pollenfork.gateway import exchange
+from pollenfork.gateway import forwarding
 from pollenfork.gateway import limit_events
 from pollenfork.gateway import messages
 from pollenfork.gateway import pace_samples
@@ -210,6 +211,8 @@
         self.demand = candidates.RequestProfile(SERVICE)
         self.begun: list[ids.AccountId] = []
         self.prefill_limit_s: float | None = None
+        self.tiers: tuple[ids.Tier, ...] = ()
+        self.forwarded: forwarding.Forwarded | None = None
         self.runners = registry.Registry()
         connections = pool.Pool(loop)
         connections.watch_registry(self.runners)
@@ -325,12 +328,14 @@
             prefill_limit_s=self.prefill_limit_s,
             account=None,
             tier=self.route.tier,
+            tiers=self.tiers,
             version=1,
             age_s=0.0,
             deadline=call.arrived + self.route.time_limit_s,
             digest=digests.compute(None, call.method, call.target, call.body),
         )
-        await exchange.Exchange(self.deps, admitted, caller).run()
+        served = exchange.Exchange(self.deps, admitted, caller, self.forwarded)
+        await served.run()
 
 
 def make_route(kind: routes.Kind, **given) -> routes.Route:
