Close a connection whose head, field or body has no end

A peer may send bytes that are no answer without an end. The parser keeps a field until it is whole and has no limit: fields, one field, a status line, interim answers, chunk extensions and trailers grew until the time limit, as did bodies for another request and answers to calls of our own (store, instances, reports of runners); callers' fields and pipelined requests likewise. Several long answers at once could fill the memory, each below its own limit.

What comes beside a body is counted as it arrives (64 KiB and 16 bytes for each byte of body); refusals may have 64 KiB, dropped answers 1 MiB, an event 256 KiB instead of 1 MiB, a runner's report 1 MiB, other calls 12 MiB, and all long answers together a quarter of the memory. The connection is closed at once, logged as answer_too_large, and the request goes on elsewhere if it may: a refusal whose body never ends is still a refusal.

--- a/pollenfork/gateway/attempt.py
+++ b/pollenfork/gateway/attempt.py
@@ -15,6 +15,8 @@
 
 # Answers that aren't streamed are buffered whole before they are forwarded.
 _MAX_ANSWER_BYTES = 16 << 20
+# The body of a refusal isn't passed on.
+_MAX_REFUSAL_BYTES = 64 * 1024
 _SERVER_ERROR = 500
 
 End = fleet_messages.End
@@ -124,7 +126,7 @@
         on_first_output: Callable[[], None],
         on_head: Callable[[messages.ResponseHead], None] | None = None,
         on_any_head: Callable[[messages.ResponseHead], None] | None = None,
-        on_buffered: Callable[[int], None] | None = None,
+        on_buffered: Callable[[int], bool] | None = None,
     ) -> None:
         """Creates an attempt that waits for its answer.
 
@@ -138,7 +140,7 @@
             on_any_head: Called with every head that arrives on the connection,
                 also those of answers to earlier requests.
             on_buffered: Called with the size of each piece that is kept until
-                the answer is whole.
+                the answer is whole; returns whether there is room for it.
         """
         self._loop = loop
         self._codec = codec
@@ -177,42 +179,47 @@
             self._on_head(head)
         return True
 
-    def on_body(self, data: bytes) -> None:
-        """Buffers or forwards a piece of the body."""
+    def on_body(self, data: bytes) -> bool:
+        """Buffers or forwards a piece; returns False if it is too large."""
         if self.done.done():
-            return
+            return True
         if not self.is_streamed:
-            self._size += len(data)
-            if self._size > _MAX_ANSWER_BYTES:
-                self._fail(connection.ResponseFailure.INVALID)
-            else:
-                self._body.append(data)
-                if self._on_buffered is not None:
-                    self._on_buffered(len(data))
-            return
+            return self._buffer(data)
         assert self._relay is not None
         if not self._may_answer():
-            return
+            return True
         self._take_over()
         try:
             complete = self._relay.splitter.feed(data)
+        except events.EventTooLarge:
+            return False
         except events.StreamError:
             self._fail(connection.ResponseFailure.INVALID)
-            return
+            return True
         if complete:
             self._forward(complete)
+        return True
+
+    def _buffer(self, data: bytes) -> bool:
+        """Keeps a piece of an answer; returns False if it is too large."""
+        assert self._head is not None
+        self._size += len(data)
+        if self._head.displaced or self._head.not_run:
+            # The head alone tells what became of the request.
+            return self._size <= _MAX_REFUSAL_BYTES
+        if self._size > _MAX_ANSWER_BYTES:
+            return False
+        self._body.append(data)
+        return self._on_buffered is None or self._on_buffered(len(data))
 
     def on_end(self) -> None:
         """Determines the result of the attempt from a complete answer."""
         head = self._head
         assert head is not None
         self.phase = Phase.ENDED
-        if head.displaced:
-            self._finish(AttemptResult(End.DISPLACED, head))
-        elif head.not_run:
-            end = End.PAUSED if head.pause.seconds else End.REFUSED
-            self._finish(AttemptResult(end, head))
-        elif not head.sealed or not head.attempt:
+        if self._finish_refused():
+            return
+        if not head.sealed or not head.attempt:
             self._fail(connection.ResponseFailure.INVALID)
         elif head.status < _SERVER_ERROR and not self._may_answer():
             return
@@ -224,7 +231,9 @@
 
     def on_failure(self, failure: connection.ResponseFailure) -> None:
         """Ends the attempt with an incomplete answer."""
-        self._fail(failure)
+        is_too_large = failure is connection.ResponseFailure.TOO_LARGE
+        if not is_too_large or not self._finish_refused():
+            self._fail(failure)
 
     @property
     def can_follow(self) -> bool:
@@ -245,6 +254,20 @@
             and head.status == 200
         )
 
+    def _finish_refused(self) -> bool:
+        """Ends an attempt that the runner didn't run; returns if it is one."""
+        head = self._head
+        if head is None:
+            return False
+        if head.displaced:
+            self._finish(AttemptResult(End.DISPLACED, head))
+            return True
+        if head.not_run:
+            end = End.PAUSED if head.pause.seconds else End.REFUSED
+            self._finish(AttemptResult(end, head))
+            return True
+        return False
+
     def _may_answer(self) -> bool:
         return self.claim is None or self.claim()
 
--- /dev/null
+++ b/pollenfork/gateway/bounds/__init__.py
@@ -0,0 +1,1 @@
+"""Bounds on what peers may send before it becomes a message."""
--- a/pollenfork/gateway/buffers.py
+++ b/pollenfork/gateway/buffers.py
@@ -83,6 +83,8 @@
     Attributes:
         bound: The bound on these bytes; None: no bound.
         total: The bytes held, as last measured.
+        answer_bytes: The bytes of answers that aren't whole yet, whether the
+            bound applies or not.
         callers: The buffers of connected callers.
     """
 
@@ -96,6 +98,7 @@
             None if memory_bytes is None else int(memory_bytes * _BUFFER_SHARE)
         )
         self.total = 0
+        self.answer_bytes = 0
         self.callers: set[CallerBuffers] = set()
         self._measured = 0
         self._active = False
@@ -218,7 +221,7 @@
         self._source = None
         self._on_paused = _ignore
         self._is_paused = False
-        self._answer_bytes = 0
+        self._drop_answer()
         self.update()
 
     def open(self) -> None:
@@ -228,6 +231,7 @@
     def close(self) -> None:
         """Removes all that is held for a disconnected caller."""
         self._account.callers.discard(self)
+        self._drop_answer()
         self._account.add(-self._held)
         self._held = 0
 
@@ -239,13 +243,22 @@
         else:
             self._set_paused(full)
 
-    def record_answer(self, size: int) -> None:
+    def record_answer(self, size: int) -> bool:
         """Adds a piece of an answer that is sent only when it is whole.
 
         Its reading is never paused: the rest is needed to send any of it.
+
+        Returns:
+            Whether there is room for it. Long answers are given up once all of
+            them together exceed the bound.
         """
         self._answer_bytes += size
+        self._account.answer_bytes += size
         self.update()
+        bound = self._account.bound
+        if bound is None or self._answer_bytes <= CALLER_SHARE_BYTES:
+            return True
+        return self._account.answer_bytes <= bound
 
     def update(self) -> None:
         """Measures the buffers, then pauses or resumes reading."""
@@ -283,6 +296,10 @@
         if not self._account.active:
             self._set_paused(self._is_full)
 
+    def _drop_answer(self) -> None:
+        self._account.answer_bytes -= self._answer_bytes
+        self._answer_bytes = 0
+
     def _set_paused(self, paused: bool) -> None:
         if self._source is None:
             return
--- a/pollenfork/gateway/cache_feed.py
+++ b/pollenfork/gateway/cache_feed.py
@@ -34,6 +34,8 @@
 # longest that runners accept; and the additional time allowed for the answer.
 _WAIT_S = 1.0
 _SLACK_S = 0.7
+# A list of ten thousand cached parts takes half of this.
+_MAX_REPORT_BYTES = 1 << 20
 # The pause between calls to a runner, in seconds, so that changes of a busy
 # runner come in batches. They are some hundred milliseconds old by the time
 # they can be fetched.
@@ -131,7 +133,9 @@
     async def _follow(self, runner: fleet.Runner) -> None:
         """Follows one runner until cancelled."""
         on_head = self._on_head and functools.partial(self._on_head, runner)
-        calls = client.Client(loads.Address(runner.host, runner.port), on_head)
+        calls = client.Client(
+            loads.Address(runner.host, runner.port), on_head, _MAX_REPORT_BYTES
+        )
         after: int | None = None
         epoch = ""
         pause_s = _FIRST_PAUSE_S
--- a/pollenfork/gateway/callers.py
+++ b/pollenfork/gateway/callers.py
@@ -12,6 +12,7 @@
 from pollenfork.gateway import buffers
 from pollenfork.gateway import messages
 from pollenfork.gateway import replies
+from pollenfork.gateway.bounds import framing
 from pollenfork.routes import model as routes
 
 _LOG = logging.getLogger(__name__)
@@ -21,6 +22,8 @@
 # Added to the idle limit, since a caller may send a request on a persistent
 # connection just as the limit expires.
 _IDLE_MARGIN_S = 0.5
+# Requests that a caller may send ahead of its answers.
+_MAX_PIPELINED = 64
 
 
 class Fault(enum.Enum):
@@ -31,6 +34,7 @@
     BODY_TOO_LARGE = "body_too_large"
     TOO_SLOW = "too_slow"
     MEMORY = "memory"
+    PIPELINED = "pipelined"
 
 
 class CallerCounters(msgspec.Struct):
@@ -101,6 +105,7 @@
         self._target = b""
         self._headers: list[messages.Header] = []
         self._header_bytes = 0
+        self._framing = framing.FramingCounter()
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._closing = False
@@ -198,6 +203,7 @@
         """Parses received bytes."""
         if self._fault is not None or self._closing:
             return
+        self._framing.add(len(data))
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -205,6 +211,8 @@
         except httptools.HttpParserError:
             self._refuse(self._fault or Fault.MALFORMED)
         else:
+            if self._framing.exceeded:
+                self._fault = self._fault or Fault.HEADERS_TOO_LARGE
             if self._fault is not None:
                 self._refuse(self._fault)
 
@@ -248,6 +256,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Stores a piece of the body."""
+        self._framing.add_body(len(data))
         self._body_bytes += len(data)
         if self._body_bytes > self._server.limits.body_bytes:
             self._fault = self._fault or Fault.BODY_TOO_LARGE
@@ -274,7 +283,10 @@
         keep = self._parser.should_keep_alive()
         self._headers = []
         self._body = []
+        self._framing.restart()
         self._waiting.append((call, keep))
+        if len(self._waiting) > _MAX_PIPELINED:
+            self._fault = Fault.PIPELINED
         self._serve_next()
 
     # Serving requests.
@@ -341,6 +353,9 @@
         self._closing = True
         if self._transport is None:
             return
+        if fault is Fault.PIPELINED:
+            self.abort()
+            return
         if self._task is None:
             wait_s = _RETRY_AFTER_S.get(fault)
             status = _STATUSES[fault]
@@ -363,5 +378,6 @@
     Fault.BODY_TOO_LARGE: 413,
     Fault.TOO_SLOW: 408,
     Fault.MEMORY: 503,
+    Fault.PIPELINED: 400,
 }
 _RETRY_AFTER_S = {Fault.MEMORY: buffers.RETRY_AFTER_S}
--- a/pollenfork/gateway/client.py
+++ b/pollenfork/gateway/client.py
@@ -12,6 +12,10 @@
 _CONNECT_S = 0.5
 
 
+# The store's objects take up to 8 MiB, and its pages and tables less.
+MAX_BODY_BYTES = 12 << 20
+
+
 class Answer(NamedTuple):
     """A whole response."""
 
@@ -31,19 +35,25 @@
     """
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, on_head: OnHead | None = None
+        self,
+        loop: asyncio.AbstractEventLoop,
+        on_head: OnHead | None = None,
+        max_bytes: int = MAX_BODY_BYTES,
     ) -> None:
         """Creates an empty buffer.
 
         Args:
             loop: Provides the future.
             on_head: Called with the response's status and headers.
+            max_bytes: The longest body that is accepted.
         """
+        self._max_bytes = max_bytes
         self._on_head = on_head
         self.done: asyncio.Future[Answer | None] = loop.create_future()
         self._status = 0
         self._headers: Sequence[messages.Header] = ()
         self._pieces: list[bytes] = []
+        self._size = 0
 
     def on_head(self, status: int, headers: list[messages.Header]) -> bool:
         """Stores status and headers."""
@@ -53,9 +63,13 @@
             self._on_head(status, headers)
         return True
 
-    def on_body(self, data: bytes) -> None:
-        """Buffers a piece of the body."""
+    def on_body(self, data: bytes) -> bool:
+        """Buffers a piece of the body, up to the limit."""
+        self._size += len(data)
+        if self._size > self._max_bytes:
+            return False
         self._pieces.append(data)
+        return True
 
     def on_end(self) -> None:
         """Resolves `done` with the response."""
@@ -73,14 +87,19 @@
     """Sends requests to one address, one at a time."""
 
     def __init__(
-        self, address: loads.Address, on_head: OnHead | None = None
+        self,
+        address: loads.Address,
+        on_head: OnHead | None = None,
+        max_bytes: int = MAX_BODY_BYTES,
     ) -> None:
         """Creates a client without a connection.
 
         Args:
             address: The server's address.
             on_head: Called with the status and headers of each response.
+            max_bytes: The longest response body that is accepted.
         """
+        self._max_bytes = max_bytes
         self._on_head = on_head
         self._loop = asyncio.get_running_loop()
         self._connection: connection.Connection | None = None
@@ -100,7 +119,7 @@
         Returns:
             None if no complete response arrived in time.
         """
-        body = ResponseBuffer(self._loop, self._on_head)
+        body = ResponseBuffer(self._loop, self._on_head, self._max_bytes)
         answer = None
         try:
             async with asyncio.timeout(timeout_s) as self._limit:
--- a/pollenfork/gateway/connection.py
+++ b/pollenfork/gateway/connection.py
@@ -4,11 +4,13 @@
 from collections.abc import Callable
 import enum
 import http
+import logging
 from typing import Protocol
 
 import httptools
 
 from pollenfork.gateway import messages
+from pollenfork.gateway.bounds import framing
 
 
 class ResponseFailure(enum.Enum):
@@ -17,6 +19,7 @@
     CLOSED = "closed"
     RESET = "reset"
     INVALID = "garbage"
+    TOO_LARGE = "too_large"
 
 
 class Receiver(Protocol):
@@ -25,8 +28,8 @@
     def on_head(self, status: int, headers: list[messages.Header]) -> bool:
         """Handles the head; returns False if it answers another request."""
 
-    def on_body(self, data: bytes) -> None:
-        """Handles a piece of the body."""
+    def on_body(self, data: bytes) -> bool:
+        """Handles a piece of the body; returns False if it is too large."""
 
     def on_end(self) -> None:
         """Handles the end of a complete response."""
@@ -35,6 +38,10 @@
         """Handles a response that stays incomplete."""
 
 
+_LOG = logging.getLogger(__name__)
+
+# The body of an answer to another request is dropped up to this size.
+_MAX_DISCARDED_BYTES = 1 << 20
 _WITHOUT_BODY = frozenset({204, 304})
 _TIMEOUT_PARAMETER = b"timeout="
 
@@ -67,6 +74,8 @@
         self._in_body = False
         self._discarding = False
         self._lost = False
+        self._framing = framing.FramingCounter()
+        self._discarded = 0
         self.idle_since = 0.0
         self.connected_at_unix = 0.0
         self.connected_at = 0.0
@@ -86,6 +95,8 @@
         """Starts an exchange."""
         assert self._transport is not None
         self._receiver = receiver
+        self._framing.restart()
+        self._discarded = 0
         self.exchanges += 1
         self._transport.write(data)
 
@@ -135,8 +146,11 @@
             return
         self.on_data(self)
         self.has_received = True
+        self._framing.add(len(data))
         try:
             self._parser.feed_data(data)
+            if self._receiver is not None and self._framing.exceeded:
+                self._fail(ResponseFailure.TOO_LARGE)
         except httptools.HttpParserUpgrade:
             self._fail(ResponseFailure.INVALID)
         except httptools.HttpParserError:
@@ -191,8 +205,16 @@
 
     def on_body(self, data: bytes) -> None:
         """Passes a piece of the body to the receiver."""
-        if self._receiver is not None and not self._discarding:
-            self._receiver.on_body(data)
+        self._framing.add_body(len(data))
+        if self._receiver is None:
+            return
+        if self._discarding:
+            self._discarded += len(data)
+            is_accepted = self._discarded <= _MAX_DISCARDED_BYTES
+        else:
+            is_accepted = self._receiver.on_body(data)
+        if not is_accepted:
+            self._fail(ResponseFailure.TOO_LARGE)
 
     def on_message_complete(self) -> None:
         """Ends the response, unless it is interim or to another request."""
@@ -228,11 +250,19 @@
     def _fail(self, failure: ResponseFailure) -> None:
         receiver, self._receiver = self._receiver, None
         self.reusable = False
+        if failure is ResponseFailure.TOO_LARGE and receiver is not None:
+            _LOG.warning("event=answer_too_large peer=%s", self._find_peer())
         if self._transport is not None and not self._lost:
             self._transport.abort()
         if receiver is not None:
             receiver.on_failure(failure)
 
+    def _find_peer(self) -> str:
+        if self._transport is None:
+            return "-"
+        address = self._transport.get_extra_info("peername")
+        return f"{address[0]}:{address[1]}" if address else "-"
+
 
 def _ignore(connection: Connection) -> None:
     """Ignores that bytes have arrived."""
--- a/pollenfork/gateway/events.py
+++ b/pollenfork/gateway/events.py
@@ -6,11 +6,15 @@
 _POSITION = re.compile(rb"^id: ?(\d+)\r?$", re.MULTILINE)
 # Events hold a few tokens. The limit keeps an unterminated event from
 # exhausting the memory.
-_MAX_EVENT_BYTES = 1 << 20
+_MAX_EVENT_BYTES = 256 * 1024
 
 
 class StreamError(Exception):
-    """The stream skipped events, or an event exceeds the size limit."""
+    """The stream skipped events."""
+
+
+class EventTooLarge(StreamError):  # noqa: N818
+    """An event exceeds the size limit."""
 
 
 class EventSplitter:
@@ -39,7 +43,8 @@
         """Returns the events to forward after a read.
 
         Raises:
-            StreamError: An event is missing or too large.
+            StreamError: An event is missing.
+            EventTooLarge: An event is too large.
         """
         data = self._tail + data
         whole = []
@@ -51,7 +56,7 @@
                 whole.append(event)
         self._tail = data[start:]
         if len(self._tail) > _MAX_EVENT_BYTES:
-            raise StreamError
+            raise EventTooLarge
         return b"".join(whole)
 
     def _is_new(self, event: bytes) -> bool:
--- a/pollenfork/gateway/failover/sending.py
+++ b/pollenfork/gateway/failover/sending.py
@@ -111,12 +111,12 @@
         on_first_output: Called with the grant of a runner that starts to
             answer, and the monotonic seconds at which the request was sent.
         on_buffered: Called with the size of a piece of an answer that is kept
-            until the answer is whole.
+            until the answer is whole; returns whether there is room for it.
     """
 
     count_request: Callable[[], None]
     on_first_output: Callable[[outcomes.Grant, float], None]
-    on_buffered: Callable[[int], None]
+    on_buffered: Callable[[int], bool]
 
 
 class Sender:
