--- a/pollenfork/answers/engine.py
+++ b/pollenfork/answers/engine.py
@@ -13,6 +13,7 @@
 import urllib3
 import urllib3.connection
 
+from pollenfork import bounded_http
 from pollenfork import ids
 from pollenfork.answers import errors
 from pollenfork.answers import messages
@@ -20,6 +21,7 @@
 from pollenfork.endpoints import edges as endpoint_edges
 
 _READ_BYTES = 65536
+_MAX_REPLY_BYTES = 65536
 _EVENT_STREAM = "text/event-stream"
 _SOFTWARE_VERSION = "x-software-version"
 _OK = 200
@@ -251,14 +253,18 @@
     """Cancels an attempt at its engine and returns the outcome."""
     body = msgspec.json.encode({"request_id": attempt})
     try:
-        response = urllib3.request(
-            "POST",
-            f"http://{address}/v1/cancel",
-            body=body,
-            headers={"Content-Type": "application/json"},
-            timeout=limits.cancel_s,
-            retries=False,
-        )
+        with urllib3.PoolManager(num_pools=1) as pool:
+            response = bounded_http.request(
+                pool,
+                "POST",
+                f"http://{address}/v1/cancel",
+                max_bytes=_MAX_REPLY_BYTES,
+                max_s=limits.cancel_s,
+                body=body,
+                headers={"Content-Type": "application/json"},
+                timeout=limits.cancel_s,
+                retries=False,
+            )
     except urllib3.exceptions.NewConnectionError as error:
         return result.Err(endpoint_edges.Unreachable(detail=str(error)))
     except urllib3.exceptions.HTTPError as error:
--- a/pollenfork/catalogue/table_copy.py
+++ b/pollenfork/catalogue/table_copy.py
@@ -89,6 +89,8 @@
         return versions.get_number(row.version)
 
 
+# Configurations and tables of runners take less than a megabyte.
+_MAX_UNPACKED_BYTES = 16 << 20
 _ROWS = msgspec.msgpack.Decoder(tuple[messages.Row, ...])
 _TABLE = msgspec.msgpack.Decoder(EncodedTable)
 
@@ -97,7 +99,7 @@
     """Returns the rows of another instance's encoded table."""
     try:
         table = _TABLE.decode(data)
-        rows = _ROWS.decode(zlib.decompress(table.packed))
+        rows = _ROWS.decode(_unpack(table.packed))
     except (msgspec.MsgspecError, zlib.error) as error:
         return result.Err(BadTable(detail=str(error)))
     epoch = table.epoch
@@ -114,3 +116,8 @@
             last_change=versions.combine(epoch, table.last_change),
         )
     )
+
+
+def _unpack(packed: bytes) -> bytes:
+    """Returns the rows, which are invalid if they exceed the limit."""
+    return zlib.decompressobj().decompress(packed, _MAX_UNPACKED_BYTES)
--- a/pollenfork/catalogue/tests/test_table_copy.py
+++ b/pollenfork/catalogue/tests/test_table_copy.py
@@ -1,6 +1,7 @@
 """Tests that a table sent by one instance is the same at another."""
 
 import random
+import tracemalloc
 import zlib
 
 from hypothesis import given
@@ -127,3 +128,15 @@
     source.apply(messages.Changes((), 12))
     again = send(source, make_watch())
     assert again is not None and (again.through, again.last_change) == (12, 9)
+
+
+def test_a_table_that_unpacks_without_end_is_refused() -> None:
+    """Guards against a few kilobytes of a peer that fill the memory."""
+    packed = zlib.compress(b"\xdd\xff\xff\xff\xff" + b"\x00" * (64 << 20), 1)
+    assert len(packed) < 1 << 20
+    data = msgspec.msgpack.encode(table_copy.EncodedTable(1, None, packed))
+    tracemalloc.start()
+    assert isinstance(table_copy.decode(data), result.Err)
+    peak = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+    assert peak < 48 << 20
--- a/pollenfork/endpoints/client.py
+++ b/pollenfork/endpoints/client.py
@@ -6,6 +6,7 @@
 import result
 import urllib3
 
+from pollenfork import bounded_http
 from pollenfork import ids
 from pollenfork.endpoints import edges
 
@@ -14,6 +15,7 @@
 # Together with the connect timeout, it must be below `LeaseTimes.order_s`.
 ORDER_TIMEOUT_S = 8.0
 _MAX_POOLS = 256
+_MAX_BODY_BYTES = 4 << 20
 _CONNECTIONS_PER_ENDPOINT = 2  # Kept open to each endpoint.
 _NOT_RUN = "not_run"
 
@@ -100,7 +102,7 @@
         path: str,
         body: msgspec.Struct | None = None,
         read_s: float = READ_TIMEOUT_S,
-    ) -> Answer[urllib3.BaseHTTPResponse]:
+    ) -> Answer[bounded_http.Response]:
         timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=read_s)
         sent: dict[str, Any] = {}
         if body is not None:
@@ -109,8 +111,14 @@
         url = self._base + path
         try:
             return result.Ok(
-                self._pool.request(
-                    method, url, timeout=timeout, redirect=False, **sent
+                bounded_http.request(
+                    self._pool,
+                    method,
+                    url,
+                    max_bytes=_MAX_BODY_BYTES,
+                    max_s=read_s + READ_TIMEOUT_S,
+                    timeout=timeout,
+                    **sent,
                 )
             )
         except urllib3.exceptions.NewConnectionError as error:
@@ -124,7 +132,7 @@
 
 
 def _decode(
-    response: urllib3.BaseHTTPResponse, body_type: type[T]
+    response: bounded_http.Response, body_type: type[T]
 ) -> result.Result[T, edges.EndpointFailure]:
     if response.status >= 500:
         return result.Err(edges.Unanswered(detail=f"HTTP {response.status}"))
@@ -137,7 +145,7 @@
 
 
 def _classify_refusal(
-    response: urllib3.BaseHTTPResponse,
+    response: bounded_http.Response,
 ) -> edges.EndpointFailure:
     detail = f"HTTP {response.status}"
     if response.status == 409:
--- a/pollenfork/store/client.py
+++ b/pollenfork/store/client.py
@@ -12,6 +12,7 @@
 import result
 import urllib3
 
+from pollenfork import bounded_http
 from pollenfork import ids
 from pollenfork.store import edges
 from pollenfork.store import errors
@@ -19,6 +20,9 @@
 CONNECT_TIMEOUT_S = 0.5
 READ_TIMEOUT_S = 2.0
 POOL_SIZE = 32
+# Objects take up to 8 MiB.
+_MAX_BODY_BYTES = 12 << 20
+_MAX_READ_S = 10.0
 EFFECT_HEADER = "X-Effect"
 NO_EFFECT = "none"
 
@@ -86,8 +90,14 @@
     ) -> result.Result[_Reply, errors.PlatformFailure]:
         """Sends one request; returns the response or the failure."""
         try:
-            response = self._pool.request(
-                method, path, body=body, headers=headers, redirect=False
+            response = bounded_http.request(
+                self._pool,
+                method,
+                path,
+                max_bytes=_MAX_BODY_BYTES,
+                max_s=_MAX_READ_S,
+                body=body,
+                headers=headers,
             )
         except (
             urllib3.exceptions.NewConnectionError,
