Refuse entries and reports with an impossible start of a runner

Starts after the year 9999 and sequences beyond 63 bits are out of range now, in entries and in reports of cached parts. Five cases failed before.

--- a/pollenfork/platform/caches.py
+++ b/pollenfork/platform/caches.py
@@ -89,9 +89,12 @@
     if status != _OK:
         return result.Err(BadCacheReport(detail=f"status {status}"))
     try:
-        return result.Ok(_DECODER.decode(body))
+        reply = _DECODER.decode(body)
     except msgspec.MsgspecError as error:
         return result.Err(BadCacheReport(detail=str(error)))
+    if not entries.is_possible_start(reply.born):
+        return result.Err(BadCacheReport(detail="impossible start"))
+    return result.Ok(reply)
 
 
 def _encode(runner: fleet.Runner, target: str, extra: bytes = b"") -> bytes:
--- a/pollenfork/platform/tests/test_caches.py
+++ b/pollenfork/platform/tests/test_caches.py
@@ -54,7 +54,7 @@
     ).unwrap()
     assert (report.epoch, report.start) == ("x", 1764712843123)
     assert decode(200, b'{"epoch":"x","next":1}').unwrap().start is None
-    for born in (b"1.5", b'"7"', b"null"):
+    for born in (b"1.5", b'"7"', b"null", b"-1", b"9" * 400):
         answer = b'{"epoch":"x","next":1,"born":%b}' % born
         assert isinstance(decode(200, answer), result.Err)
 
--- a/pollenfork/platform/tests/test_entries.py
+++ b/pollenfork/platform/tests/test_entries.py
@@ -86,6 +86,13 @@
         ("slots", 10**9, Fault.OUT_OF_RANGE),
         ("sequence", -1, Fault.OUT_OF_RANGE),
         ("born", -1, Fault.OUT_OF_RANGE),
+        pytest.param(
+            "born", 10**399, Fault.OUT_OF_RANGE, id="born-of-400-digits"
+        ),
+        ("born", 2**63, Fault.OUT_OF_RANGE),
+        pytest.param(
+            "sequence", 10**399, Fault.OUT_OF_RANGE, id="sequence-of-400-digits"
+        ),
         ("born", 1764712843123.0, Fault.OTHER_TYPE),
         ("born", 1764712843123.5, Fault.OTHER_TYPE),
         ("cold-remaining-ms", -1, Fault.OUT_OF_RANGE),
