Charge requests without a prompt to the share of refused tiers

They have no tokens, so the share let all of them begin while their tier was closed: eight of nine in the new test, one at most now. A request is charged with 1,000 tokens at least.

--- a/pollenfork/gateway/shedding/shedder.py
+++ b/pollenfork/gateway/shedding/shedder.py
@@ -22,6 +22,8 @@
 # When a closed tier's callers are told to return, in seconds: a time from this
 # to twice as much.
 _RETURN_S = 1.0
+# What a request without a prompt is charged with.
+_LEAST_TOKENS = 1000
 
 
 class Demand(msgspec.Struct, frozen=True, kw_only=True):
@@ -46,8 +48,9 @@
 
     @property
     def tokens(self) -> int:
-        """The length of its prompt."""
-        return sum(part.tokens for part in self.profile.parts)
+        """The length of its prompt, or what counts as such."""
+        tokens = sum(part.tokens for part in self.profile.parts)
+        return max(tokens, _LEAST_TOKENS)
 
     @property
     def is_least_urgent(self) -> bool:
--- a/pollenfork/gateway/shedding/tests/test_paths.py
+++ b/pollenfork/gateway/shedding/tests/test_paths.py
@@ -195,6 +195,21 @@
     assert refuse_with(outcomes.Full(), LAST) == []
 
 
+def test_requests_without_a_prompt_wait_for_their_tier_too() -> None:
+    """Guards against plain services whose share is everything."""
+
+    async def run():
+        runner = support.Runner("r0", *[GOOD] * 9)
+        async with run_gateway(LAST, runner) as gateway:
+            gateway.demand = candidates.RequestProfile(support.SERVICE)
+            press(gateway)
+            return [await support.ask(gateway) for _ in range(9)], runner.got
+
+    answers, got = asyncio.run(run())
+    assert len(got) <= 1
+    assert sum(b"overloaded" in each for each in answers) >= 8
+
+
 def make_settings() -> lookup.Lookup:
     """Returns three routes to a service, and accounts of two tiers."""
     made = [
