Count no early return as pressure, and drop what nothing asks any longer

A caller that came back before it was due was refused as overloaded, and that would have closed less urgent tiers for everybody. A new test fails without this. Lookup. has_priority and its test, and CallerReturn.is_kept, had no user left: the order of request tiers took their place, with a test of its own.

--- a/pollenfork/gateway/returning.py
+++ b/pollenfork/gateway/returning.py
@@ -53,9 +53,9 @@
         return self._claimed
 
     @property
-    def is_kept(self) -> bool:
-        """Whether the request was admitted because of its promise."""
-        return isinstance(self._claimed, promises.Kept)
+    def is_early(self) -> bool:
+        """Whether the request came before the time that it was told."""
+        return isinstance(self._claimed, promises.Early)
 
     def settle(self, found: outcomes.Outcome) -> None:
         """Uses the claimed promise up if a runner was found, or renews it."""
--- a/pollenfork/gateway/selection.py
+++ b/pollenfork/gateway/selection.py
@@ -92,8 +92,12 @@
         return found
 
     def record_refusal(self) -> None:
-        """Records that the request is refused for want of runners."""
-        self._claim.record_wait()
+        """Records that the request is refused for want of runners.
+
+        One that came before it was due says nothing about the load.
+        """
+        if not self._return.is_early:
+            self._claim.record_wait()
 
     def find_retry_after(self) -> float | None:
         """Returns the seconds after which a shed request should return.
--- a/pollenfork/gateway/tests/test_returning.py
+++ b/pollenfork/gateway/tests/test_returning.py
@@ -326,3 +326,19 @@
     instance.now += found.wait_s
     assert isinstance(instance.select()[0], outcomes.Grant)
     assert instance.counters.counts[_Event.KEPT] == 1
+
+
+def test_an_early_return_closes_no_less_urgent_tier() -> None:
+    """Guards against hasty callers that keep others out."""
+    instance = Instance(pending=120_000)
+    instance.select()
+    instance.now += 1.0
+    admitted = msgspec.structs.replace(
+        make_request(instance.now, True, 7, 12.0),
+        tiers=tuple(ids.Tier(tier) for tier in range(5)),
+    )
+    selector = selection.RunnerSelector(instance._deps, admitted)
+    early = asyncio.run(selector.find(suspect=None, is_retry=False))
+    assert early == outcomes.Overloaded(early.wait_s)
+    selector.record_refusal()
+    assert instance._deps.shedder.find_pressed(support.SERVICE) == {}
--- a/pollenfork/routes/lookup.py
+++ b/pollenfork/routes/lookup.py
@@ -28,10 +28,6 @@
         }
         self._forecast = _collect_forecast(configuration)
         accounts = (configuration.accounts or {}).values()
-        self._last_account_tier = max(
-            (item.tier for item in accounts if item.tier is not None),
-            default=0,
-        )
         self._route_tiers = 1 + max(
             (route.tier for route in configuration.routes), default=0
         )
@@ -116,12 +112,6 @@
             return route.tier
         return ids.Tier(account.tier * self._route_tiers + route.tier)
 
-    def has_priority(self, account: model.Account | None) -> bool:
-        """Returns whether an account has a higher priority than some others."""
-        if account is None or account.tier is None:
-            return False
-        return account.tier < self._last_account_tier
-
     def needs_key(self, route: model.Route) -> bool:
         """Returns whether the route's requests must present an API key."""
         return self.configuration.accounts is not None and not route.public
--- a/pollenfork/routes/tests/test_lookup.py
+++ b/pollenfork/routes/tests/test_lookup.py
@@ -109,17 +109,23 @@
     assert table.get_tier(last, None) == 2
 
 
-def test_an_account_has_priority_if_others_have_a_lower_tier() -> None:
+def test_the_tiers_of_requests_follow_from_accounts_and_routes() -> None:
     first, last = (
         model.Account(ids.AccountId(name), ids.Tier(tier))
         for name, tier in (("a", 0), ("b", 1))
     )
     unranked = model.Account(ids.AccountId("c"), None)
     accounts = {"k1": first, "k2": last, "k3": unranked}
-    table = make_lookup(accounts=accounts)
-    assert table.has_priority(first)
-    assert not any(map(table.has_priority, (last, unranked, None)))
-    assert not make_lookup(accounts={"k1": first}).has_priority(first)
+    made = [make_route("/a/"), make_route("/b/", tier=ids.Tier(3))]
+    table = make_lookup(*made, accounts=accounts)
+    service = ids.ServiceName("s")
+    expected = {
+        table.get_tier(route, account)
+        for route in made
+        for account in (first, last, unranked, None)
+    }
+    assert table.list_request_tiers(service) == tuple(sorted(expected))
+    assert make_lookup(*made).list_request_tiers(service) == (1, 3)
 
 
 # Guards against forecasts for deployments whose callers wait too briefly for
--- a/pollenfork/shedding/order.py
+++ b/pollenfork/shedding/order.py
@@ -13,8 +13,8 @@
 from pollenfork import ids
 from pollenfork.loads import messages
 
-# They stay closed for this long after the tier was last pressed, in seconds,
-# and are opened gradually in the time after that.
+# Closed tiers stay closed for this long after a more urgent one was last
+# pressed, in seconds, and are opened gradually in the time after that.
 _HOLD_S = 0.5
 _OPEN_S = 0.5
 # A tier is closed, or refused for overload, once all less urgent ones have been
