--- a/pollenfork/gateway/callers.py
+++ b/pollenfork/gateway/callers.py
@@ -85,8 +85,10 @@
 
     @property
     def busy(self) -> bool:
-        """Whether any request is being read or served."""
-        return any(not each.idle for each in self.connections)
+        """Whether any request is being read or served, or answer read."""
+        return any(
+            not each.idle or each.count_unread() for each in self.connections
+        )
 
 
 class CallerConnection(asyncio.Protocol):
--- a/pollenfork/gateway/tests/test_callers.py
+++ b/pollenfork/gateway/tests/test_callers.py
@@ -214,3 +214,34 @@
             return answer
 
     assert asyncio.run(run()).endswith(b"empty")
+
+
+def test_a_server_is_busy_until_its_answers_are_read() -> None:
+    """Guards against a stop that cuts off callers who read slowly."""
+
+    async def run():
+        async with Front() as front:
+            answer = replies.write_text(200, b"a" * (16 << 20))
+
+            async def serve(call, caller) -> None:
+                caller.write(answer)
+
+            front.server.serve = serve
+            reader, writer = await front.connect()
+            writer.write(b"GET / HTTP/1.1\r\nconnection: close\r\n\r\n")
+            while not front.server.connections:
+                await asyncio.sleep(0)
+            [served] = front.server.connections
+            while not served.count_unread() or not served.idle:
+                await asyncio.sleep(0)
+            front.server.closing = True
+            front.server.close_idle()
+            assert front.server.busy
+            whole = await reader.read()
+            assert whole == answer
+            while front.server.connections:
+                await asyncio.sleep(0)
+            assert not front.server.busy
+            writer.close()
+
+    asyncio.run(run())
