--- a/pollenfork/fleet/model.py
+++ b/pollenfork/fleet/model.py
@@ -5,6 +5,8 @@
 
 from pollenfork import ids
 
+# The end of the year 9999, in Unix milliseconds.
+_MAX_START_MS = 253_402_300_799_999
 # The names of longer software versions are replaced by their hashes.
 MAX_VERSION_CHARS = 64
 
@@ -28,6 +30,11 @@
     return ids.SoftwareVersion(name)
 
 
+def is_possible_start(start: ids.RunnerStart | None) -> bool:
+    """Returns whether a runner can have started then; None: unknown."""
+    return start is None or 0 <= start <= _MAX_START_MS
+
+
 class Incarnation(msgspec.Struct, frozen=True):
     """One run of a runner's process.
 
--- a/pollenfork/gateway/responder.py
+++ b/pollenfork/gateway/responder.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import http
+import math
 
 from pollenfork.fleet import outcomes
 from pollenfork.gateway import attempt
@@ -20,6 +21,9 @@
 # Callers wait no longer than a third of their time limit, 2.7 s for the
 # longest.
 _MAX_RETRY_AFTER_S = 2.5
+# The part of its remaining time after which a caller is told to return at most,
+# a little less than the third that callers wait.
+_MAX_RETRY_SHARE = 0.32
 # A runner of the version that began a stream may be back after a crash.
 _VERSION_RETRY_S = 1.0
 # If rate-limited runners need longer than this for their backlog, in seconds,
@@ -147,7 +151,8 @@
                 self._refuse_overloaded(found)
             case outcomes.Closed():
                 self._log_shed(found)
-                self.end_with_error(_Reason.OVERLOADED, found.wait_s)
+                wait_s = min(found.wait_s, self._find_longest_wait())
+                self.end_with_error(_Reason.OVERLOADED, wait_s, least_s=0.0)
             case outcomes.Limited():
                 admitted = self._admitted
                 wait_s = self._deps.permits.estimate_retry_after(
@@ -195,5 +200,10 @@
         wait_s = min(paused.wait_s, _MAX_LIMITED_RETRY_S)
         self.end_with_error(_Reason.RUNNERS_PAUSED, wait_s)
 
+    def _find_longest_wait(self) -> float:
+        """Returns the most to tell the caller, as `Retry-After` shows it."""
+        longest_s = max(0.0, self._remaining_s()) * _MAX_RETRY_SHARE
+        return math.floor(longest_s * 100) / 100
+
     def _remaining_s(self) -> float:
         return self._admitted.deadline - self._deps.loop.time()
--- a/pollenfork/gateway/shedding/tests/test_paths.py
+++ b/pollenfork/gateway/shedding/tests/test_paths.py
@@ -84,6 +84,22 @@
     assert got == []
 
 
+def test_a_closed_tiers_caller_is_told_to_return_in_time() -> None:
+    """Guards against times that are longer than callers wait."""
+
+    async def run():
+        async with run_gateway(LAST, support.Runner("r0", GOOD)) as gateway:
+            gateway.route = msgspec.structs.replace(
+                gateway.route, time_limit_s=1.5
+            )
+            press(gateway)
+            return await support.ask(gateway)
+
+    answer = asyncio.run(run())
+    told_s = float(answer.split(b"retry-after: ")[1].split(b"\r\n")[0])
+    assert 0.4 <= told_s <= 0.5
+
+
 def test_an_urgent_request_is_served_meanwhile() -> None:
     async def run():
         async with run_gateway(URGENT, support.Runner("r0", GOOD)) as gateway:
--- a/pollenfork/platform/caches.py
+++ b/pollenfork/platform/caches.py
@@ -92,7 +92,7 @@
         reply = _DECODER.decode(body)
     except msgspec.MsgspecError as error:
         return result.Err(BadCacheReport(detail=str(error)))
-    if not entries.is_possible_start(reply.born):
+    if not fleet.is_possible_start(entries.decode_start(reply.born)):
         return result.Err(BadCacheReport(detail="impossible start"))
     return result.Ok(reply)
 
--- a/pollenfork/platform/entries.py
+++ b/pollenfork/platform/entries.py
@@ -25,8 +25,6 @@
 # More slots than any runner has; larger values are rejected.
 _MAX_SLOTS = 1_000_000
 _MAX_SEQUENCE = 2**63 - 1
-# The end of the year 9999, in Unix milliseconds.
-_MAX_UNIX_MS = 253_402_300_799_999
 _READY = "ready"
 _STATES = frozenset({_READY, "draining"})
 # The id is sent in a header of each request to the runner.
@@ -76,11 +74,6 @@
     return None if born is msgspec.UNSET else ids.RunnerStart(born)
 
 
-def is_possible_start(born: int | msgspec.UnsetType) -> bool:
-    """Returns whether a runner can have started at a time, or reports none."""
-    return born is msgspec.UNSET or 0 <= born <= _MAX_UNIX_MS
-
-
 def _parse(value: bytes) -> result.Result[_Entry, errors.BadEntry]:
     try:
         fields = msgspec.json.decode(value)
@@ -134,7 +127,7 @@
         "slots": 0 < entry.slots <= _MAX_SLOTS,
         "cold-remaining-ms": math.isfinite(cold_ms) and cold_ms >= 0.0,
         "sequence": 0 <= entry.sequence <= _MAX_SEQUENCE,
-        "born": is_possible_start(entry.born),
+        "born": fleet.is_possible_start(decode_start(entry.born)),
     }
     return next((name for name, passed in valid.items() if not passed), None)
 
