--- a/benchmarks/ablations.py
+++ b/benchmarks/ablations.py
@@ -20,9 +20,9 @@
 from pollenfork.fleet import retry_budget
 from pollenfork.fleet import runner_state
 from pollenfork.gateway import cache_feed
-from pollenfork.gateway import load_shedding
 from pollenfork.gateway import peers
 from pollenfork.gateway import timeouts
+from pollenfork.gateway.shedding import limits as shedding_limits
 from pollenfork.loads import gossip
 from pollenfork.loads import messages as loads
 
@@ -59,7 +59,7 @@
         Switch(candidates, "reserve_runners", lambda demand, found: found),
     ),
     "early-refusals": (
-        Switch(load_shedding, "find_prefill_limit", _do_nothing),
+        Switch(shedding_limits, "find_prefill_limit", _do_nothing),
     ),
     "news-of-caches": (Switch(cache_feed.CacheFeed, "check", _do_nothing),),
     "shared-placements": (
