Show that a resumed stream can lack an event

Cause: EventSplitter counts the events of a read as forwarded before it finds that a later one can't follow; it then forwards none of them, and the next runner is asked for what comes after the last.

Change: a script plays a runner that spoils each fiftieth of its streams with bytes that are no event. Nothing is fixed.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Plays a runner that writes into its streams; TROUBLE=0 leaves that out.
+folder=$(cd "$(dirname "$0")" && pwd) || exit 2
+cd "$folder/../.." || exit 2
+[ -d target/deps ] || exit 2
+PYTHONPATH="target/deps:." exec python3 -m review.second.dumping "$folder"
