Log what each run of a stream was asked for and sent

The logs couldn't tell the hypotheses apart: no line said after which position a runner was asked, which events of its run were forwarded, or how its end was known. answered, attempt_failed and forward_ended have run (asked:first-last/events), answered has proof; pollenfork_stream_runs_total counts runs by their kind of end. No logic changes.

--- a/pollenfork/gateway/attempt.py
+++ b/pollenfork/gateway/attempt.py
@@ -31,6 +31,31 @@
     ENDED = "ended"
 
 
+class StreamRun(msgspec.Struct):
+    """What one runner was asked for, and what of its stream was forwarded.
+
+    Attributes:
+        asked: The position after which the stream was asked for; None: from
+            its beginning.
+        first: The position of the first event forwarded; None: there is none.
+        last: The same of the last one.
+        events: Their number.
+    """
+
+    asked: int | None
+    first: int | None = None
+    last: int | None = None
+    events: int = 0
+
+    def __str__(self) -> str:
+        """Returns the form of log lines: asked:first-last/events."""
+        asked, first, last = (
+            "" if each is None else str(each)
+            for each in (self.asked, self.first, self.last)
+        )
+        return f"{asked}:{first}-{last}/{self.events}"
+
+
 class AttemptResult(msgspec.Struct, frozen=True):
     """How an attempt ended.
 
@@ -40,6 +65,8 @@
         body: The body of an answer that isn't streamed.
         failure: Why the answer is incomplete.
         connection_refused: Whether the runner's host refused the connection.
+        proof: What shows that a whole answer is complete.
+        run: What was asked and forwarded, of an answer that is streamed.
     """
 
     end: End
@@ -47,6 +74,8 @@
     body: bytes = b""
     failure: connection.ResponseFailure | None = None
     connection_refused: bool = False
+    proof: connection.EndProof = connection.EndProof.FRAMING
+    run: StreamRun | None = None
 
     @property
     def is_error(self) -> bool:
@@ -115,6 +144,7 @@
         paused: Whether the gateway doesn't read the answer for now.
         claim: Asks whether this attempt may answer, while another one may too;
             None: it is the only one.
+        run: What was asked and forwarded, of an answer that is streamed.
     """
 
     def __init__(
@@ -159,6 +189,8 @@
         self.paused = False
         self.claim: Callable[[], bool] | None = None
         self._has_taken_over = False
+        self.run: StreamRun | None = None
+        self._proof = connection.EndProof.FRAMING
 
     def record_paused(self, paused: bool) -> None:
         """Records that reading was paused or resumed."""
@@ -177,6 +209,12 @@
         self.last_data_at = self._loop.time()
         if self._on_head is not None:
             self._on_head(head)
+        if self.is_streamed:
+            assert self._relay is not None
+            asked = self._relay.splitter.last
+            self.run = StreamRun(
+                asked if self._relay.begun else self._request.last_event
+            )
         return True
 
     def on_body(self, data: bytes) -> bool:
@@ -212,8 +250,9 @@
         self._body.append(data)
         return self._on_buffered is None or self._on_buffered(len(data))
 
-    def on_end(self) -> None:
+    def on_end(self, proof: connection.EndProof) -> None:
         """Determines the result of the attempt from a complete answer."""
+        self._proof = proof
         head = self._head
         assert head is not None
         self.phase = Phase.ENDED
@@ -225,7 +264,10 @@
             return
         elif not self.is_streamed:
             self._on_first_output()
-            self._finish(AttemptResult(End.WHOLE, head, b"".join(self._body)))
+            body = b"".join(self._body)
+            self._finish(
+                AttemptResult(End.WHOLE, head, body, proof=self._proof)
+            )
         else:
             self._end_stream(head)
 
@@ -285,6 +327,7 @@
             self.phase = Phase.STREAMING
             self._on_first_output()
         self._begin_relay()
+        self._trace(complete)
         self._relay.write(complete)
 
     def _end_stream(self, head: messages.ResponseHead) -> None:
@@ -298,7 +341,19 @@
             return
         self._on_first_output()
         self._begin_relay()
-        self._finish(AttemptResult(End.WHOLE, head))
+        self._finish(
+            AttemptResult(End.WHOLE, head, proof=self._proof, run=self.run)
+        )
+
+    def _trace(self, complete: bytes) -> None:
+        """Records which events are forwarded."""
+        assert self.run is not None
+        positions = events.list_positions(complete)
+        if positions:
+            if self.run.first is None:
+                self.run.first = positions[0]
+            self.run.last = positions[-1]
+            self.run.events += len(positions)
 
     def _begin_relay(self) -> None:
         assert self._relay is not None and self._head is not None
@@ -308,7 +363,9 @@
 
     def _fail(self, failure: connection.ResponseFailure) -> None:
         self.phase = Phase.ENDED
-        self._finish(AttemptResult(End.BROKEN, self._head, failure=failure))
+        self._finish(
+            AttemptResult(End.BROKEN, self._head, failure=failure, run=self.run)
+        )
 
     def _finish(self, ended: AttemptResult) -> None:
         if not self.done.done():
--- a/pollenfork/gateway/client.py
+++ b/pollenfork/gateway/client.py
@@ -71,7 +71,7 @@
         self._pieces.append(data)
         return True
 
-    def on_end(self) -> None:
+    def on_end(self, proof: connection.EndProof) -> None:
         """Resolves `done` with the response."""
         if not self.done.done():
             body = b"".join(self._pieces)
--- a/pollenfork/gateway/connection.py
+++ b/pollenfork/gateway/connection.py
@@ -22,6 +22,14 @@
     TOO_LARGE = "too_large"
 
 
+class EndProof(enum.Enum):
+    """What shows that a response is complete."""
+
+    FRAMING = "framing"
+    # Only the end of the connection, which also a process that ends closes.
+    CONNECTION = "connection"
+
+
 class Receiver(Protocol):
     """Receives the response of one exchange as it arrives."""
 
@@ -31,8 +39,8 @@
     def on_body(self, data: bytes) -> bool:
         """Handles a piece of the body; returns False if it is too large."""
 
-    def on_end(self) -> None:
-        """Handles the end of a complete response."""
+    def on_end(self, proof: EndProof) -> None:
+        """Handles the end of a response that looks complete."""
 
     def on_failure(self, failure: ResponseFailure) -> None:
         """Handles a response that stays incomplete."""
@@ -160,7 +168,7 @@
         """Completes a response without a length; fails any other."""
         self.reusable = False
         if self._in_body and not self._has_length and not self._discarding:
-            self._complete()
+            self._complete(EndProof.CONNECTION)
         else:
             self._fail(ResponseFailure.CLOSED)
         return False
@@ -226,7 +234,7 @@
         if self._discarding:
             self._discarding = False
             return
-        self._complete()
+        self._complete(EndProof.FRAMING)
 
     def _read_keep_alive(self, value: bytes) -> None:
         for part in value.split(b","):
@@ -234,7 +242,7 @@
             if part.startswith(_TIMEOUT_PARAMETER) and part[8:].isdigit():
                 self.idle_limit_s = float(part[8:])
 
-    def _complete(self) -> None:
+    def _complete(self, proof: EndProof) -> None:
         receiver, self._receiver = self._receiver, None
         self._in_body = False
         if receiver is None:
@@ -245,7 +253,7 @@
         transport = self._transport
         if transport is not None and transport.get_write_buffer_size():
             self.reusable = False
-        receiver.on_end()
+        receiver.on_end(proof)
 
     def _fail(self, failure: ResponseFailure) -> None:
         receiver, self._receiver = self._receiver, None
--- a/pollenfork/gateway/counters.py
+++ b/pollenfork/gateway/counters.py
@@ -13,6 +13,7 @@
 from pollenfork import ids
 from pollenfork import metric_help
 from pollenfork.fleet import messages as fleet_messages
+from pollenfork.gateway import attempt
 from pollenfork.gateway import replies
 from pollenfork.gateway import retries
 from pollenfork.gateway.shedding import limits as shedding_limits
@@ -127,6 +128,8 @@
         self._repeats: dict[fleet_messages.End, int] = {}
         self._not_repeated: dict[retries.RetryDecision, int] = {}
         self._returns = dict.fromkeys(returns.ReturnEvent, 0)
+        # Keyed by what showed the end, or by how the stream broke off.
+        self._stream_runs: collections.Counter[str] = collections.Counter()
         self._sent = 0
         self._gone = 0
         self._preemptions_suspected = 0
@@ -197,6 +200,16 @@
         """Counts a caller that disconnected before its answer was complete."""
         self._gone += 1
 
+    def record_stream_run(self, ended: attempt.AttemptResult) -> None:
+        """Counts the end of an attempt, if its answer was streamed."""
+        if ended.run is None:
+            return
+        if ended.end is fleet_messages.End.WHOLE:
+            kind = ended.proof.value
+        else:
+            kind = ended.failure.value if ended.failure else ended.end.value
+        self._stream_runs[kind] += 1
+
     def record_preemption(self) -> None:
         """Counts an answer whose request was probably preempted."""
         self._preemptions_suspected += 1
@@ -230,6 +243,8 @@
         _show(output, "pollenfork_streams_cut_total", self._cut)
         _show(output, "pollenfork_relay_retries_total", self._repeats)
         _show(output, "pollenfork_not_repeated_total", self._not_repeated)
+        for kind, count in self._stream_runs.items():
+            output.set_count("pollenfork_stream_runs_total", count, end=kind)
         for series, count in self._targets.items():
             output.set_count(series.metric, count, **_label(series))
         for series, latencies in self._latencies.items():
--- a/pollenfork/gateway/events.py
+++ b/pollenfork/gateway/events.py
@@ -9,6 +9,11 @@
 _MAX_EVENT_BYTES = 256 * 1024
 
 
+def list_positions(events: bytes) -> list[int]:
+    """Returns the positions of whole events, in order."""
+    return [int(found) for found in _POSITION.findall(events)]
+
+
 class StreamError(Exception):
     """The stream skipped events."""
 
--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -410,6 +410,7 @@
             ended.head.status,
             self._observer.measure(),
             self._history,
+            ended,
         )
 
     # Streaming to the caller.
--- a/pollenfork/gateway/failover/handover.py
+++ b/pollenfork/gateway/failover/handover.py
@@ -116,7 +116,9 @@
                 if current.ended is not None:
                     return Answered(current.ended, current)
                 if now >= self._admitted.deadline:
-                    silent = attempt.AttemptResult(_End.SILENT)
+                    silent = attempt.AttemptResult(
+                        _End.SILENT, run=current.receiver.run
+                    )
                     return Answered(silent, current)
                 if not current.is_silent(now):
                     await current.wait(current.find_limit(now) - now)
--- a/pollenfork/gateway/failover/race.py
+++ b/pollenfork/gateway/failover/race.py
@@ -93,7 +93,9 @@
             self._successor.close()
         else:
             self._winner = self._successor
-            silent = attempt.AttemptResult(_End.SILENT)
+            silent = attempt.AttemptResult(
+                _End.SILENT, run=self._current.receiver.run
+            )
             self._replace(self._current.ended or silent)
             self._current.close()
         if not self._decided.done():
@@ -165,7 +167,9 @@
         """Returns whether the helper's answer is the caller's."""
         if self._is_helped is None:
             self._is_helped = True
-            silent = attempt.AttemptResult(_End.SILENT)
+            silent = attempt.AttemptResult(
+                _End.SILENT, run=self._current.receiver.run
+            )
             self._replace(self._current.ended or silent)
             self._current.close()
         return self._is_helped
--- a/pollenfork/gateway/failover/recording.py
+++ b/pollenfork/gateway/failover/recording.py
@@ -183,6 +183,7 @@
         if ended.end is _End.SILENT and sent is not None:
             self.record_silence(sent)
         state.record_end(ended.end, ended.is_error, now)
+        self._deps.counters.record_stream_run(ended)
         self._log.log_state_change(grant, ended, failures)
         self._report_failure(grant.runner, ended)
         if ended.end is _End.REFUSED and sent is not None:
--- a/pollenfork/gateway/failover/tests/test_race.py
+++ b/pollenfork/gateway/failover/tests/test_race.py
@@ -68,7 +68,7 @@
             self.data = self.data[size:]
         else:
             self.is_over = True
-            receiver.on_end()
+            receiver.on_end(connection.EndProof.FRAMING)
 
     def break_off(self) -> None:
         if not self.sent.is_closed and not self.is_over:
--- a/pollenfork/gateway/forwarding.py
+++ b/pollenfork/gateway/forwarding.py
@@ -120,12 +120,12 @@
 class _HelperAttempt(attempt.Attempt):
     """Receives the answer of a helper: a runner's, or the helper's own."""
 
-    def on_end(self) -> None:
+    def on_end(self, proof: connection.EndProof) -> None:
         """Determines the result from a complete answer."""
         head = self._head
         assert head is not None
         if head.sealed:
-            super().on_end()
+            super().on_end(proof)
             return
         self.phase = attempt.Phase.ENDED
         body = b"".join(self._body)
@@ -373,7 +373,7 @@
         now = self._loop.time()
         _LOG.info(
             event + "request=%s route=%s helper=%s end=%s status=%s "
-            "took_ms=%d left_ms=%d",
+            "took_ms=%d left_ms=%d run=%s",
             logs.quote_value(admitted.head.attempt),
             admitted.route.name,
             host,
@@ -381,6 +381,7 @@
             ended.head.status if ended.head else "-",
             (now - admitted.call.arrived) * 1000,
             (admitted.deadline - now) * 1000,
+            ended.run or "-",
             extra=logs.ORDINARY if ended.end is End.WHOLE else None,
         )
 
--- a/pollenfork/gateway/request_log.py
+++ b/pollenfork/gateway/request_log.py
@@ -125,7 +125,7 @@
             "event=attempt_failed request=%s digest=%016x runner=%s end=%s "
             "breach=%s unsent=%s status=%s route=%s took_ms=%d left_ms=%d "
             "sent=%d sequel=%s version=%s events=%d account=%s parts=%s "
-            "runner_silent_ms=%d",
+            "runner_silent_ms=%d run=%s",
             self._request,
             self._admitted.digest,
             grant.runner.id,
@@ -143,6 +143,7 @@
             self._admitted.account.id if self._admitted.account else "-",
             self._format_parts(),
             (self._loop.time() - grant.state.silence.heard_at) * 1000,
+            ended.run or "-",
         )
 
     def log_state_change(
@@ -180,14 +181,23 @@
         status: int,
         served: counters.AnswerLatency,
         history: retries.AttemptHistory,
+        ended: attempt.AttemptResult,
     ) -> None:
-        """Logs that a runner's answer was delivered to the caller."""
+        """Logs that a runner's answer was delivered to the caller.
+
+        Args:
+            runner: The runner.
+            status: The answer's status.
+            served: The answer's latencies.
+            history: The request's attempts.
+            ended: The result of the last one.
+        """
         route = self._admitted.route
         self._counters.record_served(route, served)
         _LOG.info(
             "event=answered request=%s route=%s runner=%s status=%d "
             "took_ms=%d first_ms=%d target_ms=%d gap_ms=%d gap_target_ms=%d "
-            "sent=%d",
+            "sent=%d run=%s proof=%s",
             self._request,
             route.name,
             runner,
@@ -198,6 +208,8 @@
             served.gap_s * 1000,
             route.gap_s * 1000,
             history.sent,
+            ended.run or "-",
+            ended.proof.value,
             extra=logs.ORDINARY if served.meets(route) else None,
         )
 
--- a/pollenfork/gateway/timeouts.py
+++ b/pollenfork/gateway/timeouts.py
@@ -65,7 +65,9 @@
             now = loop.time()
             limit = self.find_limit(running, now)
             if now >= limit:
-                return attempt.AttemptResult(fleet_messages.End.SILENT)
+                return attempt.AttemptResult(
+                    fleet_messages.End.SILENT, run=running.run
+                )
             await asyncio.wait([running.done], timeout=limit - now)
         return running.done.result()
 
--- a/pollenfork/metric_help.py
+++ b/pollenfork/metric_help.py
@@ -1,6 +1,9 @@
 """Help texts and histogram buckets of the metrics."""
 
 HELP = {
+    "pollenfork_stream_runs_total": (
+        "Streams of runners, by what showed their end or how they broke off."
+    ),
     "pollenfork_streams_taken_up_total": (
         "Streams that callers took up, by how the software version that began "
         "them was found."
