Take a stream's position from what was asked and forwarded

Cause: EventSplitter took the position from the bytes that arrived. It began without one, also where the caller had named it; it moved on before events were forwarded, so that a later breach in the same read lost them; it dropped lower numbers at any time; what had no number counted as an event.

Now StreamProgress keeps what the caller asked for and what has been forwarded. Lines are judged as they end, so that each byte is searched once.

--- a/pollenfork/gateway/answer_observer.py
+++ b/pollenfork/gateway/answer_observer.py
@@ -35,6 +35,7 @@
         self._first_s: float | None = None
         self._gap_s = 0.0
         self._event_at = 0.0
+        self._events = 0
 
     @property
     def is_streaming(self) -> bool:
@@ -68,6 +69,9 @@
         Args:
             forwarded: The number of events so far.
         """
+        if forwarded == self._events:
+            return  # Comments alone.
+        self._events = forwarded
         now = self._deps.loop.time()
         if self._event_at:
             self._gap_s = max(self._gap_s, now - self._event_at)
--- a/pollenfork/gateway/connection.py
+++ b/pollenfork/gateway/connection.py
@@ -19,6 +19,9 @@
     CLOSED = "closed"
     RESET = "reset"
     INVALID = "garbage"
+    # Bytes that are no event, and events that can't follow the last one.
+    FOREIGN = "foreign"
+    OUT_OF_ORDER = "out_of_order"
     TOO_LARGE = "too_large"
 
 
--- a/pollenfork/gateway/edges.py
+++ b/pollenfork/gateway/edges.py
@@ -17,7 +17,13 @@
 
 
 class Codec(Protocol):
-    """Decodes and encodes request and response heads."""
+    """Decodes and encodes request and response heads.
+
+    Attributes:
+        EVENT_FIELDS: Fields of events besides those of the standard.
+    """
+
+    EVENT_FIELDS: frozenset[bytes]
 
     def find_duplicate(self, headers: list[messages.Header]) -> bytes | None:
         """Returns the name of a single-valued header that occurs repeatedly."""
--- /dev/null
+++ b/pollenfork/gateway/events/splitter.py
@@ -0,0 +1,130 @@
+"""Splits the bytes of an event stream into events.
+
+The grammar is that of server-sent events (WHATWG HTML, 9.2.5) with lines that
+end in LF or CRLF, and stricter in two points: each event has a position, and
+lines with other fields than the known ones are refused instead of ignored, as
+they may be anything that a failing process prints.
+"""
+
+import enum
+
+import msgspec
+
+# Events hold a few tokens. The limit keeps an unterminated event from
+# exhausting the memory.
+MAX_EVENT_BYTES = 256 * 1024
+_FIELDS = frozenset({b"id", b"data", b"event", b"retry"})
+# Longer numbers are no positions.
+_MAX_DIGITS = 18
+
+
+class Breach(enum.Enum):
+    """Why the rest of a stream can't be forwarded."""
+
+    FOREIGN = "foreign"
+    OUT_OF_ORDER = "out_of_order"
+    TOO_LARGE = "too_large"
+
+
+class Block(msgspec.Struct, frozen=True):
+    """An event or comments, up to and with the empty line at their end.
+
+    Attributes:
+        data: The bytes.
+        position: The event's position; None: there are comments alone.
+    """
+
+    data: bytes
+    position: int | None
+
+
+class EventSplitter:
+    """Turns reads of any size into whole blocks.
+
+    The work is in proportion to the bytes, also where each read is one byte.
+
+    Attributes:
+        breach: Why the bytes that follow the last block are no event; None:
+            they are, as far as is known.
+    """
+
+    def __init__(self, further_fields: frozenset[bytes] = frozenset()) -> None:
+        """Creates a splitter that has read nothing.
+
+        Args:
+            further_fields: Names of fields that events may have besides those
+                of the standard.
+        """
+        self.breach: Breach | None = None
+        self._fields = _FIELDS | further_fields
+        self._buffer = bytearray()
+        # Offsets in the buffer: of the current line, and of what hasn't been
+        # searched for its end.
+        self._line_at = 0
+        self._searched = 0
+        self._has_fields = False
+        self._position: int | None = None
+
+    @property
+    def partial(self) -> bool:
+        """Whether an incomplete block is buffered."""
+        return bool(self._buffer)
+
+    def feed(self, data: bytes) -> list[Block]:
+        """Returns the blocks that are whole after a read.
+
+        After a breach there are none; those before it are returned.
+        """
+        if self.breach is not None:
+            return []
+        self._buffer += data
+        blocks: list[Block] = []
+        start = 0
+        while self.breach is None:
+            end = self._buffer.find(b"\n", self._searched)
+            if end < 0:
+                self._searched = len(self._buffer)
+                break
+            line = bytes(self._buffer[self._line_at : end])
+            self._line_at = self._searched = end + 1
+            if self._read_line(line.removesuffix(b"\r")):
+                block = bytes(self._buffer[start : self._line_at])
+                blocks.append(Block(block, self._position))
+                self._position, self._has_fields = None, False
+                start = self._line_at
+        self._drop(start)
+        return blocks
+
+    def _drop(self, size: int) -> None:
+        """Drops the blocks at the beginning of the buffer."""
+        del self._buffer[:size]
+        self._line_at -= size
+        self._searched -= size
+        if self.breach is None and len(self._buffer) > MAX_EVENT_BYTES:
+            self.breach = Breach.TOO_LARGE
+
+    def _read_line(self, line: bytes) -> bool:
+        """Reads a line without its end; returns whether it ends a block."""
+        if not line:
+            if self._has_fields and self._position is None:
+                self.breach = Breach.FOREIGN
+            return self.breach is None
+        # Readers of the standard take a lone CR for the end of a line.
+        if b"\r" in line:
+            self.breach = Breach.FOREIGN
+        elif not line.startswith(b":"):
+            self._read_field(line)
+        return False
+
+    def _read_field(self, line: bytes) -> None:
+        self._has_fields = True
+        name, _, value = line.partition(b":")
+        if name not in self._fields:
+            self.breach = Breach.FOREIGN
+        elif name == b"id":
+            number = value.removeprefix(b" ")
+            is_valid = number.isdigit() and len(number) <= _MAX_DIGITS
+            if not is_valid or self._position is not None:
+                self.breach = Breach.FOREIGN
+            else:
+                self._position = int(number)
--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -15,7 +15,6 @@
 from pollenfork.gateway import buffers
 from pollenfork.gateway import callers
 from pollenfork.gateway import context
-from pollenfork.gateway import events
 from pollenfork.gateway import forwarding
 from pollenfork.gateway import messages
 from pollenfork.gateway import quarantine_check
@@ -24,6 +23,7 @@
 from pollenfork.gateway import responder
 from pollenfork.gateway import retries
 from pollenfork.gateway import selection
+from pollenfork.gateway.events import progress
 from pollenfork.gateway.failover import handover
 from pollenfork.gateway.failover import recording
 from pollenfork.gateway.failover import sending
@@ -97,7 +97,13 @@
         self._has_started = False
         if admitted.route.kind is routes.Kind.STREAM:
             self._relay = attempt.StreamRelay(
-                events.EventSplitter(), self._start_stream, self._write_events
+                progress.StreamProgress(
+                    admitted.head.last_event,
+                    may_begin=not admitted.route.resumable,
+                    further_fields=deps.codec.EVENT_FIELDS,
+                ),
+                self._start_stream,
+                self._write_events,
             )
         self._responder = responder.Responder(
             deps,
@@ -428,7 +434,7 @@
 
     def _write_events(self, whole: bytes) -> None:
         assert self._relay is not None
-        self._observer.on_events(self._relay.splitter.forwarded)
+        self._observer.on_events(self._relay.progress.forwarded)
         self._caller.write(b"%x\r\n%b\r\n" % (len(whole), whole))
 
     def _on_backpressure(self, paused: bool) -> None:
--- a/pollenfork/gateway/failover/recording.py
+++ b/pollenfork/gateway/failover/recording.py
@@ -199,7 +199,7 @@
         ended: attempt.AttemptResult,
         decision: retries.RetryDecision,
     ) -> None:
-        events = self._relay.splitter.forwarded if self._relay else 0
+        events = self._relay.progress.forwarded if self._relay else 0
         self._log.log_failed_attempt(
             grant, ended, decision, self._history, events
         )
--- a/pollenfork/gateway/failover/sending.py
+++ b/pollenfork/gateway/failover/sending.py
@@ -240,14 +240,13 @@
     def _encode(self, grant: outcomes.Grant) -> bytes:
         admitted = self._admitted
         relay = self._relay
-        begun = relay is not None and relay.begun
         account = admitted.account
         sending = messages.ForwardContext(
             runner=grant.runner.id,
             remaining_s=self._remaining_s,
             account=account.id if account else None,
             tier=admitted.tier if admitted.head.parts else None,
-            last_event=relay.splitter.last if relay and begun else None,
+            last_event=relay.progress.last if relay else None,
             source=grant.source,
         )
         return self._deps.codec.encode_request(admitted.call, sending)
--- a/pollenfork/gateway/forwarding.py
+++ b/pollenfork/gateway/forwarding.py
@@ -339,8 +339,7 @@
         relay: attempt.StreamRelay | None,
         version: ids.SoftwareVersion | None,
     ) -> bytes:
-        begun = relay is not None and relay.begun
-        last_event = relay.splitter.last if relay and begun else None
+        last_event = relay.progress.last if relay else None
         remaining_s = admitted.deadline - self._loop.time()
         head = self._codec.encode_forwarded(
             admitted.call, remaining_s, last_event
--- a/pollenfork/gateway/header_fields.py
+++ b/pollenfork/gateway/header_fields.py
@@ -25,6 +25,9 @@
 )
 
 
+_MAX_POSITION_DIGITS = 18
+
+
 def find_hop_by_hop(
     headers: Iterable[messages.Header], kept: Collection[bytes]
 ) -> frozenset[bytes]:
@@ -50,6 +53,18 @@
         return None
 
 
+def parse_position(value: bytes | None) -> int | None:
+    """Returns the position of an event; None if it is missing or invalid."""
+    return parse_digits(value, _MAX_POSITION_DIGITS)
+
+
+def parse_digits(value: bytes | None, most: int) -> int | None:
+    """Returns a number of at most so many digits; None if it is none."""
+    number = (value or b"").strip()
+    is_valid = number.isdigit() and len(number) <= most
+    return int(number) if is_valid else None
+
+
 def parse_numbers(
     headers: Iterable[messages.Header], name: bytes
 ) -> tuple[float | None, ...]:
--- a/pollenfork/gateway/room_observer.py
+++ b/pollenfork/gateway/room_observer.py
@@ -82,7 +82,7 @@
         learned.record_time(
             admitted.demand.service, self._deps.loop.time() - sent_at
         )
-        events = 0 if relay is None else relay.splitter.forwarded
+        events = 0 if relay is None else relay.progress.forwarded
         learned.outputs.record(
             admitted.route.name,
             admitted.head.length_hint,
--- a/pollenfork/gateway/tests/support.py
+++ b/pollenfork/gateway/tests/support.py
@@ -40,6 +40,8 @@
 class Codec:
     """Uses test headers: `x-id`, `x-seal`, `x-unrun` and others."""
 
+    EVENT_FIELDS = frozenset({b"x-version"})
+
     def find_duplicate(self, headers):
         return None
 
--- a/pollenfork/platform/heads.py
+++ b/pollenfork/platform/heads.py
@@ -27,6 +27,7 @@
 _MISDIRECTED = 421
 # Sums of longer numbers of tokens may not fit in a datagram's 64 bits.
 _MAX_DIGITS = 9
+EVENT_FIELDS = frozenset({b"x-pollenfork-weight-versions"})
 
 
 def find_duplicate(headers: list[Header]) -> bytes | None:
@@ -52,7 +53,7 @@
         wait_s=_parse_seconds(found.get(names.DEADLINE)),
         parts=_parse_parts(found.get(names.PROMPT_PARTS)),
         tokens=_parse_tokens(found.get(names.TOKENS)),
-        last_event=header_fields.parse(int, found.get(names.LAST_EVENT)),
+        last_event=header_fields.parse_position(found.get(names.LAST_EVENT)),
         length_hint=_parse_length(found.get(names.LENGTH_HINT, b"")),
         resumes=ids.AttemptId(found.get(names.RESUMES, b"").decode("latin-1")),
     )
@@ -190,8 +191,7 @@
 
 
 def _parse_length(value: bytes) -> int:
-    is_valid = value.strip().isdigit() and len(value) <= _MAX_DIGITS
-    return int(value) if is_valid else 0
+    return header_fields.parse_digits(value, _MAX_DIGITS) or 0
 
 
 def is_ready_check(target: bytes) -> bool:
