Believe the end of an unframed answer once its runner is known to live

Cause: an answer with neither a length nor chunks ends with its connection. A killed process has its connections closed in order by the kernel, so the end of the connection proved nothing. The quarantine of requests already waited for a new connection to the runner before it counted such an answer; the caller got it as whole at once.

Now the attempt is whole once a connection that is begun after the end stays open, and broken otherwise; this holds for plain answers too. A probe that was under way before no longer counts as proof. Instances frame all that they send, so an unframed answer of one is broken.

The test of an unframed answer whose runner crashes expected the caller to get it as whole; it expects 502 now, as nothing proves it.

--- a/pollenfork/gateway/attempt.py
+++ b/pollenfork/gateway/attempt.py
@@ -78,12 +78,21 @@
         return self.end is End.BROKEN and self.failure in losses
 
     @property
-    def is_unframed(self) -> bool:
+    def is_unconfirmed(self) -> bool:
         """Whether it is whole only if its runner meant to end it there."""
-        return (
-            self.end is End.WHOLE
-            and self.head is not None
-            and not self.head.framed
+        proof = connection.EndProof.CONNECTION
+        return self.end is End.WHOLE and self.proof is proof
+
+    def confirm(self, has_survived: bool) -> "AttemptResult":
+        """Returns the result once it is known whether the runner lives."""
+        if has_survived:
+            proof = connection.EndProof.SURVIVAL
+            return msgspec.structs.replace(self, proof=proof)
+        return AttemptResult(
+            End.BROKEN,
+            self.head,
+            failure=connection.ResponseFailure.CLOSED,
+            run=self.run,
         )
 
     @property
@@ -303,10 +312,11 @@
 
     def _end_stream(self, head: messages.ResponseHead) -> None:
         assert self._relay is not None and self._run is not None
-        # Without framing, a runner that ends before its first event looks as if
-        # it had nothing to say.
+        # Without framing, a stream that ends before its first event is no
+        # stream, even if its runner lives.
         is_new = not self._relay.begun and self._request.last_event is None
-        if self._run.partial or (is_new and not head.framed):
+        is_framed = self._proof is connection.EndProof.FRAMING
+        if self._run.partial or (is_new and not is_framed):
             self._fail(connection.ResponseFailure.CLOSED)
             return
         self._on_first_output()
--- a/pollenfork/gateway/connection.py
+++ b/pollenfork/gateway/connection.py
@@ -29,8 +29,10 @@
     """What shows that a response is complete."""
 
     FRAMING = "framing"
-    # Only the end of the connection, which also a process that ends closes.
+    # Only the end of the connection, which looks the same if the peer ends.
     CONNECTION = "connection"
+    # That, and the peer has been connected to since.
+    SURVIVAL = "survival"
 
 
 class Receiver(Protocol):
--- a/pollenfork/gateway/crash_probes.py
+++ b/pollenfork/gateway/crash_probes.py
@@ -32,12 +32,14 @@
     """A connection attempt that shows whether a runner has crashed.
 
     Attributes:
+        begun_at: Monotonic seconds of its begin.
         connected: Resolves once the connection is established or refused.
         completed: Resolves once it is known whether the connection stays open.
             It may be closed at once, where no process accepts it or where
             the process is exiting.
     """
 
+    begun_at: float
     connected: asyncio.Future[None]
     completed: asyncio.Future[None]
 
@@ -84,7 +86,9 @@
         if known is not None:
             return known
         loop = asyncio.get_running_loop()
-        started = CrashProbe(loop.create_future(), loop.create_future())
+        started = CrashProbe(
+            loop.time(), loop.create_future(), loop.create_future()
+        )
         self._probes[runner_hash] = started
         task = loop.create_task(self._run_probe(runner, started))
         self._tasks.add(task)
@@ -95,13 +99,27 @@
         self, runner: fleet.Runner, call: Callable[[bool], None]
     ) -> None:
         """Probes a runner; calls `call` with whether it is alive."""
-        started_at = asyncio.get_running_loop().time()
 
-        def notify(_: asyncio.Future[None]) -> None:
-            reached_at = self._get_state(runner.id).reached_at
-            call(reached_at >= started_at)
+        async def notify() -> None:
+            call(await self.is_alive(runner))
 
-        self.probe(runner).completed.add_done_callback(notify)
+        task = asyncio.get_running_loop().create_task(notify())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def is_alive(self, runner: fleet.Runner) -> bool:
+        """Returns whether a runner accepts and keeps a connection from now on.
+
+        A probe that is in progress may have connected before, so it is followed
+        by another one unless it shows this.
+        """
+        state = self._get_state(runner.id)
+        since = asyncio.get_running_loop().time()
+        while True:
+            probe = self.probe(runner)
+            await asyncio.shield(probe.completed)
+            if state.reached_at >= since or probe.begun_at >= since:
+                return state.reached_at >= since
 
     async def wait_completed(self, runner_hashes: Iterable[int]) -> None:
         """Waits until the probes in progress at some runners are completed.
--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -27,6 +27,7 @@
 from pollenfork.gateway.failover import handover
 from pollenfork.gateway.failover import recording
 from pollenfork.gateway.failover import sending
+from pollenfork.gateway.failover import survival
 from pollenfork.gateway.streams import version_pin
 from pollenfork.poison import crashes
 from pollenfork.poison import subjects
@@ -232,6 +233,9 @@
         sent: sending.SentAttempt | None,
     ) -> bool:
         """Handles the end of an attempt; returns whether it was the last."""
+        ended = await survival.confirm(
+            ended, grant.runner, self._deps.crash_probes, self._remaining_s()
+        )
         if sent is not None:
             self._quarantine_check.record_attempt(
                 grant.runner,
--- a/pollenfork/gateway/forwarding.py
+++ b/pollenfork/gateway/forwarding.py
@@ -124,6 +124,10 @@
         """Determines the result from a complete answer."""
         head = self._head
         assert head is not None
+        if proof is not connection.EndProof.FRAMING:
+            # Instances frame what they send, so this one has ended.
+            self.on_failure(connection.ResponseFailure.CLOSED)
+            return
         if head.sealed:
             super().on_end(proof)
             return
--- a/pollenfork/gateway/messages.py
+++ b/pollenfork/gateway/messages.py
@@ -108,14 +108,6 @@
     retry_after: tuple[float | None, ...] = ()
     brittle: tuple[float | None, ...] = ()
 
-    @property
-    def framed(self) -> bool:
-        """Whether the answer's end shows without that of its connection."""
-        return any(
-            name in (b"content-length", b"transfer-encoding")
-            for name, _ in self.headers
-        )
-
     @property
     def pause(self) -> pauses.ParsedPause:
         """The pause that the runner requests."""
--- a/pollenfork/gateway/quarantine_check.py
+++ b/pollenfork/gateway/quarantine_check.py
@@ -177,7 +177,7 @@
         now = self._deps.loop.time()
         first_at, self._first_output_at = self._first_output_at, None
         self.close()
-        if ended.is_unframed:
+        if ended.is_unconfirmed:
             self._check_survival(runner, sent_at, connected_at)
         elif ended.end is fleet_messages.End.WHOLE:
             self._record_answer()
--- a/pollenfork/gateway/tests/test_exchange.py
+++ b/pollenfork/gateway/tests/test_exchange.py
@@ -480,7 +480,8 @@
         await super()._serve(reader, writer)
 
 
-# Guards against a crash that looks like an answer and clears its request.
+# Guards against a crash that looks like an answer: it reached the caller, and
+# cleared its request.
 @pytest.mark.parametrize("crashes", [False, True])
 def test_an_unframed_answer_counts_once_its_runner_is_known_to_live(
     crashes,
@@ -500,5 +501,42 @@
             return answer, tracked.counts["ends"], tracked.answered_count
 
     answer, ends, answered = asyncio.run(run())
-    assert answer.endswith(b"good")
+    assert answer.endswith(b"good") is not crashes
+    assert read_status(answer) == (502 if crashes else 200)
     assert (ends, answered) == ((1, 0) if crashes else (0, 1))
+
+
+# Guards against a stream that looks complete because its runner was killed.
+@pytest.mark.parametrize("resumable", [False, True])
+def test_an_unframed_stream_is_complete_once_its_runner_is_known_to_live(
+    resumable,
+) -> None:
+    async def run():
+        begun = write_unframed(support.write_events(0, 2))
+        rest = support.write_stream(support.write_events(3, 4), whole=True)
+        runners = CrashingRunner("r0", begun), support.Runner("r1", rest)
+        route = support.make_route(STREAM, resumable=resumable)
+        async with support.run_gateway(route, *runners) as gateway:
+            answer = await support.ask(gateway)
+            return answer, len(runners[1].got)
+
+    answer, asked = asyncio.run(run())
+    last = 4 if resumable else 2
+    assert read_stream(answer) == (support.write_events(0, last), resumable)
+    assert asked == int(resumable)
+
+
+# Guards against two unframed answers that end beside each other: the probe of
+# the first one proves nothing about the second.
+def test_a_probe_that_began_before_an_end_is_no_proof_of_it() -> None:
+    async def run():
+        runner = support.Runner("r0", GOOD)
+        route = support.make_route(REPEATABLE)
+        async with support.run_gateway(route, runner) as gateway:
+            probes = gateway.deps.crash_probes
+            entry = gateway.runners.find(ids.EndpointId("r0"))
+            await probes.probe(entry).connected
+            runner.stop()
+            return await probes.is_alive(entry)
+
+    assert not asyncio.run(run())
