End no begun stream with an answer that isn't a stream

Cause: any whole answer below 500 ended the stream. Only the race of two runners asked whether it can follow what the caller has.

Evidence: the new test failed for each of six statuses; the stream now goes on at the next runner.

--- a/pollenfork/gateway/attempt.py
+++ b/pollenfork/gateway/attempt.py
@@ -241,6 +241,8 @@
             return
         if not head.sealed or not head.attempt:
             self._fail(connection.ResponseFailure.INVALID)
+        elif head.status < _SERVER_ERROR and not self.can_follow:
+            self._fail(connection.ResponseFailure.OUT_OF_ORDER)
         elif head.status < _SERVER_ERROR and not self._may_answer():
             return
         elif not self.is_streamed:
--- a/pollenfork/gateway/tests/test_exchange.py
+++ b/pollenfork/gateway/tests/test_exchange.py
@@ -341,6 +341,20 @@
     assert b"x-after: 2" in got[0]
 
 
+# Guards against a begun stream that ended as complete, as the runner that it
+# went on at answered with something else than events.
+@pytest.mark.parametrize("status", [200, 201, 204, 302, 400, 404])
+def test_a_begun_stream_does_not_end_with_another_answer(status) -> None:
+    other = support.write_answer(b"other", status=status)
+    if status == 204:
+        other = other.replace(b"content-length: 5\r\n\r\nother", b"\r\n")
+    rest = support.write_stream(support.write_events(3, 4), whole=True)
+    route = support.make_route(STREAM, resumable=True, attempts=3)
+    answer, asked = run_request(route, [HALF], [other], [rest])
+    assert read_stream(answer) == (support.write_events(0, 4), True)
+    assert asked == [1, 1, 1]
+
+
 # Guards against text of two runs: what follows the events that a runner repeats
 # may be the continuation of another text.
 def test_a_run_that_repeats_events_is_left_for_another_one() -> None:
