Pass on bodies a read at a time, whatever their chunks

Each chunk of an answer went through its attempt, the splitter, a write to the caller and the account of buffers by itself, and each chunk of a body through the account. A read of 256 KB in chunks of one byte occupied the event loop for 270 ms, with other requests, timers and peers waiting. Where the account was full, each chunk of a refused body measured the buffers of all callers: 10,000 times for a read of 10,000 chunks.

Connections now collect the body of a read and pass it on at its end, at the end of the message and before a failure, in this order as before. Events that arrive together are thus timed together, as the timer of events has it.

--- a/pollenfork/gateway/bounds/tests/test_small_pieces.py
+++ b/pollenfork/gateway/bounds/tests/test_small_pieces.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from pollenfork.gateway import buffers
 from pollenfork.gateway import callers
 from pollenfork.gateway import client
 from pollenfork.gateway import connection
@@ -46,9 +47,11 @@
 class Front:
     """A caller's connection; keeps the requests that it serves."""
 
-    def __init__(self) -> None:
+    def __init__(self, account: buffers.Account | None = None) -> None:
         self.calls = []
-        self.server = callers.Server(asyncio.get_running_loop(), self._serve)
+        self.server = callers.Server(
+            asyncio.get_running_loop(), self._serve, account
+        )
         self.server.limits = routes.CallerLimits(body_bytes=2 * SIZE)
         self.accepted = self.server.make_connection()
         self.transport = Transport()
@@ -128,3 +131,96 @@
         return [(call.target, call.body) for call in front.calls]
 
     assert asyncio.run(run()) == [(b"/a0", b"ab0"), (b"/a1", b"ab1")]
+
+
+class Receiver:
+    """Notes what a connection passes on."""
+
+    def __init__(self) -> None:
+        self.events = []
+
+    def on_head(self, status, headers) -> bool:
+        self.events.append("head")
+        return True
+
+    def on_body(self, data) -> bool:
+        self.events.append(data)
+        return True
+
+    def on_end(self) -> None:
+        self.events.append("end")
+
+    def on_failure(self, failure) -> None:
+        self.events.append(failure)
+
+
+# Guards against a read whose chunks hold a byte each and that occupies the
+# event loop for long, as all that is done for a piece was done for each byte.
+def test_a_receiver_gets_a_read_at_once() -> None:
+    async def run():
+        receiver = Receiver()
+        opened, _ = make_client_connection(receiver)
+        opened.data_received(ANSWER + b"1\r\na\r\n" * 1000)
+        opened.data_received(b"1\r\nb\r\n" * 1000 + LAST_CHUNK)
+        return receiver.events
+
+    events = asyncio.run(run())
+    assert events == ["head", b"a" * 1000, b"b" * 1000, "end"]
+
+
+# Guards against a stream that lacks events which a runner sent before it broke
+# off, or that goes on after it.
+@pytest.mark.parametrize("bad", [b"no chunk\r\n", b"5\r\nabcdefgh"])
+def test_what_precedes_invalid_bytes_is_passed_on(bad: bytes) -> None:
+    async def run():
+        receiver = Receiver()
+        opened, transport = make_client_connection(receiver)
+        opened.data_received(ANSWER + b"4\r\ngood\r\n" * 2 + bad)
+        assert transport.is_aborted
+        return receiver.events
+
+    head, data, failure = asyncio.run(run())
+    assert head == "head" and data.startswith(b"goodgood")
+    assert failure is connection.ResponseFailure.INVALID
+
+
+# Guards against an answer that holds the body of one to an earlier request.
+def test_the_body_of_another_answer_is_not_passed_on() -> None:
+    class Choosy(Receiver):
+        def on_head(self, status, headers) -> bool:
+            super().on_head(status, headers)
+            return len(self.events) > 1
+
+    async def run():
+        receiver = Choosy()
+        opened, _ = make_client_connection(receiver)
+        other = ANSWER + b"4\r\nlate\r\n" + LAST_CHUNK
+        opened.data_received(other + ANSWER + b"4\r\ngood\r\n" + LAST_CHUNK)
+        return receiver.events
+
+    assert asyncio.run(run()) == ["head", "head", b"good", "end"]
+
+
+# Guards against an instance that stands still while it refuses a body for lack
+# of memory: the buffers of all callers were measured at each chunk.
+def test_buffers_are_measured_once_for_a_read() -> None:
+    class CountingAccount(buffers.Account):
+        refreshes = 0
+
+        def refresh(self) -> None:
+            self.refreshes += 1
+            super().refresh()
+
+    async def run():
+        account = CountingAccount(4_000_000)
+        account.set_forecast(True)
+        front = Front(account)
+        front.accepted.data_received(REQUEST)
+        front.transport.get_write_buffer_size = lambda: account.bound
+        account.refresh()
+        before = account.refreshes
+        front.accepted.data_received(b"1\r\na\r\n" * 10_000)
+        assert front.transport.written.startswith(b"HTTP/1.1 503 ")
+        return account.refreshes - before
+
+    assert asyncio.run(run()) <= 5
--- a/pollenfork/gateway/callers.py
+++ b/pollenfork/gateway/callers.py
@@ -109,6 +109,7 @@
         self._headers: list[messages.Header] = []
         self._header_bytes = 0
         self._framing = framing.FramingCounter()
+        self._read_body = pieces.Pieces()
         self._body = pieces.Pieces()
         self._body_bytes = 0
         self._closing = False
@@ -214,6 +215,7 @@
         except httptools.HttpParserError:
             self._refuse(self._fault or Fault.MALFORMED)
         else:
+            self._add_read_body()
             if self._framing.exceeded:
                 self._fault = self._fault or Fault.HEADERS_TOO_LARGE
             if self._fault is not None:
@@ -258,22 +260,15 @@
                 self.write(replies.CONTINUE)
 
     def on_body(self, data: bytes) -> None:
-        """Stores a piece of the body."""
+        """Stores a piece of the body until the read ends."""
         self._framing.add_body(len(data))
-        self._body_bytes += len(data)
-        if self._body_bytes > self._server.limits.body_bytes:
-            self._fault = self._fault or Fault.BODY_TOO_LARGE
-            self._body.clear()
-        elif not self._server.buffers.has_room(len(data)):
-            self._fault = self._fault or Fault.MEMORY
-            self._body.clear()
-        elif self._fault is None:
-            self._body.append(data)
-        self.buffers.update()
+        if self._fault is None:
+            self._read_body.append(data)
 
     def on_message_complete(self) -> None:
         """Serves the request, or queues it behind the one in progress."""
         self._reading = False
+        self._add_read_body()
         if self._fault is not None:
             return
         call = messages.Request(
@@ -298,6 +293,27 @@
         if self._header_bytes > self._server.limits.header_bytes:
             self._fault = self._fault or Fault.HEADERS_TOO_LARGE
 
+    def _add_read_body(self) -> None:
+        """Adds what was read of the body, within the limits.
+
+        They are applied once for each read, since each chunk may hold a single
+        byte and buffers of all callers may be measured.
+        """
+        size = len(self._read_body)
+        if not size:
+            return
+        self._body_bytes += size
+        if self._body_bytes > self._server.limits.body_bytes:
+            self._fault = self._fault or Fault.BODY_TOO_LARGE
+        elif not self._server.buffers.has_room(size):
+            self._fault = self._fault or Fault.MEMORY
+        data = self._read_body.take()
+        if self._fault is None:
+            self._body.append(data)
+        else:
+            self._body.clear()
+        self.buffers.update()
+
     def _serve_next(self) -> None:
         if self._task is not None or not self._waiting:
             return
@@ -342,6 +358,8 @@
     def _refuse(self, fault: Fault) -> None:
         """Answers a request that can't be parsed, and closes."""
         self._fault = fault
+        self._read_body.clear()
+        self._body.clear()
         counted = self._server.counters.refused
         counted[fault.value] = counted.get(fault.value, 0) + 1
         _LOG.warning(
--- a/pollenfork/gateway/connection.py
+++ b/pollenfork/gateway/connection.py
@@ -11,6 +11,7 @@
 
 from pollenfork.gateway import messages
 from pollenfork.gateway.bounds import framing
+from pollenfork.gateway.bounds import pieces
 
 
 class ResponseFailure(enum.Enum):
@@ -75,6 +76,7 @@
         self._discarding = False
         self._lost = False
         self._framing = framing.FramingCounter()
+        self._read_body = pieces.Pieces()
         self._discarded = 0
         self.idle_since = 0.0
         self.connected_at_unix = 0.0
@@ -149,12 +151,13 @@
         self._framing.add(len(data))
         try:
             self._parser.feed_data(data)
-            if self._receiver is not None and self._framing.exceeded:
-                self._fail(ResponseFailure.TOO_LARGE)
-        except httptools.HttpParserUpgrade:
-            self._fail(ResponseFailure.INVALID)
-        except httptools.HttpParserError:
+        except (httptools.HttpParserUpgrade, httptools.HttpParserError):
+            self._pass_body()
             self._fail(ResponseFailure.INVALID)
+            return
+        self._pass_body()
+        if self._receiver is not None and self._framing.exceeded:
+            self._fail(ResponseFailure.TOO_LARGE)
 
     def eof_received(self) -> bool:
         """Completes a response without a length; fails any other."""
@@ -204,16 +207,20 @@
             self._fail(ResponseFailure.INVALID)
 
     def on_body(self, data: bytes) -> None:
-        """Passes a piece of the body to the receiver."""
+        """Keeps a piece of the body until the read ends.
+
+        The receiver gets the body as it was read, not as it was cut into
+        chunks, since its work and that of the caller's connection for each
+        piece would be many times that of the parser.
+        """
         self._framing.add_body(len(data))
         if self._receiver is None:
             return
-        if self._discarding:
-            self._discarded += len(data)
-            is_accepted = self._discarded <= _MAX_DISCARDED_BYTES
-        else:
-            is_accepted = self._receiver.on_body(data)
-        if not is_accepted:
+        if not self._discarding:
+            self._read_body.append(data)
+            return
+        self._discarded += len(data)
+        if self._discarded > _MAX_DISCARDED_BYTES:
             self._fail(ResponseFailure.TOO_LARGE)
 
     def on_message_complete(self) -> None:
@@ -226,6 +233,7 @@
         if self._discarding:
             self._discarding = False
             return
+        self._pass_body()
         self._complete()
 
     def _read_keep_alive(self, value: bytes) -> None:
@@ -234,6 +242,14 @@
             if part.startswith(_TIMEOUT_PARAMETER) and part[8:].isdigit():
                 self.idle_limit_s = float(part[8:])
 
+    def _pass_body(self) -> None:
+        """Passes what was read of the body to the receiver."""
+        if not len(self._read_body):
+            return
+        data = self._read_body.take()
+        if self._receiver is not None and not self._receiver.on_body(data):
+            self._fail(ResponseFailure.TOO_LARGE)
+
     def _complete(self) -> None:
         receiver, self._receiver = self._receiver, None
         self._in_body = False
