Bound what follows the body of a message

The bytes beside a body were bounded by 64 KB and 16 times the body, which small chunks need. So a body of 2 MB allowed for 33 MB of trailers, kept as a pair of objects for each field: 827 MB for an answer whose trailers don't end (tracemalloc), over any instance's limit; a single trailer field took 67 MB, of a runner or of a caller. The head after an answer to another request could be as long.

Trailers of answers, which nobody reads, aren't kept, and fields of a head only up to 64 KB.

--- a/pollenfork/gateway/bounds/tests/test_small_pieces.py
+++ b/pollenfork/gateway/bounds/tests/test_small_pieces.py
@@ -6,70 +6,11 @@
 import pytest
 
 from pollenfork.gateway import buffers
-from pollenfork.gateway import callers
 from pollenfork.gateway import client
 from pollenfork.gateway import connection
-from pollenfork.routes import model as routes
+from pollenfork.gateway.bounds.tests import support
 
 SIZE = 2 << 20
-REQUEST = b"POST /p HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n"
-ANSWER = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
-LAST_CHUNK = b"0\r\n\r\n"
-
-
-class Transport(asyncio.Transport):
-    """A connection whose peer reads all."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.written = b""
-        self.is_aborted = False
-
-    def get_extra_info(self, name, default=None):
-        return ("127.0.0.1", 1)
-
-    def set_write_buffer_limits(self, high=None, low=None) -> None:
-        pass
-
-    def get_write_buffer_size(self) -> int:
-        return 0
-
-    def write(self, data) -> None:
-        self.written += data
-
-    def close(self) -> None:
-        pass
-
-    def abort(self) -> None:
-        self.is_aborted = True
-
-
-class Front:
-    """A caller's connection; keeps the requests that it serves."""
-
-    def __init__(self, account: buffers.Account | None = None) -> None:
-        self.calls = []
-        self.server = callers.Server(
-            asyncio.get_running_loop(), self._serve, account
-        )
-        self.server.limits = routes.CallerLimits(body_bytes=2 * SIZE)
-        self.accepted = self.server.make_connection()
-        self.transport = Transport()
-        self.accepted.connection_made(self.transport)
-
-    async def _serve(self, call, caller) -> None:
-        self.calls.append(call)
-
-
-def make_client_connection(
-    receiver: connection.Receiver,
-) -> tuple[connection.Connection, Transport]:
-    """Returns a connection that has sent a request."""
-    opened = connection.Connection(asyncio.get_running_loop())
-    transport = Transport()
-    opened.connection_made(transport)
-    opened.send(b"", receiver)
-    return opened, transport
 
 
 def feed(receiver: asyncio.Protocol, size: int, total: int) -> float:
@@ -81,7 +22,7 @@
         for _ in range(total // size // each):
             receiver.data_received(chunk * each)
         receiver.data_received(chunk * (total // size % each))
-        receiver.data_received(LAST_CHUNK)
+        receiver.data_received(support.LAST_CHUNK)
         _, most = tracemalloc.get_traced_memory()
     finally:
         tracemalloc.stop()
@@ -93,8 +34,8 @@
 @pytest.mark.parametrize("size", [1, 4, 64])
 def test_a_body_in_small_chunks_takes_memory_as_its_bytes(size: int) -> None:
     async def run():
-        front = Front()
-        front.accepted.data_received(REQUEST)
+        front = support.Front()
+        front.accepted.data_received(support.REQUEST)
         most = feed(front.accepted, size, SIZE)
         await asyncio.sleep(0)
         assert front.calls[0].body == b"a" * SIZE
@@ -109,8 +50,8 @@
 def test_an_answer_in_small_chunks_takes_memory_as_its_bytes(size: int) -> None:
     async def run():
         body = client.ResponseBuffer(asyncio.get_running_loop())
-        opened, _ = make_client_connection(body)
-        opened.data_received(ANSWER)
+        opened, _ = support.make_client_connection(body)
+        opened.data_received(support.ANSWER)
         most = feed(opened, size, SIZE)
         assert (await body.done).body == b"a" * SIZE
         return most
@@ -121,7 +62,7 @@
 # Guards against a target or a body that is mixed up across requests.
 def test_a_request_in_single_bytes_is_read_whole() -> None:
     async def run():
-        front = Front()
+        front = support.Front()
         for number in range(2):
             request = b"POST /a%d HTTP/1.1\r\ncontent-length: 3\r\n\r\nab%d"
             for byte in request % (number, number):
@@ -133,35 +74,14 @@
     assert asyncio.run(run()) == [(b"/a0", b"ab0"), (b"/a1", b"ab1")]
 
 
-class Receiver:
-    """Notes what a connection passes on."""
-
-    def __init__(self) -> None:
-        self.events = []
-
-    def on_head(self, status, headers) -> bool:
-        self.events.append("head")
-        return True
-
-    def on_body(self, data) -> bool:
-        self.events.append(data)
-        return True
-
-    def on_end(self) -> None:
-        self.events.append("end")
-
-    def on_failure(self, failure) -> None:
-        self.events.append(failure)
-
-
 # Guards against a read whose chunks hold a byte each and that occupies the
 # event loop for long, as all that is done for a piece was done for each byte.
 def test_a_receiver_gets_a_read_at_once() -> None:
     async def run():
-        receiver = Receiver()
-        opened, _ = make_client_connection(receiver)
-        opened.data_received(ANSWER + b"1\r\na\r\n" * 1000)
-        opened.data_received(b"1\r\nb\r\n" * 1000 + LAST_CHUNK)
+        receiver = support.Receiver()
+        opened, _ = support.make_client_connection(receiver)
+        opened.data_received(support.ANSWER + b"1\r\na\r\n" * 1000)
+        opened.data_received(b"1\r\nb\r\n" * 1000 + support.LAST_CHUNK)
         return receiver.events
 
     events = asyncio.run(run())
@@ -173,10 +93,10 @@
 @pytest.mark.parametrize("bad", [b"no chunk\r\n", b"5\r\nabcdefgh"])
 def test_what_precedes_invalid_bytes_is_passed_on(bad: bytes) -> None:
     async def run():
-        receiver = Receiver()
-        opened, transport = make_client_connection(receiver)
-        opened.data_received(ANSWER + b"4\r\ngood\r\n" * 2 + bad)
-        assert transport.is_aborted
+        receiver = support.Receiver()
+        opened, transport = support.make_client_connection(receiver)
+        opened.data_received(support.ANSWER + b"4\r\ngood\r\n" * 2 + bad)
+        assert transport.is_closed
         return receiver.events
 
     head, data, failure = asyncio.run(run())
@@ -186,16 +106,18 @@
 
 # Guards against an answer that holds the body of one to an earlier request.
 def test_the_body_of_another_answer_is_not_passed_on() -> None:
-    class Choosy(Receiver):
+    class Choosy(support.Receiver):
         def on_head(self, status, headers) -> bool:
             super().on_head(status, headers)
             return len(self.events) > 1
 
     async def run():
         receiver = Choosy()
-        opened, _ = make_client_connection(receiver)
-        other = ANSWER + b"4\r\nlate\r\n" + LAST_CHUNK
-        opened.data_received(other + ANSWER + b"4\r\ngood\r\n" + LAST_CHUNK)
+        opened, _ = support.make_client_connection(receiver)
+        other = support.ANSWER + b"4\r\nlate\r\n" + support.LAST_CHUNK
+        opened.data_received(
+            other + support.ANSWER + b"4\r\ngood\r\n" + support.LAST_CHUNK
+        )
         return receiver.events
 
     assert asyncio.run(run()) == ["head", "head", b"good", "end"]
@@ -214,8 +136,8 @@
     async def run():
         account = CountingAccount(4_000_000)
         account.set_forecast(True)
-        front = Front(account)
-        front.accepted.data_received(REQUEST)
+        front = support.Front(account)
+        front.accepted.data_received(support.REQUEST)
         front.transport.get_write_buffer_size = lambda: account.bound
         account.refresh()
         before = account.refreshes
--- a/pollenfork/gateway/connection.py
+++ b/pollenfork/gateway/connection.py
@@ -44,6 +44,8 @@
 # The body of an answer to another request is dropped up to this size.
 _MAX_DISCARDED_BYTES = 1 << 20
 _WITHOUT_BODY = frozenset({204, 304})
+# The colon and the line's end, at least.
+_SEPARATOR_BYTES = 3
 _TIMEOUT_PARAMETER = b"timeout="
 
 
@@ -71,6 +73,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._receiver: Receiver | None = None
         self._headers: list[messages.Header] = []
+        self._header_bytes = 0
         self._has_length = False
         self._in_body = False
         self._discarding = False
@@ -181,10 +184,17 @@
         if self._receiver is None:
             self.reusable = False
         self._headers = []
+        self._header_bytes = 0
         self._has_length = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores a header."""
+        """Stores a header, up to the limit; trailers aren't passed on."""
+        if self._in_body or self._receiver is None:
+            return
+        self._header_bytes += len(name) + len(value) + _SEPARATOR_BYTES
+        if self._header_bytes > framing.MAX_HEAD_BYTES:
+            self._fail(ResponseFailure.TOO_LARGE)
+            return
         name = name.lower()
         if name in (b"content-length", b"transfer-encoding"):
             self._has_length = True
