Join an event of an engine once it is complete

The reader of engines' streams copied and searched all that it kept of an event at each read: an event of 100 KB in reads of 10 bytes, which has no end, was joined as 500 MB, in reads of one byte as 5 GB. It now searches the new bytes alone and joins an event when its end arrives. The new test counts the joined bytes, and failed before.

--- a/pollenfork/answers/events.py
+++ b/pollenfork/answers/events.py
@@ -48,7 +48,7 @@
         self.done = False
         self.fault: errors.Cause | None = None
         self._limit = limit
-        self._tail = b""
+        self._tail = bytearray()
         self._skip = 0
         self._may_repeat = True
         self._expected = b"id: 0\n"
@@ -66,8 +66,13 @@
     def feed(self, data: bytes) -> bytes:
         """Adds received bytes and returns the complete events to relay."""
         if self._tail:
-            data = self._tail + data
-            self._tail = b""
+            # Only the new bytes are searched until they end an event, so that
+            # the work grows with the bytes, not with the square of the reads.
+            if _END not in self._tail[-1:] + data:
+                self._keep(data)
+                return b""
+            data = bytes(self._tail) + data
+            self._tail.clear()
         # Fast path: the read is exactly the expected event.
         if (
             data.startswith(self._expected)
@@ -80,7 +85,7 @@
 
     def end(self) -> bytes:
         """Returns the finish marker if only its line ends are missing."""
-        tail, self._tail = self._tail, b""
+        tail, self._tail = self._tail, bytearray()
         if self.done or tail.strip() != _FINISH:
             return b""
         self.done = True
@@ -93,7 +98,7 @@
             resumed: Whether the same engine's stream is resumed, which may
                 repeat events. Another engine must begin at `position`.
         """
-        self._tail = b""
+        self._tail.clear()
         self.fault = None
         self._skip = self.unnumbered
         self._may_repeat = resumed
@@ -102,9 +107,7 @@
         end = data.rfind(_END) + len(_END)
         if end < len(_END):
             end = 0
-        self._tail = data[end:]
-        if len(self._tail) > self._limit:
-            self.fault = errors.Cause.OVERSIZE
+        self._keep(data[end:])
         accepted = []
         for event in data[:end].split(_END)[:-1]:
             event = event.lstrip(b"\n")
@@ -114,6 +117,12 @@
                 accepted.append(event + _END)
         return b"".join(accepted)
 
+    def _keep(self, data: bytes) -> None:
+        """Keeps the start of an event until the rest arrives."""
+        self._tail.extend(data)
+        if len(self._tail) > self._limit:
+            self.fault = errors.Cause.OVERSIZE
+
     def _accept(self, event: bytes) -> bool:
         match = _POSITION.search(event)
         if match:
--- a/pollenfork/answers/tests/test_events.py
+++ b/pollenfork/answers/tests/test_events.py
@@ -118,6 +118,31 @@
     assert reader.fault is Cause.NOT_CONTINUED
 
 
+class CountedRead(bytes):
+    """Counts the bytes to which reads were joined."""
+
+    joined = 0
+
+    def __radd__(self, before) -> bytes:
+        CountedRead.joined += len(before) + len(self)
+        return bytes(before) + bytes(self)
+
+
+# Guards against an engine whose event never ends and that occupies a thread,
+# as all that was kept of the event was copied and searched at each read.
+@pytest.mark.parametrize("size", [1, 10, 200])
+def test_work_grows_with_the_bytes_of_an_event_not_its_reads(size: int) -> None:
+    total = 100_000
+    data = (b"data: " + b"t" * 43 + b"\n") * (total // 50)
+    reader = events.EventReader(total)
+    CountedRead.joined = 0
+    for start in range(0, total, size):
+        assert reader.feed(CountedRead(data[start : start + size])) == b""
+    assert reader.fault is None
+    assert CountedRead.joined <= 3 * total
+    assert reader.feed(b"\n") == data + b"\n"
+
+
 @pytest.mark.parametrize("tokens", [1, 2000])
 def test_buffer_returns_the_answers_text(tokens: int) -> None:
     buffer = answer_buffer.AnswerBuffer(1 << 20)
