--- a/pollenfork/gateway/callers.py
+++ b/pollenfork/gateway/callers.py
@@ -13,6 +13,7 @@
 from pollenfork.gateway import messages
 from pollenfork.gateway import replies
 from pollenfork.gateway.bounds import framing
+from pollenfork.gateway.bounds import pieces
 from pollenfork.routes import model as routes
 
 _LOG = logging.getLogger(__name__)
@@ -104,11 +105,12 @@
         self._waiting: list[tuple[messages.Request, bool]] = []
         self._reading = False
         self._arrived = 0.0
-        self._target = b""
+        self._target = pieces.Pieces()
         self._headers: list[messages.Header] = []
         self._header_bytes = 0
         self._framing = framing.FramingCounter()
-        self._body: list[bytes] = []
+        self._read_body = pieces.Pieces()
+        self._body = pieces.Pieces()
         self._body_bytes = 0
         self._closing = False
         self._fault: Fault | None = None
@@ -140,7 +142,7 @@
     def count_received(self) -> int:
         """Returns the bytes of received bodies that aren't served yet."""
         waiting = sum(len(call.body) for call, _ in self._waiting)
-        return waiting + (self._body_bytes if self._body else 0)
+        return waiting + len(self._body)
 
     def watch_backpressure(self, callback: Callable[[bool], None]) -> None:
         """Sets the callback for a write buffer that fills (True) or drains."""
@@ -213,6 +215,7 @@
         except httptools.HttpParserError:
             self._refuse(self._fault or Fault.MALFORMED)
         else:
+            self._add_read_body()
             if self._framing.exceeded:
                 self._fault = self._fault or Fault.HEADERS_TOO_LARGE
             if self._fault is not None:
@@ -224,10 +227,10 @@
         """Starts a request."""
         self._reading = True
         self._arrived = self._server.loop.time()
-        self._target = b""
+        self._target.clear()
         self._headers = []
         self._header_bytes = 0
-        self._body = []
+        self._body.clear()
         self._body_bytes = 0
         if self._task is None:
             self._start_timer(
@@ -236,7 +239,7 @@
 
     def on_url(self, url: bytes) -> None:
         """Stores the target."""
-        self._target += url
+        self._target.append(url)
         self._count_header(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -257,34 +260,26 @@
                 self.write(replies.CONTINUE)
 
     def on_body(self, data: bytes) -> None:
-        """Stores a piece of the body."""
+        """Stores a piece of the body until the read ends."""
         self._framing.add_body(len(data))
-        self._body_bytes += len(data)
-        if self._body_bytes > self._server.limits.body_bytes:
-            self._fault = self._fault or Fault.BODY_TOO_LARGE
-            self._body.clear()
-        elif not self._server.buffers.has_room(len(data)):
-            self._fault = self._fault or Fault.MEMORY
-            self._body.clear()
-        elif self._fault is None:
-            self._body.append(data)
-        self.buffers.update()
+        if self._fault is None:
+            self._read_body.append(data)
 
     def on_message_complete(self) -> None:
         """Serves the request, or queues it behind the one in progress."""
         self._reading = False
+        self._add_read_body()
         if self._fault is not None:
             return
         call = messages.Request(
             method=self._parser.get_method(),
-            target=self._target,
+            target=self._target.take(),
             headers=self._headers,
-            body=b"".join(self._body),
+            body=self._body.take(),
             arrived=self._arrived,
         )
         keep = self._parser.should_keep_alive()
         self._headers = []
-        self._body = []
         self._framing.restart()
         self._waiting.append((call, keep))
         if len(self._waiting) > _MAX_PIPELINED:
@@ -298,6 +293,27 @@
         if self._header_bytes > self._server.limits.header_bytes:
             self._fault = self._fault or Fault.HEADERS_TOO_LARGE
 
+    def _add_read_body(self) -> None:
+        """Adds what was read of the body, within the limits.
+
+        They are applied once for each read, since each chunk may hold a single
+        byte and buffers of all callers may be measured.
+        """
+        size = len(self._read_body)
+        if not size:
+            return
+        self._body_bytes += size
+        if self._body_bytes > self._server.limits.body_bytes:
+            self._fault = self._fault or Fault.BODY_TOO_LARGE
+        elif not self._server.buffers.has_room(size):
+            self._fault = self._fault or Fault.MEMORY
+        data = self._read_body.take()
+        if self._fault is None:
+            self._body.append(data)
+        else:
+            self._body.clear()
+        self.buffers.update()
+
     def _serve_next(self) -> None:
         if self._task is not None or not self._waiting:
             return
@@ -342,6 +358,8 @@
     def _refuse(self, fault: Fault) -> None:
         """Answers a request that can't be parsed, and closes."""
         self._fault = fault
+        self._read_body.clear()
+        self._body.clear()
         counted = self._server.counters.refused
         counted[fault.value] = counted.get(fault.value, 0) + 1
         _LOG.warning(
--- a/pollenfork/gateway/connection.py
+++ b/pollenfork/gateway/connection.py
@@ -11,6 +11,7 @@
 
 from pollenfork.gateway import messages
 from pollenfork.gateway.bounds import framing
+from pollenfork.gateway.bounds import pieces
 
 
 class ResponseFailure(enum.Enum):
@@ -56,6 +57,8 @@
 # The body of an answer to another request is dropped up to this size.
 _MAX_DISCARDED_BYTES = 1 << 20
 _WITHOUT_BODY = frozenset({204, 304})
+# The colon and the line's end, at least.
+_SEPARATOR_BYTES = 3
 _TIMEOUT_PARAMETER = b"timeout="
 
 
@@ -83,11 +86,13 @@
         self._parser = httptools.HttpResponseParser(self)
         self._receiver: Receiver | None = None
         self._headers: list[messages.Header] = []
+        self._header_bytes = 0
         self._has_length = False
         self._in_body = False
         self._discarding = False
         self._lost = False
         self._framing = framing.FramingCounter()
+        self._read_body = pieces.Pieces()
         self._discarded = 0
         self.idle_since = 0.0
         self.connected_at_unix = 0.0
@@ -162,12 +167,13 @@
         self._framing.add(len(data))
         try:
             self._parser.feed_data(data)
-            if self._receiver is not None and self._framing.exceeded:
-                self._fail(ResponseFailure.TOO_LARGE)
-        except httptools.HttpParserUpgrade:
-            self._fail(ResponseFailure.INVALID)
-        except httptools.HttpParserError:
+        except (httptools.HttpParserUpgrade, httptools.HttpParserError):
+            self._pass_body()
             self._fail(ResponseFailure.INVALID)
+            return
+        self._pass_body()
+        if self._receiver is not None and self._framing.exceeded:
+            self._fail(ResponseFailure.TOO_LARGE)
 
     def eof_received(self) -> bool:
         """Completes a response without a length; fails any other."""
@@ -191,10 +197,17 @@
         if self._receiver is None:
             self.reusable = False
         self._headers = []
+        self._header_bytes = 0
         self._has_length = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores a header."""
+        """Stores a header, up to the limit; trailers aren't passed on."""
+        if self._in_body or self._receiver is None:
+            return
+        self._header_bytes += len(name) + len(value) + _SEPARATOR_BYTES
+        if self._header_bytes > framing.MAX_HEAD_BYTES:
+            self._fail(ResponseFailure.TOO_LARGE)
+            return
         name = name.lower()
         if name in (b"content-length", b"transfer-encoding"):
             self._has_length = True
@@ -217,16 +230,20 @@
             self._fail(ResponseFailure.INVALID)
 
     def on_body(self, data: bytes) -> None:
-        """Passes a piece of the body to the receiver."""
+        """Keeps a piece of the body until the read ends.
+
+        The receiver gets the body as it was read, not as it was cut into
+        chunks, since its work and that of the caller's connection for each
+        piece would be many times that of the parser.
+        """
         self._framing.add_body(len(data))
         if self._receiver is None:
             return
-        if self._discarding:
-            self._discarded += len(data)
-            is_accepted = self._discarded <= _MAX_DISCARDED_BYTES
-        else:
-            is_accepted = self._receiver.on_body(data)
-        if not is_accepted:
+        if not self._discarding:
+            self._read_body.append(data)
+            return
+        self._discarded += len(data)
+        if self._discarded > _MAX_DISCARDED_BYTES:
             self._fail(ResponseFailure.TOO_LARGE)
 
     def on_message_complete(self) -> None:
@@ -239,6 +256,7 @@
         if self._discarding:
             self._discarding = False
             return
+        self._pass_body()
         self._complete(EndProof.FRAMING)
 
     def _read_keep_alive(self, value: bytes) -> None:
@@ -247,6 +265,14 @@
             if part.startswith(_TIMEOUT_PARAMETER) and part[8:].isdigit():
                 self.idle_limit_s = float(part[8:])
 
+    def _pass_body(self) -> None:
+        """Passes what was read of the body to the receiver."""
+        if not len(self._read_body):
+            return
+        data = self._read_body.take()
+        if self._receiver is not None and not self._receiver.on_body(data):
+            self._fail(ResponseFailure.TOO_LARGE)
+
     def _complete(self, proof: EndProof) -> None:
         receiver, self._receiver = self._receiver, None
         self._in_body = False
