Keep a runner's plain answer contiguously until it is whole

Cause: Attempt kept an object for each piece; the limits count only the bytes.

Evidence: the new test failed for pieces of 1 and 4 bytes and passes.

--- a/pollenfork/gateway/attempt.py
+++ b/pollenfork/gateway/attempt.py
@@ -10,6 +10,7 @@
 from pollenfork.gateway import connection
 from pollenfork.gateway import edges
 from pollenfork.gateway import messages
+from pollenfork.gateway.bounds import pieces
 from pollenfork.gateway.events import progress
 from pollenfork.gateway.events import splitter
 from pollenfork.loads import messages as loads
@@ -171,8 +172,8 @@
         self._on_any_head = on_any_head
         self._on_buffered = on_buffered
         self._head: messages.ResponseHead | None = None
-        self._body: list[bytes] = []
-        self._size = 0
+        self._body = pieces.Pieces()
+        self._refused_bytes = 0
         self.done: asyncio.Future[AttemptResult] = loop.create_future()
         self.phase = Phase.WAITING
         self.last_data_at = loop.time()
@@ -222,11 +223,11 @@
     def _buffer(self, data: bytes) -> bool:
         """Keeps a piece of an answer; returns False if it is too large."""
         assert self._head is not None
-        self._size += len(data)
         if self._head.displaced or self._head.not_run:
             # The head alone tells what became of the request.
-            return self._size <= _MAX_REFUSAL_BYTES
-        if self._size > _MAX_ANSWER_BYTES:
+            self._refused_bytes += len(data)
+            return self._refused_bytes <= _MAX_REFUSAL_BYTES
+        if len(self._body) + len(data) > _MAX_ANSWER_BYTES:
             return False
         self._body.append(data)
         return self._on_buffered is None or self._on_buffered(len(data))
@@ -247,7 +248,7 @@
             return
         elif not self.is_streamed:
             self._on_first_output()
-            body = b"".join(self._body)
+            body = self._body.take()
             self._finish(
                 AttemptResult(End.WHOLE, head, body, proof=self._proof)
             )
--- a/pollenfork/gateway/bounds/tests/test_small_pieces.py
+++ b/pollenfork/gateway/bounds/tests/test_small_pieces.py
@@ -5,10 +5,12 @@
 
 import pytest
 
+from pollenfork.gateway import attempt
 from pollenfork.gateway import buffers
 from pollenfork.gateway import client
 from pollenfork.gateway import connection
 from pollenfork.gateway.bounds.tests import support
+from pollenfork.gateway.tests import support as gateway_support
 
 SIZE = 2 << 20
 
@@ -44,6 +46,42 @@
     assert asyncio.run(run()) <= 1.5
 
 
+# Guards against a plain answer of 10 MB, in reads of 4 bytes, that took
+# a gateway over its memory: each read was kept as an object.
+@pytest.mark.parametrize("size", [1, 4, 64])
+def test_an_answer_in_small_reads_takes_memory_as_its_bytes(size: int) -> None:
+    async def run():
+        receiver = make_attempt()
+        read = b"a" * size
+        tracemalloc.start()
+        try:
+            for _ in range(SIZE // size):
+                assert receiver.on_body(read)
+            _, most = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        receiver.on_end(connection.EndProof.FRAMING)
+        assert (await receiver.done).body == b"a" * SIZE
+        return most / SIZE
+
+    assert asyncio.run(run()) <= 1.5
+
+
+def make_attempt() -> attempt.Attempt:
+    """Returns an attempt whose answer's head has arrived."""
+    head = [(b"x-id", b"q"), (b"x-seal", b"z")]
+    codec = gateway_support.Codec()
+    made = attempt.Attempt(
+        asyncio.get_running_loop(),
+        codec,
+        codec.decode_request(head),
+        None,
+        lambda: None,
+    )
+    made.on_head(200, head)
+    return made
+
+
 # Guards against answers of the store, of peers and of runners' feeds that take
 # 30 times their bytes, since each chunk was kept as an object.
 @pytest.mark.parametrize("size", [1, 4, 64])
--- a/pollenfork/gateway/forwarding.py
+++ b/pollenfork/gateway/forwarding.py
@@ -132,7 +132,7 @@
             super().on_end(proof)
             return
         self.phase = attempt.Phase.ENDED
-        body = b"".join(self._body)
+        body = self._body.take()
         self._finish(attempt.AttemptResult(End.REFUSED, head, body))
 
 
