--- a/pollenfork/gateway/events/progress.py
+++ b/pollenfork/gateway/events/progress.py
@@ -70,10 +70,15 @@
             return True
         return self._may_begin and position in _FIRST_POSITIONS
 
-    def advance(self, position: int) -> None:
-        """Records that the next event is forwarded."""
-        self.last = position
-        self.forwarded += 1
+    def advance(self, last: int, events: int) -> None:
+        """Records that the next events are forwarded.
+
+        Args:
+            last: The position of the last one.
+            events: Their number.
+        """
+        self.last = last
+        self.forwarded += events
 
 
 class StreamRun:
@@ -103,9 +108,10 @@
         """
         self._progress = progress
         self._splitter = events
-        self._read: list[splitter.Block] = []
+        # What has been read and not taken, and the positions of its events.
+        self._read: list[bytes] = []
         self._read_bytes = 0
-        # The position of the last event read, which may not be taken yet.
+        self._first_read: int | None = None
         self._last_read: int | None = None
         self.state = RunState.AWAITED
         self.breach: splitter.Breach | None = None
@@ -134,21 +140,22 @@
         Comments before the first event wait for it, as a run that sends no
         event leaves nothing with the caller.
         """
-        if self._last_read is None:
-            return False
-        return bool(self._read)
+        return self._last_read is not None and bool(self._read)
 
     def read(self, data: bytes) -> None:
         """Reads bytes of the runner; what can't follow breaks the run."""
         if self.breach is not None:
             return
         for block in self._splitter.feed(data):
-            if block.position is not None:
-                if not self._continues(block.position):
+            position = block.position
+            if position is not None:
+                if not self._continues(position):
                     self.breach = splitter.Breach.OUT_OF_ORDER
                     break
-                self._last_read = block.position
-            self._read.append(block)
+                if self._first_read is None:
+                    self._first_read = position
+                self._last_read = position
+            self._read.append(block.data)
             self._read_bytes += len(block.data)
         self.breach = self.breach or self._splitter.breach
         if not self.ready and self._read_bytes > splitter.MAX_EVENT_BYTES:
@@ -156,27 +163,28 @@
 
     def take(self) -> bytes:
         """Returns what was read, which is forwarded now."""
-        taken, self._read, self._read_bytes = self._read, [], 0
-        for block in taken:
-            if block.position is None:
-                continue
+        data = b"".join(self._read)
+        first, last = self._first_read, self._last_read
+        self._read, self._read_bytes, self._first_read = [], 0, None
+        if first is not None and last is not None:
             # Another run may have gone on since this one was asked.
-            if not self._progress.accepts(block.position):
+            if not self._progress.accepts(first):
                 self.breach = splitter.Breach.OUT_OF_ORDER
-                self.state = RunState.BROKEN
-                return b""
-            self._progress.advance(block.position)
-            self._record(block.position)
+                data = b""
+            else:
+                self._record(first, last)
         self.state = RunState.BROKEN if self.breach else RunState.FLOWING
-        return b"".join(block.data for block in taken)
+        return data
 
     def _continues(self, position: int) -> bool:
         if self._last_read is not None:
             return position == self._last_read + 1
         return self._progress.accepts(position)
 
-    def _record(self, position: int) -> None:
+    def _record(self, first: int, last: int) -> None:
+        """Records that the events of some positions are forwarded."""
         if self.first is None:
-            self.first = position
-        self.last = position
-        self.events += 1
+            self.first = first
+        self.last = last
+        self.events += last - first + 1
+        self._progress.advance(last, last - first + 1)
--- a/pollenfork/gateway/events/splitter.py
+++ b/pollenfork/gateway/events/splitter.py
@@ -7,6 +7,7 @@
 """
 
 import enum
+import re
 
 import msgspec
 
@@ -16,6 +17,10 @@
 _FIELDS = frozenset({b"id", b"data", b"event", b"retry"})
 # Longer numbers are no positions.
 _MAX_DIGITS = 18
+# A whole event of the usual fields, matched at once to save time.
+_USUAL = re.compile(
+    rb"id: ?(\d{1,%d})\r?\n(?:data:[^\r\n]*\r?\n)+\r?\n" % _MAX_DIGITS
+)
 
 
 class Breach(enum.Enum):
@@ -77,8 +82,20 @@
         """
         if self.breach is not None:
             return []
-        self._buffer += data
         blocks: list[Block] = []
+        if not self._buffer:
+            at = 0
+            while found := _USUAL.match(data, at):
+                blocks.append(Block(found.group(), int(found.group(1))))
+                at = found.end()
+            data = data[at:]
+        if data:
+            self._buffer += data
+            self._read_lines(blocks)
+        return blocks
+
+    def _read_lines(self, blocks: list[Block]) -> None:
+        """Adds the blocks in the buffer, line by line."""
         start = 0
         while self.breach is None:
             end = self._buffer.find(b"\n", self._searched)
@@ -93,7 +110,6 @@
                 self._position, self._has_fields = None, False
                 start = self._line_at
         self._drop(start)
-        return blocks
 
     def _drop(self, size: int) -> None:
         """Drops the blocks at the beginning of the buffer."""
--- a/pollenfork/gateway/events/tests/test_splitter.py
+++ b/pollenfork/gateway/events/tests/test_splitter.py
@@ -110,6 +110,43 @@
     assert join(events.feed(text)) == text
 
 
+LINES = strategies.sampled_from(
+    [
+        b"id: 1",
+        b"id:2",
+        b"id: 03",
+        b"id",
+        b"data: x",
+        b"data:",
+        b"data",
+        b"event: e",
+        b": c",
+        b"",
+        b"",
+        b"",
+        b"words",
+        b"da\rta: x",
+    ]
+)
+ENDS = strategies.sampled_from([b"\n", b"\n", b"\r\n"])
+
+
+# Guards against usual events that are matched at once by other rules than those
+# that are read line by line.
+@given(strategies.lists(strategies.tuples(LINES, ENDS), max_size=14))
+def test_a_read_gives_the_same_blocks_whole_or_by_bytes(lines) -> None:
+    text = b"".join(line + end for line, end in lines)
+    at_once, by_bytes = splitter.EventSplitter(), splitter.EventSplitter()
+    blocks = at_once.feed(text)
+    single = [
+        block
+        for at in range(len(text))
+        for block in by_bytes.feed(text[at : at + 1])
+    ]
+    assert blocks == single
+    assert at_once.breach is by_bytes.breach
+
+
 class CountingBuffer(bytearray):
     """Counts the bytes that are searched or copied out of it."""
 
