Begin no stream that broke in the read in which it ends

Callers would have got the head of a stream that had no proper event, and then a closed connection in place of 502. The end of a run that is broken already was handled as that of one without events. The new tests of exchanges and of forwarded requests failed before; the others show that instances of earlier builds are judged as runners are.

--- a/pollenfork/gateway/attempt.py
+++ b/pollenfork/gateway/attempt.py
@@ -238,6 +238,8 @@
         head = self._head
         assert head is not None
         self.phase = Phase.ENDED
+        if self.done.done():
+            return  # The end came in the same read as what broke the stream.
         if self._finish_refused():
             return
         if not head.sealed or not head.attempt:
--- a/pollenfork/gateway/tests/test_exchange.py
+++ b/pollenfork/gateway/tests/test_exchange.py
@@ -341,6 +341,15 @@
     assert b"x-after: 2" in got[0]
 
 
+# Guards against a caller that is sent the head of a stream though it broke
+# before its first event: its end came in the same read.
+@pytest.mark.parametrize("broken", [b"thread 7\n\n", b"id: 4711\n\n"])
+def test_a_stream_without_a_proper_event_does_not_begin(broken) -> None:
+    stream = support.write_stream(broken, whole=True)
+    answer, _ = run_request(support.make_route(STREAM), [stream])
+    assert read_status(answer) == 502
+
+
 # Guards against a begun stream that ended as complete, as the runner that it
 # went on at answered with something else than events.
 @pytest.mark.parametrize("status", [200, 201, 204, 302, 400, 404])
--- a/pollenfork/gateway/tests/test_forwarding.py
+++ b/pollenfork/gateway/tests/test_forwarding.py
@@ -80,6 +80,32 @@
     assert not run(STREAM, helper).endswith(b"0\r\n\r\n")
 
 
+# Guards against an instance of an earlier build that passes on what its runner
+# happens to send.
+@pytest.mark.parametrize(
+    "sent",
+    [
+        support.write_events(3, 6),
+        b"thread 7\n\n" + support.write_events(0, 4),
+        b"id: 4711\n\n" + support.write_events(0, 4),
+    ],
+)
+def test_another_instance_may_not_begin_a_stream_elsewhere(sent) -> None:
+    answer = run(STREAM, helping.Helper(support.write_stream(sent, True)))
+    assert answer.startswith(b"HTTP/1.1 502")
+
+
+# Guards against an answer that looks complete as the instance that sent it was
+# killed: instances frame what they send.
+@pytest.mark.parametrize("kind", ["", "content-type: text/events\r\n"])
+def test_an_unframed_answer_of_another_instance_has_broken_off(kind) -> None:
+    head = f"HTTP/1.1 200 OK\r\nx-id: q\r\nx-seal: z\r\n{kind}\r\n"
+    helper = helping.Helper(head.encode() + support.write_events(0, 2))
+    answer = run(STREAM, helper)
+    assert not answer.endswith(b"0\r\n\r\n")
+    assert answer.startswith(b"HTTP/1.1 " + (b"200" if kind else b"502"))
+
+
 def test_the_refusal_of_another_instance_is_passed_on() -> None:
     answer = run(ONCE, helping.Helper(FULL))
     assert answer.startswith(b"HTTP/1.1 503")
