--- a/pollenfork/gateway/attempt.py
+++ b/pollenfork/gateway/attempt.py
@@ -9,8 +9,9 @@
 from pollenfork.fleet import messages as fleet_messages
 from pollenfork.gateway import connection
 from pollenfork.gateway import edges
-from pollenfork.gateway import events
 from pollenfork.gateway import messages
+from pollenfork.gateway.events import progress
+from pollenfork.gateway.events import splitter
 from pollenfork.loads import messages as loads
 
 # Answers that aren't streamed are buffered whole before they are forwarded.
@@ -21,6 +22,12 @@
 
 End = fleet_messages.End
 
+_FAILURES = {
+    splitter.Breach.FOREIGN: connection.ResponseFailure.FOREIGN,
+    splitter.Breach.OUT_OF_ORDER: connection.ResponseFailure.OUT_OF_ORDER,
+    splitter.Breach.TOO_LARGE: connection.ResponseFailure.TOO_LARGE,
+}
+
 
 class Phase(enum.Enum):
     """How much of the answer has arrived."""
@@ -40,6 +47,8 @@
         body: The body of an answer that isn't streamed.
         failure: Why the answer is incomplete.
         connection_refused: Whether the runner's host refused the connection.
+        proof: What shows that a whole answer is complete.
+        run: What was asked and forwarded, of an answer that is streamed.
     """
 
     end: End
@@ -47,6 +56,8 @@
     body: bytes = b""
     failure: connection.ResponseFailure | None = None
     connection_refused: bool = False
+    proof: connection.EndProof = connection.EndProof.FRAMING
+    run: progress.StreamRun | None = None
 
     @property
     def is_error(self) -> bool:
@@ -93,13 +104,13 @@
     """Forwards a stream to the caller; kept across the request's attempts.
 
     Attributes:
-        splitter: Tracks which events have been forwarded.
+        progress: What the caller has of the stream.
         begin: Called with the runner's response head before the first event.
         write: Called with complete events.
         begun: Whether the head has been sent to the caller.
     """
 
-    splitter: events.EventSplitter
+    progress: progress.StreamProgress
     begin: Callable[[messages.ResponseHead], None]
     write: Callable[[bytes], None]
     begun: bool = False
@@ -158,7 +169,8 @@
         self.last_data_at = loop.time()
         self.paused = False
         self.claim: Callable[[], bool] | None = None
-        self._has_taken_over = False
+        self._run = relay.progress.begin_run() if relay else None
+        self._proof = connection.EndProof.FRAMING
 
     def record_paused(self, paused: bool) -> None:
         """Records that reading was paused or resumed."""
@@ -185,19 +197,17 @@
             return True
         if not self.is_streamed:
             return self._buffer(data)
-        assert self._relay is not None
-        if not self._may_answer():
-            return True
-        self._take_over()
-        try:
-            complete = self._relay.splitter.feed(data)
-        except events.EventTooLarge:
+        assert self._run is not None
+        self._run.read(data)
+        if self._run.ready:
+            # An attempt goes on with an event, not with a part of one.
+            if not self._may_answer():
+                return True
+            self._forward(self._run.take())
+        if self._run.breach is splitter.Breach.TOO_LARGE:
             return False
-        except events.StreamError:
-            self._fail(connection.ResponseFailure.INVALID)
-            return True
-        if complete:
-            self._forward(complete)
+        if self._run.breach is not None:
+            self._fail(_FAILURES[self._run.breach])
         return True
 
     def _buffer(self, data: bytes) -> bool:
@@ -212,8 +222,9 @@
         self._body.append(data)
         return self._on_buffered is None or self._on_buffered(len(data))
 
-    def on_end(self) -> None:
+    def on_end(self, proof: connection.EndProof) -> None:
         """Determines the result of the attempt from a complete answer."""
+        self._proof = proof
         head = self._head
         assert head is not None
         self.phase = Phase.ENDED
@@ -225,7 +236,10 @@
             return
         elif not self.is_streamed:
             self._on_first_output()
-            self._finish(AttemptResult(End.WHOLE, head, b"".join(self._body)))
+            body = b"".join(self._body)
+            self._finish(
+                AttemptResult(End.WHOLE, head, body, proof=self._proof)
+            )
         else:
             self._end_stream(head)
 
@@ -235,6 +249,11 @@
         if not is_too_large or not self._finish_refused():
             self._fail(failure)
 
+    @property
+    def run(self) -> progress.StreamRun | None:
+        """What was asked and forwarded, of an answer that is streamed."""
+        return self._run if self.is_streamed else None
+
     @property
     def can_follow(self) -> bool:
         """Whether its answer may follow what the caller has been sent."""
@@ -271,15 +290,10 @@
     def _may_answer(self) -> bool:
         return self.claim is None or self.claim()
 
-    def _take_over(self) -> None:
-        """Drops what another attempt has left of an incomplete event."""
-        assert self._relay is not None
-        if not self._has_taken_over:
-            self._has_taken_over = True
-            self._relay.splitter.restart()
-
     def _forward(self, complete: bytes) -> None:
         assert self._relay is not None and self._head is not None
+        if not complete:
+            return
         self.last_data_at = self._loop.time()
         if self.phase is not Phase.STREAMING:
             self.phase = Phase.STREAMING
@@ -288,17 +302,18 @@
         self._relay.write(complete)
 
     def _end_stream(self, head: messages.ResponseHead) -> None:
-        assert self._relay is not None
-        self._take_over()
+        assert self._relay is not None and self._run is not None
         # Without framing, a runner that ends before its first event looks as if
         # it had nothing to say.
         is_new = not self._relay.begun and self._request.last_event is None
-        if self._relay.splitter.partial or (is_new and not head.framed):
+        if self._run.partial or (is_new and not head.framed):
             self._fail(connection.ResponseFailure.CLOSED)
             return
         self._on_first_output()
         self._begin_relay()
-        self._finish(AttemptResult(End.WHOLE, head))
+        self._finish(
+            AttemptResult(End.WHOLE, head, proof=self._proof, run=self.run)
+        )
 
     def _begin_relay(self) -> None:
         assert self._relay is not None and self._head is not None
@@ -308,7 +323,9 @@
 
     def _fail(self, failure: connection.ResponseFailure) -> None:
         self.phase = Phase.ENDED
-        self._finish(AttemptResult(End.BROKEN, self._head, failure=failure))
+        self._finish(
+            AttemptResult(End.BROKEN, self._head, failure=failure, run=self.run)
+        )
 
     def _finish(self, ended: AttemptResult) -> None:
         if not self.done.done():
--- a/pollenfork/gateway/bounds/tests/support.py
+++ b/pollenfork/gateway/bounds/tests/support.py
@@ -83,7 +83,7 @@
         self.events.append(data)
         return True
 
-    def on_end(self) -> None:
+    def on_end(self, proof) -> None:
         self.events.append("end")
 
     def on_failure(self, failure) -> None:
--- a/pollenfork/gateway/client.py
+++ b/pollenfork/gateway/client.py
@@ -70,7 +70,7 @@
         self._body.append(data)
         return True
 
-    def on_end(self) -> None:
+    def on_end(self, proof: connection.EndProof) -> None:
         """Resolves `done` with the response."""
         if not self.done.done():
             body = self._body.take()
