Judge streams by the runs that made their events

The soak compared complete streams with the events of one run that didn't name itself: pieces of two runs looked alike, and broken streams weren't judged at all.

Runners now name the run in each event, and the record of a run holds the position it was asked to follow, its version and its form. stream_judge knows the runs and judges every answer, complete or broken off, also over all tries of its caller. The new play soak.streams has runners that spoil, cut and leave answers unframed and are killed, and callers that leave and resume.

--- a/pollenfork/platform/tests/soak/caller.py
+++ b/pollenfork/platform/tests/soak/caller.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import random
+import re
 import socket
 import time
 from typing import NamedTuple
@@ -21,13 +22,20 @@
         limit_s: Its time limit.
         headers: Further header lines, each with its line end.
         pause_s: For how long it reads nothing after each chunk of a body.
+        leaves_after: It leaves a stream after so many events; 0: it doesn't.
     """
 
     limit_s: float = 3.0
     headers: str = ""
     pause_s: float = 0.0
+    leaves_after: int = 0
 
 
+class _LeftError(ConnectionError):
+    """The caller has left."""
+
+
+_AFTER = re.compile(r"^Last-Event-Id: (\d+)\r$", re.MULTILINE)
 _PLAIN = Manner()
 
 
@@ -64,6 +72,12 @@
     manner: Manner = _PLAIN
     paused_s: float = 0.0
 
+    @property
+    def after(self) -> int:
+        """The position that it asked to follow; -1: none."""
+        found = _AFTER.search(self.manner.headers)
+        return int(found.group(1)) if found else -1
+
 
 class Caller:
     """Sends one request after another to one gateway."""
@@ -160,9 +174,15 @@
             return
         while True:
             size = int(await reader.readuntil(b"\r\n"), 16)
-            asked.body += await reader.readexactly(size)
+            try:
+                asked.body += await reader.readexactly(size)
+            except asyncio.IncompleteReadError as error:
+                asked.body += error.partial
+                raise
             await reader.readexactly(2)
             if not size:
                 return
+            if 0 < asked.manner.leaves_after <= asked.body.count(b"\n\n"):
+                raise _LeftError
             await asyncio.sleep(asked.manner.pause_s)
             asked.paused_s += asked.manner.pause_s
--- a/pollenfork/platform/tests/soak/checks.py
+++ b/pollenfork/platform/tests/soak/checks.py
@@ -6,9 +6,9 @@
 from pollenfork.platform.tests.soak import caller
 from pollenfork.platform.tests.soak import runner
 from pollenfork.platform.tests.soak import site as sites
+from pollenfork.platform.tests.soak import stream_judge
 
 _PROMISES = frozenset({408, 421, 429, 503})
-_EVENTS = 10
 # `max-attempts` of the routes whose requests may run more than once.
 _MAX_RUNS = 2
 # Runners that a request may end, and sends of it that may follow later.
@@ -168,7 +168,9 @@
         found.append(f"ran {len(runs)} times")
     if asked.status in _PROMISES and runs and once:
         found.append(f"{asked.status}, and it ran")
-    if asked.status == 200 and asked.whole and not _is_whole(asked):
+    if asked.kind in ("stream", "resume"):
+        found += stream_judge.find_faults([stream_judge.make_try(asked, runs)])
+    elif asked.status == 200 and asked.whole and not _is_whole(asked):
         found.append(f"not its whole answer: {asked.body[:60]!r}")
     if asked.status in (401, 404) and _is_in_force(asked, site):
         found.append(f"{asked.status} for a key that is in force")
@@ -213,10 +215,4 @@
 
 
 def _is_whole(asked: caller.Asked) -> bool:
-    if asked.kind in ("stream", "resume"):
-        expected = b"".join(
-            runner.make_event(asked.path, asked.attempt, n)
-            for n in range(_EVENTS)
-        )
-        return asked.body == expected
     return asked.body == f"{asked.attempt} model answer".encode()
--- a/pollenfork/platform/tests/soak/faults.py
+++ b/pollenfork/platform/tests/soak/faults.py
@@ -337,9 +337,34 @@
 POISON = (suspend, suspend, send_poison, send_poison)
 
 
-async def play(site: sites.Site, seconds: float) -> list[str]:
+def _list_faults(seed: int) -> tuple[Fault, ...]:
+    """Returns the faults that a seed draws from."""
+    kinds = ALL_FAULTS if seed >= _FIRST_SEED_WITH_ALL else FAULTS
+    if seed >= _FIRST_SEED_WITH_RESTARTS:
+        kinds += RESTARTS
+    if seed >= _FIRST_SEED_WITH_POISON:
+        kinds += POISON
+    if seed >= _FIRST_SEED_WITH_LIMITS:
+        kinds += LIMITS
+    if seed >= _FIRST_SEED_WITH_NOTICES:
+        kinds += NOTICES
+    if seed >= _FIRST_SEED_WITH_CUTS:
+        kinds += CUTS
+    if seed >= _FIRST_SEED_WITH_SILENCES:
+        kinds += SILENCES
+    return kinds
+
+
+async def play(
+    site: sites.Site, seconds: float, kinds: tuple[Fault, ...] = ()
+) -> list[str]:
     """Lets faults begin for a while; returns once all have ended.
 
+    Args:
+        site: The site.
+        seconds: For how long they begin.
+        kinds: The faults to draw from; empty: those of the site's seed.
+
     Returns:
         The faults with the second at which each began.
     """
@@ -348,19 +373,7 @@
     played: list[str] = []
     tasks = []
     busy: set[sites.Gateway] = set()
-    kinds = ALL_FAULTS if site.seed >= _FIRST_SEED_WITH_ALL else FAULTS
-    if site.seed >= _FIRST_SEED_WITH_RESTARTS:
-        kinds += RESTARTS
-    if site.seed >= _FIRST_SEED_WITH_POISON:
-        kinds += POISON
-    if site.seed >= _FIRST_SEED_WITH_LIMITS:
-        kinds += LIMITS
-    if site.seed >= _FIRST_SEED_WITH_NOTICES:
-        kinds += NOTICES
-    if site.seed >= _FIRST_SEED_WITH_CUTS:
-        kinds += CUTS
-    if site.seed >= _FIRST_SEED_WITH_SILENCES:
-        kinds += SILENCES
+    kinds = kinds or _list_faults(site.seed)
     while loop.time() - begun < seconds:
         fault = site.rng.choice(kinds)
         played.append(f"{loop.time() - begun:.2f} {fault.__name__}")
--- a/pollenfork/platform/tests/soak/runner.py
+++ b/pollenfork/platform/tests/soak/runner.py
@@ -5,8 +5,12 @@
 import dataclasses
 import json
 import random
+import socket
+import struct
 import time
 
+from pollenfork.platform.tests.soak import stream_forms
+
 
 @dataclasses.dataclass
 class Run:
@@ -18,6 +22,10 @@
         began: Monotonic seconds.
         account: The account that the gateway named.
         path: The request's path.
+        id: Names it in each of its events.
+        after: The position that it was asked to follow; -1: none.
+        version: The version of the runner's software.
+        form: How its stream is sent.
     """
 
     attempt: str
@@ -25,6 +33,14 @@
     began: float
     account: str
     path: str
+    id: str = ""
+    after: int = -1
+    version: str = ""
+    form: stream_forms.Form = stream_forms.PLAIN
+
+    def __str__(self) -> str:
+        """Returns a short text for reports."""
+        return f"{self.id} after {self.after} at {self.runner} ({self.form})"
 
 
 @dataclasses.dataclass
@@ -62,6 +78,14 @@
         """Returns the runs of a caller's attempt."""
         return [run for run in self.runs if run.attempt == attempt]
 
+    def find_run(self, attempt: str, name: str) -> Run:
+        """Returns the latest run of an attempt at a runner."""
+        return next(
+            run
+            for run in reversed(self.runs)
+            if (run.attempt, run.runner) == (attempt, name)
+        )
+
 
 @dataclasses.dataclass
 class Faults:
@@ -76,6 +100,11 @@
 
 # A request with this in its path ends each runner that begins to run it.
 ENDING = "ends-its-runner"
+_NO_LINGER = struct.pack("ii", 1, 0)
+# The events of a stream.
+EVENTS = 10
+# For how long a runner that breaks off a stream without a close is silent.
+_SILENT_S = 2.0
 # How often a silent runner looks whether it goes on, in seconds.
 _LOOK_S = 0.01
 # How long a runner that ends holds a connection that it has accepted since.
@@ -87,14 +116,31 @@
 _PREFILL_PER_S = 54_600.0
 
 
+def _reset(writer) -> None:
+    """Resets a connection."""
+    sock = writer.get_extra_info("socket")
+    # Closing a socket that doesn't linger sends a reset.
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+    writer.transport.abort()
+
+
 def make_event(
-    path: str, attempt: str, position: int, version: str = ""
+    path: str, attempt: str, position: int, version: str = "", run: str = ""
 ) -> bytes:
-    """Returns one event of a stream."""
+    """Returns one event of a stream.
+
+    Args:
+        path: The request's path.
+        attempt: The caller's id.
+        position: The event's position.
+        version: The version of the software that makes it; empty: not named.
+        run: The id of the run that makes it; empty: not named.
+    """
     padding = "." * _PADDING if PADDED in path else ""
     author = f" {version}" if version else ""
+    maker = f"{attempt}/{run}" if run else attempt
     return (
-        f"id: {position}\ndata: {attempt} {position}{padding}{author}\n\n"
+        f"id: {position}\ndata: {maker} {position}{padding}{author}\n\n"
     ).encode()
 
 
@@ -120,6 +166,7 @@
             empty: not named.
         ending_part: A part of a prompt that ends it; empty: none.
         silent_until: Monotonic seconds until which it sends nothing.
+        forms: Draws how it sends streams; None: it sends all whole.
     """
 
     def __init__(
@@ -139,6 +186,7 @@
         self.version = ""
         self.ending_part = ""
         self.silent_until = 0.0
+        self.forms: stream_forms.Forms | None = None
         self._active = 0
         self._refused: list[float] = []
         # Tokens of the prompt parts that it caches; it evicts nothing.
@@ -157,7 +205,10 @@
         self._server = await asyncio.start_server(self._serve, host, port)
 
     def crash(self, lingers_s: float = 0.0) -> None:
-        """Resets every connection and listens no more.
+        """Ends as a killed process does.
+
+        It listens no more, and the kernel closes its connections in order,
+        but for those on which it has left something unread.
 
         Args:
             lingers_s: For how long new connections are still accepted, and
@@ -172,6 +223,11 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def reset_connections(self) -> None:
+        """Resets every connection, and serves on."""
+        for writer in list(self._writers):
+            _reset(writer)
+
     async def _serve(self, reader, writer) -> None:
         if self._ended:
             await asyncio.sleep(_DROP_S)
@@ -263,6 +319,11 @@
     def _note(self, attempt: str, headers: dict, path: str) -> None:
         account = headers.get("x-pollenfork-tenant", "")
         run = Run(attempt, self.name, time.monotonic(), account, path)
+        run.id = f"r{len(self._record.runs)}"
+        run.after = int(headers.get("last-event-id", -1))
+        run.version = self.version
+        if self.forms is not None:
+            run.form = self.forms.draw()
         self._record.runs.append(run)
         if "authorization" in headers:
             self._record.wrong.append(f"key passed on: {attempt}")
@@ -327,26 +388,56 @@
         return True
 
     async def _stream(self, attempt, headers, path, writer) -> bool:
+        run = self._record.find_run(attempt, self.name)
+        spoil = run.form.spoil
+        if spoil is stream_forms.Spoil.DECLINED and run.after >= 0:
+            writer.write(self._write(410, attempt, b"gone"))
+            return True
+        framing = (
+            "Connection: close"
+            if run.form.unframed
+            else "Transfer-Encoding: chunked"
+        )
         writer.write(
             f"HTTP/1.1 200 OK\r\nX-Pollenfork-Attempt-Id: {attempt}\r\n"
             f"{self._write_notices()}"
             "X-Pollenfork-Response-Seal: s\r\n"
             "Content-Type: text/event-stream\r\n"
-            "Transfer-Encoding: chunked\r\n\r\n".encode()
+            f"{framing}\r\n\r\n".encode()
         )
-        after = int(headers.get("last-event-id", -1))
-        for position in range(after + 1, 10):
+        events = [
+            make_event(path, attempt, position, run.version, run.id)
+            for position in range(run.after + 1, EVENTS)
+        ]
+        writes, end = stream_forms.list_writes(run.form, events, run.after)
+        # As many writes as events take as long, whatever a write holds.
+        pause_s = self.interval_s * self.slowness * len(events)
+        for data in writes:
             await self._wait_while_silent()
-            event = make_event(path, attempt, position, self.version)
+            frame = b"%b" if run.form.unframed else b"%x\r\n%%b\r\n" % len(data)
             if self._rng.random() < self.faults.cut / 5:
-                writer.write(b"%x\r\n%b" % (len(event), event[:5]))
+                writer.write((frame % data)[: len(data) // 2 + 1])
                 await writer.drain()
                 return False
-            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            writer.write(frame % data)
             await writer.drain()
-            await asyncio.sleep(self.interval_s * self.slowness)
+            await asyncio.sleep(pause_s / len(writes))
         await self._wait_while_silent()
+        return await self._end_stream(run, end, writer)
+
+    async def _end_stream(
+        self, run: Run, end: stream_forms.End, writer
+    ) -> bool:
+        if end is stream_forms.End.SILENT:
+            await asyncio.sleep(_SILENT_S)
+            return False
+        if end is stream_forms.End.RESET:
+            _reset(writer)
+        if end is not stream_forms.End.WHOLE or run.form.unframed:
+            return False
         writer.write(b"0\r\n\r\n")
+        if run.form.spoil is stream_forms.Spoil.EXTRA:
+            writer.write(self._write(200, "somebody", b"not yours"))
         return True
 
     def _write_notices(self) -> str:
--- a/pollenfork/platform/tests/soak/site.py
+++ b/pollenfork/platform/tests/soak/site.py
@@ -17,6 +17,7 @@
 from pollenfork.platform.tests.soak import proxy
 from pollenfork.platform.tests.soak import runner
 from pollenfork.platform.tests.soak import store
+from pollenfork.platform.tests.soak import stream_forms
 from pollenfork.platform.tests.soak import suspendable
 
 ROOT = pathlib.Path(__file__).parents[4]
@@ -227,6 +228,7 @@
         engine: The service's engine in the configuration.
         version: The software version of runners that are added; empty: v1,
             and their events don't name it.
+        forms: Draws how runners send streams; None: they send all whole.
     """
 
     def __init__(
@@ -256,6 +258,7 @@
         self.changes: dict[str, dict] = {}
         self.engine: dict[str, int] = {}
         self.version = ""
+        self.forms: stream_forms.Forms | None = None
         self._direct: set[str] = set()
         self._endings: set[asyncio.Task[None]] = set()
         self.to_runners: dict[str, proxy.Proxy] = {}
@@ -438,6 +441,7 @@
         made = runner.Runner(name, "model", self.record, self.rng)
         made.on_ending = self._end_by_request
         made.ending_part = self.ending_part
+        made.forms = self.forms
         return made
 
     def _end_by_request(self, ended: runner.Runner, path: str) -> None:
