--- a/pollenfork/platform/tests/soak/runner.py
+++ b/pollenfork/platform/tests/soak/runner.py
@@ -167,6 +167,7 @@
         ending_part: A part of a prompt that ends it; empty: none.
         silent_until: Monotonic seconds until which it sends nothing.
         forms: Draws how it sends streams; None: it sends all whole.
+        names_runs: Whether its events name the run that made them.
     """
 
     def __init__(
@@ -187,6 +188,7 @@
         self.ending_part = ""
         self.silent_until = 0.0
         self.forms: stream_forms.Forms | None = None
+        self.names_runs = False
         self._active = 0
         self._refused: list[float] = []
         # Tokens of the prompt parts that it caches; it evicts nothing.
@@ -405,8 +407,9 @@
             "Content-Type: text/event-stream\r\n"
             f"{framing}\r\n\r\n".encode()
         )
+        name = run.id if self.names_runs else ""
         events = [
-            make_event(path, attempt, position, run.version, run.id)
+            make_event(path, attempt, position, run.version, name)
             for position in range(run.after + 1, EVENTS)
         ]
         writes, end = stream_forms.list_writes(run.form, events, run.after)
--- a/pollenfork/platform/tests/soak/site.py
+++ b/pollenfork/platform/tests/soak/site.py
@@ -442,6 +442,7 @@
         made.on_ending = self._end_by_request
         made.ending_part = self.ending_part
         made.forms = self.forms
+        made.names_runs = True
         return made
 
     def _end_by_request(self, ended: runner.Runner, path: str) -> None:
--- a/pollenfork/platform/tests/soak/stream_forms.py
+++ b/pollenfork/platform/tests/soak/stream_forms.py
@@ -175,6 +175,8 @@
 
 
 def _split(piece: bytes, rng: random.Random) -> list[bytes]:
+    if len(piece) == 1:
+        return [piece]
     places = {rng.randrange(1, len(piece)) for _ in range(2)}
     cuts = [0, *sorted(places), len(piece)]
     return [piece[a:b] for a, b in itertools.pairwise(cuts)]
