--- a/pollenfork/platform/tests/soak/checks.py
+++ b/pollenfork/platform/tests/soak/checks.py
@@ -4,7 +4,7 @@
 
 from pollenfork.duties.tests import call_rules
 from pollenfork.platform.tests.soak import caller
-from pollenfork.platform.tests.soak import runner
+from pollenfork.platform.tests.soak import records
 from pollenfork.platform.tests.soak import site as sites
 from pollenfork.platform.tests.soak import stream_judge
 
@@ -30,7 +30,7 @@
 def find_broken(site: sites.Site, asked: Iterable[caller.Asked]) -> list[str]:
     """Returns every promise that was broken, a line each."""
     broken = list(site.record.wrong)
-    runs: dict[str, list[runner.Run]] = {}
+    runs: dict[str, list[records.Run]] = {}
     for run in site.record.runs:
         runs.setdefault(run.attempt, []).append(run)
     for each in asked:
@@ -158,7 +158,7 @@
 
 
 def _judge(
-    asked: caller.Asked, runs: list[runner.Run], site: sites.Site
+    asked: caller.Asked, runs: list[records.Run], site: sites.Site
 ) -> list[str]:
     found = []
     once = asked.kind in ("unsafe", "stream")
@@ -182,7 +182,7 @@
 
 
 def _judge_runs(
-    asked: caller.Asked, runs: list[runner.Run], site: sites.Site
+    asked: caller.Asked, runs: list[records.Run], site: sites.Site
 ) -> list[str]:
     found = []
     revoked = site.revoked.get(asked.key)
--- a/pollenfork/platform/tests/soak/faults.py
+++ b/pollenfork/platform/tests/soak/faults.py
@@ -8,6 +8,7 @@
 from pollenfork.platform.tests.soak import caller
 from pollenfork.platform.tests.soak import partitions
 from pollenfork.platform.tests.soak import proxy
+from pollenfork.platform.tests.soak import records
 from pollenfork.platform.tests.soak import runner
 from pollenfork.platform.tests.soak import site as sites
 from pollenfork.platform.tests.soak import store
@@ -99,7 +100,7 @@
     setattr(faults, field, site.rng.uniform(0.1, 0.6))
     await asyncio.sleep(site.rng.uniform(0.5, 3.0))
     if name in site.runners:
-        site.runners[name].faults = runner.Faults()
+        site.runners[name].faults = records.Faults()
 
 
 async def cut_runner(site: sites.Site) -> None:
--- a/pollenfork/platform/tests/soak/runner.py
+++ b/pollenfork/platform/tests/soak/runner.py
@@ -1,106 +1,16 @@
-"""A stand-in for a runner, and the record of everything that ran."""
+"""A stand-in for a runner."""
 
 import asyncio
 from collections.abc import Callable
-import dataclasses
 import json
 import random
-import socket
-import struct
 import time
 
+from pollenfork.platform.tests.soak import records
 from pollenfork.platform.tests.soak import stream_forms
 
-
-@dataclasses.dataclass
-class Run:
-    """One request at one runner.
-
-    Attributes:
-        attempt: The caller's id.
-        runner: Where it ran.
-        began: Monotonic seconds.
-        account: The account that the gateway named.
-        path: The request's path.
-        id: Names it in each of its events.
-        after: The position that it was asked to follow; -1: none.
-        version: The version of the runner's software.
-        form: How its stream is sent.
-    """
-
-    attempt: str
-    runner: str
-    began: float
-    account: str
-    path: str
-    id: str = ""
-    after: int = -1
-    version: str = ""
-    form: stream_forms.Form = stream_forms.PLAIN
-
-    def __str__(self) -> str:
-        """Returns a short text for reports."""
-        return f"{self.id} after {self.after} at {self.runner} ({self.form})"
-
-
-@dataclasses.dataclass
-class Arrival:
-    """One request that reached a runner, run or not.
-
-    Attributes:
-        runner: Where it arrived.
-        at: Monotonic seconds.
-        attempt: The caller's id.
-        pause_s: For how long its refusal asked for nothing; 0: it didn't.
-        leaving: Whether its answer says that the runner leaves.
-        started: Monotonic seconds of the runner's start.
-        sender: The host of the gateway that sent it.
-    """
-
-    runner: str
-    at: float
-    attempt: str
-    pause_s: float = 0.0
-    leaving: bool = False
-    started: float = 0.0
-    sender: str = ""
-
-
-class Record:
-    """What all runners ran, and what reached them."""
-
-    def __init__(self) -> None:
-        self.runs: list[Run] = []
-        self.arrivals: list[Arrival] = []
-        self.wrong: list[str] = []
-
-    def list_runs(self, attempt: str) -> list[Run]:
-        """Returns the runs of a caller's attempt."""
-        return [run for run in self.runs if run.attempt == attempt]
-
-    def find_run(self, attempt: str, name: str) -> Run:
-        """Returns the latest run of an attempt at a runner."""
-        return next(
-            run
-            for run in reversed(self.runs)
-            if (run.attempt, run.runner) == (attempt, name)
-        )
-
-
-@dataclasses.dataclass
-class Faults:
-    """The parts of requests that a runner fails, 0 to 1."""
-
-    lost: float = 0.0
-    error: float = 0.0
-    refused: float = 0.0
-    extra: float = 0.0
-    cut: float = 0.0
-
-
 # A request with this in its path ends each runner that begins to run it.
 ENDING = "ends-its-runner"
-_NO_LINGER = struct.pack("ii", 1, 0)
 # The events of a stream.
 EVENTS = 10
 # For how long a runner that breaks off a stream without a close is silent.
@@ -116,14 +26,6 @@
 _PREFILL_PER_S = 54_600.0
 
 
-def _reset(writer) -> None:
-    """Resets a connection."""
-    sock = writer.get_extra_info("socket")
-    # Closing a socket that doesn't linger sends a reset.
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
-    writer.transport.abort()
-
-
 def make_event(
     path: str, attempt: str, position: int, version: str = "", run: str = ""
 ) -> bytes:
@@ -171,11 +73,15 @@
     """
 
     def __init__(
-        self, name: str, service: str, record: Record, rng: random.Random
+        self,
+        name: str,
+        service: str,
+        record: records.Record,
+        rng: random.Random,
     ) -> None:
         self.name = name
         self.service = service
-        self.faults = Faults()
+        self.faults = records.Faults()
         self.named = ""
         self.leaving = False
         self.pause_s = 0.0
@@ -225,10 +131,11 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
-    def reset_connections(self) -> None:
-        """Resets every connection, and serves on."""
+    def reset_connections(self, host: str = "") -> None:
+        """Resets every connection, or those of a host, and serves on."""
         for writer in list(self._writers):
-            _reset(writer)
+            if host in ("", writer.get_extra_info("peername")[0]):
+                stream_forms.reset(writer)
 
     async def _serve(self, reader, writer) -> None:
         if self._ended:
@@ -257,7 +164,7 @@
             writer.write(await self._list_cached(first.split()[1], headers))
             return True
         attempt = headers.get("x-pollenfork-attempt-id", "")
-        arrival = Arrival(
+        arrival = records.Arrival(
             self.name,
             time.monotonic(),
             attempt,
@@ -320,7 +227,7 @@
 
     def _note(self, attempt: str, headers: dict, path: str) -> None:
         account = headers.get("x-pollenfork-tenant", "")
-        run = Run(attempt, self.name, time.monotonic(), account, path)
+        run = records.Run(attempt, self.name, time.monotonic(), account, path)
         run.id = f"r{len(self._record.runs)}"
         run.after = int(headers.get("last-event-id", -1))
         run.version = self.version
@@ -380,6 +287,8 @@
         if path.startswith(("/stream/", "/resume/")):
             return await self._stream(attempt, headers, path, writer)
         body = f"{attempt} {self.service} answer".encode()
+        if self._record.find_run(attempt, self.name).form.unframed:
+            return await self._write_unframed(attempt, body, writer)
         if self._rng.random() < self.faults.cut:
             writer.write(self._write(200, attempt, body)[:-3])
             return False
@@ -389,6 +298,17 @@
         await writer.drain()
         return True
 
+    async def _write_unframed(self, attempt: str, body: bytes, writer) -> bool:
+        framed = self._write(200, attempt, body)
+        length = b"Content-Length: %d" % len(body)
+        answer = framed.replace(length, b"Connection: close")
+        # A process that is killed meanwhile has sent half of the body.
+        for data in (answer[: -len(body) // 2], answer[-len(body) // 2 :]):
+            writer.write(data)
+            await writer.drain()
+            await asyncio.sleep(self.interval_s * self.slowness)
+        return False
+
     async def _stream(self, attempt, headers, path, writer) -> bool:
         run = self._record.find_run(attempt, self.name)
         spoil = run.form.spoil
@@ -429,13 +349,13 @@
         return await self._end_stream(run, end, writer)
 
     async def _end_stream(
-        self, run: Run, end: stream_forms.End, writer
+        self, run: records.Run, end: stream_forms.End, writer
     ) -> bool:
         if end is stream_forms.End.SILENT:
             await asyncio.sleep(_SILENT_S)
             return False
         if end is stream_forms.End.RESET:
-            _reset(writer)
+            stream_forms.reset(writer)
         if end is not stream_forms.End.WHOLE or run.form.unframed:
             return False
         writer.write(b"0\r\n\r\n")
--- a/pollenfork/platform/tests/soak/site.py
+++ b/pollenfork/platform/tests/soak/site.py
@@ -15,6 +15,7 @@
 from pollenfork.platform.tests.soak import cloud
 from pollenfork.platform.tests.soak import partitions
 from pollenfork.platform.tests.soak import proxy
+from pollenfork.platform.tests.soak import records
 from pollenfork.platform.tests.soak import runner
 from pollenfork.platform.tests.soak import store
 from pollenfork.platform.tests.soak import stream_forms
@@ -244,7 +245,7 @@
         self.port = 21000 + seed % 7 * 10
         self.store = store.Store()
         self.cloud = cloud.Cloud(self._has_gone_on)
-        self.record = runner.Record()
+        self.record = records.Record()
         self.runners: dict[str, runner.Runner] = {}
         self.born: dict[str, int] = {}
         self.restarting: set[str] = set()
--- a/pollenfork/platform/tests/soak/stream_forms.py
+++ b/pollenfork/platform/tests/soak/stream_forms.py
@@ -3,12 +3,15 @@
 import enum
 import itertools
 import random
+import socket
+import struct
 from typing import NamedTuple
 
 # What a failing program may print between events. The number follows none.
 _TEXT = b"Traceback (most recent call last):\n%bValueError: bad token\n\n"
 NUMBERED_TEXT = _TEXT % b"id: 4711\n"
 UNNUMBERED_TEXT = _TEXT % b""
+_NO_LINGER = struct.pack("ii", 1, 0)
 _WRONG_BY = 5
 _MOST_IN_A_WRITE = 3
 
@@ -180,3 +183,11 @@
     places = {rng.randrange(1, len(piece)) for _ in range(2)}
     cuts = [0, *sorted(places), len(piece)]
     return [piece[a:b] for a, b in itertools.pairwise(cuts)]
+
+
+def reset(writer) -> None:
+    """Resets a connection."""
+    sock = writer.get_extra_info("socket")
+    # Closing a socket that doesn't linger sends a reset.
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+    writer.transport.abort()
--- a/pollenfork/platform/tests/soak/stream_judge.py
+++ b/pollenfork/platform/tests/soak/stream_judge.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from pollenfork.platform.tests.soak import caller
+from pollenfork.platform.tests.soak import records
 from pollenfork.platform.tests.soak import runner
 
 _HEAD = re.compile(rb"id: (\d+)\ndata: [^\s/]*/(r\d+) ")
@@ -30,10 +31,10 @@
     body: bytes
     complete: bool
     resumable: bool
-    runs: Sequence[runner.Run]
+    runs: Sequence[records.Run]
 
 
-def make_try(asked: caller.Asked, runs: Sequence[runner.Run]) -> Try:
+def make_try(asked: caller.Asked, runs: Sequence[records.Run]) -> Try:
     """Returns what a caller was answered, with the runs of its attempt."""
     return Try(
         asked.attempt,
@@ -60,7 +61,7 @@
         self._runs = {run.id: run for run in each.runs}
         self._made_by: set[str] = set()
         self.position = each.after
-        self.run: runner.Run | None = None
+        self.run: records.Run | None = None
         self.versions: set[str] = set()
 
     def read(self) -> str:
@@ -77,7 +78,9 @@
             return f"ends as complete behind event {self.position}"
         return ""
 
-    def _find_next(self, body: bytes, at: int) -> tuple[int, runner.Run] | None:
+    def _find_next(
+        self, body: bytes, at: int
+    ) -> tuple[int, records.Run] | None:
         """Returns the event at a place; None: there is no event of its runs."""
         found = _HEAD.match(body, at)
         run = self._runs.get(found.group(2).decode()) if found else None
@@ -87,12 +90,12 @@
         made = self._make(run, position)
         return (position, run) if body.startswith(made, at) else None
 
-    def _make(self, run: runner.Run, position: int) -> bytes:
+    def _make(self, run: records.Run, position: int) -> bytes:
         return runner.make_event(
             self._try.path, self._try.attempt, position, run.version, run.id
         )
 
-    def _take(self, position: int, run: runner.Run) -> str:
+    def _take(self, position: int, run: records.Run) -> str:
         if position != self.position + 1:
             return f"event {position} of {run} behind {self.position}"
         if run is not self.run and (fault := self._change(run)):
@@ -100,7 +103,7 @@
         self.position = position
         return ""
 
-    def _change(self, run: runner.Run) -> str:
+    def _change(self, run: records.Run) -> str:
         """Returns why a run may not go on; empty: it may."""
         last = self.run
         if last is not None and not self._try.resumable:
--- a/pollenfork/platform/tests/soak/streams.py
+++ b/pollenfork/platform/tests/soak/streams.py
@@ -19,6 +19,8 @@
 from pollenfork.platform.tests.soak import caller
 from pollenfork.platform.tests.soak import checks
 from pollenfork.platform.tests.soak import faults
+from pollenfork.platform.tests.soak import partitions
+from pollenfork.platform.tests.soak import records
 from pollenfork.platform.tests.soak import runner
 from pollenfork.platform.tests.soak import site as sites
 from pollenfork.platform.tests.soak import stream_forms
@@ -115,6 +117,18 @@
         await site.crash_runner(name)
 
 
+async def cut_from_runners(site: sites.Site) -> None:
+    """A gateway reaches no runner; others may forward its requests."""
+    gateway = site.rng.choice(site.gateways)
+    cut = site.rng.choice((partitions.Cut.RESET, partitions.Cut.LIVE))
+    gateway.cut_off(cut)
+    if cut is partitions.Cut.RESET:
+        for each in site.runners.values():
+            each.reset_connections(gateway.host)
+    await asyncio.sleep(site.rng.uniform(0.5, 3.0))
+    gateway.reconnect()
+
+
 async def change_configuration(site: sites.Site) -> None:
     """A route's time limit changes, in some gateways a signal beside it."""
     timeout_ms = site.rng.choice((2500, 3000, 3500))
@@ -130,6 +144,7 @@
     reset_runner,
     replace_runner,
     change_configuration,
+    cut_from_runners,
     faults.harm_runner,
     faults.kill,
     faults.pause,
@@ -237,7 +252,7 @@
     played: list[str],
 ) -> Played:
     broken = checks.find_broken(site, site.asked)
-    runs: dict[str, list[runner.Run]] = {}
+    runs: dict[str, list[records.Run]] = {}
     for run in site.record.runs:
         runs.setdefault(run.attempt, []).append(run)
     # Each try has been judged by itself.
--- a/pollenfork/platform/tests/test_gateway.py
+++ b/pollenfork/platform/tests/test_gateway.py
@@ -21,6 +21,7 @@
 from pollenfork.platform import store
 from pollenfork.platform.tests import support
 from pollenfork.platform.tests.soak import caller
+from pollenfork.platform.tests.soak import records
 from pollenfork.platform.tests.soak import runner
 from pollenfork.platform.tests.soak import site as sites
 from pollenfork.platform.tests.soak import store as standin
@@ -35,7 +36,7 @@
 
     def __init__(self, revocation_s: float) -> None:
         self.store = standin.Store()
-        self.record = runner.Record()
+        self.record = records.Record()
         self.runner = runner.Runner(
             "i-1", "model", self.record, random.Random(1)
         )
--- a/pollenfork/platform/tests/test_poison_losses.py
+++ b/pollenfork/platform/tests/test_poison_losses.py
@@ -4,16 +4,16 @@
 
 from pollenfork.platform.tests.soak import caller
 from pollenfork.platform.tests.soak import poison
-from pollenfork.platform.tests.soak import runner
+from pollenfork.platform.tests.soak import records
 from pollenfork.platform.tests.soak import site as sites
 
 CRASHES = [sites.Ending(10.0, "/p", "i-1"), sites.Ending(10.5, "/p", "i-2")]
 
 
 def list_unexplained(asked: caller.Asked, *ran_at: str) -> list[str]:
-    record = runner.Record()
+    record = records.Record()
     record.runs = [
-        runner.Run(asked.attempt, name, asked.sent, "", asked.path)
+        records.Run(asked.attempt, name, asked.sent, "", asked.path)
         for name in ran_at
     ]
     site = types.SimpleNamespace(record=record, ended_by_requests=CRASHES)
--- a/pollenfork/platform/tests/test_stream_forms.py
+++ b/pollenfork/platform/tests/test_stream_forms.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies
 import pytest
 
+from pollenfork.platform.tests.soak import records
 from pollenfork.platform.tests.soak import runner
 from pollenfork.platform.tests.soak import stream_forms
 
@@ -62,7 +63,7 @@
     Raises:
         ConnectionResetError: The connection was reset.
     """
-    made = runner.Runner("i-1", "model", runner.Record(), random.Random(1))
+    made = runner.Runner("i-1", "model", records.Record(), random.Random(1))
     await made.start(_HOST, _PORT)
     reader, writer = await asyncio.open_connection(_HOST, _PORT)
     try:
--- a/pollenfork/platform/tests/test_stream_judge.py
+++ b/pollenfork/platform/tests/test_stream_judge.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from pollenfork.platform.tests.soak import records
 from pollenfork.platform.tests.soak import runner
 from pollenfork.platform.tests.soak import stream_forms
 from pollenfork.platform.tests.soak import stream_judge
@@ -27,7 +28,7 @@
     pieces: list[list[bytes]] = []
 
     def add(
-        self, runs: list[runner.Run], pieces: list[bytes], **options
+        self, runs: list[records.Run], pieces: list[bytes], **options
     ) -> None:
         """Adds a try that goes on behind the ones before."""
         attempt = f"a{len(self.tries)}"
@@ -52,13 +53,13 @@
         return stream_judge.find_faults(tries)
 
 
-def make_run(attempt: str, number: int, after: int, version="v") -> runner.Run:
-    run = runner.Run(attempt, "i-1", 0.0, "account", _PATH)
+def make_run(attempt: str, number: int, after: int, version="v") -> records.Run:
+    run = records.Run(attempt, "i-1", 0.0, "account", _PATH)
     run.id, run.after, run.version = f"r{number}", after, version
     return run
 
 
-def make_piece(run: runner.Run, position: int) -> bytes:
+def make_piece(run: records.Run, position: int) -> bytes:
     return runner.make_event(_PATH, run.attempt, position, run.version, run.id)
 
 
@@ -71,7 +72,7 @@
     while position < _LAST:
         attempt = f"a{len(stream.tries)}"
         until = max(position, draw(ends)) if resumable else _LAST
-        runs: list[runner.Run] = []
+        runs: list[records.Run] = []
         pieces: list[bytes] = []
         while position < until or not runs:
             run = make_run(attempt, number, position)
@@ -202,7 +203,7 @@
 
 
 def join(
-    later_after: int, change: Callable[[runner.Run], None], resumable=True
+    later_after: int, change: Callable[[records.Run], None], resumable=True
 ) -> list[str]:
     """Returns the faults of four events of a run and the rest of another."""
     first, later = make_run("a0", 0, -1), make_run("a0", 1, later_after)
@@ -218,11 +219,11 @@
     )
 
 
-def keep(run: runner.Run) -> None:
+def keep(run: records.Run) -> None:
     pass
 
 
-def set_version(run: runner.Run) -> None:
+def set_version(run: records.Run) -> None:
     run.version = "other"
 
 
