--- a/pollenfork/platform/tests/soak/play.py
+++ b/pollenfork/platform/tests/soak/play.py
@@ -10,10 +10,15 @@
 from pollenfork.platform.tests.soak import checks
 from pollenfork.platform.tests.soak import faults
 from pollenfork.platform.tests.soak import site as sites
+from pollenfork.platform.tests.soak import stream_forms
 
 _CALLERS = 9
 _RECOVERY_S = 4.0
 _CALM_S = 1.5
+# From this seed on, runners spoil some of their streams. None is unframed: the
+# proxies before killed runners go on, and hide that these are gone.
+_FIRST_SEED_WITH_SPOILED = 7000
+_SPOILED = 0.1
 
 
 class Played(msgspec.Struct):
@@ -35,6 +40,9 @@
 async def play(seed: int, seconds: float, folder: pathlib.Path) -> Played:
     """Plays a seed; its logs lie in `folder`."""
     site = sites.Site(seed, folder)
+    if seed >= _FIRST_SEED_WITH_SPOILED:
+        rng = random.Random(seed)
+        site.forms = stream_forms.Forms(rng, spoiled=_SPOILED)
     asked = site.asked
     tasks = []
     try:
@@ -47,6 +55,7 @@
             load = _load(site, sender, rng)
             tasks.append(asyncio.create_task(load))
         played = await faults.play(site, seconds)
+        site.stop_spoiling()
         await asyncio.sleep(_RECOVERY_S)
         settled = len(asked)
         await asyncio.sleep(_CALM_S)
--- a/pollenfork/platform/tests/soak/site.py
+++ b/pollenfork/platform/tests/soak/site.py
@@ -446,6 +446,12 @@
         made.names_runs = True
         return made
 
+    def stop_spoiling(self) -> None:
+        """Lets all runners send their streams whole from now on."""
+        self.forms = None
+        for each in self.runners.values():
+            each.forms = None
+
     def _end_by_request(self, ended: runner.Runner, path: str) -> None:
         """Lets a runner that a request ends be back within a second."""
         if ended.name in self.restarting:
--- a/pollenfork/platform/tests/soak/streams.py
+++ b/pollenfork/platform/tests/soak/streams.py
@@ -175,8 +175,7 @@
         ]
         tasks.append(asyncio.create_task(site.supervise()))
         played = await faults.play(site, seconds, FAULTS)
-        for each in site.runners.values():
-            each.forms = None
+        site.stop_spoiling()
         await asyncio.sleep(_RECOVERY_S)
         settled = len(site.asked)
         await asyncio.sleep(1.0)
--- a/pollenfork/platform/tests/test_soak.py
+++ b/pollenfork/platform/tests/test_soak.py
@@ -34,7 +34,10 @@
 # restored from copies.
 # From 5000 on, gateways are cut off from all runners, and runners are brittle.
 # From 6000 on, runners fall silent for a moment.
-@pytest.mark.parametrize("seed", [3, 102, 1000, 2000, 3002, 4000, 5000, 6000])
+# From 7000 on, they spoil and cut streams.
+@pytest.mark.parametrize(
+    "seed", [3, 102, 1000, 2000, 3002, 4000, 5000, 6000, 7000]
+)
 def test_promises_hold_under_random_faults(seed, tmp_path) -> None:
     outcome = asyncio.run(play.play(seed, seconds=4.0, folder=tmp_path))
     assert outcome.broken == []
