--- a/pollenfork/platform/tests/soak/stream_forms.py
+++ b/pollenfork/platform/tests/soak/stream_forms.py
@@ -186,7 +186,9 @@
 
 
 def reset(writer) -> None:
-    """Resets a connection."""
+    """Resets a connection that isn't being closed."""
+    if writer.is_closing():
+        return
     sock = writer.get_extra_info("socket")
     # Closing a socket that doesn't linger sends a reset.
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
