Start a runner of the soak once where restarts overlap

A second restart that began while the first one's listener was opened crashed the runner that had ended already, and its own listener then found the address in use.

--- a/pollenfork/platform/tests/soak/site.py
+++ b/pollenfork/platform/tests/soak/site.py
@@ -425,8 +425,8 @@
         if away_s is None:
             away_s = self.rng.uniform(0.0, 1.0)
         await asyncio.sleep(lingers_s + away_s)
-        self.restarting.discard(name)
         if name not in self.runners or name in self.gone:
+            self.restarting.discard(name)
             return
         again = self._make_runner(name)
         await again.start(f"{self.base}.{100 + int(name[2:])}", self.port)
@@ -435,6 +435,7 @@
         again.on_fall = self.runners[name].on_fall
         again.version = self.runners[name].version
         self.runners[name] = again
+        self.restarting.discard(name)
         self.born[name] = _read_clock_ms()
         await self.put_runner(name, "ready")
 
