--- a/pollenfork/platform/tests/soak/checks.py
+++ b/pollenfork/platform/tests/soak/checks.py
@@ -4,11 +4,11 @@
 
 from pollenfork.duties.tests import call_rules
 from pollenfork.platform.tests.soak import caller
-from pollenfork.platform.tests.soak import runner
+from pollenfork.platform.tests.soak import records
 from pollenfork.platform.tests.soak import site as sites
+from pollenfork.platform.tests.soak import stream_judge
 
 _PROMISES = frozenset({408, 421, 429, 503})
-_EVENTS = 10
 # `max-attempts` of the routes whose requests may run more than once.
 _MAX_RUNS = 2
 # Runners that a request may end, and sends of it that may follow later.
@@ -30,7 +30,7 @@
 def find_broken(site: sites.Site, asked: Iterable[caller.Asked]) -> list[str]:
     """Returns every promise that was broken, a line each."""
     broken = list(site.record.wrong)
-    runs: dict[str, list[runner.Run]] = {}
+    runs: dict[str, list[records.Run]] = {}
     for run in site.record.runs:
         runs.setdefault(run.attempt, []).append(run)
     for each in asked:
@@ -158,7 +158,7 @@
 
 
 def _judge(
-    asked: caller.Asked, runs: list[runner.Run], site: sites.Site
+    asked: caller.Asked, runs: list[records.Run], site: sites.Site
 ) -> list[str]:
     found = []
     once = asked.kind in ("unsafe", "stream")
@@ -168,7 +168,9 @@
         found.append(f"ran {len(runs)} times")
     if asked.status in _PROMISES and runs and once:
         found.append(f"{asked.status}, and it ran")
-    if asked.status == 200 and asked.whole and not _is_whole(asked):
+    if asked.kind in ("stream", "resume"):
+        found += stream_judge.find_faults([stream_judge.make_try(asked, runs)])
+    elif asked.status == 200 and asked.whole and not _is_whole(asked):
         found.append(f"not its whole answer: {asked.body[:60]!r}")
     if asked.status in (401, 404) and _is_in_force(asked, site):
         found.append(f"{asked.status} for a key that is in force")
@@ -180,7 +182,7 @@
 
 
 def _judge_runs(
-    asked: caller.Asked, runs: list[runner.Run], site: sites.Site
+    asked: caller.Asked, runs: list[records.Run], site: sites.Site
 ) -> list[str]:
     found = []
     revoked = site.revoked.get(asked.key)
@@ -213,10 +215,4 @@
 
 
 def _is_whole(asked: caller.Asked) -> bool:
-    if asked.kind in ("stream", "resume"):
-        expected = b"".join(
-            runner.make_event(asked.path, asked.attempt, n)
-            for n in range(_EVENTS)
-        )
-        return asked.body == expected
     return asked.body == f"{asked.attempt} model answer".encode()
--- a/pollenfork/platform/tests/soak/runner.py
+++ b/pollenfork/platform/tests/soak/runner.py
@@ -1,81 +1,20 @@
-"""A stand-in for a runner, and the record of everything that ran."""
+"""A stand-in for a runner."""
 
 import asyncio
 from collections.abc import Callable
-import dataclasses
 import json
 import random
 import time
 
-
-@dataclasses.dataclass
-class Run:
-    """One request at one runner.
-
-    Attributes:
-        attempt: The caller's id.
-        runner: Where it ran.
-        began: Monotonic seconds.
-        account: The account that the gateway named.
-        path: The request's path.
-    """
-
-    attempt: str
-    runner: str
-    began: float
-    account: str
-    path: str
-
-
-@dataclasses.dataclass
-class Arrival:
-    """One request that reached a runner, run or not.
-
-    Attributes:
-        runner: Where it arrived.
-        at: Monotonic seconds.
-        attempt: The caller's id.
-        pause_s: For how long its refusal asked for nothing; 0: it didn't.
-        leaving: Whether its answer says that the runner leaves.
-        started: Monotonic seconds of the runner's start.
-        sender: The host of the gateway that sent it.
-    """
-
-    runner: str
-    at: float
-    attempt: str
-    pause_s: float = 0.0
-    leaving: bool = False
-    started: float = 0.0
-    sender: str = ""
-
-
-class Record:
-    """What all runners ran, and what reached them."""
-
-    def __init__(self) -> None:
-        self.runs: list[Run] = []
-        self.arrivals: list[Arrival] = []
-        self.wrong: list[str] = []
-
-    def list_runs(self, attempt: str) -> list[Run]:
-        """Returns the runs of a caller's attempt."""
-        return [run for run in self.runs if run.attempt == attempt]
-
-
-@dataclasses.dataclass
-class Faults:
-    """The parts of requests that a runner fails, 0 to 1."""
-
-    lost: float = 0.0
-    error: float = 0.0
-    refused: float = 0.0
-    extra: float = 0.0
-    cut: float = 0.0
-
+from pollenfork.platform.tests.soak import records
+from pollenfork.platform.tests.soak import stream_forms
 
 # A request with this in its path ends each runner that begins to run it.
 ENDING = "ends-its-runner"
+# The events of a stream.
+EVENTS = 10
+# For how long a runner that breaks off a stream without a close is silent.
+_SILENT_S = 2.0
 # How often a silent runner looks whether it goes on, in seconds.
 _LOOK_S = 0.01
 # How long a runner that ends holds a connection that it has accepted since.
@@ -88,13 +27,22 @@
 
 
 def make_event(
-    path: str, attempt: str, position: int, version: str = ""
+    path: str, attempt: str, position: int, version: str = "", run: str = ""
 ) -> bytes:
-    """Returns one event of a stream."""
+    """Returns one event of a stream.
+
+    Args:
+        path: The request's path.
+        attempt: The caller's id.
+        position: The event's position.
+        version: The version of the software that makes it; empty: not named.
+        run: The id of the run that makes it; empty: not named.
+    """
     padding = "." * _PADDING if PADDED in path else ""
     author = f" {version}" if version else ""
+    maker = f"{attempt}/{run}" if run else attempt
     return (
-        f"id: {position}\ndata: {attempt} {position}{padding}{author}\n\n"
+        f"id: {position}\ndata: {maker} {position}{padding}{author}\n\n"
     ).encode()
 
 
@@ -120,14 +68,20 @@
             empty: not named.
         ending_part: A part of a prompt that ends it; empty: none.
         silent_until: Monotonic seconds until which it sends nothing.
+        forms: Draws how it sends streams; None: it sends all whole.
+        names_runs: Whether its events name the run that made them.
     """
 
     def __init__(
-        self, name: str, service: str, record: Record, rng: random.Random
+        self,
+        name: str,
+        service: str,
+        record: records.Record,
+        rng: random.Random,
     ) -> None:
         self.name = name
         self.service = service
-        self.faults = Faults()
+        self.faults = records.Faults()
         self.named = ""
         self.leaving = False
         self.pause_s = 0.0
@@ -139,6 +93,8 @@
         self.version = ""
         self.ending_part = ""
         self.silent_until = 0.0
+        self.forms: stream_forms.Forms | None = None
+        self.names_runs = False
         self._active = 0
         self._refused: list[float] = []
         # Tokens of the prompt parts that it caches; it evicts nothing.
@@ -157,7 +113,10 @@
         self._server = await asyncio.start_server(self._serve, host, port)
 
     def crash(self, lingers_s: float = 0.0) -> None:
-        """Resets every connection and listens no more.
+        """Ends as a killed process does.
+
+        It listens no more, and the kernel closes its connections in order,
+        but for those on which it has left something unread.
 
         Args:
             lingers_s: For how long new connections are still accepted, and
@@ -172,6 +131,12 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def reset_connections(self, host: str = "") -> None:
+        """Resets every connection, or those of a host, and serves on."""
+        for writer in list(self._writers):
+            if host in ("", writer.get_extra_info("peername")[0]):
+                stream_forms.reset(writer)
+
     async def _serve(self, reader, writer) -> None:
         if self._ended:
             await asyncio.sleep(_DROP_S)
@@ -199,7 +164,7 @@
             writer.write(await self._list_cached(first.split()[1], headers))
             return True
         attempt = headers.get("x-pollenfork-attempt-id", "")
-        arrival = Arrival(
+        arrival = records.Arrival(
             self.name,
             time.monotonic(),
             attempt,
@@ -262,7 +227,12 @@
 
     def _note(self, attempt: str, headers: dict, path: str) -> None:
         account = headers.get("x-pollenfork-tenant", "")
-        run = Run(attempt, self.name, time.monotonic(), account, path)
+        run = records.Run(attempt, self.name, time.monotonic(), account, path)
+        run.id = f"r{len(self._record.runs)}"
+        run.after = int(headers.get("last-event-id", -1))
+        run.version = self.version
+        if self.forms is not None:
+            run.form = self.forms.draw()
         self._record.runs.append(run)
         if "authorization" in headers:
             self._record.wrong.append(f"key passed on: {attempt}")
@@ -317,6 +287,8 @@
         if path.startswith(("/stream/", "/resume/")):
             return await self._stream(attempt, headers, path, writer)
         body = f"{attempt} {self.service} answer".encode()
+        if self._record.find_run(attempt, self.name).form.unframed:
+            return await self._write_unframed(attempt, body, writer)
         if self._rng.random() < self.faults.cut:
             writer.write(self._write(200, attempt, body)[:-3])
             return False
@@ -326,27 +298,71 @@
         await writer.drain()
         return True
 
+    async def _write_unframed(self, attempt: str, body: bytes, writer) -> bool:
+        framed = self._write(200, attempt, body)
+        length = b"Content-Length: %d" % len(body)
+        answer = framed.replace(length, b"Connection: close")
+        # A process that is killed meanwhile has sent half of the body.
+        for data in (answer[: -len(body) // 2], answer[-len(body) // 2 :]):
+            writer.write(data)
+            await writer.drain()
+            await asyncio.sleep(self.interval_s * self.slowness)
+        return False
+
     async def _stream(self, attempt, headers, path, writer) -> bool:
+        run = self._record.find_run(attempt, self.name)
+        spoil = run.form.spoil
+        if spoil is stream_forms.Spoil.DECLINED and run.after >= 0:
+            writer.write(self._write(410, attempt, b"gone"))
+            return True
+        framing = (
+            "Connection: close"
+            if run.form.unframed
+            else "Transfer-Encoding: chunked"
+        )
         writer.write(
             f"HTTP/1.1 200 OK\r\nX-Pollenfork-Attempt-Id: {attempt}\r\n"
             f"{self._write_notices()}"
             "X-Pollenfork-Response-Seal: s\r\n"
             "Content-Type: text/event-stream\r\n"
-            "Transfer-Encoding: chunked\r\n\r\n".encode()
+            f"{framing}\r\n\r\n".encode()
         )
-        after = int(headers.get("last-event-id", -1))
-        for position in range(after + 1, 10):
+        name = run.id if self.names_runs else ""
+        is_anew = spoil is stream_forms.Spoil.ANEW
+        first = 0 if is_anew else run.after + 1
+        events = [
+            make_event(path, attempt, position, run.version, name)
+            for position in range(first, EVENTS)
+        ]
+        writes, end = stream_forms.list_writes(run.form, events, run.after)
+        # As many writes as events take as long, whatever a write holds.
+        pause_s = self.interval_s * self.slowness * len(events)
+        for data in writes:
             await self._wait_while_silent()
-            event = make_event(path, attempt, position, self.version)
+            frame = b"%b" if run.form.unframed else b"%x\r\n%%b\r\n" % len(data)
             if self._rng.random() < self.faults.cut / 5:
-                writer.write(b"%x\r\n%b" % (len(event), event[:5]))
+                writer.write((frame % data)[: len(data) // 2 + 1])
                 await writer.drain()
                 return False
-            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            writer.write(frame % data)
             await writer.drain()
-            await asyncio.sleep(self.interval_s * self.slowness)
+            await asyncio.sleep(pause_s / len(writes))
         await self._wait_while_silent()
+        return await self._end_stream(run, end, writer)
+
+    async def _end_stream(
+        self, run: records.Run, end: stream_forms.End, writer
+    ) -> bool:
+        if end is stream_forms.End.SILENT:
+            await asyncio.sleep(_SILENT_S)
+            return False
+        if end is stream_forms.End.RESET:
+            stream_forms.reset(writer)
+        if end is not stream_forms.End.WHOLE or run.form.unframed:
+            return False
         writer.write(b"0\r\n\r\n")
+        if run.form.spoil is stream_forms.Spoil.EXTRA:
+            writer.write(self._write(200, "somebody", b"not yours"))
         return True
 
     def _write_notices(self) -> str:
--- a/pollenfork/platform/tests/soak/site.py
+++ b/pollenfork/platform/tests/soak/site.py
@@ -15,8 +15,10 @@
 from pollenfork.platform.tests.soak import cloud
 from pollenfork.platform.tests.soak import partitions
 from pollenfork.platform.tests.soak import proxy
+from pollenfork.platform.tests.soak import records
 from pollenfork.platform.tests.soak import runner
 from pollenfork.platform.tests.soak import store
+from pollenfork.platform.tests.soak import stream_forms
 from pollenfork.platform.tests.soak import suspendable
 
 ROOT = pathlib.Path(__file__).parents[4]
@@ -227,6 +229,7 @@
         engine: The service's engine in the configuration.
         version: The software version of runners that are added; empty: v1,
             and their events don't name it.
+        forms: Draws how runners send streams; None: they send all whole.
     """
 
     def __init__(
@@ -242,7 +245,7 @@
         self.port = 21000 + seed % 7 * 10
         self.store = store.Store()
         self.cloud = cloud.Cloud(self._has_gone_on)
-        self.record = runner.Record()
+        self.record = records.Record()
         self.runners: dict[str, runner.Runner] = {}
         self.born: dict[str, int] = {}
         self.restarting: set[str] = set()
@@ -256,6 +259,7 @@
         self.changes: dict[str, dict] = {}
         self.engine: dict[str, int] = {}
         self.version = ""
+        self.forms: stream_forms.Forms | None = None
         self._direct: set[str] = set()
         self._endings: set[asyncio.Task[None]] = set()
         self.to_runners: dict[str, proxy.Proxy] = {}
@@ -421,8 +425,8 @@
         if away_s is None:
             away_s = self.rng.uniform(0.0, 1.0)
         await asyncio.sleep(lingers_s + away_s)
-        self.restarting.discard(name)
         if name not in self.runners or name in self.gone:
+            self.restarting.discard(name)
             return
         again = self._make_runner(name)
         await again.start(f"{self.base}.{100 + int(name[2:])}", self.port)
@@ -431,6 +435,7 @@
         again.on_fall = self.runners[name].on_fall
         again.version = self.runners[name].version
         self.runners[name] = again
+        self.restarting.discard(name)
         self.born[name] = _read_clock_ms()
         await self.put_runner(name, "ready")
 
@@ -438,8 +443,16 @@
         made = runner.Runner(name, "model", self.record, self.rng)
         made.on_ending = self._end_by_request
         made.ending_part = self.ending_part
+        made.forms = self.forms
+        made.names_runs = True
         return made
 
+    def stop_spoiling(self) -> None:
+        """Lets all runners send their streams whole from now on."""
+        self.forms = None
+        for each in self.runners.values():
+            each.forms = None
+
     def _end_by_request(self, ended: runner.Runner, path: str) -> None:
         """Lets a runner that a request ends be back within a second."""
         if ended.name in self.restarting:
