Let an attempt have no result before its end is proven

The proof was asked for after the race of two runs was decided. Now the attempt asks for it before it claims the answer, and whether an answer is cut is judged before that, too. A probe tells its own result. Blocks of retry alone are forwarded as comments are.

--- a/pollenfork/gateway/attempt.py
+++ b/pollenfork/gateway/attempt.py
@@ -78,24 +78,6 @@
         )
         return self.end is End.BROKEN and self.failure in losses
 
-    @property
-    def is_unconfirmed(self) -> bool:
-        """Whether it is whole only if its runner meant to end it there."""
-        proof = connection.EndProof.CONNECTION
-        return self.end is End.WHOLE and self.proof is proof
-
-    def confirm(self, has_survived: bool) -> "AttemptResult":
-        """Returns the result once it is known whether the runner lives."""
-        if has_survived:
-            proof = connection.EndProof.SURVIVAL
-            return msgspec.structs.replace(self, proof=proof)
-        return AttemptResult(
-            End.BROKEN,
-            self.head,
-            failure=connection.ResponseFailure.CLOSED,
-            run=self.run,
-        )
-
     @property
     def symptom(self) -> loads.Symptom | None:
         """What it shows about the runner's address, for all instances."""
@@ -136,6 +118,7 @@
         paused: Whether the gateway doesn't read the answer for now.
         claim: Asks whether this attempt may answer, while another one may too;
             None: it is the only one.
+        awaits_proof: Whether its end is to be proven by its runner's survival.
     """
 
     def __init__(
@@ -148,6 +131,7 @@
         on_head: Callable[[messages.ResponseHead], None] | None = None,
         on_any_head: Callable[[messages.ResponseHead], None] | None = None,
         on_buffered: Callable[[int], bool] | None = None,
+        check_survival: Callable[[Callable[[bool], None]], None] | None = None,
     ) -> None:
         """Creates an attempt that waits for its answer.
 
@@ -162,6 +146,8 @@
                 also those of answers to earlier requests.
             on_buffered: Called with the size of each piece that is kept until
                 the answer is whole; returns whether there is room for it.
+            check_survival: Finds out whether the runner lives, and calls back;
+                None: an answer that isn't framed is never complete.
         """
         self._loop = loop
         self._codec = codec
@@ -171,6 +157,7 @@
         self._on_head = on_head
         self._on_any_head = on_any_head
         self._on_buffered = on_buffered
+        self._check_survival = check_survival
         self._head: messages.ResponseHead | None = None
         self._body = pieces.Pieces()
         self._refused_bytes = 0
@@ -180,7 +167,7 @@
         self.paused = False
         self.claim: Callable[[], bool] | None = None
         self._run = relay.progress.begin_run() if relay else None
-        self._proof = connection.EndProof.FRAMING
+        self.awaits_proof = False
 
     def record_paused(self, paused: bool) -> None:
         """Records that reading was paused or resumed."""
@@ -234,7 +221,6 @@
 
     def on_end(self, proof: connection.EndProof) -> None:
         """Determines the result of the attempt from a complete answer."""
-        self._proof = proof
         head = self._head
         assert head is not None
         self.phase = Phase.ENDED
@@ -246,16 +232,12 @@
             self._fail(connection.ResponseFailure.INVALID)
         elif head.status < _SERVER_ERROR and not self.can_follow:
             self._fail(connection.ResponseFailure.OUT_OF_ORDER)
-        elif head.status < _SERVER_ERROR and not self._may_answer():
-            return
-        elif not self.is_streamed:
-            self._on_first_output()
-            body = self._body.take()
-            self._finish(
-                AttemptResult(End.WHOLE, head, body, proof=self._proof)
-            )
+        elif self._is_cut(proof):
+            self._fail(connection.ResponseFailure.CLOSED)
+        elif proof is connection.EndProof.FRAMING:
+            self._complete(head, proof)
         else:
-            self._end_stream(head)
+            self._await_proof(head)
 
     def on_failure(self, failure: connection.ResponseFailure) -> None:
         """Ends the attempt with an incomplete answer."""
@@ -315,19 +297,50 @@
         self._begin_relay()
         self._relay.write(complete)
 
-    def _end_stream(self, head: messages.ResponseHead) -> None:
-        assert self._relay is not None and self._run is not None
-        # Without framing, a stream that ends before its first event is no
-        # stream, even if its runner lives.
-        is_new = not self._relay.begun and self._request.last_event is None
-        is_framed = self._proof is connection.EndProof.FRAMING
-        if self._run.partial or (is_new and not is_framed):
-            self._fail(connection.ResponseFailure.CLOSED)
+    def _is_cut(self, proof: connection.EndProof) -> bool:
+        """Returns whether the answer has ended too soon for any complete one.
+
+        Without framing, a stream that ends before its first event is no stream,
+        even if its runner lives.
+        """
+        is_framed = proof is connection.EndProof.FRAMING
+        if not is_framed and self._check_survival is None:
+            return True
+        run = self.run
+        return run is not None and (
+            run.partial or (not run.events and not is_framed)
+        )
+
+    def _await_proof(self, head: messages.ResponseHead) -> None:
+        assert self._check_survival is not None
+        self.awaits_proof = True
+        self.last_data_at = self._loop.time()
+
+        def record(has_survived: bool) -> None:
+            self.awaits_proof = False
+            if self.done.done():
+                return
+            if has_survived:
+                self._complete(head, connection.EndProof.SURVIVAL)
+            else:
+                self._fail(connection.ResponseFailure.CLOSED)
+
+        self._check_survival(record)
+
+    def _complete(
+        self, head: messages.ResponseHead, proof: connection.EndProof
+    ) -> None:
+        """Ends the attempt with a complete answer, if it may answer."""
+        if head.status < _SERVER_ERROR and not self._may_answer():
             return
         self._on_first_output()
-        self._begin_relay()
+        body = b""
+        if self.is_streamed:
+            self._begin_relay()
+        else:
+            body = self._body.take()
         self._finish(
-            AttemptResult(End.WHOLE, head, proof=self._proof, run=self.run)
+            AttemptResult(End.WHOLE, head, body, proof=proof, run=self.run)
         )
 
     def _begin_relay(self) -> None:
--- a/pollenfork/gateway/crash_probes.py
+++ b/pollenfork/gateway/crash_probes.py
@@ -34,14 +34,14 @@
     Attributes:
         begun_at: Monotonic seconds of its begin.
         connected: Resolves once the connection is established or refused.
-        completed: Resolves once it is known whether the connection stays open.
-            It may be closed at once, where no process accepts it or where
-            the process is exiting.
+        completed: Resolves once it is known whether the connection stays open,
+            with that. It may be closed at once, where no process accepts it or
+            where the process is exiting.
     """
 
     begun_at: float
     connected: asyncio.Future[None]
-    completed: asyncio.Future[None]
+    completed: asyncio.Future[bool]
 
 
 class CrashProbes:
@@ -111,15 +111,14 @@
         """Returns whether a runner accepts and keeps a connection from now on.
 
         A probe that is in progress may have connected before, so it is followed
-        by another one unless it shows this.
+        by another one.
         """
-        state = self._get_state(runner.id)
         since = asyncio.get_running_loop().time()
         while True:
             probe = self.probe(runner)
-            await asyncio.shield(probe.completed)
-            if state.reached_at >= since or probe.begun_at >= since:
-                return state.reached_at >= since
+            is_alive = await asyncio.shield(probe.completed)
+            if probe.begun_at >= since:
+                return is_alive
 
     async def wait_completed(self, runner_hashes: Iterable[int]) -> None:
         """Waits until the probes in progress at some runners are completed.
@@ -144,6 +143,7 @@
         self, runner: fleet.Runner, started: CrashProbe
     ) -> None:
         path = self._reach.check_path(runner)
+        is_alive = False
         try:
             opened = await self._pool.open(runner, pool.CONNECT_TIMEOUT_S)
             if isinstance(opened, result.Err):
@@ -154,7 +154,8 @@
             reached_at = asyncio.get_running_loop().time()
             started.connected.set_result(None)
             await asyncio.sleep(DROP_WINDOW_S)
-            if opened.ok_value.usable:
+            is_alive = opened.ok_value.usable
+            if is_alive:
                 self._get_state(runner.id).reached_at = reached_at
                 self._pool.release(runner, opened.ok_value)
             else:
@@ -165,6 +166,7 @@
                 self._quarantine.record_dropped_connection(runner, crashed_by)
         finally:
             del self._probes[evidence.hash_runner(runner)]
-            for pending in (started.connected, started.completed):
-                if not pending.done():
-                    pending.set_result(None)
+            if not started.connected.done():
+                started.connected.set_result(None)
+            if not started.completed.done():
+                started.completed.set_result(is_alive)
--- a/pollenfork/gateway/events/splitter.py
+++ b/pollenfork/gateway/events/splitter.py
@@ -36,7 +36,8 @@
 
     Attributes:
         data: The bytes.
-        position: The event's position; None: there are comments alone.
+        position: The event's position; None: there are comments alone, or a
+            time to reconnect.
     """
 
     data: bytes
@@ -133,8 +134,9 @@
         return False
 
     def _read_field(self, line: bytes) -> None:
-        self._has_fields = True
         name, _, value = line.partition(b":")
+        # A block of this field alone is a setting, and no event.
+        self._has_fields = self._has_fields or name != b"retry"
         if name not in self._fields:
             self.breach = Breach.FOREIGN
         elif name == b"id":
--- a/pollenfork/gateway/events/tests/test_splitter.py
+++ b/pollenfork/gateway/events/tests/test_splitter.py
@@ -104,6 +104,14 @@
     assert [block.position for block in blocks] == [None, 0, None, 1]
 
 
+def test_a_time_to_reconnect_has_no_position() -> None:
+    events = splitter.EventSplitter()
+    text = b"retry: 100\n\n" + write(0, 0)
+    blocks = events.feed(text)
+    assert join(blocks) == text
+    assert [block.position for block in blocks] == [None, 0]
+
+
 def test_further_fields_are_accepted() -> None:
     events = splitter.EventSplitter(frozenset({b"x-version"}))
     text = b"x-version: 4\nid: 1\nevent: a\nretry: 9\ndata: x\n\n"
--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -27,7 +27,6 @@
 from pollenfork.gateway.failover import handover
 from pollenfork.gateway.failover import recording
 from pollenfork.gateway.failover import sending
-from pollenfork.gateway.failover import survival
 from pollenfork.gateway.streams import version_pin
 from pollenfork.poison import crashes
 from pollenfork.poison import subjects
@@ -93,6 +92,7 @@
             deps, admitted, self._log
         )
         self._runner: ids.EndpointId | None = None
+        self._sent: sending.SentAttempt | None = None
         # The runner whose answer is awaited; None: another instance's.
         self._asked: fleet.Runner | None = None
         self._has_started = False
@@ -159,6 +159,8 @@
         except asyncio.CancelledError:
             begun = self._relay is not None and self._relay.begun
             self._log.log_caller_gone(self._runner, begun, self._history)
+            if self._sent is not None and self._sent.receiver.awaits_proof:
+                self._quarantine_check.record_survival(self._sent)
             raise
         except Exception:
             # An internal error; the caller must not wait until its time limit.
@@ -233,10 +235,9 @@
         sent: sending.SentAttempt | None,
     ) -> bool:
         """Handles the end of an attempt; returns whether it was the last."""
-        ended = await survival.confirm(
-            ended, grant.runner, self._deps.crash_probes, self._remaining_s()
-        )
         if sent is not None:
+            if sent.receiver.awaits_proof:
+                self._quarantine_check.record_survival(sent)
             self._quarantine_check.record_attempt(
                 grant.runner,
                 ended,
@@ -370,6 +371,7 @@
 
     def _attach(self, sent: sending.SentAttempt) -> None:
         """Takes the answer from an attempt."""
+        self._sent = sent
         self._runner = sent.grant.runner.id
         self._asked = sent.grant.runner
         self._observer.on_sent(sent.grant)
--- a/pollenfork/gateway/failover/recording.py
+++ b/pollenfork/gateway/failover/recording.py
@@ -182,7 +182,8 @@
         now = self._deps.loop.time()
         if ended.end is _End.SILENT and sent is not None:
             self.record_silence(sent)
-        state.record_end(ended.end, ended.is_error, now)
+        if sent is None or not sent.receiver.awaits_proof:
+            state.record_end(ended.end, ended.is_error, now)
         self._deps.counters.record_stream_run(ended)
         self._log.log_state_change(grant, ended, failures)
         self._report_failure(grant.runner, ended)
--- a/pollenfork/gateway/failover/sending.py
+++ b/pollenfork/gateway/failover/sending.py
@@ -235,6 +235,7 @@
             functools.partial(self._on_head, grant, now),
             functools.partial(deps.runner_notices.on_head, grant.runner),
             self._callbacks.on_buffered,
+            functools.partial(deps.crash_probes.when_known, grant.runner),
         )
 
     def _encode(self, grant: outcomes.Grant) -> bytes:
--- a/pollenfork/gateway/quarantine_check.py
+++ b/pollenfork/gateway/quarantine_check.py
@@ -10,6 +10,7 @@
 from pollenfork.fleet import model as fleet
 from pollenfork.gateway import attempt
 from pollenfork.gateway import context
+from pollenfork.gateway.failover import sending
 from pollenfork.poison import crashes
 from pollenfork.poison import subjects
 
@@ -177,9 +178,7 @@
         now = self._deps.loop.time()
         first_at, self._first_output_at = self._first_output_at, None
         self.close()
-        if ended.is_unconfirmed:
-            self._check_survival(runner, sent_at, connected_at)
-        elif ended.end is fleet_messages.End.WHOLE:
+        if ended.end is fleet_messages.End.WHOLE:
             self._record_answer()
         if not ended.connection_lost:
             return
@@ -224,14 +223,17 @@
         for subject in self._subjects:
             self._deps.request_quarantine.record_answer(subject.digest, now)
 
-    def _check_survival(
-        self, runner: fleet.Runner, sent_at: float, connected_at: float | None
-    ) -> None:
+    def record_survival(self, sent: sending.SentAttempt) -> None:
         """Records an answer that ended with its connection, or a crash.
 
-        A crash looks the same until the runner is connected to again.
+        A crash looks the same until the runner is connected to again, which
+        nobody waits for any longer.
+
+        Args:
+            sent: The attempt, which awaits this proof.
         """
-        ended_at = self._deps.loop.time()
+        runner = sent.grant.runner
+        ended_at = sent.receiver.last_data_at
 
         def record(is_alive: bool) -> None:
             if is_alive:
@@ -239,7 +241,11 @@
                 return
             for subject in self._subjects:
                 self._deps.request_quarantine.record_broken_connection(
-                    subject.digest, runner, sent_at, ended_at, connected_at
+                    subject.digest,
+                    runner,
+                    sent.begun_at,
+                    ended_at,
+                    sent.opened.connected_at,
                 )
 
         self._deps.crash_probes.when_known(runner, record)
