Play runners that restart in place at another software version

Runners of the soak are born before they listen, as real ones are, and keep the pace of their events when they restart.

--- a/pollenfork/platform/tests/soak/rollout.py
+++ b/pollenfork/platform/tests/soak/rollout.py
@@ -124,10 +124,10 @@
         await site.start(direct=True)
         for _ in range(_RUNNERS - len(site.runners)):
             await site.add_runner(direct=True)
-        _set_pace(site)
+        set_pace(site)
         await asyncio.sleep(1.0)
         tasks = [
-            asyncio.create_task(_load(site, seed * 1000 + number, streams))
+            asyncio.create_task(load(site, seed * 1000 + number, streams))
             for number in range(_CALLERS)
         ]
         tasks.append(asyncio.create_task(site.supervise()))
@@ -142,12 +142,13 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         await site.stop()
-    return _sum_up(site, streams)
+    return sum_up(site, streams)
 
 
-def _set_pace(site: sites.Site) -> None:
+def set_pace(site: sites.Site, interval_s: float = _INTERVAL_S) -> None:
+    """Sets the seconds between two events of all runners."""
     for each in site.runners.values():
-        each.interval_s = _INTERVAL_S
+        each.interval_s = interval_s
 
 
 async def _roll(site: sites.Site) -> None:
@@ -156,7 +157,7 @@
     leaving = []
     for number, name in enumerate(sorted(site.runners)):
         await site.add_runner(direct=True)
-        _set_pace(site)
+        set_pace(site)
         leave = site.drain_runner(name, _NOTICE_S)
         leaving.append(asyncio.create_task(leave))
         await asyncio.sleep(_SPACING_S / 2)
@@ -179,7 +180,8 @@
     site.runners[name].interval_s = _INTERVAL_S
 
 
-async def _load(site: sites.Site, seed: int, streams: list[Stream]) -> None:
+async def load(site: sites.Site, seed: int, streams: list[Stream]) -> None:
+    """Asks for one stream after the other, until cancelled."""
     rng = random.Random(seed)
     while True:
         stream = Stream()
@@ -236,7 +238,8 @@
     )
 
 
-def _sum_up(site: sites.Site, streams: list[Stream]) -> Played:
+def sum_up(site: sites.Site, streams: list[Stream]) -> Played:
+    """Returns what came of the streams."""
     asked = [each for each in streams if each.attempts]
     begun = [each for each in asked if each.first]
     in_touch = [e for e in asked if _is_in_touch(site, e.attempts[0])]
--- a/pollenfork/platform/tests/soak/site.py
+++ b/pollenfork/platform/tests/soak/site.py
@@ -403,6 +403,8 @@
         vanishes: bool,
         lingers_s: float = 0.0,
         away_s: float | None = None,
+        version: str | None = None,
+        unwritten_s: float = 0.0,
     ) -> None:
         """Lets a runner crash and start again under its id.
 
@@ -411,6 +413,8 @@
             vanishes: Whether its entry is gone meanwhile.
             lingers_s: For how long it still accepts connections.
             away_s: For how long it is away; None: up to a second.
+            version: The version of its software then; None: as before.
+            unwritten_s: For how long it can't write its entry then.
         """
         if name in self.restarting:
             return
@@ -425,14 +429,19 @@
         if name not in self.runners or name in self.gone:
             return
         again = self._make_runner(name)
+        before = self.runners[name]
+        again.brittle = before.brittle
+        again.places = before.places
+        again.on_fall = before.on_fall
+        again.interval_s = before.interval_s
+        again.version = before.version if version is None else version
+        self.born[name] = _read_clock_ms()
         await again.start(f"{self.base}.{100 + int(name[2:])}", self.port)
-        again.brittle = self.runners[name].brittle
-        again.places = self.runners[name].places
-        again.on_fall = self.runners[name].on_fall
-        again.version = self.runners[name].version
         self.runners[name] = again
-        self.born[name] = _read_clock_ms()
-        await self.put_runner(name, "ready")
+        if unwritten_s:
+            await asyncio.sleep(unwritten_s)
+        if self.runners.get(name) is again and name not in self.restarting:
+            await self.put_runner(name, "ready")
 
     def _make_runner(self, name: str) -> runner.Runner:
         made = runner.Runner(name, "model", self.record, self.rng)
