Keep streams whose software version may become known later

A holder could only be told a version, or that it can't be known, and the latter for good. An origin now may say that its version isn't known yet; one that is told later replaces that, unless it contradicts what was told before. Earlier builds ignore the new field and take such a version for unknown; their origins are read as before.

The history of versions counts a runner of an unknown version by its incarnation, so that its entry, once it has come, ends that.

--- a/pollenfork/loads/stream_messages.py
+++ b/pollenfork/loads/stream_messages.py
@@ -11,12 +11,15 @@
         service: A hash of the service.
         version: The software version; empty: it can't be known.
         keep_ms: For how long its caller may still take it up.
+        is_open: Whether a version that isn't known may become known. Earlier
+            builds neither send nor read it.
     """
 
     stream: int
     service: int
     version: str
     keep_ms: int
+    is_open: bool = False
 
 
 class OriginNotice(msgspec.Struct, frozen=True, array_like=True, tag="n"):
--- a/pollenfork/streams/origins.py
+++ b/pollenfork/streams/origins.py
@@ -24,10 +24,28 @@
     Attributes:
         until: Monotonic seconds until which its caller may return.
         versions: The software version by a hash of the service.
+        pending: The services whose version may become known, and what was
+            known of it before; `UNKNOWN`: nothing.
     """
 
     until: float
     versions: dict[int, ids.SoftwareVersion] = {}
+    pending: dict[int, ids.SoftwareVersion] = {}
+
+    def record(self, service: int, version: ids.SoftwareVersion) -> None:
+        """Records a version, or that it can't be known."""
+        if service in self.pending:
+            before = self.pending.pop(service) or version
+        else:
+            before = self.versions.get(service, version)
+        self.versions[service] = version if before == version else UNKNOWN
+
+    def record_pending(self, service: int) -> None:
+        """Records that the version isn't known yet."""
+        before = self.versions.get(service)
+        if before is None or before:
+            self.pending[service] = before or UNKNOWN
+            self.versions[service] = UNKNOWN
 
 
 def hash_stream(first: ids.AttemptId) -> int:
@@ -64,6 +82,8 @@
         version: ids.SoftwareVersion,
         now: float,
         keep_s: float,
+        *,
+        is_open: bool = False,
     ) -> None:
         """Records the version at which a stream began.
 
@@ -73,14 +93,17 @@
             version: The version; `UNKNOWN`: it can't be known any more.
             now: Monotonic seconds.
             keep_s: Seconds for which its caller may return.
+            is_open: Whether an unknown version may become known.
         """
         if len(version) > model.MAX_VERSION_CHARS:
             version = UNKNOWN
         until = now + min(keep_s, _MAX_KEEP_S)
         begun = self._begun.setdefault(stream, _Begun(until))
         begun.until = max(begun.until, until)
-        if begun.versions.setdefault(service, version) != version:
-            begun.versions[service] = UNKNOWN
+        if is_open and not version:
+            begun.record_pending(service)
+        else:
+            begun.record(service, version)
         if len(self._begun) > _MAX_STREAMS:
             self._begun.popitem(last=False)
 
@@ -91,6 +114,11 @@
             return {}
         return begun.versions
 
+    def is_pending(self, stream: int, service: int) -> bool:
+        """Returns whether an unknown version may become known."""
+        begun = self._begun.get(stream)
+        return begun is not None and service in begun.pending
+
     def describe(
         self, stream: int, now: float
     ) -> tuple[stream_messages.Origin, ...]:
@@ -99,8 +127,11 @@
         if not versions:
             return ()
         keep_ms = int((self._begun[stream].until - now) * 1000)
+        pending = self._begun[stream].pending
         return tuple(
-            stream_messages.Origin(stream, service, version, keep_ms)
+            stream_messages.Origin(
+                stream, service, version, keep_ms, service in pending
+            )
             for service, version in versions.items()
         )
 
@@ -112,6 +143,7 @@
             ids.SoftwareVersion(told.version),
             now,
             max(0, told.keep_ms) / 1000.0,
+            is_open=told.is_open,
         )
 
     def expire(self, now: float) -> None:
--- a/pollenfork/streams/tests/test_origins.py
+++ b/pollenfork/streams/tests/test_origins.py
@@ -2,6 +2,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import msgspec
 
 from pollenfork import ids
 from pollenfork.loads import messages
@@ -72,3 +73,57 @@
         stream_messages.OriginAnswer("a", STREAM, (origin,)),
     ):
         assert messages.decode(messages.encode(message)) == message
+
+
+# Guards against refusing a stream for good because its runner's version wasn't
+# known yet when it began.
+def test_a_version_may_become_known_later() -> None:
+    kept = origins.Origins()
+    kept.record(STREAM, SERVICE, origins.UNKNOWN, 0.0, 8.0, is_open=True)
+    assert kept.find(STREAM, 1.0) == {SERVICE: origins.UNKNOWN}
+    assert kept.is_pending(STREAM, SERVICE)
+    kept.record(STREAM, SERVICE, V2, 1.0, 8.0)
+    assert kept.find(STREAM, 1.0) == {SERVICE: V2}
+    assert not kept.is_pending(STREAM, SERVICE)
+
+
+# Guards against replacing a version that was told by one that contradicts it.
+def test_a_version_in_doubt_is_confirmed_or_unknown() -> None:
+    for later, found in ((V1, V1), (V2, origins.UNKNOWN)):
+        kept = origins.Origins()
+        kept.record(STREAM, SERVICE, V1, 0.0, 8.0)
+        kept.record(STREAM, SERVICE, origins.UNKNOWN, 1.0, 8.0, is_open=True)
+        assert kept.find(STREAM, 1.0) == {SERVICE: origins.UNKNOWN}
+        kept.record(STREAM, SERVICE, later, 2.0, 8.0)
+        assert kept.find(STREAM, 2.0) == {SERVICE: found}
+
+
+def test_what_can_not_be_known_stays_unknown() -> None:
+    kept = origins.Origins()
+    kept.record(STREAM, SERVICE, origins.UNKNOWN, 0.0, 8.0)
+    kept.record(STREAM, SERVICE, origins.UNKNOWN, 1.0, 8.0, is_open=True)
+    kept.record(STREAM, SERVICE, V1, 2.0, 8.0)
+    assert kept.find(STREAM, 2.0) == {SERVICE: origins.UNKNOWN}
+
+
+# Guards against builds that can't read each other's notices: an earlier one
+# takes a version that may become known for one that can't.
+def test_builds_read_each_others_origins() -> None:
+    told = stream_messages.Origin(STREAM, SERVICE, "", 5, is_open=True)
+    notice = stream_messages.OriginNotice("a", (told,))
+    assert messages.decode(messages.encode(notice)) == notice
+    earlier = msgspec.msgpack.encode(["n", "a", [[STREAM, SERVICE, "v1", 5]]])
+    assert messages.decode(earlier) == stream_messages.OriginNotice(
+        "a", (stream_messages.Origin(STREAM, SERVICE, "v1", 5),)
+    )
+
+    class EarlierOrigin(msgspec.Struct, array_like=True):
+        stream: int
+        service: int
+        version: str
+        keep_ms: int
+
+    read = msgspec.msgpack.decode(
+        msgspec.msgpack.encode(told), type=EarlierOrigin
+    )
+    assert (read.stream, read.version, read.keep_ms) == (STREAM, "", 5)
--- a/pollenfork/streams/version_history.py
+++ b/pollenfork/streams/version_history.py
@@ -1,9 +1,10 @@
 """Tracks which software versions of a service have had runners lately."""
 
 from collections.abc import Iterable
+from typing import Any
 
 from pollenfork import ids
-from pollenfork.fleet import model
+from pollenfork.fleet import model as fleet
 
 # Versions that had no runner for longer than this are forgotten, in seconds.
 _FORGOTTEN_S = 900.0
@@ -15,8 +16,13 @@
     def __init__(self) -> None:
         self._since: float | None = None
         self._seen: dict[ids.ServiceName, dict[ids.SoftwareVersion, float]] = {}
+        # Runners of an unknown version. That of one that has named its start
+        # itself is known once its entry is.
+        self._unknown: dict[
+            ids.ServiceName, dict[fleet.Incarnation, float]
+        ] = {}
 
-    def observe(self, runners: Iterable[model.Runner], now: float) -> None:
+    def observe(self, runners: Iterable[fleet.Runner], now: float) -> None:
         """Records the runners that are listed now; called regularly.
 
         Args:
@@ -26,11 +32,16 @@
         if self._since is None:
             self._since = now
         for runner in runners:
-            self._seen.setdefault(runner.service, {})[runner.version] = now
+            unknown = self._unknown.setdefault(runner.service, {})
+            if runner.version:
+                self._seen.setdefault(runner.service, {})[runner.version] = now
+                unknown.pop(runner.incarnation, None)
+            else:
+                unknown[runner.incarnation] = now
         for versions in self._seen.values():
-            for version, at in list(versions.items()):
-                if now - at > _FORGOTTEN_S:
-                    del versions[version]
+            _forget(versions, now)
+        for incarnations in self._unknown.values():
+            _forget(incarnations, now)
 
     def find_only(
         self, service: ids.ServiceName, within_s: float, now: float
@@ -44,9 +55,19 @@
         """
         if self._since is None or now - self._since < within_s:
             return None
+        since = now - within_s
+        if any(at >= since for at in self._unknown.get(service, {}).values()):
+            return None
         versions = [
             version
             for version, at in self._seen.get(service, {}).items()
-            if now - at <= within_s
+            if at >= since
         ]
-        return versions[0] if len(versions) == 1 and versions[0] else None
+        return versions[0] if len(versions) == 1 else None
+
+
+def _forget(seen: dict[Any, float], now: float) -> None:
+    """Drops what hasn't been listed for long."""
+    for key, at in list(seen.items()):
+        if now - at > _FORGOTTEN_S:
+            del seen[key]
