Doubt a runner's software version once its process may have ended

A runner's version was taken from its entry alone. One that crashed while it couldn't write to the store, or a moment before its entry arrived, and came back at another version was taken for its predecessor: streams that it had begun went on elsewhere at the old version, and streams of the old version went on there.

A connection leads to one process for as long as it lasts. One that a runner closes or refuses, here or at another instance, puts the runner in doubt: what is sent on a later connection has no known author, streams go on at other runners, and new ones begin there only if most are in doubt. The doubt ends with data on an older connection, a new one that holds before a successor could listen, the start that the runner names, the entry of a later start, or an entry that outlasts the time in which those of ended runners are removed. A start that a runner names itself has no version until its entry comes; it had that of the entry before.

What was told of a stream is judged again when its runner's entry changes, by the time at which its connection was made: streams that the earlier process had begun aren't withdrawn any more.

--- a/pollenfork/fleet/availability.py
+++ b/pollenfork/fleet/availability.py
@@ -24,6 +24,7 @@
         limits: rate_limits.Limits,
         pauses: runner_pauses.Pauses,
         has_place: Callable[[model.Runner, float], bool] | None = None,
+        is_certain: Callable[[model.Runner], bool] | None = None,
     ) -> None:
         """Creates an instance.
 
@@ -34,8 +35,11 @@
             pauses: The pauses that runners have requested.
             has_place: Returns whether a runner that may be brittle has a place
                 for a request of this instance; None: all have.
+            is_certain: Returns whether a runner is certain to have the software
+                version of its entry; None: all are.
         """
         self._has_place = has_place or _has_always_place
+        self._is_certain = is_certain or _is_always_certain
         self._registry = runners
         self._get_state = get_state
         self._limits = limits
@@ -65,6 +69,9 @@
         reachable = self._exclude_unreachable(accepting)
         if not reachable:
             return outcomes.Unreachable()
+        reachable = self._exclude_uncertain(reachable, profile)
+        if not reachable:
+            return outcomes.OtherVersions(uncertain=True)
         resumed = self._exclude_paused(reachable, profile.tier, now)
         if not resumed:
             return self._describe_pauses(reachable, profile.tier, now)
@@ -100,6 +107,20 @@
             return None
         return self._describe_pauses(reachable, profile.tier, now)
 
+    def _exclude_uncertain(
+        self, reachable: list[model.Runner], profile: candidates.RequestProfile
+    ) -> list[model.Runner]:
+        """Returns the runners that surely have the version of their entries.
+
+        A new stream may begin at any of them if too few are left.
+        """
+        if profile.version is None and not profile.resumable:
+            return reachable
+        certain = [runner for runner in reachable if self._is_certain(runner)]
+        if profile.version is None and 2 * len(certain) < len(reachable):
+            return reachable
+        return certain
+
     def _exclude_unreachable(
         self, accepting: list[model.Runner]
     ) -> list[model.Runner]:
@@ -174,3 +195,8 @@
 def _has_always_place(runner: model.Runner, now: float) -> bool:
     """Returns that a runner that isn't brittle has a place."""
     return True
+
+
+def _is_always_certain(runner: model.Runner) -> bool:
+    """Returns that the entry of a runner is believed."""
+    return True
--- a/pollenfork/fleet/candidates.py
+++ b/pollenfork/fleet/candidates.py
@@ -64,6 +64,8 @@
         event_tokens: Tokens in one event of its answer.
         version: The only software version that may serve it, as it has begun
             a stream; None: any.
+        resumable: Whether it is for a stream that may go on at another runner
+            of the version that begins it.
     """
 
     service: ids.ServiceName
@@ -80,6 +82,7 @@
     cache_tokens: int = 0
     event_tokens: int = 1
     version: ids.SoftwareVersion | None = None
+    resumable: bool = False
 
     def fits(self, runner: model.Runner) -> bool:
         """Returns whether a runner's software may serve the request.
--- a/pollenfork/fleet/choice.py
+++ b/pollenfork/fleet/choice.py
@@ -45,6 +45,7 @@
         pauses: runner_pauses.Pauses | None = None,
         forecasts: costs.Costs | None = None,
         has_place: Callable[[model.Runner, float], bool] | None = None,
+        is_certain: Callable[[model.Runner], bool] | None = None,
     ) -> None:
         """Creates a chooser without load or cached parts.
 
@@ -58,6 +59,8 @@
             forecasts: Costs of forecast services; None: the fixed ones.
             has_place: Returns whether a runner that may be brittle has a place
                 for a request of this instance; None: all have.
+            is_certain: Returns whether a runner is certain to have the software
+                version of its entry; None: all are.
         """
         self._costs = costs.FixedCosts()
         self._forecasts = forecasts or self._costs
@@ -75,7 +78,12 @@
         self.caches = prefix_index.PrefixIndex()
         self._room = ledger.RoomLedger()
         self.availability = availability.Availability(
-            runners, self.get_state, self._limits, self.pauses, has_place
+            runners,
+            self.get_state,
+            self._limits,
+            self.pauses,
+            has_place,
+            is_certain,
         )
         runners.when_gone(self._forget)
 
--- a/pollenfork/fleet/outcomes.py
+++ b/pollenfork/fleet/outcomes.py
@@ -69,7 +69,13 @@
 
 
 class OtherVersions(msgspec.Struct, frozen=True):
-    """No runner of the version that began the stream accepts work."""
+    """No runner of the version that began the stream accepts work.
+
+    Attributes:
+        uncertain: Whether one may, but may have another version by now.
+    """
+
+    uncertain: bool = False
 
 
 class Grant(msgspec.Struct):
--- a/pollenfork/fleet/registry.py
+++ b/pollenfork/fleet/registry.py
@@ -69,6 +69,10 @@
         self.kept = 0
         self._on_gone: list[Callable[[ids.EndpointId], None]] = []
         self._on_restart: list[Callable[[model.Runner], None]] = []
+        # Runners that have named a later start than any entry of theirs.
+        self._undescribed: set[ids.EndpointId] = set()
+        self._on_start_named: list[Callable[[model.Runner], None]] = []
+        self._on_described: list[Callable[[model.Runner], None]] = []
         # The latest start of each runner, departed ones included.
         self._starts: collections.OrderedDict[
             ids.EndpointId, ids.RunnerStart
@@ -81,6 +85,20 @@
         """
         self._on_restart.append(call)
 
+    def when_start_named(self, call: Callable[[model.Runner], None]) -> None:
+        """Registers a callback for runners that name the start of their entry.
+
+        They name it themselves, not by their entries.
+        """
+        self._on_start_named.append(call)
+
+    def when_described(self, call: Callable[[model.Runner], None]) -> None:
+        """Registers a callback for entries of starts that were known before.
+
+        Such a start was first named by the runner itself.
+        """
+        self._on_described.append(call)
+
     def when_gone(self, call: Callable[[ids.EndpointId], None]) -> None:
         """Registers a callback for runners that accept no more work."""
         self._on_gone.append(call)
@@ -99,6 +117,7 @@
         elif self._restoration.withhold(runner):
             return PutResult.WITHHELD
         started_again = self._update_start(runner)
+        self._undescribed.discard(runner.id)
         self._expiring.pop(runner.id, None)
         # Requests of the earlier incarnation may still be awaited, even though
         # its entry has been removed meanwhile.
@@ -117,11 +136,12 @@
         self._services.setdefault(runner.service, {})[runner.id] = None
         if runner.leaving and not (old is not None and old.leaving):
             self._notify_gone(runner.id)
-        if not restarted:
-            return PutResult.TAKEN
-        for call in self._on_restart:
-            call(runner)
-        return PutResult.RESTARTED
+        if restarted:
+            _notify(self._on_restart, runner)
+            return PutResult.RESTARTED
+        if old is not None and not old.version:
+            _notify(self._on_described, runner)
+        return PutResult.TAKEN
 
     def announce_leaving(self, runner: model.Runner) -> bool:
         """Marks a runner that announced in an answer that it leaves.
@@ -180,10 +200,20 @@
         if known is None or known.start is None or start is None:
             return PutResult.TAKEN
         if start == known.start:
+            _notify(self._on_start_named, known)
             return PutResult.TAKEN
-        # Only the earlier incarnation was leaving, not the new one.
-        updated = msgspec.structs.replace(known, start=start, leaving=False)
-        return self.put(updated)
+        # Only the earlier incarnation was leaving, not the new one, and the
+        # entry tells the software version of the earlier one.
+        updated = msgspec.structs.replace(
+            known,
+            start=start,
+            leaving=False,
+            version=ids.SoftwareVersion(""),
+        )
+        taken = self.put(updated)
+        if taken.in_use:
+            self._undescribed.add(runner)
+        return taken
 
     def remove(self, runner: ids.EndpointId, now: float) -> RemoveResult:
         """Handles the removal of a runner's entry from the registry."""
@@ -239,6 +269,10 @@
             self._drop(runner)
         return due
 
+    def is_described(self, runner: ids.EndpointId) -> bool:
+        """Returns whether a runner's entry is of its latest known start."""
+        return runner not in self._undescribed
+
     def get_kept_until(self, runner: ids.EndpointId) -> float | None:
         """Returns until when a removed entry is kept; None if it isn't."""
         return self._expiring.get(runner)
@@ -305,6 +339,7 @@
 
     def _drop(self, runner: ids.EndpointId) -> None:
         self._announced.discard(runner)
+        self._undescribed.discard(runner)
         known = self._runners.pop(runner)
         self._restoration.record_removed(known)
         self._services[known.service].pop(runner, None)
@@ -313,3 +348,10 @@
     def _notify_gone(self, runner: ids.EndpointId) -> None:
         for call in self._on_gone:
             call(runner)
+
+
+def _notify(
+    calls: list[Callable[[model.Runner], None]], runner: model.Runner
+) -> None:
+    for call in calls:
+        call(runner)
--- a/pollenfork/gateway/admission.py
+++ b/pollenfork/gateway/admission.py
@@ -92,6 +92,7 @@
         needed_tokens=_find_needed(route, head, outputs) if forecast else 0,
         cache_tokens=config.cache_tokens if config else 0,
         event_tokens=config.event_tokens if config else 1,
+        resumable=route.kind is routes.Kind.STREAM and route.resumable,
     )
     return context.AdmittedRequest(
         call=call,
--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -14,6 +14,7 @@
 from pollenfork import ids
 from pollenfork import logs
 from pollenfork.fleet import choice
+from pollenfork.fleet import continuity
 from pollenfork.fleet import evidence
 from pollenfork.fleet import model as fleet
 from pollenfork.fleet import retry_budget
@@ -40,6 +41,7 @@
 from pollenfork.gateway import reach_monitor
 from pollenfork.gateway import readiness
 from pollenfork.gateway import request_handler
+from pollenfork.gateway import runner_continuity
 from pollenfork.gateway import runner_notices
 from pollenfork.gateway import scaler
 from pollenfork.gateway import scrape
@@ -59,6 +61,10 @@
 _LOG = logging.getLogger(__name__)
 
 _SWEEP_S = 0.5
+# The entry of a runner that has ended is removed after so many renewals have
+# failed, and this is known here so many seconds later.
+_ENTRY_RENEWALS = 3
+_ENTRY_NEWS_S = 1.5
 # How often state about unregistered runners is removed, in seconds. A new
 # runner becomes known to all instances in less time.
 _CLEANUP_S = 3.0
@@ -129,6 +135,10 @@
         self._brittle = brittle_runners.BrittleRunners(
             self._loop, self.state.runners, me.host, config.data_centre
         )
+        self._continuity = continuity.Continuity(
+            self.state.runners,
+            _ENTRY_RENEWALS * config.heartbeat_s + _ENTRY_NEWS_S,
+        )
         chooser = choice.Chooser(
             self.state.runners,
             rng,
@@ -136,6 +146,7 @@
             granted,
             forecasts=self._forecasting.costs,
             has_place=self._brittle.has_place,
+            is_certain=self._continuity.is_certain,
         )
         self._brittle.watch(chooser)
         findings = evidence.Evidence(
@@ -165,6 +176,14 @@
             me.host,
             config.data_centre,
             self._knows_runners,
+            self._continuity,
+        )
+        self._observed = runner_continuity.RunnerContinuity(
+            self._loop,
+            self._continuity,
+            connections,
+            self.state.runners,
+            findings,
         )
         self._duty_agent: duty_agent.DutyAgent | None = None
         if config.duties is not None:
@@ -225,8 +244,7 @@
             returns=self._forecasting.returns,
         )
         request_quarantine.when_probe_needed(self._deps.crash_probes.probe)
-        connections.watch_registry(self.state.runners)
-        self.state.runners.when_gone(self._deps.limit_events.forget)
+        self._watch_runners(connections)
         self._readiness = readiness.Readiness(self.state, self._stopping.is_set)
         self._sources = sources.Sources(config.store, store, self.state, rng)
         self._sources.tables.add_page(
@@ -388,6 +406,10 @@
         head = self._codec.decode_response(status, headers)
         self._deps.runner_notices.on_head(runner, head)
 
+    def _watch_runners(self, connections: pool.Pool) -> None:
+        connections.watch_registry(self.state.runners)
+        self.state.runners.when_gone(self._deps.limit_events.forget)
+
     def _knows_runners(self) -> bool:
         """Returns whether the registry is known to be current."""
         age_s = self.state.freshness.age(self._loop.time())
@@ -423,6 +445,9 @@
             self._deps.shedder.sweep()
             self._buffers.refresh()
             self._deps.request_quarantine.sweep(now)
+            for service in self._reach.list_lost():
+                self._continuity.forget_observed(service)
+            self._continuity.sweep(now, is_current=self._knows_runners())
             self._stream_origins.sweep()
             self._readiness.check(now)
 
@@ -512,6 +537,7 @@
         self._cache_feed.close()
         self._deps.prober.close()
         self._deps.crash_probes.close()
+        self._observed.close()
         self._reach.close()
         self._deps.pool.close()
 
--- a/pollenfork/gateway/connection.py
+++ b/pollenfork/gateway/connection.py
@@ -60,7 +60,10 @@
         connected_at_unix: Unix time at which it was opened, in seconds.
         connected_at: Monotonic seconds of the same moment.
         has_received: Whether any response bytes have arrived on it.
+        received_at: Monotonic seconds at which the last ones did.
         on_data: Called with the connection when response bytes arrive.
+        on_closed: Called with the connection, and whether it was idle and was
+            reset, when the peer closes it without having announced that.
         on_continue: Called when the peer asks for the request's body.
     """
 
@@ -83,7 +86,12 @@
         self.reusable = True
         self.exchanges = 0
         self.has_received = False
+        self.received_at = 0.0
         self.on_data: Callable[[Connection], None] = _ignore
+        self.on_closed: Callable[[Connection, bool, bool], None] = (
+            _ignore_closed
+        )
+        self._is_closed_by_peer = False
         self.on_continue: Callable[[], None] | None = None
 
     @property
@@ -146,6 +154,7 @@
             return
         self.on_data(self)
         self.has_received = True
+        self.received_at = self._loop.time()
         self._framing.add(len(data))
         try:
             self._parser.feed_data(data)
@@ -158,6 +167,7 @@
 
     def eof_received(self) -> bool:
         """Completes a response without a length; fails any other."""
+        self._record_closed(is_reset=False)
         self.reusable = False
         if self._in_body and not self._has_length and not self._discarding:
             self._complete()
@@ -167,6 +177,8 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Fails the response in progress."""
+        if error is not None:
+            self._record_closed(is_reset=True)
         self._lost = True
         self.reusable = False
         self._fail(ResponseFailure.RESET if error else ResponseFailure.CLOSED)
@@ -228,6 +240,13 @@
             return
         self._complete()
 
+    def _record_closed(self, *, is_reset: bool) -> None:
+        is_idle = self._receiver is None
+        is_expected = is_idle and not self.reusable
+        if not is_expected and not self._is_closed_by_peer:
+            self._is_closed_by_peer = True
+            self.on_closed(self, is_idle, is_reset)
+
     def _read_keep_alive(self, value: bytes) -> None:
         for part in value.split(b","):
             part = part.strip().lower()
@@ -266,3 +285,9 @@
 
 def _ignore(connection: Connection) -> None:
     """Ignores that bytes have arrived."""
+
+
+def _ignore_closed(
+    connection: Connection, is_idle: bool, is_reset: bool
+) -> None:
+    """Ignores that the peer has closed the connection."""
--- a/pollenfork/gateway/pool.py
+++ b/pollenfork/gateway/pool.py
@@ -36,6 +36,8 @@
 
 
 OnData = Callable[[fleet.Runner, connection.Connection], None]
+OnClosed = Callable[[fleet.Runner, connection.Connection, bool, bool], None]
+OnUnreachable = Callable[[fleet.Runner], None]
 
 
 class Unreachable(failures.Failure, frozen=True, kw_only=True):
@@ -101,7 +103,9 @@
         self._busy: dict[ids.EndpointId, set[connection.Connection]] = {}
         self.counters = PoolCounters()
         self.service_counters: dict[ids.ServiceName, ServiceCounters] = {}
-        self._on_data: OnData | None = None
+        self._on_data: list[OnData] = []
+        self._on_closed: OnClosed | None = None
+        self._on_unreachable: OnUnreachable | None = None
 
     def watch_registry(self, runners: registry.Registry) -> None:
         """Closes connections to runners that are removed or restarted."""
@@ -109,8 +113,21 @@
         runners.when_restarted(self.fail_stale)
 
     def watch_data(self, callback: OnData) -> None:
-        """Sets the callback for bytes that runners send."""
-        self._on_data = callback
+        """Registers a callback for bytes that runners send."""
+        self._on_data.append(callback)
+
+    def watch_ends(
+        self, on_closed: OnClosed, on_unreachable: OnUnreachable
+    ) -> None:
+        """Sets the callbacks for connections that end or can't be made.
+
+        Args:
+            on_closed: Called with a connection that a runner has closed, and
+                whether it was idle and was reset.
+            on_unreachable: Called with a runner that couldn't be connected to.
+        """
+        self._on_closed = on_closed
+        self._on_unreachable = on_unreachable
 
     def set_accepted(
         self,
@@ -198,13 +215,16 @@
             kind = type(error).__name__
             refused = isinstance(error, ConnectionRefusedError)
             detail = f"{runner.host}: {kind}"
+            if self._on_unreachable is not None:
+                self._on_unreachable(runner)
             return result.Err(
                 Unreachable(detail=detail, connection_refused=refused)
             )
         opened.idle_since = opened.connected_at = self._loop.time()
         opened.connected_at_unix = self._unix_time()
-        if self._on_data is not None:
-            opened.on_data = functools.partial(self._on_data, runner)
+        opened.on_data = functools.partial(self._notify_data, runner)
+        if self._on_closed is not None:
+            opened.on_closed = functools.partial(self._on_closed, runner)
         return result.Ok(opened)
 
     def release(
@@ -281,6 +301,12 @@
         for runner in {each.id for each in self._idle}:
             self.close_idle(runner)
 
+    def _notify_data(
+        self, runner: fleet.Runner, received_on: connection.Connection
+    ) -> None:
+        for call in self._on_data:
+            call(runner, received_on)
+
     def _is_kept(
         self, candidate: connection.Connection, service: ids.ServiceName
     ) -> bool:
--- a/pollenfork/gateway/responder.py
+++ b/pollenfork/gateway/responder.py
@@ -168,10 +168,16 @@
             case outcomes.Unreachable():
                 self.end_with_error(_Reason.UNREACHABLE)
             case outcomes.OtherVersions():
-                self.end_with_error(_Reason.VERSION_GONE, _VERSION_RETRY_S)
+                self._refuse_version(found)
             case None:
                 self.end_unless_paused(_Reason.NO_RUNNER)
 
+    def _refuse_version(self, found: outcomes.OtherVersions) -> None:
+        if found.uncertain:
+            self.end_with_error(_Reason.VERSION_UNKNOWN)
+        else:
+            self.end_with_error(_Reason.VERSION_GONE, _VERSION_RETRY_S)
+
     def _refuse_overloaded(self, found: outcomes.Overloaded) -> None:
         self._log_shed(found)
         planned_s = self._selection.find_retry_after()
--- a/pollenfork/gateway/streams/origin_directory.py
+++ b/pollenfork/gateway/streams/origin_directory.py
@@ -4,19 +4,24 @@
 import collections
 from collections.abc import Callable, Mapping, Sequence
 import enum
+import logging
 from typing import Protocol
 
 import msgspec
 
 from pollenfork import ids
+from pollenfork.fleet import continuity
 from pollenfork.fleet import model as fleet
 from pollenfork.fleet import registry
+from pollenfork.fleet import signs
 from pollenfork.loads import messages as loads
 from pollenfork.loads import stream_messages
 from pollenfork.streams import holders
 from pollenfork.streams import origins
 from pollenfork.streams import version_history
 
+_LOG = logging.getLogger(__name__)
+
 # How long an answer is awaited before more instances are asked, in seconds.
 _ROUND_S = 0.06
 # How long a caller that takes up a stream waits for the version, in seconds.
@@ -30,8 +35,9 @@
 _MIN_ALONE_S = 20.0
 _ALONE_LIMITS = 3.0
 # A runner that has restarted may have written events of its new version for
-# this long before the registry tells of it, in seconds.
-_RESTART_NEWS_S = 3.0
+# this long before the registry tells of it, in seconds: its entry lasts for
+# three renewals while it can't write, and news takes a second or two.
+_RESTART_NEWS_S = 8.0
 
 
 class Lookup(enum.Enum):
@@ -101,12 +107,43 @@
         runner: The runner as it was known then.
         digest: The request.
         told: What was told of the stream.
+        made: When the connection was made that its first event came on; None:
+            unknown.
     """
 
     at: float
     runner: fleet.Runner
     digest: ids.RequestDigest
     told: tuple[stream_messages.Origin, ...]
+    made: signs.ConnectionTimes | None
+
+    @property
+    def version(self) -> ids.SoftwareVersion:
+        """The version that was told."""
+        return ids.SoftwareVersion(self.told[0].version)
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the version may become known."""
+        return self.told[0].is_open
+
+
+class _Followed(msgspec.Struct, frozen=True):
+    """An answer that goes on with a stream.
+
+    Attributes:
+        runner: The runner as it was known when the request was sent.
+        made: When its connection was made.
+        version: The version that began the stream.
+        is_over: Returns whether the answer is over.
+        end: Ends the answer.
+    """
+
+    runner: fleet.Runner
+    made: signs.ConnectionTimes
+    version: ids.SoftwareVersion
+    is_over: Callable[[], bool]
+    end: Callable[[], None]
 
 
 class _Search(msgspec.Struct):
@@ -137,6 +174,7 @@
         host: str,
         data_centre: ids.DataCentre,
         knows_runners: Callable[[], bool],
+        judged: continuity.Continuity | None = None,
     ) -> None:
         """Creates a directory that knows no stream and no peer.
 
@@ -146,6 +184,8 @@
             host: This instance's host.
             data_centre: Where it runs.
             knows_runners: Returns whether the registry is known to be current.
+            judged: Tells which runners may have started again unnoticed; None:
+                their entries are believed.
         """
         self._loop = loop
         self._runners = runners
@@ -155,10 +195,15 @@
         self._origins = origins.Origins()
         self._history = version_history.VersionHistory()
         self._peers: Peers | None = None
+        self._judged = judged or continuity.Continuity(runners, 0.0)
         self._recent: collections.deque[_Recent] = collections.deque()
+        self._followed: list[_Followed] = []
         self._searches: dict[int, _Search] = {}
         self.counts = dict.fromkeys(Lookup, 0)
-        runners.when_restarted(self._on_restarted)
+        runners.when_restarted(lambda runner: self._judge_again(runner.id))
+        runners.when_described(lambda runner: self._judge_again(runner.id))
+        self._judged.when_doubted(self._judge_again)
+        self._judged.when_confirmed(self._judge_again)
 
     def join(self, peers: Peers) -> None:
         """Sets the other instances."""
@@ -170,7 +215,11 @@
         self._observe_versions()
 
     def record_begun(
-        self, stream: StreamKey, runner: fleet.Runner, keep_s: float
+        self,
+        stream: StreamKey,
+        runner: fleet.Runner,
+        keep_s: float,
+        made: signs.ConnectionTimes | None = None,
     ) -> ids.SoftwareVersion:
         """Records that a runner has sent the first event of an answer.
 
@@ -178,27 +227,61 @@
             stream: The stream.
             runner: The runner, as it was known when the request was sent.
             keep_s: Seconds for which the caller waits.
+            made: When the connection was made that it came on; None: unknown.
 
         Returns:
-            The version that began it; unknown if the runner has another one
-            by now.
+            The version that began it; unknown if the runner may have another
+            one by now.
         """
-        known = self._runners.find(runner.id)
-        is_current = known is None or known.version == runner.version
-        version = runner.version if is_current else origins.UNKNOWN
+        version, is_open = self._judge(runner, made)
         service = origins.hash_service(runner.service)
         keep_ms = int((keep_s + _KEEP_MARGIN_S) * 1000)
         told = tuple(
-            stream_messages.Origin(key, service, version, keep_ms)
+            stream_messages.Origin(key, service, version, keep_ms, is_open)
             for key in (stream.hash, stream.digest)
         )
         now = self._loop.time()
-        self._recent.append(_Recent(now, runner, stream.digest, told))
+        self._recent.append(_Recent(now, runner, stream.digest, told, made))
         while now - self._recent[0].at > _RESTART_NEWS_S:
             self._recent.popleft()
         self._publish(stream.digest, told)
         return version
 
+    def follow(
+        self,
+        runner: fleet.Runner,
+        made: signs.ConnectionTimes,
+        version: ids.SoftwareVersion,
+        is_over: Callable[[], bool],
+        end: Callable[[], None],
+    ) -> None:
+        """Ends an answer once it may come from another version than its stream.
+
+        Args:
+            runner: The runner as it was known when the request was sent.
+            made: When its connection was made.
+            version: The version that began the stream.
+            is_over: Returns whether the answer is over.
+            end: Ends the answer.
+        """
+        followed = _Followed(runner, made, version, is_over, end)
+        self._followed = [each for each in self._followed if not each.is_over()]
+        self._followed.append(followed)
+        self._end_if_doubted(followed)
+
+    async def find_own(
+        self, stream: StreamKey, service: ids.ServiceName, limit_s: float
+    ) -> ids.SoftwareVersion:
+        """Returns the version of a stream that began here; it may be unknown.
+
+        Args:
+            stream: The stream.
+            service: The service that it goes on at.
+            limit_s: The time limit of its route, in seconds.
+        """
+        found = await self._find(stream, service, limit_s)
+        return found.version or origins.UNKNOWN
+
     async def find(
         self, stream: StreamKey, service: ids.ServiceName, limit_s: float
     ) -> LookupResult:
@@ -245,7 +328,7 @@
         self, stream: StreamKey, service: ids.ServiceName, limit_s: float
     ) -> LookupResult:
         known = self._look_up(stream.hash, service, Lookup.HERE)
-        if self._peers is None or _is_final(known):
+        if self._peers is None or self._is_final(known, stream, service):
             return known or self._find_only(service, limit_s)
         key = stream.hash
         search = self._searches.setdefault(key, _Search(asyncio.Event()))
@@ -276,7 +359,7 @@
                         await search.changed.wait()
                         search.changed.clear()
                         known = self._look_up(stream.hash, service, Lookup.PEER)
-                        if _is_final(known):
+                        if self._is_final(known, stream, service):
                             return known
             except TimeoutError:
                 continue
@@ -332,16 +415,71 @@
         if self._runners.size:
             self._history.observe(self._runners.list_all(), self._loop.time())
 
-    def _on_restarted(self, runner: fleet.Runner) -> None:
-        """Withdraws what a runner may have begun at its new version."""
-        for each in self._recent:
-            same = each.runner.id == runner.id
-            if same and each.runner.version != runner.version:
-                withdrawn = tuple(
-                    msgspec.structs.replace(told, version=origins.UNKNOWN)
-                    for told in each.told
+    def _is_final(
+        self,
+        found: LookupResult | None,
+        stream: StreamKey,
+        service: ids.ServiceName,
+    ) -> bool:
+        """Returns whether no more can become known of a stream soon.
+
+        One that began at another service may have gone on at this one since.
+        """
+        if found is None or found.lookup is Lookup.OTHER_SERVICE:
+            return False
+        return found.is_known or not self._origins.is_pending(
+            stream.hash, origins.hash_service(service)
+        )
+
+    def _judge(
+        self, runner: fleet.Runner, made: signs.ConnectionTimes | None
+    ) -> tuple[ids.SoftwareVersion, bool]:
+        """Returns the version that wrote an event, and if it may become known.
+
+        Args:
+            runner: The runner as it was known when the request was sent.
+            made: When its connection was made; None: unknown.
+        """
+        if made is not None:
+            version = self._judged.find_version(runner, made)
+            is_replaced = self._judged.is_replaced(runner, made)
+            return version, not version and not is_replaced
+        known = self._runners.find(runner.id) or runner
+        is_current = known.version == runner.version
+        return known.version if is_current else origins.UNKNOWN, False
+
+    def _judge_again(self, runner: ids.EndpointId) -> None:
+        """Tells what has become known, or doubtful, of a runner's streams."""
+        for number, each in enumerate(self._recent):
+            if each.runner.id != runner:
+                continue
+            version, is_open = self._judge(each.runner, each.made)
+            if (version, is_open) == (each.version, each.is_open):
+                continue
+            told = tuple(
+                msgspec.structs.replace(
+                    origin, version=version, is_open=is_open
                 )
-                self._publish(each.digest, withdrawn)
+                for origin in each.told
+            )
+            self._recent[number] = msgspec.structs.replace(each, told=told)
+            self._publish(each.digest, told)
+        for followed in list(self._followed):
+            if followed.runner.id == runner:
+                self._end_if_doubted(followed)
+
+    def _end_if_doubted(self, followed: _Followed) -> None:
+        if followed.is_over():
+            return
+        version, _ = self._judge(followed.runner, followed.made)
+        if version != followed.version:
+            self._followed.remove(followed)
+            _LOG.info(
+                "event=stream_version_doubted runner=%s version=%s",
+                followed.runner.id,
+                followed.version,
+            )
+            followed.end()
 
     def _publish(
         self,
@@ -368,11 +506,3 @@
         if self._peers is not None:
             for host in hosts:
                 self._peers.send(host, message)
-
-
-def _is_final(found: LookupResult | None) -> bool:
-    """Returns whether no other instance can know more of a stream.
-
-    One that began at another service may have gone on at this one since.
-    """
-    return found is not None and found.lookup is not Lookup.OTHER_SERVICE
--- a/pollenfork/gateway/streams/tests/test_origin_directory.py
+++ b/pollenfork/gateway/streams/tests/test_origin_directory.py
@@ -6,8 +6,10 @@
 import pytest
 
 from pollenfork import ids
+from pollenfork.fleet import continuity
 from pollenfork.fleet import model
 from pollenfork.fleet import registry
+from pollenfork.fleet import signs
 from pollenfork.gateway.streams import origin_directory
 from pollenfork.gateway.tests import support
 
@@ -48,16 +50,21 @@
         self.sent = 0
         self.current = True
         self.runners = {}
+        self.judged = {}
         self.instances = {}
         for centre, hosts in self.members.items():
             for host in hosts:
                 self.runners[host] = registry.Registry()
+                self.judged[host] = continuity.Continuity(
+                    self.runners[host], 5.0
+                )
                 made = origin_directory.OriginDirectory(
                     loop,
                     self.runners[host],
                     host,
                     ids.DataCentre(centre),
                     lambda: self.current,
+                    self.judged[host],
                 )
                 made.join(Link(self, host))
                 self.instances[host] = made
@@ -272,3 +279,100 @@
     unnamed, first, second = run(scenario)
     assert not unnamed.is_known
     assert (first.version, second.version) == ("v1", "v2")
+
+
+def made_at(seconds: float) -> signs.ConnectionTimes:
+    """Returns the times of a connection; runners start at 0.001 s."""
+    return signs.ConnectionTimes(seconds, seconds)
+
+
+# Guards against telling the old version of a runner that may have restarted,
+# and against never telling the version that its entry shows later.
+def test_a_version_that_is_not_known_yet_is_told_once_it_is() -> None:
+    async def scenario(site):
+        site.list(make_runner("v1"))
+        runner = make_runner("v1")
+        site.judged["a1"].record_closed(runner.id, made_at(1.0), 2.0)
+        began = site.instances["a1"].record_begun(
+            STREAM, runner, 3.0, made_at(3.0)
+        )
+        await asyncio.sleep(0)
+        early = [await site.find(host) for host in site.instances]
+        site.list(make_runner("v2", start=2500))
+        await asyncio.sleep(0)
+        return began, early, [await site.find(host) for host in site.instances]
+
+    began, early, found = run(scenario)
+    assert began == ""
+    assert not any(each.is_known for each in early)
+    assert {each.version for each in found} == {"v2"}
+
+
+# Guards against withdrawing what a runner began before it ended: these are the
+# streams that its end breaks and that callers take up.
+def test_what_a_runner_began_before_it_restarted_stays_known() -> None:
+    async def scenario(site):
+        site.list(make_runner("v1"))
+        site.instances["a1"].record_begun(
+            STREAM, make_runner("v1"), 3.0, made_at(1.0)
+        )
+        site.judged["a1"].record_closed(make_runner("v1").id, made_at(1.0), 2.0)
+        site.list(make_runner("v2", start=2500))
+        await asyncio.sleep(0)
+        return [await site.find(host) for host in site.instances]
+
+    assert {each.version for each in run(scenario)} == {"v1"}
+
+
+# Guards against a restart that shows no sign before a stream has begun.
+def test_what_a_new_process_began_unnoticed_is_withdrawn() -> None:
+    async def scenario(site):
+        site.list(make_runner("v1"))
+        began = site.instances["a1"].record_begun(
+            STREAM, make_runner("v1"), 3.0, made_at(3.0)
+        )
+        await asyncio.sleep(0)
+        site.list(make_runner("v2", start=2500))
+        await asyncio.sleep(0)
+        return began, [await site.find(host) for host in site.instances]
+
+    began, found = run(scenario)
+    assert began == "v1"
+    assert not any(each.is_known for each in found)
+
+
+# Guards against an answer that goes on with a stream from a process that turns
+# out to be another one than the entry told.
+@pytest.mark.parametrize(("connected", "ends"), [(1.0, 0), (3.0, 1)])
+def test_an_answer_of_another_version_is_ended(connected, ends) -> None:
+    async def scenario(site):
+        site.list(make_runner("v1"))
+        ended = []
+        site.instances["a1"].follow(
+            make_runner("v1"),
+            made_at(connected),
+            ids.SoftwareVersion("v1"),
+            lambda: False,
+            lambda: ended.append(1),
+        )
+        site.list(make_runner("v2", start=2500))
+        return len(ended)
+
+    assert run(scenario) == ends
+
+
+def test_an_answer_that_is_over_is_not_ended() -> None:
+    async def scenario(site):
+        site.list(make_runner("v1"))
+        ended = []
+        site.instances["a1"].follow(
+            make_runner("v1"),
+            made_at(3.0),
+            ids.SoftwareVersion("v1"),
+            lambda: True,
+            lambda: ended.append(1),
+        )
+        site.list(make_runner("v2", start=2500))
+        return ended
+
+    assert run(scenario) == []
--- a/pollenfork/gateway/streams/version_pin.py
+++ b/pollenfork/gateway/streams/version_pin.py
@@ -1,11 +1,15 @@
 """Keeps one request's stream at the software version that began it."""
 
+from collections.abc import Callable
 import logging
 
 from pollenfork import ids
 from pollenfork import logs
 from pollenfork.fleet import model as fleet
+from pollenfork.fleet import signs
+from pollenfork.gateway import connection
 from pollenfork.gateway import messages
+from pollenfork.gateway import runner_continuity
 from pollenfork.gateway.streams import origin_directory
 from pollenfork.routes import model as routes
 
@@ -49,6 +53,10 @@
         taken_up = bool(head.resumes) or head.last_event is not None
         self._is_resumable = resumable
         self._is_open = resumable and taken_up and forwarded is None
+        self._made: signs.ConnectionTimes | None = None
+        # The stream, once its first event has come from a runner of this
+        # instance; what was known of the runner then may turn out wrong.
+        self._begun: origin_directory.StreamKey | None = None
 
     async def resolve(self) -> bool:
         """Finds where a stream began that the caller takes up.
@@ -56,6 +64,11 @@
         Returns:
             Whether it may go on: its version is known, or any will do.
         """
+        if self._begun is not None:
+            self.version = await self._directory.find_own(
+                self._begun, self._service, self._route.time_limit_s
+            )
+            return bool(self.version)
         if not self._is_open:
             return True
         stream = origin_directory.StreamKey(self._head.resumes, self._digest)
@@ -75,11 +88,32 @@
         self.version = found.version
         return found.is_known
 
+    def attach(
+        self,
+        runner: fleet.Runner,
+        opened: connection.Connection,
+        is_over: Callable[[], bool],
+    ) -> None:
+        """Records on which connection the next events come.
+
+        Args:
+            runner: The runner as it was known when the request was sent.
+            opened: The connection.
+            is_over: Returns whether the answer is over.
+        """
+        self._made = runner_continuity.get_times(opened)
+        if self.version:
+            self._directory.follow(
+                runner, self._made, self.version, is_over, opened.fail
+            )
+
     def record_begun(self, runner: fleet.Runner) -> None:
         """Records that a runner has sent the caller the first event."""
         if not self._is_resumable:
             return
         keep_s = max(self._head.wait_s or 0.0, self._route.time_limit_s)
         first = self._head.resumes or self._head.attempt
-        stream = origin_directory.StreamKey(first, self._digest)
-        self.version = self._directory.record_begun(stream, runner, keep_s)
+        self._begun = origin_directory.StreamKey(first, self._digest)
+        self.version = self._directory.record_begun(
+            self._begun, runner, keep_s, self._made
+        )
--- a/pollenfork/gateway/tests/support.py
+++ b/pollenfork/gateway/tests/support.py
@@ -7,6 +7,7 @@
 from pollenfork import ids
 from pollenfork.fleet import candidates
 from pollenfork.fleet import choice
+from pollenfork.fleet import continuity
 from pollenfork.fleet import evidence
 from pollenfork.fleet import model as fleet
 from pollenfork.fleet import registry
@@ -25,6 +26,7 @@
 from pollenfork.gateway import pool
 from pollenfork.gateway import probing
 from pollenfork.gateway import reach_monitor
+from pollenfork.gateway import runner_continuity
 from pollenfork.gateway import runner_notices
 from pollenfork.gateway.shedding import shedder
 from pollenfork.gateway.streams import origin_directory
@@ -220,8 +222,13 @@
         brittle = brittle_runners.BrittleRunners(
             loop, self.runners, "127.0.0.1", ids.DataCentre("a")
         )
+        judged = continuity.Continuity(self.runners, 5.0)
         chooser = choice.Chooser(
-            self.runners, rng, limits=granted, has_place=brittle.has_place
+            self.runners,
+            rng,
+            limits=granted,
+            has_place=brittle.has_place,
+            is_certain=judged.is_certain,
         )
         brittle.watch(chooser)
         findings = evidence.Evidence(
@@ -243,6 +250,10 @@
             "127.0.0.1",
             ids.DataCentre("a"),
             lambda: True,
+            judged,
+        )
+        runner_continuity.RunnerContinuity(
+            loop, judged, connections, self.runners, findings
         )
         self.deps = context.Dependencies(
             loop=loop,
