Bound the probes of runners that close connections; describe the doubt

A path that breaks closes the connections of all runners at once, which would open one to each of up to 600.

--- a/pollenfork/gateway/runner_continuity.py
+++ b/pollenfork/gateway/runner_continuity.py
@@ -25,6 +25,9 @@
 # A new connection that is closed this soon, in seconds, has reached a process
 # that ends.
 _HOLD_S = 0.1
+# Probes at a time. If more runners close connections at once, the network path
+# is more likely at fault.
+_MAX_PROBES = 32
 # Without a tick for so long, in seconds, this process stood still, and runners
 # may have ended long before that is observed.
 _TICK_S = 0.5
@@ -104,10 +107,15 @@
         self._judged.record_closed(
             runner.id, get_times(closed), now, is_late=is_late
         )
-        if not is_late and runner.id not in self._probes:
-            task = self._loop.create_task(self._probe(runner))
-            self._probes[runner.id] = task
-            task.add_done_callback(lambda _: self._probes.pop(runner.id))
+        if not is_late:
+            self._start_probe(runner)
+
+    def _start_probe(self, runner: fleet.Runner) -> None:
+        if runner.id in self._probes or len(self._probes) >= _MAX_PROBES:
+            return
+        task = self._loop.create_task(self._probe(runner))
+        self._probes[runner.id] = task
+        task.add_done_callback(lambda _: self._probes.pop(runner.id))
 
     async def _probe(self, runner: fleet.Runner) -> None:
         """Finds out whether a runner that closed a connection lives on."""
