Tell streams which connection their events come on

An exchange names the connection from which it takes an answer. So the author of a stream's first event is known from when that connection was made, and an answer that goes on with a stream is ended once its connection is in doubt.

--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -362,6 +362,9 @@
         """Takes the answer from an attempt."""
         self._runner = sent.grant.runner.id
         self._asked = sent.grant.runner
+        self._pin.attach(
+            sent.grant.runner, sent.opened, sent.receiver.done.done
+        )
         self._observer.on_sent(sent.grant)
         self._caller.buffers.attach(
             sent.opened,
--- a/pollenfork/platform/tests/soak/reborn.py
+++ b/pollenfork/platform/tests/soak/reborn.py
@@ -1,7 +1,7 @@
 """Plays runners that start again under their ids at another software version.
 
-In one scene several do within a second or two, in the other two runners that
-can't write to the store do so twice. By hand:
+Several do within a second or two, or two that can't write to the store do so
+twice. By hand:
 `python -m pollenfork.platform.tests.soak.reborn FIRST LAST [SCENE...]`.
 """
 
@@ -18,11 +18,13 @@
 _OLD, _NEW = "v1.1", "v1.2"
 _RUNNERS = 8
 _INTERVAL_S = 0.15
-_CALLERS = 30
+CALLERS = 30
 # Runners that start again in place, and the seconds between two of them.
 _RESTARTED = 4
 _SPACING_S = (0.3, 0.7)
 _AWAY_S = (0.25, 0.6)
+# How late their entries are written in one scene.
+_LATE_S = (0.3, 0.9)
 # A gateway is killed so long after the first restart.
 _KILLED_AFTER_S = 1.5
 # Runners that can't write to the store, and for how long they can't.
@@ -32,7 +34,10 @@
 
 
 async def play(
-    seed: int, folder: pathlib.Path, scene: str = "restarts"
+    seed: int,
+    folder: pathlib.Path,
+    scene: str = "restarts",
+    callers: int = CALLERS,
 ) -> rollout.Played:
     """Sends streams to all gateways while runners start again.
 
@@ -40,6 +45,7 @@
         seed: Draws what is random.
         folder: For settings and logs.
         scene: What happens to the runners.
+        callers: How many callers ask for one stream after the other.
     """
     site = sites.Site(seed, folder)
     site.version = _OLD
@@ -52,7 +58,7 @@
         rollout.set_pace(site, _INTERVAL_S)
         await asyncio.sleep(1.0)
         tasks.append(asyncio.create_task(site.supervise()))
-        for number in range(_CALLERS):
+        for number in range(callers):
             load = rollout.load(site, seed * 1000 + number, streams)
             tasks.append(asyncio.create_task(load))
         await asyncio.sleep(1.0)
@@ -70,7 +76,9 @@
     return rollout.sum_up(site, streams)
 
 
-async def _restart_some(site: sites.Site) -> None:
+async def _restart_some(
+    site: sites.Site, unwritten_s: tuple[float, float] = (0.0, 0.0)
+) -> None:
     """Lets some runners start again, one soon after the other."""
     restarts = []
     for name in sorted(site.runners)[:_RESTARTED]:
@@ -79,12 +87,18 @@
             vanishes=False,
             away_s=site.rng.uniform(*_AWAY_S),
             version=_NEW,
+            unwritten_s=site.rng.uniform(*unwritten_s),
         )
         restarts.append(asyncio.create_task(restart))
         await asyncio.sleep(site.rng.uniform(*_SPACING_S))
     await asyncio.gather(*restarts)
 
 
+async def _restart_unwritten(site: sites.Site) -> None:
+    """Lets some runners start again whose entries are written late."""
+    await _restart_some(site, _LATE_S)
+
+
 async def _restart_behind_cut(site: sites.Site) -> None:
     """Lets runners that can't write to the store start again, twice."""
     names = sorted(site.runners)[:_CUT]
@@ -108,6 +122,7 @@
 
 SCENES: dict[str, Callable[[sites.Site], Awaitable[None]]] = {
     "restarts": _restart_some,
+    "late": _restart_unwritten,
     "cut": _restart_behind_cut,
 }
 
