--- a/pollenfork/gateway/failover/tests/test_proven_ends.py
+++ b/pollenfork/gateway/failover/tests/test_proven_ends.py
@@ -127,7 +127,7 @@
     assert pausing.is_whole(asyncio.run(run()))
 
 
-# Guards against a crash that stays unknown if the caller leaves before the proof.
+# Guards against a crash that stays unknown if the caller leaves too early.
 @pytest.mark.parametrize("leaves", [False, True])
 def test_a_crash_is_known_though_its_caller_leaves(leaves) -> None:
     async def run():
