Report no window that a restored store may have lost

A gateway was killed right after the platform had accepted its usage report, and the store came back from a copy of some seconds before: the next holder reported the window again, with other counts (222 and 148 requests, say). The same where all gateways lost power.

The holder's row was trusted whatever the store had lost since the copy: a window was taken for unreported because no row and no peer said otherwise. Peers hear of a report up to half a second later, or never. The platform can't be asked, and its answer to a second report is the same.

The row now names the epoch of the store in which it was brought up to date. With a row of an earlier epoch a holder begins with the window in which it first read that row. A holder that lives through the restoration knows that no other can have claimed; it goes on at once from its own position. Reports that were stored, and aren't any more, are written again in the same words. Windows below the stored position without rows count as done, so that others hear of them also where a notice was missed. The row of a build without the field proves nothing after a restoration; such a build ignores the field.

Simulations can lose the platform's replies and tell notices as rarely as real instances do; existing schedules draw as before.

--- a/pollenfork/duties/duty_lease.py
+++ b/pollenfork/duties/duty_lease.py
@@ -16,6 +16,7 @@
 from pollenfork import versions
 from pollenfork.catalogue import changes
 from pollenfork.catalogue import messages as catalogue
+from pollenfork.duties import continuity
 from pollenfork.duties import messages
 from pollenfork.duties import rows
 from pollenfork.duties import work_queue
@@ -59,7 +60,7 @@
         host: str,
         times: lease.LeaseTimes,
         new_id: Callable[[], ids.WriteId],
-        read_window: Callable[[], int],
+        find_window: Callable[[float], int],
     ) -> None:
         """Creates a lease whose row is yet to be read.
 
@@ -68,13 +69,14 @@
             host: The host of this instance.
             times: The durations of the lease.
             new_id: Returns a unique id for a write.
-            read_window: Returns the number of the current window.
+            find_window: Returns the number of the window that contains the
+                moment so many seconds from now.
         """
         self.claims = 0
         self._host = host
         self._times = times
         self._lease = lease.Lease(
-            instance, times, new_id, lambda: _make_first(read_window())
+            instance, times, new_id, lambda: _make_first(find_window(0.0))
         )
         self._in_progress: messages.StoreCall | None = None
         self._not_before = 0.0
@@ -82,6 +84,7 @@
         self._failures = 0
         self._epoch: int | None = None
         self._claim_not_before = float("-inf")
+        self._continuity = continuity.Continuity(find_window)
         self.work_queue = work_queue.WorkQueue()
 
     def holds(self, now: float) -> bool:
@@ -108,10 +111,10 @@
             return ""
         return self._lease.row.host if self._lease.row else ""
 
-    @property
-    def next_window(self) -> int:
-        """The first window without a report, stored or unwritten."""
-        return self.work_queue.find_next_window(self._lease.row)
+    def find_next_window(self, now: float) -> int:
+        """Returns the first window without a report, stored or unwritten."""
+        earliest = self._continuity.find_earliest_window(now)
+        return self.work_queue.find_next_window(self._lease.row, earliest)
 
     def find_baseline(self, service: ids.ServiceName) -> int | None:
         """Returns how many runners a service was started with, if known."""
@@ -148,7 +151,7 @@
         found = {row.key: row for row in answer.ok_value.rows}
         stored = found.pop(rows.HOLDER_KEY, None)
         if stored is None:
-            self._lease.observe(None, lease.ABSENT, now)
+            self._observe(None, lease.ABSENT, now)
             self.work_queue.load(None, ())
             return
         row = rows.decode(stored.value, rows.HolderRow)
@@ -160,7 +163,7 @@
             )
             self._not_before = now + _UNREADABLE_RETRY_S
             return
-        self._lease.observe(row.ok_value, stored.version, now)
+        self._observe(row.ok_value, stored.version, now)
         self.work_queue.load(row.ok_value, found.values())
 
     def handle_commit(
@@ -205,16 +208,18 @@
         unsure = (
             state is lease.LeaseState.UNREAD and now < self._lease.act_until()
         )
-        if not is_candidate and not unsure:
+        continues = self._continuity.has_last_claim(self._lease.row)
+        if not is_candidate and not unsure and not continues:
             return None
         if (
             state is lease.LeaseState.UNREAD
             or now - self._read_at > _MAX_READ_AGE_S
         ):
             return messages.Read()
-        if state is not lease.LeaseState.FREE or now < self._claim_not_before:
-            return None
-        return self._claim(now)
+        is_free = (
+            state is lease.LeaseState.FREE and now >= self._claim_not_before
+        )
+        return self._claim(now) if is_free or continues else None
 
     def _follow_epoch(self, version: int, now: float) -> bool:
         """Returns whether the store was restored since its last answer.
@@ -226,11 +231,33 @@
         before, self._epoch = self._epoch, epoch
         if before is None or epoch == before:
             return False
+        self._continuity.begin_epoch(self._get_hold(before, now))
         self._lease.abandon()
         self._claim_not_before = now + self._times.lease_s + self._times.order_s
         _LOG.warning("event=duties_suspended epoch=%d before=%d", epoch, before)
         return True
 
+    def _get_hold(self, epoch: int, now: float) -> continuity.Hold | None:
+        """Returns the lease that no other can have claimed by now, if any."""
+        row = self._lease.row
+        if row is None or row.epoch != epoch:
+            return None
+        if now >= self._lease.exclusive_until():
+            return None
+        return continuity.Hold(row.fencing, row.next_window)
+
+    def _observe(
+        self, row: rows.HolderRow | None, version: int, now: float
+    ) -> None:
+        """Records the holder's row as read, and whether it is outdated."""
+        is_known = version == self._lease.version
+        self._lease.observe(row, version, now)
+        if row is not None and row.epoch == self._epoch:
+            self._continuity.record_current()
+            return
+        is_own = self._lease.act_until() > float("-inf")
+        self._continuity.record_outdated(not is_known and not is_own, now)
+
     def _claim(self, now: float) -> messages.Write:
         self.work_queue.reset()
         epoch = self._epoch or 0
@@ -241,8 +268,13 @@
     def _write(self, now: float) -> messages.Write:
         old = self._lease.row
         assert old is not None
+        earliest = self._continuity.find_earliest_window(now)
+        self.work_queue.drop_before(earliest)
+        updated = msgspec.structs.replace(
+            self.work_queue.update_row(old, earliest), epoch=self._epoch or 0
+        )
         return messages.Write(
-            self._lease.propose(self.work_queue.update_row(old), now),
+            self._lease.propose(updated, now),
             self._lease.version,
             self.work_queue.list_report_rows(),
             self.work_queue.list_removable(),
@@ -271,6 +303,8 @@
                 written.row.next_window,
                 len(self.work_queue.stored_reports),
             )
+        if written.row.epoch == self._epoch:
+            self._continuity.record_current()
         self.work_queue.record_written(written)
 
     def _make_call(
--- a/pollenfork/duties/rows.py
+++ b/pollenfork/duties/rows.py
@@ -48,6 +48,9 @@
         next_window: The first window whose report isn't stored.
         orders: The latest order for each pool.
         baselines: How many runners an operator started each service with.
+        epoch: The epoch of the store in which `next_window` was established.
+            In a later one it says nothing of the reports that were stored
+            after the copy was made.
     """
 
     host: str = ""
@@ -55,6 +58,7 @@
     orders: tuple[ScalingOrder, ...] = ()
     baselines: dict[ids.ServiceName, int] = msgspec.field(default_factory=dict)
     format: int = FORMAT
+    epoch: int = 0
 
 
 class ReportRow(msgspec.Struct, frozen=True, kw_only=True):
--- a/pollenfork/duties/tests/simulation.py
+++ b/pollenfork/duties/tests/simulation.py
@@ -116,6 +116,7 @@
         self.heard_at = simulation.now
         self.busy: set[type] = set()
         self.was_holder = False
+        self.noticed_at = float("-inf")
         self.duty_lease = duty_lease.DutyLease(
             ids.InstanceId(self.name),
             self.host,
@@ -123,7 +124,7 @@
             lambda: ids.WriteId(
                 f"{self.host}-{simulation.rng.getrandbits(64)}"
             ),
-            lambda: int(simulation.now // WINDOW_S),
+            lambda offset_s: int((simulation.now + offset_s) // WINDOW_S),
         )
 
     @property
@@ -142,6 +143,11 @@
         delayed: The fraction of the store's calls that is delayed by seconds.
         max_latency_s: The highest latency of the platform.
         platform_up: Whether the platform replies.
+        platform_loss: The fraction of the platform's replies that is lost.
+        notice_interval_s: How often an instance tells others which windows the
+            platform has.
+        on_accepted: Called with the machine whose report the platform has just
+            accepted, before that machine knows.
         ignores_expiry: Injects a fault: a process that was once the holder
             keeps acting as one.
     """
@@ -158,6 +164,9 @@
         self.delayed = 0.0
         self.max_latency_s = 0.0
         self.platform_up = True
+        self.platform_loss = 0.0
+        self.notice_interval_s = 0.0
+        self.on_accepted: Callable[[Machine], None] = lambda machine: None
         self.store = Store()
         self._events: list[tuple] = []
         self.machines = [
@@ -221,6 +230,9 @@
                 each.reaches_others and machine.reaches_others
             ):
                 machine.heard_at = self.now
+        if self.now < machine.noticed_at + self.notice_interval_s:
+            return
+        machine.noticed_at = self.now
         for each in self.machines:
             if each.runs and each.reaches_others and machine.reaches_others:
                 machine.duty_lease.work_queue.record_reported_through(
@@ -229,10 +241,13 @@
 
     def _add_work(self, machine: Machine) -> None:
         held_lease = machine.duty_lease
-        while self.now >= (held_lease.next_window + 1) * WINDOW_S + _SETTLED_S:
+        while True:
+            window = held_lease.find_next_window(self.now)
+            if self.now < (window + 1) * WINDOW_S + _SETTLED_S:
+                break
             # The counts differ by machine, which shows whose report was stored.
             counts = {ids.AccountId(machine.name): self.rng.randint(1, 9)}
-            report = messages.UsageReport(held_lease.next_window, counts)
+            report = messages.UsageReport(window, counts)
             held_lease.work_queue.add_report(report)
         if self.rng.random() < 0.05:
             order = rows.ScalingOrder(_POOL, self.rng.randint(1, 9))
@@ -311,11 +326,23 @@
                     self.now, host, call.fencing, call.work, excused
                 )
             )
-            if isinstance(call.work, messages.UsageReport):
-                self.acknowledged.setdefault(call.work.window, self.now)
-            self.call_in(_LATENCY_S, lambda: finish(messages.Reply.DONE))
+            self._accept(machine, call.work)
+            if not self._is_reply_lost():
+                self.call_in(_LATENCY_S, lambda: finish(messages.Reply.DONE))
 
         if latency_s < TIMES.order_s:
             self.call_in(latency_s, arrive)
         limit = messages.Reply.NO_ANSWER
         self.call_in(TIMES.order_s, lambda: finish(limit))
+
+    def _accept(
+        self, machine: Machine, work: messages.UsageReport | rows.ScalingOrder
+    ) -> None:
+        if isinstance(work, messages.UsageReport):
+            self.acknowledged.setdefault(work.window, self.now)
+            self.on_accepted(machine)
+
+    def _is_reply_lost(self) -> bool:
+        if not self.platform_loss:
+            return False
+        return self.rng.random() < self.platform_loss
--- a/pollenfork/duties/work_queue.py
+++ b/pollenfork/duties/work_queue.py
@@ -31,8 +31,8 @@
 
     Attributes:
         stored_reports: Reports that are in the store, by window.
-        reported_through: The last window of an uninterrupted sequence that the
-            platform has.
+        reported_through: The last window of an uninterrupted sequence that
+            needs no report any more: the platform has it, or it was dropped.
     """
 
     def __init__(self) -> None:
@@ -46,6 +46,10 @@
         self._accepted: dict[rows.RunnerPool, rows.ScalingOrder] = {}
         self._baselines: dict[ids.ServiceName, int] = {}
         self._paused_until: dict[int | rows.RunnerPool, float] = {}
+        # Reports that were stored and aren't any more, as the store was
+        # restored. The platform may have them, so only the same may be sent.
+        self._lost_reports: dict[int, messages.UsageReport] = {}
+        self._has_unreadable = False
         # Windows that the platform has, also if the store has lost their rows.
         self._reported: set[int] = set()
         self.reported_through = NO_WINDOW
@@ -55,11 +59,19 @@
         """Whether any report or order is yet to be stored."""
         return bool(self._unwritten_reports or self._unwritten_orders)
 
-    def find_next_window(self, row: rows.HolderRow | None) -> int:
-        """Returns the first window without a report, stored or unwritten."""
+    def find_next_window(
+        self, row: rows.HolderRow | None, earliest: int = 0
+    ) -> int:
+        """Returns the first window without a report, stored or unwritten.
+
+        Args:
+            row: The holder's row.
+            earliest: The windows before it may have been reported.
+        """
         stored = row.next_window if row else 0
         following = max(
             stored,
+            earliest,
             self.reported_through + 1,
             *(window + 1 for window in self._unwritten_reports),
         )
@@ -146,6 +158,24 @@
         is_first = all(each >= window for each in self._list_waiting())
         if self.reported_through == NO_WINDOW and is_first:
             self.reported_through = window
+        self._advance()
+
+    def _close_before(self, next_window: int) -> None:
+        """Records that windows without a stored report need none any more.
+
+        Args:
+            next_window: The first window whose report wasn't stored. Rows are
+                removed only once the platform has their report.
+        """
+        if self._has_unreadable:
+            return
+        waiting = [w for w in self._list_waiting() if w < next_window]
+        first = min(waiting, default=next_window)
+        self.record_reported_through(first - 1)
+        self._reported.update(set(range(first, next_window)) - set(waiting))
+        self._advance()
+
+    def _advance(self) -> None:
         while self.reported_through + 1 in self._reported:
             self.reported_through += 1
         self._reported = {
@@ -158,21 +188,37 @@
     # Rows of the store.
 
     def reset(self) -> None:
-        """Discards what was left unwritten when this instance last held."""
-        self._unwritten_reports.clear()
+        """Discards what was left unwritten when this instance last held.
+
+        Reports that the store has lost are written again.
+        """
+        self._unwritten_reports = dict(self._lost_reports)
         self._unwritten_orders.clear()
         self._baselines.clear()
 
+    def drop_before(self, earliest: int) -> None:
+        """Discards sums of windows that may have been reported differently."""
+        self._unwritten_reports = {
+            window: report
+            for window, report in self._unwritten_reports.items()
+            if window >= earliest or window in self._lost_reports
+        }
+
     def record_takeover(self) -> None:
         """Sends all orders again, as another holder may have sent others."""
         self._accepted.clear()
 
-    def update_row(self, old: rows.HolderRow) -> rows.HolderRow:
-        """Returns the holder's row with everything unwritten added."""
+    def update_row(self, old: rows.HolderRow, earliest: int) -> rows.HolderRow:
+        """Returns the holder's row with everything unwritten added.
+
+        Args:
+            old: The row as stored.
+            earliest: The windows before it may have been reported.
+        """
         orders = {**self._stored_orders, **self._unwritten_orders}
         return msgspec.structs.replace(
             old,
-            next_window=self.find_next_window(old),
+            next_window=self.find_next_window(old, earliest),
             orders=tuple(orders.values()),
             baselines={**old.baselines, **self._baselines},
         )
@@ -200,6 +246,7 @@
         """Records that a write of the holder is in the store."""
         for part in written.reports:
             report = self._unwritten_reports.pop(part.window, None)
+            self._lost_reports.pop(part.window, None)
             if report is not None:
                 self.stored_reports[part.window] = report
             self._add_key(
@@ -214,17 +261,26 @@
             if self._stored_orders.get(subject) != order
         }
         self._forget_removed(set(written.removed))
+        self._close_before(written.row.next_window)
 
     def load(
         self, row: rows.HolderRow | None, stored: Iterable[catalogue.Row]
     ) -> None:
         """Loads the rows of the store, whoever wrote them."""
+        next_window = row.next_window if row else 0
+        self._lost_reports = {
+            window: report
+            for window, report in self._list_unconfirmed()
+            if window >= next_window
+        }
         parts: dict[int, list[rows.ReportRow]] = {}
         self._stored_keys = {}
+        self._has_unreadable = False
         for each in stored:
             decoded = rows.decode(each.value, rows.ReportRow)
             if isinstance(decoded, result.Err):
-                continue  # Not a report that this version can send.
+                self._has_unreadable = True  # By this version.
+                continue
             part = decoded.ok_value
             parts.setdefault(part.window, []).append(part)
             self._add_key(part.window, each.key)
@@ -237,7 +293,6 @@
         self._acknowledged.update(
             filter(self._is_reported, self.stored_reports)
         )
-        next_window = row.next_window if row else 0
         self._unwritten_reports = {
             number: report
             for number, report in self._unwritten_reports.items()
@@ -245,6 +300,17 @@
         }
         orders = row.orders if row else ()
         self._stored_orders = {each.subject: each for each in orders}
+        self._close_before(next_window)
+
+    def _list_unconfirmed(self) -> list[tuple[int, messages.UsageReport]]:
+        """Returns known reports that the platform hasn't acknowledged."""
+        known = {**self._lost_reports, **self.stored_reports}
+        return [
+            (window, report)
+            for window, report in known.items()
+            if window not in self._acknowledged
+            and not self._is_reported(window)
+        ]
 
     def _list_waiting(self) -> list[int]:
         return sorted(set(self.stored_reports) - self._acknowledged)
--- a/pollenfork/gateway/duty_agent.py
+++ b/pollenfork/gateway/duty_agent.py
@@ -116,7 +116,9 @@
             self._host,
             limits,
             lambda: ids.WriteId(f"{self._host}-{rng.getrandbits(64):x}"),
-            lambda: self.accounts.windows.find(self.accounts.read_time()),
+            lambda offset_s: self.accounts.windows.find(
+                self.accounts.read_time() + offset_s
+            ),
         )
         now = loop.time()
         self._peers: Peers | None = None
@@ -190,7 +192,7 @@
         self._holder_contact_at = now
         self.accounts.record_own_counts(now)
         if self._duties.reports:
-            first = self.lease.next_window
+            first = self.lease.find_next_window(now)
             for each in self.accounts.sum_up(first, self._holder_since, now):
                 self.lease.work_queue.add_report(each)
         for on_held in self._on_held:
--- a/pollenfork/leases/lease.py
+++ b/pollenfork/leases/lease.py
@@ -107,6 +107,15 @@
         sent_at = self._sent_at[self.row.write_id]
         return sent_at + lease_s - self._times.margin_s
 
+    def exclusive_until(self) -> float:
+        """Returns until when no other instance can have claimed the lease.
+
+        This holds where claims wait for the last order of the holder before.
+        """
+        if self.row is None or self.row.write_id not in self._sent_at:
+            return float("-inf")
+        return self.act_until() + self.row.order_ms / 1000
+
     def age(self, now: float) -> float:
         """Returns seconds since this instance sent the write of the row."""
         if self.row is None or self.row.write_id not in self._sent_at:
