Let no duty write from before a restoration take effect later

The platform may do an unanswered call seconds later, if its condition still holds. A restored store gives versions out again, so a write of the holder from before the restoration could replace the row of the holder since then. The next claim then gave out a fencing number a second time, and rows of reports came back that hadn't been sent.

Each claim now writes a row for its epoch, and for the three before it; every write requires that the row of the epoch after its own is absent. A holder that claims again proposes the same report for a window whose write it doesn't know the end of, instead of a new sum.

--- a/pollenfork/catalogue/changes.py
+++ b/pollenfork/catalogue/changes.py
@@ -39,10 +39,17 @@
 
 
 class Change(msgspec.Struct, frozen=True):
-    """Rows to write and to remove in one transaction."""
+    """Rows to write and to remove in one transaction.
+
+    Attributes:
+        written: Rows to write.
+        removed: Rows to remove.
+        absent: Rows that must not exist.
+    """
 
     written: tuple[Put, ...] = ()
     removed: tuple[Key, ...] = ()
+    absent: tuple[Key, ...] = ()
 
 
 class WriteFailure(enum.Enum):
--- a/pollenfork/duties/duty_lease.py
+++ b/pollenfork/duties/duty_lease.py
@@ -44,6 +44,10 @@
 # A restored store may have lost claims, whose fencing numbers must not be used
 # again. So each epoch of the store has numbers of its own, this many.
 _FENCING_PER_EPOCH = 1 << 20
+# A write may reach the store seconds late, and a restored store gives versions
+# out again. So each claim records that its epoch has begun, and the last few
+# before it, and no write of an earlier epoch takes effect from then on.
+_RECORDED_EPOCHS = 4
 
 
 class DutyLease:
@@ -84,6 +88,7 @@
         self._failures = 0
         self._epoch: int | None = None
         self._claim_not_before = float("-inf")
+        self._epoch_keys: list[str] = []
         self._continuity = continuity.Continuity(find_window)
         self.work_queue = work_queue.WorkQueue()
 
@@ -150,6 +155,9 @@
         self._follow_epoch(answer.ok_value.version, now)
         found = {row.key: row for row in answer.ok_value.rows}
         stored = found.pop(rows.HOLDER_KEY, None)
+        self._epoch_keys = [key for key in found if rows.is_epoch_key(key)]
+        for key in self._epoch_keys:
+            del found[key]
         if stored is None:
             self._observe(None, lease.ABSENT, now)
             self.work_queue.load(None, ())
@@ -263,21 +271,33 @@
         epoch = self._epoch or 0
         claim = self._lease.propose_claim(now, epoch * _FENCING_PER_EPOCH)
         row = msgspec.structs.replace(claim, host=self._host)
-        return messages.Write(row, self._lease.version)
+        first = max(1, epoch + 1 - _RECORDED_EPOCHS)
+        epochs = tuple(range(first, epoch + 1))
+        kept = {rows.format_epoch_key(each) for each in epochs}
+        outdated = [key for key in self._epoch_keys if key not in kept]
+        return messages.Write(
+            row,
+            self._lease.version,
+            removed=tuple(outdated),
+            epochs=epochs,
+            unless_begun=epoch + 1,
+        )
 
     def _write(self, now: float) -> messages.Write:
         old = self._lease.row
         assert old is not None
         earliest = self._continuity.find_earliest_window(now)
-        self.work_queue.drop_before(earliest)
+        self.work_queue.prepare_write(earliest)
+        epoch = self._epoch or 0
         updated = msgspec.structs.replace(
-            self.work_queue.update_row(old, earliest), epoch=self._epoch or 0
+            self.work_queue.update_row(old, earliest), epoch=epoch
         )
         return messages.Write(
             self._lease.propose(updated, now),
             self._lease.version,
             self.work_queue.list_report_rows(),
             self.work_queue.list_removable(),
+            unless_begun=epoch + 1,
         )
 
     def _back_off(self, now: float) -> None:
--- a/pollenfork/duties/messages.py
+++ b/pollenfork/duties/messages.py
@@ -20,12 +20,16 @@
         version: The version that the stored row must have.
         reports: Rows of reports to add.
         removed: Keys of rows to remove.
+        epochs: Epochs of the store to record as begun.
+        unless_begun: The write fails if this epoch was recorded as begun.
     """
 
     row: rows.HolderRow
     version: int
     reports: tuple[rows.ReportRow, ...] = ()
     removed: tuple[str, ...] = ()
+    epochs: tuple[int, ...] = ()
+    unless_begun: int = 1
 
 
 StoreCall = Read | Write
--- a/pollenfork/duties/rows.py
+++ b/pollenfork/duties/rows.py
@@ -11,6 +11,9 @@
 from pollenfork.leases import records
 
 HOLDER_KEY = "holder"
+# A row with such a key shows that someone has claimed in an epoch of the store.
+_EPOCH_PREFIX = "epoch-"
+EPOCH_VALUE = b"{}"
 FORMAT = records.FORMAT
 BadRow = records.BadRow
 encode = records.encode
@@ -83,6 +86,16 @@
     return f"report-{window}-{part}"
 
 
+def format_epoch_key(epoch: int) -> str:
+    """Returns the key of the row that shows that an epoch has begun."""
+    return f"{_EPOCH_PREFIX}{epoch}"
+
+
+def is_epoch_key(key: str) -> bool:
+    """Returns whether a row shows that an epoch has begun."""
+    return key.startswith(_EPOCH_PREFIX)
+
+
 def split_report(
     window: int, counts: dict[ids.AccountId, int]
 ) -> tuple[ReportRow, ...]:
--- a/pollenfork/duties/tests/restorations.py
+++ b/pollenfork/duties/tests/restorations.py
@@ -82,10 +82,19 @@
     return accepted[0]
 
 
-def run_seed(seed: int) -> Result:
-    """Runs a seed."""
+def run_seed(seed: int, has_late_writes: bool = False) -> Result:
+    """Runs a seed.
+
+    Args:
+        seed: Draws the faults.
+        has_late_writes: Whether calls to the store are lost, or done seconds
+            later, until the last restoration.
+    """
     simulation, copies = make_simulation(seed, (3, 5, 8)[seed % 3])
     rng = simulation.rng
+    if has_late_writes:
+        simulation.delayed, simulation.loss = 0.2, 0.1
+        simulation.max_latency_s = 0.5
     simulation.run(rng.uniform(10.0, 15.0))
     for _ in range(rng.randint(1, 3)):
         if rng.random() < 0.7:
@@ -98,6 +107,7 @@
         copies.restore(rng.uniform(0.0, _MAX_COPY_AGE_S))
         simulation.run(rng.uniform(0.0, 12.0))
         _heal(simulation)
+    simulation.delayed = simulation.loss = simulation.max_latency_s = 0.0
     settled_at = simulation.now + _SETTLED_S
     simulation.run(_SETTLED_S + _RECOVERY_S)
     first = int(settled_at // simulations.WINDOW_S)
@@ -161,11 +171,12 @@
     logging.disable()
     failed = 0
     for seed in range(first, last + 1):
-        outcome = run_seed(seed)
-        if outcome.violations or outcome.missing:
-            failed += 1
-            print(outcome, flush=True)
-    print(f"{last - first + 1} seeds, {failed} failed")
+        for has_late_writes in (False, True):
+            outcome = run_seed(seed, has_late_writes)
+            if outcome.violations or outcome.missing:
+                failed += 1
+                print(has_late_writes, outcome, flush=True)
+    print(f"{last - first + 1} seeds, each in two ways, {failed} failed")
     return 1 if failed else 0
 
 
--- a/pollenfork/duties/tests/simulation.py
+++ b/pollenfork/duties/tests/simulation.py
@@ -74,11 +74,15 @@
         number = versions.get_number(known.version) if known else 0
         if number != versions.get_number(change.version):
             return result.Err(changes.WriteFailure.CONFLICT)
+        if rows.format_epoch_key(change.unless_begun) in self.rows:
+            return result.Err(changes.WriteFailure.CONFLICT)
         self.number += 1
         self._put(rows.HOLDER_KEY, rows.encode(change.row))
         for each in change.reports:
             key = rows.format_report_key(each.window, each.part)
             self._put(key, rows.encode(each))
+        for epoch in change.epochs:
+            self._put(rows.format_epoch_key(epoch), rows.EPOCH_VALUE)
         for key in change.removed:
             self.rows.pop(key, None)
         return result.Ok(self.version)
--- a/pollenfork/duties/tests/test_restorations.py
+++ b/pollenfork/duties/tests/test_restorations.py
@@ -93,10 +93,25 @@
     assert _list_missing(simulation, 21) == []
 
 
+def _find_failed(first: int, has_late_writes: bool) -> list:
+    results = [
+        restorations.run_seed(seed, has_late_writes)
+        for seed in range(first, first + 50)
+    ]
+    return [each for each in results if each.violations or each.missing]
+
+
 @pytest.mark.parametrize("first", range(0, 300, 50))
 def test_no_drawn_drill_breaks_a_rule(first) -> None:
-    results = [restorations.run_seed(first + number) for number in range(50)]
-    assert [each for each in results if each.violations or each.missing] == []
+    assert _find_failed(first, has_late_writes=False) == []
+
+
+# Guards against a write from before a restoration that takes effect after it,
+# as its condition holds again: fencing numbers were given out twice, and rows
+# of reports came back that hadn't been sent.
+@pytest.mark.parametrize("first", range(0, 400, 50))
+def test_no_late_write_breaks_a_rule(first) -> None:
+    assert _find_failed(first, has_late_writes=True) == []
 
 
 def _find_drawn_violations() -> list[str]:
--- a/pollenfork/duties/work_queue.py
+++ b/pollenfork/duties/work_queue.py
@@ -49,6 +49,7 @@
         # Reports that were stored and aren't any more, as the store was
         # restored. The platform may have them, so only the same may be sent.
         self._lost_reports: dict[int, messages.UsageReport] = {}
+        self._attempted: set[int] = set()
         self._has_unreadable = False
         # Windows that the platform has, also if the store has lost their rows.
         self._reported: set[int] = set()
@@ -190,19 +191,27 @@
     def reset(self) -> None:
         """Discards what was left unwritten when this instance last held.
 
-        Reports that the store has lost are written again.
+        Reports that the store has lost are written again, and those whose write
+        may still take effect.
         """
-        self._unwritten_reports = dict(self._lost_reports)
+        for window in set(self._unwritten_reports) - self._attempted:
+            del self._unwritten_reports[window]
+        self._unwritten_reports.update(self._lost_reports)
         self._unwritten_orders.clear()
         self._baselines.clear()
 
-    def drop_before(self, earliest: int) -> None:
-        """Discards sums of windows that may have been reported differently."""
+    def prepare_write(self, earliest: int) -> None:
+        """Chooses the reports to store with the next write.
+
+        Args:
+            earliest: The windows before it may have been reported differently.
+        """
         self._unwritten_reports = {
             window: report
             for window, report in self._unwritten_reports.items()
             if window >= earliest or window in self._lost_reports
         }
+        self._attempted = set(self._unwritten_reports)
 
     def record_takeover(self) -> None:
         """Sends all orders again, as another holder may have sent others."""
@@ -306,10 +315,10 @@
         """Returns known reports that the platform hasn't acknowledged."""
         known = {**self._lost_reports, **self.stored_reports}
         return [
-            (window, report)
-            for window, report in known.items()
-            if window not in self._acknowledged
-            and not self._is_reported(window)
+            each
+            for each in known.items()
+            if each[0] not in self._acknowledged
+            and not self._is_reported(each[0])
         ]
 
     def _list_waiting(self) -> list[int]:
--- a/pollenfork/gateway/duty_rows.py
+++ b/pollenfork/gateway/duty_rows.py
@@ -85,5 +85,12 @@
         )
         for each in step.reports
     ]
+    epochs = [
+        changes.Put(table, rows.format_epoch_key(epoch), rows.EPOCH_VALUE)
+        for epoch in step.epochs
+    ]
     removed = [changes.Key(table, key) for key in step.removed]
-    return changes.Change((holder, *reports), tuple(removed))
+    next_epoch = changes.Key(table, rows.format_epoch_key(step.unless_begun))
+    return changes.Change(
+        (holder, *reports, *epochs), tuple(removed), (next_epoch,)
+    )
--- a/pollenfork/platform/rows.py
+++ b/pollenfork/platform/rows.py
@@ -88,6 +88,9 @@
         if put.expected is not None:
             number = versions.get_number(put.expected)
             body.precondition.append(_Precondition(*row_key, number))
+    for key in change.absent:
+        row_key = key.table.value, "", key.key
+        body.precondition.append(_Precondition(*row_key, changes.ABSENT))
     for removal in change.removed:
         body.remove.append(_RowKey(removal.table.value, "", removal.key))
     return msgspec.json.encode(body)
--- a/pollenfork/platform/tests/test_restored_store.py
+++ b/pollenfork/platform/tests/test_restored_store.py
@@ -1,7 +1,10 @@
 """A gateway whose store comes back from an older copy."""
 
 import asyncio
+import json
 
+from pollenfork.catalogue import changes
+from pollenfork.platform import rows
 from pollenfork.platform.tests import support
 from pollenfork.platform.tests import test_gateway as harnesses
 from pollenfork.platform.tests.soak import site as sites
@@ -91,3 +94,11 @@
             await wait_for_status(harness, "key", 503)
 
     asyncio.run(run())
+
+
+def test_a_row_that_must_be_absent_is_a_condition_on_version_0() -> None:
+    key = changes.Key(changes.Table.DUTIES, "epoch-2")
+    body = json.loads(rows.encode_change(changes.Change(absent=(key,))))
+    assert body["precondition"] == [
+        {"table": "duties", "part": "", "key": "epoch-2", "row-version": 0}
+    ]
