Take no plain answer for whole without a length or chunks

Callers of requests that aren't streamed could get half of an answer as a whole one. The relay took the end of the connection for the end of a body without Content-Length and without chunks. The kernel closes the connections of a killed process in order, so a cut answer ends just like a whole one.

Such an end now counts as a connection that was closed midway: the request begins again at another endpoint if it is idempotent, otherwise the caller is told that the outcome is unknown. The stand-in engines frame all their plain answers, and no existing test expected otherwise.

--- a/pollenfork/answers/engine.py
+++ b/pollenfork/answers/engine.py
@@ -164,10 +164,15 @@
             return b""
 
     def read_whole(self) -> result.Result[bytes, errors.Cause]:
-        """Returns the body of an answer that isn't streamed."""
+        """Returns the body of an answer that isn't streamed.
+
+        A body without a length or chunks is never whole: the connections of a
+        process that is killed are closed in order, as after the last byte.
+        """
         assert self._response
         parts: list[bytes] = []
         size = 0
+        framed = _is_framed(self._response)
         try:
             while part := self._response.read(
                 _READ_BYTES, decode_content=False
@@ -180,6 +185,8 @@
             return result.Err(_Cause.STALLED)
         except _CONNECTION_ERRORS:
             return result.Err(_Cause.CLOSED)
+        if not framed:
+            return result.Err(_Cause.CLOSED)
         return result.Ok(b"".join(parts))
 
     def interrupt(self) -> None:
@@ -280,6 +287,17 @@
     outcome: endpoint_edges.CancelOutcome
 
 
+def _is_framed(response: urllib3.BaseHTTPResponse) -> bool:
+    """Returns whether a length or chunks show where the body ends.
+
+    Must be called before the body is read. Answers that have no body, such as
+    those of status 204, count as having a length of 0.
+    """
+    coding = response.headers.get("transfer-encoding", "")
+    # As http.client does, which takes no other coding for chunks.
+    return coding.lower() == "chunked" or response.length_remaining is not None
+
+
 def _find_failure(response: urllib3.BaseHTTPResponse) -> errors.Cause | None:
     if response.status < 500 and response.status not in _REFUSAL_STATUSES:
         return None
--- a/pollenfork/answers/tests/test_faults.py
+++ b/pollenfork/answers/tests/test_faults.py
@@ -26,6 +26,7 @@
 USAGE = b'data: {"choices": [], "usage": {"completion_tokens": 5}}\n\n'
 REFUSAL = fakes.encode_response("503 Busy", b"{}", X_Outcome="not_run")
 SERVER_ERROR = fakes.encode_response("500 Oops", b"{}")
+UNFRAMED = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nhalf an ans"
 BAD_REQUEST = fakes.encode_response("400 Bad", b'{"error":{}}')
 
 
@@ -247,6 +248,15 @@
         fakes.encode_response("200 OK", b"{}", Content_Length="9"),
         Cause.CLOSED, UNKNOWN, streamed=False, idempotent=False, cancels=1,
     ),
+    # Guards against a cut answer that is taken for whole, as a killed
+    # engine's connections are closed in order.
+    "unframed_body": FailureCase(
+        UNFRAMED, Cause.CLOSED, UNKNOWN,
+        streamed=False, idempotent=False, cancels=1,
+    ),
+    "unframed_body_of_a_stream_request": FailureCase(
+        UNFRAMED, Cause.STREAM_UNKNOWN, UNKNOWN, idempotent=False, cancels=1,
+    ),
 }  # fmt: skip
 
 
@@ -297,6 +307,19 @@
         b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
         b"second", 200, 1,
     ),
+    # Guards against a cut answer that is taken for whole, as a killed
+    # engine's connections are closed in order.
+    "unframed": (UNFRAMED, b"second", 200, 1),
+    "unframed_1_0": (
+        UNFRAMED.replace(b"/1.1", b"/1.0"), b"second", 200, 1,
+    ),
+    "length_not_a_number": (
+        fakes.encode_response("200 OK", b"{}", Content_Length="2x"),
+        b"second", 200, 1,
+    ),
+    "no_body_by_status": (
+        b"HTTP/1.1 204 No Content\r\n\r\n", b"", 204, 0,
+    ),
 }  # fmt: skip
 
 
