Take nothing of a run of events after its fault

A caller could get an answer with a missing event that ended as complete. The relay passes on the events before a gap in the same read and looks at the fault at the next read, for which EventReader still took the expected event, or at the connection's end a finish marker without its line ends.

After a fault EventReader now takes nothing until the next connection. Two of the three cases of test_nothing_of_a_run_is_taken_after_its_fault failed before.

--- a/pollenfork/answers/events.py
+++ b/pollenfork/answers/events.py
@@ -65,6 +65,8 @@
 
     def feed(self, data: bytes) -> bytes:
         """Adds received bytes and returns the complete events to relay."""
+        if self.fault:
+            return b""
         if self._tail:
             # Only the new bytes are searched until they end an event, so that
             # the work grows with the bytes, not with the square of the reads.
@@ -86,7 +88,7 @@
     def end(self) -> bytes:
         """Returns the finish marker if only its line ends are missing."""
         tail, self._tail = self._tail, bytearray()
-        if self.done or tail.strip() != _FINISH:
+        if self.done or self.fault or tail.strip() != _FINISH:
             return b""
         self.done = True
         return _FINISH + _END
--- a/pollenfork/answers/tests/test_events.py
+++ b/pollenfork/answers/tests/test_events.py
@@ -118,6 +118,16 @@
     assert reader.fault is Cause.NOT_CONTINUED
 
 
+# Guards against an incomplete answer that ends as complete: events before a gap
+# in the same read are relayed first, and the run was read on.
+@pytest.mark.parametrize("data", [EVENT(1), b"data: [DONE]", fakes.DONE])
+def test_nothing_of_a_run_is_taken_after_its_fault(data: bytes) -> None:
+    reader = events.EventReader(LIMIT)
+    assert reader.feed(EVENT(0) + EVENT(2)) == EVENT(0)
+    assert reader.feed(data) + reader.end() == b""
+    assert not reader.done
+
+
 class CountedRead(bytes):
     """Counts the bytes to which reads were joined."""
 
