Judge recovery in the play of streams once all gateways are ready

A gateway that a fault has just started isn't there yet: in two of twelve plays beside other work (load 18) one took over five seconds to start, and 18 of 52 and 34 of 58 requests were served afterwards. The play waits until all gateways say that they are ready, up to 30 s, and counts it as a broken promise if fewer than nine in ten requests are served then.

--- a/pollenfork/platform/tests/soak/site.py
+++ b/pollenfork/platform/tests/soak/site.py
@@ -286,6 +286,10 @@
         for gateway in self.gateways:
             await gateway.prepare()
             gateway.start()
+        await self.wait_until_ready()
+
+    async def wait_until_ready(self) -> None:
+        """Returns once all gateways say that they are ready."""
         async with asyncio.timeout(30):
             for gateway in self.gateways:
                 while not await gateway.is_ready():
--- a/pollenfork/platform/tests/soak/streams.py
+++ b/pollenfork/platform/tests/soak/streams.py
@@ -32,6 +32,7 @@
 _LEAVING = 0.3
 _KINDS = (*("stream", "resume") * 3, "safe", "unsafe")
 _RECOVERY_S = 3.0
+_LEAST_SERVED = 0.9
 _FEWEST_RUNNERS = 4
 _VERSIONS = ("v1.1", "v1.2")
 # A process takes this long to start, in seconds. One that listens again at
@@ -176,6 +177,7 @@
         tasks.append(asyncio.create_task(site.supervise()))
         played = await faults.play(site, seconds, FAULTS)
         site.stop_spoiling()
+        await site.wait_until_ready()
         await asyncio.sleep(_RECOVERY_S)
         settled = len(site.asked)
         await asyncio.sleep(1.0)
@@ -266,6 +268,9 @@
             for fault in stream_judge.find_faults(tries)
             if fault not in known
         ]
+    served = sum(each.status == 200 and each.whole for each in late)
+    if not late or served < _LEAST_SERVED * len(late):
+        broken.append(f"after the faults {served} of {len(late)} were served")
     spoil = stream_forms.Spoil
     return Played(
         broken=broken,
@@ -274,7 +279,7 @@
         resumed=sum(any(e.after >= 0 for e in each) for each in streams),
         spoiled=sum(e.form.spoil is not spoil.NONE for e in site.record.runs),
         asked=len(site.asked),
-        late=(len(late), sum(e.status == 200 and e.whole for e in late)),
+        late=(len(late), served),
         faults=played,
     )
 
--- a/pollenfork/platform/tests/test_streams.py
+++ b/pollenfork/platform/tests/test_streams.py
@@ -18,5 +18,3 @@
     assert outcome.complete > 100, outcome
     assert outcome.resumed > 20, outcome
     assert outcome.spoiled > 20, outcome
-    asked, served = outcome.late
-    assert served >= 0.9 * asked > 0, outcome
