--- a/pollenfork/catalogue/changes.py
+++ b/pollenfork/catalogue/changes.py
@@ -51,6 +51,15 @@
     removed: tuple[Key, ...] = ()
     absent: tuple[Key, ...] = ()
 
+    def list_conditions(self) -> list[tuple[Key, int]]:
+        """Returns the versions that rows must have."""
+        expected = [
+            (Key(put.table, put.key), put.expected)
+            for put in self.written
+            if put.expected is not None
+        ]
+        return [*expected, *((key, ABSENT) for key in self.absent)]
+
 
 class WriteFailure(enum.Enum):
     """Why a change failed."""
--- a/pollenfork/platform/rows.py
+++ b/pollenfork/platform/rows.py
@@ -82,15 +82,11 @@
     """Returns the body of the transaction that writes and removes rows."""
     body = _Transaction()
     for put in change.written:
-        row_key = put.table.value, "", put.key
         text = base64.b64encode(put.value).decode()
-        body.upserts.append(_Upsert(*row_key, text))
-        if put.expected is not None:
-            number = versions.get_number(put.expected)
-            body.precondition.append(_Precondition(*row_key, number))
-    for key in change.absent:
-        row_key = key.table.value, "", key.key
-        body.precondition.append(_Precondition(*row_key, changes.ABSENT))
+        body.upserts.append(_Upsert(put.table.value, "", put.key, text))
+    for key, version in change.list_conditions():
+        row = key.table.value, "", key.key, versions.get_number(version)
+        body.precondition.append(_Precondition(*row))
     for removal in change.removed:
         body.remove.append(_RowKey(removal.table.value, "", removal.key))
     return msgspec.json.encode(body)
