--- a/pollenfork/fleet/continuity.py
+++ b/pollenfork/fleet/continuity.py
@@ -32,7 +32,7 @@
     - data on a connection that was made before the sign;
     - a new connection, made sooner than another process could listen;
     - the runner itself, which names its start;
-    - an entry of a later start;
+    - an entry of a later start, or one that is listed again;
     - its entry, if it is still listed unchanged after the time in which entries
       of ended runners are removed.
 
@@ -59,6 +59,7 @@
             collections.Counter()
         )
         runners.when_restarted(self._on_restarted)
+        runners.when_listed(self._on_listed)
 
     def when_doubted(self, call: Callable[[ids.EndpointId], None]) -> None:
         """Registers a callback for each sign that puts a runner in doubt."""
@@ -313,6 +314,12 @@
         if not self._list_open(runner.id):
             self._notify_confirmed(runner.id)
 
+    def _on_listed(self, runner: model.Runner) -> None:
+        # It has been written again since its removal, which came after the
+        # signs.
+        if runner.id in self._signs:
+            self._keep(runner.id, [])
+
     def _notify_confirmed(self, runner: ids.EndpointId) -> None:
         for call in self._on_confirmed:
             call(runner)
--- a/pollenfork/fleet/registry.py
+++ b/pollenfork/fleet/registry.py
@@ -73,6 +73,7 @@
         self._undescribed: set[ids.EndpointId] = set()
         self._on_start_named: list[Callable[[model.Runner], None]] = []
         self._on_described: list[Callable[[model.Runner], None]] = []
+        self._on_listed: list[Callable[[model.Runner], None]] = []
         # The latest start of each runner, departed ones included.
         self._starts: collections.OrderedDict[
             ids.EndpointId, ids.RunnerStart
@@ -99,6 +100,13 @@
         """
         self._on_described.append(call)
 
+    def when_listed(self, call: Callable[[model.Runner], None]) -> None:
+        """Registers a callback for entries of runners that weren't listed.
+
+        Not for those of a later start than known, which are restarts.
+        """
+        self._on_listed.append(call)
+
     def when_gone(self, call: Callable[[ids.EndpointId], None]) -> None:
         """Registers a callback for runners that accept no more work."""
         self._on_gone.append(call)
@@ -139,8 +147,7 @@
         if restarted:
             _notify(self._on_restart, runner)
             return PutResult.RESTARTED
-        if old is not None and not old.version:
-            _notify(self._on_described, runner)
+        self._notify_taken(runner, old)
         return PutResult.TAKEN
 
     def announce_leaving(self, runner: model.Runner) -> bool:
@@ -345,6 +352,14 @@
         self._services[known.service].pop(runner, None)
         self._notify_gone(runner)
 
+    def _notify_taken(
+        self, runner: model.Runner, old: model.Runner | None
+    ) -> None:
+        if old is None:
+            _notify(self._on_listed, runner)
+        elif not old.version:
+            _notify(self._on_described, runner)
+
     def _notify_gone(self, runner: ids.EndpointId) -> None:
         for call in self._on_gone:
             call(runner)
--- a/pollenfork/fleet/tests/test_continuity.py
+++ b/pollenfork/fleet/tests/test_continuity.py
@@ -132,6 +132,23 @@
     assert judged.is_certain(entry)
 
 
+# Guards against seconds of doubt about runners that name no start, once those
+# that have crashed are listed again.
+@pytest.mark.parametrize("version", ["v1", "v2"])
+def test_an_entry_that_is_listed_again_ends_the_doubt(version) -> None:
+    runners = registry.Registry()
+    judged = continuity.Continuity(runners, LIFETIME_S)
+    entry = test_registry.make_runner("r", version=V1)
+    runners.put(entry)
+    judged.record_refused(RUNNER, 2.0, EPOCH_S + 2.0, reported=False)
+    runners.remove(RUNNER, 4.0)
+    assert judged.find_version(entry, at(3.0)) == continuity.UNKNOWN
+    again = test_registry.make_runner("r", version=ids.SoftwareVersion(version))
+    runners.put(again)
+    assert judged.is_certain(again)
+    assert judged.find_version(again, at(9.0)) == version
+
+
 # Guards against counting the time in which nobody learns of removed entries.
 def test_an_entry_that_may_be_outdated_does_not_end_the_doubt() -> None:
     _, judged, entry = make_known()
