Join no resumed run that begins elsewhere than asked

A caller could get an answer of two texts. An engine that was started anew with the same software version may begin a resumed answer at 0. The relay dropped the events with numbers below the position expected and passed on the rest, which belongs to another text.

Position is now what was asked for: the first event of a resumed run must have it, as that of another engine had to. Otherwise the run is broken as not_continued, and another engine continues the answer where that's possible.

The test case repeats_after_resume and the drawn repeats of the property test demanded that such runs are joined. They are replaced: a resumed run that begins earlier must add nothing and be continued elsewhere or end with an error; that repeats are dropped and counted is checked within one run, the only place left for them. Before the fix the property test, both cases of test_a_further_run_must_begin_at_the_expected_position and the two new cases of faults failed.

--- a/pollenfork/answers/events.py
+++ b/pollenfork/answers/events.py
@@ -93,17 +93,14 @@
         self.done = True
         return _FINISH + _END
 
-    def reconnect(self, *, resumed: bool) -> None:
-        """Prepares for another connection that continues at `position`.
-
-        Args:
-            resumed: Whether the same engine's stream is resumed, which may
-                repeat events. Another engine must begin at `position`.
-        """
+    def reconnect(self) -> None:
+        """Prepares for another connection, which must begin at `position`."""
         self._tail.clear()
         self.fault = None
         self._skip = self.unnumbered
-        self._may_repeat = resumed
+        # A run that begins elsewhere, such as one of an engine that was started
+        # anew, may be of another text, also from `position` on.
+        self._may_repeat = False
 
     def _feed_events(self, data: bytes) -> bytes:
         end = data.rfind(_END) + len(_END)
--- a/pollenfork/answers/tests/test_events.py
+++ b/pollenfork/answers/tests/test_events.py
@@ -13,6 +13,8 @@
 from pollenfork.dispatch import messages as dispatch_messages
 
 RetryReason = dispatch_messages.RetryReason
+EVENT = fakes.encode_event
+Cause = errors.Cause
 LIMIT = 4096
 TOKENS = 8
 WHOLE = fakes.encode_stream(TOKENS)
@@ -52,15 +54,20 @@
     accepted = b""
     action: core.Action = core.Restart(RetryReason.NEVER_SENT)
     for repeats, until, sizes in connections:
-        start = reader.position
+        expected, before = reader.position, accepted
+        start = expected
         if isinstance(action, core.Resume):
             start = max(0, start - repeats)
         data = fakes.encode_events(start, TOKENS) + fakes.DONE
         for read in split(data[:until], sizes):
             accepted += reader.feed(read)
-            assert reader.fault is None
         accepted += reader.end()
         assert WHOLE.startswith(accepted)
+        if start == expected:
+            assert reader.fault is None
+        else:
+            assert accepted == before
+            assert reader.fault in (None, Cause.NOT_CONTINUED)
         if reader.done:
             break
         progress = core.Progress(
@@ -69,7 +76,8 @@
             numbered=reader.numbered,
             text_available=True,
         )
-        action = recovery.decide(errors.Cause.CLOSED, progress, now=0.0)
+        cause = reader.fault or Cause.CLOSED
+        action = recovery.decide(cause, progress, now=0.0)
         if isinstance(action, core.GiveUp):
             break
         if isinstance(action, core.Restart):
@@ -77,16 +85,11 @@
             reader = events.EventReader(LIMIT)
         else:
             assert action.position == reader.position
-            resumed = isinstance(action, core.Resume)
-            reader.reconnect(resumed=resumed)
+            reader.reconnect()
     assert reader.done == (accepted == WHOLE)
     assert reader.events == accepted.count(b"\n\n") - reader.done
 
 
-EVENT = fakes.encode_event
-Cause = errors.Cause
-
-
 @pytest.mark.parametrize(
     ("data", "accepted", "fault"),
     [
@@ -110,11 +113,14 @@
     assert reader.fault is fault
 
 
-def test_continuation_must_begin_at_the_expected_position() -> None:
+# Guards against two texts joined by their numbers, as when an engine that was
+# started anew begins a resumed answer again.
+@pytest.mark.parametrize("start", [0, 2])
+def test_a_further_run_must_begin_at_the_expected_position(start: int) -> None:
     reader = events.EventReader(LIMIT)
     reader.feed(fakes.encode_events(0, 3))
-    reader.reconnect(resumed=False)
-    assert reader.feed(EVENT(2)) == b""
+    reader.reconnect()
+    assert reader.feed(fakes.encode_events(start, 5)) == b""
     assert reader.fault is Cause.NOT_CONTINUED
 
 
--- a/pollenfork/answers/tests/test_faults.py
+++ b/pollenfork/answers/tests/test_faults.py
@@ -80,9 +80,18 @@
         (HEAD + EVENTS(2, 4) + PARTIAL_EVENT, HEAD + EVENTS(4, 5) + fakes.DONE),
         resumed=2,
     ),
-    "repeats_after_resume": Case(
+    "repeats_within_a_run": Case(
+        (HEAD + EVENTS(0, 3) + EVENTS(1, 5) + fakes.DONE,), repeats=2,
+    ),
+    # Guards against two texts joined by their numbers.
+    "resume_begins_early_continued": Case(
         (HEAD + EVENTS(0, 3),), (HEAD + EVENTS(1, 5) + fakes.DONE,),
-        resumed=1, repeats=2,
+        (HEAD + EVENTS(3, 5) + fakes.DONE,),
+        resumed=1, continued=1, saved=3, ends=CONTINUED,
+    ),
+    "resume_begins_again": Case(
+        (HEAD + EVENTS(0, 3),), (HEAD + WHOLE,),
+        complete=False, received=EVENTS(0, 3), resumed=1, ends=BROKEN,
     ),
     "repeats_of_usage_after_resume": Case(
         (HEAD + EVENTS(0, 5) + USAGE,), (HEAD + USAGE + fakes.DONE,),
