Refuse an event of a stream with two ids

A caller's position, which is the last id of an event, could differ from the one that was checked: the first id counted, and of a read that began with the expected id only the end was looked at.

An event with a number and another id, also an empty one, now breaks the run as a gap. The direct path takes only an id followed by one line of data, with as many searches as before. Three of the new cases of test_feed_returns_only_expected_events failed before.

--- a/pollenfork/answers/events.py
+++ b/pollenfork/answers/events.py
@@ -12,6 +12,7 @@
 _FINISH = b"data: [DONE]"
 _ERROR = (b'data: {"error"', b'data:{"error"', b"event: error")
 _POSITION = re.compile(rb"^id: ?(\d+)$", re.MULTILINE)
+_ID = re.compile(rb"^id(?::|$)", re.MULTILINE)
 
 
 class EventReader:
@@ -51,7 +52,7 @@
         self._tail = bytearray()
         self._skip = 0
         self._may_repeat = True
-        self._expected = b"id: 0\n"
+        self._expected = b"id: 0\ndata:"
 
     @property
     def numbered(self) -> bool:
@@ -75,10 +76,12 @@
                 return b""
             data = bytes(self._tail) + data
             self._tail.clear()
-        # Fast path: the read is exactly the expected event.
+        # Fast path: the read is exactly the expected event, its number followed
+        # by one line of data.
         if (
             data.startswith(self._expected)
-            and data.find(_END) == len(data) - 2
+            and data.find(b"\n", len(self._expected)) == len(data) - 2
+            and data.endswith(_END)
             and not self.done
         ):
             self._advance()
@@ -124,6 +127,10 @@
 
     def _accept(self, event: bytes) -> bool:
         match = _POSITION.search(event)
+        if match and len(_ID.findall(event)) > 1:
+            # Readers take the last one.
+            self.fault = errors.Cause.GAP
+            return False
         if match:
             return self._accept_position(int(match[1]))
         if event == _FINISH:
@@ -157,4 +164,4 @@
         self.unnumbered = 0
         self._skip = 0
         self._may_repeat = True
-        self._expected = b"id: %d\n" % self.position
+        self._expected = b"id: %d\ndata:" % self.position
--- a/pollenfork/answers/tests/test_events.py
+++ b/pollenfork/answers/tests/test_events.py
@@ -103,6 +103,12 @@
         (b": ping\n\n" + EVENT(0), b": ping\n\n" + EVENT(0), None),
         (b"data: {}\nid: 0\n\n", b"data: {}\nid: 0\n\n", None),
         (WHOLE + EVENT(9), WHOLE, None),
+        # Guards against a caller whose position, the last id, isn't the one
+        # that was checked.
+        (b"id: 0\nid: 5\ndata: {}\n\n", b"", Cause.GAP),
+        (b"id: 0\ndata: {}\nid: 5\n\n", b"", Cause.GAP),
+        (b"id: 0\nid\ndata: {}\n\n", b"", Cause.GAP),
+        (b"id: 0\ndata: {}\ndata: {}\n\n",) * 2 + (None,),
     ],
 )
 def test_feed_returns_only_expected_events(
