Drop only equal unnumbered events of a resumed run

Unnumbered events of a numbered stream, such as a usage, could be lost without a trace after a resumption: as many as had been relayed since the last numbered one were dropped, whatever they were. Comments counted too, although no engine repeats them.

The events since the last numbered one are kept, up to the limit of one event, and those of a resumed run are compared with them: equal ones are dropped, another one breaks the run as not_continued. Comments are passed on. Another engine's events are still counted, as they differ in names of its own. Three of the cases of test_a_resumed_run_repeats_unnumbered_events_or_is_refused failed before (differs, comment, over_limit).

--- a/pollenfork/answers/attempt.py
+++ b/pollenfork/answers/attempt.py
@@ -248,7 +248,7 @@
     def _resume(self, position: int, cause: errors.Cause) -> _HeadResult:
         counters = self.deps.counters
         counters.count(counters.resumes, cause.value)
-        self.reader.reconnect()
+        self.reader.reconnect(resumed=True)
         grant = self.slot.grant
         self.exchange = engine.Exchange(grant.address, self.deps.limits)
         if self._is_disconnected():
@@ -293,7 +293,7 @@
         counters = self.deps.counters
         counters.count(counters.continuations, cause.value)
         self._start_position = position
-        self.reader.reconnect()
+        self.reader.reconnect(resumed=False)
         sent = self._send(body)
         if sent.is_err():
             return sent
--- a/pollenfork/answers/events.py
+++ b/pollenfork/answers/events.py
@@ -4,6 +4,7 @@
 comparison and one search.
 """
 
+import collections
 import re
 
 from pollenfork.answers import errors
@@ -31,8 +32,11 @@
         "_expected",
         "_limit",
         "_may_repeat",
+        "_repeatable",
         "_skip",
         "_tail",
+        "_unnumbered",
+        "_unnumbered_bytes",
         "done",
         "duplicates",
         "events",
@@ -51,6 +55,11 @@
         self._limit = limit
         self._tail = bytearray()
         self._skip = 0
+        # The unnumbered events since the last numbered one, and those of them
+        # that a resumed run may repeat.
+        self._unnumbered: list[bytes] = []
+        self._unnumbered_bytes = 0
+        self._repeatable: collections.deque[bytes] = collections.deque()
         self._may_repeat = True
         self._expected = b"id: 0\ndata:"
 
@@ -96,11 +105,20 @@
         self.done = True
         return _FINISH + _END
 
-    def reconnect(self) -> None:
-        """Prepares for another connection, which must begin at `position`."""
+    def reconnect(self, *, resumed: bool) -> None:
+        """Prepares for another connection, which must begin at `position`.
+
+        Args:
+            resumed: Whether the same engine's stream is resumed. It may repeat
+                unnumbered events after `position` with the same bytes only,
+                whereas another engine names itself in them.
+        """
         self._tail.clear()
         self.fault = None
-        self._skip = self.unnumbered
+        self._skip = 0 if resumed else self.unnumbered
+        self._repeatable.clear()
+        if resumed:
+            self._repeatable.extend(self._unnumbered)
         # A run that begins elsewhere, such as one of an engine that was started
         # anew, may be of another text, also from `position` on.
         self._may_repeat = False
@@ -139,13 +157,33 @@
         if event.startswith(_ERROR):
             self.fault = errors.Cause.ERROR_EVENT
             return False
+        return self._accept_unnumbered(event)
+
+    def _accept_unnumbered(self, event: bytes) -> bool:
+        if all(line.startswith(b":") for line in event.split(b"\n")):
+            self.events += 1
+            return True
         if self._skip:
             self._skip -= 1
             return False
+        if self._repeatable:
+            if event != self._repeatable.popleft():
+                self.fault = errors.Cause.NOT_CONTINUED
+            return False
         self.unnumbered += 1
         self.events += 1
+        if self.numbered:
+            self._record_unnumbered(event)
         return True
 
+    def _record_unnumbered(self, event: bytes) -> None:
+        self._unnumbered_bytes += len(event)
+        if self._unnumbered_bytes <= self._limit:
+            self._unnumbered.append(event)
+        else:
+            # Too much to compare: no event of a resumed run equals this.
+            self._unnumbered = [b""]
+
     def _accept_position(self, position: int) -> bool:
         if position == self.position:
             self._advance()
@@ -161,7 +199,11 @@
     def _advance(self) -> None:
         self.position += 1
         self.events += 1
-        self.unnumbered = 0
+        if self.unnumbered:
+            self.unnumbered = 0
+            self._unnumbered.clear()
+            self._unnumbered_bytes = 0
         self._skip = 0
+        self._repeatable.clear()
         self._may_repeat = True
         self._expected = b"id: %d\ndata:" % self.position
--- a/pollenfork/answers/tests/test_events.py
+++ b/pollenfork/answers/tests/test_events.py
@@ -85,7 +85,8 @@
             reader = events.EventReader(LIMIT)
         else:
             assert action.position == reader.position
-            reader.reconnect()
+            resumed = isinstance(action, core.Resume)
+            reader.reconnect(resumed=resumed)
     assert reader.done == (accepted == WHOLE)
     assert reader.events == accepted.count(b"\n\n") - reader.done
 
@@ -121,15 +122,42 @@
 
 # Guards against two texts joined by their numbers, as when an engine that was
 # started anew begins a resumed answer again.
+@pytest.mark.parametrize("resumed", [False, True])
 @pytest.mark.parametrize("start", [0, 2])
-def test_a_further_run_must_begin_at_the_expected_position(start: int) -> None:
+def test_a_further_run_must_begin_at_the_expected_position(
+    start: int, resumed: bool
+) -> None:
     reader = events.EventReader(LIMIT)
     reader.feed(fakes.encode_events(0, 3))
-    reader.reconnect()
+    reader.reconnect(resumed=resumed)
     assert reader.feed(fakes.encode_events(start, 5)) == b""
     assert reader.fault is Cause.NOT_CONTINUED
 
 
+# Guards against unnumbered events that are lost after a resumption, as they
+# were counted, not compared with those that were relayed.
+@pytest.mark.parametrize(
+    ("before", "after", "accepted", "fault"),
+    [
+        (b"data: u\n\n", b"data: u\n\ndata: v\n\n", b"data: v\n\n", None),
+        (b"data: u\n\n", b"data: v\n\n", b"", Cause.NOT_CONTINUED),
+        (b": ping\n\n", b"data: v\n\n", b"data: v\n\n", None),
+        (b": p\ndata: u\n\n", b": p\ndata: u\n\n", b"", None),
+        (b"data: u\n\n" * LIMIT, b"data: u\n\n", b"", Cause.NOT_CONTINUED),
+        (b"data: u\n\n", EVENT(1), EVENT(1), None),
+    ],
+    ids=["repeats", "differs", "comment", "data_too", "over_limit", "omits"],
+)
+def test_a_resumed_run_repeats_unnumbered_events_or_is_refused(
+    before: bytes, after: bytes, accepted: bytes, fault: errors.Cause | None
+) -> None:
+    reader = events.EventReader(LIMIT)
+    assert reader.feed(EVENT(0)) + reader.feed(before) == EVENT(0) + before
+    reader.reconnect(resumed=True)
+    assert reader.feed(after) == accepted
+    assert reader.fault is fault
+
+
 # Guards against an incomplete answer that ends as complete: events before a gap
 # in the same read are relayed first, and the run was read on.
 @pytest.mark.parametrize("data", [EVENT(1), b"data: [DONE]", fakes.DONE])
