Break a numbered stream at bytes that are no event

A line of a numbered stream that has none of the standard's fields, and a carriage return, which readers take for the end of a line, now break the run with the cause foreign, and what is missing is asked of the same engine, as after a gap. Streams without numbers are passed on as before. Three new cases of test_feed_returns_only_expected_events and foreign_text_resumed failed before.

--- a/pollenfork/answers/core.py
+++ b/pollenfork/answers/core.py
@@ -15,7 +15,13 @@
 PROVED_NOT_RUN = frozenset({_Cause.NEVER_SENT, _Cause.REFUSED})
 # The endpoint may still hold the answer, so its rest can be requested.
 _RESUMABLE = frozenset(
-    {_Cause.NO_HEAD, _Cause.CLOSED, _Cause.STALLED, _Cause.GAP}
+    {
+        _Cause.NO_HEAD,
+        _Cause.CLOSED,
+        _Cause.STALLED,
+        _Cause.GAP,
+        _Cause.FOREIGN,
+    }
 )
 
 
--- a/pollenfork/answers/errors.py
+++ b/pollenfork/answers/errors.py
@@ -16,6 +16,7 @@
     CLOSED = "closed"  # The connection ended before the answer did.
     STALLED = "stalled"
     GAP = "gap"  # An event is missing.
+    FOREIGN = "foreign"  # Bytes of a numbered stream are no event.
     ERROR_EVENT = "error_event"
     OVERSIZE = "oversize"
     NOT_CONTINUED = "not_continued"  # Restarted instead of continuing.
--- a/pollenfork/answers/events.py
+++ b/pollenfork/answers/events.py
@@ -13,6 +13,9 @@
 _FINISH = b"data: [DONE]"
 _ERROR = (b'data: {"error"', b'data:{"error"', b"event: error")
 _POSITION = re.compile(rb"^id: ?(\d+)$", re.MULTILINE)
+# A line that has none of the standard's fields and is no comment, or a carriage
+# return, which readers take for the end of a line.
+_FOREIGN = re.compile(rb"^(?!(?:id|data|event|retry)?(?::|$))|\r", re.MULTILINE)
 _ID = re.compile(rb"^id(?::|$)", re.MULTILINE)
 
 
@@ -91,6 +94,7 @@
             data.startswith(self._expected)
             and data.find(b"\n", len(self._expected)) == len(data) - 2
             and data.endswith(_END)
+            and b"\r" not in data
             and not self.done
         ):
             self._advance()
@@ -145,6 +149,9 @@
 
     def _accept(self, event: bytes) -> bool:
         match = _POSITION.search(event)
+        if (match or self.numbered) and _FOREIGN.search(event):
+            self.fault = errors.Cause.FOREIGN
+            return False
         if match and len(_ID.findall(event)) > 1:
             # Readers take the last one.
             self.fault = errors.Cause.GAP
--- a/pollenfork/answers/tests/test_events.py
+++ b/pollenfork/answers/tests/test_events.py
@@ -110,6 +110,11 @@
         (b"id: 0\ndata: {}\nid: 5\n\n", b"", Cause.GAP),
         (b"id: 0\nid\ndata: {}\n\n", b"", Cause.GAP),
         (b"id: 0\ndata: {}\ndata: {}\n\n",) * 2 + (None,),
+        # Guards against a failing program's words that reach the caller.
+        (EVENT(0) + b"Traceback\n\n" + EVENT(1), EVENT(0), Cause.FOREIGN),
+        (EVENT(0) + b"id: 1\nTraceback:\n\n", EVENT(0), Cause.FOREIGN),
+        (b"id: 0\ndata: {}\rid: 7\n\n", b"", Cause.FOREIGN),
+        (EVENT(0) + b": ping\nevent: u\nretry: 1\ndata\n\n",) * 2 + (None,),
     ],
 )
 def test_feed_returns_only_expected_events(
--- a/pollenfork/answers/tests/test_faults.py
+++ b/pollenfork/answers/tests/test_faults.py
@@ -80,6 +80,11 @@
         (HEAD + EVENTS(2, 4) + PARTIAL_EVENT, HEAD + EVENTS(4, 5) + fakes.DONE),
         resumed=2,
     ),
+    # Guards against a failing program's words that reach the caller.
+    "foreign_text_resumed": Case(
+        (HEAD + EVENTS(0, 2) + b"Traceback\n\n",),
+        (HEAD + EVENTS(2, 5) + fakes.DONE,), resumed=1,
+    ),
     "repeats_within_a_run": Case(
         (HEAD + EVENTS(0, 3) + EVENTS(1, 5) + fakes.DONE,), repeats=2,
     ),
