Refuse pages of the store that aren't what was asked for

Rows of a table could count as removed though the store has them: a page without rows that says that others follow was taken for the table's end, and the next page was asked for from whatever the last key was, also where the keys went back or repeated. A store that repeated a page was read without end, and all its pages were kept.

The keys of a page must ascend from the one asked for, as the store's protocol says, and a page that others follow must hold a row. Otherwise the answer is unreadable, which begins the read again after the usual pause. Answers to calls that wait for changes and the tables of other instances are as before.

--- a/pollenfork/catalogue/tests/test_watch.py
+++ b/pollenfork/catalogue/tests/test_watch.py
@@ -95,6 +95,46 @@
     assert watched.next_call().start == ""
 
 
+def read_again_after_two_rows() -> watch.Watch:
+    watched = make_watch()
+    answer(watched, Row("a", b"", 1), Row("b", b"", 2), version=2)
+    watched.record_failure(messages.ReadFailure.HISTORY_GONE)
+    return watched
+
+
+# Guards against rows that are removed because a page lacks them that says that
+# others follow.
+def test_an_empty_page_with_more_is_not_the_end() -> None:
+    watched = read_again_after_two_rows()
+    assert watched.is_misplaced(watched.next_call(), Rows((), 3, True))
+    assert answer(watched, version=3, more=True) is None
+
+
+# Guards against a read that never ends and keeps all its pages.
+def test_a_page_that_goes_back_is_not_kept() -> None:
+    watched = read_again_after_two_rows()
+    rows = Row("a", b"", 1), Row("b", b"", 2)
+    for _ in range(1000):
+        answer(watched, *rows, version=3, more=True)
+    assert len(watched._pages) <= 2
+
+
+# Guards against rows that count as removed because the pages overlap.
+def test_a_page_with_keys_before_its_start_is_refused() -> None:
+    watched = read_again_after_two_rows()
+    answer(watched, Row("a", b"", 1), Row("c", b"", 3), version=3, more=True)
+    assert answer(watched, Row("b", b"", 2), version=3) is None
+    assert watched.next_call().start == ""
+
+
+# Guards against a next page that leaves out what follows a smaller last key.
+def test_a_page_whose_keys_do_not_ascend_is_refused() -> None:
+    for keys in ("ba", "aa"):
+        watched = read_again_after_two_rows()
+        rows = [Row(key, b"", 3) for key in keys]
+        assert answer(watched, *rows, version=3) is None
+
+
 def test_an_answer_older_than_what_is_known_is_stale() -> None:
     watched = make_watch()
     answer(watched, Row("a", b"", 4), version=9)
@@ -214,7 +254,7 @@
     return messages.Rows(
         tuple(
             messages.Row(key, b"", versions.combine(epoch, number))
-            for key, number in rows.items()
+            for key, number in sorted(rows.items())
         ),
         versions.combine(epoch, version),
     )
--- a/pollenfork/catalogue/watch.py
+++ b/pollenfork/catalogue/watch.py
@@ -6,6 +6,7 @@
 restored from a copy.
 """
 
+import itertools
 import random
 
 import msgspec
@@ -107,6 +108,23 @@
             self._newest, self._state.reading_version or 0
         )
 
+    def is_misplaced(
+        self, call: messages.ReadCall, rows: messages.Rows
+    ) -> bool:
+        """Returns whether a page isn't what a read of the table asked for.
+
+        Keys must ascend from the call's first key on, and a page that others
+        follow must hold a row. Otherwise rows would be taken for removed, or
+        the read wouldn't end.
+        """
+        if call.after is not None:
+            return False
+        keys = [row.key for row in rows.rows]
+        if not keys:
+            return rows.more
+        ascending = all(a < b for a, b in itertools.pairwise(keys))
+        return keys[0] < call.start or not ascending
+
     def skip_wait(self) -> None:
         """Lets the next call return the present state, without a wait."""
         self._state.skip_wait = True
@@ -133,6 +151,9 @@
         """Applies an answer; returns the changes, or None between pages."""
         self._state.failures = 0
         self._state.skip_wait = False
+        if self.is_misplaced(call, rows):
+            self._restart_read()
+            return None
         if call.after is None:
             return self._take_page(rows)
         if not versions.is_same_epoch(call.after, rows.version):
@@ -221,7 +242,7 @@
             self._restart_read()
             return None
         self._pages.extend(rows.rows)
-        if rows.more and rows.rows:
+        if rows.more:
             state.start = rows.rows[-1].key + "\0"
             return None
         # Later pages are newer than the first: changes since the first page are
--- a/pollenfork/gateway/following.py
+++ b/pollenfork/gateway/following.py
@@ -385,8 +385,9 @@
         rows = answer.ok_value
         self._log_epoch(rows)
         self._note_epoch(versions.get_epoch(rows.version))
-        if self._watch.is_stale(rows):
-            return self._handle_trouble(catalogue.ReadFailure.STALE, sent_at)
+        trouble = self._find_trouble(ask, rows)
+        if trouble is not None:
+            return self._handle_trouble(trouble, sent_at)
         for on_answer in self._on_answer:
             on_answer(self._loop.time())
         self._report_recovery()
@@ -401,6 +402,16 @@
             on_current(moment)
         return self._cooldown_s if changes.rows else 0.0
 
+    def _find_trouble(
+        self, ask: catalogue.ReadCall, rows: catalogue.Rows
+    ) -> catalogue.ReadFailure | None:
+        """Returns why an answer that could be decoded isn't taken."""
+        if self._watch.is_stale(rows):
+            return catalogue.ReadFailure.STALE
+        if self._watch.is_misplaced(ask, rows):
+            return catalogue.ReadFailure.UNREADABLE
+        return None
+
     def _note_epoch(self, epoch: int) -> None:
         if epoch <= self._latest_epoch:
             return
--- a/pollenfork/gateway/tests/test_following.py
+++ b/pollenfork/gateway/tests/test_following.py
@@ -226,6 +226,22 @@
     run_scenario(scenario)
 
 
+# Guards against rows that are lost, or a read without pauses, as a page isn't
+# what was asked for.
+def test_a_page_of_keys_that_go_back_is_unreadable(caplog) -> None:
+    async def scenario(bench):
+        known = Row("a", b"1", 1), Row("b", b"2", 1)
+        bench.store.rows = messages.Rows(known[::-1], 1)
+        await bench.wait_for(lambda: "trouble=unreadable" in caplog.text)
+        assert not bench.seen
+        bench.store.rows = messages.Rows(known, 1)
+        await bench.wait_for(lambda: len(bench.seen) == 1)
+        assert bench.seen[0].rows == known
+        assert len(bench.store.asked) <= 4
+
+    run_scenario(scenario)
+
+
 def test_a_relay_that_fails_or_is_behind_changes_nothing(caplog) -> None:
     async def scenario(bench):
         await bench.wait_for(lambda: len(bench.store.asked) == 2)
