Keep the newer loads where datagrams overtake each other

A report that was overtaken on the way replaced the newer one of the same instance, so a relay, and through it all instances, counted old loads for up to 0.3 s, until the next report. The same applied to the sums of other data centres and to what a relay tells its reporters.

Messages carry their sender's clock, and of one sender those sent later are kept now. Its news and what it knows of the store are still taken from either. A sender that was started anew on another clock is taken once its earlier loads have expired, after 1.3 s. The three cases of test_an_overtaken_message_does_not_replace_newer_loads failed before.

--- a/pollenfork/loads/core.py
+++ b/pollenfork/loads/core.py
@@ -278,7 +278,9 @@
                 received = links.ReceivedLoads(
                     message.loads, now, message.sent_at
                 )
-                self._reports[host] = received
+                self._reports[host] = links.select_newer(
+                    self._reports.get(host), received, _EXPIRY_S
+                )
                 self._urgent = self._urgent or message.urgent
                 self._receive_news(message, host, now)
                 self._receive_status(message, host, now)
@@ -291,7 +293,9 @@
                 received = links.ReceivedLoads(
                     message.loads, now, message.sent_at
                 )
-                self._sums[host] = received
+                self._sums[host] = links.select_newer(
+                    self._sums.get(host), received, _EXPIRY_S
+                )
                 self._receive_news(message, host, now)
                 self._receive_status(message, host, now)
             case messages.OtherLoads():
@@ -312,7 +316,9 @@
         self, message: messages.OtherLoads, host: str, now: float
     ) -> None:
         self._roster.record_answer(host)
-        self._others = links.ReceivedLoads(message.loads, now, message.sent_at)
+        received = links.ReceivedLoads(message.loads, now, message.sent_at)
+        known = self._others if self._others_sender == host else None
+        self._others = links.select_newer(known, received, _EXPIRY_S)
         self._others_sender = host
         self._instance.record_placements(message.placements)
         self._instance.record_updates(updates.limit(message.updates), now)
--- a/pollenfork/loads/links.py
+++ b/pollenfork/loads/links.py
@@ -30,6 +30,20 @@
     sent_at: float = 0.0
 
 
+def select_newer(
+    known: ReceivedLoads | None, received: ReceivedLoads, expiry_s: float
+) -> ReceivedLoads:
+    """Returns the loads that were sent later by the same sender.
+
+    The clock of a sender that was started anew may be behind, so known loads
+    stay for `expiry_s` at most.
+    """
+    if known is None or received.sent_at >= known.sent_at:
+        return received
+    expired = received.received_at - known.received_at > expiry_s
+    return received if expired else known
+
+
 class Link(msgspec.Struct):
     """What is sent to another instance.
 
--- a/pollenfork/loads/tests/test_exchange.py
+++ b/pollenfork/loads/tests/test_exchange.py
@@ -528,3 +528,58 @@
         messages.Address("10.0.0.1", PORT), "a", (), FakeInstance(1)
     )
     assert not alone.expects_relays(100.0)
+
+
+def make_pair(kind: str) -> tuple[Network, core.Exchange, str]:
+    """Returns an exchange and the host that sends it loads of a kind."""
+    network = Network(4)
+    network.run(3.0)
+    relay = network.exchanges["10.0.0.000"].find_relay(network.now)
+    other = ({"10.0.0.000", "10.0.0.003"} - {relay}).pop()
+    receiver, sender = {
+        "report": (relay, other),
+        "sum": (relay, "10.1.0.001"),
+        "others": (other, relay),
+    }[kind]
+    return network, network.exchanges[receiver], sender
+
+
+def send_loads(
+    network: Network,
+    exchange: core.Exchange,
+    kind: str,
+    sender: str,
+    active: int,
+    sent_at: float,
+) -> None:
+    loads = {99: messages.Load(active, 0)}
+    centre = network.data_centres[sender]
+    message: messages.Message = messages.OtherLoads(loads, sent_at=sent_at)
+    if kind == "report":
+        message = messages.Report(centre, loads, sent_at=sent_at)
+    elif kind == "sum":
+        message = messages.DataCentreLoads(centre, loads, sent_at=sent_at)
+    exchange.receive(message, sender, network.now)
+
+
+# Guards against loads that go back because a datagram was overtaken by a later
+# one on the way.
+@pytest.mark.parametrize("kind", ["report", "sum", "others"])
+def test_an_overtaken_message_does_not_replace_newer_loads(kind: str) -> None:
+    network, exchange, sender = make_pair(kind)
+    later = network.now + 0.2
+    send_loads(network, exchange, kind, sender, 9, later)
+    send_loads(network, exchange, kind, sender, 1, later - 0.1)
+    assert exchange.read_others(network.now)[99].active == 9
+
+
+# Guards against a sender that is refused for good as its clock began anew.
+@pytest.mark.parametrize("kind", ["report", "sum", "others"])
+def test_a_sender_with_an_earlier_clock_is_taken_after_expiry(
+    kind: str,
+) -> None:
+    network, exchange, sender = make_pair(kind)
+    send_loads(network, exchange, kind, sender, 9, network.now + 0.2)
+    network.now += core._EXPIRY_S + 0.01
+    send_loads(network, exchange, kind, sender, 1, 1.0)
+    assert exchange.read_others(network.now)[99].active == 1
