--- a/pollenfork/answers/events.py
+++ b/pollenfork/answers/events.py
@@ -4,6 +4,7 @@
 comparison and one search.
 """
 
+import collections
 import re
 
 from pollenfork.answers import errors
@@ -12,6 +13,10 @@
 _FINISH = b"data: [DONE]"
 _ERROR = (b'data: {"error"', b'data:{"error"', b"event: error")
 _POSITION = re.compile(rb"^id: ?(\d+)$", re.MULTILINE)
+# A line that has none of the standard's fields and is no comment, or a carriage
+# return, which readers take for the end of a line.
+_FOREIGN = re.compile(rb"^(?!(?:id|data|event|retry)?(?::|$))|\r", re.MULTILINE)
+_ID = re.compile(rb"^id(?::|$)", re.MULTILINE)
 
 
 class EventReader:
@@ -30,8 +35,11 @@
         "_expected",
         "_limit",
         "_may_repeat",
+        "_repeatable",
         "_skip",
         "_tail",
+        "_unnumbered",
+        "_unnumbered_bytes",
         "done",
         "duplicates",
         "events",
@@ -50,8 +58,13 @@
         self._limit = limit
         self._tail = bytearray()
         self._skip = 0
+        # The unnumbered events since the last numbered one, and those of them
+        # that a resumed run may repeat.
+        self._unnumbered: list[bytes] = []
+        self._unnumbered_bytes = 0
+        self._repeatable: collections.deque[bytes] = collections.deque()
         self._may_repeat = True
-        self._expected = b"id: 0\n"
+        self._expected = b"id: 0\ndata:"
 
     @property
     def numbered(self) -> bool:
@@ -75,10 +88,13 @@
                 return b""
             data = bytes(self._tail) + data
             self._tail.clear()
-        # Fast path: the read is exactly the expected event.
+        # Fast path: the read is exactly the expected event, its number followed
+        # by one line of data.
         if (
             data.startswith(self._expected)
-            and data.find(_END) == len(data) - 2
+            and data.find(b"\n", len(self._expected)) == len(data) - 2
+            and data.endswith(_END)
+            and b"\r" not in data
             and not self.done
         ):
             self._advance()
@@ -94,16 +110,22 @@
         return _FINISH + _END
 
     def reconnect(self, *, resumed: bool) -> None:
-        """Prepares for another connection that continues at `position`.
+        """Prepares for another connection, which must begin at `position`.
 
         Args:
-            resumed: Whether the same engine's stream is resumed, which may
-                repeat events. Another engine must begin at `position`.
+            resumed: Whether the same engine's stream is resumed. It may repeat
+                unnumbered events after `position` with the same bytes only,
+                whereas another engine names itself in them.
         """
         self._tail.clear()
         self.fault = None
-        self._skip = self.unnumbered
-        self._may_repeat = resumed
+        self._skip = 0 if resumed else self.unnumbered
+        self._repeatable.clear()
+        if resumed:
+            self._repeatable.extend(self._unnumbered)
+        # A run that begins elsewhere, such as one of an engine that was started
+        # anew, may be of another text, also from `position` on.
+        self._may_repeat = False
 
     def _feed_events(self, data: bytes) -> bytes:
         end = data.rfind(_END) + len(_END)
@@ -127,6 +149,13 @@
 
     def _accept(self, event: bytes) -> bool:
         match = _POSITION.search(event)
+        if (match or self.numbered) and _FOREIGN.search(event):
+            self.fault = errors.Cause.FOREIGN
+            return False
+        if match and len(_ID.findall(event)) > 1:
+            # Readers take the last one.
+            self.fault = errors.Cause.GAP
+            return False
         if match:
             return self._accept_position(int(match[1]))
         if event == _FINISH:
@@ -135,13 +164,33 @@
         if event.startswith(_ERROR):
             self.fault = errors.Cause.ERROR_EVENT
             return False
+        return self._accept_unnumbered(event)
+
+    def _accept_unnumbered(self, event: bytes) -> bool:
+        if all(line.startswith(b":") for line in event.split(b"\n")):
+            self.events += 1
+            return True
         if self._skip:
             self._skip -= 1
             return False
+        if self._repeatable:
+            if event != self._repeatable.popleft():
+                self.fault = errors.Cause.NOT_CONTINUED
+            return False
         self.unnumbered += 1
         self.events += 1
+        if self.numbered:
+            self._record_unnumbered(event)
         return True
 
+    def _record_unnumbered(self, event: bytes) -> None:
+        self._unnumbered_bytes += len(event)
+        if self._unnumbered_bytes <= self._limit:
+            self._unnumbered.append(event)
+        else:
+            # Too much to compare: no event of a resumed run equals this.
+            self._unnumbered = [b""]
+
     def _accept_position(self, position: int) -> bool:
         if position == self.position:
             self._advance()
@@ -157,7 +206,11 @@
     def _advance(self) -> None:
         self.position += 1
         self.events += 1
-        self.unnumbered = 0
+        if self.unnumbered:
+            self.unnumbered = 0
+            self._unnumbered.clear()
+            self._unnumbered_bytes = 0
         self._skip = 0
+        self._repeatable.clear()
         self._may_repeat = True
-        self._expected = b"id: %d\n" % self.position
+        self._expected = b"id: %d\ndata:" % self.position
