--- a/pollenfork/gateway/events/splitter.py
+++ b/pollenfork/gateway/events/splitter.py
@@ -17,10 +17,12 @@
 _FIELDS = frozenset({b"id", b"data", b"event", b"retry"})
 # Longer numbers are no positions.
 _MAX_DIGITS = 18
-# A whole event of the usual fields, matched at once to save time.
+# A whole event of the usual fields, and blocks of comments and empty lines.
+# Both are matched at once to save time.
 _USUAL = re.compile(
-    rb"id: ?(\d{1,%d})\r?\n(?:data:[^\r\n]*\r?\n)+\r?\n" % _MAX_DIGITS
+    rb"id: ?(\d{1,%d})\r?\n(?:data:[^\r\n]*+\r?\n)++\r?\n" % _MAX_DIGITS
 )
+_COMMENTS = re.compile(rb"(?:(?::[^\r\n]*+\r?\n)*+\r?\n)++")
 
 
 class Breach(enum.Enum):
@@ -64,10 +66,8 @@
         self.breach: Breach | None = None
         self._fields = _FIELDS | further_fields
         self._buffer = bytearray()
-        # Offsets in the buffer: of the current line, and of what hasn't been
-        # searched for its end.
+        # The offset of the current line in the buffer.
         self._line_at = 0
-        self._searched = 0
         self._has_fields = False
         self._position: int | None = None
 
@@ -81,44 +81,36 @@
 
         After a breach there are none; those before it are returned.
         """
-        if self.breach is not None:
-            return []
         blocks: list[Block] = []
-        if not self._buffer:
-            at = 0
-            while found := _USUAL.match(data, at):
-                blocks.append(Block(found.group(), int(found.group(1))))
+        at = 0
+        while at < len(data) and self.breach is None:
+            found = None
+            if not self._buffer:
+                found = _USUAL.match(data, at)
+                position = int(found.group(1)) if found else None
+                found = found or _COMMENTS.match(data, at)
+            if found:
+                blocks.append(Block(found.group(), position))
                 at = found.end()
-            data = data[at:]
-        if data:
-            self._buffer += data
-            self._read_lines(blocks)
+            else:
+                at = self._take_line(data, at, blocks)
         return blocks
 
-    def _read_lines(self, blocks: list[Block]) -> None:
-        """Adds the blocks in the buffer, line by line."""
-        start = 0
-        while self.breach is None:
-            end = self._buffer.find(b"\n", self._searched)
-            if end < 0:
-                self._searched = len(self._buffer)
-                break
-            line = bytes(self._buffer[self._line_at : end])
-            self._line_at = self._searched = end + 1
+    def _take_line(self, data: bytes, at: int, blocks: list[Block]) -> int:
+        """Buffers a line, or a part of one; returns the offset behind it."""
+        end = data.find(b"\n", at) + 1
+        self._buffer += data[at : end or len(data)]
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            self.breach = Breach.TOO_LARGE
+        elif end:
+            line = bytes(self._buffer[self._line_at : -1])
+            self._line_at = len(self._buffer)
             if self._read_line(line.removesuffix(b"\r")):
-                block = bytes(self._buffer[start : self._line_at])
-                blocks.append(Block(block, self._position))
+                blocks.append(Block(bytes(self._buffer), self._position))
+                self._buffer.clear()
+                self._line_at = 0
                 self._position, self._has_fields = None, False
-                start = self._line_at
-        self._drop(start)
-
-    def _drop(self, size: int) -> None:
-        """Drops the blocks at the beginning of the buffer."""
-        del self._buffer[:size]
-        self._line_at -= size
-        self._searched -= size
-        if self.breach is None and len(self._buffer) > MAX_EVENT_BYTES:
-            self.breach = Breach.TOO_LARGE
+        return end or len(data)
 
     def _read_line(self, line: bytes) -> bool:
         """Reads a line without its end; returns whether it ends a block."""
