--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -41,7 +41,6 @@
 from pollenfork.gateway import reach_monitor
 from pollenfork.gateway import readiness
 from pollenfork.gateway import request_handler
-from pollenfork.gateway import runner_continuity
 from pollenfork.gateway import runner_notices
 from pollenfork.gateway import scaler
 from pollenfork.gateway import scrape
@@ -50,6 +49,7 @@
 from pollenfork.gateway import tables
 from pollenfork.gateway.shedding import shedder
 from pollenfork.gateway.streams import origin_directory
+from pollenfork.gateway.streams import runner_continuity
 from pollenfork.loads import messages as loads
 from pollenfork.loads import reach_messages
 from pollenfork.poison import quarantine
--- a/pollenfork/gateway/streams/version_pin.py
+++ b/pollenfork/gateway/streams/version_pin.py
@@ -9,8 +9,8 @@
 from pollenfork.fleet import signs
 from pollenfork.gateway import connection
 from pollenfork.gateway import messages
-from pollenfork.gateway import runner_continuity
 from pollenfork.gateway.streams import origin_directory
+from pollenfork.gateway.streams import runner_continuity
 from pollenfork.routes import model as routes
 
 _LOG = logging.getLogger(__name__)
--- a/pollenfork/gateway/tests/support.py
+++ b/pollenfork/gateway/tests/support.py
@@ -26,10 +26,10 @@
 from pollenfork.gateway import pool
 from pollenfork.gateway import probing
 from pollenfork.gateway import reach_monitor
-from pollenfork.gateway import runner_continuity
 from pollenfork.gateway import runner_notices
 from pollenfork.gateway.shedding import shedder
 from pollenfork.gateway.streams import origin_directory
+from pollenfork.gateway.streams import runner_continuity
 from pollenfork.gateway.streams import version_pin
 from pollenfork.pace import estimator
 from pollenfork.poison import digests
