Wait longer for the version of a stream that broke here

The caller of a begun stream can wait longer than one that takes a stream up, so 1.5 s are waited while the version may still become known.

--- a/pollenfork/gateway/streams/origin_directory.py
+++ b/pollenfork/gateway/streams/origin_directory.py
@@ -26,6 +26,9 @@
 _ROUND_S = 0.06
 # How long a caller that takes up a stream waits for the version, in seconds.
 _MAX_WAIT_S = 0.3
+# The same for a stream that broke here while its runner is in doubt, which ends
+# 0.3 s after the last sign, or as an entry is written.
+_MAX_OWN_WAIT_S = 1.5
 # A caller may return this long after its time limit, in seconds: it measures
 # from when it sent its request.
 _KEEP_MARGIN_S = 5.0
@@ -279,8 +282,14 @@
             service: The service that it goes on at.
             limit_s: The time limit of its route, in seconds.
         """
-        found = await self._find(stream, service, limit_s)
-        return found.version or origins.UNKNOWN
+        until = self._loop.time() + _MAX_OWN_WAIT_S
+        while True:
+            found = await self._find(stream, service, limit_s)
+            is_pending = self._peers is not None and self._origins.is_pending(
+                stream.hash, origins.hash_service(service)
+            )
+            if found.version or not is_pending or self._loop.time() >= until:
+                return found.version or origins.UNKNOWN
 
     async def find(
         self, stream: StreamKey, service: ids.ServiceName, limit_s: float
