Forward nothing of a successor that ends as it takes over

Callers could get a stream whose last events came from a process of another version. As a successor to a silent runner's attempt claims the stream with its first event, it is attached to the version pin, which ends it at once if its connection was made while its runner is in doubt. The claim was granted all the same, and the event that made it, with all others of that read, was forwarded from the attempt that had just ended.

--- a/pollenfork/gateway/attempt.py
+++ b/pollenfork/gateway/attempt.py
@@ -284,7 +284,9 @@
         return False
 
     def _may_answer(self) -> bool:
-        return self.claim is None or self.claim()
+        """Returns whether its answer is the caller's; a claim may end it."""
+        claimed = self.claim is None or self.claim()
+        return claimed and not self.done.done()
 
     def _forward(self, complete: bytes) -> None:
         assert self._relay is not None and self._head is not None
--- a/pollenfork/gateway/tests/support.py
+++ b/pollenfork/gateway/tests/support.py
@@ -224,7 +224,7 @@
         brittle = brittle_runners.BrittleRunners(
             loop, self.runners, "127.0.0.1", ids.DataCentre("a")
         )
-        judged = continuity.Continuity(self.runners, 5.0)
+        self.judged = judged = continuity.Continuity(self.runners, 5.0)
         chooser = choice.Chooser(
             self.runners,
             rng,
