Send nothing to a runner that comes into doubt while connected to

A stream that went on at another runner could spend its last attempt there for nothing, and was cut. A runner is chosen while it is certain to run the stream's version; a sign that it may have ended can come while the connection is made, and its answer was then ended at the first event, when the silent attempt had already been given up.

Once the connection stands, the pin now says whether it surely leads to the stream's version. If not, the connection goes back to the pool and nothing counts as sent. A runner that was sent nothing for such a reason may be chosen again, since the doubt ends soon.

After: nothing is sent while the doubt lasts, and the stream is whole.

--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -125,6 +125,7 @@
                 self._count_request,
                 self._on_first_output,
                 caller.buffers.record_answer,
+                self._pin.accepts,
             ),
         )
         self._recorder = recording.AttemptRecorder(
--- a/pollenfork/gateway/failover/recording.py
+++ b/pollenfork/gateway/failover/recording.py
@@ -175,7 +175,8 @@
         ended: attempt.AttemptResult,
         sent: sending.SentAttempt | None,
     ) -> None:
-        self._selection.tried.add(grant.runner.id)
+        if ended.end is not _End.WITHHELD:
+            self._selection.tried.add(grant.runner.id)
         self._history.record(ended)
         state = grant.state
         failures = state.failures
--- a/pollenfork/gateway/failover/sending.py
+++ b/pollenfork/gateway/failover/sending.py
@@ -112,11 +112,14 @@
             answer, and the monotonic seconds at which the request was sent.
         on_buffered: Called with the size of a piece of an answer that is kept
             until the answer is whole; returns whether there is room for it.
+        accepts_peer: Returns whether the process at a new connection to a
+            runner may go on with the request.
     """
 
     count_request: Callable[[], None]
     on_first_output: Callable[[outcomes.Grant, float], None]
     on_buffered: Callable[[int], bool]
+    accepts_peer: Callable[[fleet.Runner, connection.Connection], bool]
 
 
 class Sender:
@@ -168,6 +171,9 @@
             found.ok_value.abort()
             self._deps.chooser.settle(grant)
             return result.Err(attempt.AttemptResult(_End.WITHHELD))
+        if not self._callbacks.accepts_peer(grant.runner, found.ok_value):
+            self.release(grant, found.ok_value)
+            return result.Err(attempt.AttemptResult(_End.WITHHELD))
         return result.Ok(found.ok_value)
 
     def release(
--- a/pollenfork/gateway/failover/tests/test_doubted_runners.py
+++ b/pollenfork/gateway/failover/tests/test_doubted_runners.py
@@ -4,7 +4,6 @@
 import time
 
 from pollenfork import ids
-from pollenfork.fleet import signs
 from pollenfork.gateway.failover.tests import pausing
 from pollenfork.gateway.tests import support
 
@@ -44,3 +43,38 @@
     answer = asyncio.run(run())
     assert b"of another version" not in answer
     assert pausing.is_whole(answer)
+
+
+# Guards against spending an attempt, and giving up a silent one for it, at a
+# runner that comes into doubt while it is connected to.
+def test_nothing_is_sent_to_a_runner_that_comes_into_doubt() -> None:
+    async def run():
+        silent = pausing.PausingRunner("r0", pausing.write_first(2), b"")
+        other = support.Runner("r1", REST)
+        async with support.run_gateway(STREAM, silent) as gateway:
+            connect = gateway.deps.pool.open
+            sent_in_doubt = []
+
+            async def open_in_doubt(runner, limit_s):
+                if runner.id == R1 and not gateway.judged.counts:
+                    doubt(gateway)
+                    gateway.deps.loop.call_later(0.15, confirm)
+                return await connect(runner, limit_s)
+
+            def confirm() -> None:
+                sent_in_doubt.extend(other.got)
+                later = gateway.deps.loop.time() + 10.0
+                gateway.judged.sweep(later, is_current=True)
+
+            gateway.deps.pool.open = open_in_doubt
+            asking = asyncio.create_task(support.ask(gateway))
+            await pausing.wait_until(lambda: silent.got)
+            gateway.runners.put(await other.start())
+            answer = await asking
+            other.stop()
+            return answer, sent_in_doubt, gateway.judged.counts
+
+    answer, sent_in_doubt, counts = asyncio.run(run())
+    assert counts
+    assert not sent_in_doubt
+    assert pausing.is_whole(answer)
--- a/pollenfork/gateway/streams/origin_directory.py
+++ b/pollenfork/gateway/streams/origin_directory.py
@@ -272,6 +272,21 @@
         self._followed.append(followed)
         self._end_if_doubted(followed)
 
+    def is_at_version(
+        self,
+        runner: fleet.Runner,
+        made: signs.ConnectionTimes,
+        version: ids.SoftwareVersion,
+    ) -> bool:
+        """Returns whether a connection surely leads to a software version.
+
+        Args:
+            runner: The runner as it was known when it was chosen.
+            made: When the connection was made.
+            version: The version.
+        """
+        return self._judge(runner, made)[0] == version
+
     async def find_own(
         self, stream: StreamKey, service: ids.ServiceName, limit_s: float
     ) -> ids.SoftwareVersion:
@@ -480,8 +495,9 @@
     def _end_if_doubted(self, followed: _Followed) -> None:
         if followed.is_over():
             return
-        version, _ = self._judge(followed.runner, followed.made)
-        if version != followed.version:
+        if not self.is_at_version(
+            followed.runner, followed.made, followed.version
+        ):
             self._followed.remove(followed)
             _LOG.info(
                 "event=stream_version_doubted runner=%s version=%s",
--- a/pollenfork/gateway/streams/version_pin.py
+++ b/pollenfork/gateway/streams/version_pin.py
@@ -88,6 +88,20 @@
         self.version = found.version
         return found.is_known
 
+    def accepts(
+        self, runner: fleet.Runner, opened: connection.Connection
+    ) -> bool:
+        """Returns whether a connection surely leads to the stream's version.
+
+        Args:
+            runner: The runner as it was known when it was chosen.
+            opened: A connection to it.
+        """
+        if not self.version:
+            return True
+        made = runner_continuity.get_times(opened)
+        return self._directory.is_at_version(runner, made, self.version)
+
     def attach(
         self,
         runner: fleet.Runner,
