Wait for a stream's runner to be certain instead of cutting the stream

A stream whose runner broke was cut, and one that its caller took up was refused as version_unknown, if all other runners of its version were in doubt at that moment, although the doubt of a runner that lives on ends within 0.1 s by a new connection or 0.3 s by data.

The choice is now repeated for up to 0.5 s, or a quarter of the time left.

Before: the new test's stream ended behind its third event, 13 ms after its start. After: it waits 0.2 s and is whole.

--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -204,6 +204,7 @@
             None if is_clear else finding.subject.digest,
             bool(self._history.runners_tried),
             self._history.may_have_run,
+            awaits_certainty=True,
         )
         if not isinstance(grant, outcomes.Grant):
             if not await self._find_elsewhere(grant):
--- a/pollenfork/gateway/failover/tests/test_doubted_runners.py
+++ b/pollenfork/gateway/failover/tests/test_doubted_runners.py
@@ -78,3 +78,29 @@
     assert counts
     assert not sent_in_doubt
     assert pausing.is_whole(answer)
+
+
+# Guards against cutting a stream whose runner broke while the only other one
+# of its version is in doubt for a moment, as runners that live on are.
+def test_a_broken_stream_waits_for_a_runner_to_be_certain() -> None:
+    async def run():
+        broken = support.write_stream(support.write_events(0, 2), whole=False)
+        breaking = pausing.PausingRunner("r0", broken, b"")
+        other = support.Runner("r1", REST)
+        async with support.run_gateway(STREAM, breaking) as gateway:
+            asking = asyncio.create_task(support.ask(gateway))
+            await pausing.wait_until(lambda: breaking.got)
+            gateway.runners.put(await other.start())
+            doubt(gateway)
+            breaking.goes_on.set()
+            await asyncio.sleep(0.2)
+            sent_in_doubt = list(other.got)
+            later = gateway.deps.loop.time() + 10.0
+            gateway.judged.sweep(later, is_current=True)
+            answer = await asking
+            other.stop()
+            return answer, sent_in_doubt
+
+    answer, sent_in_doubt = asyncio.run(run())
+    assert not sent_in_doubt
+    assert pausing.is_whole(answer)
--- a/pollenfork/gateway/selection.py
+++ b/pollenfork/gateway/selection.py
@@ -17,6 +17,11 @@
 _MAX_PERMIT_REQUESTS = 16
 # How long a request waits for a place at a brittle runner, in seconds.
 _MAX_PLACE_WAIT_S = 0.25
+# How long a stream waits for a runner of its version to be certain, in seconds,
+# and how often that is looked up. The doubt of a runner that has lived on ends
+# within 0.3 s.
+_MAX_DOUBT_WAIT_S = 0.5
+_DOUBT_POLL_S = 0.05
 
 
 class RunnerSelector:
@@ -51,6 +56,8 @@
         suspect: ids.RequestDigest | None,
         is_retry: bool,
         has_begun: bool = True,
+        *,
+        awaits_certainty: bool = False,
     ) -> outcomes.Outcome:
         """Returns a grant for a runner, or the reason why there is none.
 
@@ -59,6 +66,8 @@
                 part of its prompt; None: nothing.
             is_retry: Whether the request has been sent to a runner before.
             has_begun: Whether it may have run there.
+            awaits_certainty: Whether to wait if the only runners of its
+                stream's version are in doubt.
         """
         self._is_new = not (is_retry and has_begun)
         limited = outcomes.Limited(0.0, 0.0)
@@ -68,6 +77,8 @@
             found = self._choose(suspect, is_retry)
             if isinstance(found, outcomes.Full):
                 found = await self._wait_for_place(suspect, is_retry)
+            elif awaits_certainty and _is_uncertain(found):
+                found = await self._wait_for_certainty(suspect, is_retry)
             if await self._is_final(found):
                 return found
         return limited
@@ -91,6 +102,19 @@
                     found = self._choose(suspect, is_retry)
         return found
 
+    async def _wait_for_certainty(
+        self, suspect: ids.RequestDigest | None, is_retry: bool
+    ) -> outcomes.Outcome:
+        """Returns what is found once a runner of the version is certain."""
+        loop = self._deps.loop
+        left_s = self._admitted.deadline - loop.time()
+        until = loop.time() + min(_MAX_DOUBT_WAIT_S, left_s / 4)
+        found: outcomes.Outcome = outcomes.OtherVersions(uncertain=True)
+        while loop.time() < until and _is_uncertain(found):
+            await asyncio.sleep(_DOUBT_POLL_S)
+            found = self._choose(suspect, is_retry)
+        return found
+
     def record_refusal(self) -> None:
         """Records that the request is refused for want of runners.
 
@@ -195,6 +219,11 @@
         )
 
 
+def _is_uncertain(found: outcomes.Outcome) -> bool:
+    """Returns whether the only runners of the version are in doubt."""
+    return isinstance(found, outcomes.OtherVersions) and found.uncertain
+
+
 def _make_demand(admitted: context.AdmittedRequest) -> shedder.Demand:
     return shedder.Demand(
         profile=admitted.demand,
