Spoil streams until enough are, however slowly gateways serve

Runners now go on to spoil streams behind the last fault until 30 runs are spoiled, for 20 s at most. The test's bound stays.

--- a/pollenfork/platform/tests/soak/streams.py
+++ b/pollenfork/platform/tests/soak/streams.py
@@ -32,6 +32,8 @@
 _LEAVING = 0.3
 _KINDS = (*("stream", "resume") * 3, "safe", "unsafe")
 _RECOVERY_S = 3.0
+# How long runners go on to spoil streams until enough are, in seconds.
+_LONGEST_SPOILING_S = 20.0
 _LEAST_SERVED = 0.9
 _FEWEST_RUNNERS = 4
 _VERSIONS = ("v1.1", "v1.2")
@@ -51,6 +53,8 @@
         spoiled: The share of streams that runners spoil.
         unframed: The share that they leave unframed.
         spoils: How they spoil them.
+        least_spoiled: Runs that they spoil at least, however slowly gateways
+            serve while faults are played.
     """
 
     instances: int = 3
@@ -59,6 +63,7 @@
     spoiled: float = 0.1
     unframed: float = 0.2
     spoils: tuple[stream_forms.Spoil, ...] = tuple(stream_forms.Spoil)[1:]
+    least_spoiled: int = 0
 
 
 class Played(msgspec.Struct):
@@ -176,6 +181,7 @@
         ]
         tasks.append(asyncio.create_task(site.supervise()))
         played = await faults.play(site, seconds, FAULTS)
+        await _wait_until_spoiled(site, scale.least_spoiled)
         site.stop_spoiling()
         await site.wait_until_ready()
         await asyncio.sleep(_RECOVERY_S)
@@ -194,6 +200,17 @@
     return _sum_up(site, streams, late, played)
 
 
+async def _wait_until_spoiled(site: sites.Site, least: int) -> None:
+    until = time.monotonic() + _LONGEST_SPOILING_S
+    while _count_spoiled(site) < least and time.monotonic() < until:
+        await asyncio.sleep(0.1)
+
+
+def _count_spoiled(site: sites.Site) -> int:
+    none = stream_forms.Spoil.NONE
+    return sum(run.form.spoil is not none for run in site.record.runs)
+
+
 async def _load(
     site: sites.Site, seed: int, streams: list[list[caller.Asked]]
 ) -> None:
@@ -271,13 +288,12 @@
     served = sum(each.status == 200 and each.whole for each in late)
     if not late or served < _LEAST_SERVED * len(late):
         broken.append(f"after the faults {served} of {len(late)} were served")
-    spoil = stream_forms.Spoil
     return Played(
         broken=broken,
         streams=len(streams),
         complete=sum(_is_complete(each) for each in streams),
         resumed=sum(any(e.after >= 0 for e in each) for each in streams),
-        spoiled=sum(e.form.spoil is not spoil.NONE for e in site.record.runs),
+        spoiled=_count_spoiled(site),
         asked=len(site.asked),
         late=(len(late), served),
         faults=played,
--- a/pollenfork/platform/tests/test_streams.py
+++ b/pollenfork/platform/tests/test_streams.py
@@ -13,7 +13,8 @@
 def test_streams_hold_their_promises_under_overlapping_faults(
     seed, tmp_path
 ) -> None:
-    outcome = asyncio.run(streams.play(seed, 4.0, tmp_path, streams.Scale()))
+    scale = streams.Scale(least_spoiled=30)
+    outcome = asyncio.run(streams.play(seed, 4.0, tmp_path, scale))
     assert outcome.broken == []
     assert outcome.complete > 100, outcome
     assert outcome.resumed > 20, outcome
