Tell the connection that ends with a runner from one to its successor

A stream that had begun on a connection made shortly before its runner ended was cut (version_unknown) as soon as the successor's entry came. The clocks of a runner and of a gateway were allowed to differ by 0.25 s, more than the 0.2 s within which no successor listens, so that a connection made less than 0.05 s before the end counted as one that may lead to the successor. The allowance is now 0.1 s.

Before: the new test gets an unknown version. A successor whose clock is 0.09 s off is still told from what it follows (tested).

--- a/pollenfork/fleet/signs.py
+++ b/pollenfork/fleet/signs.py
@@ -15,7 +15,9 @@
 # A runner refuses connections for up to this long after its start, in seconds.
 _STARTUP_S = 1.0
 # The clocks of a runner and of this host may differ by this much, in seconds.
-CLOCK_SKEW_S = 0.25
+# It is less than `RESTART_S`: the connection that ends with a process is known
+# from one to its successor.
+CLOCK_SKEW_S = 0.1
 
 
 class Observation(enum.Enum):
--- a/pollenfork/fleet/tests/test_continuity.py
+++ b/pollenfork/fleet/tests/test_continuity.py
@@ -59,6 +59,26 @@
     assert judged.find_version(entry, at(1.5)) == V1
 
 
+# Guards against cutting a stream that had begun just before its runner ended:
+# its connection was made too shortly before the successor's start to tell.
+def test_a_connection_made_just_before_an_end_leads_to_what_ended() -> None:
+    runners, judged, entry = make_known()
+    judged.record_closed(RUNNER, at(1.99), 2.0)
+    judged.record_refused(RUNNER, 2.01, EPOCH_S + 2.01, reported=False)
+    runners.put(make_entry("v2", 2.0 + signs.RESTART_S))
+    assert judged.find_version(entry, at(1.99)) == V1
+
+
+# Guards against taking a successor for what it follows, as its clock is behind
+# or ahead of this host's.
+@pytest.mark.parametrize("ahead_s", [-0.09, 0.09])
+def test_a_successor_is_known_though_its_clock_differs(ahead_s) -> None:
+    runners, judged, entry = make_known()
+    started = 2.0 + signs.RESTART_S
+    runners.put(make_entry("v2", started + ahead_s))
+    assert judged.find_version(entry, at(started + 0.01)) != V1
+
+
 # Guards against an incarnation that nobody has heard of: it ended before the
 # one whose entry arrives.
 def test_what_an_unlisted_incarnation_wrote_stays_unknown() -> None:
