Apply the last of a part's changes in a cache report

Where a runner added a prompt part and evicted it within one cache report, the part counted as cached, at all instances of the cluster; where it evicted a part and added it again, the part counted as uncached. Prompts went to runners that had to process them again, or past runners that had them.

All changes of a report were compared with what was believed before the report, so that the change back to that belief was dropped as nothing new. Now only each part's last change counts, and is announced once.

test_the_last_change_of_each_part_within_a_report_holds failed before with added and evicted (counted as cached) and with two announcements of one part; it passes now, with the 192 other tests of pollenfork/fleet and of the feed.

--- a/pollenfork/fleet/prefix_index.py
+++ b/pollenfork/fleet/prefix_index.py
@@ -59,20 +59,19 @@
             The changes that differ from what was believed, so that other
             instances can be told.
         """
-        reported = [
-            loads.Placement(loads.hash_name(each.part), runner, each.kept)
-            for each in report.changes
-        ]
+        last: dict[int, loads.Placement] = {}
+        for change in report.changes:
+            part = loads.hash_name(change.part)
+            last.pop(part, None)  # The later change is the more recent use.
+            last[part] = loads.Placement(part, runner, change.kept)
         if report.complete:
-            present = {each.part for each in reported}
-            believed = self._parts.get(runner, ())
-            reported += [
-                loads.Placement(part, runner, kept=False)
-                for part in believed
-                if part not in present
-            ]
+            for part in self._parts.get(runner, ()):
+                if part not in last:
+                    last[part] = loads.Placement(part, runner, kept=False)
         changes = [
-            each for each in reported if self._is_new(each, report.complete)
+            each
+            for each in last.values()
+            if self._is_new(each, report.complete)
         ]
         self.apply(changes)
         return changes
--- a/pollenfork/fleet/tests/test_prefix_index.py
+++ b/pollenfork/fleet/tests/test_prefix_index.py
@@ -113,6 +113,41 @@
         assert uncached == (0 if last[part.name] else part.tokens)
 
 
+# Guards against comparing all changes of a report with what was believed before
+# it: a part that was added and evicted in one report counted as cached, and one
+# that was evicted and added again as uncached.
+@given(
+    cached=strategies.booleans(),
+    changes=strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(SHARED), strategies.booleans()
+        )
+    ),
+)
+def test_the_last_change_of_each_part_within_a_report_holds(
+    cached, changes
+) -> None:
+    chooser = make_chooser(*SHARED)
+    if not cached:
+        chooser.apply_cache_report(
+            RUNNER, make_report((b"a", False), (b"b", False))
+        )
+        chooser.take_placements()
+    chooser.apply_cache_report(RUNNER, make_report(*changes))
+    last = {**dict.fromkeys(SHARED, cached), **dict(changes)}
+    for part in PARTS:
+        uncached = chooser.caches.count_uncached(RUNNER_HASH, (part,))
+        assert uncached == (0 if last[part.name] else part.tokens)
+    # Other instances are told each part's last state only.
+    placed = chooser.take_placements()
+    assert {each.part: each.kept for each in placed} == {
+        loads.hash_name(part): kept
+        for part, kept in last.items()
+        if kept is not cached
+    }
+    assert len({each.part for each in placed}) == len(placed)
+
+
 def test_a_report_of_a_runner_that_is_gone_is_ignored() -> None:
     runners = registry.Registry()
     chooser = choice.Chooser(runners, random.Random(1))
