Order a runner's cache changes by their numbers

A runner's cache feed numbers its changes; the numbers weren't read, and changes were applied as they came. An answer that repeated a change, held it late or before an earlier one undid a later change: evicted parts counted as cached and cached ones as uncached until the runner changed the part again. A position (`next`) below the one asked for, in an unchanged epoch, was taken as it was, so the changes of a runner that had begun to number anew were missed and those of before it believed.

Now of each part the change with the highest number holds. What a complete list covers adds nothing to it, and a position that goes back requests everything again. Whether `next` is the number of the last change or of the next one isn't written down, so neither is assumed. Weighed: dropping all numbers up to the position, which loses changes that arrive late but are the newest of their part; and taking a hole in the numbers for a gap, which would request the list, priced and slow for the runner, whenever one of the few events that never arrive is missing. `lost` alone tells a gap.

The tests' runner numbered its answers backwards without a new epoch; it counts on now, so test_a_new_epoch_is_requested_from_its_start asks after 4, not 1.

--- a/pollenfork/fleet/messages.py
+++ b/pollenfork/fleet/messages.py
@@ -43,17 +43,20 @@
     Attributes:
         part: The name that identifies the part's text.
         kept: Whether the part is in the cache now.
+        sequence: The number of the change, which later ones exceed; 0 in the
+            list of a whole cache.
     """
 
     part: bytes
     kept: bool
+    sequence: int = 0
 
 
 class CacheReport(msgspec.Struct, frozen=True):
     """A runner's report of the prompt parts in its cache.
 
     Attributes:
-        changes: The changes, oldest first.
+        changes: The changes, as they arrived.
         last_sequence: The sequence number of the last change, from which the
             next report continues.
         complete: Whether `changes` lists the whole cache rather than changes
--- a/pollenfork/gateway/cache_feed.py
+++ b/pollenfork/gateway/cache_feed.py
@@ -12,11 +12,11 @@
 import logging
 import random
 
-import msgspec
 import result
 
 from pollenfork import failures
 from pollenfork import ids
+from pollenfork.fleet import cache_order
 from pollenfork.fleet import choice
 from pollenfork.fleet import messages as fleet_messages
 from pollenfork.fleet import model as fleet
@@ -136,34 +136,29 @@
         calls = client.Client(
             loads.Address(runner.host, runner.port), on_head, _MAX_REPORT_BYTES
         )
-        after: int | None = None
-        epoch = ""
+        order = cache_order.CacheOrder()
         pause_s = _FIRST_PAUSE_S
         try:
             while True:
                 await self._wait_for_pause(runner)
-                reply = await self._ask(calls, runner, after)
+                reply = await self._ask(calls, runner, order.after)
                 if isinstance(reply, result.Err):
                     _LOG.info(
                         "event=cache_news_missing runner=%s detail=%r",
                         runner.id,
                         reply.err_value.detail,
                     )
-                    after = None
+                    order.start_over()
                     await asyncio.sleep(pause_s * self._rng.uniform(0.8, 1.2))
                     pause_s = min(pause_s * 2, _LONGEST_PAUSE_S)
                     continue
-                report = reply.ok_value
-                if not self._is_current_start(runner, report):
-                    after = None
+                if not self._is_current_start(runner, reply.ok_value):
+                    order.start_over()
                     await asyncio.sleep(_FIRST_PAUSE_S)
                     continue
-                if after is not None and report.epoch != epoch:
-                    # Its sequence numbers have restarted, so all its changes
-                    # are requested again.
-                    after = None
+                report = order.take(reply.ok_value)
+                if report is None:
                     continue
-                epoch = report.epoch
                 changed = self._chooser.apply_cache_report(runner.id, report)
                 if report.complete:
                     _LOG.info(
@@ -172,7 +167,6 @@
                         len(report.changes),
                         changed,
                     )
-                after = report.last_sequence
                 pause_s = _FIRST_PAUSE_S
                 await asyncio.sleep(self._rest_s * self._rng.uniform(0.8, 1.2))
         finally:
@@ -218,8 +212,6 @@
             return reply
         if reply.ok_value.gap:
             return await self._ask_all(calls, runner)
-        if after is None:
-            return result.Ok(_collapse_changes(reply.ok_value))
         return reply
 
     async def _ask_all(
@@ -235,17 +227,3 @@
 
 class NoAnswer(failures.Failure, frozen=True, kw_only=True):
     """A runner didn't answer a call."""
-
-
-def _collapse_changes(
-    report: fleet_messages.CacheReport,
-) -> fleet_messages.CacheReport:
-    """Returns the parts cached after all changes since the runner's start."""
-    kept: dict[bytes, None] = {}
-    for change in report.changes:
-        if change.kept:
-            kept[change.part] = None
-        else:
-            kept.pop(change.part, None)
-    changes = tuple(fleet_messages.CacheChange(part, True) for part in kept)
-    return msgspec.structs.replace(report, changes=changes, complete=True)
--- a/pollenfork/gateway/tests/test_cache_feed.py
+++ b/pollenfork/gateway/tests/test_cache_feed.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+import re
 
 import msgspec
 import pytest
@@ -20,10 +21,21 @@
 MARK = loads.hash_name(b"r0")
 
 
+_CHANGE = re.compile(rb"(\d*)([+-])(.+)")
+
+
 class CacheCodec:
-    """Reads answers of the words `+part`, `-part`, `gap`, `epoch=`, `born=`."""
+    """Reads answers of the words `+part`, `-part`, `gap` and of fields.
+
+    A change may begin with its number, as in `7+part`; otherwise it has the one
+    after the change before it. The fields are `next=`, `epoch=` and `born=`.
+    """
+
+    def __init__(self) -> None:
+        self._after = 0
 
     def encode_feed_request(self, runner, after, wait_s):
+        self._after = after
         return b"GET /feed/%d HTTP/1.1\r\nx-id: q\r\n\r\n" % after
 
     def encode_list_request(self, runner):
@@ -33,15 +45,17 @@
         if status != 200:
             return result.Err(cache_feed.NoAnswer(detail="status"))
         words = body.split()
-        changes = tuple(
-            fleet_messages.CacheChange(word[1:], word[:1] == b"+")
-            for word in words
-            if word[:1] in b"+-"
-        )
         fields = dict(word.split(b"=") for word in words if b"=" in word)
+        changes, number = [], self._after
+        for word in filter(_CHANGE.fullmatch, words):
+            given, sign, part = _CHANGE.fullmatch(word).groups()
+            number = int(given or number + 1)
+            changes.append(
+                fleet_messages.CacheChange(part, sign == b"+", number)
+            )
         report = fleet_messages.CacheReport(
-            changes,
-            len(changes),
+            tuple(changes),
+            int(fields.get(b"next", number)),
             gap=b"gap" in words,
             epoch=fields.get(b"epoch", b"").decode(),
             start=int(fields[b"born"]) if b"born" in fields else None,
@@ -153,6 +167,37 @@
     assert asyncio.run(run()) == hash_parts(*kept)
 
 
+# Guards against applying changes in the order in which they arrive: one that
+# came again, late or before an earlier one undid a later change.
+@pytest.mark.parametrize(
+    ("script", "kept"),
+    [
+        # Within an answer.
+        ([b"2-a 1+a 3+b"], [b"b"]),
+        ([b"+a", b"4+a 2-a 3-a"], [b"a"]),
+        # An answer that repeats changes of earlier ones.
+        ([b"+a +b", b"-a", b"1+a 2+b 3-a", b"1+a next=3"], [b"b"]),
+        ([b"+a -a +a", b"2-a next=3"], [b"a"]),
+        # A change that arrives after later ones: it holds for its part only.
+        ([b"1+a 2+b", b"4+a", b"3-a next=4"], [b"a", b"b"]),
+        ([b"1+a 2+b", b"4+a", b"3-b next=4"], [b"a"]),
+        # One that the complete list covers.
+        ([b"gap 9+c", b"+a +b next=9", b"7-a next=9"], [b"a", b"b"]),
+    ],
+)
+def test_changes_hold_in_the_order_of_their_numbers(
+    monkeypatch, script, kept
+) -> None:
+    async def run() -> set[int]:
+        answers = [answer(text) for text in script]
+        async with follow(monkeypatch, *answers) as (feed, runner, chooser):
+            feed.check(Peers())
+            await wait_until(lambda: len(runner.got) > len(script))
+            return list_kept(chooser)
+
+    assert asyncio.run(run()) == hash_parts(*kept)
+
+
 def test_after_a_failed_call_all_changes_are_requested_again(
     monkeypatch,
 ) -> None:
@@ -192,13 +237,32 @@
     assert paths == [
         b"/feed/0",
         b"/feed/3",
-        b"/feed/1",
+        b"/feed/4",
         b"/feed/0",
         b"/feed/1",
     ]
     assert kept == hash_parts(b"e")
 
 
+# Guards against believing what a runner cached before a restart that only its
+# numbers tell, and against missing what it has cached since.
+def test_a_position_that_goes_back_is_requested_from_its_start(
+    monkeypatch,
+) -> None:
+    async def run() -> tuple[list[bytes], set[int]]:
+        answers = [b"+a +b +c", b"1+d next=1", b"1+d 2+e"]
+        script = [answer(text) for text in answers]
+        async with follow(monkeypatch, *script) as (feed, runner, chooser):
+            feed.check(Peers())
+            await wait_until(lambda: len(runner.got) > 3)
+            paths = [head.split()[1] for head in runner.got[:4]]
+            return paths, list_kept(chooser)
+
+    paths, kept = asyncio.run(run())
+    assert paths == [b"/feed/0", b"/feed/3", b"/feed/0", b"/feed/2"]
+    assert kept == hash_parts(b"d", b"e")
+
+
 def test_a_later_start_in_an_answer_discards_the_cached_parts(
     monkeypatch,
 ) -> None:
--- a/pollenfork/platform/caches.py
+++ b/pollenfork/platform/caches.py
@@ -70,12 +70,12 @@
 
 
 def _convert(raw: _Reply, complete: bool) -> messages.CacheReport:
-    changes = [(each.part, each.operation == _ADDED) for each in raw.events]
-    held = [(each.part, True) for each in raw.held]
+    changes = [(e.part, e.operation == _ADDED, e.sequence) for e in raw.events]
+    held = [(each.part, True, 0) for each in raw.held]
     return messages.CacheReport(
         tuple(
-            messages.CacheChange(part.encode(), cached)
-            for part, cached in (held if complete else changes)
+            messages.CacheChange(part.encode(), cached, number)
+            for part, cached, number in (held if complete else changes)
         ),
         raw.next,
         complete=complete,
--- a/pollenfork/platform/tests/test_caches.py
+++ b/pollenfork/platform/tests/test_caches.py
@@ -29,14 +29,16 @@
     )
 
 
-def test_changes_are_decoded_in_order() -> None:
+# Guards against losing the numbers by which changes are ordered.
+def test_changes_are_decoded_with_their_numbers() -> None:
     body = (
         b'{"epoch":7,"next":12,"lost":true,"events":'
         b'[[11,"+","","e129f473a0f0",242,"m"],[12,"-","","e129f473a0f0",0,"m"]]}'
     )
-    removed = messages.CacheChange(b"e129f473a0f0", False)
+    added = messages.CacheChange(b"e129f473a0f0", True, 11)
+    removed = messages.CacheChange(b"e129f473a0f0", False, 12)
     assert caches.decode_feed(200, body).ok_value == messages.CacheReport(
-        (CACHED, removed), 12, gap=True, epoch="7"
+        (added, removed), 12, gap=True, epoch="7"
     )
 
 
