Ignore the cache report of a runner that has restarted meanwhile

When a runner's entry told of a restart while a call to its feed was under way, the answer of the earlier incarnation was applied to the later one. Parts that it had lost counted as cached at all instances, until the feed of the later incarnation was read in full.

The answer was compared with the start that was followed, and its changes then recorded for whatever incarnation the registry had by then; the follower ends at the next tick only. Now a report is applied to the incarnation that was asked, or not at all.

Both cases of test_an_answer_that_a_restart_overtakes_is_ignored failed before, with and without a start in the answer, three times each; they pass now, with the 196 other tests of pollenfork/fleet and of the feed.

--- a/benchmarks/cache_feed_cost.py
+++ b/benchmarks/cache_feed_cost.py
@@ -47,7 +47,7 @@
         answer = await calls.call(ask, 1.7)
         assert answer is not None
         chooser.apply_cache_report(
-            runner.id, caches.decode_feed(*answer).unwrap()
+            runner.incarnation, caches.decode_feed(*answer).unwrap()
         )
     return time.thread_time() - begun
 
--- a/pollenfork/fleet/choice.py
+++ b/pollenfork/fleet/choice.py
@@ -243,16 +243,22 @@
         self._on_long.append(call)
 
     def apply_cache_report(
-        self, runner: ids.EndpointId, report: messages.CacheReport
+        self, reporter: model.Incarnation, report: messages.CacheReport
     ) -> int:
         """Applies a runner's report of its own cache.
 
+        Args:
+            reporter: The incarnation that was asked.
+            report: Its answer.
+
         Returns:
             The number of corrections to what was believed cached.
         """
-        if self._registry.find(runner) is None:
-            return 0  # The runner was removed while the report was fetched.
-        incarnation = self.get_state(runner).incarnation_hash
+        known = self._registry.find(reporter.id)
+        if known is None or known.incarnation != reporter:
+            # The runner was removed or restarted while the report was fetched.
+            return 0
+        incarnation = self._get_hash(known)
         changes = self.caches.apply_report(incarnation, report)
         self._placed.extend(changes)
         return len(changes)
--- a/pollenfork/fleet/tests/test_prefix_index.py
+++ b/pollenfork/fleet/tests/test_prefix_index.py
@@ -18,7 +18,7 @@
 from pollenfork.fleet.tests import test_choice
 from pollenfork.loads import messages as loads
 
-RUNNER = ids.EndpointId("r0")
+RUNNER = model.Incarnation(ids.EndpointId("r0"))
 RUNNER_HASH = loads.hash_name(b"r0")
 PARTS = (model.Part(b"a", 2500), model.Part(b"b", 3800))
 SHARED = (b"a", b"b")
--- a/pollenfork/gateway/cache_feed.py
+++ b/pollenfork/gateway/cache_feed.py
@@ -159,7 +159,9 @@
                 report = order.take(reply.ok_value)
                 if report is None:
                     continue
-                changed = self._chooser.apply_cache_report(runner.id, report)
+                changed = self._chooser.apply_cache_report(
+                    runner.incarnation, report
+                )
                 if report.complete:
                     _LOG.info(
                         "event=cache_known runner=%s parts=%d changed=%d",
--- a/pollenfork/gateway/tests/test_cache_feed.py
+++ b/pollenfork/gateway/tests/test_cache_feed.py
@@ -297,6 +297,28 @@
     assert asyncio.run(run()) == hash_parts(b"b")
 
 
+# Guards against believing what an earlier incarnation cached: its answer was
+# under way when the entry told of the later one.
+@pytest.mark.parametrize("stated", [b"born=100 ", b""])
+def test_an_answer_that_a_restart_overtakes_is_ignored(
+    monkeypatch, stated
+) -> None:
+    async def run() -> set[int]:
+        script = [answer(stated + b"+a"), support.HANG]
+        follows = follow(monkeypatch, *script, start=100)
+        async with follows as (feed, runner, chooser):
+            feed.check(Peers())
+            await wait_until(lambda: runner.got)
+            known = feed._state.runners
+            entry = known.find(ids.EndpointId("r0"))
+            known.put(msgspec.structs.replace(entry, start=200))
+            # The next check ends the calls of the earlier incarnation.
+            await wait_until(lambda: len(runner.got) > 1)
+            return list_kept(chooser)
+
+    assert asyncio.run(run()) == set()
+
+
 def test_a_connection_that_stops_answering_is_replaced(monkeypatch) -> None:
     monkeypatch.setattr(cache_feed, "_WAIT_S", 0.01)
     monkeypatch.setattr(cache_feed, "_SLACK_S", 0.02)
