Refuse starts in the future that runners name themselves

A runner whose answer named a start in the future, by a wrong clock or a spoiled number, was taken for restarted then: its requests were broken off and its true later starts, of its entry too, counted as outdated. It got no work as what it was until this instance was started again, and its feed was ignored.

Registry.record_start believed any start. It now refuses one that lies more than CLOCK_SKEW_S (0.25 s) after this host's clock. The same start may be named again once the clock has come to it, so a restart of a runner whose clock is ahead by some seconds is known that much later, and by its entry at once; entries are taken with any start, as the store orders them. Where this host's clock is behind, restarts are known here by entries only. Weighed: to learn each runner's offset from its entry, which no entry states the moment for.

The refusal is logged as runner_start_refused.

--- a/pollenfork/fleet/registry.py
+++ b/pollenfork/fleet/registry.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Callable
 import enum
+import time
 
 import msgspec
 
@@ -10,6 +11,7 @@
 from pollenfork.fleet import departures
 from pollenfork.fleet import model
 from pollenfork.fleet import restoration
+from pollenfork.fleet import signs
 
 # The number of runners, departed ones included, whose latest start is kept, so
 # that delayed updates about an earlier incarnation are recognised. About 200
@@ -34,6 +36,7 @@
     OUTDATED = "outdated"  # It belongs to an earlier incarnation.
     # It was removed before the store was restored; it may be used later.
     WITHHELD = "withheld"
+    IMPLAUSIBLE = "implausible"  # The start that was named is in the future.
 
     @property
     def in_use(self) -> bool:
@@ -57,7 +60,13 @@
         kept: How many removed entries were kept.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, unix_time: Callable[[], float] = time.time) -> None:
+        """Creates a registry without runners.
+
+        Args:
+            unix_time: Returns this host's Unix time, in seconds.
+        """
+        self._unix_time = unix_time
         self._runners: dict[ids.EndpointId, model.Runner] = {}
         self._services: dict[ids.ServiceName, dict[ids.EndpointId, None]] = {}
         self._expiring: dict[ids.EndpointId, float] = {}
@@ -202,13 +211,25 @@
     def record_start(
         self, runner: ids.EndpointId, start: ids.RunnerStart | None
     ) -> PutResult:
-        """Updates a runner's start from what the runner itself reported."""
+        """Updates a runner's start from what the runner itself reported.
+
+        A start in the future is that of a wrong clock. If it counted, the
+        runner's later starts would be outdated once its clock is right. It may
+        be reported again when this host's clock has come to it, and the
+        runner's entry, which the store orders, is taken with any start.
+
+        Args:
+            runner: The runner.
+            start: Its start; None if it doesn't say.
+        """
         known = self._runners.get(runner)
         if known is None or known.start is None or start is None:
             return PutResult.TAKEN
         if start == known.start:
             _notify(self._on_start_named, known)
             return PutResult.TAKEN
+        if start / 1000.0 > self._unix_time() + signs.CLOCK_SKEW_S:
+            return PutResult.IMPLAUSIBLE
         # Only the earlier incarnation was leaving, not the new one, and the
         # entry tells the software version of the earlier one.
         updated = msgspec.structs.replace(
--- a/pollenfork/fleet/tests/test_registry.py
+++ b/pollenfork/fleet/tests/test_registry.py
@@ -142,6 +142,49 @@
     assert gone == ["r"]
 
 
+# Guards against believing a start in the future: all later true starts, of
+# entries too, counted as earlier then, and the runner was never used again.
+def test_a_start_in_the_future_does_not_outdate_the_true_ones() -> None:
+    now_s = 1_000.0
+    runners, gone, restarted = registry.Registry(lambda: now_s), [], []
+    runners.when_gone(gone.append)
+    runners.when_restarted(restarted.append)
+    runner = ids.EndpointId("r")
+    runners.put(make_runner("r", start=900_000))
+    for start in (1_000_251, 2_000_000, 253_402_300_799_999):
+        named = ids.RunnerStart(start)
+        assert runners.record_start(runner, named) is PutResult.IMPLAUSIBLE
+    assert runners.find(runner).start == 900_000
+    assert runners.is_described(runner)
+    assert (gone, restarted) == ([], [])
+    # Its true start, by itself and by its entry.
+    assert runners.record_start(runner, 950_000) is PutResult.RESTARTED
+    entry = make_runner("r", start=990_000)
+    assert runners.put(entry) is PutResult.RESTARTED
+    assert list_accepting(runners) == ["r"]
+
+
+# Guards against a runner whose clock is ahead: its restart is known as soon as
+# this host's clock has come to it, or by its entry at once.
+def test_a_runner_whose_clock_is_ahead_restarts_a_little_later() -> None:
+    now_s = 1_000.0
+    runners, named = registry.Registry(lambda: now_s), []
+    runners.when_start_named(named.append)
+    runner = ids.EndpointId("r")
+    runners.put(make_runner("r", start=900_000))
+    # The clocks may differ by 0.25 s.
+    assert runners.record_start(runner, 1_000_250) is PutResult.RESTARTED
+    start = ids.RunnerStart(1_005_000)
+    assert runners.record_start(runner, start) is PutResult.IMPLAUSIBLE
+    now_s = 1_004.75
+    assert runners.record_start(runner, start) is PutResult.RESTARTED
+    entry = make_runner("r", start=1_900_000)
+    assert runners.put(entry) is PutResult.RESTARTED
+    assert runners.record_start(runner, entry.start) is PutResult.TAKEN
+    assert named == [entry]
+    assert list_accepting(runners) == ["r"]
+
+
 def test_a_sequence_that_starts_over_reveals_an_unreported_restart() -> None:
     runners = registry.Registry()
     runners.put(make_runner("r", sequence=7))
--- a/pollenfork/gateway/cache_feed.py
+++ b/pollenfork/gateway/cache_feed.py
@@ -154,7 +154,8 @@
                     continue
                 if not self._is_current_start(runner, reply.ok_value):
                     order.start_over()
-                    await asyncio.sleep(_FIRST_PAUSE_S)
+                    await asyncio.sleep(pause_s)
+                    pause_s = min(pause_s * 2, _LONGEST_PAUSE_S)
                     continue
                 report = order.take(reply.ok_value)
                 if report is None:
@@ -186,7 +187,7 @@
         """Returns whether an answer is of the start that is followed.
 
         A later start that the runner's entry doesn't show yet is recorded, and
-        spreads to all instances from here.
+        spreads to all instances from here, unless it lies in the future.
         """
         if report.start is None or report.start == runner.start:
             return True
@@ -198,6 +199,13 @@
                 report.start,
                 runner.start,
             )
+        elif arrival is registry.PutResult.IMPLAUSIBLE:
+            _LOG.warning(
+                "event=runner_start_refused runner=%s start=%d before=%s",
+                runner.id,
+                report.start,
+                runner.start,
+            )
         return runner.start is None
 
     async def _ask(
--- a/pollenfork/gateway/tests/test_cache_feed.py
+++ b/pollenfork/gateway/tests/test_cache_feed.py
@@ -284,6 +284,26 @@
     assert kept == hash_parts(b"d")
 
 
+# Guards against taking a start in the future for the latest one: answers and
+# entries of the true start were ignored then.
+def test_an_answer_of_a_start_in_the_future_is_ignored(monkeypatch) -> None:
+    async def run() -> tuple[set[int], int | None]:
+        answers = [b"born=9999999999999 +a", b"born=100 +b", b"born=200 +c"]
+        script = [answer(text) for text in answers]
+        follows = follow(monkeypatch, *script, start=100)
+        async with follows as (feed, runner, chooser):
+            seen = set()
+            async with asyncio.timeout(5):
+                while len(runner.got) < 4:
+                    seen |= list_kept(chooser)
+                    feed.check(Peers())
+                    await asyncio.sleep(0)
+            known = feed._state.runners.find(ids.EndpointId("r0"))
+            return seen, known.start
+
+    assert asyncio.run(run()) == (hash_parts(b"b"), 200)
+
+
 def test_an_answer_of_an_earlier_start_is_ignored(monkeypatch) -> None:
     async def run() -> set[int]:
         answers = [b"born=100 +a", b"born=200 +b"]
