Don't believe that windows which haven't ended were reported

One message of a peer that named a window in the future as reported, by a wrong clock or a spoiled number, was believed by every instance that received it, and passed on. All windows up to that one weren't reported then, and reports that were stored but not sent yet counted as acknowledged: their usage was lost.

DutyAgent took the number from tallies and notices as it came. A window that hasn't ended can't have been reported, so DutyLease now believes a peer only of windows that end within CLOCK_SLACK_S (1 s) from now by the cluster clock, and ignores the statement otherwise; to believe it up to the current window would skip windows too. A refusal is logged as reported_windows_refused once for each window at most. A true statement that is refused here, as this clock is behind, comes again with the peer's next message. The store's own row isn't bounded.

--- a/pollenfork/duties/continuity.py
+++ b/pollenfork/duties/continuity.py
@@ -12,8 +12,8 @@
 from pollenfork import ids
 from pollenfork.duties import rows
 
-# How far the clocks of two holders may differ, in seconds.
-_CLOCK_SLACK_S = 1.0
+# How far the clocks of two instances may differ, in seconds.
+CLOCK_SLACK_S = 1.0
 
 
 class Hold(msgspec.Struct, frozen=True):
@@ -96,4 +96,4 @@
             return self._hold.next_window
         if self._outdated_since is None:
             return 0
-        return self._find_window(self._outdated_since + _CLOCK_SLACK_S - now)
+        return self._find_window(self._outdated_since + CLOCK_SLACK_S - now)
--- a/pollenfork/duties/duty_lease.py
+++ b/pollenfork/duties/duty_lease.py
@@ -79,6 +79,7 @@
         self.claims = 0
         self._host = host
         self._times = times
+        self._find_window = find_window
         self._lease = lease.Lease(
             instance, times, new_id, lambda: _make_first(find_window(0.0))
         )
@@ -89,6 +90,8 @@
         self._epoch: int | None = None
         self._claim_not_before = float("-inf")
         self._epoch_keys: list[str] = []
+        # The window in which a peer's statement was last refused.
+        self._refused_in = work_queue.NO_WINDOW
         self._continuity = continuity.Continuity(find_window)
         self.work_queue = work_queue.WorkQueue()
 
@@ -125,6 +128,28 @@
         """Returns how many runners a service was started with, if known."""
         return self.work_queue.find_baseline(self._lease.row, service)
 
+    def record_reported_through(self, window: int) -> None:
+        """Records through which window no report is needed any more.
+
+        A window that hasn't ended can't have been reported, so a peer that says
+        so of one isn't believed.
+
+        Args:
+            window: The last such window according to a peer.
+        """
+        if window < self._find_window(continuity.CLOCK_SLACK_S):
+            self.work_queue.record_reported_through(window)
+            return
+        current = self._find_window(0.0)
+        if self._refused_in != current:
+            # At most one line for each window, as peers repeat themselves.
+            self._refused_in = current
+            _LOG.warning(
+                "event=reported_windows_refused through=%d current=%d",
+                window,
+                current,
+            )
+
     def next_store_call(
         self, now: float, is_candidate: bool
     ) -> messages.StoreCall | None:
--- a/pollenfork/duties/tests/simulation.py
+++ b/pollenfork/duties/tests/simulation.py
@@ -239,7 +239,7 @@
         machine.noticed_at = self.now
         for each in self.machines:
             if each.runs and each.reaches_others and machine.reaches_others:
-                machine.duty_lease.work_queue.record_reported_through(
+                machine.duty_lease.record_reported_through(
                     each.duty_lease.work_queue.reported_through
                 )
 
--- a/pollenfork/gateway/duty_agent.py
+++ b/pollenfork/gateway/duty_agent.py
@@ -156,7 +156,7 @@
             self.accounts.receive_acknowledgement(message, host, now)
             self._receive_holder_notice(message, host, now)
             return
-        self.lease.work_queue.record_reported_through(message.reported_through)
+        self.lease.record_reported_through(message.reported_through)
         self.accounts.receive_tally(message, host, now)
         self._acknowledge(message, host, now)
 
@@ -310,7 +310,7 @@
     def _receive_holder_notice(
         self, notice: loads.HolderNotice, host: str, now: float
     ) -> None:
-        self.lease.work_queue.record_reported_through(notice.reported_through)
+        self.lease.record_reported_through(notice.reported_through)
         contact_at = now - max(0.0, notice.age_s)
         if self.lease.holds(now):
             return
--- a/pollenfork/gateway/tests/test_duty_agent.py
+++ b/pollenfork/gateway/tests/test_duty_agent.py
@@ -4,6 +4,7 @@
 import contextlib
 import random
 
+import pytest
 import result
 
 from pollenfork import ids
@@ -13,6 +14,7 @@
 from pollenfork.gateway import client
 from pollenfork.gateway import duty_agent
 from pollenfork.gateway import settings
+from pollenfork.loads import messages as loads
 
 ACCOUNT = ids.AccountId("a")
 PAGE = 2  # Rows in an answer of the store.
@@ -353,6 +355,56 @@
     run_check(check)
 
 
+# Guards against believing that the platform has windows that haven't ended: all
+# windows up to them weren't reported, and stored reports weren't sent.
+@pytest.mark.parametrize("kind", ["tally", "notice"])
+@pytest.mark.parametrize("ahead", [0, 1, 3, 1000])
+def test_windows_are_reported_whatever_a_peer_says_of_later_ones(
+    kind, ahead
+) -> None:
+    def check() -> None:
+        site = Site(5)
+        site.run(8.0)
+        started = site.run(5.0, start_rate=0.4)
+        window = int(site.now // 5.0) + ahead
+        statement = make_statement(kind, window, site.now)
+        for each in site.instances:
+            each.agent.receive(statement, "10.0.0.9")
+        started += site.run(20.0, start_rate=0.4)
+        site.run(10.0)
+        assert site.count_reported() == started
+
+    run_check(check)
+
+
+# Guards against refusing what is true by the clock of a peer, which may be a
+# second ahead.
+@pytest.mark.parametrize("kind", ["tally", "notice"])
+def test_a_peer_whose_clock_is_ahead_is_believed(kind) -> None:
+    def check() -> None:
+        site = Site(1)
+        (instance,) = site.instances
+        site.now = 1003.9  # The window 200 ends at 1005.
+        statement = make_statement(kind, 200, 1004.2)
+        instance.agent.receive(statement, "10.0.0.9")
+        queue = instance.agent.lease.work_queue
+        assert queue.reported_through == -1
+        site.now = 1004.1
+        instance.agent.receive(statement, "10.0.0.9")
+        assert queue.reported_through == 200
+
+    run_check(check)
+
+
+def make_statement(
+    kind: str, window: int, clock: float
+) -> loads.Tally | loads.HolderNotice:
+    """Returns a peer's message that says through which window is reported."""
+    if kind == "notice":
+        return loads.HolderNotice("a", "", 1, 0.0, reported_through=window)
+    return loads.Tally("a", 1, (), clock, clock, 0.0, reported_through=window)
+
+
 def find_holder(site: Site) -> Instance:
     return next(
         each for each in site.instances if each.agent.lease.holds(site.now)
