Run the benchmark of the cache feed's cost again

python -m benchmarks.cache_feed_cost ended with a TypeError, as answers have headers since, and its chooser knew no runner, so reports weren't applied.

--- a/benchmarks/cache_feed_cost.py
+++ b/benchmarks/cache_feed_cost.py
@@ -9,6 +9,7 @@
 import time
 
 from pollenfork import ids
+from pollenfork.fleet import cache_order
 from pollenfork.fleet import choice
 from pollenfork.fleet import model
 from pollenfork.fleet import registry
@@ -39,16 +40,20 @@
         leaving=False,
         cold_s=0.0,
     )
-    chooser = choice.Chooser(registry.Registry(), random.Random(1))
+    runners = registry.Registry()
+    runners.put(runner)
+    chooser = choice.Chooser(runners, random.Random(1))
+    order = cache_order.CacheOrder()
     calls = client.Client(loads.Address(_HOST, port))
     begun = time.thread_time()
     for after in range(_CALLS):
         ask = caches.encode_feed_request(runner, after, 1.0)
         answer = await calls.call(ask, 1.7)
         assert answer is not None
-        chooser.apply_cache_report(
-            runner.incarnation, caches.decode_feed(*answer).unwrap()
-        )
+        read = caches.decode_feed(answer.status, answer.body).unwrap()
+        report = order.take(read)
+        assert report is not None
+        chooser.apply_cache_report(runner.incarnation, report)
     return time.thread_time() - begun
 
 
