Don't count answers of the store that were lost in a cut as heard

The simulation's judge counted an answer of the store for the host that it was sent to, also while that host was cut off from the store and all others, so that the answer was lost on its way.

Such answers were already ignored for hosts cut off from the store alone, and for what other hosts tell. All other checks and bounds are the same.

--- a/pollenfork/platform/tests/simulation/judge.py
+++ b/pollenfork/platform/tests/simulation/judge.py
@@ -234,7 +234,7 @@
         for at, answered in reversed(self._site.store.answers):
             if at < now - _KEPT_S:
                 break
-            if self._is_parted(answered, at):
+            if self._is_lost(answered, at):
                 continue
             ways = self._is_linked(answered, at), self._is_linked(host, at)
             if answered == host or all(ways):
@@ -253,9 +253,10 @@
         ]
         return min(known, default=now)
 
-    def _is_parted(self, host: str, at: float) -> bool:
+    def _is_lost(self, host: str, at: float) -> bool:
         """Returns whether the store's answer didn't arrive at a host."""
-        return any(begun <= at <= back for begun, back in self._parts[host])
+        spells = self._cuts[host] + self._parts[host]
+        return any(begun <= at <= back for begun, back in spells)
 
     def _is_linked(self, host: str, at: float) -> bool:
         """Returns whether a host was there long enough to tell or hear."""
