--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -378,6 +378,8 @@
             me.host,
             self._settings.data_centre,
         )
+        if any(seed.host != me.host for seed in self._settings.seeds):
+            doubts.hold()
         joined.on_streams(doubts.receive)
         self._stream_origins.join(joined, doubts.wait_until_settled)
         joined.on_streams(self._stream_origins.receive)
@@ -389,11 +391,9 @@
         self._tasks.append(self._loop.create_task(joined.run()))
         for task in self._tasks:
             task.add_done_callback(_log_failure)
-        if any(seed.host != me.host for seed in self._settings.seeds):
-            doubts.hold()
-            asking = self._loop.create_task(doubts.ask())
-            asking.add_done_callback(_log_error)
-            self._tasks.append(asking)
+        asking = self._loop.create_task(doubts.ask())
+        asking.add_done_callback(_log_error)
+        self._tasks.append(asking)
 
     def _receive_reach(
         self, message: reach_messages.ReachMessage, host: str
