Don't wait for another instance once the runner has gone on

A caller could wait until its time limit for nothing. As a silent runner went on and broke in the same read while another instance was asked for help, the answer of that instance was awaited, though the runner's event had already decided that it can't be taken.

--- a/pollenfork/gateway/failover/race.py
+++ b/pollenfork/gateway/failover/race.py
@@ -155,7 +155,8 @@
         }
         try:
             await asyncio.wait(awaited, return_when=asyncio.FIRST_COMPLETED)
-            if self._is_helped or (not asked.done() and self._has_failed()):
+            undecided = self._is_helped is None
+            if self._is_helped or (undecided and self._has_failed()):
                 await asyncio.wait({asked})
         finally:
             self._current.receiver.claim = None
--- a/pollenfork/gateway/failover/tests/test_helpers.py
+++ b/pollenfork/gateway/failover/tests/test_helpers.py
@@ -94,6 +94,27 @@
     assert cut == 0
 
 
+# Guards against a caller that waits until its time limit: the runner went on and
+# broke in one read, and the answer of another instance, which could no longer
+# be taken, was awaited.
+def test_a_runner_that_goes_on_and_breaks_is_not_waited_for(caplog) -> None:
+    async def run():
+        part = support.write_events(3, 3)
+        silent = pausing.PausingRunner(
+            "r0", pausing.write_first(2), b"%x\r\n%b\r\n" % (len(part), part)
+        )
+        helper = helping.Helper(None)
+        return await ask_cut_off(
+            STREAM, silent, helper, lambda: bool(helper.bodies)
+        )
+
+    assert b"data: t3" in asyncio.run(run())
+    (failed,) = [
+        each for each in caplog.messages if "event=attempt_failed" in each
+    ]
+    assert "sequel=no_time" not in failed
+
+
 # Guards against spending the retry budget on help that nobody offers.
 def test_a_retry_is_not_charged_if_nobody_helps() -> None:
     async def run():
