Count the attempt of another instance that was dropped

A request ran three times on a route that allows two attempts. Its runner was silent, another instance was asked to go on with it and sent it to a runner, then the silent one went on, so that the other instance's answer was dropped and its attempt not counted; the runner broke 0.7 s later and a third one ran the request.

Before: the new test's attempt ends with sent=1 sequel=repeated. After: attempts_spent.

--- a/pollenfork/gateway/failover/handover.py
+++ b/pollenfork/gateway/failover/handover.py
@@ -233,6 +233,8 @@
             return ended
         if rivals.has_no_helper:
             self._recorder.give_back_retry()
+        if rivals.helper_may_have_run:
+            self._recorder.record_helper_dropped()
         self._callbacks.attach(current)
         self._pause_s = _LONGEST_PAUSE_S
         return current if rivals.is_decided else None
--- a/pollenfork/gateway/failover/race.py
+++ b/pollenfork/gateway/failover/race.py
@@ -139,6 +139,18 @@
             return False
         return asked.result() is None
 
+    @property
+    def helper_may_have_run(self) -> bool:
+        """Whether a helper whose answer isn't taken may have run the request.
+
+        One that was broken off may have, whether it had been sent it or not.
+        """
+        asked = self._asked
+        if asked is None or not asked.done() or asked.cancelled():
+            return asked is not None
+        ended = asked.result()
+        return ended is not None and not ended.end.proves_not_run
+
     async def run(
         self, forwarding: Awaitable[attempt.AttemptResult | None]
     ) -> attempt.AttemptResult | None:
--- a/pollenfork/gateway/failover/recording.py
+++ b/pollenfork/gateway/failover/recording.py
@@ -126,6 +126,19 @@
             self._history.sent,
         )
 
+    def record_helper_dropped(self) -> None:
+        """Records that another instance didn't take a silent runner's place.
+
+        It may have sent the request to a runner, which is an attempt.
+        """
+        self._history.sent += 1
+        self._history.may_have_run = True
+        _LOG.info(
+            "event=helper_dropped request=%s sent=%d",
+            logs.quote_value(self._admitted.head.attempt),
+            self._history.sent,
+        )
+
     def give_back_retry(self) -> None:
         """Gives back the last retry, as nothing was sent."""
         self._deps.retry_budget.give_back(self._admitted.demand.service)
--- a/pollenfork/gateway/failover/tests/test_helpers.py
+++ b/pollenfork/gateway/failover/tests/test_helpers.py
@@ -94,25 +94,48 @@
     assert cut == 0
 
 
-# Guards against a caller that waits until its time limit: the runner went on and
-# broke in one read, and the answer of another instance, which could no longer
-# be taken, was awaited.
-def test_a_runner_that_goes_on_and_breaks_is_not_waited_for(caplog) -> None:
+def ask_and_break(caplog, answered: bytes | None) -> str:
+    """Lets a silent runner go on and break at once; returns the log of that.
+
+    Args:
+        caplog: Captures the log.
+        answered: What another instance answers before; None: nothing.
+    """
+
     async def run():
         part = support.write_events(3, 3)
         silent = pausing.PausingRunner(
             "r0", pausing.write_first(2), b"%x\r\n%b\r\n" % (len(part), part)
         )
-        helper = helping.Helper(None)
-        return await ask_cut_off(
-            STREAM, silent, helper, lambda: bool(helper.bodies)
-        )
+        helper = helping.Helper(answered)
+
+        def goes_on() -> bool:
+            return helper.gone.is_set() if answered else bool(helper.bodies)
+
+        return await ask_cut_off(STREAM, silent, helper, goes_on)
 
     assert b"data: t3" in asyncio.run(run())
     (failed,) = [
         each for each in caplog.messages if "event=attempt_failed" in each
     ]
-    assert "sequel=no_time" not in failed
+    return failed
+
+
+# Guards against a caller that waits until its time limit: the runner went on
+# and broke in one read, and the answer of another instance, which could no
+# longer be taken, was awaited.
+def test_a_runner_that_goes_on_and_breaks_is_not_waited_for(caplog) -> None:
+    assert "sequel=no_time" not in ask_and_break(caplog, None)
+
+
+# Guards against more attempts than a route allows: one of another instance that
+# was broken off, as the silent runner went on, wasn't counted.
+def test_an_attempt_of_another_instance_counts(caplog) -> None:
+    assert "sequel=attempts_spent" in ask_and_break(caplog, None)
+
+
+def test_a_refusal_of_another_instance_is_no_attempt(caplog) -> None:
+    assert "sequel=repeated" in ask_and_break(caplog, FULL)
 
 
 # Guards against spending the retry budget on help that nobody offers.
