Ask at a start which runners may have ended

Callers got streams with events of two software versions, through a gateway that had just started. Which runners are in doubt is known in memory only, so it believed the entry of a runner that had restarted behind a cut from the store: it began streams at the new process and went on with them, or with others, at the old version.

An instance without configured peers doesn't wait.

The soak's new scene kills two of three gateways between two restarts of the runners.

--- a/pollenfork/fleet/continuity.py
+++ b/pollenfork/fleet/continuity.py
@@ -36,6 +36,9 @@
     - its entry, if it is still listed unchanged after the time in which entries
       of ended runners are removed.
 
+    An instance that has just started has no signs. It holds all runners for
+    uncertain until it has asked other instances for theirs.
+
     Attributes:
         counts: The number of signs by observation.
     """
@@ -55,6 +58,7 @@
         self._signs: dict[ids.EndpointId, list[end_signs.Sign]] = {}
         self._on_doubted: list[Callable[[ids.EndpointId], None]] = []
         self._on_confirmed: list[Callable[[ids.EndpointId], None]] = []
+        self._is_held = False
         self.counts: collections.Counter[end_signs.Observation] = (
             collections.Counter()
         )
@@ -69,6 +73,19 @@
         """Registers a callback for runners that are in doubt no more."""
         self._on_confirmed.append(call)
 
+    def hold(self) -> None:
+        """Counts all runners as uncertain until `release` is called."""
+        self._is_held = True
+
+    def release(self) -> None:
+        """Counts the runners without signs as certain from now on."""
+        if not self._is_held:
+            return
+        self._is_held = False
+        for runner in self._runners.list_all():
+            if not self._list_open(runner.id):
+                self._notify_confirmed(runner.id)
+
     def record_closed(
         self,
         runner: ids.EndpointId,
@@ -107,6 +124,18 @@
         sign = end_signs.make_refused(now, now_unix, reported=reported)
         self._record(runner, sign)
 
+    def record_told(
+        self, runner: ids.EndpointId, doubt: end_signs.Doubt, now: float
+    ) -> None:
+        """Records the signs that another instance had before this one started.
+
+        Args:
+            runner: The runner.
+            doubt: What the other instance tells of it.
+            now: Monotonic seconds.
+        """
+        self._record(runner, end_signs.make_told(doubt, now))
+
     def record_data(
         self,
         runner: ids.EndpointId,
@@ -204,12 +233,38 @@
         """Returns whether there are any signs of a runner."""
         return runner in self._signs
 
+    def list_doubts(
+        self, now: float
+    ) -> list[tuple[ids.EndpointId, end_signs.Doubt]]:
+        """Returns the runners that an instance without signs believes wrongly.
+
+        Those that have started again since are among them, as their entries may
+        be known here only.
+
+        Args:
+            now: Monotonic seconds.
+
+        Returns:
+            The runners and what to tell of them, the latest signs first.
+        """
+        doubts = {
+            runner: end_signs.sum_up(signs, now)
+            for runner, signs in self._signs.items()
+        }
+        for known in self._runners.list_undescribed():
+            if known.start is not None:
+                # Only an entry of this start or a later one explains it.
+                doubts[known.id] = end_signs.Doubt((known.start - 1) / 1000.0)
+        return sorted(doubts.items(), key=lambda each: each[1].age_s)
+
     def is_certain(self, runner: model.Runner) -> bool:
         """Returns whether a new connection leads to the process of its entry.
 
         Args:
             runner: The runner, as it is known now.
         """
+        if self._is_held:
+            return False
         is_described = self._runners.is_described(runner.id)
         return is_described and not self._list_open(runner.id)
 
@@ -225,6 +280,8 @@
         Returns:
             The version; `UNKNOWN`: that isn't known, or not yet.
         """
+        if self._is_held:
+            return UNKNOWN
         known = self._runners.find(runner.id) or runner
         if known.start != runner.start and not made.is_since_start(known):
             # An earlier process wrote it than the one that runs now.
--- a/pollenfork/fleet/registry.py
+++ b/pollenfork/fleet/registry.py
@@ -280,6 +280,10 @@
         """Returns whether a runner's entry is of its latest known start."""
         return runner not in self._undescribed
 
+    def list_undescribed(self) -> list[model.Runner]:
+        """Returns runners that have named a later start than their entries."""
+        return [self._runners[each] for each in self._undescribed]
+
     def get_kept_until(self, runner: ids.EndpointId) -> float | None:
         """Returns until when a removed entry is kept; None if it isn't."""
         return self._expiring.get(runner)
--- a/pollenfork/fleet/signs.py
+++ b/pollenfork/fleet/signs.py
@@ -1,6 +1,7 @@
 """Signs that a runner's process may have ended."""
 
 import enum
+import math
 
 import msgspec
 
@@ -99,6 +100,53 @@
     )
 
 
+class Doubt(msgspec.Struct, frozen=True):
+    """All signs of a runner, as told to an instance that has just started.
+
+    Attributes:
+        explained_from: Unix time; they are explained by a start since then.
+        age_s: How long ago the latest one was observed, in seconds.
+        current_s: For how long the registry has been current since, in seconds.
+    """
+
+    explained_from: float
+    age_s: float = 0.0
+    current_s: float = 0.0
+
+
+def make_told(doubt: Doubt, now: float) -> Sign:
+    """Returns the signs of another instance, merged.
+
+    When it observed the first one isn't told, so no connection counts as made
+    before the end.
+
+    Args:
+        doubt: What it tells.
+        now: Monotonic seconds.
+    """
+    return Sign(
+        Observation.REPORTED,
+        now - doubt.age_s,
+        -math.inf,
+        doubt.explained_from,
+        now - doubt.current_s,
+    )
+
+
+def sum_up(signs: list[Sign], now: float) -> Doubt:
+    """Returns what to tell another instance of a runner's signs.
+
+    Args:
+        signs: The signs, at least one.
+        now: Monotonic seconds.
+    """
+    return Doubt(
+        max(each.explained_from for each in signs),
+        now - max(each.at for each in signs),
+        now - max(each.current_since for each in signs),
+    )
+
+
 def merge(first: Sign, second: Sign) -> Sign:
     """Returns a sign that puts in doubt what either of two does."""
     return Sign(
--- a/pollenfork/fleet/tests/test_continuity.py
+++ b/pollenfork/fleet/tests/test_continuity.py
@@ -199,6 +199,74 @@
     assert judged.find_version(entry, at(2.5)) == V2
 
 
+# Guards against believing the entries of runners that ended before this
+# instance started.
+def test_nothing_is_certain_before_others_have_been_asked() -> None:
+    runners, judged, entry = make_known()
+    runners.put(make_entry("v1", -100.0, "other"))
+    confirmed = []
+    judged.when_confirmed(confirmed.append)
+    judged.hold()
+    assert not judged.is_certain(entry)
+    assert judged.find_version(entry, at(1.0)) == continuity.UNKNOWN
+    judged.record_told(RUNNER, signs.Doubt(EPOCH_S - 1.0), 2.0)
+    judged.release()
+    assert confirmed == ["other"]
+    assert judged.is_certain(make_entry("v1", -100.0, "other"))
+    assert not judged.is_certain(entry)
+    assert judged.find_version(entry, at(1.0)) == continuity.UNKNOWN
+
+
+# Guards against signs that become weaker on their way to another instance.
+def test_a_doubt_that_is_told_ends_as_it_does_at_its_observer() -> None:
+    _, observer, entry = make_known()
+    observer.record_closed(RUNNER, at(1.0), 2.0)
+    observer.record_refused(RUNNER, 2.4, EPOCH_S + 2.4, reported=False)
+    observer.sweep(3.0, is_current=False)
+    (told,) = observer.list_doubts(4.0)
+    assert told[0] == RUNNER
+    explained, told_runners = [], []
+    for _ in range(2):
+        runners, judged, _ = make_known()
+        judged.record_told(*told, 4.0)
+        told_runners.append(runners)
+        explained.append(judged)
+    told_runners[0].put(make_entry("v2", 1.2))
+    assert not explained[0].is_certain(make_entry("v2", 1.2))
+    told_runners[0].put(make_entry("v2", 2.2))
+    assert explained[0].is_certain(make_entry("v2", 2.2))
+    for judged in (observer, explained[1]):
+        judged.sweep(7.9, is_current=True)
+        assert not judged.is_certain(entry)
+        judged.sweep(8.1, is_current=True)
+        assert judged.is_certain(entry)
+
+
+# Guards against an instance that reads an entry from before a restart which
+# those that it asks know of already.
+def test_a_restart_is_told_though_its_entry_has_come() -> None:
+    runners, judged, entry = make_known()
+    judged.record_closed(RUNNER, at(1.0), 2.0)
+    runners.put(make_entry("v2", 2.2))
+    assert judged.is_certain(make_entry("v2", 2.2))
+    (told,) = judged.list_doubts(3.0)
+    behind = make_known()[1]
+    behind.record_told(*told, 3.0)
+    assert not behind.is_certain(entry)
+
+
+def test_a_start_without_an_entry_is_told() -> None:
+    runners, judged, entry = make_known()
+    later = make_entry("v2", 2.2)
+    runners.record_start(RUNNER, later.start)
+    (told,) = judged.list_doubts(3.0)
+    behind_runners, behind, _ = make_known()
+    behind.record_told(*told, 3.0)
+    assert not behind.is_certain(entry)
+    behind_runners.put(later)
+    assert behind.is_certain(later)
+
+
 def choose(judged, runners, **demand):
     chooser = choice.Chooser(
         runners, choice.random.Random(1), is_certain=judged.is_certain
--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -48,6 +48,7 @@
 from pollenfork.gateway import sources
 from pollenfork.gateway import tables
 from pollenfork.gateway.shedding import shedder
+from pollenfork.gateway.streams import doubt_exchange
 from pollenfork.gateway.streams import origin_directory
 from pollenfork.gateway.streams import runner_continuity
 from pollenfork.loads import messages as loads
@@ -369,7 +370,18 @@
             forwarding.Peers(joined.list_hosts, joined.locate, joined.send)
         )
         joined.on_reach(self._receive_reach)
-        self._stream_origins.join(joined)
+        doubts = doubt_exchange.DoubtExchange(
+            self._loop,
+            self._continuity,
+            self.state,
+            joined,
+            me.host,
+            self._settings.data_centre,
+        )
+        if any(seed.host != me.host for seed in self._settings.seeds):
+            doubts.hold()
+        joined.on_streams(doubts.receive)
+        self._stream_origins.join(joined, doubts.wait_until_settled)
         joined.on_streams(self._stream_origins.receive)
         self._brittle.join(joined)
         joined.on_rooms(self._brittle.receive)
@@ -379,6 +391,9 @@
         self._tasks.append(self._loop.create_task(joined.run()))
         for task in self._tasks:
             task.add_done_callback(_log_failure)
+        asking = self._loop.create_task(doubts.ask())
+        asking.add_done_callback(_log_error)
+        self._tasks.append(asking)
 
     def _receive_reach(
         self, message: reach_messages.ReachMessage, host: str
@@ -549,6 +564,12 @@
     """Counts nothing, as this instance has no duties."""
 
 
+def _log_error(task: asyncio.Task[None]) -> None:
+    """Logs the failure of a task that may end."""
+    if not task.cancelled() and task.exception() is not None:
+        _log_failure(task)
+
+
 def _log_failure(task: asyncio.Task[None]) -> None:
     """Logs the failure of a task that should run until the end."""
     if task.cancelled():
--- a/pollenfork/gateway/streams/origin_directory.py
+++ b/pollenfork/gateway/streams/origin_directory.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import collections
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 import enum
 import logging
 from typing import Protocol
@@ -198,6 +198,7 @@
         self._origins = origins.Origins()
         self._history = version_history.VersionHistory()
         self._peers: Peers | None = None
+        self._wait_until_settled: Callable[[], Awaitable[None]] | None = None
         self._judged = judged or continuity.Continuity(runners, 0.0)
         self._recent: collections.deque[_Recent] = collections.deque()
         self._followed: list[_Followed] = []
@@ -208,9 +209,20 @@
         self._judged.when_doubted(self._judge_again)
         self._judged.when_confirmed(self._judge_again)
 
-    def join(self, peers: Peers) -> None:
-        """Sets the other instances."""
+    def join(
+        self,
+        peers: Peers,
+        wait_until_settled: Callable[[], Awaitable[None]] | None = None,
+    ) -> None:
+        """Sets the other instances.
+
+        Args:
+            peers: The other instances.
+            wait_until_settled: Waits, for a short time, until they have told
+                which runners are in doubt; None: they needn't.
+        """
         self._peers = peers
+        self._wait_until_settled = wait_until_settled
 
     def sweep(self) -> None:
         """Drops what is out of date; called regularly."""
@@ -305,6 +317,14 @@
         self.counts[found.lookup] += 1
         return found
 
+    async def wait_until_settled(self) -> None:
+        """Waits until it is known at which runners streams may begin or go on.
+
+        Only an instance that has just started doesn't know, for a short time.
+        """
+        if self._wait_until_settled is not None:
+            await self._wait_until_settled()
+
     def receive(
         self, message: stream_messages.StreamMessage, host: str
     ) -> None:
--- a/pollenfork/gateway/streams/tests/test_version_pin.py
+++ b/pollenfork/gateway/streams/tests/test_version_pin.py
@@ -14,6 +14,7 @@
 STREAM = support.make_route(model.Kind.STREAM, resumable=True)
 BROKEN = support.write_stream(support.write_events(0, 2), whole=False)
 REST = support.write_stream(support.write_events(3, 4), whole=True)
+WHOLE = support.write_stream(support.write_events(0, 4), whole=True)
 BEGUN = origin_directory.StreamKey(ids.AttemptId("f"), ids.RequestDigest(77))
 RETURN = (
     b"POST /p HTTP/1.1\r\nx-id: q\r\nx-resumes: f\r\nx-after: 2\r\n"
@@ -150,3 +151,42 @@
             return gateway.origins.counts
 
     assert asyncio.run(run())[origin_directory.Lookup.UNKNOWN] == 1
+
+
+# Guards against streams that begin or go on, at an instance that has just
+# started, before it knows which runners are in doubt.
+@pytest.mark.parametrize(
+    ("route", "data", "waits"),
+    [
+        (STREAM, None, 1),
+        (STREAM, RETURN, 1),
+        (support.make_route(model.Kind.STREAM), None, 0),
+    ],
+)
+def test_streams_that_may_be_taken_up_wait_for_what_others_know(
+    route, data, waits
+) -> None:
+    waited = []
+
+    class NoPeers:
+        def list_members(self):
+            return {}
+
+        def send(self, host, message) -> None:
+            pass
+
+    async def wait() -> None:
+        waited.append(1)
+
+    async def run():
+        runner = support.Runner("r0", REST if data else WHOLE)
+        runner.version = ids.SoftwareVersion("v1")
+        async with support.run_gateway(route, runner) as gateway:
+            listed = gateway.runners.list_all()[0]
+            gateway.origins.record_begun(BEGUN, listed, 3.0)
+            gateway.origins.join(NoPeers(), wait)
+            given = {} if data is None else {"data": data}
+            return await support.ask(gateway, **given)
+
+    assert asyncio.run(run()).startswith(b"HTTP/1.1 200")
+    assert len(waited) == waits
--- a/pollenfork/gateway/streams/version_pin.py
+++ b/pollenfork/gateway/streams/version_pin.py
@@ -69,6 +69,8 @@
                 self._begun, self._service, self._route.time_limit_s
             )
             return bool(self.version)
+        if self._is_resumable:
+            await self._directory.wait_until_settled()
         if not self._is_open:
             return True
         stream = origin_directory.StreamKey(self._head.resumes, self._digest)
--- a/pollenfork/loads/stream_messages.py
+++ b/pollenfork/loads/stream_messages.py
@@ -1,4 +1,4 @@
-"""Datagrams about the software versions that began streams."""
+"""Datagrams about the software versions that write streams."""
 
 import msgspec
 
@@ -60,4 +60,48 @@
     origins: tuple[Origin, ...] = ()
 
 
-StreamMessage = OriginNotice | OriginQuery | OriginAnswer
+class DoubtQuery(msgspec.Struct, frozen=True, array_like=True, tag="x"):
+    """An instance that has just started asks which runners may have ended.
+
+    Earlier builds can't read it and don't answer.
+
+    Attributes:
+        data_centre: The sender's data centre.
+    """
+
+    data_centre: str
+
+
+class DoubtedRunner(msgspec.Struct, frozen=True, array_like=True):
+    """A runner that may have ended, or that has started again recently.
+
+    Attributes:
+        runner: A hash of the runner's id, whichever its incarnation.
+        explained_ms: The doubt is explained by an entry of a start since then,
+            in Unix milliseconds.
+        age_ms: How long ago the latest sign of its end was observed.
+        current_ms: For how long since then the sender's registry was current
+            without showing such an entry.
+    """
+
+    runner: int
+    explained_ms: int
+    age_ms: int
+    current_ms: int
+
+
+class DoubtAnswer(msgspec.Struct, frozen=True, array_like=True, tag="y"):
+    """Answers a query for runners in doubt.
+
+    Attributes:
+        data_centre: The sender's data centre.
+        doubted: Those that the sender has observed, the latest first.
+    """
+
+    data_centre: str
+    doubted: tuple[DoubtedRunner, ...] = ()
+
+
+StreamMessage = (
+    OriginNotice | OriginQuery | OriginAnswer | DoubtQuery | DoubtAnswer
+)
--- a/pollenfork/platform/tests/soak/reborn.py
+++ b/pollenfork/platform/tests/soak/reborn.py
@@ -1,7 +1,7 @@
 """Plays runners that start again under their ids at another software version.
 
 Several do within a second or two, or two that can't write to the store do so
-twice. By hand:
+twice. Gateways are killed and start again meanwhile. By hand:
 `python -m pollenfork.platform.tests.soak.reborn FIRST LAST [SCENE...]`.
 """
 
@@ -25,8 +25,9 @@
 _AWAY_S = (0.25, 0.6)
 # How late their entries are written in one scene.
 _LATE_S = (0.3, 0.9)
-# A gateway is killed so long after the first restart.
-_KILLED_AFTER_S = 1.5
+# A gateway is killed so long after the first restart, or several are.
+_KILLED_AFTER_S = {"starts": (0.1, 0.5)}
+_KILLED_ONCE_AFTER_S = (1.5,)
 # Runners that can't write to the store, and for how long they can't.
 _CUT = 2
 _CUT_AWAY_S = 0.5
@@ -62,11 +63,16 @@
             load = rollout.load(site, seed * 1000 + number, streams)
             tasks.append(asyncio.create_task(load))
         await asyncio.sleep(1.0)
-        killed = asyncio.get_running_loop().call_later(
-            _KILLED_AFTER_S, site.rng.choice(site.gateways).send, signal.SIGKILL
-        )
+        loop = asyncio.get_running_loop()
+        times = _KILLED_AFTER_S.get(scene, _KILLED_ONCE_AFTER_S)
+        chosen = site.rng.sample(site.gateways, len(times))
+        kills = [
+            loop.call_later(after_s, gateway.send, signal.SIGKILL)
+            for after_s, gateway in zip(times, chosen, strict=True)
+        ]
         await SCENES[scene](site)
-        killed.cancel()
+        for kill in kills:
+            kill.cancel()
         await asyncio.sleep(2.0)
     finally:
         for task in tasks:
@@ -124,6 +130,8 @@
     "restarts": _restart_some,
     "late": _restart_unwritten,
     "cut": _restart_behind_cut,
+    # The same, and most gateways start again between the two restarts.
+    "starts": _restart_behind_cut,
 }
 
 
--- a/pollenfork/platform/tests/test_reborn.py
+++ b/pollenfork/platform/tests/test_reborn.py
@@ -11,7 +11,13 @@
 # is believed after its process has ended.
 @pytest.mark.parametrize(
     ("scene", "seed", "callers"),
-    [("cut", 2, 30), ("cut", 3, 30), ("restarts", 11, 120), ("late", 11, 120)],
+    [
+        ("cut", 2, 30),
+        ("cut", 3, 30),
+        ("starts", 6, 30),
+        ("restarts", 11, 120),
+        ("late", 11, 120),
+    ],
 )
 def test_streams_keep_their_version_as_runners_restart_in_place(
     scene, seed, callers, tmp_path
