Move the asking for streams' origins to a module of its own

The rounds in which other instances are asked, and who waits for their answers, are now in origin_searches.py, without a change of logic; `Peers` moves with them.

The tests of gateway/streams pass unchanged before and after.

--- a/pollenfork/gateway/streams/doubt_exchange.py
+++ b/pollenfork/gateway/streams/doubt_exchange.py
@@ -10,7 +10,7 @@
 from pollenfork.fleet import continuity
 from pollenfork.fleet import registry
 from pollenfork.fleet import signs
-from pollenfork.gateway.streams import origin_directory
+from pollenfork.gateway.streams import origin_searches
 from pollenfork.loads import messages as loads
 from pollenfork.loads import stream_messages
 from pollenfork.streams import holders
@@ -56,7 +56,7 @@
         loop: asyncio.AbstractEventLoop,
         judged: continuity.Continuity,
         state: State,
-        peers: origin_directory.Peers,
+        peers: origin_searches.Peers,
         host: str,
         data_centre: ids.DataCentre,
     ) -> None:
--- a/pollenfork/gateway/streams/origin_directory.py
+++ b/pollenfork/gateway/streams/origin_directory.py
@@ -2,10 +2,9 @@
 
 import asyncio
 import collections
-from collections.abc import Awaitable, Callable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 import enum
 import logging
-from typing import Protocol
 
 import msgspec
 
@@ -14,7 +13,7 @@
 from pollenfork.fleet import model as fleet
 from pollenfork.fleet import registry
 from pollenfork.fleet import signs
-from pollenfork.loads import messages as loads
+from pollenfork.gateway.streams import origin_searches
 from pollenfork.loads import stream_messages
 from pollenfork.streams import holders
 from pollenfork.streams import origins
@@ -22,12 +21,9 @@
 
 _LOG = logging.getLogger(__name__)
 
-# How long an answer is awaited before more instances are asked, in seconds.
-_ROUND_S = 0.06
-# How long a caller that takes up a stream waits for the version, in seconds.
-_MAX_WAIT_S = 0.3
-# The same for a stream that broke here while its runner is in doubt, which ends
-# 0.3 s after the last sign, or as an entry is written.
+# How long a request waits for the version of a stream that broke here while its
+# runner is in doubt, which ends 0.3 s after the last sign, or as an entry is
+# written, in seconds.
 _MAX_OWN_WAIT_S = 1.5
 # A caller may return this long after its time limit, in seconds: it measures
 # from when it sent its request.
@@ -71,16 +67,6 @@
         return self.lookup is not Lookup.UNKNOWN
 
 
-class Peers(Protocol):
-    """The other instances."""
-
-    def list_members(self) -> Mapping[str, Sequence[str]]:
-        """Returns all known hosts by data centre, this one included."""
-
-    def send(self, host: str, message: loads.Message) -> None:
-        """Sends one instance a message."""
-
-
 class StreamKey(msgspec.Struct, frozen=True):
     """What identifies a stream when its caller takes it up.
 
@@ -149,20 +135,6 @@
     end: Callable[[], None]
 
 
-class _Search(msgspec.Struct):
-    """A stream that peers are asked for.
-
-    Attributes:
-        changed: Set at each answer.
-        answered: Whether any peer has answered.
-        waiting: How many requests wait for it.
-    """
-
-    changed: asyncio.Event
-    answered: bool = False
-    waiting: int = 0
-
-
 class OriginDirectory:
     """Where streams began, as far as this instance and its peers know.
 
@@ -197,12 +169,12 @@
         self._knows_runners = knows_runners
         self._origins = origins.Origins()
         self._history = version_history.VersionHistory()
-        self._peers: Peers | None = None
+        self._peers: origin_searches.Peers | None = None
         self._wait_until_settled: Callable[[], Awaitable[None]] | None = None
         self._judged = judged or continuity.Continuity(runners, 0.0)
         self._recent: collections.deque[_Recent] = collections.deque()
         self._followed: list[_Followed] = []
-        self._searches: dict[int, _Search] = {}
+        self._searches = origin_searches.OriginSearches(loop, host, data_centre)
         self.counts = dict.fromkeys(Lookup, 0)
         runners.when_restarted(lambda runner: self._judge_again(runner.id))
         runners.when_described(lambda runner: self._judge_again(runner.id))
@@ -211,7 +183,7 @@
 
     def join(
         self,
-        peers: Peers,
+        peers: origin_searches.Peers,
         wait_until_settled: Callable[[], Awaitable[None]] | None = None,
     ) -> None:
         """Sets the other instances.
@@ -344,14 +316,12 @@
                 self._receive_answer(message)
 
     def _receive_answer(self, answer: stream_messages.OriginAnswer) -> None:
-        search = self._searches.get(answer.stream)
-        if search is None:
+        if not self._searches.is_awaited(answer.stream):
             return
         for told in answer.origins:
             if told.stream == answer.stream:
                 self._origins.receive(told, self._loop.time())
-        search.answered = True
-        search.changed.set()
+        self._searches.record_answer(answer.stream)
 
     async def _find(
         self, stream: StreamKey, service: ids.ServiceName, limit_s: float
@@ -359,53 +329,16 @@
         known = self._look_up(stream.hash, service, Lookup.HERE)
         if self._peers is None or self._is_final(known, stream, service):
             return known or self._find_only(service, limit_s)
-        key = stream.hash
-        search = self._searches.setdefault(key, _Search(asyncio.Event()))
-        search.waiting += 1
-        try:
-            known = await self._ask(stream, service, search)
-        finally:
-            search.waiting -= 1
-            if not search.waiting:
-                del self._searches[key]
-        if known is not None:
-            return known
-        return self._find_only(service, limit_s, vouched=search.answered)
-
-    async def _ask(
-        self, stream: StreamKey, service: ids.ServiceName, search: _Search
-    ) -> LookupResult | None:
-        """Asks other instances until one knows the stream at the service."""
-        until = self._loop.time() + _MAX_WAIT_S
-        widely = False
-        while (left_s := until - self._loop.time()) > 0:
-            search.changed.clear()
-            self._send_query(stream, widely)
-            widely = True
-            try:
-                async with asyncio.timeout(min(_ROUND_S, left_s)):
-                    while True:
-                        await search.changed.wait()
-                        search.changed.clear()
-                        known = self._look_up(stream.hash, service, Lookup.PEER)
-                        if self._is_final(known, stream, service):
-                            return known
-            except TimeoutError:
-                continue
-        return self._look_up(stream.hash, service, Lookup.PEER)
 
-    def _send_query(self, stream: StreamKey, widely: bool) -> None:
-        assert self._peers is not None
-        asked = holders.choose_asked(
-            stream.digest,
-            self._peers.list_members(),
-            self._host,
-            self._data_centre,
-            widely=widely,
-        )
-        self._send(
-            asked, stream_messages.OriginQuery(self._data_centre, stream.hash)
+        def is_known() -> bool:
+            told = self._look_up(stream.hash, service, Lookup.PEER)
+            return self._is_final(told, stream, service)
+
+        vouched = await self._searches.ask(
+            self._peers, stream.hash, stream.digest, is_known
         )
+        known = self._look_up(stream.hash, service, Lookup.PEER)
+        return known or self._find_only(service, limit_s, vouched)
 
     def _look_up(
         self, stream: int, service: ids.ServiceName, lookup: Lookup
