Probe runners that reset idle connections

A runner that reset connections which nobody used was in doubt for 5 s and more: a reset long after the last data may answer what was sent to a process that has ended meanwhile, so that no probe was made. On an idle connection nothing was sent, and no keep-alive probes are, so its reset comes as the process closes it, as an orderly close does.

Before: the new test's runner is uncertain 0.6 s after the reset. After: certain.

--- a/pollenfork/gateway/streams/runner_continuity.py
+++ b/pollenfork/gateway/streams/runner_continuity.py
@@ -101,8 +101,9 @@
         if is_idle and now - closed.idle_since > limit_s - _IDLE_MARGIN_S:
             return
         # A reset may answer what was sent, long after the process has ended.
+        is_reply = is_reset and not is_idle
         is_late = now - self._ticked_at > _STOOD_STILL_S or (
-            is_reset and now - closed.received_at > signs.RESTART_S
+            is_reply and now - closed.received_at > signs.RESTART_S
         )
         self._judged.record_closed(
             runner.id, get_times(closed), now, is_late=is_late
