Close the streams of tests before their event loop

Cause: the stand-in store, the receiver of the platform's calls, the proxy, the simulation's store, soak callers and three tests' servers left StreamWriters open as their event loop was closed. The writer's finalizer then raises, in whatever test the collector runs. If that is inside ast.parse, pytest's unraisable hook formats the traceback, which parses source again, and CPython 3.11 counts the depth of both in one counter.

The simulation's silent store holds its connections until the caller closes them, as before, so no schedule changes.

--- a/pollenfork/gateway/failover/tests/test_proven_ends.py
+++ b/pollenfork/gateway/failover/tests/test_proven_ends.py
@@ -31,11 +31,12 @@
     async def _serve(self, reader, writer) -> None:
         try:
             self.got.append(await reader.readuntil(b"\r\n\r\n"))
+            await asyncio.sleep(self.after_s)
+            writer.write(self.answer)
         except (asyncio.IncompleteReadError, ConnectionError):
-            return
-        await asyncio.sleep(self.after_s)
-        writer.write(self.answer)
-        writer.close()
+            pass
+        finally:
+            writer.close()
 
 
 class CrashingRunner(support.Runner):
@@ -142,6 +143,7 @@
                 writer.transport.abort()
             await asyncio.sleep(0.8)
             kept = gateway.deps.request_quarantine
+            writer.close()
             return kept.tracker.counts["ends"] + len(kept._detector._broken)
 
     assert asyncio.run(run()) == 1
--- a/pollenfork/gateway/tests/test_following.py
+++ b/pollenfork/gateway/tests/test_following.py
@@ -44,7 +44,7 @@
         return result.Ok(msgspec.msgpack.decode(body, type=messages.Rows))
 
     async def _serve(self, reader, writer) -> None:
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 _, waits, after = head.split(b" ")[1].split(b"/")
@@ -55,7 +55,10 @@
                 body = msgspec.msgpack.encode(self.rows)
                 length = b"content-length: %d\r\n\r\n" % len(body)
                 writer.write(b"HTTP/1.1 200 OK\r\n" + length + body)
-        writer.close()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
 
 
 class Bench:
--- a/pollenfork/gateway/tests/test_room_observer.py
+++ b/pollenfork/gateway/tests/test_room_observer.py
@@ -315,15 +315,18 @@
 
     class PausingRunner(support.Runner):
         async def _serve(self, reader, writer) -> None:
-            self.got.append(await reader.readuntil(b"\r\n\r\n"))
-            writer.write(
-                support.write_stream(support.write_events(0, 1), False)
-            )
-            await asyncio.sleep(0.1)
-            writer.write(
-                support.write_stream(REST_EVENTS, True).split(b"\r\n\r\n", 1)[1]
-            )
-            writer.close()
+            rest = support.write_stream(REST_EVENTS, True)
+            try:
+                self.got.append(await reader.readuntil(b"\r\n\r\n"))
+                writer.write(
+                    support.write_stream(support.write_events(0, 1), False)
+                )
+                await asyncio.sleep(0.1)
+                writer.write(rest.split(b"\r\n\r\n", 1)[1])
+            except asyncio.IncompleteReadError:
+                pass
+            finally:
+                writer.close()
 
     async def run():
         route = support.make_route(STREAM, gap_s=0.01)
--- a/pollenfork/platform/tests/simulation/site.py
+++ b/pollenfork/platform/tests/simulation/site.py
@@ -71,12 +71,15 @@
                     continue
                 status, body = await self._answer(target)
                 if self.moods.get(host, self.mood) is standin.Mood.SILENT:
-                    return  # Nothing more comes on this connection.
+                    await reader.read()  # Nothing more comes from here.
+                    return
                 if writer.is_closing():
                     return  # Its caller has given up meanwhile.
                 self.answers.append((asyncio.get_running_loop().time(), host))
                 _write(writer, status, body, self.era)
         except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
             writer.close()
 
 
--- a/pollenfork/platform/tests/soak/caller.py
+++ b/pollenfork/platform/tests/soak/caller.py
@@ -80,7 +80,10 @@
 
 
 class Caller:
-    """Sends one request after another to one gateway."""
+    """Sends one request after another to one gateway.
+
+    Its connection is closed at the end of the task that made it.
+    """
 
     def __init__(
         self,
@@ -99,6 +102,9 @@
         self._rng = rng
         self._asked = asked
         self._connection: tuple | None = None
+        task = asyncio.current_task()
+        assert task is not None
+        task.add_done_callback(lambda _: self.close())
 
     async def ask(
         self, kind: str, key: str, text: str = "", manner: Manner = _PLAIN
--- a/pollenfork/platform/tests/soak/cloud.py
+++ b/pollenfork/platform/tests/soak/cloud.py
@@ -66,6 +66,8 @@
                     f"HTTP/1.1 {status} X\r\ncontent-length: 0\r\n\r\n".encode()
                 )
         except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
             writer.close()
 
     def _note(self, headers: dict[str, str], body: dict) -> None:
--- a/pollenfork/platform/tests/soak/proxy.py
+++ b/pollenfork/platform/tests/soak/proxy.py
@@ -87,14 +87,16 @@
                 self._pass(there_reader, writer, back_way, source)
             ),
         )
-        await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
-        for task in ways:
-            task.cancel()
-        del self._sources[writer]
-        for each in (writer, there):
-            self._writers.discard(each)
-            self._mute.discard(each)
-            each.close()
+        try:
+            await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in ways:
+                task.cancel()
+            del self._sources[writer]
+            for each in (writer, there):
+                self._writers.discard(each)
+                self._mute.discard(each)
+                each.close()
 
     async def _pass(
         self, reader, writer, stopped: tuple[Way, ...], source: str
--- a/pollenfork/platform/tests/soak/store.py
+++ b/pollenfork/platform/tests/soak/store.py
@@ -144,9 +144,10 @@
                     + data
                 )
         except (asyncio.IncompleteReadError, ConnectionError):
-            writer.close()
+            pass
         finally:
             self._writers.discard(writer)
+            writer.close()
 
     async def _change(self, change: dict) -> bool:
         """Applies a change; returns whether its conditions were met."""
