--- a/pollenfork/platform/tests/soak/rollout.py
+++ b/pollenfork/platform/tests/soak/rollout.py
@@ -24,7 +24,7 @@
 _RUNNERS = 6
 _CALLERS = 30
 _KEY = "key-always"
-_LIMIT_S = 3.0
+LIMIT_S = 3.0
 _INTERVAL_S = 0.05
 _SPACING_S = 0.7
 _NOTICE_S = 0.9
@@ -192,7 +192,7 @@
 
 async def _ask(site: sites.Site, rng: random.Random, stream: Stream) -> None:
     """Asks for a stream, and takes it up at other gateways if it breaks."""
-    due = time.monotonic() + _LIMIT_S
+    due = time.monotonic() + LIMIT_S
     text = f"{rng.getrandbits(64):016x}"
     places = rng.sample(site.gateways, len(site.gateways))
     for number in range(8):
@@ -201,7 +201,7 @@
             return
         headers = ""
         if stream.first:
-            stream.is_stranded |= _count_alike(site, stream) < 2
+            stream.is_stranded |= count_alike(site, stream) < 2
             headers = (
                 f"Resumes: {stream.first}\r\n"
                 f"Last-Event-Id: {max(stream.positions)}\r\n"
@@ -218,7 +218,7 @@
         await asyncio.sleep(min(wait_s, left_s / 3))
 
 
-def _count_alike(site: sites.Site, stream: Stream) -> int:
+def count_alike(site: sites.Site, stream: Stream) -> int:
     """Returns how many runners of a stream's version serve."""
     versions = set().union(*stream.versions)
     return sum(
@@ -229,7 +229,7 @@
     )
 
 
-def _is_in_touch(site: sites.Site, asked: caller.Asked) -> bool:
+def is_in_touch(site: sites.Site, asked: caller.Asked) -> bool:
     """Returns whether a request's gateway hadn't just started, and ran on."""
     gateway = next(g for g in site.gateways if g.host == asked.instance)
     return not any(
@@ -242,7 +242,7 @@
     """Returns what came of the streams."""
     asked = [each for each in streams if each.attempts]
     begun = [each for each in asked if each.first]
-    in_touch = [e for e in asked if _is_in_touch(site, e.attempts[0])]
+    in_touch = [e for e in asked if is_in_touch(site, e.attempts[0])]
     at_once = [e for e in in_touch if e.attempts[0].attempt == e.first]
     taken_up = [
         each
