Record in the store at which versions streams begin

Cause, one of a kind: what an instance knew of a stream's beginning was lost with all instances, and then what was absent was taken for proof. An instance that had run for 20 s or three time limits believed that the only version which it had seen began every stream (lookup=only_version); it also believed the entries of runners that had started again meanwhile.

Change: each instance has a row in the store. A version is named there before the first stream begins at it, a stream of an unknown author is listed before it begins, and while a service has several versions all that haven't ended are listed, in batches. A stream that nobody knows goes on where a row lists it, or where all rows, read after it was taken up, name one version; else it is refused. A row of an earlier era of the store, one that began too late, and an instance without a row (an earlier build) prove nothing. An instance that nobody answers at its start asks the runners for theirs, and doubts those that name none until their entry has lasted.

Why it works: what no row names has begun no stream, so the proof is what was written, not what wasn't seen.

--- a/pollenfork/catalogue/changes.py
+++ b/pollenfork/catalogue/changes.py
@@ -13,6 +13,7 @@
     KEPT_REQUESTS = "kept-requests"
     TRIALS = "kept-trials"
     DUTIES = "duties"
+    STREAM_VERSIONS = "stream-versions"
 
 
 class Key(msgspec.Struct, frozen=True):
--- a/pollenfork/fleet/continuity.py
+++ b/pollenfork/fleet/continuity.py
@@ -8,6 +8,7 @@
 
 import collections
 from collections.abc import Callable
+import math
 
 from pollenfork import ids
 from pollenfork.fleet import model
@@ -58,6 +59,8 @@
         self._signs: dict[ids.EndpointId, list[end_signs.Sign]] = {}
         self._on_doubted: list[Callable[[ids.EndpointId], None]] = []
         self._on_confirmed: list[Callable[[ids.EndpointId], None]] = []
+        # When a runner last named the start of its entry itself.
+        self._proven_at: dict[ids.EndpointId, float] = {}
         self._is_held = False
         self.counts: collections.Counter[end_signs.Observation] = (
             collections.Counter()
@@ -134,7 +137,9 @@
             doubt: What the other instance tells of it.
             now: Monotonic seconds.
         """
-        self._record(runner, end_signs.make_told(doubt, now))
+        sign = end_signs.make_told(doubt, now)
+        if sign.at >= self._proven_at.get(runner, -math.inf) - _IN_FLIGHT_S:
+            self._record(runner, sign)
 
     def record_data(
         self,
@@ -185,6 +190,7 @@
         """Records the start that a runner has just named itself."""
         known = self._runners.find(runner)
         if known is not None and known.start == start:
+            self._proven_at[runner] = now
             self._dismiss(runner, now - _IN_FLIGHT_S)
 
     def forget_observed(self, service: ids.ServiceName) -> None:
@@ -213,6 +219,9 @@
             now: Monotonic seconds.
             is_current: Whether the registry is known to be current.
         """
+        for runner in list(self._proven_at):
+            if self._runners.find(runner) is None:
+                del self._proven_at[runner]
         for runner, signs in list(self._signs.items()):
             listed = self._runners.find(runner) is not None
             kept_until = self._runners.get_kept_until(runner)
@@ -365,6 +374,7 @@
             self._notify_confirmed(runner)
 
     def _on_restarted(self, runner: model.Runner) -> None:
+        self._proven_at.pop(runner.id, None)
         if runner.start is None:
             # Nothing tells which signs came before this start.
             self._signs.pop(runner.id, None)
--- a/pollenfork/fleet/tests/test_continuity.py
+++ b/pollenfork/fleet/tests/test_continuity.py
@@ -264,6 +264,21 @@
 
 # Guards against an instance that reads an entry from before a restart which
 # those that it asks know of already.
+# Guards against a doubt of an instance that has just started too, which hasn't
+# asked the runner yet.
+@pytest.mark.parametrize(("age_s", "is_certain"), [(1.0, True), (0.1, False)])
+def test_a_doubt_from_before_a_runner_named_its_start_is_ignored(
+    age_s, is_certain
+) -> None:
+    _, judged, entry = make_known()
+    judged.record_told(RUNNER, signs.Doubt(EPOCH_S, 1.0), 2.0)
+    assert not judged.is_certain(entry)
+    judged.record_start(RUNNER, entry.start, 2.1)
+    assert judged.is_certain(entry)
+    judged.record_told(RUNNER, signs.Doubt(EPOCH_S, age_s), 2.2)
+    assert judged.is_certain(entry) is is_certain
+
+
 def test_a_restart_is_told_though_its_entry_has_come() -> None:
     runners, judged, entry = make_known()
     judged.record_closed(RUNNER, at(1.0), 2.0)
--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import itertools
 import logging
 import random
 import signal
@@ -51,6 +52,8 @@
 from pollenfork.gateway.streams import doubt_exchange
 from pollenfork.gateway.streams import origin_directory
 from pollenfork.gateway.streams import runner_continuity
+from pollenfork.gateway.version_records import recorder
+from pollenfork.gateway.version_records import start_proof
 from pollenfork.loads import messages as loads
 from pollenfork.loads import reach_messages
 from pollenfork.poison import quarantine
@@ -147,7 +150,7 @@
             granted,
             forecasts=self._forecasting.costs,
             has_place=self._brittle.has_place,
-            is_certain=self._continuity.is_certain,
+            is_certain=self._is_certain,
         )
         self._brittle.watch(chooser)
         findings = evidence.Evidence(
@@ -171,14 +174,7 @@
             config.data_centre,
         )
         self._reach.when_suspected(self._forwarder.ask)
-        self._stream_origins = origin_directory.OriginDirectory(
-            self._loop,
-            self.state.runners,
-            me.host,
-            config.data_centre,
-            self._knows_runners,
-            self._continuity,
-        )
+        self._track_versions(store, cache_codec)
         self._observed = runner_continuity.RunnerContinuity(
             self._loop,
             self._continuity,
@@ -277,6 +273,31 @@
             self._sources.tables, self._buffers
         )
 
+    def _track_versions(
+        self, store: edges.Store, cache_codec: edges.CacheCodec
+    ) -> None:
+        """Creates what keeps streams at the versions that began them."""
+        config = self._settings
+        host = (config.peer or config.front).host
+        self._version_records = recorder.Recorder(
+            config.store, store, host, time.time
+        )
+        self.state.when_restored(self._version_records.rewrite)
+        self._start_proof = start_proof.StartProof(
+            self._loop,
+            cache_codec,
+            self.state.runners,
+            self._continuity,
+        )
+        self._stream_origins = origin_directory.OriginDirectory(
+            self._loop,
+            self.state.runners,
+            host,
+            config.data_centre,
+            self._continuity,
+            self._version_records,
+        )
+
     def _start_scaling(self, chooser: choice.Chooser) -> None:
         """Lets the duty holder order runners, if that is a duty here."""
         duties, agent = self._settings.duties, self._duty_agent
@@ -317,8 +338,9 @@
         self._tasks.append(self._loop.create_task(self._quarantine_store.run()))
         self._tasks.append(self._loop.create_task(self._sweep()))
         self._tasks.append(self._loop.create_task(self._clean_up()))
+        self._tasks.append(self._loop.create_task(self._version_records.run()))
         if self._duty_agent is not None:
-            self._tasks.append(self._loop.create_task(self._duty_agent.run()))
+            self._tasks.append(self._loop.create_task(self._run_duties()))
         await self._join_peers()
         _LOG.info(
             "event=started instance=%s data_centre=%s front=%s:%d store=%s:%d",
@@ -377,12 +399,18 @@
             joined,
             me.host,
             self._settings.data_centre,
+            self._start_proof.run,
         )
         if any(seed.host != me.host for seed in self._settings.seeds):
             doubts.hold()
         joined.on_streams(doubts.receive)
         self._stream_origins.join(joined, doubts.wait_until_settled)
         joined.on_streams(self._stream_origins.receive)
+        self._version_records.join(
+            lambda: itertools.chain.from_iterable(
+                joined.list_members().values()
+            )
+        )
         self._brittle.join(joined)
         joined.on_rooms(self._brittle.receive)
         joined.when_ticked(self._brittle.tick)
@@ -395,6 +423,18 @@
         asking.add_done_callback(_log_error)
         self._tasks.append(asking)
 
+    async def _run_duties(self) -> None:
+        """Runs the duties, whose first rows show that instances have served."""
+        assert self._duty_agent is not None
+        await self._version_records.started.wait()
+        await self._duty_agent.run()
+
+    def _is_certain(self, runner: fleet.Runner) -> bool:
+        """Returns whether a runner's version is certain, and recorded."""
+        return self._continuity.is_certain(
+            runner
+        ) and self._stream_origins.is_recorded(runner)
+
     def _receive_reach(
         self, message: reach_messages.ReachMessage, host: str
     ) -> None:
@@ -553,6 +593,7 @@
         self._deps.prober.close()
         self._deps.crash_probes.close()
         self._observed.close()
+        self._version_records.close()
         self._reach.close()
         self._deps.pool.close()
 
--- a/pollenfork/gateway/exchange.py
+++ b/pollenfork/gateway/exchange.py
@@ -252,6 +252,7 @@
             await self._quarantine_check.wait_for_probe(grant.runner, ended)
             return False
         if decision is _RetryDecision.ANSWERED:
+            self._pin.record_whole()
             self._observer.on_whole(grant, self._history.sent)
         if sent is not None:
             self._observer.on_end(
--- a/pollenfork/gateway/streams/doubt_exchange.py
+++ b/pollenfork/gateway/streams/doubt_exchange.py
@@ -1,6 +1,7 @@
 """Asks other instances which runners may have ended before this one started."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 import logging
 from typing import Protocol
 
@@ -59,6 +60,7 @@
         peers: origin_searches.Peers,
         host: str,
         data_centre: ids.DataCentre,
+        prove_starts: Callable[[], Awaitable[None]] | None = None,
     ) -> None:
         """Creates an exchange that answers others, and asks if `ask` is called.
 
@@ -69,7 +71,10 @@
             peers: The other instances.
             host: This instance's host.
             data_centre: Where it runs.
+            prove_starts: Asks the runners themselves, if nobody has answered;
+                None: their entries are believed then.
         """
+        self._prove_starts = prove_starts
         self._loop = loop
         self._judged = judged
         self._state = state
@@ -103,6 +108,7 @@
             while not self._state.has_runners:
                 await asyncio.sleep(_POLL_S)
             await self._ask_in_rounds()
+            await self._settle()
         finally:
             self._release()
 
@@ -124,7 +130,19 @@
             left_s = held_until - self._loop.time()
             await self._wait_for_answers(min(_ROUND_S, left_s))
             if self._loop.time() >= held_until:
-                self._release()
+                await self._settle()
+
+    async def _settle(self) -> None:
+        """Ends the hold; asks the runners themselves if nobody else told."""
+        if self._settled.is_set():
+            return
+        if not self._answered and self._prove_starts is not None:
+            try:
+                async with asyncio.timeout(_MAX_HOLD_S):
+                    await self._prove_starts()
+            except TimeoutError:
+                pass  # Those that haven't answered stay in doubt.
+        self._release()
 
     def _release(self) -> None:
         if self._settled.is_set():
--- a/pollenfork/gateway/streams/origin_directory.py
+++ b/pollenfork/gateway/streams/origin_directory.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import collections
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 import enum
 import logging
+from typing import Protocol
 
 import msgspec
 
@@ -17,7 +18,7 @@
 from pollenfork.loads import stream_messages
 from pollenfork.streams import holders
 from pollenfork.streams import origins
-from pollenfork.streams import version_history
+from pollenfork.streams import version_records
 
 _LOG = logging.getLogger(__name__)
 
@@ -28,11 +29,6 @@
 # A caller may return this long after its time limit, in seconds: it measures
 # from when it sent its request.
 _KEEP_MARGIN_S = 5.0
-# The least time for which a service must have had a single version if nothing
-# is known of a stream, in seconds, and the same as a multiple of its route's
-# time limit: callers take a stream up several times at most.
-_MIN_ALONE_S = 20.0
-_ALONE_LIMITS = 3.0
 # A runner that has restarted may have written events of its new version for
 # this long before the registry tells of it, in seconds: its entry lasts for
 # three renewals while it can't write, and news takes a second or two.
@@ -44,6 +40,7 @@
 
     HERE = "here"
     PEER = "peer"
+    RECORD = "record"
     ONLY_VERSION = "only_version"
     OTHER_SERVICE = "other_service"
     UNKNOWN = "unknown"
@@ -88,6 +85,48 @@
         return origins.hash_stream(self.first)
 
 
+class Records(Protocol):
+    """What outlasts a loss of all instances; see `version_records`."""
+
+    def observe(self, runners: Iterable[fleet.Runner]) -> None:
+        """Records the versions of runners that are listed."""
+
+    def note(
+        self, service: ids.ServiceName, version: ids.SoftwareVersion
+    ) -> None:
+        """Records that streams may begin at a version."""
+
+    def is_recorded(
+        self, service: ids.ServiceName, version: ids.SoftwareVersion
+    ) -> bool:
+        """Returns whether streams may begin at a version."""
+
+    async def wait_until_recorded(self, service: ids.ServiceName) -> bool:
+        """Waits for a short time; returns whether streams may begin."""
+
+    def record_begun(
+        self,
+        stream: int,
+        service: ids.ServiceName,
+        version: ids.SoftwareVersion,
+    ) -> None:
+        """Lists a stream that hasn't ended."""
+
+    def is_listed_unknown(self, stream: int) -> bool:
+        """Returns whether a stream is recorded as one of an unknown author."""
+
+    def correct(self, stream: int, version: ids.SoftwareVersion) -> None:
+        """Changes the version of a stream that is listed."""
+
+    def record_ended(self, stream: int) -> None:
+        """Drops a stream that its caller has whole."""
+
+    async def find(
+        self, stream: int, service: ids.ServiceName
+    ) -> version_records.Finding:
+        """Returns the version that began a stream, if the records prove it."""
+
+
 class _Recent(msgspec.Struct, frozen=True):
     """A stream that has just begun at one of the runners.
 
@@ -148,8 +187,8 @@
         runners: registry.Registry,
         host: str,
         data_centre: ids.DataCentre,
-        knows_runners: Callable[[], bool],
         judged: continuity.Continuity | None = None,
+        records: Records | None = None,
     ) -> None:
         """Creates a directory that knows no stream and no peer.
 
@@ -158,17 +197,16 @@
             runners: The registered runners.
             host: This instance's host.
             data_centre: Where it runs.
-            knows_runners: Returns whether the registry is known to be current.
             judged: Tells which runners may have started again unnoticed; None:
                 their entries are believed.
+            records: Outlasts a loss of all instances; None: nothing does.
         """
         self._loop = loop
         self._runners = runners
         self._host = host
         self._data_centre = data_centre
-        self._knows_runners = knows_runners
+        self._records = records
         self._origins = origins.Origins()
-        self._history = version_history.VersionHistory()
         self._peers: origin_searches.Peers | None = None
         self._wait_until_settled: Callable[[], Awaitable[None]] | None = None
         self._judged = judged or continuity.Continuity(runners, 0.0)
@@ -176,6 +214,9 @@
         self._followed: list[_Followed] = []
         self._searches = origin_searches.OriginSearches(loop, host, data_centre)
         self.counts = dict.fromkeys(Lookup, 0)
+        runners.when_listed(lambda _: self._observe_versions())
+        runners.when_restarted(lambda _: self._observe_versions())
+        runners.when_described(lambda _: self._observe_versions())
         runners.when_restarted(lambda runner: self._judge_again(runner.id))
         runners.when_described(lambda runner: self._judge_again(runner.id))
         self._judged.when_doubted(self._judge_again)
@@ -201,6 +242,65 @@
         self._origins.expire(self._loop.time())
         self._observe_versions()
 
+    def is_recorded(self, runner: fleet.Runner) -> bool:
+        """Returns whether streams may begin at the version of a runner's entry.
+
+        After a loss of all instances, no stream is believed to have begun at
+        one that isn't recorded.
+        """
+        if self._records is None:
+            return True
+        if self._records.is_recorded(runner.service, runner.version):
+            return True
+        self._records.note(runner.service, runner.version)
+        return False
+
+    def may_begin(
+        self,
+        stream: StreamKey,
+        runner: fleet.Runner,
+        made: signs.ConnectionTimes,
+    ) -> bool:
+        """Returns whether a stream may begin over a connection to a runner.
+
+        If its author won't be known, the stream itself must be recorded first.
+
+        Args:
+            stream: The stream.
+            runner: The runner as it was known when it was chosen.
+            made: When the connection was made.
+        """
+        if self._records is None or not self.is_recorded(runner):
+            return self._records is None
+        version, _ = self._judge(runner, made)
+        if version == runner.version:
+            return True
+        if version:
+            return self._records.is_recorded(runner.service, version)
+        keys = (stream.hash, stream.digest)
+        if all(map(self._records.is_listed_unknown, keys)):
+            return True
+        for key in keys:
+            self._records.record_begun(key, runner.service, origins.UNKNOWN)
+        return False
+
+    async def wait_until_begins(self, service: ids.ServiceName) -> bool:
+        """Waits, for a short time, until streams may begin at a service.
+
+        Returns:
+            Whether they may.
+        """
+        if self._records is None:
+            return True
+        self._observe_versions()
+        return await self._records.wait_until_recorded(service)
+
+    def record_ended(self, stream: StreamKey) -> None:
+        """Records that the caller has a stream whole."""
+        if self._records is not None:
+            for key in (stream.hash, stream.digest):
+                self._records.record_ended(key)
+
     def record_begun(
         self,
         stream: StreamKey,
@@ -232,6 +332,9 @@
         while now - self._recent[0].at > _RESTART_NEWS_S:
             self._recent.popleft()
         self._publish(stream.digest, told)
+        if self._records is not None:
+            for each in told:
+                self._records.record_begun(each.stream, runner.service, version)
         return version
 
     def follow(
@@ -272,18 +375,17 @@
         return self._judge(runner, made)[0] == version
 
     async def find_own(
-        self, stream: StreamKey, service: ids.ServiceName, limit_s: float
+        self, stream: StreamKey, service: ids.ServiceName
     ) -> ids.SoftwareVersion:
         """Returns the version of a stream that began here; it may be unknown.
 
         Args:
             stream: The stream.
             service: The service that it goes on at.
-            limit_s: The time limit of its route, in seconds.
         """
         until = self._loop.time() + _MAX_OWN_WAIT_S
         while True:
-            found = await self._find(stream, service, limit_s)
+            found = await self._find(stream, service)
             is_pending = self._peers is not None and self._origins.is_pending(
                 stream.hash, origins.hash_service(service)
             )
@@ -291,16 +393,15 @@
                 return found.version or origins.UNKNOWN
 
     async def find(
-        self, stream: StreamKey, service: ids.ServiceName, limit_s: float
+        self, stream: StreamKey, service: ids.ServiceName
     ) -> LookupResult:
         """Returns where a stream began that a caller takes up.
 
         Args:
             stream: The stream.
             service: The service that it goes on at.
-            limit_s: The time limit of its route, in seconds.
         """
-        found = await self._find(stream, service, limit_s)
+        found = await self._find(stream, service)
         self.counts[found.lookup] += 1
         return found
 
@@ -339,11 +440,11 @@
         self._searches.record_answer(answer.stream)
 
     async def _find(
-        self, stream: StreamKey, service: ids.ServiceName, limit_s: float
+        self, stream: StreamKey, service: ids.ServiceName
     ) -> LookupResult:
         known = self._look_up(stream.hash, service, Lookup.HERE)
         if self._peers is None or self._is_final(known, stream, service):
-            return known or self._find_only(service, limit_s)
+            return known or await self._find_recorded(stream, service)
 
         def is_known() -> bool:
             told = self._look_up(stream.hash, service, Lookup.PEER)
@@ -353,7 +454,7 @@
             self._peers, stream.hash, stream.digest, is_known
         )
         known = self._look_up(stream.hash, service, Lookup.PEER)
-        return known or self._find_only(service, limit_s, vouched)
+        return known or await self._find_recorded(stream, service, vouched)
 
     def _look_up(
         self, stream: int, service: ids.ServiceName, lookup: Lookup
@@ -368,29 +469,33 @@
             return LookupResult(Lookup.UNKNOWN)
         return LookupResult(lookup, version)
 
-    def _find_only(
-        self, service: ids.ServiceName, limit_s: float, vouched: bool = True
+    async def _find_recorded(
+        self,
+        stream: StreamKey,
+        service: ids.ServiceName,
+        vouched: bool = True,
     ) -> LookupResult:
-        """Returns the version if the service has had no other one for long.
+        """Returns the version that the records prove.
 
         Args:
-            service: The service.
-            limit_s: The time limit of the stream's route, in seconds.
+            stream: The stream.
+            service: The service that it goes on at.
             vouched: Whether another instance is in reach, if there is any: one
-                that is cut off doesn't know what has begun elsewhere.
+                that is cut off doesn't know which of them record nothing.
         """
-        if not vouched or not self._knows_runners():
-            return LookupResult(Lookup.UNKNOWN)
-        self._observe_versions()
-        alone_s = max(_MIN_ALONE_S, _ALONE_LIMITS * limit_s)
-        only = self._history.find_only(service, alone_s, self._loop.time())
-        if only is None:
+        if self._records is None:
             return LookupResult(Lookup.UNKNOWN)
-        return LookupResult(Lookup.ONLY_VERSION, only)
+        found = await self._records.find(stream.hash, service)
+        match found.verdict:
+            case version_records.Verdict.LISTED:
+                return LookupResult(Lookup.RECORD, found.version)
+            case version_records.Verdict.ONLY if vouched:
+                return LookupResult(Lookup.ONLY_VERSION, found.version)
+        return LookupResult(Lookup.UNKNOWN)
 
     def _observe_versions(self) -> None:
-        if self._runners.size:
-            self._history.observe(self._runners.list_all(), self._loop.time())
+        if self._records is not None:
+            self._records.observe(self._runners.list_all())
 
     def _is_final(
         self,
@@ -441,6 +546,9 @@
             )
             self._recent[number] = msgspec.structs.replace(each, told=told)
             self._publish(each.digest, told)
+            if self._records is not None:
+                for origin in told:
+                    self._records.correct(origin.stream, version)
         for followed in list(self._followed):
             if followed.runner.id == runner:
                 self._end_if_doubted(followed)
--- a/pollenfork/gateway/streams/version_pin.py
+++ b/pollenfork/gateway/streams/version_pin.py
@@ -66,17 +66,18 @@
         """
         if self._begun is not None:
             self.version = await self._directory.find_own(
-                self._begun, self._service, self._route.time_limit_s
+                self._begun, self._service
             )
             return bool(self.version)
         if self._is_resumable:
             await self._directory.wait_until_settled()
         if not self._is_open:
-            return True
+            begins = self._is_resumable and self.version is None
+            return not begins or await self._directory.wait_until_begins(
+                self._service
+            )
         stream = origin_directory.StreamKey(self._head.resumes, self._digest)
-        found = await self._directory.find(
-            stream, self._service, self._route.time_limit_s
-        )
+        found = await self._directory.find(stream, self._service)
         _LOG.info(
             "event=stream_taken_up request=%s resumes=%s after=%s lookup=%s "
             "version=%s",
@@ -93,15 +94,19 @@
     def accepts(
         self, runner: fleet.Runner, opened: connection.Connection
     ) -> bool:
-        """Returns whether a connection surely leads to the stream's version.
+        """Returns whether a stream may begin or go on over a connection.
+
+        To go on, it must surely lead to the stream's version.
 
         Args:
             runner: The runner as it was known when it was chosen.
             opened: A connection to it.
         """
-        if not self.version:
-            return True
         made = runner_continuity.get_times(opened)
+        if not self.version:
+            return not self._is_resumable or self._directory.may_begin(
+                self._key, runner, made
+            )
         return self._directory.is_at_version(runner, made, self.version)
 
     def attach(
@@ -123,13 +128,23 @@
                 runner, self._made, self.version, is_over, opened.fail
             )
 
+    @property
+    def _key(self) -> origin_directory.StreamKey:
+        """What identifies the stream that this request begins or goes on."""
+        first = self._head.resumes or self._head.attempt
+        return origin_directory.StreamKey(first, self._digest)
+
     def record_begun(self, runner: fleet.Runner) -> None:
         """Records that a runner has sent the caller the first event."""
         if not self._is_resumable:
             return
         keep_s = max(self._head.wait_s or 0.0, self._route.time_limit_s)
-        first = self._head.resumes or self._head.attempt
-        self._begun = origin_directory.StreamKey(first, self._digest)
+        self._begun = self._key
         self.version = self._directory.record_begun(
             self._begun, runner, keep_s, self._made
         )
+
+    def record_whole(self) -> None:
+        """Records that the caller has the whole stream."""
+        if self._begun is not None:
+            self._directory.record_ended(self._begun)
--- a/pollenfork/platform/tests/soak/runner.py
+++ b/pollenfork/platform/tests/soak/runner.py
@@ -95,6 +95,7 @@
         self.silent_until = 0.0
         self.forms: stream_forms.Forms | None = None
         self.names_runs = False
+        self.born = int(time.time() * 1000)
         self._active = 0
         self._refused: list[float] = []
         # Tokens of the prompt parts that it caches; it evicts nothing.
@@ -247,6 +248,7 @@
             for number, (part, tokens) in enumerate(self._cached.items(), 1)
         ]
         body = {
+            "born": self.born,
             "next": len(events),
             "events": events[since:],
             "held": [each[2:] for each in events],
