Let records gather for a second where one version serves

A row was written up to 20 times a second by each of six instances for ten minutes after a rollout, 33 KB/s each (computed from rows of 60 keys), over the 29 KB/s that control may take. Streams now gather for 0.1 s while several versions are listed, for 1 s from 60 s after, and for longer at over 20 instances, so that all write 200 times a second at most.

--- a/pollenfork/gateway/version_records/recorder.py
+++ b/pollenfork/gateway/version_records/recorder.py
@@ -36,7 +36,13 @@
 # versions, and the least time between two of one instance, in seconds. The
 # store takes 300 transactions a second in one part.
 _WRITES_PER_S = 200.0
-_MIN_INTERVAL_S = 0.05
+_MIN_INTERVAL_S = 0.1
+# The same where streams wait to begin, in seconds.
+_LEAST_REST_S = 0.02
+# The same once a service's runners have been of one version for so long, in
+# seconds.
+_CALM_INTERVAL_S = 1.0
+_CALM_S = 60.0
 # Streams listed in a row, 20 bytes each; the oldest go first. A stream that
 # hasn't ended is listed for as long as callers usually return, in seconds.
 _MAX_STREAMS = 1_000
@@ -103,6 +109,8 @@
         # Streams of unknown authors in the row that is written.
         self._unknown: set[int] = set()
         self._changed = asyncio.Event()
+        # Set if streams wait for a write.
+        self._awaited = asyncio.Event()
         self._written = asyncio.Event()
         self.started = asyncio.Event()
         self.counts = dict.fromkeys(version_records.Verdict, 0)
@@ -130,6 +138,7 @@
         self._used.setdefault(service, {})[version] = self._loop.time()
         if (service, version) not in self._recorded:
             self._changed.set()
+            self._awaited.set()
 
     def is_recorded(
         self, service: ids.ServiceName, version: ids.SoftwareVersion
@@ -176,6 +185,8 @@
             _, (dropped_at, dropped, _) = self._streams.popitem(last=False)
             if not dropped:
                 self.note(dropped_at, origins.UNKNOWN)
+        if not version and stream not in self._unknown:
+            self._awaited.set()
         if self._has_several(service) or stream in self._unknown or not version:
             self._changed.set()
 
@@ -235,14 +246,24 @@
         while True:
             await self._changed.wait()
             self._changed.clear()
+            self._awaited.clear()
             if await self._write():
                 pause_s = _FIRST_PAUSE_S
-                await asyncio.sleep(self._interval_s)
+                await self._rest()
                 continue
             self._changed.set()
             await asyncio.sleep(pause_s)
             pause_s = min(2 * pause_s, _LONGEST_PAUSE_S)
 
+    async def _rest(self) -> None:
+        """Lets changes gather, unless streams wait for them."""
+        await asyncio.sleep(_LEAST_REST_S)
+        try:
+            async with asyncio.timeout(self._interval_s):
+                await self._awaited.wait()
+        except TimeoutError:
+            return
+
     def rewrite(self) -> None:
         """Writes the row again, as the store may have lost it."""
         self._recorded.clear()
@@ -256,7 +277,13 @@
     @property
     def _interval_s(self) -> float:
         members = sum(1 for _ in self._list_members())
-        return max(_MIN_INTERVAL_S, members / _WRITES_PER_S)
+        since = self._loop.time() - _CALM_S
+        is_calm = all(
+            sum(at >= since for at in used.values()) <= 1
+            for used in self._used.values()
+        )
+        least_s = _CALM_INTERVAL_S if is_calm else _MIN_INTERVAL_S
+        return max(least_s, members / _WRITES_PER_S)
 
     async def _start(self) -> bool:
         """Takes over this instance's own row, or begins one."""
