Ask runners that stay in doubt for their start

The log of a gateway that started then: two others told it that i-1, i-2, i-4 and i-8 were in doubt (doubts_asked answered=2); it doubted them to the end, while one of those that told was certain of i-4 again after 0.1 s.

Cause: a doubt that is told ends only with the lifetime of entries, 5.1 s, as no connection counts as made before it, though at its observer a probe ends most of them at once. The same holds for a sign that is seen late.

An instance that has been told of doubts, and one whose own doubt outlasts its probe, now ask the runner for its start, which proves which process runs.

--- a/pollenfork/fleet/continuity.py
+++ b/pollenfork/fleet/continuity.py
@@ -16,7 +16,7 @@
 from pollenfork.fleet import signs as end_signs
 
 # What a runner sent before it ended may arrive up to this much later.
-_IN_FLIGHT_S = 0.3
+IN_FLIGHT_S = 0.3
 # Signs kept for each runner, and for how long at most, in seconds.
 _MAX_SIGNS = 64
 _MAX_AGE_S = 60.0
@@ -138,7 +138,7 @@
             now: Monotonic seconds.
         """
         sign = end_signs.make_told(doubt, now)
-        if sign.at >= self._proven_at.get(runner, -math.inf) - _IN_FLIGHT_S:
+        if sign.at >= self._proven_at.get(runner, -math.inf) - IN_FLIGHT_S:
             self._record(runner, sign)
 
     def record_data(
@@ -162,7 +162,7 @@
             if known is None:
                 return
             if known.start is None or made.is_since_start(known):
-                self._dismiss(runner, now - _IN_FLIGHT_S)
+                self._dismiss(runner, now - IN_FLIGHT_S)
 
     def record_reached(self, runner: ids.EndpointId, made_at: float) -> None:
         """Records that a new connection to a runner holds.
@@ -191,7 +191,7 @@
         known = self._runners.find(runner)
         if known is not None and known.start == start:
             self._proven_at[runner] = now
-            self._dismiss(runner, now - _IN_FLIGHT_S)
+            self._dismiss(runner, now - IN_FLIGHT_S)
 
     def forget_observed(self, service: ids.ServiceName) -> None:
         """Drops this instance's own signs of a service's runners.
--- a/pollenfork/gateway/application.py
+++ b/pollenfork/gateway/application.py
@@ -181,6 +181,7 @@
             connections,
             self.state.runners,
             findings,
+            prove_start=self._start_proof.ask,
         )
         self._duty_agent: duty_agent.DutyAgent | None = None
         if config.duties is not None:
@@ -399,7 +400,7 @@
             joined,
             me.host,
             self._settings.data_centre,
-            self._start_proof.run,
+            self._start_proof,
         )
         if any(seed.host != me.host for seed in self._settings.seeds):
             doubts.hold()
--- a/pollenfork/gateway/streams/doubt_exchange.py
+++ b/pollenfork/gateway/streams/doubt_exchange.py
@@ -1,7 +1,6 @@
 """Asks other instances which runners may have ended before this one started."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
 import logging
 from typing import Protocol
 
@@ -49,6 +48,16 @@
         """The registered runners."""
 
 
+class StartProof(Protocol):
+    """Asks runners for their start; see `version_records.start_proof`."""
+
+    async def run(self) -> None:
+        """Puts all runners in doubt, and returns once they have been asked."""
+
+    async def check_doubted(self) -> None:
+        """Asks the runners that are in doubt."""
+
+
 class DoubtExchange:
     """Learns which runners are in doubt at a start, and tells others later."""
 
@@ -60,7 +69,7 @@
         peers: origin_searches.Peers,
         host: str,
         data_centre: ids.DataCentre,
-        prove_starts: Callable[[], Awaitable[None]] | None = None,
+        proof: StartProof | None = None,
     ) -> None:
         """Creates an exchange that answers others, and asks if `ask` is called.
 
@@ -71,10 +80,10 @@
             peers: The other instances.
             host: This instance's host.
             data_centre: Where it runs.
-            prove_starts: Asks the runners themselves, if nobody has answered;
-                None: their entries are believed then.
+            proof: Asks the runners themselves; None: nobody does, and their
+                entries are believed if no instance has answered.
         """
-        self._prove_starts = prove_starts
+        self._proof = proof
         self._loop = loop
         self._judged = judged
         self._state = state
@@ -111,6 +120,8 @@
             await self._settle()
         finally:
             self._release()
+        if self._proof is not None:
+            await self._proof.check_doubted()
 
     async def _ask_in_rounds(self) -> None:
         """Asks until the nearest instances that can be found have answered."""
@@ -136,10 +147,10 @@
         """Ends the hold; asks the runners themselves if nobody else told."""
         if self._settled.is_set():
             return
-        if not self._answered and self._prove_starts is not None:
+        if not self._answered and self._proof is not None:
             try:
                 async with asyncio.timeout(_MAX_HOLD_S):
-                    await self._prove_starts()
+                    await self._proof.run()
             except TimeoutError:
                 pass  # Those that haven't answered stay in doubt.
         self._release()
--- a/pollenfork/gateway/streams/runner_continuity.py
+++ b/pollenfork/gateway/streams/runner_continuity.py
@@ -1,7 +1,7 @@
 """Observes connections for signs that runners have ended or live on."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 import logging
 import time
 
@@ -45,6 +45,7 @@
         runners: registry.Registry,
         findings: evidence.Evidence,
         unix_time: Callable[[], float] = time.time,
+        prove_start: Callable[[fleet.Runner], Awaitable[None]] | None = None,
     ) -> None:
         """Creates an observer of all connections to runners.
 
@@ -55,11 +56,14 @@
             runners: The registered runners.
             findings: Tells what other instances have observed.
             unix_time: Returns the Unix time.
+            prove_start: Asks a runner that stays in doubt for its start; None:
+                nobody does.
         """
         self._loop = loop
         self._judged = judged
         self._runners = runners
         self._unix_time = unix_time
+        self._prove_start = prove_start
         self._pool = connections
         self._doubted: set[ids.EndpointId] = set()
         self._probes: dict[ids.EndpointId, asyncio.Task[None]] = {}
@@ -108,16 +112,26 @@
         self._judged.record_closed(
             runner.id, get_times(closed), now, is_late=is_late
         )
-        if not is_late:
-            self._start_probe(runner)
+        self._start_probe(runner, is_late=is_late)
 
-    def _start_probe(self, runner: fleet.Runner) -> None:
+    def _start_probe(self, runner: fleet.Runner, *, is_late: bool) -> None:
         if runner.id in self._probes or len(self._probes) >= _MAX_PROBES:
             return
-        task = self._loop.create_task(self._probe(runner))
+        task = self._loop.create_task(self._check(runner, is_late=is_late))
         self._probes[runner.id] = task
         task.add_done_callback(lambda _: self._probes.pop(runner.id))
 
+    async def _check(self, runner: fleet.Runner, *, is_late: bool) -> None:
+        """Finds out whether a runner in doubt is the process of its entry."""
+        if not is_late:
+            await self._probe(runner)
+        if self._prove_start is None:
+            return
+        await asyncio.sleep(continuity.IN_FLIGHT_S)
+        known = self._runners.find(runner.id)
+        if known is not None and not self._judged.is_certain(known):
+            await self._prove_start(known)
+
     async def _probe(self, runner: fleet.Runner) -> None:
         """Finds out whether a runner that closed a connection lives on."""
         opened = await self._pool.open(runner, signs.RESTART_S)
--- a/pollenfork/gateway/version_records/start_proof.py
+++ b/pollenfork/gateway/version_records/start_proof.py
@@ -1,9 +1,9 @@
-"""Asks runners for their start after a loss of all instances.
+"""Asks runners for their start, where it is in doubt which process runs.
 
-Nobody knows then whether a runner has ended and started again, at another
-software version, behind an entry that it couldn't replace. It names its start
-itself if it is asked what it caches; others are in doubt until their entry has
-lasted.
+A runner may have ended and started again, at another software version, behind
+an entry that it couldn't replace. After a loss of all instances nobody knows of
+that; beside others a sign of it may mean nothing. The runner names its start if
+it is asked what it caches; others are in doubt until their entry has lasted.
 """
 
 import asyncio
@@ -55,7 +55,7 @@
         self._judged = judged
 
     async def run(self) -> None:
-        """Puts runners in doubt, and returns once all have been asked."""
+        """Puts all runners in doubt, and returns once they have been asked."""
         doubted = [
             runner
             for runner in self._runners.list_all()
@@ -66,9 +66,17 @@
             doubt = signs.Doubt((runner.start + 1) / 1000.0, _SIGN_AGE_S)
             self._judged.record_told(runner.id, doubt, self._loop.time())
         await self._ask_all(doubted)
-        left = [each for each in doubted if self._judged.has_signs(each.id)]
-        _LOG.info(
-            "event=starts_asked runners=%d in_doubt=%d", len(doubted), len(left)
+
+    async def check_doubted(self) -> None:
+        """Asks the runners that others have told to be in doubt."""
+        await asyncio.sleep(continuity.IN_FLIGHT_S)
+        await self._ask_all(
+            [
+                runner
+                for runner in self._runners.list_all()
+                if runner.start is not None
+                and self._judged.has_signs(runner.id)
+            ]
         )
 
     async def _ask_all(self, doubted: list[fleet.Runner]) -> None:
@@ -76,11 +84,16 @@
 
         async def ask(runner: fleet.Runner) -> None:
             async with turn:
-                await self._ask(runner)
+                await self.ask(runner)
 
         await asyncio.gather(*map(ask, doubted))
+        left = [each for each in doubted if self._judged.has_signs(each.id)]
+        _LOG.info(
+            "event=starts_asked runners=%d in_doubt=%d", len(doubted), len(left)
+        )
 
-    async def _ask(self, runner: fleet.Runner) -> None:
+    async def ask(self, runner: fleet.Runner) -> None:
+        """Asks one runner for its start, and believes its answer."""
         calls = client.Client(
             loads.Address(runner.host, runner.port),
             max_bytes=_MAX_REPORT_BYTES,
