--- a/pollenfork/streams/version_records.py
+++ b/pollenfork/streams/version_records.py
@@ -15,9 +15,10 @@
 from pollenfork import ids
 from pollenfork.streams import origins
 
-# A caller may take up a stream for this long; an earlier one than the first
-# record isn't known to have begun at a recorded version, in seconds.
-KEEP_S = 600.0
+# How long a version stays recorded after its last runner was listed, and how
+# long a record must be complete to prove anything, in seconds. Callers return
+# within minutes, but nothing bounds that.
+KEEP_S = 86_400.0
 
 
 class BadRecord(failures.Failure, frozen=True, kw_only=True):
