Read the records in a module of its own

No behaviour changes: the tests in tests/, streams/, gateway/streams, of the records, of the proof of starts and of outages pass.

--- a/pollenfork/gateway/streams/origin_directory.py
+++ b/pollenfork/gateway/streams/origin_directory.py
@@ -2,10 +2,9 @@
 
 import asyncio
 import collections
-from collections.abc import Awaitable, Callable, Iterable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 import enum
 import logging
-from typing import Protocol
 
 import msgspec
 
@@ -15,6 +14,7 @@
 from pollenfork.fleet import registry
 from pollenfork.fleet import signs
 from pollenfork.gateway.streams import origin_searches
+from pollenfork.gateway.streams import stream_records
 from pollenfork.loads import stream_messages
 from pollenfork.streams import holders
 from pollenfork.streams import origins
@@ -85,48 +85,6 @@
         return origins.hash_stream(self.first)
 
 
-class Records(Protocol):
-    """What outlasts a loss of all instances; see `version_records`."""
-
-    def observe(self, runners: Iterable[fleet.Runner]) -> None:
-        """Records the versions of runners that are listed."""
-
-    def note(
-        self, service: ids.ServiceName, version: ids.SoftwareVersion
-    ) -> None:
-        """Records that streams may begin at a version."""
-
-    def is_recorded(
-        self, service: ids.ServiceName, version: ids.SoftwareVersion
-    ) -> bool:
-        """Returns whether streams may begin at a version."""
-
-    async def wait_until_recorded(self, service: ids.ServiceName) -> bool:
-        """Waits for a short time; returns whether streams may begin."""
-
-    def record_begun(
-        self,
-        stream: int,
-        service: ids.ServiceName,
-        version: ids.SoftwareVersion,
-    ) -> None:
-        """Lists a stream that hasn't ended."""
-
-    def is_listed_unknown(self, stream: int) -> bool:
-        """Returns whether a stream is recorded as one of an unknown author."""
-
-    def correct(self, stream: int, version: ids.SoftwareVersion) -> None:
-        """Changes the version of a stream that is listed."""
-
-    def record_ended(self, stream: int) -> None:
-        """Drops a stream that its caller has whole."""
-
-    async def find(
-        self, stream: int, service: ids.ServiceName
-    ) -> version_records.Finding:
-        """Returns the version that began a stream, if the records prove it."""
-
-
 class _Recent(msgspec.Struct, frozen=True):
     """A stream that has just begun at one of the runners.
 
@@ -188,7 +146,7 @@
         host: str,
         data_centre: ids.DataCentre,
         judged: continuity.Continuity | None = None,
-        records: Records | None = None,
+        records: stream_records.Records | None = None,
     ) -> None:
         """Creates a directory that knows no stream and no peer.
 
--- a/pollenfork/gateway/version_records/recorder.py
+++ b/pollenfork/gateway/version_records/recorder.py
@@ -5,17 +5,16 @@
 from collections.abc import Callable, Iterable
 import logging
 
-import msgspec
 import result
 
 from pollenfork import ids
 from pollenfork import versions
 from pollenfork.catalogue import changes
-from pollenfork.catalogue import messages as catalogue
 from pollenfork.fleet import model as fleet
 from pollenfork.gateway import client
 from pollenfork.gateway import edges
 from pollenfork.gateway import settings
+from pollenfork.gateway.version_records import row_reader
 from pollenfork.streams import origins
 from pollenfork.streams import version_records
 
@@ -24,8 +23,6 @@
 _TABLE = changes.Table.STREAM_VERSIONS
 # The timeout of a call, in seconds. It usually takes some milliseconds.
 _CALL_TIMEOUT_S = 1.0
-# The same of a read while a caller waits.
-_FIND_TIMEOUT_S = 0.5
 # Pauses after failed calls, in seconds; they double.
 _FIRST_PAUSE_S = 0.1
 _LONGEST_PAUSE_S = 1.0
@@ -48,22 +45,6 @@
 _MAX_STREAMS = 1_000
 _LISTED_S = 60.0
 
-_Rows = dict[str, version_records.Record | None]
-
-
-class _All(msgspec.Struct, frozen=True):
-    """All rows of one moment.
-
-    Attributes:
-        rows: The records by host; None: one that can't be decoded.
-        found: The version of this instance's own row; `ABSENT`: there is none.
-        era: The store's era.
-    """
-
-    rows: _Rows
-    found: int
-    era: int
-
 
 class Recorder:
     """Keeps this instance's row, and finds streams in those of all.
@@ -89,9 +70,7 @@
         """
         self._loop = asyncio.get_running_loop()
         self._client = client.Client(address)
-        self._reader = client.Client(address)
-        self._reading = asyncio.Lock()
-        self._last: tuple[float, _All | None] = (0.0, None)
+        self._reader = row_reader.RowReader(address, store, host)
         self._store = store
         self._host = host
         self._read_wall = read_wall
@@ -219,7 +198,7 @@
             stream: Identifies the stream.
             service: The service that it goes on at.
         """
-        read = await self._read_since(self._loop.time())
+        read = await self._reader.read_since(self._loop.time())
         if read is None:
             finding = version_records.Finding(version_records.Verdict.UNKNOWN)
         else:
@@ -288,7 +267,7 @@
 
     async def _start(self) -> bool:
         """Takes over this instance's own row, or begins one."""
-        read = await self._read(self._client, _CALL_TIMEOUT_S)
+        read = await self._reader.read()
         if read is None:
             return False
         own = read.rows.get(self._host)
@@ -330,7 +309,7 @@
                         ids.SoftwareVersion(version),
                     )
 
-    async def _is_first(self, read: _All) -> bool | None:
+    async def _is_first(self, read: row_reader.AllRows) -> bool | None:
         """Returns whether no instance has ever served; None: no answer.
 
         A row of a system that began with this build says so. Before there is
@@ -342,8 +321,7 @@
                 for each in read.rows.values()
             )
         for table in (changes.Table.DUTIES, changes.Table.KEPT_REQUESTS):
-            ask = self._store.encode_range_read(table, "")
-            rows = self._decode(await self._client.call(ask, _CALL_TIMEOUT_S))
+            rows = await self._reader.read_page(table)
             if rows is None:
                 return None
             if rows.rows:
@@ -393,7 +371,7 @@
 
     async def _read_own(self) -> None:
         """Reads the version that the row has, as a write may have been late."""
-        read = await self._read(self._client, _CALL_TIMEOUT_S)
+        read = await self._reader.read()
         if read is not None:
             self._row_version = read.found
             self._era = read.era
@@ -422,41 +400,7 @@
             if until < now:
                 del self._streams[stream]
 
-    async def _read_since(self, moment: float) -> _All | None:
-        """Returns all rows, read after a moment; requests share a read."""
-        async with self._reading:
-            begun_at, read = self._last
-            if begun_at < moment:
-                begun_at = self._loop.time()
-                read = await self._read(self._reader, _FIND_TIMEOUT_S)
-                self._last = begun_at, read
-            return read
-
-    async def _read(self, calls: client.Client, limit_s: float) -> _All | None:
-        """Returns all rows; None: the store didn't answer."""
-        rows: _Rows = {}
-        found = changes.ABSENT
-        start = ""
-        while True:
-            ask = self._store.encode_range_read(_TABLE, start)
-            page = self._decode(await calls.call(ask, limit_s))
-            if page is None:
-                return None
-            for row in page.rows:
-                decoded = version_records.decode(row.value)
-                rows[row.key] = decoded.ok()
-                if row.key == self._host:
-                    found = row.version
-            if not page.more or not page.rows:
-                return _All(rows, found, versions.get_epoch(page.version))
-            start = page.rows[-1].key + "\0"
-
-    def _decode(self, answer: client.Answer | None) -> catalogue.Rows | None:
-        if answer is None:
-            return None
-        return self._store.decode_rows(*answer).ok()
-
-    def _select(self, rows: _Rows) -> _Rows:
+    def _select(self, rows: row_reader.Rows) -> row_reader.Rows:
         """Drops the rows of instances that have been gone for long."""
         now = self._loop.time()
         self._seen.update(dict.fromkeys(self._list_members(), now))
